--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Configuration model, builder, schema and checks.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination decisions of fulmarlift as one reducer, without I/O.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load tool, policy experiments and reports.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client and messages of the platform's table service, object store and VM list.
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tokio shell that runs the effects of the reducer.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for a database member and the platform.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! PostgreSQL protocol streams, statement classes and SCRAM.
