Core reducer: status questions, read index, confirmation, routing, pools, failover, peers

One State::step over all events with effects as data, one area per folder. A status question per member serves as heartbeat, read index and confirmation. Thin versions: shares are equal parts, admission is a count, the planned move of a leaving primary is recognised and not yet carried out.

--- /dev/null
+++ b/crates/core/src/failover/detect.rs
@@ -0,0 +1,53 @@
+//! Whether a group needs another primary.
+
+/// What this proxy and its peers see of a group.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Evidence {
+    /// Whether a primary of the highest term known answers this proxy.
+    pub primary_answers: bool,
+    /// Whether the primary's VM is leaving.
+    pub primary_leaving: bool,
+    /// Members that answer this proxy.
+    pub members_answering: usize,
+    /// Members that make a majority.
+    pub majority: usize,
+    /// Live peers that report the primary silent.
+    pub peers_silent: usize,
+    /// Live peers that report the primary answering.
+    pub peers_answering: usize,
+}
+
+/// What the evidence says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The primary serves.
+    Healthy,
+    /// The primary is silent, but this proxy is in no position to replace it.
+    Undecided,
+    /// The primary is to be replaced.
+    Replace,
+    /// The primary serves, and is to be moved to another member.
+    Move,
+}
+
+impl Evidence {
+    /// Weighs the evidence. A proxy that cannot reach a majority of members, or whose view most live
+    /// peers contradict, starts nothing.
+    pub fn verdict(self) -> Verdict {
+        if self.members_answering < self.majority {
+            return Verdict::Undecided;
+        }
+        if self.primary_answers && self.primary_leaving {
+            return Verdict::Move;
+        }
+        if self.primary_answers {
+            return Verdict::Healthy;
+        }
+        // This proxy's own view counts with those of its peers.
+        if self.peers_silent + 1 > self.peers_answering {
+            Verdict::Replace
+        } else {
+            Verdict::Undecided
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/failover/mod.rs
@@ -0,0 +1,9 @@
+//! Replacing a primary: claim a term, fence a majority at it, promote the most advanced log fenced.
+
+mod attempt;
+mod detect;
+mod machine;
+
+pub use attempt::Fencing;
+pub use detect::{Evidence, Verdict};
+pub use machine::{Context, Failover, Stage, StageName};
--- /dev/null
+++ b/crates/core/src/group.rs
@@ -0,0 +1,122 @@
+//! What a proxy keeps for one database group.
+
+use std::time::{Duration, Instant};
+
+use crate::failover;
+use crate::floor;
+use crate::id;
+use crate::pool;
+use crate::request;
+use crate::route;
+use crate::sorted;
+use crate::status;
+use crate::topology;
+
+/// One database group at one proxy.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// What is known of the members.
+    pub watch: status::Watch,
+    /// Replacement of the primary.
+    pub failover: failover::Failover,
+    /// Connections, by member.
+    pub pools: sorted::Map<id::MemberId, pool::Pool>,
+    /// Requests that wait for a member that may serve them.
+    pub parked: Vec<id::RequestId>,
+    /// Members whose VM is leaving.
+    pub leaving: Vec<id::MemberId>,
+    /// Term and primary that were last recorded.
+    pub primary: Option<(id::Term, id::MemberId)>,
+}
+
+impl Group {
+    /// Creates the state of a group of which nothing is known.
+    pub fn new(id: id::GroupId, config: &topology::Group, now: Instant) -> Self {
+        let pools = config.members.iter().map(|(member, settings)| {
+            let pool = pool::Pool::new(id, member, settings.connections, now);
+            (member, pool)
+        });
+        Self {
+            watch: status::Watch::new(id, config.members.keys(), now),
+            failover: failover::Failover::default(),
+            pools: pools.collect(),
+            parked: Vec::new(),
+            leaving: Vec::new(),
+            primary: None,
+        }
+    }
+
+    /// Keeps the state in step with the configured members.
+    pub fn configure(&mut self, id: id::GroupId, config: &topology::Group, now: Instant) {
+        self.watch.configure(config.members.keys(), now);
+        self.pools
+            .retain(|member, _| config.members.contains(member));
+        for (member, settings) in config.members.iter() {
+            if !self.pools.contains(member) {
+                let pool = pool::Pool::new(id, member, settings.connections, now);
+                self.pools.insert(member, pool);
+            }
+        }
+    }
+
+    /// Returns the members as a routing policy sees them for this request.
+    pub fn candidates(
+        &self,
+        config: &topology::Group,
+        place: &topology::Place,
+        active: &request::Active,
+        floor: floor::Point,
+    ) -> Vec<route::Candidate> {
+        let primary = self.watch.primary().map(|member| member.id);
+        let candidates = config.members.iter().filter_map(|(id, settings)| {
+            let member = self.watch.members.get(id)?;
+            let pool = self.pools.get(id)?;
+            Some(route::Candidate {
+                member: id,
+                primary: primary == Some(id),
+                reachable: member.reachable,
+                leaving: self.leaving.contains(&id),
+                fresh: self.fresh(member, active, floor),
+                catch_up: catch_up(member, floor),
+                distance: distance(place, &settings.place),
+                round_trip: member.round_trip,
+                idle: pool.idle(),
+                waiting: pool.waiting(),
+                avoided: active.avoid.contains(&id),
+            })
+        });
+        candidates.collect()
+    }
+
+    fn fresh(
+        &self,
+        member: &status::Member,
+        active: &request::Active,
+        floor: floor::Point,
+    ) -> bool {
+        let request::Kind::Read { fresh_since } = active.request.kind else {
+            return true;
+        };
+        let young = fresh_since.is_none_or(|since| {
+            let fresh_at = self.watch.freshness.fresh_at(member.last());
+            fresh_at.is_some_and(|at| at >= since)
+        });
+        young && member.last() >= floor
+    }
+}
+
+fn catch_up(member: &status::Member, floor: floor::Point) -> Option<Duration> {
+    let missing = floor.position.checked_sub(member.last().position)?;
+    let seconds = missing as f64 / member.entries_per_second;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+fn distance(own: &topology::Place, other: &topology::Place) -> u8 {
+    if own.domain == other.domain {
+        0
+    } else if own.region == other.region {
+        1
+    } else {
+        2
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/mod.rs
@@ -0,0 +1,5 @@
+//! Admission of requests.
+
+mod admission;
+
+pub use admission::Admission;
--- /dev/null
+++ b/crates/core/src/peer/message.rs
@@ -0,0 +1,80 @@
+//! Messages between proxies.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+use crate::topology;
+
+/// A heartbeat from one proxy to another.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender.
+    pub proxy: id::ProxyId,
+    /// Number of the heartbeat, increasing.
+    pub sequence: u64,
+    /// The sender's address for peers, as `ip:port`.
+    pub address: Box<str>,
+    /// Where the sender runs.
+    pub place: topology::Place,
+    /// Configuration in force at the sender.
+    pub head: Head,
+    /// Whether the sender is stopping.
+    pub leaving: bool,
+    /// What the sender sees of groups.
+    pub groups: Vec<GroupReport>,
+    /// What the sender uses of members' connections.
+    pub shares: Vec<ShareReport>,
+}
+
+/// A configuration version and what identifies its content.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Head {
+    /// Version, only ever going up.
+    pub version: u64,
+    /// SHA-256 of the document in hexadecimal.
+    pub digest: Box<str>,
+}
+
+/// What a proxy sees of a group's primary.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct GroupReport {
+    /// The group.
+    pub group: id::GroupId,
+    /// Highest term seen.
+    pub term: id::Term,
+    /// Whether the primary of that term answers the sender.
+    pub primary_answers: bool,
+}
+
+/// What a proxy uses of a member's connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ShareReport {
+    /// The member.
+    pub member: id::MemberId,
+    /// Connections that the sender holds or is opening.
+    pub open: u32,
+    /// Requests that wait for a connection at the sender.
+    pub waiting: u32,
+}
+
+/// An entry of the platform's list of VMs.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Vm {
+    /// The VM's name.
+    pub name: Box<str>,
+    /// Address as `ip:port`: a proxy's for peers, or a member's for callers.
+    pub address: Box<str>,
+    /// Where it runs.
+    pub place: topology::Place,
+    /// What the platform says of it.
+    pub state: VmState,
+}
+
+/// The platform's word on a VM.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum VmState {
+    /// In service.
+    Live,
+    /// About to be taken away.
+    Leaving,
+}
--- /dev/null
+++ b/crates/core/src/peer/mod.rs
@@ -0,0 +1,7 @@
+//! The other proxies: who is alive, what they see and which configuration they know.
+
+mod message;
+mod table;
+
+pub use message::{GroupReport, Head, Message, ShareReport, Vm, VmState};
+pub use table::{Peer, Table};
--- /dev/null
+++ b/crates/core/src/peer/table.rs
@@ -0,0 +1,98 @@
+//! The table of peers.
+
+use std::time::{Duration, Instant};
+
+use crate::id;
+use crate::peer::Message;
+use crate::sorted;
+
+/// Time between heartbeats to a peer.
+const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Silence after which a peer counts as gone.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// What is known of a peer.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its newest heartbeat.
+    pub message: Message,
+    /// It counts as gone past this instant.
+    pub alive_until: Instant,
+}
+
+/// The peers of one proxy.
+#[derive(Clone, Debug)]
+pub struct Table {
+    /// Peers that have been heard, by identifier.
+    pub peers: sorted::Map<id::ProxyId, Peer>,
+    /// Addresses to which heartbeats go: those from the settings, the platform's list and peers.
+    pub addresses: Vec<Box<str>>,
+    /// When the next heartbeats are due.
+    pub heartbeat_at: Instant,
+}
+
+impl Table {
+    /// Creates a table that knows the addresses of the settings.
+    pub fn new(mut addresses: Vec<Box<str>>, now: Instant) -> Self {
+        addresses.sort();
+        addresses.dedup();
+        Self {
+            peers: sorted::Map::default(),
+            addresses,
+            heartbeat_at: now,
+        }
+    }
+
+    /// Takes in a heartbeat; an older one than the newest known is ignored.
+    pub fn receive(&mut self, now: Instant, message: Message) -> bool {
+        let known = self.peers.get(message.proxy);
+        if known.is_some_and(|peer| peer.message.sequence >= message.sequence) {
+            return false;
+        }
+        self.add_address(&message.address);
+        let alive_until = now + SILENCE;
+        self.peers.insert(
+            message.proxy,
+            Peer {
+                message,
+                alive_until,
+            },
+        );
+        true
+    }
+
+    /// Adds an address to which heartbeats go.
+    pub fn add_address(&mut self, address: &str) {
+        if let Err(index) = self
+            .addresses
+            .binary_search_by(|known| known.as_ref().cmp(address))
+        {
+            self.addresses.insert(index, address.into());
+        }
+    }
+
+    /// Iterates over the peers that are alive and not stopping.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = (id::ProxyId, &Peer)> + '_ {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| now < peer.alive_until && !peer.message.leaving)
+    }
+
+    /// Returns whether heartbeats are due, and sets when the next ones are.
+    pub fn due(&mut self, now: Instant) -> bool {
+        let due = now >= self.heartbeat_at;
+        if due {
+            self.heartbeat_at = now + HEARTBEAT;
+        }
+        due
+    }
+
+    /// Returns this proxy's rank for a subject among the proxies alive; 0 is the first.
+    pub fn rank(&self, now: Instant, own: id::ProxyId, subject: u64) -> u32 {
+        let weight = id::weight(subject, own);
+        let ahead = self
+            .alive(now)
+            .filter(|(proxy, _)| id::weight(subject, *proxy) > weight);
+        u32::try_from(ahead.count()).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/member.rs
@@ -0,0 +1,176 @@
+//! The pool of one member's connections.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::effect;
+use crate::id;
+use crate::pool::{Conn, State};
+use crate::sorted;
+
+/// Time that a connection is given to open.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without new connections after the member said that it has none left or did not answer.
+const OPEN_BACKOFF: Duration = Duration::from_millis(200);
+
+/// Connections to one member and the requests that wait for one.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    group: id::GroupId,
+    member: id::MemberId,
+    /// Connections that this proxy may hold to the member.
+    pub share: u32,
+    conns: sorted::Map<id::ConnId, Conn>,
+    queue: VecDeque<id::RequestId>,
+    open_after: Instant,
+}
+
+/// The outcome of asking for a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Lease {
+    /// The request holds this connection.
+    Granted(id::ConnId),
+    /// The request waits.
+    Queued,
+}
+
+impl Pool {
+    /// Creates an empty pool.
+    pub fn new(group: id::GroupId, member: id::MemberId, share: u32, now: Instant) -> Self {
+        Self {
+            group,
+            member,
+            share,
+            conns: sorted::Map::default(),
+            queue: VecDeque::new(),
+            open_after: now,
+        }
+    }
+
+    /// Returns the number of connections open or being opened.
+    pub fn open(&self) -> u32 {
+        u32::try_from(self.conns.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the number of connections held by requests.
+    pub fn busy(&self) -> u32 {
+        self.count(|state| matches!(state, State::Busy(_)))
+    }
+
+    /// Returns the number of idle connections.
+    pub fn idle(&self) -> u32 {
+        self.count(|state| state == State::Idle)
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> u32 {
+        u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
+    }
+
+    fn count(&self, wanted: impl Fn(State) -> bool) -> u32 {
+        let count = self
+            .conns
+            .values()
+            .filter(|conn| wanted(conn.state))
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Gives the request an idle connection, or puts it in the queue.
+    pub fn lease(&mut self, now: Instant, request: id::RequestId) -> Lease {
+        let idle = self
+            .conns
+            .iter()
+            .rev()
+            .find(|(_, c)| c.state == State::Idle);
+        let Some(conn) = idle.map(|(id, _)| id) else {
+            self.queue.push_back(request);
+            return Lease::Queued;
+        };
+        self.hold(now, conn, request);
+        Lease::Granted(conn)
+    }
+
+    /// Opens connections for requests that wait, within the share.
+    pub fn grow(
+        &mut self,
+        now: Instant,
+        next_conn: &mut id::ConnId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let opening = self.count(|state| state == State::Opening);
+        let wanted = self.waiting().saturating_sub(opening);
+        let room = self.share.saturating_sub(self.open());
+        if now < self.open_after {
+            return;
+        }
+        for _ in 0..wanted.min(room) {
+            *next_conn += 1;
+            let state = State::Opening;
+            self.conns.insert(*next_conn, Conn { state, since: now });
+            effects.push(effect::Effect::Open {
+                conn: *next_conn,
+                group: self.group,
+                member: self.member,
+                deadline: now + OPEN_TIMEOUT,
+            });
+        }
+    }
+
+    /// Notes that a connection is open and clean; returns the request that now holds it.
+    pub fn ready(&mut self, now: Instant, conn: id::ConnId) -> Option<id::RequestId> {
+        let entry = self.conns.get_mut(conn)?;
+        entry.state = State::Idle;
+        entry.since = now;
+        let request = self.queue.pop_front()?;
+        self.hold(now, conn, request);
+        Some(request)
+    }
+
+    fn hold(&mut self, now: Instant, conn: id::ConnId, request: id::RequestId) {
+        let state = State::Busy(request);
+        self.conns.insert(conn, Conn { state, since: now });
+    }
+
+    /// Forgets a connection that is closed.
+    pub fn closed(&mut self, conn: id::ConnId) {
+        self.conns.remove(conn);
+    }
+
+    /// Forgets a connection that could not be opened and opens none for a while.
+    pub fn open_failed(&mut self, now: Instant, conn: id::ConnId) {
+        self.conns.remove(conn);
+        self.open_after = now + OPEN_BACKOFF;
+    }
+
+    /// Takes a request out of the queue.
+    pub fn abandon(&mut self, request: id::RequestId) {
+        self.queue.retain(|queued| *queued != request);
+    }
+
+    /// Empties the queue and returns the requests that were in it.
+    pub fn take_queue(&mut self) -> Vec<id::RequestId> {
+        self.queue.drain(..).collect()
+    }
+
+    /// Removes and returns idle connections above the share.
+    pub fn shrink(&mut self) -> Vec<id::ConnId> {
+        let surplus = self.open().saturating_sub(self.share) as usize;
+        let idle = self.conns.iter().filter(|(_, c)| c.state == State::Idle);
+        let closed: Vec<_> = idle.map(|(id, _)| id).take(surplus).collect();
+        for conn in &closed {
+            self.conns.remove(*conn);
+        }
+        closed
+    }
+
+    /// Removes and returns all idle connections.
+    pub fn take_idle(&mut self) -> Vec<id::ConnId> {
+        let idle = self.conns.iter().filter(|(_, c)| c.state == State::Idle);
+        let closed: Vec<_> = idle.map(|(id, _)| id).collect();
+        for conn in &closed {
+            self.conns.remove(*conn);
+        }
+        closed
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/primary.rs
@@ -0,0 +1,20 @@
+//! The naive policy that others are measured against.
+
+use crate::route::{Choice, Policy, Question};
+
+/// Sends every request to the primary.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AlwaysPrimary;
+
+impl Policy for AlwaysPrimary {
+    fn name(&self) -> &'static str {
+        "always-primary"
+    }
+
+    fn choose(&self, question: &Question<'_>) -> Choice {
+        match question.primary() {
+            Some(primary) => Choice::Member(primary.member),
+            None => Choice::Wait,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/conns.rs
@@ -0,0 +1,125 @@
+//! Connections to members.
+
+use std::time::Instant;
+
+use crate::effect;
+use crate::id;
+use crate::pool;
+use crate::request;
+use crate::route;
+use crate::state::{Owner, State};
+
+impl<P: route::Policy> State<P> {
+    fn pool(&mut self, owner: Owner) -> Option<&mut pool::Pool> {
+        let group = self.groups.get_mut(owner.group)?;
+        group.pools.get_mut(owner.member)
+    }
+
+    /// Opens connections that requests wait for.
+    pub(super) fn grow(
+        &mut self,
+        now: Instant,
+        group: id::GroupId,
+        member: id::MemberId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let first = self.next_conn + 1;
+        let pools = self.groups.get_mut(group).map(|group| &mut group.pools);
+        if let Some(pool) = pools.and_then(|pools| pools.get_mut(member)) {
+            pool.grow(now, &mut self.next_conn, effects);
+        }
+        for conn in first..=self.next_conn {
+            self.conns.insert(conn, Owner { group, member });
+        }
+    }
+
+    pub(super) fn opened(
+        &mut self,
+        now: Instant,
+        conn: id::ConnId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        self.release(now, conn, true, effects);
+    }
+
+    /// Takes a connection back; one in doubt is closed.
+    pub(super) fn release(
+        &mut self,
+        now: Instant,
+        conn: id::ConnId,
+        clean: bool,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(owner) = self.conns.get(conn).copied() else {
+            // Its member has left the configuration.
+            effects.push(effect::Effect::Close(conn));
+            return;
+        };
+        if !clean {
+            effects.push(effect::Effect::Close(conn));
+            return self.lost(now, conn, effects);
+        }
+        let request = self.pool(owner).and_then(|pool| pool.ready(now, conn));
+        if let Some(request) = request {
+            self.dispatch(now, request, conn, owner.member, effects);
+        }
+    }
+
+    pub(super) fn lost(
+        &mut self,
+        now: Instant,
+        conn: id::ConnId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(owner) = self.conns.remove(conn) else {
+            return;
+        };
+        if let Some(pool) = self.pool(owner) {
+            pool.closed(conn);
+        }
+        self.grow(now, owner.group, owner.member, effects);
+    }
+
+    pub(super) fn open_failed(
+        &mut self,
+        now: Instant,
+        conn: id::ConnId,
+        full: bool,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(owner) = self.conns.remove(conn) else {
+            return;
+        };
+        let Some(pool) = self.pool(owner) else {
+            return;
+        };
+        pool.open_failed(now, conn);
+        // A full member serves again when a connection is given back; one that cannot be reached may not.
+        if !full && pool.open() == 0 {
+            self.requeue(now, owner, effects);
+        }
+    }
+
+    /// Decides again about the requests that wait for a connection to the member.
+    pub(super) fn requeue(
+        &mut self,
+        now: Instant,
+        owner: Owner,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let queue = self.pool(owner).map(pool::Pool::take_queue);
+        for id in queue.unwrap_or_default() {
+            let Some(active) = self.requests.get_mut(id) else {
+                continue;
+            };
+            active.stage = request::Stage::Parked;
+            if active.request.kind.is_read() {
+                active.avoid.push(owner.member);
+            }
+            match active.request.kind.is_read() {
+                true => self.route(now, id, effects),
+                false => self.park(id),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/groups.rs
@@ -0,0 +1,185 @@
+//! What members and the platform answer about a group.
+
+use std::time::Instant;
+
+use crate::effect;
+use crate::event;
+use crate::failover;
+use crate::id;
+use crate::request;
+use crate::route;
+use crate::state::{Owner, State};
+use crate::status;
+
+impl<P: route::Policy> State<P> {
+    /// Asks the group's members for what is wanted from them.
+    pub(super) fn ask(
+        &mut self,
+        now: Instant,
+        group: id::GroupId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        if let Some(group) = self.groups.get_mut(group) {
+            group.watch.ask(now, &mut self.next_ask, effects);
+        }
+    }
+
+    pub(super) fn status(
+        &mut self,
+        now: Instant,
+        answer: event::StatusAnswer,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(group) = self.groups.get_mut(answer.group) else {
+            return;
+        };
+        let outcome = group.watch.answer(now, answer);
+        self.apply(now, answer.group, outcome, effects);
+        self.ask(now, answer.group, effects);
+    }
+
+    /// Carries out what followed from a group's answers or their absence.
+    pub(super) fn apply(
+        &mut self,
+        now: Instant,
+        group: id::GroupId,
+        outcome: status::Outcome,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        for (request, point) in outcome.confirmed {
+            self.confirmed(request, point, effects);
+        }
+        for (request, point) in outcome.indexed {
+            self.indexed(now, request, point, effects);
+        }
+        for (member, reachable) in outcome.changed {
+            self.reachable(now, Owner { group, member }, reachable, effects);
+        }
+        self.note_primary(group, effects);
+        self.unpark(now, group, effects);
+    }
+
+    fn reachable(
+        &mut self,
+        now: Instant,
+        owner: Owner,
+        reachable: bool,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        effects.push(effect::Effect::Record(effect::Record::Reachable {
+            group: owner.group,
+            member: owner.member,
+            reachable,
+        }));
+        if !reachable {
+            self.requeue(now, owner, effects);
+        }
+    }
+
+    fn note_primary(&mut self, id: id::GroupId, effects: &mut Vec<effect::Effect>) {
+        let Some(group) = self.groups.get_mut(id) else {
+            return;
+        };
+        let Some(primary) = group.watch.primary() else {
+            return;
+        };
+        let term = group.watch.top_term();
+        let member = primary.id;
+        if group.primary != Some((term, member)) {
+            group.primary = Some((term, member));
+            effects.push(effect::Effect::Record(effect::Record::Primary {
+                group: id,
+                term,
+                member,
+            }));
+        }
+    }
+
+    pub(super) fn granted(
+        &mut self,
+        now: Instant,
+        answer: event::GrantAnswer,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        if let (Some((status, _)), Some(group)) = (answer.result, self.groups.get_mut(answer.group))
+            && let Some(member) = group.watch.members.get_mut(answer.member)
+        {
+            member.status = Some(status);
+        }
+        self.failover(now, answer.group, effects, |failover, context| {
+            failover.granted(context, answer);
+        });
+        self.apply(now, answer.group, status::Outcome::default(), effects);
+    }
+
+    pub(super) fn claimed(
+        &mut self,
+        now: Instant,
+        answer: event::ClaimAnswer,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        self.failover(now, answer.group, effects, |failover, context| {
+            failover.claimed(context, answer);
+        });
+    }
+
+    /// Runs a step of the group's failover in its context.
+    pub(super) fn failover(
+        &mut self,
+        now: Instant,
+        id: id::GroupId,
+        effects: &mut Vec<effect::Effect>,
+        run: impl FnOnce(&mut failover::Failover, &mut failover::Context<'_>),
+    ) {
+        let Some(evidence) = self.evidence(now, id) else {
+            return;
+        };
+        let rank = self.peers.rank(now, self.identity.proxy, id);
+        let Some(group) = self.groups.get_mut(id) else {
+            return;
+        };
+        let mut context = failover::Context {
+            now,
+            group: id,
+            watch: &group.watch,
+            evidence,
+            rank,
+            next_ask: &mut self.next_ask,
+            effects,
+        };
+        run(&mut group.failover, &mut context);
+    }
+
+    /// Gathers what this proxy and its peers see of a group.
+    fn evidence(&self, now: Instant, id: id::GroupId) -> Option<failover::Evidence> {
+        let group = self.groups.get(id)?;
+        let primary = group.watch.primary();
+        let top_term = group.watch.top_term();
+        let reports = self.peers.alive(now).filter_map(|(_, peer)| {
+            let groups = &peer.message.groups;
+            let index = groups.binary_search_by_key(&id, |report| report.group);
+            Some(groups[index.ok()?])
+        });
+        let current = reports.filter(|report| report.term >= top_term);
+        let (answering, silent): (Vec<_>, Vec<_>) =
+            current.partition(|report| report.primary_answers);
+        Some(failover::Evidence {
+            primary_answers: primary.is_some_and(|member| member.reachable),
+            primary_leaving: primary.is_some_and(|member| group.leaving.contains(&member.id)),
+            members_answering: group.watch.reachable(),
+            majority: group.watch.majority(),
+            peers_silent: silent.len(),
+            peers_answering: answering.len(),
+        })
+    }
+
+    /// Lists the requests whose deadline has passed.
+    pub(super) fn overdue(&self, now: Instant) -> Vec<id::RequestId> {
+        let overdue = |active: &request::Active| now >= active.request.deadline;
+        let requests = self.requests.iter();
+        requests
+            .filter(|(_, active)| overdue(active))
+            .map(|(id, _)| id)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/mod.rs
@@ -0,0 +1,137 @@
+//! The one reducer over all events.
+
+mod configure;
+mod conns;
+mod groups;
+mod peers;
+mod requests;
+mod tick;
+
+use std::time::Instant;
+
+use crate::effect;
+use crate::event;
+use crate::group;
+use crate::id;
+use crate::identity;
+use crate::limit;
+use crate::peer;
+use crate::request;
+use crate::route;
+use crate::sorted;
+use crate::topology;
+
+/// Everything that a proxy's decisions rest on.
+#[derive(Clone, Debug)]
+pub struct State<P = route::Nearest> {
+    identity: identity::Identity,
+    policy: P,
+    topology: topology::Topology,
+    head: peer::Head,
+    groups: sorted::Map<id::GroupId, group::Group>,
+    requests: sorted::Map<id::RequestId, request::Active>,
+    conns: sorted::Map<id::ConnId, Owner>,
+    admission: limit::Admission,
+    peers: peer::Table,
+    sequence: u64,
+    draining: bool,
+    drained: bool,
+    next_ask: id::AskId,
+    next_conn: id::ConnId,
+}
+
+/// The member to which a connection leads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Owner {
+    group: id::GroupId,
+    member: id::MemberId,
+}
+
+impl State {
+    /// Creates the state of a proxy that has learned nothing yet. `peers` are addresses from the settings.
+    pub fn new(identity: identity::Identity, peers: Vec<Box<str>>, now: Instant) -> Self {
+        Self::with_policy(identity, peers, now, route::Nearest)
+    }
+}
+
+impl<P: route::Policy> State<P> {
+    /// Creates a state that routes by this policy.
+    pub fn with_policy(
+        identity: identity::Identity,
+        peers: Vec<Box<str>>,
+        now: Instant,
+        policy: P,
+    ) -> Self {
+        Self {
+            identity,
+            policy,
+            topology: topology::Topology::default(),
+            head: peer::Head::default(),
+            groups: sorted::Map::default(),
+            requests: sorted::Map::default(),
+            conns: sorted::Map::default(),
+            admission: limit::Admission::default(),
+            peers: peer::Table::new(peers, now),
+            sequence: 0,
+            draining: false,
+            drained: false,
+            next_ask: 0,
+            next_conn: 0,
+        }
+    }
+
+    /// Takes in one event and appends the effects that follow from it.
+    pub fn step(&mut self, now: Instant, event: event::Event, effects: &mut Vec<effect::Effect>) {
+        match event {
+            event::Event::Arrived(request) => self.arrived(now, request, effects),
+            event::Event::Abandoned(request) => self.abandoned(now, request),
+            event::Event::Returned(returned) => self.returned(now, returned, effects),
+            event::Event::Opened(conn) => self.opened(now, conn, effects),
+            event::Event::OpenFailed { conn, full } => self.open_failed(now, conn, full, effects),
+            event::Event::Lost(conn) => self.lost(now, conn, effects),
+            event::Event::Status(answer) => self.status(now, answer, effects),
+            event::Event::Granted(answer) => self.granted(now, answer, effects),
+            event::Event::Claimed(answer) => self.claimed(now, answer, effects),
+            event::Event::Peer(message) => self.heard(now, message, effects),
+            event::Event::Vms(vms) => self.vms(&vms),
+            event::Event::Configured(topology, head) => {
+                self.configure(now, topology, head, effects)
+            }
+            event::Event::Drain => self.draining = true,
+            event::Event::Tick => self.tick(now, effects),
+        }
+        self.finish_drain(effects);
+    }
+
+    /// Returns the topology in force.
+    pub fn topology(&self) -> &topology::Topology {
+        &self.topology
+    }
+
+    /// Returns the configuration in force.
+    pub fn head(&self) -> &peer::Head {
+        &self.head
+    }
+
+    /// Returns the groups.
+    pub fn groups(&self) -> &sorted::Map<id::GroupId, group::Group> {
+        &self.groups
+    }
+
+    /// Returns the peers.
+    pub fn peers(&self) -> &peer::Table {
+        &self.peers
+    }
+
+    /// Returns the number of requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn finish_drain(&mut self, effects: &mut Vec<effect::Effect>) {
+        if self.draining && !self.drained && self.requests.is_empty() {
+            self.drained = true;
+            effects.push(effect::Effect::Drained);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/peers.rs
@@ -0,0 +1,93 @@
+//! Heartbeats between proxies and the platform's list of VMs.
+
+use std::time::Instant;
+
+use crate::effect;
+use crate::group;
+use crate::id;
+use crate::peer;
+use crate::route;
+use crate::state::State;
+
+impl<P: route::Policy> State<P> {
+    pub(super) fn heard(
+        &mut self,
+        now: Instant,
+        message: peer::Message,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        if message.proxy == self.identity.proxy {
+            return;
+        }
+        let head = message.head.clone();
+        let newer = self.peers.receive(now, message);
+        if newer && head.version > self.head.version {
+            effects.push(effect::Effect::Fetch(head));
+        }
+    }
+
+    pub(super) fn vms(&mut self, vms: &[peer::Vm]) {
+        let leaving: Vec<&str> = vms
+            .iter()
+            .filter(|vm| vm.state == peer::VmState::Leaving)
+            .map(|vm| vm.address.as_ref())
+            .collect();
+        for (id, group) in self.groups.iter_mut() {
+            let Some(config) = self.topology.groups.get(id) else {
+                continue;
+            };
+            let members = config.members.iter();
+            group.leaving = members
+                .filter(|(_, member)| leaving.contains(&member.address.as_ref()))
+                .map(|(member, _)| member)
+                .collect();
+        }
+    }
+
+    /// Sends heartbeats that are due.
+    pub(super) fn heartbeat(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
+        if !self.peers.due(now) {
+            return;
+        }
+        self.sequence += 1;
+        let message = self.message();
+        let own = self.identity.address.as_ref();
+        for address in self.peers.addresses.iter().filter(|to| to.as_ref() != own) {
+            effects.push(effect::Effect::Send {
+                to: address.clone(),
+                message: message.clone(),
+            });
+        }
+    }
+
+    fn message(&self) -> peer::Message {
+        let groups = self.groups.iter();
+        let shares = self.groups.values().flat_map(|group| group.pools.iter());
+        peer::Message {
+            proxy: self.identity.proxy,
+            sequence: self.sequence,
+            address: self.identity.address.clone(),
+            place: self.identity.place.clone(),
+            head: self.head.clone(),
+            leaving: self.draining,
+            groups: groups.map(|(id, group)| report(id, group)).collect(),
+            shares: shares
+                .filter(|(_, pool)| pool.open() > 0 || pool.waiting() > 0)
+                .map(|(member, pool)| peer::ShareReport {
+                    member,
+                    open: pool.open(),
+                    waiting: pool.waiting(),
+                })
+                .collect(),
+        }
+    }
+}
+
+fn report(id: id::GroupId, group: &group::Group) -> peer::GroupReport {
+    let primary = group.watch.primary();
+    peer::GroupReport {
+        group: id,
+        term: group.watch.top_term(),
+        primary_answers: primary.is_some_and(|member| member.reachable),
+    }
+}
--- /dev/null
+++ b/crates/core/src/status/member.rs
@@ -0,0 +1,142 @@
+//! What is known of one member.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::event;
+use crate::floor;
+use crate::id;
+use crate::status::ask;
+
+/// Answers after which a silent member counts as unreachable.
+const DETECT_ROUND_TRIPS: u32 = 8;
+/// Shortest silence after which a member counts as unreachable.
+const DETECT_MIN: Duration = Duration::from_millis(400);
+/// Samples kept of the group's newest point over time.
+const FRESHNESS_SAMPLES: usize = 64;
+/// Shortest time between two samples.
+const FRESHNESS_STEP: Duration = Duration::from_millis(50);
+
+/// What is known of one member.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The member.
+    pub id: id::MemberId,
+    /// Its newest report.
+    pub status: Option<event::Status>,
+    /// Start of the newest question that was answered.
+    pub answered_at: Option<Instant>,
+    /// Smoothed round trip time of immediate questions.
+    pub round_trip: Duration,
+    /// Silence past this instant makes the member unreachable.
+    pub suspect_at: Instant,
+    /// Whether the member answers.
+    pub reachable: bool,
+    /// Questions under way.
+    pub asks: ask::Asks,
+    /// When the next heartbeat is due.
+    pub heartbeat_at: Instant,
+    /// No question is sent before this instant, after one that failed.
+    pub backoff_until: Instant,
+    /// Log entries applied a second, smoothed.
+    pub entries_per_second: f64,
+}
+
+impl Member {
+    /// Creates a member of which nothing is known.
+    pub fn new(id: id::MemberId, now: Instant) -> Self {
+        Self {
+            id,
+            status: None,
+            answered_at: None,
+            round_trip: Duration::ZERO,
+            suspect_at: now + DETECT_MIN,
+            reachable: false,
+            asks: ask::Asks::default(),
+            heartbeat_at: now,
+            backoff_until: now,
+            entries_per_second: 0.0,
+        }
+    }
+
+    /// Returns the last entry of the member's log, as far as known.
+    pub fn last(&self) -> floor::Point {
+        self.status.map(|status| status.last).unwrap_or_default()
+    }
+
+    /// Takes in a report; returns whether the member became reachable by it.
+    pub fn report(&mut self, now: Instant, ask: ask::Ask, status: event::Status) -> bool {
+        if ask.min_position == 0 {
+            self.learn_round_trip(now - ask.started_at);
+        }
+        self.learn_rate(now, status);
+        let newer = self.answered_at.is_none_or(|at| at <= ask.started_at);
+        if newer || self.status.is_none_or(|known| known.term <= status.term) {
+            self.status = Some(status);
+        }
+        self.answered_at = self.answered_at.max(Some(ask.started_at));
+        self.suspect_at = now + self.detect_timeout();
+        !std::mem::replace(&mut self.reachable, true)
+    }
+
+    /// Marks the member unreachable once it has been silent for too long; returns whether it just became so.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        now >= self.suspect_at && std::mem::replace(&mut self.reachable, false)
+    }
+
+    fn detect_timeout(&self) -> Duration {
+        DETECT_MIN.max(self.round_trip * DETECT_ROUND_TRIPS)
+    }
+
+    fn learn_round_trip(&mut self, sample: Duration) {
+        self.round_trip = match self.round_trip {
+            Duration::ZERO => sample,
+            known => known * 7 / 8 + sample / 8,
+        };
+    }
+
+    fn learn_rate(&mut self, now: Instant, status: event::Status) {
+        let Some((known, at)) = self.status.zip(self.answered_at) else {
+            return;
+        };
+        let seconds = now.saturating_duration_since(at).as_secs_f64();
+        if seconds <= 0.0 || status.last < known.last {
+            return;
+        }
+        let entries = status.last.position.saturating_sub(known.last.position) as f64;
+        self.entries_per_second = self.entries_per_second * 0.75 + entries / seconds * 0.25;
+    }
+}
+
+/// The group's newest known point over time, from which a member's age follows.
+#[derive(Clone, Debug, Default)]
+pub struct Freshness {
+    samples: VecDeque<(Instant, floor::Point)>,
+}
+
+impl Freshness {
+    /// Notes that the group's newest point was `newest` when a question started at `at`.
+    pub fn note(&mut self, at: Instant, newest: floor::Point) {
+        if let Some((last_at, last)) = self.samples.back_mut()
+            && at < *last_at + FRESHNESS_STEP
+        {
+            *last = newest.max(*last);
+            return;
+        }
+        let newest = self
+            .samples
+            .back()
+            .map_or(newest, |(_, last)| newest.max(*last));
+        self.samples.push_back((at, newest));
+        if self.samples.len() > FRESHNESS_SAMPLES {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Returns the latest instant at which a log ending at `point` was the group's newest.
+    pub fn fresh_at(&self, point: floor::Point) -> Option<Instant> {
+        let index = self.samples.partition_point(|(_, newest)| *newest <= point);
+        let (at, _) = self.samples.get(index.checked_sub(1)?)?;
+        Some(*at)
+    }
+}
--- /dev/null
+++ b/crates/core/src/status/mod.rs
@@ -0,0 +1,14 @@
+//! What is known of a group's members: one stream of status questions per member serves as heartbeat,
+//! read index and confirmation of commits.
+
+mod ask;
+mod confirm;
+mod index;
+mod member;
+mod watch;
+
+pub use ask::{Ask, Asks};
+pub use confirm::Confirmations;
+pub use index::Indexes;
+pub use member::{Freshness, Member};
+pub use watch::{Outcome, Watch};
