Failover: match answers to attempts, use no term twice, survive own pauses

Faults found by reading: - A term could be claimed twice by one proxy: a status answer asked for before a fence and received after its grant put the member's older term back, so the next attempt took the same term again under the same claimant, and a delayed promotion of the first attempt would have made a second primary of that term. It now waits for members that may still answer in time, and for a confirming round of all reachable members. - A proxy that had been paused declared all members silent. It now gives them their time again, and gives up claims and attempts whose time has passed. - A claim without an answer held the failover for good; a row's deadline from a fast clock held it for as long as the clock was ahead. Both are bounded. - A lost status answer silenced a member for a second. Several questions may be under way now. Commits whose term is over are decided at once: see docs/design/acknowledge.md for what counts as a vote.

--- a/crates/core/src/failover/detect.rs
+++ b/crates/core/src/failover/detect.rs
@@ -9,12 +9,16 @@
     pub primary_leaving: bool,
     /// Members that answer this proxy.
     pub members_answering: usize,
+    /// Members that have not answered yet but may still do so in time.
+    pub members_pending: usize,
     /// Members that make a majority.
     pub majority: usize,
     /// Live peers that report the primary silent.
     pub peers_silent: usize,
     /// Live peers that report the primary answering.
     pub peers_answering: usize,
+    /// Whether this proxy has heard of peers and none of them is alive.
+    pub lone: bool,
 }
 
 /// What the evidence says.
@@ -43,6 +47,10 @@
         if self.primary_answers {
             return Verdict::Healthy;
         }
+        // The primary may be among the members that have not been heard yet.
+        if self.members_pending > 0 {
+            return Verdict::Undecided;
+        }
         // This proxy's own view counts with those of its peers.
         if self.peers_silent + 1 > self.peers_answering {
             Verdict::Replace
--- a/crates/core/src/failover/machine.rs
+++ b/crates/core/src/failover/machine.rs
@@ -4,6 +4,7 @@
 
 use crate::effect;
 use crate::event;
+use crate::failover::attempt::{Attempt, Step, next};
 use crate::failover::{Evidence, Fencing, Verdict};
 use crate::id;
 use crate::status;
@@ -12,20 +13,24 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that a claim in the table holds others back.
 const CLAIM_LEASE: Duration = Duration::from_millis(1_500);
-/// Time that members are given to answer a fence or promotion.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay before the second-ranked proxy starts, and each further rank after it.
 const RANK_DELAY: Duration = Duration::from_millis(300);
+/// Delay of a proxy that has lost all its peers and may be the only one to miss the primary.
+const LONE_DELAY: Duration = Duration::from_secs(5);
 
 /// Where a failover stands.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Stage {
     /// The primary serves.
     Idle,
     /// The primary is to be replaced once proxies of a higher rank have had their turn.
     Waiting {
+        /// When the primary was first missed.
+        since: Instant,
         /// When this proxy starts.
         start_at: Instant,
+        /// Highest term known then.
+        term: id::Term,
     },
     /// The term is being claimed in the platform's table.
     Claiming {
@@ -33,24 +38,24 @@
         ask: id::AskId,
         /// The term.
         term: id::Term,
+        /// When the members' grants decide alone.
+        deadline: Instant,
+        /// When the claim lapses.
+        until: Instant,
     },
     /// Members are being fenced at the term.
     Fencing {
-        /// The term.
-        term: id::Term,
+        /// The attempt.
+        attempt: Attempt,
         /// Grants so far.
         fencing: Fencing,
-        /// When the attempt is given up.
-        deadline: Instant,
     },
     /// A member is being promoted.
     Promoting {
-        /// The term.
-        term: id::Term,
+        /// The attempt.
+        attempt: Attempt,
         /// The member.
         member: id::MemberId,
-        /// When the attempt is given up.
-        deadline: Instant,
     },
 }
 
@@ -88,12 +93,15 @@
 }
 
 /// The failover of one group at one proxy.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Failover {
     /// Where it stands.
     pub stage: Stage,
     /// No attempt starts before this instant.
     pub backoff_until: Option<Instant>,
+    /// Highest term that this proxy has used or found taken. No term is used twice, as a promotion of an
+    /// earlier attempt may still be on its way.
+    pub used_term: id::Term,
 }
 
 impl Default for Failover {
@@ -101,6 +109,7 @@
         Self {
             stage: Stage::Idle,
             backoff_until: None,
+            used_term: 0,
         }
     }
 }
@@ -121,20 +130,25 @@
 impl Failover {
     /// Moves on with time.
     pub fn tick(&mut self, context: &mut Context<'_>) {
-        match &self.stage {
+        match &mut self.stage {
             Stage::Idle => self.consider(context),
-            Stage::Waiting { start_at } => {
-                let due = context.now >= *start_at;
-                match context.evidence.verdict() {
-                    Verdict::Replace if due => self.claim(context),
-                    Verdict::Replace => {}
-                    _ => self.enter(context, Stage::Idle, 0),
+            Stage::Waiting { .. } => self.wait(context),
+            Stage::Claiming { term, deadline, .. } => {
+                let (term, due) = (*term, context.now >= *deadline);
+                if context.evidence.verdict() == Verdict::Healthy {
+                    self.enter(context, Stage::Idle, term);
+                } else if due {
+                    self.decide_alone(context);
                 }
             }
-            Stage::Claiming { .. } => {}
-            Stage::Fencing { deadline, .. } | Stage::Promoting { deadline, .. } => {
-                if context.now >= *deadline {
+            Stage::Fencing { attempt, .. } | Stage::Promoting { attempt, .. } => {
+                let (term, overdue) = (attempt.term, context.now >= attempt.deadline);
+                if context.served_at(term) {
+                    self.enter(context, Stage::Idle, term);
+                } else if overdue {
                     self.give_up(context);
+                } else {
+                    attempt.resend(context);
                 }
             }
         }
@@ -142,106 +156,169 @@
 
     fn consider(&mut self, context: &mut Context<'_>) {
         let waits = self.backoff_until.is_some_and(|until| context.now < until);
-        if waits || context.evidence.verdict() != Verdict::Replace {
+        if !waits && context.evidence.verdict() == Verdict::Replace {
+            self.start_waiting(context);
+        }
+    }
+
+    fn start_waiting(&mut self, context: &mut Context<'_>) {
+        let mut start_at = context.now + RANK_DELAY * context.rank;
+        if context.evidence.lone {
+            start_at += LONE_DELAY;
+        }
+        let stage = Stage::Waiting {
+            since: context.now,
+            start_at,
+            term: context.watch.top_term(),
+        };
+        self.enter(context, stage, 0);
+    }
+
+    /// Starts once the members have confirmed what was seen and proxies of a higher rank had their turn.
+    fn wait(&mut self, context: &mut Context<'_>) {
+        let Stage::Waiting {
+            since,
+            start_at,
+            term,
+        } = self.stage
+        else {
             return;
+        };
+        if context.evidence.verdict() != Verdict::Replace {
+            return self.enter(context, Stage::Idle, 0);
+        }
+        if context.watch.top_term() > term {
+            // Another proxy is at work.
+            return self.start_waiting(context);
+        }
+        if context.now >= start_at && context.watch.heard_since(since) {
+            self.claim(context);
         }
-        let start_at = context.now + RANK_DELAY * context.rank;
-        self.enter(context, Stage::Waiting { start_at }, 0);
-        self.tick(context);
     }
 
     fn claim(&mut self, context: &mut Context<'_>) {
-        let term = context.watch.top_term() + 1;
+        let term = context.watch.top_term().max(self.used_term) + 1;
+        self.used_term = term;
         let ask = next(context);
+        let deadline = context.now + CLAIM_TIMEOUT;
+        let until = context.now + CLAIM_LEASE;
         context.effects.push(effect::Effect::Claim {
             ask,
             group: context.group,
             term,
-            until: context.now + CLAIM_LEASE,
-            deadline: context.now + CLAIM_TIMEOUT,
+            until,
+            deadline,
         });
-        self.enter(context, Stage::Claiming { ask, term }, term);
+        let stage = Stage::Claiming {
+            ask,
+            term,
+            deadline,
+            until,
+        };
+        self.enter(context, stage, term);
     }
 
-    /// Takes in the platform's answer to a claim.
+    /// Takes in the platform's answer to a claim. An answer lost after taking effect is found again by the
+    /// shell, which repeats the claim under the same claimant and reports it as won.
     ///
     /// With the platform unavailable the attempt goes on: members grant a term to one claimant only,
     /// so a majority of grants excludes every other claimant by itself.
     pub fn claimed(&mut self, context: &mut Context<'_>, answer: event::ClaimAnswer) {
-        let Stage::Claiming { ask, term } = self.stage else {
+        let Stage::Claiming {
+            ask, term, until, ..
+        } = self.stage
+        else {
             return;
         };
         if ask != answer.ask {
             return;
         }
         match answer.result {
+            // This proxy was paused: what it saw before no longer counts.
+            _ if context.now >= until => self.give_up(context),
             event::ClaimResult::Won | event::ClaimResult::Unavailable => self.fence(context, term),
-            event::ClaimResult::Held { until, .. } => {
-                self.backoff_until = Some(until);
+            event::ClaimResult::Held { until, term: held } => {
+                self.used_term = self.used_term.max(held);
+                // The row's deadline comes from another clock.
+                self.backoff_until = Some(until.min(context.now + CLAIM_LEASE));
                 self.enter(context, Stage::Idle, term);
             }
         }
     }
 
+    fn decide_alone(&mut self, context: &mut Context<'_>) {
+        let Stage::Claiming { term, until, .. } = self.stage else {
+            return;
+        };
+        match context.now < until {
+            true => self.fence(context, term),
+            false => self.give_up(context),
+        }
+    }
+
     fn fence(&mut self, context: &mut Context<'_>, term: id::Term) {
-        let deadline = context.now + GRANT_TIMEOUT;
-        for member in context.watch.members.keys() {
-            let grant = grant(context, member, term, deadline);
-            context.effects.push(effect::Effect::Fence(grant));
+        let mut attempt = Attempt::new(context, Step::Fence, term);
+        let members: Vec<_> = context.watch.members.keys().collect();
+        for member in members {
+            attempt.send(context, member);
         }
         let fencing = Fencing::default();
-        let stage = Stage::Fencing {
-            term,
-            fencing,
-            deadline,
-        };
+        let stage = Stage::Fencing { attempt, fencing };
         self.enter(context, stage, term);
     }
 
-    /// Takes in a member's answer to a fence or promotion.
+    /// Takes in a member's answer to a fence or promotion. Answers to questions of earlier attempts are
+    /// ignored.
     pub fn granted(&mut self, context: &mut Context<'_>, answer: event::GrantAnswer) {
+        let (Stage::Fencing { attempt, .. } | Stage::Promoting { attempt, .. }) = &mut self.stage
+        else {
+            return;
+        };
+        if !attempt.take(answer.member, answer.ask) {
+            return;
+        }
+        let (term, overdue) = (attempt.term, context.now >= attempt.deadline);
         let Some((status, granted)) = answer.result else {
             return;
         };
+        if overdue || status.term > term {
+            return self.give_up(context);
+        }
+        attempt.settle(answer.member);
+        let open = attempt.open();
+        let granted = granted && status.term == term;
+        let majority = context.watch.majority();
         match &mut self.stage {
-            Stage::Fencing { term, fencing, .. } if granted && status.term == *term => {
-                fencing.grant(answer.member, status);
-                if fencing.len() >= context.watch.majority() {
+            Stage::Fencing { fencing, .. } => {
+                if granted {
+                    fencing.grant(answer.member, status);
+                }
+                if fencing.len() >= majority {
                     self.promote(context);
+                } else if fencing.len() + open < majority {
+                    self.give_up(context);
                 }
             }
-            Stage::Promoting { term, member, .. }
-                if granted
-                    && status.primary
-                    && status.term == *term
-                    && *member == answer.member =>
-            {
-                let term = *term;
+            Stage::Promoting { .. } if granted && status.primary => {
                 self.enter(context, Stage::Idle, term);
             }
-            Stage::Fencing { term, .. } if status.term > *term => self.give_up(context),
-            _ => {}
+            _ => self.give_up(context),
         }
     }
 
     fn promote(&mut self, context: &mut Context<'_>) {
-        let Stage::Fencing { term, fencing, .. } = &self.stage else {
+        let Stage::Fencing { attempt, fencing } = &self.stage else {
             return;
         };
-        let term = *term;
+        let term = attempt.term;
         let watch = context.watch;
         let nearest = |id| watch.members.get(id).map(|member| member.round_trip);
         let Some(member) = fencing.most_advanced(nearest) else {
             return;
         };
-        let deadline = context.now + GRANT_TIMEOUT;
-        let grant = grant(context, member, term, deadline);
-        context.effects.push(effect::Effect::Promote(grant));
-        let stage = Stage::Promoting {
-            term,
-            member,
-            deadline,
-        };
+        let mut attempt = Attempt::new(context, Step::Promote, term);
+        attempt.send(context, member);
+        let stage = Stage::Promoting { attempt, member };
         self.enter(context, stage, term);
     }
 
@@ -262,22 +339,9 @@
     }
 }
 
-fn next(context: &mut Context<'_>) -> id::AskId {
-    *context.next_ask += 1;
-    *context.next_ask
-}
-
-fn grant(
-    context: &mut Context<'_>,
-    member: id::MemberId,
-    term: id::Term,
-    deadline: Instant,
-) -> effect::Grant {
-    effect::Grant {
-        ask: next(context),
-        group: context.group,
-        member,
-        term,
-        deadline,
+impl Context<'_> {
+    /// Returns whether a primary of this term or a later one answers.
+    fn served_at(&self, term: id::Term) -> bool {
+        self.evidence.primary_answers && self.watch.top_term() >= term
     }
 }
--- a/crates/core/src/failover/mod.rs
+++ b/crates/core/src/failover/mod.rs
@@ -4,6 +4,6 @@
 mod detect;
 mod machine;
 
-pub use attempt::Fencing;
+pub use attempt::{Attempt, Fencing, Step};
 pub use detect::{Evidence, Verdict};
 pub use machine::{Context, Failover, Stage, StageName};
--- a/crates/core/src/state/groups.rs
+++ b/crates/core/src/state/groups.rs
@@ -49,6 +49,9 @@
         for (request, point) in outcome.confirmed {
             self.confirmed(request, point, effects);
         }
+        for request in outcome.unconfirmed {
+            self.unconfirmed(request, effects);
+        }
         for (request, point) in outcome.indexed {
             self.indexed(now, request, point, effects);
         }
@@ -101,15 +104,15 @@
         answer: event::GrantAnswer,
         effects: &mut Vec<effect::Effect>,
     ) {
-        if let (Some((status, _)), Some(group)) = (answer.result, self.groups.get_mut(answer.group))
-            && let Some(member) = group.watch.members.get_mut(answer.member)
-        {
-            member.status = Some(status);
-        }
+        let group = self.groups.get_mut(answer.group);
+        let outcome = match (answer.result, group) {
+            (Some((status, _)), Some(group)) => group.watch.learn(now, answer.member, status),
+            _ => status::Outcome::default(),
+        };
         self.failover(now, answer.group, effects, |failover, context| {
             failover.granted(context, answer);
         });
-        self.apply(now, answer.group, status::Outcome::default(), effects);
+        self.apply(now, answer.group, outcome, effects);
     }
 
     pub(super) fn claimed(
@@ -148,6 +151,13 @@
             effects,
         };
         run(&mut group.failover, &mut context);
+        if let failover::Stage::Waiting { since, .. } = group.failover.stage
+            && since == now
+        {
+            // What was seen is confirmed by every member before anything is claimed.
+            group.watch.hurry(now);
+            group.watch.ask(now, &mut self.next_ask, effects);
+        }
     }
 
     /// Gathers what this proxy and its peers see of a group.
@@ -167,9 +177,11 @@
             primary_answers: primary.is_some_and(|member| member.reachable),
             primary_leaving: primary.is_some_and(|member| group.leaving.contains(&member.id)),
             members_answering: group.watch.reachable(),
+            members_pending: group.watch.pending(now),
             majority: group.watch.majority(),
             peers_silent: silent.len(),
             peers_answering: answering.len(),
+            lone: !self.peers.peers.is_empty() && self.peers.alive(now).next().is_none(),
         })
     }
 
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -252,6 +252,14 @@
         self.end(id);
     }
 
+    /// Answers that the outcome of a commit whose term is over is unknown.
+    pub(super) fn unconfirmed(&mut self, id: id::RequestId, effects: &mut Vec<effect::Effect>) {
+        if self.requests.contains(id) {
+            effects.push(effect::Effect::Unconfirmed(id));
+            self.end(id);
+        }
+    }
+
     pub(super) fn indexed(
         &mut self,
         now: Instant,
--- a/crates/core/src/status/ask.rs
+++ b/crates/core/src/status/ask.rs
@@ -4,6 +4,9 @@
 
 use crate::id;
 
+/// Immediate questions that may be under way to a member, so that one lost answer delays nothing.
+const IMMEDIATE_MAX: usize = 4;
+
 /// A question that has not been answered.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Ask {
@@ -11,15 +14,17 @@
     pub id: id::AskId,
     /// When the question was sent.
     pub started_at: Instant,
+    /// When its answer is no longer waited for.
+    pub deadline: Instant,
     /// Position that the member was asked to wait for; 0 for none.
     pub min_position: id::Position,
 }
 
-/// At most one immediate and one held question are under way for a member, whatever the load.
-#[derive(Clone, Copy, Debug, Default)]
+/// Questions under way to one member, bounded whatever the load.
+#[derive(Clone, Debug, Default)]
 pub struct Asks {
-    /// Answered at once.
-    pub immediate: Option<Ask>,
+    /// Answered at once, oldest first.
+    pub immediate: Vec<Ask>,
     /// Answered when the log has reached a position.
     pub held: Option<Ask>,
 }
@@ -27,11 +32,26 @@
 impl Asks {
     /// Removes and returns the question with this identifier.
     pub fn take(&mut self, id: id::AskId) -> Option<Ask> {
-        for slot in [&mut self.immediate, &mut self.held] {
-            if slot.is_some_and(|ask| ask.id == id) {
-                return slot.take();
-            }
+        if self.held.is_some_and(|ask| ask.id == id) {
+            return self.held.take();
         }
-        None
+        let index = self.immediate.iter().position(|ask| ask.id == id)?;
+        Some(self.immediate.remove(index))
+    }
+
+    /// Forgets questions whose answer is overdue.
+    pub fn expire(&mut self, now: Instant) {
+        self.immediate.retain(|ask| now < ask.deadline);
+        self.held = self.held.filter(|ask| now < ask.deadline);
+    }
+
+    /// Returns whether another immediate question may be sent.
+    pub fn has_room(&self) -> bool {
+        self.immediate.len() < IMMEDIATE_MAX
+    }
+
+    /// Returns when the newest immediate question under way was sent.
+    pub fn newest(&self) -> Option<Instant> {
+        self.immediate.last().map(|ask| ask.started_at)
     }
 }
--- a/crates/core/src/status/index.rs
+++ b/crates/core/src/status/index.rs
@@ -7,12 +7,12 @@
 use crate::sorted;
 
 /// Reads that wait for a majority of members to answer questions that started after they arrived.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct Indexes {
     waiting: sorted::Map<id::RequestId, Waiting>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Waiting {
     arrived_at: Instant,
     votes: Vec<id::MemberId>,
@@ -35,6 +35,11 @@
         self.waiting.remove(request);
     }
 
+    /// Returns whether no read waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Returns whether a read waits for an answer of the member to a question started after `started_at`.
     pub fn wants(&self, member: id::MemberId, started_at: Option<Instant>) -> bool {
         self.waiting.values().any(|waiting| {
@@ -44,8 +49,9 @@
 
     /// Takes in a member's report and returns the reads whose index is known by it.
     ///
-    /// Every acknowledged write is on a majority of logs, so the newest point among any majority that
-    /// was asked after the read's arrival is at or past all that was acknowledged before it.
+    /// Every acknowledged write is on a majority of logs and never dropped from one, so the newest point
+    /// among any majority that was asked after the read's arrival is at or past all that was acknowledged
+    /// before it. The reports need not be of the same term, since points order across terms.
     pub fn report(
         &mut self,
         member: id::MemberId,
--- a/crates/core/src/status/member.rs
+++ b/crates/core/src/status/member.rs
@@ -8,10 +8,16 @@
 use crate::id;
 use crate::status::ask;
 
-/// Answers after which a silent member counts as unreachable.
-const DETECT_ROUND_TRIPS: u32 = 8;
+/// Round trips that a member is given to answer.
+const DETECT_ROUND_TRIPS: u32 = 4;
+/// Heartbeats that a member may miss before it counts as unreachable.
+const DETECT_HEARTBEATS: u32 = 3;
 /// Shortest silence after which a member counts as unreachable.
 const DETECT_MIN: Duration = Duration::from_millis(400);
+/// Round trips after which an answer is overdue.
+const OVERDUE_ROUND_TRIPS: u32 = 2;
+/// Shortest time after which an answer is overdue.
+const OVERDUE_MIN: Duration = Duration::from_millis(20);
 /// Samples kept of the group's newest point over time.
 const FRESHNESS_SAMPLES: usize = 64;
 /// Shortest time between two samples.
@@ -26,10 +32,14 @@
     pub status: Option<event::Status>,
     /// Start of the newest question that was answered.
     pub answered_at: Option<Instant>,
+    /// When the newest report was received.
+    pub learned_at: Option<Instant>,
     /// Smoothed round trip time of immediate questions.
     pub round_trip: Duration,
     /// Silence past this instant makes the member unreachable.
     pub suspect_at: Instant,
+    /// Silence after an answer that makes the member unreachable.
+    pub detect_timeout: Duration,
     /// Whether the member answers.
     pub reachable: bool,
     /// Questions under way.
@@ -49,8 +59,10 @@
             id,
             status: None,
             answered_at: None,
+            learned_at: None,
             round_trip: Duration::ZERO,
             suspect_at: now + DETECT_MIN,
+            detect_timeout: DETECT_MIN,
             reachable: false,
             asks: ask::Asks::default(),
             heartbeat_at: now,
@@ -70,22 +82,57 @@
             self.learn_round_trip(now - ask.started_at);
         }
         self.learn_rate(now, status);
-        let newer = self.answered_at.is_none_or(|at| at <= ask.started_at);
-        if newer || self.status.is_none_or(|known| known.term <= status.term) {
-            self.status = Some(status);
-        }
+        self.learn(now, Some(ask.started_at), status);
         self.answered_at = self.answered_at.max(Some(ask.started_at));
-        self.suspect_at = now + self.detect_timeout();
+        self.suspect_at = now + self.detect_timeout;
         !std::mem::replace(&mut self.reachable, true)
     }
 
+    /// Takes in a report that may have been overtaken by others.
+    ///
+    /// One that was asked for after the known report had arrived is newer, whatever it says: a member
+    /// that lost its log reports less than before. Of two that crossed, the further one is kept, since a
+    /// member's term and its log within one term only grow.
+    pub fn learn(&mut self, now: Instant, asked_at: Option<Instant>, status: event::Status) {
+        let later = match (asked_at, self.learned_at) {
+            (Some(asked_at), Some(learned_at)) => asked_at >= learned_at,
+            (_, learned_at) => learned_at.is_none(),
+        };
+        let further = self.status.is_none_or(|known| rank(known) <= rank(status));
+        if later || further {
+            self.status = Some(status);
+            self.learned_at = Some(now);
+        }
+    }
+
+    /// Returns whether the member may still answer in time, although it has not yet.
+    pub fn pending(&self, now: Instant) -> bool {
+        !self.reachable && now < self.suspect_at
+    }
+
+    /// Returns whether no immediate question is under way whose answer may still be expected. One at a
+    /// time serves all that wait, whatever the load; one that is overdue holds up nothing.
+    pub fn may_ask(&self, now: Instant) -> bool {
+        let overdue = self.round_trip * OVERDUE_ROUND_TRIPS + OVERDUE_MIN;
+        let newest = self.asks.newest();
+        self.asks.has_room() && newest.is_none_or(|sent_at| now >= sent_at + overdue)
+    }
+
+    /// Gives the member its full time to answer from now on.
+    pub fn grant_time(&mut self, now: Instant) {
+        self.suspect_at = self.suspect_at.max(now + self.detect_timeout);
+        self.heartbeat_at = self.heartbeat_at.min(now);
+    }
+
     /// Marks the member unreachable once it has been silent for too long; returns whether it just became so.
     pub fn expire(&mut self, now: Instant) -> bool {
         now >= self.suspect_at && std::mem::replace(&mut self.reachable, false)
     }
 
-    fn detect_timeout(&self) -> Duration {
-        DETECT_MIN.max(self.round_trip * DETECT_ROUND_TRIPS)
+    /// Adapts the time that the member is given to the link and to the pace of heartbeats.
+    pub fn set_pace(&mut self, heartbeat: Duration) {
+        let timeout = self.round_trip * DETECT_ROUND_TRIPS + heartbeat * DETECT_HEARTBEATS;
+        self.detect_timeout = timeout.max(DETECT_MIN);
     }
 
     fn learn_round_trip(&mut self, sample: Duration) {
@@ -108,6 +155,11 @@
     }
 }
 
+/// Orders reports of one member that crossed on their way.
+fn rank(status: event::Status) -> (id::Term, bool, floor::Point) {
+    (status.term, status.primary, status.last)
+}
+
 /// The group's newest known point over time, from which a member's age follows.
 #[derive(Clone, Debug, Default)]
 pub struct Freshness {
--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -8,7 +8,7 @@
 mod watch;
 
 pub use ask::{Ask, Asks};
-pub use confirm::Confirmations;
+pub use confirm::{Confirmations, Decided};
 pub use index::Indexes;
 pub use member::{Freshness, Member};
-pub use watch::{Outcome, Watch};
+pub use watch::{Outcome, Pace, Watch};
--- a/crates/core/src/status/watch.rs
+++ b/crates/core/src/status/watch.rs
@@ -9,8 +9,10 @@
 use crate::sorted;
 use crate::status::{Ask, Confirmations, Freshness, Indexes, Member};
 
-/// Time between heartbeats to a member.
-const HEARTBEAT: Duration = Duration::from_millis(100);
+/// Time without questions after one that failed.
+const ASK_BACKOFF: Duration = Duration::from_millis(100);
+/// Time without a tick after which this proxy itself counts as having been paused.
+const PAUSE: Duration = Duration::from_millis(250);
 /// Time that a member is given to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -26,6 +28,26 @@
     pub confirmations: Confirmations,
     /// The group's newest point over time.
     pub freshness: Freshness,
+    ticked_at: Instant,
+    pace: Pace,
+}
+
+/// How often members are asked without need.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// Time between heartbeats to the primary, or to every member while no primary is known.
+    pub primary: Duration,
+    /// Time between heartbeats to the other members.
+    pub replica: Duration,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self {
+            primary: Duration::from_millis(100),
+            replica: Duration::from_millis(100),
+        }
+    }
 }
 
 /// What followed from an answer.
@@ -35,6 +57,8 @@
     pub indexed: Vec<(id::RequestId, floor::Point)>,
     /// Commits that a majority confirms.
     pub confirmed: Vec<(id::RequestId, floor::Point)>,
+    /// Commits that stay unconfirmed because their term is over.
+    pub unconfirmed: Vec<id::RequestId>,
     /// Members whose reachability changed.
     pub changed: Vec<(id::MemberId, bool)>,
 }
@@ -52,6 +76,8 @@
             indexes: Indexes::default(),
             confirmations: Confirmations::default(),
             freshness: Freshness::default(),
+            ticked_at: now,
+            pace: Pace::default(),
         }
     }
 
@@ -110,7 +136,7 @@
             return outcome;
         };
         let Some(status) = answer.status else {
-            member.backoff_until = now + HEARTBEAT;
+            member.backoff_until = now + ASK_BACKOFF;
             return outcome;
         };
         if member.report(now, ask, status) {
@@ -121,10 +147,55 @@
         outcome.indexed = self
             .indexes
             .report(answer.member, ask.started_at, status.last, majority);
-        outcome.confirmed = self.confirmations.report(answer.member, status, majority);
+        self.decide(answer.member, status, &mut outcome);
         outcome
     }
 
+    /// Takes in what a member reported with its answer to a fence or promotion.
+    pub fn learn(&mut self, now: Instant, member: id::MemberId, status: event::Status) -> Outcome {
+        let mut outcome = Outcome::default();
+        if let Some(known) = self.members.get_mut(member) {
+            known.learn(now, None, status);
+            self.decide(member, status, &mut outcome);
+        }
+        outcome
+    }
+
+    fn decide(&mut self, member: id::MemberId, status: event::Status, outcome: &mut Outcome) {
+        let members = self.members.len();
+        let decided = self.confirmations.report(member, status, members);
+        outcome.confirmed = decided.confirmed;
+        outcome.unconfirmed = decided.unconfirmed;
+    }
+
+    /// Returns how many members have not answered yet but may still do so in time.
+    pub fn pending(&self, now: Instant) -> usize {
+        let pending = self.members.values().filter(|member| member.pending(now));
+        pending.count()
+    }
+
+    /// Returns whether every reachable member has answered a question that started after `since`.
+    pub fn heard_since(&self, since: Instant) -> bool {
+        let mut reachable = self.members.values().filter(|member| member.reachable);
+        reachable.all(|member| member.answered_at.is_some_and(|at| at >= since))
+    }
+
+    /// Asks every member at the next opportunity.
+    pub fn hurry(&mut self, now: Instant) {
+        for (_, member) in self.members.iter_mut() {
+            member.heartbeat_at = member.heartbeat_at.min(now);
+        }
+    }
+
+    /// Sets how often members are asked.
+    pub fn set_pace(&mut self, pace: Pace) {
+        self.pace = pace;
+        let primary = self.primary().map(|member| member.id);
+        for (id, member) in self.members.iter_mut() {
+            member.set_pace(pace.of(primary, id));
+        }
+    }
+
     /// Marks silent members and asks what is due.
     pub fn tick(
         &mut self,
@@ -133,7 +204,14 @@
         effects: &mut Vec<effect::Effect>,
     ) -> Outcome {
         let mut outcome = Outcome::default();
+        // After a pause of this proxy the silence was its own: members are asked again first.
+        let paused = now.saturating_duration_since(self.ticked_at) >= PAUSE;
+        self.ticked_at = now;
         for (id, member) in self.members.iter_mut() {
+            member.asks.expire(now);
+            if paused {
+                member.grant_time(now);
+            }
             if member.expire(now) {
                 outcome.changed.push((id, false));
             }
@@ -150,12 +228,14 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         let ready = |member: &Member| now >= member.backoff_until;
+        let primary = self.primary().map(|member| member.id);
         for (id, member) in self.members.iter_mut().filter(|(_, m)| ready(m)) {
-            let due = now >= member.heartbeat_at || self.indexes.wants(id, member.answered_at);
-            if due && member.asks.immediate.is_none() {
+            let heartbeat = now >= member.heartbeat_at && member.asks.has_room();
+            let wants = self.indexes.wants(id, member.answered_at);
+            if heartbeat || wants && member.may_ask(now) {
                 let ask = start(now, next_ask, 0);
-                member.asks.immediate = Some(ask);
-                member.heartbeat_at = now + HEARTBEAT;
+                member.asks.immediate.push(ask);
+                member.heartbeat_at = now + self.pace.of(primary, id);
                 effects.push(question(self.group, id, ask));
             }
             let wanted = self.confirmations.wanted(id);
@@ -168,11 +248,21 @@
     }
 }
 
+impl Pace {
+    fn of(self, primary: Option<id::MemberId>, member: id::MemberId) -> Duration {
+        match primary {
+            Some(primary) if primary != member => self.replica,
+            _ => self.primary,
+        }
+    }
+}
+
 fn start(now: Instant, next_ask: &mut id::AskId, min_position: id::Position) -> Ask {
     *next_ask += 1;
     Ask {
         id: *next_ask,
         started_at: now,
+        deadline: now + ASK_TIMEOUT,
         min_position,
     }
 }
@@ -183,6 +273,6 @@
         group,
         member,
         min_position: ask.min_position,
-        deadline: ask.started_at + ASK_TIMEOUT,
+        deadline: ask.deadline,
     }
 }
