Route reads by estimated cost, waiting for replicas by held questions

Cause: what is known of a replica is up to a heartbeat old, so reads that follow a write of their session went to the primary (petra 96.5% by replicas, 88.1% with a replica 180 s behind).

Change: a read may wait for a member (Choice::Await); one held status question for the floor tells when it is there. The policy compares estimated times with a charge for the primary and the link. The group's newest point is sampled as of a majority's answers, since a proxy cut off with one replica took that replica for fresh. A commit raises what is known of the primary.

Seen failing with the mechanism out (tests/route_policy.rs): no awaited position in the question (read_waits_for_its_replica_by_a_held_question), no growth of the estimate (read_leaves_a_replica_that_does_not_catch_up), sample from any one answer (freshness_needs_a_majority), commit not noted (commit_makes_the_primary_known_fresh), each charge removed (choose_weighs_time_and_scarcity).

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -62,6 +62,7 @@
     /// Returns the members as a routing policy sees them for this request.
     pub fn candidates(
         &self,
+        now: Instant,
         config: &topology::Group,
         place: &topology::Place,
         active: &request::Active,
@@ -77,7 +78,9 @@
                 reachable: member.reachable,
                 leaving: self.leaving.contains(&id),
                 fresh: self.fresh(member, active, floor),
-                catch_up: catch_up(member, floor),
+                catch_up: catch_up(now, member, floor),
+                wait: pool.estimated_wait(settings.connect_time),
+                answer: pool.estimated_answer().max(member.round_trip),
                 distance: distance(place, &settings.place),
                 round_trip: member.round_trip,
                 idle: pool.idle(),
@@ -88,6 +91,15 @@
         candidates.collect()
     }
 
+    /// Notes that the member has committed this point: reads of it need not ask first.
+    pub fn committed(&mut self, member: id::MemberId, point: floor::Point) {
+        let member = self.watch.members.get_mut(member);
+        let status = member.and_then(|member| member.status.as_mut());
+        if let Some(status) = status.filter(|s| s.primary && s.term == point.term) {
+            status.last = status.last.max(point);
+        }
+    }
+
     fn fresh(
         &self,
         member: &status::Member,
@@ -105,10 +117,16 @@
     }
 }
 
-fn catch_up(member: &status::Member, floor: floor::Point) -> Option<Duration> {
-    let missing = floor.position.checked_sub(member.last().position)?;
-    let seconds = missing as f64 / member.entries_per_second;
-    Duration::try_from_secs_f64(seconds).ok()
+fn catch_up(now: Instant, member: &status::Member, floor: floor::Point) -> Option<Duration> {
+    let status = member.status?;
+    if status.last >= floor {
+        return Some(Duration::ZERO);
+    }
+    if status.primary && status.term == floor.term {
+        // Its log holds what it wrote; a question confirms it.
+        return Some(Duration::ZERO);
+    }
+    Some(member.catch_up(now, floor.position))
 }
 
 fn distance(own: &topology::Place, other: &topology::Place) -> u8 {
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -23,6 +23,7 @@
     conns: sorted::Map<id::ConnId, Conn>,
     queue: VecDeque<id::RequestId>,
     open_after: Instant,
+    hold_time: Duration,
 }
 
 /// The outcome of asking for a connection.
@@ -44,6 +45,7 @@
             conns: sorted::Map::default(),
             queue: VecDeque::new(),
             open_after: now,
+            hold_time: Duration::ZERO,
         }
     }
 
@@ -67,6 +69,28 @@
         u32::try_from(self.queue.len()).unwrap_or(u32::MAX)
     }
 
+    /// Estimates the time until a connection is free for another request.
+    pub fn estimated_wait(&self, connect_time: Duration) -> Duration {
+        if self.idle() > 0 {
+            return Duration::ZERO;
+        }
+        let queue = self.hold_time * (self.waiting() + 1) / self.open().max(1);
+        let room = self.share.saturating_sub(self.open());
+        match (self.open(), self.waiting() < room) {
+            (0, _) => connect_time.max(queue),
+            (_, true) => connect_time.min(queue),
+            (_, false) => queue,
+        }
+    }
+
+    /// Estimates the time from a dispatch to the answer; zero when nothing runs that tells.
+    pub fn estimated_answer(&self) -> Duration {
+        match self.busy() {
+            0 => Duration::ZERO,
+            _ => self.hold_time,
+        }
+    }
+
     fn count(&self, wanted: impl Fn(State) -> bool) -> u32 {
         let count = self
             .conns
@@ -120,6 +144,10 @@
     /// Notes that a connection is open and clean; returns the request that now holds it.
     pub fn ready(&mut self, now: Instant, conn: id::ConnId) -> Option<id::RequestId> {
         let entry = self.conns.get_mut(conn)?;
+        if let State::Busy(_) = entry.state {
+            let held = now.saturating_duration_since(entry.since);
+            self.hold_time = self.hold_time * 7 / 8 + held / 8;
+        }
         entry.state = State::Idle;
         entry.since = now;
         let request = self.queue.pop_front()?;
--- a/crates/core/src/route/candidate.rs
+++ b/crates/core/src/route/candidate.rs
@@ -21,6 +21,10 @@
     pub fresh: bool,
     /// Estimated time until it is fresh, if it is not.
     pub catch_up: Option<Duration>,
+    /// Estimated time until a connection is free for the request.
+    pub wait: Duration,
+    /// Estimated time from the dispatch to the answer.
+    pub answer: Duration,
     /// Distance: 0 in the proxy's failure domain, 1 in its region, 2 elsewhere.
     pub distance: u8,
     /// Round trip time.
@@ -67,6 +71,8 @@
 pub enum Choice {
     /// This member serves the request.
     Member(id::MemberId),
+    /// This member serves the request once its log has reached the floor; no connection is held.
+    Await(id::MemberId),
     /// No member may serve it yet; it is decided again when something is learned.
     Wait,
     /// It cannot be served before its deadline.
--- a/crates/core/src/route/nearest.rs
+++ b/crates/core/src/route/nearest.rs
@@ -1,13 +1,22 @@
-//! Reads from the nearest fresh replica, writes to the primary.
+//! Reads from the replica that answers first, near ones before far ones; writes to the primary.
 
 use std::time::Duration;
 
 use crate::route::{Candidate, Choice, Policy, Question};
 
-/// Estimated time that a request waits behind each one queued before it.
-const QUEUE_STEP: Duration = Duration::from_millis(2);
+/// Time that a read rather waits than being sent to the primary.
+const PRIMARY_COST: Duration = Duration::from_millis(60);
+/// Time that a read rather waits than crossing the link between regions.
+const REGION_COST: Duration = Duration::from_millis(15);
+/// Time that a read rather waits than being sent to a member that is leaving.
+const LEAVING_COST: Duration = Duration::from_secs(2);
+/// Distance of a member in another region.
+const OTHER_REGION: u8 = 2;
 
-/// Sends reads to the cheapest fresh member and writes to the primary.
+/// Sends reads to the member with the lowest estimated cost and writes to the primary.
+///
+/// The cost is the estimated time to the answer, catching up with the floor included, with a charge
+/// for what is scarce: the primary, and the link between regions.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Nearest;
 
@@ -17,23 +26,40 @@
     }
 
     fn choose(&self, question: &Question<'_>) -> Choice {
-        let cheapest = match question.kind.is_read() {
-            true => cheapest_reader(question),
-            false => question.primary(),
-        };
-        cheapest.map_or(Choice::Wait, |candidate| Choice::Member(candidate.member))
+        match question.kind.is_read() {
+            true => choose_reader(question),
+            false => question
+                .primary()
+                .map_or(Choice::Wait, |primary| Choice::Member(primary.member)),
+        }
     }
 }
 
-fn cheapest_reader<'a>(question: &Question<'a>) -> Option<&'a Candidate> {
-    let usable = question.candidates.iter().filter(|c| c.usable() && c.fresh);
-    usable.min_by_key(|candidate| {
-        let cost = candidate.round_trip + QUEUE_STEP * candidate.waiting;
-        (
-            candidate.leaving,
-            candidate.primary,
-            candidate.distance,
-            cost,
-        )
-    })
+fn choose_reader(question: &Question<'_>) -> Choice {
+    let usable = question.candidates.iter().filter(|c| c.usable());
+    let costs = usable.filter_map(|candidate| Some((cost(candidate)?, candidate)));
+    let cheapest = costs.min_by_key(|(cost, candidate)| (*cost, candidate.member));
+    match cheapest {
+        Some((_, candidate)) if candidate.fresh => Choice::Member(candidate.member),
+        Some((_, candidate)) => Choice::Await(candidate.member),
+        None => Choice::Wait,
+    }
+}
+
+fn cost(candidate: &Candidate) -> Option<Duration> {
+    let mut cost = candidate.wait + candidate.answer;
+    if !candidate.fresh {
+        // A question tells when the floor is reached.
+        cost += candidate.catch_up? + candidate.round_trip;
+    }
+    if candidate.primary {
+        cost += PRIMARY_COST;
+    }
+    if candidate.distance == OTHER_REGION {
+        cost += REGION_COST;
+    }
+    if candidate.leaving {
+        cost += LEAVING_COST;
+    }
+    Some(cost)
 }
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -72,6 +72,7 @@
     ) {
         match self.choose(now, id) {
             Some(route::Choice::Member(member)) => self.lease(now, id, member, effects),
+            Some(route::Choice::Await(member)) => self.await_member(id, member),
             Some(route::Choice::Wait) => self.park(id),
             Some(route::Choice::Refuse(reason)) => self.refuse(now, id, reason, effects),
             None => {}
@@ -88,6 +89,7 @@
         let floor = active.request.floor.as_ref();
         let floor = floor.and_then(|floor| floor.point(active.group));
         let candidates = group.candidates(
+            now,
             config,
             &self.identity.place,
             active,
@@ -101,6 +103,19 @@
         }))
     }
 
+    /// Lets a read wait until a member's log has reached its floor.
+    fn await_member(&mut self, id: id::RequestId, member: id::MemberId) {
+        let Some(active) = self.requests.get(id) else {
+            return;
+        };
+        let floor = active.request.floor.as_ref();
+        let point = floor.and_then(|floor| floor.point(active.group));
+        if let (Some(group), Some(point)) = (self.groups.get_mut(active.group), point) {
+            group.watch.awaits.set(id, member, point.position);
+        }
+        self.park(id);
+    }
+
     pub(super) fn park(&mut self, id: id::RequestId) {
         let Some(active) = self.requests.get(id) else {
             return;
@@ -136,8 +151,11 @@
             return;
         };
         let group = active.group;
-        let pools = self.groups.get_mut(group).map(|group| &mut group.pools);
-        let Some(pool) = pools.and_then(|pools| pools.get_mut(member)) else {
+        let Some(state) = self.groups.get_mut(group) else {
+            return;
+        };
+        state.watch.awaits.remove(id);
+        let Some(pool) = state.pools.get_mut(member) else {
             return;
         };
         match pool.lease(now, id) {
@@ -231,6 +249,7 @@
         let group = active.group;
         if let Some(state) = self.groups.get_mut(group) {
             state.watch.confirmations.add(id, point, member);
+            state.committed(member, point);
         }
         self.ask(now, group, effects);
     }
@@ -346,7 +365,10 @@
         };
         match active.stage {
             request::Stage::Indexing => group.watch.indexes.remove(id),
-            request::Stage::Parked => group.parked.retain(|parked| *parked != id),
+            request::Stage::Parked => {
+                group.parked.retain(|parked| *parked != id);
+                group.watch.awaits.remove(id);
+            }
             request::Stage::Queued(member) => {
                 if let Some(pool) = group.pools.get_mut(member) {
                     pool.abandon(id);
--- a/crates/core/src/status/member.rs
+++ b/crates/core/src/status/member.rs
@@ -18,6 +18,10 @@
 const OVERDUE_ROUND_TRIPS: u32 = 2;
 /// Shortest time after which an answer is overdue.
 const OVERDUE_MIN: Duration = Duration::from_millis(20);
+/// Time that a replica is taken to need for an entry before any was measured.
+const CATCH_UP_GUESS: Duration = Duration::from_millis(5);
+/// Longest time that a replica is taken to need for an entry.
+const CATCH_UP_MAX: Duration = Duration::from_secs(2);
 /// Samples kept of the group's newest point over time.
 const FRESHNESS_SAMPLES: usize = 64;
 /// Shortest time between two samples.
@@ -50,6 +54,8 @@
     pub backoff_until: Instant,
     /// Log entries applied a second, smoothed.
     pub entries_per_second: f64,
+    /// Time that held questions waited for their position, smoothed.
+    pub catch_up: Duration,
 }
 
 impl Member {
@@ -68,6 +74,7 @@
             heartbeat_at: now,
             backoff_until: now,
             entries_per_second: 0.0,
+            catch_up: CATCH_UP_GUESS,
         }
     }
 
@@ -81,6 +88,10 @@
         if ask.min_position == 0 {
             self.learn_round_trip(now - ask.started_at);
         }
+        if ask.min_position > 0 {
+            let waited = (now - ask.started_at).saturating_sub(self.round_trip);
+            self.learn_catch_up(waited, status.last.position >= ask.min_position);
+        }
         self.learn_rate(now, status);
         self.learn(now, Some(ask.started_at), status);
         self.answered_at = self.answered_at.max(Some(ask.started_at));
@@ -135,6 +146,22 @@
         self.detect_timeout = timeout.max(DETECT_MIN);
     }
 
+    /// Estimates when the member's log will reach a position, from now on.
+    pub fn catch_up(&self, now: Instant, position: id::Position) -> Duration {
+        let asked = self.asks.held.filter(|ask| ask.min_position <= position);
+        // What has taken long already is expected to take as long again.
+        let waited = asked.map(|ask| now.saturating_duration_since(ask.started_at));
+        let waited = waited.unwrap_or_default().saturating_sub(self.round_trip);
+        self.catch_up.max(waited)
+    }
+
+    fn learn_catch_up(&mut self, waited: Duration, reached: bool) {
+        self.catch_up = match reached {
+            true => self.catch_up * 3 / 4 + waited / 4,
+            false => (self.catch_up.max(waited) * 2).min(CATCH_UP_MAX),
+        };
+    }
+
     fn learn_round_trip(&mut self, sample: Duration) {
         self.round_trip = match self.round_trip {
             Duration::ZERO => sample,
--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -2,12 +2,14 @@
 //! read index and confirmation of commits.
 
 mod ask;
+mod awaits;
 mod confirm;
 mod index;
 mod member;
 mod watch;
 
 pub use ask::{Ask, Asks};
+pub use awaits::Awaits;
 pub use confirm::{Confirmations, Decided};
 pub use index::Indexes;
 pub use member::{Freshness, Member};
--- a/crates/core/src/status/watch.rs
+++ b/crates/core/src/status/watch.rs
@@ -7,7 +7,7 @@
 use crate::floor;
 use crate::id;
 use crate::sorted;
-use crate::status::{Ask, Confirmations, Freshness, Indexes, Member};
+use crate::status::{Ask, Awaits, Confirmations, Freshness, Indexes, Member};
 
 /// Time without questions after one that failed.
 const ASK_BACKOFF: Duration = Duration::from_millis(100);
@@ -26,6 +26,8 @@
     pub indexes: Indexes,
     /// Commits waiting for a majority.
     pub confirmations: Confirmations,
+    /// Reads waiting for a member to catch up.
+    pub awaits: Awaits,
     /// The group's newest point over time.
     pub freshness: Freshness,
     ticked_at: Instant,
@@ -75,6 +77,7 @@
             members: members.map(|id| (id, Member::new(id, now))).collect(),
             indexes: Indexes::default(),
             confirmations: Confirmations::default(),
+            awaits: Awaits::default(),
             freshness: Freshness::default(),
             ticked_at: now,
             pace: Pace::default(),
@@ -142,8 +145,7 @@
         if member.report(now, ask, status) {
             outcome.changed.push((answer.member, true));
         }
-        let newest = self.newest();
-        self.freshness.note(ask.started_at, newest);
+        self.note_freshness();
         outcome.indexed = self
             .indexes
             .report(answer.member, ask.started_at, status.last, majority);
@@ -151,6 +153,19 @@
         outcome
     }
 
+    /// Samples the group's newest point.
+    ///
+    /// What a majority reported holds everything that was acknowledged before the questions to it
+    /// started; what fewer members say may be the word of replicas that are cut off from the primary.
+    fn note_freshness(&mut self) {
+        let answered = self.members.values().filter_map(|m| m.answered_at);
+        let mut answered: Vec<Instant> = answered.collect();
+        answered.sort_unstable_by(|one, other| other.cmp(one));
+        if let Some(at) = answered.get(self.majority() - 1) {
+            self.freshness.note(*at, self.newest());
+        }
+    }
+
     /// Takes in what a member reported with its answer to a fence or promotion.
     pub fn learn(&mut self, now: Instant, member: id::MemberId, status: event::Status) -> Outcome {
         let mut outcome = Outcome::default();
@@ -238,7 +253,9 @@
                 member.heartbeat_at = now + self.pace.of(primary, id);
                 effects.push(question(self.group, id, ask));
             }
-            let wanted = self.confirmations.wanted(id);
+            let awaited = self.awaits.wanted(id, member.last().position);
+            let wanted = awaited.into_iter().chain(self.confirmations.wanted(id));
+            let wanted = wanted.min();
             if let (Some(position), None) = (wanted, member.asks.held) {
                 let ask = start(now, next_ask, position);
                 member.asks.held = Some(ask);
