--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -23,8 +23,6 @@
     pub pools: sorted::Map<id::MemberId, pool::Pool>,
     /// Requests that wait for a member that may serve them.
     pub parked: Vec<id::RequestId>,
-    /// Requests that hold a connection while their member catches up.
-    pub holding: Vec<id::RequestId>,
     /// Members whose VM is leaving.
     pub leaving: Vec<id::MemberId>,
     /// Term and primary that were last recorded.
@@ -43,7 +41,6 @@
             failover: failover::Failover::default(),
             pools: pools.collect(),
             parked: Vec::new(),
-            holding: Vec::new(),
             leaving: Vec::new(),
             primary: None,
         }
@@ -103,14 +100,6 @@
         }
     }
 
-    /// Returns whether the member may serve the request now.
-    pub fn serves(&self, id: id::MemberId, active: &request::Active) -> bool {
-        let floor = active.request.floor.as_ref();
-        let point = floor.and_then(|floor| floor.point(active.group));
-        let member = self.watch.members.get(id);
-        member.is_some_and(|member| self.fresh(member, active, point.unwrap_or_default()))
-    }
-
     fn fresh(
         &self,
         member: &status::Member,
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -69,13 +69,6 @@
     Parked,
     /// Waits for a connection to a member.
     Queued(id::MemberId),
-    /// Waits for the member's log and holds a connection to it.
-    Holding {
-        /// The connection.
-        conn: id::ConnId,
-        /// The member.
-        member: id::MemberId,
-    },
     /// Runs on a connection.
     Running {
         /// The connection.
--- a/crates/core/src/route/candidate.rs
+++ b/crates/core/src/route/candidate.rs
@@ -73,8 +73,6 @@
     Member(id::MemberId),
     /// This member serves the request once its log has reached the floor; no connection is held.
     Await(id::MemberId),
-    /// As [`Choice::Await`], with a connection held meanwhile.
-    Hold(id::MemberId),
     /// No member may serve it yet; it is decided again when something is learned.
     Wait,
     /// It cannot be served before its deadline.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -5,5 +5,5 @@
 mod primary;
 
 pub use candidate::{Candidate, Choice, Policy, Question};
-pub use nearest::{Hold, Nearest, Waiting, Yield};
+pub use nearest::Nearest;
 pub use primary::AlwaysPrimary;
--- a/crates/core/src/route/nearest.rs
+++ b/crates/core/src/route/nearest.rs
@@ -1,9 +1,7 @@
 //! Reads from the replica that answers first, near ones before far ones; writes to the primary.
 
-use std::marker::PhantomData;
 use std::time::Duration;
 
-use crate::id;
 use crate::route::{Candidate, Choice, Policy, Question};
 
 /// Time that a read rather waits than being sent to the primary.
@@ -20,44 +18,16 @@
 /// The cost is the estimated time to the answer, catching up with the floor included, with a charge
 /// for what is scarce: the primary, and the link between regions.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Nearest<W = Yield> {
-    waiting: PhantomData<W>,
-}
-
-/// What a read does with a connection while it waits for its replica.
-pub trait Waiting: Clone + Copy + Default {
-    /// Returns the choice for a read that waits for this member.
-    fn choice(member: id::MemberId) -> Choice;
-}
-
-/// The read takes a connection once its replica is there.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Yield;
-
-/// The read takes a connection at once and keeps it.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Hold;
-
-impl Waiting for Yield {
-    fn choice(member: id::MemberId) -> Choice {
-        Choice::Await(member)
-    }
-}
-
-impl Waiting for Hold {
-    fn choice(member: id::MemberId) -> Choice {
-        Choice::Hold(member)
-    }
-}
+pub struct Nearest;
 
-impl<W: Waiting> Policy for Nearest<W> {
+impl Policy for Nearest {
     fn name(&self) -> &'static str {
         "nearest"
     }
 
     fn choose(&self, question: &Question<'_>) -> Choice {
         match question.kind.is_read() {
-            true => choose_reader::<W>(question),
+            true => choose_reader(question),
             false => question
                 .primary()
                 .map_or(Choice::Wait, |primary| Choice::Member(primary.member)),
@@ -65,13 +35,13 @@
     }
 }
 
-fn choose_reader<W: Waiting>(question: &Question<'_>) -> Choice {
+fn choose_reader(question: &Question<'_>) -> Choice {
     let usable = question.candidates.iter().filter(|c| c.usable());
     let costs = usable.filter_map(|candidate| Some((cost(candidate)?, candidate)));
     let cheapest = costs.min_by_key(|(cost, candidate)| (*cost, candidate.member));
     match cheapest {
         Some((_, candidate)) if candidate.fresh => Choice::Member(candidate.member),
-        Some((_, candidate)) => W::choice(candidate.member),
+        Some((_, candidate)) => Choice::Await(candidate.member),
         None => Choice::Wait,
     }
 }
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -23,7 +23,7 @@
 
 /// Everything that a proxy's decisions rest on.
 #[derive(Clone, Debug)]
-pub struct State<P = route::Nearest<route::Yield>> {
+pub struct State<P = route::Nearest> {
     identity: identity::Identity,
     policy: P,
     topology: topology::Topology,
@@ -50,7 +50,7 @@
 impl State {
     /// Creates the state of a proxy that has learned nothing yet. `peers` are addresses from the settings.
     pub fn new(identity: identity::Identity, peers: Vec<Box<str>>, now: Instant) -> Self {
-        Self::with_policy(identity, peers, now, route::Nearest::default())
+        Self::with_policy(identity, peers, now, route::Nearest)
     }
 }
 
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -73,10 +73,6 @@
         match self.choose(now, id) {
             Some(route::Choice::Member(member)) => self.lease(now, id, member, effects),
             Some(route::Choice::Await(member)) => self.await_member(id, member),
-            Some(route::Choice::Hold(member)) => {
-                self.note_await(id, member);
-                self.lease(now, id, member, effects);
-            }
             Some(route::Choice::Wait) => self.park(id),
             Some(route::Choice::Refuse(reason)) => self.refuse(now, id, reason, effects),
             None => {}
@@ -109,11 +105,6 @@
 
     /// Lets a read wait until a member's log has reached its floor.
     fn await_member(&mut self, id: id::RequestId, member: id::MemberId) {
-        self.note_await(id, member);
-        self.park(id);
-    }
-
-    fn note_await(&mut self, id: id::RequestId, member: id::MemberId) {
         let Some(active) = self.requests.get(id) else {
             return;
         };
@@ -122,6 +113,7 @@
         if let (Some(group), Some(point)) = (self.groups.get_mut(active.group), point) {
             group.watch.awaits.set(id, member, point.position);
         }
+        self.park(id);
     }
 
     pub(super) fn park(&mut self, id: id::RequestId) {
@@ -143,47 +135,9 @@
         let Some(group) = self.groups.get_mut(group) else {
             return;
         };
-        let holding = std::mem::take(&mut group.holding);
         for id in std::mem::take(&mut group.parked) {
             self.route(now, id, effects);
         }
-        for id in holding {
-            self.hold_on(now, id, effects);
-        }
-    }
-
-    /// Decides again about a request that holds a connection.
-    fn hold_on(&mut self, now: Instant, id: id::RequestId, effects: &mut Vec<effect::Effect>) {
-        let Some(active) = self.requests.get_mut(id) else {
-            return;
-        };
-        let request::Stage::Holding { conn, member } = active.stage else {
-            return;
-        };
-        let group = active.group;
-        if self
-            .groups
-            .get(group)
-            .is_some_and(|g| g.serves(member, active))
-        {
-            return self.dispatch(now, id, conn, member, effects);
-        }
-        active.stage = request::Stage::Parked;
-        let choice = self.choose(now, id);
-        if let Some(active) = self.requests.get_mut(id) {
-            active.stage = request::Stage::Holding { conn, member };
-        }
-        if choice == Some(route::Choice::Hold(member)) {
-            if let Some(group) = self.groups.get_mut(group) {
-                group.holding.push(id);
-            }
-            return;
-        }
-        if let Some(active) = self.requests.get_mut(id) {
-            active.stage = request::Stage::Parked;
-        }
-        self.release(now, conn, true, effects);
-        self.route(now, id, effects);
     }
 
     fn lease(
@@ -200,9 +154,7 @@
         let Some(state) = self.groups.get_mut(group) else {
             return;
         };
-        if state.serves(member, active) {
-            state.watch.awaits.remove(id);
-        }
+        state.watch.awaits.remove(id);
         let Some(pool) = state.pools.get_mut(member) else {
             return;
         };
@@ -226,14 +178,6 @@
         let Some(active) = self.requests.get_mut(id) else {
             return;
         };
-        if let Some(group) = self.groups.get_mut(active.group)
-            && active.request.kind.is_read()
-            && !group.serves(member, active)
-        {
-            active.stage = request::Stage::Holding { conn, member };
-            group.holding.push(id);
-            return;
-        }
         active.stage = request::Stage::Running { conn, member };
         effects.push(effect::Effect::Dispatch(effect::Dispatch {
             request: id,
@@ -380,10 +324,6 @@
                 effects.push(effect::Effect::Unconfirmed(id));
                 self.end(id);
             }
-            request::Stage::Holding { conn, .. } => {
-                self.refuse(now, id, effect::Reason::TimedOut, effects);
-                self.release(now, conn, true, effects);
-            }
             _ => self.refuse(now, id, effect::Reason::TimedOut, effects),
         }
     }
@@ -435,7 +375,6 @@
                 }
             }
             request::Stage::Running { .. } => {}
-            request::Stage::Holding { .. } => group.watch.awaits.remove(id),
             request::Stage::Confirming(_) => group.watch.confirmations.remove(id),
         }
     }
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -23,12 +23,7 @@
 pub fn run(profile: &Profile, options: &Options) -> Report {
     match options.policy {
         PolicyName::AlwaysPrimary => run_with(profile, options, route::AlwaysPrimary),
-        PolicyName::NearestHold => {
-            run_with(profile, options, route::Nearest::<route::Hold>::default())
-        }
-        PolicyName::Nearest => {
-            run_with(profile, options, route::Nearest::<route::Yield>::default())
-        }
+        PolicyName::Nearest => run_with(profile, options, route::Nearest),
     }
 }
 
--- a/crates/lab/src/experiment/options.rs
+++ b/crates/lab/src/experiment/options.rs
@@ -9,8 +9,6 @@
 pub enum PolicyName {
     /// The naive policy: everything to the primary.
     AlwaysPrimary,
-    /// As the one that ships, with a connection held while a read waits.
-    NearestHold,
     /// The policy that ships.
     #[default]
     Nearest,
