--- a/crates/lab/examples/experiment.rs
+++ b/crates/lab/examples/experiment.rs
@@ -18,6 +18,8 @@
             optional --naive
             /// Load as a multiple of the profile's.
             optional --load load: f64
+            /// Mean delay of replicas in milliseconds.
+            optional --apply-ms apply_ms: u64
             /// Seed.
             optional --seed seed: u64
             /// Seconds measured.
@@ -36,11 +38,14 @@
 
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let flags = flags::Experiment::from_env_or_exit();
-    let profile = experiment::Profile::named(&flags.profile).ok_or("no such profile")?;
+    let mut profile = experiment::Profile::named(&flags.profile).ok_or("no such profile")?;
     let mut options = experiment::Options::default();
     if flags.naive {
         options.policy = experiment::PolicyName::AlwaysPrimary;
     }
+    if let Some(apply_ms) = flags.apply_ms {
+        profile.apply_delay = Duration::from_millis(apply_ms);
+    }
     options.load = flags.load.unwrap_or(options.load);
     options.seed = flags.seed.unwrap_or(options.seed);
     options.proxies = flags.proxies.unwrap_or(options.proxies);
