Admission by estimated wait, fair queues, retry budget, floors past anything written

A token past anything written waited to its deadline.

Change: a request that no member can answer in time is refused on arrival; a queued one that would be late is refused before its dispatch; the queue is fair between services by weight and between callers; retries take from a budget of a tenth of the requests; refusals are spread over the time that the queue needs. A floor past all that is known is checked by a read index. A read that may have run ends as unknown. Outcomes move to their own module.

--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -49,6 +49,11 @@
         self.points.get(group).copied()
     }
 
+    /// Returns whether the floor is empty or names a group that is known.
+    pub fn is_known(&self, known: impl Fn(id::GroupId) -> bool) -> bool {
+        self.points.is_empty() || self.points.keys().any(known)
+    }
+
     /// Raises the point for the group; a lower point leaves it as it is.
     pub fn raise(&mut self, group: id::GroupId, point: Point) {
         let entry = self.points.entry(group);
--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -79,7 +79,7 @@
                 leaving: self.leaving.contains(&id),
                 fresh: self.fresh(member, active, floor),
                 catch_up: catch_up(now, member, floor),
-                wait: pool.estimated_wait(settings.connect_time),
+                wait: pool.estimated_wait(settings.connect_time, active.ticket()),
                 answer: pool.estimated_answer().max(member.round_trip),
                 distance: distance(place, &settings.place),
                 round_trip: member.round_trip,
--- a/crates/core/src/limit/admission.rs
+++ b/crates/core/src/limit/admission.rs
@@ -31,10 +31,12 @@
         *admitted = admitted.saturating_sub(1);
     }
 
-    /// Returns when a refused caller should come back, spread so that not all return at once.
-    pub fn retry_at(&self, now: Instant, request: id::RequestId) -> Instant {
-        let spread_ms = u64::try_from(RETRY_SPREAD.as_millis()).unwrap_or(u64::MAX);
+    /// Returns when a refused caller should come back: after `wait`, which the queue takes, and spread
+    /// over as long again, so that not all return at once.
+    pub fn retry_at(&self, now: Instant, request: id::RequestId, wait: Duration) -> Instant {
+        let spread = RETRY_SPREAD.max(wait);
+        let spread_ms = u64::try_from(spread.as_millis()).unwrap_or(u64::MAX);
         let offset_ms = id::weight(request, 0) % spread_ms;
-        now + RETRY_AFTER_MIN + Duration::from_millis(offset_ms)
+        now + RETRY_AFTER_MIN.max(wait) + Duration::from_millis(offset_ms)
     }
 }
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -1,11 +1,10 @@
 //! The pool of one member's connections.
 
-use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use crate::effect;
 use crate::id;
-use crate::pool::{Conn, Lending, State};
+use crate::pool::{Conn, Lending, Queue, State, Ticket};
 use crate::sorted;
 
 /// Time that a connection is given to open.
@@ -26,7 +25,7 @@
     /// Where those connections come from.
     pub lending: Lending,
     conns: sorted::Map<id::ConnId, Conn>,
-    queue: VecDeque<id::RequestId>,
+    queue: Queue,
     open_after: Instant,
     hold_time: Duration,
     peak: Peak,
@@ -74,7 +73,7 @@
             lending: Lending::new(share),
             peak: Peak::default(),
             conns: sorted::Map::default(),
-            queue: VecDeque::new(),
+            queue: Queue::default(),
             open_after: now,
             hold_time: Duration::ZERO,
         }
@@ -101,11 +100,12 @@
     }
 
     /// Estimates the time until a connection is free for another request.
-    pub fn estimated_wait(&self, connect_time: Duration) -> Duration {
+    pub fn estimated_wait(&self, connect_time: Duration, ticket: Ticket) -> Duration {
         if self.idle() > 0 {
             return Duration::ZERO;
         }
-        let queue = self.hold_time * (self.waiting() + 1) / self.open().max(1);
+        let ahead = self.queue.ahead(ticket);
+        let queue = self.hold_time * (ahead + 1) / self.open().max(1);
         let room = self.share.saturating_sub(self.open());
         match (self.open(), self.waiting() < room) {
             (0, _) => connect_time.max(queue),
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Estimates the time until all that wait now have had a connection.
+    pub fn drain_time(&self) -> Duration {
+        self.hold_time * self.waiting() / self.open().max(1)
+    }
+
     /// Estimates the time from a dispatch to the answer; zero when nothing runs that tells.
     pub fn estimated_answer(&self) -> Duration {
         match self.busy() {
@@ -132,18 +137,18 @@
     }
 
     /// Gives the request an idle connection, or puts it in the queue.
-    pub fn lease(&mut self, now: Instant, request: id::RequestId) -> Lease {
+    pub fn lease(&mut self, now: Instant, ticket: Ticket) -> Lease {
         let idle = self
             .conns
             .iter()
             .rev()
             .find(|(_, c)| c.state == State::Idle);
         let Some(conn) = idle.map(|(id, _)| id) else {
-            self.queue.push_back(request);
+            self.queue.push(ticket);
             self.note_peak(now);
             return Lease::Queued;
         };
-        self.hold(now, conn, request);
+        self.hold(now, conn, ticket.request);
         self.note_peak(now);
         Lease::Granted(conn)
     }
@@ -174,16 +179,34 @@
         }
     }
 
-    /// Notes that a connection is open and clean; returns the request that now holds it.
-    pub fn ready(&mut self, now: Instant, conn: id::ConnId) -> Option<id::RequestId> {
-        let entry = self.conns.get_mut(conn)?;
+    /// Notes that a connection is open and clean.
+    pub fn ready(&mut self, now: Instant, conn: id::ConnId) {
+        let Some(entry) = self.conns.get_mut(conn) else {
+            return;
+        };
         if let State::Busy(_) = entry.state {
             let held = now.saturating_duration_since(entry.since);
             self.hold_time = self.hold_time * 7 / 8 + held / 8;
         }
         entry.state = State::Idle;
         entry.since = now;
-        let request = self.queue.pop_front()?;
+    }
+
+    /// Gives a connection that is ready to the next request that waits, and returns that.
+    pub fn serve(&mut self, now: Instant, conn: id::ConnId) -> Option<id::RequestId> {
+        if !self.conns.contains(conn) {
+            return None;
+        }
+        let Some(request) = self.queue.pop() else {
+            self.conns.insert(
+                conn,
+                Conn {
+                    state: State::Idle,
+                    since: now,
+                },
+            );
+            return None;
+        };
         self.hold(now, conn, request);
         Some(request)
     }
@@ -206,12 +229,12 @@
 
     /// Takes a request out of the queue.
     pub fn abandon(&mut self, request: id::RequestId) {
-        self.queue.retain(|queued| *queued != request);
+        self.queue.remove(request);
     }
 
     /// Empties the queue and returns the requests that were in it.
     pub fn take_queue(&mut self) -> Vec<id::RequestId> {
-        self.queue.drain(..).collect()
+        self.queue.take()
     }
 
     fn note_peak(&mut self, now: Instant) {
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -4,6 +4,7 @@
 
 use crate::floor;
 use crate::id;
+use crate::pool;
 
 /// A request as the shell hands it over.
 #[derive(Clone, Debug, PartialEq)]
@@ -56,10 +57,32 @@
     pub stage: Stage,
     /// When it arrived.
     pub arrived_at: Instant,
+    /// Weight of its service.
+    pub weight: u32,
+    /// Whether a member may have run it without answering.
+    pub ran: bool,
     /// Members that failed it.
     pub avoid: Vec<id::MemberId>,
 }
 
+impl Active {
+    /// Returns the request's place in a queue for connections.
+    pub fn ticket(&self) -> pool::Ticket {
+        pool::Ticket {
+            request: self.request.id,
+            service: self.request.service,
+            caller: self.request.caller,
+            weight: self.weight,
+        }
+    }
+
+    /// Returns the point that a read must see, as far as known.
+    pub fn point(&self) -> Option<floor::Point> {
+        let floor = self.request.floor.as_ref()?;
+        floor.point(self.group)
+    }
+}
+
 /// Where a request stands.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Stage {
--- a/crates/core/src/route/candidate.rs
+++ b/crates/core/src/route/candidate.rs
@@ -38,6 +38,16 @@
 }
 
 impl Candidate {
+    /// Estimates the time to the answer, catching up with the floor included; none if that is unknown.
+    pub fn time(&self) -> Option<Duration> {
+        let time = self.wait + self.answer;
+        match self.fresh {
+            true => Some(time),
+            // A question tells when the floor is reached.
+            false => Some(time + self.catch_up? + self.round_trip),
+        }
+    }
+
     /// Returns whether new work may be sent to the member.
     pub fn usable(&self) -> bool {
         self.reachable && !self.avoided
@@ -58,6 +68,13 @@
 }
 
 impl Question<'_> {
+    /// Returns whether the caller still wants the answer after an estimated time.
+    ///
+    /// Estimates are means, so a quarter is added: work that ends past its deadline is lost capacity.
+    pub fn in_time(&self, time: Duration) -> bool {
+        self.now + time + time / 4 <= self.deadline
+    }
+
     /// Returns the primary if it may be sent new work.
     pub fn primary(&self) -> Option<&Candidate> {
         self.candidates
--- a/crates/core/src/route/nearest.rs
+++ b/crates/core/src/route/nearest.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::effect;
 use crate::route::{Candidate, Choice, Policy, Question};
 
 /// Time that a read rather waits than being sent to the primary.
@@ -28,38 +29,47 @@
     fn choose(&self, question: &Question<'_>) -> Choice {
         match question.kind.is_read() {
             true => choose_reader(question),
-            false => question
-                .primary()
-                .map_or(Choice::Wait, |primary| Choice::Member(primary.member)),
+            false => choose_writer(question),
         }
     }
 }
 
+fn choose_writer(question: &Question<'_>) -> Choice {
+    match question.primary() {
+        Some(primary) if question.in_time(primary.wait + primary.answer) => {
+            Choice::Member(primary.member)
+        }
+        Some(_) => Choice::Refuse(effect::Reason::Overloaded),
+        None => Choice::Wait,
+    }
+}
+
 fn choose_reader(question: &Question<'_>) -> Choice {
     let usable = question.candidates.iter().filter(|c| c.usable());
-    let costs = usable.filter_map(|candidate| Some((cost(candidate)?, candidate)));
+    let timed = usable.filter_map(|candidate| Some((candidate.time()?, candidate)));
+    let (in_time, late): (Vec<_>, Vec<_>) = timed.partition(|(time, _)| question.in_time(*time));
+    let costs = in_time.into_iter().map(|(time, c)| (time + charge(c), c));
     let cheapest = costs.min_by_key(|(cost, candidate)| (*cost, candidate.member));
     match cheapest {
         Some((_, candidate)) if candidate.fresh => Choice::Member(candidate.member),
         Some((_, candidate)) => Choice::Await(candidate.member),
+        None if late.iter().any(|(_, candidate)| candidate.fresh) => {
+            Choice::Refuse(effect::Reason::Overloaded)
+        }
         None => Choice::Wait,
     }
 }
 
-fn cost(candidate: &Candidate) -> Option<Duration> {
-    let mut cost = candidate.wait + candidate.answer;
-    if !candidate.fresh {
-        // A question tells when the floor is reached.
-        cost += candidate.catch_up? + candidate.round_trip;
-    }
+fn charge(candidate: &Candidate) -> Duration {
+    let mut charge = Duration::ZERO;
     if candidate.primary {
-        cost += PRIMARY_COST;
+        charge += PRIMARY_COST;
     }
     if candidate.distance == OTHER_REGION {
-        cost += REGION_COST;
+        charge += REGION_COST;
     }
     if candidate.leaving {
-        cost += LEAVING_COST;
+        charge += LEAVING_COST;
     }
-    Some(cost)
+    charge
 }
--- a/crates/core/src/state/conns.rs
+++ b/crates/core/src/state/conns.rs
@@ -1,6 +1,6 @@
 //! Connections to members.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::effect;
 use crate::id;
@@ -64,9 +64,18 @@
             effects.push(effect::Effect::Close(conn));
             return self.lost(now, conn, effects);
         }
-        let request = self.pool(owner).and_then(|pool| pool.ready(now, conn));
-        if let Some(request) = request {
-            self.dispatch(now, request, conn, owner.member, effects);
+        let mut answer = Duration::ZERO;
+        if let Some(pool) = self.pool(owner) {
+            answer = pool.estimated_answer();
+            pool.ready(now, conn);
+        }
+        while let Some(request) = self.pool(owner).and_then(|pool| pool.serve(now, conn)) {
+            let active = self.requests.get(request);
+            if active.is_none_or(|active| now + answer <= active.request.deadline) {
+                return self.dispatch(now, request, conn, owner.member, effects);
+            }
+            // Its answer would come too late: it is refused unsent, and the next one has its turn.
+            self.refuse(now, request, effect::Reason::Overloaded, effects);
         }
     }
 
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod conns;
 mod groups;
 mod lending;
+mod outcome;
 mod peers;
 mod requests;
 mod tick;
@@ -33,6 +34,7 @@
     requests: sorted::Map<id::RequestId, request::Active>,
     conns: sorted::Map<id::ConnId, Owner>,
     admission: limit::Admission,
+    retries: limit::RetryBudget,
     peers: peer::Table,
     sequence: u64,
     draining: bool,
@@ -72,6 +74,7 @@
             requests: sorted::Map::default(),
             conns: sorted::Map::default(),
             admission: limit::Admission::default(),
+            retries: limit::RetryBudget::default(),
             peers: peer::Table::new(peers, now),
             sequence: 0,
             draining: false,
--- /dev/null
+++ b/crates/core/src/state/outcome.rs
@@ -0,0 +1,156 @@
+//! What became of a request that was sent, or of what it waited for.
+
+use std::time::Instant;
+
+use crate::effect;
+use crate::event;
+use crate::floor;
+use crate::id;
+use crate::request;
+use crate::route;
+use crate::state::State;
+
+impl<P: route::Policy> State<P> {
+    pub(super) fn returned(
+        &mut self,
+        now: Instant,
+        returned: event::Returned,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let id = returned.request;
+        let Some(active) = self.requests.get(id) else {
+            return;
+        };
+        let request::Stage::Running { conn, member } = active.stage else {
+            return;
+        };
+        if conn != returned.conn {
+            return;
+        }
+        let group = active.group;
+        match returned.outcome {
+            event::Outcome::Answered | event::Outcome::Unknown => self.end(id),
+            event::Outcome::Committed(point) => self.confirm(now, id, member, point, effects),
+            event::Outcome::NotSent => self.retry(now, id, None, effects),
+            event::Outcome::NotPrimary => {
+                self.demote(group, member);
+                self.retry(now, id, None, effects);
+            }
+            event::Outcome::ReadFailed => {
+                self.note_ran(id);
+                self.retry(now, id, Some(member), effects);
+            }
+        }
+        self.release(now, conn, returned.clean, effects);
+        self.route(now, id, effects);
+    }
+
+    fn demote(&mut self, group: id::GroupId, member: id::MemberId) {
+        let group = self.groups.get_mut(group);
+        let member = group.and_then(|group| group.watch.members.get_mut(member));
+        if let Some(status) = member.and_then(|member| member.status.as_mut()) {
+            status.primary = false;
+        }
+    }
+
+    fn note_ran(&mut self, id: id::RequestId) {
+        if let Some(active) = self.requests.get_mut(id) {
+            active.ran = true;
+        }
+    }
+
+    fn retry(
+        &mut self,
+        now: Instant,
+        id: id::RequestId,
+        avoid: Option<id::MemberId>,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        if !self.retries.spend() {
+            return self.refuse(now, id, effect::Reason::Overloaded, effects);
+        }
+        if let Some(active) = self.requests.get_mut(id) {
+            active.stage = request::Stage::Parked;
+            active.avoid.extend(avoid);
+        }
+    }
+
+    fn confirm(
+        &mut self,
+        now: Instant,
+        id: id::RequestId,
+        member: id::MemberId,
+        point: floor::Point,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(active) = self.requests.get_mut(id) else {
+            return;
+        };
+        active.stage = request::Stage::Confirming(point);
+        let group = active.group;
+        if let Some(state) = self.groups.get_mut(group) {
+            state.watch.confirmations.add(id, point, member);
+            state.committed(member, point);
+        }
+        self.ask(now, group, effects);
+    }
+
+    pub(super) fn confirmed(
+        &mut self,
+        id: id::RequestId,
+        point: floor::Point,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(active) = self.requests.get(id) else {
+            return;
+        };
+        effects.push(effect::Effect::Acknowledge {
+            request: id,
+            group: active.group,
+            point,
+        });
+        self.end(id);
+    }
+
+    /// Answers that the outcome of a commit whose term is over is unknown.
+    pub(super) fn unconfirmed(&mut self, id: id::RequestId, effects: &mut Vec<effect::Effect>) {
+        if self.requests.contains(id) {
+            effects.push(effect::Effect::Unconfirmed(id));
+            self.end(id);
+        }
+    }
+
+    pub(super) fn indexed(
+        &mut self,
+        now: Instant,
+        id: id::RequestId,
+        point: floor::Point,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(active) = self.requests.get_mut(id) else {
+            return;
+        };
+        let group = active.group;
+        if active.stage != request::Stage::Indexing {
+            if waits(active) && active.point().is_some_and(|floor| floor > point) {
+                self.refuse(now, id, effect::Reason::FloorAhead, effects);
+            }
+            return;
+        }
+        let floor = active
+            .request
+            .floor
+            .get_or_insert_with(floor::Floor::default);
+        floor.raise(group, point);
+        active.stage = request::Stage::Parked;
+        self.route(now, id, effects);
+    }
+}
+
+/// Returns whether the request has not been sent to a member.
+fn waits(active: &request::Active) -> bool {
+    matches!(
+        active.stage,
+        request::Stage::Indexing | request::Stage::Parked | request::Stage::Queued(_)
+    )
+}
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -1,10 +1,8 @@
 //! The way of a request from arrival to its final answer.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::effect;
-use crate::event;
-use crate::floor;
 use crate::id;
 use crate::pool;
 use crate::request;
@@ -24,7 +22,12 @@
             Err(reason) => return self.push_refusal(now, id, reason, effects),
         };
         let group = active.group;
+        self.retries.earn();
         self.requests.insert(id, active);
+        if let Some(route::Choice::Refuse(reason)) = self.choose(now, id) {
+            // Known before a read index is: the wait for a connection alone is too long.
+            return self.refuse(now, id, reason, effects);
+        }
         self.route(now, id, effects);
         self.ask(now, group, effects);
     }
@@ -40,6 +43,12 @@
         let service = self.topology.services.get(request.service);
         let service = service.ok_or(effect::Reason::UnknownService)?;
         let group = service.group;
+        if let Some(floor) = &request.floor
+            && !floor.is_known(|group| self.groups.contains(group))
+        {
+            return Err(effect::Reason::FloorAhead);
+        }
+        let weight = service.limits.weight;
         if !self
             .admission
             .admit(request.service, service.limits.queue_requests)
@@ -47,8 +56,13 @@
             return Err(effect::Reason::Overloaded);
         }
         let indexing = request.kind.is_read() && request.floor.is_none();
-        if let (true, Some(group)) = (indexing, self.groups.get_mut(group)) {
-            group.watch.indexes.add(request.id, now);
+        if let Some(state) = self.groups.get_mut(group) {
+            let point = request.floor.as_ref().and_then(|floor| floor.point(group));
+            // A floor past all that is known may be past all that was written; an index tells.
+            let ahead = point.is_some_and(|point| point > state.watch.newest());
+            if indexing || ahead && request.kind.is_read() {
+                state.watch.indexes.add(request.id, now);
+            }
         }
         let stage = match indexing {
             true => request::Stage::Indexing,
@@ -59,6 +73,8 @@
             group,
             stage,
             arrived_at: now,
+            weight,
+            ran: false,
             avoid: Vec::new(),
         })
     }
@@ -70,6 +86,10 @@
         id: id::RequestId,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let parked = |active: &request::Active| active.stage == request::Stage::Parked;
+        if !self.requests.get(id).is_some_and(parked) {
+            return;
+        }
         match self.choose(now, id) {
             Some(route::Choice::Member(member)) => self.lease(now, id, member, effects),
             Some(route::Choice::Await(member)) => self.await_member(id, member),
@@ -81,13 +101,9 @@
 
     fn choose(&self, now: Instant, id: id::RequestId) -> Option<route::Choice> {
         let active = self.requests.get(id)?;
-        if active.stage != request::Stage::Parked {
-            return None;
-        }
         let group = self.groups.get(active.group)?;
         let config = self.topology.groups.get(active.group)?;
-        let floor = active.request.floor.as_ref();
-        let floor = floor.and_then(|floor| floor.point(active.group));
+        let floor = active.point();
         let candidates = group.candidates(
             now,
             config,
@@ -108,8 +124,7 @@
         let Some(active) = self.requests.get(id) else {
             return;
         };
-        let floor = active.request.floor.as_ref();
-        let point = floor.and_then(|floor| floor.point(active.group));
+        let point = active.point();
         if let (Some(group), Some(point)) = (self.groups.get_mut(active.group), point) {
             group.watch.awaits.set(id, member, point.position);
         }
@@ -158,7 +173,7 @@
         let Some(pool) = state.pools.get_mut(member) else {
             return;
         };
-        match pool.lease(now, id) {
+        match pool.lease(now, active.ticket()) {
             pool::Lease::Granted(conn) => self.dispatch(now, id, conn, member, effects),
             pool::Lease::Queued => {
                 active.stage = request::Stage::Queued(member);
@@ -188,117 +203,6 @@
         }));
     }
 
-    pub(super) fn returned(
-        &mut self,
-        now: Instant,
-        returned: event::Returned,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let id = returned.request;
-        let Some(active) = self.requests.get(id) else {
-            return;
-        };
-        let request::Stage::Running { conn, member } = active.stage else {
-            return;
-        };
-        if conn != returned.conn {
-            return;
-        }
-        let group = active.group;
-        match returned.outcome {
-            event::Outcome::Answered | event::Outcome::Unknown => self.end(id),
-            event::Outcome::Committed(point) => self.confirm(now, id, member, point, effects),
-            event::Outcome::NotSent => self.retry(id, None),
-            event::Outcome::NotPrimary => {
-                self.demote(group, member);
-                self.retry(id, None);
-            }
-            event::Outcome::ReadFailed => self.retry(id, Some(member)),
-        }
-        self.release(now, conn, returned.clean, effects);
-        self.route(now, id, effects);
-    }
-
-    fn demote(&mut self, group: id::GroupId, member: id::MemberId) {
-        let group = self.groups.get_mut(group);
-        let member = group.and_then(|group| group.watch.members.get_mut(member));
-        if let Some(status) = member.and_then(|member| member.status.as_mut()) {
-            status.primary = false;
-        }
-    }
-
-    fn retry(&mut self, id: id::RequestId, avoid: Option<id::MemberId>) {
-        if let Some(active) = self.requests.get_mut(id) {
-            active.stage = request::Stage::Parked;
-            active.avoid.extend(avoid);
-        }
-    }
-
-    fn confirm(
-        &mut self,
-        now: Instant,
-        id: id::RequestId,
-        member: id::MemberId,
-        point: floor::Point,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let Some(active) = self.requests.get_mut(id) else {
-            return;
-        };
-        active.stage = request::Stage::Confirming(point);
-        let group = active.group;
-        if let Some(state) = self.groups.get_mut(group) {
-            state.watch.confirmations.add(id, point, member);
-            state.committed(member, point);
-        }
-        self.ask(now, group, effects);
-    }
-
-    pub(super) fn confirmed(
-        &mut self,
-        id: id::RequestId,
-        point: floor::Point,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let Some(active) = self.requests.get(id) else {
-            return;
-        };
-        effects.push(effect::Effect::Acknowledge {
-            request: id,
-            group: active.group,
-            point,
-        });
-        self.end(id);
-    }
-
-    /// Answers that the outcome of a commit whose term is over is unknown.
-    pub(super) fn unconfirmed(&mut self, id: id::RequestId, effects: &mut Vec<effect::Effect>) {
-        if self.requests.contains(id) {
-            effects.push(effect::Effect::Unconfirmed(id));
-            self.end(id);
-        }
-    }
-
-    pub(super) fn indexed(
-        &mut self,
-        now: Instant,
-        id: id::RequestId,
-        point: floor::Point,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let Some(active) = self.requests.get_mut(id) else {
-            return;
-        };
-        let group = active.group;
-        let floor = active
-            .request
-            .floor
-            .get_or_insert_with(floor::Floor::default);
-        floor.raise(group, point);
-        active.stage = request::Stage::Parked;
-        self.route(now, id, effects);
-    }
-
     pub(super) fn abandoned(&mut self, _now: Instant, id: id::RequestId) {
         let running =
             |active: &request::Active| matches!(active.stage, request::Stage::Running { .. });
@@ -335,8 +239,13 @@
         reason: effect::Reason,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let ran = self.requests.get(id).is_some_and(|active| active.ran);
         self.end(id);
-        self.push_refusal(now, id, reason, effects);
+        match ran {
+            // A member may have run it, so it must not be called not run.
+            true => effects.push(effect::Effect::Unconfirmed(id)),
+            false => self.push_refusal(now, id, reason, effects),
+        }
     }
 
     fn push_refusal(
@@ -346,7 +255,8 @@
         reason: effect::Reason,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let retry_at = self.admission.retry_at(now, request);
+        let wait = self.shortest_wait();
+        let retry_at = self.admission.retry_at(now, request, wait);
         effects.push(effect::Effect::Refuse(effect::Refuse {
             request,
             reason,
@@ -354,8 +264,14 @@
         }));
     }
 
+    /// Returns the time that the least loaded pool needs for the requests waiting for it.
+    fn shortest_wait(&self) -> Duration {
+        let pools = self.groups.values().flat_map(|group| group.pools.values());
+        pools.map(pool::Pool::drain_time).min().unwrap_or_default()
+    }
+
     /// Forgets a request wherever it stands.
-    fn end(&mut self, id: id::RequestId) {
+    pub(super) fn end(&mut self, id: id::RequestId) {
         let Some(active) = self.requests.remove(id) else {
             return;
         };
@@ -363,8 +279,9 @@
         let Some(group) = self.groups.get_mut(active.group) else {
             return;
         };
+        group.watch.indexes.remove(id);
         match active.stage {
-            request::Stage::Indexing => group.watch.indexes.remove(id),
+            request::Stage::Indexing => {}
             request::Stage::Parked => {
                 group.parked.retain(|parked| *parked != id);
                 group.watch.awaits.remove(id);
--- a/crates/lab/examples/experiment.rs
+++ b/crates/lab/examples/experiment.rs
@@ -20,7 +20,9 @@
             optional --load load: f64
             /// Mean delay of replicas in milliseconds.
             optional --apply-ms apply_ms: u64
-            /// Seed.
+            /// Time that callers give a request, in milliseconds.
+        optional --timeout-ms timeout_ms: u64
+        /// Seed.
             optional --seed seed: u64
             /// Seconds measured.
             optional --seconds seconds: u64
@@ -46,6 +48,9 @@
     if let Some(apply_ms) = flags.apply_ms {
         profile.apply_delay = Duration::from_millis(apply_ms);
     }
+    if let Some(timeout_ms) = flags.timeout_ms {
+        profile.request_timeout = Duration::from_millis(timeout_ms);
+    }
     options.load = flags.load.unwrap_or(options.load);
     options.seed = flags.seed.unwrap_or(options.seed);
     options.proxies = flags.proxies.unwrap_or(options.proxies);
--- a/crates/lab/src/experiment/tally.rs
+++ b/crates/lab/src/experiment/tally.rs
@@ -16,6 +16,8 @@
     start: Instant,
     /// Requests that arrived.
     pub requests: u64,
+    /// Requests answered in the measurement, whenever they arrived.
+    pub answers: u64,
     /// Reads answered.
     pub reads: u64,
     /// Reads answered by replicas.
@@ -58,6 +60,7 @@
         Self {
             start,
             requests: 0,
+            answers: 0,
             reads: 0,
             by_replicas: 0,
             in_region: 0,
@@ -101,6 +104,7 @@
 
     /// Counts an answered read.
     pub fn read(&mut self, now: Instant, pending: &caller::Pending, replica: bool, near: bool) {
+        self.answers += u64::from(self.measures(now));
         if !self.measures(pending.arrived_at) {
             return;
         }
@@ -122,6 +126,7 @@
         point: floor::Point,
     ) {
         self.newest_acknowledged = self.newest_acknowledged.max(point);
+        self.answers += u64::from(self.measures(now));
         if !self.measures(pending.arrived_at) {
             return;
         }
--- a/crates/lab/src/experiment/world/mod.rs
+++ b/crates/lab/src/experiment/world/mod.rs
@@ -270,7 +270,7 @@
             read_latency: tally::summary(&tally.read_us),
             write_latency: tally::summary(&tally.write_us),
             wait_latency: tally::summary(&tally.wait_us),
-            goodput: (tally.reads + tally.writes) as f64 / seconds,
+            goodput: tally.answers as f64 / seconds,
             retry_share: share(tally.retries, tally.requests),
             connects_per_second: tally.connects as f64 / seconds,
             connects_refused: self.members.iter().map(|member| member.refused).sum(),
--- a/crates/lab/src/experiment/world/shell.rs
+++ b/crates/lab/src/experiment/world/shell.rs
@@ -165,7 +165,10 @@
     fn returned(&mut self, statement: Statement, outcome: event::Outcome, clean: bool) {
         let node = &mut self.nodes[statement.proxy];
         if let Some(pending) = node.pending.get_mut(statement.request) {
-            pending.dispatched = matches!(outcome, event::Outcome::Committed(_));
+            pending.dispatched = !matches!(
+                outcome,
+                event::Outcome::NotSent | event::Outcome::NotPrimary
+            );
         }
         let returned = event::Returned {
             request: statement.request,
--- a/crates/lab/tests/experiment.rs
+++ b/crates/lab/tests/experiment.rs
@@ -84,3 +84,34 @@
     assert!(report.connections_peak.iter().all(|peak| *peak <= limit));
     assert!(report.connections_peak[1] * 3 >= limit * 2);
 }
+
+#[rstest]
+#[case::petra(experiment::Profile::petra(), [14.0, 28.0, 140.0])]
+#[case::abyrgdarpostur(experiment::Profile::abyrgdarpostur(), [20.0, 40.0, 200.0])]
+fn run_keeps_goodput_past_capacity(#[case] profile: experiment::Profile, #[case] loads: [f64; 3]) {
+    let profile = experiment::Profile {
+        request_timeout: Duration::from_secs(1),
+        ..profile
+    };
+    let reports = loads.map(|load| {
+        let options = experiment::Options {
+            load,
+            ..options(1, None)
+        };
+        experiment::run(&profile, &options)
+    });
+    let goodput = reports.iter().map(|report| report.goodput);
+    let best = goodput.clone().fold(0.0, f64::max);
+    assert!(
+        goodput.clone().all(|goodput| goodput >= 0.9 * best),
+        "{:?}",
+        goodput.collect::<Vec<_>>()
+    );
+    let refusals = reports.iter().filter(|report| report.refusals > 0);
+    assert!(refusals.clone().count() >= 2);
+    for report in refusals {
+        assert!(report.refusal_latency.p50_ms < 5.0);
+        assert!(report.retry_share <= 0.1);
+        assert_eq!(report.broken, []);
+    }
+}
