--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,3 @@
 //! Configuration model, builder, schema and checks.
+
+pub mod model;
