--- /dev/null
+++ b/crates/wire/src/backend/mod.rs
@@ -0,0 +1,1 @@
+//! backend
--- /dev/null
+++ b/crates/wire/src/handshake/mod.rs
@@ -0,0 +1,1 @@
+//! handshake
--- /dev/null
+++ b/crates/wire/src/stream/mod.rs
@@ -0,0 +1,84 @@
+//! Byte streams to callers and databases, plain or under TLS.
+
+mod framed;
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio_rustls::{client, server};
+
+pub use framed::Framed;
+
+/// A stream over `T`, plain or under TLS. The TLS states are boxed so that a plain idle stream stays small.
+#[derive(Debug)]
+pub enum Stream<T = TcpStream> {
+    /// No encryption.
+    Plain(T),
+    /// TLS with a caller.
+    Server(Box<server::TlsStream<T>>),
+    /// TLS with a database.
+    Client(Box<client::TlsStream<T>>),
+}
+
+impl<T> Stream<T> {
+    /// Whether the stream is encrypted.
+    pub fn is_encrypted(&self) -> bool {
+        !matches!(self, Stream::Plain(_))
+    }
+
+    /// The stream beneath.
+    pub fn get_ref(&self) -> &T {
+        match self {
+            Stream::Plain(stream) => stream,
+            Stream::Server(stream) => stream.get_ref().0,
+            Stream::Client(stream) => stream.get_ref().0,
+        }
+    }
+}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> AsyncRead for Stream<T> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Stream::Plain(stream) => Pin::new(stream).poll_read(context, buffer),
+            Stream::Server(stream) => Pin::new(stream).poll_read(context, buffer),
+            Stream::Client(stream) => Pin::new(stream).poll_read(context, buffer),
+        }
+    }
+}
+
+impl<T: AsyncRead + AsyncWrite + Unpin> AsyncWrite for Stream<T> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match self.get_mut() {
+            Stream::Plain(stream) => Pin::new(stream).poll_write(context, bytes),
+            Stream::Server(stream) => Pin::new(stream).poll_write(context, bytes),
+            Stream::Client(stream) => Pin::new(stream).poll_write(context, bytes),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Stream::Plain(stream) => Pin::new(stream).poll_flush(context),
+            Stream::Server(stream) => Pin::new(stream).poll_flush(context),
+            Stream::Client(stream) => Pin::new(stream).poll_flush(context),
+        }
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.get_mut() {
+            Stream::Plain(stream) => Pin::new(stream).poll_shutdown(context),
+            Stream::Server(stream) => Pin::new(stream).poll_shutdown(context),
+            Stream::Client(stream) => Pin::new(stream).poll_shutdown(context),
+        }
+    }
+}
