--- a/crates/wire/src/frame/mod.rs
+++ b/crates/wire/src/frame/mod.rs
@@ -16,6 +16,7 @@
 
 pub use codec::Codec;
 pub use error::Error;
+pub(crate) use shape::check_initial_response;
 
 /// Bytes of a frame's header: one tag byte and a length of four bytes.
 pub const HEADER_BYTES: usize = 5;
--- a/crates/wire/src/frame/shape.rs
+++ b/crates/wire/src/frame/shape.rs
@@ -82,6 +82,12 @@
     check(tag, body, layout)
 }
 
+/// Checks the body of a caller's first SASL message, which shares its tag with passwords: the name of the mechanism
+/// and the initial response.
+pub(crate) fn check_initial_response(body: &[u8]) -> Result<(), Error> {
+    check(tag::frontend::PASSWORD, body, &[Part::Text, Part::Value])
+}
+
 fn unknown(tag: u8) -> Error {
     Error::Malformed {
         tag,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`handshake`]: the start of a caller's connection, up to the login.
 //! - [`backend`]: connections to database members.
 //! - [`member`]: the control functions of a database member.
+//! - [`parameter`]: run-time parameters as sorted pairs.
 //! - [`class`]: what a statement does, from its SQL text.
 //! - [`answer`]: errors and notices that the proxy itself sends.
 //!
@@ -25,6 +26,7 @@
 pub mod frame;
 pub mod handshake;
 pub mod member;
+pub mod parameter;
 pub mod scram;
 pub mod stream;
 pub mod tls;
--- a/crates/wire/src/stream/framed.rs
+++ b/crates/wire/src/stream/framed.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Changes the limit on the size of frames.
+    pub fn set_codec(&mut self, codec: Codec) {
+        self.codec = codec;
+    }
+
     /// The next frame, or `None` when the stream ended between frames.
     pub async fn read_frame(&mut self) -> Result<Option<Frame>, Error> {
         loop {
