--- /dev/null
+++ b/crates/core/src/state/explain.rs
@@ -0,0 +1,54 @@
+//! Previews of decisions, for operators.
+
+use std::time::{Duration, Instant};
+
+use crate::id;
+use crate::request;
+use crate::route;
+use crate::state::State;
+
+/// Time that a previewed request would be given.
+const PREVIEW_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl<P: route::Policy> State<P> {
+    /// Returns the member that would serve a request at the group's newest known point, if one could now.
+    pub fn preview(
+        &self,
+        now: Instant,
+        id: id::GroupId,
+        kind: request::Kind,
+    ) -> Option<id::MemberId> {
+        let group = self.groups.get(id)?;
+        let config = self.topology.groups.get(id)?;
+        let deadline = now + PREVIEW_TIMEOUT;
+        let active = request::Active {
+            request: request::Request {
+                id: 0,
+                caller: 0,
+                service: 0,
+                kind,
+                floor: None,
+                deadline,
+            },
+            group: id,
+            stage: request::Stage::Parked,
+            arrived_at: now,
+            avoid: Vec::new(),
+        };
+        let floor = match kind {
+            request::Kind::Read { fresh_since: None } => group.watch.newest(),
+            _ => Default::default(),
+        };
+        let candidates = group.candidates(config, &self.identity.place, &active, floor);
+        let question = route::Question {
+            now,
+            kind,
+            deadline,
+            candidates: &candidates,
+        };
+        match self.policy.choose(&question) {
+            route::Choice::Member(member) => Some(member),
+            _ => None,
+        }
+    }
+}
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod configure;
 mod conns;
+mod explain;
 mod groups;
 mod peers;
 mod requests;
--- /dev/null
+++ b/crates/proxy/src/admin.rs
@@ -0,0 +1,72 @@
+//! The operators' port: liveness, readiness, metrics and status.
+
+use std::sync::Arc;
+
+use axum::Json;
+use axum::extract::{Query, State};
+use axum::http::StatusCode;
+use axum::routing;
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Deserialize;
+use tokio::net::TcpListener;
+
+use crate::engine;
+
+/// What the operators' port shows.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    /// The engine.
+    pub engine: Arc<engine::Engine>,
+    /// The metrics, if this process records them.
+    pub metrics: Option<PrometheusHandle>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Explain {
+    service: Box<str>,
+    sql: Box<str>,
+}
+
+/// Serves operators for as long as the process runs.
+pub async fn serve(admin: Admin, listener: TcpListener) {
+    let router = axum::Router::new()
+        .route("/live", routing::get(|| async { "live" }))
+        .route("/ready", routing::get(ready))
+        .route("/metrics", routing::get(metrics))
+        .route("/status", routing::get(status))
+        .route("/explain", routing::get(explain))
+        .with_state(admin);
+    if let Err(error) = axum::serve(listener, router).await {
+        log::error!("event=admin_failed error={error}");
+    }
+}
+
+async fn ready(State(admin): State<Admin>) -> (StatusCode, &'static str) {
+    match admin.engine.ready() {
+        true => (StatusCode::OK, "ready"),
+        false => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "not ready: no configuration is in force, or the proxy stops",
+        ),
+    }
+}
+
+async fn metrics(State(admin): State<Admin>) -> String {
+    admin
+        .metrics
+        .map(|handle| handle.render())
+        .unwrap_or_default()
+}
+
+async fn status(State(admin): State<Admin>) -> Json<engine::StatusView> {
+    Json(admin.engine.status())
+}
+
+async fn explain(
+    State(admin): State<Admin>,
+    Query(query): Query<Explain>,
+) -> Result<Json<crate::explain::Explanation>, (StatusCode, String)> {
+    crate::explain::explain(&admin.engine, &query.service, &query.sql)
+        .map(Json)
+        .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()))
+}
--- /dev/null
+++ b/crates/proxy/src/caller/listen.rs
@@ -0,0 +1,117 @@
+//! Accepting callers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fulmarlift_core::id;
+use fulmarlift_wire::{answer, handshake, scram, tls};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::caller::session;
+use crate::caller::sessions::Sessions;
+use crate::engine;
+
+/// Verifier text of callers that need no password from loopback.
+const TRUST: &str = "trust";
+/// Time before the listener is tried again after it failed, such as for want of file descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
+
+/// What the listening task works with.
+#[derive(Clone)]
+pub struct Listener {
+    /// The engine.
+    pub engine: Arc<engine::Engine>,
+    /// The sessions.
+    pub sessions: Arc<Sessions>,
+    /// Certificates, if callers may use TLS.
+    pub tls: Option<Arc<tls::Acceptor>>,
+    /// Turns true when the proxy stops.
+    pub stopping: watch::Receiver<bool>,
+}
+
+/// Accepts callers until the proxy stops.
+pub async fn serve(listener: Listener, socket: TcpListener) {
+    let mut stopping = listener.stopping.clone();
+    loop {
+        tokio::select! {
+            accepted = socket.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(take(listener.clone(), stream));
+                }
+                Err(error) => {
+                    log::warn!("event=accept_failed error={error}");
+                    tokio::time::sleep(ACCEPT_BACKOFF).await;
+                }
+            },
+            () = stopped(&mut stopping) => return,
+        }
+    }
+}
+
+/// Returns once the proxy stops.
+pub(super) async fn stopped(stopping: &mut watch::Receiver<bool>) {
+    // The sender is gone only when the proxy is.
+    let _ = stopping.wait_for(|stopping| *stopping).await;
+}
+
+async fn take(listener: Listener, stream: TcpStream) {
+    let loopback = stream.peer_addr().is_ok_and(|peer| peer.ip().is_loopback());
+    let timeout = Duration::from_millis(listener.engine.settings.login_timeout_ms);
+    let deadline = tokio::time::Instant::now() + timeout;
+    let document = listener.engine.document();
+    let verify = |user: &str| login(&document.document, user, loopback);
+    match handshake::accept(stream, listener.tls.as_deref(), deadline, verify).await {
+        Ok(handshake::Accepted::Session(accepted)) => admit(listener, accepted).await,
+        Ok(handshake::Accepted::Cancel(key)) => {
+            let sessions = &listener.sessions;
+            let secret = key.secret.to_vec();
+            sessions
+                .route_cancel(&listener.engine, key.pid, secret)
+                .await;
+        }
+        Err(error) => log::debug!("event=login_failed error={error}"),
+    }
+}
+
+fn login(
+    document: &fulmarlift_config::model::Document,
+    user: &str,
+    loopback: bool,
+) -> handshake::Login {
+    match document.caller(user).map(|caller| caller.verifier.as_ref()) {
+        Some(TRUST) if loopback => handshake::Login::Trust,
+        Some(verifier) => match verifier.parse::<scram::Verifier>() {
+            Ok(verifier) => handshake::Login::Scram(verifier),
+            Err(_) => handshake::Login::Unknown,
+        },
+        None => handshake::Login::Unknown,
+    }
+}
+
+async fn admit(listener: Listener, accepted: handshake::Session) {
+    let document = listener.engine.document();
+    let service = document.document.service(&accepted.database);
+    let allowed = service.is_some_and(|service| service.callers.contains(&accepted.user));
+    if !allowed {
+        let code = answer::sqlstate::INVALID_CATALOG_NAME;
+        let text = format!(
+            "service \"{}\" does not exist or is not open to \"{}\"",
+            accepted.database, accepted.user
+        );
+        let answer = answer::Answer::error(code, text);
+        // The caller may be gone already.
+        let _ = handshake::reject(accepted.framed, answer).await;
+        return;
+    }
+    let identity = session::Identity {
+        service: id::of(&accepted.database),
+        caller: id::of(&accepted.user),
+        service_name: accepted.database.clone(),
+    };
+    metrics::gauge!("fulmarlift_sessions").increment(1);
+    if let Err(error) = session::run(listener, accepted, identity).await {
+        log::debug!("event=session_ended error={error}");
+    }
+    metrics::gauge!("fulmarlift_sessions").decrement(1);
+}
--- /dev/null
+++ b/crates/proxy/src/caller/local.rs
@@ -0,0 +1,139 @@
+//! The settings that the proxy answers itself.
+
+use std::time::Duration;
+
+use fulmarlift_core::floor;
+use fulmarlift_wire::{answer, class, frame};
+use pgwire::messages::{PgWireBackendMessage, data, response, startup};
+
+/// Setting that carries the session's floor.
+pub const TOKEN: &str = "fulmarlift.token";
+/// Setting that names the read class of the session's reads.
+pub const READ_CLASS: &str = "fulmarlift.read_class";
+/// Type of text columns.
+const TEXT_OID: u32 = 25;
+
+/// The session's values of the proxy's own settings.
+#[derive(Clone, Debug, Default)]
+pub struct Local {
+    /// What the caller brought or was told as token.
+    pub floor: floor::Floor,
+    /// Whether the caller carries its token from proxy to proxy.
+    pub carries_token: bool,
+    /// Read class of the session's reads, if the caller named one.
+    pub read_class: Option<Box<str>>,
+}
+
+impl Local {
+    /// Returns whether the proxy answers for this setting.
+    pub fn owns(name: &str) -> bool {
+        name == TOKEN || name == READ_CLASS
+    }
+
+    /// Sets a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to the caller when the value cannot be used.
+    pub fn set(
+        &mut self,
+        name: &str,
+        value: &str,
+        known: impl Fn(fulmarlift_core::id::GroupId) -> bool,
+    ) -> Result<(), answer::Answer> {
+        if name == READ_CLASS {
+            self.read_class = (!value.is_empty()).then(|| value.into());
+            return Ok(());
+        }
+        let refuse = |reason: &str| answer::Answer::invalid_value(TOKEN, reason);
+        let floor = floor::Floor::from_token(value);
+        let floor = floor.map_err(|error| refuse(&error.to_string()))?;
+        if floor.iter().any(|(group, _)| !known(group)) {
+            return Err(refuse("the session token names an unknown database group"));
+        }
+        self.floor.join(&floor);
+        self.carries_token = true;
+        Ok(())
+    }
+
+    /// Forgets a value. The floor of writes already made stays.
+    pub fn reset(&mut self, name: &str) {
+        if name == READ_CLASS {
+            self.read_class = None;
+        } else {
+            self.carries_token = false;
+        }
+    }
+
+    /// Returns the value of a setting.
+    pub fn show(&self, name: &str) -> Box<str> {
+        match name {
+            TOKEN => self.floor.token(),
+            _ => self.read_class.clone().unwrap_or_default(),
+        }
+    }
+}
+
+/// Returns whether all statements concern the proxy's own settings.
+pub fn owns_all(statements: &[class::Statement]) -> bool {
+    statements.iter().all(|statement| match &statement.kind {
+        class::Kind::Set { name, .. }
+        | class::Kind::Show { name }
+        | class::Kind::Reset { name, .. } => Local::owns(name),
+        _ => false,
+    })
+}
+
+/// Returns the ParameterStatus message that carries the token.
+pub fn token_status(floor: &floor::Floor) -> frame::Frame {
+    let status = startup::ParameterStatus::new(TOKEN.to_owned(), floor.token().into());
+    frame::backend(&PgWireBackendMessage::ParameterStatus(status))
+}
+
+/// Returns the messages that answer a SHOW.
+pub fn shown(name: &str, value: &str) -> Vec<frame::Frame> {
+    let field = data::FieldDescription::new(name.to_owned(), 0, 0, TEXT_OID, -1, -1, 0);
+    let description = data::RowDescription::new(vec![field]);
+    let mut row = bytes::BytesMut::new();
+    row.extend_from_slice(&i32::try_from(value.len()).unwrap_or(0).to_be_bytes());
+    row.extend_from_slice(value.as_bytes());
+    let messages = [
+        PgWireBackendMessage::RowDescription(description),
+        PgWireBackendMessage::DataRow(data::DataRow::new(row, 1)),
+    ];
+    messages
+        .iter()
+        .map(frame::backend)
+        .chain([complete("SHOW")])
+        .collect()
+}
+
+/// Returns a CommandComplete message.
+pub fn complete(tag: &str) -> frame::Frame {
+    let complete = response::CommandComplete::new(tag.to_owned());
+    frame::backend(&PgWireBackendMessage::CommandComplete(complete))
+}
+
+/// Returns a ReadyForQuery message outside a transaction.
+pub fn ready() -> frame::Frame {
+    ready_in(b'I')
+}
+
+/// Returns a ReadyForQuery message with this transaction status.
+pub fn ready_in(status: u8) -> frame::Frame {
+    let status = match status {
+        b'T' => response::TransactionStatus::Transaction,
+        b'E' => response::TransactionStatus::Error,
+        _ => response::TransactionStatus::Idle,
+    };
+    frame::backend(&PgWireBackendMessage::ReadyForQuery(
+        response::ReadyForQuery::new(status),
+    ))
+}
+
+/// Returns a duration in whole milliseconds, at least one.
+pub fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis())
+        .unwrap_or(u64::MAX)
+        .max(1)
+}
--- /dev/null
+++ b/crates/proxy/src/caller/mod.rs
@@ -0,0 +1,16 @@
+//! The callers' side: logins, sessions and the passing of messages.
+
+mod batch;
+mod listen;
+mod local;
+mod outcome;
+pub(crate) mod plan;
+mod relay;
+mod requests;
+mod session;
+mod sessions;
+mod statements;
+mod tracked;
+
+pub use listen::{Listener, serve};
+pub use sessions::{Registration, Sessions, Target};
--- /dev/null
+++ b/crates/proxy/src/caller/outcome.rs
@@ -0,0 +1,30 @@
+//! The answers to requests that did not run or whose outcome is unknown.
+
+use std::time::Instant;
+
+use fulmarlift_core::effect;
+use fulmarlift_wire::answer;
+
+use crate::caller::local;
+
+/// Returns the answer to a refused request.
+pub fn refused(service: &str, refuse: effect::Refuse) -> answer::Answer {
+    let left = refuse.retry_at.saturating_duration_since(Instant::now());
+    let retry_ms = local::whole_ms(left);
+    match refuse.reason {
+        effect::Reason::UnknownService => answer::Answer::error(
+            answer::sqlstate::INVALID_CATALOG_NAME,
+            format!("service \"{service}\" is no longer configured"),
+        ),
+        effect::Reason::Draining => answer::Answer::draining(retry_ms),
+        effect::Reason::Overloaded => answer::Answer::overloaded(service, retry_ms),
+        effect::Reason::NoPrimary => answer::Answer::no_primary(service, retry_ms),
+        effect::Reason::FloorAhead => answer::Answer::invalid_value(
+            local::TOKEN,
+            "it names a write that the database group does not have",
+        ),
+        effect::Reason::NoFreshMember | effect::Reason::TimedOut => {
+            answer::Answer::no_primary(service, retry_ms)
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/caller/statements.rs
@@ -0,0 +1,87 @@
+//! Prepared statements of a session, under names that connections can share.
+
+use std::sync::Arc;
+
+use fulmarlift_wire::class;
+use pgwire::messages::extendedquery;
+
+/// A statement that the caller has prepared.
+#[derive(Clone, Debug)]
+pub struct Statement {
+    /// Name on connections to members.
+    pub shared_name: Box<str>,
+    /// The statement's text.
+    pub sql: Box<str>,
+    /// Types that the caller gave its parameters.
+    pub type_oids: Vec<u32>,
+    /// What the text does.
+    pub classes: Arc<[class::Statement]>,
+}
+
+/// Statements by the caller's names, sorted.
+#[derive(Clone, Debug, Default)]
+pub struct Statements {
+    entries: Vec<(Box<str>, Statement)>,
+}
+
+impl Statement {
+    /// Takes in a Parse message.
+    pub fn new(parse: &extendedquery::Parse, classes: Arc<[class::Statement]>) -> Self {
+        let named = parse.name.as_deref().is_some_and(|name| !name.is_empty());
+        let shared_name = match named {
+            true => shared_name(&parse.query, &parse.type_oids),
+            false => Box::default(),
+        };
+        Self {
+            shared_name,
+            sql: parse.query.as_str().into(),
+            type_oids: parse.type_oids.clone(),
+            classes,
+        }
+    }
+
+    /// Returns the Parse message for a connection to a member.
+    pub fn parse(&self) -> extendedquery::Parse {
+        let name = Some(self.shared_name.to_string());
+        extendedquery::Parse::new(name, self.sql.to_string(), self.type_oids.clone())
+    }
+}
+
+fn shared_name(sql: &str, type_oids: &[u32]) -> Box<str> {
+    let types: Vec<String> = type_oids.iter().map(u32::to_string).collect();
+    let text = format!("{}\0{sql}", types.join(","));
+    format!("fl_{:016x}", fulmarlift_core::id::of(&text)).into()
+}
+
+impl Statements {
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|(known, _)| known.as_ref().cmp(name))
+    }
+
+    /// Returns the statement with the caller's name.
+    pub fn get(&self, name: &str) -> Option<&Statement> {
+        let index = self.find(name).ok()?;
+        Some(&self.entries[index].1)
+    }
+
+    /// Sets the statement with the caller's name.
+    pub fn insert(&mut self, name: &str, statement: Statement) {
+        match self.find(name) {
+            Ok(index) => self.entries[index].1 = statement,
+            Err(index) => self.entries.insert(index, (name.into(), statement)),
+        }
+    }
+
+    /// Removes the statement with the caller's name.
+    pub fn remove(&mut self, name: &str) {
+        if let Ok(index) = self.find(name) {
+            self.entries.remove(index);
+        }
+    }
+
+    /// Removes all statements.
+    pub fn clear(&mut self) {
+        self.entries.clear();
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/peers/mod.rs
@@ -0,0 +1,9 @@
+//! Messages between proxies: heartbeats by UDP, documents and cancel requests by TCP.
+
+mod heartbeat;
+mod message;
+mod server;
+
+pub use heartbeat::{receive, send};
+pub use message::{Answer, Question};
+pub use server::{ask, fetch_document, serve};
--- /dev/null
+++ b/crates/proxy/src/settings.rs
@@ -0,0 +1,314 @@
+//! Settings of the daemon, checked together before anything starts.
+
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use fulmarlift_core::identity;
+
+/// Longest time that a request may be given, in milliseconds.
+const REQUEST_TIMEOUT_MAX_MS: u64 = 600_000;
+
+/// Settings as text, from flags or environment variables.
+#[derive(Clone, Debug, Default)]
+pub struct Raw {
+    /// Name of the proxy.
+    pub name: Option<String>,
+    /// Region in which the proxy runs.
+    pub region: Option<String>,
+    /// Failure domain in which the proxy runs.
+    pub domain: Option<String>,
+    /// Address for callers.
+    pub listen: Option<String>,
+    /// Address for peers, TCP and UDP.
+    pub peer_listen: Option<String>,
+    /// Address for operators.
+    pub admin_listen: Option<String>,
+    /// Addresses of other proxies, separated by commas.
+    pub peers: Option<String>,
+    /// Address of the platform.
+    pub platform: Option<String>,
+    /// Account used at members.
+    pub member_user: Option<String>,
+    /// File that holds the account's password.
+    pub member_password_file: Option<String>,
+    /// Most bytes that one message of a caller may have.
+    pub max_frame_bytes: Option<String>,
+    /// Time that callers are given to log in, in milliseconds.
+    pub login_timeout_ms: Option<String>,
+    /// Certificate chain shown to callers, PEM.
+    pub tls_chain: Option<String>,
+    /// Key of the certificate, PEM.
+    pub tls_key: Option<String>,
+    /// Certificates trusted at members, PEM; connections to members are encrypted when set.
+    pub member_tls_roots: Option<String>,
+    /// Format of the log.
+    pub log_format: Option<String>,
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the proxy.
+    pub name: Box<str>,
+    /// Region in which the proxy runs.
+    pub region: Box<str>,
+    /// Failure domain in which the proxy runs.
+    pub domain: Box<str>,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for peers, TCP and UDP.
+    pub peer_listen: SocketAddr,
+    /// Address for operators.
+    pub admin_listen: SocketAddr,
+    /// Addresses of other proxies.
+    pub peers: Vec<SocketAddr>,
+    /// Address of the platform.
+    pub platform: Option<Box<str>>,
+    /// Account used at members.
+    pub member_user: Box<str>,
+    /// Password of that account.
+    pub member_password: Option<Box<str>>,
+    /// Most bytes that one message of a caller may have.
+    pub max_frame_bytes: usize,
+    /// Time that callers are given to log in, in milliseconds.
+    pub login_timeout_ms: u64,
+    /// Certificate chain and key shown to callers.
+    pub tls: Option<TlsFiles>,
+    /// Certificates trusted at members.
+    pub member_tls_roots: Option<PathBuf>,
+    /// Format of the log.
+    pub log_format: LogFormat,
+}
+
+/// Format of the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LogFormat {
+    /// A line of text an event.
+    #[default]
+    Text,
+    /// A JSON object an event.
+    Json,
+}
+
+impl std::str::FromStr for LogFormat {
+    type Err = UnknownFormat;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(UnknownFormat),
+        }
+    }
+}
+
+/// The log format is not known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("expected text or json")]
+pub struct UnknownFormat;
+
+/// Certificate chain and key files.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TlsFiles {
+    /// Certificate chain, PEM.
+    pub chain: PathBuf,
+    /// Key, PEM.
+    pub key: PathBuf,
+}
+
+/// A setting that cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{place}: {problem}")]
+pub struct Finding {
+    /// Flag of the setting.
+    pub place: &'static str,
+    /// What is wrong with it.
+    pub problem: Box<str>,
+}
+
+/// All settings that cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{} setting(s) cannot be used", findings.len())]
+pub struct Invalid {
+    /// The findings, in the order of the settings.
+    pub findings: Vec<Finding>,
+}
+
+#[derive(Debug, Default)]
+struct Checker {
+    findings: Vec<Finding>,
+}
+
+impl Checker {
+    fn report(&mut self, place: &'static str, problem: impl Into<Box<str>>) {
+        let problem = problem.into();
+        self.findings.push(Finding { place, problem });
+    }
+
+    fn parse<T: std::str::FromStr>(
+        &mut self,
+        place: &'static str,
+        value: Option<&str>,
+        default: T,
+    ) -> T
+    where
+        T::Err: std::fmt::Display,
+    {
+        match value.map(str::parse) {
+            None => default,
+            Some(Ok(value)) => value,
+            Some(Err(error)) => {
+                let text = value.unwrap_or_default();
+                self.report(place, format!("{text:?} cannot be used: {error}"));
+                default
+            }
+        }
+    }
+
+    fn text(&mut self, place: &'static str, value: Option<&str>, default: &str) -> Box<str> {
+        let value = value.unwrap_or(default);
+        if value.is_empty() {
+            self.report(place, "must not be empty");
+        }
+        value.into()
+    }
+
+    fn bounded(&mut self, place: &'static str, value: u64, least: u64, most: u64) {
+        if !(least..=most).contains(&value) {
+            self.report(place, format!("{value} is not between {least} and {most}"));
+        }
+    }
+
+    fn file(&mut self, place: &'static str, value: Option<&str>) -> Option<PathBuf> {
+        let path = PathBuf::from(value?);
+        if !path.is_file() {
+            self.report(place, format!("{} is not a file", path.display()));
+        }
+        Some(path)
+    }
+
+    fn password(&mut self, place: &'static str, value: Option<&str>) -> Option<Box<str>> {
+        let path = self.file(place, value)?;
+        match std::fs::read_to_string(&path) {
+            Ok(text) => Some(text.trim_end().into()),
+            Err(error) => {
+                self.report(place, format!("cannot be read: {error}"));
+                None
+            }
+        }
+    }
+
+    fn peers(&mut self, value: Option<&str>) -> Vec<SocketAddr> {
+        let addresses = value.unwrap_or_default().split(',');
+        let mut peers = Vec::new();
+        for address in addresses.map(str::trim).filter(|text| !text.is_empty()) {
+            match address.parse() {
+                Ok(peer) => peers.push(peer),
+                Err(error) => self.report("--peers", format!("{address:?}: {error}")),
+            }
+        }
+        peers
+    }
+}
+
+impl Settings {
+    /// Checks all settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its place.
+    pub fn check(raw: &Raw) -> Result<Self, Invalid> {
+        let mut checker = Checker::default();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = Self {
+            name: checker.text("--name", raw.name.as_deref(), "fulmarliftd"),
+            region: checker.text("--region", raw.region.as_deref(), "default"),
+            domain: checker.text("--domain", raw.domain.as_deref(), "default"),
+            listen: checker.parse("--listen", raw.listen.as_deref(), any),
+            peer_listen: checker.parse("--peer-listen", raw.peer_listen.as_deref(), any),
+            admin_listen: checker.parse("--admin-listen", raw.admin_listen.as_deref(), any),
+            peers: checker.peers(raw.peers.as_deref()),
+            platform: raw.platform.as_deref().map(Into::into),
+            member_user: checker.text("--member-user", raw.member_user.as_deref(), "fulmarlift"),
+            member_password: checker.password(
+                "--member-password-file",
+                raw.member_password_file.as_deref(),
+            ),
+            max_frame_bytes: checker.parse(
+                "--max-frame-bytes",
+                raw.max_frame_bytes.as_deref(),
+                16 << 20,
+            ),
+            login_timeout_ms: checker.parse(
+                "--login-timeout-ms",
+                raw.login_timeout_ms.as_deref(),
+                10_000,
+            ),
+            tls: checker.tls(raw),
+            member_tls_roots: checker.file("--member-tls-roots", raw.member_tls_roots.as_deref()),
+            log_format: checker.parse(
+                "--log-format",
+                raw.log_format.as_deref(),
+                LogFormat::default(),
+            ),
+        };
+        checker.bounded(
+            "--login-timeout-ms",
+            settings.login_timeout_ms,
+            1,
+            REQUEST_TIMEOUT_MAX_MS,
+        );
+        checker.bounded(
+            "--max-frame-bytes",
+            settings.max_frame_bytes as u64,
+            1 << 10,
+            1 << 30,
+        );
+        checker.platform(settings.platform.as_deref());
+        match checker.findings.is_empty() {
+            true => Ok(settings),
+            false => Err(Invalid {
+                findings: checker.findings,
+            }),
+        }
+    }
+
+    /// Returns the identity of a new incarnation of this proxy.
+    pub fn identity(&self) -> identity::Identity {
+        // A restarted proxy must not be taken for the one before it, so the name gets a random part.
+        let incarnation = RandomState::new().hash_one(std::process::id());
+        let name = format!("{}/{incarnation:x}", self.name);
+        let address = self.peer_listen.to_string();
+        identity::Identity::new(&name, &self.region, &self.domain, &address)
+    }
+}
+
+impl Checker {
+    fn tls(&mut self, raw: &Raw) -> Option<TlsFiles> {
+        let chain = self.file("--tls-chain", raw.tls_chain.as_deref());
+        let key = self.file("--tls-key", raw.tls_key.as_deref());
+        match (chain, key) {
+            (Some(chain), Some(key)) => Some(TlsFiles { chain, key }),
+            (None, None) => None,
+            (Some(_), None) => {
+                self.report("--tls-key", "is needed beside --tls-chain");
+                None
+            }
+            (None, Some(_)) => {
+                self.report("--tls-chain", "is needed beside --tls-key");
+                None
+            }
+        }
+    }
+
+    fn platform(&mut self, address: Option<&str>) {
+        let Some(address) = address else {
+            return;
+        };
+        if let Err(error) = fulmarlift_platform::client::Client::new(address) {
+            self.report("--platform", error.to_string());
+        }
+    }
+}
