Stand-ins for a database member and the platform

Tests and demonstrations need a database group with terms, positions and asynchronous replication, and a platform with tables, objects and VM lists.

The member speaks protocol 3 through pgwire's codecs on its own loop, not its server API, which hides ParameterStatus and the transaction state. SQLite lies beneath in a temporary WAL file: shared-cache memory makes readers wait for the writer, or see what is not committed. Fences and commits are decided under one lock. A replica compares logs by term and drops what conflicts by building its database again from the log.

--- /dev/null
+++ b/crates/standin/src/member/error.rs
@@ -0,0 +1,104 @@
+//! Errors that a member reports to its callers.
+
+use rusqlite::ffi;
+
+/// SQLSTATE of a write on a member that is not the primary.
+pub const READ_ONLY: &str = "25006";
+/// SQLSTATE of a statement in a failed transaction.
+pub const FAILED_TRANSACTION: &str = "25P02";
+/// SQLSTATE of a statement that was cancelled.
+pub const QUERY_CANCELED: &str = "57014";
+/// SQLSTATE of a member that stops.
+pub const ADMIN_SHUTDOWN: &str = "57P01";
+/// SQLSTATE of a lock that could not be had in time.
+pub const LOCK_NOT_AVAILABLE: &str = "55P03";
+/// SQLSTATE of a startup over the connection limit.
+pub const TOO_MANY_CONNECTIONS: &str = "53300";
+/// SQLSTATE of a feature that the member does not have.
+pub const FEATURE_NOT_SUPPORTED: &str = "0A000";
+/// SQLSTATE of a statement that can't be parsed.
+pub const SYNTAX_ERROR: &str = "42601";
+/// SQLSTATE of an unknown prepared statement.
+pub const INVALID_STATEMENT_NAME: &str = "26000";
+/// SQLSTATE of an unknown portal.
+pub const INVALID_CURSOR_NAME: &str = "34000";
+/// SQLSTATE of a value that can't be read as its type.
+pub const INVALID_TEXT_REPRESENTATION: &str = "22P02";
+/// SQLSTATE of a message out of place.
+pub const PROTOCOL_VIOLATION: &str = "08P01";
+/// SQLSTATE of a COPY with a malformed line.
+pub const BAD_COPY_FORMAT: &str = "22P04";
+/// SQLSTATE of an unknown setting.
+pub const UNDEFINED_OBJECT: &str = "42704";
+/// SQLSTATE of a value out of its range.
+pub const INVALID_PARAMETER_VALUE: &str = "22023";
+/// SQLSTATE of a fault inside the member.
+pub const INTERNAL_ERROR: &str = "XX000";
+
+/// An error with the SQLSTATE that the caller sees.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{code}: {message}")]
+pub struct SqlError {
+    /// The SQLSTATE.
+    pub code: &'static str,
+    /// The message.
+    pub message: Box<str>,
+}
+
+impl SqlError {
+    /// An error with a SQLSTATE and a message.
+    pub fn new(code: &'static str, message: impl Into<Box<str>>) -> Self {
+        Self {
+            code,
+            message: message.into(),
+        }
+    }
+
+    /// The refusal of a write on a member that is not the primary.
+    pub fn read_only() -> Self {
+        Self::new(READ_ONLY, "cannot write: this member is not the primary")
+    }
+
+    /// The answer to a cancelled statement.
+    pub fn canceled() -> Self {
+        Self::new(QUERY_CANCELED, "canceling statement due to user request")
+    }
+}
+
+impl From<rusqlite::Error> for SqlError {
+    fn from(error: rusqlite::Error) -> Self {
+        let message = error.to_string();
+        Self::new(sql_state(&error, &message), message)
+    }
+}
+
+fn sql_state(error: &rusqlite::Error, message: &str) -> &'static str {
+    if message.contains("no such table") {
+        return "42P01";
+    }
+    if message.contains("already exists") {
+        return "42P07";
+    }
+    if message.contains("no such column") || message.contains("has no column named") {
+        return "42703";
+    }
+    if message.contains("no such function") {
+        return "42883";
+    }
+    let inner = match error {
+        rusqlite::Error::SqliteFailure(inner, _) => inner,
+        rusqlite::Error::SqlInputError { error: inner, .. } => inner,
+        _ => return INTERNAL_ERROR,
+    };
+    match inner.extended_code {
+        ffi::SQLITE_CONSTRAINT_UNIQUE | ffi::SQLITE_CONSTRAINT_PRIMARYKEY => "23505",
+        ffi::SQLITE_CONSTRAINT_NOTNULL => "23502",
+        ffi::SQLITE_CONSTRAINT_FOREIGNKEY => "23503",
+        ffi::SQLITE_CONSTRAINT_CHECK => "23514",
+        ffi::SQLITE_INTERRUPT => QUERY_CANCELED,
+        ffi::SQLITE_BUSY | ffi::SQLITE_LOCKED => LOCK_NOT_AVAILABLE,
+        ffi::SQLITE_READONLY => READ_ONLY,
+        ffi::SQLITE_ERROR => SYNTAX_ERROR,
+        _ => INTERNAL_ERROR,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/member/execute.rs
@@ -0,0 +1,301 @@
+//! Runs one command of a session.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use pgwire::messages::data;
+
+use crate::member::{
+    copy, core, error, log, output, query, session::Session, statement, switches, transaction,
+    types,
+};
+
+/// What a command has come to.
+#[derive(Debug)]
+pub enum Outcome {
+    /// It ended.
+    Done {
+        /// Its command tag.
+        tag: Box<str>,
+        /// Rows that were not wanted yet.
+        kept: VecDeque<data::DataRow>,
+    },
+    /// The caller is to send rows.
+    CopyIn,
+}
+
+impl Outcome {
+    fn done(tag: impl Into<Box<str>>) -> Self {
+        Self::Done {
+            tag: tag.into(),
+            kept: VecDeque::new(),
+        }
+    }
+}
+
+/// The result columns of a command that is not for SQLite.
+pub fn fixed_columns(command: &statement::Command) -> Vec<output::Column> {
+    let names: &[&str] = match command {
+        statement::Command::GroupStatus { .. }
+        | statement::Command::GroupFence { .. }
+        | statement::Command::GroupPromote { .. } => &STATUS_COLUMNS,
+        statement::Command::Show(name) => &[name],
+        statement::Command::Switch { .. } => &["member_switch"],
+        statement::Command::Sleep(_) => &["pg_sleep"],
+        _ => &[],
+    };
+    let column = |name: &&str| output::Column {
+        name: (*name).into(),
+        kind: Some(types::PgType::Text),
+    };
+    names.iter().map(column).collect()
+}
+
+impl Session {
+    pub(super) fn execute(
+        &mut self,
+        command: &statement::Command,
+        params: &[log::Value],
+        wanted: &query::Wanted,
+    ) -> Result<Outcome, error::SqlError> {
+        self.wait_thaw();
+        self.transaction.notice_fence();
+        self.check_block(command)?;
+        let columns = fixed_columns(command);
+        match command {
+            statement::Command::Sql(sql) => return self.execute_sql(sql, params, wanted),
+            statement::Command::CopyIn { table, columns } => return self.copy_in(table, columns),
+            statement::Command::CopyOut(sql) => return self.copy_out(sql),
+            command if columns.is_empty() => return self.execute_utility(command),
+            _ => {}
+        }
+        let fields = self.execute_row(command)?;
+        if wanted.columns.is_none() {
+            self.out.describe(&columns, &wanted.formats);
+        }
+        let fields: Vec<&str> = fields.iter().map(|field| &**field).collect();
+        self.out.text_row(&fields);
+        Ok(Outcome::done(match command {
+            statement::Command::Show(_) => "SHOW",
+            _ => "SELECT 1",
+        }))
+    }
+
+    fn check_block(&mut self, command: &statement::Command) -> Result<(), error::SqlError> {
+        match command {
+            statement::Command::GroupStatus { .. }
+            | statement::Command::GroupFence { .. }
+            | statement::Command::GroupPromote { .. }
+            | statement::Command::Commit
+            | statement::Command::Rollback => Ok(()),
+            _ => self.transaction.check_block(),
+        }
+    }
+
+    /// Runs a command that returns one row.
+    fn execute_row(
+        &mut self,
+        command: &statement::Command,
+    ) -> Result<Vec<Box<str>>, error::SqlError> {
+        let status = match command {
+            statement::Command::GroupStatus { min_position, wait } => {
+                let deadline = Instant::now() + *wait;
+                self.core
+                    .wait_status(*min_position, deadline, &self.signal)?
+            }
+            statement::Command::GroupFence { term, claimant } => self.core.fence(*term, claimant),
+            statement::Command::GroupPromote { term, claimant } => {
+                self.core.promote(*term, claimant)
+            }
+            statement::Command::Show(name) => return Ok(vec![self.settings.show(name)?]),
+            statement::Command::Switch { name, value } => return self.switch(name, value),
+            statement::Command::Sleep(duration) => {
+                self.signal.sleep_until(Instant::now() + *duration)?;
+                return Ok(vec![Box::default()]);
+            }
+            _ => return Ok(Vec::new()),
+        };
+        Ok(status_fields(&status))
+    }
+
+    fn switch(&mut self, name: &str, value: &str) -> Result<Vec<Box<str>>, error::SqlError> {
+        let switch = switches::Switch::parse(name, value).map_err(|cause| {
+            error::SqlError::new(error::INVALID_PARAMETER_VALUE, cause.to_string())
+        })?;
+        self.link.exempt();
+        self.switches.set(switch);
+        Ok(vec![value.into()])
+    }
+
+    /// Runs a command that returns no rows.
+    fn execute_utility(
+        &mut self,
+        command: &statement::Command,
+    ) -> Result<Outcome, error::SqlError> {
+        let tag = match command {
+            statement::Command::Begin { read_only } => {
+                self.transaction.begin(*read_only);
+                self.settings.begin();
+                "BEGIN"
+            }
+            statement::Command::Commit => return self.commit(),
+            statement::Command::Rollback => {
+                self.transaction.rollback();
+                self.settings.end(false);
+                "ROLLBACK"
+            }
+            statement::Command::Set { name, value, local } => {
+                self.settings.set(name, value.clone(), *local);
+                self.report(name);
+                "SET"
+            }
+            statement::Command::Reset(name) => {
+                self.settings.reset(name.as_deref());
+                "RESET"
+            }
+            statement::Command::Discard => {
+                self.settings.reset(None);
+                self.statements.clear();
+                self.portals.clear();
+                "DISCARD ALL"
+            }
+            statement::Command::Deallocate(name) => {
+                match name {
+                    Some(name) => drop(self.statements.remove(name)),
+                    None => self.statements.clear(),
+                }
+                "DEALLOCATE"
+            }
+            statement::Command::Ignored(tag) => tag,
+            _ => "",
+        };
+        Ok(Outcome::done(tag))
+    }
+
+    fn commit(&mut self) -> Result<Outcome, error::SqlError> {
+        if self.transaction.block() == transaction::Block::Failed {
+            self.transaction.rollback();
+            self.settings.end(false);
+            return Ok(Outcome::done("ROLLBACK"));
+        }
+        self.wait_thaw();
+        let committed = self.transaction.commit();
+        self.settings.end(committed.is_ok());
+        self.committed = committed?.or(self.committed);
+        Ok(Outcome::done("COMMIT"))
+    }
+
+    fn report(&mut self, name: &str) {
+        let reported = self.settings.reported();
+        let found = reported
+            .iter()
+            .find(|(reported, _)| reported.eq_ignore_ascii_case(name));
+        if let Some((name, value)) = found {
+            self.out.parameter(name, value);
+        }
+    }
+
+    fn execute_sql(
+        &mut self,
+        sql: &statement::Sql,
+        params: &[log::Value],
+        wanted: &query::Wanted,
+    ) -> Result<Outcome, error::SqlError> {
+        if SAVEPOINT_TAGS.contains(&&*sql.tag) {
+            return self.savepoint(sql);
+        }
+        let connection = self.transaction.connection()?;
+        let writes = !connection.prepare_cached(&sql.text)?.readonly();
+        if writes || sql.locks {
+            self.transaction.start_write()?;
+        }
+        let connection = self.transaction.connection()?;
+        let ran = query::run(connection, sql, params, wanted, &mut self.out)?;
+        let changed = connection.changes() as usize;
+        if writes {
+            self.transaction.log(log::LoggedStatement {
+                sql: sql.text.clone(),
+                params: params.to_vec(),
+            });
+        }
+        let row_count = if ran.has_columns {
+            ran.row_count + ran.kept.len()
+        } else {
+            changed
+        };
+        Ok(Outcome::Done {
+            tag: tag(&sql.tag, row_count),
+            kept: ran.kept,
+        })
+    }
+
+    /// Marks or goes back to a savepoint; where nothing can be written there is nothing to go back from.
+    fn savepoint(&mut self, sql: &statement::Sql) -> Result<Outcome, error::SqlError> {
+        if self.transaction.block() == transaction::Block::None {
+            let message = "savepoints can only be used in transaction blocks";
+            return Err(error::SqlError::new("25P01", message));
+        }
+        if self.transaction.is_writable() {
+            self.transaction.start_write()?;
+            let connection = self.transaction.connection()?;
+            connection.execute_batch(&sql.text)?;
+            self.transaction.log(log::LoggedStatement {
+                sql: sql.text.clone(),
+                params: Vec::new(),
+            });
+        }
+        Ok(Outcome::done(sql.tag.clone()))
+    }
+
+    fn copy_in(&mut self, table: &str, columns: &[Box<str>]) -> Result<Outcome, error::SqlError> {
+        self.transaction.start_write()?;
+        let connection = self.transaction.connection()?;
+        let copy = copy::CopyIn::start(connection, table, columns)?;
+        self.out.put(copy.response());
+        self.copy = Some(copy);
+        Ok(Outcome::CopyIn)
+    }
+
+    fn copy_out(&mut self, sql: &statement::Sql) -> Result<Outcome, error::SqlError> {
+        let connection = self.transaction.connection()?;
+        let row_count = copy::send(connection, sql, &mut self.out)?;
+        Ok(Outcome::done(format!("COPY {row_count}")))
+    }
+}
+
+fn tag(word: &str, row_count: usize) -> Box<str> {
+    match word {
+        "INSERT" => format!("INSERT 0 {row_count}").into(),
+        "SELECT" | "UPDATE" | "DELETE" => format!("{word} {row_count}").into(),
+        _ => word.into(),
+    }
+}
+
+fn status_fields(status: &core::Status) -> Vec<Box<str>> {
+    let role = match status.role {
+        core::Role::Primary => "primary",
+        core::Role::Replica => "replica",
+    };
+    vec![
+        status.term.to_string().into(),
+        status.claimant.clone(),
+        role.into(),
+        status.head.term.to_string().into(),
+        status.head.position.to_string().into(),
+        status.term_start.to_string().into(),
+        status.connections_used.to_string().into(),
+        status.connections_max.to_string().into(),
+    ]
+}
+
+const SAVEPOINT_TAGS: [&str; 3] = ["SAVEPOINT", "RELEASE", "ROLLBACK"];
+const STATUS_COLUMNS: [&str; 8] = [
+    "term",
+    "claimant",
+    "role",
+    "last_term",
+    "position",
+    "term_start",
+    "connections_used",
+    "connections_max",
+];
--- /dev/null
+++ b/crates/standin/src/member/infer.rs
@@ -0,0 +1,170 @@
+//! Types of parameters and result columns, as far as a statement's text and the tables tell.
+
+use sqlparser::tokenizer::Token;
+
+use crate::member::{rewrite, types};
+
+/// The column that a parameter stands beside.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Beside {
+    /// A column by its name.
+    Name(Box<str>),
+    /// A column of the table inserted into, by its place from 0.
+    Place(usize),
+}
+
+/// A parameter's column.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ParamHint {
+    /// The parameter's index from 0.
+    pub index: usize,
+    /// Its column.
+    pub beside: Beside,
+}
+
+/// The tables that a statement names, after words that a table follows.
+pub fn tables(tokens: &[&Token]) -> Vec<Box<str>> {
+    let follows = ["from", "into", "update", "join", "copy"];
+    tokens
+        .windows(2)
+        .filter(|pair| {
+            follows
+                .iter()
+                .any(|word| rewrite::is_word(Some(pair[0]), word))
+        })
+        .filter_map(|pair| word(pair[1]))
+        .collect()
+}
+
+/// The columns that the parameters stand beside.
+pub fn param_hints(tokens: &[&Token]) -> Vec<ParamHint> {
+    let mut hints = comparison_hints(tokens);
+    hints.extend(insert_hints(tokens));
+    hints
+}
+
+fn comparison_hints(tokens: &[&Token]) -> Vec<ParamHint> {
+    let compares = |token: &Token| {
+        matches!(
+            token,
+            Token::Eq | Token::Neq | Token::Lt | Token::Gt | Token::LtEq | Token::GtEq
+        )
+    };
+    tokens
+        .windows(3)
+        .filter(|window| compares(window[1]))
+        .filter_map(|window| {
+            Some(ParamHint {
+                index: placeholder(window[2])?,
+                beside: Beside::Name(word(window[0])?),
+            })
+        })
+        .collect()
+}
+
+fn insert_hints(tokens: &[&Token]) -> Vec<ParamHint> {
+    let Some(values) = tokens
+        .iter()
+        .position(|token| rewrite::is_word(Some(token), "values"))
+    else {
+        return Vec::new();
+    };
+    if !rewrite::is_word(tokens.first().copied(), "insert") {
+        return Vec::new();
+    }
+    let columns: Vec<Box<str>> = tokens[..values]
+        .iter()
+        .skip_while(|token| !matches!(token, Token::LParen))
+        .filter_map(|token| word(token))
+        .collect();
+    let mut hints = Vec::new();
+    let mut place = 0;
+    let mut depth = 0;
+    for token in &tokens[values + 1..] {
+        match token {
+            Token::LParen => {
+                depth += 1;
+                place = if depth == 1 { 0 } else { place };
+            }
+            Token::RParen => depth -= 1,
+            Token::Comma if depth == 1 => place += 1,
+            _ if depth == 1 => {
+                let beside = match columns.get(place) {
+                    Some(name) => Beside::Name(name.clone()),
+                    None => Beside::Place(place),
+                };
+                hints.extend(placeholder(token).map(|index| ParamHint { index, beside }));
+            }
+            _ => {}
+        }
+    }
+    hints
+}
+
+/// The types of the columns of a `SELECT` that show in its text; empty when a `*` hides their places.
+pub fn item_types(tokens: &[&Token]) -> Vec<Option<types::PgType>> {
+    if !rewrite::is_word(tokens.first().copied(), "select") {
+        return Vec::new();
+    }
+    let mut items: Vec<Vec<&Token>> = vec![Vec::new()];
+    let mut depth = 0;
+    for token in &tokens[1..] {
+        match token {
+            Token::LParen => depth += 1,
+            Token::RParen => depth -= 1,
+            Token::Comma if depth == 0 => {
+                items.push(Vec::new());
+                continue;
+            }
+            Token::Mul if depth == 0 => return Vec::new(),
+            Token::Word(_) if depth == 0 && rewrite::is_word(Some(token), "from") => break,
+            _ => {}
+        }
+        items
+            .last_mut()
+            .expect("the list starts with an item")
+            .push(token);
+    }
+    items.iter().map(|item| item_type(item)).collect()
+}
+
+fn item_type(item: &[&Token]) -> Option<types::PgType> {
+    let alias = item
+        .iter()
+        .rposition(|token| rewrite::is_word(Some(token), "as"))
+        .filter(|place| place + 2 == item.len());
+    let item = &item[..alias.unwrap_or(item.len())];
+    let cast = item
+        .iter()
+        .rposition(|token| matches!(token, Token::DoubleColon));
+    match item {
+        [Token::Number(text, _)] if !text.contains('.') => Some(types::PgType::Int4),
+        [Token::SingleQuotedString(_)] => Some(types::PgType::Text),
+        [token] if is_bool_literal(token) => Some(types::PgType::Bool),
+        _ => {
+            let place = cast?;
+            let whole = item.len() <= place + 3;
+            let name = word(item.get(place + 1)?)?;
+            whole.then(|| types::PgType::from_cast(&name))
+        }
+    }
+}
+
+fn is_bool_literal(token: &Token) -> bool {
+    rewrite::is_word(Some(token), "true") || rewrite::is_word(Some(token), "false")
+}
+
+fn placeholder(token: &Token) -> Option<usize> {
+    let Token::Placeholder(name) = token else {
+        return None;
+    };
+    let number: usize = name.trim_start_matches('$').parse().ok()?;
+    number.checked_sub(1)
+}
+
+fn word(token: &Token) -> Option<Box<str>> {
+    match token {
+        Token::Word(word) => Some(word.value.as_str().into()),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/standin/src/member/replication.rs
@@ -0,0 +1,231 @@
+//! Replication between members: each asks each peer for the entries that it lacks; a primary answers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::member::{core, log, switches};
+
+/// What a member asks of a peer.
+#[derive(Debug, Serialize, Deserialize)]
+struct Pull {
+    term: log::Term,
+    segments: Vec<log::Segment>,
+}
+
+/// What a peer answers.
+#[derive(Debug, Serialize, Deserialize)]
+enum Answer {
+    /// It is no primary, or has nothing new.
+    Nothing,
+    /// The primary's next entries.
+    Entries {
+        /// The primary's term.
+        term: log::Term,
+        /// The last position that both logs share.
+        common: log::Position,
+        /// The entries after it.
+        entries: Vec<log::Entry>,
+    },
+}
+
+/// Why a round with a peer failed.
+#[derive(Debug, thiserror::Error)]
+enum PullError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Codec(#[from] postcard::Error),
+    #[error(transparent)]
+    Apply(#[from] core::ApplyError),
+    #[error("frame of {0} bytes")]
+    FrameTooLarge(usize),
+    #[error("the connections between members are cut")]
+    Cut,
+    #[error("the task that applies entries failed")]
+    Join(#[from] tokio::task::JoinError),
+}
+
+/// What replication works with.
+#[derive(Clone)]
+pub struct Shared {
+    /// The member.
+    pub core: sync::Arc<core::Core>,
+    /// The switches.
+    pub switches: sync::Arc<switches::Switches>,
+}
+
+/// Answers the peers that connect, to the end of the task.
+pub async fn serve(listener: TcpListener, shared: Shared) {
+    let mut tasks = tokio::task::JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(RETRY_INTERVAL).await;
+            continue;
+        };
+        while tasks.try_join_next().is_some() {}
+        if !shared.switches.cut().covers_peers() {
+            tasks.spawn(serve_peer(stream, shared.clone()));
+        }
+    }
+}
+
+async fn serve_peer(mut stream: TcpStream, shared: Shared) {
+    let mut cut = shared.switches.watch_cut();
+    let served = tokio::select! {
+        served = answer_peer(&mut stream, &shared) => served,
+        _ = cut.wait_for(|cut| cut.covers_peers()) => Err(PullError::Cut),
+    };
+    if let Err(cause) = served {
+        ::log::debug!("peer left: {cause}");
+    }
+}
+
+async fn answer_peer(stream: &mut TcpStream, shared: &Shared) -> Result<(), PullError> {
+    stream.set_nodelay(true)?;
+    loop {
+        let pull: Pull = read_frame(stream).await?;
+        let answer = next_answer(&shared.core, &pull).await;
+        shared.switches.wait_thaw().await;
+        write_frame(stream, &answer).await?;
+    }
+}
+
+/// Waits a while for entries that the peer lacks.
+async fn next_answer(core: &core::Core, pull: &Pull) -> Answer {
+    let mut heads = core.watch();
+    let deadline = Instant::now() + HOLD_TIME;
+    let held = pull.segments.last().map_or(0, |last| last.last);
+    loop {
+        heads.borrow_and_update();
+        if let Some((term, common, entries)) = core.entries_for(&pull.segments, BATCH_ENTRIES) {
+            let is_news = !entries.is_empty() || common < held || term > pull.term;
+            if is_news {
+                return Answer::Entries {
+                    term,
+                    common,
+                    entries,
+                };
+            }
+        }
+        let changed = tokio::time::timeout_at(deadline, heads.changed()).await;
+        if !matches!(changed, Ok(Ok(()))) {
+            return Answer::Nothing;
+        }
+    }
+}
+
+/// Asks one peer for entries, to the end of the task.
+pub async fn pull(address: SocketAddr, shared: Shared) {
+    loop {
+        let mut cut = shared.switches.watch_cut();
+        let pulled = tokio::select! {
+            pulled = pull_rounds(address, &shared) => pulled,
+            _ = cut.wait_for(|cut| cut.covers_peers()) => Err(PullError::Cut),
+        };
+        if let Err(cause) = pulled {
+            ::log::debug!("peer {address}: {cause}");
+        }
+        tokio::time::sleep(RETRY_INTERVAL).await;
+        wait_uncut(&mut cut).await;
+    }
+}
+
+async fn wait_uncut(cut: &mut watch::Receiver<switches::Cut>) {
+    // The switches outlive the task.
+    let _ = cut.wait_for(|cut| !cut.covers_peers()).await;
+}
+
+async fn pull_rounds(address: SocketAddr, shared: &Shared) -> Result<(), PullError> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    loop {
+        let (term, segments) = shared.core.segments();
+        let expected = segments
+            .last()
+            .map_or_else(log::Head::default, |last| log::Head {
+                term: last.term,
+                position: last.last,
+            });
+        write_frame(&mut stream, &Pull { term, segments }).await?;
+        let answer: Answer = read_frame(&mut stream).await?;
+        let due = Instant::now() + shared.switches.lag();
+        shared.switches.wait_thaw().await;
+        if let Answer::Entries {
+            term,
+            common,
+            entries,
+        } = answer
+        {
+            take(shared, term, expected, common, entries, due).await?;
+        }
+    }
+}
+
+async fn take(
+    shared: &Shared,
+    term: log::Term,
+    expected: log::Head,
+    common: log::Position,
+    entries: Vec<log::Entry>,
+    due: Instant,
+) -> Result<(), PullError> {
+    let core = sync::Arc::clone(&shared.core);
+    blocking(move || core.follow(term, expected, common)).await?;
+    if entries.is_empty() {
+        return Ok(());
+    }
+    tokio::time::sleep_until(due).await;
+    shared.switches.wait_thaw().await;
+    let core = sync::Arc::clone(&shared.core);
+    blocking(move || apply_all(&core, term, common, entries)).await
+}
+
+fn apply_all(
+    core: &core::Core,
+    term: log::Term,
+    common: log::Position,
+    entries: Vec<log::Entry>,
+) -> Result<(), core::ApplyError> {
+    let mut expected = core.head_at(common)?;
+    for entry in entries {
+        expected = core.apply(term, expected, entry)?;
+    }
+    Ok(())
+}
+
+async fn blocking(
+    work: impl FnOnce() -> Result<(), core::ApplyError> + Send + 'static,
+) -> Result<(), PullError> {
+    Ok(tokio::task::spawn_blocking(work).await??)
+}
+
+async fn read_frame<T: DeserializeOwned>(stream: &mut TcpStream) -> Result<T, PullError> {
+    let length = stream.read_u32().await? as usize;
+    if length > FRAME_MAX_BYTES {
+        return Err(PullError::FrameTooLarge(length));
+    }
+    let mut frame = vec![0; length];
+    stream.read_exact(&mut frame).await?;
+    Ok(postcard::from_bytes(&frame)?)
+}
+
+async fn write_frame<T: Serialize>(stream: &mut TcpStream, value: &T) -> Result<(), PullError> {
+    let frame = postcard::to_stdvec(value)?;
+    let length = u32::try_from(frame.len()).map_err(|_| PullError::FrameTooLarge(frame.len()))?;
+    stream.write_u32(length).await?;
+    stream.write_all(&frame).await?;
+    Ok(())
+}
+
+const BATCH_ENTRIES: usize = 256;
+const FRAME_MAX_BYTES: usize = 256 * 1024 * 1024;
+const HOLD_TIME: Duration = Duration::from_millis(500);
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/crates/standin/src/platform/routes.rs
@@ -0,0 +1,150 @@
+//! The platform's HTTP interface.
+
+use std::sync;
+use std::time::{Duration, Instant};
+
+use axum::extract::{DefaultBodyLimit, Path, Query, Request, State};
+use axum::http::StatusCode;
+use axum::middleware::{self, Next};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post, put};
+use axum::{Json, Router};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::platform::{store, switches, vms};
+
+/// What the routes work with.
+#[derive(Debug)]
+pub struct Shared {
+    /// The tables and objects.
+    pub store: sync::Mutex<store::Store>,
+    /// The list of VMs.
+    pub vms: sync::Mutex<vms::Vms>,
+    /// The switches.
+    pub switches: switches::Switches,
+}
+
+type SharedState = State<sync::Arc<Shared>>;
+
+/// The routes, of which the switches leave their own alone.
+pub fn router(shared: sync::Arc<Shared>) -> Router {
+    let calls = Router::new()
+        .route("/v1/tables/{table}/{key}", get(row))
+        .route("/v1/tables/{table}", get(rows))
+        .route("/v1/transactions", post(transaction))
+        .route("/v1/objects/{name}", put(put_object).get(object))
+        .route("/v1/vms", get(vm_list))
+        .layer(middleware::from_fn_with_state(
+            sync::Arc::clone(&shared),
+            apply_switches,
+        ));
+    let switches = Router::new()
+        .route("/switches", post(set_switches))
+        .route("/switches/vms", put(set_vms))
+        .route("/switches/vms/lag_ms", put(set_vms_lag));
+    calls
+        .merge(switches)
+        .layer(DefaultBodyLimit::max(BODY_MAX_BYTES))
+        .with_state(shared)
+}
+
+async fn apply_switches(State(shared): SharedState, request: Request, next: Next) -> Response {
+    tokio::time::sleep(shared.switches.delay()).await;
+    if shared.switches.mode() == switches::Mode::Down {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    next.run(request).await
+}
+
+async fn row(
+    State(shared): SharedState,
+    Path((table, key)): Path<(String, String)>,
+) -> Result<Json<store::Row>, StatusCode> {
+    let store = shared.store();
+    let row = store.row(&table, &key).cloned();
+    row.map(Json).ok_or(StatusCode::NOT_FOUND)
+}
+
+#[derive(Debug, Deserialize)]
+struct Page {
+    #[serde(default)]
+    after: Box<str>,
+    limit: Option<usize>,
+}
+
+#[derive(Debug, Serialize)]
+struct Rows {
+    rows: Vec<store::Row>,
+}
+
+async fn rows(
+    State(shared): SharedState,
+    Path(table): Path<String>,
+    Query(page): Query<Page>,
+) -> Json<Rows> {
+    let limit = page.limit.unwrap_or(DEFAULT_PAGE_ROWS);
+    let store = shared.store();
+    let rows = store.rows_after(&table, &page.after, limit).to_vec();
+    Json(Rows { rows })
+}
+
+async fn transaction(
+    State(shared): SharedState,
+    Json(transaction): Json<store::Transaction>,
+) -> Response {
+    let outcome = shared.store().commit(transaction);
+    match outcome {
+        Ok(_) if shared.switches.lose_answer() => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        Ok(committed) => Json(committed).into_response(),
+        Err(conflicts) => (StatusCode::CONFLICT, Json(conflicts)).into_response(),
+    }
+}
+
+async fn put_object(
+    State(shared): SharedState,
+    Path(name): Path<String>,
+    bytes: Bytes,
+) -> StatusCode {
+    match shared.store().store_object(&name, bytes) {
+        store::Stored::New => StatusCode::CREATED,
+        store::Stored::Same => StatusCode::OK,
+        store::Stored::Other => StatusCode::CONFLICT,
+    }
+}
+
+async fn object(State(shared): SharedState, Path(name): Path<String>) -> Result<Bytes, StatusCode> {
+    shared.store().object(&name).ok_or(StatusCode::NOT_FOUND)
+}
+
+async fn vm_list(State(shared): SharedState) -> Json<vms::VmList> {
+    Json(shared.vms().visible(Instant::now()))
+}
+
+async fn set_switches(State(shared): SharedState, Json(change): Json<switches::Change>) {
+    shared.switches.set(change);
+}
+
+async fn set_vms(State(shared): SharedState, Json(list): Json<vms::VmList>) {
+    shared.vms().set(list, Instant::now());
+}
+
+async fn set_vms_lag(State(shared): SharedState, Json(lag_ms): Json<u64>) {
+    shared.vms().set_lag(Duration::from_millis(lag_ms));
+}
+
+impl Shared {
+    /// The tables and objects.
+    pub fn store(&self) -> sync::MutexGuard<'_, store::Store> {
+        self.store.lock().expect(NO_PANIC)
+    }
+
+    /// The list of VMs.
+    pub fn vms(&self) -> sync::MutexGuard<'_, vms::Vms> {
+        self.vms.lock().expect(NO_PANIC)
+    }
+}
+
+const BODY_MAX_BYTES: usize = 64 * 1024 * 1024;
+const DEFAULT_PAGE_ROWS: usize = 1000;
+const NO_PANIC: &str = "no holder of the lock panics";
--- /dev/null
+++ b/crates/standin/tests/replication.rs
@@ -0,0 +1,273 @@
+//! Fences, promotions and replication.
+
+mod support;
+
+use std::time::Duration;
+
+use fulmarlift_standin::member;
+use futures::StreamExt;
+use rstest::rstest;
+use tokio_postgres::{AsyncMessage, NoTls};
+
+const STATUS: &str = "SELECT * FROM group_status(0, 0)";
+const COUNT: &str = "SELECT count(*) FROM letter";
+
+#[tokio::test]
+async fn group_status_reports_primary_and_replica() {
+    let members = support::group(0).await;
+    let primary = support::connect_control(&members[0]).await;
+    let replica = support::connect_control(&members[1]).await;
+    let status = support::row(&primary, STATUS).await;
+    let names = [
+        "term",
+        "claimant",
+        "role",
+        "last_term",
+        "position",
+        "term_start",
+    ];
+    let fields: Vec<_> = names
+        .iter()
+        .map(|name| status.get(*name).unwrap())
+        .collect();
+    assert_eq!(fields, ["1", "", "primary", "1", "1", "1"]);
+    let status = support::wait_position(&replica, 1).await;
+    let fields: Vec<_> = names
+        .iter()
+        .map(|name| status.get(*name).unwrap())
+        .collect();
+    assert_eq!(fields, ["1", "", "replica", "1", "1", "1"]);
+}
+
+#[tokio::test]
+async fn group_status_waits_for_position() {
+    let members = support::group(100).await;
+    let primary = support::connect(&members[0]).await;
+    let replica = support::connect(&members[1]).await;
+    primary
+        .batch_execute("INSERT INTO letter (id) VALUES (1)")
+        .await
+        .unwrap();
+    let status = support::wait_position(&replica, 2).await;
+    assert_eq!(status.get("position"), Some("2"));
+    assert_eq!(support::text(&replica, COUNT).await, "1");
+}
+
+#[tokio::test]
+async fn replica_refuses_writes() {
+    let members = support::group(0).await;
+    let replica = support::connect(&members[1]).await;
+    support::wait_position(&replica, 1).await;
+    let refused = replica
+        .simple_query("INSERT INTO letter (id) VALUES (1)")
+        .await;
+    assert_eq!(support::code(refused), "25006");
+}
+
+#[tokio::test]
+async fn replica_applies_params_and_copies() {
+    let members = support::group(0).await;
+    let primary = support::connect(&members[0]).await;
+    let replica = support::connect(&members[2]).await;
+    primary
+        .execute(
+            "INSERT INTO letter (id, name) VALUES ($1, $2)",
+            &[&1_i64, &"a"],
+        )
+        .await
+        .unwrap();
+    support::wait_position(&replica, 2).await;
+    let row = replica
+        .query_one("SELECT name FROM letter WHERE id = $1", &[&1_i64])
+        .await
+        .unwrap();
+    assert_eq!(row.get::<_, &str>(0), "a");
+}
+
+#[tokio::test]
+async fn commit_reports_position() {
+    let member = support::primary(|_| {}).await;
+    let config = support::config(&member);
+    let (client, mut connection) = config.connect(NoTls).await.unwrap();
+    let asked = tokio::spawn(async move {
+        client
+            .batch_execute("INSERT INTO letter (id) VALUES (1)")
+            .await
+            .unwrap();
+        client.batch_execute("SELECT 1").await.unwrap();
+        client.execute("DELETE FROM letter", &[]).await.unwrap();
+        client
+            .batch_execute("BEGIN; DELETE FROM letter; ROLLBACK")
+            .await
+            .unwrap();
+        client
+            .batch_execute("BEGIN; DELETE FROM letter; COMMIT")
+            .await
+            .unwrap();
+    });
+    while std::future::poll_fn(|context| connection.poll_message(context))
+        .await
+        .is_some_and(|message: Result<AsyncMessage, _>| message.is_ok())
+    {}
+    asked.await.unwrap();
+    assert_eq!(connection.parameter("group_position"), Some("1:4"));
+}
+
+#[tokio::test]
+async fn fence_grants_term_to_one_claimant() {
+    let members = support::group(0).await;
+    let mut clients = Vec::new();
+    for _ in 0..8 {
+        clients.push(support::connect_control(&members[1]).await);
+    }
+    let attempts = clients
+        .iter()
+        .enumerate()
+        .map(|(claimant, client)| async move {
+            let query = format!("SELECT * FROM group_fence(2, 'c{claimant}')");
+            let status = support::row(client, &query).await;
+            status.get("claimant").unwrap().to_string()
+        });
+    let granted: Vec<String> = futures::stream::iter(attempts)
+        .buffer_unordered(8)
+        .collect()
+        .await;
+    assert!(
+        granted.iter().all(|claimant| *claimant == granted[0]),
+        "{granted:?}"
+    );
+}
+
+#[rstest]
+#[case("group_fence(1, 'a')", "1", "", "primary")]
+#[case("group_fence(0, 'a')", "1", "", "primary")]
+#[case("group_fence(5, 'a')", "5", "a", "replica")]
+#[case("group_promote(1, '')", "1", "", "primary")]
+#[case("group_promote(2, 'a')", "1", "", "primary")]
+#[tokio::test]
+async fn attempt_on_primary_reports_outcome(
+    #[case] attempt: &str,
+    #[case] term: &str,
+    #[case] claimant: &str,
+    #[case] role: &str,
+) {
+    let member = support::primary(|_| {}).await;
+    let client = support::connect_control(&member).await;
+    let status = support::row(&client, &format!("SELECT * FROM {attempt}")).await;
+    assert_eq!(status.get("term"), Some(term));
+    assert_eq!(status.get("claimant"), Some(claimant));
+    assert_eq!(status.get("role"), Some(role));
+}
+
+#[tokio::test]
+async fn promote_is_idempotent() {
+    let members = support::group(0).await;
+    let control = support::connect_control(&members[1]).await;
+    support::wait_position(&control, 1).await;
+    support::row(&control, "SELECT * FROM group_fence(2, 'a')").await;
+    let other = support::row(&control, "SELECT * FROM group_promote(2, 'b')").await;
+    assert_eq!(other.get("role"), Some("replica"));
+    for _ in 0..2 {
+        let status = support::row(&control, "SELECT * FROM group_promote(2, 'a')").await;
+        assert_eq!(status.get("role"), Some("primary"));
+        assert_eq!(status.get("last_term"), Some("2"));
+        assert_eq!(status.get("position"), Some("2"));
+        assert_eq!(status.get("term_start"), Some("2"));
+    }
+}
+
+#[rstest]
+#[case("COMMIT")]
+#[case("SELECT 1")]
+#[case("INSERT INTO letter (id) VALUES (2)")]
+#[tokio::test]
+async fn fence_rolls_back_open_transaction(#[case] next: &str) {
+    let member = support::primary(|_| {}).await;
+    let client = support::connect(&member).await;
+    let control = support::connect_control(&member).await;
+    client
+        .batch_execute("BEGIN; INSERT INTO letter (id) VALUES (1)")
+        .await
+        .unwrap();
+    support::row(&control, "SELECT * FROM group_fence(2, 'a')").await;
+    assert_eq!(support::code(client.simple_query(next).await), "25006");
+    client.batch_execute("ROLLBACK").await.unwrap();
+    assert_eq!(support::text(&client, COUNT).await, "0");
+}
+
+#[tokio::test]
+async fn fence_ends_statement_that_writes() {
+    let member = support::primary(|_| {}).await;
+    let client = support::connect(&member).await;
+    let control = support::connect_control(&member).await;
+    client
+        .batch_execute("BEGIN; INSERT INTO letter (id) VALUES (1)")
+        .await
+        .unwrap();
+    let sleep = client.simple_query("SELECT pg_sleep(600)");
+    let fence = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        support::row(&control, "SELECT * FROM group_fence(2, 'a')").await
+    };
+    let (slept, _) = tokio::join!(sleep, fence);
+    assert_eq!(support::code(slept), "25006");
+}
+
+#[tokio::test]
+async fn rejoin_drops_unreplicated_tail() {
+    let members = support::group(0).await;
+    let old = support::connect(&members[0]).await;
+    let new = support::connect(&members[1]).await;
+    let third = support::connect(&members[2]).await;
+    old.batch_execute("INSERT INTO letter (id) VALUES (1)")
+        .await
+        .unwrap();
+    support::wait_position(&new, 2).await;
+    support::wait_position(&third, 2).await;
+    members[0].switch(member::Switch::Cut(member::Cut::Peers));
+    for id in [2, 3] {
+        old.batch_execute(&format!("INSERT INTO letter (id) VALUES ({id})"))
+            .await
+            .unwrap();
+    }
+    for client in [&new, &third] {
+        support::row(client, "SELECT * FROM group_fence(2, 'a')").await;
+    }
+    support::row(&new, "SELECT * FROM group_promote(2, 'a')").await;
+    new.batch_execute("INSERT INTO letter (id) VALUES (10)")
+        .await
+        .unwrap();
+    support::wait_position(&third, 4).await;
+    members[0].switch(member::Switch::Cut(member::Cut::None));
+    let ids = "SELECT group_concat(id) FROM (SELECT id FROM letter ORDER BY id)";
+    while support::row(&old, STATUS).await.get("last_term") != Some("2") {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let status = support::wait_position(&old, 4).await;
+    assert_eq!(status.get("role"), Some("replica"));
+    assert_eq!(status.get("term"), Some("2"));
+    assert_eq!(status.get("claimant"), Some(""));
+    assert_eq!(status.get("term_start"), Some("3"));
+    for client in [&old, &new, &third] {
+        assert_eq!(support::text(client, ids).await, "1,10");
+    }
+    let refused = old.simple_query("INSERT INTO letter (id) VALUES (4)").await;
+    assert_eq!(support::code(refused), "25006");
+}
+
+#[tokio::test]
+async fn replica_fenced_ignores_older_primary() {
+    let members = support::group(0).await;
+    let primary = support::connect(&members[0]).await;
+    let replica = support::connect(&members[1]).await;
+    let other = support::connect(&members[2]).await;
+    support::wait_position(&replica, 1).await;
+    support::row(&replica, "SELECT * FROM group_fence(2, 'a')").await;
+    primary
+        .batch_execute("INSERT INTO letter (id) VALUES (1)")
+        .await
+        .unwrap();
+    support::wait_position(&other, 2).await;
+    let status = support::row(&replica, "SELECT * FROM group_status(2, 300)").await;
+    assert_eq!(status.get("position"), Some("1"));
+}
