--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,344 @@
+//! Whether a document makes sense: all findings at once, each with its place.
+
+use std::net;
+
+use crate::{
+    finding::{self, Finding, Findings, Problem},
+    model, names, verifier,
+};
+
+/// The fewest members of a group whose majority outlives the loss of one.
+pub const MIN_MEMBERS: usize = 3;
+
+/// Checks a whole document.
+///
+/// # Errors
+///
+/// All findings, in the document's order.
+pub fn check(document: &model::Document) -> Result<(), Findings> {
+    let mut checker = Checker {
+        document,
+        findings: Vec::new(),
+    };
+    checker.regions();
+    checker.groups();
+    checker.callers();
+    checker.read_classes();
+    checker.services();
+    let findings = Findings(checker.findings);
+    if findings.is_empty() {
+        Ok(())
+    } else {
+        Err(findings)
+    }
+}
+
+struct Checker<'a> {
+    document: &'a model::Document,
+    findings: Vec<Finding>,
+}
+
+impl<'a> Checker<'a> {
+    fn report(&mut self, place: impl Into<Box<str>>, problem: Problem) {
+        self.findings.push(Finding {
+            place: place.into(),
+            problem,
+        });
+    }
+
+    fn report_zero(&mut self, place: String, value: u64) {
+        if value == 0 {
+            self.report(place, Problem::Zero);
+        }
+    }
+
+    /// Checks the names that are given at these places.
+    fn names(&mut self, of: finding::Kind, given: &[names::Placed<'a>]) {
+        let malformed = given
+            .iter()
+            .filter(|placed| !names::is_well_formed(placed.text));
+        for placed in malformed {
+            self.report(
+                &*placed.place,
+                Problem::MalformedName {
+                    of,
+                    name: placed.text.into(),
+                },
+            );
+        }
+        self.duplicates(of, given);
+    }
+
+    fn duplicates(&mut self, of: finding::Kind, given: &[names::Placed<'a>]) {
+        for names::Duplicate { again, first } in names::duplicates(given) {
+            let problem = Problem::DuplicateName {
+                of,
+                name: again.text.into(),
+                first: first.place.clone(),
+            };
+            self.report(&*again.place, problem);
+        }
+    }
+
+    /// Checks that the names used at these places are known, and used once.
+    fn references(
+        &mut self,
+        of: finding::Kind,
+        used: &[names::Placed<'a>],
+        is_known: impl Fn(&str) -> bool,
+    ) {
+        for placed in used.iter().filter(|placed| !is_known(placed.text)) {
+            self.report(
+                &*placed.place,
+                Problem::UnknownName {
+                    of,
+                    name: placed.text.into(),
+                },
+            );
+        }
+        self.duplicates(of, used);
+    }
+
+    fn tables(&mut self, place: &str, tables: &'a [Box<str>]) {
+        let placed = names::listed(place, tables);
+        for table in placed.iter().filter(|table| table.text.trim().is_empty()) {
+            self.report(&*table.place, Problem::EmptyTable);
+        }
+        self.duplicates(finding::Kind::Table, &placed);
+    }
+
+    fn regions(&mut self) {
+        let regions = &self.document.regions;
+        self.names(
+            finding::Kind::Region,
+            &names::named("regions", regions, |region| &region.name),
+        );
+        let mut domains = Vec::new();
+        for (index, region) in regions.iter().enumerate() {
+            let place = format!("regions[{index}].domains");
+            if region.domains.is_empty() {
+                self.report(&*place, Problem::NoDomains);
+            }
+            domains.extend(names::listed(&place, &region.domains));
+        }
+        self.names(finding::Kind::Domain, &domains);
+    }
+
+    fn groups(&mut self) {
+        let groups = &self.document.groups;
+        self.names(
+            finding::Kind::Group,
+            &names::named("groups", groups, |group| &group.name),
+        );
+        for (index, group) in groups.iter().enumerate() {
+            self.group(&format!("groups[{index}]"), group);
+        }
+        self.addresses();
+    }
+
+    fn group(&mut self, place: &str, group: &'a model::Group) {
+        self.report_zero(format!("{place}.slots"), group.slots.into());
+        self.slots(place, group);
+        self.member_count(place, group.members.len());
+        let members_place = format!("{place}.members");
+        let names = names::named(&members_place, &group.members, |member| &member.name);
+        self.names(finding::Kind::Member, &names);
+        for (index, member) in group.members.iter().enumerate() {
+            self.member(&format!("{members_place}[{index}]"), member);
+        }
+    }
+
+    fn slots(&mut self, place: &str, group: &model::Group) {
+        let Some((index, member)) = group.scarcest_member() else {
+            return;
+        };
+        if group.slots > member.connections {
+            let problem = Problem::SlotsAboveConnections {
+                slots: group.slots,
+                member: format!("{place}.members[{index}]").into(),
+                connections: member.connections,
+            };
+            self.report(format!("{place}.slots"), problem);
+        }
+    }
+
+    fn member_count(&mut self, place: &str, members: usize) {
+        if members < MIN_MEMBERS {
+            self.report(
+                format!("{place}.members"),
+                Problem::TooFewMembers { members },
+            );
+        } else if members.is_multiple_of(2) {
+            self.report(format!("{place}.members"), Problem::EvenMembers { members });
+        }
+    }
+
+    fn member(&mut self, place: &str, member: &'a model::Member) {
+        let document = self.document;
+        let domain = names::Placed {
+            place: format!("{place}.domain").into(),
+            text: &member.domain,
+        };
+        self.references(finding::Kind::Domain, &[domain], |name| {
+            document.region_of(name).is_some()
+        });
+        self.report_zero(format!("{place}.connections"), member.connections.into());
+    }
+
+    /// Addresses are compared as parsed, since one address can be written in several ways.
+    fn addresses(&mut self) {
+        let mut seen: Vec<(net::SocketAddr, Box<str>)> = Vec::new();
+        for (group_index, group) in self.document.groups.iter().enumerate() {
+            for (member_index, member) in group.members.iter().enumerate() {
+                let place = format!("groups[{group_index}].members[{member_index}].address");
+                match parse_address(&member.address) {
+                    None => {
+                        self.report(
+                            place,
+                            Problem::MalformedAddress {
+                                address: member.address.clone(),
+                            },
+                        );
+                    }
+                    Some(address) => match seen.binary_search_by_key(&address, |entry| entry.0) {
+                        Ok(found) => {
+                            let first = seen[found].1.clone();
+                            let address = member.address.clone();
+                            self.report(place, Problem::DuplicateAddress { address, first });
+                        }
+                        Err(position) => seen.insert(position, (address, place.into())),
+                    },
+                }
+            }
+        }
+    }
+
+    fn callers(&mut self) {
+        let callers = &self.document.callers;
+        self.names(
+            finding::Kind::Caller,
+            &names::named("callers", callers, |caller| &caller.name),
+        );
+        for (index, caller) in callers.iter().enumerate() {
+            if let Err(cause) = caller.verifier.parse::<verifier::Verifier>() {
+                self.report(
+                    format!("callers[{index}].verifier"),
+                    Problem::MalformedVerifier { cause },
+                );
+            }
+        }
+    }
+
+    fn read_classes(&mut self) {
+        let classes = &self.document.read_classes;
+        let names = names::named("read_classes", classes, |class| &class.name);
+        self.names(finding::Kind::ReadClass, &names);
+        for (index, class) in classes.iter().enumerate() {
+            self.read_class(&format!("read_classes[{index}]"), class);
+        }
+    }
+
+    fn read_class(&mut self, place: &str, class: &'a model::ReadClass) {
+        self.report_zero(format!("{place}.max_age_ms"), class.max_age_ms);
+        self.tables(&format!("{place}.tables"), &class.tables);
+        if class.tables.is_empty() {
+            let problem = Problem::AgeWithoutReads {
+                class: class.name.clone(),
+                max_age_ms: class.max_age_ms,
+            };
+            self.report(format!("{place}.tables"), problem);
+        }
+        let is_used = self
+            .document
+            .services
+            .iter()
+            .any(|service| service.read_classes.contains(&class.name));
+        if !is_used {
+            self.report(
+                place,
+                Problem::UnusedReadClass {
+                    class: class.name.clone(),
+                },
+            );
+        }
+    }
+
+    fn services(&mut self) {
+        let services = &self.document.services;
+        let names = names::named("services", services, |service| &service.name);
+        self.names(finding::Kind::Service, &names);
+        for (index, service) in services.iter().enumerate() {
+            self.service(&format!("services[{index}]"), service);
+        }
+        self.services_of_groups();
+    }
+
+    fn service(&mut self, place: &str, service: &'a model::Service) {
+        let document = self.document;
+        let group = names::Placed {
+            place: format!("{place}.group").into(),
+            text: &service.group,
+        };
+        self.references(finding::Kind::Group, &[group], |name| {
+            document.group(name).is_some()
+        });
+        let callers = names::listed(&format!("{place}.callers"), &service.callers);
+        self.references(finding::Kind::Caller, &callers, |name| {
+            document.caller(name).is_some()
+        });
+        let classes = names::listed(&format!("{place}.read_classes"), &service.read_classes);
+        self.references(finding::Kind::ReadClass, &classes, |name| {
+            document.read_class(name).is_some()
+        });
+        self.limits(&format!("{place}.limits"), &service.limits);
+    }
+
+    fn limits(&mut self, place: &str, limits: &'a model::Limits) {
+        self.report_zero(
+            format!("{place}.request_timeout_ms"),
+            limits.request_timeout_ms,
+        );
+        self.report_zero(
+            format!("{place}.queue_requests"),
+            limits.queue_requests.into(),
+        );
+        self.report_zero(
+            format!("{place}.caller_connections"),
+            limits.caller_connections.into(),
+        );
+        self.report_zero(format!("{place}.weight"), limits.weight.into());
+        self.tables(
+            &format!("{place}.repeatable_tables"),
+            &limits.repeatable_tables,
+        );
+    }
+
+    fn services_of_groups(&mut self) {
+        for (index, group) in self.document.groups.iter().enumerate() {
+            let services = self
+                .document
+                .services
+                .iter()
+                .filter(|service| service.group == group.name)
+                .count();
+            let Some((member_index, member)) = group.scarcest_member() else {
+                continue;
+            };
+            if services > member.connections as usize {
+                let problem = Problem::ServicesAboveConnections {
+                    group: group.name.clone(),
+                    services,
+                    member: format!("groups[{index}].members[{member_index}]").into(),
+                    connections: member.connections,
+                };
+                self.report("services", problem);
+            }
+        }
+    }
+}
+
+fn parse_address(text: &str) -> Option<net::SocketAddr> {
+    text.parse()
+        .ok()
+        .filter(|address: &net::SocketAddr| address.port() > 0)
+}
--- /dev/null
+++ b/crates/config/src/diff.rs
@@ -0,0 +1,136 @@
+//! What changed from one document to another.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::model;
+
+const NAME_FIELD: &str = "name";
+const VERSION_FIELD: &str = "version";
+
+/// A difference between two documents.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The path, with items of lists by their names, such as `groups[ledger-1].members[a].address`.
+    pub path: Box<str>,
+    /// The value before; absent when it was added.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub before: Option<Value>,
+    /// The value after; absent when it was removed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub after: Option<Value>,
+}
+
+/// The changes that lead from `before` to `after`, but for the version. Empty if and only if the digests are
+/// equal. Items of lists are matched by name; a changed order is a change of the list of names.
+pub fn diff(before: &model::Document, after: &model::Document) -> Vec<Change> {
+    let mut changes = Vec::new();
+    compare("", &to_value(before), &to_value(after), &mut changes);
+    changes
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(formatter, "{}: {before} -> {after}", self.path),
+            (None, Some(after)) => write!(formatter, "{}: added {after}", self.path),
+            (Some(before), None) => write!(formatter, "{}: removed {before}", self.path),
+            (None, None) => write!(formatter, "{}: unchanged", self.path),
+        }
+    }
+}
+
+fn to_value(document: &model::Document) -> Value {
+    let mut value = serde_json::to_value(document).expect("a document has only text keys");
+    if let Value::Object(fields) = &mut value {
+        fields.remove(VERSION_FIELD);
+    }
+    value
+}
+
+fn compare(path: &str, before: &Value, after: &Value, changes: &mut Vec<Change>) {
+    match (before, after) {
+        (Value::Object(old), Value::Object(new)) => compare_fields(path, old, new, changes),
+        (Value::Array(old), Value::Array(new)) if all_named(old) && all_named(new) => {
+            compare_lists(path, old, new, changes);
+        }
+        _ if before == after => {}
+        _ => push(path, Some(before), Some(after), changes),
+    }
+}
+
+type Fields = serde_json::Map<String, Value>;
+
+/// Compares the fields in alphabetical order. Both sides have all fields, as documents are written without
+/// leaving any out.
+fn compare_fields(path: &str, before: &Fields, after: &Fields, changes: &mut Vec<Change>) {
+    let mut fields: Vec<&String> = before.keys().collect();
+    fields.sort_unstable();
+    for field in fields {
+        let field_path = if path.is_empty() {
+            field.clone()
+        } else {
+            format!("{path}.{field}")
+        };
+        let new = after.get(field).unwrap_or(&Value::Null);
+        compare(&field_path, &before[field], new, changes);
+    }
+}
+
+fn compare_lists(path: &str, before: &[Value], after: &[Value], changes: &mut Vec<Change>) {
+    for old in before {
+        let item_path = format!("{path}[{}]", name(old));
+        match find(after, name(old)) {
+            Some(new) => compare(&item_path, old, new, changes),
+            None => push(&item_path, Some(old), None, changes),
+        }
+    }
+    for new in after.iter().filter(|new| find(before, name(new)).is_none()) {
+        push(&format!("{path}[{}]", name(new)), None, Some(new), changes);
+    }
+    compare_order(path, before, after, changes);
+}
+
+/// Compares the order of the items on both sides, and with it what else name matching doesn't see: a new item
+/// that is not at the end, and a name that stands twice.
+fn compare_order(path: &str, before: &[Value], after: &[Value], changes: &mut Vec<Change>) {
+    let kept = before.iter().filter(|old| find(after, name(old)).is_some());
+    let added = after.iter().filter(|new| find(before, name(new)).is_none());
+    let expected: Vec<&str> = kept.chain(added).map(name).collect();
+    let found: Vec<&str> = after.iter().map(name).collect();
+    if expected != found {
+        let names = |items: &[Value]| items.iter().map(name).map(Value::from).collect::<Vec<_>>();
+        push(
+            path,
+            Some(&names(before).into()),
+            Some(&names(after).into()),
+            changes,
+        );
+    }
+}
+
+fn push(path: &str, before: Option<&Value>, after: Option<&Value>, changes: &mut Vec<Change>) {
+    changes.push(Change {
+        path: path.into(),
+        before: before.cloned(),
+        after: after.cloned(),
+    });
+}
+
+fn all_named(items: &[Value]) -> bool {
+    items
+        .iter()
+        .all(|item| item.get(NAME_FIELD).is_some_and(Value::is_string))
+}
+
+fn name(item: &Value) -> &str {
+    item.get(NAME_FIELD)
+        .and_then(Value::as_str)
+        .unwrap_or_default()
+}
+
+fn find<'a>(items: &'a [Value], wanted: &str) -> Option<&'a Value> {
+    items.iter().find(|item| name(item) == wanted)
+}
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -203,6 +203,24 @@
         self.services.iter().find(|service| &*service.name == name)
     }
 
+    /// The read class of a read that touches these tables: of the service's classes that hold all of them, the
+    /// one with the smallest age. A read that touches no table belongs to none.
+    pub fn class_of_read(&self, service: &Service, tables: &[&str]) -> Option<&ReadClass> {
+        let holds = |class: &&ReadClass| {
+            tables
+                .iter()
+                .all(|table| class.tables.iter().any(|held| &**held == *table))
+        };
+        let classes = service
+            .read_classes
+            .iter()
+            .filter_map(|name| self.read_class(name));
+        classes
+            .filter(|_| !tables.is_empty())
+            .filter(holds)
+            .min_by_key(|class| class.max_age_ms)
+    }
+
     /// The region in which the failure domain lies.
     pub fn region_of(&self, domain: &str) -> Option<&Region> {
         self.regions
@@ -216,6 +234,14 @@
     pub fn member(&self, name: &str) -> Option<&Member> {
         self.members.iter().find(|member| &*member.name == name)
     }
+
+    /// The member with the fewest connections, with its index.
+    pub fn scarcest_member(&self) -> Option<(usize, &Member)> {
+        self.members
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, member)| member.connections)
+    }
 }
 
 fn default_connect_ms() -> u32 {
--- /dev/null
+++ b/crates/config/src/verifier.rs
@@ -0,0 +1,211 @@
+//! What a caller's login is verified against: SCRAM-SHA-256 keys (RFC 5802, RFC 7677) in the notation that
+//! PostgreSQL stores them in, or trust in loopback peers.
+
+use std::{fmt, str};
+
+use base64::Engine;
+use hmac::{KeyInit, Mac};
+use sha2::Digest;
+
+/// The iterations that RFC 7677 asks for at least.
+pub const DEFAULT_ITERATIONS: u32 = 4_096;
+
+/// A key of SCRAM-SHA-256.
+pub type Key = [u8; KEY_BYTES];
+
+const KEY_BYTES: usize = 32;
+const TRUST: &str = "trust";
+const SCRAM_PREFIX: &str = "SCRAM-SHA-256$";
+const CLIENT_KEY_TEXT: &[u8] = b"Client Key";
+const SERVER_KEY_TEXT: &[u8] = b"Server Key";
+const BASE64: base64::engine::GeneralPurpose = base64::engine::general_purpose::STANDARD;
+
+type HmacSha256 = hmac::Hmac<sha2::Sha256>;
+
+/// What a caller's login is verified against.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verifier {
+    /// Loopback peers get in without a password, others not at all.
+    Trust,
+    /// The caller proves that it knows the password.
+    Scram(Scram),
+}
+
+/// The keys of SCRAM-SHA-256, from which the password can't be told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Scram {
+    /// How often the password was hashed.
+    pub iterations: u32,
+    /// The salt the password was hashed with.
+    pub salt: Box<[u8]>,
+    /// The hash of the key the caller proves to have.
+    pub stored_key: Key,
+    /// The key by which the server proves to know the verifier.
+    pub server_key: Key,
+}
+
+/// Why a verifier could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ParseError {
+    /// The text is neither `trust` nor begins with `SCRAM-SHA-256$`.
+    #[error("expected `trust` or `SCRAM-SHA-256$ITERATIONS:SALT$STORED:SERVER`")]
+    UnknownMechanism,
+    /// A part of the notation is not there.
+    #[error("{0} is missing")]
+    Missing(&'static str),
+    /// The iterations are no positive number.
+    #[error("iterations must be a number from 1 to {max}", max = u32::MAX)]
+    Iterations,
+    /// A part is not base64.
+    #[error("{part} is not base64: {cause}")]
+    Base64 {
+        /// The part.
+        part: &'static str,
+        /// What is wrong with it.
+        cause: base64::DecodeError,
+    },
+    /// A key has the wrong length.
+    #[error("{part} has {found_bytes} bytes, expected {KEY_BYTES}")]
+    KeyLength {
+        /// The key.
+        part: &'static str,
+        /// Its length.
+        found_bytes: usize,
+    },
+}
+
+impl Verifier {
+    /// The verifier of a password, with a salt that no other caller should have.
+    ///
+    /// # Panics
+    ///
+    /// If `iterations` is 0 or the salt is empty.
+    pub fn from_password(password: &str, salt: &[u8], iterations: u32) -> Self {
+        assert!(iterations > 0, "a password must be hashed at least once");
+        assert!(!salt.is_empty(), "a password must be hashed with a salt");
+        let salted_password = hash_password(&normalize(password), salt, iterations);
+        let client_key = keyed_hash(&salted_password, CLIENT_KEY_TEXT);
+        Self::Scram(Scram {
+            iterations,
+            salt: salt.into(),
+            stored_key: sha2::Sha256::digest(client_key).into(),
+            server_key: keyed_hash(&salted_password, SERVER_KEY_TEXT),
+        })
+    }
+}
+
+impl fmt::Display for Verifier {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Trust => formatter.write_str(TRUST),
+            Self::Scram(scram) => write!(
+                formatter,
+                "{SCRAM_PREFIX}{}:{}${}:{}",
+                scram.iterations,
+                BASE64.encode(&scram.salt),
+                BASE64.encode(scram.stored_key),
+                BASE64.encode(scram.server_key),
+            ),
+        }
+    }
+}
+
+impl str::FromStr for Verifier {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text == TRUST {
+            return Ok(Self::Trust);
+        }
+        let rest = text
+            .strip_prefix(SCRAM_PREFIX)
+            .ok_or(ParseError::UnknownMechanism)?;
+        let (hashing, keys) = rest
+            .split_once('$')
+            .ok_or(ParseError::Missing("stored key"))?;
+        let (iterations, salt) = hashing.split_once(':').ok_or(ParseError::Missing("salt"))?;
+        let (stored_key, server_key) = keys
+            .split_once(':')
+            .ok_or(ParseError::Missing("server key"))?;
+        Ok(Self::Scram(Scram {
+            iterations: parse_iterations(iterations)?,
+            salt: parse_salt(salt)?,
+            stored_key: parse_key("stored key", stored_key)?,
+            server_key: parse_key("server key", server_key)?,
+        }))
+    }
+}
+
+fn parse_iterations(text: &str) -> Result<u32, ParseError> {
+    match text.parse() {
+        Ok(iterations) if iterations > 0 => Ok(iterations),
+        _ => Err(ParseError::Iterations),
+    }
+}
+
+fn parse_salt(text: &str) -> Result<Box<[u8]>, ParseError> {
+    let salt = parse_base64("salt", text)?;
+    if salt.is_empty() {
+        Err(ParseError::Missing("salt"))
+    } else {
+        Ok(salt.into())
+    }
+}
+
+fn parse_key(part: &'static str, text: &str) -> Result<Key, ParseError> {
+    let bytes = parse_base64(part, text)?;
+    let found_bytes = bytes.len();
+    bytes
+        .try_into()
+        .map_err(|_| ParseError::KeyLength { part, found_bytes })
+}
+
+fn parse_base64(part: &'static str, text: &str) -> Result<Vec<u8>, ParseError> {
+    BASE64
+        .decode(text)
+        .map_err(|cause| ParseError::Base64 { part, cause })
+}
+
+/// Passwords that SASLprep refuses are used as they are, as PostgreSQL does.
+fn normalize(password: &str) -> Box<str> {
+    stringprep::saslprep(password).map_or_else(|_| password.into(), Into::into)
+}
+
+/// PBKDF2 with HMAC-SHA-256, one block.
+fn hash_password(password: &str, salt: &[u8], iterations: u32) -> Key {
+    const FIRST_BLOCK: [u8; 4] = 1_u32.to_be_bytes();
+    let keyed = hmac_keyed(password.as_bytes());
+    let mut last: Key = keyed
+        .clone()
+        .chain_update(salt)
+        .chain_update(FIRST_BLOCK)
+        .finalize()
+        .into_bytes()
+        .into();
+    let mut result = last;
+    for _ in 1..iterations {
+        last = keyed
+            .clone()
+            .chain_update(last)
+            .finalize()
+            .into_bytes()
+            .into();
+        result
+            .iter_mut()
+            .zip(last)
+            .for_each(|(sum, byte)| *sum ^= byte);
+    }
+    result
+}
+
+fn keyed_hash(key: &[u8], text: &[u8]) -> Key {
+    hmac_keyed(key)
+        .chain_update(text)
+        .finalize()
+        .into_bytes()
+        .into()
+}
+
+fn hmac_keyed(key: &[u8]) -> HmacSha256 {
+    HmacSha256::new_from_slice(key).expect("HMAC takes keys of any length")
+}
