--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -31,18 +31,7 @@
     ///
     /// [`platform::Error::Address`] when `url` is no HTTP address.
     pub fn new(url: &str) -> Result<Self, platform::Error> {
-        let refuse = |cause: String| platform::Error::Address {
-            url: url.into(),
-            cause: cause.into(),
-        };
-        let base = reqwest::Url::parse(url).map_err(|error| refuse(error.to_string()))?;
-        if base.cannot_be_a_base() || base.scheme() != "http" {
-            return Err(refuse("expected http://HOST:PORT".to_owned()));
-        }
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .build()
-            .map_err(|error| refuse(error.to_string()))?;
+        let (http, base) = open(url)?;
         Ok(Self {
             http,
             base,
@@ -194,6 +183,21 @@
     }
 }
 
+/// A connection pool, and the address as a URL. Proxies from the environment are not used: the platform and the
+/// proxies are reached by IP numbers.
+pub(crate) fn open(url: &str) -> Result<(reqwest::Client, reqwest::Url), platform::Error> {
+    let refuse = |cause: String| platform::Error::Address {
+        url: url.into(),
+        cause: cause.into(),
+    };
+    let base = reqwest::Url::parse(url).map_err(|error| refuse(error.to_string()))?;
+    if base.cannot_be_a_base() || base.scheme() != "http" {
+        return Err(refuse("expected http://HOST:PORT".to_owned()));
+    }
+    let http = reqwest::Client::builder().no_proxy().build();
+    Ok((http.map_err(|error| refuse(error.to_string()))?, base))
+}
+
 fn encode(value: &impl Serialize) -> Vec<u8> {
     serde_json::to_vec(value).expect("messages have only text keys")
 }
@@ -208,7 +212,7 @@
 }
 
 /// The error with its sources, as the outer one alone doesn't say what went wrong.
-fn with_sources(error: &dyn std::error::Error) -> String {
+pub(crate) fn with_sources(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(cause) = source {
--- a/crates/platform/src/message.rs
+++ b/crates/platform/src/message.rs
@@ -64,6 +64,22 @@
     pub value: serde_json::Value,
 }
 
+impl Put {
+    /// The row that holds this value.
+    ///
+    /// # Panics
+    ///
+    /// If the value can't be written as JSON, such as a map whose keys are no text.
+    pub fn new(table: &str, key: &str, value: &impl Serialize) -> Self {
+        let value = serde_json::to_value(value).expect("rows are written as JSON");
+        Self {
+            table: table.into(),
+            key: key.into(),
+            value,
+        }
+    }
+}
+
 /// A row to delete.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delete {
--- /dev/null
+++ b/crates/platform/tests/client.rs
@@ -0,0 +1,224 @@
+//! The HTTP client against canned answers of a small server.
+
+use std::{net, time};
+
+use axum::{Router, extract, http, response::IntoResponse, routing};
+use fulmarlift_platform::{
+    admin, client, message,
+    platform::{self, Platform},
+};
+
+/// Serves the router on a free port until the test ends.
+async fn serve(router: Router) -> String {
+    let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
+        .await
+        .unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move { axum::serve(listener, router).await.unwrap() });
+    url
+}
+
+/// A client of a server that answers each call with this.
+async fn canned(status: u16, body: &'static str) -> client::Client {
+    let status = http::StatusCode::from_u16(status).unwrap();
+    let url = serve(Router::new().fallback(move || async move { (status, body) })).await;
+    client::Client::new(&url).unwrap()
+}
+
+/// A client of a server that answers each call with its method, path, query and body.
+async fn echo() -> client::Client {
+    let echo = |method: http::Method, uri: http::Uri, body: String| async move {
+        let key = format!("{method} {uri} {body}");
+        let row = message::Row {
+            key: key.clone().into(),
+            version: 1,
+            value: 1,
+        };
+        axum::Json(serde_json::json!({
+            "key": key, "version": 1, "value": 1, "rows": [row], "vms": [],
+        }))
+    };
+    client::Client::new(&serve(Router::new().fallback(echo)).await).unwrap()
+}
+
+#[tokio::test]
+async fn row_asks_for_escaped_key() {
+    let row: message::Row<u64> = echo().await.row("claim", "a/b ?").await.unwrap().unwrap();
+    assert_eq!(&*row.key, "GET /v1/tables/claim/a%2Fb%20%3F ");
+}
+
+#[tokio::test]
+async fn rows_asks_for_keys_after() {
+    let rows: Vec<message::Row<u64>> = echo().await.rows("audit", "a&b", 7).await.unwrap();
+    assert_eq!(&*rows[0].key, "GET /v1/tables/audit?after=a%26b&limit=7 ");
+}
+
+#[tokio::test]
+async fn row_is_absent() {
+    assert_eq!(
+        canned(404, "")
+            .await
+            .row::<u64>("claim", "g")
+            .await
+            .unwrap(),
+        None
+    );
+}
+
+#[tokio::test]
+async fn object_is_read() {
+    assert_eq!(
+        canned(200, "bytes").await.object("o").await.unwrap(),
+        Some(b"bytes".to_vec())
+    );
+    assert_eq!(canned(404, "").await.object("o").await.unwrap(), None);
+}
+
+#[tokio::test]
+async fn vms_are_read() {
+    let body = r#"{"vms": [{"name": "v1", "domain": "d1", "region": "r1",
+        "address": "127.0.0.1:7000", "state": "leaving"}]}"#;
+    let vms = canned(200, body).await.vms().await.unwrap();
+    assert_eq!(
+        (&*vms[0].name, vms[0].state),
+        ("v1", message::VmState::Leaving)
+    );
+}
+
+#[tokio::test]
+async fn transact_is_committed() {
+    let committed = canned(200, r#"{"version": 9}"#)
+        .await
+        .transact(&message::Transaction::default())
+        .await;
+    assert_eq!(committed.unwrap(), message::Committed { version: 9 });
+}
+
+#[tokio::test]
+async fn transact_tells_conflicts() {
+    let body = r#"{"conflicts": [{"table": "t", "key": "k", "version": 3, "value": {"a": 1}}]}"#;
+    let error = canned(409, body)
+        .await
+        .transact(&message::Transaction::default())
+        .await
+        .unwrap_err();
+    assert!(!error.outcome_unknown());
+    let platform::Error::Conflict(conflicts) = error else {
+        panic!("{error}")
+    };
+    assert_eq!(conflicts.conflicts[0].version, 3);
+}
+
+#[rstest::rstest]
+#[case::unavailable(503, "", true)]
+#[case::malformed(200, "{", true)]
+#[case::malformed_conflict(409, "{", true)]
+#[case::other_status(418, "", true)]
+#[case::not_found(404, "", false)]
+#[tokio::test]
+async fn transact_tells_unknown_outcome(
+    #[case] status: u16,
+    #[case] body: &'static str,
+    #[case] unknown: bool,
+) {
+    let error = canned(status, body)
+        .await
+        .transact(&message::Transaction::default())
+        .await
+        .unwrap_err();
+    assert_eq!(error.outcome_unknown(), unknown, "{error}");
+}
+
+#[rstest::rstest]
+#[case::new(201, true)]
+#[case::same(200, true)]
+#[case::other(409, false)]
+#[tokio::test]
+async fn put_object_is(#[case] status: u16, #[case] stored: bool) {
+    match canned(status, "").await.put_object("o", b"bytes").await {
+        Ok(()) => assert!(stored),
+        Err(platform::Error::ObjectDiffers(name)) => assert_eq!((stored, &*name), (false, "o")),
+        Err(error) => panic!("{error}"),
+    }
+}
+
+#[tokio::test]
+async fn call_gives_up_on_silent_platform() {
+    let silent = Router::new().fallback(std::future::pending::<http::StatusCode>);
+    let client = client::Client::new(&serve(silent).await).unwrap();
+    let hurried = client.with_timeout(time::Duration::from_millis(20));
+    let error = hurried.row::<u64>("claim", "g").await.unwrap_err();
+    assert!(matches!(error, platform::Error::Unavailable(_)), "{error}");
+}
+
+#[tokio::test]
+async fn call_gives_up_on_closed_port() {
+    let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
+        .await
+        .unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let error = client::Client::new(&url).unwrap().vms().await.unwrap_err();
+    assert!(matches!(error, platform::Error::Unavailable(_)), "{error}");
+}
+
+#[rstest::rstest]
+#[case::no_scheme("127.0.0.1:7070")]
+#[case::other_scheme("ftp://127.0.0.1")]
+#[case::no_url("")]
+fn client_refuses_address(#[case] url: &str) {
+    assert!(matches!(
+        client::Client::new(url),
+        Err(platform::Error::Address { .. })
+    ));
+    assert!(matches!(
+        admin::Client::new(url),
+        Err(admin::Error::Address { .. })
+    ));
+}
+
+#[derive(serde::Deserialize)]
+struct ExplainQuery {
+    service: String,
+    sql: String,
+}
+
+#[tokio::test]
+async fn admin_asks_and_is_told() {
+    let status = admin::Status {
+        proxy: "p1".into(),
+        config_version: 4,
+        ready: true,
+        groups: Vec::new(),
+        peers: Vec::new(),
+    };
+    let expected = status.clone();
+    let explain = |query: extract::Query<ExplainQuery>| async move {
+        if query.service != "ledger" {
+            return (http::StatusCode::NOT_FOUND, "unknown service").into_response();
+        }
+        axum::Json(admin::Explanation {
+            class: None,
+            kind: "read".into(),
+            member: Some("a".into()),
+            reason: query.sql.clone().into(),
+            floor: None,
+        })
+        .into_response()
+    };
+    let router = Router::new()
+        .route(
+            admin::STATUS_PATH,
+            routing::get(|| async { axum::Json(status) }),
+        )
+        .route(admin::EXPLAIN_PATH, routing::get(explain));
+    let client = admin::Client::new(&serve(router).await).unwrap();
+    assert_eq!(client.status().await.unwrap(), expected);
+    let sql = "SELECT '&=', 1 + 1";
+    assert_eq!(&*client.explain("ledger", sql).await.unwrap().reason, sql);
+    let error = client.explain("other", sql).await.unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "proxy refuses with status 404: unknown service"
+    );
+}
