The operators' command: check, submit, show, audit, status and explain

Flags go before environment variables. Findings are printed to standard output, log lines to standard error; exit status 0 done, 1 refused, 2 usage. Tests run the binary for check, usage and unreachable servers; submit, show and audit are covered by the library's tests on a fake platform.

--- a/crates/config/src/finding.rs
+++ b/crates/config/src/finding.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use serde::Serialize;
+use serde::{Serialize, ser::SerializeStruct};
 
 use crate::verifier;
 
@@ -167,6 +167,17 @@
     }
 }
 
+/// As place, message, and the problem with its fields.
+impl Serialize for Finding {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut fields = serializer.serialize_struct("Finding", 3)?;
+        fields.serialize_field("place", &self.place)?;
+        fields.serialize_field("message", &self.problem.to_string())?;
+        fields.serialize_field("problem", &self.problem)?;
+        fields.end()
+    }
+}
+
 impl fmt::Display for Findings {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{} finding(s)", self.0.len())?;
--- /dev/null
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/mod.rs
@@ -0,0 +1,49 @@
+//! The subcommands, one file each.
+
+use std::{fs, future::Future, path};
+
+use fulmarlift_config::model;
+
+use crate::{error, flags};
+
+mod about;
+mod audit;
+mod check;
+mod explain;
+mod show;
+mod status;
+mod submit;
+
+/// Runs the subcommand that the flags name.
+pub fn run(flags: flags::Fulmarlift) -> Result<(), error::Error> {
+    let platform = flags.platform.as_deref();
+    let json = flags.json;
+    match flags.subcommand {
+        flags::FulmarliftCmd::About(about) => about::run(&about),
+        flags::FulmarliftCmd::Check(check) => check::run(&check, json),
+        flags::FulmarliftCmd::Submit(submit) => block_on(submit::run(&submit, platform, json)),
+        flags::FulmarliftCmd::Show(show) => block_on(show::run(&show, platform, json)),
+        flags::FulmarliftCmd::Audit(audit) => block_on(audit::run(&audit, platform, json)),
+        flags::FulmarliftCmd::Status(status) => block_on(status::run(&status, json)),
+        flags::FulmarliftCmd::Explain(explain) => block_on(explain::run(&explain, json)),
+    }
+}
+
+fn block_on(command: impl Future<Output = Result<(), error::Error>>) -> Result<(), error::Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.map_err(error::Error::Runtime)?.block_on(command)
+}
+
+/// Reads a document from a file.
+fn read_document(path: &path::Path) -> Result<model::Document, error::Error> {
+    let text = fs::read_to_string(path).map_err(|cause| error::Error::File {
+        path: path.into(),
+        cause,
+    })?;
+    model::Document::parse(&text).map_err(|cause| error::Error::Document {
+        path: path.into(),
+        cause,
+    })
+}
--- /dev/null
+++ b/crates/fulmarlift/tests/cli.rs
@@ -0,0 +1,196 @@
+//! The operators' command as a process: what it prints, and its exit status.
+
+use std::{fs, net, process};
+
+use fulmarlift_config::{builder, model, schema, verifier};
+
+const MEMBERS: [&str; 3] = ["a", "b", "c"];
+const VARIABLES: [&str; 5] = [
+    "FULMARLIFT_PLATFORM",
+    "FULMARLIFT_PROXY",
+    "FULMARLIFT_WHO",
+    "FULMARLIFT_LOG",
+    "USER",
+];
+
+/// What a run of the command left.
+struct Run {
+    status: i32,
+    stdout: String,
+    stderr: String,
+}
+
+/// Runs the command with only these of its variables in the environment.
+fn run(arguments: &[&str], variables: &[(&str, &str)]) -> Run {
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_fulmarlift"));
+    for name in VARIABLES {
+        command.env_remove(name);
+    }
+    let output = command
+        .args(arguments)
+        .envs(variables.iter().copied())
+        .output()
+        .unwrap();
+    Run {
+        status: output.status.code().expect("the command exits by itself"),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+fn sound() -> model::Document {
+    let member = |(index, name): (usize, &str)| {
+        builder::Member::new(name, &format!("10.0.0.{index}:5432"))
+            .domain("d1")
+            .connections(4)
+    };
+    builder::Document::new()
+        .region("r1", ["d1"])
+        .group(builder::Group::new("g1").members(MEMBERS.into_iter().enumerate().map(member)))
+        .caller("c1", verifier::Verifier::Trust)
+        .service(builder::Service::new("s1", "g1").caller("c1"))
+        .build()
+        .unwrap()
+}
+
+fn write(folder: &tempfile::TempDir, text: &str) -> String {
+    let path = folder.path().join("document.json");
+    fs::write(&path, text).unwrap();
+    path.to_str().unwrap().to_owned()
+}
+
+#[test]
+fn check_accepts_sound_document() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = write(&folder, &sound().to_json());
+    let run = run(&["check", &file], &[]);
+    assert_eq!((run.status, &*run.stderr), (0, ""));
+    assert_eq!(
+        run.stdout,
+        format!("{file}: no findings, digest {}\n", sound().digest())
+    );
+}
+
+#[test]
+fn check_prints_all_findings() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut document = sound();
+    document.groups[0].members[0].address = "nowhere".into();
+    document.services[0].group = "g9".into();
+    let run = run(&["check", &write(&folder, &document.to_json())], &[]);
+    assert_eq!(run.status, 1);
+    let places: Vec<_> = run
+        .stdout
+        .lines()
+        .filter_map(|line| line.split(": ").next())
+        .collect();
+    assert_eq!(
+        places,
+        ["groups[0].members[0].address", "services[0].group"]
+    );
+    assert!(run.stderr.contains("2 finding(s)"), "{}", run.stderr);
+}
+
+#[test]
+fn check_prints_findings_as_json() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut document = sound();
+    document.services[0].group = "g9".into();
+    let run = run(
+        &["check", "--json", &write(&folder, &document.to_json())],
+        &[],
+    );
+    assert_eq!(run.status, 1);
+    let report: serde_json::Value = serde_json::from_str(&run.stdout).unwrap();
+    let expected = serde_json::json!({"findings": [{
+        "place": "services[0].group",
+        "message": "unknown group \"g9\"",
+        "problem": {"kind": "unknown_name", "of": "group", "name": "g9"},
+    }]});
+    assert_eq!(report, expected);
+}
+
+#[test]
+fn check_says_where_text_is_no_document() {
+    let folder = tempfile::tempdir().unwrap();
+    let run = run(&["check", &write(&folder, "{\n\"regoins\": []}")], &[]);
+    assert_eq!(run.status, 1);
+    assert!(
+        run.stderr.contains("regoins") && run.stderr.contains("line 2"),
+        "{}",
+        run.stderr
+    );
+}
+
+#[test]
+fn check_prints_schema() {
+    let run = run(&["check", "--schema"], &[]);
+    assert_eq!((run.status, run.stdout), (0, schema::to_json()));
+}
+
+#[test]
+fn version_is_printed() {
+    let run = run(&["--version"], &[]);
+    let expected = concat!("fulmarlift ", env!("CARGO_PKG_VERSION"), "\n");
+    assert_eq!((run.status, &*run.stdout), (0, expected));
+}
+
+#[rstest::rstest]
+#[case::no_subcommand(&[], &[], "a subcommand is expected")]
+#[case::unknown_subcommand(&["chekc"], &[], "chekc")]
+#[case::no_file(&["check"], &[], "either a file or --schema")]
+#[case::missing_file(&["check", "/nonexistent/document.json"], &[], "/nonexistent/document.json")]
+#[case::no_base(&["submit", "document.json"], &[], "--base")]
+#[case::no_platform(&["show"], &[], "FULMARLIFT_PLATFORM")]
+#[case::empty_platform(&["audit"], &[("FULMARLIFT_PLATFORM", "")], "FULMARLIFT_PLATFORM")]
+#[case::bad_platform(&["show", "--platform", "ftp://x"], &[], "ftp://x")]
+#[case::flag_before_variable(
+    &["show", "--platform", "bad-flag"], &[("FULMARLIFT_PLATFORM", "bad-variable")], "bad-flag")]
+#[case::variable_without_flag(&["show"], &[("FULMARLIFT_PLATFORM", "bad-variable")], "bad-variable")]
+#[case::no_proxy(&["status"], &[], "FULMARLIFT_PROXY")]
+#[case::no_service(&["explain", "SELECT 1"], &[], "--service")]
+fn usage_is_refused(
+    #[case] arguments: &[&str],
+    #[case] variables: &[(&str, &str)],
+    #[case] expected: &str,
+) {
+    let run = run(arguments, variables);
+    assert_eq!((run.status, &*run.stdout), (2, ""), "{}", run.stderr);
+    assert!(run.stderr.contains(expected), "{}", run.stderr);
+}
+
+#[rstest::rstest]
+#[case::show(&["show"])]
+#[case::audit(&["audit", "--json"])]
+#[case::status(&["status"])]
+#[case::explain(&["explain", "--service", "s1", "SELECT 1"])]
+fn unreachable_is_refused(#[case] arguments: &[&str]) {
+    let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let run = run(
+        arguments,
+        &[("FULMARLIFT_PLATFORM", &url), ("FULMARLIFT_PROXY", &url)],
+    );
+    assert_eq!((run.status, &*run.stdout), (1, ""));
+    assert!(run.stderr.contains(&url), "{}", run.stderr);
+}
+
+#[test]
+fn submit_without_who_is_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = write(&folder, &sound().to_json());
+    let run = run(
+        &[
+            "submit",
+            &file,
+            "--base",
+            "0",
+            "--platform",
+            "http://127.0.0.1:1",
+        ],
+        &[],
+    );
+    assert_eq!(run.status, 2);
+    assert!(run.stderr.contains("FULMARLIFT_WHO"), "{}", run.stderr);
+}
--- a/crates/platform/src/platform.rs
+++ b/crates/platform/src/platform.rs
@@ -54,7 +54,7 @@
 pub enum Error {
     /// The platform is not reached, refuses for now, or its answer did not come in time. Whether a write took
     /// effect is unknown.
-    #[error("platform unavailable, outcome unknown: {0}")]
+    #[error("platform unavailable: {0}")]
     Unavailable(Box<str>),
     /// A check of the transaction failed; nothing happened.
     #[error("transaction did not happen: {} row(s) differ", .0.conflicts.len())]
--- a/crates/platform/src/publish.rs
+++ b/crates/platform/src/publish.rs
@@ -61,6 +61,12 @@
 }
 
 impl Audit {
+    /// When, in RFC 3339 notation and UTC.
+    pub fn when(&self) -> jiff::Timestamp {
+        let when_ms = i64::try_from(self.when_ms).unwrap_or(i64::MAX);
+        jiff::Timestamp::from_millisecond(when_ms).unwrap_or(jiff::Timestamp::MAX)
+    }
+
     /// The head row that was written with this audit row.
     pub fn head(&self) -> Head {
         Head {
--- a/crates/platform/src/publish/submit.rs
+++ b/crates/platform/src/publish/submit.rs
@@ -11,10 +11,7 @@
 
 use fulmarlift_config::{check, diff, finding, model};
 
-use super::{
-    AUDIT_TABLE, Audit, CONFIG_TABLE, HEAD_KEY, Head, Nonce,
-    read::{self, head_row},
-};
+use super::{AUDIT_TABLE, Audit, CONFIG_TABLE, HEAD_KEY, Head, Nonce, read};
 use crate::{
     message,
     platform::{self, Platform},
@@ -91,7 +88,10 @@
 pub async fn submit(platform: &impl Platform, submission: &Submission) -> Result<Head, Error> {
     check::check(&submission.document)?;
     let retry = submission.retry;
-    let row = retry.run(|| head_row(platform)).await.map_err(not_done)?;
+    let row = retry
+        .run(|| read::head_row(platform))
+        .await
+        .map_err(not_done)?;
     let in_force = row
         .as_ref()
         .map_or(model::UNACCEPTED, |row| row.value.version);
