--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -2,10 +2,7 @@
 
 use std::net;
 
-use crate::{
-    finding::{self, Finding, Findings, Problem},
-    model, names, verifier,
-};
+use crate::{finding, model, names, verifier};
 
 /// The fewest members of a group whose majority outlives the loss of one.
 pub const MIN_MEMBERS: usize = 3;
@@ -15,7 +12,7 @@
 /// # Errors
 ///
 /// All findings, in the document's order.
-pub fn check(document: &model::Document) -> Result<(), Findings> {
+pub fn check(document: &model::Document) -> Result<(), finding::Findings> {
     let mut checker = Checker {
         document,
         findings: Vec::new(),
@@ -25,7 +22,7 @@
     checker.callers();
     checker.read_classes();
     checker.services();
-    let findings = Findings(checker.findings);
+    let findings = finding::Findings(checker.findings);
     if findings.is_empty() {
         Ok(())
     } else {
@@ -35,12 +32,12 @@
 
 struct Checker<'a> {
     document: &'a model::Document,
-    findings: Vec<Finding>,
+    findings: Vec<finding::Finding>,
 }
 
 impl<'a> Checker<'a> {
-    fn report(&mut self, place: impl Into<Box<str>>, problem: Problem) {
-        self.findings.push(Finding {
+    fn report(&mut self, place: impl Into<Box<str>>, problem: finding::Problem) {
+        self.findings.push(finding::Finding {
             place: place.into(),
             problem,
         });
@@ -48,7 +45,7 @@
 
     fn report_zero(&mut self, place: String, value: u64) {
         if value == 0 {
-            self.report(place, Problem::Zero);
+            self.report(place, finding::Problem::Zero);
         }
     }
 
@@ -60,7 +57,7 @@
         for placed in malformed {
             self.report(
                 &*placed.place,
-                Problem::MalformedName {
+                finding::Problem::MalformedName {
                     of,
                     name: placed.text.into(),
                 },
@@ -71,7 +68,7 @@
 
     fn duplicates(&mut self, of: finding::Kind, given: &[names::Placed<'a>]) {
         for names::Duplicate { again, first } in names::duplicates(given) {
-            let problem = Problem::DuplicateName {
+            let problem = finding::Problem::DuplicateName {
                 of,
                 name: again.text.into(),
                 first: first.place.clone(),
@@ -90,7 +87,7 @@
         for placed in used.iter().filter(|placed| !is_known(placed.text)) {
             self.report(
                 &*placed.place,
-                Problem::UnknownName {
+                finding::Problem::UnknownName {
                     of,
                     name: placed.text.into(),
                 },
@@ -102,7 +99,7 @@
     fn tables(&mut self, place: &str, tables: &'a [Box<str>]) {
         let placed = names::listed(place, tables);
         for table in placed.iter().filter(|table| table.text.trim().is_empty()) {
-            self.report(&*table.place, Problem::EmptyTable);
+            self.report(&*table.place, finding::Problem::EmptyTable);
         }
         self.duplicates(finding::Kind::Table, &placed);
     }
@@ -117,7 +114,7 @@
         for (index, region) in regions.iter().enumerate() {
             let place = format!("regions[{index}].domains");
             if region.domains.is_empty() {
-                self.report(&*place, Problem::NoDomains);
+                self.report(&*place, finding::Problem::NoDomains);
             }
             domains.extend(names::listed(&place, &region.domains));
         }
@@ -153,7 +150,7 @@
             return;
         };
         if group.slots > member.connections {
-            let problem = Problem::SlotsAboveConnections {
+            let problem = finding::Problem::SlotsAboveConnections {
                 slots: group.slots,
                 member: format!("{place}.members[{index}]").into(),
                 connections: member.connections,
@@ -166,10 +163,13 @@
         if members < MIN_MEMBERS {
             self.report(
                 format!("{place}.members"),
-                Problem::TooFewMembers { members },
+                finding::Problem::TooFewMembers { members },
             );
         } else if members.is_multiple_of(2) {
-            self.report(format!("{place}.members"), Problem::EvenMembers { members });
+            self.report(
+                format!("{place}.members"),
+                finding::Problem::EvenMembers { members },
+            );
         }
     }
 
@@ -195,7 +195,7 @@
                     None => {
                         self.report(
                             place,
-                            Problem::MalformedAddress {
+                            finding::Problem::MalformedAddress {
                                 address: member.address.clone(),
                             },
                         );
@@ -204,7 +204,10 @@
                         Ok(found) => {
                             let first = seen[found].1.clone();
                             let address = member.address.clone();
-                            self.report(place, Problem::DuplicateAddress { address, first });
+                            self.report(
+                                place,
+                                finding::Problem::DuplicateAddress { address, first },
+                            );
                         }
                         Err(position) => seen.insert(position, (address, place.into())),
                     },
@@ -223,7 +226,7 @@
             if let Err(cause) = caller.verifier.parse::<verifier::Verifier>() {
                 self.report(
                     format!("callers[{index}].verifier"),
-                    Problem::MalformedVerifier { cause },
+                    finding::Problem::MalformedVerifier { cause },
                 );
             }
         }
@@ -242,7 +245,7 @@
         self.report_zero(format!("{place}.max_age_ms"), class.max_age_ms);
         self.tables(&format!("{place}.tables"), &class.tables);
         if class.tables.is_empty() {
-            let problem = Problem::AgeWithoutReads {
+            let problem = finding::Problem::AgeWithoutReads {
                 class: class.name.clone(),
                 max_age_ms: class.max_age_ms,
             };
@@ -256,7 +259,7 @@
         if !is_used {
             self.report(
                 place,
-                Problem::UnusedReadClass {
+                finding::Problem::UnusedReadClass {
                     class: class.name.clone(),
                 },
             );
@@ -325,7 +328,7 @@
                 continue;
             };
             if services > member.connections as usize {
-                let problem = Problem::ServicesAboveConnections {
+                let problem = finding::Problem::ServicesAboveConnections {
                     group: group.name.clone(),
                     services,
                     member: format!("groups[{index}].members[{member_index}]").into(),
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -3,13 +3,15 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 use crate::model;
 
 const NAME_FIELD: &str = "name";
 const VERSION_FIELD: &str = "version";
 
+/// How much of a value is displayed.
+const MAX_VALUE_CHARS: usize = 160;
+
 /// A difference between two documents.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -17,10 +19,10 @@
     pub path: Box<str>,
     /// The value before; absent when it was added.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub before: Option<Value>,
+    pub before: Option<serde_json::Value>,
     /// The value after; absent when it was removed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub after: Option<Value>,
+    pub after: Option<serde_json::Value>,
 }
 
 /// The changes that lead from `before` to `after`, but for the version. Empty if and only if the digests are
@@ -31,9 +33,10 @@
     changes
 }
 
+/// Long values are cut; the fields have them whole.
 impl fmt::Display for Change {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match (&self.before, &self.after) {
+        match (self.before.as_ref().map(cut), self.after.as_ref().map(cut)) {
             (Some(before), Some(after)) => write!(formatter, "{}: {before} -> {after}", self.path),
             (None, Some(after)) => write!(formatter, "{}: added {after}", self.path),
             (Some(before), None) => write!(formatter, "{}: removed {before}", self.path),
@@ -42,18 +45,35 @@
     }
 }
 
-fn to_value(document: &model::Document) -> Value {
+fn cut(value: &serde_json::Value) -> String {
+    let text = value.to_string();
+    match text.char_indices().nth(MAX_VALUE_CHARS) {
+        Some((end, _)) => format!("{}...", &text[..end]),
+        None => text,
+    }
+}
+
+fn to_value(document: &model::Document) -> serde_json::Value {
     let mut value = serde_json::to_value(document).expect("a document has only text keys");
-    if let Value::Object(fields) = &mut value {
+    if let serde_json::Value::Object(fields) = &mut value {
         fields.remove(VERSION_FIELD);
     }
     value
 }
 
-fn compare(path: &str, before: &Value, after: &Value, changes: &mut Vec<Change>) {
+fn compare(
+    path: &str,
+    before: &serde_json::Value,
+    after: &serde_json::Value,
+    changes: &mut Vec<Change>,
+) {
     match (before, after) {
-        (Value::Object(old), Value::Object(new)) => compare_fields(path, old, new, changes),
-        (Value::Array(old), Value::Array(new)) if all_named(old) && all_named(new) => {
+        (serde_json::Value::Object(old), serde_json::Value::Object(new)) => {
+            compare_fields(path, old, new, changes)
+        }
+        (serde_json::Value::Array(old), serde_json::Value::Array(new))
+            if all_named(old) && all_named(new) =>
+        {
             compare_lists(path, old, new, changes);
         }
         _ if before == after => {}
@@ -61,7 +81,7 @@
     }
 }
 
-type Fields = serde_json::Map<String, Value>;
+type Fields = serde_json::Map<String, serde_json::Value>;
 
 /// Compares the fields in alphabetical order. Both sides have all fields, as documents are written without
 /// leaving any out.
@@ -74,12 +94,17 @@
         } else {
             format!("{path}.{field}")
         };
-        let new = after.get(field).unwrap_or(&Value::Null);
+        let new = after.get(field).unwrap_or(&serde_json::Value::Null);
         compare(&field_path, &before[field], new, changes);
     }
 }
 
-fn compare_lists(path: &str, before: &[Value], after: &[Value], changes: &mut Vec<Change>) {
+fn compare_lists(
+    path: &str,
+    before: &[serde_json::Value],
+    after: &[serde_json::Value],
+    changes: &mut Vec<Change>,
+) {
     for old in before {
         let item_path = format!("{path}[{}]", name(old));
         match find(after, name(old)) {
@@ -95,13 +120,24 @@
 
 /// Compares the order of the items on both sides, and with it what else name matching doesn't see: a new item
 /// that is not at the end, and a name that stands twice.
-fn compare_order(path: &str, before: &[Value], after: &[Value], changes: &mut Vec<Change>) {
+fn compare_order(
+    path: &str,
+    before: &[serde_json::Value],
+    after: &[serde_json::Value],
+    changes: &mut Vec<Change>,
+) {
     let kept = before.iter().filter(|old| find(after, name(old)).is_some());
     let added = after.iter().filter(|new| find(before, name(new)).is_none());
     let expected: Vec<&str> = kept.chain(added).map(name).collect();
     let found: Vec<&str> = after.iter().map(name).collect();
     if expected != found {
-        let names = |items: &[Value]| items.iter().map(name).map(Value::from).collect::<Vec<_>>();
+        let names = |items: &[serde_json::Value]| {
+            items
+                .iter()
+                .map(name)
+                .map(serde_json::Value::from)
+                .collect::<Vec<_>>()
+        };
         push(
             path,
             Some(&names(before).into()),
@@ -111,7 +147,12 @@
     }
 }
 
-fn push(path: &str, before: Option<&Value>, after: Option<&Value>, changes: &mut Vec<Change>) {
+fn push(
+    path: &str,
+    before: Option<&serde_json::Value>,
+    after: Option<&serde_json::Value>,
+    changes: &mut Vec<Change>,
+) {
     changes.push(Change {
         path: path.into(),
         before: before.cloned(),
@@ -119,18 +160,19 @@
     });
 }
 
-fn all_named(items: &[Value]) -> bool {
-    items
-        .iter()
-        .all(|item| item.get(NAME_FIELD).is_some_and(Value::is_string))
+fn all_named(items: &[serde_json::Value]) -> bool {
+    items.iter().all(|item| {
+        item.get(NAME_FIELD)
+            .is_some_and(serde_json::Value::is_string)
+    })
 }
 
-fn name(item: &Value) -> &str {
+fn name(item: &serde_json::Value) -> &str {
     item.get(NAME_FIELD)
-        .and_then(Value::as_str)
+        .and_then(serde_json::Value::as_str)
         .unwrap_or_default()
 }
 
-fn find<'a>(items: &'a [Value], wanted: &str) -> Option<&'a Value> {
+fn find<'a>(items: &'a [serde_json::Value], wanted: &str) -> Option<&'a serde_json::Value> {
     items.iter().find(|item| name(item) == wanted)
 }
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -205,6 +205,20 @@
     assert_eq!(found, expected);
 }
 
+#[test]
+fn diff_cuts_long_values_in_display_only() {
+    let change = diff::Change {
+        path: "p".into(),
+        before: None,
+        after: Some("é".repeat(200).into()),
+    };
+    assert_eq!(
+        change.to_string(),
+        format!("p: added \"{}...", "é".repeat(159))
+    );
+    assert_eq!(change.after.unwrap().as_str().unwrap().chars().count(), 200);
+}
+
 #[test]
 fn diff_sees_order() {
     let found = changed(|document| document.regions.reverse());
--- a/crates/config/tests/verifier.rs
+++ b/crates/config/tests/verifier.rs
@@ -1,7 +1,7 @@
 //! Verifiers against the vector of RFC 7677, and malformed ones.
 
 use base64::Engine;
-use fulmarlift_config::verifier::{self, Verifier};
+use fulmarlift_config::verifier;
 use sha2::Digest;
 
 /// The verifier of the example exchange of RFC 7677: its salt and iterations, for the password `pencil`.
@@ -28,13 +28,13 @@
         .to_vec()
 }
 
-fn rfc_verifier() -> Verifier {
-    Verifier::from_password("pencil", &decode(RFC_SALT), 4_096)
+fn rfc_verifier() -> verifier::Verifier {
+    verifier::Verifier::from_password("pencil", &decode(RFC_SALT), 4_096)
 }
 
 #[test]
 fn from_password_agrees_with_rfc() {
-    let Verifier::Scram(scram) = rfc_verifier() else {
+    let verifier::Verifier::Scram(scram) = rfc_verifier() else {
         panic!("expected keys")
     };
     assert_eq!(
@@ -55,15 +55,18 @@
 
 #[rstest::rstest]
 #[case::scram(rfc_verifier())]
-#[case::trust(Verifier::Trust)]
-fn parse_reads_what_display_wrote(#[case] verifier: Verifier) {
+#[case::trust(verifier::Verifier::Trust)]
+fn parse_reads_what_display_wrote(#[case] verifier: verifier::Verifier) {
     assert_eq!(verifier.to_string().parse(), Ok(verifier));
 }
 
 #[test]
 fn from_password_normalizes_compatibility_characters() {
-    let composed = Verifier::from_password("\u{2168}", b"salt", 1);
-    assert_eq!(composed, Verifier::from_password("IX", b"salt", 1));
+    let composed = verifier::Verifier::from_password("\u{2168}", b"salt", 1);
+    assert_eq!(
+        composed,
+        verifier::Verifier::from_password("IX", b"salt", 1)
+    );
 }
 
 #[rstest::rstest]
@@ -87,12 +90,14 @@
 #[case::short_key("SCRAM-SHA-256$1:c2FsdA==$c2FsdA==:b",
     verifier::ParseError::KeyLength { part: "stored key", found_bytes: 4 })]
 fn parse_refuses(#[case] text: &str, #[case] expected: verifier::ParseError) {
-    assert_eq!(text.parse::<Verifier>(), Err(expected));
+    assert_eq!(text.parse::<verifier::Verifier>(), Err(expected));
 }
 
 #[test]
 fn parse_refuses_text_that_is_not_base64() {
-    let error = "SCRAM-SHA-256$1:*$a:b".parse::<Verifier>().unwrap_err();
+    let error = "SCRAM-SHA-256$1:*$a:b"
+        .parse::<verifier::Verifier>()
+        .unwrap_err();
     assert!(
         matches!(error, verifier::ParseError::Base64 { part: "salt", .. }),
         "{error}"
--- a/crates/fulmarlift/src/bin/fulmarlift/cmd/audit.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/audit.rs
@@ -21,6 +21,9 @@
     if json {
         return output::json(&trail);
     }
+    if trail.is_empty() {
+        return output::text("no configuration was accepted yet");
+    }
     output::text(&trail.iter().map(describe).collect::<Vec<_>>().join("\n"))
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -63,7 +63,7 @@
         url: reqwest::Url,
         body: Option<Vec<u8>>,
     ) -> Result<Answer, platform::Error> {
-        log::trace!(method:%, url:%; "platform call");
+        log::trace!("platform call method={method} url={url}");
         let mut request = self.http.request(method, url).timeout(self.timeout);
         if let Some(body) = body {
             request = request
--- a/crates/platform/src/publish/read.rs
+++ b/crates/platform/src/publish/read.rs
@@ -2,10 +2,10 @@
 
 use fulmarlift_config::model;
 
-use super::{AUDIT_TABLE, Audit, CONFIG_TABLE, HEAD_KEY, Head};
 use crate::{
     message,
     platform::{self, Platform},
+    publish,
 };
 
 /// Why a document could not be read.
@@ -40,7 +40,7 @@
 /// # Errors
 ///
 /// Those of the platform.
-pub async fn head(platform: &impl Platform) -> Result<Option<Head>, platform::Error> {
+pub async fn head(platform: &impl Platform) -> Result<Option<publish::Head>, platform::Error> {
     Ok(head_row(platform).await?.map(|row| row.value))
 }
 
@@ -51,8 +51,8 @@
 /// Those of the platform.
 pub async fn head_row(
     platform: &impl Platform,
-) -> Result<Option<message::Row<Head>>, platform::Error> {
-    platform.row(CONFIG_TABLE, HEAD_KEY).await
+) -> Result<Option<message::Row<publish::Head>>, platform::Error> {
+    platform.row(publish::CONFIG_TABLE, publish::HEAD_KEY).await
 }
 
 /// The document in an object, once its digest was checked.
@@ -100,11 +100,11 @@
 pub async fn audit(
     platform: &impl Platform,
     version: model::Version,
-) -> Result<Option<Audit>, platform::Error> {
+) -> Result<Option<publish::Audit>, platform::Error> {
     let row = platform
-        .row(AUDIT_TABLE, &super::audit_key(version))
+        .row(publish::AUDIT_TABLE, &publish::audit_key(version))
         .await?;
-    Ok(row.map(|row: message::Row<Audit>| row.value))
+    Ok(row.map(|row: message::Row<publish::Audit>| row.value))
 }
 
 /// The last audit rows, at most `limit`, the newest first.
@@ -115,11 +115,12 @@
 pub async fn audit_trail(
     platform: &impl Platform,
     limit: u32,
-) -> Result<Vec<Audit>, platform::Error> {
+) -> Result<Vec<publish::Audit>, platform::Error> {
     let newest = head(platform)
         .await?
         .map_or(model::UNACCEPTED, |head| head.version);
-    let after = super::audit_key(newest.saturating_sub(limit.into()));
-    let rows: Vec<message::Row<Audit>> = platform.rows(AUDIT_TABLE, &after, limit).await?;
+    let after = publish::audit_key(newest.saturating_sub(limit.into()));
+    let rows: Vec<message::Row<publish::Audit>> =
+        platform.rows(publish::AUDIT_TABLE, &after, limit).await?;
     Ok(rows.into_iter().rev().map(|row| row.value).collect())
 }
--- a/crates/platform/src/publish/submit.rs
+++ b/crates/platform/src/publish/submit.rs
@@ -11,10 +11,10 @@
 
 use fulmarlift_config::{check, diff, finding, model};
 
-use super::{AUDIT_TABLE, Audit, CONFIG_TABLE, HEAD_KEY, Head, Nonce, read};
 use crate::{
     message,
     platform::{self, Platform},
+    publish::{self, read},
     retry,
 };
 
@@ -30,7 +30,7 @@
     /// When, for the audit trail, in ms since 1970-01-01 UTC.
     pub when_ms: u64,
     /// Tells this submit from all others. See [`random_nonce`].
-    pub nonce: Nonce,
+    pub nonce: publish::Nonce,
     /// How often calls of unknown outcome are repeated.
     pub retry: retry::Retry,
 }
@@ -55,7 +55,7 @@
         /// The version the submit would have.
         version: model::Version,
         /// The submit's nonce.
-        nonce: Nonce,
+        nonce: publish::Nonce,
         /// The last failure.
         #[source]
         cause: platform::Error,
@@ -73,7 +73,7 @@
     /// The base that the submit named.
     pub base: model::Version,
     /// The head; `None` when nothing was accepted yet.
-    pub head: Option<Head>,
+    pub head: Option<publish::Head>,
     /// What changed from the base to the head; `None` when it can't be read, or the base never was.
     pub changes: Option<Vec<diff::Change>>,
     /// Whether the head is the very document that was to be submitted.
@@ -85,7 +85,10 @@
 /// # Errors
 ///
 /// [`Error`] says whether the document can have been accepted nevertheless.
-pub async fn submit(platform: &impl Platform, submission: &Submission) -> Result<Head, Error> {
+pub async fn submit(
+    platform: &impl Platform,
+    submission: &Submission,
+) -> Result<publish::Head, Error> {
     check::check(&submission.document)?;
     let retry = submission.retry;
     let row = retry
@@ -111,7 +114,7 @@
 }
 
 /// A nonce that no other submit has, from the operating system's randomness.
-pub fn random_nonce() -> Nonce {
+pub fn random_nonce() -> publish::Nonce {
     let random = || hash::RandomState::new().hash_one(time::SystemTime::now());
     format!("{:016x}{:016x}", random(), random()).into()
 }
@@ -119,7 +122,7 @@
 /// A submission on a head row that fits its base.
 struct Proposal<'a> {
     submission: &'a Submission,
-    head: Head,
+    head: publish::Head,
     document: model::Document,
     transaction: message::Transaction,
 }
@@ -127,7 +130,7 @@
 /// What has become of a proposal.
 enum Fate {
     Accepted,
-    Lost(Head),
+    Lost(publish::Head),
     Open,
 }
 
@@ -143,11 +146,11 @@
             ..submission.document.clone()
         };
         let digest = document.digest();
-        let head = Head {
+        let head = publish::Head {
             version,
             base: submission.base,
             who: submission.who.clone(),
-            object: super::object_name(version, &digest),
+            object: publish::object_name(version, &digest),
             digest,
             nonce: submission.nonce.clone(),
         };
@@ -179,7 +182,7 @@
     }
 
     /// Moves the head. Once an attempt's outcome is unknown, only the audit trail can tell what happened.
-    async fn commit(&self, platform: &impl Platform) -> Result<Head, Error> {
+    async fn commit(&self, platform: &impl Platform) -> Result<publish::Head, Error> {
         let mut unknown = None;
         for attempt in 1..=self.submission.retry.attempts.max(1) {
             match platform.transact(&self.transaction).await {
@@ -188,7 +191,7 @@
                     return self.conclude(platform, conflicts, unknown.is_some()).await;
                 }
                 Err(cause) if cause.outcome_unknown() => {
-                    log::warn!(attempt, cause:%; "outcome of the submit unknown");
+                    log::warn!("submit of unknown outcome attempt={attempt} cause=\"{cause}\"");
                     unknown = Some(cause);
                     self.submission.retry.pause_after(attempt).await;
                 }
@@ -210,7 +213,7 @@
         platform: &impl Platform,
         conflicts: message::Conflicts,
         tried_before: bool,
-    ) -> Result<Head, Error> {
+    ) -> Result<publish::Head, Error> {
         let seen = head_in(&conflicts);
         if !tried_before {
             return Err(race_lost(platform, self.submission, seen).await);
@@ -258,8 +261,8 @@
     Error::NotDone(cause.into())
 }
 
-fn audit_of(head: &Head, when_ms: u64, changes: Vec<diff::Change>) -> Audit {
-    Audit {
+fn audit_of(head: &publish::Head, when_ms: u64, changes: Vec<diff::Change>) -> publish::Audit {
+    publish::Audit {
         version: head.version,
         base: head.base,
         digest: head.digest.clone(),
@@ -271,8 +274,12 @@
     }
 }
 
-fn transaction(row_version: message::Version, head: &Head, audit: &Audit) -> message::Transaction {
-    let audit_key = super::audit_key(audit.version);
+fn transaction(
+    row_version: message::Version,
+    head: &publish::Head,
+    audit: &publish::Audit,
+) -> message::Transaction {
+    let audit_key = publish::audit_key(audit.version);
     let expect = |table: &str, key: &str, version| message::Check {
         table: table.into(),
         key: key.into(),
@@ -280,20 +287,22 @@
     };
     message::Transaction {
         checks: vec![
-            expect(CONFIG_TABLE, HEAD_KEY, row_version),
-            expect(AUDIT_TABLE, &audit_key, message::ABSENT),
+            expect(publish::CONFIG_TABLE, publish::HEAD_KEY, row_version),
+            expect(publish::AUDIT_TABLE, &audit_key, message::ABSENT),
         ],
         puts: vec![
-            message::Put::new(CONFIG_TABLE, HEAD_KEY, head),
-            message::Put::new(AUDIT_TABLE, &audit_key, audit),
+            message::Put::new(publish::CONFIG_TABLE, publish::HEAD_KEY, head),
+            message::Put::new(publish::AUDIT_TABLE, &audit_key, audit),
         ],
         deletes: Vec::new(),
     }
 }
 
 /// The head among the rows of a conflict.
-fn head_in(conflicts: &message::Conflicts) -> Option<Head> {
-    let is_head = |row: &&message::Conflict| &*row.table == CONFIG_TABLE && &*row.key == HEAD_KEY;
+fn head_in(conflicts: &message::Conflicts) -> Option<publish::Head> {
+    let is_head = |row: &&message::Conflict| {
+        &*row.table == publish::CONFIG_TABLE && &*row.key == publish::HEAD_KEY
+    };
     let row = conflicts.conflicts.iter().find(is_head)?;
     serde_json::from_value(row.value.clone()).ok()
 }
@@ -301,7 +310,7 @@
 async fn base_document(
     platform: &impl Platform,
     retry: retry::Retry,
-    row: Option<&message::Row<Head>>,
+    row: Option<&message::Row<publish::Head>>,
 ) -> Result<model::Document, read::Error> {
     match row {
         Some(row) => read_document(platform, retry, &row.value.object, &row.value.digest).await,
@@ -319,7 +328,11 @@
     read::parse_document(bytes, object, digest)
 }
 
-async fn race_lost(platform: &impl Platform, submission: &Submission, head: Option<Head>) -> Error {
+async fn race_lost(
+    platform: &impl Platform,
+    submission: &Submission,
+    head: Option<publish::Head>,
+) -> Error {
     let changes = match &head {
         Some(head) => changes_since(platform, submission, head).await,
         None => None,
@@ -338,7 +351,7 @@
 async fn changes_since(
     platform: &impl Platform,
     submission: &Submission,
-    head: &Head,
+    head: &publish::Head,
 ) -> Option<Vec<diff::Change>> {
     let retry = submission.retry;
     let base = match submission.base {
--- a/crates/platform/src/retry.rs
+++ b/crates/platform/src/retry.rs
@@ -40,7 +40,7 @@
         loop {
             match call().await {
                 Err(error) if error.outcome_unknown() && attempt < self.attempts => {
-                    log::warn!(attempt, error:%; "platform call failed, to be tried again");
+                    log::warn!("platform call failed attempt={attempt} error=\"{error}\"");
                     self.pause_after(attempt).await;
                     attempt += 1;
                 }
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -2,14 +2,14 @@
 
 use std::{net, time};
 
-use axum::{Router, extract, http, response::IntoResponse, routing};
+use axum::{extract, http, response::IntoResponse, routing};
 use fulmarlift_platform::{
     admin, client, message,
     platform::{self, Platform},
 };
 
 /// Serves the router on a free port until the test ends.
-async fn serve(router: Router) -> String {
+async fn serve(router: axum::Router) -> String {
     let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
         .await
         .unwrap();
@@ -21,7 +21,7 @@
 /// A client of a server that answers each call with this.
 async fn canned(status: u16, body: &'static str) -> client::Client {
     let status = http::StatusCode::from_u16(status).unwrap();
-    let url = serve(Router::new().fallback(move || async move { (status, body) })).await;
+    let url = serve(axum::Router::new().fallback(move || async move { (status, body) })).await;
     client::Client::new(&url).unwrap()
 }
 
@@ -38,7 +38,7 @@
             "key": key, "version": 1, "value": 1, "rows": [row], "vms": [],
         }))
     };
-    client::Client::new(&serve(Router::new().fallback(echo)).await).unwrap()
+    client::Client::new(&serve(axum::Router::new().fallback(echo)).await).unwrap()
 }
 
 #[tokio::test]
@@ -144,7 +144,7 @@
 
 #[tokio::test]
 async fn call_gives_up_on_silent_platform() {
-    let silent = Router::new().fallback(std::future::pending::<http::StatusCode>);
+    let silent = axum::Router::new().fallback(std::future::pending::<http::StatusCode>);
     let client = client::Client::new(&serve(silent).await).unwrap();
     let hurried = client.with_timeout(time::Duration::from_millis(20));
     let error = hurried.row::<u64>("claim", "g").await.unwrap_err();
@@ -206,7 +206,7 @@
         })
         .into_response()
     };
-    let router = Router::new()
+    let router = axum::Router::new()
         .route(
             admin::STATUS_PATH,
             routing::get(|| async { axum::Json(status) }),
--- a/crates/platform/tests/publish.rs
+++ b/crates/platform/tests/publish.rs
@@ -2,7 +2,6 @@
 
 mod fake;
 
-use fake::Fault;
 use fulmarlift_config::model;
 use fulmarlift_platform::{
     message,
@@ -170,13 +169,13 @@
 }
 
 #[rstest::rstest]
-#[case::at_first_attempt(&[Fault::AnswerLost])]
-#[case::twice(&[Fault::AnswerLost, Fault::AnswerLost])]
-#[case::at_every_attempt(&[Fault::AnswerLost, Fault::AnswerLost, Fault::AnswerLost])]
-#[case::after_refusal(&[Fault::Refused, Fault::AnswerLost])]
-#[case::at_last_attempt(&[Fault::Refused, Fault::Refused, Fault::AnswerLost])]
+#[case::at_first_attempt(&[fake::Fault::AnswerLost])]
+#[case::twice(&[fake::Fault::AnswerLost, fake::Fault::AnswerLost])]
+#[case::at_every_attempt(&[fake::Fault::AnswerLost, fake::Fault::AnswerLost, fake::Fault::AnswerLost])]
+#[case::after_refusal(&[fake::Fault::Refused, fake::Fault::AnswerLost])]
+#[case::at_last_attempt(&[fake::Fault::Refused, fake::Fault::Refused, fake::Fault::AnswerLost])]
 #[tokio::test]
-async fn submit_finds_lost_answer(#[case] faults: &[Fault]) {
+async fn submit_finds_lost_answer(#[case] faults: &[fake::Fault]) {
     let platform = fake::Fake::new();
     platform.script(faults.iter().copied());
     let head = submit::submit(&platform, &submission("n1", 0, "r1"))
@@ -203,7 +202,7 @@
         puts: vec![put],
         ..message::Transaction::default()
     });
-    platform.script([Fault::AnswerLost]);
+    platform.script([fake::Fault::AnswerLost]);
     let head = submit::submit(&platform, &submission("n1", 0, "r1"))
         .await
         .unwrap();
@@ -214,7 +213,11 @@
 #[tokio::test]
 async fn submit_says_outcome_unknown() {
     let platform = fake::Fake::new();
-    platform.script([Fault::Refused, Fault::Refused, Fault::Refused]);
+    platform.script([
+        fake::Fault::Refused,
+        fake::Fault::Refused,
+        fake::Fault::Refused,
+    ]);
     let error = submit::submit(&platform, &submission("n1", 0, "r1"))
         .await
         .unwrap_err();
