--- a/crates/fulmarlift/tests/cli.rs
+++ b/crates/fulmarlift/tests/cli.rs
@@ -1,8 +1,13 @@
 //! The operators' command as a process: what it prints, and its exit status.
 
-use std::{fs, net, process};
+use std::{
+    fs,
+    io::{Read, Write},
+    net, process, thread,
+};
 
 use fulmarlift_config::{builder, model, schema, verifier};
+use fulmarlift_platform::admin;
 
 const MEMBERS: [&str; 3] = ["a", "b", "c"];
 const VARIABLES: [&str; 5] = [
@@ -194,3 +199,110 @@
     assert_eq!(run.status, 2);
     assert!(run.stderr.contains("FULMARLIFT_WHO"), "{}", run.stderr);
 }
+
+/// Answers one HTTP request with this body. The answer is the server's URL and, once joined, the request's line.
+fn answer_once(body: String) -> (String, thread::JoinHandle<String>) {
+    let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = Vec::new();
+        while !request.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).unwrap();
+            request.push(byte[0]);
+        }
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        stream.write_all((head + &body).as_bytes()).unwrap();
+        String::from_utf8(request)
+            .unwrap()
+            .lines()
+            .next()
+            .unwrap()
+            .to_owned()
+    });
+    (url, server)
+}
+
+fn status() -> admin::Status {
+    let member = admin::MemberStatus {
+        name: "a".into(),
+        role: "primary".into(),
+        last_term: 7,
+        position: 1234,
+        lag: 0,
+        age_ms: None,
+        reachable: true,
+        connections_open: 3,
+        connections_busy: 1,
+    };
+    let group = admin::GroupStatus {
+        name: "g1".into(),
+        term: 7,
+        primary: Some("a".into()),
+        members: vec![member],
+    };
+    let peer = admin::PeerStatus {
+        proxy: "p2".into(),
+        domain: "d2".into(),
+        address: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 7000)),
+        alive: false,
+    };
+    admin::Status {
+        proxy: "p1".into(),
+        config_version: 4,
+        ready: true,
+        groups: vec![group],
+        peers: vec![peer],
+    }
+}
+
+#[test]
+fn status_prints_tables() {
+    let (url, server) = answer_once(serde_json::to_string(&status()).unwrap());
+    let run = run(&["status", "--proxy", &url], &[]);
+    assert_eq!((run.status, &*run.stderr), (0, ""));
+    assert_eq!(server.join().unwrap(), "GET /status HTTP/1.1");
+    let expected = "proxy p1, configuration 4, ready yes\n\n\
+        group g1, term 7, primary a\n\
+        MEMBER  ROLE     LAST_TERM  POSITION  LAG  AGE_MS  REACHABLE  OPEN  BUSY\n\
+        a       primary  7          1234      0    -       yes        3     1\n\n\
+        PEER  DOMAIN  ADDRESS         ALIVE\n\
+        p2    d2      127.0.0.1:7000  no\n";
+    assert_eq!(run.stdout, expected);
+}
+
+#[test]
+fn status_prints_json() {
+    let (url, server) = answer_once(serde_json::to_string(&status()).unwrap());
+    let run = run(&["status", "--json"], &[("FULMARLIFT_PROXY", &url)]);
+    server.join().unwrap();
+    assert_eq!(
+        serde_json::from_str::<admin::Status>(&run.stdout).unwrap(),
+        status()
+    );
+}
+
+#[test]
+fn explain_prints_reason() {
+    let explanation = admin::Explanation {
+        class: Some("k1".into()),
+        kind: "read".into(),
+        member: None,
+        reason: "no member has reached the floor".into(),
+        floor: Some("7:1234".into()),
+    };
+    let (url, server) = answer_once(serde_json::to_string(&explanation).unwrap());
+    let run = run(
+        &["explain", "--proxy", &url, "--service", "s1", "SELECT 1"],
+        &[],
+    );
+    assert_eq!((run.status, &*run.stderr), (0, ""));
+    assert_eq!(
+        server.join().unwrap(),
+        "GET /explain?service=s1&sql=SELECT+1 HTTP/1.1"
+    );
+    let expected = "kind    read\nclass   k1\nmember  -\nfloor   7:1234\n\
+        reason  no member has reached the floor\n";
+    assert_eq!(run.stdout, expected);
+}
