Demo: the whole system in one process, with a tour and a serving mode

Cause: a fresh machine had nothing to run. The tour writes through one proxy and reads through the other, cuts the primary off and counts rows afterwards. To be mended next: a request on a replaced primary is given up.

--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod groups;
 mod peers;
 mod requests;
+mod served;
 mod tick;
 
 use std::time::Instant;
@@ -22,6 +23,8 @@
 use crate::sorted;
 use crate::topology;
 
+pub use served::Served;
+
 /// Everything that a proxy's decisions rest on.
 #[derive(Clone, Debug)]
 pub struct State<P = route::Nearest> {
@@ -35,6 +38,7 @@
     admission: limit::Admission,
     peers: peer::Table,
     sequence: u64,
+    served: Served,
     draining: bool,
     drained: bool,
     next_ask: id::AskId,
@@ -74,6 +78,7 @@
             admission: limit::Admission::default(),
             peers: peer::Table::new(peers, now),
             sequence: 0,
+            served: Served::default(),
             draining: false,
             drained: false,
             next_ask: 0,
@@ -124,6 +129,11 @@
         &self.peers
     }
 
+    /// Returns who served the reads so far.
+    pub fn served(&self) -> Served {
+        self.served
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.requests.len()
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -161,6 +161,9 @@
             return;
         };
         active.stage = request::Stage::Running { conn, member };
+        if let Some(group) = self.groups.get(active.group) {
+            self.served.count(active.request.kind, group, member);
+        }
         effects.push(effect::Effect::Dispatch(effect::Dispatch {
             request: id,
             conn,
--- a/crates/fulmarlift/src/bin/fulmarlift/cmd/mod.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod about;
 mod audit;
 mod check;
+mod demo;
 mod explain;
 mod show;
 mod status;
@@ -21,6 +22,7 @@
     match flags.subcommand {
         flags::FulmarliftCmd::About(about) => about::run(&about),
         flags::FulmarliftCmd::Check(check) => check::run(&check, json),
+        flags::FulmarliftCmd::Demo(demo) => block_on(demo::run(&demo, json)),
         flags::FulmarliftCmd::Submit(submit) => block_on(submit::run(&submit, platform, json)),
         flags::FulmarliftCmd::Show(show) => block_on(show::run(&show, platform, json)),
         flags::FulmarliftCmd::Audit(audit) => block_on(audit::run(&audit, platform, json)),
@@ -30,7 +32,7 @@
 }
 
 fn block_on(command: impl Future<Output = Result<(), error::Error>>) -> Result<(), error::Error> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
+    let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build();
     runtime.map_err(error::Error::Runtime)?.block_on(command)
--- a/crates/fulmarlift/src/bin/fulmarlift/error.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/error.rs
@@ -53,6 +53,12 @@
     NoSuchVersion(model::Version),
     #[error("output: {0}")]
     Output(io::Error),
+    #[error("demo: {0}")]
+    System(#[from] fulmarlift::demo::Error),
+    #[error("demo: a statement failed: {0}")]
+    Statement(#[from] tokio_postgres::Error),
+    #[error("a check of the demo failed")]
+    Demo,
     #[error("tokio runtime: {0}")]
     Runtime(io::Error),
 }
--- a/crates/fulmarlift/src/bin/fulmarlift/flags.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/flags.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 xflags::xflags! {
@@ -27,6 +28,14 @@
             optional --schema
         }
 
+        /// Run a platform, a group of three members and two proxies in this process, and show what holds.
+        cmd demo {
+            /// Stay up until SIGTERM instead of running the tour.
+            optional --serve
+            /// Where the first proxy listens, IP:PORT; the second takes the next port. Any free ports when not given.
+            optional --listen address: SocketAddr
+        }
+
         /// Check a configuration and make it the version that is in force.
         cmd submit {
             /// The file; /dev/stdin for standard input.
--- a/crates/proxy/src/engine/mod.rs
+++ b/crates/proxy/src/engine/mod.rs
@@ -169,6 +169,11 @@
         self.run(&mut inner, event);
     }
 
+    /// Returns who served the reads so far.
+    pub fn served(&self) -> fulmarlift_core::state::Served {
+        self.lock().state.served()
+    }
+
     /// Returns the document in force.
     pub fn document(&self) -> Arc<document::Accepted> {
         Arc::clone(&self.lock().document)
