--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod conns;
 mod explain;
 mod groups;
+mod lending;
 mod peers;
 mod requests;
 mod served;
--- a/crates/core/src/status/member.rs
+++ b/crates/core/src/status/member.rs
@@ -8,10 +8,20 @@
 use crate::id;
 use crate::status::ask;
 
-/// Answers after which a silent member counts as unreachable.
-const DETECT_ROUND_TRIPS: u32 = 8;
+/// Round trips that a member is given to answer.
+const DETECT_ROUND_TRIPS: u32 = 4;
+/// Heartbeats that a member may miss before it counts as unreachable.
+const DETECT_HEARTBEATS: u32 = 3;
 /// Shortest silence after which a member counts as unreachable.
 const DETECT_MIN: Duration = Duration::from_millis(400);
+/// Round trips after which an answer is overdue.
+const OVERDUE_ROUND_TRIPS: u32 = 2;
+/// Shortest time after which an answer is overdue.
+const OVERDUE_MIN: Duration = Duration::from_millis(20);
+/// Time that a replica is taken to need for an entry before any was measured.
+const CATCH_UP_GUESS: Duration = Duration::from_millis(5);
+/// Longest time that a replica is taken to need for an entry.
+const CATCH_UP_MAX: Duration = Duration::from_secs(2);
 /// Samples kept of the group's newest point over time.
 const FRESHNESS_SAMPLES: usize = 64;
 /// Shortest time between two samples.
@@ -26,10 +36,14 @@
     pub status: Option<event::Status>,
     /// Start of the newest question that was answered.
     pub answered_at: Option<Instant>,
+    /// When the newest report was received.
+    pub learned_at: Option<Instant>,
     /// Smoothed round trip time of immediate questions.
     pub round_trip: Duration,
     /// Silence past this instant makes the member unreachable.
     pub suspect_at: Instant,
+    /// Silence after an answer that makes the member unreachable.
+    pub detect_timeout: Duration,
     /// Whether the member answers.
     pub reachable: bool,
     /// Questions under way.
@@ -40,6 +54,8 @@
     pub backoff_until: Instant,
     /// Log entries applied a second, smoothed.
     pub entries_per_second: f64,
+    /// Time that held questions waited for their position, smoothed.
+    pub catch_up: Duration,
 }
 
 impl Member {
@@ -49,13 +65,16 @@
             id,
             status: None,
             answered_at: None,
+            learned_at: None,
             round_trip: Duration::ZERO,
             suspect_at: now + DETECT_MIN,
+            detect_timeout: DETECT_MIN,
             reachable: false,
             asks: ask::Asks::default(),
             heartbeat_at: now,
             backoff_until: now,
             entries_per_second: 0.0,
+            catch_up: CATCH_UP_GUESS,
         }
     }
 
@@ -69,23 +88,78 @@
         if ask.min_position == 0 {
             self.learn_round_trip(now - ask.started_at);
         }
-        self.learn_rate(now, status);
-        let newer = self.answered_at.is_none_or(|at| at <= ask.started_at);
-        if newer || self.status.is_none_or(|known| known.term <= status.term) {
-            self.status = Some(status);
+        if ask.min_position > 0 {
+            let waited = (now - ask.started_at).saturating_sub(self.round_trip);
+            self.learn_catch_up(waited, status.last.position >= ask.min_position);
         }
+        self.learn_rate(now, status);
+        self.learn(now, Some(ask.started_at), status);
         self.answered_at = self.answered_at.max(Some(ask.started_at));
-        self.suspect_at = now + self.detect_timeout();
+        self.suspect_at = now + self.detect_timeout;
         !std::mem::replace(&mut self.reachable, true)
     }
 
+    /// Takes in a report that may have been overtaken by others.
+    ///
+    /// One that was asked for after the known report had arrived is newer, whatever it says: a member
+    /// that lost its log reports less than before. Of two that crossed, the further one is kept, since a
+    /// member's term and its log within one term only grow.
+    pub fn learn(&mut self, now: Instant, asked_at: Option<Instant>, status: event::Status) {
+        let later = match (asked_at, self.learned_at) {
+            (Some(asked_at), Some(learned_at)) => asked_at >= learned_at,
+            (_, learned_at) => learned_at.is_none(),
+        };
+        let further = self.status.is_none_or(|known| rank(known) <= rank(status));
+        if later || further {
+            self.status = Some(status);
+            self.learned_at = Some(now);
+        }
+    }
+
+    /// Returns whether the member may still answer in time, although it has not yet.
+    pub fn pending(&self, now: Instant) -> bool {
+        !self.reachable && now < self.suspect_at
+    }
+
+    /// Returns whether no immediate question is under way whose answer may still be expected. One at a
+    /// time serves all that wait, whatever the load; one that is overdue holds up nothing.
+    pub fn may_ask(&self, now: Instant) -> bool {
+        let overdue = self.round_trip * OVERDUE_ROUND_TRIPS + OVERDUE_MIN;
+        let newest = self.asks.newest();
+        self.asks.has_room() && newest.is_none_or(|sent_at| now >= sent_at + overdue)
+    }
+
+    /// Gives the member its full time to answer from now on.
+    pub fn grant_time(&mut self, now: Instant) {
+        self.suspect_at = self.suspect_at.max(now + self.detect_timeout);
+        self.heartbeat_at = self.heartbeat_at.min(now);
+    }
+
     /// Marks the member unreachable once it has been silent for too long; returns whether it just became so.
     pub fn expire(&mut self, now: Instant) -> bool {
         now >= self.suspect_at && std::mem::replace(&mut self.reachable, false)
     }
 
-    fn detect_timeout(&self) -> Duration {
-        DETECT_MIN.max(self.round_trip * DETECT_ROUND_TRIPS)
+    /// Adapts the time that the member is given to the link and to the pace of heartbeats.
+    pub fn set_pace(&mut self, heartbeat: Duration) {
+        let timeout = self.round_trip * DETECT_ROUND_TRIPS + heartbeat * DETECT_HEARTBEATS;
+        self.detect_timeout = timeout.max(DETECT_MIN);
+    }
+
+    /// Estimates when the member's log will reach a position, from now on.
+    pub fn catch_up(&self, now: Instant, position: id::Position) -> Duration {
+        let asked = self.asks.held.filter(|ask| ask.min_position <= position);
+        // What has taken long already is expected to take as long again.
+        let waited = asked.map(|ask| now.saturating_duration_since(ask.started_at));
+        let waited = waited.unwrap_or_default().saturating_sub(self.round_trip);
+        self.catch_up.max(waited)
+    }
+
+    fn learn_catch_up(&mut self, waited: Duration, reached: bool) {
+        self.catch_up = match reached {
+            true => self.catch_up * 3 / 4 + waited / 4,
+            false => (self.catch_up.max(waited) * 2).min(CATCH_UP_MAX),
+        };
     }
 
     fn learn_round_trip(&mut self, sample: Duration) {
@@ -108,6 +182,11 @@
     }
 }
 
+/// Orders reports of one member that crossed on their way.
+fn rank(status: event::Status) -> (id::Term, bool, floor::Point) {
+    (status.term, status.primary, status.last)
+}
+
 /// The group's newest known point over time, from which a member's age follows.
 #[derive(Clone, Debug, Default)]
 pub struct Freshness {
--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -2,13 +2,15 @@
 //! read index and confirmation of commits.
 
 mod ask;
+mod awaits;
 mod confirm;
 mod index;
 mod member;
 mod watch;
 
 pub use ask::{Ask, Asks};
-pub use confirm::Confirmations;
+pub use awaits::Awaits;
+pub use confirm::{Confirmations, Decided};
 pub use index::Indexes;
 pub use member::{Freshness, Member};
-pub use watch::{Outcome, Watch};
+pub use watch::{Outcome, Pace, Watch};
