Give up at once what runs on a replaced or unreachable member

Cause: after a failover a write in flight at the cut-off primary waited for its own deadline of 5 s, though it could no longer be acknowledged; a read on an unreachable member waited as well. Ruled out: the promotion itself (over within 0.6 s by the log). Now a new primary interrupts writes that run elsewhere (08007 at once) and an unreachable member's reads go to another one; writes on a member that is only silent go on, since it may be paused. A commit's confirmation also gets its own time: that of a long transaction had passed before it began.

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -24,6 +24,8 @@
     },
     /// Answer that the outcome is unknown.
     Unconfirmed(id::RequestId),
+    /// Give up what the request runs; the connection is returned with the outcome.
+    Interrupt(id::RequestId),
     /// Open a connection to a member.
     Open {
         /// The connection.
--- a/crates/core/src/state/explain.rs
+++ b/crates/core/src/state/explain.rs
@@ -39,7 +39,7 @@
             request::Kind::Read { fresh_since: None } => group.watch.newest(),
             _ => Default::default(),
         };
-        let candidates = group.candidates(config, &self.identity.place, &active, floor);
+        let candidates = group.candidates(now, config, &self.identity.place, &active, floor);
         let question = route::Question {
             now,
             kind,
--- a/crates/core/src/state/groups.rs
+++ b/crates/core/src/state/groups.rs
@@ -75,6 +75,7 @@
             reachable,
         }));
         if !reachable {
+            self.interrupt_reads(owner, effects);
             self.requeue(now, owner, effects);
         }
     }
@@ -90,6 +91,7 @@
         let member = primary.id;
         if group.primary != Some((term, member)) {
             group.primary = Some((term, member));
+            self.interrupt_replaced(id, member, effects);
             effects.push(effect::Effect::Record(effect::Record::Primary {
                 group: id,
                 term,
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod conns;
 mod explain;
 mod groups;
+mod interrupt;
 mod lending;
 mod peers;
 mod requests;
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -249,6 +249,12 @@
             return;
         };
         active.stage = request::Stage::Confirming(point);
+        // A transaction may have taken longer than a request is given; its confirmation has its own time.
+        let service = self.topology.services.get(active.request.service);
+        if let Some(service) = service {
+            let deadline = now + service.limits.request_timeout;
+            active.request.deadline = active.request.deadline.max(deadline);
+        }
         let group = active.group;
         if let Some(state) = self.groups.get_mut(group) {
             state.watch.confirmations.add(id, point, member);
--- a/crates/proxy/src/caller/relay.rs
+++ b/crates/proxy/src/caller/relay.rs
@@ -6,6 +6,7 @@
 use fulmarlift_core::floor;
 use fulmarlift_wire::{frame, stream};
 use pgwire::messages::PgWireBackendMessage;
+use tokio::sync::oneshot;
 use tokio::time;
 
 use crate::caller::batch::{Batch, Expect, Translated};
@@ -30,6 +31,8 @@
     pub caller: &'a mut CallerStream,
     /// The connection to the member.
     pub backend: &'a mut member::Backend,
+    /// Is told when the request is to be given up.
+    pub interrupted: &'a mut oneshot::Receiver<()>,
     /// The caller's prepared statements.
     pub statements: &'a mut Statements,
     /// When the next message of the member must have arrived.
@@ -78,6 +81,9 @@
     /// The member closed the connection.
     #[error("the member closed the connection")]
     MemberGone,
+    /// The member was replaced or cannot be reached.
+    #[error("the member was replaced or cannot be reached")]
+    Replaced,
     /// The member did not answer in time.
     #[error("the member did not answer in time")]
     Silent,
@@ -126,6 +132,7 @@
             deadline: link.first_byte_by,
             progress: link.progress,
             backend: &mut link.backend,
+            interrupted: &mut link.interrupted,
             hide_not_primary,
             expects: VecDeque::new(),
             parses: VecDeque::new(),
@@ -229,6 +236,7 @@
                 Ok(None) => Err(Error::CallerGone),
                 Err(error) => Err(Error::Caller(error)),
             },
+            Ok(()) = &mut *self.interrupted => Err(Error::Replaced),
             () = time::sleep_until(deadline), if !self.caller_speaks => Err(Error::Silent),
         }
     }
--- a/crates/proxy/src/caller/requests.rs
+++ b/crates/proxy/src/caller/requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_core::{effect, event, floor, request};
+use fulmarlift_core::{event, floor, request};
 use fulmarlift_wire::{answer, backend, class};
 
 use crate::caller::local;
@@ -12,7 +12,6 @@
 use crate::caller::session::{Error, Link, Session, Work};
 use crate::caller::sessions::Target;
 use crate::engine;
-use crate::member;
 
 /// Time that a request may take at a service that is no longer configured.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -24,6 +23,11 @@
         mut link: Link,
     ) -> Result<(), Error> {
         link.first_byte_by = Instant::now() + link.progress;
+        if link.interrupted.try_recv().is_ok() {
+            // The member was replaced between two statements; nothing of this one is sent.
+            self.give_up(link);
+            return self.fail(&work, relay::Error::Replaced, false).await;
+        }
         match self.relay(&work, &mut link, false).await {
             Ok(report) => self.finish(&work, link, report).await,
             Err(failure) => {
@@ -41,7 +45,7 @@
         let (_, mut waiter) = self.engine.submit(submission);
         loop {
             let mut link = match waiter.await {
-                Ok(engine::Notice::Dispatch(dispatch, backend)) => self.link(dispatch, backend),
+                Ok(engine::Notice::Dispatch(dispatched)) => self.link(dispatched),
                 Ok(engine::Notice::Refuse(refuse)) => {
                     let answer = outcome::refused(&self.identity.service_name, refuse);
                     return self.answer_error(&work, answer).await;
@@ -103,7 +107,12 @@
         }
     }
 
-    fn link(&self, dispatch: effect::Dispatch, backend: Box<member::Backend>) -> Link {
+    fn link(&self, dispatched: engine::Dispatched) -> Link {
+        let engine::Dispatched {
+            dispatch,
+            backend,
+            interrupted,
+        } = dispatched;
         let key = backend.connection.key.clone();
         let address = backend.address;
         self.registration
@@ -112,6 +121,7 @@
             request: dispatch.request,
             conn: dispatch.conn,
             backend,
+            interrupted,
             first_byte_by: dispatch.first_byte_by,
             progress: dispatch.deadline.saturating_duration_since(Instant::now()),
         }
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -5,7 +5,7 @@
 
 use fulmarlift_core::id;
 use fulmarlift_wire::{answer, class, frame, handshake};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 use crate::caller::batch::Batch;
 use crate::caller::listen;
@@ -43,6 +43,8 @@
     pub conn: id::ConnId,
     /// The connection.
     pub backend: Box<member::Backend>,
+    /// Is told when the request is to be given up.
+    pub interrupted: oneshot::Receiver<()>,
     /// When the first byte of the answer must have arrived.
     pub first_byte_by: Instant,
     /// Time that the member is given for each message.
--- a/crates/proxy/src/engine/mod.rs
+++ b/crates/proxy/src/engine/mod.rs
@@ -18,7 +18,7 @@
 use crate::member;
 use crate::settings;
 
-pub use notice::Notice;
+pub use notice::{Dispatched, Notice};
 pub use run::Tasks;
 pub use view::{GroupView, MemberView, PeerView, StatusView};
 
@@ -43,6 +43,7 @@
 struct Inner {
     state: fulmarlift_core::State,
     waiters: sorted::Map<id::RequestId, oneshot::Sender<Notice>>,
+    interrupts: sorted::Map<id::RequestId, oneshot::Sender<()>>,
     idle: sorted::Map<id::ConnId, Box<member::Backend>>,
     document: Arc<document::Accepted>,
     next_request: id::RequestId,
@@ -79,6 +80,7 @@
         let inner = Inner {
             state,
             waiters: sorted::Map::default(),
+            interrupts: sorted::Map::default(),
             idle: sorted::Map::default(),
             document: Arc::default(),
             next_request: 0,
@@ -131,6 +133,7 @@
         backend: Box<member::Backend>,
     ) -> Waiter {
         let mut inner = self.lock();
+        inner.interrupts.remove(returned.request);
         let (sender, waiter) = oneshot::channel();
         if !matches!(
             returned.outcome,
--- a/crates/proxy/src/engine/run.rs
+++ b/crates/proxy/src/engine/run.rs
@@ -5,9 +5,9 @@
 
 use fulmarlift_core::{effect, event, id, peer};
 use fulmarlift_platform::client;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
-use crate::engine::{Engine, Inner, Notice};
+use crate::engine::{Dispatched, Engine, Inner, Notice};
 use crate::member;
 use crate::platform;
 
@@ -49,6 +49,12 @@
                 point,
             } => notify(inner, request, Notice::Acknowledge(group, point)),
             effect::Effect::Unconfirmed(request) => notify(inner, request, Notice::Unconfirmed),
+            effect::Effect::Interrupt(request) => {
+                if let Some(interrupt) = inner.interrupts.remove(request) {
+                    // The request may have ended meanwhile.
+                    let _ = interrupt.send(());
+                }
+            }
             effect::Effect::Open {
                 conn,
                 member,
@@ -171,14 +177,25 @@
     let backend = inner.idle.remove(dispatch.conn);
     let backend = backend.and_then(open);
     let unsent = match (waiter, backend) {
-        (Some(waiter), Some(backend)) => match waiter.send(Notice::Dispatch(dispatch, backend)) {
-            Ok(()) => return,
-            Err(Notice::Dispatch(_, backend)) => {
-                inner.idle.insert(dispatch.conn, backend);
-                (true, event::Outcome::Answered)
+        (Some(waiter), Some(backend)) => {
+            let (interrupt, interrupted) = oneshot::channel();
+            let dispatched = Dispatched {
+                dispatch,
+                backend,
+                interrupted,
+            };
+            match waiter.send(Notice::Dispatch(dispatched)) {
+                Ok(()) => {
+                    inner.interrupts.insert(dispatch.request, interrupt);
+                    return;
+                }
+                Err(Notice::Dispatch(unsent)) => {
+                    inner.idle.insert(dispatch.conn, unsent.backend);
+                    (true, event::Outcome::Answered)
+                }
+                Err(_) => return,
             }
-            Err(_) => return,
-        },
+        }
         // The connection has ended while it was idle; the request goes elsewhere.
         (Some(waiter), _) => {
             inner.waiters.insert(dispatch.request, waiter);
