--- /dev/null
+++ b/crates/wire/tests/handshake_fuzz.rs
@@ -0,0 +1,72 @@
+//! Startups from random pieces: an error or a login, never a panic, and never more read than is allowed.
+
+use std::time::Duration;
+
+use fulmarlift_wire::handshake::{self, Accepted, Login};
+use fulmarlift_wire::scram;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+/// Longer than any case takes.
+const CASE_DEADLINE: Duration = Duration::from_secs(30);
+
+fn pieces() -> impl Strategy<Value = Vec<u8>> {
+    let startup = b"\0\0\0\x16\0\x03\0\0user\0courier\0\0".to_vec();
+    let piece = prop_oneof![
+        3 => Just(startup),
+        1 => Just(b"\0\0\0\x08\x04\xd2\x16\x2f".to_vec()),
+        1 => Just(b"\0\0\0\x08\x04\xd2\x16\x30".to_vec()),
+        1 => Just(b"\0\0\0\x10\x04\xd2\x16\x2e\0\0\0\x01\0\0\0\x02".to_vec()),
+        1 => Just(b"\0\0\0\x10\0\x03\0\0user\0c\0\0".to_vec()),
+        1 => Just(b"p\0\0\0\x22SCRAM-SHA-256\0\0\0\0\x0cn,,n=,r=abcd".to_vec()),
+        1 => Just(b"p\0\0\0\x08c=bi".to_vec()),
+        1 => Just(b"p\0\0\xff\xff".to_vec()),
+        1 => prop::collection::vec(any::<u8>(), 0..24),
+    ];
+    prop::collection::vec(piece, 0..6).prop_map(|pieces| pieces.concat())
+}
+
+fn verify(user: &str) -> Login {
+    match user {
+        "courier" => Login::Scram(scram::Verifier::mock(b"secret", user)),
+        _ => Login::Unknown,
+    }
+}
+
+async fn accept(sent: Vec<u8>) -> Result<Accepted, handshake::Error> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut caller = TcpStream::connect(listener.local_addr().unwrap())
+        .await
+        .unwrap();
+    let (tcp, _) = listener.accept().await.unwrap();
+    caller.write_all(&sent).await.unwrap();
+    caller.shutdown().await.unwrap();
+    handshake::accept(tcp, None, Instant::now() + CASE_DEADLINE, verify).await
+}
+
+#[test]
+fn accept_random_pieces() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let config = Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let outcome = TestRunner::new(config).run(&pieces(), |sent| {
+        match runtime.block_on(accept(sent)) {
+            // Nobody knows a password that fits the verifiers above.
+            Ok(Accepted::Session(_)) => prop_assert!(false, "logged in without a password"),
+            Ok(Accepted::Cancel(_)) => {}
+            Err(error) => prop_assert!(!matches!(error, handshake::Error::Deadline)),
+        }
+        Ok(())
+    });
+    outcome.unwrap();
+}
