Large rows and copy data pass in pieces

A frame of any size whose tag the reader names is given in pieces as they arrive, so that one large row neither fills memory nor meets the frame limit.

--- a/crates/wire/src/frame/mod.rs
+++ b/crates/wire/src/frame/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Frame`] keeps the bytes as they came, header included, so that rows and copy data pass through undecoded.
 //! [`Frame::decode_backend`] and [`Frame::decode_frontend`] hand a frame to the codecs of `pgwire` after
-//! [`shape`] has checked its layout, because those codecs read without bounds checks.
+//! a check of its layout, because those codecs read without bounds checks.
 
 mod codec;
 mod error;
--- a/crates/wire/src/stream/framed.rs
+++ b/crates/wire/src/stream/framed.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use futures::FutureExt;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio_util::codec::Decoder;
@@ -24,6 +24,35 @@
 /// Output buffers up to this size are kept between answers while the connection is busy.
 const KEEP_BYTES: usize = 1 << 10;
 
+/// Frames larger than this are given in pieces when they may be.
+const PIECE_BYTES: usize = 64 << 10;
+
+/// A frame or a piece of a large one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// A whole frame.
+    Frame(Frame),
+    /// Bytes of a large frame in their order, the first ones with its header.
+    ///
+    /// Once a piece has been passed on, the other side waits for the rest: when the rest does not come, that
+    /// connection can only be closed.
+    Piece {
+        /// The message type byte of the frame.
+        tag: u8,
+        /// The bytes.
+        bytes: Bytes,
+        /// Whether the frame ends with them.
+        is_last: bool,
+    },
+}
+
+/// A large frame of which some bytes are still to come.
+#[derive(Clone, Copy, Debug)]
+struct Unfinished {
+    tag: u8,
+    left_bytes: usize,
+}
+
 /// A stream that is read and written in frames.
 ///
 /// An idle stream holds no buffers: the first bytes of a message are read on the stack. Frames share the buffer they
@@ -36,6 +65,7 @@
     input: BytesMut,
     output: BytesMut,
     ended: bool,
+    unfinished: Option<Unfinished>,
 }
 
 impl<S: AsyncRead + AsyncWrite + Unpin> Framed<S> {
@@ -47,6 +77,7 @@
             input: BytesMut::new(),
             output: BytesMut::new(),
             ended: false,
+            unfinished: None,
         }
     }
 
@@ -68,6 +99,27 @@
         }
     }
 
+    /// The next frame, or the next piece when the frame is large and its tag is among `streamed`.
+    ///
+    /// A frame in pieces is not held as a whole and may be longer than the codec's limit. While one is unfinished
+    /// only this function may read.
+    pub async fn read_part(&mut self, streamed: &[u8]) -> Result<Option<Part>, Error> {
+        loop {
+            self.start_pieces(streamed)?;
+            if let Some(unfinished) = self.unfinished {
+                if !self.input.is_empty() {
+                    return Ok(Some(self.take_piece(unfinished)));
+                }
+            } else if let Some(frame) = self.decode_buffered()? {
+                return Ok(Some(Part::Frame(frame)));
+            }
+            if self.ended {
+                return self.end_of_parts();
+            }
+            self.fill().await?;
+        }
+    }
+
     /// The next frame when it has been read already; does not touch the stream.
     pub fn decode_buffered(&mut self) -> Result<Option<Frame>, Error> {
         let frame = self.codec.decode(&mut self.input)?;
@@ -158,6 +210,51 @@
         (self.stream, self.input)
     }
 
+    /// Notes a large frame at the start of the input that may be given in pieces.
+    fn start_pieces(&mut self, streamed: &[u8]) -> Result<(), Error> {
+        let may_start = self.unfinished.is_none() && !self.input.is_empty();
+        if !may_start || !streamed.contains(&self.input[0]) {
+            return Ok(());
+        }
+        let unlimited = Codec::new(usize::MAX);
+        if let Some(frame_bytes) = unlimited.frame_bytes(&self.input)?
+            && frame_bytes > PIECE_BYTES
+        {
+            self.unfinished = Some(Unfinished {
+                tag: self.input[0],
+                left_bytes: frame_bytes,
+            });
+        }
+        Ok(())
+    }
+
+    fn take_piece(&mut self, unfinished: Unfinished) -> Part {
+        let piece_bytes = unfinished.left_bytes.min(self.input.len());
+        let left_bytes = unfinished.left_bytes - piece_bytes;
+        let bytes = self.input.split_to(piece_bytes).freeze();
+        if self.input.is_empty() {
+            self.input = BytesMut::new();
+        }
+        let is_last = left_bytes == 0;
+        self.unfinished = (!is_last).then_some(Unfinished {
+            left_bytes,
+            ..unfinished
+        });
+        Part::Piece {
+            tag: unfinished.tag,
+            bytes,
+            is_last,
+        }
+    }
+
+    /// The stream may end between frames only.
+    fn end_of_parts(&mut self) -> Result<Option<Part>, Error> {
+        if self.unfinished.is_some() {
+            return Err(Error::Truncated { received_bytes: 0 });
+        }
+        Ok(self.codec.decode_eof(&mut self.input)?.map(Part::Frame))
+    }
+
     /// Reads what is there, at least one byte, or notes the end of the stream.
     async fn fill(&mut self) -> Result<(), Error> {
         let count = if self.input.is_empty() {
--- a/crates/wire/src/stream/mod.rs
+++ b/crates/wire/src/stream/mod.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio_rustls::{client, server};
 
-pub use framed::Framed;
+pub use framed::{Framed, Part};
 
 /// A stream over `T`, plain or under TLS. The TLS states are boxed so that a plain idle stream stays small.
 #[derive(Debug)]
--- a/crates/wire/tests/stream.rs
+++ b/crates/wire/tests/stream.rs
@@ -1,7 +1,7 @@
 //! The framed stream and its buffers.
 
 use fulmarlift_wire::frame::{Codec, Error, Frame};
-use fulmarlift_wire::stream::{Framed, Stream};
+use fulmarlift_wire::stream::{Framed, Part, Stream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 
 fn pair(codec: Codec) -> (Framed<Stream<DuplexStream>>, DuplexStream) {
@@ -96,3 +96,54 @@
     }
     assert!(framed.buffer_bytes() <= 64 << 10);
 }
+
+#[tokio::test]
+async fn read_part_large_frame() {
+    let (mut framed, mut far) = pair(Codec::new(1 << 10));
+    let (large, small) = (frame(&[7; 3 << 20]), frame(b"x"));
+    let sent = [&small.bytes[..], &large.bytes, &small.bytes].concat();
+    let sender = tokio::spawn(async move { far.write_all(&sent).await });
+    assert_eq!(
+        framed.read_part(b"d").await.unwrap(),
+        Some(Part::Frame(small.clone()))
+    );
+    let mut received = Vec::new();
+    loop {
+        let Some(Part::Piece {
+            tag: b'd',
+            bytes,
+            is_last,
+        }) = framed.read_part(b"d").await.unwrap()
+        else {
+            panic!("not a piece");
+        };
+        received.extend_from_slice(&bytes);
+        assert!(framed.buffer_bytes() <= 256 << 10);
+        if is_last {
+            break;
+        }
+    }
+    assert_eq!(received, large.bytes);
+    assert_eq!(
+        framed.read_part(b"d").await.unwrap(),
+        Some(Part::Frame(small))
+    );
+    sender.await.unwrap().unwrap();
+    assert_eq!(framed.read_part(b"d").await.unwrap(), None);
+}
+
+#[tokio::test]
+async fn read_part_cut_or_not_streamed() {
+    let (mut framed, mut far) = pair(Codec::new(1 << 10));
+    far.write_all(&frame(&[7; 100_000]).bytes[..70_000])
+        .await
+        .unwrap();
+    let error = framed.read_part(b"D").await.unwrap_err();
+    assert!(matches!(error, Error::TooLarge { .. }), "{error}");
+    drop(far);
+    let mut error = None;
+    while error.is_none() {
+        error = framed.read_part(b"d").await.err();
+    }
+    assert!(matches!(error, Some(Error::Truncated { .. })), "{error:?}");
+}
