--- /dev/null
+++ b/crates/core/tests/model.rs
@@ -0,0 +1,97 @@
+//! Exhaustive search over the rules of acknowledgement, fencing, promotion and read index.
+//!
+//! The proxies' side is the real code; members are a small model of docs/PROTOCOLS.md.
+
+mod model {
+    pub mod claimant;
+    pub mod member;
+    pub mod search;
+    pub mod world;
+}
+
+use std::time::Instant;
+
+use model::search;
+use model::world::{Bounds, Mutation, Rules};
+use rstest::rstest;
+
+fn search(bounds: Bounds, mutation: Mutation) -> search::Found {
+    let rules = Rules {
+        bounds,
+        mutation,
+        now: Instant::now(),
+    };
+    let started = Instant::now();
+    let found = search::run(&rules);
+    println!(
+        "{mutation:?} {bounds:?}: {} states in {:?}, violation: {:?}",
+        found.states,
+        started.elapsed(),
+        found.violation
+    );
+    found
+}
+
+/// Two terms can be claimed beside the first.
+const ONCE: Bounds = Bounds {
+    attempts: [1, 1],
+    writes: 1,
+    reads: false,
+    delayed_reports: false,
+    lost_answers: true,
+};
+
+/// Three terms can be claimed beside the first.
+const TWICE: Bounds = Bounds {
+    attempts: [2, 1],
+    ..ONCE
+};
+
+const READS: Bounds = Bounds {
+    reads: true,
+    ..ONCE
+};
+
+/// Adds bounds that take minutes.
+const DEEP: &str = "FULMARLIFT_MODEL_DEEP";
+
+#[rstest]
+#[case::no_write(Bounds { writes: 0, ..TWICE })]
+#[case::two_writes(Bounds { writes: 2, ..ONCE })]
+#[case::three_claims(Bounds { lost_answers: false, ..TWICE })]
+#[case::read(Bounds { lost_answers: false, ..READS })]
+#[case::overtaken_report(Bounds { delayed_reports: true, lost_answers: false, ..ONCE })]
+fn rules_hold_within_bounds(#[case] bounds: Bounds) {
+    let found = search(bounds, Mutation::None);
+    assert_eq!(found.violation, None);
+}
+
+#[rstest]
+#[case::three_claims(TWICE)]
+#[case::two_writes(Bounds { writes: 2, delayed_reports: true, ..ONCE })]
+#[case::reads(Bounds { delayed_reports: true, ..READS })]
+#[case::two_writes_three_claims(Bounds { writes: 2, lost_answers: false, ..TWICE })]
+#[case::reads_three_claims(Bounds { reads: true, lost_answers: false, ..TWICE })]
+fn rules_hold_within_deep_bounds(#[case] bounds: Bounds) {
+    if std::env::var_os(DEEP).is_none() {
+        println!("not run: set {DEEP}");
+        return;
+    }
+    let found = search(bounds, Mutation::None);
+    assert_eq!(found.violation, None);
+}
+
+#[rstest]
+#[case::vote_at_any_term(Mutation::VoteAtAnyTerm, Bounds { lost_answers: false, ..TWICE })]
+#[case::acknowledge_alone(Mutation::AcknowledgeAlone, ONCE)]
+#[case::promote_first(Mutation::PromoteFirst, ONCE)]
+#[case::fence_minority(Mutation::FenceMinority, ONCE)]
+#[case::reuse_term(Mutation::ReuseTerm, Bounds { writes: 0, ..TWICE })]
+#[case::shared_grants(Mutation::SharedGrants, Bounds { writes: 0, ..ONCE })]
+#[case::follow_older(Mutation::FollowOlder, ONCE)]
+#[case::index_of_primary(Mutation::IndexOfPrimary, READS)]
+#[case::index_of_earlier_answers(Mutation::IndexOfEarlierAnswers, Bounds { delayed_reports: true, ..READS })]
+fn rules_without_mechanism_finds_violation(#[case] mutation: Mutation, #[case] bounds: Bounds) {
+    let found = search(bounds, mutation);
+    assert!(found.violation.is_some(), "{mutation:?} goes unnoticed");
+}
