Member stand-in: no write slips past a fence, exact lag

The lag of an entry counts from its commit at the primary, not from the pull that fetched it, which would add up. A held group_status ends when its caller leaves. The platform's stop closes its connections too. More types of parameters are told from the columns they stand beside.

--- a/crates/standin/src/member/connection.rs
+++ b/crates/standin/src/member/connection.rs
@@ -15,7 +15,7 @@
 use tokio::net::{TcpStream, tcp};
 use tokio::sync::mpsc;
 
-use crate::member::{core, error, output, session, settings, signal, switches};
+use crate::member::{core, error, output, registry, session, settings, signal, switches};
 
 /// What a session is told.
 #[derive(Debug)]
@@ -81,7 +81,7 @@
     match wire.start(&shared.switches).await? {
         Start::Closed => Ok(()),
         Start::Cancel(key) => {
-            shared.core.cancel(key);
+            shared.core.registry().cancel(key);
             Ok(())
         }
         Start::Session(startup) => serve_session(wire, startup, shared).await,
@@ -157,14 +157,11 @@
     let is_control = parameters
         .iter()
         .any(|(name, value)| *name == CONTROL_PARAMETER && *value == "true");
-    if !shared.core.register(sync::Arc::clone(&signal), !is_control) {
+    let registry = shared.core.registry();
+    let Some(registration) = registry.register(sync::Arc::clone(&signal), !is_control) else {
         let message = "sorry, too many clients already";
         let error = error::SqlError::new(error::TOO_MANY_CONNECTIONS, message);
         return wire.refuse(&error).await;
-    }
-    let registered = Registered {
-        core: sync::Arc::clone(&shared.core),
-        key,
     };
     let link = sync::Arc::new(switches::Link::new(sync::Arc::clone(&shared.switches)));
     let (chunks, outgoing) = mpsc::channel(CHUNK_CAPACITY);
@@ -172,14 +169,20 @@
         core: shared.core,
         switches: sync::Arc::clone(&shared.switches),
         link: sync::Arc::clone(&link),
-        signal,
-        out: output::Output::new(chunks, sync::Arc::clone(&shared.switches)),
+        signal: sync::Arc::clone(&signal),
+        out: output::Output::new(
+            chunks,
+            sync::Arc::clone(&shared.switches),
+            sync::Arc::clone(&signal),
+        ),
         settings: settings::Settings::new(parameters.into_iter()),
+        negotiates: startup.protocol_number_minor > 0,
         lock_wait: shared.lock_wait,
     };
     std::thread::Builder::new()
         .name(format!("session-{}", key.pid))
-        .spawn(move || run_session(parts, events, registered))?;
+        .spawn(move || run_session(parts, events, registration))?;
+    let _hang_up = HangUp(signal);
     pump(wire, &link, &shared.switches, inbox, outgoing).await
 }
 
@@ -204,24 +207,25 @@
         .collect()
 }
 
-/// Forgets the session when dropped.
-struct Registered {
-    core: sync::Arc<core::Core>,
-    key: signal::CancelKey,
-}
-
-impl Drop for Registered {
-    fn drop(&mut self) {
-        self.core.unregister(self.key);
-    }
-}
-
-fn run_session(parts: session::Parts, events: mpsc::Receiver<Event>, registered: Registered) {
+fn run_session(
+    parts: session::Parts,
+    events: mpsc::Receiver<Event>,
+    registration: registry::Registration,
+) {
     match session::Session::new(parts) {
         Ok(session) => session.run(events),
         Err(cause) => log::error!("session without a database: {cause}"),
     }
-    drop(registered);
+    drop(registration);
+}
+
+/// Tells the session that its caller is gone, when dropped.
+struct HangUp(sync::Arc<signal::Signal>);
+
+impl Drop for HangUp {
+    fn drop(&mut self) {
+        self.0.hang_up();
+    }
 }
 
 async fn pump(
--- a/crates/standin/src/member/copy.rs
+++ b/crates/standin/src/member/copy.rs
@@ -90,6 +90,7 @@
             return Ok(());
         }
         let params = self.values(line)?;
+        transaction.check_write()?;
         let connection = transaction.connection()?;
         let mut prepared = connection.prepare_cached(&self.insert)?;
         prepared.execute(rusqlite::params_from_iter(&params))?;
--- a/crates/standin/src/member/core.rs
+++ b/crates/standin/src/member/core.rs
@@ -5,9 +5,8 @@
 
 use tokio::sync::watch;
 
-use crate::member::{database, error, log, signal, statement, write_lock};
+use crate::member::{database, error, log, registry, signal, statement, write_lock};
 
-const CONTROL_CONNECTIONS_MAX: usize = 64;
 const FIRST_TERM: log::Term = 1;
 const NO_PANIC: &str = "no holder of the member's state panics";
 const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -67,12 +66,7 @@
     log: log::Log,
     database: sync::Arc<database::Database>,
     applier: rusqlite::Connection,
-    sessions: Vec<Session>,
-}
-
-struct Session {
-    signal: sync::Arc<signal::Signal>,
-    counted: bool,
+    stopped: bool,
 }
 
 /// The state of a member, shared by its sessions and its replication.
@@ -81,7 +75,7 @@
     changed: sync::Condvar,
     heads: watch::Sender<log::Head>,
     write_lock: sync::Arc<write_lock::WriteLock>,
-    connections_max: usize,
+    registry: sync::Arc<registry::Registry>,
 }
 
 impl Core {
@@ -112,17 +106,28 @@
             log,
             database,
             applier,
-            sessions: Vec::new(),
+            stopped: false,
         };
         Ok(Self {
             state: sync::Mutex::new(state),
             changed: sync::Condvar::new(),
             heads,
             write_lock: sync::Arc::default(),
-            connections_max,
+            registry: sync::Arc::new(registry::Registry::new(connections_max)),
         })
     }
 
+    /// The member's sessions.
+    pub fn registry(&self) -> &sync::Arc<registry::Registry> {
+        &self.registry
+    }
+
+    /// Ends all sessions; nothing commits from now on.
+    pub fn stop(&self) {
+        self.state().stopped = true;
+        self.registry.stop();
+    }
+
     /// The lock of the single writer.
     pub fn write_lock(&self) -> &sync::Arc<write_lock::WriteLock> {
         &self.write_lock
@@ -156,7 +161,7 @@
             if state.log.head().position >= min_position || left.is_zero() {
                 return Ok(self.status_of(&state));
             }
-            signal.check()?;
+            signal.check_wait()?;
             let limit = left.min(SIGNAL_CHECK_INTERVAL);
             let waited = self.changed.wait_timeout(state, limit);
             state = waited.expect(NO_PANIC).0;
@@ -234,7 +239,7 @@
         &self,
         segments: &[log::Segment],
         limit: usize,
-    ) -> Option<(log::Term, log::Position, Vec<log::Entry>)> {
+    ) -> Option<(log::Term, log::Position, Vec<log::Appended>)> {
         let state = self.state();
         if state.role != Role::Primary {
             return None;
@@ -284,48 +289,12 @@
         let _guard = self.write_lock.acquire_unbounded();
         let mut state = self.state();
         state.check_follows(term, expected)?;
-        state.replay(std::slice::from_ref(&entry))?;
+        state.replay([&entry])?;
         let head = state.log.append(entry.term, entry.statements);
         self.notify(&state);
         Ok(head)
     }
 
-    /// Registers a session; false when a counted session is over the limit.
-    pub fn register(&self, signal: sync::Arc<signal::Signal>, counted: bool) -> bool {
-        let mut state = self.state();
-        let limit = if counted {
-            self.connections_max
-        } else {
-            CONTROL_CONNECTIONS_MAX
-        };
-        if state.count(counted) >= limit {
-            return false;
-        }
-        state.sessions.push(Session { signal, counted });
-        true
-    }
-
-    /// Forgets a session.
-    pub fn unregister(&self, key: signal::CancelKey) {
-        let mut state = self.state();
-        state.sessions.retain(|session| session.signal.key() != key);
-    }
-
-    /// Cancels what the session with a key runs.
-    pub fn cancel(&self, key: signal::CancelKey) {
-        let signals = self.signals();
-        if let Some(signal) = signals.iter().find(|signal| signal.key() == key) {
-            signal.cancel();
-        }
-    }
-
-    /// Ends all sessions.
-    pub fn stop_sessions(&self) {
-        for signal in self.signals() {
-            signal.stop();
-        }
-    }
-
     fn adopt_term(&self, term: log::Term) -> Result<(), ApplyError> {
         let mut state = self.state();
         if term < state.term || (term == state.term && state.role == Role::Primary) {
@@ -345,9 +314,7 @@
         let term = state.term;
         self.notify(&state);
         drop(state);
-        for signal in self.signals() {
-            signal.fence(term);
-        }
+        self.registry.fence(term);
     }
 
     fn notify(&self, state: &State) {
@@ -355,14 +322,6 @@
         self.changed.notify_all();
     }
 
-    fn signals(&self) -> Vec<sync::Arc<signal::Signal>> {
-        let state = self.state();
-        let signals = state.sessions.iter();
-        signals
-            .map(|session| sync::Arc::clone(&session.signal))
-            .collect()
-    }
-
     fn status_of(&self, state: &State) -> Status {
         Status {
             term: state.term,
@@ -370,8 +329,8 @@
             role: state.role,
             head: state.log.head(),
             term_start: state.log.term_start(),
-            connections_used: state.count(true),
-            connections_max: self.connections_max,
+            connections_used: self.registry.connections_used(),
+            connections_max: self.registry.connections_max(),
         }
     }
 
@@ -382,6 +341,9 @@
 
 impl State {
     fn check_writable(&self, term: log::Term) -> Result<(), error::SqlError> {
+        if self.stopped {
+            return Err(error::SqlError::stopped());
+        }
         if self.role == Role::Primary && self.term == term {
             return Ok(());
         }
@@ -398,14 +360,10 @@
         Ok(())
     }
 
-    fn count(&self, counted: bool) -> usize {
-        let sessions = self.sessions.iter();
-        sessions
-            .filter(|session| session.counted == counted)
-            .count()
-    }
-
-    fn replay(&self, entries: &[log::Entry]) -> rusqlite::Result<()> {
+    fn replay<'a>(
+        &self,
+        entries: impl IntoIterator<Item = &'a log::Entry>,
+    ) -> rusqlite::Result<()> {
         let transaction = self.applier.unchecked_transaction()?;
         for entry in entries {
             database::replay(&transaction, &entry.statements)?;
@@ -417,7 +375,8 @@
         let database = database::Database::create()?;
         self.applier = database.open()?;
         self.database = sync::Arc::new(database);
-        self.replay(self.log.after(0, usize::MAX))?;
+        let entries = self.log.after(0, usize::MAX).iter();
+        self.replay(entries.map(|appended| &appended.entry))?;
         Ok(())
     }
 }
--- a/crates/standin/src/member/error.rs
+++ b/crates/standin/src/member/error.rs
@@ -59,6 +59,11 @@
         Self::new(READ_ONLY, "cannot write: this member is not the primary")
     }
 
+    /// The end of a session with the member.
+    pub fn stopped() -> Self {
+        Self::new(ADMIN_SHUTDOWN, "terminating connection: the member stops")
+    }
+
     /// The answer to a cancelled statement.
     pub fn canceled() -> Self {
         Self::new(QUERY_CANCELED, "canceling statement due to user request")
--- a/crates/standin/src/member/infer.rs
+++ b/crates/standin/src/member/infer.rs
@@ -39,6 +39,7 @@
 /// The columns that the parameters stand beside.
 pub fn param_hints(tokens: &[&Token]) -> Vec<ParamHint> {
     let mut hints = comparison_hints(tokens);
+    hints.extend(list_hints(tokens));
     hints.extend(insert_hints(tokens));
     hints
 }
@@ -47,7 +48,14 @@
     let compares = |token: &Token| {
         matches!(
             token,
-            Token::Eq | Token::Neq | Token::Lt | Token::Gt | Token::LtEq | Token::GtEq
+            Token::Eq
+                | Token::Neq
+                | Token::Lt
+                | Token::Gt
+                | Token::LtEq
+                | Token::GtEq
+                | Token::Plus
+                | Token::Minus
         )
     };
     tokens
@@ -62,6 +70,45 @@
         .collect()
 }
 
+/// The parameters of `COLUMN IN (…)` and `COLUMN BETWEEN … AND …`.
+fn list_hints(tokens: &[&Token]) -> Vec<ParamHint> {
+    let mut hints = Vec::new();
+    for place in 1..tokens.len() {
+        let is_list = rewrite::is_word(Some(tokens[place]), "in");
+        if !is_list && !rewrite::is_word(Some(tokens[place]), "between") {
+            continue;
+        }
+        let Some(name) = word(tokens[place - 1]) else {
+            continue;
+        };
+        let params = tokens[place + 1..].iter().take_while(|token| {
+            matches!(
+                token,
+                Token::LParen | Token::Comma | Token::Placeholder(_) | Token::Number(..)
+            ) || rewrite::is_word(Some(token), "and")
+        });
+        hints.extend(params.filter_map(|token| {
+            Some(ParamHint {
+                index: placeholder(token)?,
+                beside: Beside::Name(name.clone()),
+            })
+        }));
+    }
+    hints
+}
+
+/// The parameters of `LIMIT` and `OFFSET`, by index from 0.
+pub fn count_params(tokens: &[&Token]) -> Vec<usize> {
+    tokens
+        .windows(2)
+        .filter(|pair| {
+            let word = Some(pair[0]);
+            rewrite::is_word(word, "limit") || rewrite::is_word(word, "offset")
+        })
+        .filter_map(|pair| placeholder(pair[1]))
+        .collect()
+}
+
 fn insert_hints(tokens: &[&Token]) -> Vec<ParamHint> {
     let Some(values) = tokens
         .iter()
--- a/crates/standin/src/member/log.rs
+++ b/crates/standin/src/member/log.rs
@@ -1,5 +1,7 @@
 //! The replicated log of a member.
 
+use std::time::Instant;
+
 use serde::{Deserialize, Serialize};
 
 /// The number of a term.
@@ -76,10 +78,19 @@
     pub last: Position,
 }
 
+/// An entry, and when this member appended it.
+#[derive(Debug, Clone)]
+pub struct Appended {
+    /// The entry.
+    pub entry: Entry,
+    /// When it was appended.
+    pub at: Instant,
+}
+
 /// The entries that a member holds.
 #[derive(Debug, Default)]
 pub struct Log {
-    entries: Vec<Entry>,
+    entries: Vec<Appended>,
     segments: Vec<Segment>,
 }
 
@@ -105,7 +116,7 @@
     }
 
     /// The entries after a position, at most `limit`.
-    pub fn after(&self, position: Position, limit: usize) -> &[Entry] {
+    pub fn after(&self, position: Position, limit: usize) -> &[Appended] {
         let start = (position as usize).min(self.entries.len());
         let end = (start + limit).min(self.entries.len());
         &self.entries[start..end]
@@ -122,11 +133,13 @@
                 last: position,
             }),
         }
-        self.entries.push(Entry {
+        let entry = Entry {
             term,
             position,
             statements,
-        });
+        };
+        let at = Instant::now();
+        self.entries.push(Appended { entry, at });
         Head { term, position }
     }
 
--- a/crates/standin/src/member/mod.rs
+++ b/crates/standin/src/member/mod.rs
@@ -12,6 +12,7 @@
 mod named;
 mod output;
 mod query;
+mod registry;
 mod replication;
 mod rewrite;
 mod session;
@@ -193,7 +194,7 @@
     /// Stops the member: its sockets close, its open transactions are rolled back and its data is gone.
     pub fn stop(&self) {
         self.tasks.lock().expect(NO_PANIC).abort_all();
-        self.shared.core.stop_sessions();
+        self.shared.core.stop();
     }
 
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
--- a/crates/standin/src/member/output.rs
+++ b/crates/standin/src/member/output.rs
@@ -1,13 +1,13 @@
 //! What a session sends to its caller.
 
 use std::sync;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use pgwire::messages::{Message, data, response, startup};
 use tokio::sync::mpsc;
 
-use crate::member::{error, switches, types};
+use crate::member::{error, signal, switches, types};
 
 /// Bytes for the caller, and when they are due.
 #[derive(Debug)]
@@ -28,23 +28,28 @@
 }
 
 /// A buffer in front of a caller's connection.
-#[derive(Debug)]
 pub struct Output {
     buffer: BytesMut,
     row: BytesMut,
     chunks: mpsc::Sender<Chunk>,
     switches: sync::Arc<switches::Switches>,
+    signal: sync::Arc<signal::Signal>,
     closed: bool,
 }
 
 impl Output {
     /// A buffer whose chunks go to a channel.
-    pub fn new(chunks: mpsc::Sender<Chunk>, switches: sync::Arc<switches::Switches>) -> Self {
+    pub fn new(
+        chunks: mpsc::Sender<Chunk>,
+        switches: sync::Arc<switches::Switches>,
+        signal: sync::Arc<signal::Signal>,
+    ) -> Self {
         Self {
             buffer: BytesMut::new(),
             row: BytesMut::new(),
             chunks,
             switches,
+            signal,
             closed: false,
         }
     }
@@ -74,7 +79,23 @@
             due: Instant::now() + self.switches.latency(),
             bytes: self.buffer.split().freeze(),
         };
-        self.closed = self.chunks.blocking_send(chunk).is_err();
+        self.closed = !self.send(chunk);
+    }
+
+    /// Sends a chunk; false when the connection is gone, or has to go because a fence can't wait for its caller.
+    fn send(&self, chunk: Chunk) -> bool {
+        let mut chunk = chunk;
+        loop {
+            match self.chunks.try_send(chunk) {
+                Ok(()) => return true,
+                Err(mpsc::error::TrySendError::Closed(_)) => return false,
+                Err(mpsc::error::TrySendError::Full(back)) => chunk = back,
+            }
+            if self.signal.is_ended() {
+                return false;
+            }
+            std::thread::sleep(FULL_CHECK_INTERVAL);
+        }
     }
 
     /// Adds an error.
@@ -169,4 +190,5 @@
 }
 
 const CHUNK_BYTES: usize = 16 * 1024;
+const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 const NO_TYPE_MODIFIER: i32 = -1;
--- a/crates/standin/src/member/replication.rs
+++ b/crates/standin/src/member/replication.rs
@@ -32,10 +32,25 @@
         /// The last position that both logs share.
         common: log::Position,
         /// The entries after it.
-        entries: Vec<log::Entry>,
+        entries: Vec<Aged>,
     },
 }
 
+/// An entry on its way to a replica.
+#[derive(Debug, Serialize, Deserialize)]
+struct Aged {
+    entry: log::Entry,
+    /// How long ago the primary appended it, in µs.
+    age_us: u64,
+}
+
+/// An entry that a replica holds back for its lag.
+#[derive(Debug)]
+struct Held {
+    entry: log::Entry,
+    due: Instant,
+}
+
 /// Why a round with a peer failed.
 #[derive(Debug, thiserror::Error)]
 enum PullError {
@@ -80,8 +95,10 @@
 async fn serve_peer(mut stream: TcpStream, shared: Shared) {
     let mut cut = shared.switches.watch_cut();
     let served = tokio::select! {
-        served = answer_peer(&mut stream, &shared) => served,
+        // No answer goes out once the cut is made.
+        biased;
         _ = cut.wait_for(|cut| cut.covers_peers()) => Err(PullError::Cut),
+        served = answer_peer(&mut stream, &shared) => served,
     };
     if let Err(cause) = served {
         ::log::debug!("peer left: {cause}");
@@ -111,7 +128,7 @@
                 return Answer::Entries {
                     term,
                     common,
-                    entries,
+                    entries: entries.into_iter().map(aged).collect(),
                 };
             }
         }
@@ -127,8 +144,9 @@
     loop {
         let mut cut = shared.switches.watch_cut();
         let pulled = tokio::select! {
-            pulled = pull_rounds(address, &shared) => pulled,
+            biased;
             _ = cut.wait_for(|cut| cut.covers_peers()) => Err(PullError::Cut),
+            pulled = pull_rounds(address, &shared) => pulled,
         };
         if let Err(cause) = pulled {
             ::log::debug!("peer {address}: {cause}");
@@ -156,7 +174,6 @@
             });
         write_frame(&mut stream, &Pull { term, segments }).await?;
         let answer: Answer = read_frame(&mut stream).await?;
-        let due = Instant::now() + shared.switches.lag();
         shared.switches.wait_thaw().await;
         if let Answer::Entries {
             term,
@@ -164,46 +181,68 @@
             entries,
         } = answer
         {
-            take(shared, term, expected, common, entries, due).await?;
+            let lag = shared.switches.lag();
+            let entries = entries.into_iter().map(|aged| held(aged, lag)).collect();
+            take(shared, term, expected, common, entries).await?;
         }
     }
 }
 
+fn aged(appended: log::Appended) -> Aged {
+    let age_us = appended.at.elapsed().as_micros();
+    Aged {
+        entry: appended.entry,
+        age_us: u64::try_from(age_us).unwrap_or(u64::MAX),
+    }
+}
+
+fn held(aged: Aged, lag: Duration) -> Held {
+    let left = lag.saturating_sub(Duration::from_micros(aged.age_us));
+    Held {
+        entry: aged.entry,
+        due: Instant::now() + left,
+    }
+}
+
+/// Drops what the primary's log does not share, and applies its entries as they fall due.
 async fn take(
     shared: &Shared,
     term: log::Term,
     expected: log::Head,
     common: log::Position,
-    entries: Vec<log::Entry>,
-    due: Instant,
+    entries: Vec<Held>,
 ) -> Result<(), PullError> {
     let core = sync::Arc::clone(&shared.core);
     blocking(move || core.follow(term, expected, common)).await?;
-    if entries.is_empty() {
-        return Ok(());
+    let mut expected = shared.core.head_at(common)?;
+    let mut entries = entries.into_iter().peekable();
+    while let Some(first) = entries.next() {
+        tokio::time::sleep_until(first.due).await;
+        shared.switches.wait_thaw().await;
+        let mut due = vec![first.entry];
+        while let Some(next) = entries.next_if(|next| next.due <= Instant::now()) {
+            due.push(next.entry);
+        }
+        let core = sync::Arc::clone(&shared.core);
+        expected = blocking(move || apply_all(&core, term, expected, due)).await?;
     }
-    tokio::time::sleep_until(due).await;
-    shared.switches.wait_thaw().await;
-    let core = sync::Arc::clone(&shared.core);
-    blocking(move || apply_all(&core, term, common, entries)).await
+    Ok(())
 }
 
 fn apply_all(
     core: &core::Core,
     term: log::Term,
-    common: log::Position,
+    expected: log::Head,
     entries: Vec<log::Entry>,
-) -> Result<(), core::ApplyError> {
-    let mut expected = core.head_at(common)?;
-    for entry in entries {
-        expected = core.apply(term, expected, entry)?;
-    }
-    Ok(())
+) -> Result<log::Head, core::ApplyError> {
+    entries.into_iter().try_fold(expected, |expected, entry| {
+        core.apply(term, expected, entry)
+    })
 }
 
-async fn blocking(
-    work: impl FnOnce() -> Result<(), core::ApplyError> + Send + 'static,
-) -> Result<(), PullError> {
+async fn blocking<T: Send + 'static>(
+    work: impl FnOnce() -> Result<T, core::ApplyError> + Send + 'static,
+) -> Result<T, PullError> {
     Ok(tokio::task::spawn_blocking(work).await??)
 }
 
--- a/crates/standin/src/member/session.rs
+++ b/crates/standin/src/member/session.rs
@@ -26,6 +26,8 @@
     pub out: output::Output,
     /// The settings of the startup message.
     pub settings: settings::Settings,
+    /// Whether the caller asked for a newer protocol version.
+    pub negotiates: bool,
     /// The longest wait for the write lock.
     pub lock_wait: std::time::Duration,
 }
@@ -75,6 +77,7 @@
     pub(super) portals: named::Named<Portal>,
     pub(super) copy: Option<copy_in::CopyIn>,
     pub(super) committed: Option<crate::member::log::Head>,
+    negotiates: bool,
     copy_is_simple: bool,
     skips_to_sync: bool,
 }
@@ -99,6 +102,7 @@
             portals: named::Named::default(),
             copy: None,
             committed: None,
+            negotiates: parts.negotiates,
             copy_is_simple: false,
             skips_to_sync: false,
         })
@@ -110,6 +114,9 @@
         while let Some(event) = inbox.blocking_recv() {
             self.wait_thaw();
             self.transaction.notice_fence();
+            if self.signal.is_stopped() {
+                break;
+            }
             let connection::Event::Message { due, message } = event else {
                 continue;
             };
@@ -137,6 +144,11 @@
     }
 
     fn greet(&mut self) {
+        if self.negotiates {
+            let newest = startup::Startup::PROTOCOL_VERSION_3_0;
+            self.out
+                .put(startup::NegotiateProtocolVersion::new(newest, Vec::new()));
+        }
         self.out.put(startup::Authentication::Ok);
         for (name, value) in self.settings.reported() {
             self.out.parameter(name, &value);
--- a/crates/standin/src/member/signal.rs
+++ b/crates/standin/src/member/signal.rs
@@ -21,6 +21,7 @@
     running: bool,
     canceled: bool,
     stopped: bool,
+    hung_up: bool,
     writes_in: Option<log::Term>,
     fenced: bool,
     interrupt: Option<rusqlite::InterruptHandle>,
@@ -90,6 +91,23 @@
         self.changed.notify_all();
     }
 
+    /// Ends a wait of the session, whose caller is gone; a statement that works goes on.
+    pub fn hang_up(&self) {
+        self.state().hung_up = true;
+        self.changed.notify_all();
+    }
+
+    /// Whether what the session has to send can't matter any more: its writes were fenced, or the member stops.
+    pub fn is_ended(&self) -> bool {
+        let state = self.state();
+        state.stopped || state.fenced
+    }
+
+    /// Whether the member stops.
+    pub fn is_stopped(&self) -> bool {
+        self.state().stopped
+    }
+
     /// Marks the term in which the session writes; none when it does not.
     pub fn set_writes_in(&self, term: Option<log::Term>) {
         let mut state = self.state();
@@ -120,11 +138,16 @@
         self.state().check()
     }
 
+    /// An error when the request was cancelled, its caller is gone or the member stops.
+    pub fn check_wait(&self) -> Result<(), error::SqlError> {
+        self.state().check_wait()
+    }
+
     /// Waits until a deadline, unless a cancel request, a fence that ends the session's writes or a stop comes.
     pub fn sleep_until(&self, deadline: Instant) -> Result<(), error::SqlError> {
         let mut state = self.state();
         loop {
-            state.check()?;
+            state.check_wait()?;
             let left = deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return Ok(());
@@ -140,10 +163,16 @@
 }
 
 impl State {
+    fn check_wait(&self) -> Result<(), error::SqlError> {
+        if self.hung_up {
+            return Err(error::SqlError::canceled());
+        }
+        self.check()
+    }
+
     fn check(&self) -> Result<(), error::SqlError> {
         if self.stopped {
-            let message = "terminating connection: the member stops";
-            return Err(error::SqlError::new(error::ADMIN_SHUTDOWN, message));
+            return Err(error::SqlError::stopped());
         }
         if self.fenced {
             return Err(error::SqlError::read_only());
--- a/crates/standin/src/member/statement.rs
+++ b/crates/standin/src/member/statement.rs
@@ -161,7 +161,9 @@
 fn sql(tokens: &[Token], significant: &[&Token]) -> Sql {
     let rewritten = rewrite::rewrite(tokens);
     let mut param_types = vec![None; rewritten.param_count];
-    for (index, kind) in rewritten.casts {
+    let counts = infer::count_params(significant).into_iter();
+    let counts = counts.map(|index| (index, types::PgType::Int8));
+    for (index, kind) in rewritten.casts.into_iter().chain(counts) {
         if let Some(slot) = param_types.get_mut(index) {
             *slot = Some(kind);
         }
--- a/crates/standin/src/member/transaction.rs
+++ b/crates/standin/src/member/transaction.rs
@@ -39,6 +39,7 @@
     lock_wait: Duration,
     block: Block,
     write: Option<Write>,
+    lost_write: bool,
     database: sync::Arc<database::Database>,
     connection: rusqlite::Connection,
 }
@@ -59,6 +60,7 @@
             lock_wait,
             block: Block::None,
             write: None,
+            lost_write: false,
             database,
             connection,
         })
@@ -94,6 +96,9 @@
 
     /// An error when the block takes no statements.
     pub fn check_block(&mut self) -> Result<(), error::SqlError> {
+        if self.lost_write {
+            return Err(error::SqlError::read_only());
+        }
         match self.block {
             Block::None | Block::Open { .. } => Ok(()),
             Block::Failed => {
@@ -138,6 +143,14 @@
         Ok(())
     }
 
+    /// An error unless the transaction writes and can still commit.
+    pub fn check_write(&self) -> Result<(), error::SqlError> {
+        match &self.write {
+            Some(write) => self.core.check_writable(write.term),
+            None => Err(error::SqlError::read_only()),
+        }
+    }
+
     /// Adds a statement that wrote to what a commit logs.
     pub fn log(&mut self, statement: log::LoggedStatement) {
         if let Some(write) = &mut self.write {
@@ -148,7 +161,7 @@
     /// Ends the block and commits; the log entry is returned when there is one.
     pub fn commit(&mut self) -> Result<Option<log::Head>, error::SqlError> {
         let block = std::mem::replace(&mut self.block, Block::None);
-        if block == Block::Fenced {
+        if block == Block::Fenced || std::mem::take(&mut self.lost_write) {
             return Err(error::SqlError::read_only());
         }
         let Some(write) = &mut self.write else {
@@ -165,12 +178,14 @@
 
     /// Ends the block and rolls back.
     pub fn rollback(&mut self) {
+        self.lost_write = false;
         self.rollback_write();
         self.block = Block::None;
     }
 
     /// Rolls back after an error; an open block stays as a failed one.
     pub fn fail(&mut self) {
+        self.lost_write = false;
         self.rollback_write();
         if self.block != Block::None {
             self.block = Block::Failed;
@@ -186,10 +201,10 @@
             return;
         }
         self.rollback_write();
-        self.block = match self.block {
-            Block::Open { .. } => Block::Fenced,
-            block => block,
-        };
+        match self.block {
+            Block::Open { .. } => self.block = Block::Fenced,
+            _ => self.lost_write = true,
+        }
     }
 
     fn rollback_write(&mut self) {
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::sync::watch;
 
 pub use self::store::{
     Check, Committed, Conflict, Conflicts, Delete, Put, Row, Transaction, Version,
@@ -71,15 +71,21 @@
         });
         let address = listener.local_addr()?;
         let router = routes::router(sync::Arc::clone(&shared));
-        let task = tokio::spawn(async move {
-            if let Err(cause) = axum::serve(listener, router).await {
+        let (stop, mut stopped) = watch::channel(false);
+        let stopping = async move {
+            // The sender goes with the handle, which stops the platform as well.
+            let _ = stopped.wait_for(|stopped| *stopped).await;
+        };
+        tokio::spawn(async move {
+            let server = axum::serve(listener, router).with_graceful_shutdown(stopping);
+            if let Err(cause) = server.await {
                 log::error!("platform stopped: {cause}");
             }
         });
         Ok(Handle {
             address,
             shared,
-            task,
+            stop,
         })
     }
 }
@@ -89,7 +95,7 @@
 pub struct Handle {
     address: SocketAddr,
     shared: sync::Arc<routes::Shared>,
-    task: JoinHandle<()>,
+    stop: watch::Sender<bool>,
 }
 
 impl Handle {
@@ -113,9 +119,9 @@
         self.shared.vms().set_lag(Duration::from_millis(lag_ms));
     }
 
-    /// Stops the platform; its data is gone with the handle.
+    /// Stops the platform: calls under way end, its connections close and new ones are refused.
     pub fn stop(&self) {
-        self.task.abort();
+        self.stop.send_replace(true);
     }
 }
 
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -171,6 +171,16 @@
     assert!(started.elapsed() >= Duration::from_millis(50));
 }
 
+#[tokio::test]
+async fn stop_closes_connections() {
+    let caller = Caller::start().await;
+    assert_eq!(caller.get("/v1/vms").await.0, StatusCode::OK);
+    caller.platform.stop();
+    while caller.http.get(caller.url("/v1/vms")).send().await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[tokio::test]
 async fn vms_lag() {
     let caller = Caller::start().await;
--- a/crates/standin/tests/query.rs
+++ b/crates/standin/tests/query.rs
@@ -85,6 +85,21 @@
     assert_eq!(*statement.columns()[0].type_(), kind);
 }
 
+#[rstest]
+#[case("SELECT id FROM letter WHERE place = $1 LIMIT $2", &[Type::INT4, Type::INT8])]
+#[case("SELECT id FROM letter WHERE id IN ($1, $2)", &[Type::INT8, Type::INT8])]
+#[case("SELECT id FROM letter l WHERE l.weight BETWEEN $1 AND $2", &[Type::FLOAT8, Type::FLOAT8])]
+#[case("UPDATE letter SET place = place + $1 WHERE name = $2", &[Type::INT4, Type::TEXT])]
+#[case("INSERT INTO letter VALUES ($1, $2, NULL, NULL, NULL, NULL)", &[Type::INT8, Type::INT4])]
+#[case("SELECT $1::bool, $2::bytea", &[Type::BOOL, Type::BYTEA])]
+#[tokio::test]
+async fn prepare_tells_param_types(#[case] query: &str, #[case] kinds: &[Type]) {
+    let member = support::primary(|_| {}).await;
+    let client = support::connect(&member).await;
+    let statement = client.prepare(query).await.unwrap();
+    assert_eq!(statement.params(), kinds);
+}
+
 #[tokio::test]
 async fn prepare_serves_many_executions() {
     let member = support::primary(|_| {}).await;
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fulmarlift_standin::member;
-use futures::StreamExt;
+use futures::{SinkExt, StreamExt, pin_mut};
 use rstest::rstest;
 use tokio_postgres::{AsyncMessage, NoTls};
 
@@ -65,7 +65,7 @@
 }
 
 #[tokio::test]
-async fn replica_applies_params_and_copies() {
+async fn replica_applies_params_and_copied_rows() {
     let members = support::group(0).await;
     let primary = support::connect(&members[0]).await;
     let replica = support::connect(&members[2]).await;
@@ -76,12 +76,23 @@
         )
         .await
         .unwrap();
-    support::wait_position(&replica, 2).await;
-    let row = replica
-        .query_one("SELECT name FROM letter WHERE id = $1", &[&1_i64])
+    let sink = primary
+        .copy_in::<_, bytes::Bytes>("COPY letter (id, name) FROM STDIN")
         .await
         .unwrap();
-    assert_eq!(row.get::<_, &str>(0), "a");
+    pin_mut!(sink);
+    sink.send("2\tb\n3\t\\N\n".into()).await.unwrap();
+    sink.finish().await.unwrap();
+    support::wait_position(&replica, 3).await;
+    let rows = replica
+        .query(
+            "SELECT name FROM letter WHERE id <= $1 ORDER BY id",
+            &[&3_i64],
+        )
+        .await
+        .unwrap();
+    let names: Vec<Option<&str>> = rows.iter().map(|row| row.get(0)).collect();
+    assert_eq!(names, [Some("a"), Some("b"), None]);
 }
 
 #[tokio::test]
@@ -213,6 +224,62 @@
     assert_eq!(support::code(slept), "25006");
 }
 
+#[tokio::test]
+async fn fence_ends_copy() {
+    let member = support::primary(|_| {}).await;
+    let client = support::connect(&member).await;
+    let control = support::connect_control(&member).await;
+    let sink = client
+        .copy_in::<_, bytes::Bytes>("COPY letter (id) FROM STDIN")
+        .await
+        .unwrap();
+    pin_mut!(sink);
+    sink.send("1\n".into()).await.unwrap();
+    sink.flush().await.unwrap();
+    support::row(&control, "SELECT * FROM group_fence(2, 'a')").await;
+    sink.send("2\n".into()).await.unwrap();
+    assert_eq!(support::code(sink.finish().await), "25006");
+    assert_eq!(support::text(&client, COUNT).await, "0");
+}
+
+#[tokio::test]
+async fn fence_between_execute_and_sync_refuses_commit() {
+    let member = support::primary(|_| {}).await;
+    let control = support::connect_control(&member).await;
+    let mut caller = support::RawCaller::connect(&member).await;
+    caller.extended("INSERT INTO letter (id) VALUES (1)").await;
+    caller.flush().await;
+    caller.read_until(b'C').await;
+    support::row(&control, "SELECT * FROM group_fence(2, 'a')").await;
+    caller.sync().await;
+    let kinds = caller.read_until(b'Z').await;
+    assert_eq!(kinds, b"EZ");
+    assert_eq!(support::text(&control, COUNT).await, "0");
+}
+
+#[tokio::test]
+async fn fence_frees_writer_of_stalled_caller() {
+    let members = support::group(0).await;
+    let old = support::connect_control(&members[0]).await;
+    let new = support::connect_control(&members[1]).await;
+    support::wait_position(&new, 1).await;
+    let mut stalled = support::RawCaller::connect(&members[0]).await;
+    stalled
+        .query(
+            "BEGIN; INSERT INTO letter (id) VALUES (1); \
+             SELECT n, repeat('x', 1000) FROM generate_series(1, 1000000) AS n",
+        )
+        .await;
+    stalled.read_until(b'D').await;
+    for client in [&old, &new] {
+        support::row(client, "SELECT * FROM group_fence(2, 'a')").await;
+    }
+    support::row(&new, "SELECT * FROM group_promote(2, 'a')").await;
+    let status = support::wait_position(&old, 2).await;
+    assert_eq!(status.get("last_term"), Some("2"));
+    assert_eq!(support::text(&old, COUNT).await, "0");
+}
+
 #[tokio::test]
 async fn rejoin_drops_unreplicated_tail() {
     let members = support::group(0).await;
@@ -271,3 +338,50 @@
     let status = support::row(&replica, "SELECT * FROM group_status(2, 300)").await;
     assert_eq!(status.get("position"), Some("1"));
 }
+
+#[tokio::test]
+async fn failovers_keep_replicated_writes() {
+    const ROUNDS: usize = 12;
+    let members = support::group(1).await;
+    let mut clients = Vec::new();
+    for member in &members {
+        clients.push(support::connect(member).await);
+    }
+    let mut replicated = Vec::new();
+    let mut primary = 0;
+    for round in 0..ROUNDS {
+        let next = (primary + 1 + round % 2) % members.len();
+        let term = round + 2;
+        for id in [10 * round, 10 * round + 1] {
+            let insert = format!("INSERT INTO letter (id) VALUES ({id})");
+            clients[primary].batch_execute(&insert).await.unwrap();
+            replicated.push(id.to_string());
+        }
+        let position = members[primary].status().head.position;
+        support::wait_position(&clients[next], position).await;
+        members[primary].switch(member::Switch::Cut(member::Cut::Peers));
+        let insert = format!("INSERT INTO letter (id) VALUES ({})", 10 * round + 2);
+        clients[primary].batch_execute(&insert).await.unwrap();
+        for (place, client) in clients.iter().enumerate() {
+            if place != primary {
+                support::row(client, &format!("SELECT * FROM group_fence({term}, 'a')")).await;
+            }
+        }
+        support::row(
+            &clients[next],
+            &format!("SELECT * FROM group_promote({term}, 'a')"),
+        )
+        .await;
+        members[primary].switch(member::Switch::Cut(member::Cut::None));
+        primary = next;
+    }
+    let head = members[primary].status().head;
+    for (member, client) in members.iter().zip(&clients) {
+        while member.status().head != head {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let ids = "SELECT group_concat(id) FROM (SELECT id FROM letter ORDER BY id)";
+        let ids = support::text(client, ids).await;
+        assert_eq!(ids.split(',').collect::<Vec<_>>(), replicated);
+    }
+}
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -3,7 +3,11 @@
 
 use std::time::Duration;
 
+use bytes::{Buf, BytesMut};
 use fulmarlift_standin::member;
+use pgwire::messages::{Message, extendedquery, simplequery, startup};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage, SimpleQueryRow};
 
 pub const SCHEMA: &str = "CREATE TABLE letter (id INTEGER PRIMARY KEY, place INT, name TEXT, sent BOOLEAN, \
@@ -63,6 +67,66 @@
     try_connect(&config).await.unwrap()
 }
 
+/// A caller that sends single messages.
+pub struct RawCaller {
+    stream: TcpStream,
+    received: BytesMut,
+}
+
+impl RawCaller {
+    pub async fn connect(member: &member::Handle) -> Self {
+        let mut caller = Self {
+            stream: TcpStream::connect(member.address()).await.unwrap(),
+            received: BytesMut::new(),
+        };
+        caller.send(startup::Startup::new()).await;
+        caller.read_until(b'Z').await;
+        caller
+    }
+
+    pub async fn query(&mut self, text: &str) {
+        self.send(simplequery::Query::new(text.into())).await;
+    }
+
+    pub async fn extended(&mut self, text: &str) {
+        self.send(extendedquery::Parse::new(None, text.into(), vec![]))
+            .await;
+        self.send(extendedquery::Bind::new(None, None, vec![], vec![], vec![]))
+            .await;
+        self.send(extendedquery::Execute::new(None, 0)).await;
+    }
+
+    pub async fn flush(&mut self) {
+        self.send(extendedquery::Flush::new()).await;
+    }
+
+    pub async fn sync(&mut self) {
+        self.send(extendedquery::Sync::new()).await;
+    }
+
+    /// Reads messages up to one of a kind, and returns their kinds.
+    pub async fn read_until(&mut self, kind: u8) -> Vec<u8> {
+        let mut kinds = Vec::new();
+        while kinds.last() != Some(&kind) {
+            while self.received.len() < 5
+                || self.received.len() < 1 + (&self.received[1..5]).get_u32() as usize
+            {
+                assert_ne!(self.stream.read_buf(&mut self.received).await.unwrap(), 0);
+            }
+            kinds.push(self.received[0]);
+            let length = 1 + (&self.received[1..5]).get_u32() as usize;
+            self.received.advance(length);
+        }
+        kinds
+    }
+
+    async fn send(&mut self, message: impl Message) {
+        let mut out = BytesMut::new();
+        message.encode(&mut out).unwrap();
+        self.stream.write_all(&out).await.unwrap();
+    }
+}
+
 pub async fn row(client: &Client, query: &str) -> SimpleQueryRow {
     let messages = client.simple_query(query).await.unwrap();
     let row = messages.into_iter().find_map(|message| match message {
--- a/crates/standin/tests/transaction.rs
+++ b/crates/standin/tests/transaction.rs
@@ -100,6 +100,27 @@
     assert_eq!(support::code(refused), "55P03");
 }
 
+#[tokio::test]
+async fn transaction_of_gone_caller_ends_wait() {
+    let member = support::primary(|config| config.connections_max = 1).await;
+    let (client, connection) = support::config(&member).connect(NoTls).await.unwrap();
+    let driver = tokio::spawn(connection);
+    let waits = tokio::spawn(async move {
+        client
+            .simple_query("SELECT * FROM group_status(99, 600000)")
+            .await
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    driver.abort();
+    assert!(waits.await.unwrap().is_err());
+    while support::try_connect(&support::config(&member))
+        .await
+        .is_err()
+    {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[tokio::test]
 async fn cancel_ends_sleep() {
     let member = support::primary(|_| {}).await;
