Member stand-in: finer delays, lost answers, session and member numbers

Delays ran on the runtime's timer, whose ticks are 1 ms apart. A timer thread per member waits on a condition variable instead.

Switch lose_answers: a commit takes effect and its connection closes without an answer. pg_backend_pid() and inet_server_port() tell tests which session and member answered. The platform counts its calls.

--- a/crates/standin/src/member/connection.rs
+++ b/crates/standin/src/member/connection.rs
@@ -15,7 +15,9 @@
 use tokio::net::{TcpStream, tcp};
 use tokio::sync::mpsc;
 
-use crate::member::{core, error, output, registry, session, settings, signal, switches};
+use crate::member::{
+    core, error, output, registry, session, settings, signal, switches, transaction,
+};
 
 /// What a session is told.
 #[derive(Debug)]
@@ -99,13 +101,16 @@
                     self.context.awaiting_frontend_ssl = false;
                 }
                 PgWireFrontendMessage::SslNegotiation(_) => {
-                    tokio::time::sleep(2 * switches.latency()).await;
+                    let due = Instant::now() + 2 * switches.latency();
+                    switches.sleep_until(due).await;
                     self.stream
                         .write_all(&[response::SslResponse::BYTE_REFUSE])
                         .await?;
                 }
                 PgWireFrontendMessage::CancelRequest(cancel) => {
-                    tokio::time::sleep(switches.latency()).await;
+                    switches
+                        .sleep_until(Instant::now() + switches.latency())
+                        .await;
                     return Ok(Start::Cancel(signal::CancelKey {
                         pid: cancel.pid,
                         secret: cancel.secret_key.as_i32().unwrap_or_default(),
@@ -113,7 +118,8 @@
                 }
                 PgWireFrontendMessage::Startup(startup) => {
                     self.context.awaiting_frontend_startup = false;
-                    tokio::time::sleep(switches.latency() + switches.connect_time()).await;
+                    let delay = switches.latency() + switches.connect_time();
+                    switches.sleep_until(Instant::now() + delay).await;
                     switches.wait_thaw().await;
                     return Ok(Start::Session(startup));
                 }
@@ -164,6 +170,10 @@
         return wire.refuse(&error).await;
     };
     let link = sync::Arc::new(switches::Link::new(sync::Arc::clone(&shared.switches)));
+    let identity = transaction::Identity {
+        pid: key.pid,
+        port: wire.stream.local_addr()?.port(),
+    };
     let (chunks, outgoing) = mpsc::channel(CHUNK_CAPACITY);
     let parts = session::Parts {
         core: shared.core,
@@ -176,6 +186,7 @@
             sync::Arc::clone(&signal),
         ),
         settings: settings::Settings::new(parameters.into_iter()),
+        identity,
         negotiates: startup.protocol_number_minor > 0,
         lock_wait: shared.lock_wait,
     };
@@ -301,9 +312,7 @@
     mut outgoing: mpsc::Receiver<output::Chunk>,
 ) -> Result<(), ConnectionError> {
     while let Some(chunk) = outgoing.recv().await {
-        if chunk.due > Instant::now() {
-            tokio::time::sleep_until(chunk.due.into()).await;
-        }
+        switches.sleep_until(chunk.due).await;
         switches.wait_thaw().await;
         if !link.drops() {
             writer.write_all(&chunk.bytes).await?;
--- a/crates/standin/src/member/mod.rs
+++ b/crates/standin/src/member/mod.rs
@@ -20,6 +20,7 @@
 mod signal;
 mod statement;
 mod switches;
+mod timer;
 mod transaction;
 mod types;
 mod write_lock;
@@ -114,7 +115,8 @@
             .map_err(|cause| StartError::Database(cause.to_string().into()))?;
         let listener = TcpListener::bind(config.listen).await?;
         let replication_listener = TcpListener::bind(config.replication_listen).await?;
-        let switches = switches::Switches::new(config.lag_ms, config.latency_us, config.connect_ms);
+        let switches =
+            switches::Switches::new(config.lag_ms, config.latency_us, config.connect_ms)?;
         let shared = connection::Shared {
             core: sync::Arc::new(core),
             switches: sync::Arc::new(switches),
--- a/crates/standin/src/member/output.rs
+++ b/crates/standin/src/member/output.rs
@@ -59,6 +59,12 @@
         self.closed
     }
 
+    /// Drops what is buffered and ends the connection.
+    pub fn close(&mut self) {
+        self.buffer.clear();
+        self.closed = true;
+    }
+
     /// Adds a message; sends what is buffered once it is large.
     pub fn put<M: Message>(&mut self, message: M) {
         if let Err(cause) = message.encode(&mut self.buffer) {
--- a/crates/standin/src/member/replication.rs
+++ b/crates/standin/src/member/replication.rs
@@ -3,13 +3,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::member::{core, log, switches};
 
@@ -132,7 +131,7 @@
                 };
             }
         }
-        let changed = tokio::time::timeout_at(deadline, heads.changed()).await;
+        let changed = tokio::time::timeout_at(deadline.into(), heads.changed()).await;
         if !matches!(changed, Ok(Ok(()))) {
             return Answer::Nothing;
         }
@@ -148,8 +147,12 @@
             _ = cut.wait_for(|cut| cut.covers_peers()) => Err(PullError::Cut),
             pulled = pull_rounds(address, &shared) => pulled,
         };
-        if let Err(cause) = pulled {
-            ::log::debug!("peer {address}: {cause}");
+        match pulled {
+            Err(PullError::Apply(core::ApplyError::Database(cause))) => {
+                ::log::error!("entry of {address} not applied: {cause}");
+            }
+            Err(cause) => ::log::debug!("peer {address}: {cause}"),
+            Ok(()) => {}
         }
         tokio::time::sleep(RETRY_INTERVAL).await;
         wait_uncut(&mut cut).await;
@@ -217,7 +220,7 @@
     let mut expected = shared.core.head_at(common)?;
     let mut entries = entries.into_iter().peekable();
     while let Some(first) = entries.next() {
-        tokio::time::sleep_until(first.due).await;
+        shared.switches.sleep_until(first.due).await;
         shared.switches.wait_thaw().await;
         let mut due = vec![first.entry];
         while let Some(next) = entries.next_if(|next| next.due <= Instant::now()) {
--- a/crates/standin/src/member/session.rs
+++ b/crates/standin/src/member/session.rs
@@ -26,6 +26,8 @@
     pub out: output::Output,
     /// The settings of the startup message.
     pub settings: settings::Settings,
+    /// What the session tells of itself.
+    pub identity: transaction::Identity,
     /// Whether the caller asked for a newer protocol version.
     pub negotiates: bool,
     /// The longest wait for the write lock.
@@ -88,6 +90,7 @@
         let transaction = transaction::Transaction::new(
             sync::Arc::clone(&parts.core),
             sync::Arc::clone(&parts.signal),
+            parts.identity,
             parts.lock_wait,
         )?;
         Ok(Self {
@@ -325,6 +328,10 @@
 
     fn ready(&mut self) {
         if let Some(head) = self.committed.take() {
+            if self.switches.take_lost_answer() {
+                self.out.close();
+                return;
+            }
             let position = format!("{}:{}", head.term, head.position);
             self.out.parameter(POSITION_PARAMETER, &position);
         }
--- a/crates/standin/src/member/switches.rs
+++ b/crates/standin/src/member/switches.rs
@@ -1,5 +1,6 @@
 //! The switches of the stand-in: delays and faults.
 
+use std::io;
 use std::str::FromStr;
 use std::sync;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -7,6 +8,8 @@
 
 use tokio::sync::watch;
 
+use crate::member::timer;
+
 /// Which connections are cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Cut {
@@ -48,6 +51,8 @@
     FreezeMs(u64),
     /// Makes the connections that are open go silent for good.
     Silent,
+    /// Ends the connections of the next commits that wrote without an answer.
+    LoseAnswers(u64),
 }
 
 /// A switch that is not known, or a value that it does not take.
@@ -67,6 +72,7 @@
             "connect_ms" => value.parse().ok().map(Switch::ConnectMs),
             "cut" => value.parse().ok().map(Switch::Cut),
             "freeze" => value.parse().ok().map(Switch::FreezeMs),
+            "lose_answers" => value.parse().ok().map(Switch::LoseAnswers),
             "silent" => Some(Switch::Silent),
             _ => None,
         };
@@ -97,27 +103,30 @@
 }
 
 /// The switches as they stand.
-#[derive(Debug)]
 pub struct Switches {
     lag_ms: AtomicU64,
     latency_us: AtomicU64,
     connect_ms: AtomicU64,
     silences: AtomicU64,
+    lose_answers: AtomicU64,
     cut: watch::Sender<Cut>,
     thaw: sync::Mutex<Instant>,
+    timer: timer::Timer,
 }
 
 impl Switches {
     /// Switches with delays and no faults.
-    pub fn new(lag_ms: u64, latency_us: u64, connect_ms: u64) -> Self {
-        Self {
+    pub fn new(lag_ms: u64, latency_us: u64, connect_ms: u64) -> io::Result<Self> {
+        Ok(Self {
             lag_ms: AtomicU64::new(lag_ms),
             latency_us: AtomicU64::new(latency_us),
             connect_ms: AtomicU64::new(connect_ms),
             silences: AtomicU64::new(0),
+            lose_answers: AtomicU64::new(0),
             cut: watch::Sender::new(Cut::None),
             thaw: sync::Mutex::new(Instant::now()),
-        }
+            timer: timer::Timer::start()?,
+        })
     }
 
     /// Turns a switch.
@@ -132,6 +141,7 @@
             Switch::FreezeMs(value) => {
                 *self.thaw_mut() = Instant::now() + Duration::from_millis(value);
             }
+            Switch::LoseAnswers(value) => self.lose_answers.store(value, Ordering::Relaxed),
             Switch::Silent => {
                 self.silences.fetch_add(1, Ordering::Relaxed);
             }
@@ -153,6 +163,14 @@
         Duration::from_millis(self.connect_ms.load(Ordering::Relaxed))
     }
 
+    /// Whether the answer of a commit is to be lost; counts it.
+    pub fn take_lost_answer(&self) -> bool {
+        let less = |count: u64| count.checked_sub(1);
+        self.lose_answers
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, less)
+            .is_ok()
+    }
+
     /// Which connections are cut.
     pub fn cut(&self) -> Cut {
         *self.cut.borrow()
@@ -171,17 +189,21 @@
     /// Waits while the member is frozen.
     pub async fn wait_thaw(&self) {
         while self.thaw() > Instant::now() {
-            tokio::time::sleep_until(self.thaw().into()).await;
+            self.sleep_until(self.thaw()).await;
         }
     }
 
+    /// Waits until a deadline.
+    pub async fn sleep_until(&self, deadline: Instant) {
+        self.timer.sleep_until(deadline).await;
+    }
+
     fn thaw_mut(&self) -> sync::MutexGuard<'_, Instant> {
         self.thaw.lock().expect("no holder of the lock panics")
     }
 }
 
 /// How the switches bear on one caller's connection.
-#[derive(Debug)]
 pub struct Link {
     switches: sync::Arc<Switches>,
     silences_seen: u64,
--- a/crates/standin/src/member/transaction.rs
+++ b/crates/standin/src/member/transaction.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use pgwire::messages::response;
+use rusqlite::functions;
 
 use crate::member::{core, database, error, log, signal, write_lock};
 
@@ -26,6 +27,15 @@
     Fenced,
 }
 
+/// What a session tells of itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Identity {
+    /// The process id that it reports.
+    pub pid: i32,
+    /// The port at which its caller reached the member.
+    pub port: u16,
+}
+
 struct Write {
     term: log::Term,
     statements: Vec<log::LoggedStatement>,
@@ -36,6 +46,7 @@
 pub struct Transaction {
     core: sync::Arc<core::Core>,
     signal: sync::Arc<signal::Signal>,
+    identity: Identity,
     lock_wait: Duration,
     block: Block,
     write: Option<Write>,
@@ -49,14 +60,15 @@
     pub fn new(
         core: sync::Arc<core::Core>,
         signal: sync::Arc<signal::Signal>,
+        identity: Identity,
         lock_wait: Duration,
     ) -> rusqlite::Result<Self> {
         let database = core.database();
-        let connection = database.open()?;
-        signal.set_interrupt(connection.get_interrupt_handle());
+        let connection = open(&database, &signal, identity)?;
         Ok(Self {
             core,
             signal,
+            identity,
             lock_wait,
             block: Block::None,
             write: None,
@@ -85,9 +97,7 @@
         if self.write.is_none() {
             let current = self.core.database();
             if !sync::Arc::ptr_eq(&current, &self.database) {
-                self.connection = current.open()?;
-                self.signal
-                    .set_interrupt(self.connection.get_interrupt_handle());
+                self.connection = open(&current, &self.signal, self.identity)?;
                 self.database = current;
             }
         }
@@ -225,6 +235,19 @@
     }
 }
 
+fn open(
+    database: &database::Database,
+    signal: &signal::Signal,
+    identity: Identity,
+) -> rusqlite::Result<rusqlite::Connection> {
+    let connection = database.open()?;
+    signal.set_interrupt(connection.get_interrupt_handle());
+    let flags = functions::FunctionFlags::SQLITE_UTF8;
+    connection.create_scalar_function("pg_backend_pid", 0, flags, move |_| Ok(identity.pid))?;
+    connection.create_scalar_function("inet_server_port", 0, flags, move |_| Ok(identity.port))?;
+    Ok(connection)
+}
+
 impl Drop for Transaction {
     fn drop(&mut self) {
         self.rollback_write();
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
@@ -64,6 +65,7 @@
             store: sync::Mutex::default(),
             vms: sync::Mutex::new(vms::Vms::new(config.vms, lag, Instant::now())),
             switches: switches::Switches::default(),
+            calls: routes::Calls::default(),
         });
         shared.switches.set(Change {
             delay_ms: Some(config.delay_ms),
@@ -90,6 +92,15 @@
     }
 }
 
+/// How many calls the platform has had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Calls {
+    /// Reads.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+}
+
 /// A platform that runs; it stops when the handle is dropped.
 #[derive(Debug)]
 pub struct Handle {
@@ -104,6 +115,15 @@
         self.address
     }
 
+    /// How many calls came so far, refused ones included.
+    pub fn calls(&self) -> Calls {
+        let calls = &self.shared.calls;
+        Calls {
+            reads: calls.reads.load(Ordering::Relaxed),
+            writes: calls.writes.load(Ordering::Relaxed),
+        }
+    }
+
     /// Turns switches.
     pub fn switch(&self, change: Change) {
         self.shared.switches.set(change);
--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -1,10 +1,11 @@
 //! The platform's HTTP interface.
 
 use std::sync;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use axum::extract::{DefaultBodyLimit, Path, Query, Request, State};
-use axum::http::StatusCode;
+use axum::http::{Method, StatusCode};
 use axum::middleware::{self, Next};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post, put};
@@ -23,6 +24,17 @@
     pub vms: sync::Mutex<vms::Vms>,
     /// The switches.
     pub switches: switches::Switches,
+    /// The calls so far.
+    pub calls: Calls,
+}
+
+/// Counters of calls.
+#[derive(Debug, Default)]
+pub struct Calls {
+    /// Reads.
+    pub reads: AtomicU64,
+    /// Writes.
+    pub writes: AtomicU64,
 }
 
 type SharedState = State<sync::Arc<Shared>>;
@@ -50,6 +62,12 @@
 }
 
 async fn apply_switches(State(shared): SharedState, request: Request, next: Next) -> Response {
+    let calls = &shared.calls;
+    let counter = match *request.method() {
+        Method::GET => &calls.reads,
+        _ => &calls.writes,
+    };
+    counter.fetch_add(1, Ordering::Relaxed);
     tokio::time::sleep(shared.switches.delay()).await;
     if shared.switches.mode() == switches::Mode::Down {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -160,6 +160,8 @@
         caller.write("g", 0, "a").await.0,
         StatusCode::SERVICE_UNAVAILABLE
     );
+    let calls = caller.platform.calls();
+    assert_eq!((calls.reads, calls.writes), (1, 1));
     caller
         .post("/switches", json!({"mode": "up", "delay_ms": 50}))
         .await;
--- a/crates/standin/tests/switches.rs
+++ b/crates/standin/tests/switches.rs
@@ -79,10 +79,10 @@
     support::text(&client, "SELECT 1").await;
     assert!(started.elapsed() >= Duration::from_millis(60));
     member.switch(Switch::LatencyUs(0));
-    member.switch(Switch::FreezeMs(200));
     let started = Instant::now();
+    member.switch(Switch::FreezeMs(200));
     support::text(&client, "SELECT 1").await;
-    assert!(started.elapsed() >= Duration::from_millis(150));
+    assert!(started.elapsed() >= Duration::from_millis(200));
 }
 
 #[tokio::test]
@@ -98,6 +98,39 @@
     );
 }
 
+#[tokio::test]
+async fn lose_answers_keeps_effect() {
+    let member = support::primary(|_| {}).await;
+    let client = support::connect(&member).await;
+    let other = support::connect(&member).await;
+    member.switch(Switch::LoseAnswers(1));
+    support::text(&client, "SELECT 1").await;
+    let insert = "INSERT INTO letter (id) VALUES (1)";
+    assert_eq!(
+        support::code(client.simple_query(insert).await),
+        "connection closed"
+    );
+    assert_eq!(
+        support::text(&other, "SELECT count(*) FROM letter").await,
+        "1"
+    );
+    other.batch_execute("DELETE FROM letter").await.unwrap();
+}
+
+#[tokio::test]
+async fn functions_tell_session_and_member() {
+    let member = support::primary(|_| {}).await;
+    let first = support::connect(&member).await;
+    let second = support::connect(&member).await;
+    let port = support::text(&first, "SELECT inet_server_port()").await;
+    assert_eq!(port, member.address().port().to_string());
+    let pid = "SELECT pg_backend_pid()";
+    assert_ne!(
+        support::text(&first, pid).await,
+        support::text(&second, pid).await
+    );
+}
+
 #[tokio::test]
 async fn switch_refuses_unknown_name() {
     let member = support::primary(|_| {}).await;
