--- a/crates/standin/src/member/connection.rs
+++ b/crates/standin/src/member/connection.rs
@@ -15,7 +15,9 @@
 use tokio::net::{TcpStream, tcp};
 use tokio::sync::mpsc;
 
-use crate::member::{core, error, output, session, settings, signal, switches};
+use crate::member::{
+    core, error, output, registry, session, settings, signal, switches, transaction,
+};
 
 /// What a session is told.
 #[derive(Debug)]
@@ -81,7 +83,7 @@
     match wire.start(&shared.switches).await? {
         Start::Closed => Ok(()),
         Start::Cancel(key) => {
-            shared.core.cancel(key);
+            shared.core.registry().cancel(key);
             Ok(())
         }
         Start::Session(startup) => serve_session(wire, startup, shared).await,
@@ -99,13 +101,16 @@
                     self.context.awaiting_frontend_ssl = false;
                 }
                 PgWireFrontendMessage::SslNegotiation(_) => {
-                    tokio::time::sleep(2 * switches.latency()).await;
+                    let due = Instant::now() + 2 * switches.latency();
+                    switches.sleep_until(due).await;
                     self.stream
                         .write_all(&[response::SslResponse::BYTE_REFUSE])
                         .await?;
                 }
                 PgWireFrontendMessage::CancelRequest(cancel) => {
-                    tokio::time::sleep(switches.latency()).await;
+                    switches
+                        .sleep_until(Instant::now() + switches.latency())
+                        .await;
                     return Ok(Start::Cancel(signal::CancelKey {
                         pid: cancel.pid,
                         secret: cancel.secret_key.as_i32().unwrap_or_default(),
@@ -113,7 +118,8 @@
                 }
                 PgWireFrontendMessage::Startup(startup) => {
                     self.context.awaiting_frontend_startup = false;
-                    tokio::time::sleep(switches.latency() + switches.connect_time()).await;
+                    let delay = switches.latency() + switches.connect_time();
+                    switches.sleep_until(Instant::now() + delay).await;
                     switches.wait_thaw().await;
                     return Ok(Start::Session(startup));
                 }
@@ -157,29 +163,37 @@
     let is_control = parameters
         .iter()
         .any(|(name, value)| *name == CONTROL_PARAMETER && *value == "true");
-    if !shared.core.register(sync::Arc::clone(&signal), !is_control) {
+    let registry = shared.core.registry();
+    let Some(registration) = registry.register(sync::Arc::clone(&signal), !is_control) else {
         let message = "sorry, too many clients already";
         let error = error::SqlError::new(error::TOO_MANY_CONNECTIONS, message);
         return wire.refuse(&error).await;
-    }
-    let registered = Registered {
-        core: sync::Arc::clone(&shared.core),
-        key,
     };
     let link = sync::Arc::new(switches::Link::new(sync::Arc::clone(&shared.switches)));
+    let identity = transaction::Identity {
+        pid: key.pid,
+        port: wire.stream.local_addr()?.port(),
+    };
     let (chunks, outgoing) = mpsc::channel(CHUNK_CAPACITY);
     let parts = session::Parts {
         core: shared.core,
         switches: sync::Arc::clone(&shared.switches),
         link: sync::Arc::clone(&link),
-        signal,
-        out: output::Output::new(chunks, sync::Arc::clone(&shared.switches)),
+        signal: sync::Arc::clone(&signal),
+        out: output::Output::new(
+            chunks,
+            sync::Arc::clone(&shared.switches),
+            sync::Arc::clone(&signal),
+        ),
         settings: settings::Settings::new(parameters.into_iter()),
+        identity,
+        negotiates: startup.protocol_number_minor > 0,
         lock_wait: shared.lock_wait,
     };
     std::thread::Builder::new()
         .name(format!("session-{}", key.pid))
-        .spawn(move || run_session(parts, events, registered))?;
+        .spawn(move || run_session(parts, events, registration))?;
+    let _hang_up = HangUp(signal);
     pump(wire, &link, &shared.switches, inbox, outgoing).await
 }
 
@@ -204,24 +218,25 @@
         .collect()
 }
 
-/// Forgets the session when dropped.
-struct Registered {
-    core: sync::Arc<core::Core>,
-    key: signal::CancelKey,
-}
-
-impl Drop for Registered {
-    fn drop(&mut self) {
-        self.core.unregister(self.key);
-    }
-}
-
-fn run_session(parts: session::Parts, events: mpsc::Receiver<Event>, registered: Registered) {
+fn run_session(
+    parts: session::Parts,
+    events: mpsc::Receiver<Event>,
+    registration: registry::Registration,
+) {
     match session::Session::new(parts) {
         Ok(session) => session.run(events),
         Err(cause) => log::error!("session without a database: {cause}"),
     }
-    drop(registered);
+    drop(registration);
+}
+
+/// Tells the session that its caller is gone, when dropped.
+struct HangUp(sync::Arc<signal::Signal>);
+
+impl Drop for HangUp {
+    fn drop(&mut self) {
+        self.0.hang_up();
+    }
 }
 
 async fn pump(
@@ -297,9 +312,7 @@
     mut outgoing: mpsc::Receiver<output::Chunk>,
 ) -> Result<(), ConnectionError> {
     while let Some(chunk) = outgoing.recv().await {
-        if chunk.due > Instant::now() {
-            tokio::time::sleep_until(chunk.due.into()).await;
-        }
+        switches.sleep_until(chunk.due).await;
         switches.wait_thaw().await;
         if !link.drops() {
             writer.write_all(&chunk.bytes).await?;
--- a/crates/standin/src/member/mod.rs
+++ b/crates/standin/src/member/mod.rs
@@ -12,6 +12,7 @@
 mod named;
 mod output;
 mod query;
+mod registry;
 mod replication;
 mod rewrite;
 mod session;
@@ -19,6 +20,7 @@
 mod signal;
 mod statement;
 mod switches;
+mod timer;
 mod transaction;
 mod types;
 mod write_lock;
@@ -113,7 +115,8 @@
             .map_err(|cause| StartError::Database(cause.to_string().into()))?;
         let listener = TcpListener::bind(config.listen).await?;
         let replication_listener = TcpListener::bind(config.replication_listen).await?;
-        let switches = switches::Switches::new(config.lag_ms, config.latency_us, config.connect_ms);
+        let switches =
+            switches::Switches::new(config.lag_ms, config.latency_us, config.connect_ms)?;
         let shared = connection::Shared {
             core: sync::Arc::new(core),
             switches: sync::Arc::new(switches),
@@ -193,7 +196,7 @@
     /// Stops the member: its sockets close, its open transactions are rolled back and its data is gone.
     pub fn stop(&self) {
         self.tasks.lock().expect(NO_PANIC).abort_all();
-        self.shared.core.stop_sessions();
+        self.shared.core.stop();
     }
 
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) -> AbortHandle {
--- a/crates/standin/src/member/session.rs
+++ b/crates/standin/src/member/session.rs
@@ -26,6 +26,10 @@
     pub out: output::Output,
     /// The settings of the startup message.
     pub settings: settings::Settings,
+    /// What the session tells of itself.
+    pub identity: transaction::Identity,
+    /// Whether the caller asked for a newer protocol version.
+    pub negotiates: bool,
     /// The longest wait for the write lock.
     pub lock_wait: std::time::Duration,
 }
@@ -75,6 +79,7 @@
     pub(super) portals: named::Named<Portal>,
     pub(super) copy: Option<copy_in::CopyIn>,
     pub(super) committed: Option<crate::member::log::Head>,
+    negotiates: bool,
     copy_is_simple: bool,
     skips_to_sync: bool,
 }
@@ -85,6 +90,7 @@
         let transaction = transaction::Transaction::new(
             sync::Arc::clone(&parts.core),
             sync::Arc::clone(&parts.signal),
+            parts.identity,
             parts.lock_wait,
         )?;
         Ok(Self {
@@ -99,6 +105,7 @@
             portals: named::Named::default(),
             copy: None,
             committed: None,
+            negotiates: parts.negotiates,
             copy_is_simple: false,
             skips_to_sync: false,
         })
@@ -110,6 +117,9 @@
         while let Some(event) = inbox.blocking_recv() {
             self.wait_thaw();
             self.transaction.notice_fence();
+            if self.signal.is_stopped() {
+                break;
+            }
             let connection::Event::Message { due, message } = event else {
                 continue;
             };
@@ -137,6 +147,11 @@
     }
 
     fn greet(&mut self) {
+        if self.negotiates {
+            let newest = startup::Startup::PROTOCOL_VERSION_3_0;
+            self.out
+                .put(startup::NegotiateProtocolVersion::new(newest, Vec::new()));
+        }
         self.out.put(startup::Authentication::Ok);
         for (name, value) in self.settings.reported() {
             self.out.parameter(name, &value);
@@ -313,6 +328,10 @@
 
     fn ready(&mut self) {
         if let Some(head) = self.committed.take() {
+            if self.switches.take_lost_answer() {
+                self.out.close();
+                return;
+            }
             let position = format!("{}:{}", head.term, head.position);
             self.out.parameter(POSITION_PARAMETER, &position);
         }
--- a/crates/standin/src/member/transaction.rs
+++ b/crates/standin/src/member/transaction.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use pgwire::messages::response;
+use rusqlite::functions;
 
 use crate::member::{core, database, error, log, signal, write_lock};
 
@@ -26,6 +27,15 @@
     Fenced,
 }
 
+/// What a session tells of itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Identity {
+    /// The process id that it reports.
+    pub pid: i32,
+    /// The port at which its caller reached the member.
+    pub port: u16,
+}
+
 struct Write {
     term: log::Term,
     statements: Vec<log::LoggedStatement>,
@@ -36,9 +46,11 @@
 pub struct Transaction {
     core: sync::Arc<core::Core>,
     signal: sync::Arc<signal::Signal>,
+    identity: Identity,
     lock_wait: Duration,
     block: Block,
     write: Option<Write>,
+    lost_write: bool,
     database: sync::Arc<database::Database>,
     connection: rusqlite::Connection,
 }
@@ -48,17 +60,19 @@
     pub fn new(
         core: sync::Arc<core::Core>,
         signal: sync::Arc<signal::Signal>,
+        identity: Identity,
         lock_wait: Duration,
     ) -> rusqlite::Result<Self> {
         let database = core.database();
-        let connection = database.open()?;
-        signal.set_interrupt(connection.get_interrupt_handle());
+        let connection = open(&database, &signal, identity)?;
         Ok(Self {
             core,
             signal,
+            identity,
             lock_wait,
             block: Block::None,
             write: None,
+            lost_write: false,
             database,
             connection,
         })
@@ -83,9 +97,7 @@
         if self.write.is_none() {
             let current = self.core.database();
             if !sync::Arc::ptr_eq(&current, &self.database) {
-                self.connection = current.open()?;
-                self.signal
-                    .set_interrupt(self.connection.get_interrupt_handle());
+                self.connection = open(&current, &self.signal, self.identity)?;
                 self.database = current;
             }
         }
@@ -94,6 +106,9 @@
 
     /// An error when the block takes no statements.
     pub fn check_block(&mut self) -> Result<(), error::SqlError> {
+        if self.lost_write {
+            return Err(error::SqlError::read_only());
+        }
         match self.block {
             Block::None | Block::Open { .. } => Ok(()),
             Block::Failed => {
@@ -138,6 +153,14 @@
         Ok(())
     }
 
+    /// An error unless the transaction writes and can still commit.
+    pub fn check_write(&self) -> Result<(), error::SqlError> {
+        match &self.write {
+            Some(write) => self.core.check_writable(write.term),
+            None => Err(error::SqlError::read_only()),
+        }
+    }
+
     /// Adds a statement that wrote to what a commit logs.
     pub fn log(&mut self, statement: log::LoggedStatement) {
         if let Some(write) = &mut self.write {
@@ -148,7 +171,7 @@
     /// Ends the block and commits; the log entry is returned when there is one.
     pub fn commit(&mut self) -> Result<Option<log::Head>, error::SqlError> {
         let block = std::mem::replace(&mut self.block, Block::None);
-        if block == Block::Fenced {
+        if block == Block::Fenced || std::mem::take(&mut self.lost_write) {
             return Err(error::SqlError::read_only());
         }
         let Some(write) = &mut self.write else {
@@ -165,12 +188,14 @@
 
     /// Ends the block and rolls back.
     pub fn rollback(&mut self) {
+        self.lost_write = false;
         self.rollback_write();
         self.block = Block::None;
     }
 
     /// Rolls back after an error; an open block stays as a failed one.
     pub fn fail(&mut self) {
+        self.lost_write = false;
         self.rollback_write();
         if self.block != Block::None {
             self.block = Block::Failed;
@@ -186,10 +211,10 @@
             return;
         }
         self.rollback_write();
-        self.block = match self.block {
-            Block::Open { .. } => Block::Fenced,
-            block => block,
-        };
+        match self.block {
+            Block::Open { .. } => self.block = Block::Fenced,
+            _ => self.lost_write = true,
+        }
     }
 
     fn rollback_write(&mut self) {
@@ -210,6 +235,19 @@
     }
 }
 
+fn open(
+    database: &database::Database,
+    signal: &signal::Signal,
+    identity: Identity,
+) -> rusqlite::Result<rusqlite::Connection> {
+    let connection = database.open()?;
+    signal.set_interrupt(connection.get_interrupt_handle());
+    let flags = functions::FunctionFlags::SQLITE_UTF8;
+    connection.create_scalar_function("pg_backend_pid", 0, flags, move |_| Ok(identity.pid))?;
+    connection.create_scalar_function("inet_server_port", 0, flags, move |_| Ok(identity.port))?;
+    Ok(connection)
+}
+
 impl Drop for Transaction {
     fn drop(&mut self) {
         self.rollback_write();
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -8,10 +8,11 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::sync::watch;
 
 pub use self::store::{
     Check, Committed, Conflict, Conflicts, Delete, Put, Row, Transaction, Version,
@@ -64,6 +65,7 @@
             store: sync::Mutex::default(),
             vms: sync::Mutex::new(vms::Vms::new(config.vms, lag, Instant::now())),
             switches: switches::Switches::default(),
+            calls: routes::Calls::default(),
         });
         shared.switches.set(Change {
             delay_ms: Some(config.delay_ms),
@@ -71,25 +73,40 @@
         });
         let address = listener.local_addr()?;
         let router = routes::router(sync::Arc::clone(&shared));
-        let task = tokio::spawn(async move {
-            if let Err(cause) = axum::serve(listener, router).await {
+        let (stop, mut stopped) = watch::channel(false);
+        let stopping = async move {
+            // The sender goes with the handle, which stops the platform as well.
+            let _ = stopped.wait_for(|stopped| *stopped).await;
+        };
+        tokio::spawn(async move {
+            let server = axum::serve(listener, router).with_graceful_shutdown(stopping);
+            if let Err(cause) = server.await {
                 log::error!("platform stopped: {cause}");
             }
         });
         Ok(Handle {
             address,
             shared,
-            task,
+            stop,
         })
     }
 }
 
+/// How many calls the platform has had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Calls {
+    /// Reads.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+}
+
 /// A platform that runs; it stops when the handle is dropped.
 #[derive(Debug)]
 pub struct Handle {
     address: SocketAddr,
     shared: sync::Arc<routes::Shared>,
-    task: JoinHandle<()>,
+    stop: watch::Sender<bool>,
 }
 
 impl Handle {
@@ -98,6 +115,15 @@
         self.address
     }
 
+    /// How many calls came so far, refused ones included.
+    pub fn calls(&self) -> Calls {
+        let calls = &self.shared.calls;
+        Calls {
+            reads: calls.reads.load(Ordering::Relaxed),
+            writes: calls.writes.load(Ordering::Relaxed),
+        }
+    }
+
     /// Turns switches.
     pub fn switch(&self, change: Change) {
         self.shared.switches.set(change);
@@ -113,9 +139,9 @@
         self.shared.vms().set_lag(Duration::from_millis(lag_ms));
     }
 
-    /// Stops the platform; its data is gone with the handle.
+    /// Stops the platform: calls under way end, its connections close and new ones are refused.
     pub fn stop(&self) {
-        self.task.abort();
+        self.stop.send_replace(true);
     }
 }
 
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -160,6 +160,8 @@
         caller.write("g", 0, "a").await.0,
         StatusCode::SERVICE_UNAVAILABLE
     );
+    let calls = caller.platform.calls();
+    assert_eq!((calls.reads, calls.writes), (1, 1));
     caller
         .post("/switches", json!({"mode": "up", "delay_ms": 50}))
         .await;
@@ -171,6 +173,16 @@
     assert!(started.elapsed() >= Duration::from_millis(50));
 }
 
+#[tokio::test]
+async fn stop_closes_connections() {
+    let caller = Caller::start().await;
+    assert_eq!(caller.get("/v1/vms").await.0, StatusCode::OK);
+    caller.platform.stop();
+    while caller.http.get(caller.url("/v1/vms")).send().await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[tokio::test]
 async fn vms_lag() {
     let caller = Caller::start().await;
