Claims in the audit trail, one form of status, configuration fetched until in force

A claim and its audit row (table audit_failover) are written in one conditional transaction; a claim made while the platform is down is recorded when it is back. The command audit shows versions and claims.

/status and /explain had types of their own that the command could not read (peers' addresses, kind of the explanation): the daemon now serialises those of the platform crate, and the duplicates are gone. /ready turns 503 when the drain begins, not when it has ended, and says which of both causes holds.

A fetch that failed was repeated only by the next poll or heartbeat, and each heartbeat put one more into an unbounded queue that was worked off one dead peer after the other. Now one wanted head is kept, four peers are asked at once, the store after 200 ms, again until that or a newer one is in force.

--- a/crates/fulmarlift/src/bin/fulmarlift/cmd/audit.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/audit.rs
@@ -1,30 +1,89 @@
-//! `audit`: who changed the configuration, when and how.
+//! `audit`: who changed the configuration, when and how, and which proxies claimed terms.
 
-use fulmarlift_platform::publish::{self, read};
+use fulmarlift_platform::{
+    claim,
+    publish::{self, read},
+};
+use serde::Serialize;
 
 use crate::{error, flags, output, settings};
 
 const DEFAULT_LIMIT: u32 = 20;
 
+/// An entry of the audit trail.
+#[derive(Serialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+enum Entry {
+    Configuration(publish::Audit),
+    Failover(claim::Claim),
+}
+
+impl Entry {
+    fn describe(&self) -> String {
+        match self {
+            Self::Configuration(audit) => describe(audit),
+            Self::Failover(claim) => describe_claim(claim),
+        }
+    }
+}
+
 pub async fn run(
     flags: &flags::Audit,
     platform: Option<&str>,
     json: bool,
 ) -> Result<(), error::Error> {
     let platform = settings::platform(platform)?;
-    let trail = read::audit_trail(&platform, flags.limit.unwrap_or(DEFAULT_LIMIT))
-        .await
-        .map_err(|cause| error::Error::Platform {
-            action: "audit",
-            cause,
-        })?;
+    let limit = flags.limit.unwrap_or(DEFAULT_LIMIT);
+    let failed = |cause| error::Error::Platform {
+        action: "audit",
+        cause,
+    };
+    let versions = read::audit_trail(&platform, limit).await.map_err(failed)?;
+    let claims = claim::audit_trail(&platform, limit).await.map_err(failed)?;
+    let trail = merge(versions, claims, limit);
     if json {
         return output::json(&trail);
     }
     if trail.is_empty() {
         return output::text("no configuration was accepted yet");
     }
-    output::text(&trail.iter().map(describe).collect::<Vec<_>>().join("\n"))
+    output::text(
+        &trail
+            .iter()
+            .map(Entry::describe)
+            .collect::<Vec<_>>()
+            .join("\n"),
+    )
+}
+
+/// The newest entries of both kinds. Versions keep their order whatever their submitters' clocks said.
+fn merge(versions: Vec<publish::Audit>, claims: Vec<claim::Claim>, limit: u32) -> Vec<Entry> {
+    let mut claims = claims.into_iter().peekable();
+    let mut trail = Vec::new();
+    for audit in versions {
+        while let Some(claim) = claims.next_if(|claim| claim.when_ms > audit.when_ms) {
+            trail.push(Entry::Failover(claim));
+        }
+        trail.push(Entry::Configuration(audit));
+    }
+    trail.extend(claims.map(Entry::Failover));
+    trail.truncate(usize::try_from(limit).unwrap_or(usize::MAX));
+    trail
+}
+
+fn describe_claim(claim: &claim::Claim) -> String {
+    let claim::Claim {
+        group,
+        term,
+        who,
+        claimant,
+        nonce,
+        ..
+    } = claim;
+    let when = claim.when();
+    format!(
+        "failover of group {group}  {when}  term {term} claimed by {who}\n  claimant {claimant}  nonce {nonce}\n"
+    )
 }
 
 fn describe(audit: &publish::Audit) -> String {
--- a/crates/fulmarlift/src/bin/fulmarlift/flags.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/flags.rs
@@ -43,9 +43,9 @@
             optional --version version: u64
         }
 
-        /// Show who changed the configuration, when and how, the newest change first.
+        /// Show who changed the configuration, when and how, and which proxies claimed terms, the newest first.
         cmd audit {
-            /// How many changes to show (20 when not given).
+            /// How many changes and claims to show (20 when not given).
             optional --limit count: u32
         }
 
--- /dev/null
+++ b/crates/fulmarlift/tests/operators.rs
@@ -0,0 +1,97 @@
+//! The operators' command against a platform and a proxy as processes of their own.
+
+mod support;
+
+use support::{system::System, wait};
+
+#[tokio::test]
+async fn command_shows_system() {
+    let system = System::start(2).await;
+    let caller = system.connect(0).await;
+    let created = caller
+        .simple_query("CREATE TABLE handover (id BIGINT)")
+        .await;
+    created.expect("the write is acknowledged");
+    let admin = format!("http://{}", system.proxies[0].admin);
+    let proxy = ["--proxy", &admin];
+
+    let status = system.printed(&[&["status"], &proxy[..]].concat());
+    assert!(
+        status.starts_with("proxy p0, configuration 1, ready yes"),
+        "{status}"
+    );
+    assert!(
+        status.contains("group ledger, term 1, primary m0"),
+        "{status}"
+    );
+    let sql = "SELECT id FROM handover";
+    let explained =
+        system.printed(&[&["explain", "--service", "ledger", sql], &proxy[..]].concat());
+    assert!(explained.starts_with("kind    read\n"), "{explained}");
+    let sql = "DELETE FROM handover";
+    let explained =
+        system.printed(&[&["explain", "--service", "ledger", sql], &proxy[..]].concat());
+    assert!(
+        explained.starts_with("kind    write\nclass   -\nmember  m0\n"),
+        "{explained}"
+    );
+    let unknown = system.command(&[&["explain", "--service", "s9", sql], &proxy[..]].concat());
+    assert_eq!(unknown.status.code(), Some(1));
+}
+
+#[tokio::test]
+async fn command_submits_and_audits() {
+    let system = System::start(1).await;
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("document.json");
+    std::fs::write(&file, system.document(77).to_json()).expect("the file is written");
+    let file = file.to_str().expect("its path is text");
+    let printed = system.printed(&["submit", file, "--base", "1"]);
+    assert!(
+        printed.starts_with("accepted as version 2, digest "),
+        "{printed}"
+    );
+    system.until_version(0, 2).await;
+    let shown = system.printed(&["show"]);
+    assert!(
+        shown.starts_with("version 2, on base 1, by operator\n"),
+        "{shown}"
+    );
+    let lost = system.command(&["submit", file, "--base", "1"]);
+    assert_eq!(lost.status.code(), Some(1));
+    let trail = system.printed(&["audit"]);
+    let first = trail.lines().next().expect("the newest entry");
+    assert!(
+        first.starts_with("version 2  ") && first.ends_with("  by operator  on base 1"),
+        "{trail}"
+    );
+    assert!(trail.contains("by operator-1000  on base 0"), "{trail}");
+}
+
+#[rstest::rstest]
+#[case::store_up(false)]
+#[case::store_down_meanwhile(true)]
+#[tokio::test]
+async fn audit_shows_failover(#[case] store_down: bool) {
+    let mut system = System::start(1).await;
+    if store_down {
+        let down = serde_json::json!({"mode": "down"});
+        system.switch_platform(down).await;
+    }
+    system.members[0].signal("KILL");
+    system.members[0].wait();
+    system.until_replaced(0, "m0").await;
+    let up = serde_json::json!({"mode": "up"});
+    system.switch_platform(up).await;
+    wait::until("the claim is in the audit trail", async || {
+        let trail = system.printed(&["audit"]);
+        trail.contains("failover of group ledger") && trail.contains("claimed by p0")
+    })
+    .await;
+    let trail: serde_json::Value =
+        serde_json::from_str(&system.printed(&["audit", "--json"])).expect("it prints JSON");
+    let kinds = trail.as_array().expect("a list").iter();
+    let kinds: Vec<&str> = kinds.filter_map(|entry| entry["kind"].as_str()).collect();
+    assert_eq!(kinds.last(), Some(&"configuration"));
+    assert_eq!(kinds.first(), Some(&"failover"));
+}
--- a/crates/fulmarlift/tests/support/mod.rs
+++ b/crates/fulmarlift/tests/support/mod.rs
@@ -1,5 +1,8 @@
 //! A group, a platform and proxies as processes of their own.
 #![allow(dead_code)]
 
+pub mod document;
 pub mod process;
+pub mod standin;
 pub mod system;
+pub mod wait;
--- a/crates/fulmarlift/tests/support/system.rs
+++ b/crates/fulmarlift/tests/support/system.rs
@@ -1,17 +1,15 @@
 //! The whole system.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::process::{Command, Output};
 
 use fulmarlift_config::model;
-use fulmarlift_platform::platform::Platform;
-use fulmarlift_platform::{client, message};
+use fulmarlift_platform::publish::{self, submit};
+use fulmarlift_platform::{admin, client, retry};
 use tokio_postgres::{Client, NoTls};
 
 use crate::support::process::{self, Process};
-
-/// Time between two tries at something that takes a while to come true.
-const POLL: Duration = Duration::from_millis(20);
+use crate::support::{document, standin, wait};
 
 /// A platform, a group of three members and proxies.
 pub struct System {
@@ -19,23 +17,35 @@
     pub platform_address: SocketAddr,
     pub members: Vec<Process>,
     pub member_addresses: Vec<SocketAddr>,
-    pub proxies: Vec<Process>,
-    pub proxy_addresses: Vec<SocketAddr>,
-    pub admin_addresses: Vec<SocketAddr>,
-    pub peer_addresses: Vec<SocketAddr>,
+    pub proxies: Vec<Proxy>,
+}
+
+/// A proxy's process.
+pub struct Proxy {
+    pub process: Process,
+    pub listen: SocketAddr,
+    pub admin: SocketAddr,
+    pub peer: SocketAddr,
 }
 
 impl System {
     /// Starts everything and puts a configuration in force.
     pub async fn start(proxies: usize) -> Self {
-        Self::start_with(proxies, &[]).await
+        let mut system = Self::start_standins();
+        system.submit(0, 1_000).await.expect("the first version");
+        for _ in 0..proxies {
+            system.start_proxy();
+        }
+        for index in 0..proxies {
+            system.until_serving(index).await;
+        }
+        system
     }
 
-    /// Starts everything, members with further arguments.
-    pub async fn start_with(proxies: usize, member_arguments: &[&str]) -> Self {
-        let platform_listen = ["--listen".to_owned(), "127.0.0.1:0".to_owned()];
-        let mut platform =
-            Process::start(env!("CARGO_BIN_EXE_fulmarlift-platform"), &platform_listen);
+    /// Starts a platform and members, and neither proxies nor a configuration.
+    pub fn start_standins() -> Self {
+        let listen = ["--listen=127.0.0.1:0".to_owned()];
+        let mut platform = Process::start(env!("CARGO_BIN_EXE_fulmarlift-platform"), &listen);
         let platform_address = platform.address("ready");
         let mut system = Self {
             platform,
@@ -43,22 +53,12 @@
             members: Vec::new(),
             member_addresses: Vec::new(),
             proxies: Vec::new(),
-            proxy_addresses: Vec::new(),
-            admin_addresses: Vec::new(),
-            peer_addresses: Vec::new(),
         };
-        system.start_members(member_arguments);
-        system.submit(1).await;
-        for index in 0..proxies {
-            system.start_proxy(index);
-        }
-        for index in 0..proxies {
-            system.until_ready(index).await;
-        }
+        system.start_members();
         system
     }
 
-    fn start_members(&mut self, arguments: &[&str]) {
+    fn start_members(&mut self) {
         let replication: Vec<SocketAddr> = (0..3).map(|_| process::free_address()).collect();
         for index in 0..3 {
             let mut flags = vec![
@@ -72,109 +72,70 @@
             if index == 0 {
                 flags.push("--primary".to_owned());
             }
-            flags.extend(arguments.iter().map(|text| (*text).to_owned()));
             let mut member = Process::start(env!("CARGO_BIN_EXE_fulmarlift-member"), &flags);
             self.member_addresses.push(member.address("ready"));
             self.members.push(member);
         }
     }
 
-    /// Writes a configuration version to the platform.
-    pub async fn submit(&self, version: u64) {
-        let document = self.document();
-        let digest = document.digest();
-        let client = client::Client::new(&format!("http://{}", self.platform_address));
-        let client = client.expect("an address");
-        let name = format!("config-{version}-{digest}");
-        let text = document.to_json();
-        let put = client.put_object(&name, text.as_bytes()).await;
-        put.expect("the platform is up");
-        let head = serde_json::json!({
-            "version": version, "digest": digest, "base": version - 1, "who": "test",
-        });
-        let transaction = message::Transaction {
-            puts: vec![message::Put {
-                table: "config".into(),
-                key: "head".into(),
-                value: head,
-            }],
-            ..message::Transaction::default()
+    /// Submits a configuration with this mark on a base.
+    pub async fn submit(&self, base: u64, mark: u32) -> Result<publish::Head, submit::Error> {
+        let client = client::Client::new(&self.platform_url()).expect("an address");
+        let submission = submit::Submission {
+            document: self.document(mark),
+            base,
+            who: format!("operator-{mark}").into(),
+            when_ms: 0,
+            nonce: submit::random_nonce(),
+            retry: retry::Retry::default(),
         };
-        let put = client.transact(&transaction).await;
-        put.expect("the platform is up");
-    }
-
-    /// Returns a configuration with one service, one group and a caller without a password.
-    pub fn document(&self) -> model::Document {
-        let members = self.member_addresses.iter().enumerate();
-        let members = members.map(|(index, address)| model::Member {
-            name: format!("m{index}").into(),
-            address: address.to_string().into(),
-            domain: "rvk-a".into(),
-            connections: 16,
-            connect_ms: 12,
-        });
-        model::Document {
-            regions: vec![model::Region {
-                name: "rvk".into(),
-                domains: vec!["rvk-a".into()],
-            }],
-            groups: vec![model::Group {
-                name: "ledger".into(),
-                slots: 2,
-                members: members.collect(),
-            }],
-            callers: vec![model::Caller {
-                name: "courier".into(),
-                verifier: "trust".into(),
-            }],
-            services: vec![model::Service {
-                name: "ledger".into(),
-                group: "ledger".into(),
-                callers: vec!["courier".into()],
-                read_classes: Vec::new(),
-                limits: model::Limits::default(),
-            }],
-            ..model::Document::default()
-        }
+        submit::submit(&client, &submission).await
     }
 
-    /// Starts a proxy.
-    pub fn start_proxy(&mut self, index: usize) {
-        let peers: Vec<String> = self
-            .peer_addresses
-            .iter()
-            .map(ToString::to_string)
-            .collect();
+    /// Returns the configuration with this mark.
+    pub fn document(&self, mark: u32) -> model::Document {
+        document::marked(document::of(&self.member_addresses), mark)
+    }
+
+    /// Returns the platform's address as a URL.
+    pub fn platform_url(&self) -> String {
+        format!("http://{}", self.platform_address)
+    }
+
+    /// Starts a further proxy, which knows the addresses of those before it; returns its index.
+    pub fn start_proxy(&mut self) -> usize {
+        let peers = self.proxies.iter().map(|proxy| proxy.peer.to_string());
         let flags = [
-            format!("--name=p{index}"),
+            format!("--name=p{}", self.proxies.len()),
             "--region=rvk".to_owned(),
             "--domain=rvk-a".to_owned(),
-            format!("--platform=http://{}", self.platform_address),
-            format!("--peers={}", peers.join(",")),
+            format!("--platform={}", self.platform_url()),
+            format!("--peers={}", peers.collect::<Vec<_>>().join(",")),
         ];
-        let mut proxy = Process::start(env!("CARGO_BIN_EXE_fulmarliftd"), &flags);
-        self.proxy_addresses.push(proxy.address("ready"));
-        self.admin_addresses.push(proxy.address("admin"));
-        self.peer_addresses.push(proxy.address("peer"));
-        self.proxies.push(proxy);
-    }
-
-    /// Waits until a proxy serves a write.
-    pub async fn until_ready(&self, index: usize) {
-        loop {
-            let connected = self.try_connect(index).await;
-            if let Ok(client) = connected
-                && client.simple_query("SELECT 1").await.is_ok()
-            {
-                return;
+        let mut process = Process::start(env!("CARGO_BIN_EXE_fulmarliftd"), &flags);
+        self.proxies.push(Proxy {
+            listen: process.address("ready"),
+            admin: process.address("admin"),
+            peer: process.address("peer"),
+            process,
+        });
+        self.proxies.len() - 1
+    }
+
+    /// Waits until a proxy serves a read.
+    pub async fn until_serving(&self, index: usize) {
+        wait::until("the proxy serves", async || {
+            match self.try_connect(index).await {
+                Ok(client) => client.simple_query("SELECT 1").await.is_ok(),
+                Err(_) => false,
             }
-            tokio::time::sleep(POLL).await;
-        }
+        })
+        .await;
     }
 
-    async fn try_connect(&self, index: usize) -> Result<Client, tokio_postgres::Error> {
-        let address = self.proxy_addresses[index];
+    /// Connects a caller to a proxy.
+    pub async fn try_connect(&self, index: usize) -> Result<Client, tokio_postgres::Error> {
+        let address = self.proxies[index].listen;
         let settings = format!(
             "host={} port={} user=courier dbname=ledger",
             address.ip(),
@@ -185,8 +146,67 @@
         Ok(client)
     }
 
-    /// Connects a caller to a proxy.
+    /// Connects a caller to a proxy that serves.
     pub async fn connect(&self, index: usize) -> Client {
         self.try_connect(index).await.expect("the proxy serves")
     }
+
+    /// Returns what a proxy sees.
+    pub async fn status(&self, index: usize) -> Option<admin::Status> {
+        let url = format!("http://{}", self.proxies[index].admin);
+        let client = admin::Client::new(&url).expect("an address");
+        client.status().await.ok()
+    }
+
+    /// Returns a proxy's answer about its readiness.
+    pub async fn readiness(&self, index: usize) -> (u16, String) {
+        let url = format!("http://{}/ready", self.proxies[index].admin);
+        let answer = reqwest::get(url).await.expect("the admin port serves");
+        let status = answer.status().as_u16();
+        (status, answer.text().await.expect("a text"))
+    }
+
+    /// Waits until a configuration version is in force at a proxy.
+    pub async fn until_version(&self, index: usize, version: u64) {
+        wait::until("the version is in force", async || {
+            let status = self.status(index).await;
+            status.is_some_and(|status| status.config_version == version)
+        })
+        .await;
+    }
+
+    /// Waits until a proxy sees a primary other than this member.
+    pub async fn until_replaced(&self, index: usize, member: &str) {
+        wait::until("the primary is replaced", async || {
+            let Some(status) = self.status(index).await else {
+                return false;
+            };
+            let primary = status.groups[0].primary.as_deref();
+            status.groups[0].term > 1 && primary.is_some_and(|name| name != member)
+        })
+        .await;
+    }
+
+    /// Sets switches of the platform.
+    pub async fn switch_platform(&self, change: serde_json::Value) {
+        standin::switch_platform(self.platform_address, change).await;
+    }
+
+    /// Runs the operators' command.
+    pub fn command(&self, arguments: &[&str]) -> Output {
+        let command = Command::new(env!("CARGO_BIN_EXE_fulmarlift"))
+            .args(arguments)
+            .env("FULMARLIFT_PLATFORM", self.platform_url())
+            .env("FULMARLIFT_WHO", "operator")
+            .output();
+        command.expect("the command runs")
+    }
+
+    /// Runs the operators' command, which is to succeed, and returns what it prints.
+    pub fn printed(&self, arguments: &[&str]) -> String {
+        let output = self.command(arguments);
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{arguments:?}: {error}");
+        String::from_utf8(output.stdout).expect("it prints text")
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 pub mod admin;
+pub mod claim;
 pub mod client;
 pub mod message;
 pub mod platform;
--- a/crates/platform/src/publish.rs
+++ b/crates/platform/src/publish.rs
@@ -63,8 +63,7 @@
 impl Audit {
     /// When, in RFC 3339 notation and UTC.
     pub fn when(&self) -> jiff::Timestamp {
-        let when_ms = i64::try_from(self.when_ms).unwrap_or(i64::MAX);
-        jiff::Timestamp::from_millisecond(when_ms).unwrap_or(jiff::Timestamp::MAX)
+        timestamp(self.when_ms)
     }
 
     /// The head row that was written with this audit row.
@@ -80,6 +79,12 @@
     }
 }
 
+/// The instant that is this many ms after 1970-01-01 UTC.
+pub(crate) fn timestamp(when_ms: u64) -> jiff::Timestamp {
+    let when_ms = i64::try_from(when_ms).unwrap_or(i64::MAX);
+    jiff::Timestamp::from_millisecond(when_ms).unwrap_or(jiff::Timestamp::MAX)
+}
+
 /// The name of the object that holds a version's document.
 pub fn object_name(version: model::Version, digest: &str) -> Box<str> {
     format!("config-{version}-{digest}").into()
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -6,12 +6,19 @@
 use axum::extract::{Query, State};
 use axum::http::StatusCode;
 use axum::routing;
+use fulmarlift_platform::admin;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Deserialize;
 use tokio::net::TcpListener;
 
 use crate::engine;
 
+/// Status of a proxy that is not to be sent callers.
+const UNAVAILABLE: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+/// Said while neither the platform nor a peer has given a configuration.
+const NO_CONFIGURATION: &str =
+    "not ready: neither the platform nor a peer has given a configuration";
+
 /// What the operators' port shows.
 #[derive(Clone, Debug)]
 pub struct Admin {
@@ -33,8 +40,8 @@
         .route("/live", routing::get(|| async { "live" }))
         .route("/ready", routing::get(ready))
         .route("/metrics", routing::get(metrics))
-        .route("/status", routing::get(status))
-        .route("/explain", routing::get(explain))
+        .route(admin::STATUS_PATH, routing::get(status))
+        .route(admin::EXPLAIN_PATH, routing::get(explain))
         .with_state(admin);
     if let Err(error) = axum::serve(listener, router).await {
         log::error!("event=admin_failed error={error}");
@@ -42,12 +49,10 @@
 }
 
 async fn ready(State(admin): State<Admin>) -> (StatusCode, &'static str) {
-    match admin.engine.ready() {
-        true => (StatusCode::OK, "ready"),
-        false => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "not ready: no configuration is in force, or the proxy stops",
-        ),
+    match (admin.engine.ready(), admin.engine.stops()) {
+        (true, _) => (StatusCode::OK, "ready"),
+        (false, true) => (UNAVAILABLE, "not ready: the proxy stops"),
+        (false, false) => (UNAVAILABLE, NO_CONFIGURATION),
     }
 }
 
@@ -58,14 +63,14 @@
         .unwrap_or_default()
 }
 
-async fn status(State(admin): State<Admin>) -> Json<engine::StatusView> {
+async fn status(State(admin): State<Admin>) -> Json<admin::Status> {
     Json(admin.engine.status())
 }
 
 async fn explain(
     State(admin): State<Admin>,
     Query(query): Query<Explain>,
-) -> Result<Json<crate::explain::Explanation>, (StatusCode, String)> {
+) -> Result<Json<admin::Explanation>, (StatusCode, String)> {
     crate::explain::explain(&admin.engine, &query.service, &query.sql)
         .map(Json)
         .map_err(|error| (StatusCode::BAD_REQUEST, error.to_string()))
--- a/crates/proxy/src/document.rs
+++ b/crates/proxy/src/document.rs
@@ -65,6 +65,17 @@
         class: Option<&str>,
         tables: &[Box<str>],
     ) -> Option<Duration> {
+        let class = self.read_class(service, class, tables)?;
+        Some(Duration::from_millis(class.max_age_ms))
+    }
+
+    /// Returns the service's read class of this name or, without a name, the first that covers the tables.
+    pub fn read_class(
+        &self,
+        service: &str,
+        class: Option<&str>,
+        tables: &[Box<str>],
+    ) -> Option<&model::ReadClass> {
         let service = self.document.service(service)?;
         let classes = service.read_classes.iter();
         let mut classes = classes.filter_map(|name| self.document.read_class(name));
@@ -72,8 +83,7 @@
             Some(name) => candidate.name.as_ref() == name,
             None => !tables.is_empty() && tables.iter().all(|t| candidate.tables.contains(t)),
         };
-        let class = classes.find(covers)?;
-        Some(Duration::from_millis(class.max_age_ms))
+        classes.find(covers)
     }
 }
 
--- a/crates/proxy/src/engine/mod.rs
+++ b/crates/proxy/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod view;
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -20,7 +21,6 @@
 
 pub use notice::Notice;
 pub use run::Tasks;
-pub use view::{GroupView, MemberView, PeerView, StatusView};
 
 /// Waits for what becomes of a request.
 pub type Waiter = oneshot::Receiver<Notice>;
@@ -36,6 +36,7 @@
     /// Identifier of this incarnation.
     pub proxy: id::ProxyId,
     tasks: Tasks,
+    draining: AtomicBool,
     drained: watch::Sender<bool>,
 }
 
@@ -91,6 +92,7 @@
             control: member::Control::default(),
             proxy,
             tasks,
+            draining: AtomicBool::new(false),
             drained: watch::Sender::new(false),
         })
     }
@@ -194,6 +196,7 @@
 
     /// Starts to stop: refuses new requests and ends when those in flight have.
     pub fn drain(self: &Arc<Self>) {
+        self.draining.store(true, Ordering::Relaxed);
         self.step(event::Event::Drain);
     }
 }
--- a/crates/proxy/src/engine/run.rs
+++ b/crates/proxy/src/engine/run.rs
@@ -19,7 +19,7 @@
     /// Heartbeats to be sent.
     pub heartbeats: mpsc::UnboundedSender<(Box<str>, peer::Message)>,
     /// Configurations to be fetched.
-    pub fetches: mpsc::UnboundedSender<peer::Head>,
+    pub wanted: platform::follow::Wanted,
 }
 
 impl Engine {
@@ -82,9 +82,7 @@
                 // The receiver only ends with the process.
                 let _ = self.tasks.heartbeats.send((to, message));
             }
-            effect::Effect::Fetch(head) => {
-                let _ = self.tasks.fetches.send(head);
-            }
+            effect::Effect::Fetch(head) => self.tasks.wanted.offer(head),
             effect::Effect::Record(record) => self.record(inner, &record),
             effect::Effect::Drained => {
                 self.drained.send_replace(true);
--- a/crates/proxy/src/explain.rs
+++ b/crates/proxy/src/explain.rs
@@ -1,29 +1,15 @@
 //! Where a statement would go, and why.
 
-use fulmarlift_core::id;
+use std::time::Duration;
+
+use fulmarlift_config::model;
+use fulmarlift_core::{floor, id};
+use fulmarlift_platform::admin;
 use fulmarlift_wire::class;
-use serde::Serialize;
 
 use crate::caller::plan;
 use crate::engine;
 
-/// Where a statement would go.
-#[derive(Clone, Debug, Serialize)]
-pub struct Explanation {
-    /// `read`, `write`, `settings`, `nothing` or `refused`.
-    pub kind: &'static str,
-    /// Tables that the statement names.
-    pub tables: Vec<Box<str>>,
-    /// Age that the read may have, in milliseconds, if a read class covers it.
-    pub max_age_ms: Option<u64>,
-    /// Member that would serve it now.
-    pub member: Option<Box<str>>,
-    /// The reason.
-    pub reason: Box<str>,
-    /// Newest point known of the group, as `TERM:POSITION`.
-    pub floor: Box<str>,
-}
-
 /// Why a statement cannot be explained.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
@@ -37,31 +23,38 @@
 /// # Errors
 ///
 /// Returns an error when the service is not configured.
-pub fn explain(engine: &engine::Engine, service: &str, sql: &str) -> Result<Explanation, Error> {
+pub fn explain(
+    engine: &engine::Engine,
+    service: &str,
+    sql: &str,
+) -> Result<admin::Explanation, Error> {
     let document = engine.document();
     let config = document.topology.services.get(id::of(service));
     let config = config.ok_or_else(|| Error::UnknownService(service.into()))?;
     let plan = plan::Plan::of(&class::classify(sql));
-    let tables = match &plan {
-        plan::Plan::Read { tables } | plan::Plan::Write { tables } => tables.clone(),
-        _ => Vec::new(),
+    let class = match &plan {
+        plan::Plan::Read { tables } => document.read_class(service, None, tables),
+        _ => None,
+    };
+    let age = class.map(|class| Duration::from_millis(class.max_age_ms));
+    let member = match plan {
+        plan::Plan::Read { .. } => engine.preview(config.group, true, age),
+        plan::Plan::Write { .. } => engine.preview(config.group, false, None),
+        _ => None,
     };
-    let max_age = document.max_age(service, None, &tables);
-    let is_read = matches!(plan, plan::Plan::Read { .. });
-    let view = engine.group_view(config.group);
-    let newest = view.as_ref().and_then(engine::GroupView::newest);
-    let served = matches!(plan, plan::Plan::Read { .. } | plan::Plan::Write { .. });
-    let member = engine.preview(config.group, is_read, max_age);
-    Ok(Explanation {
-        kind: kind(&plan),
-        tables,
-        max_age_ms: max_age.map(|age| age.as_millis() as u64),
-        member: member.filter(|_| served),
-        reason: reason(&plan, max_age.is_some()),
-        floor: newest.unwrap_or_default(),
+    Ok(admin::Explanation {
+        class: class.map(|class| class.name.clone()),
+        kind: kind(&plan).into(),
+        member,
+        reason: reason(&plan, class),
+        floor: engine.newest(config.group).map(point),
     })
 }
 
+fn point(point: floor::Point) -> Box<str> {
+    format!("{}:{}", point.term, point.position).into()
+}
+
 fn kind(plan: &plan::Plan) -> &'static str {
     match plan {
         plan::Plan::Nothing => "nothing",
@@ -72,15 +65,17 @@
     }
 }
 
-fn reason(plan: &plan::Plan, aged: bool) -> Box<str> {
+fn reason(plan: &plan::Plan, class: Option<&model::ReadClass>) -> Box<str> {
     match plan {
         plan::Plan::Nothing => "nothing is executed".into(),
-        plan::Plan::Read { .. } if aged => {
-            "a read class allows an age: the nearest member at the session's floor serves it".into()
-        }
-        plan::Plan::Read { .. } => {
-            "no read class allows an age: the nearest member at the read index serves it".into()
-        }
+        plan::Plan::Read { .. } => match class {
+            Some(class) => format!(
+                "read class {} allows an age of {} ms: the nearest member at the session's floor serves it",
+                class.name, class.max_age_ms
+            )
+            .into(),
+            None => "no read class allows an age: the nearest member at the read index serves it".into(),
+        },
         plan::Plan::Write { .. } => "it may write: the primary serves it".into(),
         plan::Plan::Settings => "settings are kept for the session".into(),
         plan::Plan::Refused(refusal) => {
--- a/crates/proxy/src/platform/claim.rs
+++ b/crates/proxy/src/platform/claim.rs
@@ -5,13 +5,14 @@
 
 use fulmarlift_core::{event, id};
 use fulmarlift_platform::platform::Platform;
-use fulmarlift_platform::{client, message, platform};
-use serde::{Deserialize, Serialize};
+use fulmarlift_platform::{claim, client, message, platform};
 
 use crate::engine;
 
-/// Table of claims, keyed by group name.
-const TABLE: &str = "claim";
+/// Time between two attempts to record a claim that was made while the platform did not answer.
+const LATE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time after which such a claim is no longer recorded.
+const LATE_TIMEOUT: Duration = Duration::from_secs(3_600);
 
 /// A claim to be written.
 #[derive(Clone, Copy, Debug)]
@@ -28,15 +29,6 @@
     pub deadline: Instant,
 }
 
-/// A row of the table of claims.
-#[derive(Clone, Debug, Serialize, Deserialize, Eq, PartialEq)]
-struct Row {
-    term: id::Term,
-    claimant: Box<str>,
-    nonce: Box<str>,
-    until_unix_ms: u64,
-}
-
 /// Starts the write of a claim; its answer comes back as an event.
 pub fn start(
     engine: &Arc<engine::Engine>,
@@ -46,36 +38,44 @@
 ) {
     let engine = Arc::clone(engine);
     tokio::spawn(async move {
-        let row = new_row(engine.proxy, &claim);
-        let result = match client {
+        let row = row(&engine, &group, &claim);
+        let result = match &client {
             Some(client) => {
                 let deadline = tokio::time::Instant::from_std(claim.deadline);
-                let write = write(&client, &group, &row, claim.deadline);
+                let write = write(client, &row, claim.deadline);
                 let answer = tokio::time::timeout_at(deadline, write).await;
                 answer.unwrap_or(event::ClaimResult::Unavailable)
             }
             None => event::ClaimResult::Unavailable,
         };
         log::info!(
-            "event=claim group={group} term={} result={result:?}",
-            claim.term
+            "event=claim group={group} term={} nonce={} result={result:?}",
+            row.term,
+            row.nonce
         );
         engine.step(event::Event::Claimed(event::ClaimAnswer {
             ask: claim.ask,
             group: claim.group,
             result,
         }));
+        if let (Some(client), event::ClaimResult::Unavailable) = (client, result) {
+            record_late(&client, &row).await;
+        }
     });
 }
 
-fn new_row(proxy: id::ProxyId, claim: &Claim) -> Row {
+fn row(engine: &engine::Engine, group: &str, claim: &Claim) -> claim::Claim {
+    let now = SystemTime::now();
     let left = claim.until.saturating_duration_since(Instant::now());
-    let until = SystemTime::now() + left;
-    Row {
+    let proxy = engine.proxy;
+    claim::Claim {
+        group: group.into(),
         term: claim.term,
         claimant: format!("{proxy:016x}").into(),
+        who: engine.settings.name.clone(),
         nonce: format!("{proxy:016x}-{}", claim.ask).into(),
-        until_unix_ms: unix_ms(until),
+        when_ms: unix_ms(now),
+        until_ms: unix_ms(now + left),
     }
 }
 
@@ -87,20 +87,19 @@
 /// Writes the row unless another claim holds; an answer that was lost is found again by the nonce.
 async fn write(
     client: &client::Client,
-    group: &str,
-    row: &Row,
+    own: &claim::Claim,
     deadline: Instant,
 ) -> event::ClaimResult {
     while Instant::now() < deadline {
-        let known = match client.row::<Row>(TABLE, group).await {
+        let known = match claim::row(client, &own.group).await {
             Ok(known) => known,
             Err(_) => return event::ClaimResult::Unavailable,
         };
-        if let Some(result) = known.as_ref().and_then(|known| judge(&known.value, row)) {
+        if let Some(result) = known.as_ref().and_then(|known| judge(&known.value, own)) {
             return result;
         }
         let version = known.map_or(message::ABSENT, |known| known.version);
-        match client.transact(&transaction(group, row, version)).await {
+        match client.transact(&own.transaction(version)).await {
             Ok(_) => return event::ClaimResult::Won,
             // The next look at the row tells whether this or another claim is in it.
             Err(platform::Error::Conflict(_) | platform::Error::Unavailable(_)) => {}
@@ -110,13 +109,11 @@
     event::ClaimResult::Unavailable
 }
 
-fn judge(known: &Row, own: &Row) -> Option<event::ClaimResult> {
+fn judge(known: &claim::Claim, own: &claim::Claim) -> Option<event::ClaimResult> {
     if known.nonce == own.nonce {
         return Some(event::ClaimResult::Won);
     }
-    let left_ms = known
-        .until_unix_ms
-        .saturating_sub(unix_ms(SystemTime::now()));
+    let left_ms = known.until_ms.saturating_sub(unix_ms(SystemTime::now()));
     let holds = known.claimant != own.claimant && known.term >= own.term && left_ms > 0;
     holds.then(|| event::ClaimResult::Held {
         term: known.term,
@@ -124,18 +121,39 @@
     })
 }
 
-fn transaction(group: &str, row: &Row, version: message::Version) -> message::Transaction {
-    message::Transaction {
-        checks: vec![message::Check {
-            table: TABLE.into(),
-            key: group.into(),
-            version,
-        }],
-        puts: vec![message::Put {
-            table: TABLE.into(),
-            key: group.into(),
-            value: serde_json::to_value(row).expect("a row of plain fields always encodes"),
-        }],
-        deletes: Vec::new(),
+/// Records a claim that was made while the platform did not answer, so that the audit trail is whole.
+async fn record_late(client: &client::Client, own: &claim::Claim) {
+    let give_up_at = Instant::now() + LATE_TIMEOUT;
+    while Instant::now() < give_up_at {
+        tokio::time::sleep(LATE_INTERVAL).await;
+        if try_record(client, own).await.is_ok() {
+            log::info!(
+                "event=claim_recorded_late group={} term={} nonce={}",
+                own.group,
+                own.term,
+                own.nonce
+            );
+            return;
+        }
     }
+    log::warn!(
+        "event=claim_not_recorded group={} term={} nonce={}",
+        own.group,
+        own.term,
+        own.nonce
+    );
+}
+
+async fn try_record(client: &client::Client, own: &claim::Claim) -> Result<(), platform::Error> {
+    let known = claim::row(client, &own.group).await?;
+    let version = known
+        .as_ref()
+        .map_or(message::ABSENT, |known| known.version);
+    let transaction = match &known {
+        // The write has taken effect although its answer was lost.
+        Some(known) if known.value.nonce == own.nonce => return Ok(()),
+        Some(known) if known.value.term >= own.term => own.late_transaction(version),
+        _ => own.transaction(version),
+    };
+    client.transact(&transaction).await.map(drop)
 }
--- a/crates/proxy/src/platform/follow.rs
+++ b/crates/proxy/src/platform/follow.rs
@@ -1,13 +1,16 @@
 //! Following the configuration: heads come from the store and from peers, documents too.
+//!
+//! The newest head that anyone has named is wanted until its document, or that of a newer one, is in force.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fulmarlift_core::peer;
-use fulmarlift_platform::client;
 use fulmarlift_platform::platform::Platform;
-use serde::Deserialize;
-use tokio::sync::mpsc;
+use fulmarlift_platform::publish::{self, read};
+use fulmarlift_platform::{client, platform};
+use tokio::sync::watch;
+use tokio::task;
 
 use crate::document;
 use crate::engine;
@@ -15,73 +18,134 @@
 
 /// Time between two reads of the head.
 const INTERVAL: Duration = Duration::from_millis(1_000);
-/// Table and key of the head.
-const HEAD: (&str, &str) = ("config", "head");
+/// Time before a document that no source gave is asked for again.
+const RETRY: Duration = Duration::from_millis(250);
+/// Peers that are asked for a document at once.
+const PEERS_AT_ONCE: usize = 4;
+/// Time that peers are given before the store is asked too.
+const STORE_DELAY: Duration = Duration::from_millis(200);
+/// Time between two warnings that no configuration is known.
+const WARN_INTERVAL: Duration = Duration::from_millis(5_000);
 
-/// The part of the head row that a proxy needs.
-#[derive(Clone, Debug, Deserialize)]
-struct HeadRow {
-    version: u64,
-    digest: Box<str>,
+/// The newest head that anyone has named.
+#[derive(Clone, Debug, Default)]
+pub struct Wanted {
+    head: watch::Sender<peer::Head>,
+}
+
+impl Wanted {
+    /// Takes in a head; an older one than the newest is ignored.
+    pub fn offer(&self, head: peer::Head) {
+        self.head.send_if_modified(|newest| {
+            let newer = head.version > newest.version;
+            if newer {
+                *newest = head;
+            }
+            newer
+        });
+    }
 }
 
 /// Reads the head from the store for as long as the process runs.
-pub async fn poll(
-    engine: Arc<engine::Engine>,
-    client: client::Client,
-    fetches: mpsc::UnboundedSender<peer::Head>,
-) {
+pub async fn poll(engine: Arc<engine::Engine>, client: client::Client, wanted: Wanted) {
+    let mut warn_at = Instant::now() + WARN_INTERVAL;
     loop {
-        match client.row::<HeadRow>(HEAD.0, HEAD.1).await {
-            Ok(Some(row)) if row.value.version > engine.document().head.version => {
-                let head = peer::Head {
-                    version: row.value.version,
-                    digest: row.value.digest,
-                };
-                // The receiver only ends with the process.
-                let _ = fetches.send(head);
-            }
-            Ok(_) => {}
-            Err(error) => log::debug!("event=head_unavailable error={error}"),
+        match head(&client).await {
+            Ok(Some(head)) => wanted.offer(head),
+            Ok(None) => {}
+            Err(error) => log::debug!("event=head_unavailable error={error:?}"),
+        }
+        let unready = engine.document().head.version == 0;
+        if unready && Instant::now() >= warn_at {
+            log::warn!(
+                "event=not_ready reason=\"neither the platform nor a peer has given a configuration\""
+            );
+            warn_at = Instant::now() + WARN_INTERVAL;
         }
         tokio::time::sleep(INTERVAL).await;
     }
 }
 
-/// Fetches the documents that heads name, from the store or from a peer, and puts them in force.
-pub async fn fetch(
-    engine: Arc<engine::Engine>,
-    client: Option<client::Client>,
-    mut fetches: mpsc::UnboundedReceiver<peer::Head>,
-) {
-    while let Some(head) = fetches.recv().await {
-        if head.version <= engine.document().head.version {
-            continue;
-        }
+async fn head(client: &client::Client) -> Result<Option<peer::Head>, platform::Error> {
+    let head = read::head(client).await?;
+    Ok(head.map(|head| peer::Head {
+        version: head.version,
+        digest: head.digest,
+    }))
+}
+
+/// Fetches the document of the newest head, from a peer or the store, until it is in force.
+pub async fn fetch(engine: Arc<engine::Engine>, client: Option<client::Client>, wanted: Wanted) {
+    let mut heads = wanted.head.subscribe();
+    loop {
+        let in_force = engine.document().head.version;
+        // The sender is held by this task.
+        let head = heads.wait_for(|head| head.version > in_force).await;
+        let Ok(head) = head.map(|head| head.clone()) else {
+            return;
+        };
         match fetch_one(&engine, client.as_ref(), &head).await {
             Some(accepted) => engine.configure(accepted),
-            None => log::warn!(
-                "event=configuration_unavailable version={} digest={}",
-                head.version,
-                head.digest
-            ),
+            None => {
+                log::warn!(
+                    "event=configuration_unavailable version={} digest={}",
+                    head.version,
+                    head.digest
+                );
+                tokio::time::sleep(RETRY).await;
+            }
         }
     }
 }
 
+/// Asks peers first: they are near, many, and do not use up the store's reads.
 async fn fetch_one(
     engine: &engine::Engine,
     client: Option<&client::Client>,
     head: &peer::Head,
 ) -> Option<Arc<document::Accepted>> {
-    // Peers come first: they are near, many, and do not use up the store's reads.
-    for address in engine.peer_addresses() {
-        let text = peers::fetch_document(&address, head).await;
+    let peers = from_peers(engine.peer_addresses(), head);
+    let store = async {
+        tokio::time::sleep(STORE_DELAY).await;
+        from_store(client, head).await
+    };
+    tokio::pin!(peers, store);
+    tokio::select! {
+        found = &mut peers => match found {
+            Some(accepted) => Some(accepted),
+            None => store.await,
+        },
+        found = &mut store => match found {
+            Some(accepted) => Some(accepted),
+            None => peers.await,
+        },
+    }
+}
+
+async fn from_peers(
+    addresses: Vec<Box<str>>,
+    head: &peer::Head,
+) -> Option<Arc<document::Accepted>> {
+    let mut addresses = addresses.into_iter();
+    let mut asked = task::JoinSet::new();
+    loop {
+        let free = PEERS_AT_ONCE.saturating_sub(asked.len());
+        for to in addresses.by_ref().take(free) {
+            let head = head.clone();
+            asked.spawn(async move { peers::fetch_document(&to, &head).await });
+        }
+        let text = asked.join_next().await?.ok().flatten();
         if let Some(accepted) = text.and_then(|text| accept(&text, head)) {
             return Some(accepted);
         }
     }
-    let name = format!("config-{}-{}", head.version, head.digest);
+}
+
+async fn from_store(
+    client: Option<&client::Client>,
+    head: &peer::Head,
+) -> Option<Arc<document::Accepted>> {
+    let name = publish::object_name(head.version, &head.digest);
     let bytes = client?.object(&name).await.ok().flatten()?;
     accept(&String::from_utf8(bytes).ok()?, head)
 }
@@ -91,7 +155,7 @@
         Ok(accepted) => Some(accepted),
         Err(error) => {
             log::warn!(
-                "event=configuration_rejected version={} error={error}",
+                "event=configuration_rejected version={} error={error:?}",
                 head.version
             );
             None
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -115,11 +115,11 @@
         let client = settings.platform.as_deref().map(client::Client::new);
         let client = client.transpose()?;
         let (heartbeats, heartbeats_out) = mpsc::unbounded_channel();
-        let (fetches, fetches_out) = mpsc::unbounded_channel();
+        let wanted = platform::follow::Wanted::default();
         let tasks = engine::Tasks {
             platform: client.clone(),
             heartbeats,
-            fetches: fetches.clone(),
+            wanted: wanted.clone(),
         };
         let (listen, admin, peer) = (settings.listen, settings.admin_listen, settings.peer_listen);
         let engine = engine::Engine::new(settings, tasks);
@@ -143,13 +143,13 @@
         tokio::spawn(platform::follow::fetch(
             Arc::clone(&engine),
             client.clone(),
-            fetches_out,
+            wanted.clone(),
         ));
         if let Some(client) = client {
             tokio::spawn(platform::follow::poll(
                 Arc::clone(&engine),
                 client.clone(),
-                fetches,
+                wanted,
             ));
             tokio::spawn(platform::vms::follow(Arc::clone(&engine), client));
         }
