--- a/crates/fulmarlift/tests/support/wait.rs
+++ b/crates/fulmarlift/tests/support/wait.rs
@@ -6,7 +6,7 @@
 /// Time between two looks at something that takes a while to come true.
 const POLL: Duration = Duration::from_millis(20);
 /// Time after which a wait fails. Nothing is measured by it.
-const LIMIT: Duration = Duration::from_secs(45);
+const LIMIT: Duration = Duration::from_secs(30);
 
 /// Waits until the condition holds.
 pub async fn until<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
--- a/crates/proxy/src/metrics_export.rs
+++ b/crates/proxy/src/metrics_export.rs
@@ -34,5 +34,9 @@
         metrics::Unit::Bytes,
         "Bytes of heartbeats sent to peers"
     );
+    metrics::describe_counter!(
+        "fulmarlift_configuration_fetches_failed_total",
+        "Times that neither a peer nor the store gave a configuration that was announced"
+    );
     metrics::describe_gauge!("fulmarlift_sessions", "Callers logged in");
 }
--- a/crates/proxy/src/platform/follow.rs
+++ b/crates/proxy/src/platform/follow.rs
@@ -87,6 +87,7 @@
         match fetch_one(&engine, client.as_ref(), &head).await {
             Some(accepted) => engine.configure(accepted),
             None => {
+                metrics::counter!("fulmarlift_configuration_fetches_failed_total").increment(1);
                 log::warn!(
                     "event=configuration_unavailable version={} digest={}",
                     head.version,
