--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -67,7 +67,7 @@
         active: &request::Active,
         floor: floor::Point,
     ) -> Vec<route::Candidate> {
-        let primary = self.watch.primary().map(|member| member.id);
+        let primary = self.watch.writable().map(|member| member.id);
         let candidates = config.members.iter().filter_map(|(id, settings)| {
             let member = self.watch.members.get(id)?;
             let pool = self.pools.get(id)?;
--- a/crates/core/src/status/watch.rs
+++ b/crates/core/src/status/watch.rs
@@ -107,6 +107,13 @@
         })
     }
 
+    /// Returns the primary if a majority of members answers this proxy, so that a write sent to it can be
+    /// acknowledged. Without one a write would run and end in an unknown outcome.
+    pub fn writable(&self) -> Option<&Member> {
+        let confirmable = self.reachable() >= self.majority();
+        self.primary().filter(|_| confirmable)
+    }
+
     /// Returns the highest term that any member has reported.
     pub fn top_term(&self) -> id::Term {
         let terms = self.members.values().filter_map(|member| member.status);
--- /dev/null
+++ b/crates/core/tests/sim/world.rs
@@ -0,0 +1,370 @@
+//! Everything that a run consists of, and the story's commands.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::{State, effect, event, floor, id, identity, peer, request, sorted, topology};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::sim::member::{Entry, Member};
+use crate::sim::network::{self, Cuts, Link, Node};
+use crate::sim::platform::Platform;
+use crate::sim::run::Item;
+
+/// Time between ticks of a proxy.
+pub const TICK: Duration = Duration::from_millis(20);
+/// Time between steps of replication.
+pub const REPLICATION_STEP: Duration = Duration::from_millis(2);
+/// Time that a new connection takes.
+pub const CONNECT: Duration = Duration::from_millis(12);
+const CONNECTIONS: u32 = 16;
+
+/// A proxy process.
+pub struct Proxy {
+    pub state: State,
+    pub id: id::ProxyId,
+    pub domain: Box<str>,
+    pub incarnation: u32,
+    pub up: bool,
+    pub next_request: id::RequestId,
+}
+
+/// What a caller asked for.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub proxy: usize,
+    pub key: Option<u64>,
+    pub at: Duration,
+    pub answer: Option<(Duration, Answer)>,
+}
+
+/// What a caller was answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Answer {
+    Done(floor::Point),
+    Rows { member: usize, keys: Vec<u64> },
+    NotRun(effect::Reason),
+    Unknown,
+}
+
+/// The run.
+pub struct World {
+    pub base: Instant,
+    pub now: Duration,
+    pub link: Link,
+    pub cuts: Cuts,
+    pub rng: StdRng,
+    pub group: id::GroupId,
+    pub proxies: Vec<Proxy>,
+    pub members: Vec<Member>,
+    pub member_domains: Vec<Box<str>>,
+    pub members_up: Vec<bool>,
+    pub frozen: Vec<(Node, Duration)>,
+    pub platform: Platform,
+    /// By proxy, incarnation and request.
+    pub asked: BTreeMap<(usize, u32, id::RequestId), Asked>,
+    pub records: Vec<(Duration, usize, effect::Record)>,
+    /// Bytes and number of status questions and peers' messages sent by proxies.
+    pub status_messages: u64,
+    pub peer_messages: u64,
+    pub peer_bytes: u64,
+    pub vms: Vec<peer::Vm>,
+    pub queue: BTreeMap<(Duration, u64), Item>,
+    pub sequence: u64,
+}
+
+impl World {
+    /// Starts a group with members in these domains, the first one its primary, and proxies.
+    pub fn new(link: Link, seed: u64, members: &[&str], proxies: &[&str]) -> Self {
+        let start = Entry {
+            term: 1,
+            key: None,
+            at: Duration::ZERO,
+        };
+        let member = |index: usize| Member {
+            term: 1,
+            primary: index == 0,
+            leads: u64::from(index == 0),
+            log: vec![start],
+            ..Member::default()
+        };
+        let mut world = Self {
+            base: Instant::now(),
+            now: Duration::ZERO,
+            link,
+            cuts: Cuts::default(),
+            rng: StdRng::seed_from_u64(seed),
+            group: id::of("ledger"),
+            proxies: Vec::new(),
+            members: (0..members.len()).map(member).collect(),
+            member_domains: members.iter().map(|domain| (*domain).into()).collect(),
+            members_up: vec![true; members.len()],
+            frozen: Vec::new(),
+            platform: Platform::default(),
+            asked: BTreeMap::new(),
+            records: Vec::new(),
+            status_messages: 0,
+            peer_messages: 0,
+            peer_bytes: 0,
+            vms: Vec::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+        };
+        for member in 0..members.len() {
+            world.push(REPLICATION_STEP, Item::Replicate(member));
+        }
+        for domain in proxies {
+            world.add_proxy(domain, proxies.len());
+        }
+        world
+    }
+
+    fn add_proxy(&mut self, domain: &str, count: usize) {
+        let index = self.proxies.len();
+        self.proxies.push(Proxy {
+            state: new_state(index, 0, domain, count, self.base),
+            id: id::of(&proxy_name(index, 0)),
+            domain: domain.into(),
+            incarnation: 0,
+            up: true,
+            next_request: 0,
+        });
+        self.boot(index);
+    }
+
+    fn boot(&mut self, index: usize) {
+        let incarnation = self.proxies[index].incarnation;
+        let head = peer::Head {
+            version: 1,
+            digest: "1".into(),
+        };
+        let topology = self.topology();
+        self.step(index, event::Event::Configured(topology, head));
+        // Proxies do not tick in step.
+        let phase = Duration::from_micros(id::weight(index as u64, self.sequence) % 20_000);
+        self.push(
+            phase,
+            Item::Tick {
+                proxy: index,
+                incarnation,
+            },
+        );
+    }
+
+    fn topology(&self) -> topology::Topology {
+        let domains = self.member_domains.iter().enumerate();
+        let members = domains.map(|(index, domain)| {
+            let member = topology::Member {
+                name: member_name(index).into(),
+                address: member_address(index),
+                place: place(domain),
+                connections: CONNECTIONS,
+                connect_time: CONNECT,
+            };
+            (self.member_id(index), member)
+        });
+        let group = topology::Group {
+            name: "ledger".into(),
+            slots: 2,
+            members: members.collect(),
+        };
+        let service = topology::Service {
+            name: "handovers".into(),
+            group: self.group,
+            limits: topology::Limits::default(),
+        };
+        topology::Topology {
+            version: 1,
+            groups: [(self.group, group)]
+                .into_iter()
+                .collect::<sorted::Map<_, _>>(),
+            services: [(id::of("handovers"), service)].into_iter().collect(),
+        }
+    }
+
+    /// Returns a member's identifier.
+    pub fn member_id(&self, index: usize) -> id::MemberId {
+        id::member(self.group, &member_name(index))
+    }
+
+    /// Returns the index of a member.
+    pub fn member_index(&self, member: id::MemberId) -> usize {
+        let indexes = 0..self.members.len();
+        let mut found = indexes.filter(|index| self.member_id(*index) == member);
+        found.next().expect("effects name members of the group")
+    }
+
+    /// Returns the current time as proxies see it.
+    pub fn instant(&self) -> Instant {
+        self.base + self.now
+    }
+
+    /// Sends a caller's request to a proxy; returns how to find it again.
+    pub fn ask(
+        &mut self,
+        proxy: usize,
+        key: Option<u64>,
+        floor: Option<floor::Floor>,
+        patience: Duration,
+    ) -> (usize, u32, id::RequestId) {
+        let at = self.now;
+        let deadline = self.instant() + patience;
+        let process = &mut self.proxies[proxy];
+        process.next_request += 1;
+        let id = (proxy, process.incarnation, process.next_request);
+        let asked = Asked {
+            proxy,
+            key,
+            at,
+            answer: None,
+        };
+        self.asked.insert(id, asked);
+        if !self.proxies[proxy].up {
+            self.answer(id, Answer::Unknown);
+            return id;
+        }
+        let kind = match key {
+            Some(_) => request::Kind::Write { repeatable: false },
+            None => request::Kind::Read { fresh_since: None },
+        };
+        let request = request::Request {
+            id: id.2,
+            caller: id::of("courier"),
+            service: id::of("handovers"),
+            kind,
+            floor,
+            deadline,
+        };
+        let incarnation = id.1;
+        let event = event::Event::Arrived(request);
+        self.push(
+            Duration::ZERO,
+            Item::Event {
+                proxy,
+                incarnation,
+                event,
+            },
+        );
+        id
+    }
+
+    /// Notes the first answer to a request.
+    pub fn answer(&mut self, id: (usize, u32, id::RequestId), answer: Answer) {
+        let now = self.now;
+        if let Some(asked) = self.asked.get_mut(&id) {
+            asked.answer.get_or_insert((now, answer));
+        }
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, node: Node) {
+        match node {
+            Node::Member(member) => self.members_up[member] = false,
+            Node::Platform => self.platform.down = true,
+            Node::Proxy(proxy) => {
+                self.proxies[proxy].up = false;
+                let open = self.asked.iter().filter(|(_, asked)| asked.proxy == proxy);
+                for id in open.map(|(id, _)| *id).collect::<Vec<_>>() {
+                    self.answer(id, Answer::Unknown);
+                }
+            }
+        }
+    }
+
+    /// Starts a killed process again: a member with its log, a proxy with nothing.
+    pub fn restart(&mut self, node: Node) {
+        match node {
+            Node::Member(member) => {
+                self.members_up[member] = true;
+                self.members[member].held.clear();
+            }
+            Node::Platform => self.platform.down = false,
+            Node::Proxy(proxy) => {
+                let (now, count) = (self.instant(), self.proxies.len());
+                let process = &mut self.proxies[proxy];
+                process.incarnation += 1;
+                process.up = true;
+                let incarnation = process.incarnation;
+                process.id = id::of(&proxy_name(proxy, incarnation));
+                process.state = new_state(proxy, incarnation, &process.domain, count, now);
+                self.boot(proxy);
+            }
+        }
+    }
+
+    /// Stops a process for a while.
+    pub fn freeze(&mut self, node: Node, time: Duration) {
+        let until = self.now + time;
+        self.frozen.retain(|(frozen, _)| *frozen != node);
+        self.frozen.push((node, until));
+    }
+
+    /// Tells all proxies that a member's VM is leaving.
+    pub fn leave(&mut self, member: usize) {
+        self.vms.push(peer::Vm {
+            name: member_name(member).into(),
+            address: member_address(member),
+            place: place(&self.member_domains[member]),
+            state: peer::VmState::Leaving,
+        });
+        for proxy in 0..self.proxies.len() {
+            let event = event::Event::Vms(self.vms.clone());
+            self.step(proxy, event);
+        }
+    }
+
+    /// Returns the primary that a proxy knows: its term, its index and whether it answers.
+    pub fn primary_seen_by(&self, proxy: usize) -> Option<(id::Term, usize, bool)> {
+        let group = self.proxies[proxy].state.groups().get(self.group)?;
+        let primary = group.watch.primary()?;
+        let index = self.member_index(primary.id);
+        Some((group.watch.top_term(), index, primary.reachable))
+    }
+
+    /// Returns the names by which cuts may mean a node.
+    pub fn names(&self, node: Node) -> [String; 3] {
+        let (name, domain) = match node {
+            Node::Proxy(index) => (
+                format!("p{}", index + 1),
+                self.proxies[index].domain.as_ref(),
+            ),
+            Node::Member(index) => (member_name(index), self.member_domains[index].as_ref()),
+            Node::Platform => ("store".to_owned(), "rvk-store"),
+        };
+        let region = network::region(domain);
+        [name, domain.to_owned(), region.to_owned()]
+    }
+}
+
+/// Returns the name of a member.
+pub fn member_name(index: usize) -> String {
+    format!("m{}", index + 1)
+}
+
+fn member_address(index: usize) -> Box<str> {
+    format!("10.0.0.{}:5432", index + 1).into()
+}
+
+fn proxy_name(index: usize, incarnation: u32) -> String {
+    format!("p{}.{incarnation}", index + 1)
+}
+
+/// Returns the address for peers of a proxy.
+pub fn proxy_address(index: usize) -> Box<str> {
+    format!("10.1.0.{}:7000", index + 1).into()
+}
+
+fn place(domain: &str) -> topology::Place {
+    topology::Place {
+        region: network::region(domain).into(),
+        domain: domain.into(),
+    }
+}
+
+fn new_state(index: usize, incarnation: u32, domain: &str, count: usize, now: Instant) -> State {
+    let name = proxy_name(index, incarnation);
+    let address = proxy_address(index);
+    let identity = identity::Identity::new(&name, network::region(domain), domain, &address);
+    State::new(identity, (0..count).map(proxy_address).collect(), now)
+}
