--- a/crates/core/src/failover/machine.rs
+++ b/crates/core/src/failover/machine.rs
@@ -15,6 +15,8 @@
 const CLAIM_LEASE: Duration = Duration::from_millis(1_500);
 /// Delay before the second-ranked proxy starts, and each further rank after it.
 const RANK_DELAY: Duration = Duration::from_millis(300);
+/// Range, in steps of the rank's delay, over which claimants that failed are spread.
+const BACKOFF_SPREAD: u64 = 4;
 /// Delay of a proxy that has lost all its peers and may be the only one to miss the primary.
 const LONE_DELAY: Duration = Duration::from_secs(5);
 
@@ -84,6 +86,8 @@
     pub watch: &'a status::Watch,
     /// What this proxy and its peers see.
     pub evidence: Evidence,
+    /// This proxy.
+    pub proxy: id::ProxyId,
     /// This proxy's rank for the group; 0 starts first.
     pub rank: u32,
     /// Source of question identifiers.
@@ -102,6 +106,8 @@
     /// Highest term that this proxy has used or found taken. No term is used twice, as a promotion of an
     /// earlier attempt may still be on its way.
     pub used_term: id::Term,
+    /// Since when the primary has been missed without interruption.
+    pub missed_since: Option<Instant>,
 }
 
 impl Default for Failover {
@@ -110,6 +116,7 @@
             stage: Stage::Idle,
             backoff_until: None,
             used_term: 0,
+            missed_since: None,
         }
     }
 }
@@ -156,16 +163,20 @@
 
     fn consider(&mut self, context: &mut Context<'_>) {
         let waits = self.backoff_until.is_some_and(|until| context.now < until);
-        if !waits && context.evidence.verdict() == Verdict::Replace {
-            self.start_waiting(context);
+        match context.evidence.verdict() {
+            Verdict::Replace if !waits => self.start_waiting(context),
+            Verdict::Healthy | Verdict::Move => self.missed_since = None,
+            _ => {}
         }
     }
 
     fn start_waiting(&mut self, context: &mut Context<'_>) {
-        let mut start_at = context.now + RANK_DELAY * context.rank;
-        if context.evidence.lone {
-            start_at += LONE_DELAY;
-        }
+        let missed_since = *self.missed_since.get_or_insert(context.now);
+        let earliest = match context.evidence.lone {
+            true => context.now.max(missed_since + LONE_DELAY),
+            false => context.now,
+        };
+        let start_at = earliest + RANK_DELAY * context.rank;
         let stage = Stage::Waiting {
             since: context.now,
             start_at,
@@ -323,7 +334,10 @@
     }
 
     fn give_up(&mut self, context: &mut Context<'_>) {
-        self.backoff_until = Some(context.now + RANK_DELAY * (context.rank + 1));
+        // Claimants that met must not meet again, also when none knows of another.
+        let spread = id::weight(self.used_term, context.proxy) % BACKOFF_SPREAD;
+        let steps = context.rank + 1 + u32::try_from(spread).unwrap_or_default();
+        self.backoff_until = Some(context.now + RANK_DELAY * steps);
         self.enter(context, Stage::Idle, 0);
     }
 
--- a/crates/core/src/state/groups.rs
+++ b/crates/core/src/state/groups.rs
@@ -146,6 +146,7 @@
             group: id,
             watch: &group.watch,
             evidence,
+            proxy: self.identity.proxy,
             rank,
             next_ask: &mut self.next_ask,
             effects,
--- a/crates/core/src/status/member.rs
+++ b/crates/core/src/status/member.rs
@@ -95,7 +95,7 @@
     /// member's term and its log within one term only grow.
     pub fn learn(&mut self, now: Instant, asked_at: Option<Instant>, status: event::Status) {
         let later = match (asked_at, self.learned_at) {
-            (Some(asked_at), Some(learned_at)) => asked_at >= learned_at,
+            (Some(asked_at), Some(learned_at)) => asked_at > learned_at,
             (_, learned_at) => learned_at.is_none(),
         };
         let further = self.status.is_none_or(|known| rank(known) <= rank(status));
--- /dev/null
+++ b/crates/core/tests/failover.rs
@@ -0,0 +1,252 @@
+//! The stages of a failover, one answer at a time.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::{effect, event, failover, floor, id, status};
+use rstest::rstest;
+
+const GROUP: id::GroupId = 1;
+const FAR: Duration = Duration::from_secs(3_600);
+
+struct Fixture {
+    failover: failover::Failover,
+    watch: status::Watch,
+    evidence: failover::Evidence,
+    now: Instant,
+    next_ask: id::AskId,
+}
+
+impl Fixture {
+    /// A proxy of the first rank that misses the primary while two of three members answer.
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            failover: failover::Failover::default(),
+            watch: status::Watch::new(GROUP, 1..=3, now),
+            evidence: failover::Evidence {
+                members_answering: 2,
+                majority: 2,
+                ..failover::Evidence::default()
+            },
+            now,
+            next_ask: 0,
+        }
+    }
+
+    fn run(
+        &mut self,
+        step: impl FnOnce(&mut failover::Failover, &mut failover::Context<'_>),
+    ) -> Vec<effect::Effect> {
+        let mut effects = Vec::new();
+        let mut context = failover::Context {
+            now: self.now,
+            group: GROUP,
+            watch: &self.watch,
+            evidence: self.evidence,
+            proxy: 9,
+            rank: 0,
+            next_ask: &mut self.next_ask,
+            effects: &mut effects,
+        };
+        step(&mut self.failover, &mut context);
+        effects.retain(|effect| !matches!(effect, effect::Effect::Record(_)));
+        effects
+    }
+
+    fn tick(&mut self) -> Vec<effect::Effect> {
+        self.run(failover::Failover::tick)
+    }
+
+    /// Ticks until the term is claimed; returns the question.
+    fn claim(&mut self) -> (id::AskId, id::Term) {
+        self.tick();
+        match self.tick().as_slice() {
+            [effect::Effect::Claim { ask, term, .. }] => (*ask, *term),
+            other => panic!("no claim but {other:?}"),
+        }
+    }
+
+    fn claimed(&mut self, ask: id::AskId, result: event::ClaimResult) -> Vec<effect::Effect> {
+        let answer = event::ClaimAnswer {
+            ask,
+            group: GROUP,
+            result,
+        };
+        self.run(|failover, context| failover.claimed(context, answer))
+    }
+
+    /// Claims the term and returns the fences.
+    fn fence(&mut self) -> Vec<effect::Grant> {
+        let (ask, _) = self.claim();
+        grants(&self.claimed(ask, event::ClaimResult::Won))
+    }
+
+    fn granted(&mut self, grant: effect::Grant, granted: bool) -> Vec<effect::Effect> {
+        let status = event::Status {
+            term: grant.term,
+            last: floor::Point::new(1, grant.member),
+            ..event::Status::default()
+        };
+        let answer = event::GrantAnswer {
+            ask: grant.ask,
+            group: GROUP,
+            member: grant.member,
+            result: Some((status, granted)),
+        };
+        self.run(|failover, context| failover.granted(context, answer))
+    }
+
+    fn stage(&self) -> failover::StageName {
+        self.failover.stage.name()
+    }
+}
+
+fn grants(effects: &[effect::Effect]) -> Vec<effect::Grant> {
+    let grants = effects.iter().filter_map(|effect| match effect {
+        effect::Effect::Fence(grant) | effect::Effect::Promote(grant) => Some(*grant),
+        _ => None,
+    });
+    grants.collect()
+}
+
+#[test]
+fn granted_promotes_most_advanced_of_a_majority() {
+    let mut fixture = Fixture::new();
+    let fences = fixture.fence();
+    assert_eq!(fixture.granted(fences[0], true), Vec::new());
+    let effects = fixture.granted(fences[1], true);
+    let promoted: Vec<_> = grants(&effects).iter().map(|grant| grant.member).collect();
+    assert_eq!(promoted, vec![2]);
+}
+
+#[test]
+fn granted_ignores_answers_of_earlier_attempts() {
+    let mut fixture = Fixture::new();
+    let earlier = fixture.fence();
+    fixture.now += Duration::from_millis(600);
+    fixture.tick();
+    fixture.now += Duration::from_secs(2);
+    let fences = fixture.fence();
+    let stale = effect::Grant {
+        ask: earlier[0].ask,
+        ..fences[0]
+    };
+    assert_eq!(fixture.granted(stale, true), Vec::new());
+    let effects = fixture.granted(fences[1], true);
+    assert_eq!(grants(&effects), Vec::new(), "one grant is no majority");
+}
+
+#[test]
+fn granted_refusal_of_majority_gives_up_at_once() {
+    let mut fixture = Fixture::new();
+    let fences = fixture.fence();
+    fixture.granted(fences[0], false);
+    assert_eq!(fixture.stage(), failover::StageName::Fencing);
+    fixture.granted(fences[1], false);
+    assert_eq!(fixture.stage(), failover::StageName::Idle);
+}
+
+#[test]
+fn claim_uses_no_term_twice() {
+    let mut fixture = Fixture::new();
+    let (_, first) = fixture.claim();
+    fixture.now += FAR;
+    fixture.tick();
+    fixture.now += FAR;
+    let (_, second) = fixture.claim();
+    assert!(second > first, "{second} after {first}");
+}
+
+#[test]
+fn claim_without_answer_goes_on_by_grants() {
+    let mut fixture = Fixture::new();
+    fixture.claim();
+    fixture.now += Duration::from_millis(300);
+    assert_eq!(grants(&fixture.tick()).len(), 3);
+}
+
+#[test]
+fn claim_is_dropped_when_the_primary_answers_again() {
+    let mut fixture = Fixture::new();
+    let (ask, _) = fixture.claim();
+    fixture.evidence.primary_answers = true;
+    fixture.tick();
+    let effects = fixture.claimed(ask, event::ClaimResult::Won);
+    assert_eq!(effects, Vec::new());
+}
+
+#[rstest]
+#[case::won(event::ClaimResult::Won)]
+#[case::unavailable(event::ClaimResult::Unavailable)]
+fn claimed_after_own_pause_fences_nobody(#[case] result: event::ClaimResult) {
+    let mut fixture = Fixture::new();
+    let (ask, _) = fixture.claim();
+    fixture.now += FAR;
+    assert_eq!(fixture.claimed(ask, result), Vec::new());
+}
+
+#[test]
+fn granted_after_own_pause_promotes_nobody() {
+    let mut fixture = Fixture::new();
+    let fences = fixture.fence();
+    fixture.granted(fences[0], true);
+    fixture.now += FAR;
+    assert_eq!(fixture.granted(fences[1], true), Vec::new());
+}
+
+#[test]
+fn claimed_by_other_with_fast_clock_holds_back_for_a_lease_only() {
+    let mut fixture = Fixture::new();
+    let (ask, term) = fixture.claim();
+    let until = fixture.now + FAR;
+    fixture.claimed(ask, event::ClaimResult::Held { term, until });
+    assert_eq!(fixture.tick(), Vec::new());
+    fixture.now += Duration::from_millis(1_500);
+    let (_, next) = fixture.claim();
+    assert!(next > term, "the other's term is taken");
+}
+
+#[test]
+fn tick_fences_again_where_no_answer_came() {
+    let mut fixture = Fixture::new();
+    let fences = fixture.fence();
+    fixture.granted(fences[0], true);
+    fixture.now += Duration::from_millis(150);
+    let again: Vec<_> = grants(&fixture.tick()).iter().map(|g| g.member).collect();
+    assert_eq!(again, vec![2, 3]);
+}
+
+#[test]
+fn wait_needs_a_round_of_answers_that_began_later() {
+    let mut fixture = Fixture::new();
+    let mut effects = Vec::new();
+    let tick = |fixture: &mut Fixture, effects: &mut Vec<effect::Effect>| {
+        let (now, next_ask) = (fixture.now, &mut fixture.next_ask);
+        fixture.watch.tick(now, next_ask, effects);
+    };
+    tick(&mut fixture, &mut effects);
+    answer_all(&mut fixture, &mut effects);
+    fixture.now += Duration::from_millis(100);
+    fixture.tick();
+    assert_eq!(fixture.tick(), Vec::new(), "no member was asked again yet");
+    tick(&mut fixture, &mut effects);
+    answer_all(&mut fixture, &mut effects);
+    assert!(matches!(
+        fixture.tick().as_slice(),
+        [effect::Effect::Claim { .. }]
+    ));
+}
+
+fn answer_all(fixture: &mut Fixture, effects: &mut Vec<effect::Effect>) {
+    for effect in effects.drain(..) {
+        if let effect::Effect::AskStatus { ask, member, .. } = effect {
+            let answer = event::StatusAnswer {
+                ask,
+                group: GROUP,
+                member,
+                status: Some(event::Status::default()),
+            };
+            fixture.watch.answer(fixture.now, answer);
+        }
+    }
+}
--- a/crates/core/tests/model/claimant.rs
+++ b/crates/core/tests/model/claimant.rs
@@ -94,12 +94,14 @@
             group: GROUP,
             watch: &watch,
             evidence,
+            proxy: 0,
             rank: 0,
             next_ask: &mut next_ask,
             effects,
         };
         step(&mut self.failover, &mut context);
         self.failover.backoff_until = None;
+        self.failover.missed_since = None;
     }
 }
 
--- a/crates/core/tests/sim/run.rs
+++ b/crates/core/tests/sim/run.rs
@@ -94,7 +94,7 @@
             let ((at, _), item) = entry.remove_entry();
             self.now = at;
             match self.frozen_until(item.node()) {
-                Some(thaw) => self.push(thaw - at, item),
+                Some(thaw) => self.push(thaw - at + item.delay_after_freeze(), item),
                 None => self.handle(item),
             }
         }
@@ -209,6 +209,14 @@
 }
 
 impl Item {
+    /// A process that wakes up takes in what it was sent before it learns of a newer term.
+    fn delay_after_freeze(&self) -> Duration {
+        match self {
+            Self::Replicate(_) => REPLICATION_STEP,
+            _ => Duration::ZERO,
+        }
+    }
+
     fn node(&self) -> Node {
         match self {
             Self::Tick { proxy, .. } | Self::Event { proxy, .. } | Self::Rows { proxy, .. } => {
--- /dev/null
+++ b/crates/core/tests/watch.rs
@@ -0,0 +1,150 @@
+//! Reports that cross, answers that stay out, and pauses of the proxy itself.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::{effect, event, floor, id, status};
+
+const GROUP: id::GroupId = 1;
+const MEMBER: id::MemberId = 1;
+const STEP: Duration = Duration::from_millis(20);
+
+struct Fixture {
+    watch: status::Watch,
+    now: Instant,
+    next_ask: id::AskId,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            watch: status::Watch::new(GROUP, 1..=3, now),
+            now,
+            next_ask: 0,
+        }
+    }
+
+    /// Lets time pass in steps and returns the questions to [`MEMBER`].
+    fn run(&mut self, time: Duration) -> Vec<id::AskId> {
+        let until = self.now + time;
+        let mut asks = Vec::new();
+        while self.now < until {
+            self.now += STEP;
+            asks.extend(self.tick().0);
+        }
+        asks
+    }
+
+    fn tick(&mut self) -> (Vec<id::AskId>, status::Outcome) {
+        let mut effects = Vec::new();
+        let outcome = self.watch.tick(self.now, &mut self.next_ask, &mut effects);
+        let asks = effects.iter().filter_map(|effect| match effect {
+            effect::Effect::AskStatus { ask, member, .. } if *member == MEMBER => Some(*ask),
+            _ => None,
+        });
+        (asks.collect(), outcome)
+    }
+
+    fn answer(&mut self, ask: id::AskId, term: id::Term, position: id::Position) {
+        let status = event::Status {
+            term,
+            last: floor::Point::new(term, position),
+            ..event::Status::default()
+        };
+        let answer = event::StatusAnswer {
+            ask,
+            group: GROUP,
+            member: MEMBER,
+            status: Some(status),
+        };
+        self.watch.answer(self.now, answer);
+    }
+
+    fn last(&self) -> floor::Point {
+        let member = self.watch.members.get(MEMBER);
+        member.expect("the member is configured").last()
+    }
+
+    fn reachable(&self) -> bool {
+        let member = self.watch.members.get(MEMBER);
+        member.expect("the member is configured").reachable
+    }
+}
+
+#[test]
+fn answer_overtaken_by_newer_one_is_ignored() {
+    let mut fixture = Fixture::new();
+    let asks = fixture.run(Duration::from_millis(220));
+    fixture.answer(asks[1], 5, 10);
+    fixture.answer(asks[0], 4, 12);
+    assert_eq!(fixture.last(), floor::Point::new(5, 10));
+    assert_eq!(fixture.watch.top_term(), 5);
+}
+
+#[test]
+fn answer_asked_before_a_grant_does_not_undo_it() {
+    let mut fixture = Fixture::new();
+    let asks = fixture.run(STEP);
+    let granted = event::Status {
+        term: 5,
+        ..event::Status::default()
+    };
+    fixture.watch.learn(fixture.now, MEMBER, granted);
+    fixture.answer(asks[0], 4, 12);
+    assert_eq!(fixture.watch.top_term(), 5);
+}
+
+#[test]
+fn answer_of_member_that_lost_its_log_is_believed() {
+    let mut fixture = Fixture::new();
+    let asks = fixture.run(STEP);
+    fixture.answer(asks[0], 5, 10);
+    let asks = fixture.run(Duration::from_millis(200));
+    fixture.answer(asks[0], 0, 0);
+    assert_eq!(fixture.last(), floor::Point::default());
+}
+
+#[test]
+fn tick_asks_again_while_an_answer_stays_out() {
+    let mut fixture = Fixture::new();
+    let asks = fixture.run(Duration::from_millis(320));
+    assert!(asks.len() >= 3, "{asks:?}");
+    fixture.answer(asks[asks.len() - 1], 1, 1);
+    assert!(fixture.reachable());
+}
+
+#[test]
+fn tick_marks_silent_member() {
+    let mut fixture = Fixture::new();
+    let asks = fixture.run(STEP);
+    fixture.answer(asks[0], 1, 1);
+    fixture.run(Duration::from_secs(1));
+    assert!(!fixture.reachable());
+}
+
+#[test]
+fn tick_after_own_pause_marks_nobody() {
+    let mut fixture = Fixture::new();
+    let asks = fixture.run(STEP);
+    fixture.answer(asks[0], 1, 1);
+    fixture.now += Duration::from_secs(5);
+    let (asks, outcome) = fixture.tick();
+    assert_eq!(outcome, status::Outcome::default());
+    assert!(!asks.is_empty(), "members are asked at once");
+    assert!(fixture.reachable());
+}
+
+#[test]
+fn ask_serves_many_reads_with_one_question() {
+    let mut fixture = Fixture::new();
+    let asks = fixture.run(STEP);
+    fixture.answer(asks[0], 1, 1);
+    let mut effects = Vec::new();
+    for read in 0..100 {
+        fixture.now += Duration::from_micros(10);
+        fixture.watch.indexes.add(read, fixture.now);
+        let (now, next_ask) = (fixture.now, &mut fixture.next_ask);
+        fixture.watch.ask(now, next_ask, &mut effects);
+    }
+    assert_eq!(effects.len(), 1, "the others still owe an answer");
+}
