--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -17,6 +17,13 @@
     Arrived(request::Request),
     /// The caller of a request that has not been dispatched is gone.
     Abandoned(id::RequestId),
+    /// A transaction goes on with a statement that has a deadline of its own.
+    Extended {
+        /// The request that began the transaction.
+        request: id::RequestId,
+        /// When the caller no longer wants the statement's answer.
+        deadline: Instant,
+    },
     /// A dispatched request has ended and its connection is free.
     Returned(Returned),
     /// A connection was opened.
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -93,6 +93,7 @@
         match event {
             event::Event::Arrived(request) => self.arrived(now, request, effects),
             event::Event::Abandoned(request) => self.abandoned(now, request),
+            event::Event::Extended { request, deadline } => self.extended(request, deadline),
             event::Event::Returned(returned) => self.returned(now, returned, effects),
             event::Event::Opened(conn) => self.opened(now, conn, effects),
             event::Event::OpenFailed { conn, full } => self.open_failed(now, conn, full, effects),
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -249,12 +249,6 @@
             return;
         };
         active.stage = request::Stage::Confirming(point);
-        // A transaction may have taken longer than a request is given; its confirmation has its own time.
-        let service = self.topology.services.get(active.request.service);
-        if let Some(service) = service {
-            let deadline = now + service.limits.request_timeout;
-            active.request.deadline = active.request.deadline.max(deadline);
-        }
         let group = active.group;
         if let Some(state) = self.groups.get_mut(group) {
             state.watch.confirmations.add(id, point, member);
@@ -308,6 +302,13 @@
         self.route(now, id, effects);
     }
 
+    /// Gives a transaction the deadline of its next statement.
+    pub(super) fn extended(&mut self, id: id::RequestId, deadline: Instant) {
+        if let Some(active) = self.requests.get_mut(id) {
+            active.request.deadline = deadline;
+        }
+    }
+
     pub(super) fn abandoned(&mut self, _now: Instant, id: id::RequestId) {
         let running =
             |active: &request::Active| matches!(active.stage, request::Stage::Running { .. });
--- a/crates/core/tests/sim/shell.rs
+++ b/crates/core/tests/sim/shell.rs
@@ -55,6 +55,17 @@
             }
             effect::Effect::Unconfirmed(request) => self.answer(own(request), Answer::Unknown),
             effect::Effect::Dispatch(dispatch) => self.dispatch(proxy, dispatch),
+            effect::Effect::Interrupt(request) => {
+                if let Some(returned) = self.running.remove(&own(request)) {
+                    let event = event::Event::Returned(returned);
+                    let event = Item::Event {
+                        proxy,
+                        incarnation,
+                        event,
+                    };
+                    self.push(Duration::ZERO, event);
+                }
+            }
             effect::Effect::Open {
                 conn,
                 member,
@@ -204,6 +215,7 @@
             outcome,
             clean: false,
         };
+        self.running.insert(id, returned);
         self.query(
             proxy,
             member,
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -64,6 +64,8 @@
     pub platform: Platform,
     /// By proxy, incarnation and request.
     pub asked: BTreeMap<(usize, u32, id::RequestId), Asked>,
+    /// What is returned for a request that is interrupted.
+    pub running: BTreeMap<(usize, u32, id::RequestId), event::Returned>,
     pub records: Vec<(Duration, usize, effect::Record)>,
     /// Bytes and number of status questions and peers' messages sent by proxies.
     pub status_messages: u64,
@@ -103,6 +105,7 @@
             frozen: Vec::new(),
             platform: Platform::default(),
             asked: BTreeMap::new(),
+            running: BTreeMap::new(),
             records: Vec::new(),
             status_messages: 0,
             peer_messages: 0,
--- a/crates/proxy/src/caller/requests.rs
+++ b/crates/proxy/src/caller/requests.rs
@@ -23,6 +23,10 @@
         mut link: Link,
     ) -> Result<(), Error> {
         link.first_byte_by = Instant::now() + link.progress;
+        self.engine.step(event::Event::Extended {
+            request: link.request,
+            deadline: link.first_byte_by,
+        });
         if link.interrupted.try_recv().is_ok() {
             // The member was replaced between two statements; nothing of this one is sent.
             self.give_up(link);
