--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -2,11 +2,14 @@
 
 mod configure;
 mod conns;
+mod explain;
 mod groups;
+mod interrupt;
 mod lending;
 mod outcome;
 mod peers;
 mod requests;
+mod served;
 mod tick;
 
 use std::time::Instant;
@@ -23,6 +26,8 @@
 use crate::sorted;
 use crate::topology;
 
+pub use served::Served;
+
 /// Everything that a proxy's decisions rest on.
 #[derive(Clone, Debug)]
 pub struct State<P = route::Nearest> {
@@ -37,6 +42,7 @@
     retries: limit::RetryBudget,
     peers: peer::Table,
     sequence: u64,
+    served: Served,
     draining: bool,
     drained: bool,
     next_ask: id::AskId,
@@ -77,6 +83,7 @@
             retries: limit::RetryBudget::default(),
             peers: peer::Table::new(peers, now),
             sequence: 0,
+            served: Served::default(),
             draining: false,
             drained: false,
             next_ask: 0,
@@ -89,6 +96,7 @@
         match event {
             event::Event::Arrived(request) => self.arrived(now, request, effects),
             event::Event::Abandoned(request) => self.abandoned(now, request),
+            event::Event::Extended { request, deadline } => self.extended(request, deadline),
             event::Event::Returned(returned) => self.returned(now, returned, effects),
             event::Event::Opened(conn) => self.opened(now, conn, effects),
             event::Event::OpenFailed { conn, full } => self.open_failed(now, conn, full, effects),
@@ -127,6 +135,11 @@
         &self.peers
     }
 
+    /// Returns who served the reads so far.
+    pub fn served(&self) -> Served {
+        self.served
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.requests.len()
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -194,6 +194,9 @@
             return;
         };
         active.stage = request::Stage::Running { conn, member };
+        if let Some(group) = self.groups.get(active.group) {
+            self.served.count(active.request.kind, group, member);
+        }
         effects.push(effect::Effect::Dispatch(effect::Dispatch {
             request: id,
             conn,
@@ -203,6 +206,13 @@
         }));
     }
 
+    /// Gives a transaction the deadline of its next statement.
+    pub(super) fn extended(&mut self, id: id::RequestId, deadline: Instant) {
+        if let Some(active) = self.requests.get_mut(id) {
+            active.request.deadline = deadline;
+        }
+    }
+
     pub(super) fn abandoned(&mut self, _now: Instant, id: id::RequestId) {
         let running =
             |active: &request::Active| matches!(active.stage, request::Stage::Running { .. });
--- /dev/null
+++ b/crates/proxy/src/explain.rs
@@ -0,0 +1,85 @@
+//! Where a statement would go, and why.
+
+use std::time::Duration;
+
+use fulmarlift_config::model;
+use fulmarlift_core::{floor, id};
+use fulmarlift_platform::admin;
+use fulmarlift_wire::class;
+
+use crate::caller::plan;
+use crate::engine;
+
+/// Why a statement cannot be explained.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The service is not configured.
+    #[error("unknown service {0:?}")]
+    UnknownService(Box<str>),
+}
+
+/// Explains a statement.
+///
+/// # Errors
+///
+/// Returns an error when the service is not configured.
+pub fn explain(
+    engine: &engine::Engine,
+    service: &str,
+    sql: &str,
+) -> Result<admin::Explanation, Error> {
+    let document = engine.document();
+    let config = document.topology.services.get(id::of(service));
+    let config = config.ok_or_else(|| Error::UnknownService(service.into()))?;
+    let plan = plan::Plan::of(&class::classify(sql));
+    let class = match &plan {
+        plan::Plan::Read { tables } => document.read_class(service, None, tables),
+        _ => None,
+    };
+    let age = class.map(|class| Duration::from_millis(class.max_age_ms));
+    let member = match plan {
+        plan::Plan::Read { .. } => engine.preview(config.group, true, age),
+        plan::Plan::Write { .. } => engine.preview(config.group, false, None),
+        _ => None,
+    };
+    Ok(admin::Explanation {
+        class: class.map(|class| class.name.clone()),
+        kind: kind(&plan).into(),
+        member,
+        reason: reason(&plan, class),
+        floor: engine.newest(config.group).map(point),
+    })
+}
+
+fn point(point: floor::Point) -> Box<str> {
+    format!("{}:{}", point.term, point.position).into()
+}
+
+fn kind(plan: &plan::Plan) -> &'static str {
+    match plan {
+        plan::Plan::Nothing => "nothing",
+        plan::Plan::Read { .. } => "read",
+        plan::Plan::Write { .. } => "write",
+        plan::Plan::Settings => "settings",
+        plan::Plan::Refused(_) => "refused",
+    }
+}
+
+fn reason(plan: &plan::Plan, class: Option<&model::ReadClass>) -> Box<str> {
+    match plan {
+        plan::Plan::Nothing => "nothing is executed".into(),
+        plan::Plan::Read { .. } => match class {
+            Some(class) => format!(
+                "read class {} allows an age of {} ms: the nearest member at the session's floor serves it",
+                class.name, class.max_age_ms
+            )
+            .into(),
+            None => "no read class allows an age: the nearest member at the read index serves it".into(),
+        },
+        plan::Plan::Write { .. } => "it may write: the primary serves it".into(),
+        plan::Plan::Settings => "settings are kept for the session".into(),
+        plan::Plan::Refused(refusal) => {
+            format!("{} needs a connection of its own", refusal.what).into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/support/mod.rs
@@ -0,0 +1,155 @@
+//! What the tests of members share.
+#![allow(dead_code, missing_docs)]
+
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use fulmarlift_standin::member;
+use pgwire::messages::{Message, extendedquery, simplequery, startup};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage, SimpleQueryRow};
+
+pub const SCHEMA: &str = "CREATE TABLE letter (id INTEGER PRIMARY KEY, place INT, name TEXT, sent BOOLEAN, \
+     weight REAL, seal BYTEA)";
+
+pub async fn primary(change: impl FnOnce(&mut member::Config)) -> member::Handle {
+    let mut config = member::Config {
+        primary: true,
+        initial_sql: SCHEMA.into(),
+        ..member::Config::default()
+    };
+    change(&mut config);
+    member::Member::start(config).await.unwrap()
+}
+
+pub async fn group(lag_ms: u64) -> Vec<member::Handle> {
+    let mut members = vec![primary(|_| {}).await];
+    for _ in 0..2 {
+        let config = member::Config {
+            lag_ms,
+            ..member::Config::default()
+        };
+        members.push(member::Member::start(config).await.unwrap());
+    }
+    for (place, member) in members.iter().enumerate() {
+        let others = members.iter().enumerate();
+        let peers = others.filter(|(other, _)| *other != place);
+        member.set_peers(peers.map(|(_, peer)| peer.as_peer()).collect());
+    }
+    members
+}
+
+pub fn config(member: &member::Handle) -> Config {
+    let mut config = Config::new();
+    config
+        .host("127.0.0.1")
+        .port(member.address().port())
+        .user("caller")
+        .dbname("main")
+        .connect_timeout(Duration::from_secs(20));
+    config
+}
+
+pub async fn try_connect(config: &Config) -> Result<Client, tokio_postgres::Error> {
+    let (client, connection) = config.connect(NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+pub async fn connect(member: &member::Handle) -> Client {
+    try_connect(&config(member)).await.unwrap()
+}
+
+pub async fn connect_control(member: &member::Handle) -> Client {
+    let mut config = config(member);
+    config.options("-c group_control=true");
+    try_connect(&config).await.unwrap()
+}
+
+/// A caller that sends single messages.
+pub struct RawCaller {
+    stream: TcpStream,
+    received: BytesMut,
+}
+
+impl RawCaller {
+    pub async fn connect(member: &member::Handle) -> Self {
+        let mut caller = Self {
+            stream: TcpStream::connect(member.address()).await.unwrap(),
+            received: BytesMut::new(),
+        };
+        caller.send(startup::Startup::new()).await;
+        caller.read_until(b'Z').await;
+        caller
+    }
+
+    pub async fn query(&mut self, text: &str) {
+        self.send(simplequery::Query::new(text.into())).await;
+    }
+
+    pub async fn extended(&mut self, text: &str) {
+        self.send(extendedquery::Parse::new(None, text.into(), vec![]))
+            .await;
+        self.send(extendedquery::Bind::new(None, None, vec![], vec![], vec![]))
+            .await;
+        self.send(extendedquery::Execute::new(None, 0)).await;
+    }
+
+    pub async fn flush(&mut self) {
+        self.send(extendedquery::Flush::new()).await;
+    }
+
+    pub async fn sync(&mut self) {
+        self.send(extendedquery::Sync::new()).await;
+    }
+
+    /// Reads messages up to one of a kind, and returns their kinds.
+    pub async fn read_until(&mut self, kind: u8) -> Vec<u8> {
+        let mut kinds = Vec::new();
+        while kinds.last() != Some(&kind) {
+            while self.received.len() < 5
+                || self.received.len() < 1 + (&self.received[1..5]).get_u32() as usize
+            {
+                assert_ne!(self.stream.read_buf(&mut self.received).await.unwrap(), 0);
+            }
+            kinds.push(self.received[0]);
+            let length = 1 + (&self.received[1..5]).get_u32() as usize;
+            self.received.advance(length);
+        }
+        kinds
+    }
+
+    async fn send(&mut self, message: impl Message) {
+        let mut out = BytesMut::new();
+        message.encode(&mut out).unwrap();
+        self.stream.write_all(&out).await.unwrap();
+    }
+}
+
+pub async fn row(client: &Client, query: &str) -> SimpleQueryRow {
+    let messages = client.simple_query(query).await.unwrap();
+    let row = messages.into_iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => Some(row),
+        _ => None,
+    });
+    row.unwrap()
+}
+
+pub async fn text(client: &Client, query: &str) -> String {
+    row(client, query).await.get(0).unwrap().to_string()
+}
+
+pub fn code<T>(result: Result<T, tokio_postgres::Error>) -> String {
+    match result {
+        Ok(_) => "none".into(),
+        Err(error) => error
+            .code()
+            .map_or_else(|| error.to_string(), |code| code.code().to_string()),
+    }
+}
+
+pub async fn wait_position(client: &Client, position: u64) -> SimpleQueryRow {
+    let query = format!("SELECT * FROM group_status({position}, 20000)");
+    row(client, &query).await
+}
