Reads leave a replica that they wait for in vain, and the next ones do not try it

Change: the estimate counts the read's own wait; a wait in vain raises the member's estimate until it is seen with all that is known to be written.

Seen failing with the mechanism out (tests/route_policy.rs): read_is_not_held_up_by_a_question_for_a_higher_position, read_does_not_wait_where_another_has_waited_in_vain.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -78,7 +78,7 @@
                 reachable: member.reachable,
                 leaving: self.leaving.contains(&id),
                 fresh: self.fresh(member, active, floor),
-                catch_up: catch_up(now, member, floor),
+                catch_up: self.catch_up(now, member, active, floor),
                 wait: pool.estimated_wait(settings.connect_time, active.ticket()),
                 answer: pool.estimated_answer().max(member.round_trip),
                 distance: distance(place, &settings.place),
@@ -91,6 +91,39 @@
         candidates.collect()
     }
 
+    /// Estimates the time until a member's log has reached the floor.
+    fn catch_up(
+        &self,
+        now: Instant,
+        member: &status::Member,
+        active: &request::Active,
+        floor: floor::Point,
+    ) -> Option<Duration> {
+        let status = member.status?;
+        if status.last >= floor {
+            return Some(Duration::ZERO);
+        }
+        let waited = self.watch.awaits.waited(now, active.request.id);
+        let waited = waited.filter(|(waits_for, _)| *waits_for == member.id);
+        // As long again as this read has waited for the member already.
+        let waited = waited.map_or(Duration::ZERO, |(_, waited)| waited);
+        if status.primary && status.term == floor.term {
+            // Its log holds what it wrote; a question confirms it.
+            return Some(waited);
+        }
+        Some(member.catch_up(now, floor.position).max(waited))
+    }
+
+    /// Notes that a read turns to a member; one that it waited for in vain is expected to need longer.
+    pub fn turn(&mut self, now: Instant, request: id::RequestId, to: id::MemberId) {
+        let waited = self.watch.awaits.waited(now, request);
+        if let Some((member, waited)) = waited.filter(|(member, _)| *member != to)
+            && let Some(member) = self.watch.members.get_mut(member)
+        {
+            member.waited_in_vain(waited);
+        }
+    }
+
     /// Notes that the member has committed this point: reads of it need not ask first.
     pub fn committed(&mut self, member: id::MemberId, point: floor::Point) {
         let member = self.watch.members.get_mut(member);
@@ -117,18 +150,6 @@
     }
 }
 
-fn catch_up(now: Instant, member: &status::Member, floor: floor::Point) -> Option<Duration> {
-    let status = member.status?;
-    if status.last >= floor {
-        return Some(Duration::ZERO);
-    }
-    if status.primary && status.term == floor.term {
-        // Its log holds what it wrote; a question confirms it.
-        return Some(Duration::ZERO);
-    }
-    Some(member.catch_up(now, floor.position))
-}
-
 fn distance(own: &topology::Place, other: &topology::Place) -> u8 {
     if own.domain == other.domain {
         0
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -92,7 +92,7 @@
         }
         match self.choose(now, id) {
             Some(route::Choice::Member(member)) => self.lease(now, id, member, effects),
-            Some(route::Choice::Await(member)) => self.await_member(id, member),
+            Some(route::Choice::Await(member)) => self.await_member(now, id, member),
             Some(route::Choice::Wait) => self.park(id),
             Some(route::Choice::Refuse(reason)) => self.refuse(now, id, reason, effects),
             None => {}
@@ -120,13 +120,14 @@
     }
 
     /// Lets a read wait until a member's log has reached its floor.
-    fn await_member(&mut self, id: id::RequestId, member: id::MemberId) {
+    fn await_member(&mut self, now: Instant, id: id::RequestId, member: id::MemberId) {
         let Some(active) = self.requests.get(id) else {
             return;
         };
         let point = active.point();
         if let (Some(group), Some(point)) = (self.groups.get_mut(active.group), point) {
-            group.watch.awaits.set(id, member, point.position);
+            group.turn(now, id, member);
+            group.watch.awaits.set(now, id, member, point.position);
         }
         self.park(id);
     }
@@ -169,6 +170,7 @@
         let Some(state) = self.groups.get_mut(group) else {
             return;
         };
+        state.turn(now, id, member);
         state.watch.awaits.remove(id);
         let Some(pool) = state.pools.get_mut(member) else {
             return;
--- a/crates/core/src/status/awaits.rs
+++ b/crates/core/src/status/awaits.rs
@@ -1,5 +1,7 @@
 //! Reads that wait for a member's log to reach their floor.
 
+use std::time::{Duration, Instant};
+
 use crate::id;
 use crate::sorted;
 
@@ -13,12 +15,33 @@
 struct Await {
     member: id::MemberId,
     position: id::Position,
+    since: Instant,
 }
 
 impl Awaits {
     /// Lets a read wait for a position of a member instead of what it waited for.
-    pub fn set(&mut self, request: id::RequestId, member: id::MemberId, position: id::Position) {
-        self.waiting.insert(request, Await { member, position });
+    pub fn set(
+        &mut self,
+        now: Instant,
+        request: id::RequestId,
+        member: id::MemberId,
+        position: id::Position,
+    ) {
+        let known = self.waiting.get(request).filter(|w| w.member == member);
+        let since = known.map_or(now, |waiting| waiting.since);
+        let waiting = Await {
+            member,
+            position,
+            since,
+        };
+        self.waiting.insert(request, waiting);
+    }
+
+    /// Returns the member that a read waits for and for how long it has done so.
+    pub fn waited(&self, now: Instant, request: id::RequestId) -> Option<(id::MemberId, Duration)> {
+        let waiting = self.waiting.get(request)?;
+        let waited = now.saturating_duration_since(waiting.since);
+        Some((waiting.member, waited))
     }
 
     /// Removes a read that no longer waits.
--- a/crates/core/src/status/member.rs
+++ b/crates/core/src/status/member.rs
@@ -155,6 +155,18 @@
         self.catch_up.max(waited)
     }
 
+    /// Notes that the member was seen with all that the group is known to have written.
+    pub fn caught_up(&mut self) {
+        self.catch_up = self
+            .catch_up
+            .min(self.catch_up * 3 / 4 + CATCH_UP_GUESS / 4);
+    }
+
+    /// Notes that a position of the member was waited for and not reached.
+    pub fn waited_in_vain(&mut self, waited: Duration) {
+        self.catch_up = self.catch_up.max(waited).min(CATCH_UP_MAX);
+    }
+
     fn learn_catch_up(&mut self, waited: Duration, reached: bool) {
         self.catch_up = match reached {
             true => self.catch_up * 3 / 4 + waited / 4,
--- a/crates/core/src/status/watch.rs
+++ b/crates/core/src/status/watch.rs
@@ -153,6 +153,7 @@
             outcome.changed.push((answer.member, true));
         }
         self.note_freshness();
+        self.note_caught_up(answer.member);
         outcome.indexed = self
             .indexes
             .report(answer.member, ask.started_at, status.last, majority);
@@ -160,6 +161,14 @@
         outcome
     }
 
+    fn note_caught_up(&mut self, member: id::MemberId) {
+        let newest = self.newest();
+        let member = self.members.get_mut(member);
+        if let Some(member) = member.filter(|member| member.last() >= newest) {
+            member.caught_up();
+        }
+    }
+
     /// Samples the group's newest point.
     ///
     /// What a majority reported holds everything that was acknowledged before the questions to it
--- a/crates/core/tests/route_policy.rs
+++ b/crates/core/tests/route_policy.rs
@@ -122,3 +122,45 @@
             .any(|e| matches!(e, effect::Effect::Open { .. }))
     );
 }
+
+/// Lets time pass in which all but the near replica answer.
+fn pass_without_near_replica(bench: &mut Bench) {
+    for _ in 0..10 {
+        bench.later(10);
+        bench.step(event::Event::Tick);
+        bench.answer(0, 12);
+        bench.answer(2, 12);
+    }
+}
+
+#[test]
+fn read_is_not_held_up_by_a_question_for_a_higher_position() {
+    let mut bench = Bench::new();
+    let gone = bench.read(12);
+    bench.step(event::Event::Abandoned(gone));
+    // The question for 12 is out at the near replica, which has nothing past 10: 11 cannot be asked for.
+    let read = bench.read(11);
+    pass_without_near_replica(&mut bench);
+    bench.open_all();
+    let dispatch = bench.dispatches()[0];
+    assert_eq!((dispatch.request, dispatch.member), (read, member(2)));
+}
+
+#[test]
+fn read_does_not_wait_where_another_has_waited_in_vain() {
+    let mut bench = Bench::new();
+    bench.read(10);
+    bench.open_all();
+    let served = bench.dispatches()[0];
+    assert_eq!(served.member, member(1));
+    bench.finish(served, event::Outcome::Answered, true);
+    bench.effects.clear();
+    bench.read(12);
+    pass_without_near_replica(&mut bench);
+    bench.open_all();
+    assert_eq!(bench.dispatches()[0].member, member(2));
+    bench.effects.clear();
+    bench.read(11);
+    bench.open_all();
+    assert_eq!(bench.dispatches()[0].member, member(2));
+}
