Retire silent connections, retreat from leaving members, forget what left

Change: a read's first byte is due by a bound learned from answers; past it the connection and the idle ones to that member are closed and the read is tried elsewhere once. Writes keep their deadline, since a slow write may be waiting for a lock. Leaving replicas lose idle connections and queue. A configuration closes and refuses what it drops. Peers silent for two minutes are forgotten with their addresses, except those of the settings.

Seen failing with the mechanism out (tests/conns_lifecycle.rs): idle connections kept, no bound, a bound on the second try, a bound on writes, distrust after an early failure, no retreat, no refusal, no closing, addresses kept.

--- a/crates/core/src/peer/table.rs
+++ b/crates/core/src/peer/table.rs
@@ -14,6 +14,8 @@
 /// Time after a peer's silence before its connections are shared out again. A member that is not told
 /// of the peer's end needs that long to notice.
 const SHARE_RETURN: Duration = Duration::from_secs(6);
+/// Time after a peer's silence before it and its address are forgotten.
+const FORGET: Duration = Duration::from_secs(120);
 /// Time after the start in which addresses that have not been heard count as live.
 const START_GRACE: Duration = Duration::from_secs(2);
 
@@ -36,6 +38,7 @@
     /// When the next heartbeats are due.
     pub heartbeat_at: Instant,
     heard_all_by: Instant,
+    settings: Vec<Box<str>>,
 }
 
 impl Table {
@@ -45,6 +48,7 @@
         addresses.dedup();
         Self {
             peers: sorted::Map::default(),
+            settings: addresses.clone(),
             addresses,
             heartbeat_at: now,
             heard_all_by: now + START_GRACE,
@@ -69,6 +73,16 @@
         true
     }
 
+    /// Forgets peers that have long been silent, and their addresses unless the settings name them.
+    pub fn forget(&mut self, now: Instant) {
+        self.peers.retain(|_, peer| now < peer.alive_until + FORGET);
+        let (settings, peers) = (&self.settings, &self.peers);
+        self.addresses.retain(|address| {
+            let heard = peers.values().any(|p| p.message.address == *address);
+            heard || settings.binary_search(address).is_ok()
+        });
+    }
+
     /// Adds an address to which heartbeats go.
     pub fn add_address(&mut self, address: &str) {
         if let Err(index) = self
--- a/crates/core/src/pool/member.rs
+++ b/crates/core/src/pool/member.rs
@@ -15,6 +15,11 @@
 /// Time over which the most connections wanted at once are remembered.
 const PEAK_WINDOW: Duration = Duration::from_secs(1);
 
+/// Shortest silence after a dispatch that counts against a connection.
+const PATIENCE_MIN: Duration = Duration::from_millis(500);
+/// Silence that counts against a connection, as a multiple of the slowest answer lately.
+const PATIENCE_FACTOR: u32 = 4;
+
 /// Connections to one member and the requests that wait for one.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -28,6 +33,7 @@
     queue: Queue,
     open_after: Instant,
     hold_time: Duration,
+    slowest: Duration,
     peak: Peak,
 }
 
@@ -76,6 +82,7 @@
             queue: Queue::default(),
             open_after: now,
             hold_time: Duration::ZERO,
+            slowest: Duration::ZERO,
         }
     }
 
@@ -114,6 +121,11 @@
         }
     }
 
+    /// Returns how long a connection may be silent after a dispatch.
+    pub fn patience(&self) -> Duration {
+        PATIENCE_MIN.max(self.slowest * PATIENCE_FACTOR)
+    }
+
     /// Estimates the time until all that wait now have had a connection.
     pub fn drain_time(&self) -> Duration {
         self.hold_time * self.waiting() / self.open().max(1)
@@ -187,6 +199,7 @@
         if let State::Busy(_) = entry.state {
             let held = now.saturating_duration_since(entry.since);
             self.hold_time = self.hold_time * 7 / 8 + held / 8;
+            self.slowest = held.max(self.slowest * 31 / 32);
         }
         entry.state = State::Idle;
         entry.since = now;
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -61,6 +61,8 @@
     pub weight: u32,
     /// Whether a member may have run it without answering.
     pub ran: bool,
+    /// When silence of the connection that it runs on counts against that.
+    pub first_byte_by: Option<Instant>,
     /// Members that failed it.
     pub avoid: Vec<id::MemberId>,
 }
@@ -76,6 +78,14 @@
         }
     }
 
+    /// Returns whether the request has not been sent to a member.
+    pub fn waits(&self) -> bool {
+        matches!(
+            self.stage,
+            Stage::Indexing | Stage::Parked | Stage::Queued(_)
+        )
+    }
+
     /// Returns the point that a read must see, as far as known.
     pub fn point(&self) -> Option<floor::Point> {
         let floor = self.request.floor.as_ref()?;
--- a/crates/core/src/state/configure.rs
+++ b/crates/core/src/state/configure.rs
@@ -4,7 +4,9 @@
 
 use crate::effect;
 use crate::group;
+use crate::id;
 use crate::peer;
+use crate::request;
 use crate::route;
 use crate::state::State;
 use crate::topology;
@@ -16,11 +18,12 @@
         now: Instant,
         topology: topology::Topology,
         head: peer::Head,
-        _effects: &mut Vec<effect::Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         if head.version <= self.head.version {
             return;
         }
+        let requeued = self.retire(&topology, effects);
         self.groups.retain(|id, _| topology.groups.contains(id));
         for (id, config) in topology.groups.iter() {
             match self.groups.get_mut(id) {
@@ -33,5 +36,53 @@
         self.topology = topology;
         self.head = head;
         self.share(now);
+        self.refuse_unknown(now, effects);
+        for id in requeued {
+            self.route(now, id, effects);
+        }
+    }
+
+    /// Closes the idle connections of members that are not in the topology, and returns the requests that
+    /// waited for one.
+    fn retire(
+        &mut self,
+        topology: &topology::Topology,
+        effects: &mut Vec<effect::Effect>,
+    ) -> Vec<id::RequestId> {
+        let mut requeued = Vec::new();
+        for (id, group) in self.groups.iter_mut() {
+            let config = topology.groups.get(id);
+            let stays = |member| config.is_some_and(|config| config.members.contains(member));
+            for (_, pool) in group.pools.iter_mut().filter(|(member, _)| !stays(*member)) {
+                for conn in pool.take_idle() {
+                    self.conns.remove(conn);
+                    effects.push(effect::Effect::Close(conn));
+                }
+                requeued.extend(pool.take_queue());
+            }
+        }
+        for id in &requeued {
+            if let Some(active) = self.requests.get_mut(*id) {
+                active.stage = request::Stage::Parked;
+            }
+        }
+        requeued
+    }
+
+    /// Refuses requests that wait and whose service is no longer in front of their group.
+    fn refuse_unknown(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
+        let services = &self.topology.services;
+        let fronted = |active: &request::Active| {
+            let service = services.get(active.request.service);
+            service.is_some_and(|service| service.group == active.group)
+        };
+        let unknown = self
+            .requests
+            .iter()
+            .filter(|(_, active)| active.waits() && !fronted(active));
+        let unknown: Vec<id::RequestId> = unknown.map(|(id, _)| id).collect();
+        for id in unknown {
+            self.refuse(now, id, effect::Reason::UnknownService, effects);
+        }
     }
 }
--- a/crates/core/src/state/conns.rs
+++ b/crates/core/src/state/conns.rs
@@ -51,10 +51,16 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         let Some(owner) = self.conns.get(conn).copied() else {
-            // Its member has left the configuration.
+            // It was forgotten before.
             effects.push(effect::Effect::Close(conn));
             return;
         };
+        if self.pool(owner).is_none() {
+            // Its member has left the configuration while it was in use.
+            self.conns.remove(conn);
+            effects.push(effect::Effect::Close(conn));
+            return;
+        }
         if !clean {
             effects.push(effect::Effect::Close(conn));
             return self.lost(now, conn, effects);
--- a/crates/core/src/state/explain.rs
+++ b/crates/core/src/state/explain.rs
@@ -35,6 +35,7 @@
             arrived_at: now,
             weight: 1,
             ran: false,
+            first_byte_by: None,
             avoid: Vec::new(),
         };
         let floor = match kind {
--- /dev/null
+++ b/crates/core/src/state/leaving.rs
@@ -0,0 +1,43 @@
+//! Keeping work away from members whose VM is leaving.
+
+use std::time::Instant;
+
+use crate::effect;
+use crate::group;
+use crate::id;
+use crate::request;
+use crate::route;
+use crate::state::State;
+
+impl<P: route::Policy> State<P> {
+    /// Closes idle connections to leaving members and decides again about requests that wait for one.
+    ///
+    /// A primary keeps both until it has been replaced: writes have nowhere else to go.
+    pub(super) fn retreat(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
+        let mut requeued = Vec::new();
+        for (_, group) in self.groups.iter_mut() {
+            for member in leaving_replicas(group) {
+                let Some(pool) = group.pools.get_mut(member) else {
+                    continue;
+                };
+                requeued.extend(pool.take_queue());
+                for conn in pool.take_idle() {
+                    self.conns.remove(conn);
+                    effects.push(effect::Effect::Close(conn));
+                }
+            }
+        }
+        for id in requeued {
+            if let Some(active) = self.requests.get_mut(id) {
+                active.stage = request::Stage::Parked;
+            }
+            self.route(now, id, effects);
+        }
+    }
+}
+
+fn leaving_replicas(group: &group::Group) -> Vec<id::MemberId> {
+    let primary = group.watch.primary().map(|member| member.id);
+    let leaving = group.leaving.iter().copied();
+    leaving.filter(|member| Some(*member) != primary).collect()
+}
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod groups;
 mod interrupt;
+mod leaving;
 mod lending;
 mod outcome;
 mod peers;
@@ -105,7 +106,7 @@
             event::Event::Granted(answer) => self.granted(now, answer, effects),
             event::Event::Claimed(answer) => self.claimed(now, answer, effects),
             event::Event::Peer(message) => self.heard(now, message, effects),
-            event::Event::Vms(vms) => self.vms(&vms),
+            event::Event::Vms(vms) => self.vms(now, &vms, effects),
             event::Event::Configured(topology, head) => {
                 self.configure(now, topology, head, effects)
             }
--- a/crates/core/src/state/outcome.rs
+++ b/crates/core/src/state/outcome.rs
@@ -28,6 +28,10 @@
             return;
         }
         let group = active.group;
+        let silent = active.first_byte_by.is_some_and(|by| now >= by) && !returned.clean;
+        if silent {
+            self.distrust(group, member, effects);
+        }
         match returned.outcome {
             event::Outcome::Answered | event::Outcome::Unknown => self.end(id),
             event::Outcome::Committed(point) => self.confirm(now, id, member, point, effects),
@@ -53,6 +57,24 @@
         }
     }
 
+    /// Closes the idle connections to a member that has shown a silent one: what lost track of that one may
+    /// have lost track of them.
+    fn distrust(
+        &mut self,
+        group: id::GroupId,
+        member: id::MemberId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let group = self.groups.get_mut(group);
+        let Some(pool) = group.and_then(|group| group.pools.get_mut(member)) else {
+            return;
+        };
+        for conn in pool.take_idle() {
+            self.conns.remove(conn);
+            effects.push(effect::Effect::Close(conn));
+        }
+    }
+
     fn note_ran(&mut self, id: id::RequestId) {
         if let Some(active) = self.requests.get_mut(id) {
             active.ran = true;
@@ -132,7 +154,7 @@
         };
         let group = active.group;
         if active.stage != request::Stage::Indexing {
-            if waits(active) && active.point().is_some_and(|floor| floor > point) {
+            if active.waits() && active.point().is_some_and(|floor| floor > point) {
                 self.refuse(now, id, effect::Reason::FloorAhead, effects);
             }
             return;
@@ -146,11 +168,3 @@
         self.route(now, id, effects);
     }
 }
-
-/// Returns whether the request has not been sent to a member.
-fn waits(active: &request::Active) -> bool {
-    matches!(
-        active.stage,
-        request::Stage::Indexing | request::Stage::Parked | request::Stage::Queued(_)
-    )
-}
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -31,7 +31,12 @@
         }
     }
 
-    pub(super) fn vms(&mut self, vms: &[peer::Vm]) {
+    pub(super) fn vms(
+        &mut self,
+        now: Instant,
+        vms: &[peer::Vm],
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let leaving: Vec<&str> = vms
             .iter()
             .filter(|vm| vm.state == peer::VmState::Leaving)
@@ -47,6 +52,7 @@
                 .map(|(member, _)| member)
                 .collect();
         }
+        self.retreat(now, effects);
     }
 
     /// Sends heartbeats that are due.
@@ -55,6 +61,7 @@
             return;
         }
         self.sequence += 1;
+        self.peers.forget(now);
         self.lend(now, effects);
         let message = self.message(now);
         let own = self.identity.address.as_ref();
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -75,6 +75,7 @@
             arrived_at: now,
             weight,
             ran: false,
+            first_byte_by: None,
             avoid: Vec::new(),
         })
     }
@@ -186,7 +187,7 @@
 
     pub(super) fn dispatch(
         &mut self,
-        _now: Instant,
+        now: Instant,
         id: id::RequestId,
         conn: id::ConnId,
         member: id::MemberId,
@@ -196,6 +197,14 @@
             return;
         };
         active.stage = request::Stage::Running { conn, member };
+        let pools = self.groups.get(active.group).map(|group| &group.pools);
+        let pool = pools.and_then(|pools| pools.get(member));
+        // A read is tried elsewhere once; a second silence, or a write's, may be a slow statement.
+        let patience = pool.filter(|_| active.request.kind.is_read() && !active.ran);
+        let first_byte_by = patience.map_or(active.request.deadline, |pool| {
+            active.request.deadline.min(now + pool.patience())
+        });
+        active.first_byte_by = Some(first_byte_by);
         if let Some(group) = self.groups.get(active.group) {
             self.served.count(active.request.kind, group, member);
         }
@@ -203,7 +212,7 @@
             request: id,
             conn,
             member,
-            first_byte_by: active.request.deadline,
+            first_byte_by,
             deadline: active.request.deadline,
         }));
     }
--- a/crates/core/src/state/tick.rs
+++ b/crates/core/src/state/tick.rs
@@ -18,6 +18,7 @@
         }
         self.heartbeat(now, effects);
         self.share(now);
+        self.retreat(now, effects);
         self.close_surplus(now, effects);
     }
 
--- /dev/null
+++ b/crates/core/tests/conns_lifecycle.rs
@@ -0,0 +1,143 @@
+//! Connections that are silent, of members that leave, and of members that left the configuration.
+
+mod policy_support;
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::{effect, event, peer, topology};
+use policy_support::{Bench, member};
+
+/// Serves two reads at the near replica, so that two connections are idle.
+fn two_idle() -> (Bench, Vec<effect::Dispatch>) {
+    let mut bench = Bench::new();
+    bench.read(10);
+    bench.read(10);
+    bench.open_all();
+    let dispatches = bench.dispatches();
+    for dispatch in &dispatches {
+        bench.finish(*dispatch, event::Outcome::Answered, true);
+    }
+    bench.effects.clear();
+    (bench, dispatches)
+}
+
+fn closes(bench: &Bench) -> usize {
+    let close = |effect: &&effect::Effect| matches!(effect, effect::Effect::Close(_));
+    bench.effects.iter().filter(close).count()
+}
+
+#[test]
+fn silent_read_is_tried_elsewhere_and_idle_connections_are_closed() {
+    let (mut bench, _) = two_idle();
+    let read = bench.read(10);
+    let dispatch = bench.dispatches()[0];
+    assert!(dispatch.first_byte_by <= bench.now + Duration::from_millis(500));
+    bench.effects.clear();
+    bench.now = dispatch.first_byte_by;
+    bench.finish(dispatch, event::Outcome::ReadFailed, false);
+    // The silent connection and the idle one beside it.
+    assert_eq!(closes(&bench), 2);
+    bench.open_all();
+    let second = bench.dispatches()[0];
+    assert_eq!(second.request, read);
+    assert_ne!(second.member, dispatch.member);
+    // A slow statement is not chased from member to member.
+    assert_eq!(second.first_byte_by, second.deadline);
+}
+
+#[test]
+fn read_that_fails_early_leaves_idle_connections_alone() {
+    let (mut bench, _) = two_idle();
+    bench.read(10);
+    let dispatch = bench.dispatches()[0];
+    bench.effects.clear();
+    bench.later(1);
+    bench.finish(dispatch, event::Outcome::ReadFailed, false);
+    assert_eq!(closes(&bench), 1);
+}
+
+#[test]
+fn write_has_until_its_deadline() {
+    let mut bench = Bench::new();
+    bench.write();
+    bench.open_all();
+    let dispatch = bench.dispatches()[0];
+    assert_eq!(dispatch.first_byte_by, dispatch.deadline);
+}
+
+fn leaving(index: usize) -> event::Event {
+    event::Event::Vms(vec![peer::Vm {
+        name: "vm".into(),
+        address: format!("m{index}").into(),
+        place: topology::Place::default(),
+        state: peer::VmState::Leaving,
+    }])
+}
+
+#[test]
+fn leaving_replica_gets_no_new_work_and_loses_idle_connections() {
+    let (mut bench, _) = two_idle();
+    bench.step(leaving(1));
+    assert_eq!(closes(&bench), 2);
+    bench.read(10);
+    bench.open_all();
+    assert_eq!(bench.dispatches()[0].member, member(2));
+}
+
+#[test]
+fn requests_queued_for_a_leaving_replica_go_elsewhere() {
+    let mut bench = Bench::new();
+    bench.read(10);
+    assert_eq!(bench.opens()[0].1, member(1));
+    bench.effects.clear();
+    bench.step(leaving(1));
+    bench.open_all();
+    assert_eq!(bench.dispatches()[0].member, member(2));
+}
+
+#[test]
+fn configuration_without_the_group_closes_and_refuses() {
+    let (mut bench, dispatches) = two_idle();
+    bench.read(10);
+    let running = bench.dispatches()[0];
+    let waiting = bench.read(11);
+    bench.effects.clear();
+    let head = peer::Head {
+        version: 2,
+        digest: "2".into(),
+    };
+    bench.step(event::Event::Configured(
+        topology::Topology::default(),
+        head,
+    ));
+    assert_eq!(closes(&bench), dispatches.len() - 1);
+    assert_eq!(bench.refusals()[0].request, waiting);
+    assert_eq!(bench.refusals()[0].reason, effect::Reason::UnknownService);
+    bench.finish(running, event::Outcome::Answered, true);
+    assert!(bench.effects.contains(&effect::Effect::Close(running.conn)));
+    assert_eq!(bench.state.in_flight(), 0);
+}
+
+#[test]
+fn forget_drops_peers_long_silent_and_their_addresses() {
+    let now = Instant::now();
+    let mut table = peer::Table::new(vec!["settings".into()], now);
+    table.receive(
+        now,
+        peer::Message {
+            proxy: 7,
+            sequence: 1,
+            address: "gone".into(),
+            place: topology::Place::default(),
+            head: peer::Head::default(),
+            leaving: false,
+            groups: Vec::new(),
+            shares: Vec::new(),
+        },
+    );
+    table.forget(now + Duration::from_secs(60));
+    assert_eq!(table.addresses.len(), 2);
+    table.forget(now + Duration::from_secs(300));
+    assert_eq!(table.addresses, ["settings".into()]);
+    assert!(table.peers.is_empty());
+}
