Heartbeats within a byte budget, and at once when something changes

Cause: heartbeats to every peer each 250 ms take 5.7 KB/s at 8 proxies and 18.7 KB/s at 24.

Change: the interval grows so that heartbeats take 4 KB/s; a change on which peers act is told at once, 100 ms apart at least; silence and loans are counted in intervals.

--- a/crates/core/src/peer/table.rs
+++ b/crates/core/src/peer/table.rs
@@ -6,10 +6,20 @@
 use crate::peer::Message;
 use crate::sorted;
 
-/// Time between heartbeats to a peer.
+/// Shortest time between heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(250);
-/// Silence after which a peer counts as gone.
-const SILENCE: Duration = Duration::from_millis(1_500);
+/// Shortest time between a heartbeat and one that reports a change.
+const URGENT: Duration = Duration::from_millis(100);
+/// Heartbeats sent and received may take this much, in bytes a second.
+const BYTES_PER_SECOND: u32 = 4_000;
+/// Size of a datagram's headers, in bytes.
+const HEADER_BYTES: usize = 28;
+/// Shortest time for which connections are lent.
+const LOAN: Duration = Duration::from_secs(2);
+/// Heartbeats for which connections are lent.
+const LOAN_HEARTBEATS: u32 = 3;
+/// Heartbeats that may be missing before a peer counts as gone.
+const SILENCE_HEARTBEATS: u32 = 6;
 
 /// Time after a peer's silence before its connections are shared out again. A member that is not told
 /// of the peer's end needs that long to notice.
@@ -37,6 +47,9 @@
     pub addresses: Vec<Box<str>>,
     /// When the next heartbeats are due.
     pub heartbeat_at: Instant,
+    interval: Duration,
+    last: Option<Message>,
+    last_sent_at: Instant,
     heard_all_by: Instant,
     settings: Vec<Box<str>>,
 }
@@ -51,6 +64,9 @@
             settings: addresses.clone(),
             addresses,
             heartbeat_at: now,
+            interval: HEARTBEAT,
+            last: None,
+            last_sent_at: now,
             heard_all_by: now + START_GRACE,
         }
     }
@@ -62,7 +78,7 @@
             return false;
         }
         self.add_address(&message.address);
-        let alive_until = now + SILENCE;
+        let alive_until = now + self.interval * SILENCE_HEARTBEATS;
         self.peers.insert(
             message.proxy,
             Peer {
@@ -143,13 +159,29 @@
         total / proxies + u32::from(rank < total % proxies)
     }
 
-    /// Returns whether heartbeats are due, and sets when the next ones are.
-    pub fn due(&mut self, now: Instant) -> bool {
-        let due = now >= self.heartbeat_at;
-        if due {
-            self.heartbeat_at = now + HEARTBEAT;
-        }
-        due
+    /// Returns whether heartbeats are due: the next regular ones, or ones that report a change.
+    pub fn due(&self, now: Instant, message: &Message) -> bool {
+        let changed = self.last.as_ref().is_none_or(|last| differs(last, message));
+        now >= self.heartbeat_at || changed && now >= self.last_sent_at + URGENT
+    }
+
+    /// Returns the end of a loan that starts now; it spans some heartbeats, so that it can be renewed.
+    pub fn loan_until(&self, now: Instant) -> Instant {
+        now + LOAN.max(self.interval * LOAN_HEARTBEATS)
+    }
+
+    /// Notes that heartbeats were sent, and sets when the next ones are due. The time between them grows
+    /// with the number of peers, so that their bytes stay within the budget.
+    pub fn sent(&mut self, now: Instant, message: &Message) {
+        let size = u32::try_from(message.encoded_len() + HEADER_BYTES).unwrap_or(u32::MAX);
+        let peers = u32::try_from(self.addresses.len()).unwrap_or(u32::MAX);
+        // Each peer sends as many as it receives.
+        let bytes = size.saturating_mul(peers).saturating_mul(2);
+        let spread = Duration::from_secs(1) * bytes / BYTES_PER_SECOND;
+        self.interval = HEARTBEAT.max(spread);
+        self.heartbeat_at = now + self.interval;
+        self.last = Some(message.clone());
+        self.last_sent_at = now;
     }
 
     /// Returns this proxy's rank for a subject among the proxies alive; 0 is the first.
@@ -161,3 +193,12 @@
         u32::try_from(ahead.count()).unwrap_or(u32::MAX)
     }
 }
+
+/// Returns whether a message says something that peers act upon and that the last one did not say.
+fn differs(last: &Message, message: &Message) -> bool {
+    let waits = |message: &Message| message.shares.iter().any(|share| share.waiting > 0);
+    last.head != message.head
+        || last.leaving != message.leaving
+        || last.groups != message.groups
+        || waits(message) && !waits(last)
+}
--- a/crates/core/src/pool/lending.rs
+++ b/crates/core/src/pool/lending.rs
@@ -6,8 +6,8 @@
 use crate::peer;
 use crate::sorted;
 
-/// Time for which connections are lent.
-const LOAN: Duration = Duration::from_secs(2);
+/// Longest time for which connections are borrowed by one message.
+const LOAN_MAX: Duration = Duration::from_secs(60);
 /// Time after a loan's end before its lender uses the connections again. It covers the way of the
 /// message that granted the loan, whose reader counts the time from its arrival.
 const RETURN_MARGIN: Duration = Duration::from_millis(500);
@@ -65,11 +65,11 @@
     }
 
     /// Lends connections to a proxy, in addition to those lent to it before, or lends them longer.
-    pub fn lend(&mut self, now: Instant, to: id::ProxyId, more: u32) {
+    pub fn lend(&mut self, until: Instant, to: id::ProxyId, more: u32) {
         let known = self.lent.get(to).map_or(0, |loan| loan.connections);
         let loan = Loan {
             connections: known + more,
-            until: now + LOAN,
+            until,
         };
         if loan.connections > 0 {
             self.lent.insert(to, loan);
@@ -85,7 +85,7 @@
     pub fn borrow(&mut self, now: Instant, from: id::ProxyId, loan: Option<&peer::Loan>) {
         self.borrowed.remove(from);
         if let Some(loan) = loan {
-            let left = Duration::from_millis(loan.left_ms.into()).min(LOAN);
+            let left = Duration::from_millis(loan.left_ms.into()).min(LOAN_MAX);
             let loan = Loan {
                 connections: loan.connections,
                 until: now + left,
--- a/crates/core/src/state/lending.rs
+++ b/crates/core/src/state/lending.rs
@@ -54,6 +54,7 @@
 
     /// Lends connections that peers wait for and that this proxy does not use.
     pub(super) fn lend(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
+        let until = self.peers.loan_until(now);
         for (member, pool) in self.groups.iter_mut().flat_map(|(_, g)| g.pools.iter_mut()) {
             renew(now, &self.peers, member, pool);
             let borrowers = borrowers(now, &self.peers, member);
@@ -64,7 +65,7 @@
                 self.conns.remove(conn);
                 effects.push(effect::Effect::Close(conn));
             }
-            lend_spare(now, borrowers, pool);
+            lend_spare(until, borrowers, pool);
             pool.share = pool.lending.limit();
         }
     }
@@ -72,13 +73,14 @@
 
 /// Lends longer what a borrower still uses.
 fn renew(now: Instant, peers: &peer::Table, member: id::MemberId, pool: &mut pool::Pool) {
+    let until = peers.loan_until(now);
     for (proxy, peer) in peers.alive(now) {
         let report = peer.message.share(member);
         let uses = |report: &peer::ShareReport| {
             report.waiting > 0 || report.open > pool.lending.share() + 1
         };
         if pool.lending.lends_to(proxy) && report.is_some_and(uses) {
-            pool.lending.lend(now, proxy, 0);
+            pool.lending.lend(until, proxy, 0);
         }
     }
 }
@@ -92,7 +94,7 @@
 }
 
 /// Gives one connection to each borrower in turn while there are any to spare.
-fn lend_spare(now: Instant, mut borrowers: Vec<Borrower>, pool: &mut pool::Pool) {
+fn lend_spare(until: Instant, mut borrowers: Vec<Borrower>, pool: &mut pool::Pool) {
     borrowers.sort_by_key(|borrower| std::cmp::Reverse(borrower.wants));
     let mut spare = pool.spare();
     while spare > 0 && borrowers.iter().any(|borrower| borrower.wants > 0) {
@@ -100,7 +102,7 @@
             if spare == 0 {
                 return;
             }
-            pool.lending.lend(now, borrower.proxy, 1);
+            pool.lending.lend(until, borrower.proxy, 1);
             borrower.wants -= 1;
             spare -= 1;
         }
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -57,13 +57,14 @@
 
     /// Sends heartbeats that are due.
     pub(super) fn heartbeat(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
-        if !self.peers.due(now) {
+        if !self.peers.due(now, &self.message(now)) {
             return;
         }
         self.sequence += 1;
         self.peers.forget(now);
         self.lend(now, effects);
         let message = self.message(now);
+        self.peers.sent(now, &message);
         let own = self.identity.address.as_ref();
         for address in self.peers.addresses.iter().filter(|to| to.as_ref() != own) {
             effects.push(effect::Effect::Send {
--- a/crates/lab/src/experiment/node.rs
+++ b/crates/lab/src/experiment/node.rs
@@ -23,6 +23,8 @@
     pub pending: sorted::Map<id::RequestId, caller::Pending>,
     /// Number of the newest request.
     pub newest: id::RequestId,
+    /// Bytes of heartbeats between proxies sent and received.
+    pub peer_bytes: u64,
     /// Bytes of control traffic sent and received.
     pub control_bytes: u64,
 }
@@ -39,6 +41,7 @@
             running: sorted::Map::default(),
             pending: sorted::Map::default(),
             newest: 0,
+            peer_bytes: 0,
             control_bytes: 0,
         }
     }
--- a/crates/lab/src/experiment/report.rs
+++ b/crates/lab/src/experiment/report.rs
@@ -94,6 +94,8 @@
     pub link_control_bytes_per_second: f64,
     /// Bytes of control traffic sent and received by one proxy a second: peers and status questions.
     pub control_bytes_per_second: f64,
+    /// Of these, heartbeats between proxies.
+    pub peer_bytes_per_second: f64,
     /// Longest time without an acknowledged write, in milliseconds.
     pub longest_write_gap_ms: f64,
     /// Promotions.
--- a/crates/lab/src/experiment/world/mod.rs
+++ b/crates/lab/src/experiment/world/mod.rs
@@ -255,6 +255,7 @@
         let tally = self.tally;
         let carried = self.network.carried;
         let share = |part: u64, whole: u64| part as f64 / (whole.max(1)) as f64;
+        let peer: u64 = self.nodes.iter().map(|node| node.peer_bytes).sum();
         let control: u64 = self.nodes.iter().map(|node| node.control_bytes).sum();
         Report {
             profile: self.profile.name.into(),
@@ -280,6 +281,7 @@
             link_bytes_per_write: share(carried.write_bytes, tally.writes),
             link_control_bytes_per_second: carried.control_bytes as f64 / all_seconds,
             control_bytes_per_second: control as f64 / all_seconds / self.nodes.len() as f64,
+            peer_bytes_per_second: peer as f64 / all_seconds / self.nodes.len() as f64,
             longest_write_gap_ms: tally.longest_gap.as_secs_f64() * 1_000.0,
             promotions: tally.promotions,
             broken: tally.broken,
--- a/crates/lab/src/experiment/world/shell.rs
+++ b/crates/lab/src/experiment/world/shell.rs
@@ -333,6 +333,8 @@
         };
         self.nodes[proxy].control_bytes += size;
         self.nodes[target].control_bytes += size;
+        self.nodes[proxy].peer_bytes += size;
+        self.nodes[target].peer_bytes += size;
         let (from, domain) = (self.nodes[proxy].domain, self.nodes[target].domain);
         let at = self.network.send(now, from, domain, size, Use::Control);
         let event = event::Event::Peer(message);
