--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -199,11 +199,15 @@
     let mut fixture = Fixture::new();
     let (ask, term) = fixture.claim();
     let until = fixture.now + FAR;
-    fixture.claimed(ask, event::ClaimResult::Held { term, until });
+    let held = event::ClaimResult::Held {
+        term: term + 3,
+        until,
+    };
+    fixture.claimed(ask, held);
     assert_eq!(fixture.tick(), Vec::new());
     fixture.now += Duration::from_millis(1_500);
     let (_, next) = fixture.claim();
-    assert!(next > term, "the other's term is taken");
+    assert_eq!(next, term + 4, "the other's term is taken");
 }
 
 #[test]
