Idle groups have watchers; findings travel at once

An idle group is watched by two proxies chosen by rendezvous hashing across failure domains, at a pace that keeps to 2,500 bytes a second; up to three groups all proxies watch. Others ask every five seconds and wake up when a request comes or a peer reports a higher term or a silent primary; only proxies that ask often report. A member is suspected by a question left unanswered, no longer by silence, so that rare heartbeats cost no false alarm. Changes are told to peers at once, ranks start 150 ms apart, and a claim whose term another has fenced is left to it.

--- a/crates/core/src/failover/machine.rs
+++ b/crates/core/src/failover/machine.rs
@@ -14,7 +14,7 @@
 /// Time that a claim in the table holds others back.
 const CLAIM_LEASE: Duration = Duration::from_millis(1_500);
 /// Delay before the second-ranked proxy starts, and each further rank after it.
-const RANK_DELAY: Duration = Duration::from_millis(300);
+const RANK_DELAY: Duration = Duration::from_millis(150);
 /// Range, in steps of the rank's delay, over which claimants that failed are spread.
 const BACKOFF_SPREAD: u64 = 4;
 /// Delay of a proxy that has lost all its peers and may be the only one to miss the primary.
@@ -268,6 +268,10 @@
     }
 
     fn fence(&mut self, context: &mut Context<'_>, term: id::Term) {
+        if context.watch.top_term() >= term {
+            // Another proxy has fenced members at the term meanwhile.
+            return self.give_up(context);
+        }
         let mut attempt = Attempt::new(context, Step::Fence, term);
         let members: Vec<_> = context.watch.members.keys().collect();
         for member in members {
--- a/crates/core/src/state/groups.rs
+++ b/crates/core/src/state/groups.rs
@@ -24,6 +24,13 @@
         }
     }
 
+    /// Notes that a request for the group came.
+    pub(super) fn touch(&mut self, now: Instant, group: id::GroupId) {
+        if let Some(group) = self.groups.get_mut(group) {
+            group.watch.touch(now);
+        }
+    }
+
     pub(super) fn status(
         &mut self,
         now: Instant,
@@ -58,7 +65,7 @@
         for (member, reachable) in outcome.changed {
             self.reachable(now, Owner { group, member }, reachable, effects);
         }
-        self.note_primary(group, effects);
+        self.note_primary(now, group, effects);
         self.unpark(now, group, effects);
     }
 
@@ -74,12 +81,18 @@
             member: owner.member,
             reachable,
         }));
+        self.tell_peers(now);
         if !reachable {
             self.requeue(now, owner, effects);
         }
     }
 
-    fn note_primary(&mut self, id: id::GroupId, effects: &mut Vec<effect::Effect>) {
+    /// Sends the next heartbeats to peers at once, for they decide on what this proxy found.
+    fn tell_peers(&mut self, now: Instant) {
+        self.peers.heartbeat_at = self.peers.heartbeat_at.min(now);
+    }
+
+    fn note_primary(&mut self, now: Instant, id: id::GroupId, effects: &mut Vec<effect::Effect>) {
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
@@ -90,6 +103,7 @@
         let member = primary.id;
         if group.primary != Some((term, member)) {
             group.primary = Some((term, member));
+            self.tell_peers(now);
             effects.push(effect::Effect::Record(effect::Record::Primary {
                 group: id,
                 term,
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -20,12 +20,27 @@
             return;
         }
         let head = message.head.clone();
+        self.compare(now, &message.groups);
         let newer = self.peers.receive(now, message);
         if newer && head.version > self.head.version {
             effects.push(effect::Effect::Fetch(head));
         }
     }
 
+    /// Looks after groups of which a peer sees something that this proxy does not.
+    fn compare(&mut self, now: Instant, reports: &[peer::GroupReport]) {
+        for report in reports {
+            let Some(group) = self.groups.get_mut(report.group) else {
+                continue;
+            };
+            let known = group.watch.top_term();
+            let silent = report.term == known && !report.primary_answers;
+            if report.term > known || silent {
+                group.watch.touch(now);
+            }
+        }
+    }
+
     pub(super) fn vms(&mut self, vms: &[peer::Vm]) {
         let leaving: Vec<&str> = vms
             .iter()
@@ -70,7 +85,7 @@
             place: self.identity.place.clone(),
             head: self.head.clone(),
             leaving: self.draining,
-            groups: groups.map(|(id, group)| report(id, group)).collect(),
+            groups: groups.filter_map(|(id, group)| report(id, group)).collect(),
             shares: shares
                 .filter(|(_, pool)| pool.open() > 0 || pool.waiting() > 0)
                 .map(|(member, pool)| peer::ShareReport {
@@ -83,11 +98,11 @@
     }
 }
 
-fn report(id: id::GroupId, group: &group::Group) -> peer::GroupReport {
-    let primary = group.watch.primary();
-    peer::GroupReport {
+/// Reports a group, unless its watchers see it better.
+fn report(id: id::GroupId, group: &group::Group) -> Option<peer::GroupReport> {
+    Some(peer::GroupReport {
         group: id,
         term: group.watch.top_term(),
-        primary_answers: primary.is_some_and(|member| member.reachable),
-    }
+        primary_answers: group.watch.finding()?,
+    })
 }
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -24,6 +24,7 @@
             Err(reason) => return self.push_refusal(now, id, reason, effects),
         };
         let group = active.group;
+        self.touch(now, group);
         self.requests.insert(id, active);
         self.route(now, id, effects);
         self.ask(now, group, effects);
--- a/crates/core/src/state/tick.rs
+++ b/crates/core/src/state/tick.rs
@@ -1,17 +1,20 @@
 //! What happens by the passing of time.
 
+use std::cmp::Reverse;
 use std::time::Instant;
 
 use crate::effect;
 use crate::id;
 use crate::route;
 use crate::state::State;
+use crate::status;
 
 impl<P: route::Policy> State<P> {
     pub(super) fn tick(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         for request in self.overdue(now) {
             self.expire(now, request, effects);
         }
+        self.assign_roles(now);
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
         for group in groups {
             self.tick_group(now, group, effects);
@@ -21,6 +24,31 @@
         self.close_surplus(effects);
     }
 
+    /// Decides which idle groups this proxy watches.
+    fn assign_roles(&mut self, now: Instant) {
+        let groups = self.groups.keys();
+        let chosen: Vec<_> = groups.filter(|group| self.is_chosen(now, *group)).collect();
+        let count = self.groups.len();
+        for (id, group) in self.groups.iter_mut() {
+            let is_chosen = chosen.binary_search(&id).is_ok();
+            let role = status::Role::new(is_chosen, chosen.len(), count);
+            group.watch.set_role(now, role);
+        }
+    }
+
+    /// Returns whether this proxy is one of the group's two watchers: the first by rendezvous hashing, and
+    /// the first one outside that proxy's failure domain.
+    fn is_chosen(&self, now: Instant, group: id::GroupId) -> bool {
+        let own = (self.identity.proxy, &self.identity.place);
+        let peers = self.peers.alive(now);
+        let peers = peers.map(|(proxy, peer)| (proxy, &peer.message.place));
+        let mut all: Vec<_> = peers.chain([own]).collect();
+        all.sort_unstable_by_key(|(proxy, _)| Reverse(id::weight(group, *proxy)));
+        let (first, place) = all[0];
+        let second = all.iter().find(|(_, other)| other.domain != place.domain);
+        first == own.0 || second.is_some_and(|(proxy, _)| *proxy == own.0)
+    }
+
     fn tick_group(&mut self, now: Instant, id: id::GroupId, effects: &mut Vec<effect::Effect>) {
         let Some(group) = self.groups.get_mut(id) else {
             return;
--- a/crates/core/src/status/ask.rs
+++ b/crates/core/src/status/ask.rs
@@ -30,13 +30,14 @@
 }
 
 impl Asks {
-    /// Removes and returns the question with this identifier.
+    /// Removes and returns the question with this identifier. Immediate questions that were sent before it
+    /// are forgotten: their answers say nothing more.
     pub fn take(&mut self, id: id::AskId) -> Option<Ask> {
         if self.held.is_some_and(|ask| ask.id == id) {
             return self.held.take();
         }
         let index = self.immediate.iter().position(|ask| ask.id == id)?;
-        Some(self.immediate.remove(index))
+        self.immediate.drain(..=index).next_back()
     }
 
     /// Forgets questions whose answer is overdue.
@@ -50,6 +51,11 @@
         self.immediate.len() < IMMEDIATE_MAX
     }
 
+    /// Returns when the oldest immediate question under way was sent.
+    pub fn oldest(&self) -> Option<Instant> {
+        self.immediate.first().map(|ask| ask.started_at)
+    }
+
     /// Returns when the newest immediate question under way was sent.
     pub fn newest(&self) -> Option<Instant> {
         self.immediate.last().map(|ask| ask.started_at)
--- a/crates/core/src/status/member.rs
+++ b/crates/core/src/status/member.rs
@@ -8,16 +8,14 @@
 use crate::id;
 use crate::status::ask;
 
-/// Round trips that a member is given to answer.
-const DETECT_ROUND_TRIPS: u32 = 4;
-/// Heartbeats that a member may miss before it counts as unreachable.
-const DETECT_HEARTBEATS: u32 = 3;
-/// Shortest silence after which a member counts as unreachable.
-const DETECT_MIN: Duration = Duration::from_millis(400);
+/// Round trips after which a member that owes an answer counts as unreachable.
+const DETECT_ROUND_TRIPS: u32 = 8;
+/// Shortest time after which a member that owes an answer counts as unreachable.
+const DETECT_MIN: Duration = Duration::from_millis(300);
 /// Round trips after which an answer is overdue.
 const OVERDUE_ROUND_TRIPS: u32 = 2;
 /// Shortest time after which an answer is overdue.
-const OVERDUE_MIN: Duration = Duration::from_millis(20);
+const OVERDUE_MIN: Duration = Duration::from_millis(60);
 /// Samples kept of the group's newest point over time.
 const FRESHNESS_SAMPLES: usize = 64;
 /// Shortest time between two samples.
@@ -36,10 +34,8 @@
     pub learned_at: Option<Instant>,
     /// Smoothed round trip time of immediate questions.
     pub round_trip: Duration,
-    /// Silence past this instant makes the member unreachable.
-    pub suspect_at: Instant,
-    /// Silence after an answer that makes the member unreachable.
-    pub detect_timeout: Duration,
+    /// Silence past this instant makes the member unreachable; none while it owes no answer.
+    pub suspect_at: Option<Instant>,
     /// Whether the member answers.
     pub reachable: bool,
     /// Questions under way.
@@ -61,8 +57,7 @@
             answered_at: None,
             learned_at: None,
             round_trip: Duration::ZERO,
-            suspect_at: now + DETECT_MIN,
-            detect_timeout: DETECT_MIN,
+            suspect_at: None,
             reachable: false,
             asks: ask::Asks::default(),
             heartbeat_at: now,
@@ -84,7 +79,8 @@
         self.learn_rate(now, status);
         self.learn(now, Some(ask.started_at), status);
         self.answered_at = self.answered_at.max(Some(ask.started_at));
-        self.suspect_at = now + self.detect_timeout;
+        let owed = self.asks.oldest();
+        self.suspect_at = owed.map(|sent_at| sent_at + self.detect_timeout());
         !std::mem::replace(&mut self.reachable, true)
     }
 
@@ -107,32 +103,42 @@
 
     /// Returns whether the member may still answer in time, although it has not yet.
     pub fn pending(&self, now: Instant) -> bool {
-        !self.reachable && now < self.suspect_at
+        !self.reachable && self.suspect_at.is_none_or(|at| now < at)
     }
 
     /// Returns whether no immediate question is under way whose answer may still be expected. One at a
     /// time serves all that wait, whatever the load; one that is overdue holds up nothing.
     pub fn may_ask(&self, now: Instant) -> bool {
+        self.asks.immediate.is_empty() || self.is_overdue(now)
+    }
+
+    /// Returns whether the newest question should have been answered and another may be sent.
+    pub fn is_overdue(&self, now: Instant) -> bool {
         let overdue = self.round_trip * OVERDUE_ROUND_TRIPS + OVERDUE_MIN;
         let newest = self.asks.newest();
-        self.asks.has_room() && newest.is_none_or(|sent_at| now >= sent_at + overdue)
+        self.asks.has_room() && newest.is_some_and(|sent_at| now >= sent_at + overdue)
+    }
+
+    /// Notes that a question was sent.
+    pub fn asked(&mut self, now: Instant) {
+        let suspect_at = now + self.detect_timeout();
+        self.suspect_at.get_or_insert(suspect_at);
     }
 
     /// Gives the member its full time to answer from now on.
     pub fn grant_time(&mut self, now: Instant) {
-        self.suspect_at = self.suspect_at.max(now + self.detect_timeout);
+        self.suspect_at = self.suspect_at.map(|_| now + self.detect_timeout());
         self.heartbeat_at = self.heartbeat_at.min(now);
     }
 
     /// Marks the member unreachable once it has been silent for too long; returns whether it just became so.
     pub fn expire(&mut self, now: Instant) -> bool {
-        now >= self.suspect_at && std::mem::replace(&mut self.reachable, false)
+        let silent = self.suspect_at.is_some_and(|at| now >= at);
+        silent && std::mem::replace(&mut self.reachable, false)
     }
 
-    /// Adapts the time that the member is given to the link and to the pace of heartbeats.
-    pub fn set_pace(&mut self, heartbeat: Duration) {
-        let timeout = self.round_trip * DETECT_ROUND_TRIPS + heartbeat * DETECT_HEARTBEATS;
-        self.detect_timeout = timeout.max(DETECT_MIN);
+    fn detect_timeout(&self) -> Duration {
+        DETECT_MIN.max(self.round_trip * DETECT_ROUND_TRIPS)
     }
 
     fn learn_round_trip(&mut self, sample: Duration) {
--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -5,10 +5,12 @@
 mod confirm;
 mod index;
 mod member;
+mod pace;
 mod watch;
 
 pub use ask::{Ask, Asks};
 pub use confirm::{Confirmations, Decided};
 pub use index::Indexes;
 pub use member::{Freshness, Member};
-pub use watch::{Outcome, Pace, Watch};
+pub use pace::{Pace, Role};
+pub use watch::{Outcome, Watch};
--- a/crates/core/src/status/watch.rs
+++ b/crates/core/src/status/watch.rs
@@ -7,7 +7,7 @@
 use crate::floor;
 use crate::id;
 use crate::sorted;
-use crate::status::{Ask, Confirmations, Freshness, Indexes, Member};
+use crate::status::{Ask, Confirmations, Freshness, Indexes, Member, Pace, Role};
 
 /// Time without questions after one that failed.
 const ASK_BACKOFF: Duration = Duration::from_millis(100);
@@ -15,6 +15,8 @@
 const PAUSE: Duration = Duration::from_millis(250);
 /// Time that a member is given to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time after a request for which members are asked often.
+const BUSY: Duration = Duration::from_secs(2);
 
 /// The view of one group's members.
 #[derive(Clone, Debug)]
@@ -30,24 +32,8 @@
     pub freshness: Freshness,
     ticked_at: Instant,
     pace: Pace,
-}
-
-/// How often members are asked without need.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Pace {
-    /// Time between heartbeats to the primary, or to every member while no primary is known.
-    pub primary: Duration,
-    /// Time between heartbeats to the other members.
-    pub replica: Duration,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self {
-            primary: Duration::from_millis(100),
-            replica: Duration::from_millis(100),
-        }
-    }
+    busy_until: Instant,
+    attentive_since: Option<Instant>,
 }
 
 /// What followed from an answer.
@@ -77,7 +63,9 @@
             confirmations: Confirmations::default(),
             freshness: Freshness::default(),
             ticked_at: now,
-            pace: Pace::default(),
+            pace: Pace::new(Role::Bystander, true),
+            busy_until: now + BUSY,
+            attentive_since: Some(now),
         }
     }
 
@@ -194,13 +182,34 @@
         }
     }
 
-    /// Sets how often members are asked.
-    pub fn set_pace(&mut self, pace: Pace) {
-        self.pace = pace;
-        let primary = self.primary().map(|member| member.id);
-        for (id, member) in self.members.iter_mut() {
-            member.set_pace(pace.of(primary, id));
+    /// Notes that requests came or that a peer sees something else: members are asked often for a while.
+    pub fn touch(&mut self, now: Instant) {
+        if now >= self.busy_until {
+            self.hurry(now);
         }
+        self.busy_until = now + BUSY;
+    }
+
+    /// Sets how often members are asked.
+    pub fn set_role(&mut self, now: Instant, role: Role) {
+        let busy = now < self.busy_until;
+        self.pace = Pace::new(role, busy);
+        let attentive = busy || matches!(role, Role::Watcher { .. });
+        self.attentive_since = match (attentive, self.attentive_since) {
+            (true, None) => Some(now),
+            (true, since) => since,
+            (false, _) => None,
+        };
+    }
+
+    /// Returns whether the primary answers, if this proxy asks often enough for others to rely on it.
+    pub fn finding(&self) -> Option<bool> {
+        let since = self.attentive_since?;
+        let Some(primary) = self.primary() else {
+            return Some(false);
+        };
+        let current = !primary.reachable || primary.answered_at.is_some_and(|at| at >= since);
+        current.then_some(primary.reachable)
     }
 
     /// Marks silent members and asks what is due.
@@ -238,10 +247,13 @@
         let primary = self.primary().map(|member| member.id);
         for (id, member) in self.members.iter_mut().filter(|(_, m)| ready(m)) {
             let heartbeat = now >= member.heartbeat_at && member.asks.has_room();
+            // An answer that stays out is asked for again at once, however rare heartbeats are.
+            let heartbeat = heartbeat || member.is_overdue(now);
             let wants = self.indexes.wants(id, member.answered_at);
             if heartbeat || wants && member.may_ask(now) {
                 let ask = start(now, next_ask, 0);
                 member.asks.immediate.push(ask);
+                member.asked(now);
                 member.heartbeat_at = now + self.pace.of(primary, id);
                 effects.push(question(self.group, id, ask));
             }
@@ -255,15 +267,6 @@
     }
 }
 
-impl Pace {
-    fn of(self, primary: Option<id::MemberId>, member: id::MemberId) -> Duration {
-        match primary {
-            Some(primary) if primary != member => self.replica,
-            _ => self.primary,
-        }
-    }
-}
-
 fn start(now: Instant, next_ask: &mut id::AskId, min_position: id::Position) -> Ask {
     *next_ask += 1;
     Ask {
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -175,6 +175,19 @@
     assert_eq!(effects, Vec::new());
 }
 
+#[test]
+fn claimed_term_that_another_has_fenced_is_left_to_it() {
+    let mut fixture = Fixture::new();
+    let (ask, term) = fixture.claim();
+    let fenced = event::Status {
+        term,
+        ..event::Status::default()
+    };
+    fixture.watch.learn(fixture.now, 1, fenced);
+    let effects = fixture.claimed(ask, event::ClaimResult::Unavailable);
+    assert_eq!(effects, Vec::new());
+}
+
 #[rstest]
 #[case::won(event::ClaimResult::Won)]
 #[case::unavailable(event::ClaimResult::Unavailable)]
--- a/crates/core/tests/story/command.rs
+++ b/crates/core/tests/story/command.rs
@@ -34,6 +34,7 @@
             "expect" => self.expect(test),
             "log" => self.log(test),
             "events" => self.events(),
+            "until" => self.until(test),
             _ => self.change(test),
         };
         told.push('\n');
@@ -175,6 +176,23 @@
         }
     }
 
+    /// `until p1 stage=Claiming`: lets time pass until a proxy's failover stands there.
+    fn until(&mut self, test: &TestCase) -> String {
+        let proxy = words(test).find_map(proxy).expect("a proxy is named");
+        let stage = value(test, "stage").expect("a stage is named").to_owned();
+        let world = self.world();
+        let limit = world.now + PATIENCE;
+        let stands = |world: &World| {
+            let group = world.proxies[proxy].state.groups().get(world.group);
+            group.is_some_and(|group| format!("{:?}", group.failover.stage.name()) == stage)
+        };
+        world.run_until(limit, stands);
+        match stands(world) {
+            true => "ok".to_owned(),
+            false => "never".to_owned(),
+        }
+    }
+
     /// Faults and the passing of time.
     fn change(&mut self, test: &TestCase) -> String {
         let names: Vec<String> = words(test).map(str::to_owned).collect();
@@ -237,7 +255,9 @@
 
 /// Returns the arguments without a value, in alphabetical order: that of the command is not kept.
 fn words(test: &TestCase) -> impl Iterator<Item = &str> {
-    let named = ["key", "session", "within", "from", "for", "by", "count"];
+    let named = [
+        "key", "session", "within", "from", "for", "by", "count", "stage",
+    ];
     let words = test.args.keys().map(String::as_str);
     let mut words: Vec<&str> = words.filter(|word| !named.contains(word)).collect();
     words.sort_unstable();
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::{effect, event, floor, id, status};
+use rstest::rstest;
 
 const GROUP: id::GroupId = 1;
 const MEMBER: id::MemberId = 1;
@@ -148,3 +149,65 @@
     }
     assert_eq!(effects.len(), 1, "the others still owe an answer");
 }
+
+#[rstest]
+#[case::few_groups(false, 0, 3, Some(240))]
+#[case::one_group(false, 0, 1, Some(100))]
+#[case::chosen(true, 23, 35, Some(1_840))]
+#[case::bystander(false, 23, 35, None)]
+fn role_keeps_to_the_budget(
+    #[case] is_chosen: bool,
+    #[case] chosen: usize,
+    #[case] groups: usize,
+    #[case] heartbeat_ms: Option<u64>,
+) {
+    let expected = match heartbeat_ms {
+        Some(heartbeat_ms) => status::Role::Watcher {
+            heartbeat: Duration::from_millis(heartbeat_ms),
+        },
+        None => status::Role::Bystander,
+    };
+    assert_eq!(status::Role::new(is_chosen, chosen, groups), expected);
+}
+
+/// Lets time pass, answering every question, and returns how many there were.
+fn count_questions(fixture: &mut Fixture, role: status::Role, time: Duration) -> usize {
+    let until = fixture.now + time;
+    let mut count = 0;
+    while fixture.now < until {
+        fixture.now += STEP;
+        fixture.watch.set_role(fixture.now, role);
+        let (asks, _) = fixture.tick();
+        count += asks.len();
+        for ask in asks {
+            fixture.answer(ask, 1, 1);
+        }
+    }
+    count
+}
+
+#[test]
+fn bystander_of_idle_group_asks_rarely_and_keeps_members_reachable() {
+    let mut fixture = Fixture::new();
+    count_questions(
+        &mut fixture,
+        status::Role::Bystander,
+        Duration::from_secs(10),
+    );
+    let idle = Duration::from_secs(60);
+    let count = count_questions(&mut fixture, status::Role::Bystander, idle);
+    assert!(count <= 13, "{count} questions in a minute");
+    assert!(fixture.reachable());
+    assert_eq!(fixture.watch.finding(), None, "its view is not for others");
+}
+
+#[test]
+fn touch_wakes_bystander_at_once() {
+    let mut fixture = Fixture::new();
+    let role = status::Role::Bystander;
+    count_questions(&mut fixture, role, Duration::from_secs(10));
+    fixture.watch.touch(fixture.now);
+    let count = count_questions(&mut fixture, role, Duration::from_secs(1));
+    assert!(count >= 9, "{count} questions in a second");
+    assert_eq!(fixture.watch.finding(), Some(false), "no member is primary");
+}
