Planned move of a primary whose VM is leaving

The primary is fenced alone at the claimed term; replicas of older terms go on following it. Once one that stays has reached its last entry, that one is fenced too and promoted by the same rule as after a failure; after a second without one the ordinary way ends the attempt. Found on the way: a proxy that woke up from idling took up the quick pace only after its next slow heartbeat, and did not ask at once when a peer reported a newer term, which held a write for a second; both mended.

--- a/crates/core/src/failover/machine.rs
+++ b/crates/core/src/failover/machine.rs
@@ -5,7 +5,7 @@
 use crate::effect;
 use crate::event;
 use crate::failover::attempt::{Attempt, Step, next};
-use crate::failover::{Evidence, Fencing, Verdict};
+use crate::failover::{Evidence, Fencing, Stage, Verdict};
 use crate::id;
 use crate::status;
 
@@ -20,62 +20,6 @@
 /// Delay of a proxy that has lost all its peers and may be the only one to miss the primary.
 const LONE_DELAY: Duration = Duration::from_secs(5);
 
-/// Where a failover stands.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub enum Stage {
-    /// The primary serves.
-    Idle,
-    /// The primary is to be replaced once proxies of a higher rank have had their turn.
-    Waiting {
-        /// When the primary was first missed.
-        since: Instant,
-        /// When this proxy starts.
-        start_at: Instant,
-        /// Highest term known then.
-        term: id::Term,
-    },
-    /// The term is being claimed in the platform's table.
-    Claiming {
-        /// The question.
-        ask: id::AskId,
-        /// The term.
-        term: id::Term,
-        /// When the members' grants decide alone.
-        deadline: Instant,
-        /// When the claim lapses.
-        until: Instant,
-    },
-    /// Members are being fenced at the term.
-    Fencing {
-        /// The attempt.
-        attempt: Attempt,
-        /// Grants so far.
-        fencing: Fencing,
-    },
-    /// A member is being promoted.
-    Promoting {
-        /// The attempt.
-        attempt: Attempt,
-        /// The member.
-        member: id::MemberId,
-    },
-}
-
-/// The stage without its data.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StageName {
-    /// See [`Stage::Idle`].
-    Idle,
-    /// See [`Stage::Waiting`].
-    Waiting,
-    /// See [`Stage::Claiming`].
-    Claiming,
-    /// See [`Stage::Fencing`].
-    Fencing,
-    /// See [`Stage::Promoting`].
-    Promoting,
-}
-
 /// What a step of the failover may look at.
 pub struct Context<'a> {
     /// Current time.
@@ -86,6 +30,8 @@
     pub watch: &'a status::Watch,
     /// What this proxy and its peers see.
     pub evidence: Evidence,
+    /// Members whose VM is leaving.
+    pub leaving: &'a [id::MemberId],
     /// This proxy.
     pub proxy: id::ProxyId,
     /// This proxy's rank for the group; 0 starts first.
@@ -108,6 +54,10 @@
     pub used_term: id::Term,
     /// Since when the primary has been missed without interruption.
     pub missed_since: Option<Instant>,
+    /// Since when the primary's VM has been leaving.
+    pub leaving_since: Option<Instant>,
+    /// No planned move starts before this instant.
+    pub move_after: Option<Instant>,
 }
 
 impl Default for Failover {
@@ -117,19 +67,8 @@
             backoff_until: None,
             used_term: 0,
             missed_since: None,
-        }
-    }
-}
-
-impl Stage {
-    /// Returns the stage without its data.
-    pub fn name(&self) -> StageName {
-        match self {
-            Self::Idle => StageName::Idle,
-            Self::Waiting { .. } => StageName::Waiting,
-            Self::Claiming { .. } => StageName::Claiming,
-            Self::Fencing { .. } => StageName::Fencing,
-            Self::Promoting { .. } => StageName::Promoting,
+            leaving_since: None,
+            move_after: None,
         }
     }
 }
@@ -148,6 +87,13 @@
                     self.decide_alone(context);
                 }
             }
+            Stage::HandingOver { attempt, .. } => {
+                if context.now >= attempt.deadline {
+                    return self.fall_back(context);
+                }
+                attempt.resend(context);
+                self.follow_up(context);
+            }
             Stage::Fencing { attempt, .. } | Stage::Promoting { attempt, .. } => {
                 let (term, overdue) = (attempt.term, context.now >= attempt.deadline);
                 if context.served_at(term) {
@@ -165,7 +111,14 @@
         let waits = self.backoff_until.is_some_and(|until| context.now < until);
         match context.evidence.verdict() {
             Verdict::Replace if !waits => self.start_waiting(context),
-            Verdict::Healthy | Verdict::Move => self.missed_since = None,
+            Verdict::Move if !waits => {
+                self.missed_since = None;
+                self.consider_move(context);
+            }
+            Verdict::Healthy => {
+                self.missed_since = None;
+                self.leaving_since = None;
+            }
             _ => {}
         }
     }
@@ -207,7 +160,7 @@
         }
     }
 
-    fn claim(&mut self, context: &mut Context<'_>) {
+    pub(super) fn claim(&mut self, context: &mut Context<'_>) {
         let term = context.watch.top_term().max(self.used_term) + 1;
         self.used_term = term;
         let ask = next(context);
@@ -247,7 +200,9 @@
         match answer.result {
             // This proxy was paused: what it saw before no longer counts.
             _ if context.now >= until => self.give_up(context),
-            event::ClaimResult::Won | event::ClaimResult::Unavailable => self.fence(context, term),
+            event::ClaimResult::Won | event::ClaimResult::Unavailable => {
+                self.proceed(context, term)
+            }
             event::ClaimResult::Held { until, term: held } => {
                 self.used_term = self.used_term.max(held);
                 // The row's deadline comes from another clock.
@@ -262,22 +217,39 @@
             return;
         };
         match context.now < until {
-            true => self.fence(context, term),
+            true => self.proceed(context, term),
             false => self.give_up(context),
         }
     }
 
-    fn fence(&mut self, context: &mut Context<'_>, term: id::Term) {
+    /// Goes on from a claim.
+    fn proceed(&mut self, context: &mut Context<'_>, term: id::Term) {
         if context.watch.top_term() >= term {
             // Another proxy has fenced members at the term meanwhile.
             return self.give_up(context);
         }
+        let primary = context.watch.primary().map(|member| member.id);
+        match (context.evidence.verdict(), primary) {
+            (Verdict::Move, Some(primary)) => self.hand_over(context, term, primary),
+            _ => {
+                let members: Vec<_> = context.watch.members.keys().collect();
+                self.fence(context, term, Fencing::default(), &members);
+            }
+        }
+    }
+
+    /// Fences members in addition to those that have granted the term.
+    pub(super) fn fence(
+        &mut self,
+        context: &mut Context<'_>,
+        term: id::Term,
+        fencing: Fencing,
+        members: &[id::MemberId],
+    ) {
         let mut attempt = Attempt::new(context, Step::Fence, term);
-        let members: Vec<_> = context.watch.members.keys().collect();
         for member in members {
-            attempt.send(context, member);
+            attempt.send(context, *member);
         }
-        let fencing = Fencing::default();
         let stage = Stage::Fencing { attempt, fencing };
         self.enter(context, stage, term);
     }
@@ -285,7 +257,9 @@
     /// Takes in a member's answer to a fence or promotion. Answers to questions of earlier attempts are
     /// ignored.
     pub fn granted(&mut self, context: &mut Context<'_>, answer: event::GrantAnswer) {
-        let (Stage::Fencing { attempt, .. } | Stage::Promoting { attempt, .. }) = &mut self.stage
+        let (Stage::HandingOver { attempt, .. }
+        | Stage::Fencing { attempt, .. }
+        | Stage::Promoting { attempt, .. }) = &mut self.stage
         else {
             return;
         };
@@ -304,6 +278,10 @@
         let granted = granted && status.term == term;
         let majority = context.watch.majority();
         match &mut self.stage {
+            Stage::HandingOver { fenced, .. } if granted => {
+                *fenced = Some((answer.member, status));
+                self.follow_up(context);
+            }
             Stage::Fencing { fencing, .. } => {
                 if granted {
                     fencing.grant(answer.member, status);
@@ -327,8 +305,12 @@
         };
         let term = attempt.term;
         let watch = context.watch;
-        let nearest = |id| watch.members.get(id).map(|member| member.round_trip);
-        let Some(member) = fencing.most_advanced(nearest) else {
+        let leaving = context.leaving;
+        let staying_and_near = |id: id::MemberId| {
+            let member = watch.members.get(id);
+            (leaving.contains(&id), member.map(|m| m.round_trip))
+        };
+        let Some(member) = fencing.most_advanced(staying_and_near) else {
             return;
         };
         let mut attempt = Attempt::new(context, Step::Promote, term);
@@ -337,7 +319,7 @@
         self.enter(context, stage, term);
     }
 
-    fn give_up(&mut self, context: &mut Context<'_>) {
+    pub(super) fn give_up(&mut self, context: &mut Context<'_>) {
         // Claimants that met must not meet again, also when none knows of another.
         let spread = id::weight(self.used_term, context.proxy) % BACKOFF_SPREAD;
         let steps = context.rank + 1 + u32::try_from(spread).unwrap_or_default();
@@ -345,7 +327,7 @@
         self.enter(context, Stage::Idle, 0);
     }
 
-    fn enter(&mut self, context: &mut Context<'_>, stage: Stage, term: id::Term) {
+    pub(super) fn enter(&mut self, context: &mut Context<'_>, stage: Stage, term: id::Term) {
         self.stage = stage;
         context
             .effects
--- a/crates/core/src/failover/mod.rs
+++ b/crates/core/src/failover/mod.rs
@@ -2,8 +2,11 @@
 
 mod attempt;
 mod detect;
+mod handover;
 mod machine;
+mod stage;
 
 pub use attempt::{Attempt, Fencing, Step};
 pub use detect::{Evidence, Verdict};
-pub use machine::{Context, Failover, Stage, StageName};
+pub use machine::{Context, Failover};
+pub use stage::{Stage, StageName};
--- a/crates/core/src/state/groups.rs
+++ b/crates/core/src/state/groups.rs
@@ -160,16 +160,21 @@
             group: id,
             watch: &group.watch,
             evidence,
+            leaving: &group.leaving,
             proxy: self.identity.proxy,
             rank,
             next_ask: &mut self.next_ask,
             effects,
         };
         run(&mut group.failover, &mut context);
-        if let failover::Stage::Waiting { since, .. } = group.failover.stage
-            && since == now
-        {
+        let hurry = match group.failover.stage {
             // What was seen is confirmed by every member before anything is claimed.
+            failover::Stage::Waiting { since, .. } => since == now,
+            // Writes wait until a replica has caught up.
+            failover::Stage::HandingOver { .. } => true,
+            _ => false,
+        };
+        if hurry {
             group.watch.hurry(now);
             group.watch.ask(now, &mut self.next_ask, effects);
         }
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -36,7 +36,7 @@
             let known = group.watch.top_term();
             let silent = report.term == known && !report.primary_answers;
             if report.term > known || silent {
-                group.watch.touch(now);
+                group.watch.doubt(now);
             }
         }
     }
--- a/crates/core/src/status/watch.rs
+++ b/crates/core/src/status/watch.rs
@@ -31,6 +31,7 @@
     /// The group's newest point over time.
     pub freshness: Freshness,
     ticked_at: Instant,
+    role: Role,
     pace: Pace,
     busy_until: Instant,
     attentive_since: Option<Instant>,
@@ -63,6 +64,7 @@
             confirmations: Confirmations::default(),
             freshness: Freshness::default(),
             ticked_at: now,
+            role: Role::Bystander,
             pace: Pace::new(Role::Bystander, true),
             busy_until: now + BUSY,
             attentive_since: Some(now),
@@ -182,17 +184,26 @@
         }
     }
 
-    /// Notes that requests came or that a peer sees something else: members are asked often for a while.
+    /// Notes that a request came: members are asked often for a while.
     pub fn touch(&mut self, now: Instant) {
-        if now >= self.busy_until {
+        let was_busy = now < self.busy_until;
+        self.busy_until = now + BUSY;
+        if !was_busy {
+            self.set_role(now, self.role);
             self.hurry(now);
         }
-        self.busy_until = now + BUSY;
+    }
+
+    /// Notes that a peer sees something else.
+    pub fn doubt(&mut self, now: Instant) {
+        self.touch(now);
+        self.hurry(now);
     }
 
     /// Sets how often members are asked.
     pub fn set_role(&mut self, now: Instant, role: Role) {
         let busy = now < self.busy_until;
+        self.role = role;
         self.pace = Pace::new(role, busy);
         let attentive = busy || matches!(role, Role::Watcher { .. });
         self.attentive_since = match (attentive, self.attentive_since) {
@@ -200,6 +211,11 @@
             (true, since) => since,
             (false, _) => None,
         };
+        let primary = self.primary().map(|member| member.id);
+        for (id, member) in self.members.iter_mut() {
+            let due_by = now + self.pace.of(primary, id);
+            member.heartbeat_at = member.heartbeat_at.min(due_by);
+        }
     }
 
     /// Returns whether the primary answers, if this proxy asks often enough for others to rely on it.
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -43,6 +43,7 @@
             group: GROUP,
             watch: &self.watch,
             evidence: self.evidence,
+            leaving: &[],
             proxy: 9,
             rank: 0,
             next_ask: &mut self.next_ask,
--- a/crates/core/tests/model/claimant.rs
+++ b/crates/core/tests/model/claimant.rs
@@ -94,6 +94,7 @@
             group: GROUP,
             watch: &watch,
             evidence,
+            leaving: &[],
             proxy: 0,
             rank: 0,
             next_ask: &mut next_ask,
@@ -111,6 +112,7 @@
         failover::StageName::Waiting => 1,
         failover::StageName::Claiming => 2,
         failover::StageName::Fencing => 3,
-        failover::StageName::Promoting => 4,
+        failover::StageName::HandingOver => 4,
+        failover::StageName::Promoting => 5,
     }
 }
