--- /dev/null
+++ b/crates/core/tests/differential.rs
@@ -0,0 +1,52 @@
+//! Random workloads and faults: whatever happens, the callers' answers agree with the one history that a naive
+//! proxy would have given them by sending every request to the primary and waiting for everything: the final log.
+//!
+//! `FULMARLIFT_CASES` sets how many schedules are tried and `FULMARLIFT_SEED` from which seed.
+
+mod sim;
+mod history {
+    pub mod check;
+    pub mod schedule;
+}
+
+use history::{check, schedule};
+use proptest::prelude::ProptestConfig;
+use proptest::test_runner::{RngAlgorithm, TestError, TestRng, TestRunner};
+
+const DEFAULT_CASES: u32 = 40;
+const DEFAULT_SEED: u64 = 20_261_203;
+
+fn setting<T: std::str::FromStr>(name: &str, default: T) -> T {
+    let text = std::env::var(name).ok();
+    text.map_or(default, |text| {
+        let number = text.parse().ok();
+        number.unwrap_or_else(|| panic!("{name} is no number: {text}"))
+    })
+}
+
+#[test]
+fn schedule_agrees_with_naive_history() {
+    let cases = setting("FULMARLIFT_CASES", DEFAULT_CASES);
+    let seed = setting("FULMARLIFT_SEED", DEFAULT_SEED);
+    let config = ProptestConfig {
+        cases,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let totals = std::cell::RefCell::new(check::Totals::default());
+    let result = runner.run(&schedule::any(), |schedule| {
+        let world = schedule.run();
+        let found = check::world(&world, &mut totals.borrow_mut());
+        proptest::prop_assert!(found.is_ok(), "{}", found.unwrap_err());
+        Ok(())
+    });
+    println!("{cases} schedules from seed {seed}: {:?}", totals.borrow());
+    if let Err(TestError::Fail(reason, schedule)) = result {
+        panic!("{reason}\n{schedule:#?}");
+    }
+    result.expect("no schedule is rejected");
+}
--- /dev/null
+++ b/crates/core/tests/history/schedule.rs
@@ -0,0 +1,177 @@
+//! Random schedules of requests and faults.
+
+use std::time::Duration;
+
+use fulmarlift_core::floor;
+use proptest::prelude::{Just, Strategy, any as anything};
+use proptest::{collection, prop_oneof};
+
+use crate::sim::network::{Link, Node, REYKJAVIK};
+use crate::sim::world::{Answer, World};
+
+const DOMAINS: [&str; 3] = ["rvk-a", "rvk-b", "aey-a"];
+const PROXIES: usize = 3;
+const STEPS: std::ops::Range<usize> = 10..50;
+const SESSIONS: usize = 2;
+const PATIENCE: Duration = Duration::from_secs(4);
+const SETTLE: Duration = Duration::from_secs(1);
+/// Time after the last fault within which everything is well again.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// One step of a schedule.
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    Write {
+        proxy: usize,
+        session: usize,
+    },
+    Read {
+        proxy: usize,
+        session: Option<usize>,
+    },
+    Advance {
+        time_ms: u64,
+    },
+    Kill(Node),
+    Restart(Node),
+    Freeze {
+        node: Node,
+        time_ms: u64,
+    },
+    CutDomain(usize),
+    CutNodes(Node, Node),
+    Heal,
+    Lag {
+        member: usize,
+        lag_ms: u64,
+    },
+    StoreSlow {
+        delay_ms: u64,
+    },
+    LoseAnswers,
+    Leave(usize),
+}
+
+/// A schedule.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    pub seed: u64,
+    pub lossy: bool,
+    pub steps: Vec<Step>,
+}
+
+/// Returns a strategy for schedules.
+pub fn any() -> impl Strategy<Value = Schedule> {
+    let steps = collection::vec(step(), STEPS);
+    let parts = (anything::<u64>(), anything::<bool>(), steps);
+    parts.prop_map(|(seed, lossy, steps)| Schedule { seed, lossy, steps })
+}
+
+fn node() -> impl Strategy<Value = Node> {
+    prop_oneof![
+        4 => (0..DOMAINS.len()).prop_map(Node::Member),
+        3 => (0..PROXIES).prop_map(Node::Proxy),
+        1 => Just(Node::Platform),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let proxy = 0..PROXIES;
+    let session = proptest::option::of(0..SESSIONS);
+    prop_oneof![
+        12 => (proxy.clone(), 0..SESSIONS).prop_map(|(proxy, session)| Step::Write { proxy, session }),
+        8 => (proxy, session).prop_map(|(proxy, session)| Step::Read { proxy, session }),
+        8 => (1_u64..60).prop_map(|time_ms| Step::Advance { time_ms }),
+        8 => (60_u64..2_500).prop_map(|time_ms| Step::Advance { time_ms }),
+        3 => node().prop_map(Step::Kill),
+        2 => node().prop_map(Step::Restart),
+        2 => (node(), 50_u64..4_000).prop_map(|(node, time_ms)| Step::Freeze { node, time_ms }),
+        1 => (0..DOMAINS.len()).prop_map(Step::CutDomain),
+        2 => (node(), node()).prop_map(|(one, other)| Step::CutNodes(one, other)),
+        2 => Just(Step::Heal),
+        2 => (0..DOMAINS.len(), 0_u64..2_000).prop_map(|(member, lag_ms)| Step::Lag { member, lag_ms }),
+        1 => (0_u64..2_000).prop_map(|delay_ms| Step::StoreSlow { delay_ms }),
+        1 => Just(Step::LoseAnswers),
+        1 => (0..DOMAINS.len()).prop_map(Step::Leave),
+    ]
+}
+
+impl Schedule {
+    /// Runs the schedule, ends all faults and lets the group recover.
+    pub fn run(&self) -> World {
+        let loss = if self.lossy { 0.01 } else { 0.0 };
+        let link = Link { loss, ..REYKJAVIK };
+        let mut world = World::new(link, self.seed, &DOMAINS, &DOMAINS);
+        world.advance(SETTLE);
+        let mut sessions = vec![Vec::new(); SESSIONS];
+        for (index, step) in self.steps.iter().enumerate() {
+            apply(&mut world, &mut sessions, index, *step);
+        }
+        recover(&mut world);
+        world
+    }
+}
+
+/// Returns the floor of the session's writes that have been acknowledged by now.
+fn floor(world: &World, writes: &[(usize, u32, u64)]) -> floor::Floor {
+    let mut floor = floor::Floor::default();
+    for id in writes {
+        if let Some((_, Answer::Done(point))) = world.asked[id].answer {
+            floor.raise(world.group, point);
+        }
+    }
+    floor
+}
+
+fn apply(world: &mut World, sessions: &mut [Vec<(usize, u32, u64)>], index: usize, step: Step) {
+    match step {
+        Step::Write { proxy, session } => {
+            let floor = floor(world, &sessions[session]);
+            let id = world.ask(proxy, Some(index as u64), Some(floor), PATIENCE);
+            sessions[session].push(id);
+        }
+        Step::Read { proxy, session } => {
+            let floor = session.map(|session| floor(world, &sessions[session]));
+            let floor = floor.filter(|floor| !floor.is_empty());
+            world.ask(proxy, None, floor, PATIENCE);
+        }
+        Step::Advance { time_ms } => world.advance(Duration::from_millis(time_ms)),
+        Step::Kill(node) => world.kill(node),
+        Step::Restart(node) => {
+            if !world.is_up(node) {
+                world.restart(node);
+            }
+        }
+        Step::Freeze { node, time_ms } => world.freeze(node, Duration::from_millis(time_ms)),
+        Step::CutDomain(domain) => {
+            for other in (0..DOMAINS.len()).filter(|other| *other != domain) {
+                world.cuts.add(DOMAINS[domain], DOMAINS[other]);
+            }
+        }
+        Step::CutNodes(one, other) => {
+            let (one, other) = (world.names(one), world.names(other));
+            world.cuts.add(&one[0], &other[0]);
+        }
+        Step::Heal => world.cuts.clear(),
+        Step::Lag { member, lag_ms } => world.members[member].lag = Duration::from_millis(lag_ms),
+        Step::StoreSlow { delay_ms } => world.platform.delay = Duration::from_millis(delay_ms),
+        Step::LoseAnswers => world.platform.lose_answers += 1,
+        Step::Leave(member) => world.leave(member),
+    }
+}
+
+fn recover(world: &mut World) {
+    world.cuts.clear();
+    let members = (0..DOMAINS.len()).map(Node::Member);
+    let proxies = (0..PROXIES).map(Node::Proxy);
+    for node in members.chain(proxies).chain([Node::Platform]) {
+        if !world.is_up(node) {
+            world.restart(node);
+        }
+    }
+    world
+        .members
+        .iter_mut()
+        .for_each(|member| member.lag = Duration::ZERO);
+    world.advance(RECOVERY);
+}
--- a/crates/core/tests/sim/world.rs
+++ b/crates/core/tests/sim/world.rs
@@ -35,6 +35,8 @@
 pub struct Asked {
     pub proxy: usize,
     pub key: Option<u64>,
+    /// The session's floor, if the caller brought a token.
+    pub floor: Option<floor::Floor>,
     pub at: Duration,
     pub answer: Option<(Duration, Answer)>,
 }
@@ -216,6 +218,7 @@
         let asked = Asked {
             proxy,
             key,
+            floor: floor.clone(),
             at,
             answer: None,
         };
@@ -257,6 +260,15 @@
         }
     }
 
+    /// Returns whether a process runs.
+    pub fn is_up(&self, node: Node) -> bool {
+        match node {
+            Node::Member(member) => self.members_up[member],
+            Node::Proxy(proxy) => self.proxies[proxy].up,
+            Node::Platform => !self.platform.down,
+        }
+    }
+
     /// Kills a process.
     pub fn kill(&mut self, node: Node) {
         match node {
