--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -43,6 +43,7 @@
             group: GROUP,
             watch: &self.watch,
             evidence: self.evidence,
+            leaving: &[],
             proxy: 9,
             rank: 0,
             next_ask: &mut self.next_ask,
@@ -175,6 +176,19 @@
     assert_eq!(effects, Vec::new());
 }
 
+#[test]
+fn claimed_term_that_another_has_fenced_is_left_to_it() {
+    let mut fixture = Fixture::new();
+    let (ask, term) = fixture.claim();
+    let fenced = event::Status {
+        term,
+        ..event::Status::default()
+    };
+    fixture.watch.learn(fixture.now, 1, fenced);
+    let effects = fixture.claimed(ask, event::ClaimResult::Unavailable);
+    assert_eq!(effects, Vec::new());
+}
+
 #[rstest]
 #[case::won(event::ClaimResult::Won)]
 #[case::unavailable(event::ClaimResult::Unavailable)]
@@ -199,11 +213,15 @@
     let mut fixture = Fixture::new();
     let (ask, term) = fixture.claim();
     let until = fixture.now + FAR;
-    fixture.claimed(ask, event::ClaimResult::Held { term, until });
+    let held = event::ClaimResult::Held {
+        term: term + 3,
+        until,
+    };
+    fixture.claimed(ask, held);
     assert_eq!(fixture.tick(), Vec::new());
     fixture.now += Duration::from_millis(1_500);
     let (_, next) = fixture.claim();
-    assert!(next > term, "the other's term is taken");
+    assert_eq!(next, term + 4, "the other's term is taken");
 }
 
 #[test]
