--- /dev/null
+++ b/crates/fulmarlift/tests/stopping.rs
@@ -0,0 +1,139 @@
+//! Graceful stop of a proxy under load, and its sudden death.
+
+mod support;
+
+use std::net::TcpStream;
+
+use support::system::{self, System};
+use support::{load, standin, wait};
+use tokio_postgres::Client;
+
+/// SQLSTATE by which a stopping proxy ends an idle session.
+const SHUTDOWN: &str = "57P01";
+/// Callers with a request in flight when the signal comes.
+const IN_FLIGHT: i64 = 6;
+
+async fn busy_connections(system: &System, index: usize) -> u32 {
+    let status = system.status(index).await.expect("the proxy runs");
+    let members = status.groups[0].members.iter();
+    members.map(|member| member.connections_busy).sum()
+}
+
+async fn run(client: &Client, sql: &str) {
+    client.simple_query(sql).await.expect(sql);
+}
+
+#[tokio::test]
+async fn sigterm_ends_what_is_in_flight_and_nothing_else() {
+    let mut system = System::start(2).await;
+    load::create_table(&system.connect(1).await).await;
+    // A caller in a transaction, some whose requests wait at the member for its end, and an idle one.
+    let in_transaction = system.connect(0).await;
+    let (_idle, idle_connection) = system::open(system.proxies[0].listen)
+        .await
+        .expect("it serves");
+    let idle = tokio::spawn(idle_connection);
+    let mut clients = Vec::new();
+    for _ in 0..IN_FLIGHT {
+        clients.push(system.connect(0).await);
+    }
+    run(&in_transaction, "BEGIN").await;
+    run(&in_transaction, "INSERT INTO counter VALUES (100)").await;
+    let requests = clients.into_iter().zip(0..IN_FLIGHT).map(|(client, id)| {
+        tokio::spawn(async move {
+            let sql = format!("INSERT INTO counter VALUES ({id})");
+            client.simple_query(&sql).await.map(drop)
+        })
+    });
+    let requests: Vec<_> = requests.collect();
+    wait::until("the requests are in flight", async || {
+        busy_connections(&system, 0).await > u32::try_from(IN_FLIGHT).expect("a few")
+    })
+    .await;
+
+    system.proxies[0].process.signal("TERM");
+    wait::until("the proxy is not ready", async || {
+        system.readiness(0).await.0 == 503
+    })
+    .await;
+    wait::until("the proxy refuses callers", async || {
+        TcpStream::connect(system.proxies[0].listen).is_err()
+    })
+    .await;
+    system.proxies[0].process.signal("TERM");
+    let ended = wait::ended("the idle session", idle)
+        .await
+        .expect("it ends");
+    let ended = ended.expect_err("the proxy ends it");
+    assert_eq!(ended.code().map(|code| code.code()), Some(SHUTDOWN));
+    assert!(system.proxies[0].process.runs());
+    run(&in_transaction, "INSERT INTO counter VALUES (101)").await;
+    run(&in_transaction, "COMMIT").await;
+    for request in requests {
+        let answer = wait::ended("a request", request).await.expect("it ends");
+        answer.expect("a request in flight is not cut");
+    }
+    assert_eq!(system.proxies[0].process.wait().code(), Some(0));
+    let other = system.connect(1).await;
+    let count = standin::first(&other, "SELECT COUNT(*) FROM counter").await;
+    assert_eq!(count.expect("the read is served").as_deref(), Some("8"));
+}
+
+#[tokio::test]
+async fn sigkill_in_transaction_leaves_nothing_half_done() {
+    let mut system = System::start(2).await;
+    let other = system.connect(1).await;
+    load::create_table(&other).await;
+    let caller = system.connect(0).await;
+    run(&caller, "BEGIN").await;
+    run(&caller, "INSERT INTO counter VALUES (1)").await;
+    run(&caller, "INSERT INTO counter VALUES (2)").await;
+    system.proxies[0].process.signal("KILL");
+    system.proxies[0].process.wait();
+    // The member takes the transaction back, or this write would wait for its end.
+    run(&other, "INSERT INTO counter VALUES (3)").await;
+    let ids = standin::first(&other, "SELECT group_concat(id) FROM counter").await;
+    assert_eq!(ids.expect("the read is served").as_deref(), Some("3"));
+    assert!(caller.simple_query("COMMIT").await.is_err());
+}
+
+#[tokio::test]
+async fn sigkill_of_proxy_leaves_other_callers_alone() {
+    let mut system = System::start(2).await;
+    load::create_table(&system.connect(1).await).await;
+    let listen = |index: usize| system.proxies[index].listen;
+    let load = load::Load::start(&[listen(1), listen(0), listen(1), listen(0)]);
+    load.until_acknowledged(1, 5).await;
+    load.until_acknowledged(0, 5).await;
+    system.proxies[0].process.signal("KILL");
+    load.until_acknowledged(0, 20).await;
+    load.until_acknowledged(2, 20).await;
+    let ledgers = load.stop().await;
+    for undisturbed in [&ledgers[0], &ledgers[2]] {
+        assert!(undisturbed.not_run.is_empty() && undisturbed.unknown.is_empty());
+    }
+    load::check(&system.connect(1).await, &ledgers).await;
+}
+
+#[tokio::test]
+async fn caller_gone_in_transaction_leaves_nothing() {
+    let system = System::start(1).await;
+    let other = system.connect(0).await;
+    load::create_table(&other).await;
+    let (caller, connection) = system::open(system.proxies[0].listen)
+        .await
+        .expect("it serves");
+    let connection = tokio::spawn(connection);
+    run(&caller, "BEGIN").await;
+    run(&caller, "INSERT INTO counter VALUES (1)").await;
+    drop(caller);
+    // The end of the connection comes without a COMMIT or ROLLBACK.
+    let _ = wait::ended("the caller's connection", connection).await;
+    for id in 2..8 {
+        run(&other, &format!("INSERT INTO counter VALUES ({id})")).await;
+    }
+    let count = standin::first(&system.connect(0).await, "SELECT COUNT(*) FROM counter").await;
+    assert_eq!(count.expect("the read is served").as_deref(), Some("6"));
+    let first = standin::first(&other, "SELECT COUNT(*) FROM counter WHERE id = 1").await;
+    assert_eq!(first.expect("the read is served").as_deref(), Some("0"));
+}
--- a/crates/fulmarlift/tests/support/mod.rs
+++ b/crates/fulmarlift/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod document;
+pub mod load;
 pub mod process;
 pub mod standin;
 pub mod system;
