--- a/crates/fulmarlift/tests/stopping.rs
+++ b/crates/fulmarlift/tests/stopping.rs
@@ -99,7 +99,7 @@
 
 #[tokio::test]
 async fn sigkill_of_proxy_leaves_other_callers_alone() {
-    let mut system = System::start(2).await;
+    let system = System::start(2).await;
     load::create_table(&system.connect(1).await).await;
     let listen = |index: usize| system.proxies[index].listen;
     let load = load::Load::start(&[listen(1), listen(0), listen(1), listen(0)]);
