--- a/crates/fulmarlift/tests/failures.rs
+++ b/crates/fulmarlift/tests/failures.rs
@@ -6,14 +6,15 @@
 use support::system::System;
 use support::{standin, wait};
 
-/// Delay of each replicated entry, in ms: what the primary alone has when it fails is lost.
-const LAG_MS: &str = "30";
+/// Delay of each replicated entry, in ms, at the replicas: what the primary alone has when it fails is lost, and
+/// one of them lacks much of what was acknowledged.
+const LAG_MS: [&str; 2] = ["20", "150"];
 
 async fn start() -> (System, Load) {
     let system = System::start(2).await;
     load::create_table(&system.connect(0).await).await;
-    for replica in &system.member_addresses[1..] {
-        standin::switch_member(*replica, "lag_ms", LAG_MS).await;
+    for (replica, lag_ms) in system.member_addresses[1..].iter().zip(LAG_MS) {
+        standin::switch_member(*replica, "lag_ms", lag_ms).await;
     }
     let listen = |index: usize| system.proxies[index].listen;
     let load = Load::start(&[listen(0), listen(1), listen(0), listen(1)]);
