Metrics of reads, commits, waits and the failover gap; bounds on control traffic

Reads by role and distance, confirmed commits, waits and confirmations, connections by member, the time during which a group took no writes from the primary's last answer on. Handles are registered once; gauges are set when operators look. Control connections to a member are bounded by seven permits, heartbeats by 16 KiB (use of connections is left out first), peers' questions by 64 at once and 4 KiB each.

--- a/crates/fulmarlift/tests/configuration.rs
+++ b/crates/fulmarlift/tests/configuration.rs
@@ -139,13 +139,8 @@
     };
     force_head(&system, &head).await;
     wait::until("the proxies look for the document", async || {
-        let metrics = format!("http://{}/metrics", system.proxies[0].admin);
-        let text = reqwest::get(metrics).await.expect("it serves").text().await;
-        let text = text.expect("a text");
-        let failed = text
-            .lines()
-            .find_map(|line| line.strip_prefix("fulmarlift_configuration_fetches_failed_total "));
-        failed.is_some_and(|count| count.parse::<u64>().is_ok_and(|count| count >= 2))
+        let series = "fulmarlift_configuration_fetches_failed_total";
+        system.metric(0, series).await >= 2.0
     })
     .await;
     assert_eq!(system.status(0).await.expect("it runs").config_version, 1);
--- a/crates/fulmarlift/tests/operators.rs
+++ b/crates/fulmarlift/tests/operators.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use support::{system::System, wait};
+use support::system::System;
+use support::{load, standin, wait};
 
 #[tokio::test]
 async fn command_shows_system() {
@@ -95,3 +96,34 @@
     assert_eq!(kinds.last(), Some(&"configuration"));
     assert_eq!(kinds.first(), Some(&"failover"));
 }
+
+#[tokio::test]
+async fn metrics_count_reads_commits_and_gap() {
+    let system = System::start(1).await;
+    let caller = system.connect(0).await;
+    load::create_table(&caller).await;
+    for id in 0..5 {
+        let sql = format!("INSERT INTO counter VALUES ({id})");
+        caller.simple_query(&sql).await.expect("it is acknowledged");
+        let read = standin::first(&caller, "SELECT COUNT(*) FROM counter").await;
+        read.expect("the read is served");
+    }
+    let reads = async |role: &str| {
+        let series = format!("fulmarlift_reads_total{{role=\"{role}\",distance=\"domain\"}}");
+        system.metric(0, &series).await
+    };
+    // The wait for the proxy to serve has read something too.
+    assert!(reads("primary").await + reads("replica").await >= 5.0);
+    let confirmed = system.metric(0, "fulmarlift_commits_confirmed_total").await;
+    assert!((confirmed - 6.0).abs() < f64::EPSILON, "{confirmed}");
+    assert!(system.metric(0, "fulmarlift_connections{").await >= 1.0);
+    assert!(system.metric(0, "fulmarlift_control_questions_total").await >= 6.0);
+    let gaps = "fulmarlift_failover_gap_seconds_count{group=\"ledger\"}";
+    assert!(system.metric(0, gaps).await < 1.0);
+    system.members[0].signal("KILL");
+    system.until_replaced(0, "m0").await;
+    wait::until("the gap is measured", async || {
+        system.metric(0, gaps).await >= 1.0
+    })
+    .await;
+}
--- a/crates/fulmarlift/tests/support/system.rs
+++ b/crates/fulmarlift/tests/support/system.rs
@@ -167,6 +167,16 @@
         (status, answer.text().await.expect("a text"))
     }
 
+    /// Returns the sum of a proxy's metrics whose name and labels start so.
+    pub async fn metric(&self, index: usize, series: &str) -> f64 {
+        let url = format!("http://{}/metrics", self.proxies[index].admin);
+        let answer = reqwest::get(url).await.expect("the admin port serves");
+        let text = answer.text().await.expect("a text");
+        let lines = text.lines().filter(|line| line.starts_with(series));
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        values.sum()
+    }
+
     /// Waits until a configuration version is in force at a proxy.
     pub async fn until_version(&self, index: usize, version: u64) {
         wait::until("the version is in force", async || {
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -57,6 +57,7 @@
 }
 
 async fn metrics(State(admin): State<Admin>) -> String {
+    admin.engine.set_gauges();
     admin
         .metrics
         .map(|handle| handle.render())
--- /dev/null
+++ b/crates/proxy/src/engine/meter.rs
@@ -0,0 +1,184 @@
+//! What the engine counts. The handles are registered once, so that a request costs an atomic addition.
+
+use std::time::Instant;
+
+use fulmarlift_core::{group, id, sorted, topology};
+use metrics::{Counter, Histogram};
+
+use crate::engine::Inner;
+
+/// How far a member is: in this proxy's failure domain, its region, or another region.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Distance {
+    Domain,
+    Region,
+    Remote,
+}
+
+/// Where a member is, and to which group it belongs.
+#[derive(Clone, Copy, Debug)]
+struct Placed {
+    group: id::GroupId,
+    distance: Distance,
+}
+
+/// Counts of reads by distance.
+#[derive(Debug)]
+struct Reads {
+    domain: Counter,
+    region: Counter,
+    remote: Counter,
+}
+
+/// The counts of one proxy.
+#[derive(Debug)]
+pub(super) struct Meter {
+    pub(super) refusals: Counter,
+    pub(super) connects: Counter,
+    pub(super) confirmed: Counter,
+    pub(super) wait_seconds: Histogram,
+    pub(super) confirmation_seconds: Histogram,
+    primary_reads: Reads,
+    replica_reads: Reads,
+    members: sorted::Map<id::MemberId, Placed>,
+    /// Groups that took writes before, and since when they do not.
+    unwritable: sorted::Map<id::GroupId, Option<Instant>>,
+}
+
+impl Reads {
+    fn new(role: &'static str) -> Self {
+        let counter = |distance: &'static str| metrics::counter!("fulmarlift_reads_total", "role" => role, "distance" => distance);
+        Self {
+            domain: counter("domain"),
+            region: counter("region"),
+            remote: counter("remote"),
+        }
+    }
+
+    fn at(&self, distance: Distance) -> &Counter {
+        match distance {
+            Distance::Domain => &self.domain,
+            Distance::Region => &self.region,
+            Distance::Remote => &self.remote,
+        }
+    }
+}
+
+impl Meter {
+    /// Registers everything that is counted.
+    pub(super) fn new() -> Self {
+        Self {
+            refusals: metrics::counter!("fulmarlift_refusals_total"),
+            connects: metrics::counter!("fulmarlift_connects_total"),
+            confirmed: metrics::counter!("fulmarlift_commits_confirmed_total"),
+            wait_seconds: metrics::histogram!("fulmarlift_wait_seconds"),
+            confirmation_seconds: metrics::histogram!("fulmarlift_confirmation_seconds"),
+            primary_reads: Reads::new("primary"),
+            replica_reads: Reads::new("replica"),
+            members: sorted::Map::default(),
+            unwritable: sorted::Map::default(),
+        }
+    }
+
+    /// Keeps the members' places in step with the configuration.
+    pub(super) fn configure(&mut self, own: &topology::Place, topology: &topology::Topology) {
+        let groups = topology.groups.iter();
+        let members = groups.flat_map(|(group, config)| {
+            config.members.iter().map(move |(member, settings)| {
+                let distance = distance(own, &settings.place);
+                (member, Placed { group, distance })
+            })
+        });
+        self.members = members.collect();
+        self.unwritable
+            .retain(|group, _| topology.groups.contains(group));
+    }
+}
+
+fn distance(own: &topology::Place, other: &topology::Place) -> Distance {
+    if own.domain == other.domain {
+        Distance::Domain
+    } else if own.region == other.region {
+        Distance::Region
+    } else {
+        Distance::Remote
+    }
+}
+
+fn is_writable(group: &group::Group) -> bool {
+    let primary = group.watch.writable();
+    primary.is_some_and(|primary| primary.reachable)
+}
+
+impl Inner {
+    /// Counts a read that goes to this member.
+    pub(super) fn count_read(&self, member: id::MemberId) {
+        let Some(placed) = self.meter.members.get(member) else {
+            return;
+        };
+        let group = self.state.groups().get(placed.group);
+        let primary = group.and_then(|group| group.watch.primary());
+        let reads = match primary.is_some_and(|primary| primary.id == member) {
+            true => &self.meter.primary_reads,
+            false => &self.meter.replica_reads,
+        };
+        reads.at(placed.distance).increment(1);
+    }
+
+    /// Notes which groups take writes, and how long others did not.
+    pub(super) fn note_writable(&mut self, now: Instant) {
+        for (id, group) in self.state.groups().iter() {
+            let writable = is_writable(group);
+            match (self.meter.unwritable.get(id).copied(), writable) {
+                (None, true) => {
+                    self.meter.unwritable.insert(id, None);
+                }
+                (Some(None), false) => {
+                    // The silence that showed the failure belongs to the gap.
+                    let primary = group.watch.primary();
+                    let since = primary.and_then(|primary| primary.answered_at);
+                    self.meter.unwritable.insert(id, Some(since.unwrap_or(now)));
+                }
+                (Some(Some(since)), true) => {
+                    self.meter.unwritable.insert(id, None);
+                    let gap = now.saturating_duration_since(since);
+                    let name = self.state.topology().groups.get(id);
+                    let name = name.map(|config| config.name.clone()).unwrap_or_default();
+                    log::info!("event=writable group={name} gap_ms={}", gap.as_millis());
+                    metrics::histogram!("fulmarlift_failover_gap_seconds", "group" => name.into_string())
+                        .record(gap);
+                }
+                (None, false) | (Some(None), true) | (Some(Some(_)), false) => {}
+            }
+        }
+    }
+
+    /// Sets the gauges that are read from the state.
+    pub(super) fn set_gauges(&self) {
+        metrics::gauge!("fulmarlift_config_version").set(self.state.head().version as f64);
+        metrics::gauge!("fulmarlift_requests").set(self.state.in_flight() as f64);
+        for (id, group) in self.state.groups().iter() {
+            let Some(config) = self.state.topology().groups.get(id) else {
+                continue;
+            };
+            let name = config.name.to_string();
+            let writable = f64::from(u8::from(is_writable(group)));
+            metrics::gauge!("fulmarlift_group_writable", "group" => name.clone()).set(writable);
+            for (member, pool) in group.pools.iter() {
+                let member = config.members.get(member);
+                let member = member.map(|member| member.name.to_string());
+                let member = member.unwrap_or_default();
+                let set = |state: &'static str, count: u32| {
+                    metrics::gauge!(
+                        "fulmarlift_connections",
+                        "group" => name.clone(), "member" => member.clone(), "state" => state
+                    )
+                    .set(f64::from(count));
+                };
+                set("open", pool.open());
+                set("busy", pool.busy());
+                set("waited_for", pool.waiting());
+            }
+        }
+    }
+}
--- a/crates/proxy/src/engine/mod.rs
+++ b/crates/proxy/src/engine/mod.rs
@@ -3,6 +3,7 @@
 //! Effects run while the lock is held, so that they keep their order; none of them blocks: they hand
 //! notices to waiting tasks or start tasks that report back with an event.
 
+mod meter;
 mod notice;
 mod run;
 mod view;
@@ -12,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use fulmarlift_core::{effect, event, id, request, sorted};
+use fulmarlift_core::{effect, event, id, request, sorted, topology};
 use tokio::sync::{oneshot, watch};
 
 use crate::document;
@@ -35,6 +36,9 @@
     pub control: member::Control,
     /// Identifier of this incarnation.
     pub proxy: id::ProxyId,
+    /// Questions to members.
+    pub questions: metrics::Counter,
+    place: topology::Place,
     tasks: Tasks,
     draining: AtomicBool,
     drained: watch::Sender<bool>,
@@ -43,8 +47,9 @@
 #[derive(Debug)]
 struct Inner {
     state: fulmarlift_core::State,
-    waiters: sorted::Map<id::RequestId, oneshot::Sender<Notice>>,
-    interrupts: sorted::Map<id::RequestId, oneshot::Sender<()>>,
+    meter: meter::Meter,
+    waiters: sorted::Map<id::RequestId, Waiting>,
+    running: sorted::Map<id::RequestId, Running>,
     idle: sorted::Map<id::ConnId, Box<member::Backend>>,
     document: Arc<document::Accepted>,
     next_request: id::RequestId,
@@ -52,6 +57,21 @@
     follow_ups: VecDeque<event::Event>,
 }
 
+/// A request whose next notice is waited for.
+#[derive(Debug)]
+struct Waiting {
+    notify: oneshot::Sender<Notice>,
+    is_read: bool,
+    since: Instant,
+}
+
+/// A request that a session runs on a connection.
+#[derive(Debug)]
+struct Running {
+    interrupt: Option<oneshot::Sender<()>>,
+    is_read: bool,
+}
+
 /// A request before it has an identifier.
 #[derive(Clone, Debug)]
 pub struct Submission {
@@ -67,11 +87,27 @@
     pub deadline: Instant,
 }
 
+impl Inner {
+    /// Returns where the next notice of a request arrives.
+    fn wait(&mut self, request: id::RequestId, is_read: bool) -> Waiter {
+        let (notify, waiter) = oneshot::channel();
+        let since = Instant::now();
+        let waiting = Waiting {
+            notify,
+            is_read,
+            since,
+        };
+        self.waiters.insert(request, waiting);
+        waiter
+    }
+}
+
 impl Engine {
     /// Creates the engine of a proxy that has learned nothing yet.
     pub fn new(settings: settings::Settings, tasks: Tasks) -> Arc<Self> {
         let identity = settings.identity();
         let proxy = identity.proxy;
+        let place = identity.place.clone();
         let peers = settings
             .peers
             .iter()
@@ -80,8 +116,9 @@
         let state = fulmarlift_core::State::new(identity, peers, Instant::now());
         let inner = Inner {
             state,
+            meter: meter::Meter::new(),
             waiters: sorted::Map::default(),
-            interrupts: sorted::Map::default(),
+            running: sorted::Map::default(),
             idle: sorted::Map::default(),
             document: Arc::default(),
             next_request: 0,
@@ -93,6 +130,8 @@
             settings,
             control: member::Control::default(),
             proxy,
+            questions: metrics::counter!("fulmarlift_control_questions_total"),
+            place,
             tasks,
             draining: AtomicBool::new(false),
             drained: watch::Sender::new(false),
@@ -108,13 +147,24 @@
         self.run(&mut self.lock(), event);
     }
 
+    /// Takes in that time has passed.
+    pub fn tick(self: &Arc<Self>) {
+        let mut inner = self.lock();
+        self.run(&mut inner, event::Event::Tick);
+        inner.note_writable(Instant::now());
+    }
+
+    /// Sets the gauges that are read from the state, before operators look at them.
+    pub fn set_gauges(&self) {
+        self.lock().set_gauges();
+    }
+
     /// Submits a request and returns its identifier and where its first notice arrives.
     pub fn submit(self: &Arc<Self>, submission: Submission) -> (id::RequestId, Waiter) {
         let mut inner = self.lock();
         inner.next_request += 1;
         let id = inner.next_request;
-        let (sender, waiter) = oneshot::channel();
-        inner.waiters.insert(id, sender);
+        let waiter = inner.wait(id, submission.kind.is_read());
         let request = request::Request {
             id,
             caller: submission.caller,
@@ -135,13 +185,13 @@
         backend: Box<member::Backend>,
     ) -> Waiter {
         let mut inner = self.lock();
-        inner.interrupts.remove(returned.request);
-        let (sender, waiter) = oneshot::channel();
-        if !matches!(
+        let ran = inner.running.remove(returned.request);
+        let waiter = inner.wait(returned.request, ran.is_some_and(|ran| ran.is_read));
+        if matches!(
             returned.outcome,
             event::Outcome::Answered | event::Outcome::Unknown
         ) {
-            inner.waiters.insert(returned.request, sender);
+            inner.waiters.remove(returned.request);
         }
         if returned.clean {
             inner.idle.insert(returned.conn, backend);
@@ -169,6 +219,7 @@
             accepted.head.digest
         );
         self.control.configure(&accepted.topology);
+        inner.meter.configure(&self.place, &accepted.topology);
         let event = event::Event::Configured(accepted.topology.clone(), accepted.head.clone());
         inner.document = accepted;
         self.run(&mut inner, event);
--- a/crates/proxy/src/engine/run.rs
+++ b/crates/proxy/src/engine/run.rs
@@ -7,7 +7,7 @@
 use fulmarlift_platform::client;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::engine::{Dispatched, Engine, Inner, Notice};
+use crate::engine::{Dispatched, Engine, Inner, Notice, Running};
 use crate::member;
 use crate::platform;
 
@@ -40,17 +40,33 @@
         match effect {
             effect::Effect::Dispatch(dispatch) => dispatch_to(inner, dispatch),
             effect::Effect::Refuse(refuse) => {
-                metrics::counter!("fulmarlift_refusals_total").increment(1);
+                log::debug!(
+                    "event=refused request={} reason={:?}",
+                    refuse.request,
+                    refuse.reason
+                );
+                inner.meter.refusals.increment(1);
                 notify(inner, refuse.request, Notice::Refuse(refuse));
             }
             effect::Effect::Acknowledge {
                 request,
                 group,
                 point,
-            } => notify(inner, request, Notice::Acknowledge(group, point)),
-            effect::Effect::Unconfirmed(request) => notify(inner, request, Notice::Unconfirmed),
+            } => {
+                inner.meter.confirmed.increment(1);
+                if let Some(waiting) = inner.waiters.get(request) {
+                    let waited = waiting.since.elapsed();
+                    inner.meter.confirmation_seconds.record(waited);
+                }
+                notify(inner, request, Notice::Acknowledge(group, point));
+            }
+            effect::Effect::Unconfirmed(request) => {
+                log::debug!("event=unconfirmed request={request}");
+                notify(inner, request, Notice::Unconfirmed);
+            }
             effect::Effect::Interrupt(request) => {
-                if let Some(interrupt) = inner.interrupts.remove(request) {
+                let running = inner.running.get_mut(request);
+                if let Some(interrupt) = running.and_then(|running| running.interrupt.take()) {
                     // The request may have ended meanwhile.
                     let _ = interrupt.send(());
                 }
@@ -60,7 +76,10 @@
                 member,
                 deadline,
                 ..
-            } => self.open(conn, member, deadline),
+            } => {
+                inner.meter.connects.increment(1);
+                self.open(conn, member, deadline);
+            }
             effect::Effect::Close(conn) => {
                 inner.idle.remove(conn);
             }
@@ -101,7 +120,6 @@
         let Some(address) = self.control.address(member) else {
             return;
         };
-        metrics::counter!("fulmarlift_connects_total").increment(1);
         tokio::spawn(async move {
             let opened = member::Backend::open(&engine.settings, address, deadline).await;
             let mut inner = engine.lock();
@@ -162,7 +180,7 @@
 fn notify(inner: &mut Inner, request: id::RequestId, notice: Notice) {
     if let Some(waiter) = inner.waiters.remove(request) {
         // A caller that is gone wants no answer.
-        let _ = waiter.send(notice);
+        let _ = waiter.notify.send(notice);
     }
 }
 
@@ -170,6 +188,26 @@
     (!backend.is_closed()).then_some(backend)
 }
 
+impl Inner {
+    fn note_dispatch(
+        &mut self,
+        dispatch: &effect::Dispatch,
+        is_read: bool,
+        since: Instant,
+        interrupt: oneshot::Sender<()>,
+    ) {
+        self.meter.wait_seconds.record(since.elapsed());
+        if is_read {
+            self.count_read(dispatch.member);
+        }
+        let running = Running {
+            interrupt: Some(interrupt),
+            is_read,
+        };
+        self.running.insert(dispatch.request, running);
+    }
+}
+
 fn dispatch_to(inner: &mut Inner, dispatch: effect::Dispatch) {
     let waiter = inner.waiters.remove(dispatch.request);
     let backend = inner.idle.remove(dispatch.conn);
@@ -182,9 +220,9 @@
                 backend,
                 interrupted,
             };
-            match waiter.send(Notice::Dispatch(dispatched)) {
+            match waiter.notify.send(Notice::Dispatch(dispatched)) {
                 Ok(()) => {
-                    inner.interrupts.insert(dispatch.request, interrupt);
+                    inner.note_dispatch(&dispatch, waiter.is_read, waiter.since, interrupt);
                     return;
                 }
                 Err(Notice::Dispatch(unsent)) => {
--- a/crates/proxy/src/member/control.rs
+++ b/crates/proxy/src/member/control.rs
@@ -1,10 +1,15 @@
 //! Control connections, kept per member.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use fulmarlift_core::{id, sorted, topology};
 use fulmarlift_wire::backend;
+use tokio::sync::Semaphore;
+
+/// Control connections that a proxy holds to a member: the reducer has at most four immediate questions, a held
+/// one, a fence and a promotion under way. Eight proxies stay under the member's own limit of 64.
+const CONNECTIONS: usize = 7;
 
 /// Addresses of members and idle control connections to them.
 #[derive(Debug, Default)]
@@ -16,6 +21,7 @@
 struct Member {
     address: SocketAddr,
     idle: Vec<backend::Connection>,
+    permits: Arc<Semaphore>,
 }
 
 impl Control {
@@ -37,7 +43,13 @@
                 if !members.contains(id) {
                     let idle = Vec::new();
                     let address = *address;
-                    members.insert(id, Member { address, idle });
+                    let permits = Arc::new(Semaphore::new(CONNECTIONS));
+                    let member = Member {
+                        address,
+                        idle,
+                        permits,
+                    };
+                    members.insert(id, member);
                 }
             }
         });
@@ -48,6 +60,15 @@
         self.with(|members| members.get(member).map(|member| member.address))
     }
 
+    /// Returns the permits of a member; a question holds one while it uses a connection.
+    pub fn permits(&self, member: id::MemberId) -> Option<Arc<Semaphore>> {
+        self.with(|members| {
+            members
+                .get(member)
+                .map(|member| Arc::clone(&member.permits))
+        })
+    }
+
     /// Takes an idle control connection.
     pub fn take(&self, member: id::MemberId) -> Option<backend::Connection> {
         self.with(|members| members.get_mut(member)?.idle.pop())
--- a/crates/proxy/src/member/question.rs
+++ b/crates/proxy/src/member/question.rs
@@ -34,6 +34,7 @@
         return;
     };
     let engine = Arc::clone(engine);
+    engine.questions.increment(1);
     tokio::spawn(async move {
         let status = answer(&engine, ask).await;
         engine.step(event_of(&engine, ask, status));
@@ -83,6 +84,12 @@
 async fn try_answer(engine: &engine::Engine, ask: Ask) -> Result<member::Status, backend::Error> {
     let address = engine.control.address(ask.member);
     let address = address.ok_or(backend::Error::Closed)?;
+    let permits = engine.control.permits(ask.member);
+    let permits = permits.ok_or(backend::Error::Closed)?;
+    let deadline = tokio::time::Instant::from_std(ask.deadline);
+    let permit = tokio::time::timeout_at(deadline, permits.acquire()).await;
+    // Held until the connection is given back or dropped.
+    let _permit = permit.map_err(|_| backend::Error::Deadline)?;
     let mut connection = match engine.control.take(ask.member) {
         Some(connection) => connection,
         None => {
@@ -110,10 +117,8 @@
                 0 => Duration::ZERO,
                 _ => wait,
             };
-            {
-                let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-                member::status(connection, min_position, wait_ms, deadline).await
-            }
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            member::status(connection, min_position, wait_ms, deadline).await
         }
         Question::Fence { term } => member::fence(connection, term, &claimant, deadline).await,
         Question::Promote { term } => member::promote(connection, term, &claimant, deadline).await,
--- a/crates/proxy/src/metrics_export.rs
+++ b/crates/proxy/src/metrics_export.rs
@@ -17,26 +17,80 @@
 }
 
 fn describe() {
-    metrics::describe_counter!(
-        "fulmarlift_refusals_total",
-        "Requests refused; none of them ran"
-    );
-    metrics::describe_counter!(
+    for (name, text) in COUNTERS {
+        metrics::describe_counter!(name, text);
+    }
+    for (name, text) in HISTOGRAMS {
+        metrics::describe_histogram!(name, metrics::Unit::Seconds, text);
+    }
+    for (name, text) in GAUGES {
+        metrics::describe_gauge!(name, text);
+    }
+}
+
+const COUNTERS: [(&str, &str); 8] = [
+    (
+        "fulmarlift_reads_total",
+        "Reads sent to members, by the member's role and distance",
+    ),
+    (
+        "fulmarlift_commits_confirmed_total",
+        "Writes confirmed by a majority and acknowledged",
+    ),
+    (
         "fulmarlift_unknown_outcomes_total",
-        "Writes whose outcome callers were told is unknown"
-    );
-    metrics::describe_counter!(
+        "Writes whose outcome callers were told is unknown",
+    ),
+    (
+        "fulmarlift_refusals_total",
+        "Requests refused; none of them ran",
+    ),
+    (
         "fulmarlift_connects_total",
-        "Connections that were started to members"
-    );
-    metrics::describe_counter!(
+        "Connections that were started to members",
+    ),
+    (
+        "fulmarlift_control_questions_total",
+        "Status questions, fences and promotions sent to members",
+    ),
+    (
         "fulmarlift_peer_bytes_total",
-        metrics::Unit::Bytes,
-        "Bytes of heartbeats sent to peers"
-    );
-    metrics::describe_counter!(
+        "Bytes of heartbeats to and from peers",
+    ),
+    (
         "fulmarlift_configuration_fetches_failed_total",
-        "Times that neither a peer nor the store gave a configuration that was announced"
-    );
-    metrics::describe_gauge!("fulmarlift_sessions", "Callers logged in");
-}
+        "Times that neither a peer nor the store gave a configuration that was announced",
+    ),
+];
+
+const HISTOGRAMS: [(&str, &str); 3] = [
+    (
+        "fulmarlift_failover_gap_seconds",
+        "Time during which a group took no writes",
+    ),
+    (
+        "fulmarlift_wait_seconds",
+        "Time from a request's arrival to its connection",
+    ),
+    (
+        "fulmarlift_confirmation_seconds",
+        "Time from a commit to its confirmation by a majority",
+    ),
+];
+
+const GAUGES: [(&str, &str); 5] = [
+    ("fulmarlift_sessions", "Callers logged in"),
+    ("fulmarlift_requests", "Requests in flight"),
+    (
+        "fulmarlift_config_version",
+        "Configuration version in force",
+    ),
+    (
+        "fulmarlift_group_writable",
+        "1 when a group takes writes, 0 when it does not",
+    ),
+    (
+        "fulmarlift_connections",
+        "Connections to members, and requests that wait for one, by state",
+    ),
+];
--- a/crates/proxy/src/peers/heartbeat.rs
+++ b/crates/proxy/src/peers/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fulmarlift_core::{event, peer};
 use tokio::net::UdpSocket;
@@ -9,38 +10,69 @@
 
 use crate::engine;
 
-/// Largest heartbeat that is read.
-const DATAGRAM_BYTES: usize = 60 << 10;
+/// Largest heartbeat that is sent or read.
+const DATAGRAM_BYTES: usize = 16 << 10;
+/// Time before the socket is read again after it failed.
+const RECEIVE_BACKOFF: Duration = Duration::from_millis(10);
 
 /// Sends heartbeats for as long as the engine gives them.
 pub async fn send(
     socket: Arc<UdpSocket>,
     mut heartbeats: mpsc::UnboundedReceiver<(Box<str>, peer::Message)>,
 ) {
+    let sent = metrics::counter!("fulmarlift_peer_bytes_total", "direction" => "sent");
     while let Some((to, message)) = heartbeats.recv().await {
         let Ok(address) = to.parse::<SocketAddr>() else {
             continue;
         };
-        let Ok(bytes) = postcard::to_stdvec(&message) else {
+        let Some(bytes) = encode(message) else {
             continue;
         };
-        metrics::counter!("fulmarlift_peer_bytes_total").increment(bytes.len() as u64);
+        sent.increment(bytes.len() as u64);
         if let Err(error) = socket.send_to(&bytes, address).await {
             log::debug!("event=heartbeat_failed to={to} error={error}");
         }
     }
 }
 
+/// Encodes a heartbeat. What does not fit is left out, the use of connections first: a peer can do without
+/// it, but not without a sign of life and the configuration's version.
+fn encode(mut message: peer::Message) -> Option<Vec<u8>> {
+    loop {
+        let bytes = postcard::to_stdvec(&message).ok()?;
+        if bytes.len() <= DATAGRAM_BYTES {
+            return Some(bytes);
+        }
+        if !message.shares.is_empty() {
+            message.shares.truncate(message.shares.len() / 2);
+        } else if !message.groups.is_empty() {
+            message.groups.truncate(message.groups.len() / 2);
+        } else {
+            log::warn!("event=heartbeat_too_large bytes={}", bytes.len());
+            return None;
+        }
+    }
+}
+
 /// Receives heartbeats for as long as the process runs.
 pub async fn receive(engine: Arc<engine::Engine>, socket: Arc<UdpSocket>) {
+    let received = metrics::counter!("fulmarlift_peer_bytes_total", "direction" => "received");
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((len, from)) => match postcard::from_bytes(&buffer[..len]) {
-                Ok(message) => engine.step(event::Event::Peer(message)),
-                Err(error) => log::debug!("event=heartbeat_malformed from={from} error={error}"),
-            },
-            Err(error) => log::debug!("event=heartbeat_unreadable error={error}"),
+            Ok((len, from)) => {
+                received.increment(len as u64);
+                match postcard::from_bytes(&buffer[..len]) {
+                    Ok(message) => engine.step(event::Event::Peer(message)),
+                    Err(error) => {
+                        log::debug!("event=heartbeat_malformed from={from} error={error}");
+                    }
+                }
+            }
+            Err(error) => {
+                log::debug!("event=heartbeat_unreadable error={error}");
+                tokio::time::sleep(RECEIVE_BACKOFF).await;
+            }
         }
     }
 }
--- a/crates/proxy/src/peers/server.rs
+++ b/crates/proxy/src/peers/server.rs
@@ -7,6 +7,7 @@
 use fulmarlift_core::peer;
 use futures::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio_util::codec;
 
 use crate::caller;
@@ -15,14 +16,20 @@
 
 /// Time that a peer is given to answer.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Largest message that is read.
-const MESSAGE_BYTES: usize = 64 << 20;
+/// Time before the listener is tried again after it failed, such as for want of file descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
+/// Largest answer that is read: a document.
+const ANSWER_BYTES: usize = 64 << 20;
+/// Largest question that is read.
+const QUESTION_BYTES: usize = 4 << 10;
+/// Questions that are answered at once; a connection past them is closed.
+const QUESTIONS: usize = 64;
 
 type Framed = codec::Framed<TcpStream, codec::LengthDelimitedCodec>;
 
-fn framed(stream: TcpStream) -> Framed {
+fn framed(stream: TcpStream, message_bytes: usize) -> Framed {
     codec::LengthDelimitedCodec::builder()
-        .max_frame_length(MESSAGE_BYTES)
+        .max_frame_length(message_bytes)
         .new_framed(stream)
 }
 
@@ -32,16 +39,27 @@
     sessions: Arc<caller::Sessions>,
     listener: TcpListener,
 ) {
+    let permits = Arc::new(Semaphore::new(QUESTIONS));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("event=peer_accept_failed error={error}");
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            log::warn!("event=peer_refused reason=\"too many questions at once\"");
             continue;
         };
         let engine = Arc::clone(&engine);
         let sessions = Arc::clone(&sessions);
         tokio::spawn(async move {
-            let answered = answer_one(&engine, &sessions, framed(stream));
+            let answered = answer_one(&engine, &sessions, framed(stream, ANSWER_BYTES));
             // A peer that does not finish its question in time is left alone.
             let _ = tokio::time::timeout(TIMEOUT, answered).await;
+            drop(permit);
         });
     }
 }
@@ -51,7 +69,9 @@
     sessions: &caller::Sessions,
     mut framed: Framed,
 ) -> Option<()> {
+    framed.codec_mut().set_max_frame_length(QUESTION_BYTES);
     let bytes = framed.next().await?.ok()?;
+    framed.codec_mut().set_max_frame_length(ANSWER_BYTES);
     let answer = match postcard::from_bytes(&bytes).ok()? {
         Question::Document { version, digest } => document(engine, version, &digest),
         Question::Cancel { pid, secret } => {
@@ -81,7 +101,7 @@
 
 async fn try_ask(address: &str, question: &Question) -> Option<Answer> {
     let stream = TcpStream::connect(address).await.ok()?;
-    let mut framed = framed(stream);
+    let mut framed = framed(stream, ANSWER_BYTES);
     let bytes = postcard::to_stdvec(question).ok()?;
     framed.send(Bytes::from(bytes)).await.ok()?;
     let answer = framed.next().await?.ok()?;
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarlift_core::event;
 use fulmarlift_platform::client;
 use fulmarlift_wire::tls;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -200,6 +199,6 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
         interval.tick().await;
-        engine.step(event::Event::Tick);
+        engine.tick();
     }
 }
