Configuration test: the old head was surely read, and nothing older came in force

The test passed with all guards of the version taken out, since a proxy that went back came up again with the next heartbeat. It now waits until the store's old head was read twice and looks at what the log says came in force; with the guards out it fails.

--- a/crates/fulmarlift/tests/configuration.rs
+++ b/crates/fulmarlift/tests/configuration.rs
@@ -117,7 +117,16 @@
     let restarted = system.start_proxy();
     // The store names version 1; the peer that has version 2 is believed.
     system.until_version(restarted, 2).await;
-    system.until_serving(restarted).await;
+    let reads = "fulmarlift_head_reads_total{result=\"read\"}";
+    let read = system.metric(0, reads).await;
+    wait::until("the first proxy has read the old head", async || {
+        system.metric(0, reads).await >= read + 2.0
+    })
+    .await;
+    let process = &system.proxies[0].process;
+    let put_in_force = |version| format!("event=configuration_in_force version={version} ");
+    assert_eq!(process.count_logged(&put_in_force(1)), 1);
+    assert_eq!(process.count_logged(&put_in_force(2)), 1);
     let status = system.status(0).await.expect("the proxy runs");
     assert_eq!(status.config_version, 2);
 }
--- a/crates/fulmarlift/tests/support/process.rs
+++ b/crates/fulmarlift/tests/support/process.rs
@@ -46,6 +46,12 @@
             .any(|line| texts.iter().all(|text| line.contains(text)))
     }
 
+    /// Returns how many lines of its log hold this text.
+    pub fn count_logged(&self, text: &str) -> usize {
+        let log = self.log.lock().expect("no holder panics");
+        log.iter().filter(|line| line.contains(text)).count()
+    }
+
     /// Returns its log.
     pub fn log(&self) -> String {
         self.log.lock().expect("no holder panics").join("\n")
--- a/crates/proxy/src/metrics_export.rs
+++ b/crates/proxy/src/metrics_export.rs
@@ -28,7 +28,7 @@
     }
 }
 
-const COUNTERS: [(&str, &str); 8] = [
+const COUNTERS: [(&str, &str); 9] = [
     (
         "fulmarlift_reads_total",
         "Reads sent to members, by the member's role and distance",
@@ -57,6 +57,10 @@
         "fulmarlift_peer_bytes_total",
         "Bytes of heartbeats to and from peers",
     ),
+    (
+        "fulmarlift_head_reads_total",
+        "Reads of the configuration's head in the store, by result",
+    ),
     (
         "fulmarlift_configuration_fetches_failed_total",
         "Times that neither a peer nor the store gave a configuration that was announced",
--- a/crates/proxy/src/platform/follow.rs
+++ b/crates/proxy/src/platform/follow.rs
@@ -48,12 +48,19 @@
 
 /// Reads the head from the store for as long as the process runs.
 pub async fn poll(engine: Arc<engine::Engine>, client: client::Client, wanted: Wanted) {
+    let read = metrics::counter!("fulmarlift_head_reads_total", "result" => "read");
+    let failed = metrics::counter!("fulmarlift_head_reads_total", "result" => "failed");
     let mut warn_at = Instant::now() + WARN_INTERVAL;
     loop {
         match head(&client).await {
-            Ok(Some(head)) => wanted.offer(head),
-            Ok(None) => {}
-            Err(error) => log::debug!("event=head_unavailable error={error:?}"),
+            Ok(head) => {
+                read.increment(1);
+                wanted.offer(head.unwrap_or_default());
+            }
+            Err(error) => {
+                failed.increment(1);
+                log::debug!("event=head_unavailable error={error:?}");
+            }
         }
         let unready = engine.document().head.version == 0;
         if unready && Instant::now() >= warn_at {
