--- a/crates/fulmarlift/tests/configuration.rs
+++ b/crates/fulmarlift/tests/configuration.rs
@@ -53,7 +53,7 @@
 
 #[tokio::test]
 async fn configuration_without_source_is_not_ready() {
-    let mut system = System::start_standins();
+    let mut system = System::start_standins().await;
     system
         .switch_platform(serde_json::json!({"mode": "down"}))
         .await;
@@ -117,7 +117,16 @@
     let restarted = system.start_proxy();
     // The store names version 1; the peer that has version 2 is believed.
     system.until_version(restarted, 2).await;
-    system.until_serving(restarted).await;
+    let reads = "fulmarlift_head_reads_total{result=\"read\"}";
+    let read = system.metric(0, reads).await;
+    wait::until("the first proxy has read the old head", async || {
+        system.metric(0, reads).await >= read + 2.0
+    })
+    .await;
+    let process = &system.proxies[0].process;
+    let put_in_force = |version| format!("event=configuration_in_force version={version} ");
+    assert_eq!(process.count_logged(&put_in_force(1)), 1);
+    assert_eq!(process.count_logged(&put_in_force(2)), 1);
     let status = system.status(0).await.expect("the proxy runs");
     assert_eq!(status.config_version, 2);
 }
@@ -139,13 +148,8 @@
     };
     force_head(&system, &head).await;
     wait::until("the proxies look for the document", async || {
-        let metrics = format!("http://{}/metrics", system.proxies[0].admin);
-        let text = reqwest::get(metrics).await.expect("it serves").text().await;
-        let text = text.expect("a text");
-        let failed = text
-            .lines()
-            .find_map(|line| line.strip_prefix("fulmarlift_configuration_fetches_failed_total "));
-        failed.is_some_and(|count| count.parse::<u64>().is_ok_and(|count| count >= 2))
+        let series = "fulmarlift_configuration_fetches_failed_total";
+        system.metric(0, series).await >= 2.0
     })
     .await;
     assert_eq!(system.status(0).await.expect("it runs").config_version, 1);
