--- a/crates/proxy/src/caller/batch.rs
+++ b/crates/proxy/src/caller/batch.rs
@@ -1,11 +1,12 @@
 //! Messages of the extended protocol, and their form for one connection to a member.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use fulmarlift_wire::{class, frame};
 use pgwire::messages::{PgWireFrontendMessage, extendedquery};
 
+use crate::caller::local;
+use crate::caller::script::{Expect, Owed};
 use crate::caller::statements::{Statement, Statements};
 use crate::member;
 
@@ -13,18 +14,19 @@
 const STATEMENT: u8 = b'S';
 /// Name of a statement that no connection has; closing it is answered and does nothing.
 const NO_STATEMENT: &str = "fl_none";
+/// Messages of the extended protocol, sorted.
+const BATCHED: &[u8] = &[
+    frame::tag::frontend::BIND,
+    frame::tag::frontend::CLOSE,
+    frame::tag::frontend::DESCRIBE,
+    frame::tag::frontend::EXECUTE,
+    frame::tag::frontend::FLUSH,
+    frame::tag::frontend::PARSE,
+    frame::tag::frontend::SYNC,
+];
 /// Statements on one connection past which those of earlier batches are closed.
 const PREPARED_PER_CONNECTION: usize = 256;
 
-/// Whether an answer goes to the caller.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Expect {
-    /// It answers a message of the caller.
-    Pass,
-    /// It answers a message that the proxy added.
-    Drop,
-}
-
 /// Messages up to a Sync or Flush.
 #[derive(Clone, Debug, Default)]
 pub struct Batch {
@@ -32,6 +34,12 @@
     pub frames: Vec<frame::Frame>,
     /// What the executed statements do.
     pub classes: Vec<class::Statement>,
+    /// What the statements do that are prepared.
+    pub parsed: Vec<class::Statement>,
+    /// Messages about statements that the proxy answers itself.
+    local_messages: usize,
+    /// Messages that a member must answer.
+    member_messages: usize,
     portals: Vec<(Box<str>, Arc<[class::Statement]>)>,
 }
 
@@ -40,8 +48,8 @@
 pub struct Translated {
     /// The messages.
     pub frames: Vec<frame::Frame>,
-    /// What to do with ParseComplete, BindComplete and CloseComplete answers, in order.
-    pub expects: VecDeque<Expect>,
+    /// The answers that the member will owe, in order.
+    pub owed: Vec<Owed>,
     /// Statements being prepared, in order; empty for the unnamed one.
     pub parses: Vec<Box<str>>,
 }
@@ -58,23 +66,49 @@
         statements: &mut Statements,
         classify: impl FnOnce(&str) -> Arc<[class::Statement]>,
     ) -> Result<bool, frame::Error> {
+        if BATCHED.binary_search(&frame.tag).is_err() {
+            return Err(frame::Error::Malformed {
+                tag: frame.tag,
+                reason: "the message does not belong here",
+            });
+        }
         let message = frame.decode_frontend()?;
         self.frames.push(frame);
         match &message {
             PgWireFrontendMessage::Parse(parse) => {
-                let statement = Statement::new(parse, classify(&parse.query));
-                statements.insert(name(&parse.name), statement);
+                let classes = classify(&parse.query);
+                self.parsed.extend(classes.iter().cloned());
+                self.count(Some(&classes));
+                statements.insert(name(&parse.name), Statement::new(parse, classes));
             }
             PgWireFrontendMessage::Bind(bind) => {
-                if let Some(statement) = statements.get(name(&bind.statement_name)) {
-                    let portal = name(&bind.portal_name).into();
-                    self.portals.push((portal, Arc::clone(&statement.classes)));
+                let statement = statements.get(name(&bind.statement_name));
+                let classes = statement.map(|statement| Arc::clone(&statement.classes));
+                self.count(classes.as_ref());
+                if let Some(classes) = classes {
+                    self.portals.push((name(&bind.portal_name).into(), classes));
                 }
             }
-            PgWireFrontendMessage::Execute(execute) => self.execute(name(&execute.name)),
+            PgWireFrontendMessage::Describe(describe) => {
+                let target = name(&describe.name);
+                let classes = match describe.target_type {
+                    STATEMENT => statements.get(target).map(|known| &known.classes),
+                    _ => self.portal(target),
+                };
+                let classes = classes.cloned();
+                self.count(classes.as_ref());
+            }
+            PgWireFrontendMessage::Execute(execute) => {
+                let classes = self.portal(name(&execute.name)).cloned();
+                self.count(classes.as_ref());
+                let executed = classes.iter().flat_map(|classes| classes.iter());
+                self.classes.extend(executed.cloned());
+            }
+            // Connections keep shared statements, so closing one needs no member.
             PgWireFrontendMessage::Close(close) if close.target_type == STATEMENT => {
                 statements.remove(name(&close.name));
             }
+            PgWireFrontendMessage::Close(_) => self.count(None),
             _ => {}
         }
         Ok(matches!(
@@ -83,14 +117,32 @@
         ))
     }
 
-    fn execute(&mut self, portal: &str) {
-        let bound = self.portals.iter().rev();
-        let mut bound = bound.filter(|(name, _)| name.as_ref() == portal);
-        if let Some((_, classes)) = bound.next() {
-            self.classes.extend(classes.iter().cloned());
+    fn count(&mut self, classes: Option<&Arc<[class::Statement]>>) {
+        let is_local =
+            classes.is_some_and(|classes| !classes.is_empty() && local::owns_all(classes));
+        match is_local {
+            true => self.local_messages += 1,
+            false => self.member_messages += 1,
         }
     }
 
+    /// Returns whether no member is needed to answer.
+    pub fn is_local(&self) -> bool {
+        self.member_messages == 0
+    }
+
+    /// Returns whether some messages are about statements that the proxy answers itself.
+    pub fn touches_local(&self) -> bool {
+        self.local_messages > 0
+    }
+
+    /// Returns what the statements of a portal do that was bound in this batch.
+    pub fn portal(&self, portal: &str) -> Option<&Arc<[class::Statement]>> {
+        let mut bound = self.portals.iter().rev();
+        let (_, classes) = bound.find(|(name, _)| name.as_ref() == portal)?;
+        Some(classes)
+    }
+
     /// Puts the messages in the form for this connection: statements get their shared names, and those that
     /// the connection lacks are prepared first.
     ///
@@ -116,7 +168,7 @@
                 PgWireFrontendMessage::Parse(_) => {
                     unnamed = true;
                     translated.parses.push(Box::default());
-                    translated.push(frame.clone(), Some(Expect::Pass));
+                    translated.push(frame.clone(), &[Owed::Parse(Expect::Pass)]);
                 }
                 PgWireFrontendMessage::Bind(mut bind) => {
                     if let Some(statement) = statements.get(name(&bind.statement_name)) {
@@ -124,7 +176,7 @@
                         bind.statement_name = Some(statement.shared_name.to_string());
                     }
                     let message = PgWireFrontendMessage::Bind(bind);
-                    translated.push(frame::try_frontend(&message)?, Some(Expect::Pass));
+                    translated.push(frame::try_frontend(&message)?, &[Owed::Bind]);
                 }
                 PgWireFrontendMessage::Describe(mut describe)
                     if describe.target_type == STATEMENT =>
@@ -134,16 +186,24 @@
                         describe.name = Some(statement.shared_name.to_string());
                     }
                     let message = PgWireFrontendMessage::Describe(describe);
-                    translated.push(frame::try_frontend(&message)?, None);
+                    let owed = [Owed::Parameters, Owed::Columns];
+                    translated.push(frame::try_frontend(&message)?, &owed);
+                }
+                PgWireFrontendMessage::Describe(_) => {
+                    translated.push(frame.clone(), &[Owed::Columns]);
+                }
+                PgWireFrontendMessage::Execute(_) => {
+                    translated.push(frame.clone(), &[Owed::Result]);
                 }
                 PgWireFrontendMessage::Close(mut close) => {
                     if close.target_type == STATEMENT {
                         close.name = Some(NO_STATEMENT.to_owned());
                     }
                     let message = PgWireFrontendMessage::Close(close);
-                    translated.push(frame::try_frontend(&message)?, Some(Expect::Pass));
+                    let owed = [Owed::Close(Expect::Pass)];
+                    translated.push(frame::try_frontend(&message)?, &owed);
                 }
-                _ => translated.push(frame.clone(), None),
+                _ => translated.push(frame.clone(), &[]),
             }
         }
         Ok(translated)
@@ -151,18 +211,15 @@
 }
 
 impl Translated {
-    fn push(&mut self, frame: frame::Frame, expect: Option<Expect>) {
+    fn push(&mut self, frame: frame::Frame, owed: &[Owed]) {
         self.frames.push(frame);
-        self.expects.extend(expect);
-    }
-
-    fn send(&mut self, message: PgWireFrontendMessage, expect: Expect) {
-        self.push(frame::frontend(&message), Some(expect));
+        self.owed.extend(owed);
     }
 
     fn close(&mut self, shared_name: &str) {
         let close = extendedquery::Close::new(STATEMENT, Some(shared_name.to_owned()));
-        self.send(PgWireFrontendMessage::Close(close), Expect::Drop);
+        let message = PgWireFrontendMessage::Close(close);
+        self.push(frame::frontend(&message), &[Owed::Close(Expect::Drop)]);
     }
 
     fn close_all(&mut self, backend: &mut member::Backend) {
@@ -200,7 +257,8 @@
 
     fn parse(&mut self, statement: &Statement, expect: Expect) {
         self.parses.push(statement.shared_name.clone());
-        self.send(PgWireFrontendMessage::Parse(statement.parse()), expect);
+        let message = PgWireFrontendMessage::Parse(statement.parse());
+        self.push(frame::frontend(&message), &[Owed::Parse(expect)]);
     }
 }
 
--- a/crates/proxy/src/caller/listen.rs
+++ b/crates/proxy/src/caller/listen.rs
@@ -10,6 +10,7 @@
 
 use crate::caller::session;
 use crate::caller::sessions::Sessions;
+use crate::document;
 use crate::engine;
 
 /// Verifier text of callers that need no password from loopback.
@@ -60,7 +61,7 @@
     let timeout = Duration::from_millis(listener.engine.settings.login_timeout_ms);
     let deadline = tokio::time::Instant::now() + timeout;
     let document = listener.engine.document();
-    let verify = |user: &str| login(&document.document, user, loopback);
+    let verify = |user: &str| login(&document, user, loopback);
     match handshake::accept(stream, listener.tls.as_deref(), deadline, verify).await {
         Ok(handshake::Accepted::Session(accepted)) => admit(listener, accepted).await,
         Ok(handshake::Accepted::Cancel(key)) => {
@@ -74,21 +75,25 @@
     }
 }
 
-fn login(
-    document: &fulmarlift_config::model::Document,
-    user: &str,
-    loopback: bool,
-) -> handshake::Login {
-    match document.caller(user).map(|caller| caller.verifier.as_ref()) {
+fn login(accepted: &document::Accepted, user: &str, loopback: bool) -> handshake::Login {
+    let caller = accepted.document.caller(user);
+    match caller.map(|caller| caller.verifier.as_ref()) {
         Some(TRUST) if loopback => handshake::Login::Trust,
         Some(verifier) => match verifier.parse::<scram::Verifier>() {
             Ok(verifier) => handshake::Login::Scram(verifier),
-            Err(_) => handshake::Login::Unknown,
+            Err(_) => unknown(accepted),
         },
-        None => handshake::Login::Unknown,
+        None => unknown(accepted),
     }
 }
 
+/// All proxies that have the same configuration ask an unknown user for a password with the same salt. The digest of
+/// the configuration covers the verifiers, which callers don't know.
+fn unknown(accepted: &document::Accepted) -> handshake::Login {
+    let secret = accepted.head.digest.as_bytes().into();
+    handshake::Login::Unknown { secret }
+}
+
 async fn admit(listener: Listener, accepted: handshake::Session) {
     let document = listener.engine.document();
     let service = document.document.service(&accepted.database);
--- a/crates/proxy/src/caller/local.rs
+++ b/crates/proxy/src/caller/local.rs
@@ -10,6 +10,10 @@
 pub const TOKEN: &str = "fulmarlift.token";
 /// Setting that names the read class of the session's reads.
 pub const READ_CLASS: &str = "fulmarlift.read_class";
+/// Setting that would name a request, which is refused.
+pub const REQUEST_ID: &str = "fulmarlift.request_id";
+/// Start of the names of the proxy's own settings.
+const PREFIX: &str = "fulmarlift.";
 /// Type of text columns.
 const TEXT_OID: u32 = 25;
 
@@ -27,7 +31,7 @@
 impl Local {
     /// Returns whether the proxy answers for this setting.
     pub fn owns(name: &str) -> bool {
-        name == TOKEN || name == READ_CLASS
+        name.starts_with(PREFIX)
     }
 
     /// Sets a value.
@@ -41,6 +45,7 @@
         value: &str,
         known: impl Fn(fulmarlift_core::id::GroupId) -> bool,
     ) -> Result<(), answer::Answer> {
+        check_name(name)?;
         if name == READ_CLASS {
             self.read_class = (!value.is_empty()).then(|| value.into());
             return Ok(());
@@ -66,22 +71,48 @@
     }
 
     /// Returns the value of a setting.
-    pub fn show(&self, name: &str) -> Box<str> {
-        match name {
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer to the caller when there is no such setting.
+    pub fn show(&self, name: &str) -> Result<Box<str>, answer::Answer> {
+        check_name(name)?;
+        Ok(match name {
             TOKEN => self.floor.token(),
             _ => self.read_class.clone().unwrap_or_default(),
-        }
+        })
     }
 }
 
-/// Returns whether all statements concern the proxy's own settings.
-pub fn owns_all(statements: &[class::Statement]) -> bool {
-    statements.iter().all(|statement| match &statement.kind {
+fn check_name(name: &str) -> Result<(), answer::Answer> {
+    match name {
+        TOKEN | READ_CLASS => Ok(()),
+        REQUEST_ID => Err(answer::Answer::unsupported(
+            REQUEST_ID,
+            "Let the statement itself make its repetition harmless: write the id into a unique column with \
+             INSERT ... ON CONFLICT DO NOTHING, in the transaction that it names.",
+        )),
+        _ => Err(answer::Answer::error(
+            answer::sqlstate::UNDEFINED_OBJECT,
+            format!("unrecognized configuration parameter \"{name}\""),
+        )),
+    }
+}
+
+/// Returns whether the proxy answers a statement itself.
+pub fn owns(statement: &class::Statement) -> bool {
+    match &statement.kind {
         class::Kind::Set { name, .. }
         | class::Kind::Show { name }
         | class::Kind::Reset { name, .. } => Local::owns(name),
+        class::Kind::Deallocate { .. } => true,
         _ => false,
-    })
+    }
+}
+
+/// Returns whether the proxy answers all statements itself.
+pub fn owns_all(statements: &[class::Statement]) -> bool {
+    statements.iter().all(owns)
 }
 
 /// Returns the ParameterStatus message that carries the token.
@@ -90,22 +121,20 @@
     frame::backend(&PgWireBackendMessage::ParameterStatus(status))
 }
 
-/// Returns the messages that answer a SHOW.
-pub fn shown(name: &str, value: &str) -> Vec<frame::Frame> {
+/// Returns the RowDescription of a SHOW.
+pub fn columns(name: &str) -> frame::Frame {
     let field = data::FieldDescription::new(name.to_owned(), 0, 0, TEXT_OID, -1, -1, 0);
     let description = data::RowDescription::new(vec![field]);
+    frame::backend(&PgWireBackendMessage::RowDescription(description))
+}
+
+/// Returns the row of a SHOW and its end.
+pub fn row(value: &str) -> [frame::Frame; 2] {
     let mut row = bytes::BytesMut::new();
     row.extend_from_slice(&i32::try_from(value.len()).unwrap_or(0).to_be_bytes());
     row.extend_from_slice(value.as_bytes());
-    let messages = [
-        PgWireBackendMessage::RowDescription(description),
-        PgWireBackendMessage::DataRow(data::DataRow::new(row, 1)),
-    ];
-    messages
-        .iter()
-        .map(frame::backend)
-        .chain([complete("SHOW")])
-        .collect()
+    let row = PgWireBackendMessage::DataRow(data::DataRow::new(row, 1));
+    [frame::backend(&row), complete("SHOW")]
 }
 
 /// Returns a CommandComplete message.
--- a/crates/proxy/src/caller/mod.rs
+++ b/crates/proxy/src/caller/mod.rs
@@ -3,10 +3,13 @@
 mod batch;
 mod listen;
 mod local;
+mod local_answers;
 mod outcome;
 pub(crate) mod plan;
 mod relay;
+mod remember;
 mod requests;
+mod script;
 mod session;
 mod sessions;
 mod statements;
--- a/crates/proxy/src/caller/outcome.rs
+++ b/crates/proxy/src/caller/outcome.rs
@@ -28,3 +28,9 @@
         }
     }
 }
+
+/// Returns the answer to a request that was cancelled before it ran.
+pub fn cancelled() -> answer::Answer {
+    answer::Answer::canceled()
+        .with_detail(format!("{}; it waited for a connection", answer::NOT_RUN))
+}
--- a/crates/proxy/src/caller/plan.rs
+++ b/crates/proxy/src/caller/plan.rs
@@ -4,6 +4,8 @@
 
 use fulmarlift_wire::class;
 
+use crate::caller::local;
+
 /// Why statements cannot be served, and what to do instead.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -16,6 +18,15 @@
 /// What to do instead of preparing by statement.
 const PREPARE_HINT: &str = "Prepare through the protocol, as drivers do.";
 
+/// The control functions of a group's members, and the form of names that can hide one.
+const CONTROL: &[&str] = &[
+    "group_status",
+    "group_fence",
+    "group_promote",
+    "member_switch",
+    "u&\"",
+];
+
 /// What is to be done with statements.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Plan {
@@ -38,10 +49,18 @@
 }
 
 impl Plan {
+    /// Returns the plan for the same statements at the primary.
+    pub fn into_write(self) -> Self {
+        match self {
+            Self::Read { tables } => Self::Write { tables },
+            other => other,
+        }
+    }
+
     /// Decides on statements that run together.
     pub fn of(statements: &[class::Statement]) -> Self {
-        if let Some(what) = statements.iter().find_map(|s| refused(&s.kind)) {
-            return Self::Refused(what);
+        if let Some(refusal) = refusal(statements) {
+            return Self::Refused(refusal);
         }
         let working = statements.iter().filter(|s| s.kind != class::Kind::Empty);
         let working: Vec<&class::Statement> = working.collect();
@@ -64,6 +83,111 @@
     }
 }
 
+/// Returns why statements that run together cannot be served, if so.
+pub fn refusal(statements: &[class::Statement]) -> Option<Refusal> {
+    let refused = statements.iter().find_map(|s| refused(&s.kind));
+    refused
+        .or_else(|| followed(statements))
+        .or_else(|| mixed(statements))
+}
+
+/// Returns why one of several statements cannot be served, if so; they do not run together.
+pub fn refusal_each(statements: &[class::Statement]) -> Option<Refusal> {
+    statements.iter().find_map(|s| refused(&s.kind))
+}
+
+/// Returns why a text that could not be parsed cannot be served, if so: it names a control function of the group, or
+/// writes names in a form in which it could.
+pub fn refusal_of_text(statements: &[class::Statement], text: &[u8]) -> Option<Refusal> {
+    if statements.iter().all(|s| s.parsed) {
+        return None;
+    }
+    let text = text.to_ascii_lowercase();
+    let has = |word: &&str| text.windows(word.len()).any(|part| part == word.as_bytes());
+    let reason = class::PinReason::GroupControl;
+    CONTROL.iter().any(has).then_some(Refusal {
+        what: reason.what(),
+        hint: reason.hint(),
+    })
+}
+
+/// The end of a transaction must be the last of its message: a commit is acknowledged only once it is safe, and
+/// settings made after a rollback stay while those before are undone.
+fn followed(statements: &[class::Statement]) -> Option<Refusal> {
+    let ends = |s: &class::Statement| s.kind == class::Kind::Commit;
+    let rolls_back = |s: &class::Statement| s.kind == class::Kind::Rollback;
+    let end = statements.iter().position(ends);
+    let after = end.map_or(&[][..], |end| &statements[end + 1..]);
+    if after.iter().any(|s| s.kind != class::Kind::Empty) {
+        return Some(Refusal {
+            what: "a COMMIT followed by other statements in one message",
+            hint: "Send the COMMIT and what follows it one after the other.",
+        });
+    }
+    let sets = |s: &class::Statement| {
+        matches!(
+            s.kind,
+            class::Kind::Set { .. } | class::Kind::Reset { .. } | class::Kind::DiscardAll
+        )
+    };
+    let beside = statements.iter().any(rolls_back) && statements.iter().any(sets);
+    beside.then_some(Refusal {
+        what: "a setting beside a ROLLBACK in one message",
+        hint: "Send them one after the other.",
+    })
+}
+
+/// The proxy's own settings are not known to members.
+fn mixed(statements: &[class::Statement]) -> Option<Refusal> {
+    let working = statements.iter().filter(|s| s.kind != class::Kind::Empty);
+    let (own, other): (Vec<_>, Vec<_>) = working.partition(|s| local::owns(s));
+    (!own.is_empty() && !other.is_empty()).then_some(Refusal {
+        what: "a statement that the proxy answers itself beside others in one message",
+        hint: "Send them one after the other.",
+    })
+}
+
+/// Returns whether statements that were sent may have made a write last.
+pub fn may_commit(statements: &[class::Statement], in_transaction: bool) -> bool {
+    let mut open = in_transaction;
+    for statement in statements {
+        match &statement.kind {
+            _ if !statement.parsed => return true,
+            class::Kind::Commit => return true,
+            class::Kind::Begin { .. } => open = true,
+            class::Kind::Rollback => open = false,
+            kind if !open && !is_read(kind) && *kind != class::Kind::Empty => return true,
+            _ => {}
+        }
+    }
+    false
+}
+
+/// Returns whether statements may be sent again after they may have run: one write to these tables only.
+pub fn is_repeatable(statements: &[class::Statement], repeatable: &[Box<str>]) -> bool {
+    let [statement] = statements else {
+        return false;
+    };
+    let mut tables = statement.tables.iter();
+    statement.parsed
+        && statement.kind == class::Kind::Write
+        && !statement.tables.is_empty()
+        && tables.all(|table| repeatable.contains(table))
+}
+
+/// Returns whether a transaction is started that must not write.
+pub fn begins_read_only(statements: &[class::Statement]) -> bool {
+    statements.iter().any(|s| {
+        matches!(
+            s.kind,
+            class::Kind::Begin { read_only: true }
+                | class::Kind::SetTransaction {
+                    read_only: Some(true)
+                }
+        )
+    })
+}
+
 fn refused(kind: &class::Kind) -> Option<Refusal> {
     let (what, hint) = match kind {
         class::Kind::Pin(reason) => (reason.what(), reason.hint()),
--- a/crates/proxy/src/caller/relay.rs
+++ b/crates/proxy/src/caller/relay.rs
@@ -4,12 +4,15 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::floor;
-use fulmarlift_wire::{frame, stream};
+use fulmarlift_wire::frame::tag::{backend, frontend};
+use fulmarlift_wire::{class, frame, stream};
 use pgwire::messages::PgWireBackendMessage;
 use tokio::sync::oneshot;
 use tokio::time;
 
-use crate::caller::batch::{Batch, Expect, Translated};
+use crate::caller::batch::Batch;
+use crate::caller::plan;
+use crate::caller::script;
 use crate::caller::session::Link;
 use crate::caller::statements::Statements;
 use crate::member;
@@ -20,6 +23,14 @@
 const NOT_PRIMARY: &str = "25006";
 /// Transaction status of a connection outside a transaction.
 const IDLE: u8 = b'I';
+/// Command tag of a COMMIT that the member has turned into a rollback.
+const ROLLED_BACK: &[u8] = b"ROLLBACK\0";
+/// Bytes of answers held until their first row or their end.
+const HELD_BYTES: usize = 32 << 10;
+/// Messages of members that pass in pieces when they are large.
+const ROWS: &[u8] = &[backend::DATA_ROW, backend::COPY_DATA];
+/// Messages of callers that pass in pieces when they are large.
+const COPIED: &[u8] = &[frontend::COPY_DATA];
 
 /// The caller's end of the stream.
 pub type CallerStream = stream::Framed<stream::Stream>;
@@ -35,17 +46,18 @@
     pub interrupted: &'a mut oneshot::Receiver<()>,
     /// The caller's prepared statements.
     pub statements: &'a mut Statements,
-    /// When the next message of the member must have arrived.
+    /// When the next message of the member, or of a caller that is waited for, must have arrived.
     pub deadline: Instant,
-    /// Time that the member is given for each message after the first.
+    /// Time that either side is given for each message after the first.
     pub progress: Duration,
     /// Whether a refusal for not being the primary is kept from the caller.
     pub hide_not_primary: bool,
-    expects: VecDeque<Expect>,
+    script: script::Script,
     parses: VecDeque<Box<str>>,
-    held: Option<frame::Frame>,
     report: Report,
-    caller_speaks: bool,
+    copying_in: bool,
+    simple: bool,
+    cut: bool,
 }
 
 /// The outcome of a relay.
@@ -61,8 +73,12 @@
     pub not_primary: bool,
     /// Whether the member answered with an error.
     pub failed: bool,
-    /// Messages that are held until the commit is safe.
-    pub held: Option<frame::Frame>,
+    /// Whether the caller added messages after the first ones were sent.
+    pub continued: bool,
+    /// Whether the last statement was answered as a rollback.
+    pub rolled_back: bool,
+    /// Messages that are held until the commit is safe, or the answer is known to go to the caller.
+    pub held: Vec<frame::Frame>,
 }
 
 impl Report {
@@ -75,9 +91,15 @@
 /// Why a relay ended early.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The member's connection failed, or was silent for too long.
+    /// The member's connection failed.
     #[error("member: {0}")]
     Member(#[source] frame::Error),
+    /// The member sent what it does not owe.
+    #[error("the member sent {0}")]
+    OutOfStep(#[from] script::OutOfStep),
+    /// The caller asked for what cannot be served, after part of its batch had been sent.
+    #[error("{0:?}")]
+    Refused(plan::Refusal),
     /// The member closed the connection.
     #[error("the member closed the connection")]
     MemberGone,
@@ -93,6 +115,9 @@
     /// The caller closed its connection.
     #[error("the caller closed its connection")]
     CallerGone,
+    /// The caller did not go on in time, and a connection was held for it.
+    #[error("the caller did not go on in time")]
+    CallerSilent,
 }
 
 /// How a relay ended early.
@@ -102,6 +127,10 @@
     pub error: Error,
     /// Whether anything had gone to the caller.
     pub passed: bool,
+    /// Whether the caller added messages after the first ones were sent.
+    pub continued: bool,
+    /// Whether the caller has got the beginning of a message only.
+    pub cut: bool,
 }
 
 impl Failure {
@@ -114,10 +143,18 @@
 impl Error {
     /// Returns whether the caller's side failed.
     pub fn is_callers(&self) -> bool {
-        matches!(self, Self::Caller(_) | Self::CallerGone)
+        matches!(
+            self,
+            Self::Caller(_) | Self::CallerGone | Self::CallerSilent
+        )
     }
 }
 
+enum Next {
+    Member(stream::Part),
+    Caller(stream::Part),
+}
+
 impl<'a> Relay<'a> {
     /// Creates a relay on a link.
     pub fn new(
@@ -134,11 +171,12 @@
             backend: &mut link.backend,
             interrupted: &mut link.interrupted,
             hide_not_primary,
-            expects: VecDeque::new(),
+            script: script::Script::default(),
             parses: VecDeque::new(),
-            held: None,
             report: Report::default(),
-            caller_speaks: false,
+            copying_in: false,
+            simple: false,
+            cut: false,
         }
     }
 
@@ -149,6 +187,8 @@
     /// Returns how the relay ended early.
     pub async fn simple(mut self, query: &frame::Frame) -> Result<Report, Failure> {
         self.backend.connection.framed.feed(query);
+        self.script = script::Script::simple();
+        self.simple = true;
         let ended = self.run().await;
         self.end(ended)
     }
@@ -167,77 +207,100 @@
     }
 
     fn end(mut self, ended: Result<(), Error>) -> Result<Report, Failure> {
-        let passed = self.report.passed;
-        self.report.held = self.held.take();
+        for name in self.parses.drain(..) {
+            self.backend.prepared.retain(|known| *known != name);
+        }
         match ended {
             Ok(()) => Ok(self.report),
-            Err(error) => Err(Failure { error, passed }),
+            Err(error) => Err(Failure {
+                error,
+                passed: self.report.passed,
+                continued: self.report.continued,
+                cut: self.cut,
+            }),
         }
     }
 
     fn send_batch(&mut self, batch: &Batch) -> Result<(), Error> {
         let translated = batch.translate(self.statements, self.backend);
         let translated = translated.map_err(Error::Caller)?;
-        self.feed(translated);
+        for frame in &translated.frames {
+            self.backend.connection.framed.feed(frame);
+        }
+        self.script.extend(translated.owed);
+        self.parses.extend(translated.parses);
         let last = batch.frames.last().map(|frame| frame.tag);
-        self.caller_speaks = last != Some(frame::tag::frontend::SYNC);
+        self.script.set_synced(last == Some(frontend::SYNC));
         Ok(())
     }
 
-    fn feed(&mut self, translated: Translated) {
-        for frame in &translated.frames {
-            self.backend.connection.framed.feed(frame);
+    /// Returns whether the protocol has the caller speak.
+    fn hears_caller(&self) -> bool {
+        match self.simple {
+            true => self.copying_in,
+            false => !self.script.is_synced(),
         }
-        self.expects.extend(translated.expects);
-        self.parses.extend(translated.parses);
+    }
+
+    /// Returns whether the member has nothing to say before the caller has spoken.
+    fn waits_for_caller(&self) -> bool {
+        self.hears_caller() && (self.copying_in || self.script.is_settled())
     }
 
     async fn run(&mut self) -> Result<(), Error> {
         self.flush_backend().await?;
         loop {
-            let next = self.next().await?;
-            match next {
-                Next::Member(frame) => {
-                    if self.take_members(frame)? {
+            match self.next().await? {
+                Next::Member(part) => {
+                    if self.take_members(part)? {
                         return Ok(());
                     }
-                    self.deadline = Instant::now() + self.progress;
                     if self.caller.is_full() {
                         self.flush_caller().await?;
                     }
                 }
-                Next::Caller(frame) => {
-                    self.take_callers(frame)?;
+                Next::Caller(part) => {
+                    self.take_callers(part)?;
                     self.flush_backend().await?;
                 }
             }
+            self.deadline = Instant::now() + self.progress;
         }
     }
 
     /// Returns the next message of either side; the caller is heard only where the protocol has it speak.
     async fn next(&mut self) -> Result<Next, Error> {
         let framed = &mut self.backend.connection.framed;
-        if let Some(frame) = framed.decode_buffered().map_err(Error::Member)? {
-            return Ok(Next::Member(frame));
+        if let Some(part) = framed.buffered_part(ROWS).map_err(Error::Member)? {
+            return Ok(Next::Member(part));
+        }
+        let hears_caller = self.hears_caller();
+        if hears_caller {
+            // The caller may wait for what is held before it goes on.
+            self.release_held();
         }
         if self.caller.has_output() {
             self.flush_caller().await?;
         }
+        let waits_for_caller = self.waits_for_caller();
         let deadline = time::Instant::from_std(self.deadline);
         let framed = &mut self.backend.connection.framed;
         tokio::select! {
-            frame = framed.read_frame() => match frame {
-                Ok(Some(frame)) => Ok(Next::Member(frame)),
+            part = framed.read_part(ROWS) => match part {
+                Ok(Some(part)) => Ok(Next::Member(part)),
                 Ok(None) => Err(Error::MemberGone),
                 Err(error) => Err(Error::Member(error)),
             },
-            frame = self.caller.read_frame(), if self.caller_speaks => match frame {
-                Ok(Some(frame)) => Ok(Next::Caller(frame)),
+            part = self.caller.read_part(COPIED), if hears_caller => match part {
+                Ok(Some(part)) => Ok(Next::Caller(part)),
                 Ok(None) => Err(Error::CallerGone),
                 Err(error) => Err(Error::Caller(error)),
             },
             Ok(()) = &mut *self.interrupted => Err(Error::Replaced),
-            () = time::sleep_until(deadline), if !self.caller_speaks => Err(Error::Silent),
+            () = time::sleep_until(deadline) => Err(match waits_for_caller {
+                true => Error::CallerSilent,
+                false => Error::Silent,
+            }),
         }
     }
 
@@ -258,16 +321,32 @@
         }
     }
 
-    fn take_callers(&mut self, frame: frame::Frame) -> Result<(), Error> {
-        use frame::tag::frontend as tag;
+    fn take_callers(&mut self, part: stream::Part) -> Result<(), Error> {
+        let frame = match part {
+            stream::Part::Frame(frame) => frame,
+            stream::Part::Piece { bytes, .. } => {
+                if self.copying_in {
+                    self.backend.connection.framed.feed_bytes(&bytes);
+                }
+                return Ok(());
+            }
+        };
         match frame.tag {
-            tag::COPY_DATA => self.backend.connection.framed.feed(&frame),
-            tag::COPY_DONE | tag::COPY_FAIL => {
-                self.caller_speaks = false;
+            frontend::TERMINATE => return Err(Error::CallerGone),
+            frontend::COPY_DATA if self.copying_in => self.backend.connection.framed.feed(&frame),
+            frontend::COPY_DONE | frontend::COPY_FAIL if self.copying_in => {
+                self.copying_in = false;
+                self.backend.connection.framed.feed(&frame);
+            }
+            // A member that copies in ignores these; the ones that count follow the end of the copy.
+            frontend::SYNC | frontend::FLUSH if self.copying_in => {}
+            frontend::SYNC => {
                 self.backend.connection.framed.feed(&frame);
-                self.deadline = Instant::now() + self.progress;
+                self.script.set_synced(true);
             }
-            tag::TERMINATE => return Err(Error::CallerGone),
+            // After an error the member skips all messages up to the Sync.
+            _ if self.script.has_failed() => {}
+            frontend::COPY_DATA | frontend::COPY_DONE | frontend::COPY_FAIL => {}
             _ => self.continue_batch(frame)?,
         }
         Ok(())
@@ -276,62 +355,79 @@
     /// Passes on what follows a Flush.
     fn continue_batch(&mut self, frame: frame::Frame) -> Result<(), Error> {
         let mut batch = Batch::default();
-        let classify = |_: &str| std::sync::Arc::from([]);
+        let classify = |sql: &str| std::sync::Arc::from(class::classify(sql));
         batch
             .add(frame, self.statements, classify)
             .map_err(Error::Caller)?;
-        self.send_batch(&batch)?;
-        self.deadline = Instant::now() + self.progress;
-        Ok(())
+        self.report.continued = true;
+        match plan::refusal_each(&batch.parsed) {
+            Some(refusal) => Err(Error::Refused(refusal)),
+            None => self.send_batch(&batch),
+        }
     }
 
     /// Takes in a message of the member; returns whether it is ready for the next query.
-    fn take_members(&mut self, frame: frame::Frame) -> Result<bool, Error> {
-        use frame::tag::backend as tag;
-        match frame.tag {
-            tag::PARSE_COMPLETE => {
-                self.parses.pop_front();
-                self.pass_expected(frame);
-            }
-            tag::BIND_COMPLETE | tag::CLOSE_COMPLETE => self.pass_expected(frame),
-            tag::COMMAND_COMPLETE => {
+    fn take_members(&mut self, part: stream::Part) -> Result<bool, Error> {
+        let frame = match part {
+            stream::Part::Frame(frame) => frame,
+            stream::Part::Piece {
+                tag,
+                bytes,
+                is_last,
+            } => {
+                if !std::mem::replace(&mut self.cut, !is_last) {
+                    self.script.take(tag)?;
+                }
                 self.release_held();
-                self.held = Some(frame);
+                self.report.passed = true;
+                self.caller.feed_bytes(&bytes);
+                return Ok(false);
             }
-            tag::READY_FOR_QUERY => {
+        };
+        let expect = self.script.take(frame.tag)?;
+        match frame.tag {
+            backend::READY_FOR_QUERY => {
                 self.report.status = frame.body().first().copied().unwrap_or_default();
                 return Ok(true);
             }
-            tag::PARAMETER_STATUS => self.parameter(frame)?,
-            tag::ERROR_RESPONSE => self.error(frame)?,
-            tag::COPY_IN_RESPONSE => {
-                self.caller_speaks = true;
-                self.pass(frame);
+            backend::PARAMETER_STATUS => return self.parameter(frame).map(|()| false),
+            backend::ERROR_RESPONSE => return self.error(frame).map(|()| false),
+            backend::PARSE_COMPLETE => drop(self.parses.pop_front()),
+            backend::COMMAND_COMPLETE => self.report.rolled_back = frame.body() == ROLLED_BACK,
+            backend::COPY_IN_RESPONSE => {
+                self.copying_in = true;
+                // The Sync that came with the statement is ignored while the rows come.
+                self.script.set_synced(self.simple);
             }
-            _ => self.pass(frame),
+            _ => {}
+        }
+        if expect == script::Expect::Pass {
+            self.pass(frame);
         }
         Ok(false)
     }
 
     fn pass(&mut self, frame: frame::Frame) {
-        self.release_held();
-        self.report.passed = true;
-        self.caller.feed(&frame);
+        let held_bytes: usize = self.report.held.iter().map(|held| held.bytes.len()).sum();
+        let is_row = ROWS.contains(&frame.tag);
+        if is_row || held_bytes + frame.bytes.len() > HELD_BYTES {
+            self.release_held();
+        }
+        if is_row {
+            self.report.passed = true;
+            self.caller.feed(&frame);
+        } else {
+            self.report.held.push(frame);
+        }
     }
 
     fn release_held(&mut self) {
-        if let Some(held) = self.held.take() {
+        for held in self.report.held.drain(..) {
             self.report.passed = true;
             self.caller.feed(&held);
         }
     }
 
-    fn pass_expected(&mut self, frame: frame::Frame) {
-        if self.expects.pop_front() != Some(Expect::Drop) {
-            self.pass(frame);
-        }
-    }
-
     fn parameter(&mut self, frame: frame::Frame) -> Result<(), Error> {
         let message = frame.decode_backend().map_err(Error::Member)?;
         let PgWireBackendMessage::ParameterStatus(status) = message else {
@@ -347,34 +443,21 @@
 
     fn error(&mut self, frame: frame::Frame) -> Result<(), Error> {
         self.report.failed = true;
-        self.expects.clear();
-        self.caller_speaks = false;
-        // What the member had not prepared by now it has skipped.
-        for name in self.parses.drain(..) {
-            self.backend.prepared.retain(|known| *known != name);
-        }
+        self.copying_in = false;
         let message = frame.decode_backend().map_err(Error::Member)?;
         let PgWireBackendMessage::ErrorResponse(error) = message else {
             return Ok(());
         };
-        let refused = error
-            .fields
-            .iter()
-            .any(|(kind, value)| *kind == b'C' && value == NOT_PRIMARY);
-        if refused && self.hide_not_primary && !self.report.passed && self.held.is_none() {
+        let is_code = |(kind, value): &(u8, String)| *kind == b'C' && value == NOT_PRIMARY;
+        let refused = error.fields.iter().any(is_code);
+        if refused && self.hide_not_primary && !self.report.passed {
             self.report.not_primary = true;
-        } else {
-            self.pass(frame);
         }
+        self.pass(frame);
         Ok(())
     }
 }
 
-enum Next {
-    Member(frame::Frame),
-    Caller(frame::Frame),
-}
-
 fn point(text: &str) -> Option<floor::Point> {
     let (term, position) = text.split_once(':')?;
     Some(floor::Point::new(
--- a/crates/proxy/src/caller/requests.rs
+++ b/crates/proxy/src/caller/requests.rs
@@ -2,12 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_core::{event, floor, request};
-use fulmarlift_wire::{answer, backend, class};
+use fulmarlift_core::{event, floor, id, request};
+use fulmarlift_wire::{answer, frame};
 
 use crate::caller::local;
 use crate::caller::outcome;
-use crate::caller::plan::Plan;
+use crate::caller::plan::{self, Plan};
 use crate::caller::relay;
 use crate::caller::session::{Error, Link, Session, Work};
 use crate::caller::sessions::Target;
@@ -16,7 +16,32 @@
 /// Time that a request may take at a service that is no longer configured.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// What became of one try at a piece of work.
+enum Tried {
+    /// The caller has its answer.
+    Answered,
+    /// What was taken for a read writes.
+    IsWrite,
+    /// It may have run, and may run again.
+    MayRepeat,
+}
+
+/// What became of waiting for a connection.
+enum Waited {
+    /// There is one.
+    Link(Link),
+    /// The request did not run.
+    NotRun(answer::Answer),
+}
+
 impl Session<'_> {
+    /// Returns the time that a request of the session's service may take.
+    pub(super) fn timeout(&self) -> Duration {
+        let document = self.engine.document();
+        let service = document.topology.services.get(self.identity.service);
+        service.map_or(DEFAULT_TIMEOUT, |s| s.limits.request_timeout)
+    }
+
     pub(super) async fn run_in_transaction(
         &mut self,
         work: Work,
@@ -29,59 +54,136 @@
             return self.fail(&work, relay::Error::Replaced, false).await;
         }
         match self.relay(&work, &mut link, false).await {
-            Ok(report) => self.finish(&work, link, report).await,
+            Ok(report) => match self.finish(&work, link, report, false).await? {
+                Tried::Answered => Ok(()),
+                _ => self.unconfirmed().await,
+            },
             Err(failure) => {
-                let commits = |s: &class::Statement| s.kind == class::Kind::Commit;
-                let unknown = work.classes().iter().any(commits);
+                let unknown = plan::may_commit(work.classes(), true);
                 self.give_up(link);
-                self.fail(&work, failure.error, unknown).await
+                self.fail_cut(&work, failure, unknown).await
             }
         }
     }
 
-    pub(super) async fn run_alone(&mut self, work: Work, plan: Plan) -> Result<(), Error> {
-        let submission = self.submission(&plan);
-        let is_read = submission.kind.is_read();
-        let (_, mut waiter) = self.engine.submit(submission);
+    pub(super) async fn run_alone(&mut self, work: Work, mut plan: Plan) -> Result<(), Error> {
+        let deadline = Instant::now() + self.timeout();
         loop {
-            let mut link = match waiter.await {
-                Ok(engine::Notice::Dispatch(dispatched)) => self.link(dispatched),
-                Ok(engine::Notice::Refuse(refuse)) => {
-                    let answer = outcome::refused(&self.identity.service_name, refuse);
-                    return self.answer_error(&work, answer).await;
+            match self.try_once(&work, &plan, deadline).await? {
+                Tried::Answered => return Ok(()),
+                Tried::IsWrite => plan = plan.into_write(),
+                Tried::MayRepeat => log::info!(
+                    "event=write_repeated service={}",
+                    self.identity.service_name
+                ),
+            }
+        }
+    }
+
+    async fn try_once(
+        &mut self,
+        work: &Work,
+        plan: &Plan,
+        deadline: Instant,
+    ) -> Result<Tried, Error> {
+        let submission = self.submission(work, plan, deadline);
+        let kind = submission.kind;
+        let (request, mut waiter) = self.engine.submit(submission);
+        loop {
+            let mut link = match self.wait(request, waiter).await? {
+                Waited::Link(link) => link,
+                Waited::NotRun(answer) => {
+                    self.answer_error(work, answer).await?;
+                    return Ok(Tried::Answered);
                 }
-                _ => return Err(Error::Closed),
             };
-            if self.caller.is_closed() {
-                drop(self.hand_back(link, event::Outcome::Answered, true));
-                return Err(Error::Closed);
-            }
-            if !self.apply_settings(&mut link).await {
-                waiter = self.hand_back(link, event::Outcome::NotSent, false);
-                continue;
+            match self.apply_settings(&mut link).await {
+                Ok(true) => {}
+                Ok(false) => {
+                    waiter = self.hand_back(link, event::Outcome::NotSent, false);
+                    continue;
+                }
+                Err(answer) => {
+                    drop(self.hand_back(link, event::Outcome::Answered, false));
+                    self.answer_error(work, answer).await?;
+                    return Ok(Tried::Answered);
+                }
             }
-            match self.relay(&work, &mut link, true).await {
+            let hide = !self.is_read_only(work);
+            match self.relay(work, &mut link, hide).await {
                 Ok(report) if report.not_primary => {
                     let clean = report.is_idle();
+                    if kind.is_read() {
+                        drop(self.hand_back(link, event::Outcome::Answered, clean));
+                        return Ok(Tried::IsWrite);
+                    }
                     waiter = self.hand_back(link, event::Outcome::NotPrimary, clean);
                 }
-                Ok(report) => return self.finish(&work, link, report).await,
-                Err(failure) if is_read && failure.may_retry() => {
+                Ok(report) => {
+                    let may_repeat = is_repeatable(kind) && Instant::now() < deadline;
+                    return self.finish(work, link, report, may_repeat).await;
+                }
+                Err(failure) if kind.is_read() && failure.may_retry() => {
                     waiter = self.hand_back(link, event::Outcome::ReadFailed, false);
                 }
                 Err(failure) => {
                     self.give_up(link);
-                    return self.fail(&work, failure.error, !is_read).await;
+                    let in_time = Instant::now() < deadline;
+                    if is_repeatable(kind) && failure.may_retry() && in_time {
+                        return Ok(Tried::MayRepeat);
+                    }
+                    let unknown = plan::may_commit(work.classes(), false);
+                    self.fail_cut(work, failure, unknown).await?;
+                    return Ok(Tried::Answered);
                 }
             }
         }
     }
 
-    fn submission(&self, plan: &Plan) -> engine::Submission {
+    /// Waits for a connection. A caller that cancels or leaves meanwhile gives up its place.
+    async fn wait(
+        &mut self,
+        request: id::RequestId,
+        mut waiter: engine::Waiter,
+    ) -> Result<Waited, Error> {
+        let cancelled = self.registration.set_waiting();
+        let gone = tokio::select! {
+            biased;
+            Ok(()) = cancelled => false,
+            notice = &mut waiter => return match notice {
+                Ok(engine::Notice::Dispatch(dispatched)) => Ok(Waited::Link(self.link(dispatched))),
+                Ok(engine::Notice::Refuse(refuse)) => {
+                    let answer = outcome::refused(&self.identity.service_name, refuse);
+                    Ok(Waited::NotRun(answer))
+                }
+                _ => Err(Error::Closed),
+            },
+            () = self.caller.closed() => true,
+        };
+        self.engine.abandon(request);
+        // The connection may have come at the same moment; nothing was sent on it.
+        if let Ok(engine::Notice::Dispatch(dispatched)) = waiter.try_recv() {
+            let link = self.link(dispatched);
+            drop(self.hand_back(link, event::Outcome::Answered, true));
+        }
+        match gone {
+            true => Err(Error::Closed),
+            false => Ok(Waited::NotRun(outcome::cancelled())),
+        }
+    }
+
+    /// Returns whether the caller has asked for a transaction that must not write.
+    fn is_read_only(&self, work: &Work) -> bool {
+        let entries = self.tracked.entries().iter();
+        plan::begins_read_only(work.classes())
+            || entries
+                .filter(|(name, _)| name.ends_with("transaction_read_only"))
+                .any(|(_, value)| value.as_ref() != "off")
+    }
+
+    fn submission(&self, work: &Work, plan: &Plan, deadline: Instant) -> engine::Submission {
         let now = Instant::now();
         let document = self.engine.document();
-        let service = document.topology.services.get(self.identity.service);
-        let timeout = service.map_or(DEFAULT_TIMEOUT, |s| s.limits.request_timeout);
         let (kind, floor) = match plan {
             Plan::Read { tables } => {
                 let class = self.local.read_class.as_deref();
@@ -96,14 +198,19 @@
                 let kind = request::Kind::Read { fresh_since: None };
                 (kind, Some(floor::Floor::default()))
             }
-            _ => (request::Kind::Write { repeatable: false }, None),
+            _ => {
+                let service = document.document.service(&self.identity.service_name);
+                let tables = service.map(|service| &service.limits.repeatable_tables[..]);
+                let repeatable = plan::is_repeatable(work.classes(), tables.unwrap_or_default());
+                (request::Kind::Write { repeatable }, None)
+            }
         };
         engine::Submission {
             caller: self.identity.caller,
             service: self.identity.service,
             kind,
             floor,
-            deadline: now + timeout,
+            deadline,
         }
     }
 
@@ -123,24 +230,8 @@
             backend,
             interrupted,
             first_byte_by: dispatch.first_byte_by,
-            progress: dispatch.deadline.saturating_duration_since(Instant::now()),
-        }
-    }
-
-    /// Makes the session's settings on the connection; returns whether the connection took them.
-    async fn apply_settings(&mut self, link: &mut Link) -> bool {
-        if self.tracked.entries() == link.backend.applied {
-            return true;
-        }
-        let sql = self.tracked.difference(&link.backend.applied);
-        let deadline = tokio::time::Instant::from_std(link.first_byte_by);
-        let applied = backend::query(&mut link.backend.connection, &sql, deadline).await;
-        link.backend.applied = self.tracked.entries().to_vec();
-        match applied {
-            Ok(_) => true,
-            // The member does not know the setting, as it would not on a connection of the caller's own.
-            Err(backend::Error::Database(_)) => true,
-            Err(_) => false,
+            progress: self.timeout(),
+            doubtful: false,
         }
     }
 
@@ -164,12 +255,15 @@
         work: &Work,
         mut link: Link,
         report: relay::Report,
-    ) -> Result<(), Error> {
-        self.note_settings(work, &mut link, &report);
+        may_repeat: bool,
+    ) -> Result<Tried, Error> {
+        link.doubtful |= work.classes().iter().any(|s| !s.parsed) || report.continued;
+        self.note_settings(work, &mut link, &report).await;
         self.last_status = report.status;
         if !report.is_idle() && report.commit.is_none() {
             self.link = Some(link);
-            return self.complete(report.held.as_ref()).await;
+            self.complete(&report.held).await?;
+            return Ok(Tried::Answered);
         }
         let outcome = match report.commit {
             Some(point) if report.is_idle() => event::Outcome::Committed(point),
@@ -178,36 +272,33 @@
             None => event::Outcome::Answered,
         };
         self.last_status = b'I';
-        let waiter = self.hand_back(link, outcome, report.is_idle());
+        let clean = report.is_idle() && self.cleanse(&mut link).await;
+        let waiter = self.hand_back(link, outcome, clean);
         match outcome {
-            event::Outcome::Answered => self.complete(report.held.as_ref()).await,
+            event::Outcome::Answered => self.complete(&report.held).await?,
             event::Outcome::Committed(_) => match waiter.await {
                 Ok(engine::Notice::Acknowledge(group, point)) => {
                     self.local.floor.raise(group, point);
-                    self.acknowledge(report.held.as_ref()).await
+                    self.acknowledge(&report.held).await?;
                 }
-                _ => self.unconfirmed().await,
+                _ if may_repeat && !report.passed => return Ok(Tried::MayRepeat),
+                _ => self.unconfirmed().await?,
             },
-            _ => self.unconfirmed().await,
+            _ => self.unconfirmed().await?,
         }
+        Ok(Tried::Answered)
     }
 
-    async fn complete(
-        &mut self,
-        held: Option<&fulmarlift_wire::frame::Frame>,
-    ) -> Result<(), Error> {
-        if let Some(held) = held {
+    async fn complete(&mut self, held: &[frame::Frame]) -> Result<(), Error> {
+        for held in held {
             self.caller.feed(held);
         }
         self.caller.send(&local::ready_in(self.last_status)).await?;
         Ok(())
     }
 
-    async fn acknowledge(
-        &mut self,
-        held: Option<&fulmarlift_wire::frame::Frame>,
-    ) -> Result<(), Error> {
-        if let Some(held) = held {
+    async fn acknowledge(&mut self, held: &[frame::Frame]) -> Result<(), Error> {
+        for held in held {
             self.caller.feed(held);
         }
         self.caller.feed(&local::token_status(&self.local.floor));
@@ -224,41 +315,11 @@
         Ok(())
     }
 
-    /// Keeps the settings that the work has made, once the transaction around them is over.
-    fn note_settings(&mut self, work: &Work, link: &mut Link, report: &relay::Report) {
-        let sets = work.classes().iter().filter(|s| is_tracked(&s.kind));
-        if !report.failed {
-            self.pending.extend(sets.cloned());
-        }
-        if !report.is_idle() {
-            return;
-        }
-        let rolled_back = |s: &class::Statement| s.kind == class::Kind::Rollback;
-        let kept = !report.failed && !work.classes().iter().any(rolled_back);
-        let pending = std::mem::take(&mut self.pending);
-        if pending.is_empty() || !kept {
-            return;
-        }
-        for statement in &pending {
-            self.track(&statement.kind);
-        }
-        link.backend.applied = self.tracked.entries().to_vec();
-    }
-
-    fn track(&mut self, kind: &class::Kind) {
-        match kind {
-            class::Kind::Set { name, value, .. } => self.tracked.set(name, value),
-            class::Kind::Reset { name, .. } => self.tracked.reset(name),
-            class::Kind::DiscardAll => {
-                self.tracked.clear();
-                self.statements.clear();
-            }
-            _ => {}
-        }
-    }
-
+    /// Gives a connection back. One that a cancel request was sent for is closed: the request may still be
+    /// on its way and would hit whoever comes next.
     fn hand_back(&self, link: Link, outcome: event::Outcome, clean: bool) -> engine::Waiter {
-        self.registration.set_target(None);
+        let cancelled = self.registration.take_target();
+        let clean = clean && !cancelled && !link.doubtful;
         let returned = event::Returned {
             request: link.request,
             conn: link.conn,
@@ -269,7 +330,7 @@
     }
 
     /// Closes a connection in doubt.
-    fn give_up(&mut self, link: Link) {
+    pub(super) fn give_up(&mut self, link: Link) {
         self.pending.clear();
         self.last_status = b'I';
         drop(self.hand_back(link, event::Outcome::Unknown, false));
@@ -282,12 +343,35 @@
         }
     }
 
+    /// Fails a piece of work; a caller that has the beginning of a message can be told nothing more.
+    async fn fail_cut(
+        &mut self,
+        work: &Work,
+        failure: relay::Failure,
+        unknown: bool,
+    ) -> Result<(), Error> {
+        let cut = failure.cut;
+        self.fail(work, failure.error, unknown || failure.continued)
+            .await?;
+        match cut {
+            true => Err(Error::Closed),
+            false => Ok(()),
+        }
+    }
+
     async fn fail(&mut self, work: &Work, error: relay::Error, unknown: bool) -> Result<(), Error> {
         let reason = error.to_string();
         log::info!(
             "event=request_failed service={} unknown={unknown} error={reason:?}",
             self.identity.service_name
         );
+        if let relay::Error::CallerSilent = error {
+            return self.end_idle().await;
+        }
+        if let relay::Error::Refused(refusal) = error {
+            let answer = answer::Answer::unsupported(refusal.what, refusal.hint);
+            return self.answer_error(work, answer).await;
+        }
         if error.is_callers() {
             return Err(Error::Closed);
         }
@@ -299,11 +383,6 @@
     }
 }
 
-fn is_tracked(kind: &class::Kind) -> bool {
-    match kind {
-        class::Kind::Set { name, local, .. } => !local && !local::Local::owns(name),
-        class::Kind::Reset { name, local } => !local && !local::Local::owns(name),
-        class::Kind::DiscardAll => true,
-        _ => false,
-    }
+fn is_repeatable(kind: request::Kind) -> bool {
+    kind == request::Kind::Write { repeatable: true }
 }
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -4,13 +4,14 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::id;
-use fulmarlift_wire::{answer, class, frame, handshake};
+use fulmarlift_wire::{answer, backend, class, frame, handshake};
+use pgwire::messages::response::TransactionStatus;
 use tokio::sync::{oneshot, watch};
 
 use crate::caller::batch::Batch;
 use crate::caller::listen;
 use crate::caller::local;
-use crate::caller::plan::{Classes, Plan};
+use crate::caller::plan::{self, Classes, Plan};
 use crate::caller::relay;
 use crate::caller::sessions::Registration;
 use crate::caller::statements::Statements;
@@ -23,6 +24,9 @@
 /// Bytes of statement text that a session keeps for them.
 const CLASSES_BYTES: usize = 4 << 10;
 
+/// A statement that fails in every transaction and changes nothing.
+const FAIL_TRANSACTION: &str = "ROLLBACK TO SAVEPOINT fulmarlift_no_such_savepoint";
+
 /// Who asks for what.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -47,8 +51,10 @@
     pub interrupted: oneshot::Receiver<()>,
     /// When the first byte of the answer must have arrived.
     pub first_byte_by: Instant,
-    /// Time that the member is given for each message.
+    /// Time that either side is given for each message.
     pub progress: Duration,
+    /// Whether a statement may have left something on the connection that is not known.
+    pub doubtful: bool,
 }
 
 /// Why a session ended.
@@ -81,6 +87,8 @@
     pub(super) last_status: u8,
     /// Settings made in the open transaction.
     pub(super) pending: Vec<class::Statement>,
+    /// Whether the open transaction has a savepoint.
+    pub(super) savepoint: bool,
 }
 
 /// A message, or messages, that run together.
@@ -119,6 +127,7 @@
         link: None,
         last_status: b'I',
         pending: Vec::new(),
+        savepoint: false,
     };
     let finished = session.start(&accepted.parameters, sessions.pid()).await;
     let ended = match finished {
@@ -139,6 +148,7 @@
                 return Err(Error::Closed);
             }
         }
+        self.tracked.started();
         let secret = bytes::Bytes::copy_from_slice(&self.registration.secret());
         let key = fulmarlift_wire::backend::Key { pid, secret };
         let shown = [
@@ -178,29 +188,44 @@
 
     /// Reads the caller's next message; none when the proxy stops or the caller has left.
     async fn next_frame(&mut self) -> Result<Option<frame::Frame>, Error> {
-        let in_transaction = self.link.is_some();
+        let idle_until = self
+            .link
+            .as_ref()
+            .map(|link| Instant::now() + link.progress);
+        let in_transaction = idle_until.is_some();
+        let idle_until = tokio::time::Instant::from_std(idle_until.unwrap_or_else(Instant::now));
         let next = tokio::select! {
             biased;
-            frame = self.caller.read_frame() => Some(frame),
-            () = listen::stopped(&mut self.stopping), if !in_transaction => None,
+            frame = self.caller.read_frame() => frame,
+            () = listen::stopped(&mut self.stopping), if !in_transaction => {
+                let answer = answer::Answer::shutdown();
+                self.caller.send(&answer.frame()).await?;
+                return Ok(None);
+            }
+            () = tokio::time::sleep_until(idle_until), if in_transaction => {
+                self.drop_link();
+                self.end_idle().await?;
+                return Ok(None);
+            }
         };
         match next {
-            Some(Ok(frame)) => Ok(frame),
-            Some(Err(error)) => {
+            Ok(frame) => Ok(frame),
+            Err(error) => {
                 let answer = answer::Answer::protocol_violation(error.to_string());
                 // The caller may be gone already.
                 let _ = self.caller.send(&answer.frame()).await;
                 Err(error.into())
             }
-            None => {
-                self.caller
-                    .send(&answer::Answer::shutdown().frame())
-                    .await?;
-                Ok(None)
-            }
         }
     }
 
+    /// Ends the session of a caller that left a transaction open for too long.
+    pub(super) async fn end_idle(&mut self) -> Result<(), Error> {
+        let answer = answer::Answer::idle_in_transaction();
+        self.caller.send(&answer.frame()).await?;
+        Err(Error::Closed)
+    }
+
     fn classify_query(&mut self, frame: &frame::Frame) -> Result<Classes, Error> {
         let message = frame.decode_frontend()?;
         let pgwire::messages::PgWireFrontendMessage::Query(query) = message else {
@@ -218,25 +243,49 @@
             }
             let classes = &mut self.classes;
             let classify = |sql: &str| classes.classify(sql);
-            if batch.add(frame, &mut self.statements, classify)? {
-                return Ok(batch);
+            match batch.add(frame, &mut self.statements, classify) {
+                Ok(true) => return Ok(batch),
+                Ok(false) => next = self.caller.read_frame().await?,
+                Err(error) => {
+                    let answer = answer::Answer::protocol_violation(error.to_string());
+                    // The caller may be gone already.
+                    let _ = self.caller.send(&answer.frame()).await;
+                    return Err(error.into());
+                }
             }
-            next = self.caller.read_frame().await?;
         }
         Err(Error::Closed)
     }
 
     async fn work(&mut self, work: Work) -> Result<(), Error> {
         let plan = Plan::of(work.classes());
-        if let Plan::Refused(refusal) = plan {
+        let refusal = match (&work, &plan) {
+            (_, Plan::Refused(refusal)) => Some(*refusal),
+            (Work::Batch(batch), _) => plan::refusal_each(&batch.parsed),
+            (Work::Simple(frame, classes), _) => plan::refusal_of_text(classes, frame.body()),
+        };
+        if let Some(refusal) = refusal {
             let answer = answer::Answer::unsupported(refusal.what, refusal.hint);
-            return self.answer_error(&work, answer).await;
+            return self.refuse(&work, answer).await;
         }
-        if let (Work::Simple(_, classes), true) = (&work, local::owns_all(work.classes())) {
-            let classes = Arc::clone(classes);
-            if !classes.is_empty() {
-                return self.answer_local(&classes).await;
+        match &work {
+            Work::Simple(_, classes) if !classes.is_empty() && local::owns_all(classes) => {
+                let classes = Arc::clone(classes);
+                return self.answer_local(&work, &classes).await;
+            }
+            Work::Batch(batch) if batch.is_local() => return self.answer_local_batch(&work).await,
+            Work::Batch(batch) if batch.touches_local() => {
+                return self
+                    .refuse(
+                        &work,
+                        answer::Answer::unsupported(
+                            "a statement that the proxy answers itself beside others in one batch",
+                            "Send a Sync between them.",
+                        ),
+                    )
+                    .await;
             }
+            _ => {}
         }
         match self.link.take() {
             Some(link) => self.run_in_transaction(work, link).await,
@@ -244,6 +293,34 @@
         }
     }
 
+    /// Answers with an error that the member does not know of. An open transaction fails with it, as it would at
+    /// the member.
+    pub(super) async fn refuse(
+        &mut self,
+        work: &Work,
+        answer: answer::Answer,
+    ) -> Result<(), Error> {
+        if let Some(link) = self.link.take() {
+            self.fail_transaction(link).await;
+        }
+        self.answer_error(work, answer).await
+    }
+
+    /// Puts the member's transaction into its failed state, or ends it with its connection.
+    async fn fail_transaction(&mut self, mut link: Link) {
+        let deadline = tokio::time::Instant::now() + link.progress;
+        let connection = &mut link.backend.connection;
+        let refused = backend::query(connection, FAIL_TRANSACTION, deadline).await;
+        let failed = matches!(refused, Err(backend::Error::Database(_)))
+            && connection.status == TransactionStatus::Error;
+        if failed {
+            self.last_status = b'E';
+            self.link = Some(link);
+        } else {
+            self.give_up(link);
+        }
+    }
+
     pub(super) async fn answer_error(
         &mut self,
         work: &Work,
@@ -269,35 +346,7 @@
         Ok(())
     }
 
-    async fn answer_local(&mut self, classes: &[class::Statement]) -> Result<(), Error> {
-        for statement in classes {
-            let frames = match &statement.kind {
-                class::Kind::Set { name, value, .. } => match self.set_local(name, value) {
-                    Ok(()) => vec![local::complete("SET")],
-                    Err(answer) => vec![answer.frame()],
-                },
-                class::Kind::Reset { name, .. } => {
-                    self.local.reset(name);
-                    vec![local::complete("RESET")]
-                }
-                class::Kind::Show { name } => local::shown(name, &self.local.show(name)),
-                _ => Vec::new(),
-            };
-            for frame in &frames {
-                self.caller.feed(frame);
-            }
-            let failed = frames
-                .iter()
-                .any(|f| f.tag == frame::tag::backend::ERROR_RESPONSE);
-            if failed {
-                break;
-            }
-        }
-        self.caller.send(&local::ready_in(self.last_status)).await?;
-        Ok(())
-    }
-
-    fn set_local(&mut self, name: &str, value: &str) -> Result<(), answer::Answer> {
+    pub(super) fn set_local(&mut self, name: &str, value: &str) -> Result<(), answer::Answer> {
         let document = self.engine.document();
         let known = |group| document.topology.groups.contains(group);
         self.local.set(name, value, known)
--- a/crates/proxy/src/caller/sessions.rs
+++ b/crates/proxy/src/caller/sessions.rs
@@ -6,6 +6,7 @@
 
 use fulmarlift_core::{id, sorted};
 use fulmarlift_wire::backend;
+use tokio::sync::oneshot;
 
 use crate::engine;
 use crate::peers;
@@ -14,9 +15,25 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// What a caller's cancel key stands for.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 struct Entry {
     target: Option<Target>,
+    /// Whether a cancel request was sent for the target.
+    cancelled: bool,
+    /// Is told when a request that waits for a connection is to be given up.
+    waiting: Option<oneshot::Sender<()>>,
+}
+
+impl Entry {
+    /// Returns the target of a cancel request; a request that waits is given up on the spot.
+    fn cancel(&mut self) -> Option<Target> {
+        if let Some(waiting) = self.waiting.take() {
+            // The request may have ended meanwhile.
+            let _ = waiting.send(());
+        }
+        self.cancelled |= self.target.is_some();
+        self.target.clone()
+    }
 }
 
 /// The statement that a cancel request would stop.
@@ -94,9 +111,12 @@
         let Ok(secret) = <[u8; 4]>::try_from(secret) else {
             return;
         };
+        if pid != self.pid {
+            return;
+        }
         let secret = u32::from_be_bytes(secret);
-        let target = self.with(|entries| entries.get(secret)?.target.clone());
-        let Some(target) = target.filter(|_| pid == self.pid) else {
+        let target = self.with(|entries| entries.get_mut(secret)?.cancel());
+        let Some(target) = target else {
             return;
         };
         let deadline = tokio::time::Instant::now() + CANCEL_TIMEOUT;
@@ -125,11 +145,34 @@
         self.secret.to_be_bytes()
     }
 
+    /// Notes that a request waits for a connection; the receiver is told when it is cancelled.
+    pub fn set_waiting(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.change(|entry| entry.waiting = Some(sender));
+        receiver
+    }
+
     /// Sets what a cancel request would stop.
     pub fn set_target(&self, target: Option<Target>) {
+        self.change(|entry| {
+            *entry = Entry {
+                target,
+                ..Entry::default()
+            };
+        });
+    }
+
+    /// Clears what a cancel request would stop; returns whether one was sent for it.
+    pub fn take_target(&self) -> bool {
+        let mut cancelled = false;
+        self.change(|entry| cancelled = std::mem::take(entry).cancelled);
+        cancelled
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Entry)) {
         self.sessions.with(|entries| {
             if let Some(entry) = entries.get_mut(self.secret) {
-                entry.target = target;
+                change(entry);
             }
         });
     }
--- a/crates/proxy/src/caller/statements.rs
+++ b/crates/proxy/src/caller/statements.rs
@@ -73,11 +73,13 @@
         }
     }
 
-    /// Removes the statement with the caller's name.
-    pub fn remove(&mut self, name: &str) {
-        if let Ok(index) = self.find(name) {
+    /// Removes the statement with the caller's name; returns whether there was one.
+    pub fn remove(&mut self, name: &str) -> bool {
+        let found = self.find(name);
+        if let Ok(index) = found {
             self.entries.remove(index);
         }
+        found.is_ok()
     }
 
     /// Removes all statements.
--- a/crates/proxy/src/caller/tracked.rs
+++ b/crates/proxy/src/caller/tracked.rs
@@ -4,9 +4,15 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Tracked {
     entries: Vec<(Box<str>, Box<str>)>,
+    startup: Vec<(Box<str>, Box<str>)>,
 }
 
 impl Tracked {
+    /// Makes the present values those that a reset goes back to.
+    pub fn started(&mut self) {
+        self.startup = self.entries.clone();
+    }
+
     /// Sets a value.
     pub fn set(&mut self, name: &str, value: &str) {
         match self
@@ -18,14 +24,21 @@
         }
     }
 
-    /// Forgets a value.
+    /// Goes back to the value at the session's start.
     pub fn reset(&mut self, name: &str) {
         self.entries.retain(|(known, _)| known.as_ref() != name);
+        let started = self
+            .startup
+            .iter()
+            .find(|(known, _)| known.as_ref() == name);
+        if let Some((_, value)) = started.cloned() {
+            self.set(name, &value);
+        }
     }
 
-    /// Forgets all values.
-    pub fn clear(&mut self) {
-        self.entries.clear();
+    /// Goes back to all values at the session's start.
+    pub fn reset_all(&mut self) {
+        self.entries = self.startup.clone();
     }
 
     /// Returns the values, sorted by name.
@@ -48,13 +61,20 @@
         for entry in &self.entries {
             if applied.binary_search(entry).is_err() {
                 let (name, value) = entry;
-                sql.push_str(&format!("SET {} TO {};", identifier(name), literal(value)));
+                // Unlike SET this takes lists as one text.
+                let (name, value) = (literal(name), literal(value));
+                sql.push_str(&format!("SELECT set_config({name}, {value}, false);"));
             }
         }
         sql
     }
 }
 
+/// Returns the statement that shows a setting.
+pub fn show(name: &str) -> String {
+    format!("SHOW {}", identifier(name))
+}
+
 fn identifier(name: &str) -> String {
     let parts = name.split('.');
     let quoted = parts.map(|part| format!("\"{}\"", part.replace('"', "\"\"")));
--- a/crates/standin/src/member/statement.rs
+++ b/crates/standin/src/member/statement.rs
@@ -364,6 +364,12 @@
             name: name.clone(),
             value: value.clone(),
         },
+        // Answered without its row, which the proxy does not read.
+        ("set_config", [name, value, local]) => Command::Set {
+            name: name.clone(),
+            value: value.clone(),
+            local: **local == *"true",
+        },
         ("pg_sleep", [seconds]) => {
             Command::Sleep(Duration::try_from_secs_f64(seconds.parse().ok()?).ok()?)
         }
@@ -380,10 +386,11 @@
     }
 }
 
-const FUNCTIONS: [&str; 5] = [
+const FUNCTIONS: [&str; 6] = [
     "group_status",
     "group_fence",
     "group_promote",
     "member_switch",
     "pg_sleep",
+    "set_config",
 ];
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -10,6 +10,7 @@
 //! | [`Answer::protocol_violation`] | `08P01` | a malformed, oversized or unexpected message |
 //! | [`Answer::unsupported`] | `0A000` | a feature that cannot be shared; the hint says what to do |
 //! | [`Answer::invalid_value`] | `22023` | a setting or token that makes no sense |
+//! | [`Answer::idle_in_transaction`] | `25P03` | a transaction left open was rolled back |
 //! | [`Answer::canceled`] | `57014` | canceled on the caller's request |
 //!
 //! A request refused as not run never left the proxy: the detail starts with [`NOT_RUN`].
@@ -17,6 +18,7 @@
 use pgwire::error::ErrorInfo;
 use pgwire::messages::PgWireBackendMessage;
 
+use crate::backend::DatabaseError;
 use crate::frame::{self, Frame};
 
 /// SQLSTATE codes.
@@ -57,6 +59,8 @@
     pub const QUERY_CANCELED: &str = "57014";
     /// A request took longer than its deadline allows.
     pub const IDLE_SESSION_TIMEOUT: &str = "57P05";
+    /// A transaction was left open for too long.
+    pub const IDLE_IN_TRANSACTION_TIMEOUT: &str = "25P03";
     /// A limit of the configuration is reached.
     pub const CONFIGURATION_LIMIT_EXCEEDED: &str = "53400";
     /// An inconsistency within the proxy.
@@ -231,6 +235,27 @@
         )
     }
 
+    /// A setting of the session that the database refuses.
+    pub fn invalid_setting(error: &DatabaseError) -> Answer {
+        Answer::error(
+            sqlstate::INVALID_PARAMETER_VALUE,
+            format!("a setting of the session is refused: {}", error.message),
+        )
+        .with_detail(format!("{NOT_RUN}; the database answered {}", error.code))
+        .with_hint("Reset the setting, or leave it out of the startup options.")
+    }
+
+    /// The caller left a transaction open without going on; it is rolled back and the connection closed.
+    pub fn idle_in_transaction() -> Answer {
+        Answer::new(
+            Severity::Fatal,
+            sqlstate::IDLE_IN_TRANSACTION_TIMEOUT,
+            "terminating the connection because its transaction was idle for too long",
+        )
+        .with_detail("rolled back; nothing that the transaction wrote was committed")
+        .with_hint("Send the statements of a transaction within the service's request_timeout_ms.")
+    }
+
     /// Canceled on the caller's request.
     pub fn canceled() -> Answer {
         Answer::error(
--- a/crates/wire/src/class/classify.rs
+++ b/crates/wire/src/class/classify.rs
@@ -43,6 +43,7 @@
         S::StartTransaction {
             modes, statements, ..
         } if statements.is_empty() => begin(modes),
+        S::Commit { chain: true, .. } => Statement::new(Kind::Pin(PinReason::CommitAndChain)),
         S::Commit { .. } => Statement::new(Kind::Commit),
         S::Rollback { savepoint, .. } => rollback(savepoint.as_ref()),
         S::Savepoint { .. } | S::ReleaseSavepoint { .. } => Statement::new(Kind::Savepoint),
--- a/crates/wire/src/class/mod.rs
+++ b/crates/wire/src/class/mod.rs
@@ -137,6 +137,8 @@
     SequenceValue,
     /// SET SESSION AUTHORIZATION, or several session characteristics at once.
     SessionState,
+    /// COMMIT AND CHAIN: the next transaction starts before the commit is known to be safe.
+    CommitAndChain,
     /// A control function of a group's members; callers must not run it.
     GroupControl,
 }
@@ -152,6 +154,7 @@
             PinReason::SetConfig => "set_config for the session",
             PinReason::SequenceValue => "currval or lastval",
             PinReason::SessionState => "a change of the session's authorization",
+            PinReason::CommitAndChain => "COMMIT AND CHAIN",
             PinReason::GroupControl => "a control function of the database group",
         }
     }
@@ -166,6 +169,7 @@
             PinReason::SetConfig => "Use SET, or set_config with is_local true.",
             PinReason::SequenceValue => "Use INSERT ... RETURNING.",
             PinReason::SessionState => "Log in as the user that is needed.",
+            PinReason::CommitAndChain => "Send COMMIT, and then BEGIN.",
             PinReason::GroupControl => "The proxy runs these functions itself.",
         }
     }
--- a/crates/wire/src/handshake/login.rs
+++ b/crates/wire/src/handshake/login.rs
@@ -1,20 +1,14 @@
 //! The login of a caller.
 
-use std::sync::LazyLock;
-
 use bytes::Bytes;
 use pgwire::messages::startup::{Authentication, PasswordMessageFamily};
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
-use rand::RngExt;
 
 use crate::frame::{self, Frame};
 use crate::handshake::{Error, Login};
 use crate::scram;
 use crate::stream::{Framed, Stream};
 
-/// Secret of the mock verifiers of this process.
-static MOCK_SECRET: LazyLock<scram::Key> = LazyLock::new(|| rand::rng().random());
-
 /// Logs a caller in and sends AuthenticationOk, not flushed: what follows goes with it.
 pub(super) async fn authenticate(
     framed: &mut Framed<Stream>,
@@ -24,8 +18,8 @@
     match login {
         Login::Trust => {}
         Login::Scram(verifier) => scram(framed, user, verifier).await?,
-        Login::Unknown => {
-            scram(framed, user, scram::Verifier::mock(&*MOCK_SECRET, user)).await?;
+        Login::Unknown { secret } => {
+            scram(framed, user, scram::Verifier::mock(&secret, user)).await?;
             // No password fits the mock verifier; should one do, the user is unknown all the same.
             return Err(failed(user, scram::server::Error::WrongPassword));
         }
--- a/crates/wire/src/handshake/mod.rs
+++ b/crates/wire/src/handshake/mod.rs
@@ -44,7 +44,10 @@
     /// With the password of the verifier.
     Scram(scram::Verifier),
     /// Not at all: the caller is asked for a password as if the user existed, and refused.
-    Unknown,
+    Unknown {
+        /// Makes the salt that the caller is shown; proxies that share it answer alike.
+        secret: Box<[u8]>,
+    },
 }
 
 /// What a connection turned out to be.
--- a/crates/wire/src/stream/framed.rs
+++ b/crates/wire/src/stream/framed.rs
@@ -105,13 +105,8 @@
     /// only this function may read.
     pub async fn read_part(&mut self, streamed: &[u8]) -> Result<Option<Part>, Error> {
         loop {
-            self.start_pieces(streamed)?;
-            if let Some(unfinished) = self.unfinished {
-                if !self.input.is_empty() {
-                    return Ok(Some(self.take_piece(unfinished)));
-                }
-            } else if let Some(frame) = self.decode_buffered()? {
-                return Ok(Some(Part::Frame(frame)));
+            if let Some(part) = self.buffered_part(streamed)? {
+                return Ok(Some(part));
             }
             if self.ended {
                 return self.end_of_parts();
@@ -120,6 +115,30 @@
         }
     }
 
+    /// The next frame or piece as [`read_part`](Self::read_part) gives it, when it has been read already.
+    pub fn buffered_part(&mut self, streamed: &[u8]) -> Result<Option<Part>, Error> {
+        self.start_pieces(streamed)?;
+        match self.unfinished {
+            Some(_) if self.input.is_empty() => Ok(None),
+            Some(unfinished) => Ok(Some(self.take_piece(unfinished))),
+            None => Ok(self.decode_buffered()?.map(Part::Frame)),
+        }
+    }
+
+    /// Waits until the peer has closed the stream or it has failed; what arrives meanwhile is kept.
+    ///
+    /// Of a peer that sends much without waiting, no more is read than a large frame's worth and its end is not seen.
+    pub async fn closed(&mut self) {
+        while !self.ended && self.input.len() < PIECE_BYTES {
+            if self.fill().await.is_err() {
+                return;
+            }
+        }
+        if !self.ended {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// The next frame when it has been read already; does not touch the stream.
     pub fn decode_buffered(&mut self) -> Result<Option<Frame>, Error> {
         let frame = self.codec.decode(&mut self.input)?;
--- a/crates/wire/tests/handshake.rs
+++ b/crates/wire/tests/handshake.rs
@@ -27,7 +27,9 @@
     match user {
         "trusted" => Login::Trust,
         "courier" => Login::Scram(scram::Verifier::from_password("pencil", b"salt", 4096)),
-        _ => Login::Unknown,
+        _ => Login::Unknown {
+            secret: b"shared".as_slice().into(),
+        },
     }
 }
 
--- a/crates/wire/tests/handshake_fuzz.rs
+++ b/crates/wire/tests/handshake_fuzz.rs
@@ -32,7 +32,9 @@
 fn verify(user: &str) -> Login {
     match user {
         "courier" => Login::Scram(scram::Verifier::mock(b"secret", user)),
-        _ => Login::Unknown,
+        _ => Login::Unknown {
+            secret: b"shared".as_slice().into(),
+        },
     }
 }
 
