Tests of drivers' ways, sessions, queues, logins and bad frames through two proxies

What they showed and is mended with them: a RESET went to the values of the pooled connection and not to those of the session's start; a malformed query closed the connection without a word; a text that can't be parsed could name a control function of the group in a Parse message; a cancel request that reached a proxy before the first heartbeat of the key's proxy was dropped; the stand-in lost the quotes of names in a list.

--- /dev/null
+++ b/crates/fulmarlift/tests/protocol_session.rs
@@ -0,0 +1,214 @@
+//! What belongs to a session: settings, tokens, cancel requests, transactions left behind.
+
+mod support;
+
+#[path = "support/callers.rs"]
+mod callers;
+
+use std::time::Duration;
+
+use callers::{Raw, code, courier, failure, run, values};
+use futures::future;
+use rstest::rstest;
+use support::system::System;
+use tokio_postgres::NoTls;
+
+const REFUSED: [&str; 12] = [
+    "LISTEN channel",
+    "CREATE TEMPORARY TABLE t (id BIGINT)",
+    "SELECT pg_advisory_lock(1)",
+    "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+    "SELECT * FROM group_fence(9, 'x')",
+    "SELECT FROM WHERE group_fence(9, 'x')",
+    "PREPARE p AS SELECT 1",
+    "COMMIT AND CHAIN",
+    "BEGIN; SELECT 1; COMMIT; SELECT 2",
+    "SET a.b = 1; ROLLBACK; SET a.c = 1",
+    "SET fulmarlift.read_class = 'x'; SELECT 1",
+    "SET fulmarlift.request_id = 'r1'",
+];
+
+#[tokio::test]
+async fn refused_with_what_to_do() {
+    let system = System::start(1).await;
+    let client = system.connect(0).await;
+    for sql in REFUSED {
+        let error = client.simple_query(sql).await.expect_err(sql);
+        let answer = error.as_db_error().expect("the proxy answers");
+        assert_eq!(answer.code().code(), "0A000", "{sql}");
+        let message = answer.message();
+        assert!(
+            message.ends_with("is not supported through the proxy"),
+            "{message}"
+        );
+        assert!(answer.hint().is_some_and(|hint| !hint.is_empty()), "{sql}");
+        let executed = client.execute(sql, &[]).await;
+        assert!(executed.is_err(), "{sql}");
+        assert_eq!(values(&client, "SELECT 7").await, ["7"]);
+    }
+}
+
+#[tokio::test]
+async fn settings_follow_their_session() {
+    let system = System::start(1).await;
+    let address = system.proxy_addresses[0];
+    let (first, second) = (courier(address, "").await, courier(address, "").await);
+    run(&first, "SET search_path TO a, \"B c\"").await;
+    run(&first, "SET work_mem = '64MB'").await;
+    // Sessions take each other's connections; busy ones make sure that there are several.
+    for round in 0..8 {
+        let busy = courier(address, "").await;
+        run(&busy, "BEGIN").await;
+        assert_eq!(
+            values(&first, "SHOW work_mem").await,
+            ["64MB"],
+            "round {round}"
+        );
+        assert_eq!(values(&first, "SHOW search_path").await, ["a, \"B c\""]);
+        assert_eq!(
+            failure(&second, "SHOW work_mem").await,
+            "42704",
+            "round {round}"
+        );
+        run(&busy, "ROLLBACK").await;
+    }
+    run(&first, "BEGIN").await;
+    run(&first, "SET work_mem = '1MB'").await;
+    run(&first, "ROLLBACK").await;
+    assert_eq!(values(&first, "SHOW work_mem").await, ["64MB"]);
+    run(&first, "BEGIN").await;
+    run(&first, "SET work_mem = '2MB'").await;
+    assert!(first.simple_query("SELECT no_such_column").await.is_err());
+    // The member makes this COMMIT a rollback.
+    run(&first, "COMMIT").await;
+    assert_eq!(values(&first, "SHOW work_mem").await, ["64MB"]);
+    run(&first, "RESET ALL").await;
+    assert_eq!(failure(&first, "SHOW work_mem").await, "42704");
+    let started = courier(address, "options='-c work_mem=3MB'").await;
+    run(&started, "SET work_mem = '4MB'").await;
+    run(&started, "RESET work_mem").await;
+    assert_eq!(values(&started, "SHOW work_mem").await, ["3MB"]);
+}
+
+#[tokio::test]
+async fn own_statements_work_in_both_protocols() {
+    let system = System::start(1).await;
+    let client = system.connect(0).await;
+    run(&client, "CREATE TABLE t (id BIGINT PRIMARY KEY)").await;
+    client
+        .execute("INSERT INTO t VALUES (1)", &[])
+        .await
+        .expect("it writes");
+    let simple = values(&client, "SHOW fulmarlift.token").await;
+    let row = client.query_one("SHOW fulmarlift.token", &[]).await;
+    assert_eq!(row.expect("it is shown").get::<_, String>(0), simple[0]);
+    let set = format!("SET fulmarlift.token = '{}'", simple[0]);
+    client.execute(&set, &[]).await.expect("it is set");
+    let wrong = client.execute("SET fulmarlift.nonsense = 1", &[]).await;
+    assert_eq!(code(&wrong.expect_err("no such setting")), "42704");
+    assert_eq!(values(&client, "SELECT 7").await, ["7"]);
+    assert_eq!(failure(&client, "DEALLOCATE nothing").await, "26000");
+    run(&client, "DEALLOCATE ALL").await;
+}
+
+#[tokio::test]
+async fn token_carries_the_floor_of_a_write() {
+    let system = System::start_with(2, &["--lag-ms=300"]).await;
+    let addresses = &system.proxy_addresses;
+    let writer = courier(addresses[0], "").await;
+    run(&writer, "CREATE TABLE t (id BIGINT PRIMARY KEY)").await;
+    for id in 0..5 {
+        run(&writer, &format!("INSERT INTO t VALUES ({id})")).await;
+        let token = values(&writer, "SHOW fulmarlift.token").await.remove(0);
+        assert!(!token.is_empty());
+        let options = format!("options='-c fulmarlift.token={token}'");
+        let reader = courier(addresses[1], &options).await;
+        let sql = format!("SELECT count(*) FROM t WHERE id = {id}");
+        assert_eq!(values(&reader, &sql).await, ["1"]);
+        let plain = courier(addresses[1], "").await;
+        run(&plain, &format!("SET fulmarlift.token = '{token}'")).await;
+        assert_eq!(values(&plain, &sql).await, ["1"]);
+    }
+}
+
+#[rstest]
+#[case::no_token("'nonsense'")]
+#[case::unknown_group("")]
+#[tokio::test]
+async fn token_refused_that_names_nothing(#[case] value: &str) {
+    let system = System::start(1).await;
+    let client = system.connect(0).await;
+    let mut floor = fulmarlift_core::floor::Floor::default();
+    floor.raise(12_345, fulmarlift_core::floor::Point::new(1, 1));
+    let unknown = format!("'{}'", floor.token());
+    let value = if value.is_empty() { &unknown } else { value };
+    let sql = format!("SET fulmarlift.token = {value}");
+    assert_eq!(failure(&client, &sql).await, "22023");
+    let options = format!(
+        "user=courier dbname=ledger options='-c fulmarlift.token={}'",
+        value.trim_matches('\'')
+    );
+    let refused = callers::connect(system.proxy_addresses[0], &options).await;
+    assert_eq!(code(&refused.expect_err("it is refused")), "22023");
+}
+
+#[tokio::test]
+async fn cancel_through_the_other_proxy_stops_the_statement() {
+    let system = System::start(2).await;
+    let client = system.connect(0).await;
+    let bystander = system.connect(0).await;
+    let mut token = Vec::new();
+    let address = system.proxy_addresses[0];
+    let mut raw = Raw::connect(address).await;
+    let mut body = 196_608_i32.to_be_bytes().to_vec();
+    body.extend_from_slice(b"user\0courier\0database\0ledger\0\0");
+    raw.send(&(body.len() as i32 + 4).to_be_bytes()).await;
+    raw.send(&body).await;
+    raw.until(b'K').await.1.clone_into(&mut token);
+    raw.until(b'Z').await;
+    raw.query("SELECT pg_sleep(60)").await;
+    let quiet = bystander.simple_query("SELECT pg_sleep(0.5)");
+    let cancel = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let mut other = Raw::connect(system.proxy_addresses[1]).await;
+        other.send(&16_i32.to_be_bytes()).await;
+        other.send(&80_877_102_i32.to_be_bytes()).await;
+        other.send(&token).await;
+        let (_, error) = raw.until(b'E').await;
+        assert_eq!(callers::sqlstate(&error).as_deref(), Some("57014"));
+        raw.until(b'Z').await;
+    };
+    let (quiet, ()) = future::join(quiet, cancel).await;
+    quiet.expect("another caller's statement goes on");
+    // The driver's own way, at the proxy itself.
+    let own = client.cancel_token();
+    let sleep = client.simple_query("SELECT pg_sleep(60)");
+    let cancel = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        own.cancel_query(NoTls).await.expect("it is sent");
+    };
+    let (slept, ()) = future::join(sleep, cancel).await;
+    assert_eq!(code(&slept.expect_err("it is cancelled")), "57014");
+    assert_eq!(values(&client, "SELECT 7").await, ["7"]);
+}
+
+#[tokio::test]
+async fn vanished_caller_leaves_nothing_behind() {
+    let system = System::start(1).await;
+    let address = system.proxy_addresses[0];
+    let client = system.connect(0).await;
+    run(&client, "CREATE TABLE t (id BIGINT PRIMARY KEY)").await;
+    for _ in 0..4 {
+        let mut gone = Raw::log_in(address).await;
+        gone.query("BEGIN; INSERT INTO t VALUES (1)").await;
+        gone.until(b'Z').await;
+        gone.query("SET a.dirty = 'yes'").await;
+        gone.until(b'Z').await;
+        drop(gone);
+        // The row's lock is free again and its transaction undone.
+        run(&client, "BEGIN; INSERT INTO t VALUES (1)").await;
+        assert_eq!(failure(&client, "SHOW a.dirty").await, "42704");
+        run(&client, "ROLLBACK").await;
+    }
+    assert_eq!(values(&client, "SELECT count(*) FROM t").await, ["0"]);
+}
--- a/crates/proxy/src/caller/plan.rs
+++ b/crates/proxy/src/caller/plan.rs
@@ -18,15 +18,6 @@
 /// What to do instead of preparing by statement.
 const PREPARE_HINT: &str = "Prepare through the protocol, as drivers do.";
 
-/// The control functions of a group's members, and the form of names that can hide one.
-const CONTROL: &[&str] = &[
-    "group_status",
-    "group_fence",
-    "group_promote",
-    "member_switch",
-    "u&\"",
-];
-
 /// What is to be done with statements.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Plan {
@@ -96,21 +87,6 @@
     statements.iter().find_map(|s| refused(&s.kind))
 }
 
-/// Returns why a text that could not be parsed cannot be served, if so: it names a control function of the group, or
-/// writes names in a form in which it could.
-pub fn refusal_of_text(statements: &[class::Statement], text: &[u8]) -> Option<Refusal> {
-    if statements.iter().all(|s| s.parsed) {
-        return None;
-    }
-    let text = text.to_ascii_lowercase();
-    let has = |word: &&str| text.windows(word.len()).any(|part| part == word.as_bytes());
-    let reason = class::PinReason::GroupControl;
-    CONTROL.iter().any(has).then_some(Refusal {
-        what: reason.what(),
-        hint: reason.hint(),
-    })
-}
-
 /// The end of a transaction must be the last of its message: a commit is acknowledged only once it is safe, and
 /// settings made after a rollback stay while those before are undone.
 fn followed(statements: &[class::Statement]) -> Option<Refusal> {
--- a/crates/proxy/src/caller/remember.rs
+++ b/crates/proxy/src/caller/remember.rs
@@ -7,6 +7,7 @@
 use crate::caller::local;
 use crate::caller::relay;
 use crate::caller::session::{Link, Session, Work};
+use crate::caller::tracked::{self, Tracked};
 
 impl Session<'_> {
     /// Makes the session's settings on the connection; returns whether the connection took them.
@@ -53,26 +54,19 @@
         if pending.is_empty() || !kept {
             return;
         }
+        let mut applied = Tracked::new(std::mem::take(&mut link.backend.applied));
         for statement in &pending {
-            self.track(&statement.kind, link);
-        }
-        if savepoint {
-            self.ask_settings(&pending, link).await;
-        }
-        link.backend.applied = self.tracked.entries().to_vec();
-    }
-
-    fn track(&mut self, kind: &class::Kind, link: &mut Link) {
-        match kind {
-            class::Kind::Set { name, value, .. } => self.tracked.set(name, value),
-            class::Kind::Reset { name, .. } if name.as_ref() == "all" => self.tracked.reset_all(),
-            class::Kind::Reset { name, .. } => self.tracked.reset(name),
-            class::Kind::DiscardAll => {
-                self.tracked.reset_all();
+            self.tracked.take(&statement.kind);
+            // A reset at the member goes back to the connection's values, not to those of the session's start.
+            applied.take(&statement.kind);
+            if statement.kind == class::Kind::DiscardAll {
                 self.statements.clear();
                 link.backend.prepared.clear();
             }
-            _ => {}
+        }
+        link.backend.applied = applied.entries().to_vec();
+        if savepoint {
+            self.ask_settings(&pending, link).await;
         }
     }
 
@@ -83,11 +77,17 @@
             let class::Kind::Set { name, .. } = &statement.kind else {
                 continue;
             };
-            let sql = super::tracked::show(name);
+            let sql = tracked::show(name);
             let shown = backend::query(&mut link.backend.connection, &sql, deadline).await;
             let shown = shown.ok().and_then(|mut rows| rows.pop()?.pop()?);
             match shown {
-                Some(value) => self.tracked.set(name, &value),
+                Some(value) => {
+                    self.tracked.set(name, &value);
+                    let applied = std::mem::take(&mut link.backend.applied);
+                    let mut applied = Tracked::new(applied);
+                    applied.set(name, &value);
+                    link.backend.applied = applied.entries().to_vec();
+                }
                 None => link.doubtful = true,
             }
         }
--- a/crates/proxy/src/caller/requests.rs
+++ b/crates/proxy/src/caller/requests.rs
@@ -372,6 +372,9 @@
             let answer = answer::Answer::unsupported(refusal.what, refusal.hint);
             return self.answer_error(work, answer).await;
         }
+        if let relay::Error::Caller(error) = error {
+            return Err(Error::Frame(error));
+        }
         if error.is_callers() {
             return Err(Error::Closed);
         }
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -135,6 +135,11 @@
         Err(error) => Err(error),
     };
     session.drop_link();
+    if let Err(Error::Frame(error)) = &ended {
+        let answer = answer::Answer::protocol_violation(error.to_string());
+        // The caller may be gone already.
+        let _ = session.caller.send(&answer.frame()).await;
+    }
     ended
 }
 
@@ -208,15 +213,7 @@
                 return Ok(None);
             }
         };
-        match next {
-            Ok(frame) => Ok(frame),
-            Err(error) => {
-                let answer = answer::Answer::protocol_violation(error.to_string());
-                // The caller may be gone already.
-                let _ = self.caller.send(&answer.frame()).await;
-                Err(error.into())
-            }
-        }
+        Ok(next?)
     }
 
     /// Ends the session of a caller that left a transaction open for too long.
@@ -243,16 +240,10 @@
             }
             let classes = &mut self.classes;
             let classify = |sql: &str| classes.classify(sql);
-            match batch.add(frame, &mut self.statements, classify) {
-                Ok(true) => return Ok(batch),
-                Ok(false) => next = self.caller.read_frame().await?,
-                Err(error) => {
-                    let answer = answer::Answer::protocol_violation(error.to_string());
-                    // The caller may be gone already.
-                    let _ = self.caller.send(&answer.frame()).await;
-                    return Err(error.into());
-                }
+            if batch.add(frame, &mut self.statements, classify)? {
+                return Ok(batch);
             }
+            next = self.caller.read_frame().await?;
         }
         Err(Error::Closed)
     }
@@ -262,7 +253,7 @@
         let refusal = match (&work, &plan) {
             (_, Plan::Refused(refusal)) => Some(*refusal),
             (Work::Batch(batch), _) => plan::refusal_each(&batch.parsed),
-            (Work::Simple(frame, classes), _) => plan::refusal_of_text(classes, frame.body()),
+            _ => None,
         };
         if let Some(refusal) = refusal {
             let answer = answer::Answer::unsupported(refusal.what, refusal.hint);
--- a/crates/proxy/src/caller/sessions.rs
+++ b/crates/proxy/src/caller/sessions.rs
@@ -133,9 +133,15 @@
         if pid == self.pid {
             return self.cancel(pid, &secret).await;
         }
+        let question = peers::Question::Cancel { pid, secret };
         if let Some(address) = engine.peer_address(pid as u32) {
-            peers::ask(&address, &peers::Question::Cancel { pid, secret }).await;
+            peers::ask(&address, &question).await;
+            return;
         }
+        // No heartbeat of that proxy has come yet. Others pay no attention to its keys.
+        let addresses = engine.peer_addresses();
+        let asked = addresses.iter().map(|a| peers::ask(a, &question));
+        futures::future::join_all(asked).await;
     }
 }
 
--- a/crates/proxy/src/caller/tracked.rs
+++ b/crates/proxy/src/caller/tracked.rs
@@ -1,5 +1,7 @@
 //! Settings that a session has made, to be made again on each connection that it uses.
 
+use fulmarlift_wire::class;
+
 /// Settings by name, sorted.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Tracked {
@@ -8,6 +10,24 @@
 }
 
 impl Tracked {
+    /// Returns settings with these values, sorted by name, and nothing to go back to.
+    pub fn new(entries: Vec<(Box<str>, Box<str>)>) -> Self {
+        Self {
+            entries,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in a statement that sets or resets for the session.
+    pub fn take(&mut self, kind: &class::Kind) {
+        match kind {
+            class::Kind::Set { name, value, .. } => self.set(name, value),
+            class::Kind::Reset { name, .. } if name.as_ref() != "all" => self.reset(name),
+            class::Kind::Reset { .. } | class::Kind::DiscardAll => self.reset_all(),
+            _ => {}
+        }
+    }
+
     /// Makes the present values those that a reset goes back to.
     pub fn started(&mut self) {
         self.startup = self.entries.clone();
--- a/crates/standin/src/member/statement.rs
+++ b/crates/standin/src/member/statement.rs
@@ -289,6 +289,19 @@
         texts.concat().into()
     }
 
+    /// The value of a setting; in a list names keep their quotes.
+    fn setting_from(&self, place: usize) -> Box<str> {
+        let rest = self.tokens.get(place..).unwrap_or_default();
+        if !rest.iter().any(|token| matches!(token, Token::Comma)) {
+            return self.name_from(place);
+        }
+        let texts = rest.iter().map(|token| match token {
+            Token::Comma => ", ".to_owned(),
+            token => token.to_string(),
+        });
+        texts.collect::<String>().into()
+    }
+
     fn set(&self) -> Result<Command, error::SqlError> {
         let local = self.is(1, "local");
         let start = if local || self.is(1, "session") { 2 } else { 1 };
@@ -309,7 +322,7 @@
         };
         Ok(Command::Set {
             name: name.name_from(start),
-            value: self.name_from(between + 1),
+            value: self.setting_from(between + 1),
             local,
         })
     }
--- a/crates/wire/src/class/classify.rs
+++ b/crates/wire/src/class/classify.rs
@@ -7,11 +7,14 @@
 use sqlparser::parser::Parser;
 
 use crate::class::visit::{self, Findings};
-use crate::class::{Kind, PinReason, Statement, settings};
+use crate::class::{Kind, PinReason, Statement, functions, settings};
 
 /// Longer texts are not parsed. A parsed text takes many times its size for a moment.
 pub const MAX_SQL_BYTES: usize = 64 << 10;
 
+/// Start of a quoted name in which characters stand as escapes.
+const ESCAPED_NAME: &str = "u&\"";
+
 /// Stack that parsing a short text needs, in bytes.
 const MIN_STACK_BYTES: usize = 256 << 10;
 
@@ -22,7 +25,7 @@
 /// The statements of a text in their order; one unparsed write when it can't be parsed or is too long.
 pub fn classify(sql: &str) -> Vec<Statement> {
     if sql.len() > MAX_SQL_BYTES {
-        return vec![Statement::unparsed()];
+        return vec![unparsed(sql)];
     }
     let stack_bytes = MIN_STACK_BYTES + sql.len() * STACK_BYTES_PER_BYTE;
     stacker::maybe_grow(stack_bytes, stack_bytes, || parse(sql))
@@ -32,10 +35,21 @@
     match Parser::parse_sql(&PostgreSqlDialect {}, sql) {
         Ok(statements) if statements.is_empty() => vec![Statement::new(Kind::Empty)],
         Ok(statements) => statements.iter().map(statement).collect(),
-        Err(_) => vec![Statement::unparsed()],
+        Err(_) => vec![unparsed(sql)],
     }
 }
 
+/// A text that names a control function of a group's members, or writes names in a form that can hide one, is
+/// taken for a call of it.
+fn unparsed(sql: &str) -> Statement {
+    let text = sql.to_ascii_lowercase();
+    let mut statement = Statement::unparsed();
+    if functions::control().any(|name| text.contains(name)) || text.contains(ESCAPED_NAME) {
+        statement.kind = Kind::Pin(PinReason::GroupControl);
+    }
+    statement
+}
+
 fn statement(parsed: &ast::Statement) -> Statement {
     use ast::Statement as S;
     match parsed {
--- a/crates/wire/src/class/functions.rs
+++ b/crates/wire/src/class/functions.rs
@@ -37,6 +37,14 @@
     }
 }
 
+/// The names of the control functions of a group's members.
+pub(super) fn control() -> impl Iterator<Item = &'static str> {
+    let control = PINNING.iter();
+    control
+        .filter(|(_, reason)| *reason == PinReason::GroupControl)
+        .map(|(name, _)| *name)
+}
+
 /// The effect of a call with its arguments: `set_config` for a transaction only pins nothing.
 pub(super) fn call_effect(call: &Function) -> Effect {
     match effect(&call.name) {
