Tests with a scripted member that answers late, twice, half or not at all

What they showed and is mended with them: the proxy's own queries took a stray row for their answer, so that a connection out of step passed its cleansing; the order of owed answers is now checked there too, in one place (fulmarlift_wire::backend::script). A read that met a connection out of step was not tried again at the same member, which of a group with one reachable member left none; the daemon's limit on frames was not applied to callers.

--- a/crates/fulmarlift/tests/protocol_login.rs
+++ b/crates/fulmarlift/tests/protocol_login.rs
@@ -165,3 +165,15 @@
     assert_eq!(values(&courier(address, "").await, "SELECT 7").await, ["7"]);
     assert_eq!(failure(&bystander, "SELECT no_such_column").await.len(), 5);
 }
+
+#[tokio::test]
+async fn oversized_frame_ends_its_connection_only() {
+    let system = System::start(1).await;
+    let flags = ["--max-frame-bytes=2048".to_owned()];
+    let (_proxy, address) = callers::start_proxy(&system, &flags);
+    let bystander = callers::until_login(address, "user=courier dbname=ledger").await;
+    let mut raw = Raw::log_in(address).await;
+    raw.query(&"-".repeat(4_096)).await;
+    assert_eq!(raw.until_closed().await.as_deref(), Some("08P01"));
+    assert_eq!(values(&bystander, "SELECT 7").await, ["7"]);
+}
--- a/crates/proxy/src/caller/batch.rs
+++ b/crates/proxy/src/caller/batch.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
+use fulmarlift_wire::backend::script::{Expect, Owed};
 use fulmarlift_wire::{class, frame};
 use pgwire::messages::{PgWireFrontendMessage, extendedquery};
 
 use crate::caller::local;
-use crate::caller::script::{Expect, Owed};
 use crate::caller::statements::{Statement, Statements};
 use crate::member;
 
--- a/crates/proxy/src/caller/mod.rs
+++ b/crates/proxy/src/caller/mod.rs
@@ -9,7 +9,6 @@
 mod relay;
 mod remember;
 mod requests;
-mod script;
 mod session;
 mod sessions;
 mod statements;
--- a/crates/proxy/src/caller/relay.rs
+++ b/crates/proxy/src/caller/relay.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::floor;
+use fulmarlift_wire::backend::script;
 use fulmarlift_wire::frame::tag::{backend, frontend};
 use fulmarlift_wire::{class, frame, stream};
 use pgwire::messages::PgWireBackendMessage;
@@ -12,7 +13,6 @@
 
 use crate::caller::batch::Batch;
 use crate::caller::plan;
-use crate::caller::script;
 use crate::caller::session::Link;
 use crate::caller::statements::Statements;
 use crate::member;
@@ -134,6 +134,11 @@
 }
 
 impl Failure {
+    /// Returns whether the member sent what it did not owe.
+    pub fn is_out_of_step(&self) -> bool {
+        matches!(self.error, Error::OutOfStep(_))
+    }
+
     /// Returns whether a read may be tried on another connection: the caller has seen nothing of it.
     pub fn may_retry(&self) -> bool {
         !self.passed && !self.error.is_callers()
--- a/crates/proxy/src/caller/remember.rs
+++ b/crates/proxy/src/caller/remember.rs
@@ -98,6 +98,9 @@
         if !link.doubtful {
             return true;
         }
+        if link.backend.is_closed() {
+            return false;
+        }
         let deadline = tokio::time::Instant::from_std(Instant::now() + link.progress);
         let reset = backend::query(&mut link.backend.connection, "DISCARD ALL", deadline).await;
         link.backend.prepared.clear();
--- a/crates/proxy/src/caller/requests.rs
+++ b/crates/proxy/src/caller/requests.rs
@@ -89,6 +89,7 @@
         let submission = self.submission(work, plan, deadline);
         let kind = submission.kind;
         let (request, mut waiter) = self.engine.submit(submission);
+        let mut stepped = false;
         loop {
             let mut link = match self.wait(request, waiter).await? {
                 Waited::Link(link) => link,
@@ -124,7 +125,14 @@
                     return self.finish(work, link, report, may_repeat).await;
                 }
                 Err(failure) if kind.is_read() && failure.may_retry() => {
-                    waiter = self.hand_back(link, event::Outcome::ReadFailed, false);
+                    // A connection out of step says nothing against the member, the first time.
+                    let at_fault =
+                        !failure.is_out_of_step() || std::mem::replace(&mut stepped, true);
+                    let outcome = match at_fault {
+                        true => event::Outcome::ReadFailed,
+                        false => event::Outcome::NotSent,
+                    };
+                    waiter = self.hand_back(link, outcome, false);
                 }
                 Err(failure) => {
                     self.give_up(link);
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -114,12 +114,14 @@
     identity: Identity,
 ) -> Result<(), Error> {
     let sessions = Arc::clone(&listener.sessions);
+    let mut caller = accepted.framed;
+    caller.set_codec(frame::Codec::new(listener.engine.settings.max_frame_bytes));
     let mut session = Session {
         registration: sessions.register(),
         engine: listener.engine,
         stopping: listener.stopping,
         identity,
-        caller: accepted.framed,
+        caller,
         local: local::Local::default(),
         tracked: Tracked::default(),
         statements: Statements::default(),
--- /dev/null
+++ b/crates/proxy/tests/answers.rs
@@ -0,0 +1,235 @@
+//! The whole answer to its own request, from a member that misbehaves.
+
+mod fake;
+
+use std::time::Duration;
+
+use fake::Fake;
+use fulmarlift_config::model;
+use fulmarlift_core::peer;
+use fulmarlift_proxy::{Proxy, document, settings};
+use fulmarlift_wire::backend::{self, Connection};
+use fulmarlift_wire::frame;
+use rstest::rstest;
+
+/// Time that no answer takes unless something is wrong.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+async fn start(repeatable: &[&str], request_timeout_ms: u64) -> (Fake, Proxy) {
+    let fake = Fake::start().await;
+    let raw = settings::Raw::default();
+    let settings = settings::Settings::check(&raw).expect("the settings are right");
+    let proxy = Proxy::start(settings, None).await.expect("it starts");
+    let document = document(&fake, repeatable, request_timeout_ms);
+    let digest = document.digest();
+    let head = peer::Head { version: 1, digest };
+    let accepted = document::Accepted::parse(&document.to_json(), head);
+    proxy.configure(accepted.expect("the document is right"));
+    while !proxy.ready()
+        || proxy
+            .engine
+            .status()
+            .groups
+            .iter()
+            .any(|g| g.primary.is_none())
+    {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    (fake, proxy)
+}
+
+fn document(fake: &Fake, repeatable: &[&str], request_timeout_ms: u64) -> model::Document {
+    let member = model::Member {
+        name: "m0".into(),
+        address: fake.address.to_string().into(),
+        domain: "default".into(),
+        connections: 16,
+        connect_ms: 1,
+    };
+    model::Document {
+        regions: vec![model::Region {
+            name: "default".into(),
+            domains: vec!["default".into()],
+        }],
+        groups: vec![model::Group {
+            name: "ledger".into(),
+            slots: 1,
+            members: vec![member],
+        }],
+        callers: vec![model::Caller {
+            name: "courier".into(),
+            verifier: "trust".into(),
+        }],
+        services: vec![model::Service {
+            name: "ledger".into(),
+            group: "ledger".into(),
+            callers: vec!["courier".into()],
+            read_classes: Vec::new(),
+            limits: model::Limits {
+                request_timeout_ms,
+                repeatable_tables: repeatable.iter().map(|name| (*name).into()).collect(),
+                ..model::Limits::default()
+            },
+        }],
+        ..model::Document::default()
+    }
+}
+
+async fn connect(proxy: &Proxy) -> Connection {
+    let login = backend::Login {
+        user: "courier".into(),
+        database: "ledger".into(),
+        password: None,
+    };
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    let connected = backend::connect(proxy.listen, &[], &login, None, deadline).await;
+    connected.expect("the proxy serves")
+}
+
+async fn ask(connection: &mut Connection, sql: &str) -> Result<String, backend::Error> {
+    let deadline = tokio::time::Instant::now() + PATIENCE;
+    let rows = backend::query(connection, sql, deadline).await?;
+    let rows = rows.into_iter().flatten().flatten();
+    Ok(rows.map(String::from).collect::<Vec<_>>().join(","))
+}
+
+fn misused(fake: &Fake) -> Vec<Box<str>> {
+    fake.seen.lock().expect("no panic").misused.clone()
+}
+
+#[rstest]
+#[case::extra_ready("SELECT /* extra_ready */ 1")]
+#[case::row_after_ready("SELECT /* row_after_ready */ 1")]
+#[case::late_row("SELECT /* late_row */ 1")]
+#[case::stray_next("SELECT /* stray_next */ 1")]
+#[case::unparsed_extra_ready("SELECT extra_ready 1")]
+#[case::unparsed_row_after_ready("SELECT row_after_ready 1")]
+#[case::unparsed_late_row("SELECT late_row 1")]
+#[case::unparsed_stray_next("SELECT stray_next 1")]
+#[case::unasked("SELECT /* unasked */ 1")]
+#[case::notice("SELECT /* notice */ 1")]
+#[tokio::test]
+async fn crossed_answers_reach_nobody(#[case] sql: &str) {
+    let (fake, proxy) = start(&[], 5_000).await;
+    let mut caller = connect(&proxy).await;
+    let mut bystander = connect(&proxy).await;
+    for round in 0..10 {
+        assert_eq!(ask(&mut caller, sql).await.expect("it is answered"), "1");
+        tokio::time::sleep(Duration::from_millis(if round % 2 == 0 { 0 } else { 40 })).await;
+        for value in ["7", "8", "9"] {
+            let sql = format!("SELECT {value}");
+            assert_eq!(
+                ask(&mut bystander, &sql).await.expect("it is answered"),
+                value
+            );
+            assert_eq!(ask(&mut caller, &sql).await.expect("it is answered"), value);
+        }
+    }
+    let misused = misused(&fake);
+    assert!(misused.is_empty(), "{misused:?}");
+}
+
+#[rstest]
+#[case::only_ready("SELECT /* only_ready */ 1")]
+#[case::half_row("SELECT /* half_row */ 1")]
+#[tokio::test]
+async fn broken_read_fails_truthfully(#[case] sql: &str) {
+    let (fake, proxy) = start(&[], 300).await;
+    let mut caller = connect(&proxy).await;
+    let mut bystander = connect(&proxy).await;
+    let error = ask(&mut caller, sql).await.expect_err("no whole answer");
+    assert_eq!(error.sqlstate(), Some("57P03"));
+    assert_eq!(
+        ask(&mut caller, "SELECT 8").await.expect("it is answered"),
+        "8"
+    );
+    assert_eq!(
+        ask(&mut bystander, "SELECT 7")
+            .await
+            .expect("it is answered"),
+        "7"
+    );
+    assert!(misused(&fake).is_empty());
+}
+
+#[tokio::test]
+async fn half_of_a_large_row_closes_the_caller() {
+    let (_fake, proxy) = start(&[], 5_000).await;
+    let mut caller = connect(&proxy).await;
+    let mut bystander = connect(&proxy).await;
+    let error = ask(&mut caller, "SELECT /* half_large */ 1").await;
+    let error = error.expect_err("the connection ends");
+    assert_eq!(error.sqlstate(), None, "{error}");
+    assert_eq!(
+        ask(&mut bystander, "SELECT 7")
+            .await
+            .expect("it is answered"),
+        "7"
+    );
+}
+
+#[rstest]
+#[case::dies("INSERT INTO t VALUES (die)")]
+#[case::silent("INSERT INTO t VALUES (silent)")]
+#[tokio::test]
+async fn unknown_outcome_is_told_and_not_repeated(#[case] sql: &str) {
+    let (fake, proxy) = start(&[], 400).await;
+    let mut caller = connect(&proxy).await;
+    let error = ask(&mut caller, sql).await.expect_err("nobody knows");
+    assert_eq!(error.sqlstate(), Some("08007"));
+    // The late end of that answer comes while others are served.
+    for round in 0..40 {
+        let value = round.to_string();
+        let answer = ask(&mut caller, &format!("SELECT {value}")).await;
+        assert_eq!(answer.expect("it is answered"), value);
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    assert_eq!(fake.seen.lock().expect("no panic").writes, [Box::from(sql)]);
+    assert!(misused(&fake).is_empty());
+}
+
+#[tokio::test]
+async fn refused_as_no_primary_is_sent_again_and_runs_once() {
+    let (fake, proxy) = start(&[], 5_000).await;
+    fake.seen.lock().expect("no panic").refusals = 2;
+    let mut caller = connect(&proxy).await;
+    let sql = "INSERT INTO t VALUES (1)";
+    ask(&mut caller, sql).await.expect("it is acknowledged");
+    assert_eq!(fake.seen.lock().expect("no panic").writes, [Box::from(sql)]);
+}
+
+#[rstest]
+#[case::repeatable(&["t"], 2)]
+#[case::another_table(&["u"], 1)]
+#[tokio::test]
+async fn unknown_outcome_is_repeated_only_where_it_may(
+    #[case] repeatable: &[&str],
+    #[case] least: usize,
+) {
+    let (fake, proxy) = start(repeatable, 300).await;
+    let mut caller = connect(&proxy).await;
+    let sql = "INSERT INTO t VALUES (die)";
+    let error = ask(&mut caller, sql).await.expect_err("nobody knows");
+    assert_eq!(error.sqlstate(), Some("08007"));
+    let runs = fake.seen.lock().expect("no panic").writes.len();
+    assert!(
+        if least == 1 { runs == 1 } else { runs >= least },
+        "{runs} runs"
+    );
+}
+
+#[tokio::test]
+async fn notice_passes_and_notification_does_not() {
+    let (_fake, proxy) = start(&[], 5_000).await;
+    let mut caller = connect(&proxy).await;
+    let query = pgwire::messages::simplequery::Query::new("SELECT /* notice unasked */ 1".into());
+    let query = pgwire::messages::PgWireFrontendMessage::Query(query);
+    let sent = caller.framed.send(&frame::frontend(&query)).await;
+    sent.expect("it is sent");
+    let mut tags = String::new();
+    while !tags.ends_with('Z') {
+        let frame = caller.framed.read_frame().await.expect("it is open");
+        tags.push(char::from(frame.expect("it is open").tag));
+    }
+    assert_eq!(tags, "NTDCZ");
+}
--- a/crates/wire/src/backend/error.rs
+++ b/crates/wire/src/backend/error.rs
@@ -4,6 +4,7 @@
 use pgwire::messages::response::ErrorResponse;
 
 use crate::answer::sqlstate;
+use crate::backend::script;
 use crate::{frame, tls};
 
 /// An error that a database reported.
@@ -68,6 +69,9 @@
         /// The message type byte.
         tag: u8,
     },
+    /// A message that answers nothing; the connection is out of step.
+    #[error(transparent)]
+    OutOfStep(#[from] script::OutOfStep),
     /// An answer that does not have the form that the protocol notes give it.
     #[error("malformed answer: {0}")]
     Answer(Box<str>),
--- a/crates/wire/src/backend/mod.rs
+++ b/crates/wire/src/backend/mod.rs
@@ -5,6 +5,7 @@
 mod connect;
 mod error;
 mod query;
+pub mod script;
 
 use bytes::Bytes;
 use pgwire::messages::response::TransactionStatus;
--- a/crates/wire/src/backend/query.rs
+++ b/crates/wire/src/backend/query.rs
@@ -5,7 +5,7 @@
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
 use tokio::time::{self, Instant};
 
-use crate::backend::{Connection, DatabaseError, Error};
+use crate::backend::{Connection, DatabaseError, Error, script};
 use crate::frame::{self, Frame, tag};
 use crate::parameter;
 
@@ -57,9 +57,11 @@
     connection.framed.send(&frame).await?;
     let mut table = Table::default();
     let mut failure = None;
+    let mut script = script::Script::simple();
     loop {
         let frame = connection.framed.read_frame().await?;
         let frame = frame.ok_or(Error::Closed)?;
+        script.take(frame.tag)?;
         if frame.tag == tag::backend::READY_FOR_QUERY {
             finish(connection, &frame)?;
             break;
--- a/crates/proxy/src/caller/script.rs
+++ b/crates/wire/src/backend/script.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use fulmarlift_wire::frame::tag::backend as tag;
+use crate::frame::tag::backend as tag;
 
 /// Whether an answer goes to the caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
