--- a/crates/fulmarlift/tests/protocol_session.rs
+++ b/crates/fulmarlift/tests/protocol_session.rs
@@ -90,6 +90,18 @@
     assert_eq!(values(&started, "SHOW work_mem").await, ["3MB"]);
 }
 
+#[tokio::test]
+async fn unparsed_statement_leaves_nothing_on_its_connection() {
+    let system = System::start(1).await;
+    let address = system.proxy_addresses[0];
+    let (first, second) = (courier(address, "").await, courier(address, "").await);
+    for _ in 0..4 {
+        // Two texts in a row are no value to the proxy's parser, and one to the member.
+        run(&first, "SET a.dirty = 'x' 'y'").await;
+        assert_eq!(failure(&second, "SHOW a.dirty").await, "42704");
+    }
+}
+
 #[tokio::test]
 async fn own_statements_work_in_both_protocols() {
     let system = System::start(1).await;
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -233,3 +233,26 @@
     }
     assert_eq!(tags, "NTDCZ");
 }
+
+#[tokio::test]
+async fn late_cancel_hits_nobody_else() {
+    let (_fake, proxy) = start(&[], 5_000).await;
+    let mut caller = connect(&proxy).await;
+    let mut bystander = connect(&proxy).await;
+    let key = caller.key.clone().expect("a cancel key");
+    for _ in 0..5 {
+        let slow = ask(&mut caller, "SELECT /* slow */ 1");
+        let cancel = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let deadline = tokio::time::Instant::now() + PATIENCE;
+            let sent = backend::cancel(proxy.listen, &key, deadline).await;
+            sent.expect("it is sent");
+        };
+        let (slow, ()) = futures::future::join(slow, cancel).await;
+        assert_eq!(slow.expect("the cancel comes too late"), "1");
+        for value in ["7", "8"] {
+            let answer = ask(&mut bystander, &format!("SELECT {value}")).await;
+            assert_eq!(answer.expect("it is answered"), value);
+        }
+    }
+}
--- a/crates/proxy/tests/fake/mod.rs
+++ b/crates/proxy/tests/fake/mod.rs
@@ -11,6 +11,9 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 
+/// Code of a cancel request.
+const CANCEL_CODE: i32 = 80_877_102;
+
 /// What the member has seen.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -18,10 +21,12 @@
     pub writes: Vec<Box<str>>,
     /// Texts that came on a connection after it had misbehaved.
     pub misused: Vec<Box<str>>,
-    /// Connections that served callers.
+    /// Connections so far.
     pub connections: usize,
     /// Refusals still to be given to writes.
     pub refusals: usize,
+    /// Cancel requests that have come and hit the next text on their connection.
+    pub cancels: Vec<i32>,
 }
 
 /// A running member.
@@ -56,13 +61,20 @@
         let length = stream.read_u32().await.ok()?;
         let mut startup = vec![0; length as usize - 4];
         stream.read_exact(&mut startup).await.ok()?;
-        let is_control = startup.windows(13).any(|part| part == b"group_control");
-        if !is_control {
-            self.seen.lock().expect("no panic").connections += 1;
+        if startup.starts_with(&CANCEL_CODE.to_be_bytes()) {
+            let pid = startup[4..8].try_into().map(i32::from_be_bytes).ok()?;
+            self.seen.lock().expect("no panic").cancels.push(pid);
+            return None;
         }
+        let pid = {
+            let mut seen = self.seen.lock().expect("no panic");
+            seen.connections += 1;
+            seen.connections as i32
+        };
         let mut connection = Connection {
             framed: Framed::new(Stream::Plain(stream), Codec::default()),
             fake: self.clone(),
+            pid,
             misbehaved: false,
             stray: false,
         };
@@ -81,6 +93,7 @@
 struct Connection {
     framed: Framed<Stream>,
     fake: Fake,
+    pid: i32,
     misbehaved: bool,
     stray: bool,
 }
@@ -127,14 +140,28 @@
             self.put(complete(text));
             return self.ready().await;
         }
+        if self.is_cancelled() {
+            self.put(Message::ErrorResponse(info("57014", "canceled")));
+            return self.ready().await;
+        }
         match text.split_whitespace().next() {
             Some("INSERT") => self.write(text).await,
             _ => self.read(text).await,
         }
     }
 
+    fn is_cancelled(&self) -> bool {
+        let mut seen = self.fake.seen.lock().expect("no panic");
+        let before = seen.cancels.len();
+        seen.cancels.retain(|pid| *pid != self.pid);
+        seen.cancels.len() < before
+    }
+
     async fn read(&mut self, text: &str) -> Option<()> {
         let value = text.rsplit(' ').next().unwrap_or_default();
+        if text.contains("slow") {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
         if text.contains("notice") {
             self.put(Message::NoticeResponse(info("00000", "by the way")));
         }
