--- a/crates/core/src/peer/table.rs
+++ b/crates/core/src/peer/table.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::id;
-use crate::peer::Message;
+use crate::peer::{GroupReport, Message};
 use crate::sorted;
 
 /// Shortest time between heartbeats.
@@ -199,6 +199,12 @@
     let waits = |message: &Message| message.shares.iter().any(|share| share.waiting > 0);
     last.head != message.head
         || last.leaving != message.leaving
-        || last.groups != message.groups
+        || message.groups.iter().any(|report| is_news(last, report))
         || waits(message) && !waits(last)
 }
+
+/// Returns whether a report contradicts the last one on its group, or is the first and bad.
+fn is_news(last: &Message, report: &GroupReport) -> bool {
+    let known = last.groups.iter().find(|known| known.group == report.group);
+    known.map_or(!report.primary_answers, |known| known != report)
+}
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -22,6 +22,7 @@
         }
         let head = message.head.clone();
         let from = message.proxy;
+        self.compare(now, &message.groups);
         let newer = self.peers.receive(now, message);
         if newer {
             self.borrow(now, from);
@@ -31,6 +32,20 @@
         }
     }
 
+    /// Looks after groups of which a peer sees something that this proxy does not.
+    fn compare(&mut self, now: Instant, reports: &[peer::GroupReport]) {
+        for report in reports {
+            let Some(group) = self.groups.get_mut(report.group) else {
+                continue;
+            };
+            let known = group.watch.top_term();
+            let silent = report.term == known && !report.primary_answers;
+            if report.term > known || silent {
+                group.watch.doubt(now);
+            }
+        }
+    }
+
     pub(super) fn vms(
         &mut self,
         now: Instant,
@@ -88,19 +103,19 @@
             place: self.identity.place.clone(),
             head: self.head.clone(),
             leaving: self.draining,
-            groups: groups.map(|(id, group)| report(id, group)).collect(),
+            groups: groups.filter_map(|(id, group)| report(id, group)).collect(),
             shares,
         }
     }
 }
 
-fn report(id: id::GroupId, group: &group::Group) -> peer::GroupReport {
-    let primary = group.watch.primary();
-    peer::GroupReport {
+/// Reports a group, unless its watchers see it better.
+fn report(id: id::GroupId, group: &group::Group) -> Option<peer::GroupReport> {
+    Some(peer::GroupReport {
         group: id,
         term: group.watch.top_term(),
-        primary_answers: primary.is_some_and(|member| member.reachable),
-    }
+        primary_answers: group.watch.finding()?,
+    })
 }
 
 fn share_report(
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -23,6 +23,7 @@
         };
         let group = active.group;
         self.retries.earn();
+        self.touch(now, group);
         self.requests.insert(id, active);
         if let Some(route::Choice::Refuse(reason)) = self.choose(now, id) {
             // Known before a read index is: the wait for a connection alone is too long.
--- a/crates/proxy/src/caller/mod.rs
+++ b/crates/proxy/src/caller/mod.rs
@@ -3,9 +3,11 @@
 mod batch;
 mod listen;
 mod local;
+mod local_answers;
 mod outcome;
 pub(crate) mod plan;
 mod relay;
+mod remember;
 mod requests;
 mod session;
 mod sessions;
