--- a/crates/fulmarlift/tests/failures.rs
+++ b/crates/fulmarlift/tests/failures.rs
@@ -82,17 +82,27 @@
     check(&system, load).await;
 }
 
+#[rstest::rstest]
+#[case::claiming("Claiming", 150, "0")]
+#[case::fencing("Fencing", 0, "60")]
 #[tokio::test]
-async fn failover_goes_on_without_paused_claimant() {
+async fn failover_goes_on_without_paused_claimant(
+    #[case] stage: &str,
+    #[case] store_delay_ms: u64,
+    #[case] latency_ms: &str,
+) {
     let (system, load) = start().await;
-    // The store's answer to the claim takes long enough for the claimant to be paused before it comes.
-    system
-        .switch_platform(serde_json::json!({"delay_ms": 150}))
-        .await;
+    // Answers take long enough for the claimant to be paused before they come.
+    let delay = serde_json::json!({"delay_ms": store_delay_ms});
+    system.switch_platform(delay).await;
+    for replica in &system.member_addresses[1..] {
+        standin::switch_member(*replica, "latency_ms", latency_ms).await;
+    }
     system.members[0].signal("KILL");
+    let stage = format!("stage={stage}");
     let claims = |index: usize| {
         let process = &system.proxies[index].process;
-        process.logged(&["event=failover", "stage=Claiming"])
+        process.logged(&["event=failover", &stage])
     };
     wait::until("a proxy claims the term", async || claims(0) || claims(1)).await;
     let (paused, other) = match claims(0) {
@@ -100,6 +110,9 @@
         false => (1, 0),
     };
     system.proxies[paused].process.signal("STOP");
+    for replica in &system.member_addresses[1..] {
+        standin::switch_member(*replica, "latency_ms", "0").await;
+    }
     system.until_replaced(other, "m0").await;
     load.until_acknowledged(other, 10).await;
     system.proxies[paused].process.signal("CONT");
