--- a/crates/core/src/state/groups.rs
+++ b/crates/core/src/state/groups.rs
@@ -24,6 +24,13 @@
         }
     }
 
+    /// Notes that a request for the group came.
+    pub(super) fn touch(&mut self, now: Instant, group: id::GroupId) {
+        if let Some(group) = self.groups.get_mut(group) {
+            group.watch.touch(now);
+        }
+    }
+
     pub(super) fn status(
         &mut self,
         now: Instant,
@@ -58,7 +65,7 @@
         for (member, reachable) in outcome.changed {
             self.reachable(now, Owner { group, member }, reachable, effects);
         }
-        self.note_primary(group, effects);
+        self.note_primary(now, group, effects);
         self.unpark(now, group, effects);
     }
 
@@ -74,13 +81,19 @@
             member: owner.member,
             reachable,
         }));
+        self.tell_peers(now);
         if !reachable {
-            self.interrupt_reads(owner, effects);
+            self.interrupt(owner.group, effects);
             self.requeue(now, owner, effects);
         }
     }
 
-    fn note_primary(&mut self, id: id::GroupId, effects: &mut Vec<effect::Effect>) {
+    /// Sends the next heartbeats to peers at once, for they decide on what this proxy found.
+    fn tell_peers(&mut self, now: Instant) {
+        self.peers.heartbeat_at = self.peers.heartbeat_at.min(now);
+    }
+
+    fn note_primary(&mut self, now: Instant, id: id::GroupId, effects: &mut Vec<effect::Effect>) {
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
@@ -91,7 +104,8 @@
         let member = primary.id;
         if group.primary != Some((term, member)) {
             group.primary = Some((term, member));
-            self.interrupt_replaced(id, member, effects);
+            self.interrupt(id, effects);
+            self.tell_peers(now);
             effects.push(effect::Effect::Record(effect::Record::Primary {
                 group: id,
                 term,
@@ -148,16 +162,21 @@
             group: id,
             watch: &group.watch,
             evidence,
+            leaving: &group.leaving,
             proxy: self.identity.proxy,
             rank,
             next_ask: &mut self.next_ask,
             effects,
         };
         run(&mut group.failover, &mut context);
-        if let failover::Stage::Waiting { since, .. } = group.failover.stage
-            && since == now
-        {
+        let hurry = match group.failover.stage {
             // What was seen is confirmed by every member before anything is claimed.
+            failover::Stage::Waiting { since, .. } => since == now,
+            // Writes wait until a replica has caught up.
+            failover::Stage::HandingOver { .. } => true,
+            _ => false,
+        };
+        if hurry {
             group.watch.hurry(now);
             group.watch.ask(now, &mut self.next_ask, effects);
         }
--- a/crates/core/src/state/interrupt.rs
+++ b/crates/core/src/state/interrupt.rs
@@ -4,41 +4,26 @@
 use crate::id;
 use crate::request;
 use crate::route;
-use crate::state::{Owner, State};
+use crate::state::State;
 
 impl<P: route::Policy> State<P> {
-    /// Interrupts the reads that run on a member that has become unreachable: another member serves them.
+    /// Interrupts what runs on a group's unreachable members and will not be answered by them.
     ///
-    /// Writes go on, since the member may only be paused.
-    pub(super) fn interrupt_reads(&self, owner: Owner, effects: &mut Vec<effect::Effect>) {
-        let reads = self.running(owner.group, |member| member == owner.member);
-        let reads = reads.filter(|active| active.request.kind.is_read());
-        effects.extend(reads.map(|active| effect::Effect::Interrupt(active.request.id)));
-    }
-
-    /// Interrupts the writes that run on members other than the group's new primary: they can no longer be
-    /// acknowledged, so their callers get the final answer at once.
-    pub(super) fn interrupt_replaced(
-        &self,
-        group: id::GroupId,
-        primary: id::MemberId,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let writes = self.running(group, |member| member != primary);
-        let writes = writes.filter(|active| !active.request.kind.is_read());
-        effects.extend(writes.map(|active| effect::Effect::Interrupt(active.request.id)));
-    }
-
-    fn running(
-        &self,
-        group: id::GroupId,
-        on: impl Fn(id::MemberId) -> bool,
-    ) -> impl Iterator<Item = &request::Active> {
-        self.requests
-            .values()
-            .filter(move |active| match active.stage {
-                request::Stage::Running { member, .. } => active.group == group && on(member),
-                _ => false,
-            })
+    /// Reads are served by another member. Writes on the primary go on, since it may only be paused; those on a
+    /// member that another has replaced can no longer be acknowledged, so their callers get the final answer at
+    /// once. A replaced member that still answers tells itself what has become of its writes.
+    pub(super) fn interrupt(&self, id: id::GroupId, effects: &mut Vec<effect::Effect>) {
+        let Some(group) = self.groups.get(id) else {
+            return;
+        };
+        let primary = group.watch.primary().map(|member| member.id);
+        let silent = |id| group.watch.members.get(id).is_none_or(|m| !m.reachable);
+        let given_up = self.requests.values().filter(|active| match active.stage {
+            request::Stage::Running { member, .. } if active.group == id && silent(member) => {
+                active.request.kind.is_read() || primary != Some(member)
+            }
+            _ => false,
+        });
+        effects.extend(given_up.map(|active| effect::Effect::Interrupt(active.request.id)));
     }
 }
--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -6,6 +6,7 @@
 mod confirm;
 mod index;
 mod member;
+mod pace;
 mod watch;
 
 pub use ask::{Ask, Asks};
@@ -13,4 +14,5 @@
 pub use confirm::{Confirmations, Decided};
 pub use index::Indexes;
 pub use member::{Freshness, Member};
-pub use watch::{Outcome, Pace, Watch};
+pub use pace::{Pace, Role};
+pub use watch::{Outcome, Watch};
--- a/crates/standin/src/member/statement.rs
+++ b/crates/standin/src/member/statement.rs
@@ -291,6 +291,19 @@
         texts.concat().into()
     }
 
+    /// The value of a setting; in a list names keep their quotes.
+    fn setting_from(&self, place: usize) -> Box<str> {
+        let rest = self.tokens.get(place..).unwrap_or_default();
+        if !rest.iter().any(|token| matches!(token, Token::Comma)) {
+            return self.name_from(place);
+        }
+        let texts = rest.iter().map(|token| match token {
+            Token::Comma => ", ".to_owned(),
+            token => token.to_string(),
+        });
+        texts.collect::<String>().into()
+    }
+
     fn set(&self) -> Result<Command, error::SqlError> {
         let local = self.is(1, "local");
         let start = if local || self.is(1, "session") { 2 } else { 1 };
@@ -311,7 +324,7 @@
         };
         Ok(Command::Set {
             name: name.name_from(start),
-            value: self.name_from(between + 1),
+            value: self.setting_from(between + 1),
             local,
         })
     }
@@ -366,6 +379,12 @@
             name: name.clone(),
             value: value.clone(),
         },
+        // Answered without its row, which the proxy does not read.
+        ("set_config", [name, value, local]) => Command::Set {
+            name: name.clone(),
+            value: value.clone(),
+            local: **local == *"true",
+        },
         ("pg_sleep", [seconds]) => {
             Command::Sleep(Duration::try_from_secs_f64(seconds.parse().ok()?).ok()?)
         }
@@ -382,10 +401,11 @@
     }
 }
 
-const FUNCTIONS: [&str; 5] = [
+const FUNCTIONS: [&str; 6] = [
     "group_status",
     "group_fence",
     "group_promote",
     "member_switch",
     "pg_sleep",
+    "set_config",
 ];
