Settings and operating pages, checked against the daemon; one way to submit in the tests

The tests' own head rows lacked object and nonce, which the daemon now reads; they go through the platform crate's submit. Results of claims are logged by name.

--- a/crates/fulmarlift/tests/configuration.rs
+++ b/crates/fulmarlift/tests/configuration.rs
@@ -134,7 +134,7 @@
 #[tokio::test]
 async fn configuration_is_fetched_until_it_is_there() {
     let system = System::start(2).await;
-    let mut document = system.document(2);
+    let mut document = system.marked(2);
     document.version = 2;
     let digest = document.digest();
     let object = publish::object_name(2, &digest);
--- a/crates/fulmarlift/tests/operators.rs
+++ b/crates/fulmarlift/tests/operators.rs
@@ -45,7 +45,7 @@
     let system = System::start(1).await;
     let folder = tempfile::tempdir().expect("a folder");
     let file = folder.path().join("document.json");
-    std::fs::write(&file, system.document(77).to_json()).expect("the file is written");
+    std::fs::write(&file, system.marked(77).to_json()).expect("the file is written");
     let file = file.to_str().expect("its path is text");
     let printed = system.printed(&["submit", file, "--base", "1"]);
     assert!(
@@ -127,3 +127,39 @@
     })
     .await;
 }
+
+#[test]
+fn settings_page_names_all_flags() {
+    let page = include_str!("../../../docs/src/settings.md");
+    let help = std::process::Command::new(env!("CARGO_BIN_EXE_fulmarliftd"))
+        .arg("--help")
+        .output()
+        .expect("it runs");
+    let help = String::from_utf8_lossy(&help.stdout).into_owned();
+    let flags = help.lines().filter_map(|line| {
+        let flag = line.trim().strip_prefix("--")?.split(' ').next()?;
+        line.contains('<').then_some(flag)
+    });
+    let flags: Vec<&str> = flags.collect();
+    assert!(!flags.is_empty(), "{help}");
+    for flag in flags {
+        let variable = flag.to_uppercase().replace('-', "_");
+        let row = format!("| `--{flag}` | `FULMARLIFT_{variable}` |");
+        assert!(page.contains(&row), "{row}");
+    }
+}
+
+#[tokio::test]
+async fn operating_page_names_all_metrics() {
+    let page = include_str!("../../../docs/src/operating.md");
+    let system = System::start(1).await;
+    let url = format!("http://{}/metrics", system.proxies[0].admin);
+    let answer = reqwest::get(url).await.expect("the admin port serves");
+    let text = answer.text().await.expect("a text");
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
+    assert!(!names.is_empty(), "{text}");
+    for name in names {
+        assert!(page.contains(&format!("| `{name}` |")), "{name}");
+    }
+}
--- a/crates/fulmarlift/tests/support/callers.rs
+++ b/crates/fulmarlift/tests/support/callers.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use fulmarlift_config::model;
-use fulmarlift_platform::platform::Platform;
-use fulmarlift_platform::{client, message};
+use fulmarlift_platform::publish::submit;
+use fulmarlift_platform::{client, retry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
@@ -64,27 +64,17 @@
 
 /// Puts a document in force as this version.
 pub async fn submit(system: &System, version: u64, document: &model::Document) {
-    let digest = document.digest();
-    let client = client::Client::new(&format!("http://{}", system.platform_address));
-    let client = client.expect("an address");
-    let name = format!("config-{version}-{digest}");
-    let put = client
-        .put_object(&name, document.to_json().as_bytes())
-        .await;
-    put.expect("the platform is up");
-    let head = serde_json::json!({
-        "version": version, "digest": digest, "base": version - 1, "who": "test",
-    });
-    let transaction = message::Transaction {
-        puts: vec![message::Put {
-            table: "config".into(),
-            key: "head".into(),
-            value: head,
-        }],
-        ..message::Transaction::default()
+    let client = client::Client::new(&system.platform_url()).expect("an address");
+    let submission = submit::Submission {
+        document: document.clone(),
+        base: version - 1,
+        who: "test".into(),
+        when_ms: 0,
+        nonce: submit::random_nonce(),
+        retry: retry::Retry::default(),
     };
-    let put = client.transact(&transaction).await;
-    put.expect("the platform is up");
+    let accepted = submit::submit(&client, &submission).await;
+    accepted.expect("the version is accepted");
 }
 
 /// Waits until a caller can log in that an earlier configuration does not have.
--- a/crates/fulmarlift/tests/support/system.rs
+++ b/crates/fulmarlift/tests/support/system.rs
@@ -22,6 +22,7 @@
     pub members: Vec<Process>,
     pub member_addresses: Vec<SocketAddr>,
     pub proxies: Vec<Proxy>,
+    pub proxy_addresses: Vec<SocketAddr>,
     _permit: SemaphorePermit<'static>,
 }
 
@@ -36,7 +37,13 @@
 impl System {
     /// Starts everything and puts a configuration in force.
     pub async fn start(proxies: usize) -> Self {
-        let mut system = Self::start_standins().await;
+        Self::start_with(proxies, &[]).await
+    }
+
+    /// Starts everything, members with further arguments.
+    pub async fn start_with(proxies: usize, member_arguments: &[&str]) -> Self {
+        let mut system = Self::start_platform().await;
+        system.start_members(member_arguments);
         system.submit(0, 1_000).await.expect("the first version");
         for _ in 0..proxies {
             system.start_proxy();
@@ -49,23 +56,28 @@
 
     /// Starts a platform and members, and neither proxies nor a configuration.
     pub async fn start_standins() -> Self {
+        let mut system = Self::start_platform().await;
+        system.start_members(&[]);
+        system
+    }
+
+    async fn start_platform() -> Self {
         let permit = SYSTEMS.acquire().await.expect("it is never closed");
         let listen = ["--listen=127.0.0.1:0".to_owned()];
         let mut platform = Process::start(env!("CARGO_BIN_EXE_fulmarlift-platform"), &listen);
         let platform_address = platform.address("ready");
-        let mut system = Self {
+        Self {
             platform,
             platform_address,
             members: Vec::new(),
             member_addresses: Vec::new(),
             proxies: Vec::new(),
+            proxy_addresses: Vec::new(),
             _permit: permit,
-        };
-        system.start_members();
-        system
+        }
     }
 
-    fn start_members(&mut self) {
+    fn start_members(&mut self, arguments: &[&str]) {
         let replication: Vec<SocketAddr> = (0..3).map(|_| process::free_address()).collect();
         for index in 0..3 {
             let mut flags = vec![
@@ -79,6 +91,7 @@
             if index == 0 {
                 flags.push("--primary".to_owned());
             }
+            flags.extend(arguments.iter().map(|text| (*text).to_owned()));
             let mut member = Process::start(env!("CARGO_BIN_EXE_fulmarlift-member"), &flags);
             self.member_addresses.push(member.address("ready"));
             self.members.push(member);
@@ -89,7 +102,7 @@
     pub async fn submit(&self, base: u64, mark: u32) -> Result<publish::Head, submit::Error> {
         let client = client::Client::new(&self.platform_url()).expect("an address");
         let submission = submit::Submission {
-            document: self.document(mark),
+            document: self.marked(mark),
             base,
             who: format!("operator-{mark}").into(),
             when_ms: 0,
@@ -99,9 +112,14 @@
         submit::submit(&client, &submission).await
     }
 
+    /// Returns a configuration with one service, one group and a caller without a password.
+    pub fn document(&self) -> model::Document {
+        document::of(&self.member_addresses)
+    }
+
     /// Returns the configuration with this mark.
-    pub fn document(&self, mark: u32) -> model::Document {
-        document::marked(document::of(&self.member_addresses), mark)
+    pub fn marked(&self, mark: u32) -> model::Document {
+        document::marked(self.document(), mark)
     }
 
     /// Returns the platform's address as a URL.
@@ -120,8 +138,10 @@
             format!("--peers={}", peers.collect::<Vec<_>>().join(",")),
         ];
         let mut process = Process::start(env!("CARGO_BIN_EXE_fulmarliftd"), &flags);
+        let listen = process.address("ready");
+        self.proxy_addresses.push(listen);
         self.proxies.push(Proxy {
-            listen: process.address("ready"),
+            listen,
             admin: process.address("admin"),
             peer: process.address("peer"),
             process,
--- a/crates/proxy/src/platform/claim.rs
+++ b/crates/proxy/src/platform/claim.rs
@@ -49,9 +49,10 @@
             None => event::ClaimResult::Unavailable,
         };
         log::info!(
-            "event=claim group={group} term={} nonce={} result={result:?}",
+            "event=claim group={group} term={} nonce={} result={}",
             row.term,
-            row.nonce
+            row.nonce,
+            result_name(&result)
         );
         engine.step(event::Event::Claimed(event::ClaimAnswer {
             ask: claim.ask,
@@ -64,6 +65,14 @@
     });
 }
 
+fn result_name(result: &event::ClaimResult) -> &'static str {
+    match result {
+        event::ClaimResult::Won => "won",
+        event::ClaimResult::Held { .. } => "held",
+        event::ClaimResult::Unavailable => "unavailable",
+    }
+}
+
 fn row(engine: &engine::Engine, group: &str, claim: &Claim) -> claim::Claim {
     let now = SystemTime::now();
     let left = claim.until.saturating_duration_since(Instant::now());
