--- a/crates/fulmarlift/tests/failures.rs
+++ b/crates/fulmarlift/tests/failures.rs
@@ -155,3 +155,12 @@
         assert_eq!(count.as_deref(), Some("0"));
     }
 }
+
+#[tokio::test]
+async fn writes_resume_when_primary_is_cut_from_replicas() {
+    let (system, load) = start().await;
+    // It answers the proxies, yet nothing that it commits can be confirmed.
+    standin::switch_member(system.member_addresses[0], "cut", "peers").await;
+    system.until_replaced(0, "m0").await;
+    check(&system, load).await;
+}
