--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -5,14 +5,15 @@
 mod model {
     pub mod claimant;
     pub mod member;
+    pub mod rules;
     pub mod search;
     pub mod world;
 }
 
 use std::time::Instant;
 
+use model::rules::{Bounds, Mutation, Rules};
 use model::search;
-use model::world::{Bounds, Mutation, Rules};
 use rstest::rstest;
 
 fn search(bounds: Bounds, mutation: Mutation) -> search::Found {
--- a/crates/core/tests/model/search.rs
+++ b/crates/core/tests/model/search.rs
@@ -3,7 +3,8 @@
 use std::collections::{HashSet, VecDeque};
 use std::hash::{Hash, Hasher};
 
-use crate::model::world::{Rules, World};
+use crate::model::rules::Rules;
+use crate::model::world::World;
 
 /// Multiplies and rotates each word: quick without optimisation.
 #[derive(Default)]
--- a/crates/core/tests/sim/platform.rs
+++ b/crates/core/tests/sim/platform.rs
@@ -4,6 +4,13 @@
 
 use fulmarlift_core::{event, id};
 
+use crate::sim::network::Node;
+use crate::sim::run::Item;
+use crate::sim::world::World;
+
+/// Time after which a claim without an answer is repeated.
+const CLAIM_RETRY: Duration = Duration::from_millis(100);
+
 /// A claim on its way.
 #[derive(Clone, Copy, Debug)]
 pub struct Claim {
@@ -48,3 +55,41 @@
         Some(event::ClaimResult::Won)
     }
 }
+
+impl World {
+    /// Sends a claim to the platform.
+    pub fn send_claim(&mut self, claim: Claim) {
+        if let Some(time) = self.travel(Node::Proxy(claim.proxy), Node::Platform) {
+            let delay = self.platform.delay;
+            self.push(time + delay, Item::Claim(claim));
+        }
+    }
+
+    /// The platform takes in a claim. One without an answer is repeated until its deadline.
+    pub fn claim(&mut self, claim: Claim) {
+        let now = self.instant();
+        let result = self.platform.claim(now, &claim);
+        let proxy = claim.proxy;
+        let incarnation = self.proxies[proxy].incarnation;
+        let time = self.travel(Node::Platform, Node::Proxy(proxy));
+        match (result, time) {
+            (Some(result), Some(time)) => {
+                let (ask, group) = (claim.ask, claim.group);
+                let answer = event::ClaimAnswer { ask, group, result };
+                let event = event::Event::Claimed(answer);
+                self.push(
+                    time,
+                    Item::Event {
+                        proxy,
+                        incarnation,
+                        event,
+                    },
+                );
+            }
+            _ if now + CLAIM_RETRY < claim.deadline => {
+                self.push(CLAIM_RETRY, Item::Claim(claim));
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/core/tests/sim/shell.rs
+++ b/crates/core/tests/sim/shell.rs
@@ -10,9 +10,6 @@
 use crate::sim::run::{Item, Query, QueryKind};
 use crate::sim::world::{Answer, CONNECT, World, proxy_address};
 
-/// Time after which a claim without an answer is repeated.
-const CLAIM_RETRY: Duration = Duration::from_millis(100);
-
 impl World {
     /// Gives a proxy an event and runs the effects.
     pub fn step(&mut self, proxy: usize, event: event::Event) {
@@ -366,41 +363,6 @@
             self.reply(query, Duration::ZERO, event::Event::Status(answer));
         }
     }
-
-    fn send_claim(&mut self, claim: Claim) {
-        if let Some(time) = self.travel(Node::Proxy(claim.proxy), Node::Platform) {
-            let delay = self.platform.delay;
-            self.push(time + delay, Item::Claim(claim));
-        }
-    }
-
-    /// The platform takes in a claim. One without an answer is repeated until its deadline.
-    pub fn claim(&mut self, claim: Claim) {
-        let now = self.instant();
-        let result = self.platform.claim(now, &claim);
-        let proxy = claim.proxy;
-        let incarnation = self.proxies[proxy].incarnation;
-        let time = self.travel(Node::Platform, Node::Proxy(proxy));
-        match (result, time) {
-            (Some(result), Some(time)) => {
-                let (ask, group) = (claim.ask, claim.group);
-                let answer = event::ClaimAnswer { ask, group, result };
-                let event = event::Event::Claimed(answer);
-                self.push(
-                    time,
-                    Item::Event {
-                        proxy,
-                        incarnation,
-                        event,
-                    },
-                );
-            }
-            _ if now + CLAIM_RETRY < claim.deadline => {
-                self.push(CLAIM_RETRY, Item::Claim(claim));
-            }
-            _ => {}
-        }
-    }
 }
 
 fn failed(key: Option<u64>) -> event::Outcome {
