--- a/crates/core/tests/model.rs
+++ b/crates/core/tests/model.rs
@@ -4,6 +4,7 @@
 
 mod model {
     pub mod claimant;
+    pub mod invariant;
     pub mod member;
     pub mod rules;
     pub mod search;
@@ -25,8 +26,9 @@
     let started = Instant::now();
     let found = search::run(&rules);
     println!(
-        "{mutation:?} {bounds:?}: {} states in {:?}, violation: {:?}",
+        "{mutation:?} {bounds:?}: {} states, {} of them moving, in {:?}, violation: {:?}",
         found.states,
+        found.moving,
         started.elapsed(),
         found.violation
     );
@@ -40,6 +42,7 @@
     reads: false,
     delayed_reports: false,
     lost_answers: true,
+    moves: false,
 };
 
 /// Three terms can be claimed beside the first.
@@ -61,10 +64,16 @@
 #[case::two_writes(Bounds { writes: 2, ..ONCE })]
 #[case::three_claims(Bounds { lost_answers: false, ..TWICE })]
 #[case::read(Bounds { lost_answers: false, ..READS })]
+#[case::planned_move(Bounds { moves: true, ..ONCE })]
 #[case::overtaken_report(Bounds { delayed_reports: true, lost_answers: false, ..ONCE })]
 fn rules_hold_within_bounds(#[case] bounds: Bounds) {
     let found = search(bounds, Mutation::None);
     assert_eq!(found.violation, None);
+    assert_eq!(
+        found.moving > 0,
+        bounds.moves,
+        "a move is under way in some states"
+    );
 }
 
 #[rstest]
@@ -72,6 +81,7 @@
 #[case::two_writes(Bounds { writes: 2, delayed_reports: true, ..ONCE })]
 #[case::reads(Bounds { delayed_reports: true, ..READS })]
 #[case::two_writes_three_claims(Bounds { writes: 2, lost_answers: false, ..TWICE })]
+#[case::planned_moves(Bounds { moves: true, lost_answers: false, ..TWICE })]
 #[case::reads_three_claims(Bounds { reads: true, lost_answers: false, ..TWICE })]
 fn rules_hold_within_deep_bounds(#[case] bounds: Bounds) {
     if std::env::var_os(DEEP).is_none() {
@@ -80,6 +90,11 @@
     }
     let found = search(bounds, Mutation::None);
     assert_eq!(found.violation, None);
+    assert_eq!(
+        found.moving > 0,
+        bounds.moves,
+        "a move is under way in some states"
+    );
 }
 
 #[rstest]
--- a/crates/core/tests/model/claimant.rs
+++ b/crates/core/tests/model/claimant.rs
@@ -1,14 +1,21 @@
 //! A claimant: the real failover, driven without a clock.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use fulmarlift_core::{effect, event, failover, status};
 
 use crate::model::member::MEMBERS;
 
 const GROUP: u64 = 1;
-/// Further ahead than any timeout of a failover.
-const LATE: Duration = Duration::from_secs(60);
+
+/// What a claimant sees when it takes a step.
+#[derive(Clone, Copy, Debug)]
+pub enum View<'a> {
+    /// The primary is missed, and this is the highest term it has heard of.
+    Missed(u8),
+    /// All members answer, and the primary's VM is leaving.
+    Leaving(&'a [event::Status; MEMBERS]),
+}
 
 /// A claimant.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
@@ -21,42 +28,59 @@
 pub type Grants = Vec<effect::Effect>;
 
 impl Claimant {
-    /// Starts an attempt, with the platform's table unavailable, by a claimant that has heard of
-    /// `top_term`.
-    pub fn start(&mut self, now: Instant, top_term: u8) -> Grants {
+    /// Starts an attempt with the platform's table unavailable; none if nothing is to be done.
+    pub fn start(&mut self, now: Instant, view: View<'_>) -> Option<Grants> {
         self.attempts += 1;
         let mut effects = Vec::new();
-        self.run(now, top_term, &mut effects, |failover, context| {
+        self.run(now, view, &mut effects, |failover, context| {
             failover.tick(context);
             failover.tick(context);
         });
         let failover::Stage::Claiming { ask, .. } = self.failover.stage else {
-            panic!("nothing holds the claim up: {:?}", self.failover);
+            return None;
         };
         let answer = event::ClaimAnswer {
             ask,
             group: GROUP,
             result: event::ClaimResult::Unavailable,
         };
-        self.run(now, top_term, &mut effects, |failover, context| {
+        self.run(now, view, &mut effects, |failover, context| {
             failover.claimed(context, answer);
         });
-        effects
+        Some(effects)
     }
 
     /// Takes in a member's answer.
-    pub fn granted(&mut self, now: Instant, answer: event::GrantAnswer) -> Grants {
+    pub fn granted(&mut self, now: Instant, view: View<'_>, answer: event::GrantAnswer) -> Grants {
         let mut effects = Vec::new();
-        self.run(now, 0, &mut effects, |failover, context| {
+        self.run(now, view, &mut effects, |failover, context| {
             failover.granted(context, answer);
         });
         effects
     }
 
-    /// Gives the attempt up.
-    pub fn time_out(&mut self, now: Instant) {
+    /// Looks at the members again.
+    pub fn look(&mut self, now: Instant, view: View<'_>) -> Grants {
         let mut effects = Vec::new();
-        self.run(now + LATE, 0, &mut effects, failover::Failover::tick);
+        self.run(now, view, &mut effects, failover::Failover::tick);
+        effects
+    }
+
+    /// Lets the deadline of the attempt's step pass.
+    pub fn time_out(&mut self) -> Grants {
+        let (failover::Stage::HandingOver { attempt, .. }
+        | failover::Stage::Fencing { attempt, .. }
+        | failover::Stage::Promoting { attempt, .. }) = &self.failover.stage
+        else {
+            return Vec::new();
+        };
+        let deadline = attempt.deadline;
+        self.look(deadline, View::Missed(0))
+    }
+
+    /// Returns whether a primary is being moved and no replica was found yet.
+    pub fn is_handing_over(&self) -> bool {
+        matches!(self.failover.stage, failover::Stage::HandingOver { .. })
     }
 
     /// Returns whether no attempt is under way.
@@ -72,21 +96,38 @@
     fn run(
         &mut self,
         now: Instant,
-        top_term: u8,
+        view: View<'_>,
         effects: &mut Grants,
         step: impl FnOnce(&mut failover::Failover, &mut failover::Context<'_>),
     ) {
         let mut watch = status::Watch::new(GROUP, 0..MEMBERS as u64, now);
-        let known = event::Status {
-            term: u64::from(top_term),
-            ..event::Status::default()
-        };
-        watch.learn(now, 0, known);
+        let mut leaving = Vec::new();
+        match view {
+            View::Missed(top_term) => {
+                let known = event::Status {
+                    term: u64::from(top_term),
+                    ..event::Status::default()
+                };
+                watch.learn(now, 0, known);
+            }
+            View::Leaving(statuses) => {
+                for (member, status) in (0..).zip(statuses) {
+                    watch.learn(now, member, *status);
+                }
+                watch
+                    .members
+                    .iter_mut()
+                    .for_each(|(_, member)| member.reachable = true);
+                leaving.extend(watch.primary().map(|member| member.id));
+            }
+        }
         // Questions of one stage and attempt always have the same numbers, so that equal states meet.
         let mut next_ask = self.failover.used_term * 100 + stage_number(&self.failover.stage) * 10;
         let evidence = failover::Evidence {
             members_answering: MEMBERS,
             majority: watch.majority(),
+            primary_answers: !leaving.is_empty(),
+            primary_leaving: !leaving.is_empty(),
             ..failover::Evidence::default()
         };
         let mut context = failover::Context {
@@ -94,7 +135,7 @@
             group: GROUP,
             watch: &watch,
             evidence,
-            leaving: &[],
+            leaving: &leaving,
             proxy: 0,
             rank: 0,
             next_ask: &mut next_ask,
@@ -103,6 +144,8 @@
         step(&mut self.failover, &mut context);
         self.failover.backoff_until = None;
         self.failover.missed_since = None;
+        self.failover.leaving_since = None;
+        self.failover.move_after = None;
     }
 }
 
--- a/crates/core/tests/model/rules.rs
+++ b/crates/core/tests/model/rules.rs
@@ -17,6 +17,8 @@
     pub delayed_reports: bool,
     /// Whether a member's answer to a claimant may be lost, besides the question.
     pub lost_answers: bool,
+    /// Whether a primary that serves may be moved.
+    pub moves: bool,
 }
 
 /// A mechanism left out.
--- a/crates/core/tests/model/search.rs
+++ b/crates/core/tests/model/search.rs
@@ -51,6 +51,8 @@
 pub struct Found {
     /// Different states visited.
     pub states: usize,
+    /// States in which a primary was being moved.
+    pub moving: usize,
     /// The invariant broken first, if any.
     pub violation: Option<&'static str>,
 }
@@ -61,15 +63,18 @@
     let mut visited = HashSet::new();
     let mut queue = VecDeque::from([World::new()]);
     let mut next = Vec::new();
+    let mut moving = 0;
     while let Some(world) = queue.pop_front() {
         world.successors(rules, &mut next);
         for world in next.drain(..) {
             if !visited.insert(fingerprint(&world)) {
                 continue;
             }
+            moving += usize::from(world.is_moving());
             if world.violation().is_some() {
                 return Found {
                     states: visited.len(),
+                    moving,
                     violation: world.violation(),
                 };
             }
@@ -78,6 +83,7 @@
     }
     Found {
         states: visited.len(),
+        moving,
         violation: None,
     }
 }
--- a/crates/core/tests/model/world.rs
+++ b/crates/core/tests/model/world.rs
@@ -5,7 +5,7 @@
 
 use fulmarlift_core::{effect, event, floor, status};
 
-use crate::model::claimant::Claimant;
+use crate::model::claimant::{Claimant, View};
 use crate::model::member::{Entry, MEMBERS, Member};
 use crate::model::rules::{CLAIMANTS, Message, Mutation, Question, Rules};
 
@@ -21,7 +21,7 @@
 
 /// A read without a token.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-enum Read {
+pub enum Read {
     Before,
     /// Waits; these writes were acknowledged before it arrived.
     Waiting(Vec<(u8, floor::Point)>),
@@ -32,18 +32,18 @@
 /// A state of the search.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct World {
-    members: [Member; MEMBERS],
+    pub members: [Member; MEMBERS],
     claimants: [Rc<Claimant>; CLAIMANTS],
     /// Sorted.
     messages: Vec<Message>,
     confirmations: Rc<status::Confirmations>,
     indexes: Rc<status::Indexes>,
     written: u8,
-    acknowledged: Vec<(u8, floor::Point)>,
-    read: Read,
+    pub acknowledged: Vec<(u8, floor::Point)>,
+    pub read: Read,
     delayed: Option<Report>,
     /// Primaries so far, by term.
-    primaries: Vec<(u8, usize)>,
+    pub primaries: Vec<(u8, usize)>,
     violation: Option<&'static str>,
 }
 
@@ -80,6 +80,12 @@
         self.violation
     }
 
+    /// Returns whether a primary is being moved.
+    pub fn is_moving(&self) -> bool {
+        let mut claimants = self.claimants.iter();
+        claimants.any(|claimant| claimant.is_handing_over())
+    }
+
     /// Appends every state that one step leads to.
     pub fn successors(&self, rules: &Rules, next: &mut Vec<Self>) {
         if self.is_settled(rules) {
@@ -115,10 +121,10 @@
 
     /// Ends attempts from which nothing more follows: once a promotion has been sent, its answer changes
     /// nothing.
-    fn end_promotions(&mut self, rules: &Rules) {
+    fn end_promotions(&mut self) {
         for claimant in &mut self.claimants {
             if claimant.is_promoting() {
-                Rc::make_mut(claimant).time_out(rules.now);
+                Rc::make_mut(claimant).time_out();
             }
         }
     }
@@ -132,28 +138,57 @@
 
     fn attempts(&self, rules: &Rules, next: &mut Vec<Self>) {
         for (id, claimant) in self.claimants.iter().enumerate() {
+            if claimant.is_handing_over() {
+                self.push(rules, next, |world| world.look(rules, id));
+                self.push(rules, next, |world| world.time_out(rules, id));
+                continue;
+            }
             // A claimant without another attempt may as well go on waiting.
             if claimant.attempts >= rules.bounds.attempts[id] {
                 continue;
             }
             if !claimant.is_idle() {
+                self.push(rules, next, |world| world.time_out(rules, id));
+                continue;
+            }
+            let terms: BTreeSet<u8> = self.members.iter().map(|member| member.term).collect();
+            for term in terms {
                 self.push(rules, next, |world| {
-                    Rc::make_mut(&mut world.claimants[id]).time_out(rules.now)
+                    world.start(rules, id, View::Missed(term))
+                });
+            }
+            if rules.bounds.moves {
+                let statuses = self.statuses();
+                self.push(rules, next, |world| {
+                    world.start(rules, id, View::Leaving(&statuses))
                 });
-            } else {
-                let terms: BTreeSet<u8> = self.members.iter().map(|member| member.term).collect();
-                for term in terms {
-                    self.push(rules, next, |world| world.start(rules, id, term));
-                }
             }
         }
     }
 
-    fn start(&mut self, rules: &Rules, id: usize, top_term: u8) {
+    fn statuses(&self) -> [event::Status; MEMBERS] {
+        self.members.each_ref().map(Member::status)
+    }
+
+    fn start(&mut self, rules: &Rules, id: usize, view: View<'_>) {
+        let claimant = Rc::make_mut(&mut self.claimants[id]);
         if rules.mutation == Mutation::ReuseTerm {
-            Rc::make_mut(&mut self.claimants[id]).failover.used_term = 0;
+            claimant.failover.used_term = 0;
+        }
+        if let Some(effects) = claimant.start(rules.now, view) {
+            self.send(rules, id, effects);
         }
-        let effects = Rc::make_mut(&mut self.claimants[id]).start(rules.now, top_term);
+    }
+
+    fn look(&mut self, rules: &Rules, id: usize) {
+        let statuses = self.statuses();
+        let claimant = Rc::make_mut(&mut self.claimants[id]);
+        let effects = claimant.look(rules.now, View::Leaving(&statuses));
+        self.send(rules, id, effects);
+    }
+
+    fn time_out(&mut self, rules: &Rules, id: usize) {
+        let effects = Rc::make_mut(&mut self.claimants[id]).time_out();
         self.send(rules, id, effects);
     }
 
@@ -243,7 +278,7 @@
                 result: Some((status, granted)),
             };
             let claimant = Rc::make_mut(&mut self.claimants[question.claimant]);
-            let effects = claimant.granted(rules.now, answer);
+            let effects = claimant.granted(rules.now, View::Missed(0), answer);
             self.send(rules, question.claimant, effects);
         }
     }
@@ -349,36 +384,7 @@
 
     fn check(&mut self, rules: &Rules) {
         self.drop_refused(rules);
-        self.end_promotions(rules);
+        self.end_promotions();
         self.violation = self.find_violation();
     }
-
-    fn find_violation(&self) -> Option<&'static str> {
-        let terms = self.primaries.windows(2);
-        if terms.into_iter().any(|pair| pair[0].0 == pair[1].0) {
-            return Some("a term has two primaries");
-        }
-        for (write, point) in &self.acknowledged {
-            let later = |member: &&Member| u64::from(member.leads) > point.term;
-            if !self
-                .members
-                .iter()
-                .filter(later)
-                .all(|member| member.holds(*write))
-            {
-                return Some("a later primary lacks an acknowledged write");
-            }
-        }
-        if let Read::Indexed(before, index) = &self.read {
-            if before.iter().any(|(_, point)| point > index) {
-                return Some("a read index is below an acknowledged write");
-            }
-            let fresh = |member: &&Member| member.status().last >= *index;
-            let mut fresh = self.members.iter().filter(fresh);
-            if !fresh.all(|member| before.iter().all(|(write, _)| member.holds(*write))) {
-                return Some("a member at the read index lacks an acknowledged write");
-            }
-        }
-        None
-    }
 }
