--- a/crates/core/src/state/explain.rs
+++ b/crates/core/src/state/explain.rs
@@ -33,6 +33,9 @@
             group: id,
             stage: request::Stage::Parked,
             arrived_at: now,
+            weight: 1,
+            ran: false,
+            first_byte_by: None,
             avoid: Vec::new(),
         };
         let floor = match kind {
@@ -47,7 +50,7 @@
             candidates: &candidates,
         };
         match self.policy.choose(&question) {
-            route::Choice::Member(member) => Some(member),
+            route::Choice::Member(member) | route::Choice::Await(member) => Some(member),
             _ => None,
         }
     }
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -5,7 +5,9 @@
 mod explain;
 mod groups;
 mod interrupt;
+mod leaving;
 mod lending;
+mod outcome;
 mod peers;
 mod requests;
 mod served;
@@ -38,6 +40,7 @@
     requests: sorted::Map<id::RequestId, request::Active>,
     conns: sorted::Map<id::ConnId, Owner>,
     admission: limit::Admission,
+    retries: limit::RetryBudget,
     peers: peer::Table,
     sequence: u64,
     served: Served,
@@ -78,6 +81,7 @@
             requests: sorted::Map::default(),
             conns: sorted::Map::default(),
             admission: limit::Admission::default(),
+            retries: limit::RetryBudget::default(),
             peers: peer::Table::new(peers, now),
             sequence: 0,
             served: Served::default(),
@@ -102,7 +106,7 @@
             event::Event::Granted(answer) => self.granted(now, answer, effects),
             event::Event::Claimed(answer) => self.claimed(now, answer, effects),
             event::Event::Peer(message) => self.heard(now, message, effects),
-            event::Event::Vms(vms) => self.vms(&vms),
+            event::Event::Vms(vms) => self.vms(now, &vms, effects),
             event::Event::Configured(topology, head) => {
                 self.configure(now, topology, head, effects)
             }
--- a/crates/core/src/state/peers.rs
+++ b/crates/core/src/state/peers.rs
@@ -46,7 +46,12 @@
         }
     }
 
-    pub(super) fn vms(&mut self, vms: &[peer::Vm]) {
+    pub(super) fn vms(
+        &mut self,
+        now: Instant,
+        vms: &[peer::Vm],
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let leaving: Vec<&str> = vms
             .iter()
             .filter(|vm| vm.state == peer::VmState::Leaving)
@@ -62,16 +67,19 @@
                 .map(|(member, _)| member)
                 .collect();
         }
+        self.retreat(now, effects);
     }
 
     /// Sends heartbeats that are due.
     pub(super) fn heartbeat(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
-        if !self.peers.due(now) {
+        if !self.peers.due(now, &self.message(now)) {
             return;
         }
         self.sequence += 1;
+        self.peers.forget(now);
         self.lend(now, effects);
         let message = self.message(now);
+        self.peers.sent(now, &message);
         let own = self.identity.address.as_ref();
         for address in self.peers.addresses.iter().filter(|to| to.as_ref() != own) {
             effects.push(effect::Effect::Send {
--- a/crates/core/src/state/requests.rs
+++ b/crates/core/src/state/requests.rs
@@ -1,10 +1,8 @@
 //! The way of a request from arrival to its final answer.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::effect;
-use crate::event;
-use crate::floor;
 use crate::id;
 use crate::pool;
 use crate::request;
@@ -24,8 +22,13 @@
             Err(reason) => return self.push_refusal(now, id, reason, effects),
         };
         let group = active.group;
+        self.retries.earn();
         self.touch(now, group);
         self.requests.insert(id, active);
+        if let Some(route::Choice::Refuse(reason)) = self.choose(now, id) {
+            // Known before a read index is: the wait for a connection alone is too long.
+            return self.refuse(now, id, reason, effects);
+        }
         self.route(now, id, effects);
         self.ask(now, group, effects);
     }
@@ -41,6 +44,12 @@
         let service = self.topology.services.get(request.service);
         let service = service.ok_or(effect::Reason::UnknownService)?;
         let group = service.group;
+        if let Some(floor) = &request.floor
+            && !floor.is_known(|group| self.groups.contains(group))
+        {
+            return Err(effect::Reason::FloorAhead);
+        }
+        let weight = service.limits.weight;
         if !self
             .admission
             .admit(request.service, service.limits.queue_requests)
@@ -48,8 +57,13 @@
             return Err(effect::Reason::Overloaded);
         }
         let indexing = request.kind.is_read() && request.floor.is_none();
-        if let (true, Some(group)) = (indexing, self.groups.get_mut(group)) {
-            group.watch.indexes.add(request.id, now);
+        if let Some(state) = self.groups.get_mut(group) {
+            let point = request.floor.as_ref().and_then(|floor| floor.point(group));
+            // A floor past all that is known may be past all that was written; an index tells.
+            let ahead = point.is_some_and(|point| point > state.watch.newest());
+            if indexing || ahead && request.kind.is_read() {
+                state.watch.indexes.add(request.id, now);
+            }
         }
         let stage = match indexing {
             true => request::Stage::Indexing,
@@ -60,6 +74,9 @@
             group,
             stage,
             arrived_at: now,
+            weight,
+            ran: false,
+            first_byte_by: None,
             avoid: Vec::new(),
         })
     }
@@ -71,9 +88,13 @@
         id: id::RequestId,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let parked = |active: &request::Active| active.stage == request::Stage::Parked;
+        if !self.requests.get(id).is_some_and(parked) {
+            return;
+        }
         match self.choose(now, id) {
             Some(route::Choice::Member(member)) => self.lease(now, id, member, effects),
-            Some(route::Choice::Await(member)) => self.await_member(id, member),
+            Some(route::Choice::Await(member)) => self.await_member(now, id, member),
             Some(route::Choice::Wait) => self.park(id),
             Some(route::Choice::Refuse(reason)) => self.refuse(now, id, reason, effects),
             None => {}
@@ -82,13 +103,9 @@
 
     fn choose(&self, now: Instant, id: id::RequestId) -> Option<route::Choice> {
         let active = self.requests.get(id)?;
-        if active.stage != request::Stage::Parked {
-            return None;
-        }
         let group = self.groups.get(active.group)?;
         let config = self.topology.groups.get(active.group)?;
-        let floor = active.request.floor.as_ref();
-        let floor = floor.and_then(|floor| floor.point(active.group));
+        let floor = active.point();
         let candidates = group.candidates(
             now,
             config,
@@ -105,14 +122,14 @@
     }
 
     /// Lets a read wait until a member's log has reached its floor.
-    fn await_member(&mut self, id: id::RequestId, member: id::MemberId) {
+    fn await_member(&mut self, now: Instant, id: id::RequestId, member: id::MemberId) {
         let Some(active) = self.requests.get(id) else {
             return;
         };
-        let floor = active.request.floor.as_ref();
-        let point = floor.and_then(|floor| floor.point(active.group));
+        let point = active.point();
         if let (Some(group), Some(point)) = (self.groups.get_mut(active.group), point) {
-            group.watch.awaits.set(id, member, point.position);
+            group.turn(now, id, member);
+            group.watch.awaits.set(now, id, member, point.position);
         }
         self.park(id);
     }
@@ -155,11 +172,12 @@
         let Some(state) = self.groups.get_mut(group) else {
             return;
         };
+        state.turn(now, id, member);
         state.watch.awaits.remove(id);
         let Some(pool) = state.pools.get_mut(member) else {
             return;
         };
-        match pool.lease(now, id) {
+        match pool.lease(now, active.ticket()) {
             pool::Lease::Granted(conn) => self.dispatch(now, id, conn, member, effects),
             pool::Lease::Queued => {
                 active.stage = request::Stage::Queued(member);
@@ -170,7 +188,7 @@
 
     pub(super) fn dispatch(
         &mut self,
-        _now: Instant,
+        now: Instant,
         id: id::RequestId,
         conn: id::ConnId,
         member: id::MemberId,
@@ -180,6 +198,14 @@
             return;
         };
         active.stage = request::Stage::Running { conn, member };
+        let pools = self.groups.get(active.group).map(|group| &group.pools);
+        let pool = pools.and_then(|pools| pools.get(member));
+        // A read is tried elsewhere once; a second silence, or a write's, may be a slow statement.
+        let patience = pool.filter(|_| active.request.kind.is_read() && !active.ran);
+        let first_byte_by = patience.map_or(active.request.deadline, |pool| {
+            active.request.deadline.min(now + pool.patience())
+        });
+        active.first_byte_by = Some(first_byte_by);
         if let Some(group) = self.groups.get(active.group) {
             self.served.count(active.request.kind, group, member);
         }
@@ -187,122 +213,11 @@
             request: id,
             conn,
             member,
-            first_byte_by: active.request.deadline,
+            first_byte_by,
             deadline: active.request.deadline,
         }));
     }
 
-    pub(super) fn returned(
-        &mut self,
-        now: Instant,
-        returned: event::Returned,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let id = returned.request;
-        let Some(active) = self.requests.get(id) else {
-            return;
-        };
-        let request::Stage::Running { conn, member } = active.stage else {
-            return;
-        };
-        if conn != returned.conn {
-            return;
-        }
-        let group = active.group;
-        match returned.outcome {
-            event::Outcome::Answered | event::Outcome::Unknown => self.end(id),
-            event::Outcome::Committed(point) => self.confirm(now, id, member, point, effects),
-            event::Outcome::NotSent => self.retry(id, None),
-            event::Outcome::NotPrimary => {
-                self.demote(group, member);
-                self.retry(id, None);
-            }
-            event::Outcome::ReadFailed => self.retry(id, Some(member)),
-        }
-        self.release(now, conn, returned.clean, effects);
-        self.route(now, id, effects);
-    }
-
-    fn demote(&mut self, group: id::GroupId, member: id::MemberId) {
-        let group = self.groups.get_mut(group);
-        let member = group.and_then(|group| group.watch.members.get_mut(member));
-        if let Some(status) = member.and_then(|member| member.status.as_mut()) {
-            status.primary = false;
-        }
-    }
-
-    fn retry(&mut self, id: id::RequestId, avoid: Option<id::MemberId>) {
-        if let Some(active) = self.requests.get_mut(id) {
-            active.stage = request::Stage::Parked;
-            active.avoid.extend(avoid);
-        }
-    }
-
-    fn confirm(
-        &mut self,
-        now: Instant,
-        id: id::RequestId,
-        member: id::MemberId,
-        point: floor::Point,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let Some(active) = self.requests.get_mut(id) else {
-            return;
-        };
-        active.stage = request::Stage::Confirming(point);
-        let group = active.group;
-        if let Some(state) = self.groups.get_mut(group) {
-            state.watch.confirmations.add(id, point, member);
-            state.committed(member, point);
-        }
-        self.ask(now, group, effects);
-    }
-
-    pub(super) fn confirmed(
-        &mut self,
-        id: id::RequestId,
-        point: floor::Point,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let Some(active) = self.requests.get(id) else {
-            return;
-        };
-        effects.push(effect::Effect::Acknowledge {
-            request: id,
-            group: active.group,
-            point,
-        });
-        self.end(id);
-    }
-
-    /// Answers that the outcome of a commit whose term is over is unknown.
-    pub(super) fn unconfirmed(&mut self, id: id::RequestId, effects: &mut Vec<effect::Effect>) {
-        if self.requests.contains(id) {
-            effects.push(effect::Effect::Unconfirmed(id));
-            self.end(id);
-        }
-    }
-
-    pub(super) fn indexed(
-        &mut self,
-        now: Instant,
-        id: id::RequestId,
-        point: floor::Point,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        let Some(active) = self.requests.get_mut(id) else {
-            return;
-        };
-        let group = active.group;
-        let floor = active
-            .request
-            .floor
-            .get_or_insert_with(floor::Floor::default);
-        floor.raise(group, point);
-        active.stage = request::Stage::Parked;
-        self.route(now, id, effects);
-    }
-
     /// Gives a transaction the deadline of its next statement.
     pub(super) fn extended(&mut self, id: id::RequestId, deadline: Instant) {
         if let Some(active) = self.requests.get_mut(id) {
@@ -346,8 +261,13 @@
         reason: effect::Reason,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let ran = self.requests.get(id).is_some_and(|active| active.ran);
         self.end(id);
-        self.push_refusal(now, id, reason, effects);
+        match ran {
+            // A member may have run it, so it must not be called not run.
+            true => effects.push(effect::Effect::Unconfirmed(id)),
+            false => self.push_refusal(now, id, reason, effects),
+        }
     }
 
     fn push_refusal(
@@ -357,7 +277,8 @@
         reason: effect::Reason,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let retry_at = self.admission.retry_at(now, request);
+        let wait = self.shortest_wait();
+        let retry_at = self.admission.retry_at(now, request, wait);
         effects.push(effect::Effect::Refuse(effect::Refuse {
             request,
             reason,
@@ -365,8 +286,14 @@
         }));
     }
 
+    /// Returns the time that the least loaded pool needs for the requests waiting for it.
+    fn shortest_wait(&self) -> Duration {
+        let pools = self.groups.values().flat_map(|group| group.pools.values());
+        pools.map(pool::Pool::drain_time).min().unwrap_or_default()
+    }
+
     /// Forgets a request wherever it stands.
-    fn end(&mut self, id: id::RequestId) {
+    pub(super) fn end(&mut self, id: id::RequestId) {
         let Some(active) = self.requests.remove(id) else {
             return;
         };
@@ -374,8 +301,9 @@
         let Some(group) = self.groups.get_mut(active.group) else {
             return;
         };
+        group.watch.indexes.remove(id);
         match active.stage {
-            request::Stage::Indexing => group.watch.indexes.remove(id),
+            request::Stage::Indexing => {}
             request::Stage::Parked => {
                 group.parked.retain(|parked| *parked != id);
                 group.watch.awaits.remove(id);
--- a/crates/lab/src/experiment/world/mod.rs
+++ b/crates/lab/src/experiment/world/mod.rs
@@ -255,6 +255,7 @@
         let tally = self.tally;
         let carried = self.network.carried;
         let share = |part: u64, whole: u64| part as f64 / (whole.max(1)) as f64;
+        let peer: u64 = self.nodes.iter().map(|node| node.peer_bytes).sum();
         let control: u64 = self.nodes.iter().map(|node| node.control_bytes).sum();
         Report {
             profile: self.profile.name.into(),
@@ -270,7 +271,7 @@
             read_latency: tally::summary(&tally.read_us),
             write_latency: tally::summary(&tally.write_us),
             wait_latency: tally::summary(&tally.wait_us),
-            goodput: (tally.reads + tally.writes) as f64 / seconds,
+            goodput: tally.answers as f64 / seconds,
             retry_share: share(tally.retries, tally.requests),
             connects_per_second: tally.connects as f64 / seconds,
             connects_refused: self.members.iter().map(|member| member.refused).sum(),
@@ -280,6 +281,7 @@
             link_bytes_per_write: share(carried.write_bytes, tally.writes),
             link_control_bytes_per_second: carried.control_bytes as f64 / all_seconds,
             control_bytes_per_second: control as f64 / all_seconds / self.nodes.len() as f64,
+            peer_bytes_per_second: peer as f64 / all_seconds / self.nodes.len() as f64,
             longest_write_gap_ms: tally.longest_gap.as_secs_f64() * 1_000.0,
             promotions: tally.promotions,
             broken: tally.broken,
--- a/crates/lab/src/experiment/world/shell.rs
+++ b/crates/lab/src/experiment/world/shell.rs
@@ -165,7 +165,10 @@
     fn returned(&mut self, statement: Statement, outcome: event::Outcome, clean: bool) {
         let node = &mut self.nodes[statement.proxy];
         if let Some(pending) = node.pending.get_mut(statement.request) {
-            pending.dispatched = matches!(outcome, event::Outcome::Committed(_));
+            pending.dispatched = !matches!(
+                outcome,
+                event::Outcome::NotSent | event::Outcome::NotPrimary
+            );
         }
         let returned = event::Returned {
             request: statement.request,
@@ -330,6 +333,8 @@
         };
         self.nodes[proxy].control_bytes += size;
         self.nodes[target].control_bytes += size;
+        self.nodes[proxy].peer_bytes += size;
+        self.nodes[target].peer_bytes += size;
         let (from, domain) = (self.nodes[proxy].domain, self.nodes[target].domain);
         let at = self.network.send(now, from, domain, size, Use::Control);
         let event = event::Event::Peer(message);
