Load tool, slopes of a daemon's costs, experiment and report commands

`load` is an open loop: each session has planned arrivals, a latency counts from the planned instant, and a session moves between proxies by connecting anew. Each session writes rising values to a row of its own and judges every read: below its last acknowledged value is stale, a refused or unsent value is false. Writes set the row only upwards, since one of unknown outcome may run late and must not look like a stale read. Refusals, unknown outcomes and failures are counted apart; only loopback addresses are taken.

Ruled out: a closed loop (it hides waits), one connection a session to every proxy (no session moves that way).

`slopes` drives the real reducer on a virtual clock, documents of many groups, and real daemons before stand-ins behind relays that count bytes. `report` draws both measures over time with faults marked.

Tests: counts, verdicts and bounds of the tool, a real system calm and with all members cut off, fits, counts of an idle proxy's messages, text of plot and page.

--- a/crates/fulmarlift/src/bin/fulmarlift/cmd/mod.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/mod.rs
@@ -10,7 +10,10 @@
 mod audit;
 mod check;
 mod demo;
+mod experiment;
 mod explain;
+mod load;
+mod report;
 mod show;
 mod status;
 mod submit;
@@ -23,6 +26,9 @@
         flags::FulmarliftCmd::About(about) => about::run(&about),
         flags::FulmarliftCmd::Check(check) => check::run(&check, json),
         flags::FulmarliftCmd::Demo(demo) => block_on(demo::run(&demo, json)),
+        flags::FulmarliftCmd::Load(load) => block_on(load::run(&load, json)),
+        flags::FulmarliftCmd::Experiment(experiment) => experiment::run(&experiment),
+        flags::FulmarliftCmd::Report(report) => report::run(&report),
         flags::FulmarliftCmd::Submit(submit) => block_on(submit::run(&submit, platform, json)),
         flags::FulmarliftCmd::Show(show) => block_on(show::run(&show, platform, json)),
         flags::FulmarliftCmd::Audit(audit) => block_on(audit::run(&audit, platform, json)),
--- a/crates/fulmarlift/src/bin/fulmarlift/error.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/error.rs
@@ -3,6 +3,7 @@
 use std::{io, path};
 
 use fulmarlift_config::model;
+use fulmarlift_lab::{load, report};
 use fulmarlift_platform::{
     admin, platform,
     publish::{read, submit},
@@ -59,6 +60,14 @@
     Statement(#[from] tokio_postgres::Error),
     #[error("a check of the demo failed")]
     Demo,
+    #[error("load: {0}")]
+    Load(#[from] load::Error),
+    #[error("a session of the load read what it must not, or missed its own write")]
+    LoadBroken,
+    #[error("a promise was broken in the experiment")]
+    ExperimentBroken,
+    #[error("report: {0}")]
+    Plot(#[from] report::Error),
     #[error("tokio runtime: {0}")]
     Runtime(io::Error),
 }
@@ -70,6 +79,7 @@
             Self::Usage(_)
             | Self::MissingSetting { .. }
             | Self::File { .. }
+            | Self::Load(load::Error::Options(_))
             | Self::Platform {
                 cause: platform::Error::Address { .. },
                 ..
--- a/crates/fulmarlift/src/bin/fulmarlift/flags.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/flags.rs
@@ -36,6 +36,62 @@
             optional --listen address: SocketAddr
         }
 
+        /// Put load on proxies that run on this machine, and check that sessions read their own writes.
+        cmd load {
+            /// A proxy's address for callers, a loopback IP:PORT; may be repeated.
+            repeated --proxy address: SocketAddr
+            /// Caller that logs in, without a password (courier when not given).
+            optional --caller name: String
+            /// Service that is asked (ledger when not given).
+            optional --service name: String
+            /// Number of sessions (50 when not given).
+            optional --sessions count: u32
+            /// Requests a second over all sessions (200 when not given).
+            optional --rate per_second: f64
+            /// Seconds during which requests arrive (10 when not given).
+            optional --seconds seconds: u64
+            /// Share of requests that write (0.2 when not given).
+            optional --write-share share: f64
+            /// Share of sessions that carry their token (0.5 when not given).
+            optional --token-share share: f64
+            /// Share of requests before which a session moves to another proxy (0.1 when not given).
+            optional --roam-share share: f64
+            /// Seed of every random number (1 when not given).
+            optional --seed seed: u64
+        }
+
+        /// Run one policy experiment on a virtual clock and print its figures as JSON.
+        cmd experiment {
+            /// Profile: petra or abyrgdarpostur.
+            required profile: String
+            /// Send every request to the primary.
+            optional --naive
+            /// Seed (1 when not given).
+            optional --seed seed: u64
+            /// Seconds measured (20 when not given).
+            optional --seconds seconds: u64
+            /// Load as a multiple of the profile's.
+            optional --load load: f64
+            /// Number of proxies (8 when not given).
+            optional --proxies count: usize
+            /// Fault: lag, rush, kill-primary, kill-proxy, silence or leaving; may be repeated.
+            repeated --fault name: String
+        }
+
+        /// Run one policy experiment and write a page and a plot of both measures over time.
+        cmd report {
+            /// Profile: petra or abyrgdarpostur.
+            required profile: String
+            /// Folder for PROFILE.md and PROFILE.svg.
+            required --out folder: PathBuf
+            /// Seed (1 when not given).
+            optional --seed seed: u64
+            /// Seconds measured (20 when not given).
+            optional --seconds seconds: u64
+            /// Fault: lag, rush, kill-primary, kill-proxy, silence or leaving; may be repeated.
+            repeated --fault name: String
+        }
+
         /// Check a configuration and make it the version that is in force.
         cmd submit {
             /// The file; /dev/stdin for standard input.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,3 +17,6 @@
 //! ```
 
 pub mod experiment;
+pub mod load;
+pub mod report;
+pub mod slopes;
