--- a/crates/lab/examples/slopes/daemons.rs
+++ b/crates/lab/examples/slopes/daemons.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use fulmarlift_config::model;
-use fulmarlift_lab::slopes;
+use fulmarlift_lab::{load, slopes};
 use fulmarlift_platform::publish::submit;
 use fulmarlift_platform::{client, retry};
 use fulmarlift_standin::{member, platform};
@@ -21,6 +21,7 @@
 
 const GROUPS: [u32; 3] = [5, 20, 80];
 const DAEMONS: [u32; 3] = [2, 4, 8];
+const RATES: [u32; 3] = [100, 300, 900];
 const SESSIONS: [u32; 3] = [100, 1_000, 3_000];
 const SETTLE: Duration = Duration::from_secs(4);
 const MEASURE: Duration = Duration::from_secs(6);
@@ -70,6 +71,7 @@
             daemons.push((f64::from(count), system.sample().await?));
         }
         report("20 groups, idle", "daemon", &daemons);
+        requests(program).await?;
         sessions(program).await
     })
 }
@@ -90,9 +92,37 @@
     }
 }
 
+async fn requests(program: &Path) -> Result<(), Failure> {
+    let system = System::start(program, 1, 1).await?;
+    tokio::time::sleep(SETTLE).await;
+    let mut samples = Vec::new();
+    for rate in RATES {
+        let options = load::Options {
+            addresses: vec![system.daemons[0].listen],
+            service: "library-0".into(),
+            requests_per_second: f64::from(rate),
+            roam_share: 0.0,
+            length: SETTLE + MEASURE,
+            ..load::Options::default()
+        };
+        let (report, sample) = tokio::join!(load::run(&options, |_| {}), system.sample());
+        let report = report?;
+        println!(
+            "  planned {rate}/s, done {:.1}/s, held {}",
+            report.done_per_second,
+            report.held()
+        );
+        samples.push((report.done_per_second, sample?));
+    }
+    report("one daemon, 1 group, 1 in 5 a write", "request/s", &samples);
+    Ok(())
+}
+
 async fn sessions(program: &Path) -> Result<(), Failure> {
     let system = System::start(program, 1, 1).await?;
     let daemon = &system.daemons[0];
+    // Callers are refused until the daemon has its configuration.
+    tokio::time::sleep(SETTLE).await;
     let mut clients = Vec::new();
     let mut resident = Vec::new();
     let mut cpu = Vec::new();
--- a/crates/lab/examples/slopes/documents.rs
+++ b/crates/lab/examples/slopes/documents.rs
@@ -10,6 +10,7 @@
 use crate::{Failure, resident_bytes, table};
 
 const GROUPS: [u32; 3] = [1_000, 6_000, 36_000];
+const CHECKED: [u32; 4] = [500, 1_000, 2_000, 4_000];
 /// Regions, and failure domains in each; 5 regions with 17 domains are the plan, 15 come near.
 const REGIONS: u32 = 5;
 const DOMAINS: u32 = 3;
@@ -23,7 +24,7 @@
 }
 
 fn all() -> Result<(), Failure> {
-    let mut measures = [const { Vec::new() }; 6];
+    let mut measures = [const { Vec::new() }; 5];
     for groups in GROUPS {
         let at = f64::from(groups);
         let document = document(groups);
@@ -37,34 +38,41 @@
         let accepted = document::Accepted::parse(&text, head)?;
         measures[2].push((at, ms(started)));
         let started = Instant::now();
-        let findings = check::check(&document);
-        measures[3].push((at, ms(started)));
-        println!(
-            "{groups} groups: check finds {:?}",
-            findings.map_err(|f| f.0.len())
-        );
-        let started = Instant::now();
         let found = accepted
             .document
             .service(&format!("library-{}", groups - 1));
-        measures[4].push((at, ms(started) * 1e3));
         std::hint::black_box(found);
-        measures[5].push((at, child(groups)?));
+        measures[3].push((at, ms(started) * 1e3));
+        measures[4].push((at, child(groups)?));
     }
     let names = [
         "bytes of the document",
         "ms to digest",
         "ms to parse, digest and make the topology",
-        "ms to check (at the submitter)",
         "us to find the last service by name",
         "bytes resident of the accepted document",
     ];
     for (name, points) in names.iter().zip(&measures) {
         table::print("documents", "group", name, points);
     }
+    checks();
     Ok(())
 }
 
+/// Checks at the submitter, which grow with the square of the groups.
+fn checks() {
+    let check = |groups: u32| {
+        let document = document(groups);
+        let started = Instant::now();
+        let findings = check::check(&document).map_err(|findings| findings.0.len());
+        let took = ms(started);
+        println!("{groups} groups: {took:.1} ms to check, findings {findings:?}");
+        (f64::from(groups).powi(2), took)
+    };
+    let points = CHECKED.map(check);
+    table::print("checks", "group squared", "ms", &points);
+}
+
 fn ms(started: Instant) -> f64 {
     started.elapsed().as_secs_f64() * 1e3
 }
