--- a/crates/fulmarlift/tests/protocol_session.rs
+++ b/crates/fulmarlift/tests/protocol_session.rs
@@ -96,8 +96,8 @@
     let address = system.proxy_addresses[0];
     let (first, second) = (courier(address, "").await, courier(address, "").await);
     for _ in 0..4 {
-        // Two texts in a row are no value to the proxy's parser, and one to the member.
-        run(&first, "SET a.dirty = 'x' 'y'").await;
+        // The proxy's parser takes no second sign, the member does.
+        run(&first, "SET a.dirty = = 'x'").await;
         assert_eq!(failure(&second, "SHOW a.dirty").await, "42704");
     }
 }
--- a/crates/proxy/tests/answers.rs
+++ b/crates/proxy/tests/answers.rs
@@ -159,7 +159,8 @@
     let mut bystander = connect(&proxy).await;
     let error = ask(&mut caller, "SELECT /* half_large */ 1").await;
     let error = error.expect_err("the connection ends");
-    assert_eq!(error.sqlstate(), None, "{error}");
+    let ended = matches!(error, backend::Error::Closed | backend::Error::Frame(_));
+    assert!(ended, "{error}");
     assert_eq!(
         ask(&mut bystander, "SELECT 7")
             .await
@@ -236,9 +237,12 @@
 
 #[tokio::test]
 async fn late_cancel_hits_nobody_else() {
-    let (_fake, proxy) = start(&[], 5_000).await;
+    let (fake, proxy) = start(&[], 5_000).await;
     let mut caller = connect(&proxy).await;
-    let mut bystander = connect(&proxy).await;
+    let mut bystanders = Vec::new();
+    for _ in 0..8 {
+        bystanders.push(connect(&proxy).await);
+    }
     let key = caller.key.clone().expect("a cancel key");
     for _ in 0..5 {
         let slow = ask(&mut caller, "SELECT /* slow */ 1");
@@ -250,9 +254,14 @@
         };
         let (slow, ()) = futures::future::join(slow, cancel).await;
         assert_eq!(slow.expect("the cancel comes too late"), "1");
-        for value in ["7", "8"] {
-            let answer = ask(&mut bystander, &format!("SELECT {value}")).await;
-            assert_eq!(answer.expect("it is answered"), value);
+        // So many at once that every idle connection is used.
+        let others = bystanders
+            .iter_mut()
+            .map(|other| ask(other, "SELECT /* slow */ 7"));
+        for answer in futures::future::join_all(others).await {
+            assert_eq!(answer.expect("nobody cancelled it"), "7");
         }
     }
+    // All came, and none of them hit a text.
+    assert_eq!(fake.seen.lock().expect("no panic").cancels.len(), 5);
 }
