--- a/crates/proxy/src/caller/mod.rs
+++ b/crates/proxy/src/caller/mod.rs
@@ -1,6 +1,7 @@
 //! The callers' side: logins, sessions and the passing of messages.
 
 mod batch;
+mod ended;
 mod listen;
 mod local;
 mod local_answers;
--- a/crates/standin/src/member/mod.rs
+++ b/crates/standin/src/member/mod.rs
@@ -7,6 +7,7 @@
 mod error;
 mod execute;
 mod extended;
+mod functions;
 mod infer;
 mod log;
 mod named;
--- a/crates/standin/src/member/statement.rs
+++ b/crates/standin/src/member/statement.rs
@@ -4,7 +4,7 @@
 
 use sqlparser::{dialect, tokenizer, tokenizer::Token};
 
-use crate::member::{error, infer, log, rewrite, types};
+use crate::member::{error, functions, infer, log, rewrite, types};
 
 /// What a statement asks for.
 #[derive(Debug, Clone, PartialEq)]
@@ -339,7 +339,7 @@
     fn function(&self) -> Result<Option<Command>, error::SqlError> {
         let call = (1..self.tokens.len()).find(|place| {
             matches!(self.tokens[*place], Token::LParen)
-                && FUNCTIONS.contains(&self.lower(place - 1).as_str())
+                && functions::NAMES.contains(&self.lower(place - 1).as_str())
         });
         let Some(open) = call else {
             return Ok(None);
@@ -351,7 +351,7 @@
             .map(|token| literal(token))
             .collect();
         let name = self.lower(open - 1);
-        let command = function_call(&name, &arguments);
+        let command = functions::call(&name, &arguments);
         command.map(Some).ok_or_else(|| {
             let message = format!("{name} does not take these arguments");
             error::SqlError::new(error::INVALID_PARAMETER_VALUE, message)
@@ -359,38 +359,6 @@
     }
 }
 
-fn function_call(name: &str, arguments: &[Box<str>]) -> Option<Command> {
-    let command = match (name, arguments) {
-        ("group_status", [min_position, wait_ms]) => Command::GroupStatus {
-            min_position: min_position.parse().ok()?,
-            wait: Duration::from_millis(wait_ms.parse().ok()?),
-        },
-        ("group_fence", [term, claimant]) => Command::GroupFence {
-            term: term.parse().ok()?,
-            claimant: claimant.clone(),
-        },
-        ("group_promote", [term, claimant]) => Command::GroupPromote {
-            term: term.parse().ok()?,
-            claimant: claimant.clone(),
-        },
-        ("member_switch", [name, value]) => Command::Switch {
-            name: name.clone(),
-            value: value.clone(),
-        },
-        // Answered without its row, which the proxy does not read.
-        ("set_config", [name, value, local]) => Command::Set {
-            name: name.clone(),
-            value: value.clone(),
-            local: **local == *"true",
-        },
-        ("pg_sleep", [seconds]) => {
-            Command::Sleep(Duration::try_from_secs_f64(seconds.parse().ok()?).ok()?)
-        }
-        _ => return None,
-    };
-    Some(command)
-}
-
 fn literal(token: &Token) -> Box<str> {
     match token {
         Token::Word(word) => word.value.as_str().into(),
@@ -398,12 +366,3 @@
         token => token.to_string().into(),
     }
 }
-
-const FUNCTIONS: [&str; 6] = [
-    "group_status",
-    "group_fence",
-    "group_promote",
-    "member_switch",
-    "pg_sleep",
-    "set_config",
-];
