Two tests that stayed green without their mechanism now see it

The scripted member gave every connection the same cancel key, and the statement that can't be parsed ran at the primary while its trace was looked for at a replica.

--- a/crates/fulmarlift/tests/protocol_session.rs
+++ b/crates/fulmarlift/tests/protocol_session.rs
@@ -98,7 +98,10 @@
     for _ in 0..4 {
         // The proxy's parser takes no second sign, the member does.
         run(&first, "SET a.dirty = = 'x'").await;
+        // The transaction is served by the primary, as the statement was.
+        run(&second, "BEGIN").await;
         assert_eq!(failure(&second, "SHOW a.dirty").await, "42704");
+        run(&second, "ROLLBACK").await;
     }
 }
 
--- a/crates/proxy/tests/fake/mod.rs
+++ b/crates/proxy/tests/fake/mod.rs
@@ -111,7 +111,7 @@
         self.put(Message::Authentication(startup::Authentication::Ok));
         let secret = startup::SecretKey::I32(7);
         self.put(Message::BackendKeyData(startup::BackendKeyData::new(
-            1, secret,
+            self.pid, secret,
         )));
         self.ready().await
     }
