--- a/crates/proxy/src/caller/outcome.rs
+++ b/crates/proxy/src/caller/outcome.rs
@@ -24,11 +24,20 @@
             "it names a write that the database group does not have",
         ),
         effect::Reason::NoFreshMember | effect::Reason::TimedOut => {
-            answer::Answer::no_primary(service, retry_ms)
+            answer::Answer::not_served(service, retry_ms)
         }
     }
 }
 
+/// Returns the answer to a request of which an earlier try may have run, when no other could be made in time.
+pub fn not_tried_again(is_read: bool) -> answer::Answer {
+    let reason = "an earlier try got no answer, and there was no time for another";
+    match is_read {
+        true => answer::Answer::connection_lost(reason),
+        false => answer::Answer::outcome_unknown(reason),
+    }
+}
+
 /// Returns the answer to a request that was cancelled before it ran.
 pub fn cancelled() -> answer::Answer {
     answer::Answer::canceled()
--- a/crates/proxy/src/caller/requests.rs
+++ b/crates/proxy/src/caller/requests.rs
@@ -32,6 +32,8 @@
     Link(Link),
     /// The request did not run.
     NotRun(answer::Answer),
+    /// An earlier try may have run, and no other could be made in time.
+    MayHaveRun,
 }
 
 impl Session<'_> {
@@ -72,14 +74,18 @@
 
     pub(super) async fn run_alone(&mut self, work: Work, mut plan: Plan) -> Result<(), Error> {
         let deadline = Instant::now() + self.timeout();
+        let mut may_have_run = false;
         loop {
-            match self.try_once(&work, &plan, deadline).await? {
+            match self.try_once(&work, &plan, deadline, may_have_run).await? {
                 Tried::Answered => return Ok(()),
                 Tried::IsWrite => plan = plan.into_write(),
-                Tried::MayRepeat => log::info!(
-                    "event=write_repeated service={}",
-                    self.identity.service_name
-                ),
+                Tried::MayRepeat => {
+                    may_have_run = true;
+                    log::info!(
+                        "event=write_repeated service={}",
+                        self.identity.service_name
+                    );
+                }
             }
         }
     }
@@ -89,6 +95,7 @@
         work: &Work,
         plan: &Plan,
         deadline: Instant,
+        may_have_run: bool,
     ) -> Result<Tried, Error> {
         let submission = self.submission(work, plan, deadline);
         let kind = submission.kind;
@@ -97,7 +104,12 @@
         loop {
             let mut link = match self.wait(request, waiter).await? {
                 Waited::Link(link) => link,
-                Waited::NotRun(answer) => {
+                Waited::NotRun(answer) if !may_have_run => {
+                    self.answer_error(work, answer).await?;
+                    return Ok(Tried::Answered);
+                }
+                Waited::NotRun(_) | Waited::MayHaveRun => {
+                    let answer = outcome::not_tried_again(kind.is_read());
                     self.answer_error(work, answer).await?;
                     return Ok(Tried::Answered);
                 }
@@ -168,6 +180,7 @@
                     let answer = outcome::refused(&self.identity.service_name, refuse);
                     Ok(Waited::NotRun(answer))
                 }
+                Ok(engine::Notice::Unconfirmed) => Ok(Waited::MayHaveRun),
                 _ => Err(Error::Closed),
             },
             () = self.caller.closed() => true,
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -158,6 +158,15 @@
         )
     }
 
+    /// Not run: no member could serve the request in time.
+    pub fn not_served(service: &str, retry_after_ms: u64) -> Answer {
+        not_run(
+            sqlstate::CANNOT_CONNECT_NOW,
+            format!("no member of service {service} could serve the request in time"),
+            retry_after_ms,
+        )
+    }
+
     /// Not run: the group has no primary that could take the statement before the deadline.
     pub fn no_primary(service: &str, retry_after_ms: u64) -> Answer {
         not_run(
