One SCRAM verifier in the workspace; services and callers found by their identifier

Cause: the parser and the hashing of verifiers stood in crates/config and in crates/wire, with different limits of the iterations; the smaller limit (100,000, what common drivers accept) now holds in both. The age of a read by its tables follows the configuration's rule (smallest age), which the proxy had written again as the first that fits.

--- a/crates/config/src/verifier.rs
+++ b/crates/config/src/verifier.rs
@@ -13,7 +13,14 @@
 /// A key of SCRAM-SHA-256.
 pub type Key = [u8; KEY_BYTES];
 
-const KEY_BYTES: usize = 32;
+/// Iterations that common drivers accept at most.
+pub const MAX_ITERATIONS: u32 = 100_000;
+
+/// Bytes of a key.
+pub const KEY_BYTES: usize = 32;
+
+/// Bytes of salt of keys that no password fits, as many as PostgreSQL uses.
+const MOCK_SALT_BYTES: usize = 16;
 const TRUST: &str = "trust";
 const SCRAM_PREFIX: &str = "SCRAM-SHA-256$";
 const CLIENT_KEY_TEXT: &[u8] = b"Client Key";
@@ -32,7 +39,7 @@
 }
 
 /// The keys of SCRAM-SHA-256, from which the password can't be told.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Scram {
     /// How often the password was hashed.
     pub iterations: u32,
@@ -53,8 +60,8 @@
     /// A part of the notation is not there.
     #[error("{0} is missing")]
     Missing(&'static str),
-    /// The iterations are no positive number.
-    #[error("iterations must be a number from 1 to {max}", max = u32::MAX)]
+    /// The iterations are no number from 1 to [`MAX_ITERATIONS`].
+    #[error("iterations must be a number from 1 to {MAX_ITERATIONS}")]
     Iterations,
     /// A part is not base64.
     #[error("{part} is not base64: {cause}")]
@@ -81,16 +88,7 @@
     ///
     /// If `iterations` is 0 or the salt is empty.
     pub fn from_password(password: &str, salt: &[u8], iterations: u32) -> Self {
-        assert!(iterations > 0, "a password must be hashed at least once");
-        assert!(!salt.is_empty(), "a password must be hashed with a salt");
-        let salted_password = hash_password(&normalize(password), salt, iterations);
-        let client_key = keyed_hash(&salted_password, CLIENT_KEY_TEXT);
-        Self::Scram(Scram {
-            iterations,
-            salt: salt.into(),
-            stored_key: sha2::Sha256::digest(client_key).into(),
-            server_key: keyed_hash(&salted_password, SERVER_KEY_TEXT),
-        })
+        Self::Scram(Scram::from_password(password, salt, iterations))
     }
 }
 
@@ -98,14 +96,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Trust => formatter.write_str(TRUST),
-            Self::Scram(scram) => write!(
-                formatter,
-                "{SCRAM_PREFIX}{}:{}${}:{}",
-                scram.iterations,
-                BASE64.encode(&scram.salt),
-                BASE64.encode(scram.stored_key),
-                BASE64.encode(scram.server_key),
-            ),
+            Self::Scram(scram) => scram.fmt(formatter),
         }
     }
 }
@@ -114,9 +105,74 @@
     type Err = ParseError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        if text == TRUST {
-            return Ok(Self::Trust);
+        match text {
+            TRUST => Ok(Self::Trust),
+            _ => text.parse().map(Self::Scram),
+        }
+    }
+}
+
+impl Scram {
+    /// The keys of a password, with a salt that no other caller should have.
+    ///
+    /// # Panics
+    ///
+    /// If `iterations` is 0 or the salt is empty.
+    pub fn from_password(password: &str, salt: &[u8], iterations: u32) -> Self {
+        assert!(iterations > 0, "a password must be hashed at least once");
+        assert!(!salt.is_empty(), "a password must be hashed with a salt");
+        let salted_password = hash_password(&normalize(password), salt, iterations);
+        let client_key = keyed_hash(&salted_password, &[CLIENT_KEY_TEXT]);
+        Self {
+            iterations,
+            salt: salt.into(),
+            stored_key: hash(&client_key),
+            server_key: keyed_hash(&salted_password, &[SERVER_KEY_TEXT]),
         }
+    }
+
+    /// Keys that no password fits, for a user that does not exist.
+    ///
+    /// The same secret and user give the same salt, so that asking twice tells nothing; proxies that share the
+    /// secret answer alike.
+    pub fn mock(secret: &[u8], user: &str) -> Self {
+        let user = user.as_bytes();
+        let salt = keyed_hash(secret, &[b"salt", user]);
+        Self {
+            iterations: DEFAULT_ITERATIONS,
+            salt: salt[..MOCK_SALT_BYTES].into(),
+            stored_key: keyed_hash(secret, &[b"stored", user]),
+            server_key: keyed_hash(secret, &[b"server", user]),
+        }
+    }
+}
+
+impl fmt::Debug for Scram {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Scram")
+            .field("iterations", &self.iterations)
+            .finish_non_exhaustive()
+    }
+}
+
+impl fmt::Display for Scram {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{SCRAM_PREFIX}{}:{}${}:{}",
+            self.iterations,
+            BASE64.encode(&self.salt),
+            BASE64.encode(self.stored_key),
+            BASE64.encode(self.server_key),
+        )
+    }
+}
+
+impl str::FromStr for Scram {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
         let rest = text
             .strip_prefix(SCRAM_PREFIX)
             .ok_or(ParseError::UnknownMechanism)?;
@@ -127,18 +183,18 @@
         let (stored_key, server_key) = keys
             .split_once(':')
             .ok_or(ParseError::Missing("server key"))?;
-        Ok(Self::Scram(Scram {
+        Ok(Self {
             iterations: parse_iterations(iterations)?,
             salt: parse_salt(salt)?,
             stored_key: parse_key("stored key", stored_key)?,
             server_key: parse_key("server key", server_key)?,
-        }))
+        })
     }
 }
 
 fn parse_iterations(text: &str) -> Result<u32, ParseError> {
     match text.parse() {
-        Ok(iterations) if iterations > 0 => Ok(iterations),
+        Ok(iterations) if (1..=MAX_ITERATIONS).contains(&iterations) => Ok(iterations),
         _ => Err(ParseError::Iterations),
     }
 }
@@ -198,12 +254,18 @@
     result
 }
 
-fn keyed_hash(key: &[u8], text: &[u8]) -> Key {
-    hmac_keyed(key)
-        .chain_update(text)
-        .finalize()
-        .into_bytes()
-        .into()
+/// HMAC-SHA-256 over the parts in a row.
+pub fn keyed_hash(key: &[u8], parts: &[&[u8]]) -> Key {
+    let mut mac = hmac_keyed(key);
+    for part in parts {
+        mac.update(part);
+    }
+    mac.finalize().into_bytes().into()
+}
+
+/// SHA-256.
+pub fn hash(bytes: &[u8]) -> Key {
+    sha2::Sha256::digest(bytes).into()
 }
 
 fn hmac_keyed(key: &[u8]) -> HmacSha256 {
--- a/crates/proxy/src/caller/listen.rs
+++ b/crates/proxy/src/caller/listen.rs
@@ -76,7 +76,7 @@
 }
 
 fn login(accepted: &document::Accepted, user: &str, loopback: bool) -> handshake::Login {
-    let caller = accepted.document.caller(user);
+    let caller = accepted.caller(user);
     match caller.map(|caller| caller.verifier.as_ref()) {
         Some(TRUST) if loopback => handshake::Login::Trust,
         Some(verifier) => match verifier.parse::<scram::Verifier>() {
@@ -96,7 +96,7 @@
 
 async fn admit(listener: Listener, accepted: handshake::Session) {
     let document = listener.engine.document();
-    let service = document.document.service(&accepted.database);
+    let service = document.service(&accepted.database);
     let allowed = service.is_some_and(|service| service.callers.contains(&accepted.user));
     if !allowed {
         let code = answer::sqlstate::INVALID_CATALOG_NAME;
--- a/crates/proxy/src/caller/requests.rs
+++ b/crates/proxy/src/caller/requests.rs
@@ -224,7 +224,7 @@
                 (kind, Some(floor::Floor::default()))
             }
             _ => {
-                let service = document.document.service(&self.identity.service_name);
+                let service = document.service(&self.identity.service_name);
                 let tables = service.map(|service| &service.limits.repeatable_tables[..]);
                 let repeatable = plan::is_repeatable(work.classes(), tables.unwrap_or_default());
                 (request::Kind::Write { repeatable }, None)
--- a/crates/proxy/src/document.rs
+++ b/crates/proxy/src/document.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fulmarlift_config::model;
-use fulmarlift_core::{id, peer, topology};
+use fulmarlift_core::{id, peer, sorted, topology};
 
 /// A configuration document that was accepted.
 #[derive(Clone, Debug, Default)]
@@ -17,6 +17,8 @@
     pub head: peer::Head,
     /// Its form for decisions.
     pub topology: topology::Topology,
+    services: sorted::Map<id::ServiceId, usize>,
+    callers: sorted::Map<id::CallerId, usize>,
 }
 
 /// Why a document was not taken.
@@ -50,14 +52,30 @@
         }
         document.version = head.version;
         let topology = topology(&document);
+        let services = places(document.services.iter().map(|service| &service.name));
+        let callers = places(document.callers.iter().map(|caller| &caller.name));
         Ok(Arc::new(Self {
             document,
             text: text.into(),
             head,
             topology,
+            services,
+            callers,
         }))
     }
 
+    /// Returns the service of that name.
+    pub fn service(&self, name: &str) -> Option<&model::Service> {
+        let place = self.services.get(id::of(name))?;
+        self.document.services.get(*place)
+    }
+
+    /// Returns the caller of that name.
+    pub fn caller(&self, name: &str) -> Option<&model::Caller> {
+        let place = self.callers.get(id::of(name))?;
+        self.document.callers.get(*place)
+    }
+
     /// Returns the age that a read of these tables may have, by the service's read classes.
     pub fn max_age(
         &self,
@@ -69,24 +87,37 @@
         Some(Duration::from_millis(class.max_age_ms))
     }
 
-    /// Returns the service's read class of this name or, without a name, the first that covers the tables.
+    /// Returns the service's read class of this name or, without a name, the one that the tables belong to.
     pub fn read_class(
         &self,
         service: &str,
         class: Option<&str>,
         tables: &[Box<str>],
     ) -> Option<&model::ReadClass> {
-        let service = self.document.service(service)?;
-        let classes = service.read_classes.iter();
-        let mut classes = classes.filter_map(|name| self.document.read_class(name));
-        let covers = |candidate: &&model::ReadClass| match class {
-            Some(name) => candidate.name.as_ref() == name,
-            None => !tables.is_empty() && tables.iter().all(|t| candidate.tables.contains(t)),
+        let service = self.service(service)?;
+        let Some(name) = class else {
+            let tables: Vec<&str> = tables.iter().map(AsRef::as_ref).collect();
+            return self.document.class_of_read(service, &tables);
         };
-        classes.find(covers)
+        let offered = service
+            .read_classes
+            .iter()
+            .any(|known| known.as_ref() == name);
+        self.document.read_class(name).filter(|_| offered)
     }
 }
 
+/// Returns the places of names in a list, by their identifiers.
+fn places<'a>(names: impl Iterator<Item = &'a Box<str>>) -> sorted::Map<u64, usize> {
+    let mut places: Vec<(u64, usize)> = names
+        .enumerate()
+        .map(|(place, name)| (id::of(name), place))
+        .collect();
+    // In key order each entry is appended at the end.
+    places.sort_unstable();
+    places.into_iter().collect()
+}
+
 fn topology(document: &model::Document) -> topology::Topology {
     let groups = document.groups.iter();
     let services = document.services.iter();
--- a/crates/wire/src/scram/mod.rs
+++ b/crates/wire/src/scram/mod.rs
@@ -4,9 +4,8 @@
 //! stores. [`server::Exchange`] runs the server's side of one login.
 
 pub mod server;
-mod verifier;
 
-pub use verifier::{DEFAULT_ITERATIONS, KEY_BYTES, Key, MalformedVerifier, Verifier};
+pub use fulmarlift_config::verifier::{Key, Scram as Verifier};
 
 /// Name of the mechanism in the protocol.
 pub const MECHANISM: &str = "SCRAM-SHA-256";
--- a/crates/wire/src/scram/server.rs
+++ b/crates/wire/src/scram/server.rs
@@ -5,7 +5,9 @@
 use rand::RngExt;
 use subtle::ConstantTimeEq;
 
-use crate::scram::{Key, Verifier, verifier};
+use fulmarlift_config::verifier;
+
+use crate::scram::{Key, Verifier};
 
 /// Random bytes of the server's nonce, before Base64.
 const NONCE_BYTES: usize = 18;
@@ -96,7 +98,7 @@
             self.client_first_bare, self.server_first
         );
         self.check_proof(&auth_message, proof)?;
-        let signature = verifier::hmac(&self.verifier.server_key, &[auth_message.as_bytes()]);
+        let signature = verifier::keyed_hash(&self.verifier.server_key, &[auth_message.as_bytes()]);
         Ok(format!("v={}", STANDARD.encode(signature)).into())
     }
 
@@ -123,7 +125,7 @@
 
     /// The proof is the client's key, masked with a signature made from the stored key.
     fn check_proof(&self, auth_message: &str, proof: Key) -> Result<(), Error> {
-        let signature = verifier::hmac(&self.verifier.stored_key, &[auth_message.as_bytes()]);
+        let signature = verifier::keyed_hash(&self.verifier.stored_key, &[auth_message.as_bytes()]);
         let mut client_key = proof;
         client_key
             .iter_mut()
