Stand-in: a statement that a fence interrupts is refused as not the primary, never as cancelled

Cause: SQLite reports an interrupted statement alike for a cancel request, a fence and a stop, and all became 57014. Now the session's signals give the reason.

--- a/crates/standin/src/member/session.rs
+++ b/crates/standin/src/member/session.rs
@@ -322,8 +322,13 @@
     }
 
     fn fail(&mut self, error: &error::SqlError) {
+        // An interrupted statement looks cancelled whatever interrupted it; the signals know.
+        let signalled = match error.code {
+            error::QUERY_CANCELED => self.signal.check().err(),
+            _ => None,
+        };
         self.transaction.fail();
-        self.out.error(error, "ERROR");
+        self.out.error(signalled.as_ref().unwrap_or(error), "ERROR");
     }
 
     fn ready(&mut self) {
