Member stand-in: one primary a term, settings reported at ReadyForQuery

A claimant that promotes a second member at its term would make two histories of one term, which the comparison of logs rules out.

Changed settings are reported before ReadyForQuery, so that a rollback and DISCARD ALL are seen too. SHOW transaction_read_only tells the role to drivers that look for a primary.

--- a/crates/standin/src/member/core.rs
+++ b/crates/standin/src/member/core.rs
@@ -186,7 +186,9 @@
     pub fn promote(&self, term: log::Term, claimant: &str) -> Status {
         let mut state = self.state();
         let granted = state.term == term && !claimant.is_empty() && *state.claimant == *claimant;
-        if granted && state.role == Role::Replica {
+        // A replica that holds an entry of the term follows another primary of it.
+        let is_taken = state.log.head().term == term;
+        if granted && state.role == Role::Replica && !is_taken {
             state.role = Role::Primary;
             state.log.append(term, Vec::new());
             self.notify(&state);
--- a/crates/standin/src/member/execute.rs
+++ b/crates/standin/src/member/execute.rs
@@ -107,7 +107,7 @@
             statement::Command::GroupPromote { term, claimant } => {
                 self.core.promote(*term, claimant)
             }
-            statement::Command::Show(name) => return Ok(vec![self.settings.show(name)?]),
+            statement::Command::Show(name) => return self.show(name),
             statement::Command::Switch { name, value } => return self.switch(name, value),
             statement::Command::Sleep(duration) => {
                 self.signal.sleep_until(Instant::now() + *duration)?;
@@ -118,6 +118,18 @@
         Ok(status_fields(&status))
     }
 
+    fn show(&self, name: &str) -> Result<Vec<Box<str>>, error::SqlError> {
+        if name.eq_ignore_ascii_case(READ_ONLY_SETTING) {
+            let value = if self.transaction.is_writable() {
+                "off"
+            } else {
+                "on"
+            };
+            return Ok(vec![value.into()]);
+        }
+        Ok(vec![self.settings.show(name)?])
+    }
+
     fn switch(&mut self, name: &str, value: &str) -> Result<Vec<Box<str>>, error::SqlError> {
         let switch = switches::Switch::parse(name, value).map_err(|cause| {
             error::SqlError::new(error::INVALID_PARAMETER_VALUE, cause.to_string())
@@ -146,7 +158,6 @@
             }
             statement::Command::Set { name, value, local } => {
                 self.settings.set(name, value.clone(), *local);
-                self.report(name);
                 "SET"
             }
             statement::Command::Reset(name) => {
@@ -185,16 +196,6 @@
         Ok(Outcome::done("COMMIT"))
     }
 
-    fn report(&mut self, name: &str) {
-        let reported = self.settings.reported();
-        let found = reported
-            .iter()
-            .find(|(reported, _)| reported.eq_ignore_ascii_case(name));
-        if let Some((name, value)) = found {
-            self.out.parameter(name, value);
-        }
-    }
-
     fn execute_sql(
         &mut self,
         sql: &statement::Sql,
@@ -288,6 +289,7 @@
     ]
 }
 
+const READ_ONLY_SETTING: &str = "transaction_read_only";
 const SAVEPOINT_TAGS: [&str; 3] = ["SAVEPOINT", "RELEASE", "ROLLBACK"];
 const STATUS_COLUMNS: [&str; 8] = [
     "term",
--- a/crates/standin/src/member/session.rs
+++ b/crates/standin/src/member/session.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 
 use crate::member::{
-    connection, copy as copy_in, core, error, execute, named, output, query, settings, signal,
+    connection, copy as copy_in, core, error, execute, log, named, output, query, settings, signal,
     statement, switches, transaction, types,
 };
 
@@ -49,7 +49,7 @@
     /// The statement.
     pub prepared: Rc<Prepared>,
     /// The values of its parameters.
-    pub params: Vec<crate::member::log::Value>,
+    pub params: Vec<log::Value>,
     /// The forms of its result columns.
     pub formats: output::Formats,
     /// Its result columns, once described.
@@ -78,7 +78,7 @@
     pub(super) statements: named::Named<Rc<Prepared>>,
     pub(super) portals: named::Named<Portal>,
     pub(super) copy: Option<copy_in::CopyIn>,
-    pub(super) committed: Option<crate::member::log::Head>,
+    pub(super) committed: Option<log::Head>,
     negotiates: bool,
     copy_is_simple: bool,
     skips_to_sync: bool,
@@ -153,9 +153,7 @@
                 .put(startup::NegotiateProtocolVersion::new(newest, Vec::new()));
         }
         self.out.put(startup::Authentication::Ok);
-        for (name, value) in self.settings.reported() {
-            self.out.parameter(name, &value);
-        }
+        self.report_settings();
         let key = self.signal.key();
         let secret = startup::SecretKey::I32(key.secret);
         self.out.put(startup::BackendKeyData::new(key.pid, secret));
@@ -326,6 +324,12 @@
         self.out.error(error, "ERROR");
     }
 
+    fn report_settings(&mut self) {
+        for (name, value) in self.settings.take_changes() {
+            self.out.parameter(name, &value);
+        }
+    }
+
     fn ready(&mut self) {
         if let Some(head) = self.committed.take() {
             if self.switches.take_lost_answer() {
@@ -335,6 +339,7 @@
             let position = format!("{}:{}", head.term, head.position);
             self.out.parameter(POSITION_PARAMETER, &position);
         }
+        self.report_settings();
         if self.transaction.block() == transaction::Block::None {
             self.portals.clear();
         }
--- a/crates/standin/src/member/settings.rs
+++ b/crates/standin/src/member/settings.rs
@@ -11,6 +11,7 @@
     values: Values,
     saved: Option<Values>,
     local: Vec<Box<str>>,
+    told: Values,
 }
 
 impl Settings {
@@ -27,12 +28,17 @@
         }
     }
 
-    /// The settings that the session reports to its caller.
-    pub fn reported(&self) -> Vec<(&'static str, Box<str>)> {
-        REPORTED
-            .iter()
-            .filter_map(|(name, _)| Some((*name, self.values.get(&key(name))?.clone())))
-            .collect()
+    /// The settings to report to the caller, which have changed since they were last taken.
+    pub fn take_changes(&mut self) -> Vec<(&'static str, Box<str>)> {
+        let mut changes = Vec::new();
+        for (name, _) in REPORTED {
+            let value = self.values.get(&key(name)).cloned().unwrap_or_default();
+            if self.told.get(name) != Some(&value) {
+                self.told.insert(name, value.clone());
+                changes.push((name, value));
+            }
+        }
+        changes
     }
 
     /// The value of a setting.
@@ -94,7 +100,8 @@
     name.to_ascii_lowercase().into()
 }
 
-const REPORTED: [(&str, &str); 7] = [
+const REPORTED: [(&str, &str); 8] = [
+    ("application_name", ""),
     ("server_version", "16.0"),
     ("server_encoding", "UTF8"),
     ("client_encoding", "UTF8"),
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -187,6 +187,29 @@
     }
 }
 
+#[tokio::test]
+async fn promote_refuses_second_primary_of_term() {
+    let members = support::group(0).await;
+    let first = support::connect_control(&members[1]).await;
+    let second = support::connect_control(&members[2]).await;
+    for control in [&first, &second] {
+        support::wait_position(control, 1).await;
+        support::row(control, "SELECT * FROM group_fence(2, 'a')").await;
+    }
+    support::row(&first, "SELECT * FROM group_promote(2, 'a')").await;
+    support::wait_position(&second, 2).await;
+    let status = support::row(&second, "SELECT * FROM group_promote(2, 'a')").await;
+    assert_eq!(status.get("role"), Some("replica"));
+    assert_eq!(
+        support::text(&first, "SHOW transaction_read_only").await,
+        "off"
+    );
+    assert_eq!(
+        support::text(&second, "SHOW transaction_read_only").await,
+        "on"
+    );
+}
+
 #[rstest]
 #[case("COMMIT")]
 #[case("SELECT 1")]
--- a/crates/standin/tests/transaction.rs
+++ b/crates/standin/tests/transaction.rs
@@ -47,6 +47,18 @@
     );
 }
 
+#[tokio::test]
+async fn rollback_reports_restored_settings() {
+    let member = support::primary(|_| {}).await;
+    let mut caller = support::RawCaller::connect(&member).await;
+    caller.query("BEGIN; SET application_name = 'a'").await;
+    assert_eq!(caller.read_until(b'Z').await, b"CCSZ");
+    caller.query("ROLLBACK").await;
+    assert_eq!(caller.read_until(b'Z').await, b"CSZ");
+    caller.query("SET fulmarlift.token = 'a'").await;
+    assert_eq!(caller.read_until(b'Z').await, b"CZ");
+}
+
 #[tokio::test]
 async fn transaction_goes_back_to_savepoint() {
     let member = support::primary(|_| {}).await;
