--- /dev/null
+++ b/crates/broker/src/failover.rs
@@ -0,0 +1,506 @@
+//! The replacement of a leader, step by step.
+//!
+//! 1. Claim: a conditional write takes the next fencing token, so that one proxy at a time acts on a group.
+//! 2. Hold: every other member stops receiving, so that the old leader can no longer have commits acknowledged. A member
+//!    that cannot be asked may hold commits that the others lack, so all that are listed have to answer.
+//! 3. Choose: the member that has received most has everything that was acknowledged.
+//! 4. Record: the choice is written to the claim before it is ordered. An order whose answer is lost may be executed
+//!    seconds later; whoever claims next orders the same member again with a higher token, which ends the older order.
+//! 5. Order, and wait until the member says that it leads.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::id;
+use fulmarlift_core::sorted;
+
+use crate::claim::{Claim, Stored};
+use crate::effect::{Effect, Question};
+use crate::event::{OrderOutcome, Standing, StoreOutcome};
+use crate::lead::Reason;
+
+/// Time for which a claim keeps others away: two promotions of 600 ms with their questions, with room for retries.
+const CLAIM_FOR_MS: u64 = 4_000;
+/// Time for which a finished claim keeps others away, until they have heard of the new leader.
+const SETTLED_FOR_MS: u64 = 1_000;
+/// Pause before a question that was not answered is asked again: a slot's time.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+/// Time without an answer after which a question counts as lost.
+const ASK_LOST: Duration = Duration::from_millis(900);
+/// Pause before the store is asked again.
+const STORE_AGAIN: Duration = Duration::from_millis(250);
+/// Pause before an order is repeated.
+const ORDER_AGAIN: Duration = Duration::from_millis(200);
+/// Longest time for which the old leader is asked to step down before the others' word is enough.
+const DEMOTE_FOR: Duration = Duration::from_millis(600);
+/// Time after which an attempt is given up and begun anew.
+const ATTEMPT_FOR: Duration = Duration::from_millis(6_000);
+/// Time that the chosen member has to say that it leads after the order was accepted.
+const CONFIRM_FOR: Duration = Duration::from_millis(2_500);
+
+/// Where a replacement stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Step {
+    /// Not begun, or another proxy's claim is waited for.
+    Waiting { until: Instant },
+    /// The claim row is being read.
+    Loading,
+    /// The claim is being written.
+    Claiming,
+    /// The present leader is named once more, to see that orders are executed before it is made to step down.
+    Checking { again_at: Instant },
+    /// Members are being held.
+    Holding,
+    /// The choice is being written.
+    Recording,
+    /// The order is under way.
+    Ordering { again_at: Option<Instant> },
+    /// The chosen member is asked whether it leads.
+    Confirming { until: Instant, ask_at: Instant },
+}
+
+/// A question to a member during a replacement.
+#[derive(Clone, Copy, Debug, Default)]
+struct Asked {
+    sent_at: Option<Instant>,
+    again_at: Option<Instant>,
+    standing: Option<Standing>,
+}
+
+/// A member that takes part in a replacement.
+#[derive(Clone, Debug)]
+pub struct Voter {
+    /// The member.
+    pub member: id::MemberId,
+    /// Its name.
+    pub name: Box<str>,
+    /// Whether it may be chosen.
+    pub eligible: bool,
+}
+
+/// How a replacement goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// It goes on.
+    Going,
+    /// The member leads.
+    Done {
+        /// The new leader.
+        member: id::MemberId,
+        /// Its standing.
+        standing: Standing,
+    },
+    /// Given up; may be begun anew after the instant.
+    Failed {
+        /// When.
+        retry_at: Instant,
+    },
+}
+
+/// A replacement under way.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    group: id::GroupId,
+    me: Box<str>,
+    /// Why the leader is replaced.
+    pub reason: Reason,
+    old: Option<id::MemberId>,
+    hold_term: id::Term,
+    step: Step,
+    began_at: Instant,
+    claim: Claim,
+    revision: u64,
+    store_now_ms: u64,
+    asked: sorted::Map<id::MemberId, Asked>,
+    holding_since: Option<Instant>,
+    target: Option<id::MemberId>,
+    unanswered_order: bool,
+}
+
+impl Attempt {
+    /// Begins a replacement after a pause that differs between proxies.
+    pub fn new(
+        group: id::GroupId,
+        me: &str,
+        reason: Reason,
+        old: Option<id::MemberId>,
+        term: id::Term,
+        begin_at: Instant,
+    ) -> Self {
+        Self {
+            group,
+            me: me.into(),
+            reason,
+            old,
+            hold_term: term + 1,
+            step: Step::Waiting { until: begin_at },
+            began_at: begin_at,
+            claim: Claim::default(),
+            revision: 0,
+            store_now_ms: 0,
+            asked: sorted::Map::default(),
+            holding_since: None,
+            target: None,
+            unanswered_order: false,
+        }
+    }
+
+    /// Returns whether nothing has been changed yet, so that it may be dropped without a trace.
+    pub fn may_be_dropped(&self) -> bool {
+        matches!(self.step, Step::Waiting { .. } | Step::Loading)
+    }
+
+    /// Returns the step's name, the token and the chosen member, for the log.
+    pub fn describe(&self) -> (&'static str, u64, Option<id::MemberId>) {
+        let name = match self.step {
+            Step::Waiting { .. } => "waiting",
+            Step::Loading => "loading",
+            Step::Claiming => "claiming",
+            Step::Checking { .. } => "checking",
+            Step::Holding => "holding",
+            Step::Recording => "recording",
+            Step::Ordering { .. } => "ordering",
+            Step::Confirming { .. } => "confirming",
+        };
+        (name, self.claim.token, self.target)
+    }
+
+    /// Goes on as time has passed.
+    pub fn tick(&mut self, now: Instant, voters: &[Voter], out: &mut Vec<Effect>) -> Progress {
+        match self.step {
+            Step::Waiting { until } if now >= until => {
+                self.step = Step::Loading;
+                self.began_at = now;
+                out.push(Effect::LoadClaim(self.group));
+            }
+            Step::Checking { again_at } if now >= again_at => {
+                self.step = Step::Checking {
+                    again_at: now + ATTEMPT_FOR,
+                };
+                self.order(self.old, out);
+            }
+            Step::Holding => return self.hold(now, voters, out),
+            Step::Ordering {
+                again_at: Some(again_at),
+            } if now >= again_at => {
+                self.step = Step::Ordering { again_at: None };
+                self.order(self.target, out);
+            }
+            Step::Confirming { until, ask_at } => {
+                if now >= until {
+                    self.step = Step::Ordering { again_at: None };
+                    self.order(self.target, out);
+                } else if now >= ask_at {
+                    let ask_at = now + ASK_AGAIN;
+                    self.step = Step::Confirming { until, ask_at };
+                    self.ask(self.target, Question::Status, out);
+                }
+            }
+            _ => {}
+        }
+        let bounded = matches!(self.step, Step::Checking { .. } | Step::Holding);
+        if bounded && now.saturating_duration_since(self.began_at) > ATTEMPT_FOR {
+            return self.give_up(now, out);
+        }
+        Progress::Going
+    }
+
+    /// Takes the claim row.
+    pub fn loaded(
+        &mut self,
+        now: Instant,
+        stored: Option<Stored>,
+        out: &mut Vec<Effect>,
+    ) -> Progress {
+        if self.step != Step::Loading {
+            return Progress::Going;
+        }
+        let Some(stored) = stored else {
+            self.wait(now + STORE_AGAIN);
+            return Progress::Going;
+        };
+        let others = stored.claim.holder != self.me && stored.now_ms < stored.claim.until_ms;
+        if others {
+            let left_ms = stored.claim.until_ms - stored.now_ms;
+            let left = Duration::from_millis(left_ms).min(STORE_AGAIN * 2);
+            return Progress::Failed {
+                retry_at: now + left,
+            };
+        }
+        let pending = stored.claim.pending().map(Box::from);
+        self.store_now_ms = stored.now_ms;
+        self.revision = stored.revision;
+        self.claim = Claim {
+            holder: self.me.clone(),
+            token: stored.claim.token + 1,
+            settled: pending.is_none(),
+            target: pending,
+            until_ms: stored.now_ms + CLAIM_FOR_MS,
+        };
+        self.step = Step::Claiming;
+        self.store(out);
+        Progress::Going
+    }
+
+    /// Takes the outcome of a conditional write.
+    pub fn stored(
+        &mut self,
+        now: Instant,
+        outcome: StoreOutcome,
+        out: &mut Vec<Effect>,
+    ) -> Progress {
+        match (self.step, outcome) {
+            (Step::Claiming, StoreOutcome::Written(revision)) => {
+                self.revision = revision;
+                if self.reason == Reason::Leaving && self.claim.pending().is_none() {
+                    self.step = Step::Checking { again_at: now };
+                } else {
+                    self.step = Step::Holding;
+                    self.holding_since = Some(now);
+                }
+                Progress::Going
+            }
+            (Step::Recording, StoreOutcome::Written(revision)) => {
+                self.revision = revision;
+                self.step = Step::Ordering { again_at: None };
+                self.order(self.target, out);
+                Progress::Going
+            }
+            (Step::Claiming, _) => Progress::Failed {
+                retry_at: now + STORE_AGAIN,
+            },
+            // Whoever holds the claim now acts on what it finds; held members stay held for it.
+            (Step::Recording, StoreOutcome::Conflict) => Progress::Failed {
+                retry_at: now + STORE_AGAIN,
+            },
+            (Step::Recording, StoreOutcome::Unknown) => self.give_up(now, out),
+            _ => Progress::Going,
+        }
+    }
+
+    /// Takes a member's answer to a question.
+    pub fn answered(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        standing: Option<Standing>,
+        voters: &[Voter],
+        out: &mut Vec<Effect>,
+    ) -> Progress {
+        if let Step::Confirming { .. } = self.step
+            && Some(member) == self.target
+            && let Some(standing) = standing
+            && standing.leads
+        {
+            return self.finish(member, standing, voters, out);
+        }
+        if self.step != Step::Holding {
+            return Progress::Going;
+        }
+        let asked = self.asked.entry(member);
+        asked.sent_at = None;
+        asked.again_at = Some(now + ASK_AGAIN);
+        asked.standing = standing;
+        if let Some(standing) = standing {
+            let newest = standing.term.max(standing.held_term);
+            if standing.leads && Some(member) != self.old {
+                // Somebody else has been promoted meanwhile.
+                self.release(voters, out);
+                return Progress::Done { member, standing };
+            }
+            if Some(member) != self.old && standing.held_term < self.hold_term {
+                self.hold_term = self.hold_term.max(newest + 1);
+                let asked = self.asked.entry(member);
+                asked.standing = None;
+                asked.again_at = Some(now);
+            }
+        }
+        self.hold(now, voters, out)
+    }
+
+    /// Takes the outcome of an order.
+    pub fn ordered(
+        &mut self,
+        now: Instant,
+        outcome: OrderOutcome,
+        out: &mut Vec<Effect>,
+    ) -> Progress {
+        match (self.step, outcome) {
+            (Step::Checking { .. }, OrderOutcome::Accepted) => {
+                self.step = Step::Holding;
+                self.holding_since = Some(now);
+                Progress::Going
+            }
+            // The leader is gone already: the others' word is enough.
+            (Step::Checking { .. }, OrderOutcome::Refused) => {
+                self.step = Step::Holding;
+                self.holding_since = Some(now);
+                Progress::Going
+            }
+            (Step::Checking { .. }, _) => {
+                self.step = Step::Checking {
+                    again_at: now + ORDER_AGAIN,
+                };
+                Progress::Going
+            }
+            (Step::Ordering { .. }, OrderOutcome::Accepted) => {
+                self.step = Step::Confirming {
+                    until: now + CONFIRM_FOR,
+                    ask_at: now,
+                };
+                Progress::Going
+            }
+            (Step::Ordering { .. }, OrderOutcome::Refused) => {
+                // Either a higher token was used, or the member does not run. The claim row tells.
+                if !self.unanswered_order {
+                    self.claim.settled = true;
+                    self.claim.until_ms = self.store_now_ms;
+                    self.store(out);
+                }
+                Progress::Failed {
+                    retry_at: now + STORE_AGAIN,
+                }
+            }
+            (Step::Ordering { .. }, _) => {
+                self.unanswered_order |= outcome == OrderOutcome::Unknown;
+                self.step = Step::Ordering {
+                    again_at: Some(now + ORDER_AGAIN),
+                };
+                Progress::Going
+            }
+            _ => Progress::Going,
+        }
+    }
+
+    fn hold(&mut self, now: Instant, voters: &[Voter], out: &mut Vec<Effect>) -> Progress {
+        let hold_term = self.hold_term;
+        let demote = self.reason == Reason::Leaving;
+        let mut missing = false;
+        for voter in voters {
+            let is_old = Some(voter.member) == self.old;
+            if is_old && !demote {
+                continue;
+            }
+            let asked = self.asked.entry(voter.member);
+            if asked.standing.is_some() {
+                continue;
+            }
+            let asked_in_vain = is_old
+                && self
+                    .holding_since
+                    .is_some_and(|since| now.saturating_duration_since(since) > DEMOTE_FOR);
+            missing |= !asked_in_vain;
+            let lost = asked
+                .sent_at
+                .is_some_and(|sent| now.saturating_duration_since(sent) > ASK_LOST);
+            let due = asked.again_at.is_none_or(|again_at| now >= again_at);
+            if lost || (asked.sent_at.is_none() && due) {
+                asked.sent_at = Some(now);
+                let question = match is_old {
+                    true => Question::Demote(hold_term),
+                    false => Question::Hold(hold_term),
+                };
+                out.push(Effect::Ask {
+                    group: self.group,
+                    member: voter.member,
+                    question,
+                });
+            }
+        }
+        if missing {
+            return Progress::Going;
+        }
+        self.choose(now, voters, out)
+    }
+
+    fn choose(&mut self, now: Instant, voters: &[Voter], out: &mut Vec<Effect>) -> Progress {
+        let received = |voter: &Voter| {
+            let asked = self.asked.get(voter.member)?;
+            asked.standing.map(|standing| standing.received)
+        };
+        let held = voters.iter().filter(|voter| Some(voter.member) != self.old);
+        let furthest = held.clone().filter_map(received).max();
+        let best = held
+            .filter(|voter| voter.eligible && received(voter) == furthest)
+            .find(|voter| {
+                let pending = self.claim.pending();
+                pending.is_none_or(|name| name == voter.name.as_ref())
+            });
+        let (Some(best), Some(_)) = (best, furthest) else {
+            // Nobody that may lead has everything, or the member of an older order does not: that order has to end.
+            return self.give_up(now, out);
+        };
+        self.target = Some(best.member);
+        self.claim.target = Some(best.name.clone());
+        self.claim.settled = false;
+        self.step = Step::Recording;
+        self.store(out);
+        Progress::Going
+    }
+
+    fn finish(
+        &mut self,
+        member: id::MemberId,
+        standing: Standing,
+        voters: &[Voter],
+        out: &mut Vec<Effect>,
+    ) -> Progress {
+        self.claim.settled = true;
+        self.claim.until_ms = self.store_now_ms + SETTLED_FOR_MS;
+        self.store(out);
+        self.release(voters, out);
+        Progress::Done { member, standing }
+    }
+
+    fn give_up(&mut self, now: Instant, out: &mut Vec<Effect>) -> Progress {
+        // Members stay held while an older order may still be executed: what they lack then cannot be acknowledged.
+        if self.claim.pending().is_none() {
+            let held: Vec<id::MemberId> = self.asked.keys().collect();
+            for member in held {
+                self.ask(Some(member), Question::Release, out);
+            }
+        }
+        Progress::Failed {
+            retry_at: now + STORE_AGAIN * 2,
+        }
+    }
+
+    fn release(&self, voters: &[Voter], out: &mut Vec<Effect>) {
+        for voter in voters {
+            if Some(voter.member) != self.target {
+                self.ask(Some(voter.member), Question::Release, out);
+            }
+        }
+    }
+
+    fn wait(&mut self, until: Instant) {
+        self.step = Step::Waiting { until };
+    }
+
+    fn store(&self, out: &mut Vec<Effect>) {
+        out.push(Effect::StoreClaim {
+            group: self.group,
+            claim: self.claim.clone(),
+            revision: self.revision,
+        });
+    }
+
+    fn order(&self, member: Option<id::MemberId>, out: &mut Vec<Effect>) {
+        if let Some(member) = member {
+            out.push(Effect::Order {
+                group: self.group,
+                member,
+                token: self.claim.token,
+            });
+        }
+    }
+
+    fn ask(&self, member: Option<id::MemberId>, question: Question, out: &mut Vec<Effect>) {
+        if let Some(member) = member {
+            out.push(Effect::Ask {
+                group: self.group,
+                member,
+                question,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/lead.rs
@@ -0,0 +1,121 @@
+//! Who leads a group, and whether that member is to be replaced.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::floor::Point;
+use fulmarlift_core::id;
+use fulmarlift_core::sorted;
+
+use crate::seat::Seat;
+
+/// Time without an answer after which a leader whose process refuses connections counts as dead: two attempts.
+const REFUSED_FOR: Duration = Duration::from_millis(250);
+/// Time without an answer after which a silent leader counts as dead: above the pauses that are tolerated
+/// (`thaw-slack-ms` and a slow link), below what callers can wait.
+const SILENT_FOR: Duration = Duration::from_millis(1_300);
+/// Time for which a leader may leave commits unanswered while it answers everything else.
+const STALLED_FOR: Duration = Duration::from_millis(1_200);
+/// Time without any entry that says it leads after which a group counts as having no leader.
+const NOBODY_FOR: Duration = Duration::from_millis(1_500);
+
+/// Why a leader is to be replaced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// It has announced that it will stop.
+    Leaving,
+    /// The directory no longer lists it, or nobody says that they lead.
+    Gone,
+    /// It does not answer.
+    Unreachable,
+    /// It answers, but commits do not end.
+    Stalled,
+}
+
+/// Belief about a group's leader.
+#[derive(Clone, Debug, Default)]
+pub struct Lead {
+    /// The member believed to lead.
+    pub member: Option<id::MemberId>,
+    /// Newest term shown by an answer.
+    pub term: id::Term,
+    /// Since when nobody is believed to lead.
+    pub vacant_since: Option<Instant>,
+    /// Since when commits do not end, with none that has ended after.
+    pub stalled_since: Option<Instant>,
+}
+
+impl Lead {
+    /// Takes an answer that only a leader gives.
+    pub fn witnessed(&mut self, member: id::MemberId, point: Option<Point>) {
+        let term = point.map_or(self.term, |point| point.term);
+        if term >= self.term {
+            if self.member != Some(member) {
+                self.stalled_since = None;
+            }
+            self.term = term;
+            self.member = Some(member);
+            self.vacant_since = None;
+        }
+    }
+
+    /// Decides anew who leads from the entries, where the present belief no longer stands.
+    pub fn elect(&mut self, seats: &sorted::Map<id::MemberId, Seat>, now: Instant) {
+        let stands = |seat: &Seat| !seat.denies_lead && seat.missing_since.is_none();
+        let current = self.member.and_then(|member| seats.get(member));
+        let newest = seats
+            .values()
+            .filter(|seat| stands(seat) && seat.member.says_leads)
+            .max_by_key(|seat| seat.member.revision);
+        let keep = current.is_some_and(|seat| {
+            let newer = newest.is_some_and(|other| {
+                other.member.revision > seat.member.revision && !seat.member.says_leads
+            });
+            !seat.denies_lead && !newer
+        });
+        if !keep {
+            let member = newest.map(|seat| seat.member.id);
+            if member != self.member {
+                self.stalled_since = None;
+            }
+            self.member = member;
+        }
+        match self.member {
+            Some(_) => self.vacant_since = None,
+            None => {
+                self.vacant_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Returns why the leader is to be replaced. `listed` tells whether the directory's silence about a member means
+    /// that it is gone.
+    pub fn verdict(
+        &self,
+        seats: &sorted::Map<id::MemberId, Seat>,
+        now: Instant,
+        listed: bool,
+    ) -> Option<Reason> {
+        let since = |then: Option<Instant>, least: Duration| {
+            then.is_some_and(|then| now.saturating_duration_since(then) >= least)
+        };
+        let Some(leader) = self.member.and_then(|member| seats.get(member)) else {
+            return (listed && since(self.vacant_since, NOBODY_FOR)).then_some(Reason::Gone);
+        };
+        let patience = if leader.refused {
+            REFUSED_FOR
+        } else {
+            SILENT_FOR
+        };
+        if leader.failures >= 2 && since(leader.failing_since, patience) {
+            Some(Reason::Unreachable)
+        } else if listed && leader.missing_since.is_some() {
+            Some(Reason::Gone)
+        } else if leader.member.leaving {
+            Some(Reason::Leaving)
+        } else if since(self.stalled_since, STALLED_FOR) {
+            Some(Reason::Stalled)
+        } else {
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/queue.rs
@@ -0,0 +1,86 @@
+//! The order of waiting requests, and when one is refused.
+//!
+//! Answers bursts and slow members: while more comes than the slots can serve, requests that can still meet their
+//! objective go first, by rank and then by objective; a request whose turn cannot come before its deadline is refused
+//! when it arrives rather than when the deadline has passed.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::id;
+
+use crate::request::Request;
+
+/// Least time after which a refused caller is told to come back: a few mean statements.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+/// Range over which callers refused together are spread.
+const RETRY_SPREAD_MS: u64 = 200;
+
+/// Requests of one group that wait for a connection, in no particular order.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    waiting: Vec<Request>,
+}
+
+impl Queue {
+    /// Adds a request.
+    pub fn push(&mut self, request: Request) {
+        self.waiting.push(request);
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, id: id::RequestId) -> Option<Request> {
+        let index = self.waiting.iter().position(|request| request.id == id)?;
+        Some(self.waiting.remove(index))
+    }
+
+    /// Takes out the requests whose deadline has passed.
+    pub fn take_expired(&mut self, now: Instant) -> Vec<Request> {
+        let (expired, kept) = self
+            .waiting
+            .drain(..)
+            .partition(|request| request.deadline <= now);
+        self.waiting = kept;
+        expired
+    }
+
+    /// Sorts the requests by the order in which they are to be served and returns them.
+    pub fn ordered(&mut self, now: Instant) -> &[Request] {
+        self.waiting.sort_by_key(|request| {
+            let late = request.objective_at <= now;
+            (late, request.priority, request.objective_at, request.id)
+        });
+        &self.waiting
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns how many waiting requests go before this one.
+    pub fn ahead_of(&self, request: &Request) -> usize {
+        let before = |other: &&Request| {
+            (other.priority, other.objective_at) <= (request.priority, request.objective_at)
+        };
+        self.waiting.iter().filter(before).count()
+    }
+}
+
+/// Estimates when a request's turn comes, from the requests before it, the time of an answer, and the number of
+/// statements that run side by side.
+pub fn turn_in(ahead: usize, answer_ms: f64, side_by_side: u32) -> Duration {
+    let turns = ahead as f64 / f64::from(side_by_side.max(1));
+    Duration::from_secs_f64(turns * answer_ms / 1_000.0)
+}
+
+/// Returns when a refused caller should come back: after `wait`, in which the cause should have gone, and spread by the
+/// request's number, so that not all return at once.
+pub fn retry_at(now: Instant, request: id::RequestId, wait: Duration) -> Instant {
+    let offset_ms = id::weight(request, 0) % RETRY_SPREAD_MS;
+    now + wait.max(RETRY_MIN) + Duration::from_millis(offset_ms)
+}
--- /dev/null
+++ b/crates/broker/src/seat.rs
@@ -0,0 +1,170 @@
+//! What this proxy knows of a member, and its connections there.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::floor::Point;
+use fulmarlift_core::id;
+
+use crate::topology;
+
+/// Weight of a new measurement in the running mean of answer times: the last dozen answers decide.
+const LATENCY_WEIGHT: f64 = 0.15;
+/// Answer time assumed before any was measured, in ms: a mean statement of today's deployments.
+const LATENCY_START_MS: f64 = 15.0;
+/// Time for which a member is left alone after its first failure; doubles with each further one.
+const SUSPEND_MIN: Duration = Duration::from_millis(100);
+/// Longest time for which a member is left alone: a member that is back is found within it.
+const SUSPEND_MAX: Duration = Duration::from_millis(800);
+/// Time for which no connection is opened after the member said that it has none left: a few mean statements.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which a member that refused for want of slots is left alone: about a mean statement.
+const BUSY_PAUSE: Duration = Duration::from_millis(20);
+/// Time for which a replica that was behind is left alone: a heartbeat's fraction, in which it can catch up.
+const BEHIND_PAUSE: Duration = Duration::from_millis(150);
+
+/// A member, its connections and its condition.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    /// The directory's entry.
+    pub member: topology::Member,
+    /// Since when the directory has no entry for it.
+    pub missing_since: Option<Instant>,
+    /// Since when it is known to be leaving.
+    pub leaving_since: Option<Instant>,
+    /// Connections that nothing uses, the one used last at the end.
+    pub idle: Vec<Idle>,
+    /// Connections being opened.
+    pub opening: u32,
+    /// Connections held by requests and transactions.
+    pub leased: u32,
+    /// Statements that run there for this proxy.
+    pub running: u32,
+    /// Highest point of its log seen in an answer.
+    pub applied: Option<Point>,
+    /// Running mean of the time of an answer, in ms.
+    pub latency_ms: f64,
+    /// Failures since the last success.
+    pub failures: u32,
+    /// Since when it has only failed.
+    pub failing_since: Option<Instant>,
+    /// Whether the last failure was a refused connection, which only a process that is gone gives at once.
+    pub refused: bool,
+    /// Last time at which it answered.
+    pub answered_at: Option<Instant>,
+    /// Until when no request is sent there.
+    pub rest_until: Option<Instant>,
+    /// Until when no connection is opened.
+    pub full_until: Option<Instant>,
+    /// Whether it has refused to lead since its entry last said that it leads.
+    pub denies_lead: bool,
+}
+
+/// A connection that nothing uses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Idle {
+    /// The connection.
+    pub conn: id::ConnId,
+    /// Since when.
+    pub since: Instant,
+}
+
+impl Seat {
+    /// Creates a seat without connections.
+    pub fn new(member: topology::Member, now: Instant) -> Self {
+        Self {
+            leaving_since: member.leaving.then_some(now),
+            member,
+            missing_since: None,
+            idle: Vec::new(),
+            opening: 0,
+            leased: 0,
+            running: 0,
+            applied: None,
+            latency_ms: LATENCY_START_MS,
+            failures: 0,
+            failing_since: None,
+            refused: false,
+            answered_at: None,
+            rest_until: None,
+            full_until: None,
+            denies_lead: false,
+        }
+    }
+
+    /// Takes a newer entry of the same incarnation.
+    pub fn update(&mut self, member: topology::Member, now: Instant) {
+        if member.says_leads && !self.member.says_leads {
+            self.denies_lead = false;
+        }
+        if member.leaving && !self.member.leaving {
+            self.leaving_since = Some(now);
+        }
+        self.missing_since = None;
+        self.member = member;
+    }
+
+    /// Returns whether new work may be sent: it is listed, stays, and is not left alone after a failure.
+    pub fn usable(&self, now: Instant) -> bool {
+        self.missing_since.is_none() && !self.member.leaving && !self.rests(now)
+    }
+
+    /// Returns whether it is left alone after a failure.
+    pub fn rests(&self, now: Instant) -> bool {
+        self.rest_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns whether a connection may be opened.
+    pub fn may_open(&self, now: Instant) -> bool {
+        self.full_until.is_none_or(|until| now >= until)
+    }
+
+    /// Notes an answer, and how long it took if it was to a statement that ran.
+    pub fn answered(&mut self, now: Instant, took: Option<Duration>) {
+        self.answered_at = Some(now);
+        self.failures = 0;
+        self.failing_since = None;
+        self.refused = false;
+        if let Some(took) = took {
+            let took_ms = took.as_secs_f64() * 1_000.0;
+            self.latency_ms += LATENCY_WEIGHT * (took_ms - self.latency_ms);
+        }
+    }
+
+    /// Notes a point of its log.
+    pub fn reached(&mut self, point: Option<Point>) {
+        self.applied = self.applied.max(point);
+    }
+
+    /// Notes that it did not answer, and leaves it alone for a while.
+    pub fn failed(&mut self, now: Instant, refused: bool) {
+        self.failures += 1;
+        self.refused = refused;
+        self.failing_since.get_or_insert(now);
+        let doubled = SUSPEND_MIN * (1 << (self.failures - 1).min(4));
+        self.rest(now + doubled.min(SUSPEND_MAX));
+    }
+
+    /// Notes that all its slots and its queue were full.
+    pub fn busy(&mut self, now: Instant) {
+        self.rest(now + BUSY_PAUSE);
+    }
+
+    /// Notes that its log lacked a point.
+    pub fn behind(&mut self, now: Instant) {
+        self.rest(now + BEHIND_PAUSE);
+    }
+
+    /// Notes that it has no connection left.
+    pub fn full(&mut self, now: Instant) {
+        self.full_until = Some(now + FULL_PAUSE);
+    }
+
+    fn rest(&mut self, until: Instant) {
+        self.rest_until = self.rest_until.max(Some(until));
+    }
+
+    /// Returns the number of connections, those being opened included.
+    pub fn connections(&self) -> u32 {
+        self.opening + self.leased + u32::try_from(self.idle.len()).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/broker/src/state/conns.rs
@@ -0,0 +1,183 @@
+//! Connections to members.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::id;
+
+use crate::effect::{Effect, Note};
+use crate::event::{Answer, OpenFailure, Report};
+use crate::seat::{Idle, Seat};
+use crate::state::Broker;
+
+/// Time for which a connection beyond the first is kept without use: longer than the pauses of a busy proxy, well below
+/// the minute after which members close it.
+const IDLE_KEEP: Duration = Duration::from_millis(4_000);
+
+impl Broker {
+    pub(super) fn open(&mut self, member: id::MemberId, effects: &mut Vec<Effect>) {
+        let conn = self.next_conn;
+        self.next_conn += 1;
+        self.conns.insert(conn, member);
+        if let Some(seat) = self.seat_mut(member) {
+            seat.opening += 1;
+        }
+        effects.push(Effect::Open { conn, member });
+    }
+
+    pub(super) fn opened(&mut self, now: Instant, conn: id::ConnId, effects: &mut Vec<Effect>) {
+        let member = self.conns.get(conn).copied();
+        let Some(seat) = member.and_then(|member| self.seat_mut(member)) else {
+            self.conns.remove(conn);
+            effects.push(Effect::Close(conn));
+            return;
+        };
+        seat.opening = seat.opening.saturating_sub(1);
+        seat.idle.push(Idle { conn, since: now });
+        seat.rest_until = None;
+        let recovered = seat.failures > 0;
+        seat.answered(now, None);
+        let member = seat.member.id;
+        if recovered {
+            effects.push(Effect::Note(Note::Reachable {
+                member,
+                reachable: true,
+            }));
+        }
+        self.pump_of(now, member, effects);
+    }
+
+    pub(super) fn open_failed(
+        &mut self,
+        now: Instant,
+        conn: id::ConnId,
+        failure: OpenFailure,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(member) = self.conns.remove(conn) else {
+            return;
+        };
+        let Some(seat) = self.seat_mut(member) else {
+            return;
+        };
+        seat.opening = seat.opening.saturating_sub(1);
+        match failure {
+            OpenFailure::Full => seat.full(now),
+            OpenFailure::Refused | OpenFailure::Elsewhere => fail(seat, now, true, effects),
+            OpenFailure::Silent => fail(seat, now, false, effects),
+        }
+        self.pump_of(now, member, effects);
+    }
+
+    pub(super) fn lost(&mut self, now: Instant, conn: id::ConnId, effects: &mut Vec<Effect>) {
+        let Some(member) = self.conns.remove(conn) else {
+            return;
+        };
+        if let Some(seat) = self.seat_mut(member) {
+            seat.idle.retain(|idle| idle.conn != conn);
+        }
+        self.pump_of(now, member, effects);
+    }
+
+    pub(super) fn returned(
+        &mut self,
+        now: Instant,
+        conn: id::ConnId,
+        reusable: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(member) = self.conns.get(conn).copied() else {
+            return;
+        };
+        if let Some(seat) = self.seat_mut(member) {
+            seat.leased = seat.leased.saturating_sub(1);
+            if reusable {
+                seat.idle.push(Idle { conn, since: now });
+            }
+        }
+        if !reusable {
+            self.conns.remove(conn);
+        } else if self.seat(member).is_none() {
+            self.conns.remove(conn);
+            effects.push(Effect::Close(conn));
+        }
+        self.pump_of(now, member, effects);
+    }
+
+    pub(super) fn started(&mut self, member: id::MemberId) {
+        if let Some(seat) = self.seat_mut(member) {
+            seat.running += 1;
+        }
+    }
+
+    pub(super) fn answered(&mut self, now: Instant, report: Report, effects: &mut Vec<Effect>) {
+        let member = report.member;
+        let Some(group_id) = self.members.get(member).copied() else {
+            return;
+        };
+        let Some(seat) = self.seat_mut(member) else {
+            return;
+        };
+        seat.running = seat.running.saturating_sub(1);
+        match report.answer {
+            Answer::Broken => {
+                // Other connections to a process that died break by themselves; a new one tells whether it did.
+                seat.rest_until = None;
+            }
+            Answer::Silent { .. } => {
+                for idle in std::mem::take(&mut seat.idle) {
+                    effects.push(Effect::Close(idle.conn));
+                    self.conns.remove(idle.conn);
+                }
+                if let Some(seat) = self.seat_mut(member) {
+                    fail(seat, now, false, effects);
+                }
+            }
+            Answer::Unfinished => {}
+            Answer::Busy => seat.busy(now),
+            Answer::Behind => {
+                seat.answered(now, None);
+                seat.behind(now);
+            }
+            Answer::NotLeading => {
+                seat.answered(now, None);
+                seat.denies_lead = true;
+            }
+            Answer::Served | Answer::Led { .. } => {
+                seat.answered(now, report.took);
+                seat.reached(report.point);
+            }
+        }
+        self.learn_lead(now, group_id, &report, effects);
+        self.pump(now, group_id, effects);
+    }
+
+    pub(super) fn trim(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let conns = &mut self.conns;
+        for (_, group) in self.groups.iter_mut() {
+            for (_, seat) in group.seats.iter_mut() {
+                let unwanted = seat.member.leaving || seat.missing_since.is_some();
+                let keep = if unwanted { 0 } else { 1 };
+                while seat.idle.len() > keep {
+                    let oldest = seat.idle[0];
+                    let age = now.saturating_duration_since(oldest.since);
+                    if age < IDLE_KEEP {
+                        break;
+                    }
+                    seat.idle.remove(0);
+                    conns.remove(oldest.conn);
+                    effects.push(Effect::Close(oldest.conn));
+                }
+            }
+        }
+    }
+}
+
+fn fail(seat: &mut Seat, now: Instant, refused: bool, effects: &mut Vec<Effect>) {
+    if seat.failures == 0 {
+        effects.push(Effect::Note(Note::Reachable {
+            member: seat.member.id,
+            reachable: false,
+        }));
+    }
+    seat.failed(now, refused);
+}
--- /dev/null
+++ b/crates/broker/src/state/directory.rs
@@ -0,0 +1,105 @@
+//! The configuration and the directory of members.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::id;
+
+use crate::effect::{Effect, Note};
+use crate::seat::Seat;
+use crate::state::Broker;
+use crate::topology;
+
+/// Time after the directory is reached again in which entries that lapsed meanwhile come back: 2 s by its contract, and
+/// room for the news to arrive.
+pub(super) const RELIST_FOR: Duration = Duration::from_millis(2_300);
+
+impl Broker {
+    pub(super) fn configured(&mut self, topology: topology::Topology) {
+        if topology.version <= self.topology.version {
+            return;
+        }
+        for group in topology.groups.keys() {
+            self.groups.entry(group);
+        }
+        self.topology = topology;
+    }
+
+    pub(super) fn listed(
+        &mut self,
+        now: Instant,
+        member: topology::Member,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.forget_others_named(now, &member, effects);
+        let group_id = member.group;
+        self.members.insert(member.id, group_id);
+        let group = self.groups.entry(group_id);
+        match group.seats.get_mut(member.id) {
+            Some(seat) if seat.member.revision > member.revision => return,
+            Some(seat) => seat.update(member, now),
+            None => {
+                group.seats.insert(member.id, Seat::new(member, now));
+            }
+        }
+        self.led_anew(now, group_id, effects);
+    }
+
+    /// An earlier incarnation, or one of another group, under the same name is gone for sure.
+    fn forget_others_named(
+        &mut self,
+        now: Instant,
+        member: &topology::Member,
+        effects: &mut Vec<Effect>,
+    ) {
+        let seats = self.groups.values().flat_map(|group| group.seats.values());
+        let older: Vec<id::MemberId> = seats
+            .filter(|seat| seat.member.name == member.name && seat.member.id != member.id)
+            .map(|seat| seat.member.id)
+            .collect();
+        for id in older {
+            self.forget(now, id, effects);
+        }
+    }
+
+    pub(super) fn unlisted(&mut self, now: Instant, name: &str) {
+        for (_, group) in self.groups.iter_mut() {
+            for (_, seat) in group.seats.iter_mut() {
+                if seat.member.name.as_ref() == name {
+                    seat.missing_since.get_or_insert(now);
+                }
+            }
+        }
+    }
+
+    pub(super) fn directory(&mut self, now: Instant, reached: bool) {
+        match reached {
+            true => {
+                self.directory_ok_since.get_or_insert(now);
+            }
+            false => self.directory_ok_since = None,
+        }
+    }
+
+    /// Returns whether a member without an entry since then is gone: lapsed entries have had the time to come back.
+    pub(super) fn is_gone(&self, now: Instant, missing_since: Option<Instant>) -> bool {
+        let passed = |since: Option<Instant>| {
+            since.is_some_and(|since| now.saturating_duration_since(since) >= RELIST_FOR)
+        };
+        passed(missing_since) && passed(self.directory_ok_since)
+    }
+
+    pub(super) fn forget(&mut self, now: Instant, member: id::MemberId, effects: &mut Vec<Effect>) {
+        let Some(group_id) = self.members.remove(member) else {
+            return;
+        };
+        let group = self.groups.entry(group_id);
+        if let Some(seat) = group.seats.remove(member) {
+            for idle in seat.idle {
+                self.conns.remove(idle.conn);
+                effects.push(Effect::Close(idle.conn));
+            }
+        }
+        effects.push(Effect::Note(Note::Gone(member)));
+        self.led_anew(now, group_id, effects);
+    }
+}
--- /dev/null
+++ b/crates/broker/src/state/leaders.rs
@@ -0,0 +1,196 @@
+//! Beliefs about leaders, and their replacement.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::id;
+
+use crate::effect::{Effect, Note};
+use crate::event::{Answer, Report, Standing};
+use crate::failover::{Attempt, Progress, Voter};
+use crate::state::Broker;
+
+/// Range over which proxies spread the begin of a replacement, so that mostly one claim is written.
+const BEGIN_SPREAD_MS: u64 = 150;
+/// Pause after a replacement before the next one of the same group: the news of the new leader has to arrive.
+const AFTER_DONE: Duration = Duration::from_millis(1_500);
+
+impl Broker {
+    /// Takes what a statement's end says about who leads.
+    pub(super) fn learn_lead(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        report: &Report,
+        effects: &mut Vec<Effect>,
+    ) {
+        let group = self.groups.entry(group_id);
+        match report.answer {
+            Answer::Led { asked_at, commit } => {
+                if let Some(point) = report.point {
+                    group.index.record(asked_at, point);
+                }
+                group.lead.witnessed(report.member, report.point);
+                if commit {
+                    group.lead.stalled_since = None;
+                }
+                if let Some(seat) = group.seats.get_mut(report.member) {
+                    seat.denies_lead = false;
+                }
+            }
+            Answer::Silent { commit: true } if group.lead.member == Some(report.member) => {
+                group.lead.stalled_since.get_or_insert(now);
+            }
+            _ => {}
+        }
+        self.led_anew(now, group_id, effects);
+    }
+
+    /// Decides anew who leads a group, and notes a change.
+    pub(super) fn led_anew(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let group = self.groups.entry(group_id);
+        group.lead.elect(&group.seats, now);
+        if group.noted_leader != group.lead.member {
+            group.noted_leader = group.lead.member;
+            effects.push(Effect::Note(Note::Leader {
+                group: group_id,
+                member: group.lead.member,
+                term: group.lead.term,
+            }));
+            self.pump(now, group_id, effects);
+        }
+    }
+
+    pub(super) fn standing(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        member: id::MemberId,
+        standing: Option<Standing>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(standing) = standing {
+            let group = self.groups.entry(group_id);
+            if standing.leads && standing.term >= group.lead.term {
+                group.lead.witnessed(member, Some(standing.received));
+            }
+            if let Some(seat) = group.seats.get_mut(member) {
+                seat.denies_lead = !standing.leads;
+                seat.answered(now, None);
+            }
+            self.led_anew(now, group_id, effects);
+        }
+        self.advance(now, group_id, effects, |attempt, voters, out| {
+            attempt.answered(now, member, standing, voters, out)
+        });
+    }
+
+    /// Begins a replacement where one is due, or goes on with the present one.
+    pub(super) fn govern(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let reason = self.verdict(now, group_id);
+        let me = self.settings.name.clone();
+        let group = self.groups.entry(group_id);
+        let droppable = group.attempt.as_ref().is_some_and(Attempt::may_be_dropped);
+        match reason {
+            None if droppable => group.attempt = None,
+            Some(reason) if group.attempt.is_none() => {
+                if group.attempt_after.is_some_and(|after| now < after) {
+                    return;
+                }
+                let spread_ms = id::weight(id::of(&me), group_id) % BEGIN_SPREAD_MS;
+                let begin_at = now + Duration::from_millis(spread_ms);
+                let (old, term) = (group.lead.member, group.lead.term);
+                let attempt = Attempt::new(group_id, &me, reason, old, term, begin_at);
+                group.attempt = Some(attempt);
+            }
+            _ => {}
+        }
+        self.advance(now, group_id, effects, |attempt, voters, out| {
+            attempt.tick(now, voters, out)
+        });
+    }
+
+    fn verdict(&self, now: Instant, group_id: id::GroupId) -> Option<crate::lead::Reason> {
+        let group = self.groups.get(group_id)?;
+        self.topology.groups.get(group_id)?;
+        // A member that alone is left has nobody to hand over to.
+        if group.seats.len() < 2 {
+            return None;
+        }
+        let leader = group.lead.member.and_then(|member| group.seats.get(member));
+        let listed = match leader {
+            Some(leader) => self.is_gone(now, leader.missing_since),
+            None => self.is_gone(now, group.lead.vacant_since),
+        };
+        group.lead.verdict(&group.seats, now, listed)
+    }
+
+    /// Hands something to the replacement under way, and takes what becomes of it.
+    pub(super) fn advance(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        effects: &mut Vec<Effect>,
+        act: impl FnOnce(&mut Attempt, &[Voter], &mut Vec<Effect>) -> Progress,
+    ) {
+        let Some(group) = self.groups.get_mut(group_id) else {
+            return;
+        };
+        let Some(attempt) = group.attempt.as_mut() else {
+            return;
+        };
+        let voters: Vec<Voter> = group
+            .seats
+            .values()
+            .map(|seat| Voter {
+                member: seat.member.id,
+                name: seat.member.name.clone(),
+                eligible: !seat.member.leaving && seat.missing_since.is_none(),
+            })
+            .collect();
+        let progress = act(attempt, &voters, effects);
+        let (step, token, target) = attempt.describe();
+        let reason = attempt.reason;
+        let step = match progress {
+            Progress::Going => step,
+            Progress::Done { .. } => "done",
+            Progress::Failed { .. } => "given_up",
+        };
+        if group.noted_step != step && !(step == "waiting" && group.noted_step.is_empty()) {
+            group.noted_step = step;
+            effects.push(Effect::Note(Note::Failover {
+                group: group_id,
+                reason,
+                step,
+                token,
+                target,
+            }));
+        }
+        match progress {
+            Progress::Going => {}
+            Progress::Done { member, standing } => {
+                group.attempt = None;
+                group.attempt_after = Some(now + AFTER_DONE);
+                if let Some(seat) = group.seats.get_mut(member) {
+                    seat.denies_lead = false;
+                }
+                group.lead.witnessed(member, Some(standing.received));
+                self.led_anew(now, group_id, effects);
+                self.pump(now, group_id, effects);
+            }
+            Progress::Failed { retry_at } => {
+                group.attempt = None;
+                group.attempt_after = Some(retry_at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/state/requests.rs
@@ -0,0 +1,300 @@
+//! Requests from arrival to a connection or a refusal.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::floor::Point;
+use fulmarlift_core::id;
+
+use crate::effect::{Effect, Grant, Reason, Refuse};
+use crate::place;
+use crate::queue;
+use crate::request::{Need, Request};
+use crate::seat::Seat;
+use crate::state::{Broker, Group};
+
+/// Time that a group usually goes without a leader: detection, questions and a promotion.
+const GAP_USUAL: Duration = Duration::from_millis(1_500);
+/// Time for which a request still waits for a leader when the usual gap is over.
+const GAP_OVERDUE: Duration = Duration::from_millis(300);
+/// Cost of opening a connection, in ms: a round trip and the member's work on it.
+const OPEN_MS: f64 = 25.0;
+
+/// What can be done for a waiting request now.
+enum Choice {
+    Grant {
+        member: id::MemberId,
+        floor: Option<Point>,
+    },
+    Open(id::MemberId),
+    Index,
+    Wait,
+    Refuse(Reason, Duration),
+}
+
+impl Broker {
+    pub(super) fn arrived(&mut self, now: Instant, request: Request, effects: &mut Vec<Effect>) {
+        let group_id = request.group;
+        let group = self.groups.entry(group_id);
+        group.asked_at = Some(now);
+        let limits = group.seats.values().filter(|seat| seat.usable(now));
+        let side_by_side: u32 = limits.map(place::running_max).sum();
+        let latency_ms = group.slowest_ms();
+        let ahead = group.queue.ahead_of(&request);
+        let turn = queue::turn_in(ahead, latency_ms, side_by_side);
+        let latest = request.deadline.min(request.objective_at);
+        if ahead > 0 && now + turn > latest {
+            effects.push(refuse(now, &request, Reason::Overload, turn));
+            return;
+        }
+        self.requests.insert(request.id, group_id);
+        group.queue.push(request);
+        self.pump(now, group_id, effects);
+    }
+
+    pub(super) fn abandoned(&mut self, request: id::RequestId) {
+        if let Some(group_id) = self.requests.remove(request) {
+            self.groups.entry(group_id).queue.remove(request);
+        }
+    }
+
+    pub(super) fn pump_of(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(group_id) = self.members.get(member).copied() {
+            self.pump(now, group_id, effects);
+        }
+    }
+
+    /// Serves, refuses or goes on to hold each waiting request of a group.
+    pub(super) fn pump(&mut self, now: Instant, group_id: id::GroupId, effects: &mut Vec<Effect>) {
+        let Some(group) = self.groups.get_mut(group_id) else {
+            return;
+        };
+        if group.queue.is_empty() {
+            return;
+        }
+        for request in group.queue.take_expired(now) {
+            self.requests.remove(request.id);
+            effects.push(refuse(now, &request, Reason::Late, Duration::ZERO));
+        }
+        let waiting = group.queue.ordered(now).to_vec();
+        let mut wanted: Vec<id::MemberId> = Vec::new();
+        for request in waiting {
+            match self.choose(now, &request) {
+                Choice::Grant { member, floor } => self.grant(&request, member, floor, effects),
+                Choice::Open(member) => wanted.push(member),
+                Choice::Index => self.groups.entry(group_id).wants_index = true,
+                Choice::Wait => {}
+                Choice::Refuse(reason, wait) => {
+                    self.requests.remove(request.id);
+                    self.groups.entry(group_id).queue.remove(request.id);
+                    effects.push(refuse(now, &request, reason, wait));
+                }
+            }
+        }
+        self.open_wanted(now, &wanted, effects);
+        self.probe_if_wanted(now, group_id, effects);
+    }
+
+    fn grant(
+        &mut self,
+        request: &Request,
+        member: id::MemberId,
+        floor: Option<Point>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(seat) = self.seat_mut(member) else {
+            return;
+        };
+        let Some(idle) = seat.idle.pop() else {
+            return;
+        };
+        seat.leased += 1;
+        seat.running += 1;
+        self.requests.remove(request.id);
+        self.groups.entry(request.group).queue.remove(request.id);
+        effects.push(Effect::Grant(Grant {
+            request: request.id,
+            conn: idle.conn,
+            member,
+            floor,
+            verify: request.need == Need::Latest,
+        }));
+    }
+
+    /// Opens as many connections as requests wait for beyond those being opened.
+    fn open_wanted(&mut self, now: Instant, wanted: &[id::MemberId], effects: &mut Vec<Effect>) {
+        for (nth, &member) in wanted.iter().enumerate() {
+            let before = wanted[..nth].iter().filter(|&&other| other == member);
+            let nth_there = u32::try_from(before.count()).unwrap_or(u32::MAX);
+            let due = self
+                .seat(member)
+                .is_some_and(|seat| seat.may_open(now) && nth_there >= seat.opening);
+            if due {
+                self.open(member, effects);
+            }
+        }
+    }
+
+    fn choose(&self, now: Instant, request: &Request) -> Choice {
+        let Some(group) = self.groups.get(request.group) else {
+            return Choice::Refuse(Reason::NoMember, GAP_USUAL);
+        };
+        match request.need {
+            Need::Lead | Need::Latest => self.choose_leader(now, group, request),
+            Need::Recent { since, own } => match group.index.floor(since, own) {
+                Some(floor) => self.choose_any(now, group, request, floor),
+                None if self.usable_leader(now, group).is_some() => Choice::Index,
+                None => vacant(now, group, request),
+            },
+        }
+    }
+
+    /// Returns the leader if it may be sent new work: one that leaves serves until it is replaced, within the bound.
+    fn usable_leader<'a>(&self, now: Instant, group: &'a Group) -> Option<&'a Seat> {
+        let seat = group.seats.get(group.lead.member?)?;
+        let leaving_since = seat.leaving_since.or(seat.missing_since);
+        let drained = leaving_since.is_some_and(|since| {
+            now.saturating_duration_since(since) * 4 > self.settings.drain_timeout * 3
+        });
+        (!drained && seat.failures < 2).then_some(seat)
+    }
+
+    fn choose_leader(&self, now: Instant, group: &Group, request: &Request) -> Choice {
+        let Some(seat) = self.usable_leader(now, group) else {
+            return vacant(now, group, request);
+        };
+        if seat.rests(now) || seat.running >= place::running_max(seat) {
+            return Choice::Wait;
+        }
+        match seat.idle.is_empty() {
+            false => Choice::Grant {
+                member: seat.member.id,
+                floor: None,
+            },
+            true => self.open_or_wait(now, request, seat),
+        }
+    }
+
+    fn choose_any(&self, now: Instant, group: &Group, request: &Request, floor: Point) -> Choice {
+        let cost = |seat: &Seat| {
+            let question = place::Question {
+                now,
+                home: &self.settings.place,
+                floor: Some(floor),
+                leads: group.lead.member == Some(seat.member.id),
+                avoided: request.avoid == Some(seat.member.id),
+            };
+            let open = if seat.idle.is_empty() { OPEN_MS } else { 0.0 };
+            place::cost_ms(seat, &question) + open
+        };
+        let leader = self.usable_leader(now, group).map(|seat| seat.member.id);
+        let can = |seat: &&Seat| {
+            let listed = seat.usable(now) || leader == Some(seat.member.id) && !seat.rests(now);
+            let room = seat.running < place::running_max(seat);
+            let conn = !seat.idle.is_empty() || seat.may_open(now);
+            listed && room && conn
+        };
+        let best = group
+            .seats
+            .values()
+            .filter(can)
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        match best {
+            Some(seat) if !seat.idle.is_empty() => Choice::Grant {
+                member: seat.member.id,
+                floor: Some(floor),
+            },
+            Some(seat) => self.open_or_wait(now, request, seat),
+            None if group.seats.is_empty() => Choice::Refuse(Reason::NoMember, GAP_USUAL),
+            None => Choice::Wait,
+        }
+    }
+
+    fn open_or_wait(&self, now: Instant, request: &Request, seat: &Seat) -> Choice {
+        let limit = self
+            .topology
+            .groups
+            .get(request.group)
+            .map_or(u32::MAX, |config| config.connections_max);
+        if seat.may_open(now) && seat.connections() < limit {
+            Choice::Open(seat.member.id)
+        } else {
+            Choice::Wait
+        }
+    }
+
+    /// Lends an idle connection of the leader to a probe, where the index is wanted and no probe is under way.
+    pub(super) fn probe_if_wanted(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(group) = self.groups.get(group_id) else {
+            return;
+        };
+        if !group.wants_index || group.probing {
+            return;
+        }
+        let Some(seat) = self.usable_leader(now, group) else {
+            return;
+        };
+        let (member, free) = (seat.member.id, !seat.idle.is_empty());
+        let opens = !free && seat.opening == 0 && seat.may_open(now) && !seat.rests(now);
+        if opens {
+            self.open(member, effects);
+            return;
+        }
+        let Some(idle) = self.seat_mut(member).and_then(|seat| seat.idle.pop()) else {
+            return;
+        };
+        if let Some(seat) = self.seat_mut(member) {
+            seat.leased += 1;
+            seat.running += 1;
+        }
+        let group = self.groups.entry(group_id);
+        group.wants_index = false;
+        group.probing = true;
+        group.probe_at = Some(now);
+        effects.push(Effect::Probe {
+            conn: idle.conn,
+            member,
+        });
+    }
+}
+
+impl Group {
+    fn slowest_ms(&self) -> f64 {
+        let latencies = self.seats.values().map(|seat| seat.latency_ms);
+        latencies.fold(0.0, f64::max)
+    }
+}
+
+/// Decides on a request that needs a leader while there is none: it waits if the leader's return can be expected
+/// before its deadline, and is refused at once otherwise.
+fn vacant(now: Instant, group: &Group, request: &Request) -> Choice {
+    let leader = group.lead.member.and_then(|member| group.seats.get(member));
+    let since = group
+        .lead
+        .vacant_since
+        .or(leader.and_then(|seat| seat.failing_since))
+        .unwrap_or(now);
+    let back_at = (since + GAP_USUAL).max(now + GAP_OVERDUE);
+    if back_at > request.deadline {
+        Choice::Refuse(Reason::NoLeader, back_at.saturating_duration_since(now))
+    } else {
+        Choice::Wait
+    }
+}
+
+fn refuse(now: Instant, request: &Request, reason: Reason, wait: Duration) -> Effect {
+    Effect::Refuse(Refuse {
+        request: request.id,
+        reason,
+        retry_at: queue::retry_at(now, request.id, wait),
+    })
+}
--- a/crates/fulmarlift/benches/proxy/memory.rs
+++ b/crates/fulmarlift/benches/proxy/memory.rs
@@ -5,8 +5,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use fulmarlift_platform::platform::Platform;
-use fulmarlift_platform::{client, message};
+use fulmarlift_store::platform::Platform;
+use fulmarlift_store::{client, message};
 use futures::future;
 use pgwire::messages::{PgWireFrontendMessage, simplequery};
 
--- a/crates/fulmarlift/src/bin/fulmarlift/cmd/audit.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/audit.rs
@@ -1,6 +1,6 @@
 //! `audit`: who changed the configuration, when and how, and which proxies claimed terms.
 
-use fulmarlift_platform::{
+use fulmarlift_store::{
     claim,
     publish::{self, read},
 };
--- a/crates/fulmarlift/src/bin/fulmarlift/cmd/explain.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/explain.rs
@@ -1,6 +1,6 @@
 //! `explain`: where a proxy would send a statement, and why.
 
-use fulmarlift_platform::admin;
+use fulmarlift_store::admin;
 
 use crate::{error, flags, output, settings};
 
--- a/crates/fulmarlift/src/bin/fulmarlift/cmd/show.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/show.rs
@@ -1,7 +1,7 @@
 //! `show`: the configuration in force, or another version.
 
 use fulmarlift_config::model;
-use fulmarlift_platform::{
+use fulmarlift_store::{
     client,
     publish::{self, read},
 };
--- a/crates/fulmarlift/src/bin/fulmarlift/cmd/status.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/status.rs
@@ -1,6 +1,6 @@
 //! `status`: what a proxy sees.
 
-use fulmarlift_platform::admin;
+use fulmarlift_store::admin;
 
 use crate::{error, flags, output, settings};
 
--- a/crates/fulmarlift/src/bin/fulmarlift/cmd/submit.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/cmd/submit.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use fulmarlift_config::{diff, finding, model};
-use fulmarlift_platform::{
+use fulmarlift_store::{
     publish::{self, submit},
     retry,
 };
--- a/crates/fulmarlift/src/bin/fulmarlift/error.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/error.rs
@@ -4,7 +4,7 @@
 
 use fulmarlift_config::model;
 use fulmarlift_lab::{load, report};
-use fulmarlift_platform::{
+use fulmarlift_store::{
     admin, platform,
     publish::{read, submit},
 };
--- a/crates/fulmarlift/src/bin/fulmarlift/settings.rs
+++ b/crates/fulmarlift/src/bin/fulmarlift/settings.rs
@@ -2,7 +2,7 @@
 
 use std::env;
 
-use fulmarlift_platform::{admin, client};
+use fulmarlift_store::{admin, client};
 
 use crate::error;
 
--- a/crates/fulmarlift/src/demo/system.rs
+++ b/crates/fulmarlift/src/demo/system.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use fulmarlift_config::{builder, finding, model, verifier};
-use fulmarlift_platform::publish::submit;
-use fulmarlift_platform::{client, retry};
 use fulmarlift_proxy::{proxy, settings};
 use fulmarlift_standin::{member, platform};
+use fulmarlift_store::publish::submit;
+use fulmarlift_store::{client, retry};
 
 /// Service of the demo.
 pub const SERVICE: &str = "ledger";
@@ -47,7 +47,7 @@
     Platform(#[from] platform::StartError),
     /// The platform's client could not start.
     #[error("platform's client: {0}")]
-    Client(#[from] fulmarlift_platform::platform::Error),
+    Client(#[from] fulmarlift_store::platform::Error),
     /// The configuration was not accepted.
     #[error("configuration: {0}")]
     Submit(#[from] submit::Error),
--- a/crates/fulmarlift/src/lib.rs
+++ b/crates/fulmarlift/src/lib.rs
@@ -21,6 +21,6 @@
 
 pub use fulmarlift_config as config;
 pub use fulmarlift_core as core;
-pub use fulmarlift_platform as platform;
 pub use fulmarlift_proxy as proxy;
+pub use fulmarlift_store as platform;
 pub use fulmarlift_wire as wire;
--- a/crates/fulmarlift/tests/cli.rs
+++ b/crates/fulmarlift/tests/cli.rs
@@ -7,7 +7,7 @@
 };
 
 use fulmarlift_config::{builder, model, schema, verifier};
-use fulmarlift_platform::admin;
+use fulmarlift_store::admin;
 
 const MEMBERS: [&str; 3] = ["a", "b", "c"];
 const VARIABLES: [&str; 5] = [
--- a/crates/fulmarlift/tests/configuration.rs
+++ b/crates/fulmarlift/tests/configuration.rs
@@ -2,9 +2,9 @@
 
 mod support;
 
-use fulmarlift_platform::platform::Platform;
-use fulmarlift_platform::publish::{self, read, submit};
-use fulmarlift_platform::{client, message};
+use fulmarlift_store::platform::Platform;
+use fulmarlift_store::publish::{self, read, submit};
+use fulmarlift_store::{client, message};
 use support::{system::System, wait};
 
 fn platform(system: &System) -> client::Client {
--- a/crates/fulmarlift/tests/support/callers.rs
+++ b/crates/fulmarlift/tests/support/callers.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use fulmarlift_config::model;
-use fulmarlift_platform::publish::submit;
-use fulmarlift_platform::{client, retry};
+use fulmarlift_store::publish::submit;
+use fulmarlift_store::{client, retry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
--- a/crates/fulmarlift/tests/support/system.rs
+++ b/crates/fulmarlift/tests/support/system.rs
@@ -4,8 +4,8 @@
 use std::process::{Command, Output};
 
 use fulmarlift_config::model;
-use fulmarlift_platform::publish::{self, submit};
-use fulmarlift_platform::{admin, client, retry};
+use fulmarlift_store::publish::{self, submit};
+use fulmarlift_store::{admin, client, retry};
 use tokio::sync::{Semaphore, SemaphorePermit};
 use tokio_postgres::{Client, Connection, NoTls, Socket, tls};
 
--- a/crates/lab/examples/slopes/daemons.rs
+++ b/crates/lab/examples/slopes/daemons.rs
@@ -10,9 +10,9 @@
 
 use fulmarlift_config::model;
 use fulmarlift_lab::{load, slopes};
-use fulmarlift_platform::publish::submit;
-use fulmarlift_platform::{client, retry};
 use fulmarlift_standin::{member, platform};
+use fulmarlift_store::publish::submit;
+use fulmarlift_store::{client, retry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_postgres::NoTls;
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -6,7 +6,7 @@
 use axum::extract::{Query, State};
 use axum::http::StatusCode;
 use axum::routing;
-use fulmarlift_platform::admin;
+use fulmarlift_store::admin;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Deserialize;
 use tokio::net::TcpListener;
--- a/crates/proxy/src/engine/run.rs
+++ b/crates/proxy/src/engine/run.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use fulmarlift_core::{effect, event, id, peer};
-use fulmarlift_platform::client;
+use fulmarlift_store::client;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::engine::{Dispatched, Engine, Inner, Notice, Running};
--- a/crates/proxy/src/engine/view.rs
+++ b/crates/proxy/src/engine/view.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::{floor, group, id, peer, request, topology};
-use fulmarlift_platform::admin;
+use fulmarlift_store::admin;
 
 use crate::engine::Engine;
 
--- a/crates/proxy/src/explain.rs
+++ b/crates/proxy/src/explain.rs
@@ -4,7 +4,7 @@
 
 use fulmarlift_config::model;
 use fulmarlift_core::{floor, id};
-use fulmarlift_platform::admin;
+use fulmarlift_store::admin;
 use fulmarlift_wire::class;
 
 use crate::caller::plan;
--- a/crates/proxy/src/platform/claim.rs
+++ b/crates/proxy/src/platform/claim.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use fulmarlift_core::{event, id};
-use fulmarlift_platform::platform::Platform;
-use fulmarlift_platform::{claim, client, message, platform};
+use fulmarlift_store::platform::Platform;
+use fulmarlift_store::{claim, client, message, platform};
 
 use crate::engine;
 
--- a/crates/proxy/src/platform/follow.rs
+++ b/crates/proxy/src/platform/follow.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::peer;
-use fulmarlift_platform::platform::Platform;
-use fulmarlift_platform::publish::{self, read};
-use fulmarlift_platform::{client, platform};
+use fulmarlift_store::platform::Platform;
+use fulmarlift_store::publish::{self, read};
+use fulmarlift_store::{client, platform};
 use tokio::sync::watch;
 use tokio::task;
 
--- a/crates/proxy/src/platform/vms.rs
+++ b/crates/proxy/src/platform/vms.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use fulmarlift_core::{event, peer, topology};
-use fulmarlift_platform::platform::Platform;
-use fulmarlift_platform::{client, message};
+use fulmarlift_store::platform::Platform;
+use fulmarlift_store::{client, message};
 
 use crate::engine;
 
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fulmarlift_platform::client;
+use fulmarlift_store::client;
 use fulmarlift_wire::tls;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, UdpSocket};
@@ -51,7 +51,7 @@
     },
     /// The platform's address cannot be used.
     #[error("the platform's address cannot be used")]
-    Platform(#[from] fulmarlift_platform::platform::Error),
+    Platform(#[from] fulmarlift_store::platform::Error),
     /// The certificates cannot be used.
     #[error("the certificates cannot be used")]
     Tls(#[from] tls::Error),
--- a/crates/proxy/src/settings.rs
+++ b/crates/proxy/src/settings.rs
@@ -307,7 +307,7 @@
         let Some(address) = address else {
             return;
         };
-        if let Err(error) = fulmarlift_platform::client::Client::new(address) {
+        if let Err(error) = fulmarlift_store::client::Client::new(address) {
             self.report("--platform", error.to_string());
         }
     }
--- /dev/null
+++ b/crates/session/src/lib.rs
@@ -0,0 +1,23 @@
+//! Sessions before groups whose members acknowledge commits themselves.
+//!
+//! The crate runs the effects of a [`fulmarlift_broker::Broker`] on one thread. What callers and members speak, and how
+//! the store and the platform's orders are reached, is behind the small traits of [`world`]; nothing here knows a
+//! wire format.
+//!
+//! - [`protocol`]: callers' and members' messages, and the traits of their codecs.
+//! - [`session`]: a caller's session: values, prepared statements, transactions, single statements.
+//! - [`link`]: a connection to a member.
+//! - [`shell`]: the broker with its waiting requests and idle connections, and the tasks behind its effects.
+//! - [`follow`]: the configuration and the directory, followed in the store.
+//! - [`serve`]: listening, and the graceful stop.
+
+pub mod clock;
+pub mod follow;
+pub mod link;
+pub mod logging;
+pub mod protocol;
+pub mod serve;
+pub mod session;
+pub mod shell;
+pub mod values;
+pub mod world;
--- /dev/null
+++ b/crates/session/src/logging.rs
@@ -0,0 +1,105 @@
+//! The log: one line an event on standard output, bounded, and never waited for.
+
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
+use std::time::Instant;
+
+/// Lines that wait to be written; further ones are dropped and counted.
+const WAITING_LINES_MAX: usize = 4_096;
+/// Lines a second above which lines are dropped and counted: a busy proxy's refusals of a second, at 200 B each.
+const LINES_PER_S_MAX: u32 = 400;
+
+/// Lines that were dropped since the last line that said so.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Starts the log. `RUST_LOG` sets the level, `info` by default.
+pub fn init() {
+    let (sender, receiver) = sync_channel(WAITING_LINES_MAX);
+    let spawned = thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&receiver));
+    let target = match spawned {
+        Ok(_) => env_logger::Target::Pipe(Box::new(Queue::new(sender))),
+        Err(error) => {
+            eprintln!("fulmarlift: no thread for the log, which is written directly: {error}");
+            env_logger::Target::Stdout
+        }
+    };
+    let env = env_logger::Env::default().default_filter_or("info");
+    env_logger::Builder::from_env(env)
+        .format(|out, record| {
+            let time = out.timestamp_millis();
+            writeln!(
+                out,
+                "time={time} level={} {}",
+                record.level(),
+                record.args()
+            )
+        })
+        .target(target)
+        .init();
+}
+
+/// Hands lines to the writing thread.
+struct Queue {
+    sender: SyncSender<Vec<u8>>,
+    second_began: Instant,
+    lines: u32,
+}
+
+impl Queue {
+    fn new(sender: SyncSender<Vec<u8>>) -> Self {
+        Self {
+            sender,
+            second_began: Instant::now(),
+            lines: 0,
+        }
+    }
+
+    fn within_rate(&mut self) -> bool {
+        if self.second_began.elapsed().as_secs() >= 1 {
+            self.second_began = Instant::now();
+            self.lines = 0;
+        }
+        self.lines += 1;
+        self.lines <= LINES_PER_S_MAX
+    }
+}
+
+impl Write for Queue {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let dropped = !self.within_rate()
+            || matches!(
+                self.sender.try_send(line.to_vec()),
+                Err(TrySendError::Full(_) | TrySendError::Disconnected(_))
+            );
+        if dropped {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write_lines(receiver: &Receiver<Vec<u8>>) {
+    let mut out = io::stdout();
+    while let Ok(mut line) = receiver.recv() {
+        // One system call for all lines that wait.
+        while let Ok(next) = receiver.try_recv() {
+            line.extend(next);
+        }
+        let dropped = DROPPED.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            line.extend(format!("level=WARN event=log_dropped lines={dropped}\n").as_bytes());
+        }
+        if out.write_all(&line).and_then(|()| out.flush()).is_err() {
+            // Nobody reads the log any more, and there is nowhere to say so.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/session/src/protocol/member.rs
@@ -0,0 +1,137 @@
+//! The members' side.
+
+use bytes::{Bytes, BytesMut};
+use fulmarlift_broker::event::Standing;
+use fulmarlift_core::floor::Point;
+use fulmarlift_core::id;
+
+use crate::protocol::{Code, Mode, State, WireError};
+
+/// What is sent to a member. Each but [`Command::Terminate`] gets one [`Answer`].
+#[derive(Clone, Copy, Debug)]
+pub enum Command<'a> {
+    /// Begins a connection.
+    Startup {
+        /// Name of the group.
+        group: &'a str,
+        /// Name that the member is expected to have.
+        member: &'a str,
+    },
+    /// A caller's statement, its id and text unchanged.
+    Run {
+        /// The caller's id.
+        id: &'a Bytes,
+        /// The caller's text.
+        text: &'a Bytes,
+        /// Point that the member's log has to have reached.
+        floor: Option<Point>,
+    },
+    /// A caller's use of a prepared statement, under the name that it has on this connection.
+    Execute {
+        /// The caller's id.
+        id: &'a Bytes,
+        /// The statement.
+        prepared: &'a Prepared,
+        /// What follows the name in the caller's text.
+        arguments: &'a Bytes,
+        /// Point that the member's log has to have reached.
+        floor: Option<Point>,
+    },
+    /// Begins a transaction of the proxy's own that may write, which only a leader allows.
+    Begin,
+    /// Ends the proxy's own transaction without a trace.
+    Rollback,
+    /// Sets a session value.
+    Set {
+        /// Name of the value.
+        name: &'a str,
+        /// The value.
+        value: &'a Bytes,
+    },
+    /// Names a statement.
+    Prepare(&'a Prepared),
+    /// Clears values and names.
+    Reset,
+    /// Asks for the member's standing.
+    Status,
+    /// Stops a replica from receiving below this term.
+    Hold(id::Term),
+    /// Ends a hold.
+    Release,
+    /// Makes a leader of a lower term a replica.
+    Demote(id::Term),
+    /// Ends the connection.
+    Terminate,
+}
+
+/// What a prepared statement does; its name on members' connections is derived from it.
+#[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd)]
+pub struct Prepared {
+    /// Whether it writes.
+    pub mode: Mode,
+    /// Its shape.
+    pub shape: Box<str>,
+}
+
+/// One message of a member.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Frame {
+    /// A row.
+    Row(Bytes),
+    /// Success, with the member's signature.
+    Complete(Bytes),
+    /// Failure.
+    Error(Code, Box<str>),
+    /// The end of an answer: where the connection stands, and the last entry of the member's log.
+    Ready(State, Option<Point>),
+}
+
+/// How a statement ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum End {
+    /// Success, with the member's signature.
+    Complete(Bytes),
+    /// Failure.
+    Error(Code, Box<str>),
+    /// The member was only asked to be ready.
+    Ready,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// Rows.
+    pub rows: Vec<Bytes>,
+    /// How it ended.
+    pub end: End,
+    /// Where the connection stands.
+    pub state: State,
+    /// Last entry of the member's log.
+    pub point: Option<Point>,
+}
+
+impl Answer {
+    /// Returns the code of a failure.
+    pub fn error(&self) -> Option<&Code> {
+        match &self.end {
+            End::Error(code, _) => Some(code),
+            End::Complete(_) | End::Ready => None,
+        }
+    }
+}
+
+/// Writes commands and reads members' messages.
+pub trait Codec: Default + 'static {
+    /// Writes a command.
+    fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut);
+
+    /// Takes the next whole message out of the buffer; none if more bytes are needed.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError`] when the connection cannot go on.
+    fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Frame>, WireError>;
+
+    /// Reads the row by which a member tells its standing; none if it is no such row.
+    fn standing(&self, row: &Bytes) -> Option<Standing>;
+}
--- /dev/null
+++ b/crates/session/src/serve.rs
@@ -0,0 +1,49 @@
+//! Listening for callers, and the graceful stop.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+
+use crate::session::{self, Grace};
+use crate::shell::Shell;
+use crate::world::World;
+
+/// Pause before the listener is tried again after it failed, such as for want of file descriptors.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
+/// Pause between two looks whether all sessions have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Accepts callers for ever.
+pub async fn accept<W: World>(shell: Rc<Shell<W>>, listener: TcpListener, grace: Grace) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shell = Rc::clone(&shell);
+                tokio::task::spawn_local(async move {
+                    if let Err(ended) = session::run(shell, stream, grace).await {
+                        log::debug!("event=session_ended reason=\"{ended}\"");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+/// Begins the graceful stop and waits until all sessions have ended, at least for `least` and at most for `most`.
+pub async fn drain<W: World>(shell: &Shell<W>, least: Duration, most: Duration) {
+    shell.stop();
+    let least = tokio::time::Instant::now() + least;
+    let most = tokio::time::Instant::now() + most;
+    loop {
+        tokio::time::sleep(DRAIN_POLL).await;
+        let now = tokio::time::Instant::now();
+        if now >= most || (now >= least && shell.sessions() == 0) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/session/src/session/single.rs
@@ -0,0 +1,310 @@
+//! Statements outside transactions.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use fulmarlift_broker::effect::Refuse;
+use fulmarlift_broker::request::{Need, Request};
+use fulmarlift_broker::topology::{Consistency, Route};
+use fulmarlift_core::id;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+
+use crate::clock;
+use crate::protocol::member::Answer;
+use crate::protocol::{Code, Mode};
+use crate::session::Session;
+use crate::session::attempt::{self, Outcome};
+use crate::session::plan::Plan;
+use crate::shell::{Shell, Turn};
+use crate::world::World;
+
+/// Time of a statement's limit that is left for the answer's way to the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(40);
+/// Most connections that one statement is tried on: the members of a group twice.
+const ATTEMPTS_MAX: u32 = 6;
+
+/// Bounds of one statement.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// When it arrived.
+    pub arrived_at: Instant,
+    /// When it should be answered.
+    pub objective_at: Instant,
+    /// When it has to be answered.
+    pub deadline: Instant,
+    /// When a read is tried at a second member, if the first has not answered.
+    pub hedge_at: Instant,
+}
+
+impl Bounds {
+    /// Derives the bounds of a statement that arrives now.
+    pub fn new(route: &Route) -> Self {
+        let arrived_at = clock::now();
+        let objective = Duration::from_millis(u64::from(route.objective_ms));
+        let timeout = Duration::from_millis(u64::from(route.statement_timeout_ms));
+        Self {
+            arrived_at,
+            objective_at: arrived_at + objective,
+            deadline: arrived_at + timeout.saturating_sub(ANSWER_MARGIN),
+            hedge_at: arrived_at + objective.min(timeout) / 2,
+        }
+    }
+}
+
+/// Returns what a statement demands.
+pub fn need(route: &Route, mode: Mode, own: Option<fulmarlift_core::floor::Point>) -> Need {
+    match (mode, route.consistency) {
+        (Mode::Write, _) => Need::Lead,
+        (Mode::Read, Consistency::Leader) => Need::Latest,
+        (
+            Mode::Read,
+            Consistency::Bounded { max_staleness_ms } | Consistency::OwnWrites { max_staleness_ms },
+        ) => {
+            let age = Duration::from_millis(u64::from(max_staleness_ms));
+            let now = clock::now();
+            Need::Recent {
+                since: now.checked_sub(age).unwrap_or(now),
+                own: own.filter(|_| matches!(route.consistency, Consistency::OwnWrites { .. })),
+            }
+        }
+    }
+}
+
+/// What a caller is told when a statement did not succeed, and why, for the log.
+#[derive(Debug)]
+pub struct Failure {
+    /// The code.
+    pub code: Code,
+    /// The text.
+    pub text: String,
+}
+
+impl Failure {
+    /// A refusal that says when to come back.
+    pub fn refused(refuse: &Refuse) -> Self {
+        let wait = refuse.retry_at.saturating_duration_since(clock::now());
+        Self {
+            code: Code::Busy,
+            text: format!("retry after {} ms", wait.as_millis()),
+        }
+    }
+}
+
+impl<W: World> Session<W> {
+    pub(super) async fn execute_single(&mut self, plan: Plan) {
+        let Some(route) = self.route() else {
+            return self.answer_error(&Code::NoDatabase, "the database has been removed");
+        };
+        let bounds = Bounds::new(&route);
+        let own = self.own.point(route.group);
+        let held = Rc::clone(&self.held);
+        let plan = Rc::new(plan);
+        let need = need(&route, plan.mode, own);
+        let ended = match plan.mode {
+            Mode::Read => read(&self.shell, &plan, &held, &route, need, bounds).await,
+            Mode::Write => write(&self.shell, &plan, &held, &route, bounds).await,
+        };
+        match ended {
+            Ok(answer) => {
+                if plan.mode == Mode::Write
+                    && answer.error().is_none()
+                    && let Some(point) = answer.point
+                {
+                    self.own.raise(route.group, point);
+                }
+                count(&plan, &bounds, "served");
+                self.pass_on(&answer);
+            }
+            Err(failure) => {
+                count(&plan, &bounds, "failed");
+                let waited = clock::now().saturating_duration_since(bounds.arrived_at);
+                log::info!(
+                    "event=failed request={} database={} mode={:?} code={:?} text=\"{}\" after_ms={}",
+                    plan.id(),
+                    self.database,
+                    plan.mode,
+                    failure.code,
+                    failure.text,
+                    waited.as_millis()
+                );
+                self.answer_error(&failure.code, &failure.text);
+            }
+        }
+    }
+}
+
+fn count(plan: &Plan, bounds: &Bounds, outcome: &'static str) {
+    let mode = match plan.mode {
+        Mode::Read => "read",
+        Mode::Write => "write",
+    };
+    metrics::counter!("fulmarlift_statements_total", "mode" => mode, "outcome" => outcome)
+        .increment(1);
+    metrics::histogram!("fulmarlift_statement_seconds", "mode" => mode)
+        .record(clock::now().saturating_duration_since(bounds.arrived_at));
+}
+
+/// Asks for a connection.
+pub(super) async fn take_turn<W: World>(
+    shell: &Rc<Shell<W>>,
+    route: &Route,
+    need: Need,
+    bounds: Bounds,
+    avoid: Option<id::MemberId>,
+) -> Turn<W> {
+    shell
+        .turn(Request {
+            id: shell.next_request(),
+            group: route.group,
+            need,
+            priority: route.priority,
+            objective_at: bounds.objective_at,
+            deadline: bounds.deadline,
+            avoid,
+        })
+        .await
+}
+
+/// One attempt of a read, with the member that it was tried at.
+async fn try_once<W: World>(
+    shell: Rc<Shell<W>>,
+    plan: Rc<Plan>,
+    held: Rc<crate::values::Held>,
+    route: Route,
+    need: Need,
+    bounds: Bounds,
+    avoid: Option<id::MemberId>,
+) -> Result<(id::MemberId, Outcome), Refuse> {
+    match take_turn(&shell, &route, need, bounds, avoid).await {
+        Turn::Refused(refuse) => Err(refuse),
+        Turn::Granted { lease, grant } => {
+            let outcome = attempt::run(lease, grant, &plan, &held, bounds.deadline).await;
+            Ok((grant.member, outcome))
+        }
+    }
+}
+
+/// Runs a read. It may be tried at several members, one after the other, and at two at once when the first is slow.
+async fn read<W: World>(
+    shell: &Rc<Shell<W>>,
+    plan: &Rc<Plan>,
+    held: &Rc<crate::values::Held>,
+    route: &Route,
+    need: Need,
+    bounds: Bounds,
+) -> Result<Answer, Failure> {
+    let again = |avoid| {
+        let (shell, plan, held) = (Rc::clone(shell), Rc::clone(plan), Rc::clone(held));
+        try_once(shell, plan, held, route.clone(), need, bounds, avoid)
+    };
+    let mut running = FuturesUnordered::new();
+    running.push(again(None));
+    let mut attempts = 1;
+    let mut hedged = false;
+    let mut was_sent = false;
+    let hedge = tokio::time::sleep_until(clock::timer(bounds.hedge_at));
+    tokio::pin!(hedge);
+    let ended = loop {
+        let next = tokio::select! {
+            next = running.next() => next,
+            () = &mut hedge, if !hedged => {
+                hedged = true;
+                attempts += 1;
+                running.push(again(None));
+                metrics::counter!("fulmarlift_hedges_total").increment(1);
+                continue;
+            }
+        };
+        let avoid = match next {
+            Some(Ok((_, Outcome::Answered(answer)))) => {
+                let failed = answer.error() == Some(&Code::Failed);
+                if !failed || attempts >= ATTEMPTS_MAX || !running.is_empty() {
+                    break Ok(answer);
+                }
+                None
+            }
+            Some(Ok((member, Outcome::NotRun(code)))) => {
+                log::debug!("event=retried request={} code={code:?}", plan.id());
+                Some(member)
+            }
+            Some(Ok((member, Outcome::Lost(error)))) => {
+                was_sent = true;
+                log::info!("event=retried request={} error=\"{error}\"", plan.id());
+                Some(member)
+            }
+            Some(Err(refuse)) if running.is_empty() => break Err(given_up(&refuse, was_sent)),
+            Some(Err(_)) => continue,
+            None => break Err(timed_out(was_sent)),
+        };
+        if attempts < ATTEMPTS_MAX && clock::now() < bounds.deadline {
+            attempts += 1;
+            running.push(again(avoid));
+        } else if running.is_empty() {
+            break Err(timed_out(was_sent));
+        }
+    };
+    if !running.is_empty() {
+        // The slower attempt still returns its connection, and tells how the member is.
+        tokio::task::spawn_local(async move { while running.next().await.is_some() {} });
+    }
+    ended
+}
+
+fn given_up(refuse: &Refuse, was_sent: bool) -> Failure {
+    let mut failure = Failure::refused(refuse);
+    if was_sent {
+        failure.code = Code::Failed;
+    }
+    failure
+}
+
+fn timed_out(was_sent: bool) -> Failure {
+    match was_sent {
+        true => Failure {
+            code: Code::Timeout,
+            text: "no member answered in time".to_owned(),
+        },
+        false => Failure {
+            code: Code::Busy,
+            text: "no member took the statement in time".to_owned(),
+        },
+    }
+}
+
+/// Runs a write. Once it has been sent, only the member's word that it has not run allows another attempt.
+async fn write<W: World>(
+    shell: &Rc<Shell<W>>,
+    plan: &Plan,
+    held: &crate::values::Held,
+    route: &Route,
+    bounds: Bounds,
+) -> Result<Answer, Failure> {
+    let mut refused = Code::Busy;
+    for _ in 0..ATTEMPTS_MAX {
+        if clock::now() >= bounds.deadline {
+            break;
+        }
+        let turn = take_turn(shell, route, Need::Lead, bounds, None).await;
+        let (lease, grant) = match turn {
+            Turn::Granted { lease, grant } => (lease, grant),
+            Turn::Refused(refuse) => return Err(Failure::refused(&refuse)),
+        };
+        match attempt::run(lease, grant, plan, held, bounds.deadline).await {
+            Outcome::Answered(answer) => return Ok(answer),
+            Outcome::NotRun(code) => {
+                log::debug!("event=retried request={} code={code:?}", plan.id());
+                refused = code;
+            }
+            Outcome::Lost(error) => {
+                return Err(Failure {
+                    code: Code::InDoubt,
+                    text: error.to_string(),
+                });
+            }
+        }
+    }
+    let text = format!("not run, last refused with {refused:?}");
+    let code = Code::Busy;
+    Err(Failure { code, text })
+}
--- /dev/null
+++ b/crates/session/src/session/transaction.rs
@@ -0,0 +1,329 @@
+//! Transactions.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_broker::event;
+use fulmarlift_broker::topology::Route;
+
+use crate::clock;
+use crate::link::LinkError;
+use crate::protocol::caller::Query;
+use crate::protocol::member::Answer;
+use crate::protocol::{Code, Mode, State};
+use crate::session::Session;
+use crate::session::attempt::{self, reading_of};
+use crate::session::plan::Plan;
+use crate::session::single::{self, Bounds, Failure};
+use crate::shell::{Lease, Turn};
+use crate::world::World;
+
+/// Pause before a statement that its member had no slot for is sent again: about a mean statement.
+const BUSY_PAUSE: Duration = Duration::from_millis(10);
+/// Most connections on which a transaction is tried to be begun.
+const ATTEMPTS_MAX: u32 = 6;
+
+/// A session's transaction.
+pub enum Transaction<W: World> {
+    /// There is none.
+    None,
+    /// Begun by the caller, not yet at a member.
+    Begun {
+        /// The caller's statement that began it.
+        begin: Plan,
+        /// The route that it follows.
+        route: Route,
+    },
+    /// Under way on a connection of its own.
+    Open {
+        /// The connection.
+        lease: Box<Lease<W>>,
+        /// Whether it may write.
+        mode: Mode,
+        /// The route that it follows.
+        route: Route,
+        /// Whether a write was sent.
+        wrote: bool,
+    },
+    /// Rolled back; the caller has to end it.
+    Failed,
+}
+
+impl<W: World> Transaction<W> {
+    pub(super) fn begun(mode: Mode, query: &Query, route: Route) -> Self {
+        let begin = Plan::direct(query, mode);
+        Self::Begun { begin, route }
+    }
+
+    pub(super) fn state(&self) -> State {
+        match self {
+            Self::None => State::Idle,
+            Self::Begun { .. } | Self::Open { .. } => State::Transaction,
+            Self::Failed => State::Failed,
+        }
+    }
+
+    pub(super) fn holds_connection(&self) -> bool {
+        matches!(self, Self::Open { .. })
+    }
+
+    /// Notes that a session value was set: a rollback may or may not undo it at the member.
+    pub(super) fn value_set(&mut self) {
+        if let Self::Open { lease, .. } = self {
+            lease.link().mirror.doubt();
+        }
+    }
+
+    /// Ends the transaction without keeping anything.
+    pub(super) fn abandon(&mut self) {
+        if let Self::Open { lease, .. } = std::mem::replace(self, Self::None) {
+            lease.roll_back();
+        }
+    }
+
+    /// Ends the transaction without keeping anything; the caller has yet to hear of it.
+    pub(super) fn fail(&mut self) {
+        self.abandon();
+        *self = Self::Failed;
+    }
+}
+
+impl<W: World> Session<W> {
+    pub(super) async fn execute_in_transaction(&mut self, plan: Plan) {
+        if let Err(failure) = self.open_transaction().await {
+            return self.fail_transaction(&plan, &failure);
+        }
+        let held = std::rc::Rc::clone(&self.held);
+        let Transaction::Open {
+            lease,
+            route,
+            wrote,
+            ..
+        } = &mut self.transaction
+        else {
+            return self.answer_error(&Code::Aborted, "the transaction has ended");
+        };
+        let bounds = Bounds::new(route);
+        *wrote |= plan.mode == Mode::Write;
+        lease.start();
+        let synchronized = attempt::synchronize(lease, &held, plan.needs(), bounds.deadline).await;
+        let answered = match synchronized {
+            Ok(()) => exchange(lease, &plan, bounds.deadline).await,
+            Err(error) => Err(error),
+        };
+        match answered {
+            Ok(answer) => {
+                let reading = answer.error().map_or(event::Answer::Served, reading_of);
+                lease.report(reading, answer.point);
+                if answer.state != State::Transaction {
+                    log::info!(
+                        "event=transaction_failed request={} end={:?}",
+                        plan.id(),
+                        answer.end
+                    );
+                    self.transaction.fail();
+                }
+                self.pass_on(&answer);
+            }
+            Err(error) => {
+                lease.report_failure(&error, false);
+                // The connection is closed, which rolls back at the member.
+                let failure = Failure {
+                    code: Code::Aborted,
+                    text: error.to_string(),
+                };
+                self.fail_transaction(&plan, &failure);
+            }
+        }
+    }
+
+    fn fail_transaction(&mut self, plan: &Plan, failure: &Failure) {
+        log::info!(
+            "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"",
+            plan.id(),
+            self.database,
+            failure.code,
+            failure.text
+        );
+        self.transaction = Transaction::Failed;
+        self.answer_error(&failure.code, &failure.text);
+    }
+
+    /// Takes a connection for a transaction that has none and begins it there.
+    async fn open_transaction(&mut self) -> Result<(), Failure> {
+        let Transaction::Begun { begin, route } = &self.transaction else {
+            return Ok(());
+        };
+        let (begin, route) = (begin.clone(), route.clone());
+        let bounds = Bounds::new(&route);
+        let mut avoid = None;
+        for _ in 0..ATTEMPTS_MAX {
+            if clock::now() >= bounds.deadline {
+                break;
+            }
+            let need = single::need(&route, begin.mode, self.own.point(route.group));
+            let turn = single::take_turn(&self.shell, &route, need, bounds, avoid).await;
+            let (mut lease, grant) = match turn {
+                Turn::Granted { lease, grant } => (lease, grant),
+                Turn::Refused(refuse) => return Err(Failure::refused(&refuse)),
+            };
+            avoid = Some(grant.member);
+            let mut floor = grant.floor;
+            if grant.verify {
+                match attempt::verify(&mut lease, bounds.deadline).await {
+                    Ok(point) => floor = floor.max(point),
+                    Err(Some(_)) => {
+                        lease.give_back();
+                        continue;
+                    }
+                    Err(None) => continue,
+                }
+            }
+            if self
+                .begin_on(&mut lease, &begin, floor, grant.verify, bounds)
+                .await
+            {
+                let mode = begin.mode;
+                self.transaction = Transaction::Open {
+                    lease,
+                    mode,
+                    route,
+                    wrote: false,
+                };
+                return Ok(());
+            }
+        }
+        Err(Failure {
+            code: Code::Busy,
+            text: "no member began the transaction in time".to_owned(),
+        })
+    }
+
+    async fn begin_on(
+        &self,
+        lease: &mut Lease<W>,
+        begin: &Plan,
+        floor: Option<fulmarlift_core::floor::Point>,
+        verified: bool,
+        bounds: Bounds,
+    ) -> bool {
+        let asked_at = clock::now();
+        begin.push(lease.link(), floor);
+        if verified {
+            // The end of the verifying transaction is answered first.
+            match lease.exchange(bounds.deadline).await {
+                Ok(ended) if ended.state == State::Idle => {}
+                Ok(_) => return false,
+                Err(error) => {
+                    lease.report_failure(&error, false);
+                    return false;
+                }
+            }
+        }
+        match lease.exchange(bounds.deadline).await {
+            Ok(answer) => {
+                let begun = answer.error().is_none() && answer.state == State::Transaction;
+                let success = match begin.mode {
+                    Mode::Write => event::Answer::Led {
+                        asked_at,
+                        commit: false,
+                    },
+                    Mode::Read => event::Answer::Served,
+                };
+                lease.report(answer.error().map_or(success, reading_of), answer.point);
+                begun
+            }
+            Err(error) => {
+                lease.report_failure(&error, false);
+                false
+            }
+        }
+    }
+
+    pub(super) async fn commit(&mut self, query: &Query) {
+        match self.transaction.state() {
+            State::Idle => return self.answer_error(&Code::Malformed, "not in a transaction"),
+            State::Failed => {
+                self.transaction = Transaction::None;
+                return self.answer_error(&Code::Aborted, "the transaction was rolled back");
+            }
+            State::Transaction => {}
+        }
+        let plan = Plan::direct(query, Mode::Write);
+        if let Err(failure) = self.open_transaction().await {
+            self.transaction = Transaction::None;
+            log::info!(
+                "event=failed request={} commit=true code={:?} text=\"{}\"",
+                plan.id(),
+                failure.code,
+                failure.text
+            );
+            return self.answer_error(&failure.code, &failure.text);
+        }
+        let ended = std::mem::replace(&mut self.transaction, Transaction::None);
+        let Transaction::Open {
+            mut lease,
+            mode,
+            route,
+            wrote,
+        } = ended
+        else {
+            return self.answer_error(&Code::Aborted, "the transaction has ended");
+        };
+        let bounds = Bounds::new(&route);
+        let asked_at = clock::now();
+        lease.start();
+        match exchange(&mut lease, &plan, bounds.deadline).await {
+            Ok(answer) => {
+                let success = match mode {
+                    Mode::Write => event::Answer::Led {
+                        asked_at,
+                        commit: wrote,
+                    },
+                    Mode::Read => event::Answer::Served,
+                };
+                lease.report(answer.error().map_or(success, reading_of), answer.point);
+                if answer.error().is_none()
+                    && wrote
+                    && let Some(point) = answer.point
+                {
+                    self.own.raise(route.group, point);
+                }
+                if let Some(code) = answer.error() {
+                    log::info!("event=commit_failed request={} code={code:?}", plan.id());
+                }
+                match answer.state {
+                    State::Idle => lease.give_back(),
+                    State::Transaction | State::Failed => lease.roll_back(),
+                }
+                self.pass_on(&answer);
+            }
+            Err(error) => {
+                lease.report_failure(&error, wrote);
+                // What wrote nothing leaves nothing behind, whatever became of its end.
+                let code = if wrote { Code::InDoubt } else { Code::Aborted };
+                log::info!(
+                    "event=failed request={} commit=true code={code:?} error=\"{error}\"",
+                    plan.id()
+                );
+                self.answer_error(&code, &error.to_string());
+            }
+        }
+    }
+}
+
+/// Sends a statement of a transaction, again and again while its member has no slot for it.
+async fn exchange<W: World>(
+    lease: &mut Lease<W>,
+    plan: &Plan,
+    deadline: Instant,
+) -> Result<Answer, LinkError> {
+    loop {
+        plan.push(lease.link(), None);
+        let answer = lease.exchange(deadline).await?;
+        let busy = answer.error() == Some(&Code::Busy) && answer.state == State::Transaction;
+        if !busy || clock::now() + BUSY_PAUSE >= deadline {
+            return Ok(answer);
+        }
+        tokio::time::sleep(BUSY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/session/src/shell/lease.rs
@@ -0,0 +1,134 @@
+//! A connection in use.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use fulmarlift_broker::event::{Answer, Event, Report};
+use fulmarlift_core::floor::Point;
+use fulmarlift_core::id;
+
+use crate::clock;
+use crate::link::{Link, LinkError};
+use crate::protocol::member;
+use crate::shell::Shell;
+use crate::world::World;
+
+/// Exclusive use of a connection. Dropped without [`Lease::give_back`], the connection is closed.
+pub struct Lease<W: World> {
+    shell: Rc<Shell<W>>,
+    conn: id::ConnId,
+    link: Option<Link<W::Member>>,
+    member: id::MemberId,
+    running_since: Option<Instant>,
+}
+
+impl<W: World> Lease<W> {
+    /// Takes a connection on which a statement counts as running.
+    pub(super) fn new(shell: &Rc<Shell<W>>, conn: id::ConnId, link: Link<W::Member>) -> Self {
+        Self {
+            shell: Rc::clone(shell),
+            conn,
+            member: link.member,
+            link: Some(link),
+            running_since: Some(clock::now()),
+        }
+    }
+
+    /// Returns the member at the other end.
+    pub fn member(&self) -> id::MemberId {
+        self.member
+    }
+
+    /// Returns the connection.
+    pub fn link(&mut self) -> &mut Link<W::Member> {
+        self.link
+            .as_mut()
+            .expect("the link is there until the lease is given back")
+    }
+
+    /// Notes that a further statement is sent.
+    pub fn start(&mut self) {
+        if self.running_since.is_none() {
+            self.shell.handle(Event::Started(self.member));
+        }
+        self.running_since = Some(clock::now());
+    }
+
+    /// Reports how the statement ended. The first report after a start counts.
+    pub fn report(&mut self, answer: Answer, point: Option<Point>) {
+        let Some(since) = self.running_since.take() else {
+            return;
+        };
+        let took = clock::now().saturating_duration_since(since);
+        self.shell.handle(Event::Answered(Report {
+            member: self.member,
+            answer,
+            point,
+            took: Some(took),
+        }));
+    }
+
+    /// Reports that no answer came.
+    pub fn report_failure(&mut self, error: &LinkError, commit: bool) {
+        let answer = match error {
+            LinkError::Silent => Answer::Silent { commit },
+            LinkError::Broken(error) if error.kind() == std::io::ErrorKind::TimedOut => {
+                Answer::Silent { commit }
+            }
+            LinkError::Broken(_) | LinkError::Wire(_) => Answer::Broken,
+        };
+        self.report(answer, None);
+    }
+
+    /// Sends what was added to the link and returns the next answer.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] when the connection cannot be used any more.
+    pub async fn exchange(&mut self, deadline: Instant) -> Result<member::Answer, LinkError> {
+        self.link().exchange(deadline).await
+    }
+
+    /// Returns a clean connection.
+    pub fn give_back(mut self) {
+        self.report(Answer::Unfinished, None);
+        if let Some(link) = self.link.take() {
+            let mut inner = self.shell.inner.borrow_mut();
+            inner.idle.insert(self.conn, link);
+        }
+        self.shell.handle(Event::Returned {
+            conn: self.conn,
+            reusable: true,
+        });
+    }
+
+    /// Ends a transaction that nobody wants to finish, in the background, and returns the connection.
+    pub fn roll_back(mut self)
+    where
+        W: World,
+    {
+        const ROLLBACK_FOR: Duration = Duration::from_millis(1_000);
+        tokio::task::spawn_local(async move {
+            self.link().push(member::Command::Rollback);
+            let deadline = clock::now() + ROLLBACK_FOR;
+            match self.exchange(deadline).await {
+                Ok(answer) if answer.state == crate::protocol::State::Idle => self.give_back(),
+                // The connection is closed, which rolls back as well.
+                _ => {}
+            }
+        });
+    }
+}
+
+impl<W: World> Drop for Lease<W> {
+    fn drop(&mut self) {
+        self.report(Answer::Unfinished, None);
+        if let Some(link) = self.link.take() {
+            link.close();
+            self.shell.handle(Event::Returned {
+                conn: self.conn,
+                reusable: false,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/session/src/shell/notes.rs
@@ -0,0 +1,48 @@
+//! The log lines of changed beliefs.
+
+use fulmarlift_broker::Broker;
+use fulmarlift_broker::effect::Note;
+use fulmarlift_core::id;
+
+pub(super) fn log(broker: &Broker, note: &Note) {
+    match *note {
+        Note::Leader {
+            group,
+            member,
+            term,
+        } => {
+            let member = member.map_or("none", |member| member_name(broker, member));
+            let group = group_name(broker, group);
+            log::info!("event=leader group={group} member={member} term={term}");
+        }
+        Note::Failover {
+            group,
+            reason,
+            step,
+            token,
+            target,
+        } => {
+            let target = target.map_or("none", |member| member_name(broker, member));
+            let group = group_name(broker, group);
+            log::info!(
+                "event=failover group={group} reason={reason:?} step={step} token={token} target={target}"
+            );
+        }
+        Note::Reachable { member, reachable } => {
+            let name = member_name(broker, member);
+            log::info!("event=member_reachable member={name} reachable={reachable}");
+        }
+        Note::Gone(member) => log::info!("event=member_gone member={member:016x}"),
+    }
+}
+
+pub(super) fn group_name(broker: &Broker, group: id::GroupId) -> &str {
+    let config = broker.topology().groups.get(group);
+    config.map_or("unknown", |config| config.name.as_ref())
+}
+
+pub(super) fn member_name(broker: &Broker, member: id::MemberId) -> &str {
+    broker
+        .member(member)
+        .map_or("unknown", |member| member.name.as_ref())
+}
--- /dev/null
+++ b/crates/session/src/shell/tasks.rs
@@ -0,0 +1,283 @@
+//! The tasks behind effects.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use fulmarlift_broker::claim;
+use fulmarlift_broker::effect::Question;
+use fulmarlift_broker::event::{Answer, Event, OpenFailure, Report, Standing};
+use fulmarlift_core::id;
+use fulmarlift_core::sorted;
+
+use crate::clock;
+use crate::link::{Link, OpenError};
+use crate::protocol::member::{Command, End};
+use crate::protocol::{Code, State};
+use crate::shell::{Shell, notes};
+use crate::world::{Claims, Orders, World};
+
+/// Time to open a connection: a lost first packet and its repetition, 1 s, are not waited for.
+const OPEN_FOR: Duration = Duration::from_millis(900);
+/// Time for a probe: several round trips between regions.
+const PROBE_FOR: Duration = Duration::from_millis(700);
+/// Time for a question about a member's standing.
+const ASK_FOR: Duration = Duration::from_millis(800);
+/// Time for which a connection for such questions is kept: a replacement's.
+const CONTROL_KEEP: Duration = Duration::from_secs(2);
+
+/// A connection for questions during a replacement, and the time until which it is kept.
+type Kept<W> = (Instant, Link<<W as World>::Member>);
+
+/// Connections for questions during a replacement, by member.
+pub(super) struct ControlLinks<W: World> {
+    links: RefCell<sorted::Map<id::MemberId, Kept<W>>>,
+}
+
+impl<W: World> Default for ControlLinks<W> {
+    fn default() -> Self {
+        let links = RefCell::new(sorted::Map::default());
+        Self { links }
+    }
+}
+
+impl<W: World> ControlLinks<W> {
+    fn take(&self, member: id::MemberId) -> Option<Link<W::Member>> {
+        let (_, mut link) = self.links.borrow_mut().remove(member)?;
+        (!link.is_dead()).then_some(link)
+    }
+
+    fn keep(&self, link: Link<W::Member>) {
+        let until = clock::now() + CONTROL_KEEP;
+        self.links.borrow_mut().insert(link.member, (until, link));
+    }
+
+    pub(super) fn expire(&self, now: Instant) {
+        let mut links = self.links.borrow_mut();
+        let due: Vec<id::MemberId> = links
+            .iter()
+            .filter(|(_, (until, _))| *until <= now)
+            .map(|(member, _)| member)
+            .collect();
+        for member in due {
+            if let Some((_, link)) = links.remove(member) {
+                link.close();
+            }
+        }
+    }
+}
+
+impl<W: World> Shell<W> {
+    /// Returns the group's name and the member's name and address.
+    fn whereabouts(
+        &self,
+        member: id::MemberId,
+    ) -> Option<(Box<str>, Box<str>, std::net::SocketAddr)> {
+        self.with_broker(|broker| {
+            let entry = broker.member(member)?;
+            let group = broker.topology().groups.get(entry.group)?;
+            Some((group.name.clone(), entry.name.clone(), entry.address))
+        })
+    }
+
+    async fn connect(&self, member: id::MemberId) -> Result<Link<W::Member>, OpenError> {
+        let Some((group, name, address)) = self.whereabouts(member) else {
+            return Err(OpenError::Refused(Code::Misrouted));
+        };
+        metrics::counter!("fulmarlift_connects_total").increment(1);
+        let deadline = clock::now() + OPEN_FOR;
+        let opened = Link::open(address, &group, (&name, member), deadline).await;
+        if let Err(error) = &opened {
+            log::info!("event=connect_failed member={name} address={address} error=\"{error}\"");
+        }
+        opened
+    }
+
+    pub(super) fn open(self: &Rc<Self>, conn: id::ConnId, member: id::MemberId) {
+        let shell = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let event = match shell.connect(member).await {
+                Ok(link) => {
+                    shell.inner.borrow_mut().idle.insert(conn, link);
+                    Event::Opened(conn)
+                }
+                Err(error) => Event::OpenFailed {
+                    conn,
+                    failure: error.failure(),
+                },
+            };
+            shell.handle(event);
+        });
+    }
+
+    /// Begins and rolls back a transaction that may write: only a leader allows it, and it takes no slot.
+    pub(super) fn probe(self: &Rc<Self>, conn: id::ConnId, member: id::MemberId) {
+        let shell = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let link = shell.inner.borrow_mut().idle.remove(conn);
+            let (report, link) = match link {
+                Some(link) => probe_on(link).await,
+                None => (unanswered(member, Answer::Broken), None),
+            };
+            let reusable = link.is_some();
+            if let Some(link) = link {
+                shell.inner.borrow_mut().idle.insert(conn, link);
+            }
+            shell.handle(Event::Probed(report));
+            shell.handle(Event::Returned { conn, reusable });
+        });
+    }
+
+    pub(super) fn ask(
+        self: &Rc<Self>,
+        group: id::GroupId,
+        member: id::MemberId,
+        question: Question,
+    ) {
+        let shell = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let standing = shell.standing_of(member, question).await;
+            let name = shell.with_broker(|broker| Box::from(notes::member_name(broker, member)));
+            let name: Box<str> = name;
+            log::info!("event=asked member={name} question={question:?} answer={standing:?}");
+            shell.handle(Event::Standing {
+                group,
+                member,
+                standing,
+            });
+        });
+    }
+
+    async fn standing_of(&self, member: id::MemberId, question: Question) -> Option<Standing> {
+        let mut link = match self.control.take(member) {
+            Some(link) => link,
+            // The failure is on the log already; the broker asks again.
+            None => self.connect(member).await.ok()?,
+        };
+        link.push(match question {
+            Question::Status => Command::Status,
+            Question::Hold(term) => Command::Hold(term),
+            Question::Release => Command::Release,
+            Question::Demote(term) => Command::Demote(term),
+        });
+        match link.exchange(clock::now() + ASK_FOR).await {
+            Ok(answer) => {
+                let standing = link.standing(&answer);
+                if standing.is_none() {
+                    log::info!("event=standing_refused question={question:?} answer={answer:?}");
+                }
+                self.control.keep(link);
+                standing
+            }
+            Err(error) => {
+                log::info!("event=standing_failed question={question:?} error=\"{error}\"");
+                None
+            }
+        }
+    }
+
+    pub(super) fn load_claim(self: &Rc<Self>, group: id::GroupId) {
+        let shell = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let name = shell.group_name(group);
+            let stored = match shell.claims.load(&name).await {
+                Ok(stored) => Some(stored),
+                Err(error) => {
+                    log::warn!("event=claim_unread group={name} error=\"{error}\"");
+                    None
+                }
+            };
+            shell.handle(Event::ClaimLoaded { group, stored });
+        });
+    }
+
+    pub(super) fn store_claim(
+        self: &Rc<Self>,
+        group: id::GroupId,
+        claim: claim::Claim,
+        revision: u64,
+    ) {
+        let shell = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let name = shell.group_name(group);
+            let outcome = shell.claims.store(&name, &claim, revision).await;
+            log::info!(
+                "event=claim group={name} token={} target={:?} settled={} revision={revision} outcome={outcome:?}",
+                claim.token,
+                claim.target,
+                claim.settled
+            );
+            shell.handle(Event::ClaimStored { group, outcome });
+        });
+    }
+
+    pub(super) fn order(self: &Rc<Self>, group: id::GroupId, member: id::MemberId, token: u64) {
+        let shell = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let group_name = shell.group_name(group);
+            let member_name: Box<str> =
+                shell.with_broker(|broker| notes::member_name(broker, member).into());
+            let promoted = shell
+                .orders
+                .promote(&group_name, &member_name, &shell.name, token);
+            let outcome = promoted.await;
+            log::info!(
+                "event=ordered group={group_name} member={member_name} token={token} outcome={outcome:?}"
+            );
+            shell.handle(Event::Ordered { group, outcome });
+        });
+    }
+
+    fn group_name(&self, group: id::GroupId) -> Box<str> {
+        self.with_broker(|broker| notes::group_name(broker, group).into())
+    }
+}
+
+fn unanswered(member: id::MemberId, answer: Answer) -> Report {
+    Report {
+        member,
+        answer,
+        point: None,
+        took: None,
+    }
+}
+
+/// Probes on a link, and returns the link if it can be used again.
+async fn probe_on<C: crate::protocol::member::Codec>(
+    mut link: Link<C>,
+) -> (Report, Option<Link<C>>) {
+    let asked_at = clock::now();
+    let deadline = asked_at + PROBE_FOR;
+    let member = link.member;
+    link.push(Command::Begin);
+    let begun = match link.exchange(deadline).await {
+        Ok(begun) => begun,
+        Err(error) => {
+            log::info!("event=probe_failed member={member:016x} error=\"{error}\"");
+            let answer = match crate::link::OpenError::from(error).failure() {
+                OpenFailure::Silent => Answer::Silent { commit: false },
+                _ => Answer::Broken,
+            };
+            return (unanswered(member, answer), None);
+        }
+    };
+    let answer = match begun.end {
+        End::Complete(_) => Answer::Led {
+            asked_at,
+            commit: false,
+        },
+        End::Error(Code::ReadOnly, _) => Answer::NotLeading,
+        End::Error(..) | End::Ready => Answer::Served,
+    };
+    let report = Report {
+        point: begun.point,
+        ..unanswered(member, answer)
+    };
+    if begun.state == State::Idle {
+        return (report, Some(link));
+    }
+    link.push(Command::Rollback);
+    let ended = link.exchange(deadline).await;
+    let clean = ended.is_ok_and(|ended| ended.state == State::Idle);
+    (report, clean.then_some(link))
+}
--- /dev/null
+++ b/crates/session/src/world.rs
@@ -0,0 +1,101 @@
+//! What a proxy is embedded in: protocols, the store, and whoever carries out promotions.
+
+use std::future::Future;
+use std::time::Duration;
+
+use fulmarlift_broker::claim;
+use fulmarlift_broker::event::{OrderOutcome, StoreOutcome};
+use fulmarlift_broker::topology;
+
+use crate::protocol;
+
+/// The types by which one deployment is reached.
+pub trait World: 'static {
+    /// Callers' protocol.
+    type Caller: protocol::caller::Codec;
+    /// Members' protocol.
+    type Member: protocol::member::Codec;
+    /// Claim rows.
+    type Claims: Claims;
+    /// Orders to take the lead.
+    type Orders: Orders;
+}
+
+/// Why a call failed.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum CallError {
+    /// Refused for now; nothing was done.
+    #[error("refused for now: {0}")]
+    Deferred(Box<str>),
+    /// A condition did not hold; nothing was done.
+    #[error("the condition does not hold")]
+    Conflict,
+    /// The history asked for is gone; everything has to be read anew.
+    #[error("the history is no longer kept")]
+    Compacted,
+    /// No answer, or one that cannot be used; a write may have taken effect or may do so later.
+    #[error("no usable answer: {0}")]
+    Unknown(Box<str>),
+}
+
+/// Claim rows in the store, one for each group.
+pub trait Claims: 'static {
+    /// Reads a group's row.
+    fn load(&self, group: &str) -> impl Future<Output = Result<claim::Stored, CallError>>;
+
+    /// Writes a group's row if it still has that revision.
+    fn store(
+        &self,
+        group: &str,
+        claim: &claim::Claim,
+        revision: u64,
+    ) -> impl Future<Output = StoreOutcome>;
+}
+
+/// Orders to take the lead.
+pub trait Orders: 'static {
+    /// Orders a member to take the lead of its group.
+    fn promote(
+        &self,
+        group: &str,
+        member: &str,
+        holder: &str,
+        token: u64,
+    ) -> impl Future<Output = OrderOutcome>;
+}
+
+/// News of one thing that is kept in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum News {
+    /// A configuration.
+    Configured(topology::Topology),
+    /// A member's entry.
+    Listed(topology::Member),
+    /// A name without an entry. An entry that cannot be used counts as none.
+    Unlisted(Box<str>),
+}
+
+/// Rows as of one moment, or changes up to it.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// What the rows say, oldest first.
+    pub news: Vec<News>,
+    /// Revision up to which they are known.
+    pub revision: u64,
+}
+
+/// A part of the store that is followed.
+pub trait Source: 'static {
+    /// Its name, for the log.
+    fn name(&self) -> &'static str;
+
+    /// Returns whether members are listed there, so that its silence about one means something.
+    fn lists_members(&self) -> bool;
+
+    /// Reads everything.
+    fn read(&self) -> impl Future<Output = Result<Batch, CallError>>;
+
+    /// Waits for changes after a revision, at most for `wait`.
+    fn changes(&self, after: u64, wait: Duration)
+    -> impl Future<Output = Result<Batch, CallError>>;
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,7 +5,7 @@
 //! audit trail there. [`admin`] asks a proxy for its view.
 //!
 //! ```no_run
-//! use fulmarlift_platform::{client, publish};
+//! use fulmarlift_store::{client, publish};
 //!
 //! # async fn run() -> Result<(), Box<dyn std::error::Error>> {
 //! let platform = client::Client::new("http://127.0.0.1:7070")?;
--- a/crates/platform/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -3,7 +3,7 @@
 use std::{net, time};
 
 use axum::{extract, http, response::IntoResponse, routing};
-use fulmarlift_platform::{
+use fulmarlift_store::{
     admin, client, message,
     platform::{self, Platform},
 };
--- a/crates/platform/tests/fake/mod.rs
+++ b/crates/store/tests/fake/mod.rs
@@ -5,7 +5,7 @@
     sync::{Mutex, MutexGuard},
 };
 
-use fulmarlift_platform::{
+use fulmarlift_store::{
     message,
     platform::{self, Platform},
 };
--- a/crates/platform/tests/publish.rs
+++ b/crates/store/tests/publish.rs
@@ -3,7 +3,7 @@
 mod fake;
 
 use fulmarlift_config::model;
-use fulmarlift_platform::{
+use fulmarlift_store::{
     message,
     platform::Platform,
     publish::{self, read, submit},
