--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -138,7 +138,7 @@
                 commit: true,
             };
             conclude(
-                lease,
+                *lease,
                 answer,
                 if writes { led } else { event::Answer::Served },
             )
