Dead leaders are given up, holds are asked again after a promotion, connections are opened one by one

Change: the newest claim to lead wins over a leader last seen before it; every rise of the hold term asks all again; questions use pooled connections; releases are not sent once the claim may have lapsed, nor after a promotion; at most two connections are opened at once, one while the member is full; refusals by the measured rate of departures.

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -39,6 +39,8 @@
         member: id::MemberId,
         /// The question.
         question: Question,
+        /// An idle connection to ask on, lent until it is returned; none if one has to be opened for it.
+        conn: Option<id::ConnId>,
     },
     /// Read the group's claim row.
     LoadClaim(id::GroupId),
@@ -111,7 +113,10 @@
     /// Stop receiving from leaders below this term.
     Hold(id::Term),
     /// Receive again.
-    Release,
+    Release {
+        /// When this must no longer be sent: another proxy may hold the member by then.
+        until: Instant,
+    },
     /// Stop leading terms below this one.
     Demote(id::Term),
 }
--- a/crates/broker/src/failover.rs
+++ b/crates/broker/src/failover.rs
@@ -32,8 +32,9 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(200);
 /// Longest time for which the old leader is asked to step down before the others' word is enough.
 const DEMOTE_FOR: Duration = Duration::from_millis(600);
-/// Time after which an attempt is given up and begun anew.
-const ATTEMPT_FOR: Duration = Duration::from_millis(6_000);
+/// Time after which an attempt is given up and begun anew: while the claim still keeps others away, so that members are
+/// released before another proxy holds them.
+const ATTEMPT_FOR: Duration = Duration::from_millis(3_500);
 /// Time that the chosen member has to say that it leads after the order was accepted.
 const CONFIRM_FOR: Duration = Duration::from_millis(2_500);
 
@@ -114,6 +115,7 @@
     holding_since: Option<Instant>,
     target: Option<id::MemberId>,
     unanswered_order: bool,
+    claimed_until: Instant,
 }
 
 impl Attempt {
@@ -141,6 +143,7 @@
             holding_since: None,
             target: None,
             unanswered_order: false,
+            claimed_until: begin_at,
         }
     }
 
@@ -227,6 +230,7 @@
             };
         }
         let pending = stored.claim.pending().map(Box::from);
+        self.claimed_until = now + Duration::from_millis(CLAIM_FOR_MS);
         self.store_now_ms = stored.now_ms;
         self.revision = stored.revision;
         self.claim = Claim {
@@ -291,7 +295,7 @@
             && let Some(standing) = standing
             && standing.leads
         {
-            return self.finish(member, standing, voters, out);
+            return self.finish(member, standing, out);
         }
         if self.step != Step::Holding {
             return Progress::Going;
@@ -303,16 +307,13 @@
         if let Some(standing) = standing {
             let newest = standing.term.max(standing.held_term);
             if standing.leads && Some(member) != self.old {
-                // Somebody else has been promoted meanwhile.
-                self.release(voters, out);
+                // Somebody else has been promoted meanwhile, which has released all.
                 return Progress::Done { member, standing };
             }
-            if Some(member) != self.old && standing.held_term < self.hold_term {
-                self.hold_term = self.hold_term.max(newest + 1);
-                let asked = self.asked.entry(member);
-                asked.standing = None;
-                asked.again_at = Some(now);
+            if standing.term >= self.hold_term {
+                self.hold_term = newest + 1;
             }
+            self.ask_unheld_again(now);
         }
         self.hold(now, voters, out)
     }
@@ -371,6 +372,20 @@
         }
     }
 
+    /// Forgets the word of members that are held below the present term: a promotion in between has released them.
+    fn ask_unheld_again(&mut self, now: Instant) {
+        let (old, hold_term) = (self.old, self.hold_term);
+        for (member, asked) in self.asked.iter_mut() {
+            let unheld = asked
+                .standing
+                .is_some_and(|standing| standing.held_term < hold_term);
+            if Some(member) != old && unheld {
+                asked.standing = None;
+                asked.again_at = Some(now);
+            }
+        }
+    }
+
     fn hold(&mut self, now: Instant, voters: &[Voter], out: &mut Vec<Effect>) -> Progress {
         let hold_term = self.hold_term;
         let demote = self.reason == Reason::Leaving;
@@ -403,6 +418,7 @@
                     group: self.group,
                     member: voter.member,
                     question,
+                    conn: None,
                 });
             }
         }
@@ -441,13 +457,11 @@
         &mut self,
         member: id::MemberId,
         standing: Standing,
-        voters: &[Voter],
         out: &mut Vec<Effect>,
     ) -> Progress {
         self.claim.settled = true;
         self.claim.until_ms = self.store_now_ms + SETTLED_FOR_MS;
         self.store(out);
-        self.release(voters, out);
         Progress::Done { member, standing }
     }
 
@@ -455,8 +469,9 @@
         // Members stay held while an older order may still be executed: what they lack then cannot be acknowledged.
         if self.claim.pending().is_none() {
             let held: Vec<id::MemberId> = self.asked.keys().collect();
-            for member in held {
-                self.ask(Some(member), Question::Release, out);
+            let until = self.claimed_until;
+            for member in held.into_iter().filter(|member| Some(*member) != self.old) {
+                self.ask(Some(member), Question::Release { until }, out);
             }
         }
         Progress::Failed {
@@ -464,14 +479,6 @@
         }
     }
 
-    fn release(&self, voters: &[Voter], out: &mut Vec<Effect>) {
-        for voter in voters {
-            if Some(voter.member) != self.target {
-                self.ask(Some(voter.member), Question::Release, out);
-            }
-        }
-    }
-
     fn wait(&mut self, until: Instant) {
         self.step = Step::Waiting { until };
     }
@@ -500,6 +507,7 @@
                 group: self.group,
                 member,
                 question,
+                conn: None,
             });
         }
     }
--- a/crates/broker/src/lead.rs
+++ b/crates/broker/src/lead.rs
@@ -38,6 +38,8 @@
     pub member: Option<id::MemberId>,
     /// Newest term shown by an answer.
     pub term: id::Term,
+    /// When it was last seen to lead.
+    pub witnessed_at: Option<Instant>,
     /// Since when nobody is believed to lead.
     pub vacant_since: Option<Instant>,
     /// Since when commits do not end, with none that has ended after.
@@ -46,7 +48,7 @@
 
 impl Lead {
     /// Takes an answer that only a leader gives.
-    pub fn witnessed(&mut self, member: id::MemberId, point: Option<Point>) {
+    pub fn witnessed(&mut self, now: Instant, member: id::MemberId, point: Option<Point>) {
         let term = point.map_or(self.term, |point| point.term);
         if term >= self.term {
             if self.member != Some(member) {
@@ -54,28 +56,35 @@
             }
             self.term = term;
             self.member = Some(member);
+            self.witnessed_at = Some(now);
             self.vacant_since = None;
         }
     }
 
-    /// Decides anew who leads from the entries, where the present belief no longer stands.
+    /// Decides anew who leads, from the entries and from what answers have shown.
+    ///
+    /// A member that began to say that it leads after the present leader was last seen to lead replaces it; so does any
+    /// such member where the present one is known not to lead, is not listed, or does not answer.
     pub fn elect(&mut self, seats: &sorted::Map<id::MemberId, Seat>, now: Instant) {
-        let stands = |seat: &Seat| !seat.denies_lead && seat.missing_since.is_none();
-        let current = self.member.and_then(|member| seats.get(member));
         let newest = seats
             .values()
-            .filter(|seat| stands(seat) && seat.member.says_leads)
-            .max_by_key(|seat| seat.member.revision);
+            .filter(|seat| !seat.denies_lead && seat.missing_since.is_none())
+            .filter(|seat| seat.says_leads_since.is_some())
+            .max_by_key(|seat| (seat.says_leads_since, seat.member.revision));
+        let current = self.member.and_then(|member| seats.get(member));
         let keep = current.is_some_and(|seat| {
-            let newer = newest.is_some_and(|other| {
-                other.member.revision > seat.member.revision && !seat.member.says_leads
+            let doubtful = seat.missing_since.is_some() || seat.failures >= 2;
+            let outdone = newest.is_some_and(|newest| {
+                newest.member.id != seat.member.id
+                    && (doubtful || newest.says_leads_since > self.witnessed_at)
             });
-            !seat.denies_lead && !newer
+            !seat.denies_lead && !outdone
         });
         if !keep {
             let member = newest.map(|seat| seat.member.id);
             if member != self.member {
                 self.stalled_since = None;
+                self.witnessed_at = None;
             }
             self.member = member;
         }
--- a/crates/broker/src/queue.rs
+++ b/crates/broker/src/queue.rs
@@ -15,22 +15,70 @@
 /// Range over which callers refused together are spread.
 const RETRY_SPREAD_MS: u64 = 200;
 
+/// Time over which the rate of departures is measured, and after which older ones count half.
+const RATE_WINDOW: Duration = Duration::from_millis(500);
+/// Shortest time after which a measured rate says more than the estimate from answer times.
+const RATE_MIN: Duration = Duration::from_millis(40);
+
 /// Requests of one group that wait for a connection, in no particular order.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     waiting: Vec<Request>,
+    busy_since: Option<Instant>,
+    departed: f64,
 }
 
 impl Queue {
     /// Adds a request.
-    pub fn push(&mut self, request: Request) {
+    pub fn push(&mut self, now: Instant, request: Request) {
         self.waiting.push(request);
+        self.busy_since.get_or_insert(now);
+    }
+
+    /// Notes that a request has left for a member.
+    pub fn departed(&mut self, now: Instant) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        self.departed += 1.0;
+        let since = self.busy_since.unwrap_or(now);
+        if now.saturating_duration_since(since) > RATE_WINDOW {
+            self.departed /= 2.0;
+            self.busy_since = Some(now - now.saturating_duration_since(since) / 2);
+        }
+    }
+
+    /// Estimates when the turn of a request comes that has `ahead` others before it, from the rate at which requests have
+    /// left while others waited. `answer_ms` and `side_by_side` stand in until there is one.
+    pub fn turn_in(
+        &self,
+        now: Instant,
+        ahead: usize,
+        answer_ms: f64,
+        side_by_side: u32,
+    ) -> Duration {
+        let busy_for = self
+            .busy_since
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        if busy_for < RATE_MIN {
+            return turn_in(ahead, answer_ms, side_by_side);
+        }
+        busy_for.mul_f64((ahead as f64 + 1.0) / (self.departed + 1.0))
     }
 
     /// Removes a request.
     pub fn remove(&mut self, id: id::RequestId) -> Option<Request> {
         let index = self.waiting.iter().position(|request| request.id == id)?;
-        Some(self.waiting.remove(index))
+        let request = self.waiting.remove(index);
+        self.forget_rate_if_empty();
+        Some(request)
+    }
+
+    fn forget_rate_if_empty(&mut self) {
+        if self.waiting.is_empty() {
+            self.busy_since = None;
+            self.departed = 0.0;
+        }
     }
 
     /// Takes out the requests whose deadline has passed.
@@ -40,6 +88,7 @@
             .drain(..)
             .partition(|request| request.deadline <= now);
         self.waiting = kept;
+        self.forget_rate_if_empty();
         expired
     }
 
@@ -71,9 +120,8 @@
     }
 }
 
-/// Estimates when a request's turn comes, from the requests before it, the time of an answer, and the number of
-/// statements that run side by side.
-pub fn turn_in(ahead: usize, answer_ms: f64, side_by_side: u32) -> Duration {
+/// Estimates when a request's turn comes from the time of an answer and the number of statements that run side by side.
+fn turn_in(ahead: usize, answer_ms: f64, side_by_side: u32) -> Duration {
     let turns = ahead as f64 / f64::from(side_by_side.max(1));
     Duration::from_secs_f64(turns * answer_ms / 1_000.0)
 }
--- a/crates/broker/src/seat.rs
+++ b/crates/broker/src/seat.rs
@@ -15,8 +15,13 @@
 const SUSPEND_MIN: Duration = Duration::from_millis(100);
 /// Longest time for which a member is left alone: a member that is back is found within it.
 const SUSPEND_MAX: Duration = Duration::from_millis(800);
-/// Time for which no connection is opened after the member said that it has none left: a few mean statements.
-const FULL_PAUSE: Duration = Duration::from_millis(150);
+/// Time for which no connection is opened after the member said that it has none left: a mean statement or two, in which
+/// another proxy may return one. Doubles while the answer stays the same.
+const FULL_PAUSE_MIN: Duration = Duration::from_millis(30);
+/// Longest such pause.
+const FULL_PAUSE_MAX: Duration = Duration::from_millis(240);
+/// Connections opened to a member at the same time: each takes one of its slots for a while.
+const OPENING_MAX: u32 = 2;
 /// Time for which a member that refused for want of slots is left alone: about a mean statement.
 const BUSY_PAUSE: Duration = Duration::from_millis(20);
 /// Time for which a replica that was behind is left alone: a heartbeat's fraction, in which it can catch up.
@@ -29,6 +34,8 @@
     pub member: topology::Member,
     /// Since when the directory has no entry for it.
     pub missing_since: Option<Instant>,
+    /// Since when its entry says that it leads.
+    pub says_leads_since: Option<Instant>,
     /// Since when it is known to be leaving.
     pub leaving_since: Option<Instant>,
     /// Connections that nothing uses, the one used last at the end.
@@ -53,6 +60,8 @@
     pub answered_at: Option<Instant>,
     /// Until when no request is sent there.
     pub rest_until: Option<Instant>,
+    /// Connections refused in a row because the member had none left.
+    pub full_in_a_row: u32,
     /// Until when no connection is opened.
     pub full_until: Option<Instant>,
     /// Whether it has refused to lead since its entry last said that it leads.
@@ -72,6 +81,7 @@
     /// Creates a seat without connections.
     pub fn new(member: topology::Member, now: Instant) -> Self {
         Self {
+            says_leads_since: member.says_leads.then_some(now),
             leaving_since: member.leaving.then_some(now),
             member,
             missing_since: None,
@@ -86,6 +96,7 @@
             refused: false,
             answered_at: None,
             rest_until: None,
+            full_in_a_row: 0,
             full_until: None,
             denies_lead: false,
         }
@@ -95,6 +106,10 @@
     pub fn update(&mut self, member: topology::Member, now: Instant) {
         if member.says_leads && !self.member.says_leads {
             self.denies_lead = false;
+            self.says_leads_since = Some(now);
+        }
+        if !member.says_leads {
+            self.says_leads_since = None;
         }
         if member.leaving && !self.member.leaving {
             self.leaving_since = Some(now);
@@ -113,9 +128,14 @@
         self.rest_until.is_some_and(|until| now < until)
     }
 
-    /// Returns whether a connection may be opened.
+    /// Returns whether a connection may be opened. While the member has few left, one at a time is tried.
     pub fn may_open(&self, now: Instant) -> bool {
-        self.full_until.is_none_or(|until| now >= until)
+        let at_once = if self.full_in_a_row > 0 {
+            1
+        } else {
+            OPENING_MAX
+        };
+        self.opening < at_once && self.full_until.is_none_or(|until| now >= until)
     }
 
     /// Notes an answer, and how long it took if it was to a statement that ran.
@@ -156,7 +176,9 @@
 
     /// Notes that it has no connection left.
     pub fn full(&mut self, now: Instant) {
-        self.full_until = Some(now + FULL_PAUSE);
+        let doubled = FULL_PAUSE_MIN * (1 << self.full_in_a_row.min(4));
+        self.full_in_a_row += 1;
+        self.full_until = Some(now + doubled.min(FULL_PAUSE_MAX));
     }
 
     fn rest(&mut self, until: Instant) {
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -34,6 +34,7 @@
         seat.opening = seat.opening.saturating_sub(1);
         seat.idle.push(Idle { conn, since: now });
         seat.rest_until = None;
+        seat.full_in_a_row = 0;
         let recovered = seat.failures > 0;
         seat.answered(now, None);
         let member = seat.member.id;
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -3,10 +3,12 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::id;
+use fulmarlift_core::sorted;
 
 use crate::effect::{Effect, Note};
 use crate::event::{Answer, Report, Standing};
 use crate::failover::{Attempt, Progress, Voter};
+use crate::seat::Seat;
 use crate::state::Broker;
 
 /// Range over which proxies spread the begin of a replacement, so that mostly one claim is written.
@@ -29,7 +31,7 @@
                 if let Some(point) = report.point {
                     group.index.record(asked_at, point);
                 }
-                group.lead.witnessed(report.member, report.point);
+                group.lead.witnessed(now, report.member, report.point);
                 if commit {
                     group.lead.stalled_since = None;
                 }
@@ -76,7 +78,7 @@
         if let Some(standing) = standing {
             let group = self.groups.entry(group_id);
             if standing.leads && standing.term >= group.lead.term {
-                group.lead.witnessed(member, Some(standing.received));
+                group.lead.witnessed(now, member, Some(standing.received));
             }
             if let Some(seat) = group.seats.get_mut(member) {
                 seat.denies_lead = !standing.leads;
@@ -157,7 +159,11 @@
                 eligible: !seat.member.leaving && seat.missing_since.is_none(),
             })
             .collect();
+        let first = effects.len();
         let progress = act(attempt, &voters, effects);
+        for effect in &mut effects[first..] {
+            lend_connection(effect, &mut group.seats);
+        }
         let (step, token, target) = attempt.describe();
         let reason = attempt.reason;
         let step = match progress {
@@ -183,7 +189,7 @@
                 if let Some(seat) = group.seats.get_mut(member) {
                     seat.denies_lead = false;
                 }
-                group.lead.witnessed(member, Some(standing.received));
+                group.lead.witnessed(now, member, Some(standing.received));
                 self.led_anew(now, group_id, effects);
                 self.pump(now, group_id, effects);
             }
@@ -194,3 +200,14 @@
         }
     }
 }
+
+/// Lends an idle connection to a question, so that it does not depend on the member having a connection left.
+fn lend_connection(effect: &mut Effect, seats: &mut sorted::Map<id::MemberId, Seat>) {
+    if let Effect::Ask { member, conn, .. } = effect
+        && let Some(seat) = seats.get_mut(*member)
+        && let Some(idle) = seat.idle.pop()
+    {
+        seat.leased += 1;
+        *conn = Some(idle.conn);
+    }
+}
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -40,14 +40,14 @@
         let side_by_side: u32 = limits.map(place::running_max).sum();
         let latency_ms = group.slowest_ms();
         let ahead = group.queue.ahead_of(&request);
-        let turn = queue::turn_in(ahead, latency_ms, side_by_side);
+        let turn = group.queue.turn_in(now, ahead, latency_ms, side_by_side);
         let latest = request.deadline.min(request.objective_at);
         if ahead > 0 && now + turn > latest {
             effects.push(refuse(now, &request, Reason::Overload, turn));
             return;
         }
         self.requests.insert(request.id, group_id);
-        group.queue.push(request);
+        group.queue.push(now, request);
         self.pump(now, group_id, effects);
     }
 
@@ -84,7 +84,9 @@
         let mut wanted: Vec<id::MemberId> = Vec::new();
         for request in waiting {
             match self.choose(now, &request) {
-                Choice::Grant { member, floor } => self.grant(&request, member, floor, effects),
+                Choice::Grant { member, floor } => {
+                    self.grant(now, &request, member, floor, effects);
+                }
                 Choice::Open(member) => wanted.push(member),
                 Choice::Index => self.groups.entry(group_id).wants_index = true,
                 Choice::Wait => {}
@@ -101,6 +103,7 @@
 
     fn grant(
         &mut self,
+        now: Instant,
         request: &Request,
         member: id::MemberId,
         floor: Option<Point>,
@@ -115,7 +118,9 @@
         seat.leased += 1;
         seat.running += 1;
         self.requests.remove(request.id);
-        self.groups.entry(request.group).queue.remove(request.id);
+        let queue = &mut self.groups.entry(request.group).queue;
+        queue.remove(request.id);
+        queue.departed(now);
         effects.push(Effect::Grant(Grant {
             request: request.id,
             conn: idle.conn,
--- /dev/null
+++ b/crates/broker/tests/failover.rs
@@ -0,0 +1,145 @@
+//! The replacement of leaders.
+
+mod support;
+
+use fulmarlift_broker::claim::Stored;
+use fulmarlift_broker::effect::{Effect, Question};
+use fulmarlift_broker::event::{Event, OrderOutcome, StoreOutcome};
+use fulmarlift_core::id;
+use support::{GROUP, World, member_at, standing};
+
+/// Lets the leader announce that it leaves, and answers the steps up to the questions to the members.
+fn begin(world: &mut World) {
+    let mut leaving = member_at(1, "a", true);
+    leaving.leaving = true;
+    leaving.revision = 10;
+    world.handle(Event::Listed(leaving));
+    world.pass(300);
+    let stored = Some(Stored::default());
+    world.handle(Event::ClaimLoaded {
+        group: GROUP,
+        stored,
+    });
+    let outcome = StoreOutcome::Written(11);
+    world.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome,
+    });
+    world.pass(100);
+    let outcome = OrderOutcome::Accepted;
+    world.handle(Event::Ordered {
+        group: GROUP,
+        outcome,
+    });
+    world.pass(100);
+}
+
+/// Takes the members that are asked to be held, with the term.
+fn holds(world: &mut World) -> Vec<(id::MemberId, id::Term)> {
+    let hold = |effect| match effect {
+        Effect::Ask {
+            member,
+            question: Question::Hold(term),
+            ..
+        } => Some((member, term)),
+        _ => None,
+    };
+    let mut holds: Vec<_> = world.take().into_iter().filter_map(hold).collect();
+    holds.sort_unstable();
+    holds
+}
+
+fn answer(world: &mut World, member: id::MemberId, told: (bool, u64, (u64, u64), u64)) {
+    let (leads, term, received, held_term) = told;
+    world.handle(Event::Standing {
+        group: GROUP,
+        member,
+        standing: Some(standing(leads, term, received, held_term)),
+    });
+}
+
+fn recorded(world: &mut World) -> Option<Box<str>> {
+    let target = |effect| match effect {
+        Effect::StoreClaim { claim, .. } => claim.target,
+        _ => None,
+    };
+    world.take().into_iter().find_map(target)
+}
+
+#[test]
+fn hold_asks_everyone_again_after_promotion_in_between() {
+    let mut world = World::new();
+    begin(&mut world);
+    let asked = holds(&mut world);
+    let term = asked[0].1;
+    assert_eq!(asked, [(2, term), (3, term)]);
+    answer(&mut world, 2, (false, term - 1, (term - 1, 500), term));
+    answer(&mut world, 1, (false, term - 1, (term - 1, 500), 0));
+    // An order carried out late has made a term that releases whoever was held before.
+    answer(&mut world, 3, (false, term, (term, 529), 0));
+    let chosen = |effect: &Effect| matches!(effect, Effect::StoreClaim { .. });
+    assert!(
+        !world.effects.iter().any(chosen),
+        "member 2 is no longer held"
+    );
+    let again = holds(&mut world);
+    assert_eq!(again, [(2, term + 1), (3, term + 1)]);
+    answer(&mut world, 2, (false, term, (term, 531), term + 1));
+    answer(&mut world, 3, (false, term, (term, 530), term + 1));
+    assert_eq!(recorded(&mut world).as_deref(), Some("member-2"));
+}
+
+#[test]
+fn choose_takes_furthest_of_all_members() {
+    let mut world = World::new();
+    begin(&mut world);
+    let term = holds(&mut world)[0].1;
+    answer(&mut world, 1, (false, term - 1, (term - 1, 503), 0));
+    answer(&mut world, 2, (false, term - 1, (term - 1, 500), term));
+    assert_eq!(recorded(&mut world), None, "member 3 may have more");
+    answer(&mut world, 3, (false, term - 1, (term - 1, 502), term));
+    assert_eq!(recorded(&mut world).as_deref(), Some("member-3"));
+}
+
+#[test]
+fn choose_names_member_of_unanswered_order_again() {
+    let mut world = World::new();
+    let mut leaving = member_at(1, "a", true);
+    leaving.leaving = true;
+    leaving.revision = 10;
+    world.handle(Event::Listed(leaving));
+    world.pass(300);
+    let mut stored = Stored {
+        revision: 4,
+        now_ms: 9_000,
+        ..Stored::default()
+    };
+    stored.claim.token = 6;
+    stored.claim.target = Some("member-2".into());
+    stored.claim.until_ms = 8_000;
+    world.handle(Event::ClaimLoaded {
+        group: GROUP,
+        stored: Some(stored),
+    });
+    let outcome = StoreOutcome::Written(11);
+    world.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome,
+    });
+    world.pass(100);
+    let term = holds(&mut world)[0].1;
+    answer(&mut world, 1, (false, term - 1, (term - 1, 500), 0));
+    answer(&mut world, 2, (false, term - 1, (term - 1, 500), term));
+    answer(&mut world, 3, (false, term - 1, (term - 1, 500), term));
+    assert_eq!(recorded(&mut world).as_deref(), Some("member-2"));
+    let outcome = StoreOutcome::Written(12);
+    world.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome,
+    });
+    let order = world.take().into_iter().find_map(|effect| match effect {
+        Effect::Order { member, token, .. } => Some((member, token)),
+        _ => None,
+    });
+    assert_eq!(order, Some((2, 7)));
+}
--- /dev/null
+++ b/crates/broker/tests/support/mod.rs
@@ -0,0 +1,183 @@
+//! A broker with one group of three members, on a clock of its own.
+
+// Each test file is a program of its own and uses part of this.
+#![allow(dead_code)]
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_broker::Broker;
+use fulmarlift_broker::effect::{Effect, Grant};
+use fulmarlift_broker::event::{Answer, Event, Report, Standing};
+use fulmarlift_broker::request::{Need, Request};
+use fulmarlift_broker::state::Settings;
+use fulmarlift_broker::topology::{Consistency, Group, Member, Route, Topology};
+use fulmarlift_core::floor::Point;
+use fulmarlift_core::id;
+use fulmarlift_core::topology::Place;
+
+pub const GROUP: id::GroupId = 7;
+pub const DATABASE: &str = "letters";
+
+/// A broker, its clock, and what it has asked for so far.
+pub struct World {
+    pub broker: Broker,
+    pub now: Instant,
+    pub effects: Vec<Effect>,
+    next_request: id::RequestId,
+}
+
+impl World {
+    /// Members 1 to 3 in domains a to c; member 1 leads. The directory has been reached for a while.
+    pub fn new() -> Self {
+        let settings = Settings {
+            name: "proxy-1".into(),
+            place: place("a"),
+            drain_timeout: Duration::from_secs(7),
+        };
+        let mut world = Self {
+            broker: Broker::new(settings),
+            now: Instant::now(),
+            effects: Vec::new(),
+            next_request: 0,
+        };
+        world.handle(Event::Configured(topology()));
+        for (member, domain) in [(1, "a"), (2, "b"), (3, "c")] {
+            world.handle(Event::Listed(member_at(member, domain, member == 1)));
+        }
+        world.handle(Event::Directory { reached: true });
+        world.pass(5_000);
+        world.effects.clear();
+        world
+    }
+
+    pub fn handle(&mut self, event: Event) {
+        self.broker.step(self.now, event, &mut self.effects);
+    }
+
+    /// Lets time pass, with the ticks that fall into it.
+    pub fn pass(&mut self, ms: u64) {
+        let until = self.now + Duration::from_millis(ms);
+        while self.now < until {
+            self.now += Duration::from_millis(100).min(until - self.now);
+            self.handle(Event::Tick);
+        }
+    }
+
+    pub fn take(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    pub fn arrive(&mut self, need: Need) -> id::RequestId {
+        self.arrive_within(need, 500, 800)
+    }
+
+    pub fn arrive_within(&mut self, need: Need, objective_ms: u64, ms: u64) -> id::RequestId {
+        self.next_request += 1;
+        let id = self.next_request;
+        self.handle(Event::Arrived(Request {
+            id,
+            group: GROUP,
+            need,
+            priority: 1,
+            objective_at: self.now + Duration::from_millis(objective_ms),
+            deadline: self.now + Duration::from_millis(ms),
+            avoid: None,
+        }));
+        id
+    }
+
+    /// Answers every request to open a connection, and returns those that were opened.
+    pub fn open_all(&mut self) -> Vec<id::ConnId> {
+        let mut opened = Vec::new();
+        for effect in self.take() {
+            match effect {
+                Effect::Open { conn, .. } => {
+                    opened.push(conn);
+                    self.handle(Event::Opened(conn));
+                }
+                other => self.effects.push(other),
+            }
+        }
+        opened
+    }
+
+    /// Takes the grants out of what was asked for.
+    pub fn grants(&mut self) -> Vec<Grant> {
+        let (grants, rest) = self
+            .take()
+            .into_iter()
+            .partition(|effect| matches!(effect, Effect::Grant(_)));
+        self.effects = rest;
+        let grant = |effect| match effect {
+            Effect::Grant(grant) => Some(grant),
+            _ => None,
+        };
+        let grants: Vec<Effect> = grants;
+        grants.into_iter().filter_map(grant).collect()
+    }
+
+    /// Ends a granted statement and returns its connection.
+    pub fn finish(&mut self, grant: &Grant, answer: Answer, point: Option<Point>) {
+        self.handle(Event::Answered(Report {
+            member: grant.member,
+            answer,
+            point,
+            took: Some(Duration::from_millis(10)),
+        }));
+        self.handle(Event::Returned {
+            conn: grant.conn,
+            reusable: true,
+        });
+    }
+
+    pub fn leader(&self) -> Option<id::MemberId> {
+        self.broker.leader(GROUP)
+    }
+}
+
+pub fn place(domain: &str) -> Place {
+    Place {
+        region: "north".into(),
+        domain: domain.into(),
+    }
+}
+
+pub fn topology() -> Topology {
+    let route = Route {
+        database: DATABASE.into(),
+        group: GROUP,
+        consistency: Consistency::Leader,
+        statement_timeout_ms: 800,
+        objective_ms: 500,
+        priority: 1,
+    };
+    let group = Group {
+        name: "ledger".into(),
+        connections_max: 16,
+        sync_replicas: 1,
+    };
+    Topology::new(1, vec![route], vec![(GROUP, group)])
+}
+
+pub fn member_at(member: id::MemberId, domain: &str, says_leads: bool) -> Member {
+    Member {
+        id: member,
+        name: format!("member-{member}").into(),
+        group: GROUP,
+        address: ([127, 0, 0, 1], 9000 + member as u16).into(),
+        place: place(domain),
+        slots: 2,
+        leaving: false,
+        says_leads,
+        revision: member,
+    }
+}
+
+pub fn standing(leads: bool, term: u64, received: (u64, u64), held_term: u64) -> Standing {
+    Standing {
+        leads,
+        term,
+        received: Point::new(received.0, received.1),
+        held_term,
+    }
+}
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -211,7 +211,8 @@
                 group,
                 member,
                 question,
-            } => self.ask(group, member, question),
+                conn,
+            } => self.ask(group, member, question, conn),
             Effect::LoadClaim(group) => self.load_claim(group),
             Effect::StoreClaim {
                 group,
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -133,13 +133,28 @@
         group: id::GroupId,
         member: id::MemberId,
         question: Question,
+        conn: Option<id::ConnId>,
     ) {
         let shell = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let standing = shell.standing_of(member, question).await;
-            let name = shell.with_broker(|broker| Box::from(notes::member_name(broker, member)));
-            let name: Box<str> = name;
+            let lent = conn.and_then(|conn| shell.inner.borrow_mut().idle.remove(conn));
+            let (standing, link) = shell.standing_of(member, question, lent).await;
+            let name: Box<str> =
+                shell.with_broker(|broker| notes::member_name(broker, member).into());
             log::info!("event=asked member={name} question={question:?} answer={standing:?}");
+            match (conn, link) {
+                (Some(conn), Some(link)) => {
+                    shell.inner.borrow_mut().idle.insert(conn, link);
+                    let reusable = true;
+                    shell.handle(Event::Returned { conn, reusable });
+                }
+                (Some(conn), None) => {
+                    let reusable = false;
+                    shell.handle(Event::Returned { conn, reusable });
+                }
+                (None, Some(link)) => shell.control.keep(link),
+                (None, None) => {}
+            }
             shell.handle(Event::Standing {
                 group,
                 member,
@@ -148,16 +163,27 @@
         });
     }
 
-    async fn standing_of(&self, member: id::MemberId, question: Question) -> Option<Standing> {
-        let mut link = match self.control.take(member) {
-            Some(link) => link,
-            // The failure is on the log already; the broker asks again.
-            None => self.connect(member).await.ok()?,
+    /// Asks on the connection lent, or on one of its own. Returns the connection if it can be used again.
+    async fn standing_of(
+        &self,
+        member: id::MemberId,
+        question: Question,
+        lent: Option<Link<W::Member>>,
+    ) -> (Option<Standing>, Option<Link<W::Member>>) {
+        let kept = lent.or_else(|| self.control.take(member));
+        let opened = match kept {
+            Some(link) => Ok(link),
+            None => self.connect(member).await,
+        };
+        // The failure is on the log already; the broker asks again.
+        let Ok(mut link) = opened else {
+            return (None, None);
         };
         link.push(match question {
             Question::Status => Command::Status,
             Question::Hold(term) => Command::Hold(term),
-            Question::Release => Command::Release,
+            Question::Release { until } if clock::now() >= until => return (None, Some(link)),
+            Question::Release { .. } => Command::Release,
             Question::Demote(term) => Command::Demote(term),
         });
         match link.exchange(clock::now() + ASK_FOR).await {
@@ -166,12 +192,11 @@
                 if standing.is_none() {
                     log::info!("event=standing_refused question={question:?} answer={answer:?}");
                 }
-                self.control.keep(link);
-                standing
+                (standing, Some(link))
             }
             Err(error) => {
                 log::info!("event=standing_failed question={question:?} error=\"{error}\"");
-                None
+                (None, None)
             }
         }
     }
