Test support: the clock starts without ticks

Cause: the test world ticked before its tests and dropped the probe's request for a connection, so that the first request of a test found one being opened for ever: elect_keeps_leader_seen_after_older_claim failed.

--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -45,7 +45,7 @@
             world.handle(Event::Listed(member_at(member, domain, member == 1)));
         }
         world.handle(Event::Directory { reached: true });
-        world.pass(5_000);
+        world.now += Duration::from_secs(5);
         world.effects.clear();
         world
     }
