A leader is not named again before it steps down; spare connections are closed sooner

The order took effect 600 ms later, after the leader had been demoted, made it lead term 2 and released the replicas that were held; the order for the chosen member came after that, without the commits of term 2.

Ruled out for the first: members that were not asked (all had answered), a replica released by a late question (none was sent).

Change: order first, demote once it is accepted; an older order is ended by naming its member again only where that member leads or is the one replaced; a claim stays unsettled after an unanswered order. Spare connections are kept 700 ms, 150 ms while the member is full. Without a configuration a session is refused as busy, not as unknown database.

--- a/crates/broker/src/failover.rs
+++ b/crates/broker/src/failover.rs
@@ -30,11 +30,11 @@
 const STORE_AGAIN: Duration = Duration::from_millis(250);
 /// Pause before an order is repeated.
 const ORDER_AGAIN: Duration = Duration::from_millis(200);
-/// Longest time for which the old leader is asked to step down before the others' word is enough.
-const DEMOTE_FOR: Duration = Duration::from_millis(600);
 /// Time after which an attempt is given up and begun anew: while the claim still keeps others away, so that members are
 /// released before another proxy holds them.
 const ATTEMPT_FOR: Duration = Duration::from_millis(3_500);
+/// The same after an order without an answer, which may not have arrived.
+const CONFIRM_UNKNOWN_FOR: Duration = Duration::from_millis(1_000);
 /// Time that the chosen member has to say that it leads after the order was accepted.
 const CONFIRM_FOR: Duration = Duration::from_millis(2_500);
 
@@ -47,10 +47,10 @@
     Loading,
     /// The claim is being written.
     Claiming,
-    /// The present leader is named once more, to see that orders are executed before it is made to step down.
-    Checking { again_at: Instant },
     /// Members are being held.
     Holding,
+    /// The member of an older order is named again with a higher token, which ends that order.
+    Flushing { again_at: Option<Instant> },
     /// The choice is being written.
     Recording,
     /// The order is under way.
@@ -112,7 +112,6 @@
     revision: u64,
     store_now_ms: u64,
     asked: sorted::Map<id::MemberId, Asked>,
-    holding_since: Option<Instant>,
     target: Option<id::MemberId>,
     unanswered_order: bool,
     claimed_until: Instant,
@@ -140,7 +139,6 @@
             revision: 0,
             store_now_ms: 0,
             asked: sorted::Map::default(),
-            holding_since: None,
             target: None,
             unanswered_order: false,
             claimed_until: begin_at,
@@ -158,8 +156,8 @@
             Step::Waiting { .. } => "waiting",
             Step::Loading => "loading",
             Step::Claiming => "claiming",
-            Step::Checking { .. } => "checking",
             Step::Holding => "holding",
+            Step::Flushing { .. } => "flushing",
             Step::Recording => "recording",
             Step::Ordering { .. } => "ordering",
             Step::Confirming { .. } => "confirming",
@@ -175,13 +173,13 @@
                 self.began_at = now;
                 out.push(Effect::LoadClaim(self.group));
             }
-            Step::Checking { again_at } if now >= again_at => {
-                self.step = Step::Checking {
-                    again_at: now + ATTEMPT_FOR,
-                };
-                self.order(self.old, out);
-            }
             Step::Holding => return self.hold(now, voters, out),
+            Step::Flushing {
+                again_at: Some(again_at),
+            } if now >= again_at => {
+                self.step = Step::Flushing { again_at: None };
+                self.order(self.target, out);
+            }
             Step::Ordering {
                 again_at: Some(again_at),
             } if now >= again_at => {
@@ -200,7 +198,7 @@
             }
             _ => {}
         }
-        let bounded = matches!(self.step, Step::Checking { .. } | Step::Holding);
+        let bounded = matches!(self.step, Step::Flushing { .. } | Step::Holding);
         if bounded && now.saturating_duration_since(self.began_at) > ATTEMPT_FOR {
             return self.give_up(now, out);
         }
@@ -255,12 +253,7 @@
         match (self.step, outcome) {
             (Step::Claiming, StoreOutcome::Written(revision)) => {
                 self.revision = revision;
-                if self.reason == Reason::Leaving && self.claim.pending().is_none() {
-                    self.step = Step::Checking { again_at: now };
-                } else {
-                    self.step = Step::Holding;
-                    self.holding_since = Some(now);
-                }
+                self.step = Step::Holding;
                 Progress::Going
             }
             (Step::Recording, StoreOutcome::Written(revision)) => {
@@ -326,21 +319,15 @@
         out: &mut Vec<Effect>,
     ) -> Progress {
         match (self.step, outcome) {
-            (Step::Checking { .. }, OrderOutcome::Accepted) => {
-                self.step = Step::Holding;
-                self.holding_since = Some(now);
-                Progress::Going
-            }
-            // The leader is gone already: the others' word is enough.
-            (Step::Checking { .. }, OrderOutcome::Refused) => {
-                self.step = Step::Holding;
-                self.holding_since = Some(now);
-                Progress::Going
+            (Step::Flushing { .. }, OrderOutcome::Accepted | OrderOutcome::Refused) => {
+                self.claim.settled = true;
+                self.claim.until_ms = self.store_now_ms;
+                self.store(out);
+                self.give_up(now, out)
             }
-            (Step::Checking { .. }, _) => {
-                self.step = Step::Checking {
-                    again_at: now + ORDER_AGAIN,
-                };
+            (Step::Flushing { .. }, _) => {
+                let again_at = Some(now + ORDER_AGAIN);
+                self.step = Step::Flushing { again_at };
                 Progress::Going
             }
             (Step::Ordering { .. }, OrderOutcome::Accepted) => {
@@ -348,6 +335,10 @@
                     until: now + CONFIRM_FOR,
                     ask_at: now,
                 };
+                if self.reason != Reason::Unreachable {
+                    // Callers are told at once instead of waiting for commits that can no longer be acknowledged.
+                    self.ask(self.old, Question::Demote(self.hold_term), out);
+                }
                 Progress::Going
             }
             (Step::Ordering { .. }, OrderOutcome::Refused) => {
@@ -361,8 +352,15 @@
                     retry_at: now + STORE_AGAIN,
                 }
             }
-            (Step::Ordering { .. }, _) => {
-                self.unanswered_order |= outcome == OrderOutcome::Unknown;
+            (Step::Ordering { .. }, OrderOutcome::Unknown) => {
+                self.unanswered_order = true;
+                self.step = Step::Confirming {
+                    until: now + CONFIRM_UNKNOWN_FOR,
+                    ask_at: now,
+                };
+                Progress::Going
+            }
+            (Step::Ordering { .. }, OrderOutcome::Deferred) => {
                 self.step = Step::Ordering {
                     again_at: Some(now + ORDER_AGAIN),
                 };
@@ -388,36 +386,26 @@
 
     fn hold(&mut self, now: Instant, voters: &[Voter], out: &mut Vec<Effect>) -> Progress {
         let hold_term = self.hold_term;
-        let demote = self.reason == Reason::Leaving;
         let mut missing = false;
         for voter in voters {
-            let is_old = Some(voter.member) == self.old;
-            if is_old && !demote {
+            if Some(voter.member) == self.old {
                 continue;
             }
             let asked = self.asked.entry(voter.member);
             if asked.standing.is_some() {
                 continue;
             }
-            let asked_in_vain = is_old
-                && self
-                    .holding_since
-                    .is_some_and(|since| now.saturating_duration_since(since) > DEMOTE_FOR);
-            missing |= !asked_in_vain;
+            missing = true;
             let lost = asked
                 .sent_at
                 .is_some_and(|sent| now.saturating_duration_since(sent) > ASK_LOST);
             let due = asked.again_at.is_none_or(|again_at| now >= again_at);
             if lost || (asked.sent_at.is_none() && due) {
                 asked.sent_at = Some(now);
-                let question = match is_old {
-                    true => Question::Demote(hold_term),
-                    false => Question::Hold(hold_term),
-                };
                 out.push(Effect::Ask {
                     group: self.group,
                     member: voter.member,
-                    question,
+                    question: Question::Hold(hold_term),
                     conn: None,
                 });
             }
@@ -442,8 +430,7 @@
                 pending.is_none_or(|name| name == voter.name.as_ref())
             });
         let (Some(best), Some(_)) = (best, furthest) else {
-            // Nobody that may lead has everything, or the member of an older order does not: that order has to end.
-            return self.give_up(now, out);
+            return self.flush_or_give_up(now, voters, out);
         };
         self.target = Some(best.member);
         self.claim.target = Some(best.name.clone());
@@ -453,13 +440,35 @@
         Progress::Going
     }
 
+    /// Nobody that may lead has everything, or the member of an older order does not. Where that member does not run, or
+    /// leads, naming it again changes nothing but ends the older order.
+    fn flush_or_give_up(
+        &mut self,
+        now: Instant,
+        voters: &[Voter],
+        out: &mut Vec<Effect>,
+    ) -> Progress {
+        let pending = self.claim.pending().and_then(|name| {
+            let named = voters.iter().find(|voter| voter.name.as_ref() == name);
+            named.map(|voter| voter.member)
+        });
+        let harmless = pending.is_some() && pending == self.old;
+        if !harmless {
+            return self.give_up(now, out);
+        }
+        self.target = pending;
+        self.step = Step::Flushing { again_at: None };
+        self.order(self.target, out);
+        Progress::Going
+    }
+
     fn finish(
         &mut self,
         member: id::MemberId,
         standing: Standing,
         out: &mut Vec<Effect>,
     ) -> Progress {
-        self.claim.settled = true;
+        self.claim.settled = !self.unanswered_order;
         self.claim.until_ms = self.store_now_ms + SETTLED_FOR_MS;
         self.store(out);
         Progress::Done { member, standing }
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -9,9 +9,15 @@
 use crate::seat::{Idle, Seat};
 use crate::state::Broker;
 
-/// Time for which a connection beyond the first is kept without use: longer than the pauses of a busy proxy, well below
-/// the minute after which members close it.
-const IDLE_KEEP: Duration = Duration::from_millis(4_000);
+/// Time for which a connection beyond the first is kept without use. A member allows few for all proxies together, and the
+/// connections of a VM that lost power stay in use there for seconds.
+const SPARE_KEEP: Duration = Duration::from_millis(700);
+/// The same, while the member has few left: a few statements' time.
+const SPARE_KEEP_CONTENDED: Duration = Duration::from_millis(150);
+/// Time for which the last connection is kept without use, well below the minute after which members close it.
+const LAST_KEEP: Duration = Duration::from_secs(12);
+/// Time after a member had no connection left during which it counts as contended.
+const CONTENDED_FOR: Duration = Duration::from_secs(3);
 
 impl Broker {
     pub(super) fn open(&mut self, member: id::MemberId, effects: &mut Vec<Effect>) {
@@ -156,12 +162,8 @@
         let conns = &mut self.conns;
         for (_, group) in self.groups.iter_mut() {
             for (_, seat) in group.seats.iter_mut() {
-                let unwanted = seat.member.leaving || seat.missing_since.is_some();
-                let keep = if unwanted { 0 } else { 1 };
-                while seat.idle.len() > keep {
-                    let oldest = seat.idle[0];
-                    let age = now.saturating_duration_since(oldest.since);
-                    if age < IDLE_KEEP {
+                while let Some(oldest) = seat.idle.first().copied() {
+                    if now.saturating_duration_since(oldest.since) < keep_for(seat, now) {
                         break;
                     }
                     seat.idle.remove(0);
@@ -173,6 +175,23 @@
     }
 }
 
+/// Returns for how long the connection that has been idle longest is kept.
+fn keep_for(seat: &Seat, now: Instant) -> Duration {
+    let unwanted = seat.member.leaving || seat.missing_since.is_some();
+    let contended = seat
+        .full_until
+        .is_some_and(|full| now.saturating_duration_since(full) < CONTENDED_FOR);
+    if unwanted {
+        SPARE_KEEP
+    } else if seat.idle.len() == 1 {
+        LAST_KEEP
+    } else if contended {
+        SPARE_KEEP_CONTENDED
+    } else {
+        SPARE_KEEP
+    }
+}
+
 fn fail(seat: &mut Seat, now: Instant, refused: bool, effects: &mut Vec<Effect>) {
     if seat.failures == 0 {
         effects.push(Effect::Note(Note::Reachable {
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -52,6 +52,9 @@
     /// The database does not exist.
     #[error("no such database")]
     NoDatabase,
+    /// No configuration has been learned yet.
+    #[error("no configuration yet, retry after 500 ms")]
+    NoConfiguration,
     /// The process stops.
     #[error("closed for the stop")]
     Stopping,
@@ -153,7 +156,14 @@
                 return self.fail(&Code::Malformed, error.into()).await;
             }
         }
-        self.await_configuration().await;
+        if !self.await_configuration().await {
+            // Whether the database exists is not known.
+            log::info!(
+                "event=refused database={} reason=NoConfiguration",
+                self.database
+            );
+            return self.fail(&Code::Busy, Ended::NoConfiguration).await;
+        }
         if self.route().is_none() {
             log::info!("event=refused database={} reason=NoDatabase", self.database);
             return self.fail(&Code::NoDatabase, Ended::NoDatabase).await;
