--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -132,9 +132,14 @@
         self.groups.get(group)?.lead.member
     }
 
+    /// Returns whether a configuration is in force.
+    pub fn is_configured(&self) -> bool {
+        self.topology.version > 0
+    }
+
     /// Returns whether requests can be served: a configuration is in force, and a member is known.
     pub fn is_ready(&self) -> bool {
-        self.topology.version > 0 && !self.members.is_empty()
+        self.is_configured() && !self.members.is_empty()
     }
 
     /// Returns the number of connections to members, those being opened included, and of waiting requests.
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use fulmarlift_broker::Broker;
 use fulmarlift_broker::topology::Route;
 use fulmarlift_core::floor::{Floor, Point};
 use fulmarlift_core::id;
@@ -172,17 +173,16 @@
         Ok(self.flush().await?)
     }
 
-    async fn await_configuration(&self) {
+    /// Waits for the first configuration; returns whether there is one.
+    async fn await_configuration(&self) -> bool {
         let until = clock::now() + CONFIGURATION_FOR;
-        while clock::now() < until {
-            if self
-                .shell
-                .with_broker(|broker| broker.topology().version > 0)
-            {
-                return;
+        while !self.shell.with_broker(Broker::is_configured) {
+            if clock::now() >= until {
+                return false;
             }
             tokio::time::sleep(CONFIGURATION_POLL).await;
         }
+        true
     }
 
     fn route(&self) -> Option<Route> {
