--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -18,6 +18,12 @@
     Listed(topology::Member),
     /// The directory has no entry of that name any more.
     Unlisted(Box<str>),
+    /// Another proxy is known.
+    PeerListed(topology::Peer),
+    /// Another proxy is known no more.
+    PeerUnlisted(Box<str>),
+    /// All other proxies that are known to the store are known here.
+    PeersRead,
     /// The directory was reached, or was not.
     Directory {
         /// Whether its newest answer is from just now.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -10,12 +10,14 @@
 //! - [`queue`]: the order of waiting requests, and when one is refused.
 //! - [`seat`]: what is known of a member and its connections.
 //! - [`lead`]: who leads a group, and whether the leader is to be replaced.
+//! - [`homes`]: which proxies keep connections to a group; the others forward to them.
 //! - [`failover`]: the replacement of a leader, step by step.
 
 pub mod claim;
 pub mod effect;
 pub mod event;
 pub mod failover;
+pub mod homes;
 pub mod index;
 pub mod lead;
 pub mod place;
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -36,6 +36,8 @@
     pub objective_at: Instant,
     /// When it is no longer wanted.
     pub deadline: Instant,
-    /// A member that has failed this request before.
+    /// A member or home that has failed this request before.
     pub avoid: Option<id::MemberId>,
+    /// Whether another proxy has forwarded it here, so that it must not be forwarded again.
+    pub forwarded: bool,
 }
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -161,9 +161,13 @@
     pub(super) fn trim(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let conns = &mut self.conns;
         for (_, group) in self.groups.iter_mut() {
-            for (_, seat) in group.seats.iter_mut() {
+            let is_home = group.is_home;
+            let members = group.seats.iter_mut().map(|(_, seat)| (seat, is_home));
+            let homes = group.homes.iter_mut().map(|(_, seat)| (seat, true));
+            for (seat, keeps_last) in members.chain(homes) {
                 while let Some(oldest) = seat.idle.first().copied() {
-                    if now.saturating_duration_since(oldest.since) < keep_for(seat, now) {
+                    if now.saturating_duration_since(oldest.since) < keep_for(seat, keeps_last, now)
+                    {
                         break;
                     }
                     seat.idle.remove(0);
@@ -175,15 +179,15 @@
     }
 }
 
-/// Returns for how long the connection that has been idle longest is kept.
-fn keep_for(seat: &Seat, now: Instant) -> Duration {
+/// Returns for how long the connection that has been idle longest is kept. Only a home keeps the last one to a member.
+fn keep_for(seat: &Seat, keeps_last: bool, now: Instant) -> Duration {
     let unwanted = seat.member.leaving || seat.missing_since.is_some();
     let contended = seat
         .full_until
         .is_some_and(|full| now.saturating_duration_since(full) < CONTENDED_FOR);
     if unwanted {
         SPARE_KEEP
-    } else if seat.idle.len() == 1 {
+    } else if seat.idle.len() == 1 && keeps_last {
         LAST_KEEP
     } else if contended {
         SPARE_KEEP_CONTENDED
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -14,7 +14,12 @@
 pub(super) const RELIST_FOR: Duration = Duration::from_millis(2_300);
 
 impl Broker {
-    pub(super) fn configured(&mut self, topology: topology::Topology) {
+    pub(super) fn configured(
+        &mut self,
+        now: Instant,
+        topology: topology::Topology,
+        effects: &mut Vec<Effect>,
+    ) {
         if topology.version <= self.topology.version {
             return;
         }
@@ -22,6 +27,7 @@
             self.groups.entry(group);
         }
         self.topology = topology;
+        self.choose_homes(now, effects);
     }
 
     pub(super) fn listed(
@@ -42,6 +48,7 @@
             }
         }
         self.led_anew(now, group_id, effects);
+        self.choose_homes(now, effects);
     }
 
     /// An earlier incarnation, or one of another group, under the same name is gone for sure.
@@ -93,7 +100,8 @@
             return;
         };
         let group = self.groups.entry(group_id);
-        if let Some(seat) = group.seats.remove(member) {
+        let seat = group.seats.remove(member);
+        if let Some(seat) = seat.or_else(|| group.homes.remove(member)) {
             for idle in seat.idle {
                 self.conns.remove(idle.conn);
                 effects.push(Effect::Close(idle.conn));
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -16,6 +16,9 @@
 /// Pause after a replacement before the next one of the same group: the news of the new leader has to arrive.
 const AFTER_DONE: Duration = Duration::from_millis(1_500);
 
+/// Time after the last request served here for which a proxy that is no home watches the leader.
+const WATCH_FOR: Duration = Duration::from_secs(3);
+
 impl Broker {
     /// Takes what a statement's end says about who leads.
     pub(super) fn learn_lead(
@@ -26,6 +29,10 @@
         effects: &mut Vec<Effect>,
     ) {
         let group = self.groups.entry(group_id);
+        if !group.seats.contains(report.member) {
+            // A home's answer says nothing about who leads.
+            return;
+        }
         match report.answer {
             Answer::Led { asked_at, commit } => {
                 if let Some(point) = report.point {
@@ -98,7 +105,10 @@
         group_id: id::GroupId,
         effects: &mut Vec<Effect>,
     ) {
-        let reason = self.verdict(now, group_id);
+        let reason = self
+            .watches(now, group_id)
+            .then(|| self.verdict(now, group_id))
+            .flatten();
         let me = self.settings.name.clone();
         let group = self.groups.entry(group_id);
         let droppable = group.attempt.as_ref().is_some_and(Attempt::may_be_dropped);
@@ -121,6 +131,16 @@
         });
     }
 
+    /// Returns whether this proxy looks after the group's leader: as a home, or while it serves requests itself.
+    pub(super) fn watches(&self, now: Instant, group_id: id::GroupId) -> bool {
+        self.groups.get(group_id).is_some_and(|group| {
+            group.is_home
+                || group
+                    .served_at
+                    .is_some_and(|at| now.saturating_duration_since(at) < WATCH_FOR)
+        })
+    }
+
     fn verdict(&self, now: Instant, group_id: id::GroupId) -> Option<crate::lead::Reason> {
         let group = self.groups.get(group_id)?;
         self.topology.groups.get(group_id)?;
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod conns;
 mod directory;
 mod leaders;
+mod peers;
 mod requests;
 mod tick;
 
@@ -26,6 +27,8 @@
 pub struct Settings {
     /// Name of the proxy with its incarnation; differs between any two processes.
     pub name: Box<str>,
+    /// Name of its VM, by which other proxies know it.
+    pub node: Box<str>,
     /// Where it runs.
     pub place: Place,
     /// Time after which a member that leaves must get no new work.
@@ -41,6 +44,8 @@
     conns: sorted::Map<id::ConnId, id::MemberId>,
     members: sorted::Map<id::MemberId, id::GroupId>,
     requests: sorted::Map<id::RequestId, id::GroupId>,
+    peers: sorted::Map<id::ProxyId, topology::Peer>,
+    peers_read: bool,
     next_conn: id::ConnId,
     directory_ok_since: Option<Instant>,
 }
@@ -48,13 +53,19 @@
 /// One group as this proxy sees it.
 #[derive(Clone, Debug, Default)]
 struct Group {
+    /// Members.
     seats: sorted::Map<id::MemberId, Seat>,
+    /// Other proxies that are homes, each under an identifier of its own for the group.
+    homes: sorted::Map<id::MemberId, Seat>,
+    /// Whether this proxy is a home.
+    is_home: bool,
+    /// When a request was last served by this proxy itself.
+    served_at: Option<Instant>,
     queue: queue::Queue,
     index: index::Index,
     lead: lead::Lead,
     probe_at: Option<Instant>,
     probing: bool,
-    asked_at: Option<Instant>,
     wants_index: bool,
     attempt: Option<failover::Attempt>,
     attempt_after: Option<Instant>,
@@ -72,6 +83,8 @@
             conns: sorted::Map::default(),
             members: sorted::Map::default(),
             requests: sorted::Map::default(),
+            peers: sorted::Map::default(),
+            peers_read: false,
             next_conn: 1,
             directory_ok_since: None,
         }
@@ -80,9 +93,12 @@
     /// Takes an event at an instant, and adds what is to be done to `effects`.
     pub fn step(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
         match event {
-            Event::Configured(topology) => self.configured(topology),
+            Event::Configured(topology) => self.configured(now, topology, effects),
             Event::Listed(member) => self.listed(now, member, effects),
             Event::Unlisted(name) => self.unlisted(now, &name),
+            Event::PeerListed(peer) => self.peer_listed(now, peer, effects),
+            Event::PeerUnlisted(name) => self.peer_unlisted(now, &name, effects),
+            Event::PeersRead => self.peers_read(now, effects),
             Event::Directory { reached } => self.directory(now, reached),
             Event::Arrived(request) => self.arrived(now, request, effects),
             Event::Abandoned(request) => self.abandoned(request),
@@ -144,18 +160,35 @@
 
     /// Returns the number of connections to members, those being opened included, and of waiting requests.
     pub fn load(&self) -> (u32, usize) {
-        let seats = self.groups.values().flat_map(|group| group.seats.values());
+        let groups = self.groups.values();
+        let seats = groups.flat_map(|group| group.seats.values().chain(group.homes.values()));
         let connections = seats.map(Seat::connections).sum();
         (connections, self.requests.len())
     }
 
+    /// Returns whether requests for the group are forwarded to homes.
+    pub fn forwards(&self, group: id::GroupId) -> bool {
+        let group = self.groups.get(group);
+        group.is_some_and(|group| group.forwards_to().is_some())
+    }
+
+    /// Returns whether this is another proxy, as a home of a group, rather than a member.
+    pub fn is_peer(&self, member: id::MemberId) -> bool {
+        let group = self.members.get(member);
+        let group = group.and_then(|group| self.groups.get(*group));
+        group.is_some_and(|group| group.homes.contains(member))
+    }
+
     fn seat(&self, member: id::MemberId) -> Option<&Seat> {
-        let group = *self.members.get(member)?;
-        self.groups.get(group)?.seats.get(member)
+        let group = self.groups.get(*self.members.get(member)?)?;
+        group.seats.get(member).or_else(|| group.homes.get(member))
     }
 
     fn seat_mut(&mut self, member: id::MemberId) -> Option<&mut Seat> {
-        let group = *self.members.get(member)?;
-        self.groups.get_mut(group)?.seats.get_mut(member)
+        let group = self.groups.get_mut(*self.members.get(member)?)?;
+        match group.seats.contains(member) {
+            true => group.seats.get_mut(member),
+            false => group.homes.get_mut(member),
+        }
     }
 }
--- /dev/null
+++ b/crates/broker/src/state/peers.rs
@@ -0,0 +1,149 @@
+//! Other proxies, and which of them are homes of a group.
+
+use std::time::{Duration, Instant};
+
+use fulmarlift_core::id;
+use fulmarlift_core::sorted;
+
+use crate::effect::Effect;
+use crate::homes;
+use crate::seat::Seat;
+use crate::state::{Broker, Group};
+use crate::topology;
+
+/// Statements that are forwarded to one home at the same time, as slots: more than any member has, since the home queues.
+const HOME_SLOTS: u32 = 16;
+/// Time for which a home has to fail before another proxy takes its place: longer than the restart of a process.
+const HOME_LOST: Duration = Duration::from_secs(3);
+
+impl Broker {
+    pub(super) fn peer_listed(
+        &mut self,
+        now: Instant,
+        peer: topology::Peer,
+        effects: &mut Vec<Effect>,
+    ) {
+        if peer.name != self.settings.node {
+            let known = self.peers.insert(id::of(&peer.name), peer.clone());
+            if known.is_some_and(|known| known != peer) {
+                // It has moved; connections to the old place are of no use.
+                self.forget_homes_of(now, &peer.name, effects);
+            }
+            self.choose_homes(now, effects);
+        }
+    }
+
+    pub(super) fn peer_unlisted(&mut self, now: Instant, name: &str, effects: &mut Vec<Effect>) {
+        self.peers.remove(id::of(name));
+        self.forget_homes_of(now, name, effects);
+        self.choose_homes(now, effects);
+    }
+
+    pub(super) fn peers_read(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.peers_read = true;
+        self.choose_homes(now, effects);
+    }
+
+    fn forget_homes_of(&mut self, now: Instant, name: &str, effects: &mut Vec<Effect>) {
+        let groups: Vec<id::GroupId> = self.groups.keys().collect();
+        for group in groups {
+            self.forget(now, id::member(group, name), effects);
+        }
+    }
+
+    /// Chooses the homes of all groups anew.
+    pub(super) fn choose_homes(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let me = id::of(&self.settings.node);
+        let groups: Vec<id::GroupId> = self.groups.keys().collect();
+        for group_id in groups {
+            let chosen = self.homes_of(now, group_id, me);
+            // Before the others are known, everyone would be a home and fill up the members' connections.
+            let is_home = self.peers_read && chosen.contains(&me);
+            let homes: Vec<topology::Member> = chosen
+                .iter()
+                .filter_map(|proxy| self.peers.get(*proxy))
+                .map(|peer| as_member(group_id, peer))
+                .collect();
+            let group = self.groups.entry(group_id);
+            group.is_home = is_home;
+            if is_home {
+                // A home forwards nothing.
+                continue;
+            }
+            let dropped: Vec<id::MemberId> = group
+                .homes
+                .keys()
+                .filter(|home| homes.iter().all(|member| member.id != *home))
+                .collect();
+            for home in homes {
+                if !group.homes.contains(home.id) {
+                    self.members.insert(home.id, group_id);
+                    group.homes.insert(home.id, Seat::new(home, now));
+                }
+            }
+            for home in dropped {
+                // It may still come back; one that fails is kept to be tried again.
+                let group = self.groups.entry(group_id);
+                let failing = group.homes.get(home).is_some_and(|seat| seat.failures > 0);
+                if !failing {
+                    self.forget(now, home, effects);
+                }
+            }
+        }
+    }
+
+    fn homes_of(&self, now: Instant, group_id: id::GroupId, me: id::ProxyId) -> Vec<id::ProxyId> {
+        let Some(group) = self.groups.get(group_id) else {
+            return Vec::new();
+        };
+        let config = self.topology.groups.get(group_id);
+        let connections_max = config.map_or(u32::MAX, |config| config.connections_max);
+        let mut domains: Vec<&str> = group
+            .seats
+            .values()
+            .map(|seat| seat.member.place.domain.as_ref())
+            .collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let own = homes::Candidate {
+            proxy: me,
+            domain: &self.settings.place.domain,
+        };
+        let others = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !is_lost(group.homes.get(id::member(group_id, &peer.name)), now))
+            .map(|(proxy, peer)| homes::Candidate {
+                proxy,
+                domain: &peer.place.domain,
+            });
+        let candidates: Vec<homes::Candidate<'_>> = others.chain([own]).collect();
+        homes::choose(group_id, connections_max, &domains, &candidates)
+    }
+}
+
+impl Group {
+    /// Returns the seats to which requests are forwarded; none if this proxy serves them itself.
+    pub(super) fn forwards_to(&self) -> Option<&sorted::Map<id::MemberId, Seat>> {
+        (!self.is_home && !self.homes.is_empty()).then_some(&self.homes)
+    }
+}
+
+fn is_lost(home: Option<&Seat>, now: Instant) -> bool {
+    let failing_since = home.and_then(|seat| seat.failing_since);
+    failing_since.is_some_and(|since| now.saturating_duration_since(since) > HOME_LOST)
+}
+
+fn as_member(group: id::GroupId, peer: &topology::Peer) -> topology::Member {
+    topology::Member {
+        id: id::member(group, &peer.name),
+        name: peer.name.clone(),
+        group,
+        address: peer.address,
+        place: peer.place.clone(),
+        slots: HOME_SLOTS,
+        leaving: false,
+        says_leads: false,
+        revision: 0,
+    }
+}
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -4,6 +4,7 @@
 
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
+use fulmarlift_core::sorted;
 
 use crate::effect::{Effect, Grant, Reason, Refuse};
 use crate::place;
@@ -35,10 +36,15 @@
     pub(super) fn arrived(&mut self, now: Instant, request: Request, effects: &mut Vec<Effect>) {
         let group_id = request.group;
         let group = self.groups.entry(group_id);
-        group.asked_at = Some(now);
-        let limits = group.seats.values().filter(|seat| seat.usable(now));
-        let side_by_side: u32 = limits.map(place::running_max).sum();
-        let latency_ms = group.slowest_ms();
+        let forwards = !request.forwarded && group.forwards_to().is_some();
+        if !forwards {
+            group.served_at = Some(now);
+        }
+        let seats = if forwards { &group.homes } else { &group.seats };
+        let usable = seats.values().filter(|seat| seat.usable(now));
+        let side_by_side: u32 = usable.map(place::running_max).sum();
+        let latencies = seats.values().map(|seat| seat.latency_ms);
+        let latency_ms = latencies.fold(0.0, f64::max);
         let ahead = group.queue.ahead_of(&request);
         let turn = group.queue.turn_in(now, ahead, latency_ms, side_by_side);
         let latest = request.deadline.min(request.objective_at);
@@ -109,6 +115,7 @@
         floor: Option<Point>,
         effects: &mut Vec<Effect>,
     ) {
+        let forwarded = self.is_peer(member);
         let Some(seat) = self.seat_mut(member) else {
             return;
         };
@@ -126,7 +133,7 @@
             conn: idle.conn,
             member,
             floor,
-            verify: request.need == Need::Latest,
+            verify: request.need == Need::Latest && !forwarded,
         }));
     }
 
@@ -148,6 +155,12 @@
         let Some(group) = self.groups.get(request.group) else {
             return Choice::Refuse(Reason::NoMember, GAP_USUAL);
         };
+        if let Some(homes) = group.forwards_to()
+            && !request.forwarded
+            && let Some(choice) = self.choose_home(now, homes, request)
+        {
+            return choice;
+        }
         match request.need {
             Need::Lead | Need::Latest => self.choose_leader(now, group, request),
             Need::Recent { since, own } => match group.index.floor(since, own) {
@@ -158,6 +171,40 @@
         }
     }
 
+    /// Chooses the home that a request is forwarded to; none if no home can be reached, so that it has to be served here.
+    fn choose_home(
+        &self,
+        now: Instant,
+        homes: &sorted::Map<id::MemberId, Seat>,
+        request: &Request,
+    ) -> Option<Choice> {
+        let cost = |seat: &Seat| {
+            let question = place::Question {
+                now,
+                home: &self.settings.place,
+                floor: None,
+                leads: false,
+                avoided: request.avoid == Some(seat.member.id),
+            };
+            let open = if seat.idle.is_empty() { OPEN_MS } else { 0.0 };
+            place::cost_ms(seat, &question) + open
+        };
+        let reached = homes.values().filter(|seat| seat.usable(now));
+        let seat = reached.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
+        let own = match request.need {
+            Need::Recent { own, .. } => own,
+            Need::Lead | Need::Latest => None,
+        };
+        Some(if !seat.idle.is_empty() {
+            let member = seat.member.id;
+            Choice::Grant { member, floor: own }
+        } else if seat.may_open(now) {
+            Choice::Open(seat.member.id)
+        } else {
+            Choice::Wait
+        })
+    }
+
     /// Returns the leader if it may be sent new work: one that leaves serves until it is replaced, within the bound.
     fn usable_leader<'a>(&self, now: Instant, group: &'a Group) -> Option<&'a Seat> {
         let seat = group.seats.get(group.lead.member?)?;
@@ -272,13 +319,6 @@
     }
 }
 
-impl Group {
-    fn slowest_ms(&self) -> f64 {
-        let latencies = self.seats.values().map(|seat| seat.latency_ms);
-        latencies.fold(0.0, f64::max)
-    }
-}
-
 /// Decides on a request that needs a leader while there is none: it waits if the leader's return can be expected
 /// before its deadline, and is refused at once otherwise.
 fn vacant(now: Instant, group: &Group, request: &Request) -> Choice {
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -18,11 +18,13 @@
 impl Broker {
     pub(super) fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.forget_gone(now, effects);
+        self.choose_homes(now, effects);
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
         for group_id in groups {
             self.led_anew(now, group_id, effects);
+            let watches = self.watches(now, group_id);
             let group = self.groups.entry(group_id);
-            group.wants_index |= sample_due(group, now);
+            group.wants_index |= watches && sample_due(group, now);
             self.pump(now, group_id, effects);
             self.probe_if_wanted(now, group_id, effects);
             self.govern(now, group_id, effects);
@@ -59,7 +61,7 @@
 
 fn sample_due(group: &Group, now: Instant) -> bool {
     let age = |then: Option<Instant>| then.map(|then| now.saturating_duration_since(then));
-    let active = age(group.asked_at).is_some_and(|age| age < ACTIVE_FOR);
+    let active = age(group.served_at).is_some_and(|age| age < ACTIVE_FOR);
     let oldest = if active {
         SAMPLE_AGE_MAX
     } else {
--- a/crates/broker/src/topology.rs
+++ b/crates/broker/src/topology.rs
@@ -5,9 +5,10 @@
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 use fulmarlift_core::topology::Place;
+use serde::{Deserialize, Serialize};
 
 /// What a read demands of the log that it runs on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Consistency {
     /// Served by the leader, with everything acknowledged before the request.
     Leader,
@@ -102,6 +103,17 @@
     }
 }
 
+/// Another proxy.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Name of its VM.
+    pub name: Box<str>,
+    /// Address for other proxies.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub place: Place,
+}
+
 /// One incarnation of a member, as the directory lists it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Member {
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -29,9 +29,22 @@
 impl World {
     /// Members 1 to 3 in domains a to c; member 1 leads. The directory has been reached for a while.
     pub fn new() -> Self {
+        Self::at("a")
+    }
+
+    /// The same, with the proxy in another domain.
+    pub fn at(domain: &str) -> Self {
+        let mut world = Self::unread(domain);
+        world.handle(Event::PeersRead);
+        world
+    }
+
+    /// The same, before the other proxies are known.
+    pub fn unread(domain: &str) -> Self {
         let settings = Settings {
-            name: "proxy-1".into(),
-            place: place("a"),
+            name: "proxy-1-0".into(),
+            node: "proxy-1".into(),
+            place: place(domain),
             drain_timeout: Duration::from_secs(7),
         };
         let mut world = Self {
@@ -82,6 +95,7 @@
             objective_at: self.now + Duration::from_millis(objective_ms),
             deadline: self.now + Duration::from_millis(ms),
             avoid: None,
+            forwarded: false,
         }));
         id
     }
--- a/crates/session/src/follow.rs
+++ b/crates/session/src/follow.rs
@@ -6,10 +6,19 @@
 use fulmarlift_broker::event::Event;
 
 use crate::shell::Shell;
-use crate::world::{Batch, CallError, News, Source, World};
+use crate::world::{Announce, Batch, CallError, Contents, News, Source, World};
 
-/// Time for which the store is asked to wait for changes. A connection that is silent for good is noticed a little later.
-const WAIT: Duration = Duration::from_secs(6);
+/// Time for which the store is asked to wait for changes of configuration and members. A question that is left unanswered
+/// for good is noticed a little later.
+const WAIT: Duration = Duration::from_secs(10);
+/// The same for proxies, whose changes are rare and not urgent.
+const PEERS_WAIT: Duration = Duration::from_secs(25);
+/// Pause after changes, in which further ones gather, so that a change of many rows takes few calls.
+const GATHER: Duration = Duration::from_millis(200);
+/// The same for proxies, and for everything while the process starts and all others do so too.
+const LONG_GATHER: Duration = Duration::from_millis(1_000);
+/// Time after the start that counts as such.
+const START: Duration = Duration::from_secs(8);
 /// Shortest pause after a failed call.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls: within `stability-window-ms` after the store's return everything has to be known.
@@ -23,6 +32,7 @@
     listed: Vec<Box<str>>,
     reached: bool,
     backoff: Duration,
+    began_at: tokio::time::Instant,
 }
 
 /// Follows a part of the store for ever.
@@ -34,6 +44,7 @@
         listed: Vec::new(),
         reached: false,
         backoff: BACKOFF_MIN,
+        began_at: tokio::time::Instant::now(),
     };
     loop {
         follower.advance().await;
@@ -43,7 +54,11 @@
 impl<W: World, S: Source> Follower<W, S> {
     async fn advance(&mut self) {
         let read = match self.revision {
-            Some(revision) => self.source.changes(revision, WAIT).await,
+            Some(revision) => {
+                self.source
+                    .changes(revision, wait_for(self.source.contents()))
+                    .await
+            }
             None => self.source.read().await,
         };
         match read {
@@ -51,9 +66,12 @@
                 self.note_reached(true, "");
                 self.backoff = BACKOFF_MIN;
                 self.apply(batch);
+                // Changes that come together are read together.
+                tokio::time::sleep(gather_for(self.source.contents(), self.began_at.elapsed()))
+                    .await;
             }
             Err(CallError::Compacted) => {
-                log::info!("event=history_gone source={}", self.source.name());
+                log::info!("event=history_gone source={:?}", self.source.contents());
                 self.revision = None;
             }
             Err(error) => {
@@ -89,21 +107,25 @@
                     listed.push(member.name.clone());
                     self.shell.handle(Event::Listed(member));
                 }
-                News::Unlisted(name) => {
-                    log::info!("event=member_unlisted member={name}");
-                    self.listed.retain(|other| *other != name);
-                    self.shell.handle(Event::Unlisted(name));
+                News::PeerListed(peer) => {
+                    let (name, address) = (&peer.name, peer.address);
+                    log::info!("event=peer_listed peer={name} address={address}");
+                    listed.push(peer.name.clone());
+                    self.shell.handle(Event::PeerListed(peer));
                 }
+                News::Unlisted(name) | News::PeerUnlisted(name) => self.unlist(name),
             }
         }
         if whole {
             for name in std::mem::take(&mut self.listed) {
                 if !listed.contains(&name) {
-                    log::info!("event=member_unlisted member={name}");
-                    self.shell.handle(Event::Unlisted(name));
+                    self.unlist(name);
                 }
             }
         }
+        if whole && self.source.contents() == Contents::Peers {
+            self.shell.handle(Event::PeersRead);
+        }
         for name in listed {
             if !self.listed.contains(&name) {
                 self.listed.push(name);
@@ -111,13 +133,23 @@
         }
     }
 
+    fn unlist(&mut self, name: Box<str>) {
+        let contents = self.source.contents();
+        log::info!("event=unlisted source={contents:?} name={name}");
+        self.listed.retain(|other| *other != name);
+        self.shell.handle(match contents {
+            Contents::Peers => Event::PeerUnlisted(name),
+            Contents::Configuration | Contents::Members => Event::Unlisted(name),
+        });
+    }
+
     fn note_reached(&mut self, reached: bool, error: &str) {
+        let source = self.source.contents();
         if reached != self.reached {
             self.reached = reached;
-            let source = self.source.name();
-            log::info!("event=store_reached source={source} reached={reached} error=\"{error}\"");
+            log::info!("event=store_reached source={source:?} reached={reached} error=\"{error}\"");
         }
-        if self.source.lists_members() {
+        if source == Contents::Members {
             self.shell.handle(Event::Directory { reached });
         }
     }
@@ -129,3 +161,29 @@
         self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
     }
 }
+
+fn wait_for(contents: Contents) -> Duration {
+    match contents {
+        Contents::Configuration | Contents::Members => WAIT,
+        Contents::Peers => PEERS_WAIT,
+    }
+}
+
+fn gather_for(contents: Contents, age: Duration) -> Duration {
+    match contents {
+        Contents::Configuration | Contents::Members if age > START => GATHER,
+        _ => LONG_GATHER,
+    }
+}
+
+/// Announces this proxy to the others, until that has succeeded.
+pub async fn announce<A: Announce>(own: A) {
+    let mut backoff = BACKOFF_MIN;
+    while let Err(error) = own.announce().await {
+        log::warn!("event=announce_failed error=\"{error}\"");
+        let share = rand::random_range(0.5..1.0);
+        tokio::time::sleep(backoff.mul_f64(share)).await;
+        backoff = (backoff * 2).min(BACKOFF_MAX);
+    }
+    log::info!("event=announced");
+}
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`protocol`]: callers' and members' messages, and the traits of their codecs.
 //! - [`session`]: a caller's session: values, prepared statements, transactions, single statements.
 //! - [`link`]: a connection to a member.
+//! - [`peer`]: statements that are forwarded between proxies.
 //! - [`shell`]: the broker with its waiting requests and idle connections, and the tasks behind its effects.
 //! - [`follow`]: the configuration and the directory, followed in the store.
 //! - [`serve`]: listening, and the graceful stop.
@@ -15,6 +16,7 @@
 pub mod follow;
 pub mod link;
 pub mod logging;
+pub mod peer;
 pub mod protocol;
 pub mod serve;
 pub mod session;
--- /dev/null
+++ b/crates/session/src/peer/frame.rs
@@ -0,0 +1,80 @@
+//! The messages, each a length of four bytes and a `postcard` value.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use fulmarlift_core::floor::Point;
+use serde::{Deserialize, Serialize, de};
+
+use crate::protocol::caller::Forwarded;
+use crate::protocol::member::{Prepared, Verb};
+use crate::protocol::{Code, State, WireError};
+
+/// Most bytes of a message: what callers may send, with room for what is added.
+const FRAME_BYTES_MAX: usize = (1 << 20) + 4_096;
+/// Bytes of the length.
+const LENGTH_BYTES: usize = 4;
+
+/// What a forwarding proxy sends.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum Request {
+    /// Begins a connection for a group.
+    Startup { group: Box<str> },
+    /// A statement as its caller sent it.
+    Run {
+        id: Bytes,
+        text: Bytes,
+        verb: Verb,
+        forwarded: Forwarded,
+    },
+    /// A prepared statement.
+    Execute {
+        id: Bytes,
+        prepared: Prepared,
+        arguments: Bytes,
+        forwarded: Forwarded,
+    },
+    /// A session value.
+    Set { name: Box<str>, value: Bytes },
+    /// Ends the transaction without keeping anything.
+    Rollback,
+    /// Clears the values.
+    Reset,
+    /// Ends the connection.
+    Terminate,
+}
+
+/// What a home answers.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum Response {
+    Row(Bytes),
+    Complete(Bytes),
+    Done,
+    Error(Code, Box<str>),
+    Ready(State, Option<Point>),
+}
+
+pub(super) fn put<T: Serialize>(message: &T, outbox: &mut BytesMut) {
+    let bytes = postcard::to_stdvec(message).expect("messages of plain values always encode");
+    let length = u32::try_from(bytes.len()).expect("messages are shorter than 4 GiB");
+    outbox.put_u32(length);
+    outbox.put_slice(&bytes);
+}
+
+pub(super) fn take<T: de::DeserializeOwned>(inbox: &mut BytesMut) -> Result<Option<T>, WireError> {
+    let Some(length) = inbox.first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let length = usize::try_from(u32::from_be_bytes(*length)).unwrap_or(usize::MAX);
+    if length > FRAME_BYTES_MAX {
+        let limit_bytes = FRAME_BYTES_MAX;
+        return Err(WireError::TooLarge { limit_bytes });
+    }
+    if inbox.len() < LENGTH_BYTES + length {
+        return Ok(None);
+    }
+    inbox.advance(LENGTH_BYTES);
+    let frame = inbox.split_to(length);
+    let message = postcard::from_bytes(&frame);
+    message
+        .map(Some)
+        .map_err(|_| WireError::Malformed("another proxy's message"))
+}
--- a/crates/session/src/protocol/caller.rs
+++ b/crates/session/src/protocol/caller.rs
@@ -1,8 +1,11 @@
 //! The callers' side.
 
 use bytes::{Bytes, BytesMut};
+use fulmarlift_broker::topology::Consistency;
 use fulmarlift_core::floor::Point;
+use serde::{Deserialize, Serialize};
 
+use crate::protocol::member::Prepared;
 use crate::protocol::{Code, Mode, State, WireError};
 
 /// A caller's message.
@@ -28,6 +31,30 @@
     pub text: Bytes,
     /// What the text means.
     pub statement: Statement,
+    /// What another proxy says of it that has forwarded it; none from a caller.
+    pub forwarded: Option<Forwarded>,
+}
+
+/// What a forwarding proxy knows of a statement.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Forwarded {
+    /// How it is to be served, with the time that is left.
+    pub route: Terms,
+    /// The session's newest commit.
+    pub own: Option<Point>,
+}
+
+/// How a statement is to be served, apart from where.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    /// What its reads demand.
+    pub consistency: Consistency,
+    /// Time that it may take from now on.
+    pub timeout_ms: u32,
+    /// Time within which it should be answered.
+    pub objective_ms: u32,
+    /// Rank; 0 is the highest.
+    pub priority: u8,
 }
 
 /// The meaning of a statement's text.
@@ -64,6 +91,15 @@
         /// What follows the name in the text.
         arguments: Bytes,
     },
+    /// Runs a statement that another proxy's caller has prepared.
+    ExecutePrepared {
+        /// The statement.
+        prepared: Prepared,
+        /// Its arguments.
+        arguments: Bytes,
+    },
+    /// Clears values and names.
+    Reset,
     /// Forgets the name of a prepared statement.
     Deallocate {
         /// The name.
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -5,6 +5,9 @@
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
 
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::caller::Terms;
 use crate::protocol::{Code, Mode, State, WireError};
 
 /// What is sent to a member. Each but [`Command::Terminate`] gets one [`Answer`].
@@ -23,8 +26,12 @@
         id: &'a Bytes,
         /// The caller's text.
         text: &'a Bytes,
+        /// What the text means.
+        verb: Verb,
         /// Point that the member's log has to have reached.
         floor: Option<Point>,
+        /// How the statement is to be served; members need not know.
+        terms: Option<Terms>,
     },
     /// A caller's use of a prepared statement, under the name that it has on this connection.
     Execute {
@@ -36,6 +43,8 @@
         arguments: &'a Bytes,
         /// Point that the member's log has to have reached.
         floor: Option<Point>,
+        /// How the statement is to be served; members need not know.
+        terms: Option<Terms>,
     },
     /// Begins a transaction of the proxy's own that may write, which only a leader allows.
     Begin,
@@ -64,8 +73,21 @@
     Terminate,
 }
 
+/// The meaning of a statement that is passed on as text.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Verb {
+    /// Begins a transaction.
+    Begin(Mode),
+    /// Commits it.
+    Commit,
+    /// Rolls it back.
+    Rollback,
+    /// Reads or writes.
+    Run(Mode),
+}
+
 /// What a prepared statement does; its name on members' connections is derived from it.
-#[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd)]
+#[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Serialize, Deserialize)]
 pub struct Prepared {
     /// Whether it writes.
     pub mode: Mode,
--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -3,8 +3,10 @@
 pub mod caller;
 pub mod member;
 
+use serde::{Deserialize, Serialize};
+
 /// Where a session stands between two statements.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum State {
     /// Outside a transaction.
     Idle,
@@ -15,7 +17,7 @@
 }
 
 /// Why a statement or a connection was refused or failed.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Code {
     /// No capacity; the statement has not run.
     Busy,
@@ -63,7 +65,7 @@
 }
 
 /// Whether a statement may change data.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Ord, PartialOrd, Serialize, Deserialize)]
 pub enum Mode {
     /// It only reads.
     Read,
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -5,7 +5,9 @@
 
 use tokio::net::TcpListener;
 
-use crate::session::{self, Grace};
+use crate::peer;
+use crate::protocol::caller::Codec;
+use crate::session::{self, Grace, Origin};
 use crate::shell::Shell;
 use crate::world::World;
 
@@ -15,13 +17,33 @@
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// Accepts callers for ever.
-pub async fn accept<W: World>(shell: Rc<Shell<W>>, listener: TcpListener, grace: Grace) {
+pub async fn accept_callers<W: World>(shell: Rc<Shell<W>>, listener: TcpListener, grace: Grace) {
+    accept::<W, W::Caller>(shell, listener, Origin::Caller, grace).await;
+}
+
+/// Accepts other proxies for ever.
+pub async fn accept_peers<W: World>(shell: Rc<Shell<W>>, listener: TcpListener, grace: Grace) {
+    // Other proxies come back at once, to another home.
+    let grace = Grace {
+        idle_from: Duration::ZERO,
+        idle_spread: Duration::ZERO,
+        ..grace
+    };
+    accept::<W, peer::Serving>(shell, listener, Origin::Peer, grace).await;
+}
+
+async fn accept<W: World, C: Codec>(
+    shell: Rc<Shell<W>>,
+    listener: TcpListener,
+    origin: Origin,
+    grace: Grace,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let shell = Rc::clone(&shell);
                 tokio::task::spawn_local(async move {
-                    if let Err(ended) = session::run(shell, stream, grace).await {
+                    if let Err(ended) = session::run::<W, C>(shell, stream, origin, grace).await {
                         log::debug!("event=session_ended reason=\"{ended}\"");
                     }
                 });
--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -4,6 +4,7 @@
 
 use fulmarlift_broker::effect::Grant;
 use fulmarlift_broker::event;
+use fulmarlift_broker::topology::Route;
 use fulmarlift_core::floor::Point;
 
 use crate::clock;
@@ -11,6 +12,7 @@
 use crate::protocol::member::{Answer, Command, Prepared};
 use crate::protocol::{Code, Mode, State};
 use crate::session::plan::Plan;
+use crate::session::single::Bounds;
 use crate::shell::Lease;
 use crate::values::Held;
 use crate::world::World;
@@ -37,8 +39,10 @@
     prepared: Option<&Prepared>,
     deadline: Instant,
 ) -> Result<(), LinkError> {
+    // A home prepares for itself what it needs.
+    let prepared = prepared.filter(|_| !lease.is_home());
     let link = lease.link();
-    let gap = link.mirror.close_gap(held, prepared);
+    let gap = link.mirror().close_gap(held, prepared);
     let mut sent = 0;
     if gap.reset {
         link.push(Command::Reset);
@@ -99,8 +103,10 @@
     grant: Grant,
     plan: &Plan,
     held: &Held,
-    deadline: Instant,
+    route: &Route,
+    bounds: Bounds,
 ) -> Outcome {
+    let deadline = bounds.deadline;
     if let Err(error) = synchronize(&mut lease, held, plan.needs(), deadline).await {
         lease.report_failure(&error, false);
         return Outcome::NotRun(Code::Busy);
@@ -118,7 +124,7 @@
         }
     }
     let asked_at = clock::now();
-    plan.push(lease.link(), floor);
+    plan.push(lease.link(), floor, bounds.terms(route));
     if grant.verify {
         // The end of the verifying transaction is answered first.
         match lease.exchange(deadline).await {
@@ -132,16 +138,14 @@
     }
     let writes = plan.mode == Mode::Write;
     match lease.exchange(deadline).await {
+        Ok(answer) if lease.is_home() => pass_on(*lease, answer),
         Ok(answer) => {
             let led = event::Answer::Led {
                 asked_at,
                 commit: true,
             };
-            conclude(
-                *lease,
-                answer,
-                if writes { led } else { event::Answer::Served },
-            )
+            let success = if writes { led } else { event::Answer::Served };
+            conclude(*lease, answer, success)
         }
         Err(error) => {
             lease.report_failure(&error, writes);
@@ -150,11 +154,20 @@
     }
 }
 
+/// A home's answer is final, its refusal included: it has tried the members that there are.
+fn pass_on<W: World>(mut lease: Lease<W>, answer: Answer) -> Outcome {
+    lease.report(event::Answer::Served, answer.point);
+    if answer.state == State::Idle {
+        lease.give_back();
+    }
+    Outcome::Answered(answer)
+}
+
 fn conclude<W: World>(mut lease: Lease<W>, answer: Answer, success: event::Answer) -> Outcome {
     let reading = answer.error().map_or(success, reading_of);
     lease.report(reading, answer.point);
     if answer.error() == Some(&Code::NoStatement) {
-        lease.link().mirror.doubt();
+        lease.link().mirror().doubt();
     }
     if answer.state == State::Idle {
         lease.give_back();
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::clock;
 use crate::link;
-use crate::protocol::caller::{Codec, Message, Query, Reply, Statement};
+use crate::protocol::caller::{Codec, Message, Query, Reply, Statement, Terms};
 use crate::protocol::member;
 use crate::protocol::{Code, Mode, State};
 use crate::session::transaction::Transaction;
@@ -78,10 +78,21 @@
     Due,
 }
 
-struct Session<W: World> {
+/// Who is at the other end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// A caller, who names a database.
+    Caller,
+    /// Another proxy, which names a group and tells for each statement how it is to be served.
+    Peer,
+}
+
+struct Session<W: World, C: Codec> {
     shell: Rc<Shell<W>>,
     stream: TcpStream,
-    codec: W::Caller,
+    codec: C,
+    origin: Origin,
+    terms: Option<Terms>,
     inbox: BytesMut,
     outbox: BytesMut,
     database: Box<str>,
@@ -100,16 +111,19 @@
 /// # Errors
 ///
 /// Always returns why it ended.
-pub async fn run<W: World>(
+pub async fn run<W: World, C: Codec>(
     shell: Rc<Shell<W>>,
     stream: TcpStream,
+    origin: Origin,
     grace: Grace,
 ) -> Result<(), Ended> {
     link::watch_silence(&stream)?;
-    let mut session = Session {
+    let mut session = Session::<W, C> {
         spread: id::weight(shell.next_request(), 0),
         stopping: shell.stopping(),
-        codec: W::Caller::default(),
+        codec: C::default(),
+        origin,
+        terms: None,
         inbox: BytesMut::new(),
         outbox: BytesMut::new(),
         database: Box::default(),
@@ -129,7 +143,7 @@
     ended
 }
 
-impl<W: World> Session<W> {
+impl<W: World, C: Codec> Session<W, C> {
     async fn serve(&mut self) -> Result<(), Ended> {
         self.begin().await?;
         loop {
@@ -165,7 +179,7 @@
             );
             return self.fail(&Code::Busy, Ended::NoConfiguration).await;
         }
-        if self.route().is_none() {
+        if self.origin == Origin::Caller && self.route().is_none() {
             log::info!("event=refused database={} reason=NoDatabase", self.database);
             return self.fail(&Code::NoDatabase, Ended::NoDatabase).await;
         }
@@ -185,7 +199,22 @@
         true
     }
 
+    fn is_forwarded(&self) -> bool {
+        self.origin == Origin::Peer
+    }
+
+    /// Returns how the next statement is to be served; none if the database does not exist.
     fn route(&self) -> Option<Route> {
+        if self.is_forwarded() {
+            return self.terms.map(|terms| Route {
+                database: Box::default(),
+                group: id::of(&self.database),
+                consistency: terms.consistency,
+                statement_timeout_ms: terms.timeout_ms,
+                objective_ms: terms.objective_ms,
+                priority: terms.priority,
+            });
+        }
         self.shell
             .with_broker(|broker| broker.topology().route(&self.database).cloned())
     }
@@ -302,6 +331,13 @@
     }
 
     async fn query(&mut self, query: Query) -> Result<(), Ended> {
+        if let Some(forwarded) = &query.forwarded {
+            self.terms = Some(forwarded.route);
+            if let Some(own) = forwarded.own {
+                self.own.raise(id::of(&self.database), own);
+            }
+            self.transaction.set_terms(&forwarded.route);
+        }
         if self.transaction.state() == State::Failed
             && !matches!(query.statement, Statement::Commit | Statement::Rollback)
         {
@@ -334,9 +370,21 @@
             }
             Statement::Commit => self.commit(&query).await,
             Statement::Run(mode) => {
-                let plan = plan::Plan::direct(&query, *mode);
+                let plan = plan::Plan::direct(&query, member::Verb::Run(*mode));
+                self.execute(plan).await;
+            }
+            Statement::ExecutePrepared {
+                prepared,
+                arguments,
+            } => {
+                let plan = plan::Plan::prepared(&query, prepared.clone(), arguments.clone());
                 self.execute(plan).await;
             }
+            Statement::Reset => {
+                self.held = Rc::default();
+                self.transaction.value_set();
+                self.answer_done();
+            }
             Statement::Execute { name, arguments } => match self.held.prepared(name) {
                 Some(prepared) => {
                     let plan = plan::Plan::prepared(&query, prepared.clone(), arguments.clone());
--- a/crates/session/src/session/plan.rs
+++ b/crates/session/src/session/plan.rs
@@ -3,10 +3,11 @@
 use bytes::Bytes;
 use fulmarlift_core::floor::Point;
 
-use crate::link::Link;
 use crate::protocol::Mode;
-use crate::protocol::caller::Query;
-use crate::protocol::member::{Codec, Command, Prepared};
+use crate::protocol::caller::{Query, Terms};
+use crate::protocol::member::{Command, Prepared, Verb};
+use crate::shell::Wire;
+use crate::world::World;
 
 /// A statement that has to reach a member.
 #[derive(Clone, Debug)]
@@ -15,6 +16,8 @@
     pub id: Bytes,
     /// The caller's text.
     pub text: Bytes,
+    /// What the text means.
+    pub verb: Verb,
     /// Whether it writes.
     pub mode: Mode,
     /// The prepared statement that it uses, and its arguments.
@@ -23,8 +26,13 @@
 
 impl Plan {
     /// A statement whose text is passed on.
-    pub fn direct(query: &Query, mode: Mode) -> Self {
+    pub fn direct(query: &Query, verb: Verb) -> Self {
+        let mode = match verb {
+            Verb::Begin(mode) | Verb::Run(mode) => mode,
+            Verb::Commit | Verb::Rollback => Mode::Write,
+        };
         Self {
+            verb,
             id: query.id.clone(),
             text: query.text.clone(),
             mode,
@@ -37,6 +45,7 @@
         Self {
             id: query.id.clone(),
             text: query.text.clone(),
+            verb: Verb::Run(prepared.mode),
             mode: prepared.mode,
             prepared: Some((prepared, arguments)),
         }
@@ -52,19 +61,23 @@
         self.prepared.as_ref().map(|(prepared, _)| prepared)
     }
 
-    /// Adds the statement to what a link sends next.
-    pub fn push<C: Codec>(&self, link: &mut Link<C>, floor: Option<Point>) {
-        link.push(match &self.prepared {
+    /// Adds the statement to what a connection sends next.
+    pub fn push<W: World>(&self, wire: &mut Wire<W>, floor: Option<Point>, terms: Terms) {
+        let terms = Some(terms);
+        wire.push(match &self.prepared {
             None => Command::Run {
                 id: &self.id,
                 text: &self.text,
+                verb: self.verb,
                 floor,
+                terms,
             },
             Some((prepared, arguments)) => Command::Execute {
                 id: &self.id,
                 prepared,
                 arguments,
                 floor,
+                terms,
             },
         });
     }
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -11,12 +11,14 @@
 use futures::stream::FuturesUnordered;
 
 use crate::clock;
+use crate::protocol::caller::{Codec, Terms};
 use crate::protocol::member::Answer;
 use crate::protocol::{Code, Mode};
 use crate::session::Session;
 use crate::session::attempt::{self, Outcome};
 use crate::session::plan::Plan;
 use crate::shell::{Shell, Turn};
+use crate::values::Held;
 use crate::world::World;
 
 /// Time of a statement's limit that is left for the answer's way to the caller.
@@ -50,6 +52,26 @@
             hedge_at: arrived_at + objective.min(timeout) / 2,
         }
     }
+
+    /// Leaves the second attempt of a forwarded statement to its home for a while longer.
+    fn hedge_later(&mut self) {
+        let wait = self.hedge_at.saturating_duration_since(self.arrived_at);
+        self.hedge_at += wait / 2;
+    }
+
+    /// Returns how a home is to serve the statement in the time that is left.
+    pub fn terms(&self, route: &Route) -> Terms {
+        let left_ms = |until: Instant| {
+            let left = until.saturating_duration_since(clock::now());
+            u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
+        };
+        Terms {
+            consistency: route.consistency,
+            timeout_ms: left_ms(self.deadline),
+            objective_ms: left_ms(self.objective_at),
+            priority: route.priority,
+        }
+    }
 }
 
 /// Returns what a statement demands.
@@ -91,19 +113,38 @@
     }
 }
 
-impl<W: World> Session<W> {
+impl<W: World, C: Codec> Session<W, C> {
     pub(super) async fn execute_single(&mut self, plan: Plan) {
         let Some(route) = self.route() else {
             return self.answer_error(&Code::NoDatabase, "the database has been removed");
         };
-        let bounds = Bounds::new(&route);
+        let mut bounds = Bounds::new(&route);
+        let forwarded = self.is_forwarded();
+        if !forwarded
+            && self
+                .shell
+                .with_broker(|broker| broker.forwards(route.group))
+        {
+            bounds.hedge_later();
+        }
         let own = self.own.point(route.group);
         let held = Rc::clone(&self.held);
         let plan = Rc::new(plan);
         let need = need(&route, plan.mode, own);
         let ended = match plan.mode {
-            Mode::Read => read(&self.shell, &plan, &held, &route, need, bounds).await,
-            Mode::Write => write(&self.shell, &plan, &held, &route, bounds).await,
+            Mode::Read => {
+                let job = Job {
+                    shell: Rc::clone(&self.shell),
+                    plan: Rc::clone(&plan),
+                    held,
+                    route: route.clone(),
+                    need,
+                    bounds,
+                    forwarded,
+                };
+                read(Rc::new(job)).await
+            }
+            Mode::Write => write(&self.shell, &plan, &held, &route, bounds, forwarded).await,
         };
         match ended {
             Ok(answer) => {
@@ -152,6 +193,7 @@
     need: Need,
     bounds: Bounds,
     avoid: Option<id::MemberId>,
+    forwarded: bool,
 ) -> Turn<W> {
     shell
         .turn(Request {
@@ -162,42 +204,49 @@
             objective_at: bounds.objective_at,
             deadline: bounds.deadline,
             avoid,
+            forwarded,
         })
         .await
 }
 
-/// One attempt of a read, with the member that it was tried at.
-async fn try_once<W: World>(
+/// A read and all that its attempts need.
+struct Job<W: World> {
     shell: Rc<Shell<W>>,
     plan: Rc<Plan>,
-    held: Rc<crate::values::Held>,
+    held: Rc<Held>,
     route: Route,
     need: Need,
     bounds: Bounds,
+    forwarded: bool,
+}
+
+/// One attempt of a read, with the member that it was tried at.
+async fn try_once<W: World>(
+    job: Rc<Job<W>>,
     avoid: Option<id::MemberId>,
 ) -> Result<(id::MemberId, Outcome), Refuse> {
-    match take_turn(&shell, &route, need, bounds, avoid).await {
+    let turn = take_turn(
+        &job.shell,
+        &job.route,
+        job.need,
+        job.bounds,
+        avoid,
+        job.forwarded,
+    );
+    match turn.await {
         Turn::Refused(refuse) => Err(refuse),
         Turn::Granted { lease, grant } => {
-            let outcome = attempt::run(lease, grant, &plan, &held, bounds.deadline).await;
+            let outcome =
+                attempt::run(lease, grant, &job.plan, &job.held, &job.route, job.bounds).await;
             Ok((grant.member, outcome))
         }
     }
 }
 
 /// Runs a read. It may be tried at several members, one after the other, and at two at once when the first is slow.
-async fn read<W: World>(
-    shell: &Rc<Shell<W>>,
-    plan: &Rc<Plan>,
-    held: &Rc<crate::values::Held>,
-    route: &Route,
-    need: Need,
-    bounds: Bounds,
-) -> Result<Answer, Failure> {
-    let again = |avoid| {
-        let (shell, plan, held) = (Rc::clone(shell), Rc::clone(plan), Rc::clone(held));
-        try_once(shell, plan, held, route.clone(), need, bounds, avoid)
-    };
+async fn read<W: World>(job: Rc<Job<W>>) -> Result<Answer, Failure> {
+    let (plan, bounds) = (&job.plan, job.bounds);
+    let again = |avoid| try_once(Rc::clone(&job), avoid);
     let mut running = FuturesUnordered::new();
     running.push(again(None));
     let mut attempts = 1;
@@ -276,21 +325,22 @@
 async fn write<W: World>(
     shell: &Rc<Shell<W>>,
     plan: &Plan,
-    held: &crate::values::Held,
+    held: &Held,
     route: &Route,
     bounds: Bounds,
+    forwarded: bool,
 ) -> Result<Answer, Failure> {
     let mut refused = Code::Busy;
     for _ in 0..ATTEMPTS_MAX {
         if clock::now() >= bounds.deadline {
             break;
         }
-        let turn = take_turn(shell, route, Need::Lead, bounds, None).await;
+        let turn = take_turn(shell, route, Need::Lead, bounds, None, forwarded).await;
         let (lease, grant) = match turn {
             Turn::Granted { lease, grant } => (lease, grant),
             Turn::Refused(refuse) => return Err(Failure::refused(&refuse)),
         };
-        match attempt::run(lease, grant, plan, held, bounds.deadline).await {
+        match attempt::run(lease, grant, plan, held, route, bounds).await {
             Outcome::Answered(answer) => return Ok(answer),
             Outcome::NotRun(code) => {
                 log::debug!("event=retried request={} code={code:?}", plan.id());
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -7,8 +7,8 @@
 
 use crate::clock;
 use crate::link::LinkError;
-use crate::protocol::caller::Query;
-use crate::protocol::member::Answer;
+use crate::protocol::caller::{Codec, Query, Terms};
+use crate::protocol::member::{Answer, Verb};
 use crate::protocol::{Code, Mode, State};
 use crate::session::Session;
 use crate::session::attempt::{self, reading_of};
@@ -50,7 +50,7 @@
 
 impl<W: World> Transaction<W> {
     pub(super) fn begun(mode: Mode, query: &Query, route: Route) -> Self {
-        let begin = Plan::direct(query, mode);
+        let begin = Plan::direct(query, Verb::Begin(mode));
         Self::Begun { begin, route }
     }
 
@@ -69,7 +69,15 @@
     /// Notes that a session value was set: a rollback may or may not undo it at the member.
     pub(super) fn value_set(&mut self) {
         if let Self::Open { lease, .. } = self {
-            lease.link().mirror.doubt();
+            lease.link().mirror().doubt();
+        }
+    }
+
+    /// Takes the time that a forwarding proxy leaves for the next statement.
+    pub(super) fn set_terms(&mut self, terms: &Terms) {
+        if let Self::Begun { route, .. } | Self::Open { route, .. } = self {
+            route.statement_timeout_ms = terms.timeout_ms;
+            route.objective_ms = terms.objective_ms;
         }
     }
 
@@ -87,7 +95,7 @@
     }
 }
 
-impl<W: World> Session<W> {
+impl<W: World, C: Codec> Session<W, C> {
     pub(super) async fn execute_in_transaction(&mut self, plan: Plan) {
         if let Err(failure) = self.open_transaction().await {
             return self.fail_transaction(&plan, &failure);
@@ -107,7 +115,7 @@
         lease.start();
         let synchronized = attempt::synchronize(lease, &held, plan.needs(), bounds.deadline).await;
         let answered = match synchronized {
-            Ok(()) => exchange(lease, &plan, bounds.deadline).await,
+            Ok(()) => exchange(lease, &plan, bounds.deadline, bounds.terms(route)).await,
             Err(error) => Err(error),
         };
         match answered {
@@ -161,7 +169,15 @@
                 break;
             }
             let need = single::need(&route, begin.mode, self.own.point(route.group));
-            let turn = single::take_turn(&self.shell, &route, need, bounds, avoid).await;
+            let turn = single::take_turn(
+                &self.shell,
+                &route,
+                need,
+                bounds,
+                avoid,
+                self.is_forwarded(),
+            )
+            .await;
             let (mut lease, grant) = match turn {
                 Turn::Granted { lease, grant } => (lease, grant),
                 Turn::Refused(refuse) => return Err(Failure::refused(&refuse)),
@@ -179,7 +195,7 @@
                 }
             }
             if self
-                .begin_on(&mut lease, &begin, floor, grant.verify, bounds)
+                .begin_on(&mut lease, &begin, &route, floor, grant.verify, bounds)
                 .await
             {
                 let mode = begin.mode;
@@ -202,12 +218,13 @@
         &self,
         lease: &mut Lease<W>,
         begin: &Plan,
+        route: &Route,
         floor: Option<fulmarlift_core::floor::Point>,
         verified: bool,
         bounds: Bounds,
     ) -> bool {
         let asked_at = clock::now();
-        begin.push(lease.link(), floor);
+        begin.push(lease.link(), floor, bounds.terms(route));
         if verified {
             // The end of the verifying transaction is answered first.
             match lease.exchange(bounds.deadline).await {
@@ -223,11 +240,11 @@
             Ok(answer) => {
                 let begun = answer.error().is_none() && answer.state == State::Transaction;
                 let success = match begin.mode {
-                    Mode::Write => event::Answer::Led {
+                    Mode::Write if !lease.is_home() => event::Answer::Led {
                         asked_at,
                         commit: false,
                     },
-                    Mode::Read => event::Answer::Served,
+                    _ => event::Answer::Served,
                 };
                 lease.report(answer.error().map_or(success, reading_of), answer.point);
                 begun
@@ -248,7 +265,7 @@
             }
             State::Transaction => {}
         }
-        let plan = Plan::direct(query, Mode::Write);
+        let plan = Plan::direct(query, Verb::Commit);
         if let Err(failure) = self.open_transaction().await {
             self.transaction = Transaction::None;
             log::info!(
@@ -272,14 +289,14 @@
         let bounds = Bounds::new(&route);
         let asked_at = clock::now();
         lease.start();
-        match exchange(&mut lease, &plan, bounds.deadline).await {
+        match exchange(&mut lease, &plan, bounds.deadline, bounds.terms(&route)).await {
             Ok(answer) => {
                 let success = match mode {
-                    Mode::Write => event::Answer::Led {
+                    Mode::Write if !lease.is_home() => event::Answer::Led {
                         asked_at,
                         commit: wrote,
                     },
-                    Mode::Read => event::Answer::Served,
+                    _ => event::Answer::Served,
                 };
                 lease.report(answer.error().map_or(success, reading_of), answer.point);
                 if answer.error().is_none()
@@ -316,9 +333,10 @@
     lease: &mut Lease<W>,
     plan: &Plan,
     deadline: Instant,
+    terms: Terms,
 ) -> Result<Answer, LinkError> {
     loop {
-        plan.push(lease.link(), None);
+        plan.push(lease.link(), None, terms);
         let answer = lease.exchange(deadline).await?;
         let busy = answer.error() == Some(&Code::Busy) && answer.state == State::Transaction;
         if !busy || clock::now() + BUSY_PAUSE >= deadline {
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -8,27 +8,27 @@
 use fulmarlift_core::id;
 
 use crate::clock;
-use crate::link::{Link, LinkError};
+use crate::link::LinkError;
 use crate::protocol::member;
-use crate::shell::Shell;
+use crate::shell::{Shell, Wire};
 use crate::world::World;
 
 /// Exclusive use of a connection. Dropped without [`Lease::give_back`], the connection is closed.
 pub struct Lease<W: World> {
     shell: Rc<Shell<W>>,
     conn: id::ConnId,
-    link: Option<Link<W::Member>>,
+    link: Option<Wire<W>>,
     member: id::MemberId,
     running_since: Option<Instant>,
 }
 
 impl<W: World> Lease<W> {
     /// Takes a connection on which a statement counts as running.
-    pub(super) fn new(shell: &Rc<Shell<W>>, conn: id::ConnId, link: Link<W::Member>) -> Self {
+    pub(super) fn new(shell: &Rc<Shell<W>>, conn: id::ConnId, link: Wire<W>) -> Self {
         Self {
             shell: Rc::clone(shell),
             conn,
-            member: link.member,
+            member: link.member(),
             link: Some(link),
             running_since: Some(clock::now()),
         }
@@ -40,12 +40,17 @@
     }
 
     /// Returns the connection.
-    pub fn link(&mut self) -> &mut Link<W::Member> {
+    pub fn link(&mut self) -> &mut Wire<W> {
         self.link
             .as_mut()
             .expect("the link is there until the lease is given back")
     }
 
+    /// Returns whether a home of the group is at the other end, rather than a member.
+    pub fn is_home(&self) -> bool {
+        self.link.as_ref().is_some_and(Wire::is_home)
+    }
+
     /// Notes that a further statement is sent.
     pub fn start(&mut self) {
         if self.running_since.is_none() {
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -3,6 +3,7 @@
 mod lease;
 mod notes;
 mod tasks;
+mod wire;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -20,10 +21,10 @@
 use tokio::sync::watch;
 
 use crate::clock;
-use crate::link::Link;
 use crate::world::World;
 
 pub use crate::shell::lease::Lease;
+pub use crate::shell::wire::Wire;
 
 /// Pause between two ticks: the resolution of deadlines and retries in the broker.
 const TICK: Duration = Duration::from_millis(100);
@@ -51,7 +52,7 @@
     broker: Broker,
     events: VecDeque<Event>,
     waiters: sorted::Map<id::RequestId, Waiter<W>>,
-    idle: sorted::Map<id::ConnId, Link<W::Member>>,
+    idle: sorted::Map<id::ConnId, Wire<W>>,
     next_request: id::RequestId,
 }
 
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -14,7 +14,7 @@
 use crate::link::{Link, OpenError};
 use crate::protocol::member::{Command, End};
 use crate::protocol::{Code, State};
-use crate::shell::{Shell, notes};
+use crate::shell::{Shell, Wire, notes};
 use crate::world::{Claims, Orders, World};
 
 /// Time to open a connection: a lost first packet and its repetition, 1 s, are not waited for.
@@ -27,7 +27,7 @@
 const CONTROL_KEEP: Duration = Duration::from_secs(2);
 
 /// A connection for questions during a replacement, and the time until which it is kept.
-type Kept<W> = (Instant, Link<<W as World>::Member>);
+type Kept<W> = (Instant, Wire<W>);
 
 /// Connections for questions during a replacement, by member.
 pub(super) struct ControlLinks<W: World> {
@@ -42,14 +42,14 @@
 }
 
 impl<W: World> ControlLinks<W> {
-    fn take(&self, member: id::MemberId) -> Option<Link<W::Member>> {
+    fn take(&self, member: id::MemberId) -> Option<Wire<W>> {
         let (_, mut link) = self.links.borrow_mut().remove(member)?;
         (!link.is_dead()).then_some(link)
     }
 
-    fn keep(&self, link: Link<W::Member>) {
+    fn keep(&self, link: Wire<W>) {
         let until = clock::now() + CONTROL_KEEP;
-        self.links.borrow_mut().insert(link.member, (until, link));
+        self.links.borrow_mut().insert(link.member(), (until, link));
     }
 
     pub(super) fn expire(&self, now: Instant) {
@@ -80,13 +80,22 @@
         })
     }
 
-    async fn connect(&self, member: id::MemberId) -> Result<Link<W::Member>, OpenError> {
+    async fn connect(&self, member: id::MemberId) -> Result<Wire<W>, OpenError> {
         let Some((group, name, address)) = self.whereabouts(member) else {
             return Err(OpenError::Refused(Code::Misrouted));
         };
         metrics::counter!("fulmarlift_connects_total").increment(1);
         let deadline = clock::now() + OPEN_FOR;
-        let opened = Link::open(address, &group, (&name, member), deadline).await;
+        let opened = match self.with_broker(|broker| broker.is_peer(member)) {
+            true => {
+                let opened = Link::open(address, &group, (&name, member), deadline).await;
+                opened.map(Wire::Home)
+            }
+            false => {
+                let opened = Link::open(address, &group, (&name, member), deadline).await;
+                opened.map(Wire::Member)
+            }
+        };
         if let Err(error) = &opened {
             log::info!("event=connect_failed member={name} address={address} error=\"{error}\"");
         }
@@ -168,8 +177,8 @@
         &self,
         member: id::MemberId,
         question: Question,
-        lent: Option<Link<W::Member>>,
-    ) -> (Option<Standing>, Option<Link<W::Member>>) {
+        lent: Option<Wire<W>>,
+    ) -> (Option<Standing>, Option<Wire<W>>) {
         let kept = lent.or_else(|| self.control.take(member));
         let opened = match kept {
             Some(link) => Ok(link),
@@ -268,12 +277,10 @@
 }
 
 /// Probes on a link, and returns the link if it can be used again.
-async fn probe_on<C: crate::protocol::member::Codec>(
-    mut link: Link<C>,
-) -> (Report, Option<Link<C>>) {
+async fn probe_on<W: World>(mut link: Wire<W>) -> (Report, Option<Wire<W>>) {
     let asked_at = clock::now();
     let deadline = asked_at + PROBE_FOR;
-    let member = link.member;
+    let member = link.member();
     link.push(Command::Begin);
     let begun = match link.exchange(deadline).await {
         Ok(begun) => begun,
--- a/crates/session/src/world.rs
+++ b/crates/session/src/world.rs
@@ -71,8 +71,29 @@
     Configured(topology::Topology),
     /// A member's entry.
     Listed(topology::Member),
-    /// A name without an entry. An entry that cannot be used counts as none.
+    /// A member's name without an entry. An entry that cannot be used counts as none.
     Unlisted(Box<str>),
+    /// Another proxy's entry, or this one's own.
+    PeerListed(topology::Peer),
+    /// A proxy's name without an entry.
+    PeerUnlisted(Box<str>),
+}
+
+/// What a part of the store holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contents {
+    /// The operator's configuration.
+    Configuration,
+    /// The members' entries.
+    Members,
+    /// The proxies' entries.
+    Peers,
+}
+
+/// This proxy's own entry.
+pub trait Announce: 'static {
+    /// Writes the entry where it is missing or another.
+    fn announce(&self) -> impl Future<Output = Result<(), CallError>>;
 }
 
 /// Rows as of one moment, or changes up to it.
@@ -86,11 +107,8 @@
 
 /// A part of the store that is followed.
 pub trait Source: 'static {
-    /// Its name, for the log.
-    fn name(&self) -> &'static str;
-
-    /// Returns whether members are listed there, so that its silence about one means something.
-    fn lists_members(&self) -> bool;
+    /// What it holds.
+    fn contents(&self) -> Contents;
 
     /// Reads everything.
     fn read(&self) -> impl Future<Output = Result<Batch, CallError>>;
