One proxy of a failure domain reads the store and hands on what it learns

Ways weighed: longer waits (a question that is left unanswered is noticed later, and a configuration has to be in force within 3 s); only homes following members (the others need them when no home is reached); a reader for each domain. The last was taken: it tells its listeners twice a second how old its last answer of the store is, and they read for themselves above 2 s, so that a reader that is cut off delays nobody beyond the bound. Listeners only listen to proxies that rank above them.

Change: news/ in crates/session, readers in crates/broker; while the store does not answer, one part of it is asked for at a time.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -17,7 +17,12 @@
     /// The directory lists a member.
     Listed(topology::Member),
     /// The directory has no entry of that name any more.
-    Unlisted(Box<str>),
+    Unlisted {
+        /// The name.
+        name: Box<str>,
+        /// Revision at which there was none.
+        revision: u64,
+    },
     /// Another proxy is known.
     PeerListed(topology::Peer),
     /// Another proxy is known no more.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`seat`]: what is known of a member and its connections.
 //! - [`lead`]: who leads a group, and whether the leader is to be replaced.
 //! - [`homes`]: which proxies keep connections to a group; the others forward to them.
+//! - [`readers`]: which proxy reads the store for its failure domain.
 //! - [`failover`]: the replacement of a leader, step by step.
 
 pub mod claim;
@@ -22,6 +23,7 @@
 pub mod lead;
 pub mod place;
 pub mod queue;
+pub mod readers;
 pub mod request;
 pub mod seat;
 pub mod state;
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -68,10 +68,10 @@
         }
     }
 
-    pub(super) fn unlisted(&mut self, now: Instant, name: &str) {
+    pub(super) fn unlisted(&mut self, now: Instant, name: &str, revision: u64) {
         for (_, group) in self.groups.iter_mut() {
             for (_, seat) in group.seats.iter_mut() {
-                if seat.member.name.as_ref() == name {
+                if seat.member.name.as_ref() == name && seat.member.revision <= revision {
                     seat.missing_since.get_or_insert(now);
                 }
             }
@@ -101,13 +101,15 @@
         };
         let group = self.groups.entry(group_id);
         let seat = group.seats.remove(member);
+        if seat.is_some() {
+            effects.push(Effect::Note(Note::Gone(member)));
+        }
         if let Some(seat) = seat.or_else(|| group.homes.remove(member)) {
             for idle in seat.idle {
                 self.conns.remove(idle.conn);
                 effects.push(Effect::Close(idle.conn));
             }
         }
-        effects.push(Effect::Note(Note::Gone(member)));
         self.led_anew(now, group_id, effects);
     }
 }
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -16,9 +16,11 @@
 use crate::effect::Effect;
 use crate::event::Event;
 use crate::failover;
+use crate::homes;
 use crate::index;
 use crate::lead;
 use crate::queue;
+use crate::readers;
 use crate::seat::Seat;
 use crate::topology;
 
@@ -95,7 +97,7 @@
         match event {
             Event::Configured(topology) => self.configured(now, topology, effects),
             Event::Listed(member) => self.listed(now, member, effects),
-            Event::Unlisted(name) => self.unlisted(now, &name),
+            Event::Unlisted { name, revision } => self.unlisted(now, &name, revision),
             Event::PeerListed(peer) => self.peer_listed(now, peer, effects),
             Event::PeerUnlisted(name) => self.peer_unlisted(now, &name, effects),
             Event::PeersRead => self.peers_read(now, effects),
@@ -166,6 +168,42 @@
         (connections, self.requests.len())
     }
 
+    /// Returns another proxy.
+    pub fn peer(&self, name: &str) -> Option<&topology::Peer> {
+        self.peers.get(id::of(name))
+    }
+
+    /// Returns the configuration, the members that are listed, and the other proxies.
+    pub fn knowledge(
+        &self,
+    ) -> (
+        topology::Topology,
+        Vec<topology::Member>,
+        Vec<topology::Peer>,
+    ) {
+        let seats = self.groups.values().flat_map(|group| group.seats.values());
+        let listed = seats.filter(|seat| seat.missing_since.is_none());
+        let members = listed.map(|seat| seat.member.clone()).collect();
+        let peers = self.peers.values().cloned().collect();
+        (self.topology.clone(), members, peers)
+    }
+
+    /// Returns the proxies that may read the store for this one, the first choice first; none if it reads itself.
+    pub fn readers(&self) -> Vec<topology::Peer> {
+        let candidates: Vec<homes::Candidate<'_>> = self
+            .peers
+            .iter()
+            .map(|(proxy, peer)| homes::Candidate {
+                proxy,
+                domain: &peer.place.domain,
+            })
+            .collect();
+        let me = id::of(&self.settings.node);
+        let above = readers::above(me, &self.settings.place.domain, &candidates);
+        let peers = above.iter().filter_map(|proxy| self.peers.get(*proxy));
+        peers.cloned().collect()
+    }
+
     /// Returns whether requests for the group are forwarded to homes.
     pub fn forwards(&self, group: id::GroupId) -> bool {
         let group = self.groups.get(group);
--- a/crates/broker/src/topology.rs
+++ b/crates/broker/src/topology.rs
@@ -37,7 +37,7 @@
 }
 
 /// A database name that callers may ask for, and how it is served.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name that callers give.
     pub database: Box<str>,
@@ -54,7 +54,7 @@
 }
 
 /// A database group.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Group {
     /// Name in the configuration.
     pub name: Box<str>,
@@ -65,7 +65,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Topology {
     /// Version; 0 before any was learned.
     pub version: u64,
@@ -104,18 +104,20 @@
 }
 
 /// Another proxy.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
     /// Name of its VM.
     pub name: Box<str>,
-    /// Address for other proxies.
+    /// Address to which statements are forwarded.
     pub address: SocketAddr,
+    /// Address at which it hands on what it learns.
+    pub news: SocketAddr,
     /// Where it runs.
     pub place: Place,
 }
 
 /// One incarnation of a member, as the directory lists it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// Identifier of this incarnation; a restart under the same name gives another.
     pub id: id::MemberId,
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -70,6 +70,7 @@
             world.handle(Event::PeerListed(Peer {
                 name: format!("{domain}{nth}").into(),
                 address: ([127, 0, 0, 1], 7000 + nth).into(),
+                news: ([127, 0, 0, 1], 8000 + nth).into(),
                 place: place(domain),
             }));
         }
--- a/crates/broker/tests/lead.rs
+++ b/crates/broker/tests/lead.rs
@@ -31,7 +31,10 @@
     claims.revision = 9;
     world.handle(Event::Listed(claims));
     assert_eq!(world.leader(), Some(2));
-    world.handle(Event::Unlisted("member-1".into()));
+    world.handle(Event::Unlisted {
+        name: "member-1".into(),
+        revision: 99,
+    });
     world.pass(3_000);
     assert_eq!(world.leader(), Some(2));
 }
--- a/crates/broker/tests/place.rs
+++ b/crates/broker/tests/place.rs
@@ -92,7 +92,10 @@
     let mut world = World::at("a");
     sample(&mut world, 10);
     for member in [2, 3] {
-        world.handle(Event::Unlisted(format!("member-{member}").into()));
+        world.handle(Event::Unlisted {
+            name: format!("member-{member}").into(),
+            revision: 99,
+        });
     }
     let first = read(&mut world, None);
     let now = world.now;
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -9,13 +9,13 @@
 //! - [`link`]: a connection to a member.
 //! - [`peer`]: statements that are forwarded between proxies.
 //! - [`shell`]: the broker with its waiting requests and idle connections, and the tasks behind its effects.
-//! - [`follow`]: the configuration and the directory, followed in the store.
+//! - [`news`]: configuration, members and proxies, learned from the store or from a proxy that reads it.
 //! - [`serve`]: listening, and the graceful stop.
 
 pub mod clock;
-pub mod follow;
 pub mod link;
 pub mod logging;
+pub mod news;
 pub mod peer;
 pub mod protocol;
 pub mod serve;
--- a/crates/session/src/follow.rs
+++ b/crates/session/src/news/follow.rs
@@ -5,6 +5,7 @@
 
 use fulmarlift_broker::event::Event;
 
+use crate::clock;
 use crate::shell::Shell;
 use crate::world::{Announce, Batch, CallError, Contents, News, Source, World};
 
@@ -13,6 +14,8 @@
 const WAIT: Duration = Duration::from_secs(10);
 /// The same for proxies, whose changes are rare and not urgent.
 const PEERS_WAIT: Duration = Duration::from_secs(25);
+/// The same for the configuration while others listen, who have to know that the store still answers.
+const LISTENERS_WAIT: Duration = Duration::from_millis(900);
 /// Pause after changes, in which further ones gather, so that a change of many rows takes few calls.
 const GATHER: Duration = Duration::from_millis(200);
 /// The same for proxies, and for everything while the process starts and all others do so too.
@@ -25,9 +28,9 @@
 const BACKOFF_MAX: Duration = Duration::from_millis(1_000);
 
 /// A part of the store as far as it is known.
-struct Follower<W: World, S: Source> {
-    shell: Rc<Shell<W>>,
-    source: S,
+struct Follower<'a, W: World, S: Source> {
+    shell: &'a Rc<Shell<W>>,
+    source: &'a S,
     revision: Option<u64>,
     listed: Vec<Box<str>>,
     reached: bool,
@@ -36,7 +39,7 @@
 }
 
 /// Follows a part of the store for ever.
-pub async fn follow<W: World, S: Source>(shell: Rc<Shell<W>>, source: S) {
+pub(super) async fn follow<W: World, S: Source>(shell: &Rc<Shell<W>>, source: &S) {
     let mut follower = Follower {
         shell,
         source,
@@ -51,19 +54,28 @@
     }
 }
 
-impl<W: World, S: Source> Follower<W, S> {
+impl<W: World, S: Source> Follower<'_, W, S> {
     async fn advance(&mut self) {
+        // While the store does not answer, one part of it is asked for at a time.
+        let shell = self.shell;
+        let turn = match self.reached {
+            true => None,
+            false => Some(shell.store_turn().await),
+        };
+        let wait = wait_for(self.source.contents(), self.shell.listeners());
         let read = match self.revision {
-            Some(revision) => {
-                self.source
-                    .changes(revision, wait_for(self.source.contents()))
-                    .await
-            }
+            Some(revision) => tokio::select! {
+                changes = self.source.changes(revision, wait) => changes,
+                // Who listens has to hear soon that the store answers.
+                () = shell.listener_came() => return,
+            },
             None => self.source.read().await,
         };
         match read {
             Ok(batch) => {
+                drop(turn);
                 self.note_reached(true, "");
+                self.confirm();
                 self.backoff = BACKOFF_MIN;
                 self.apply(batch);
                 // Changes that come together are read together.
@@ -86,43 +98,26 @@
         self.revision = Some(batch.revision);
         let mut listed: Vec<Box<str>> = Vec::new();
         for news in batch.news {
-            match news {
-                News::Configured(topology) => {
-                    let version = topology.version;
-                    let routes = topology.routes().len();
-                    log::info!("event=configured version={version} routes={routes}");
-                    metrics::gauge!("fulmarlift_config_version").set(version as f64);
-                    self.shell.handle(Event::Configured(topology));
-                }
-                News::Listed(member) => {
-                    log::info!(
-                        "event=member_listed member={} group={:016x} address={} leaving={} says_leads={} revision={}",
-                        member.name,
-                        member.group,
-                        member.address,
-                        member.leaving,
-                        member.says_leads,
-                        member.revision
-                    );
-                    listed.push(member.name.clone());
-                    self.shell.handle(Event::Listed(member));
+            match &news {
+                News::Listed(member) => listed.push(member.name.clone()),
+                News::PeerListed(peer) => listed.push(peer.name.clone()),
+                News::Unlisted { name, .. } | News::PeerUnlisted(name) => {
+                    self.listed.retain(|other| other != name);
                 }
-                News::PeerListed(peer) => {
-                    let (name, address) = (&peer.name, peer.address);
-                    log::info!("event=peer_listed peer={name} address={address}");
-                    listed.push(peer.name.clone());
-                    self.shell.handle(Event::PeerListed(peer));
-                }
-                News::Unlisted(name) | News::PeerUnlisted(name) => self.unlist(name),
+                News::Configured(_) => {}
             }
+            self.shell.learn(news);
         }
         if whole {
             for name in std::mem::take(&mut self.listed) {
                 if !listed.contains(&name) {
-                    self.unlist(name);
+                    self.unlist(name, batch.revision);
                 }
             }
         }
+        if self.source.contents() == Contents::Members {
+            self.shell.note_revision(batch.revision);
+        }
         if whole && self.source.contents() == Contents::Peers {
             self.shell.handle(Event::PeersRead);
         }
@@ -133,14 +128,19 @@
         }
     }
 
-    fn unlist(&mut self, name: Box<str>) {
-        let contents = self.source.contents();
-        log::info!("event=unlisted source={contents:?} name={name}");
-        self.listed.retain(|other| *other != name);
-        self.shell.handle(match contents {
-            Contents::Peers => Event::PeerUnlisted(name),
-            Contents::Configuration | Contents::Members => Event::Unlisted(name),
-        });
+    fn unlist(&mut self, name: Box<str>, revision: u64) {
+        match self.source.contents() {
+            Contents::Peers => self.shell.learn(News::PeerUnlisted(name)),
+            Contents::Members => self.shell.learn(News::Unlisted { name, revision }),
+            Contents::Configuration => {}
+        }
+    }
+
+    /// Notes when the store answered last. An answer without changes that was waited for tells how things are now.
+    fn confirm(&self) {
+        if self.source.contents() == Contents::Configuration {
+            self.shell.confirm(clock::now());
+        }
     }
 
     fn note_reached(&mut self, reached: bool, error: &str) {
@@ -162,8 +162,9 @@
     }
 }
 
-fn wait_for(contents: Contents) -> Duration {
+fn wait_for(contents: Contents, listeners: usize) -> Duration {
     match contents {
+        Contents::Configuration if listeners > 0 => LISTENERS_WAIT,
         Contents::Configuration | Contents::Members => WAIT,
         Contents::Peers => PEERS_WAIT,
     }
--- /dev/null
+++ b/crates/session/src/news/frame.rs
@@ -0,0 +1,60 @@
+//! The messages from a reader to its listeners.
+
+use std::io;
+
+use bytes::{Buf, BufMut, BytesMut};
+use fulmarlift_broker::topology;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::world::News;
+
+/// Most bytes of a message: a configuration of today's sizes takes 60 KB.
+const FRAME_BYTES_MAX: usize = 16 << 20;
+
+/// A message to a listener.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum Message {
+    /// All that is known.
+    Snapshot {
+        topology: topology::Topology,
+        members: Vec<topology::Member>,
+        /// Revision up to which the members are known.
+        revision: u64,
+        peers: Vec<topology::Peer>,
+    },
+    /// A change.
+    News(News),
+    /// The store answered the reader this long ago.
+    Fresh { age_ms: u64 },
+}
+
+pub(super) async fn send(stream: &mut TcpStream, message: &Message) -> io::Result<()> {
+    let bytes = postcard::to_stdvec(message).expect("messages of plain values always encode");
+    let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+    let mut frame = BytesMut::with_capacity(bytes.len() + 4);
+    frame.put_u32(length);
+    frame.put_slice(&bytes);
+    stream.write_all(&frame).await
+}
+
+/// Reads the next message. When the future is dropped, what was read stays in `inbox`.
+pub(super) async fn receive(stream: &mut TcpStream, inbox: &mut BytesMut) -> io::Result<Message> {
+    loop {
+        if let Some(length) = inbox.first_chunk::<4>() {
+            let length = usize::try_from(u32::from_be_bytes(*length)).unwrap_or(usize::MAX);
+            if length > FRAME_BYTES_MAX {
+                return Err(io::Error::from(io::ErrorKind::InvalidData));
+            }
+            if inbox.len() >= 4 + length {
+                inbox.advance(4);
+                let frame = inbox.split_to(length);
+                return postcard::from_bytes(&frame).map_err(io::Error::other);
+            }
+        }
+        if stream.read_buf(inbox).await? == 0 {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof));
+        }
+    }
+}
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -1,5 +1,6 @@
 //! The broker with its waiting requests and idle connections, and the tasks behind its effects.
 
+mod learn;
 mod lease;
 mod notes;
 mod tasks;
@@ -18,11 +19,10 @@
 use fulmarlift_core::id;
 use fulmarlift_core::limit::RetryBudget;
 use fulmarlift_core::sorted;
-use tokio::sync::oneshot;
-use tokio::sync::watch;
+use tokio::sync::{Mutex, Notify, broadcast, oneshot, watch};
 
 use crate::clock;
-use crate::world::World;
+use crate::world::{News, World};
 
 pub use crate::shell::lease::Lease;
 pub use crate::shell::wire::Wire;
@@ -30,6 +30,9 @@
 /// Pause between two ticks: the resolution of deadlines and retries in the broker.
 const TICK: Duration = Duration::from_millis(100);
 
+/// News that a listener may be behind before it has to begin anew.
+const NEWS_WAITING_MAX: usize = 256;
+
 /// A connection for a request, or the refusal of one.
 pub enum Turn<W: World> {
     /// The request may be sent.
@@ -66,6 +69,12 @@
     orders: W::Orders,
     control: tasks::ControlLinks<W>,
     hedges: Cell<RetryBudget>,
+    news: broadcast::Sender<News>,
+    listeners: Cell<usize>,
+    listener_came: Notify,
+    revision: Cell<u64>,
+    confirmed_at: Cell<Option<Instant>>,
+    store_turn: Mutex<()>,
     stopping: watch::Sender<Option<Instant>>,
     sessions: Cell<usize>,
 }
@@ -89,6 +98,12 @@
             orders,
             control: tasks::ControlLinks::default(),
             hedges: Cell::new(RetryBudget::default()),
+            news: broadcast::Sender::new(NEWS_WAITING_MAX),
+            listeners: Cell::new(0),
+            listener_came: Notify::new(),
+            revision: Cell::new(0),
+            confirmed_at: Cell::new(None),
+            store_turn: Mutex::new(()),
             stopping: watch::Sender::new(None),
             sessions: Cell::new(0),
         })
--- a/crates/session/src/world.rs
+++ b/crates/session/src/world.rs
@@ -6,6 +6,7 @@
 use fulmarlift_broker::claim;
 use fulmarlift_broker::event::{OrderOutcome, StoreOutcome};
 use fulmarlift_broker::topology;
+use serde::{Deserialize, Serialize};
 
 use crate::protocol;
 
@@ -65,14 +66,19 @@
 }
 
 /// News of one thing that is kept in the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum News {
     /// A configuration.
     Configured(topology::Topology),
     /// A member's entry.
     Listed(topology::Member),
     /// A member's name without an entry. An entry that cannot be used counts as none.
-    Unlisted(Box<str>),
+    Unlisted {
+        /// The name.
+        name: Box<str>,
+        /// Revision at which there was none.
+        revision: u64,
+    },
     /// Another proxy's entry, or this one's own.
     PeerListed(topology::Peer),
     /// A proxy's name without an entry.
