Two homes a domain; a stall is counted from when commits were sent

Change: two homes a domain whatever members allow; a stall begins with the first unanswered commit that no other has overtaken, and takes two of them. Tests: verdict_replaces_leader_whose_commits_do_not_end (fails on the code before: it waits 1.2 s from the report); verdict_keeps_leader_that_others_commit_at guards the other side.

--- a/crates/broker/src/homes.rs
+++ b/crates/broker/src/homes.rs
@@ -6,12 +6,9 @@
 
 use fulmarlift_core::id;
 
-/// Connections to one member that a home should be able to have.
-const CONNECTIONS_PER_HOME: u32 = 4;
-/// Least number of homes in a failure domain, so that one may fail.
-const HOMES_MIN: u32 = 2;
-/// Most homes in a failure domain: each opens connections of its own, which take slots while all start at once.
-const HOMES_MAX: u32 = 3;
+/// Homes in a failure domain: two, so that one may fail. More would open more connections, which all take slots when
+/// many proxies start at once, and share them worse.
+const HOMES_PER_DOMAIN: usize = 2;
 
 /// A proxy that may be a home.
 #[derive(Clone, Copy, Debug)]
@@ -27,13 +24,9 @@
 /// Without a candidate in any of them, all candidates are homes.
 pub fn choose(
     group: id::GroupId,
-    connections_max: u32,
     domains: &[&str],
     candidates: &[Candidate<'_>],
 ) -> Vec<id::ProxyId> {
-    let count = u32::try_from(domains.len().max(1)).unwrap_or(u32::MAX);
-    let per_domain = (connections_max / CONNECTIONS_PER_HOME / count).clamp(HOMES_MIN, HOMES_MAX);
-    let per_domain = usize::try_from(per_domain).unwrap_or(usize::MAX);
     let mut homes = Vec::new();
     for domain in domains {
         let mut there: Vec<id::ProxyId> = candidates
@@ -42,7 +35,7 @@
             .map(|candidate| candidate.proxy)
             .collect();
         there.sort_by_key(|proxy| std::cmp::Reverse(id::weight(group, *proxy)));
-        there.truncate(per_domain);
+        there.truncate(HOMES_PER_DOMAIN);
         homes.extend(there);
     }
     if homes.is_empty() {
--- a/crates/broker/src/lead.rs
+++ b/crates/broker/src/lead.rs
@@ -15,6 +15,8 @@
 const SILENT_FOR: Duration = Duration::from_millis(1_300);
 /// Time for which a leader may leave commits unanswered while it answers everything else.
 const STALLED_FOR: Duration = Duration::from_millis(1_200);
+/// Commits without an answer that make a stall: one may have lost its answer alone.
+const STALLED_COMMITS: u32 = 2;
 /// Time without any entry that says it leads after which a group counts as having no leader.
 const NOBODY_FOR: Duration = Duration::from_millis(1_500);
 
@@ -42,8 +44,12 @@
     pub witnessed_at: Option<Instant>,
     /// Since when nobody is believed to lead.
     pub vacant_since: Option<Instant>,
-    /// Since when commits do not end, with none that has ended after.
+    /// When the first commit was sent that has had no answer, with none that has ended after.
     pub stalled_since: Option<Instant>,
+    /// How many such commits there are.
+    pub stalled_commits: u32,
+    /// When a commit last ended.
+    pub committed_at: Option<Instant>,
 }
 
 impl Lead {
@@ -52,7 +58,7 @@
         let term = point.map_or(self.term, |point| point.term);
         if term >= self.term {
             if self.member != Some(member) {
-                self.stalled_since = None;
+                self.stall_over();
             }
             self.term = term;
             self.member = Some(member);
@@ -61,6 +67,25 @@
         }
     }
 
+    /// Notes that a commit ended.
+    pub fn committed(&mut self, now: Instant) {
+        self.committed_at = Some(now);
+        self.stall_over();
+    }
+
+    /// Notes that a commit that was sent at `sent_at` has had no answer. One that others have overtaken lost its answer only.
+    pub fn commit_lost(&mut self, sent_at: Instant) {
+        if self.committed_at < Some(sent_at) {
+            self.stalled_since.get_or_insert(sent_at);
+            self.stalled_commits += 1;
+        }
+    }
+
+    fn stall_over(&mut self) {
+        self.stalled_since = None;
+        self.stalled_commits = 0;
+    }
+
     /// Decides anew who leads, from the entries and from what answers have shown.
     ///
     /// A member that began to say that it leads after the present leader was last seen to lead replaces it; so does any
@@ -83,7 +108,7 @@
         if !keep {
             let member = newest.map(|seat| seat.member.id);
             if member != self.member {
-                self.stalled_since = None;
+                self.stall_over();
                 self.witnessed_at = None;
             }
             self.member = member;
@@ -121,7 +146,8 @@
             Some(Reason::Gone)
         } else if leader.member.leaving {
             Some(Reason::Leaving)
-        } else if since(self.stalled_since, STALLED_FOR) {
+        } else if self.stalled_commits >= STALLED_COMMITS && since(self.stalled_since, STALLED_FOR)
+        {
             Some(Reason::Stalled)
         } else {
             None
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -40,14 +40,15 @@
                 }
                 group.lead.witnessed(now, report.member, report.point);
                 if commit {
-                    group.lead.stalled_since = None;
+                    group.lead.committed(now);
                 }
                 if let Some(seat) = group.seats.get_mut(report.member) {
                     seat.denies_lead = false;
                 }
             }
             Answer::Silent { commit: true } if group.lead.member == Some(report.member) => {
-                group.lead.stalled_since.get_or_insert(now);
+                let took = report.took.unwrap_or_default();
+                group.lead.commit_lost(now.checked_sub(took).unwrap_or(now));
             }
             _ => {}
         }
--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -96,8 +96,6 @@
         let Some(group) = self.groups.get(group_id) else {
             return Vec::new();
         };
-        let config = self.topology.groups.get(group_id);
-        let connections_max = config.map_or(u32::MAX, |config| config.connections_max);
         let mut domains: Vec<&str> = group
             .seats
             .values()
@@ -118,7 +116,7 @@
                 domain: &peer.place.domain,
             });
         let candidates: Vec<homes::Candidate<'_>> = others.chain([own]).collect();
-        homes::choose(group_id, connections_max, &domains, &candidates)
+        homes::choose(group_id, &domains, &candidates)
     }
 }
 
--- a/crates/broker/tests/lead.rs
+++ b/crates/broker/tests/lead.rs
@@ -3,8 +3,10 @@
 mod support;
 
 use fulmarlift_broker::effect::Effect;
-use fulmarlift_broker::event::{Event, OpenFailure};
+use fulmarlift_broker::event::{Answer, Event, OpenFailure, Report};
 use fulmarlift_broker::request::Need;
+use fulmarlift_core::floor::Point;
+use std::time::Duration;
 use support::{World, member_at};
 
 /// Ends every attempt to reach a member as if its process were gone.
@@ -58,3 +60,46 @@
     world.handle(Event::Listed(other));
     assert_eq!(world.leader(), Some(1));
 }
+
+/// Reports how a commit on the leader ended, that took 760 ms.
+fn commit(world: &mut World, answer: Answer) {
+    world.handle(Event::Answered(Report {
+        member: 1,
+        answer,
+        point: Some(Point::new(3, 10)),
+        floor: None,
+        took: Some(Duration::from_millis(760)),
+    }));
+}
+
+fn claims(world: &mut World) -> usize {
+    let claims = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
+    world.take().iter().filter(|effect| claims(effect)).count()
+}
+
+#[test]
+fn verdict_replaces_leader_whose_commits_do_not_end() {
+    let mut world = World::new();
+    let lost = Answer::Silent { commit: true };
+    commit(&mut world, lost);
+    commit(&mut world, lost);
+    world.pass(800);
+    assert_eq!(claims(&mut world), 1, "1.5 s after the first was sent");
+}
+
+#[test]
+fn verdict_keeps_leader_that_others_commit_at() {
+    let mut world = World::new();
+    let lost = Answer::Silent { commit: true };
+    let ended = Answer::Led {
+        asked_at: world.now,
+        commit: true,
+    };
+    for _ in 0..10 {
+        commit(&mut world, ended);
+        commit(&mut world, lost);
+        commit(&mut world, lost);
+        world.pass(500);
+    }
+    assert_eq!(claims(&mut world), 0);
+}
