Requests are not refused while the first connections open; refusals name their cause

The text of a refusal names the cause. Test seen failing first: arrived_is_not_refused_while_first_connections_open.

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -1,5 +1,6 @@
 //! What a broker asks its shell to do.
 
+use std::fmt;
 use std::time::Instant;
 
 use fulmarlift_core::floor::Point;
@@ -105,6 +106,17 @@
     Late,
 }
 
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoMember => "no member known",
+            Self::NoLeader => "no leader",
+            Self::Overload => "overload",
+            Self::Late => "no member free in time",
+        })
+    }
+}
+
 /// A question to a member.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Question {
--- a/crates/broker/src/queue.rs
+++ b/crates/broker/src/queue.rs
@@ -60,7 +60,9 @@
         let busy_for = self
             .busy_since
             .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
-        if busy_for < RATE_MIN {
+        // Until something has left, connections may just be opening.
+        let unknown = self.departed < 1.0 && busy_for < RATE_WINDOW;
+        if unknown || busy_for < RATE_MIN {
             return turn_in(ahead, answer_ms, side_by_side);
         }
         busy_for.mul_f64((ahead as f64 + 1.0) / (self.departed + 1.0))
--- a/crates/broker/tests/place.rs
+++ b/crates/broker/tests/place.rs
@@ -187,3 +187,19 @@
         took: None,
     }));
 }
+
+/// Load: everything starts at once, and the first requests wait for connections that are being opened.
+#[test]
+fn arrived_is_not_refused_while_first_connections_open() {
+    let mut world = World::at("a");
+    sample_now(&mut world);
+    for _ in 0..10 {
+        let need = recent(&world, None);
+        world.arrive(need);
+        world.now += Duration::from_millis(10);
+    }
+    let refused = |effect: &Effect| matches!(effect, Effect::Refuse(_));
+    assert!(!world.effects.iter().any(refused));
+    world.open_all();
+    assert!(!world.grants().is_empty());
+}
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -109,7 +109,7 @@
         let wait = refuse.retry_at.saturating_duration_since(clock::now());
         Self {
             code: Code::Busy,
-            text: format!("retry after {} ms", wait.as_millis()),
+            text: format!("{}, retry after {} ms", refuse.reason, wait.as_millis()),
         }
     }
 }
