A leader is not replaced by a member that lacks acknowledged commits

Ruled out: the choice at the first promotion (309 of 309), late orders (all were answered).

Change: each proxy keeps a point up to which it knows everything to be acknowledged (the log's end when a commit ended, once a commit that was sent later has ended), and no member with less is chosen; a leader that answers is not replaced as stalled by replicas that have received nothing of its term. Left: a proxy that has just started knows no such point; the second rule still holds for it.

Tests, seen failing with the check taken out: choose_waits_for_log_with_everything_acknowledged, choose_keeps_stalled_leader_whose_replicas_have_nothing_of_its_term; choose_allows_log_without_what_was_not_acknowledged guards the other side.

--- a/crates/broker/src/failover.rs
+++ b/crates/broker/src/failover.rs
@@ -10,13 +10,14 @@
 
 use std::time::{Duration, Instant};
 
+use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
 use crate::claim::{Claim, Stored};
 use crate::effect::{Effect, Question};
 use crate::event::{OrderOutcome, Standing, StoreOutcome};
-use crate::lead::Reason;
+use crate::lead::{Lead, Reason};
 
 /// Time for which a claim keeps others away: two promotions of 600 ms with their questions, with room for retries.
 const CLAIM_FOR_MS: u64 = 4_000;
@@ -30,6 +31,8 @@
 const STORE_AGAIN: Duration = Duration::from_millis(250);
 /// Pause before an order is repeated.
 const ORDER_AGAIN: Duration = Duration::from_millis(200);
+/// Pause before members that lacked something acknowledged are asked again: holding them keeps them from catching up.
+const LACKING_AGAIN: Duration = Duration::from_millis(1_500);
 /// Time after which an attempt is given up and begun anew: while the claim still keeps others away, so that members are
 /// released before another proxy holds them.
 const ATTEMPT_FOR: Duration = Duration::from_millis(3_500);
@@ -105,6 +108,8 @@
     /// Why the leader is replaced.
     pub reason: Reason,
     old: Option<id::MemberId>,
+    term: id::Term,
+    acknowledged: Option<Point>,
     hold_term: id::Term,
     step: Step,
     began_at: Instant,
@@ -123,16 +128,17 @@
         group: id::GroupId,
         me: &str,
         reason: Reason,
-        old: Option<id::MemberId>,
-        term: id::Term,
+        lead: &Lead,
         begin_at: Instant,
     ) -> Self {
         Self {
             group,
             me: me.into(),
             reason,
-            old,
-            hold_term: term + 1,
+            old: lead.member,
+            term: lead.term,
+            acknowledged: lead.acknowledged,
+            hold_term: lead.term + 1,
             step: Step::Waiting { until: begin_at },
             began_at: begin_at,
             claim: Claim::default(),
@@ -423,6 +429,12 @@
         };
         let held = voters.iter().filter(|voter| Some(voter.member) != self.old);
         let furthest = held.clone().filter_map(received).max();
+        if !furthest.is_some_and(|furthest| self.has_everything(furthest)) {
+            self.give_up(now, out);
+            return Progress::Failed {
+                retry_at: now + LACKING_AGAIN,
+            };
+        }
         let best = held
             .filter(|voter| voter.eligible && received(voter) == furthest)
             .find(|voter| {
@@ -440,6 +452,15 @@
         Progress::Going
     }
 
+    /// Returns whether a log that ends there may hold everything that was acknowledged.
+    ///
+    /// A member that is gone may have been the only one beside the old leader that had received some of it. A leader that
+    /// answers, but whose replicas have received nothing of its term, is such a case: it has to be waited for.
+    fn has_everything(&self, end: Point) -> bool {
+        let of_this_term = self.reason != Reason::Stalled || end.term >= self.term;
+        of_this_term && Some(end) >= self.acknowledged
+    }
+
     /// Nobody that may lead has everything, or the member of an older order does not. Where that member does not run, or
     /// leads, naming it again changes nothing but ends the older order.
     fn flush_or_give_up(
--- a/crates/broker/src/lead.rs
+++ b/crates/broker/src/lead.rs
@@ -50,6 +50,10 @@
     pub stalled_commits: u32,
     /// When a commit last ended.
     pub committed_at: Option<Instant>,
+    /// A point up to which everything is known to be acknowledged.
+    pub acknowledged: Option<Point>,
+    /// The end of the log when a commit ended, and when that was.
+    head: Option<(Instant, Point)>,
 }
 
 impl Lead {
@@ -67,10 +71,20 @@
         }
     }
 
-    /// Notes that a commit ended.
-    pub fn committed(&mut self, now: Instant) {
+    /// Notes that a commit ended that was sent at `asked_at`, and where the log ended then.
+    ///
+    /// The log's end may lie past what is acknowledged. But a commit that was sent after it was seen has a higher number, and
+    /// replicas receive in order: when that commit ends, all up to the earlier end is acknowledged.
+    pub fn committed(&mut self, now: Instant, asked_at: Instant, end: Option<Point>) {
         self.committed_at = Some(now);
         self.stall_over();
+        let before = self.head.filter(|(seen_at, _)| *seen_at <= asked_at);
+        if let Some((_, point)) = before {
+            self.acknowledged = self.acknowledged.max(Some(point));
+        }
+        if self.head.is_none() || before.is_some() {
+            self.head = end.map(|point| (now, point));
+        }
     }
 
     /// Notes that a commit that was sent at `sent_at` has had no answer. One that others have overtaken lost its answer only.
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -40,7 +40,7 @@
                 }
                 group.lead.witnessed(now, report.member, report.point);
                 if commit {
-                    group.lead.committed(now);
+                    group.lead.committed(now, asked_at, report.point);
                 }
                 if let Some(seat) = group.seats.get_mut(report.member) {
                     seat.denies_lead = false;
@@ -121,8 +121,7 @@
                 }
                 let spread_ms = id::weight(id::of(&me), group_id) % BEGIN_SPREAD_MS;
                 let begin_at = now + Duration::from_millis(spread_ms);
-                let (old, term) = (group.lead.member, group.lead.term);
-                let attempt = Attempt::new(group_id, &me, reason, old, term, begin_at);
+                let attempt = Attempt::new(group_id, &me, reason, &group.lead, begin_at);
                 group.attempt = Some(attempt);
             }
             _ => {}
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -4,8 +4,10 @@
 
 use fulmarlift_broker::claim::Stored;
 use fulmarlift_broker::effect::{Effect, Question};
-use fulmarlift_broker::event::{Event, OrderOutcome, StoreOutcome};
+use fulmarlift_broker::event::{Answer, Event, OrderOutcome, Report, StoreOutcome};
+use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
+use std::time::Duration;
 use support::{GROUP, World, member_at, standing};
 
 /// Lets the leader announce that it leaves, and answers the steps up to the questions to the members.
@@ -201,3 +203,85 @@
     });
     assert_eq!(settled, Some(false), "the order may be executed once more");
 }
+
+/// Lets two commits end at the leader, one after the other, at these ends of its log.
+fn commit_twice(world: &mut World, ends: [(u64, u64); 2]) {
+    for (term, position) in ends {
+        let asked_at = world.now;
+        world.now += Duration::from_millis(20);
+        world.handle(Event::Answered(Report {
+            member: 1,
+            answer: Answer::Led {
+                asked_at,
+                commit: true,
+            },
+            point: Some(Point::new(term, position)),
+            floor: None,
+            took: Some(Duration::from_millis(20)),
+        }));
+    }
+}
+
+#[test]
+fn choose_waits_for_log_with_everything_acknowledged() {
+    let mut world = World::new();
+    commit_twice(&mut world, [(1, 309), (1, 312)]);
+    begin(&mut world);
+    let term = holds(&mut world)[0].1;
+    // The third member, which had the rest, is gone; this one has been deaf.
+    answer(&mut world, 2, (false, 1, (1, 281), term));
+    answer(&mut world, 3, (false, 1, (1, 281), term));
+    assert_eq!(recorded(&mut world), None, "308 and 309 are acknowledged");
+}
+
+#[test]
+fn choose_allows_log_without_what_was_not_acknowledged() {
+    let mut world = World::new();
+    commit_twice(&mut world, [(1, 309), (1, 312)]);
+    begin(&mut world);
+    let term = holds(&mut world)[0].1;
+    answer(&mut world, 2, (false, 1, (1, 309), term));
+    answer(&mut world, 3, (false, 1, (1, 281), term));
+    assert_eq!(recorded(&mut world).as_deref(), Some("member-2"));
+}
+
+#[test]
+fn choose_keeps_stalled_leader_whose_replicas_have_nothing_of_its_term() {
+    let mut world = World::new();
+    // A leader of term 2, known from its answer to a probe.
+    world.handle(Event::Answered(Report {
+        member: 1,
+        answer: Answer::Led {
+            asked_at: world.now,
+            commit: false,
+        },
+        point: Some(Point::new(2, 325)),
+        floor: None,
+        took: None,
+    }));
+    for _ in 0..2 {
+        world.handle(Event::Answered(Report {
+            member: 1,
+            answer: Answer::Silent { commit: true },
+            point: None,
+            floor: None,
+            took: Some(Duration::from_millis(760)),
+        }));
+    }
+    world.pass(900);
+    let stored = Some(Stored::default());
+    world.handle(Event::ClaimLoaded {
+        group: GROUP,
+        stored,
+    });
+    let outcome = StoreOutcome::Written(11);
+    world.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome,
+    });
+    world.pass(100);
+    let term = holds(&mut world)[0].1;
+    answer(&mut world, 2, (false, 1, (1, 281), term));
+    answer(&mut world, 3, (false, 1, (1, 281), term));
+    assert_eq!(recorded(&mut world), None);
+}
