Sessions are tested before a member of their own; a transaction that rested is told aborted

Writing the tests showed that a transaction that had rested too long was told MALFORMED, which promises nothing, where ABORTED is true and lets the caller try again.

Change: the first statement after such a rollback gets ABORTED.

Test seen failing first: transaction_that_rests_gives_its_connection_back_and_is_told_aborted (by reading; it was written with the change).

--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -324,7 +324,7 @@
                     "event=transaction_ended database={} reason=Rest",
                     self.database
                 );
-                self.transaction.fail();
+                self.transaction.fail(false);
                 Ok(())
             }
         }
@@ -338,10 +338,12 @@
             }
             self.transaction.set_terms(&forwarded.route);
         }
-        if self.transaction.state() == State::Failed
-            && !matches!(query.statement, Statement::Commit | Statement::Rollback)
-        {
-            self.answer_error(&Code::Malformed, "the transaction has failed");
+        let ends = matches!(query.statement, Statement::Commit | Statement::Rollback);
+        if self.transaction.state() == State::Failed && !ends {
+            match self.transaction.tell() {
+                true => self.answer_error(&Code::Aborted, "the transaction rested too long"),
+                false => self.answer_error(&Code::Malformed, "the transaction has failed"),
+            }
             return Ok(());
         }
         match &query.statement {
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -45,7 +45,10 @@
         wrote: bool,
     },
     /// Rolled back; the caller has to end it.
-    Failed,
+    Failed {
+        /// Whether the caller has heard of it.
+        told: bool,
+    },
 }
 
 impl<W: World> Transaction<W> {
@@ -58,7 +61,7 @@
         match self {
             Self::None => State::Idle,
             Self::Begun { .. } | Self::Open { .. } => State::Transaction,
-            Self::Failed => State::Failed,
+            Self::Failed { .. } => State::Failed,
         }
     }
 
@@ -88,10 +91,18 @@
         }
     }
 
-    /// Ends the transaction without keeping anything; the caller has yet to hear of it.
-    pub(super) fn fail(&mut self) {
+    /// Ends the transaction without keeping anything; the caller has to end it as well.
+    pub(super) fn fail(&mut self, told: bool) {
         self.abandon();
-        *self = Self::Failed;
+        *self = Self::Failed { told };
+    }
+
+    /// Returns whether the caller has yet to hear that the transaction was rolled back, and counts it as told.
+    pub(super) fn tell(&mut self) -> bool {
+        match self {
+            Self::Failed { told } => !std::mem::replace(told, true),
+            _ => false,
+        }
     }
 }
 
@@ -128,7 +139,7 @@
                         plan.id(),
                         answer.end
                     );
-                    self.transaction.fail();
+                    self.transaction.fail(true);
                 }
                 self.pass_on(&answer);
             }
@@ -152,7 +163,7 @@
             failure.code,
             failure.text
         );
-        self.transaction = Transaction::Failed;
+        self.transaction = Transaction::Failed { told: true };
         self.answer_error(&failure.code, &failure.text);
     }
 
--- /dev/null
+++ b/crates/session/tests/session.rs
@@ -0,0 +1,364 @@
+//! Callers' sessions before a member on a loopback address.
+
+#[path = "support/member.rs"]
+mod member;
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use fulmarlift_broker::event::Event;
+use fulmarlift_broker::topology::{Consistency, Group, Member as Entry, Peer, Route, Topology};
+use fulmarlift_core::id;
+use fulmarlift_core::topology::Place;
+use fulmarlift_session::peer::Forwarding;
+use fulmarlift_session::protocol::caller::Terms;
+use fulmarlift_session::protocol::member::{Codec, Command, Frame, Verb};
+use fulmarlift_session::protocol::{Code, Mode, State};
+use fulmarlift_session::serve;
+use fulmarlift_session::session::Grace;
+use fulmarlift_session::shell::Shell;
+use member::{Manner, Member};
+use support::{Fake, shell_in};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const GROUP: &str = "ledger";
+const TERMS: Terms = Terms {
+    consistency: Consistency::Leader,
+    timeout_ms: 5_000,
+    objective_ms: 5_000,
+    priority: 1,
+};
+
+fn grace() -> Grace {
+    Grace {
+        idle_from: Duration::ZERO,
+        idle_spread: Duration::ZERO,
+        transaction: Duration::from_millis(300),
+    }
+}
+
+fn topology(idle_ms: u32) -> Topology {
+    let route = Route {
+        database: GROUP.into(),
+        group: id::of(GROUP),
+        consistency: TERMS.consistency,
+        statement_timeout_ms: TERMS.timeout_ms,
+        objective_ms: TERMS.objective_ms,
+        priority: TERMS.priority,
+    };
+    let group = Group {
+        name: GROUP.into(),
+        connections_max: 8,
+        sync_replicas: 1,
+    };
+    let mut topology = Topology::new(1, vec![route], vec![(id::of(GROUP), group)]);
+    topology.transaction_idle_ms = idle_ms;
+    topology
+}
+
+/// Lets a shell know the group and its only member.
+fn introduce(shell: &Rc<Shell<Fake>>, member: &Member, idle_ms: u32) {
+    shell.handle(Event::Configured(topology(idle_ms)));
+    shell.handle(Event::Listed(Entry {
+        id: 11,
+        name: "member-1".into(),
+        group: id::of(GROUP),
+        address: member.address,
+        place: Place {
+            region: "north".into(),
+            domain: "a".into(),
+        },
+        slots: 2,
+        leaving: false,
+        says_leads: true,
+        revision: 1,
+    }));
+}
+
+/// A caller's connection.
+struct Caller {
+    stream: TcpStream,
+    codec: Forwarding,
+    inbox: BytesMut,
+}
+
+impl Caller {
+    /// Connects to a shell as a caller, and begins a session.
+    async fn connect(shell: &Rc<Shell<Fake>>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback is there");
+        let address = listener.local_addr().expect("it is bound");
+        let accepting = serve::accept_callers(Rc::clone(shell), listener, grace());
+        tokio::task::spawn_local(accepting);
+        let mut caller = Self {
+            stream: TcpStream::connect(address).await.expect("it listens"),
+            codec: Forwarding,
+            inbox: BytesMut::new(),
+        };
+        let member = "any";
+        caller
+            .send(Command::Startup {
+                group: GROUP,
+                member,
+            })
+            .await;
+        caller.until_ready().await;
+        caller
+    }
+
+    async fn send(&mut self, command: Command<'_>) {
+        let mut outbox = BytesMut::new();
+        self.codec.encode(command, &mut outbox);
+        self.stream
+            .write_all_buf(&mut outbox)
+            .await
+            .expect("the proxy is there");
+    }
+
+    async fn frame(&mut self) -> Option<Frame> {
+        loop {
+            if let Some(frame) = self
+                .codec
+                .decode(&mut self.inbox)
+                .expect("frames are whole")
+            {
+                return Some(frame);
+            }
+            match self.stream.read_buf(&mut self.inbox).await {
+                Ok(0) | Err(_) => return None,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Returns the frames up to the next ready message, and the state that it tells.
+    async fn until_ready(&mut self) -> (Vec<Frame>, State) {
+        let mut frames = Vec::new();
+        loop {
+            match self.frame().await.expect("the session goes on") {
+                Frame::Ready(state, _) => return (frames, state),
+                other => frames.push(other),
+            }
+        }
+    }
+
+    async fn run(&mut self, id: &str, text: &str, verb: Verb) -> (Vec<Frame>, State) {
+        let (id, text) = (Bytes::from(id.to_owned()), Bytes::from(text.to_owned()));
+        self.send(Command::Run {
+            id: &id,
+            text: &text,
+            verb,
+            floor: None,
+            terms: Some(TERMS),
+        })
+        .await;
+        self.until_ready().await
+    }
+}
+
+const WRITE: Verb = Verb::Run(Mode::Write);
+const BEGIN: Verb = Verb::Begin(Mode::Write);
+
+fn code(frames: &[Frame]) -> Option<&Code> {
+    frames.iter().find_map(|frame| match frame {
+        Frame::Error(code, _) => Some(code),
+        _ => None,
+    })
+}
+
+async fn until(holds: impl Fn() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A shell with the group, its ticks, and its member.
+async fn system(idle_ms: u32) -> (Rc<Shell<Fake>>, Rc<Member>) {
+    let shell = shell_in("proxy-1", "a");
+    let member = Member::start().await;
+    introduce(&shell, &member, idle_ms);
+    tokio::task::spawn_local(Rc::clone(&shell).tick());
+    (shell, member)
+}
+
+async fn on_one_thread(test: impl Future<Output = ()>) {
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn write_keeps_id_and_text() {
+    on_one_thread(async {
+        let (shell, member) = system(0).await;
+        let mut caller = Caller::connect(&shell).await;
+        let (frames, state) = caller.run("5c0e", "WRITE 1a4 some  data", WRITE).await;
+        assert_eq!(frames, [Frame::Complete("signed".into())]);
+        assert_eq!(state, State::Idle);
+        let seen = member.seen.borrow();
+        assert_eq!(seen[0].1, "5c0e");
+        assert_eq!(seen[0].2, "WRITE 1a4 some  data");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn write_whose_answer_is_lost_is_in_doubt_and_sent_once() {
+    on_one_thread(async {
+        let (shell, member) = system(0).await;
+        member.manner.set(Manner::LosesAnswers);
+        let mut caller = Caller::connect(&shell).await;
+        let (frames, state) = caller.run("1", "WRITE 1a4 x", WRITE).await;
+        assert_eq!(code(&frames), Some(&Code::InDoubt));
+        assert_eq!(state, State::Idle);
+        assert_eq!(member.texts(), ["WRITE 1a4 x"]);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn transaction_runs_on_one_connection() {
+    on_one_thread(async {
+        let (shell, member) = system(0).await;
+        let mut caller = Caller::connect(&shell).await;
+        let mut other = Caller::connect(&shell).await;
+        caller.run("1", "BEGIN", BEGIN).await;
+        caller.run("2", "WRITE 1 x", WRITE).await;
+        other.run("9", "WRITE 2 y", WRITE).await;
+        caller.run("3", "WRITE 3 z", WRITE).await;
+        let (frames, state) = caller.run("4", "COMMIT", Verb::Commit).await;
+        assert_eq!((code(&frames), state), (None, State::Idle));
+        let seen = member.seen.borrow();
+        let of = |id: &str| {
+            seen.iter()
+                .find(|(_, seen, _)| seen == id)
+                .map(|(on, ..)| *on)
+        };
+        assert!(of("1").is_some());
+        assert_eq!([of("2"), of("3"), of("4")], [of("1"); 3]);
+        assert_ne!(of("9"), of("1"));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn transaction_is_rolled_back_when_its_caller_leaves() {
+    on_one_thread(async {
+        let (shell, member) = system(0).await;
+        let mut caller = Caller::connect(&shell).await;
+        caller.run("1", "BEGIN", BEGIN).await;
+        caller.run("2", "WRITE 1 x", WRITE).await;
+        drop(caller);
+        until(|| member.texts().last().is_some_and(|text| text == "ROLLBACK")).await;
+        // The connection is used again.
+        let mut next = Caller::connect(&shell).await;
+        next.run("3", "WRITE 1 y", WRITE).await;
+        let seen = member.seen.borrow();
+        assert_eq!(seen.last().map(|(on, ..)| *on), Some(0));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn transaction_that_rests_gives_its_connection_back_and_is_told_aborted() {
+    on_one_thread(async {
+        let (shell, member) = system(50).await;
+        let mut caller = Caller::connect(&shell).await;
+        caller.run("1", "BEGIN", BEGIN).await;
+        caller.run("2", "WRITE 1 x", WRITE).await;
+        until(|| member.texts().contains(&"ROLLBACK".to_owned())).await;
+        let (frames, state) = caller.run("3", "WRITE 2 x", WRITE).await;
+        assert_eq!(
+            (code(&frames), state),
+            (Some(&Code::Aborted), State::Failed)
+        );
+        let (frames, _) = caller.run("4", "WRITE 2 x", WRITE).await;
+        assert_eq!(code(&frames), Some(&Code::Malformed));
+        let (frames, state) = caller.run("5", "COMMIT", Verb::Commit).await;
+        assert_eq!((code(&frames), state), (Some(&Code::Aborted), State::Idle));
+        assert!(!member.texts().contains(&"COMMIT".to_owned()));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn values_of_one_session_do_not_reach_another() {
+    on_one_thread(async {
+        let (shell, member) = system(0).await;
+        let mut first = Caller::connect(&shell).await;
+        let value = Bytes::from_static(b"north");
+        first
+            .send(Command::Set {
+                name: "zone",
+                value: &value,
+            })
+            .await;
+        first.until_ready().await;
+        first.run("1", "WRITE 1 x", WRITE).await;
+        let mut second = Caller::connect(&shell).await;
+        second.run("2", "WRITE 2 x", WRITE).await;
+        let expected = ["SET zone north", "WRITE 1 x", "RESET", "WRITE 2 x"];
+        assert_eq!(member.texts(), expected);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn stop_closes_idle_session_and_ends_open_transaction_later() {
+    on_one_thread(async {
+        let (shell, member) = system(0).await;
+        let mut idle = Caller::connect(&shell).await;
+        let mut busy = Caller::connect(&shell).await;
+        busy.run("1", "BEGIN", BEGIN).await;
+        busy.run("2", "WRITE 1 x", WRITE).await;
+        shell.stop();
+        assert_eq!(idle.frame().await, None, "closed without a message");
+        let (frames, _) = busy.run("3", "WRITE 2 x", WRITE).await;
+        assert_eq!(code(&frames), None, "it has time to end");
+        let told = busy.frame().await;
+        assert!(
+            matches!(told, Some(Frame::Error(Code::Aborted, _))),
+            "{told:?}"
+        );
+        assert_eq!(busy.frame().await, None);
+        until(|| member.texts().last().is_some_and(|text| text == "ROLLBACK")).await;
+        until(|| shell.sessions() == 0).await;
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn forwarded_statement_reaches_member_unchanged() {
+    on_one_thread(async {
+        let (home, member) = system(0).await;
+        home.handle(Event::PeersRead);
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback is there");
+        let address = listener.local_addr().expect("it is bound");
+        tokio::task::spawn_local(serve::accept_peers(Rc::clone(&home), listener, grace()));
+        let far = shell_in("proxy-2", "far");
+        introduce(&far, &member, 0);
+        far.handle(Event::PeerListed(Peer {
+            name: "proxy-1".into(),
+            address,
+            news: address,
+            place: Place {
+                region: "north".into(),
+                domain: "a".into(),
+            },
+        }));
+        far.handle(Event::PeersRead);
+        assert!(far.with_broker(|broker| broker.forwards(id::of(GROUP))));
+        let mut caller = Caller::connect(&far).await;
+        caller.run("1", "BEGIN", BEGIN).await;
+        caller.run("2", "WRITE 1a4 some  data", WRITE).await;
+        let (frames, state) = caller.run("3", "COMMIT", Verb::Commit).await;
+        assert_eq!((code(&frames), state), (None, State::Idle));
+        let expected = ["BEGIN", "WRITE 1a4 some  data", "COMMIT"];
+        assert_eq!(member.texts(), expected);
+    })
+    .await;
+}
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -44,10 +44,17 @@
 }
 
 pub fn shell(node: &str) -> Rc<Shell<Fake>> {
+    shell_in(node, "a")
+}
+
+pub fn shell_in(node: &str, domain: &str) -> Rc<Shell<Fake>> {
     let settings = Settings {
         name: format!("{node}-0").into(),
         node: node.into(),
-        place: Place::default(),
+        place: Place {
+            region: "north".into(),
+            domain: domain.into(),
+        },
         drain_timeout: Duration::from_secs(7),
     };
     Shell::new(settings, Nobody, Nobody)
