--- a/crates/broker/src/failover.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -8,6 +8,8 @@
 //!    seconds later; whoever claims next orders the same member again with a higher token, which ends the older order.
 //! 5. Order, and wait until the member says that it leads.
 
+mod choice;
+
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::floor::Point;
@@ -376,113 +378,6 @@
         }
     }
 
-    /// Forgets the word of members that are held below the present term: a promotion in between has released them.
-    fn ask_unheld_again(&mut self, now: Instant) {
-        let (old, hold_term) = (self.old, self.hold_term);
-        for (member, asked) in self.asked.iter_mut() {
-            let unheld = asked
-                .standing
-                .is_some_and(|standing| standing.held_term < hold_term);
-            if Some(member) != old && unheld {
-                asked.standing = None;
-                asked.again_at = Some(now);
-            }
-        }
-    }
-
-    fn hold(&mut self, now: Instant, voters: &[Voter], out: &mut Vec<Effect>) -> Progress {
-        let hold_term = self.hold_term;
-        let mut missing = false;
-        for voter in voters {
-            if Some(voter.member) == self.old {
-                continue;
-            }
-            let asked = self.asked.entry(voter.member);
-            if asked.standing.is_some() {
-                continue;
-            }
-            missing = true;
-            let lost = asked
-                .sent_at
-                .is_some_and(|sent| now.saturating_duration_since(sent) > ASK_LOST);
-            let due = asked.again_at.is_none_or(|again_at| now >= again_at);
-            if lost || (asked.sent_at.is_none() && due) {
-                asked.sent_at = Some(now);
-                out.push(Effect::Ask {
-                    group: self.group,
-                    member: voter.member,
-                    question: Question::Hold(hold_term),
-                    conn: None,
-                });
-            }
-        }
-        if missing {
-            return Progress::Going;
-        }
-        self.choose(now, voters, out)
-    }
-
-    fn choose(&mut self, now: Instant, voters: &[Voter], out: &mut Vec<Effect>) -> Progress {
-        let received = |voter: &Voter| {
-            let asked = self.asked.get(voter.member)?;
-            asked.standing.map(|standing| standing.received)
-        };
-        let held = voters.iter().filter(|voter| Some(voter.member) != self.old);
-        let furthest = held.clone().filter_map(received).max();
-        if !furthest.is_some_and(|furthest| self.has_everything(furthest)) {
-            self.give_up(now, out);
-            return Progress::Failed {
-                retry_at: now + LACKING_AGAIN,
-            };
-        }
-        let best = held
-            .filter(|voter| voter.eligible && received(voter) == furthest)
-            .find(|voter| {
-                let pending = self.claim.pending();
-                pending.is_none_or(|name| name == voter.name.as_ref())
-            });
-        let (Some(best), Some(_)) = (best, furthest) else {
-            return self.flush_or_give_up(now, voters, out);
-        };
-        self.target = Some(best.member);
-        self.claim.target = Some(best.name.clone());
-        self.claim.settled = false;
-        self.step = Step::Recording;
-        self.store(out);
-        Progress::Going
-    }
-
-    /// Returns whether a log that ends there may hold everything that was acknowledged.
-    ///
-    /// A member that is gone may have been the only one beside the old leader that had received some of it. A leader that
-    /// answers, but whose replicas have received nothing of its term, is such a case: it has to be waited for.
-    fn has_everything(&self, end: Point) -> bool {
-        let of_this_term = self.reason != Reason::Stalled || end.term >= self.term;
-        of_this_term && Some(end) >= self.acknowledged
-    }
-
-    /// Nobody that may lead has everything, or the member of an older order does not. Where that member does not run, or
-    /// leads, naming it again changes nothing but ends the older order.
-    fn flush_or_give_up(
-        &mut self,
-        now: Instant,
-        voters: &[Voter],
-        out: &mut Vec<Effect>,
-    ) -> Progress {
-        let pending = self.claim.pending().and_then(|name| {
-            let named = voters.iter().find(|voter| voter.name.as_ref() == name);
-            named.map(|voter| voter.member)
-        });
-        let harmless = pending.is_some() && pending == self.old;
-        if !harmless {
-            return self.give_up(now, out);
-        }
-        self.target = pending;
-        self.step = Step::Flushing { again_at: None };
-        self.order(self.target, out);
-        Progress::Going
-    }
-
     fn finish(
         &mut self,
         member: id::MemberId,
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -149,6 +149,7 @@
         loop {
             let message = self.message().await?;
             match message {
+                Message::Query(_) if self.has_left() => return Err(Ended::Closed),
                 Message::Query(query) => self.query(query).await?,
                 Message::Terminate => return Err(Ended::Closed),
                 Message::Startup { .. } => {
@@ -199,6 +200,12 @@
         true
     }
 
+    /// Returns whether the caller has closed the connection. What it asked for last is not begun then: while the process
+    /// stood still it may have given up and asked elsewhere.
+    fn has_left(&mut self) -> bool {
+        matches!(self.stream.try_read_buf(&mut self.inbox), Ok(0))
+    }
+
     fn is_forwarded(&self) -> bool {
         self.origin == Origin::Peer
     }
