--- a/crates/session/src/logging.rs
+++ b/crates/session/src/logging.rs
@@ -4,13 +4,19 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Lines that wait to be written; further ones are dropped and counted.
 const WAITING_LINES_MAX: usize = 4_096;
 /// Lines a second above which lines are dropped and counted: a busy proxy's refusals of a second, at 200 B each.
 const LINES_PER_S_MAX: u32 = 400;
 
+/// Lines that have been handed over and not yet written.
+static WAITING: AtomicU64 = AtomicU64::new(0);
+/// Longest time that the end of the process waits for its last lines.
+const FLUSH_FOR: Duration = Duration::from_millis(100);
+/// Pause between two looks whether they are written.
+const FLUSH_POLL: Duration = Duration::from_millis(2);
 /// Lines that were dropped since the last line that said so.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -42,6 +48,14 @@
         .init();
 }
 
+/// Waits a little until the lines so far are written; for the end of the process only.
+pub fn flush() {
+    let until = Instant::now() + FLUSH_FOR;
+    while WAITING.load(Ordering::Acquire) > 0 && Instant::now() < until {
+        thread::sleep(FLUSH_POLL);
+    }
+}
+
 /// Hands lines to the writing thread.
 struct Queue {
     sender: SyncSender<Vec<u8>>,
@@ -70,12 +84,14 @@
 
 impl Write for Queue {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        WAITING.fetch_add(1, Ordering::AcqRel);
         let dropped = !self.within_rate()
             || matches!(
                 self.sender.try_send(line.to_vec()),
                 Err(TrySendError::Full(_) | TrySendError::Disconnected(_))
             );
         if dropped {
+            WAITING.fetch_sub(1, Ordering::AcqRel);
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -89,9 +105,11 @@
 fn write_lines(receiver: &Receiver<Vec<u8>>) {
     let mut out = io::stdout();
     while let Ok(mut line) = receiver.recv() {
+        let mut lines = 1;
         // One system call for all lines that wait.
         while let Ok(next) = receiver.try_recv() {
             line.extend(next);
+            lines += 1;
         }
         let dropped = DROPPED.swap(0, Ordering::Relaxed);
         if dropped > 0 {
@@ -101,5 +119,6 @@
             // Nobody reads the log any more, and there is nowhere to say so.
             return;
         }
+        WAITING.fetch_sub(lines, Ordering::AcqRel);
     }
 }
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -64,6 +64,7 @@
 pub struct Shell<W: World> {
     inner: RefCell<Inner<W>>,
     stepping: Cell<bool>,
+    ended: Cell<bool>,
     name: Box<str>,
     claims: W::Claims,
     orders: W::Orders,
@@ -93,6 +94,7 @@
         Rc::new(Self {
             inner: RefCell::new(inner),
             stepping: Cell::new(false),
+            ended: Cell::new(false),
             name,
             claims,
             orders,
@@ -111,6 +113,9 @@
 
     /// Steps the broker and runs the effects, and those of the events that follow from them.
     pub fn handle(self: &Rc<Self>, event: Event) {
+        if self.ended.get() {
+            return;
+        }
         self.inner.borrow_mut().events.push_back(event);
         if self.stepping.replace(true) {
             return;
@@ -188,6 +193,11 @@
         self.stopping.send_replace(Some(clock::now()));
     }
 
+    /// Ends the broker's work: tasks that are dropped with the process start nothing any more.
+    pub fn end(&self) {
+        self.ended.set(true);
+    }
+
     /// Returns the number of open sessions.
     pub fn sessions(&self) -> usize {
         self.sessions.get()
