--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::time::Instant;
 
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
 use crate::claim;
@@ -77,7 +77,7 @@
     /// The member at its other end.
     pub member: id::MemberId,
     /// Point that the member's log has to have reached; the member is told, and refuses otherwise.
-    pub floor: Option<Point>,
+    pub floor: Option<floor::Point>,
     /// Whether the member has to show that it leads before the request is sent.
     pub verify: bool,
 }
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
 use crate::claim;
@@ -104,9 +104,9 @@
     /// What it answered.
     pub answer: Answer,
     /// Point of its log in the answer.
-    pub point: Option<Point>,
+    pub point: Option<floor::Point>,
     /// Point that the member's log had to have reached.
-    pub floor: Option<Point>,
+    pub floor: Option<floor::Point>,
     /// Time from sending to the answer, for a statement that took a slot.
     pub took: Option<Duration>,
 }
@@ -161,7 +161,7 @@
     /// Its term.
     pub term: id::Term,
     /// Last entry that it has received.
-    pub received: Point,
+    pub received: floor::Point,
     /// Term up to which it has stopped receiving; 0 while it receives.
     pub held_term: id::Term,
 }
--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -2,13 +2,13 @@
 
 use std::time::Instant;
 
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 
-use crate::effect::{Effect, Question};
-use crate::failover::{ASK_LOST, Attempt, LACKING_AGAIN, Progress, Step, Voter};
-use crate::lead::Reason;
+use crate::effect;
+use crate::failover;
+use crate::lead;
 
-impl Attempt {
+impl failover::Attempt {
     /// Forgets the word of members that are held below the present term: a promotion in between has released them.
     pub(super) fn ask_unheld_again(&mut self, now: Instant) {
         let (old, hold_term) = (self.old, self.hold_term);
@@ -26,9 +26,9 @@
     pub(super) fn hold(
         &mut self,
         now: Instant,
-        voters: &[Voter],
-        out: &mut Vec<Effect>,
-    ) -> Progress {
+        voters: &[failover::Voter],
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
         let hold_term = self.hold_term;
         let mut missing = false;
         for voter in voters {
@@ -42,26 +42,31 @@
             missing = true;
             let lost = asked
                 .sent_at
-                .is_some_and(|sent| now.saturating_duration_since(sent) > ASK_LOST);
+                .is_some_and(|sent| now.saturating_duration_since(sent) > failover::ASK_LOST);
             let due = asked.again_at.is_none_or(|again_at| now >= again_at);
             if lost || (asked.sent_at.is_none() && due) {
                 asked.sent_at = Some(now);
-                out.push(Effect::Ask {
+                out.push(effect::Effect::Ask {
                     group: self.group,
                     member: voter.member,
-                    question: Question::Hold(hold_term),
+                    question: effect::Question::Hold(hold_term),
                     conn: None,
                 });
             }
         }
         if missing {
-            return Progress::Going;
+            return failover::Progress::Going;
         }
         self.choose(now, voters, out)
     }
 
-    fn choose(&mut self, now: Instant, voters: &[Voter], out: &mut Vec<Effect>) -> Progress {
-        let received = |voter: &Voter| {
+    fn choose(
+        &mut self,
+        now: Instant,
+        voters: &[failover::Voter],
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        let received = |voter: &failover::Voter| {
             let asked = self.asked.get(voter.member)?;
             asked.standing.map(|standing| standing.received)
         };
@@ -69,8 +74,8 @@
         let furthest = held.clone().filter_map(received).max();
         if !furthest.is_some_and(|furthest| self.has_everything(furthest)) {
             self.give_up(now, out);
-            return Progress::Failed {
-                retry_at: now + LACKING_AGAIN,
+            return failover::Progress::Failed {
+                retry_at: now + failover::LACKING_AGAIN,
             };
         }
         let best = held
@@ -85,17 +90,17 @@
         self.target = Some(best.member);
         self.claim.target = Some(best.name.clone());
         self.claim.settled = false;
-        self.step = Step::Recording;
+        self.step = failover::Step::Recording;
         self.store(out);
-        Progress::Going
+        failover::Progress::Going
     }
 
     /// Returns whether a log that ends there may hold everything that was acknowledged.
     ///
     /// A member that is gone may have been the only one beside the old leader that had received some of it. A leader that
     /// answers, but whose replicas have received nothing of its term, is such a case: it has to be waited for.
-    fn has_everything(&self, end: Point) -> bool {
-        let of_this_term = self.reason != Reason::Stalled || end.term >= self.term;
+    fn has_everything(&self, end: floor::Point) -> bool {
+        let of_this_term = self.reason != lead::Reason::Stalled || end.term >= self.term;
         of_this_term && Some(end) >= self.acknowledged
     }
 
@@ -104,9 +109,9 @@
     fn flush_or_give_up(
         &mut self,
         now: Instant,
-        voters: &[Voter],
-        out: &mut Vec<Effect>,
-    ) -> Progress {
+        voters: &[failover::Voter],
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
         let pending = self.claim.pending().and_then(|name| {
             let named = voters.iter().find(|voter| voter.name.as_ref() == name);
             named.map(|voter| voter.member)
@@ -116,8 +121,8 @@
             return self.give_up(now, out);
         }
         self.target = pending;
-        self.step = Step::Flushing { again_at: None };
+        self.step = failover::Step::Flushing { again_at: None };
         self.order(self.target, out);
-        Progress::Going
+        failover::Progress::Going
     }
 }
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -12,14 +12,14 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
-use crate::claim::{Claim, Stored};
-use crate::effect::{Effect, Question};
-use crate::event::{OrderOutcome, Standing, StoreOutcome};
-use crate::lead::{Lead, Reason};
+use crate::claim;
+use crate::effect;
+use crate::event;
+use crate::lead;
 
 /// Time for which a claim keeps others away: two promotions of 600 ms with their questions, with room for retries.
 const CLAIM_FOR_MS: u64 = 4_000;
@@ -69,7 +69,7 @@
 struct Asked {
     sent_at: Option<Instant>,
     again_at: Option<Instant>,
-    standing: Option<Standing>,
+    standing: Option<event::Standing>,
 }
 
 /// A member that takes part in a replacement.
@@ -93,7 +93,7 @@
         /// The new leader.
         member: id::MemberId,
         /// Its standing.
-        standing: Standing,
+        standing: event::Standing,
     },
     /// Given up; may be begun anew after the instant.
     Failed {
@@ -108,14 +108,14 @@
     group: id::GroupId,
     me: Box<str>,
     /// Why the leader is replaced.
-    pub reason: Reason,
+    pub reason: lead::Reason,
     old: Option<id::MemberId>,
     term: id::Term,
-    acknowledged: Option<Point>,
+    acknowledged: Option<floor::Point>,
     hold_term: id::Term,
     step: Step,
     began_at: Instant,
-    claim: Claim,
+    claim: claim::Claim,
     revision: u64,
     store_now_ms: u64,
     asked: sorted::Map<id::MemberId, Asked>,
@@ -129,8 +129,8 @@
     pub fn new(
         group: id::GroupId,
         me: &str,
-        reason: Reason,
-        lead: &Lead,
+        reason: lead::Reason,
+        lead: &lead::Lead,
         begin_at: Instant,
     ) -> Self {
         Self {
@@ -143,7 +143,7 @@
             hold_term: lead.term + 1,
             step: Step::Waiting { until: begin_at },
             began_at: begin_at,
-            claim: Claim::default(),
+            claim: claim::Claim::default(),
             revision: 0,
             store_now_ms: 0,
             asked: sorted::Map::default(),
@@ -174,12 +174,17 @@
     }
 
     /// Goes on as time has passed.
-    pub fn tick(&mut self, now: Instant, voters: &[Voter], out: &mut Vec<Effect>) -> Progress {
+    pub fn tick(
+        &mut self,
+        now: Instant,
+        voters: &[Voter],
+        out: &mut Vec<effect::Effect>,
+    ) -> Progress {
         match self.step {
             Step::Waiting { until } if now >= until => {
                 self.step = Step::Loading;
                 self.began_at = now;
-                out.push(Effect::LoadClaim(self.group));
+                out.push(effect::Effect::LoadClaim(self.group));
             }
             Step::Holding => return self.hold(now, voters, out),
             Step::Flushing {
@@ -201,7 +206,7 @@
                 } else if now >= ask_at {
                     let ask_at = now + ASK_AGAIN;
                     self.step = Step::Confirming { until, ask_at };
-                    self.ask(self.target, Question::Status, out);
+                    self.ask(self.target, effect::Question::Status, out);
                 }
             }
             _ => {}
@@ -217,8 +222,8 @@
     pub fn loaded(
         &mut self,
         now: Instant,
-        stored: Option<Stored>,
-        out: &mut Vec<Effect>,
+        stored: Option<claim::Stored>,
+        out: &mut Vec<effect::Effect>,
     ) -> Progress {
         if self.step != Step::Loading {
             return Progress::Going;
@@ -239,7 +244,7 @@
         self.claimed_until = now + Duration::from_millis(CLAIM_FOR_MS);
         self.store_now_ms = stored.now_ms;
         self.revision = stored.revision;
-        self.claim = Claim {
+        self.claim = claim::Claim {
             holder: self.me.clone(),
             token: stored.claim.token + 1,
             settled: pending.is_none(),
@@ -255,16 +260,16 @@
     pub fn stored(
         &mut self,
         now: Instant,
-        outcome: StoreOutcome,
-        out: &mut Vec<Effect>,
+        outcome: event::StoreOutcome,
+        out: &mut Vec<effect::Effect>,
     ) -> Progress {
         match (self.step, outcome) {
-            (Step::Claiming, StoreOutcome::Written(revision)) => {
+            (Step::Claiming, event::StoreOutcome::Written(revision)) => {
                 self.revision = revision;
                 self.step = Step::Holding;
                 Progress::Going
             }
-            (Step::Recording, StoreOutcome::Written(revision)) => {
+            (Step::Recording, event::StoreOutcome::Written(revision)) => {
                 self.revision = revision;
                 self.step = Step::Ordering { again_at: None };
                 self.order(self.target, out);
@@ -274,10 +279,10 @@
                 retry_at: now + STORE_AGAIN,
             },
             // Whoever holds the claim now acts on what it finds; held members stay held for it.
-            (Step::Recording, StoreOutcome::Conflict) => Progress::Failed {
+            (Step::Recording, event::StoreOutcome::Conflict) => Progress::Failed {
                 retry_at: now + STORE_AGAIN,
             },
-            (Step::Recording, StoreOutcome::Unknown) => self.give_up(now, out),
+            (Step::Recording, event::StoreOutcome::Unknown) => self.give_up(now, out),
             _ => Progress::Going,
         }
     }
@@ -287,9 +292,9 @@
         &mut self,
         now: Instant,
         member: id::MemberId,
-        standing: Option<Standing>,
+        standing: Option<event::Standing>,
         voters: &[Voter],
-        out: &mut Vec<Effect>,
+        out: &mut Vec<effect::Effect>,
     ) -> Progress {
         if let Step::Confirming { .. } = self.step
             && Some(member) == self.target
@@ -323,11 +328,14 @@
     pub fn ordered(
         &mut self,
         now: Instant,
-        outcome: OrderOutcome,
-        out: &mut Vec<Effect>,
+        outcome: event::OrderOutcome,
+        out: &mut Vec<effect::Effect>,
     ) -> Progress {
         match (self.step, outcome) {
-            (Step::Flushing { .. }, OrderOutcome::Accepted | OrderOutcome::Refused) => {
+            (
+                Step::Flushing { .. },
+                event::OrderOutcome::Accepted | event::OrderOutcome::Refused,
+            ) => {
                 self.claim.settled = true;
                 self.claim.until_ms = self.store_now_ms;
                 self.store(out);
@@ -338,18 +346,18 @@
                 self.step = Step::Flushing { again_at };
                 Progress::Going
             }
-            (Step::Ordering { .. }, OrderOutcome::Accepted) => {
+            (Step::Ordering { .. }, event::OrderOutcome::Accepted) => {
                 self.step = Step::Confirming {
                     until: now + CONFIRM_FOR,
                     ask_at: now,
                 };
-                if self.reason != Reason::Unreachable {
+                if self.reason != lead::Reason::Unreachable {
                     // Callers are told at once instead of waiting for commits that can no longer be acknowledged.
-                    self.ask(self.old, Question::Demote(self.hold_term), out);
+                    self.ask(self.old, effect::Question::Demote(self.hold_term), out);
                 }
                 Progress::Going
             }
-            (Step::Ordering { .. }, OrderOutcome::Refused) => {
+            (Step::Ordering { .. }, event::OrderOutcome::Refused) => {
                 // Either a higher token was used, or the member does not run. The claim row tells.
                 if !self.unanswered_order {
                     self.claim.settled = true;
@@ -360,7 +368,7 @@
                     retry_at: now + STORE_AGAIN,
                 }
             }
-            (Step::Ordering { .. }, OrderOutcome::Unknown) => {
+            (Step::Ordering { .. }, event::OrderOutcome::Unknown) => {
                 self.unanswered_order = true;
                 self.step = Step::Confirming {
                     until: now + CONFIRM_UNKNOWN_FOR,
@@ -368,7 +376,7 @@
                 };
                 Progress::Going
             }
-            (Step::Ordering { .. }, OrderOutcome::Deferred) => {
+            (Step::Ordering { .. }, event::OrderOutcome::Deferred) => {
                 self.step = Step::Ordering {
                     again_at: Some(now + ORDER_AGAIN),
                 };
@@ -381,8 +389,8 @@
     fn finish(
         &mut self,
         member: id::MemberId,
-        standing: Standing,
-        out: &mut Vec<Effect>,
+        standing: event::Standing,
+        out: &mut Vec<effect::Effect>,
     ) -> Progress {
         self.claim.settled = !self.unanswered_order;
         self.claim.until_ms = self.store_now_ms + SETTLED_FOR_MS;
@@ -390,13 +398,13 @@
         Progress::Done { member, standing }
     }
 
-    fn give_up(&mut self, now: Instant, out: &mut Vec<Effect>) -> Progress {
+    fn give_up(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
         // Members stay held while an older order may still be executed: what they lack then cannot be acknowledged.
         if self.claim.pending().is_none() {
             let held: Vec<id::MemberId> = self.asked.keys().collect();
             let until = self.claimed_until;
             for member in held.into_iter().filter(|member| Some(*member) != self.old) {
-                self.ask(Some(member), Question::Release { until }, out);
+                self.ask(Some(member), effect::Question::Release { until }, out);
             }
         }
         Progress::Failed {
@@ -408,17 +416,17 @@
         self.step = Step::Waiting { until };
     }
 
-    fn store(&self, out: &mut Vec<Effect>) {
-        out.push(Effect::StoreClaim {
+    fn store(&self, out: &mut Vec<effect::Effect>) {
+        out.push(effect::Effect::StoreClaim {
             group: self.group,
             claim: self.claim.clone(),
             revision: self.revision,
         });
     }
 
-    fn order(&self, member: Option<id::MemberId>, out: &mut Vec<Effect>) {
+    fn order(&self, member: Option<id::MemberId>, out: &mut Vec<effect::Effect>) {
         if let Some(member) = member {
-            out.push(Effect::Order {
+            out.push(effect::Effect::Order {
                 group: self.group,
                 member,
                 token: self.claim.token,
@@ -426,9 +434,14 @@
         }
     }
 
-    fn ask(&self, member: Option<id::MemberId>, question: Question, out: &mut Vec<Effect>) {
+    fn ask(
+        &self,
+        member: Option<id::MemberId>,
+        question: effect::Question,
+        out: &mut Vec<effect::Effect>,
+    ) {
         if let Some(member) = member {
-            out.push(Effect::Ask {
+            out.push(effect::Effect::Ask {
                 group: self.group,
                 member,
                 question,
--- a/crates/broker/src/index.rs
+++ b/crates/broker/src/index.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 
 /// Distance between two samples that are kept. Closer ones replace each other, which bounds the number kept.
 const SPACING: Duration = Duration::from_millis(100);
@@ -16,7 +16,7 @@
     /// The question was sent after this; all that was acknowledged before is covered.
     pub asked_at: Instant,
     /// The leader's answer.
-    pub point: Point,
+    pub point: floor::Point,
 }
 
 /// Samples of one group, in the order of their questions, all of the newest term known.
@@ -30,7 +30,7 @@
     ///
     /// A newer term replaces the samples of older ones: their points may lie past what the promotion kept, while all
     /// that was acknowledged is below the first point of the new term.
-    pub fn record(&mut self, asked_at: Instant, point: Point) {
+    pub fn record(&mut self, asked_at: Instant, point: floor::Point) {
         if let Some(newest) = self.samples.back().copied() {
             if point.term < newest.point.term {
                 return;
@@ -59,7 +59,7 @@
     ///
     /// The oldest sample that covers `since` is the one that most replicas have reached. An own commit of an older
     /// term is covered by any sample of a newer one.
-    pub fn floor(&self, since: Instant, own: Option<Point>) -> Option<Point> {
+    pub fn floor(&self, since: Instant, own: Option<floor::Point>) -> Option<floor::Point> {
         let covering = self.samples.iter().find(|sample| sample.asked_at >= since);
         let point = covering?.point;
         let own = own.filter(|own| own.term >= point.term);
--- a/crates/broker/src/lead.rs
+++ b/crates/broker/src/lead.rs
@@ -2,11 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
-use crate::seat::Seat;
+use crate::seat;
 
 /// Time without an answer after which a leader whose process refuses connections counts as dead: two attempts.
 const REFUSED_FOR: Duration = Duration::from_millis(250);
@@ -51,14 +51,14 @@
     /// When a commit last ended.
     pub committed_at: Option<Instant>,
     /// A point up to which everything is known to be acknowledged.
-    pub acknowledged: Option<Point>,
+    pub acknowledged: Option<floor::Point>,
     /// The end of the log when a commit ended, and when that was.
-    head: Option<(Instant, Point)>,
+    head: Option<(Instant, floor::Point)>,
 }
 
 impl Lead {
     /// Takes an answer that only a leader gives.
-    pub fn witnessed(&mut self, now: Instant, member: id::MemberId, point: Option<Point>) {
+    pub fn witnessed(&mut self, now: Instant, member: id::MemberId, point: Option<floor::Point>) {
         let term = point.map_or(self.term, |point| point.term);
         if term >= self.term {
             if self.member != Some(member) {
@@ -75,7 +75,7 @@
     ///
     /// The log's end may lie past what is acknowledged. But a commit that was sent after it was seen has a higher number, and
     /// replicas receive in order: when that commit ends, all up to the earlier end is acknowledged.
-    pub fn committed(&mut self, now: Instant, asked_at: Instant, end: Option<Point>) {
+    pub fn committed(&mut self, now: Instant, asked_at: Instant, end: Option<floor::Point>) {
         self.committed_at = Some(now);
         self.stall_over();
         let before = self.head.filter(|(seen_at, _)| *seen_at <= asked_at);
@@ -104,7 +104,7 @@
     ///
     /// A member that began to say that it leads after the present leader was last seen to lead replaces it; so does any
     /// such member where the present one is known not to lead, is not listed, or does not answer.
-    pub fn elect(&mut self, seats: &sorted::Map<id::MemberId, Seat>, now: Instant) {
+    pub fn elect(&mut self, seats: &sorted::Map<id::MemberId, seat::Seat>, now: Instant) {
         let newest = seats
             .values()
             .filter(|seat| !seat.denies_lead && seat.missing_since.is_none())
@@ -139,7 +139,7 @@
     /// that it is gone.
     pub fn verdict(
         &self,
-        seats: &sorted::Map<id::MemberId, Seat>,
+        seats: &sorted::Map<id::MemberId, seat::Seat>,
         now: Instant,
         listed: bool,
     ) -> Option<Reason> {
--- a/crates/broker/src/place.rs
+++ b/crates/broker/src/place.rs
@@ -5,8 +5,8 @@
 
 use std::time::Instant;
 
-use fulmarlift_core::floor::Point;
-use fulmarlift_core::topology::Place;
+use fulmarlift_core::floor;
+use fulmarlift_core::topology;
 
 use crate::seat;
 
@@ -27,9 +27,9 @@
     /// Current time.
     pub now: Instant,
     /// Where this proxy runs.
-    pub home: &'a Place,
+    pub home: &'a topology::Place,
     /// Point that the member's log has to have reached.
-    pub floor: Option<Point>,
+    pub floor: Option<floor::Point>,
     /// Whether the member leads its group.
     pub leads: bool,
     /// Whether it has failed this request before.
@@ -37,7 +37,7 @@
 }
 
 /// Returns the cost of the way from one place to another, in ms.
-pub fn distance_ms(from: &Place, to: &Place) -> f64 {
+pub fn distance_ms(from: &topology::Place, to: &topology::Place) -> f64 {
     if from.region != to.region {
         OTHER_REGION_MS
     } else if from.domain != to.domain {
--- a/crates/broker/src/queue.rs
+++ b/crates/broker/src/queue.rs
@@ -8,7 +8,7 @@
 
 use fulmarlift_core::id;
 
-use crate::request::Request;
+use crate::request;
 
 /// Least time after which a refused caller is told to come back: a few mean statements.
 const RETRY_MIN: Duration = Duration::from_millis(50);
@@ -23,14 +23,14 @@
 /// Requests of one group that wait for a connection, in no particular order.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    waiting: Vec<Request>,
+    waiting: Vec<request::Request>,
     busy_since: Option<Instant>,
     departed: f64,
 }
 
 impl Queue {
     /// Adds a request.
-    pub fn push(&mut self, now: Instant, request: Request) {
+    pub fn push(&mut self, now: Instant, request: request::Request) {
         self.waiting.push(request);
         self.busy_since.get_or_insert(now);
     }
@@ -69,7 +69,7 @@
     }
 
     /// Removes a request.
-    pub fn remove(&mut self, id: id::RequestId) -> Option<Request> {
+    pub fn remove(&mut self, id: id::RequestId) -> Option<request::Request> {
         let index = self.waiting.iter().position(|request| request.id == id)?;
         let request = self.waiting.remove(index);
         self.forget_rate_if_empty();
@@ -84,7 +84,7 @@
     }
 
     /// Takes out the requests whose deadline has passed.
-    pub fn take_expired(&mut self, now: Instant) -> Vec<Request> {
+    pub fn take_expired(&mut self, now: Instant) -> Vec<request::Request> {
         let (expired, kept) = self
             .waiting
             .drain(..)
@@ -95,7 +95,7 @@
     }
 
     /// Sorts the requests by the order in which they are to be served and returns them.
-    pub fn ordered(&mut self, now: Instant) -> &[Request] {
+    pub fn ordered(&mut self, now: Instant) -> &[request::Request] {
         self.waiting.sort_by_key(|request| {
             let late = request.objective_at <= now;
             (late, request.priority, request.objective_at, request.id)
@@ -114,8 +114,8 @@
     }
 
     /// Returns how many waiting requests go before this one.
-    pub fn ahead_of(&self, request: &Request) -> usize {
-        let before = |other: &&Request| {
+    pub fn ahead_of(&self, request: &request::Request) -> usize {
+        let before = |other: &&request::Request| {
             (other.priority, other.objective_at) <= (request.priority, request.objective_at)
         };
         self.waiting.iter().filter(before).count()
--- a/crates/broker/src/readers.rs
+++ b/crates/broker/src/readers.rs
@@ -6,7 +6,7 @@
 
 use fulmarlift_core::id;
 
-use crate::homes::Candidate;
+use crate::homes;
 
 /// Least number of proxies in a domain for which one reads: fewer cost less than the detour.
 const PROXIES_MIN: usize = 4;
@@ -16,7 +16,7 @@
 const READER: u64 = 0x7265_6164;
 
 /// Returns the proxies of the domain that rank above this one, the highest first; none for one that is to read itself.
-pub fn above(me: id::ProxyId, domain: &str, others: &[Candidate<'_>]) -> Vec<id::ProxyId> {
+pub fn above(me: id::ProxyId, domain: &str, others: &[homes::Candidate<'_>]) -> Vec<id::ProxyId> {
     let near = others.iter().filter(|other| other.domain == domain);
     let near: Vec<id::ProxyId> = near.map(|other| other.proxy).collect();
     if near.len() + 1 < PROXIES_MIN {
--- a/crates/broker/src/seat.rs
+++ b/crates/broker/src/seat.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
 use crate::topology;
@@ -54,7 +54,7 @@
     /// Statements that run there for this proxy.
     pub running: u32,
     /// Highest point of its log seen in an answer.
-    pub applied: Option<Point>,
+    pub applied: Option<floor::Point>,
     /// Running mean of the time of an answer, in ms.
     pub latency_ms: f64,
     /// Failures since the last success.
@@ -72,7 +72,7 @@
     /// Until when no connection is opened.
     pub full_until: Option<Instant>,
     /// A point that its log lacked, and until when that counts.
-    pub lacks: Option<(Point, Instant)>,
+    pub lacks: Option<(floor::Point, Instant)>,
     /// Statements that may run there side by side for this proxy; fewer after the member had no slot, and more again
     /// with each answer.
     pub allowance: f64,
@@ -168,7 +168,7 @@
     }
 
     /// Notes a point of its log.
-    pub fn reached(&mut self, point: Option<Point>) {
+    pub fn reached(&mut self, point: Option<floor::Point>) {
         self.applied = self.applied.max(point);
     }
 
@@ -188,7 +188,7 @@
     }
 
     /// Notes that its log lacked a point.
-    pub fn behind(&mut self, now: Instant, point: Option<Point>) {
+    pub fn behind(&mut self, now: Instant, point: Option<floor::Point>) {
         if let Some(point) = point {
             let known = self.lacks.filter(|(_, until)| now < *until);
             let least = known.map_or(point, |(known, _)| known.min(point));
@@ -197,7 +197,7 @@
     }
 
     /// Returns whether its log is known to lack a point.
-    pub fn is_behind(&self, now: Instant, point: Option<Point>) -> bool {
+    pub fn is_behind(&self, now: Instant, point: Option<floor::Point>) -> bool {
         let lacks = self.lacks.filter(|(_, until)| now < *until);
         lacks.is_some_and(|(lacked, _)| point >= Some(lacked) && point > self.applied)
     }
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -4,10 +4,10 @@
 
 use fulmarlift_core::id;
 
-use crate::effect::{Effect, Note};
-use crate::event::{Answer, OpenFailure, Report};
-use crate::seat::{Idle, Seat};
-use crate::state::Broker;
+use crate::effect;
+use crate::event;
+use crate::seat;
+use crate::state;
 
 /// Time for which a connection beyond the first is kept without use. A member allows few for all proxies together, and the
 /// connections of a VM that lost power stay in use there for seconds.
@@ -19,33 +19,38 @@
 /// Time after a member had no connection left during which it counts as contended.
 const CONTENDED_FOR: Duration = Duration::from_secs(3);
 
-impl Broker {
-    pub(super) fn open(&mut self, member: id::MemberId, effects: &mut Vec<Effect>) {
+impl state::Broker {
+    pub(super) fn open(&mut self, member: id::MemberId, effects: &mut Vec<effect::Effect>) {
         let conn = self.next_conn;
         self.next_conn += 1;
         self.conns.insert(conn, member);
         if let Some(seat) = self.seat_mut(member) {
             seat.opening += 1;
         }
-        effects.push(Effect::Open { conn, member });
+        effects.push(effect::Effect::Open { conn, member });
     }
 
-    pub(super) fn opened(&mut self, now: Instant, conn: id::ConnId, effects: &mut Vec<Effect>) {
+    pub(super) fn opened(
+        &mut self,
+        now: Instant,
+        conn: id::ConnId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let member = self.conns.get(conn).copied();
         let Some(seat) = member.and_then(|member| self.seat_mut(member)) else {
             self.conns.remove(conn);
-            effects.push(Effect::Close(conn));
+            effects.push(effect::Effect::Close(conn));
             return;
         };
         seat.opening = seat.opening.saturating_sub(1);
-        seat.idle.push(Idle { conn, since: now });
+        seat.idle.push(seat::Idle { conn, since: now });
         seat.rest_until = None;
         seat.full_in_a_row = 0;
         let recovered = seat.failures > 0;
         seat.answered(now, None);
         let member = seat.member.id;
         if recovered {
-            effects.push(Effect::Note(Note::Reachable {
+            effects.push(effect::Effect::Note(effect::Note::Reachable {
                 member,
                 reachable: true,
             }));
@@ -57,8 +62,8 @@
         &mut self,
         now: Instant,
         conn: id::ConnId,
-        failure: OpenFailure,
-        effects: &mut Vec<Effect>,
+        failure: event::OpenFailure,
+        effects: &mut Vec<effect::Effect>,
     ) {
         let Some(member) = self.conns.remove(conn) else {
             return;
@@ -68,14 +73,21 @@
         };
         seat.opening = seat.opening.saturating_sub(1);
         match failure {
-            OpenFailure::Full => seat.full(now),
-            OpenFailure::Refused | OpenFailure::Elsewhere => fail(seat, now, true, effects),
-            OpenFailure::Silent => fail(seat, now, false, effects),
+            event::OpenFailure::Full => seat.full(now),
+            event::OpenFailure::Refused | event::OpenFailure::Elsewhere => {
+                fail(seat, now, true, effects)
+            }
+            event::OpenFailure::Silent => fail(seat, now, false, effects),
         }
         self.pump_of(now, member, effects);
     }
 
-    pub(super) fn lost(&mut self, now: Instant, conn: id::ConnId, effects: &mut Vec<Effect>) {
+    pub(super) fn lost(
+        &mut self,
+        now: Instant,
+        conn: id::ConnId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let Some(member) = self.conns.remove(conn) else {
             return;
         };
@@ -90,7 +102,7 @@
         now: Instant,
         conn: id::ConnId,
         reusable: bool,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         let Some(member) = self.conns.get(conn).copied() else {
             return;
@@ -98,14 +110,14 @@
         if let Some(seat) = self.seat_mut(member) {
             seat.leased = seat.leased.saturating_sub(1);
             if reusable {
-                seat.idle.push(Idle { conn, since: now });
+                seat.idle.push(seat::Idle { conn, since: now });
             }
         }
         if !reusable {
             self.conns.remove(conn);
         } else if self.seat(member).is_none() {
             self.conns.remove(conn);
-            effects.push(Effect::Close(conn));
+            effects.push(effect::Effect::Close(conn));
         }
         self.pump_of(now, member, effects);
     }
@@ -116,7 +128,12 @@
         }
     }
 
-    pub(super) fn answered(&mut self, now: Instant, report: Report, effects: &mut Vec<Effect>) {
+    pub(super) fn answered(
+        &mut self,
+        now: Instant,
+        report: event::Report,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let member = report.member;
         let Some(group_id) = self.members.get(member).copied() else {
             return;
@@ -126,30 +143,30 @@
         };
         seat.running = seat.running.saturating_sub(1);
         match report.answer {
-            Answer::Broken => {
+            event::Answer::Broken => {
                 // Other connections to a process that died break by themselves; a new one tells whether it did.
                 seat.rest_until = None;
             }
-            Answer::Silent { .. } => {
+            event::Answer::Silent { .. } => {
                 for idle in std::mem::take(&mut seat.idle) {
-                    effects.push(Effect::Close(idle.conn));
+                    effects.push(effect::Effect::Close(idle.conn));
                     self.conns.remove(idle.conn);
                 }
                 if let Some(seat) = self.seat_mut(member) {
                     fail(seat, now, false, effects);
                 }
             }
-            Answer::Unfinished => {}
-            Answer::Busy => seat.busy(now),
-            Answer::Behind => {
+            event::Answer::Unfinished => {}
+            event::Answer::Busy => seat.busy(now),
+            event::Answer::Behind => {
                 seat.answered(now, None);
                 seat.behind(now, report.floor);
             }
-            Answer::NotLeading => {
+            event::Answer::NotLeading => {
                 seat.answered(now, None);
                 seat.denies_lead = true;
             }
-            Answer::Served | Answer::Led { .. } => {
+            event::Answer::Served | event::Answer::Led { .. } => {
                 seat.answered(now, report.took);
                 seat.reached(report.point);
             }
@@ -158,7 +175,7 @@
         self.pump(now, group_id, effects);
     }
 
-    pub(super) fn trim(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+    pub(super) fn trim(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         let conns = &mut self.conns;
         for (_, group) in self.groups.iter_mut() {
             let is_home = group.is_home;
@@ -172,7 +189,7 @@
                     }
                     seat.idle.remove(0);
                     conns.remove(oldest.conn);
-                    effects.push(Effect::Close(oldest.conn));
+                    effects.push(effect::Effect::Close(oldest.conn));
                 }
             }
         }
@@ -180,7 +197,7 @@
 }
 
 /// Returns for how long the connection that has been idle longest is kept. Only a home keeps the last one to a member.
-fn keep_for(seat: &Seat, keeps_last: bool, now: Instant) -> Duration {
+fn keep_for(seat: &seat::Seat, keeps_last: bool, now: Instant) -> Duration {
     let unwanted = seat.member.leaving || seat.missing_since.is_some();
     let contended = seat
         .full_until
@@ -196,9 +213,9 @@
     }
 }
 
-fn fail(seat: &mut Seat, now: Instant, refused: bool, effects: &mut Vec<Effect>) {
+fn fail(seat: &mut seat::Seat, now: Instant, refused: bool, effects: &mut Vec<effect::Effect>) {
     if seat.failures == 0 {
-        effects.push(Effect::Note(Note::Reachable {
+        effects.push(effect::Effect::Note(effect::Note::Reachable {
             member: seat.member.id,
             reachable: false,
         }));
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -4,21 +4,21 @@
 
 use fulmarlift_core::id;
 
-use crate::effect::{Effect, Note};
-use crate::seat::Seat;
-use crate::state::Broker;
+use crate::effect;
+use crate::seat;
+use crate::state;
 use crate::topology;
 
 /// Time after the directory is reached again in which entries that lapsed meanwhile come back: 2 s by its contract, and
 /// room for the news to arrive.
 pub(super) const RELIST_FOR: Duration = Duration::from_millis(2_300);
 
-impl Broker {
+impl state::Broker {
     pub(super) fn configured(
         &mut self,
         now: Instant,
         topology: topology::Topology,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         if topology.version <= self.topology.version {
             return;
@@ -34,7 +34,7 @@
         &mut self,
         now: Instant,
         member: topology::Member,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         self.forget_others_named(now, &member, effects);
         let group_id = member.group;
@@ -44,7 +44,7 @@
             Some(seat) if seat.member.revision > member.revision => return,
             Some(seat) => seat.update(member, now),
             None => {
-                group.seats.insert(member.id, Seat::new(member, now));
+                group.seats.insert(member.id, seat::Seat::new(member, now));
             }
         }
         self.led_anew(now, group_id, effects);
@@ -56,7 +56,7 @@
         &mut self,
         now: Instant,
         member: &topology::Member,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         let seats = self.groups.values().flat_map(|group| group.seats.values());
         let older: Vec<id::MemberId> = seats
@@ -95,19 +95,24 @@
         passed(missing_since) && passed(self.directory_ok_since)
     }
 
-    pub(super) fn forget(&mut self, now: Instant, member: id::MemberId, effects: &mut Vec<Effect>) {
+    pub(super) fn forget(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let Some(group_id) = self.members.remove(member) else {
             return;
         };
         let group = self.groups.entry(group_id);
         let seat = group.seats.remove(member);
         if seat.is_some() {
-            effects.push(Effect::Note(Note::Gone(member)));
+            effects.push(effect::Effect::Note(effect::Note::Gone(member)));
         }
         if let Some(seat) = seat.or_else(|| group.homes.remove(member)) {
             for idle in seat.idle {
                 self.conns.remove(idle.conn);
-                effects.push(Effect::Close(idle.conn));
+                effects.push(effect::Effect::Close(idle.conn));
             }
         }
         self.led_anew(now, group_id, effects);
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -5,11 +5,11 @@
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
-use crate::effect::{Effect, Note};
-use crate::event::{Answer, Report, Standing};
-use crate::failover::{Attempt, Progress, Voter};
-use crate::seat::Seat;
-use crate::state::Broker;
+use crate::effect;
+use crate::event;
+use crate::failover;
+use crate::seat;
+use crate::state;
 
 /// Range over which proxies spread the begin of a replacement, so that mostly one claim is written.
 const BEGIN_SPREAD_MS: u64 = 150;
@@ -19,14 +19,14 @@
 /// Time after the last request served here for which a proxy that is no home watches the leader.
 const WATCH_FOR: Duration = Duration::from_secs(3);
 
-impl Broker {
+impl state::Broker {
     /// Takes what a statement's end says about who leads.
     pub(super) fn learn_lead(
         &mut self,
         now: Instant,
         group_id: id::GroupId,
-        report: &Report,
-        effects: &mut Vec<Effect>,
+        report: &event::Report,
+        effects: &mut Vec<effect::Effect>,
     ) {
         let group = self.groups.entry(group_id);
         if !group.seats.contains(report.member) {
@@ -34,7 +34,7 @@
             return;
         }
         match report.answer {
-            Answer::Led { asked_at, commit } => {
+            event::Answer::Led { asked_at, commit } => {
                 if let Some(point) = report.point {
                     group.index.record(asked_at, point);
                 }
@@ -46,7 +46,7 @@
                     seat.denies_lead = false;
                 }
             }
-            Answer::Silent { commit: true } if group.lead.member == Some(report.member) => {
+            event::Answer::Silent { commit: true } if group.lead.member == Some(report.member) => {
                 let took = report.took.unwrap_or_default();
                 group.lead.commit_lost(now.checked_sub(took).unwrap_or(now));
             }
@@ -60,13 +60,13 @@
         &mut self,
         now: Instant,
         group_id: id::GroupId,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         let group = self.groups.entry(group_id);
         group.lead.elect(&group.seats, now);
         if group.noted_leader != group.lead.member {
             group.noted_leader = group.lead.member;
-            effects.push(Effect::Note(Note::Leader {
+            effects.push(effect::Effect::Note(effect::Note::Leader {
                 group: group_id,
                 member: group.lead.member,
                 term: group.lead.term,
@@ -80,8 +80,8 @@
         now: Instant,
         group_id: id::GroupId,
         member: id::MemberId,
-        standing: Option<Standing>,
-        effects: &mut Vec<Effect>,
+        standing: Option<event::Standing>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         if let Some(standing) = standing {
             let group = self.groups.entry(group_id);
@@ -104,7 +104,7 @@
         &mut self,
         now: Instant,
         group_id: id::GroupId,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         let reason = self
             .watches(now, group_id)
@@ -112,7 +112,10 @@
             .flatten();
         let me = self.settings.name.clone();
         let group = self.groups.entry(group_id);
-        let droppable = group.attempt.as_ref().is_some_and(Attempt::may_be_dropped);
+        let droppable = group
+            .attempt
+            .as_ref()
+            .is_some_and(failover::Attempt::may_be_dropped);
         match reason {
             None if droppable => group.attempt = None,
             Some(reason) if group.attempt.is_none() => {
@@ -121,7 +124,7 @@
                 }
                 let spread_ms = id::weight(id::of(&me), group_id) % BEGIN_SPREAD_MS;
                 let begin_at = now + Duration::from_millis(spread_ms);
-                let attempt = Attempt::new(group_id, &me, reason, &group.lead, begin_at);
+                let attempt = failover::Attempt::new(group_id, &me, reason, &group.lead, begin_at);
                 group.attempt = Some(attempt);
             }
             _ => {}
@@ -161,8 +164,12 @@
         &mut self,
         now: Instant,
         group_id: id::GroupId,
-        effects: &mut Vec<Effect>,
-        act: impl FnOnce(&mut Attempt, &[Voter], &mut Vec<Effect>) -> Progress,
+        effects: &mut Vec<effect::Effect>,
+        act: impl FnOnce(
+            &mut failover::Attempt,
+            &[failover::Voter],
+            &mut Vec<effect::Effect>,
+        ) -> failover::Progress,
     ) {
         let Some(group) = self.groups.get_mut(group_id) else {
             return;
@@ -170,10 +177,10 @@
         let Some(attempt) = group.attempt.as_mut() else {
             return;
         };
-        let voters: Vec<Voter> = group
+        let voters: Vec<failover::Voter> = group
             .seats
             .values()
-            .map(|seat| Voter {
+            .map(|seat| failover::Voter {
                 member: seat.member.id,
                 name: seat.member.name.clone(),
                 eligible: !seat.member.leaving && seat.missing_since.is_none(),
@@ -187,13 +194,13 @@
         let (step, token, target) = attempt.describe();
         let reason = attempt.reason;
         let step = match progress {
-            Progress::Going => step,
-            Progress::Done { .. } => "done",
-            Progress::Failed { .. } => "given_up",
+            failover::Progress::Going => step,
+            failover::Progress::Done { .. } => "done",
+            failover::Progress::Failed { .. } => "given_up",
         };
         if group.noted_step != step && !(step == "waiting" && group.noted_step.is_empty()) {
             group.noted_step = step;
-            effects.push(Effect::Note(Note::Failover {
+            effects.push(effect::Effect::Note(effect::Note::Failover {
                 group: group_id,
                 reason,
                 step,
@@ -202,8 +209,8 @@
             }));
         }
         match progress {
-            Progress::Going => {}
-            Progress::Done { member, standing } => {
+            failover::Progress::Going => {}
+            failover::Progress::Done { member, standing } => {
                 group.attempt = None;
                 group.attempt_after = Some(now + AFTER_DONE);
                 if let Some(seat) = group.seats.get_mut(member) {
@@ -213,7 +220,7 @@
                 self.led_anew(now, group_id, effects);
                 self.pump(now, group_id, effects);
             }
-            Progress::Failed { retry_at } => {
+            failover::Progress::Failed { retry_at } => {
                 group.attempt = None;
                 group.attempt_after = Some(retry_at);
             }
@@ -222,8 +229,8 @@
 }
 
 /// Lends an idle connection to a question, so that it does not depend on the member having a connection left.
-fn lend_connection(effect: &mut Effect, seats: &mut sorted::Map<id::MemberId, Seat>) {
-    if let Effect::Ask { member, conn, .. } = effect
+fn lend_connection(effect: &mut effect::Effect, seats: &mut sorted::Map<id::MemberId, seat::Seat>) {
+    if let effect::Effect::Ask { member, conn, .. } = effect
         && let Some(seat) = seats.get_mut(*member)
         && let Some(idle) = seat.idle.pop()
     {
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -13,15 +13,15 @@
 use fulmarlift_core::sorted;
 use fulmarlift_core::topology::Place;
 
-use crate::effect::Effect;
-use crate::event::Event;
+use crate::effect;
+use crate::event;
 use crate::failover;
 use crate::homes;
 use crate::index;
 use crate::lead;
 use crate::queue;
 use crate::readers;
-use crate::seat::Seat;
+use crate::seat;
 use crate::topology;
 
 /// Who this proxy is, and the bounds that it is given.
@@ -56,9 +56,9 @@
 #[derive(Clone, Debug, Default)]
 struct Group {
     /// Members.
-    seats: sorted::Map<id::MemberId, Seat>,
+    seats: sorted::Map<id::MemberId, seat::Seat>,
     /// Other proxies that are homes, each under an identifier of its own for the group.
-    homes: sorted::Map<id::MemberId, Seat>,
+    homes: sorted::Map<id::MemberId, seat::Seat>,
     /// Whether this proxy is a home.
     is_home: bool,
     /// When a request was last served by this proxy itself.
@@ -93,45 +93,49 @@
     }
 
     /// Takes an event at an instant, and adds what is to be done to `effects`.
-    pub fn step(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
+    pub fn step(&mut self, now: Instant, event: event::Event, effects: &mut Vec<effect::Effect>) {
         match event {
-            Event::Configured(topology) => self.configured(now, topology, effects),
-            Event::Listed(member) => self.listed(now, member, effects),
-            Event::Unlisted { name, revision } => self.unlisted(now, &name, revision),
-            Event::PeerListed(peer) => self.peer_listed(now, peer, effects),
-            Event::PeerUnlisted(name) => self.peer_unlisted(now, &name, effects),
-            Event::PeersRead => self.peers_read(now, effects),
-            Event::Directory { reached } => self.directory(now, reached),
-            Event::Arrived(request) => self.arrived(now, request, effects),
-            Event::Abandoned(request) => self.abandoned(request),
-            Event::Started(member) => self.started(member),
-            Event::Answered(report) => self.answered(now, report, effects),
-            Event::Probed(report) => self.probed(now, report, effects),
-            Event::Returned { conn, reusable } => self.returned(now, conn, reusable, effects),
-            Event::Opened(conn) => self.opened(now, conn, effects),
-            Event::OpenFailed { conn, failure } => self.open_failed(now, conn, failure, effects),
-            Event::Lost(conn) => self.lost(now, conn, effects),
-            Event::Standing {
+            event::Event::Configured(topology) => self.configured(now, topology, effects),
+            event::Event::Listed(member) => self.listed(now, member, effects),
+            event::Event::Unlisted { name, revision } => self.unlisted(now, &name, revision),
+            event::Event::PeerListed(peer) => self.peer_listed(now, peer, effects),
+            event::Event::PeerUnlisted(name) => self.peer_unlisted(now, &name, effects),
+            event::Event::PeersRead => self.peers_read(now, effects),
+            event::Event::Directory { reached } => self.directory(now, reached),
+            event::Event::Arrived(request) => self.arrived(now, request, effects),
+            event::Event::Abandoned(request) => self.abandoned(request),
+            event::Event::Started(member) => self.started(member),
+            event::Event::Answered(report) => self.answered(now, report, effects),
+            event::Event::Probed(report) => self.probed(now, report, effects),
+            event::Event::Returned { conn, reusable } => {
+                self.returned(now, conn, reusable, effects)
+            }
+            event::Event::Opened(conn) => self.opened(now, conn, effects),
+            event::Event::OpenFailed { conn, failure } => {
+                self.open_failed(now, conn, failure, effects)
+            }
+            event::Event::Lost(conn) => self.lost(now, conn, effects),
+            event::Event::Standing {
                 group,
                 member,
                 standing,
             } => self.standing(now, group, member, standing, effects),
-            Event::ClaimLoaded { group, stored } => {
+            event::Event::ClaimLoaded { group, stored } => {
                 self.advance(now, group, effects, |attempt, _, out| {
                     attempt.loaded(now, stored, out)
                 });
             }
-            Event::ClaimStored { group, outcome } => {
+            event::Event::ClaimStored { group, outcome } => {
                 self.advance(now, group, effects, |attempt, _, out| {
                     attempt.stored(now, outcome, out)
                 });
             }
-            Event::Ordered { group, outcome } => {
+            event::Event::Ordered { group, outcome } => {
                 self.advance(now, group, effects, |attempt, _, out| {
                     attempt.ordered(now, outcome, out)
                 });
             }
-            Event::Tick => self.tick(now, effects),
+            event::Event::Tick => self.tick(now, effects),
         }
     }
 
@@ -164,7 +168,7 @@
     pub fn load(&self) -> (u32, usize) {
         let groups = self.groups.values();
         let seats = groups.flat_map(|group| group.seats.values().chain(group.homes.values()));
-        let connections = seats.map(Seat::connections).sum();
+        let connections = seats.map(seat::Seat::connections).sum();
         (connections, self.requests.len())
     }
 
@@ -217,12 +221,12 @@
         group.is_some_and(|group| group.homes.contains(member))
     }
 
-    fn seat(&self, member: id::MemberId) -> Option<&Seat> {
+    fn seat(&self, member: id::MemberId) -> Option<&seat::Seat> {
         let group = self.groups.get(*self.members.get(member)?)?;
         group.seats.get(member).or_else(|| group.homes.get(member))
     }
 
-    fn seat_mut(&mut self, member: id::MemberId) -> Option<&mut Seat> {
+    fn seat_mut(&mut self, member: id::MemberId) -> Option<&mut seat::Seat> {
         let group = self.groups.get_mut(*self.members.get(member)?)?;
         match group.seats.contains(member) {
             true => group.seats.get_mut(member),
--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -5,10 +5,10 @@
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
-use crate::effect::Effect;
+use crate::effect;
 use crate::homes;
-use crate::seat::Seat;
-use crate::state::{Broker, Group};
+use crate::seat;
+use crate::state;
 use crate::topology;
 
 /// Statements that are forwarded to one home at the same time, as slots: more than any member has, since the home queues.
@@ -16,12 +16,12 @@
 /// Time for which a home has to fail before another proxy takes its place: longer than the restart of a process.
 const HOME_LOST: Duration = Duration::from_secs(3);
 
-impl Broker {
+impl state::Broker {
     pub(super) fn peer_listed(
         &mut self,
         now: Instant,
         peer: topology::Peer,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         if peer.name != self.settings.node {
             let known = self.peers.insert(id::of(&peer.name), peer.clone());
@@ -33,18 +33,23 @@
         }
     }
 
-    pub(super) fn peer_unlisted(&mut self, now: Instant, name: &str, effects: &mut Vec<Effect>) {
+    pub(super) fn peer_unlisted(
+        &mut self,
+        now: Instant,
+        name: &str,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         self.peers.remove(id::of(name));
         self.forget_homes_of(now, name, effects);
         self.choose_homes(now, effects);
     }
 
-    pub(super) fn peers_read(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+    pub(super) fn peers_read(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         self.peers_read = true;
         self.choose_homes(now, effects);
     }
 
-    fn forget_homes_of(&mut self, now: Instant, name: &str, effects: &mut Vec<Effect>) {
+    fn forget_homes_of(&mut self, now: Instant, name: &str, effects: &mut Vec<effect::Effect>) {
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
         for group in groups {
             self.forget(now, id::member(group, name), effects);
@@ -52,7 +57,7 @@
     }
 
     /// Chooses the homes of all groups anew.
-    pub(super) fn choose_homes(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+    pub(super) fn choose_homes(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         let me = id::of(&self.settings.node);
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
         for group_id in groups {
@@ -78,7 +83,7 @@
             for home in homes {
                 if !group.homes.contains(home.id) {
                     self.members.insert(home.id, group_id);
-                    group.homes.insert(home.id, Seat::new(home, now));
+                    group.homes.insert(home.id, seat::Seat::new(home, now));
                 }
             }
             for home in dropped {
@@ -120,14 +125,14 @@
     }
 }
 
-impl Group {
+impl state::Group {
     /// Returns the seats to which requests are forwarded; none if this proxy serves them itself.
-    pub(super) fn forwards_to(&self) -> Option<&sorted::Map<id::MemberId, Seat>> {
+    pub(super) fn forwards_to(&self) -> Option<&sorted::Map<id::MemberId, seat::Seat>> {
         (!self.is_home && !self.homes.is_empty()).then_some(&self.homes)
     }
 }
 
-fn is_lost(home: Option<&Seat>, now: Instant) -> bool {
+fn is_lost(home: Option<&seat::Seat>, now: Instant) -> bool {
     let failing_since = home.and_then(|seat| seat.failing_since);
     failing_since.is_some_and(|since| now.saturating_duration_since(since) > HOME_LOST)
 }
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -2,16 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
-use crate::effect::{Effect, Grant, Reason, Refuse};
+use crate::effect;
 use crate::place;
 use crate::queue;
-use crate::request::{Need, Request};
-use crate::seat::Seat;
-use crate::state::{Broker, Group};
+use crate::request;
+use crate::seat;
+use crate::state;
 
 /// Time that a group usually goes without a leader: detection, questions and a promotion.
 const GAP_USUAL: Duration = Duration::from_millis(1_500);
@@ -24,16 +24,21 @@
 enum Choice {
     Grant {
         member: id::MemberId,
-        floor: Option<Point>,
+        floor: Option<floor::Point>,
     },
     Open(id::MemberId),
     Index,
     Wait,
-    Refuse(Reason, Duration),
+    Refuse(effect::Reason, Duration),
 }
 
-impl Broker {
-    pub(super) fn arrived(&mut self, now: Instant, request: Request, effects: &mut Vec<Effect>) {
+impl state::Broker {
+    pub(super) fn arrived(
+        &mut self,
+        now: Instant,
+        request: request::Request,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let group_id = request.group;
         let group = self.groups.entry(group_id);
         let forwards = !request.forwarded && group.forwards_to().is_some();
@@ -49,7 +54,7 @@
         let turn = group.queue.turn_in(now, ahead, latency_ms, side_by_side);
         let latest = request.deadline.min(request.objective_at);
         if ahead > 0 && now + turn > latest {
-            effects.push(refuse(now, &request, Reason::Overload, turn));
+            effects.push(refuse(now, &request, effect::Reason::Overload, turn));
             return;
         }
         self.requests.insert(request.id, group_id);
@@ -67,7 +72,7 @@
         &mut self,
         now: Instant,
         member: id::MemberId,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         if let Some(group_id) = self.members.get(member).copied() {
             self.pump(now, group_id, effects);
@@ -75,7 +80,12 @@
     }
 
     /// Serves, refuses or goes on to hold each waiting request of a group.
-    pub(super) fn pump(&mut self, now: Instant, group_id: id::GroupId, effects: &mut Vec<Effect>) {
+    pub(super) fn pump(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         let Some(group) = self.groups.get_mut(group_id) else {
             return;
         };
@@ -84,7 +94,7 @@
         }
         for request in group.queue.take_expired(now) {
             self.requests.remove(request.id);
-            effects.push(refuse(now, &request, Reason::Late, Duration::ZERO));
+            effects.push(refuse(now, &request, effect::Reason::Late, Duration::ZERO));
         }
         let waiting = group.queue.ordered(now).to_vec();
         let mut wanted: Vec<id::MemberId> = Vec::new();
@@ -110,10 +120,10 @@
     fn grant(
         &mut self,
         now: Instant,
-        request: &Request,
+        request: &request::Request,
         member: id::MemberId,
-        floor: Option<Point>,
-        effects: &mut Vec<Effect>,
+        floor: Option<floor::Point>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         let forwarded = self.is_peer(member);
         let Some(seat) = self.seat_mut(member) else {
@@ -128,17 +138,22 @@
         let queue = &mut self.groups.entry(request.group).queue;
         queue.remove(request.id);
         queue.departed(now);
-        effects.push(Effect::Grant(Grant {
+        effects.push(effect::Effect::Grant(effect::Grant {
             request: request.id,
             conn: idle.conn,
             member,
             floor,
-            verify: request.need == Need::Latest && !forwarded,
+            verify: request.need == request::Need::Latest && !forwarded,
         }));
     }
 
     /// Opens as many connections as requests wait for beyond those being opened.
-    fn open_wanted(&mut self, now: Instant, wanted: &[id::MemberId], effects: &mut Vec<Effect>) {
+    fn open_wanted(
+        &mut self,
+        now: Instant,
+        wanted: &[id::MemberId],
+        effects: &mut Vec<effect::Effect>,
+    ) {
         for (nth, &member) in wanted.iter().enumerate() {
             let before = wanted[..nth].iter().filter(|&&other| other == member);
             let nth_there = u32::try_from(before.count()).unwrap_or(u32::MAX);
@@ -151,9 +166,9 @@
         }
     }
 
-    fn choose(&self, now: Instant, request: &Request) -> Choice {
+    fn choose(&self, now: Instant, request: &request::Request) -> Choice {
         let Some(group) = self.groups.get(request.group) else {
-            return Choice::Refuse(Reason::NoMember, GAP_USUAL);
+            return Choice::Refuse(effect::Reason::NoMember, GAP_USUAL);
         };
         if let Some(homes) = group.forwards_to()
             && !request.forwarded
@@ -162,8 +177,8 @@
             return choice;
         }
         match request.need {
-            Need::Lead | Need::Latest => self.choose_leader(now, group, request),
-            Need::Recent { since, own } => match group.index.floor(since, own) {
+            request::Need::Lead | request::Need::Latest => self.choose_leader(now, group, request),
+            request::Need::Recent { since, own } => match group.index.floor(since, own) {
                 Some(floor) => self.choose_any(now, group, request, floor),
                 None if self.usable_leader(now, group).is_some() => Choice::Index,
                 None => vacant(now, group, request),
@@ -175,10 +190,10 @@
     fn choose_home(
         &self,
         now: Instant,
-        homes: &sorted::Map<id::MemberId, Seat>,
-        request: &Request,
+        homes: &sorted::Map<id::MemberId, seat::Seat>,
+        request: &request::Request,
     ) -> Option<Choice> {
-        let cost = |seat: &Seat| {
+        let cost = |seat: &seat::Seat| {
             let question = place::Question {
                 now,
                 home: &self.settings.place,
@@ -192,8 +207,8 @@
         let reached = homes.values().filter(|seat| seat.usable(now));
         let seat = reached.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         let own = match request.need {
-            Need::Recent { own, .. } => own,
-            Need::Lead | Need::Latest => None,
+            request::Need::Recent { own, .. } => own,
+            request::Need::Lead | request::Need::Latest => None,
         };
         Some(if !seat.idle.is_empty() {
             let member = seat.member.id;
@@ -206,7 +221,7 @@
     }
 
     /// Returns the leader if it may be sent new work: one that leaves serves until it is replaced, within the bound.
-    fn usable_leader<'a>(&self, now: Instant, group: &'a Group) -> Option<&'a Seat> {
+    fn usable_leader<'a>(&self, now: Instant, group: &'a state::Group) -> Option<&'a seat::Seat> {
         let seat = group.seats.get(group.lead.member?)?;
         let leaving_since = seat.leaving_since.or(seat.missing_since);
         let drained = leaving_since.is_some_and(|since| {
@@ -215,7 +230,12 @@
         (!drained && seat.failures < 2).then_some(seat)
     }
 
-    fn choose_leader(&self, now: Instant, group: &Group, request: &Request) -> Choice {
+    fn choose_leader(
+        &self,
+        now: Instant,
+        group: &state::Group,
+        request: &request::Request,
+    ) -> Choice {
         let Some(seat) = self.usable_leader(now, group) else {
             return vacant(now, group, request);
         };
@@ -231,8 +251,14 @@
         }
     }
 
-    fn choose_any(&self, now: Instant, group: &Group, request: &Request, floor: Point) -> Choice {
-        let cost = |seat: &Seat| {
+    fn choose_any(
+        &self,
+        now: Instant,
+        group: &state::Group,
+        request: &request::Request,
+        floor: floor::Point,
+    ) -> Choice {
+        let cost = |seat: &seat::Seat| {
             let question = place::Question {
                 now,
                 home: &self.settings.place,
@@ -244,7 +270,7 @@
             place::cost_ms(seat, &question) + open
         };
         let leader = self.usable_leader(now, group).map(|seat| seat.member.id);
-        let can = |seat: &&Seat| {
+        let can = |seat: &&seat::Seat| {
             let listed = seat.usable(now) || leader == Some(seat.member.id) && !seat.rests(now);
             let conn = !seat.idle.is_empty() || seat.may_open(now);
             let elsewhere = request.hedge && request.avoid == Some(seat.member.id);
@@ -262,13 +288,13 @@
                 floor: Some(floor),
             },
             Some(seat) => self.open_or_wait(now, request, seat),
-            None if request.hedge => Choice::Refuse(Reason::Overload, Duration::ZERO),
-            None if group.seats.is_empty() => Choice::Refuse(Reason::NoMember, GAP_USUAL),
+            None if request.hedge => Choice::Refuse(effect::Reason::Overload, Duration::ZERO),
+            None if group.seats.is_empty() => Choice::Refuse(effect::Reason::NoMember, GAP_USUAL),
             None => Choice::Wait,
         }
     }
 
-    fn open_or_wait(&self, now: Instant, request: &Request, seat: &Seat) -> Choice {
+    fn open_or_wait(&self, now: Instant, request: &request::Request, seat: &seat::Seat) -> Choice {
         let limit = self
             .topology
             .groups
@@ -286,7 +312,7 @@
         &mut self,
         now: Instant,
         group_id: id::GroupId,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<effect::Effect>,
     ) {
         let Some(group) = self.groups.get(group_id) else {
             return;
@@ -314,7 +340,7 @@
         group.wants_index = false;
         group.probing = true;
         group.probe_at = Some(now);
-        effects.push(Effect::Probe {
+        effects.push(effect::Effect::Probe {
             conn: idle.conn,
             member,
         });
@@ -323,7 +349,7 @@
 
 /// Decides on a request that needs a leader while there is none: it waits if the leader's return can be expected
 /// before its deadline, and is refused at once otherwise.
-fn vacant(now: Instant, group: &Group, request: &Request) -> Choice {
+fn vacant(now: Instant, group: &state::Group, request: &request::Request) -> Choice {
     let leader = group.lead.member.and_then(|member| group.seats.get(member));
     let since = group
         .lead
@@ -332,14 +358,22 @@
         .unwrap_or(now);
     let back_at = (since + GAP_USUAL).max(now + GAP_OVERDUE);
     if back_at > request.deadline {
-        Choice::Refuse(Reason::NoLeader, back_at.saturating_duration_since(now))
+        Choice::Refuse(
+            effect::Reason::NoLeader,
+            back_at.saturating_duration_since(now),
+        )
     } else {
         Choice::Wait
     }
 }
 
-fn refuse(now: Instant, request: &Request, reason: Reason, wait: Duration) -> Effect {
-    Effect::Refuse(Refuse {
+fn refuse(
+    now: Instant,
+    request: &request::Request,
+    reason: effect::Reason,
+    wait: Duration,
+) -> effect::Effect {
+    effect::Effect::Refuse(effect::Refuse {
         request: request.id,
         reason,
         retry_at: queue::retry_at(now, request.id, wait),
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -4,9 +4,9 @@
 
 use fulmarlift_core::id;
 
-use crate::effect::Effect;
-use crate::event::{Answer, Report};
-use crate::state::{Broker, Group};
+use crate::effect;
+use crate::event;
+use crate::state;
 
 /// Time after the last request during which a group's index is kept fresh and its leader is watched.
 const ACTIVE_FOR: Duration = Duration::from_secs(3);
@@ -15,8 +15,8 @@
 /// Time after which an idle group's leader is asked, so that its death does not wait for the next caller.
 const IDLE_SAMPLE_AGE: Duration = Duration::from_millis(2_500);
 
-impl Broker {
-    pub(super) fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+impl state::Broker {
+    pub(super) fn tick(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         self.forget_gone(now, effects);
         self.choose_homes(now, effects);
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
@@ -32,7 +32,7 @@
         self.trim(now, effects);
     }
 
-    fn forget_gone(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+    fn forget_gone(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         let seats = self.groups.values().flat_map(|group| group.seats.values());
         let gone: Vec<id::MemberId> = seats
             .filter(|seat| self.is_gone(now, seat.missing_since) && !self.leads(seat.member.id))
@@ -49,17 +49,22 @@
     }
 
     /// Ends the probe of a group; its answer arrives as any statement's.
-    pub(super) fn probed(&mut self, now: Instant, report: Report, effects: &mut Vec<Effect>) {
+    pub(super) fn probed(
+        &mut self,
+        now: Instant,
+        report: event::Report,
+        effects: &mut Vec<effect::Effect>,
+    ) {
         if let Some(group_id) = self.members.get(report.member).copied() {
             let group = self.groups.entry(group_id);
             group.probing = false;
-            group.wants_index |= !matches!(report.answer, Answer::Led { .. });
+            group.wants_index |= !matches!(report.answer, event::Answer::Led { .. });
         }
         self.answered(now, report, effects);
     }
 }
 
-fn sample_due(group: &Group, now: Instant) -> bool {
+fn sample_due(group: &state::Group, now: Instant) -> bool {
     let age = |then: Option<Instant>| then.map(|then| now.saturating_duration_since(then));
     let active = age(group.served_at).is_some_and(|age| age < ACTIVE_FOR);
     let oldest = if active {
--- a/crates/broker/src/topology.rs
+++ b/crates/broker/src/topology.rs
@@ -4,7 +4,7 @@
 
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
-use fulmarlift_core::topology::Place;
+use fulmarlift_core::topology;
 use serde::{Deserialize, Serialize};
 
 /// What a read demands of the log that it runs on.
@@ -113,7 +113,7 @@
     /// Address at which it hands on what it learns.
     pub news: SocketAddr,
     /// Where it runs.
-    pub place: Place,
+    pub place: topology::Place,
 }
 
 /// One incarnation of a member, as the directory lists it.
@@ -128,7 +128,7 @@
     /// Address; used again by others once the member is gone.
     pub address: SocketAddr,
     /// Where it runs.
-    pub place: Place,
+    pub place: topology::Place,
     /// Statements that it runs at the same time.
     pub slots: u32,
     /// Whether it has announced that it will stop.
--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -5,14 +5,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, BytesMut};
-use fulmarlift_broker::event::OpenFailure;
+use fulmarlift_broker::event;
 use fulmarlift_core::id;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::clock;
-use crate::protocol::member::{Answer, Codec, Command, End, Frame};
-use crate::protocol::{Code, WireError};
+use crate::protocol;
+use crate::protocol::member;
+use crate::protocol::member::Codec;
 use crate::values;
 
 /// Time without an acknowledgement of sent bytes after which a connection counts as dead: three retransmissions.
@@ -35,7 +36,7 @@
     Silent,
     /// The member sent something that cannot be understood.
     #[error("member's answer: {0}")]
-    Wire(#[from] WireError),
+    Wire(#[from] protocol::WireError),
 }
 
 /// Why a connection was not opened.
@@ -46,19 +47,21 @@
     Link(#[from] LinkError),
     /// The member refused it.
     #[error("refused with {0:?}")]
-    Refused(Code),
+    Refused(protocol::Code),
 }
 
 impl OpenError {
     /// Returns what the error says about the member.
-    pub fn failure(&self) -> OpenFailure {
+    pub fn failure(&self) -> event::OpenFailure {
         match self {
-            Self::Refused(Code::TooMany | Code::Busy) => OpenFailure::Full,
-            Self::Refused(_) => OpenFailure::Elsewhere,
+            Self::Refused(protocol::Code::TooMany | protocol::Code::Busy) => {
+                event::OpenFailure::Full
+            }
+            Self::Refused(_) => event::OpenFailure::Elsewhere,
             Self::Link(LinkError::Broken(error)) if error.kind() != io::ErrorKind::TimedOut => {
-                OpenFailure::Refused
+                event::OpenFailure::Refused
             }
-            Self::Link(_) => OpenFailure::Silent,
+            Self::Link(_) => event::OpenFailure::Silent,
         }
     }
 }
@@ -116,20 +119,22 @@
             member: member.1,
             mirror: values::Mirror::default(),
         };
-        link.push(Command::Startup {
+        link.push(member::Command::Startup {
             group,
             member: member.0,
         });
         let answer = link.exchange(deadline).await?;
         match answer.end {
-            End::Ready => Ok(link),
-            End::Error(code, _) => Err(OpenError::Refused(code)),
-            End::Complete(_) => Err(LinkError::from(WireError::Malformed("startup")).into()),
+            member::End::Ready => Ok(link),
+            member::End::Error(code, _) => Err(OpenError::Refused(code)),
+            member::End::Complete(_) => {
+                Err(LinkError::from(protocol::WireError::Malformed("startup")).into())
+            }
         }
     }
 
     /// Adds a command to what is sent next.
-    pub fn push(&mut self, command: Command<'_>) {
+    pub fn push(&mut self, command: member::Command<'_>) {
         self.codec.encode(command, &mut self.outbox);
     }
 
@@ -138,7 +143,7 @@
     /// # Errors
     ///
     /// [`LinkError`] when the connection cannot be used any more.
-    pub async fn exchange(&mut self, deadline: Instant) -> Result<Answer, LinkError> {
+    pub async fn exchange(&mut self, deadline: Instant) -> Result<member::Answer, LinkError> {
         let exchanged = async {
             self.stream.write_all_buf(&mut self.outbox).await?;
             self.answer().await
@@ -147,29 +152,29 @@
         answered.map_err(|_| LinkError::Silent)?
     }
 
-    async fn answer(&mut self) -> Result<Answer, LinkError> {
+    async fn answer(&mut self) -> Result<member::Answer, LinkError> {
         let mut rows = Vec::new();
-        let mut end = End::Ready;
+        let mut end = member::End::Ready;
         let mut size_bytes = 0;
         loop {
             match self.codec.decode(&mut self.inbox)? {
-                Some(Frame::Row(row)) => {
+                Some(member::Frame::Row(row)) => {
                     size_bytes += row.len();
                     if size_bytes > ANSWER_BYTES_MAX {
                         let limit_bytes = ANSWER_BYTES_MAX;
-                        return Err(WireError::TooLarge { limit_bytes }.into());
+                        return Err(protocol::WireError::TooLarge { limit_bytes }.into());
                     }
                     rows.push(row);
                 }
-                Some(Frame::Complete(signature)) => end = End::Complete(signature),
-                Some(Frame::Error(code, text)) => {
+                Some(member::Frame::Complete(signature)) => end = member::End::Complete(signature),
+                Some(member::Frame::Error(code, text)) => {
                     if refuses_connection(&code) {
                         return Ok(refusal(code, text));
                     }
-                    end = End::Error(code, text);
+                    end = member::End::Error(code, text);
                 }
-                Some(Frame::Ready(state, point)) => {
-                    return Ok(Answer {
+                Some(member::Frame::Ready(state, point)) => {
+                    return Ok(member::Answer {
                         rows,
                         end,
                         state,
@@ -180,7 +185,7 @@
                     if self.stream.read_buf(&mut self.inbox).await? == 0 {
                         return match end {
                             // A refused connection is closed after the error.
-                            End::Error(code, text) => Ok(refusal(code, text)),
+                            member::End::Error(code, text) => Ok(refusal(code, text)),
                             _ => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
                         };
                     }
@@ -200,7 +205,7 @@
 
     /// Says goodbye, as far as the socket takes it at once.
     pub fn close(mut self) {
-        self.push(Command::Terminate);
+        self.push(member::Command::Terminate);
         // The member notices the end of the connection in any case.
         if let Ok(sent) = self.stream.try_write(&self.outbox) {
             self.outbox.advance(sent);
@@ -208,20 +213,20 @@
     }
 
     /// Reads a member's standing out of an answer.
-    pub fn standing(&self, answer: &Answer) -> Option<fulmarlift_broker::event::Standing> {
+    pub fn standing(&self, answer: &member::Answer) -> Option<fulmarlift_broker::event::Standing> {
         answer.rows.first().and_then(|row| self.codec.standing(row))
     }
 }
 
 /// These end a connection, without a ready message after them.
-fn refuses_connection(code: &Code) -> bool {
-    matches!(code, Code::Misrouted | Code::TooMany)
+fn refuses_connection(code: &protocol::Code) -> bool {
+    matches!(code, protocol::Code::Misrouted | protocol::Code::TooMany)
 }
 
-fn refusal(code: Code, text: Box<str>) -> Answer {
-    Answer {
+fn refusal(code: protocol::Code, text: Box<str>) -> member::Answer {
+    member::Answer {
         rows: Vec::new(),
-        end: End::Error(code, text),
+        end: member::End::Error(code, text),
         state: crate::protocol::State::Failed,
         point: None,
     }
--- a/crates/session/src/news/follow.rs
+++ b/crates/session/src/news/follow.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fulmarlift_broker::event::Event;
+use fulmarlift_broker::event;
 
 use crate::clock;
-use crate::shell::Shell;
-use crate::world::{Announce, Batch, CallError, Contents, News, Source, World};
+use crate::shell;
+use crate::world;
+use crate::world::{Announce, Source, World};
 
 /// Time for which the store is asked to wait for changes of configuration and members. A question that is left unanswered
 /// for good is noticed a little later.
@@ -29,7 +30,7 @@
 
 /// A part of the store as far as it is known.
 struct Follower<'a, W: World, S: Source> {
-    shell: &'a Rc<Shell<W>>,
+    shell: &'a Rc<shell::Shell<W>>,
     source: &'a S,
     revision: Option<u64>,
     listed: Vec<Box<str>>,
@@ -39,7 +40,7 @@
 }
 
 /// Follows a part of the store for ever.
-pub(super) async fn follow<W: World, S: Source>(shell: &Rc<Shell<W>>, source: &S) {
+pub(super) async fn follow<W: World, S: Source>(shell: &Rc<shell::Shell<W>>, source: &S) {
     let mut follower = Follower {
         shell,
         source,
@@ -86,7 +87,7 @@
                 tokio::time::sleep(gather_for(self.source.contents(), self.began_at.elapsed()))
                     .await;
             }
-            Err(CallError::Compacted) => {
+            Err(world::CallError::Compacted) => {
                 log::info!("event=history_gone source={:?}", self.source.contents());
                 self.revision = None;
             }
@@ -97,18 +98,18 @@
         }
     }
 
-    fn apply(&mut self, batch: Batch) {
+    fn apply(&mut self, batch: world::Batch) {
         let whole = self.revision.is_none();
         self.revision = Some(batch.revision);
         let mut listed: Vec<Box<str>> = Vec::new();
         for news in batch.news {
             match &news {
-                News::Listed(member) => listed.push(member.name.clone()),
-                News::PeerListed(peer) => listed.push(peer.name.clone()),
-                News::Unlisted { name, .. } | News::PeerUnlisted(name) => {
+                world::News::Listed(member) => listed.push(member.name.clone()),
+                world::News::PeerListed(peer) => listed.push(peer.name.clone()),
+                world::News::Unlisted { name, .. } | world::News::PeerUnlisted(name) => {
                     self.listed.retain(|other| other != name);
                 }
-                News::Configured(_) => {}
+                world::News::Configured(_) => {}
             }
             self.shell.learn(news);
         }
@@ -119,11 +120,11 @@
                 }
             }
         }
-        if self.source.contents() == Contents::Members {
+        if self.source.contents() == world::Contents::Members {
             self.shell.note_revision(batch.revision);
         }
-        if whole && self.source.contents() == Contents::Peers {
-            self.shell.handle(Event::PeersRead);
+        if whole && self.source.contents() == world::Contents::Peers {
+            self.shell.handle(event::Event::PeersRead);
         }
         for name in listed {
             if !self.listed.contains(&name) {
@@ -134,15 +135,15 @@
 
     fn unlist(&mut self, name: Box<str>, revision: u64) {
         match self.source.contents() {
-            Contents::Peers => self.shell.learn(News::PeerUnlisted(name)),
-            Contents::Members => self.shell.learn(News::Unlisted { name, revision }),
-            Contents::Configuration => {}
+            world::Contents::Peers => self.shell.learn(world::News::PeerUnlisted(name)),
+            world::Contents::Members => self.shell.learn(world::News::Unlisted { name, revision }),
+            world::Contents::Configuration => {}
         }
     }
 
     /// Notes when the store answered last. An answer without changes that was waited for tells how things are now.
     fn confirm(&self) {
-        if self.source.contents() == Contents::Configuration {
+        if self.source.contents() == world::Contents::Configuration {
             self.shell.confirm(clock::now());
         }
     }
@@ -153,8 +154,8 @@
             self.reached = reached;
             log::info!("event=store_reached source={source:?} reached={reached} error=\"{error}\"");
         }
-        if source == Contents::Members {
-            self.shell.handle(Event::Directory { reached });
+        if source == world::Contents::Members {
+            self.shell.handle(event::Event::Directory { reached });
         }
     }
 
@@ -166,17 +167,17 @@
     }
 }
 
-fn wait_for(contents: Contents, listeners: usize) -> Duration {
+fn wait_for(contents: world::Contents, listeners: usize) -> Duration {
     match contents {
-        Contents::Configuration if listeners > 0 => LISTENERS_WAIT,
-        Contents::Configuration | Contents::Members => WAIT,
-        Contents::Peers => PEERS_WAIT,
+        world::Contents::Configuration if listeners > 0 => LISTENERS_WAIT,
+        world::Contents::Configuration | world::Contents::Members => WAIT,
+        world::Contents::Peers => PEERS_WAIT,
     }
 }
 
-fn gather_for(contents: Contents, age: Duration) -> Duration {
+fn gather_for(contents: world::Contents, age: Duration) -> Duration {
     match contents {
-        Contents::Configuration | Contents::Members if age > START => GATHER,
+        world::Contents::Configuration | world::Contents::Members if age > START => GATHER,
         _ => LONG_GATHER,
     }
 }
--- a/crates/session/src/news/listen.rs
+++ b/crates/session/src/news/listen.rs
@@ -5,15 +5,16 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
-use fulmarlift_broker::event::Event;
+use fulmarlift_broker::event;
 use fulmarlift_broker::topology;
 use tokio::net::TcpStream;
 
 use crate::clock;
 use crate::link;
-use crate::news::frame::{self, Message};
-use crate::shell::Shell;
-use crate::world::{News, World};
+use crate::news::frame;
+use crate::shell;
+use crate::world;
+use crate::world::World;
 
 /// Age of the reader's knowledge above which one reads for oneself: a change has to be in force 3 s after its
 /// acknowledgement, and the reading takes a while.
@@ -23,7 +24,7 @@
 
 /// Learns from a reader until it is lost or its knowledge is too old.
 pub(super) async fn listen<W: World>(
-    shell: &Rc<Shell<W>>,
+    shell: &Rc<shell::Shell<W>>,
     reader: &topology::Peer,
 ) -> io::Result<()> {
     let late = || io::Error::from(io::ErrorKind::TimedOut);
@@ -37,18 +38,18 @@
         let received = frame::receive(&mut stream, &mut inbox);
         let message = tokio::time::timeout_at(clock::timer(fresh_until), received).await;
         match message.map_err(|_| late())?? {
-            Message::Snapshot {
+            frame::Message::Snapshot {
                 topology,
                 members,
                 revision,
                 peers,
             } => take_snapshot(shell, topology, members, revision, peers),
-            Message::News(news) => shell.learn(news),
-            Message::Fresh { age_ms } => {
+            frame::Message::News(news) => shell.learn(news),
+            frame::Message::Fresh { age_ms } => {
                 if let Some(confirmed_at) = before(clock::now(), age_ms) {
                     shell.confirm(confirmed_at);
                     fresh_until = fresh_until.max(confirmed_at + AGE_MAX);
-                    shell.handle(Event::Directory { reached: true });
+                    shell.handle(event::Event::Directory { reached: true });
                 }
             }
         }
@@ -60,27 +61,27 @@
 }
 
 fn take_snapshot<W: World>(
-    shell: &Rc<Shell<W>>,
+    shell: &Rc<shell::Shell<W>>,
     topology: topology::Topology,
     members: Vec<topology::Member>,
     revision: u64,
     peers: Vec<topology::Peer>,
 ) {
     if topology.version > 0 {
-        shell.learn(News::Configured(topology));
+        shell.learn(world::News::Configured(topology));
     }
     let (_, known, _) = shell.with_broker(fulmarlift_broker::Broker::knowledge);
     for gone in known {
         if members.iter().all(|member| member.name != gone.name) {
             let name = gone.name;
-            shell.learn(News::Unlisted { name, revision });
+            shell.learn(world::News::Unlisted { name, revision });
         }
     }
     for member in members {
-        shell.learn(News::Listed(member));
+        shell.learn(world::News::Listed(member));
     }
     for peer in peers {
-        shell.learn(News::PeerListed(peer));
+        shell.learn(world::News::PeerListed(peer));
     }
-    shell.handle(Event::PeersRead);
+    shell.handle(event::Event::PeersRead);
 }
--- a/crates/session/src/news/publish.rs
+++ b/crates/session/src/news/publish.rs
@@ -9,8 +9,8 @@
 
 use crate::clock;
 use crate::link;
-use crate::news::frame::{self, Message};
-use crate::shell::Shell;
+use crate::news::frame;
+use crate::shell;
 use crate::world::World;
 
 /// Pause between two messages that tell how fresh the knowledge is: several within the time that listeners tolerate.
@@ -19,7 +19,7 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 
 /// Serves listeners for ever.
-pub async fn publish<W: World>(shell: Rc<Shell<W>>, listener: TcpListener) {
+pub async fn publish<W: World>(shell: Rc<shell::Shell<W>>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -40,11 +40,11 @@
     }
 }
 
-async fn serve<W: World>(shell: &Rc<Shell<W>>, mut stream: TcpStream) -> io::Result<()> {
+async fn serve<W: World>(shell: &Rc<shell::Shell<W>>, mut stream: TcpStream) -> io::Result<()> {
     link::watch_silence(&stream)?;
     let mut news = shell.news();
     let (topology, members, peers) = shell.with_broker(fulmarlift_broker::Broker::knowledge);
-    let snapshot = Message::Snapshot {
+    let snapshot = frame::Message::Snapshot {
         topology,
         members,
         revision: shell.revision(),
@@ -55,7 +55,7 @@
     loop {
         tokio::select! {
             change = news.recv() => match change {
-                Ok(change) => frame::send(&mut stream, &Message::News(change)).await?,
+                Ok(change) => frame::send(&mut stream, &frame::Message::News(change)).await?,
                 // The listener comes back for a snapshot.
                 Err(broadcast::error::RecvError::Lagged(_)) => {
                     return Err(io::Error::other("listener too slow"));
@@ -66,7 +66,7 @@
                 if let Some(confirmed_at) = shell.confirmed_at() {
                     let age = clock::now().saturating_duration_since(confirmed_at);
                     let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-                    frame::send(&mut stream, &Message::Fresh { age_ms }).await?;
+                    frame::send(&mut stream, &frame::Message::Fresh { age_ms }).await?;
                 }
             }
         }
--- a/crates/session/src/peer/codec.rs
+++ b/crates/session/src/peer/codec.rs
@@ -1,12 +1,12 @@
 //! The two ends of a forwarding connection, as codecs of a member's and of a caller's protocol.
 
 use bytes::{Bytes, BytesMut};
-use fulmarlift_broker::event::Standing;
+use fulmarlift_broker::event;
 
-use crate::peer::frame::{self, Request, Response};
-use crate::protocol::caller::{self, Forwarded, Message, Query, Reply, Statement};
-use crate::protocol::member::{self, Command, Frame, Verb};
-use crate::protocol::{Code, WireError};
+use crate::peer::frame;
+use crate::protocol;
+use crate::protocol::caller;
+use crate::protocol::member;
 
 /// The end that forwards, which sees the home as a member.
 #[derive(Debug, Default)]
@@ -17,134 +17,154 @@
 pub struct Serving;
 
 impl member::Codec for Forwarding {
-    fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut) {
+    fn encode(&mut self, command: member::Command<'_>, outbox: &mut BytesMut) {
         let request = match command {
-            Command::Startup { group, .. } => Request::Startup {
+            member::Command::Startup { group, .. } => frame::Request::Startup {
                 group: group.into(),
             },
-            Command::Run {
+            member::Command::Run {
                 id,
                 text,
                 verb,
                 floor,
                 terms,
             } => match terms {
-                Some(route) => Request::Run {
+                Some(route) => frame::Request::Run {
                     id: id.clone(),
                     text: text.clone(),
                     verb,
-                    forwarded: Forwarded { route, own: floor },
+                    forwarded: caller::Forwarded { route, own: floor },
                 },
                 None => unforwardable("statement without terms"),
             },
-            Command::Execute {
+            member::Command::Execute {
                 id,
                 prepared,
                 arguments,
                 floor,
                 terms,
             } => match terms {
-                Some(route) => Request::Execute {
+                Some(route) => frame::Request::Execute {
                     id: id.clone(),
                     prepared: prepared.clone(),
                     arguments: arguments.clone(),
-                    forwarded: Forwarded { route, own: floor },
+                    forwarded: caller::Forwarded { route, own: floor },
                 },
                 None => unforwardable("statement without terms"),
             },
-            Command::Set { name, value } => Request::Set {
+            member::Command::Set { name, value } => frame::Request::Set {
                 name: name.into(),
                 value: value.clone(),
             },
-            Command::Rollback => Request::Rollback,
-            Command::Reset => Request::Reset,
-            Command::Terminate => Request::Terminate,
+            member::Command::Rollback => frame::Request::Rollback,
+            member::Command::Reset => frame::Request::Reset,
+            member::Command::Terminate => frame::Request::Terminate,
             // A home looks after its leaders itself, and prepares what it needs.
-            Command::Begin
-            | Command::Prepare(_)
-            | Command::Status
-            | Command::Hold(_)
-            | Command::Release
-            | Command::Demote(_) => unforwardable("question to a member"),
+            member::Command::Begin
+            | member::Command::Prepare(_)
+            | member::Command::Status
+            | member::Command::Hold(_)
+            | member::Command::Release
+            | member::Command::Demote(_) => unforwardable("question to a member"),
         };
         frame::put(&request, outbox);
     }
 
-    fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Frame>, WireError> {
+    fn decode(
+        &mut self,
+        inbox: &mut BytesMut,
+    ) -> Result<Option<member::Frame>, protocol::WireError> {
         Ok(frame::take(inbox)?.map(|response| match response {
-            Response::Row(row) => Frame::Row(row),
-            Response::Complete(signature) => Frame::Complete(signature),
-            Response::Done => Frame::Complete(Bytes::from_static(b"-")),
-            Response::Error(code, text) => Frame::Error(code, text),
-            Response::Ready(state, point) => Frame::Ready(state, point),
+            frame::Response::Row(row) => member::Frame::Row(row),
+            frame::Response::Complete(signature) => member::Frame::Complete(signature),
+            frame::Response::Done => member::Frame::Complete(Bytes::from_static(b"-")),
+            frame::Response::Error(code, text) => member::Frame::Error(code, text),
+            frame::Response::Ready(state, point) => member::Frame::Ready(state, point),
         }))
     }
 
-    fn standing(&self, _row: &Bytes) -> Option<Standing> {
+    fn standing(&self, _row: &Bytes) -> Option<event::Standing> {
         None
     }
 }
 
 /// Ends the connection, since what was to be sent makes no sense to a home.
-fn unforwardable(what: &str) -> Request {
+fn unforwardable(what: &str) -> frame::Request {
     log::error!("event=unforwardable what=\"{what}\"");
-    Request::Terminate
+    frame::Request::Terminate
 }
 
 impl caller::Codec for Serving {
-    fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Message>, WireError> {
+    fn decode(
+        &mut self,
+        inbox: &mut BytesMut,
+    ) -> Result<Option<caller::Message>, protocol::WireError> {
         Ok(frame::take(inbox)?.map(|request| match request {
-            Request::Startup { group } => Message::Startup { database: group },
-            Request::Run {
+            frame::Request::Startup { group } => caller::Message::Startup { database: group },
+            frame::Request::Run {
                 id,
                 text,
                 verb,
                 forwarded,
             } => {
                 let statement = match verb {
-                    Verb::Begin(mode) => Statement::Begin(mode),
-                    Verb::Commit => Statement::Commit,
-                    Verb::Rollback => Statement::Rollback,
-                    Verb::Run(mode) => Statement::Run(mode),
+                    member::Verb::Begin(mode) => caller::Statement::Begin(mode),
+                    member::Verb::Commit => caller::Statement::Commit,
+                    member::Verb::Rollback => caller::Statement::Rollback,
+                    member::Verb::Run(mode) => caller::Statement::Run(mode),
                 };
                 query(id, text, statement, Some(forwarded))
             }
-            Request::Execute {
+            frame::Request::Execute {
                 id,
                 prepared,
                 arguments,
                 forwarded,
             } => {
-                let statement = Statement::ExecutePrepared {
+                let statement = caller::Statement::ExecutePrepared {
                     prepared,
                     arguments,
                 };
                 query(id, Bytes::new(), statement, Some(forwarded))
             }
-            Request::Set { name, value } => {
-                let statement = Statement::Set { name, value };
+            frame::Request::Set { name, value } => {
+                let statement = caller::Statement::Set { name, value };
                 query(Bytes::new(), Bytes::new(), statement, None)
             }
-            Request::Rollback => query(Bytes::new(), Bytes::new(), Statement::Rollback, None),
-            Request::Reset => query(Bytes::new(), Bytes::new(), Statement::Reset, None),
-            Request::Terminate => Message::Terminate,
+            frame::Request::Rollback => query(
+                Bytes::new(),
+                Bytes::new(),
+                caller::Statement::Rollback,
+                None,
+            ),
+            frame::Request::Reset => {
+                query(Bytes::new(), Bytes::new(), caller::Statement::Reset, None)
+            }
+            frame::Request::Terminate => caller::Message::Terminate,
         }))
     }
 
-    fn encode(&mut self, reply: Reply<'_>, outbox: &mut BytesMut) {
+    fn encode(&mut self, reply: caller::Reply<'_>, outbox: &mut BytesMut) {
         let response = match reply {
-            Reply::Ready(state, point) => Response::Ready(state, point),
-            Reply::Row(row) => Response::Row(row.clone()),
-            Reply::Complete(signature) => Response::Complete(signature.clone()),
-            Reply::Done => Response::Done,
-            Reply::Error(code, text) => Response::Error(Code::clone(code), text.into()),
+            caller::Reply::Ready(state, point) => frame::Response::Ready(state, point),
+            caller::Reply::Row(row) => frame::Response::Row(row.clone()),
+            caller::Reply::Complete(signature) => frame::Response::Complete(signature.clone()),
+            caller::Reply::Done => frame::Response::Done,
+            caller::Reply::Error(code, text) => {
+                frame::Response::Error(protocol::Code::clone(code), text.into())
+            }
         };
         frame::put(&response, outbox);
     }
 }
 
-fn query(id: Bytes, text: Bytes, statement: Statement, forwarded: Option<Forwarded>) -> Message {
-    Message::Query(Query {
+fn query(
+    id: Bytes,
+    text: Bytes,
+    statement: caller::Statement,
+    forwarded: Option<caller::Forwarded>,
+) -> caller::Message {
+    caller::Message::Query(caller::Query {
         id,
         text,
         statement,
--- a/crates/session/src/peer/frame.rs
+++ b/crates/session/src/peer/frame.rs
@@ -1,12 +1,12 @@
 //! The messages, each a length of four bytes and a `postcard` value.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 use serde::{Deserialize, Serialize, de};
 
-use crate::protocol::caller::Forwarded;
-use crate::protocol::member::{Prepared, Verb};
-use crate::protocol::{Code, State, WireError};
+use crate::protocol;
+use crate::protocol::caller;
+use crate::protocol::member;
 
 /// Most bytes of a message: what callers may send, with room for what is added.
 const FRAME_BYTES_MAX: usize = (1 << 20) + 4_096;
@@ -22,15 +22,15 @@
     Run {
         id: Bytes,
         text: Bytes,
-        verb: Verb,
-        forwarded: Forwarded,
+        verb: member::Verb,
+        forwarded: caller::Forwarded,
     },
     /// A prepared statement.
     Execute {
         id: Bytes,
-        prepared: Prepared,
+        prepared: member::Prepared,
         arguments: Bytes,
-        forwarded: Forwarded,
+        forwarded: caller::Forwarded,
     },
     /// A session value.
     Set { name: Box<str>, value: Bytes },
@@ -48,8 +48,8 @@
     Row(Bytes),
     Complete(Bytes),
     Done,
-    Error(Code, Box<str>),
-    Ready(State, Option<Point>),
+    Error(protocol::Code, Box<str>),
+    Ready(protocol::State, Option<floor::Point>),
 }
 
 pub(super) fn put<T: Serialize>(message: &T, outbox: &mut BytesMut) {
@@ -59,14 +59,16 @@
     outbox.put_slice(&bytes);
 }
 
-pub(super) fn take<T: de::DeserializeOwned>(inbox: &mut BytesMut) -> Result<Option<T>, WireError> {
+pub(super) fn take<T: de::DeserializeOwned>(
+    inbox: &mut BytesMut,
+) -> Result<Option<T>, protocol::WireError> {
     let Some(length) = inbox.first_chunk::<LENGTH_BYTES>() else {
         return Ok(None);
     };
     let length = usize::try_from(u32::from_be_bytes(*length)).unwrap_or(usize::MAX);
     if length > FRAME_BYTES_MAX {
         let limit_bytes = FRAME_BYTES_MAX;
-        return Err(WireError::TooLarge { limit_bytes });
+        return Err(protocol::WireError::TooLarge { limit_bytes });
     }
     if inbox.len() < LENGTH_BYTES + length {
         return Ok(None);
@@ -76,5 +78,5 @@
     let message = postcard::from_bytes(&frame);
     message
         .map(Some)
-        .map_err(|_| WireError::Malformed("another proxy's message"))
+        .map_err(|_| protocol::WireError::Malformed("another proxy's message"))
 }
--- a/crates/session/src/protocol/caller.rs
+++ b/crates/session/src/protocol/caller.rs
@@ -1,12 +1,12 @@
 //! The callers' side.
 
 use bytes::{Bytes, BytesMut};
-use fulmarlift_broker::topology::Consistency;
-use fulmarlift_core::floor::Point;
+use fulmarlift_broker::topology;
+use fulmarlift_core::floor;
 use serde::{Deserialize, Serialize};
 
-use crate::protocol::member::Prepared;
-use crate::protocol::{Code, Mode, State, WireError};
+use crate::protocol;
+use crate::protocol::member;
 
 /// A caller's message.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -41,14 +41,14 @@
     /// How it is to be served, with the time that is left.
     pub route: Terms,
     /// The session's newest commit.
-    pub own: Option<Point>,
+    pub own: Option<floor::Point>,
 }
 
 /// How a statement is to be served, apart from where.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Terms {
     /// What its reads demand.
-    pub consistency: Consistency,
+    pub consistency: topology::Consistency,
     /// Time that it may take from now on.
     pub timeout_ms: u32,
     /// Time within which it should be answered.
@@ -61,13 +61,13 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Statement {
     /// Begins a transaction.
-    Begin(Mode),
+    Begin(protocol::Mode),
     /// Commits the transaction.
     Commit,
     /// Rolls the transaction back.
     Rollback,
     /// Reads or writes.
-    Run(Mode),
+    Run(protocol::Mode),
     /// Sets a session value.
     Set {
         /// Name of the value.
@@ -80,7 +80,7 @@
         /// The name.
         name: Box<str>,
         /// Whether it writes.
-        mode: Mode,
+        mode: protocol::Mode,
         /// What it does.
         shape: Box<str>,
     },
@@ -94,7 +94,7 @@
     /// Runs a statement that another proxy's caller has prepared.
     ExecutePrepared {
         /// The statement.
-        prepared: Prepared,
+        prepared: member::Prepared,
         /// Its arguments.
         arguments: Bytes,
     },
@@ -113,7 +113,7 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Reply<'a> {
     /// The session waits for the next statement.
-    Ready(State, Option<Point>),
+    Ready(protocol::State, Option<floor::Point>),
     /// A row.
     Row(&'a Bytes),
     /// The statement succeeded at a member, which signed for it.
@@ -121,7 +121,7 @@
     /// The statement succeeded without a member.
     Done,
     /// The statement or the connection failed.
-    Error(&'a Code, &'a str),
+    Error(&'a protocol::Code, &'a str),
 }
 
 /// Reads callers' messages and writes replies.
@@ -130,8 +130,8 @@
     ///
     /// # Errors
     ///
-    /// [`WireError`] when the session cannot go on.
-    fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Message>, WireError>;
+    /// [`protocol::WireError`] when the session cannot go on.
+    fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Message>, protocol::WireError>;
 
     /// Writes a reply.
     fn encode(&mut self, reply: Reply<'_>, outbox: &mut BytesMut);
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -1,14 +1,14 @@
 //! The members' side.
 
 use bytes::{Bytes, BytesMut};
-use fulmarlift_broker::event::Standing;
-use fulmarlift_core::floor::Point;
+use fulmarlift_broker::event;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
 use serde::{Deserialize, Serialize};
 
-use crate::protocol::caller::Terms;
-use crate::protocol::{Code, Mode, State, WireError};
+use crate::protocol;
+use crate::protocol::caller;
 
 /// What is sent to a member. Each but [`Command::Terminate`] gets one [`Answer`].
 #[derive(Clone, Copy, Debug)]
@@ -29,9 +29,9 @@
         /// What the text means.
         verb: Verb,
         /// Point that the member's log has to have reached.
-        floor: Option<Point>,
+        floor: Option<floor::Point>,
         /// How the statement is to be served; members need not know.
-        terms: Option<Terms>,
+        terms: Option<caller::Terms>,
     },
     /// A caller's use of a prepared statement, under the name that it has on this connection.
     Execute {
@@ -42,9 +42,9 @@
         /// What follows the name in the caller's text.
         arguments: &'a Bytes,
         /// Point that the member's log has to have reached.
-        floor: Option<Point>,
+        floor: Option<floor::Point>,
         /// How the statement is to be served; members need not know.
-        terms: Option<Terms>,
+        terms: Option<caller::Terms>,
     },
     /// Begins a transaction of the proxy's own that may write, which only a leader allows.
     Begin,
@@ -77,20 +77,20 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Verb {
     /// Begins a transaction.
-    Begin(Mode),
+    Begin(protocol::Mode),
     /// Commits it.
     Commit,
     /// Rolls it back.
     Rollback,
     /// Reads or writes.
-    Run(Mode),
+    Run(protocol::Mode),
 }
 
 /// What a prepared statement does; its name on members' connections is derived from it.
 #[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Serialize, Deserialize)]
 pub struct Prepared {
     /// Whether it writes.
-    pub mode: Mode,
+    pub mode: protocol::Mode,
     /// Its shape.
     pub shape: Box<str>,
 }
@@ -103,9 +103,9 @@
     /// Success, with the member's signature.
     Complete(Bytes),
     /// Failure.
-    Error(Code, Box<str>),
+    Error(protocol::Code, Box<str>),
     /// The end of an answer: where the connection stands, and the last entry of the member's log.
-    Ready(State, Option<Point>),
+    Ready(protocol::State, Option<floor::Point>),
 }
 
 /// How a statement ended.
@@ -114,7 +114,7 @@
     /// Success, with the member's signature.
     Complete(Bytes),
     /// Failure.
-    Error(Code, Box<str>),
+    Error(protocol::Code, Box<str>),
     /// The member was only asked to be ready.
     Ready,
 }
@@ -127,14 +127,14 @@
     /// How it ended.
     pub end: End,
     /// Where the connection stands.
-    pub state: State,
+    pub state: protocol::State,
     /// Last entry of the member's log.
-    pub point: Option<Point>,
+    pub point: Option<floor::Point>,
 }
 
 impl Answer {
     /// Returns the code of a failure.
-    pub fn error(&self) -> Option<&Code> {
+    pub fn error(&self) -> Option<&protocol::Code> {
         match &self.end {
             End::Error(code, _) => Some(code),
             End::Complete(_) | End::Ready => None,
@@ -151,9 +151,9 @@
     ///
     /// # Errors
     ///
-    /// [`WireError`] when the connection cannot go on.
-    fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Frame>, WireError>;
+    /// [`protocol::WireError`] when the connection cannot go on.
+    fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Frame>, protocol::WireError>;
 
     /// Reads the row by which a member tells its standing; none if it is no such row.
-    fn standing(&self, row: &Bytes) -> Option<Standing>;
+    fn standing(&self, row: &Bytes) -> Option<event::Standing>;
 }
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -7,8 +7,8 @@
 
 use crate::peer;
 use crate::protocol::caller::Codec;
-use crate::session::{self, Grace, Origin};
-use crate::shell::Shell;
+use crate::session;
+use crate::shell;
 use crate::world::World;
 
 /// Pause before the listener is tried again after it failed, such as for want of file descriptors.
@@ -17,26 +17,34 @@
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
 /// Accepts callers for ever.
-pub async fn accept_callers<W: World>(shell: Rc<Shell<W>>, listener: TcpListener, grace: Grace) {
-    accept::<W, W::Caller>(shell, listener, Origin::Caller, grace).await;
+pub async fn accept_callers<W: World>(
+    shell: Rc<shell::Shell<W>>,
+    listener: TcpListener,
+    grace: session::Grace,
+) {
+    accept::<W, W::Caller>(shell, listener, session::Origin::Caller, grace).await;
 }
 
 /// Accepts other proxies for ever.
-pub async fn accept_peers<W: World>(shell: Rc<Shell<W>>, listener: TcpListener, grace: Grace) {
+pub async fn accept_peers<W: World>(
+    shell: Rc<shell::Shell<W>>,
+    listener: TcpListener,
+    grace: session::Grace,
+) {
     // Other proxies come back at once, to another home.
-    let grace = Grace {
+    let grace = session::Grace {
         idle_from: Duration::ZERO,
         idle_spread: Duration::ZERO,
         ..grace
     };
-    accept::<W, peer::Serving>(shell, listener, Origin::Peer, grace).await;
+    accept::<W, peer::Serving>(shell, listener, session::Origin::Peer, grace).await;
 }
 
 async fn accept<W: World, C: Codec>(
-    shell: Rc<Shell<W>>,
+    shell: Rc<shell::Shell<W>>,
     listener: TcpListener,
-    origin: Origin,
-    grace: Grace,
+    origin: session::Origin,
+    grace: session::Grace,
 ) {
     loop {
         match listener.accept().await {
@@ -57,7 +65,7 @@
 }
 
 /// Begins the graceful stop and waits until all sessions have ended, at least for `least` and at most for `most`.
-pub async fn drain<W: World>(shell: &Shell<W>, least: Duration, most: Duration) {
+pub async fn drain<W: World>(shell: &shell::Shell<W>, least: Duration, most: Duration) {
     shell.stop();
     let least = tokio::time::Instant::now() + least;
     let most = tokio::time::Instant::now() + most;
--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -2,58 +2,58 @@
 
 use std::time::Instant;
 
-use fulmarlift_broker::effect::Grant;
+use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
-use fulmarlift_broker::topology::Route;
-use fulmarlift_core::floor::Point;
+use fulmarlift_broker::topology;
+use fulmarlift_core::floor;
 
 use crate::clock;
-use crate::link::LinkError;
-use crate::protocol::member::{Answer, Command, Prepared};
-use crate::protocol::{Code, Mode, State};
-use crate::session::plan::Plan;
-use crate::session::single::Bounds;
-use crate::shell::Lease;
-use crate::values::Held;
+use crate::link;
+use crate::protocol;
+use crate::protocol::member;
+use crate::session::plan;
+use crate::session::single;
+use crate::shell;
+use crate::values;
 use crate::world::World;
 
 /// How an attempt ended.
 #[derive(Debug)]
 pub enum Outcome {
     /// The member answered that the statement ran.
-    Answered(Answer),
+    Answered(member::Answer),
     /// The statement has not run.
-    NotRun(Code),
+    NotRun(protocol::Code),
     /// The statement was sent, and no answer came.
-    Lost(LinkError),
+    Lost(link::LinkError),
 }
 
 /// Brings a connection to what the session was promised.
 ///
 /// # Errors
 ///
-/// [`LinkError`] when the connection cannot be used; the session's statement has not been sent.
+/// [`link::LinkError`] when the connection cannot be used; the session's statement has not been sent.
 pub async fn synchronize<W: World>(
-    lease: &mut Lease<W>,
-    held: &Held,
-    prepared: Option<&Prepared>,
+    lease: &mut shell::Lease<W>,
+    held: &values::Held,
+    prepared: Option<&member::Prepared>,
     deadline: Instant,
-) -> Result<(), LinkError> {
+) -> Result<(), link::LinkError> {
     // A home prepares for itself what it needs.
     let prepared = prepared.filter(|_| !lease.is_home());
     let link = lease.link();
     let gap = link.mirror().close_gap(held, prepared);
     let mut sent = 0;
     if gap.reset {
-        link.push(Command::Reset);
+        link.push(member::Command::Reset);
         sent += 1;
     }
     for (name, value) in &gap.values {
-        link.push(Command::Set { name, value });
+        link.push(member::Command::Set { name, value });
         sent += 1;
     }
     if let Some(prepared) = &gap.prepare {
-        link.push(Command::Prepare(prepared));
+        link.push(member::Command::Prepare(prepared));
         sent += 1;
     }
     for _ in 0..sent {
@@ -74,11 +74,11 @@
 ///
 /// The code with which the member refused, or none if the connection broke.
 pub async fn verify<W: World>(
-    lease: &mut Lease<W>,
+    lease: &mut shell::Lease<W>,
     deadline: Instant,
-) -> Result<Option<Point>, Option<Code>> {
+) -> Result<Option<floor::Point>, Option<protocol::Code>> {
     let asked_at = clock::now();
-    lease.link().push(Command::Begin);
+    lease.link().push(member::Command::Begin);
     let begun = lease.exchange(deadline).await.map_err(|error| {
         lease.report_failure(&error, false);
         None
@@ -93,23 +93,23 @@
     };
     lease.report(led, begun.point);
     lease.start();
-    lease.link().push(Command::Rollback);
+    lease.link().push(member::Command::Rollback);
     Ok(begun.point)
 }
 
 /// Runs a single statement on a granted connection and returns the connection.
 pub async fn run<W: World>(
-    mut lease: Box<Lease<W>>,
-    grant: Grant,
-    plan: &Plan,
-    held: &Held,
-    route: &Route,
-    bounds: Bounds,
+    mut lease: Box<shell::Lease<W>>,
+    grant: effect::Grant,
+    plan: &plan::Plan,
+    held: &values::Held,
+    route: &topology::Route,
+    bounds: single::Bounds,
 ) -> Outcome {
     let deadline = bounds.deadline;
     if let Err(error) = synchronize(&mut lease, held, plan.needs(), deadline).await {
         lease.report_failure(&error, false);
-        return Outcome::NotRun(Code::Busy);
+        return Outcome::NotRun(protocol::Code::Busy);
     }
     let mut floor = grant.floor;
     if grant.verify {
@@ -119,7 +119,7 @@
                 if code.is_some() {
                     lease.give_back();
                 }
-                return Outcome::NotRun(code.unwrap_or(Code::Busy));
+                return Outcome::NotRun(code.unwrap_or(protocol::Code::Busy));
             }
         }
     }
@@ -129,15 +129,15 @@
     if grant.verify {
         // The end of the verifying transaction is answered first.
         match lease.exchange(deadline).await {
-            Ok(ended) if ended.state == State::Idle => {}
-            Ok(_) => return Outcome::Lost(LinkError::Silent),
+            Ok(ended) if ended.state == protocol::State::Idle => {}
+            Ok(_) => return Outcome::Lost(link::LinkError::Silent),
             Err(error) => {
                 lease.report_failure(&error, false);
                 return Outcome::Lost(error);
             }
         }
     }
-    let writes = plan.mode == Mode::Write;
+    let writes = plan.mode == protocol::Mode::Write;
     match lease.exchange(deadline).await {
         Ok(answer) if lease.is_home() => pass_on(*lease, answer),
         Ok(answer) => {
@@ -156,21 +156,25 @@
 }
 
 /// A home's answer is final, its refusal included: it has tried the members that there are.
-fn pass_on<W: World>(mut lease: Lease<W>, answer: Answer) -> Outcome {
+fn pass_on<W: World>(mut lease: shell::Lease<W>, answer: member::Answer) -> Outcome {
     lease.report(event::Answer::Served, answer.point);
-    if answer.state == State::Idle {
+    if answer.state == protocol::State::Idle {
         lease.give_back();
     }
     Outcome::Answered(answer)
 }
 
-fn conclude<W: World>(mut lease: Lease<W>, answer: Answer, success: event::Answer) -> Outcome {
+fn conclude<W: World>(
+    mut lease: shell::Lease<W>,
+    answer: member::Answer,
+    success: event::Answer,
+) -> Outcome {
     let reading = answer.error().map_or(success, reading_of);
     lease.report(reading, answer.point);
-    if answer.error() == Some(&Code::NoStatement) {
+    if answer.error() == Some(&protocol::Code::NoStatement) {
         lease.link().mirror().doubt();
     }
-    if answer.state == State::Idle {
+    if answer.state == protocol::State::Idle {
         lease.give_back();
     }
     match answer.error() {
@@ -180,12 +184,12 @@
 }
 
 /// Returns what an error says about the member.
-pub fn reading_of(code: &Code) -> event::Answer {
+pub fn reading_of(code: &protocol::Code) -> event::Answer {
     match code {
-        Code::Busy => event::Answer::Busy,
-        Code::Behind => event::Answer::Behind,
-        Code::ReadOnly => event::Answer::NotLeading,
-        Code::Misrouted | Code::TooMany => event::Answer::Broken,
+        protocol::Code::Busy => event::Answer::Busy,
+        protocol::Code::Behind => event::Answer::Behind,
+        protocol::Code::ReadOnly => event::Answer::NotLeading,
+        protocol::Code::Misrouted | protocol::Code::TooMany => event::Answer::Broken,
         _ => event::Answer::Served,
     }
 }
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -11,8 +11,8 @@
 
 use bytes::BytesMut;
 use fulmarlift_broker::Broker;
-use fulmarlift_broker::topology::Route;
-use fulmarlift_core::floor::{Floor, Point};
+use fulmarlift_broker::topology;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -20,12 +20,13 @@
 
 use crate::clock;
 use crate::link;
-use crate::protocol::caller::{Codec, Message, Query, Reply, Statement, Terms};
+use crate::protocol;
+use crate::protocol::caller;
+use crate::protocol::caller::Codec;
 use crate::protocol::member;
-use crate::protocol::{Code, Mode, State};
 use crate::session::transaction::Transaction;
-use crate::shell::Shell;
-use crate::values::Held;
+use crate::shell;
+use crate::values;
 use crate::world::World;
 
 /// Time that a new connection has to name its database.
@@ -88,17 +89,17 @@
 }
 
 struct Session<W: World, C: Codec> {
-    shell: Rc<Shell<W>>,
+    shell: Rc<shell::Shell<W>>,
     stream: TcpStream,
     codec: C,
     origin: Origin,
-    terms: Option<Terms>,
+    terms: Option<caller::Terms>,
     inbox: BytesMut,
     outbox: BytesMut,
     database: Box<str>,
-    held: Rc<Held>,
-    own: Floor,
-    point: Option<Point>,
+    held: Rc<values::Held>,
+    own: floor::Floor,
+    point: Option<floor::Point>,
     transaction: Transaction<W>,
     rested_since: Instant,
     stopping: watch::Receiver<Option<Instant>>,
@@ -112,7 +113,7 @@
 ///
 /// Always returns why it ended.
 pub async fn run<W: World, C: Codec>(
-    shell: Rc<Shell<W>>,
+    shell: Rc<shell::Shell<W>>,
     stream: TcpStream,
     origin: Origin,
     grace: Grace,
@@ -128,7 +129,7 @@
         outbox: BytesMut::new(),
         database: Box::default(),
         held: Rc::default(),
-        own: Floor::default(),
+        own: floor::Floor::default(),
         point: None,
         transaction: Transaction::None,
         rested_since: clock::now(),
@@ -149,12 +150,12 @@
         loop {
             let message = self.message().await?;
             match message {
-                Message::Query(_) if self.has_left() => return Err(Ended::Closed),
-                Message::Query(query) => self.query(query).await?,
-                Message::Terminate => return Err(Ended::Closed),
-                Message::Startup { .. } => {
+                caller::Message::Query(_) if self.has_left() => return Err(Ended::Closed),
+                caller::Message::Query(query) => self.query(query).await?,
+                caller::Message::Terminate => return Err(Ended::Closed),
+                caller::Message::Startup { .. } => {
                     let error = crate::protocol::WireError::Malformed("second startup");
-                    return self.fail(&Code::Malformed, error.into()).await;
+                    return self.fail(&protocol::Code::Malformed, error.into()).await;
                 }
             }
             self.flush().await?;
@@ -165,11 +166,11 @@
     async fn begin(&mut self) -> Result<(), Ended> {
         let first = tokio::time::timeout(STARTUP_FOR, self.message()).await;
         match first.map_err(|_| Ended::Startup)?? {
-            Message::Startup { database } => self.database = database,
-            Message::Terminate => return Err(Ended::Closed),
-            Message::Query(_) => {
+            caller::Message::Startup { database } => self.database = database,
+            caller::Message::Terminate => return Err(Ended::Closed),
+            caller::Message::Query(_) => {
                 let error = crate::protocol::WireError::Malformed("statement before startup");
-                return self.fail(&Code::Malformed, error.into()).await;
+                return self.fail(&protocol::Code::Malformed, error.into()).await;
             }
         }
         if !self.await_configuration().await {
@@ -178,13 +179,17 @@
                 "event=refused database={} reason=NoConfiguration",
                 self.database
             );
-            return self.fail(&Code::Busy, Ended::NoConfiguration).await;
+            return self
+                .fail(&protocol::Code::Busy, Ended::NoConfiguration)
+                .await;
         }
         if self.origin == Origin::Caller && self.route().is_none() {
             log::info!("event=refused database={} reason=NoDatabase", self.database);
-            return self.fail(&Code::NoDatabase, Ended::NoDatabase).await;
+            return self
+                .fail(&protocol::Code::NoDatabase, Ended::NoDatabase)
+                .await;
         }
-        self.reply(Reply::Ready(State::Idle, None));
+        self.reply(caller::Reply::Ready(protocol::State::Idle, None));
         Ok(self.flush().await?)
     }
 
@@ -211,9 +216,9 @@
     }
 
     /// Returns how the next statement is to be served; none if the database does not exist.
-    fn route(&self) -> Option<Route> {
+    fn route(&self) -> Option<topology::Route> {
         if self.is_forwarded() {
-            return self.terms.map(|terms| Route {
+            return self.terms.map(|terms| topology::Route {
                 database: Box::default(),
                 group: id::of(&self.database),
                 consistency: terms.consistency,
@@ -227,14 +232,14 @@
     }
 
     /// Sends an error and ends the session.
-    async fn fail(&mut self, code: &Code, ended: Ended) -> Result<(), Ended> {
+    async fn fail(&mut self, code: &protocol::Code, ended: Ended) -> Result<(), Ended> {
         let text = ended.to_string();
-        self.reply(Reply::Error(code, &text));
+        self.reply(caller::Reply::Error(code, &text));
         self.flush().await?;
         Err(ended)
     }
 
-    fn reply(&mut self, reply: Reply<'_>) {
+    fn reply(&mut self, reply: caller::Reply<'_>) {
         self.codec.encode(reply, &mut self.outbox);
     }
 
@@ -243,15 +248,15 @@
     }
 
     /// Returns the caller's next message; meanwhile ends what has rested too long.
-    async fn message(&mut self) -> Result<Message, Ended> {
+    async fn message(&mut self) -> Result<caller::Message, Ended> {
         loop {
             match self.codec.decode(&mut self.inbox) {
                 Ok(Some(message)) => return Ok(message),
                 Ok(None) => {}
                 Err(error) => {
                     let code = match error {
-                        crate::protocol::WireError::TooLarge { .. } => Code::TooLarge,
-                        crate::protocol::WireError::Malformed(_) => Code::Malformed,
+                        crate::protocol::WireError::TooLarge { .. } => protocol::Code::TooLarge,
+                        crate::protocol::WireError::Malformed(_) => protocol::Code::Malformed,
                     };
                     log::info!(
                         "event=malformed database={} error=\"{error}\"",
@@ -291,7 +296,7 @@
     /// Returns until when the session may rest.
     fn rest_until(&self) -> Option<Instant> {
         let stop = *self.stopping.borrow();
-        let in_transaction = self.transaction.state() != State::Idle;
+        let in_transaction = self.transaction.state() != protocol::State::Idle;
         let stop_until = stop.map(|stop| {
             if in_transaction {
                 return stop + self.grace.transaction;
@@ -315,7 +320,7 @@
     /// Ends what has rested too long: the session, for the stop, or the transaction's use of a connection.
     async fn end_rest(&mut self) -> Result<(), Ended> {
         let stopping = self.stopping.borrow().is_some();
-        let in_transaction = self.transaction.state() != State::Idle;
+        let in_transaction = self.transaction.state() != protocol::State::Idle;
         match (stopping, in_transaction) {
             (true, false) => Err(Ended::Stopping),
             (true, true) => {
@@ -324,7 +329,7 @@
                     self.database
                 );
                 self.transaction.abandon();
-                self.fail(&Code::Aborted, Ended::Stopping).await
+                self.fail(&protocol::Code::Aborted, Ended::Stopping).await
             }
             (false, _) => {
                 log::info!(
@@ -337,7 +342,7 @@
         }
     }
 
-    async fn query(&mut self, query: Query) -> Result<(), Ended> {
+    async fn query(&mut self, query: caller::Query) -> Result<(), Ended> {
         if let Some(forwarded) = &query.forwarded {
             self.terms = Some(forwarded.route);
             if let Some(own) = forwarded.own {
@@ -345,22 +350,31 @@
             }
             self.transaction.set_terms(&forwarded.route);
         }
-        let ends = matches!(query.statement, Statement::Commit | Statement::Rollback);
-        if self.transaction.state() == State::Failed && !ends {
+        let ends = matches!(
+            query.statement,
+            caller::Statement::Commit | caller::Statement::Rollback
+        );
+        if self.transaction.state() == protocol::State::Failed && !ends {
             match self.transaction.tell() {
-                true => self.answer_error(&Code::Aborted, "the transaction rested too long"),
-                false => self.answer_error(&Code::Malformed, "the transaction has failed"),
+                true => {
+                    self.answer_error(&protocol::Code::Aborted, "the transaction rested too long")
+                }
+                false => {
+                    self.answer_error(&protocol::Code::Malformed, "the transaction has failed")
+                }
             }
             return Ok(());
         }
         match &query.statement {
-            Statement::Invalid => self.answer_error(&Code::Malformed, "unknown statement"),
-            Statement::Set { name, value } => {
+            caller::Statement::Invalid => {
+                self.answer_error(&protocol::Code::Malformed, "unknown statement")
+            }
+            caller::Statement::Set { name, value } => {
                 Rc::make_mut(&mut self.held).set(name, value.clone());
                 self.transaction.value_set();
                 self.answer_done();
             }
-            Statement::Prepare { name, mode, shape } => {
+            caller::Statement::Prepare { name, mode, shape } => {
                 let prepared = member::Prepared {
                     mode: *mode,
                     shape: shape.clone(),
@@ -368,88 +382,97 @@
                 Rc::make_mut(&mut self.held).prepare(name, prepared);
                 self.answer_done();
             }
-            Statement::Deallocate { name } => match Rc::make_mut(&mut self.held).deallocate(name) {
-                true => self.answer_done(),
-                false => self.answer_error(&Code::NoStatement, "unknown prepared statement"),
-            },
-            Statement::Begin(mode) => self.begin_transaction(*mode, &query),
-            Statement::Rollback => {
+            caller::Statement::Deallocate { name } => {
+                match Rc::make_mut(&mut self.held).deallocate(name) {
+                    true => self.answer_done(),
+                    false => self
+                        .answer_error(&protocol::Code::NoStatement, "unknown prepared statement"),
+                }
+            }
+            caller::Statement::Begin(mode) => self.begin_transaction(*mode, &query),
+            caller::Statement::Rollback => {
                 self.transaction.abandon();
                 self.answer_done();
             }
-            Statement::Commit => self.commit(&query).await,
-            Statement::Run(mode) => {
+            caller::Statement::Commit => self.commit(&query).await,
+            caller::Statement::Run(mode) => {
                 let plan = plan::Plan::direct(&query, member::Verb::Run(*mode));
                 self.execute(plan).await;
             }
-            Statement::ExecutePrepared {
+            caller::Statement::ExecutePrepared {
                 prepared,
                 arguments,
             } => {
                 let plan = plan::Plan::prepared(&query, prepared.clone(), arguments.clone());
                 self.execute(plan).await;
             }
-            Statement::Reset => {
+            caller::Statement::Reset => {
                 self.held = Rc::default();
                 self.transaction.value_set();
                 self.answer_done();
             }
-            Statement::Execute { name, arguments } => match self.held.prepared(name) {
+            caller::Statement::Execute { name, arguments } => match self.held.prepared(name) {
                 Some(prepared) => {
                     let plan = plan::Plan::prepared(&query, prepared.clone(), arguments.clone());
                     self.execute(plan).await;
                 }
-                None => self.answer_error(&Code::NoStatement, "unknown prepared statement"),
+                None => {
+                    self.answer_error(&protocol::Code::NoStatement, "unknown prepared statement")
+                }
             },
         }
         Ok(())
     }
 
-    fn begin_transaction(&mut self, mode: Mode, query: &Query) {
-        if self.transaction.state() != State::Idle {
-            return self.answer_error(&Code::Malformed, "already in a transaction");
+    fn begin_transaction(&mut self, mode: protocol::Mode, query: &caller::Query) {
+        if self.transaction.state() != protocol::State::Idle {
+            return self.answer_error(&protocol::Code::Malformed, "already in a transaction");
         }
         match self.route() {
             Some(route) => {
                 self.transaction = Transaction::begun(mode, query, route);
                 self.answer_done();
             }
-            None => self.answer_error(&Code::NoDatabase, "the database has been removed"),
+            None => self.answer_error(&protocol::Code::NoDatabase, "the database has been removed"),
         }
     }
 
     async fn execute(&mut self, plan: plan::Plan) {
         match self.transaction.state() {
-            State::Idle => self.execute_single(plan).await,
-            State::Transaction | State::Failed => self.execute_in_transaction(plan).await,
+            protocol::State::Idle => self.execute_single(plan).await,
+            protocol::State::Transaction | protocol::State::Failed => {
+                self.execute_in_transaction(plan).await
+            }
         }
     }
 
     fn answer_done(&mut self) {
-        self.reply(Reply::Done);
+        self.reply(caller::Reply::Done);
         self.ready();
     }
 
-    fn answer_error(&mut self, code: &Code, text: &str) {
-        self.reply(Reply::Error(code, text));
+    fn answer_error(&mut self, code: &protocol::Code, text: &str) {
+        self.reply(caller::Reply::Error(code, text));
         self.ready();
     }
 
     /// Passes a member's answer on.
     fn pass_on(&mut self, answer: &member::Answer) {
         for row in &answer.rows {
-            self.reply(Reply::Row(row));
+            self.reply(caller::Reply::Row(row));
         }
         match &answer.end {
-            member::End::Complete(signature) => self.reply(Reply::Complete(signature)),
-            member::End::Error(code, text) => self.reply(Reply::Error(code, text)),
-            member::End::Ready => self.reply(Reply::Error(&Code::Failed, "no result")),
+            member::End::Complete(signature) => self.reply(caller::Reply::Complete(signature)),
+            member::End::Error(code, text) => self.reply(caller::Reply::Error(code, text)),
+            member::End::Ready => {
+                self.reply(caller::Reply::Error(&protocol::Code::Failed, "no result"))
+            }
         }
         self.point = self.point.max(answer.point);
         self.ready();
     }
 
     fn ready(&mut self) {
-        self.reply(Reply::Ready(self.transaction.state(), self.point));
+        self.reply(caller::Reply::Ready(self.transaction.state(), self.point));
     }
 }
--- a/crates/session/src/session/plan.rs
+++ b/crates/session/src/session/plan.rs
@@ -1,12 +1,12 @@
 //! What is to be run for a statement.
 
 use bytes::Bytes;
-use fulmarlift_core::floor::Point;
+use fulmarlift_core::floor;
 
-use crate::protocol::Mode;
-use crate::protocol::caller::{Query, Terms};
-use crate::protocol::member::{Command, Prepared, Verb};
-use crate::shell::Wire;
+use crate::protocol;
+use crate::protocol::caller;
+use crate::protocol::member;
+use crate::shell;
 use crate::world::World;
 
 /// A statement that has to reach a member.
@@ -17,19 +17,19 @@
     /// The caller's text.
     pub text: Bytes,
     /// What the text means.
-    pub verb: Verb,
+    pub verb: member::Verb,
     /// Whether it writes.
-    pub mode: Mode,
+    pub mode: protocol::Mode,
     /// The prepared statement that it uses, and its arguments.
-    pub prepared: Option<(Prepared, Bytes)>,
+    pub prepared: Option<(member::Prepared, Bytes)>,
 }
 
 impl Plan {
     /// A statement whose text is passed on.
-    pub fn direct(query: &Query, verb: Verb) -> Self {
+    pub fn direct(query: &caller::Query, verb: member::Verb) -> Self {
         let mode = match verb {
-            Verb::Begin(mode) | Verb::Run(mode) => mode,
-            Verb::Commit | Verb::Rollback => Mode::Write,
+            member::Verb::Begin(mode) | member::Verb::Run(mode) => mode,
+            member::Verb::Commit | member::Verb::Rollback => protocol::Mode::Write,
         };
         Self {
             verb,
@@ -41,11 +41,11 @@
     }
 
     /// A use of a prepared statement.
-    pub fn prepared(query: &Query, prepared: Prepared, arguments: Bytes) -> Self {
+    pub fn prepared(query: &caller::Query, prepared: member::Prepared, arguments: Bytes) -> Self {
         Self {
             id: query.id.clone(),
             text: query.text.clone(),
-            verb: Verb::Run(prepared.mode),
+            verb: member::Verb::Run(prepared.mode),
             mode: prepared.mode,
             prepared: Some((prepared, arguments)),
         }
@@ -57,22 +57,27 @@
     }
 
     /// Returns the prepared statement that the connection has to hold.
-    pub fn needs(&self) -> Option<&Prepared> {
+    pub fn needs(&self) -> Option<&member::Prepared> {
         self.prepared.as_ref().map(|(prepared, _)| prepared)
     }
 
     /// Adds the statement to what a connection sends next.
-    pub fn push<W: World>(&self, wire: &mut Wire<W>, floor: Option<Point>, terms: Terms) {
+    pub fn push<W: World>(
+        &self,
+        wire: &mut shell::Wire<W>,
+        floor: Option<floor::Point>,
+        terms: caller::Terms,
+    ) {
         let terms = Some(terms);
         wire.push(match &self.prepared {
-            None => Command::Run {
+            None => member::Command::Run {
                 id: &self.id,
                 text: &self.text,
                 verb: self.verb,
                 floor,
                 terms,
             },
-            Some((prepared, arguments)) => Command::Execute {
+            Some((prepared, arguments)) => member::Command::Execute {
                 id: &self.id,
                 prepared,
                 arguments,
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -4,22 +4,23 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use fulmarlift_broker::effect::Refuse;
-use fulmarlift_broker::request::{Need, Request};
-use fulmarlift_broker::topology::{Consistency, Route};
+use fulmarlift_broker::effect;
+use fulmarlift_broker::request;
+use fulmarlift_broker::topology;
 use fulmarlift_core::id;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 
 use crate::clock;
-use crate::protocol::caller::{Codec, Terms};
-use crate::protocol::member::Answer;
-use crate::protocol::{Code, Mode};
-use crate::session::Session;
-use crate::session::attempt::{self, Outcome};
-use crate::session::plan::Plan;
-use crate::shell::{Shell, Turn};
-use crate::values::Held;
+use crate::protocol;
+use crate::protocol::caller;
+use crate::protocol::caller::Codec;
+use crate::protocol::member;
+use crate::session;
+use crate::session::attempt;
+use crate::session::plan;
+use crate::shell;
+use crate::values;
 use crate::world::World;
 
 /// Time of a statement's limit that is left for the answer's way to the caller.
@@ -42,7 +43,7 @@
 
 impl Bounds {
     /// Derives the bounds of a statement that arrives now.
-    pub fn new(route: &Route) -> Self {
+    pub fn new(route: &topology::Route) -> Self {
         let arrived_at = clock::now();
         let objective = Duration::from_millis(u64::from(route.objective_ms));
         let timeout = Duration::from_millis(u64::from(route.statement_timeout_ms));
@@ -61,12 +62,12 @@
     }
 
     /// Returns how a home is to serve the statement in the time that is left.
-    pub fn terms(&self, route: &Route) -> Terms {
+    pub fn terms(&self, route: &topology::Route) -> caller::Terms {
         let left_ms = |until: Instant| {
             let left = until.saturating_duration_since(clock::now());
             u32::try_from(left.as_millis()).unwrap_or(u32::MAX)
         };
-        Terms {
+        caller::Terms {
             consistency: route.consistency,
             timeout_ms: left_ms(self.deadline),
             objective_ms: left_ms(self.objective_at),
@@ -76,19 +77,26 @@
 }
 
 /// Returns what a statement demands.
-pub fn need(route: &Route, mode: Mode, own: Option<fulmarlift_core::floor::Point>) -> Need {
+pub fn need(
+    route: &topology::Route,
+    mode: protocol::Mode,
+    own: Option<fulmarlift_core::floor::Point>,
+) -> request::Need {
     match (mode, route.consistency) {
-        (Mode::Write, _) => Need::Lead,
-        (Mode::Read, Consistency::Leader) => Need::Latest,
+        (protocol::Mode::Write, _) => request::Need::Lead,
+        (protocol::Mode::Read, topology::Consistency::Leader) => request::Need::Latest,
         (
-            Mode::Read,
-            Consistency::Bounded { max_staleness_ms } | Consistency::OwnWrites { max_staleness_ms },
+            protocol::Mode::Read,
+            topology::Consistency::Bounded { max_staleness_ms }
+            | topology::Consistency::OwnWrites { max_staleness_ms },
         ) => {
             let age = Duration::from_millis(u64::from(max_staleness_ms));
             let now = clock::now();
-            Need::Recent {
+            request::Need::Recent {
                 since: now.checked_sub(age).unwrap_or(now),
-                own: own.filter(|_| matches!(route.consistency, Consistency::OwnWrites { .. })),
+                own: own.filter(|_| {
+                    matches!(route.consistency, topology::Consistency::OwnWrites { .. })
+                }),
             }
         }
     }
@@ -98,26 +106,26 @@
 #[derive(Debug)]
 pub struct Failure {
     /// The code.
-    pub code: Code,
+    pub code: protocol::Code,
     /// The text.
     pub text: String,
 }
 
 impl Failure {
     /// A refusal that says when to come back.
-    pub fn refused(refuse: &Refuse) -> Self {
+    pub fn refused(refuse: &effect::Refuse) -> Self {
         let wait = refuse.retry_at.saturating_duration_since(clock::now());
         Self {
-            code: Code::Busy,
+            code: protocol::Code::Busy,
             text: format!("{}, retry after {} ms", refuse.reason, wait.as_millis()),
         }
     }
 }
 
-impl<W: World, C: Codec> Session<W, C> {
-    pub(super) async fn execute_single(&mut self, plan: Plan) {
+impl<W: World, C: Codec> session::Session<W, C> {
+    pub(super) async fn execute_single(&mut self, plan: plan::Plan) {
         let Some(route) = self.route() else {
-            return self.answer_error(&Code::NoDatabase, "the database has been removed");
+            return self.answer_error(&protocol::Code::NoDatabase, "the database has been removed");
         };
         let mut bounds = Bounds::new(&route);
         let forwarded = self.is_forwarded();
@@ -133,7 +141,7 @@
         let plan = Rc::new(plan);
         let need = need(&route, plan.mode, own);
         let ended = match plan.mode {
-            Mode::Read => {
+            protocol::Mode::Read => {
                 let job = Job {
                     shell: Rc::clone(&self.shell),
                     plan: Rc::clone(&plan),
@@ -146,11 +154,13 @@
                 };
                 read(Rc::new(job)).await
             }
-            Mode::Write => write(&self.shell, &plan, &held, &route, bounds, forwarded).await,
+            protocol::Mode::Write => {
+                write(&self.shell, &plan, &held, &route, bounds, forwarded).await
+            }
         };
         match ended {
             Ok(answer) => {
-                if plan.mode == Mode::Write
+                if plan.mode == protocol::Mode::Write
                     && answer.error().is_none()
                     && let Some(point) = answer.point
                 {
@@ -177,10 +187,10 @@
     }
 }
 
-fn count(plan: &Plan, bounds: &Bounds, outcome: &'static str) {
+fn count(plan: &plan::Plan, bounds: &Bounds, outcome: &'static str) {
     let mode = match plan.mode {
-        Mode::Read => "read",
-        Mode::Write => "write",
+        protocol::Mode::Read => "read",
+        protocol::Mode::Write => "write",
     };
     metrics::counter!("fulmarlift_statements_total", "mode" => mode, "outcome" => outcome)
         .increment(1);
@@ -190,16 +200,16 @@
 
 /// Asks for a connection.
 pub(super) async fn take_turn<W: World>(
-    shell: &Rc<Shell<W>>,
-    route: &Route,
-    need: Need,
+    shell: &Rc<shell::Shell<W>>,
+    route: &topology::Route,
+    need: request::Need,
     bounds: Bounds,
     avoid: Option<id::MemberId>,
     hedge: bool,
     forwarded: bool,
-) -> Turn<W> {
+) -> shell::Turn<W> {
     shell
-        .turn(Request {
+        .turn(request::Request {
             id: shell.next_request(),
             group: route.group,
             need,
@@ -215,11 +225,11 @@
 
 /// A read and all that its attempts need.
 struct Job<W: World> {
-    shell: Rc<Shell<W>>,
-    plan: Rc<Plan>,
-    held: Rc<Held>,
-    route: Route,
-    need: Need,
+    shell: Rc<shell::Shell<W>>,
+    plan: Rc<plan::Plan>,
+    held: Rc<values::Held>,
+    route: topology::Route,
+    need: request::Need,
     bounds: Bounds,
     forwarded: bool,
     /// The member of the attempt under way.
@@ -231,7 +241,7 @@
     job: Rc<Job<W>>,
     avoid: Option<id::MemberId>,
     hedge: bool,
-) -> Result<(id::MemberId, Outcome), Refuse> {
+) -> Result<(id::MemberId, attempt::Outcome), effect::Refuse> {
     let turn = take_turn(
         &job.shell,
         &job.route,
@@ -242,8 +252,8 @@
         job.forwarded,
     );
     match turn.await {
-        Turn::Refused(refuse) => Err(refuse),
-        Turn::Granted { lease, grant } => {
+        shell::Turn::Refused(refuse) => Err(refuse),
+        shell::Turn::Granted { lease, grant } => {
             job.at.set(Some(grant.member));
             let outcome =
                 attempt::run(lease, grant, &job.plan, &job.held, &job.route, job.bounds).await;
@@ -253,7 +263,7 @@
 }
 
 /// Runs a read. It may be tried at several members, one after the other, and at two at once when the first is slow.
-async fn read<W: World>(job: Rc<Job<W>>) -> Result<Answer, Failure> {
+async fn read<W: World>(job: Rc<Job<W>>) -> Result<member::Answer, Failure> {
     let (plan, bounds) = (&job.plan, job.bounds);
     let again = |avoid, hedge| try_once(Rc::clone(&job), avoid, hedge);
     job.shell.earn_hedge();
@@ -279,18 +289,18 @@
             }
         };
         let avoid = match next {
-            Some(Ok((_, Outcome::Answered(answer)))) => {
-                let failed = answer.error() == Some(&Code::Failed);
+            Some(Ok((_, attempt::Outcome::Answered(answer)))) => {
+                let failed = answer.error() == Some(&protocol::Code::Failed);
                 if !failed || attempts >= ATTEMPTS_MAX || !running.is_empty() {
                     break Ok(answer);
                 }
                 None
             }
-            Some(Ok((member, Outcome::NotRun(code)))) => {
+            Some(Ok((member, attempt::Outcome::NotRun(code)))) => {
                 log::debug!("event=retried request={} code={code:?}", plan.id());
                 Some(member)
             }
-            Some(Ok((member, Outcome::Lost(error)))) => {
+            Some(Ok((member, attempt::Outcome::Lost(error)))) => {
                 was_sent = true;
                 log::info!("event=retried request={} error=\"{error}\"", plan.id());
                 Some(member)
@@ -314,10 +324,10 @@
     ended
 }
 
-fn given_up(refuse: &Refuse, was_sent: bool) -> Failure {
+fn given_up(refuse: &effect::Refuse, was_sent: bool) -> Failure {
     let mut failure = Failure::refused(refuse);
     if was_sent {
-        failure.code = Code::Failed;
+        failure.code = protocol::Code::Failed;
     }
     failure
 }
@@ -325,11 +335,11 @@
 fn timed_out(was_sent: bool) -> Failure {
     match was_sent {
         true => Failure {
-            code: Code::Timeout,
+            code: protocol::Code::Timeout,
             text: "no member answered in time".to_owned(),
         },
         false => Failure {
-            code: Code::Busy,
+            code: protocol::Code::Busy,
             text: "no member took the statement in time".to_owned(),
         },
     }
@@ -337,38 +347,47 @@
 
 /// Runs a write. Once it has been sent, only the member's word that it has not run allows another attempt.
 async fn write<W: World>(
-    shell: &Rc<Shell<W>>,
-    plan: &Plan,
-    held: &Held,
-    route: &Route,
+    shell: &Rc<shell::Shell<W>>,
+    plan: &plan::Plan,
+    held: &values::Held,
+    route: &topology::Route,
     bounds: Bounds,
     forwarded: bool,
-) -> Result<Answer, Failure> {
-    let mut refused = Code::Busy;
+) -> Result<member::Answer, Failure> {
+    let mut refused = protocol::Code::Busy;
     for _ in 0..ATTEMPTS_MAX {
         if clock::now() >= bounds.deadline {
             break;
         }
-        let turn = take_turn(shell, route, Need::Lead, bounds, None, false, forwarded).await;
+        let turn = take_turn(
+            shell,
+            route,
+            request::Need::Lead,
+            bounds,
+            None,
+            false,
+            forwarded,
+        )
+        .await;
         let (lease, grant) = match turn {
-            Turn::Granted { lease, grant } => (lease, grant),
-            Turn::Refused(refuse) => return Err(Failure::refused(&refuse)),
+            shell::Turn::Granted { lease, grant } => (lease, grant),
+            shell::Turn::Refused(refuse) => return Err(Failure::refused(&refuse)),
         };
         match attempt::run(lease, grant, plan, held, route, bounds).await {
-            Outcome::Answered(answer) => return Ok(answer),
-            Outcome::NotRun(code) => {
+            attempt::Outcome::Answered(answer) => return Ok(answer),
+            attempt::Outcome::NotRun(code) => {
                 log::debug!("event=retried request={} code={code:?}", plan.id());
                 refused = code;
             }
-            Outcome::Lost(error) => {
+            attempt::Outcome::Lost(error) => {
                 return Err(Failure {
-                    code: Code::InDoubt,
+                    code: protocol::Code::InDoubt,
                     text: error.to_string(),
                 });
             }
         }
     }
     let text = format!("not run, last refused with {refused:?}");
-    let code = Code::Busy;
+    let code = protocol::Code::Busy;
     Err(Failure { code, text })
 }
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -3,18 +3,19 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_broker::event;
-use fulmarlift_broker::topology::Route;
+use fulmarlift_broker::topology;
 
 use crate::clock;
-use crate::link::LinkError;
-use crate::protocol::caller::{Codec, Query, Terms};
-use crate::protocol::member::{Answer, Verb};
-use crate::protocol::{Code, Mode, State};
-use crate::session::Session;
+use crate::link;
+use crate::protocol;
+use crate::protocol::caller;
+use crate::protocol::caller::Codec;
+use crate::protocol::member;
+use crate::session;
 use crate::session::attempt::{self, reading_of};
-use crate::session::plan::Plan;
-use crate::session::single::{self, Bounds, Failure};
-use crate::shell::{Lease, Turn};
+use crate::session::plan;
+use crate::session::single;
+use crate::shell;
 use crate::world::World;
 
 /// Pause before a statement that its member had no slot for is sent again: about a mean statement.
@@ -29,18 +30,18 @@
     /// Begun by the caller, not yet at a member.
     Begun {
         /// The caller's statement that began it.
-        begin: Plan,
+        begin: plan::Plan,
         /// The route that it follows.
-        route: Route,
+        route: topology::Route,
     },
     /// Under way on a connection of its own.
     Open {
         /// The connection.
-        lease: Box<Lease<W>>,
+        lease: Box<shell::Lease<W>>,
         /// Whether it may write.
-        mode: Mode,
+        mode: protocol::Mode,
         /// The route that it follows.
-        route: Route,
+        route: topology::Route,
         /// Whether a write was sent.
         wrote: bool,
     },
@@ -52,16 +53,20 @@
 }
 
 impl<W: World> Transaction<W> {
-    pub(super) fn begun(mode: Mode, query: &Query, route: Route) -> Self {
-        let begin = Plan::direct(query, Verb::Begin(mode));
+    pub(super) fn begun(
+        mode: protocol::Mode,
+        query: &caller::Query,
+        route: topology::Route,
+    ) -> Self {
+        let begin = plan::Plan::direct(query, member::Verb::Begin(mode));
         Self::Begun { begin, route }
     }
 
-    pub(super) fn state(&self) -> State {
+    pub(super) fn state(&self) -> protocol::State {
         match self {
-            Self::None => State::Idle,
-            Self::Begun { .. } | Self::Open { .. } => State::Transaction,
-            Self::Failed { .. } => State::Failed,
+            Self::None => protocol::State::Idle,
+            Self::Begun { .. } | Self::Open { .. } => protocol::State::Transaction,
+            Self::Failed { .. } => protocol::State::Failed,
         }
     }
 
@@ -77,7 +82,7 @@
     }
 
     /// Takes the time that a forwarding proxy leaves for the next statement.
-    pub(super) fn set_terms(&mut self, terms: &Terms) {
+    pub(super) fn set_terms(&mut self, terms: &caller::Terms) {
         if let Self::Begun { route, .. } | Self::Open { route, .. } = self {
             route.statement_timeout_ms = terms.timeout_ms;
             route.objective_ms = terms.objective_ms;
@@ -106,8 +111,8 @@
     }
 }
 
-impl<W: World, C: Codec> Session<W, C> {
-    pub(super) async fn execute_in_transaction(&mut self, plan: Plan) {
+impl<W: World, C: Codec> session::Session<W, C> {
+    pub(super) async fn execute_in_transaction(&mut self, plan: plan::Plan) {
         if let Err(failure) = self.open_transaction().await {
             return self.fail_transaction(&plan, &failure);
         }
@@ -119,10 +124,10 @@
             ..
         } = &mut self.transaction
         else {
-            return self.answer_error(&Code::Aborted, "the transaction has ended");
+            return self.answer_error(&protocol::Code::Aborted, "the transaction has ended");
         };
-        let bounds = Bounds::new(route);
-        *wrote |= plan.mode == Mode::Write;
+        let bounds = single::Bounds::new(route);
+        *wrote |= plan.mode == protocol::Mode::Write;
         lease.start();
         let synchronized = attempt::synchronize(lease, &held, plan.needs(), bounds.deadline).await;
         let answered = match synchronized {
@@ -133,7 +138,7 @@
             Ok(answer) => {
                 let reading = answer.error().map_or(event::Answer::Served, reading_of);
                 lease.report(reading, answer.point);
-                if answer.state != State::Transaction {
+                if answer.state != protocol::State::Transaction {
                     log::info!(
                         "event=transaction_failed request={} end={:?}",
                         plan.id(),
@@ -146,8 +151,8 @@
             Err(error) => {
                 lease.report_failure(&error, false);
                 // The connection is closed, which rolls back at the member.
-                let failure = Failure {
-                    code: Code::Aborted,
+                let failure = single::Failure {
+                    code: protocol::Code::Aborted,
                     text: error.to_string(),
                 };
                 self.fail_transaction(&plan, &failure);
@@ -155,7 +160,7 @@
         }
     }
 
-    fn fail_transaction(&mut self, plan: &Plan, failure: &Failure) {
+    fn fail_transaction(&mut self, plan: &plan::Plan, failure: &single::Failure) {
         log::info!(
             "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"",
             plan.id(),
@@ -168,12 +173,12 @@
     }
 
     /// Takes a connection for a transaction that has none and begins it there.
-    async fn open_transaction(&mut self) -> Result<(), Failure> {
+    async fn open_transaction(&mut self) -> Result<(), single::Failure> {
         let Transaction::Begun { begin, route } = &self.transaction else {
             return Ok(());
         };
         let (begin, route) = (begin.clone(), route.clone());
-        let bounds = Bounds::new(&route);
+        let bounds = single::Bounds::new(&route);
         let mut avoid = None;
         for _ in 0..ATTEMPTS_MAX {
             if clock::now() >= bounds.deadline {
@@ -191,8 +196,8 @@
             )
             .await;
             let (mut lease, grant) = match turn {
-                Turn::Granted { lease, grant } => (lease, grant),
-                Turn::Refused(refuse) => return Err(Failure::refused(&refuse)),
+                shell::Turn::Granted { lease, grant } => (lease, grant),
+                shell::Turn::Refused(refuse) => return Err(single::Failure::refused(&refuse)),
             };
             avoid = Some(grant.member);
             let mut floor = grant.floor;
@@ -220,20 +225,20 @@
                 return Ok(());
             }
         }
-        Err(Failure {
-            code: Code::Busy,
+        Err(single::Failure {
+            code: protocol::Code::Busy,
             text: "no member began the transaction in time".to_owned(),
         })
     }
 
     async fn begin_on(
         &self,
-        lease: &mut Lease<W>,
-        begin: &Plan,
-        route: &Route,
+        lease: &mut shell::Lease<W>,
+        begin: &plan::Plan,
+        route: &topology::Route,
         floor: Option<fulmarlift_core::floor::Point>,
         verified: bool,
-        bounds: Bounds,
+        bounds: single::Bounds,
     ) -> bool {
         let asked_at = clock::now();
         lease.demand(floor);
@@ -241,7 +246,7 @@
         if verified {
             // The end of the verifying transaction is answered first.
             match lease.exchange(bounds.deadline).await {
-                Ok(ended) if ended.state == State::Idle => {}
+                Ok(ended) if ended.state == protocol::State::Idle => {}
                 Ok(_) => return false,
                 Err(error) => {
                     lease.report_failure(&error, false);
@@ -251,9 +256,10 @@
         }
         match lease.exchange(bounds.deadline).await {
             Ok(answer) => {
-                let begun = answer.error().is_none() && answer.state == State::Transaction;
+                let begun =
+                    answer.error().is_none() && answer.state == protocol::State::Transaction;
                 let success = match begin.mode {
-                    Mode::Write if !lease.is_home() => event::Answer::Led {
+                    protocol::Mode::Write if !lease.is_home() => event::Answer::Led {
                         asked_at,
                         commit: false,
                     },
@@ -269,16 +275,19 @@
         }
     }
 
-    pub(super) async fn commit(&mut self, query: &Query) {
+    pub(super) async fn commit(&mut self, query: &caller::Query) {
         match self.transaction.state() {
-            State::Idle => return self.answer_error(&Code::Malformed, "not in a transaction"),
-            State::Failed => {
+            protocol::State::Idle => {
+                return self.answer_error(&protocol::Code::Malformed, "not in a transaction");
+            }
+            protocol::State::Failed => {
                 self.transaction = Transaction::None;
-                return self.answer_error(&Code::Aborted, "the transaction was rolled back");
+                return self
+                    .answer_error(&protocol::Code::Aborted, "the transaction was rolled back");
             }
-            State::Transaction => {}
+            protocol::State::Transaction => {}
         }
-        let plan = Plan::direct(query, Verb::Commit);
+        let plan = plan::Plan::direct(query, member::Verb::Commit);
         if let Err(failure) = self.open_transaction().await {
             self.transaction = Transaction::None;
             log::info!(
@@ -297,15 +306,15 @@
             wrote,
         } = ended
         else {
-            return self.answer_error(&Code::Aborted, "the transaction has ended");
+            return self.answer_error(&protocol::Code::Aborted, "the transaction has ended");
         };
-        let bounds = Bounds::new(&route);
+        let bounds = single::Bounds::new(&route);
         let asked_at = clock::now();
         lease.start();
         match exchange(&mut lease, &plan, bounds.deadline, bounds.terms(&route)).await {
             Ok(answer) => {
                 let success = match mode {
-                    Mode::Write if !lease.is_home() => event::Answer::Led {
+                    protocol::Mode::Write if !lease.is_home() => event::Answer::Led {
                         asked_at,
                         commit: wrote,
                     },
@@ -322,15 +331,19 @@
                     log::info!("event=commit_failed request={} code={code:?}", plan.id());
                 }
                 match answer.state {
-                    State::Idle => lease.give_back(),
-                    State::Transaction | State::Failed => lease.roll_back(),
+                    protocol::State::Idle => lease.give_back(),
+                    protocol::State::Transaction | protocol::State::Failed => lease.roll_back(),
                 }
                 self.pass_on(&answer);
             }
             Err(error) => {
                 lease.report_failure(&error, wrote);
                 // What wrote nothing leaves nothing behind, whatever became of its end.
-                let code = if wrote { Code::InDoubt } else { Code::Aborted };
+                let code = if wrote {
+                    protocol::Code::InDoubt
+                } else {
+                    protocol::Code::Aborted
+                };
                 log::info!(
                     "event=failed request={} commit=true code={code:?} error=\"{error}\"",
                     plan.id()
@@ -343,15 +356,16 @@
 
 /// Sends a statement of a transaction, again and again while its member has no slot for it.
 async fn exchange<W: World>(
-    lease: &mut Lease<W>,
-    plan: &Plan,
+    lease: &mut shell::Lease<W>,
+    plan: &plan::Plan,
     deadline: Instant,
-    terms: Terms,
-) -> Result<Answer, LinkError> {
+    terms: caller::Terms,
+) -> Result<member::Answer, link::LinkError> {
     loop {
         plan.push(lease.link(), None, terms);
         let answer = lease.exchange(deadline).await?;
-        let busy = answer.error() == Some(&Code::Busy) && answer.state == State::Transaction;
+        let busy = answer.error() == Some(&protocol::Code::Busy)
+            && answer.state == protocol::State::Transaction;
         if !busy || clock::now() + BUSY_PAUSE >= deadline {
             return Ok(answer);
         }
--- a/crates/session/src/shell/learn.rs
+++ b/crates/session/src/shell/learn.rs
@@ -3,15 +3,16 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use fulmarlift_broker::event::Event;
+use fulmarlift_broker::event;
 use tokio::sync::{MutexGuard, broadcast};
 
-use crate::shell::Shell;
-use crate::world::{News, World};
+use crate::shell;
+use crate::world;
+use crate::world::World;
 
-impl<W: World> Shell<W> {
+impl<W: World> shell::Shell<W> {
     /// Takes news, and hands them on to listeners.
-    pub fn learn(self: &Rc<Self>, news: News) {
+    pub fn learn(self: &Rc<Self>, news: world::News) {
         if !self.is_known(&news) {
             log_news(&news);
         }
@@ -20,32 +21,32 @@
             let _ = self.news.send(news.clone());
         }
         self.handle(match news {
-            News::Configured(topology) => Event::Configured(topology),
-            News::Listed(member) => {
+            world::News::Configured(topology) => event::Event::Configured(topology),
+            world::News::Listed(member) => {
                 self.note_revision(member.revision);
-                Event::Listed(member)
+                event::Event::Listed(member)
             }
-            News::Unlisted { name, revision } => {
+            world::News::Unlisted { name, revision } => {
                 self.note_revision(revision);
-                Event::Unlisted { name, revision }
+                event::Event::Unlisted { name, revision }
             }
-            News::PeerListed(peer) => Event::PeerListed(peer),
-            News::PeerUnlisted(name) => Event::PeerUnlisted(name),
+            world::News::PeerListed(peer) => event::Event::PeerListed(peer),
+            world::News::PeerUnlisted(name) => event::Event::PeerUnlisted(name),
         });
     }
 
     /// Returns whether news say what is believed already, as a snapshot mostly does.
-    fn is_known(&self, news: &News) -> bool {
+    fn is_known(&self, news: &world::News) -> bool {
         self.with_broker(|broker| match news {
-            News::Configured(topology) => broker.topology().version >= topology.version,
-            News::Listed(member) => broker.member(member.id) == Some(member),
-            News::PeerListed(peer) => broker.peer(&peer.name) == Some(peer),
-            News::Unlisted { .. } | News::PeerUnlisted(_) => false,
+            world::News::Configured(topology) => broker.topology().version >= topology.version,
+            world::News::Listed(member) => broker.member(member.id) == Some(member),
+            world::News::PeerListed(peer) => broker.peer(&peer.name) == Some(peer),
+            world::News::Unlisted { .. } | world::News::PeerUnlisted(_) => false,
         })
     }
 
     /// Returns what is learned from now on.
-    pub fn news(&self) -> broadcast::Receiver<News> {
+    pub fn news(&self) -> broadcast::Receiver<world::News> {
         self.news.subscribe()
     }
 
@@ -95,15 +96,15 @@
     }
 }
 
-fn log_news(news: &News) {
+fn log_news(news: &world::News) {
     match news {
-        News::Configured(topology) => {
+        world::News::Configured(topology) => {
             let version = topology.version;
             let routes = topology.routes().len();
             log::info!("event=configured version={version} routes={routes}");
             metrics::gauge!("fulmarlift_config_version").set(version as f64);
         }
-        News::Listed(member) => log::info!(
+        world::News::Listed(member) => log::info!(
             "event=member_listed member={} group={:016x} address={} leaving={} says_leads={} revision={}",
             member.name,
             member.group,
@@ -112,16 +113,16 @@
             member.says_leads,
             member.revision
         ),
-        News::Unlisted { name, revision } => {
+        world::News::Unlisted { name, revision } => {
             log::info!("event=member_unlisted member={name} revision={revision}");
         }
-        News::PeerListed(peer) => {
+        world::News::PeerListed(peer) => {
             log::info!(
                 "event=peer_listed peer={} address={}",
                 peer.name,
                 peer.address
             );
         }
-        News::PeerUnlisted(name) => log::info!("event=peer_unlisted peer={name}"),
+        world::News::PeerUnlisted(name) => log::info!("event=peer_unlisted peer={name}"),
     }
 }
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -3,29 +3,29 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use fulmarlift_broker::event::{Answer, Event, Report};
-use fulmarlift_core::floor::Point;
+use fulmarlift_broker::event;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
 use crate::clock;
-use crate::link::LinkError;
+use crate::link;
 use crate::protocol::member;
-use crate::shell::{Shell, Wire};
+use crate::shell;
 use crate::world::World;
 
 /// Exclusive use of a connection. Dropped without [`Lease::give_back`], the connection is closed.
 pub struct Lease<W: World> {
-    shell: Rc<Shell<W>>,
+    shell: Rc<shell::Shell<W>>,
     conn: id::ConnId,
-    link: Option<Wire<W>>,
+    link: Option<shell::Wire<W>>,
     member: id::MemberId,
     running_since: Option<Instant>,
-    floor: Option<Point>,
+    floor: Option<floor::Point>,
 }
 
 impl<W: World> Lease<W> {
     /// Takes a connection on which a statement counts as running.
-    pub(super) fn new(shell: &Rc<Shell<W>>, conn: id::ConnId, link: Wire<W>) -> Self {
+    pub(super) fn new(shell: &Rc<shell::Shell<W>>, conn: id::ConnId, link: shell::Wire<W>) -> Self {
         Self {
             shell: Rc::clone(shell),
             conn,
@@ -42,7 +42,7 @@
     }
 
     /// Returns the connection.
-    pub fn link(&mut self) -> &mut Wire<W> {
+    pub fn link(&mut self) -> &mut shell::Wire<W> {
         self.link
             .as_mut()
             .expect("the link is there until the lease is given back")
@@ -50,29 +50,29 @@
 
     /// Returns whether a home of the group is at the other end, rather than a member.
     pub fn is_home(&self) -> bool {
-        self.link.as_ref().is_some_and(Wire::is_home)
+        self.link.as_ref().is_some_and(shell::Wire::is_home)
     }
 
     /// Notes which point the next statement demands.
-    pub fn demand(&mut self, floor: Option<Point>) {
+    pub fn demand(&mut self, floor: Option<floor::Point>) {
         self.floor = floor;
     }
 
     /// Notes that a further statement is sent.
     pub fn start(&mut self) {
         if self.running_since.is_none() {
-            self.shell.handle(Event::Started(self.member));
+            self.shell.handle(event::Event::Started(self.member));
         }
         self.running_since = Some(clock::now());
     }
 
     /// Reports how the statement ended. The first report after a start counts.
-    pub fn report(&mut self, answer: Answer, point: Option<Point>) {
+    pub fn report(&mut self, answer: event::Answer, point: Option<floor::Point>) {
         let Some(since) = self.running_since.take() else {
             return;
         };
         let took = clock::now().saturating_duration_since(since);
-        self.shell.handle(Event::Answered(Report {
+        self.shell.handle(event::Event::Answered(event::Report {
             member: self.member,
             answer,
             point,
@@ -82,13 +82,13 @@
     }
 
     /// Reports that no answer came.
-    pub fn report_failure(&mut self, error: &LinkError, commit: bool) {
+    pub fn report_failure(&mut self, error: &link::LinkError, commit: bool) {
         let answer = match error {
-            LinkError::Silent => Answer::Silent { commit },
-            LinkError::Broken(error) if error.kind() == std::io::ErrorKind::TimedOut => {
-                Answer::Silent { commit }
+            link::LinkError::Silent => event::Answer::Silent { commit },
+            link::LinkError::Broken(error) if error.kind() == std::io::ErrorKind::TimedOut => {
+                event::Answer::Silent { commit }
             }
-            LinkError::Broken(_) | LinkError::Wire(_) => Answer::Broken,
+            link::LinkError::Broken(_) | link::LinkError::Wire(_) => event::Answer::Broken,
         };
         self.report(answer, None);
     }
@@ -97,19 +97,19 @@
     ///
     /// # Errors
     ///
-    /// [`LinkError`] when the connection cannot be used any more.
-    pub async fn exchange(&mut self, deadline: Instant) -> Result<member::Answer, LinkError> {
+    /// [`link::LinkError`] when the connection cannot be used any more.
+    pub async fn exchange(&mut self, deadline: Instant) -> Result<member::Answer, link::LinkError> {
         self.link().exchange(deadline).await
     }
 
     /// Returns a clean connection.
     pub fn give_back(mut self) {
-        self.report(Answer::Unfinished, None);
+        self.report(event::Answer::Unfinished, None);
         if let Some(link) = self.link.take() {
             let mut inner = self.shell.inner.borrow_mut();
             inner.idle.insert(self.conn, link);
         }
-        self.shell.handle(Event::Returned {
+        self.shell.handle(event::Event::Returned {
             conn: self.conn,
             reusable: true,
         });
@@ -135,10 +135,10 @@
 
 impl<W: World> Drop for Lease<W> {
     fn drop(&mut self) {
-        self.report(Answer::Unfinished, None);
+        self.report(event::Answer::Unfinished, None);
         if let Some(link) = self.link.take() {
             link.close();
-            self.shell.handle(Event::Returned {
+            self.shell.handle(event::Event::Returned {
                 conn: self.conn,
                 reusable: false,
             });
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -12,17 +12,18 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_broker::Broker;
-use fulmarlift_broker::effect::{Effect, Grant, Refuse};
-use fulmarlift_broker::event::{Answer, Event, Report};
-use fulmarlift_broker::request::Request;
+use fulmarlift_broker::effect;
+use fulmarlift_broker::event;
+use fulmarlift_broker::request;
 use fulmarlift_broker::state;
 use fulmarlift_core::id;
-use fulmarlift_core::limit::RetryBudget;
+use fulmarlift_core::limit;
 use fulmarlift_core::sorted;
 use tokio::sync::{Mutex, Notify, broadcast, oneshot, watch};
 
 use crate::clock;
-use crate::world::{News, World};
+use crate::world;
+use crate::world::World;
 
 pub use crate::shell::lease::Lease;
 pub use crate::shell::wire::Wire;
@@ -40,21 +41,21 @@
         /// The connection.
         lease: Box<Lease<W>>,
         /// What it was granted for.
-        grant: Grant,
+        grant: effect::Grant,
     },
     /// The request is refused; it has not been sent.
-    Refused(Refuse),
+    Refused(effect::Refuse),
 }
 
 struct Waiter<W: World> {
-    request: Request,
+    request: request::Request,
     since: Instant,
     turn: oneshot::Sender<Turn<W>>,
 }
 
 struct Inner<W: World> {
     broker: Broker,
-    events: VecDeque<Event>,
+    events: VecDeque<event::Event>,
     waiters: sorted::Map<id::RequestId, Waiter<W>>,
     idle: sorted::Map<id::ConnId, Wire<W>>,
     next_request: id::RequestId,
@@ -69,8 +70,8 @@
     claims: W::Claims,
     orders: W::Orders,
     control: tasks::ControlLinks<W>,
-    hedges: Cell<RetryBudget>,
-    news: broadcast::Sender<News>,
+    hedges: Cell<limit::RetryBudget>,
+    news: broadcast::Sender<world::News>,
     listeners: Cell<usize>,
     listener_came: Notify,
     revision: Cell<u64>,
@@ -99,7 +100,7 @@
             claims,
             orders,
             control: tasks::ControlLinks::default(),
-            hedges: Cell::new(RetryBudget::default()),
+            hedges: Cell::new(limit::RetryBudget::default()),
             news: broadcast::Sender::new(NEWS_WAITING_MAX),
             listeners: Cell::new(0),
             listener_came: Notify::new(),
@@ -112,7 +113,7 @@
     }
 
     /// Steps the broker and runs the effects, and those of the events that follow from them.
-    pub fn handle(self: &Rc<Self>, event: Event) {
+    pub fn handle(self: &Rc<Self>, event: event::Event) {
         if self.ended.get() {
             return;
         }
@@ -165,7 +166,7 @@
     }
 
     /// Waits until a request may be sent or is refused. When the future is dropped the request is abandoned.
-    pub async fn turn(self: &Rc<Self>, request: Request) -> Turn<W> {
+    pub async fn turn(self: &Rc<Self>, request: request::Request) -> Turn<W> {
         let id = request.id;
         let (sender, receiver) = oneshot::channel();
         let waiter = Waiter {
@@ -175,7 +176,7 @@
         };
         self.inner.borrow_mut().waiters.insert(id, waiter);
         let abandon = Abandon { shell: self, id };
-        self.handle(Event::Arrived(request));
+        self.handle(event::Event::Arrived(request));
         let turn = receiver
             .await
             .expect("a waiter is dropped only after it was answered or abandoned");
@@ -218,7 +219,7 @@
         loop {
             interval.tick().await;
             self.find_dead();
-            self.handle(Event::Tick);
+            self.handle(event::Event::Tick);
             self.control.expire(clock::now());
             let (connections, waiting) = self.with_broker(Broker::load);
             metrics::gauge!("fulmarlift_connections").set(connections);
@@ -237,43 +238,43 @@
             !is_dead
         });
         for conn in dead {
-            self.handle(Event::Lost(conn));
+            self.handle(event::Event::Lost(conn));
         }
     }
 
-    fn run(self: &Rc<Self>, effect: Effect) {
+    fn run(self: &Rc<Self>, effect: effect::Effect) {
         match effect {
-            Effect::Grant(grant) => self.grant(grant),
-            Effect::Refuse(refuse) => self.refuse(refuse),
-            Effect::Open { conn, member } => self.open(conn, member),
-            Effect::Close(conn) => {
+            effect::Effect::Grant(grant) => self.grant(grant),
+            effect::Effect::Refuse(refuse) => self.refuse(refuse),
+            effect::Effect::Open { conn, member } => self.open(conn, member),
+            effect::Effect::Close(conn) => {
                 if let Some(link) = self.inner.borrow_mut().idle.remove(conn) {
                     link.close();
                 }
             }
-            Effect::Probe { conn, member } => self.probe(conn, member),
-            Effect::Ask {
+            effect::Effect::Probe { conn, member } => self.probe(conn, member),
+            effect::Effect::Ask {
                 group,
                 member,
                 question,
                 conn,
             } => self.ask(group, member, question, conn),
-            Effect::LoadClaim(group) => self.load_claim(group),
-            Effect::StoreClaim {
+            effect::Effect::LoadClaim(group) => self.load_claim(group),
+            effect::Effect::StoreClaim {
                 group,
                 claim,
                 revision,
             } => self.store_claim(group, claim, revision),
-            Effect::Order {
+            effect::Effect::Order {
                 group,
                 member,
                 token,
             } => self.order(group, member, token),
-            Effect::Note(note) => notes::log(&self.inner.borrow().broker, &note),
+            effect::Effect::Note(note) => notes::log(&self.inner.borrow().broker, &note),
         }
     }
 
-    fn grant(self: &Rc<Self>, grant: Grant) {
+    fn grant(self: &Rc<Self>, grant: effect::Grant) {
         let (waiter, link) = {
             let mut inner = self.inner.borrow_mut();
             let waiter = inner.waiters.remove(grant.request);
@@ -294,20 +295,20 @@
                 let request = waiter.request.clone();
                 let mut inner = self.inner.borrow_mut();
                 inner.waiters.insert(grant.request, waiter);
-                inner.events.push_back(Event::Arrived(request));
-                (Answer::Broken, false)
+                inner.events.push_back(event::Event::Arrived(request));
+                (event::Answer::Broken, false)
             }
             (None, Some(link)) => {
                 self.inner.borrow_mut().idle.insert(grant.conn, link);
-                (Answer::Unfinished, true)
+                (event::Answer::Unfinished, true)
             }
-            (None, None) => (Answer::Broken, false),
+            (None, None) => (event::Answer::Broken, false),
         };
-        self.handle(Event::Returned {
+        self.handle(event::Event::Returned {
             conn: grant.conn,
             reusable,
         });
-        self.handle(Event::Answered(Report {
+        self.handle(event::Event::Answered(event::Report {
             member: grant.member,
             answer,
             point: None,
@@ -316,7 +317,7 @@
         }));
     }
 
-    fn refuse(&self, refuse: Refuse) {
+    fn refuse(&self, refuse: effect::Refuse) {
         if let Some(waiter) = self.inner.borrow_mut().waiters.remove(refuse.request) {
             // A caller that is gone wants no answer.
             let _ = waiter.turn.send(Turn::Refused(refuse));
@@ -333,6 +334,6 @@
 impl<W: World> Drop for Abandon<'_, W> {
     fn drop(&mut self) {
         self.shell.inner.borrow_mut().waiters.remove(self.id);
-        self.shell.handle(Event::Abandoned(self.id));
+        self.shell.handle(event::Event::Abandoned(self.id));
     }
 }
--- a/crates/session/src/shell/notes.rs
+++ b/crates/session/src/shell/notes.rs
@@ -1,12 +1,12 @@
 //! The log lines of changed beliefs.
 
 use fulmarlift_broker::Broker;
-use fulmarlift_broker::effect::Note;
+use fulmarlift_broker::effect;
 use fulmarlift_core::id;
 
-pub(super) fn log(broker: &Broker, note: &Note) {
+pub(super) fn log(broker: &Broker, note: &effect::Note) {
     match *note {
-        Note::Leader {
+        effect::Note::Leader {
             group,
             member,
             term,
@@ -15,7 +15,7 @@
             let group = group_name(broker, group);
             log::info!("event=leader group={group} member={member} term={term}");
         }
-        Note::Failover {
+        effect::Note::Failover {
             group,
             reason,
             step,
@@ -28,11 +28,11 @@
                 "event=failover group={group} reason={reason:?} step={step} token={token} target={target}"
             );
         }
-        Note::Reachable { member, reachable } => {
+        effect::Note::Reachable { member, reachable } => {
             let name = member_name(broker, member);
             log::info!("event=member_reachable member={name} reachable={reachable}");
         }
-        Note::Gone(member) => log::info!("event=member_gone member={member:016x}"),
+        effect::Note::Gone(member) => log::info!("event=member_gone member={member:016x}"),
     }
 }
 
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -5,16 +5,17 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_broker::claim;
-use fulmarlift_broker::effect::Question;
-use fulmarlift_broker::event::{Answer, Event, OpenFailure, Report, Standing};
+use fulmarlift_broker::effect;
+use fulmarlift_broker::event;
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
 use crate::clock;
-use crate::link::{Link, OpenError};
-use crate::protocol::member::{Command, End};
-use crate::protocol::{Code, State};
-use crate::shell::{Shell, Wire, notes};
+use crate::link;
+use crate::protocol;
+use crate::protocol::member;
+use crate::shell;
+use crate::shell::notes;
 use crate::world::{Claims, Orders, World};
 
 /// Time to open a connection: a lost first packet and its repetition, 1 s, are not waited for.
@@ -27,7 +28,7 @@
 const CONTROL_KEEP: Duration = Duration::from_secs(2);
 
 /// A connection for questions during a replacement, and the time until which it is kept.
-type Kept<W> = (Instant, Wire<W>);
+type Kept<W> = (Instant, shell::Wire<W>);
 
 /// Connections for questions during a replacement, by member.
 pub(super) struct ControlLinks<W: World> {
@@ -42,12 +43,12 @@
 }
 
 impl<W: World> ControlLinks<W> {
-    fn take(&self, member: id::MemberId) -> Option<Wire<W>> {
+    fn take(&self, member: id::MemberId) -> Option<shell::Wire<W>> {
         let (_, mut link) = self.links.borrow_mut().remove(member)?;
         (!link.is_dead()).then_some(link)
     }
 
-    fn keep(&self, link: Wire<W>) {
+    fn keep(&self, link: shell::Wire<W>) {
         let until = clock::now() + CONTROL_KEEP;
         self.links.borrow_mut().insert(link.member(), (until, link));
     }
@@ -67,7 +68,7 @@
     }
 }
 
-impl<W: World> Shell<W> {
+impl<W: World> shell::Shell<W> {
     /// Returns the group's name and the member's name and address.
     fn whereabouts(
         &self,
@@ -80,20 +81,20 @@
         })
     }
 
-    async fn connect(&self, member: id::MemberId) -> Result<Wire<W>, OpenError> {
+    async fn connect(&self, member: id::MemberId) -> Result<shell::Wire<W>, link::OpenError> {
         let Some((group, name, address)) = self.whereabouts(member) else {
-            return Err(OpenError::Refused(Code::Misrouted));
+            return Err(link::OpenError::Refused(protocol::Code::Misrouted));
         };
         metrics::counter!("fulmarlift_connects_total").increment(1);
         let deadline = clock::now() + OPEN_FOR;
         let opened = match self.with_broker(|broker| broker.is_peer(member)) {
             true => {
-                let opened = Link::open(address, &group, (&name, member), deadline).await;
-                opened.map(Wire::Home)
+                let opened = link::Link::open(address, &group, (&name, member), deadline).await;
+                opened.map(shell::Wire::Home)
             }
             false => {
-                let opened = Link::open(address, &group, (&name, member), deadline).await;
-                opened.map(Wire::Member)
+                let opened = link::Link::open(address, &group, (&name, member), deadline).await;
+                opened.map(shell::Wire::Member)
             }
         };
         if let Err(error) = &opened {
@@ -108,9 +109,9 @@
             let event = match shell.connect(member).await {
                 Ok(link) => {
                     shell.inner.borrow_mut().idle.insert(conn, link);
-                    Event::Opened(conn)
+                    event::Event::Opened(conn)
                 }
-                Err(error) => Event::OpenFailed {
+                Err(error) => event::Event::OpenFailed {
                     conn,
                     failure: error.failure(),
                 },
@@ -126,14 +127,14 @@
             let link = shell.inner.borrow_mut().idle.remove(conn);
             let (report, link) = match link {
                 Some(link) => probe_on(link).await,
-                None => (unanswered(member, Answer::Broken), None),
+                None => (unanswered(member, event::Answer::Broken), None),
             };
             let reusable = link.is_some();
             if let Some(link) = link {
                 shell.inner.borrow_mut().idle.insert(conn, link);
             }
-            shell.handle(Event::Probed(report));
-            shell.handle(Event::Returned { conn, reusable });
+            shell.handle(event::Event::Probed(report));
+            shell.handle(event::Event::Returned { conn, reusable });
         });
     }
 
@@ -141,7 +142,7 @@
         self: &Rc<Self>,
         group: id::GroupId,
         member: id::MemberId,
-        question: Question,
+        question: effect::Question,
         conn: Option<id::ConnId>,
     ) {
         let shell = Rc::clone(self);
@@ -155,16 +156,16 @@
                 (Some(conn), Some(link)) => {
                     shell.inner.borrow_mut().idle.insert(conn, link);
                     let reusable = true;
-                    shell.handle(Event::Returned { conn, reusable });
+                    shell.handle(event::Event::Returned { conn, reusable });
                 }
                 (Some(conn), None) => {
                     let reusable = false;
-                    shell.handle(Event::Returned { conn, reusable });
+                    shell.handle(event::Event::Returned { conn, reusable });
                 }
                 (None, Some(link)) => shell.control.keep(link),
                 (None, None) => {}
             }
-            shell.handle(Event::Standing {
+            shell.handle(event::Event::Standing {
                 group,
                 member,
                 standing,
@@ -176,9 +177,9 @@
     async fn standing_of(
         &self,
         member: id::MemberId,
-        question: Question,
-        lent: Option<Wire<W>>,
-    ) -> (Option<Standing>, Option<Wire<W>>) {
+        question: effect::Question,
+        lent: Option<shell::Wire<W>>,
+    ) -> (Option<event::Standing>, Option<shell::Wire<W>>) {
         let kept = lent.or_else(|| self.control.take(member));
         let opened = match kept {
             Some(link) => Ok(link),
@@ -189,11 +190,13 @@
             return (None, None);
         };
         link.push(match question {
-            Question::Status => Command::Status,
-            Question::Hold(term) => Command::Hold(term),
-            Question::Release { until } if clock::now() >= until => return (None, Some(link)),
-            Question::Release { .. } => Command::Release,
-            Question::Demote(term) => Command::Demote(term),
+            effect::Question::Status => member::Command::Status,
+            effect::Question::Hold(term) => member::Command::Hold(term),
+            effect::Question::Release { until } if clock::now() >= until => {
+                return (None, Some(link));
+            }
+            effect::Question::Release { .. } => member::Command::Release,
+            effect::Question::Demote(term) => member::Command::Demote(term),
         });
         match link.exchange(clock::now() + ASK_FOR).await {
             Ok(answer) => {
@@ -221,7 +224,7 @@
                     None
                 }
             };
-            shell.handle(Event::ClaimLoaded { group, stored });
+            shell.handle(event::Event::ClaimLoaded { group, stored });
         });
     }
 
@@ -241,7 +244,7 @@
                 claim.target,
                 claim.settled
             );
-            shell.handle(Event::ClaimStored { group, outcome });
+            shell.handle(event::Event::ClaimStored { group, outcome });
         });
     }
 
@@ -258,7 +261,7 @@
             log::info!(
                 "event=ordered group={group_name} member={member_name} token={token} outcome={outcome:?}"
             );
-            shell.handle(Event::Ordered { group, outcome });
+            shell.handle(event::Event::Ordered { group, outcome });
         });
     }
 
@@ -267,8 +270,8 @@
     }
 }
 
-fn unanswered(member: id::MemberId, answer: Answer) -> Report {
-    Report {
+fn unanswered(member: id::MemberId, answer: event::Answer) -> event::Report {
+    event::Report {
         member,
         answer,
         point: None,
@@ -278,39 +281,39 @@
 }
 
 /// Probes on a link, and returns the link if it can be used again.
-async fn probe_on<W: World>(mut link: Wire<W>) -> (Report, Option<Wire<W>>) {
+async fn probe_on<W: World>(mut link: shell::Wire<W>) -> (event::Report, Option<shell::Wire<W>>) {
     let asked_at = clock::now();
     let deadline = asked_at + PROBE_FOR;
     let member = link.member();
-    link.push(Command::Begin);
+    link.push(member::Command::Begin);
     let begun = match link.exchange(deadline).await {
         Ok(begun) => begun,
         Err(error) => {
             log::info!("event=probe_failed member={member:016x} error=\"{error}\"");
             let answer = match crate::link::OpenError::from(error).failure() {
-                OpenFailure::Silent => Answer::Silent { commit: false },
-                _ => Answer::Broken,
+                event::OpenFailure::Silent => event::Answer::Silent { commit: false },
+                _ => event::Answer::Broken,
             };
             return (unanswered(member, answer), None);
         }
     };
     let answer = match begun.end {
-        End::Complete(_) => Answer::Led {
+        member::End::Complete(_) => event::Answer::Led {
             asked_at,
             commit: false,
         },
-        End::Error(Code::ReadOnly, _) => Answer::NotLeading,
-        End::Error(..) | End::Ready => Answer::Served,
+        member::End::Error(protocol::Code::ReadOnly, _) => event::Answer::NotLeading,
+        member::End::Error(..) | member::End::Ready => event::Answer::Served,
     };
-    let report = Report {
+    let report = event::Report {
         point: begun.point,
         ..unanswered(member, answer)
     };
-    if begun.state == State::Idle {
+    if begun.state == protocol::State::Idle {
         return (report, Some(link));
     }
-    link.push(Command::Rollback);
+    link.push(member::Command::Rollback);
     let ended = link.exchange(deadline).await;
-    let clean = ended.is_ok_and(|ended| ended.state == State::Idle);
+    let clean = ended.is_ok_and(|ended| ended.state == protocol::State::Idle);
     (report, clean.then_some(link))
 }
--- a/crates/session/src/shell/wire.rs
+++ b/crates/session/src/shell/wire.rs
@@ -2,21 +2,21 @@
 
 use std::time::Instant;
 
-use fulmarlift_broker::event::Standing;
+use fulmarlift_broker::event;
 use fulmarlift_core::id;
 
-use crate::link::{Link, LinkError};
-use crate::peer::Forwarding;
-use crate::protocol::member::{Answer, Command};
-use crate::values::Mirror;
+use crate::link;
+use crate::peer;
+use crate::protocol::member;
+use crate::values;
 use crate::world::World;
 
 /// A connection on which statements are run.
 pub enum Wire<W: World> {
     /// To a member.
-    Member(Link<W::Member>),
+    Member(link::Link<W::Member>),
     /// To another proxy that is a home of the group.
-    Home(Link<Forwarding>),
+    Home(link::Link<peer::Forwarding>),
 }
 
 impl<W: World> Wire<W> {
@@ -34,7 +34,7 @@
     }
 
     /// Returns what the other end holds of the last session.
-    pub fn mirror(&mut self) -> &mut Mirror {
+    pub fn mirror(&mut self) -> &mut values::Mirror {
         match self {
             Self::Member(link) => &mut link.mirror,
             Self::Home(link) => &mut link.mirror,
@@ -42,7 +42,7 @@
     }
 
     /// Adds a command to what is sent next.
-    pub fn push(&mut self, command: Command<'_>) {
+    pub fn push(&mut self, command: member::Command<'_>) {
         match self {
             Self::Member(link) => link.push(command),
             Self::Home(link) => link.push(command),
@@ -53,8 +53,8 @@
     ///
     /// # Errors
     ///
-    /// [`LinkError`] when the connection cannot be used any more.
-    pub async fn exchange(&mut self, deadline: Instant) -> Result<Answer, LinkError> {
+    /// [`link::LinkError`] when the connection cannot be used any more.
+    pub async fn exchange(&mut self, deadline: Instant) -> Result<member::Answer, link::LinkError> {
         match self {
             Self::Member(link) => link.exchange(deadline).await,
             Self::Home(link) => link.exchange(deadline).await,
@@ -78,7 +78,7 @@
     }
 
     /// Reads a member's standing out of an answer.
-    pub fn standing(&self, answer: &Answer) -> Option<Standing> {
+    pub fn standing(&self, answer: &member::Answer) -> Option<event::Standing> {
         match self {
             Self::Member(link) => link.standing(answer),
             Self::Home(link) => link.standing(answer),
--- a/crates/session/src/values.rs
+++ b/crates/session/src/values.rs
@@ -2,13 +2,13 @@
 
 use bytes::Bytes;
 
-use crate::protocol::member::Prepared;
+use crate::protocol::member;
 
 /// A caller's values and names.
 #[derive(Clone, Debug, Default)]
 pub struct Held {
     values: Vec<(Box<str>, Bytes)>,
-    names: Vec<(Box<str>, Prepared)>,
+    names: Vec<(Box<str>, member::Prepared)>,
 }
 
 impl Held {
@@ -23,12 +23,12 @@
     }
 
     /// Names a statement; a name that is taken gets the new meaning.
-    pub fn prepare(&mut self, name: &str, prepared: Prepared) {
+    pub fn prepare(&mut self, name: &str, prepared: member::Prepared) {
         put(&mut self.names, name, prepared);
     }
 
     /// Returns the statement of a name.
-    pub fn prepared(&self, name: &str) -> Option<&Prepared> {
+    pub fn prepared(&self, name: &str) -> Option<&member::Prepared> {
         let index = find(&self.names, name).ok()?;
         Some(&self.names[index].1)
     }
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     values: Vec<(Box<str>, Bytes)>,
-    prepared: Vec<Prepared>,
+    prepared: Vec<member::Prepared>,
     uncertain: bool,
 }
 
@@ -59,14 +59,14 @@
     /// Values to be set.
     pub values: Vec<(Box<str>, Bytes)>,
     /// Statement to be prepared.
-    pub prepare: Option<Prepared>,
+    pub prepare: Option<member::Prepared>,
 }
 
 impl Mirror {
     /// Returns what a connection lacks for a session, and counts it as sent.
     ///
     /// Values can be set one by one but only be cleared all together, and clearing takes the names along.
-    pub fn close_gap(&mut self, held: &Held, prepared: Option<&Prepared>) -> Gap {
+    pub fn close_gap(&mut self, held: &Held, prepared: Option<&member::Prepared>) -> Gap {
         let superfluous = self
             .values
             .iter()
--- a/crates/session/src/world.rs
+++ b/crates/session/src/world.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fulmarlift_broker::claim;
-use fulmarlift_broker::event::{OrderOutcome, StoreOutcome};
+use fulmarlift_broker::event;
 use fulmarlift_broker::topology;
 use serde::{Deserialize, Serialize};
 
@@ -50,7 +50,7 @@
         group: &str,
         claim: &claim::Claim,
         revision: u64,
-    ) -> impl Future<Output = StoreOutcome>;
+    ) -> impl Future<Output = event::StoreOutcome>;
 }
 
 /// Orders to take the lead.
@@ -62,7 +62,7 @@
         member: &str,
         holder: &str,
         token: u64,
-    ) -> impl Future<Output = OrderOutcome>;
+    ) -> impl Future<Output = event::OrderOutcome>;
 }
 
 /// News of one thing that is kept in the store.
