An order is followed by another proxy's after a turn of 3 s at the earliest

Change: the claim's end is reckoned on the store's clock as it goes on; recording a choice extends it by 4 s, an order's end by 3 s. Test: finish_keeps_others_away_for_a_turn (the code before gives 1,000 where 3,600 is asked).

--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -90,6 +90,7 @@
         self.target = Some(best.member);
         self.claim.target = Some(best.name.clone());
         self.claim.settled = false;
+        self.claim.until_ms = self.store_now_ms(now) + failover::CLAIM_FOR_MS;
         self.step = failover::Step::Recording;
         self.store(out);
         failover::Progress::Going
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -23,8 +23,8 @@
 
 /// Time for which a claim keeps others away: two promotions of 600 ms with their questions, with room for retries.
 const CLAIM_FOR_MS: u64 = 4_000;
-/// Time for which a finished claim keeps others away, until they have heard of the new leader.
-const SETTLED_FOR_MS: u64 = 1_000;
+/// Time after an order in which no other proxy may give one: the platform's `lease-duration-ms`.
+const TURN_FOR_MS: u64 = 3_000;
 /// Pause before a question that was not answered is asked again: a slot's time.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// Time without an answer after which a question counts as lost.
@@ -117,7 +117,7 @@
     began_at: Instant,
     claim: claim::Claim,
     revision: u64,
-    store_now_ms: u64,
+    loaded: (Instant, u64),
     asked: sorted::Map<id::MemberId, Asked>,
     target: Option<id::MemberId>,
     unanswered_order: bool,
@@ -145,7 +145,7 @@
             began_at: begin_at,
             claim: claim::Claim::default(),
             revision: 0,
-            store_now_ms: 0,
+            loaded: (begin_at, 0),
             asked: sorted::Map::default(),
             target: None,
             unanswered_order: false,
@@ -242,7 +242,7 @@
         }
         let pending = stored.claim.pending().map(Box::from);
         self.claimed_until = now + Duration::from_millis(CLAIM_FOR_MS);
-        self.store_now_ms = stored.now_ms;
+        self.loaded = (now, stored.now_ms);
         self.revision = stored.revision;
         self.claim = claim::Claim {
             holder: self.me.clone(),
@@ -301,7 +301,7 @@
             && let Some(standing) = standing
             && standing.leads
         {
-            return self.finish(member, standing, out);
+            return self.finish(now, member, standing, out);
         }
         if self.step != Step::Holding {
             return Progress::Going;
@@ -337,7 +337,7 @@
                 event::OrderOutcome::Accepted | event::OrderOutcome::Refused,
             ) => {
                 self.claim.settled = true;
-                self.claim.until_ms = self.store_now_ms;
+                self.claim.until_ms = self.store_now_ms(now) + TURN_FOR_MS;
                 self.store(out);
                 self.give_up(now, out)
             }
@@ -361,7 +361,7 @@
                 // Either a higher token was used, or the member does not run. The claim row tells.
                 if !self.unanswered_order {
                     self.claim.settled = true;
-                    self.claim.until_ms = self.store_now_ms;
+                    self.claim.until_ms = self.store_now_ms(now) + TURN_FOR_MS;
                     self.store(out);
                 }
                 Progress::Failed {
@@ -388,12 +388,13 @@
 
     fn finish(
         &mut self,
+        now: Instant,
         member: id::MemberId,
         standing: event::Standing,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
         self.claim.settled = !self.unanswered_order;
-        self.claim.until_ms = self.store_now_ms + SETTLED_FOR_MS;
+        self.claim.until_ms = self.store_now_ms(now) + TURN_FOR_MS;
         self.store(out);
         Progress::Done { member, standing }
     }
@@ -412,6 +413,13 @@
         }
     }
 
+    /// Returns the store's clock, from its answer when the claim was read.
+    fn store_now_ms(&self, now: Instant) -> u64 {
+        let (then, then_ms) = self.loaded;
+        let passed = now.saturating_duration_since(then).as_millis();
+        then_ms + u64::try_from(passed).unwrap_or(u64::MAX / 2)
+    }
+
     fn wait(&mut self, until: Instant) {
         self.step = Step::Waiting { until };
     }
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -285,3 +285,31 @@
     answer(&mut world, 3, (false, 1, (1, 281), term));
     assert_eq!(recorded(&mut world), None);
 }
+
+#[test]
+fn finish_keeps_others_away_for_a_turn() {
+    let mut world = World::new();
+    begin(&mut world);
+    for member in [2, 3] {
+        answer(&mut world, member, (false, 0, (0, 500), 1));
+    }
+    let outcome = StoreOutcome::Written(12);
+    world.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome,
+    });
+    let outcome = OrderOutcome::Accepted;
+    world.handle(Event::Ordered {
+        group: GROUP,
+        outcome,
+    });
+    world.pass(600);
+    world.take();
+    answer(&mut world, 2, (true, 1, (1, 500), 0));
+    let until_ms = world.take().into_iter().find_map(|effect| match effect {
+        Effect::StoreClaim { claim, .. } => Some(claim.until_ms),
+        _ => None,
+    });
+    // The order was given 200 ms after the claim was read, the answer came 600 ms later.
+    assert!(until_ms >= Some(3_600), "{until_ms:?}");
+}
