A primary that commits nothing is replaced without its vote

Even with another verdict it would have won: all members are fenced and the furthest log is promoted, which is its own.

Ruled out: commits that stay unconfirmed as evidence. They look the same for replicas that merely lag, whose primary would lose the writes that they are about to confirm (scenario replicas_behind is unchanged). Fencing everyone: the old primary is chosen again.

Change: replicas report for how long they have missed their primary (`upstream_silence_ms`, optional on the wire). When those that miss it for 1.5 s are a majority by themselves, they alone are fenced, after the silence was seen again 600 ms later, and the most advanced of them is promoted. Any majority of grants holds every acknowledged write. The next replacement of that kind waits 10 s.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a proxy.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -111,6 +111,8 @@
     pub term_start: id::Position,
     /// Connections in use.
     pub connections_used: u32,
+    /// Time since a replica last heard from a primary of its term; zero for a primary.
+    pub upstream_silence: Duration,
 }
 
 /// A member's answer to a fence or promotion.
--- a/crates/core/src/failover/detect.rs
+++ b/crates/core/src/failover/detect.rs
@@ -5,6 +5,8 @@
 pub struct Evidence {
     /// Whether a primary of the highest term known answers this proxy.
     pub primary_answers: bool,
+    /// Whether the primary answers, but too few members hear from it for a commit to be confirmed.
+    pub primary_starved: bool,
     /// Whether the primary's VM is leaving.
     pub primary_leaving: bool,
     /// Members that answer this proxy.
@@ -41,6 +43,9 @@
         if self.members_answering < self.majority {
             return Verdict::Undecided;
         }
+        if self.primary_answers && self.primary_starved {
+            return Verdict::Replace;
+        }
         if self.primary_answers && self.primary_leaving {
             return Verdict::Move;
         }
--- a/crates/core/src/failover/handover.rs
+++ b/crates/core/src/failover/handover.rs
@@ -115,7 +115,7 @@
         })
     }
 
-    fn others(&self, member: id::MemberId) -> Vec<id::MemberId> {
+    pub(super) fn others(&self, member: id::MemberId) -> Vec<id::MemberId> {
         let members = self.watch.members.keys();
         members.filter(|other| *other != member).collect()
     }
--- a/crates/core/src/failover/machine.rs
+++ b/crates/core/src/failover/machine.rs
@@ -13,6 +13,12 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that a claim in the table holds others back.
 const CLAIM_LEASE: Duration = Duration::from_millis(1_500);
+/// Time for which replicas must go on missing a primary that answers: one that was paused hears it again
+/// within a round of replication.
+const STARVED_CONFIRM: Duration = Duration::from_millis(600);
+/// Time between replacements of primaries that answer; where all members are cut from each other the next
+/// primary fares no better.
+const STARVED_BACKOFF: Duration = Duration::from_secs(10);
 /// Delay before the second-ranked proxy starts, and each further rank after it.
 const RANK_DELAY: Duration = Duration::from_millis(150);
 /// Range, in steps of the rank's delay, over which claimants that failed are spread.
@@ -110,6 +116,12 @@
     fn consider(&mut self, context: &mut Context<'_>) {
         let waits = self.backoff_until.is_some_and(|until| context.now < until);
         match context.evidence.verdict() {
+            Verdict::Replace if context.evidence.primary_starved => {
+                let rests = self.move_after.is_some_and(|at| context.now < at);
+                if !waits && !rests {
+                    self.start_waiting(context);
+                }
+            }
             Verdict::Replace if !waits => self.start_waiting(context),
             Verdict::Move if !waits => {
                 self.missed_since = None;
@@ -125,9 +137,13 @@
 
     fn start_waiting(&mut self, context: &mut Context<'_>) {
         let missed_since = *self.missed_since.get_or_insert(context.now);
-        let earliest = match context.evidence.lone {
-            true => context.now.max(missed_since + LONE_DELAY),
-            false => context.now,
+        let earliest = match context.evidence {
+            Evidence {
+                primary_starved: true,
+                ..
+            } => context.now + STARVED_CONFIRM,
+            Evidence { lone: true, .. } => context.now.max(missed_since + LONE_DELAY),
+            _ => context.now,
         };
         let start_at = earliest + RANK_DELAY * context.rank;
         let stage = Stage::Waiting {
@@ -155,7 +171,12 @@
             // Another proxy is at work.
             return self.start_waiting(context);
         }
+        let starved = context.evidence.primary_starved;
+        let since = if starved { start_at } else { since };
         if context.now >= start_at && context.watch.heard_since(since) {
+            if starved {
+                self.move_after = Some(context.now + STARVED_BACKOFF);
+            }
             self.claim(context);
         }
     }
@@ -231,6 +252,11 @@
         let primary = context.watch.primary().map(|member| member.id);
         match (context.evidence.verdict(), primary) {
             (Verdict::Move, Some(primary)) => self.hand_over(context, term, primary),
+            // Its log may be the furthest, but nothing in it that a majority lacks was acknowledged.
+            (Verdict::Replace, Some(primary)) if context.evidence.primary_starved => {
+                let others = context.others(primary);
+                self.fence(context, term, Fencing::default(), &others);
+            }
             _ => {
                 let members: Vec<_> = context.watch.members.keys().collect();
                 self.fence(context, term, Fencing::default(), &members);
--- a/crates/core/src/state/groups.rs
+++ b/crates/core/src/state/groups.rs
@@ -197,6 +197,7 @@
             current.partition(|report| report.primary_answers);
         Some(failover::Evidence {
             primary_answers: primary.is_some_and(|member| member.reachable),
+            primary_starved: group.watch.is_primary_starved(),
             primary_leaving: primary.is_some_and(|member| group.leaving.contains(&member.id)),
             members_answering: group.watch.reachable(),
             members_pending: group.watch.pending(now),
--- a/crates/core/src/status/watch.rs
+++ b/crates/core/src/status/watch.rs
@@ -15,6 +15,9 @@
 const PAUSE: Duration = Duration::from_millis(250);
 /// Time that a member is given to answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Silence of a primary towards a replica after which the replica counts as cut off from it: three rounds of
+/// replication, each of which a member answers within 500 ms also without news.
+const STARVED_AFTER: Duration = Duration::from_millis(1_500);
 /// Time after a request for which members are asked often.
 const BUSY: Duration = Duration::from_secs(2);
 
@@ -107,6 +110,23 @@
         self.primary().filter(|_| confirmable)
     }
 
+    /// Returns whether the primary answers, but so many members report that they no longer hear it that it can't
+    /// get a commit confirmed, and that they alone can replace it. A replica that lags still hears its primary.
+    pub fn is_primary_starved(&self) -> bool {
+        if !self.primary().is_some_and(|primary| primary.reachable) {
+            return false;
+        }
+        let top = self.top_term();
+        let silent = self.members.values().filter(|member| {
+            let report = member.status.filter(|status| status.term == top);
+            let cut_off = |status: event::Status| status.upstream_silence >= STARVED_AFTER;
+            member.reachable && report.is_some_and(|status| !status.primary && cut_off(status))
+        });
+        let silent = silent.count();
+        let hearing = self.members.len() - silent;
+        hearing < self.majority() && silent >= self.majority()
+    }
+
     /// Returns the highest term that any member has reported.
     pub fn top_term(&self) -> id::Term {
         let terms = self.members.values().filter_map(|member| member.status);
--- a/crates/core/tests/confirm.rs
+++ b/crates/core/tests/confirm.rs
@@ -1,5 +1,7 @@
 //! What counts as a vote for a commit, and when a commit can no longer be confirmed.
 
+use std::time::Duration;
+
 use fulmarlift_core::{event, floor, status};
 use rstest::rstest;
 
@@ -13,6 +15,7 @@
         last: floor::Point::new(last.0, last.1),
         term_start,
         connections_used: 0,
+        upstream_silence: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -287,3 +287,99 @@
         }
     }
 }
+
+/// Makes members report what replicas that no longer hear primary 1 report; its log is the furthest.
+fn starve(fixture: &mut Fixture) {
+    for member in 1..=3 {
+        let status = event::Status {
+            term: 1,
+            primary: member == 1,
+            last: floor::Point::new(1, 10 - member),
+            upstream_silence: Duration::from_secs(2) * u32::from(member != 1),
+            ..event::Status::default()
+        };
+        fixture.watch.learn(fixture.now, member, status);
+    }
+    fixture.evidence = failover::Evidence {
+        primary_answers: true,
+        primary_starved: true,
+        members_answering: 3,
+        ..fixture.evidence
+    };
+}
+
+/// Ticks until a claim goes out.
+fn claim_when_confirmed(fixture: &mut Fixture) -> (id::AskId, id::Term) {
+    fixture.tick();
+    fixture.now += Duration::from_millis(600);
+    match fixture.tick().as_slice() {
+        [effect::Effect::Claim { ask, term, .. }] => (*ask, *term),
+        other => panic!("no claim but {other:?}"),
+    }
+}
+
+#[test]
+fn claimed_for_starved_primary_leaves_it_out() {
+    let mut fixture = Fixture::new();
+    starve(&mut fixture);
+    let (ask, _) = claim_when_confirmed(&mut fixture);
+    let fences = grants(&fixture.claimed(ask, event::ClaimResult::Won));
+    let fenced: Vec<_> = fences.iter().map(|grant| grant.member).collect();
+    assert_eq!(fenced, vec![2, 3], "its log would be the furthest");
+    fixture.granted(fences[0], true);
+    assert_eq!(fixture.stage(), failover::StageName::Fencing);
+    let promoted = grants(&fixture.granted(fences[1], true));
+    assert_eq!(promoted.len(), 1);
+}
+
+#[test]
+fn wait_spares_primary_that_paused_replicas_hear_again() {
+    let mut fixture = Fixture::new();
+    starve(&mut fixture);
+    fixture.tick();
+    fixture.now += Duration::from_millis(500);
+    assert_eq!(fixture.tick(), Vec::new());
+    fixture.evidence.primary_starved = false;
+    fixture.now += Duration::from_millis(200);
+    assert_eq!(fixture.tick(), Vec::new());
+    assert_eq!(fixture.stage(), failover::StageName::Idle);
+}
+
+#[test]
+fn wait_rests_after_replacing_starved_primary() {
+    let mut fixture = Fixture::new();
+    starve(&mut fixture);
+    let (ask, term) = claim_when_confirmed(&mut fixture);
+    let fences = grants(&fixture.claimed(ask, event::ClaimResult::Won));
+    fixture.granted(fences[0], false);
+    fixture.granted(fences[1], false);
+    assert_eq!(fixture.stage(), failover::StageName::Idle);
+    fixture.now += Duration::from_secs(9);
+    fixture.tick();
+    assert_eq!(fixture.stage(), failover::StageName::Idle);
+    fixture.now += Duration::from_secs(1);
+    let (_, next) = claim_when_confirmed(&mut fixture);
+    assert!(next > term);
+}
+
+#[rstest]
+#[case::serves(false, false, failover::Verdict::Healthy)]
+#[case::starved(true, false, failover::Verdict::Replace)]
+#[case::starved_and_leaving(true, true, failover::Verdict::Replace)]
+#[case::leaving(false, true, failover::Verdict::Move)]
+fn verdict_of_primary_that_answers(
+    #[case] primary_starved: bool,
+    #[case] primary_leaving: bool,
+    #[case] verdict: failover::Verdict,
+) {
+    let evidence = failover::Evidence {
+        primary_answers: true,
+        primary_starved,
+        primary_leaving,
+        members_answering: 3,
+        majority: 2,
+        peers_answering: 5,
+        ..failover::Evidence::default()
+    };
+    assert_eq!(evidence.verdict(), verdict);
+}
--- a/crates/core/tests/model/member.rs
+++ b/crates/core/tests/model/member.rs
@@ -1,5 +1,7 @@
 //! A member of a database group as docs/PROTOCOLS.md has it, without anything that can be left out.
 
+use std::time::Duration;
+
 use fulmarlift_core::{event, floor};
 
 /// Members of the group.
@@ -85,6 +87,7 @@
                 _ => 0,
             },
             connections_used: 0,
+            upstream_silence: Duration::ZERO,
         }
     }
 
--- a/crates/core/tests/policy_support/mod.rs
+++ b/crates/core/tests/policy_support/mod.rs
@@ -102,6 +102,7 @@
             last: floor::Point::new(term, position),
             term_start: 1,
             connections_used: 0,
+            upstream_silence: Duration::ZERO,
         }
     }
 
--- a/crates/core/tests/sim/member.rs
+++ b/crates/core/tests/sim/member.rs
@@ -33,6 +33,8 @@
     pub held: Vec<Held>,
     /// Extra delay of replication to this member.
     pub lag: Duration,
+    /// Time since a primary of its term last reached it.
+    pub upstream_silence: Duration,
 }
 
 impl Member {
@@ -48,6 +50,7 @@
                 _ => 0,
             },
             connections_used: 0,
+            upstream_silence: self.upstream_silence,
         }
     }
 
@@ -63,6 +66,7 @@
             self.term = term;
             self.claimant = Some(claimant);
             self.primary = false;
+            self.upstream_silence = Duration::ZERO;
         }
         self.term == term && self.claimant == Some(claimant)
     }
@@ -91,6 +95,15 @@
         Some(self.last())
     }
 
+    /// Notes whether a primary of its term reached it in a step of time.
+    pub fn hear(&mut self, source: Option<&Self>, step: Duration) {
+        let heard = source.is_some_and(|source| source.leads > 0 && source.leads >= self.term);
+        self.upstream_silence = match self.primary || heard {
+            true => Duration::ZERO,
+            false => self.upstream_silence + step,
+        };
+    }
+
     /// Follows a primary's history as far as it was written before `until`.
     pub fn follow(&mut self, source: &Self, until: Duration) {
         if source.leads == 0
--- a/crates/core/tests/sim/run.rs
+++ b/crates/core/tests/sim/run.rs
@@ -194,7 +194,12 @@
         };
         let sources = (0..self.members.len()).filter(follows);
         let source = sources.max_by_key(|source| self.members[*source].leads);
-        let (Some(source), true) = (source, self.members_up[replica]) else {
+        if !self.members_up[replica] {
+            return;
+        }
+        let heard = source.map(|source| self.members[source].clone());
+        self.members[replica].hear(heard.as_ref(), REPLICATION_STEP);
+        let Some(source) = source else {
             return;
         };
         let domains = &self.member_domains;
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -211,3 +211,46 @@
     assert!(count >= 9, "{count} questions in a second");
     assert_eq!(fixture.watch.finding(), Some(false), "no member is primary");
 }
+
+const CUT: Duration = Duration::from_millis(1_500);
+const HEARS: Duration = Duration::from_millis(499);
+
+#[rstest]
+#[case::all_hear(&[HEARS, HEARS], 1, false)]
+#[case::one_of_three_cut(&[CUT, HEARS], 1, false)]
+#[case::two_of_three_cut(&[CUT, CUT], 1, true)]
+#[case::one_of_two_cut(&[CUT], 1, false)]
+#[case::two_of_four_cut(&[CUT, CUT, HEARS], 1, false)]
+#[case::three_of_five_cut(&[CUT, CUT, CUT, HEARS], 1, true)]
+#[case::cut_at_older_term(&[CUT, CUT], 2, false)]
+fn is_primary_starved_once_majority_misses_it(
+    #[case] silences: &[Duration],
+    #[case] primary_term: id::Term,
+    #[case] starved: bool,
+) {
+    let now = Instant::now();
+    let members = silences.len() as u64 + 1;
+    let mut watch = status::Watch::new(GROUP, 1..=members, now);
+    let primary = event::Status {
+        term: primary_term,
+        primary: true,
+        ..event::Status::default()
+    };
+    watch.learn(now, MEMBER, primary);
+    for (member, upstream_silence) in (2..).zip(silences) {
+        let status = event::Status {
+            term: 1,
+            upstream_silence: *upstream_silence,
+            ..event::Status::default()
+        };
+        watch.learn(now, member, status);
+    }
+    for (_, member) in watch.members.iter_mut() {
+        member.reachable = true;
+    }
+    assert_eq!(watch.is_primary_starved(), starved);
+    for (_, member) in watch.members.iter_mut() {
+        member.reachable = false;
+    }
+    assert!(!watch.is_primary_starved(), "old reports count for nothing");
+}
--- a/crates/lab/src/experiment/member.rs
+++ b/crates/lab/src/experiment/member.rs
@@ -66,6 +66,7 @@
             last: floor::Point::new(1, 1),
             term_start: 1,
             connections_used: 0,
+            upstream_silence: Duration::ZERO,
         };
         Self {
             id,
--- a/crates/lab/src/slopes/driver.rs
+++ b/crates/lab/src/slopes/driver.rs
@@ -283,6 +283,7 @@
             last: floor::Point::new(TERM, position.max(min_position)),
             term_start: 1,
             connections_used: 0,
+            upstream_silence: Duration::ZERO,
         }
     }
 }
--- a/crates/proxy/src/member/question.rs
+++ b/crates/proxy/src/member/question.rs
@@ -154,5 +154,6 @@
         last: floor::Point::new(row.last_term, row.position),
         term_start: row.term_start,
         connections_used: row.connections_used,
+        upstream_silence: row.upstream_silence,
     }
 }
--- a/crates/standin/src/member/core.rs
+++ b/crates/standin/src/member/core.rs
@@ -37,6 +37,8 @@
     pub connections_used: usize,
     /// The limit.
     pub connections_max: usize,
+    /// Time since it last heard from a primary of its term; zero for a primary.
+    pub upstream_silence: Duration,
 }
 
 /// Replicated entries that can't be applied now.
@@ -65,6 +67,8 @@
     role: Role,
     /// The term of which a fenced primary still serves the log.
     serves: Option<log::Term>,
+    /// When it last heard from a primary of its term, or learned of the term.
+    heard_at: Instant,
     log: log::Log,
     database: sync::Arc<database::Database>,
     applier: rusqlite::Connection,
@@ -106,6 +110,7 @@
             claimant: Box::default(),
             role,
             serves: None,
+            heard_at: Instant::now(),
             log,
             database,
             applier,
@@ -179,6 +184,7 @@
                 state.serves = Some(state.term);
             }
             state.term = term;
+            state.heard_at = Instant::now();
             state.claimant = claimant.into();
             state.role = Role::Replica;
             let status = self.status_of(&state);
@@ -259,6 +265,20 @@
         Some((term, common, state.log.after(common, limit).to_vec()))
     }
 
+    /// Notes that a primary of a term was heard from.
+    pub fn hear(&self, term: log::Term) {
+        let mut state = self.state();
+        if term >= state.term {
+            state.heard_at = Instant::now();
+        }
+    }
+
+    /// The term that this member writes, if it is a primary.
+    pub fn leads(&self) -> Option<log::Term> {
+        let state = self.state();
+        (state.role == Role::Primary).then_some(state.term)
+    }
+
     /// Follows a primary of a term, and drops what its log does not share.
     ///
     /// `expected` is the head that the primary compared with; `common` the last position that is shared.
@@ -313,6 +333,7 @@
         }
         if term > state.term {
             state.term = term;
+            state.heard_at = Instant::now();
             state.claimant = Box::default();
             state.role = Role::Replica;
             state.serves = None;
@@ -343,6 +364,10 @@
             term_start: state.log.term_start(),
             connections_used: self.registry.connections_used(),
             connections_max: self.registry.connections_max(),
+            upstream_silence: match state.role {
+                Role::Primary => Duration::ZERO,
+                Role::Replica => state.heard_at.elapsed(),
+            },
         }
     }
 
--- a/crates/standin/src/member/execute.rs
+++ b/crates/standin/src/member/execute.rs
@@ -286,12 +286,13 @@
         status.term_start.to_string().into(),
         status.connections_used.to_string().into(),
         status.connections_max.to_string().into(),
+        status.upstream_silence.as_millis().to_string().into(),
     ]
 }
 
 const READ_ONLY_SETTING: &str = "transaction_read_only";
 const SAVEPOINT_TAGS: [&str; 3] = ["SAVEPOINT", "RELEASE", "ROLLBACK"];
-const STATUS_COLUMNS: [&str; 8] = [
+const STATUS_COLUMNS: [&str; 9] = [
     "term",
     "claimant",
     "role",
@@ -300,4 +301,5 @@
     "term_start",
     "connections_used",
     "connections_max",
+    "upstream_silence_ms",
 ];
--- a/crates/standin/src/member/replication.rs
+++ b/crates/standin/src/member/replication.rs
@@ -22,8 +22,11 @@
 /// What a peer answers.
 #[derive(Debug, Serialize, Deserialize)]
 enum Answer {
-    /// It is no primary, or has nothing new.
-    Nothing,
+    /// It has nothing new.
+    Nothing {
+        /// The term that it writes, if it is a primary.
+        leads: Option<log::Term>,
+    },
     /// The primary's next entries.
     Entries {
         /// The primary's term.
@@ -133,7 +136,9 @@
         }
         let changed = tokio::time::timeout_at(deadline.into(), heads.changed()).await;
         if !matches!(changed, Ok(Ok(()))) {
-            return Answer::Nothing;
+            return Answer::Nothing {
+                leads: core.leads(),
+            };
         }
     }
 }
@@ -178,15 +183,22 @@
         write_frame(&mut stream, &Pull { term, segments }).await?;
         let answer: Answer = read_frame(&mut stream).await?;
         shared.switches.wait_thaw().await;
-        if let Answer::Entries {
-            term,
-            common,
-            entries,
-        } = answer
-        {
-            let lag = shared.switches.lag();
-            let entries = entries.into_iter().map(|aged| held(aged, lag)).collect();
-            take(shared, term, expected, common, entries).await?;
+        match answer {
+            Answer::Nothing { leads } => {
+                if let Some(term) = leads {
+                    shared.core.hear(term);
+                }
+            }
+            Answer::Entries {
+                term,
+                common,
+                entries,
+            } => {
+                shared.core.hear(term);
+                let lag = shared.switches.lag();
+                let entries = entries.into_iter().map(|aged| held(aged, lag)).collect();
+                take(shared, term, expected, common, entries).await?;
+            }
         }
     }
 }
@@ -220,7 +232,7 @@
     let mut expected = shared.core.head_at(common)?;
     let mut entries = entries.into_iter().peekable();
     while let Some(first) = entries.next() {
-        shared.switches.sleep_until(first.due).await;
+        hold(shared, term, first.due).await;
         shared.switches.wait_thaw().await;
         let mut due = vec![first.entry];
         while let Some(next) = entries.next_if(|next| next.due <= Instant::now()) {
@@ -232,6 +244,14 @@
     Ok(())
 }
 
+/// Holds an entry back for the member's lag; the connection that it came by is open all the while.
+async fn hold(shared: &Shared, term: log::Term, due: Instant) {
+    let mut slept = std::pin::pin!(shared.switches.sleep_until(due));
+    while tokio::time::timeout(HOLD_TIME, &mut slept).await.is_err() {
+        shared.core.hear(term);
+    }
+}
+
 fn apply_all(
     core: &core::Core,
     term: log::Term,
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -1,6 +1,7 @@
 //! The control functions of a database member, see the protocol notes.
 
 use std::str::FromStr;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -40,6 +41,9 @@
     pub connections_used: u32,
     /// The member's connection limit.
     pub connections_max: u32,
+    /// Time since a replica last heard from a primary of its term; zero for a primary, and for a member that
+    /// doesn't report it.
+    pub upstream_silence: Duration,
 }
 
 impl Status {
@@ -106,6 +110,7 @@
         term_start: number(table, "term_start")?,
         connections_used: number(table, "connections_used")?,
         connections_max: number(table, "connections_max")?,
+        upstream_silence: Duration::from_millis(optional(table, "upstream_silence_ms")?),
     })
 }
 
@@ -121,6 +126,14 @@
         .map_err(|_| Error::Answer(format!("the status has {column} {text:?}").into()))
 }
 
+/// Reads a column that older members don't report.
+fn optional<T: FromStr + Default>(table: &Table, column: &str) -> Result<T, Error> {
+    match table.first(column) {
+        Some(_) => number(table, column),
+        None => Ok(T::default()),
+    }
+}
+
 fn role(text: &str) -> Result<Role, Error> {
     match text {
         "primary" => Ok(Role::Primary),
