Members held above a promotion are released when its leader answers

One answered that it had moved on to term 2, so all were asked again at term 3, and then the leader of term 2 answered. The attempt ended there as if that promotion had released everyone. It had come before the holds at term 3, so both replicas stayed held: commits had no replica to acknowledge them for 1.9 s, the leader counted as stalled, and a healthy leader was replaced.

Ruled out: the leader's cut from its replicas (it was over since 9.5 s), a late order (none was under way).

Change: the attempt that finds another leader releases what it has held, unless an older order for somebody else may still be carried out; then the members stay held as before.

Before: held_members_are_released_when_another_leads_by_then fails (nobody is released). After: it passes.

--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -313,7 +313,13 @@
         if let Some(standing) = standing {
             let newest = standing.term.max(standing.held_term);
             if standing.leads && Some(member) != self.old {
-                // Somebody else has been promoted meanwhile, which has released all.
+                // Somebody else has been promoted meanwhile, which has released all that were held before; those held
+                // since, at a later term, still are.
+                let leader = voters.iter().find(|voter| voter.member == member);
+                let pending = self.claim.pending();
+                if pending.is_none() || pending == leader.map(|voter| voter.name.as_ref()) {
+                    self.release(out);
+                }
                 return Progress::Done { member, standing };
             }
             if standing.term >= self.hold_term {
@@ -402,17 +408,22 @@
     fn give_up(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
         // Members stay held while an older order may still be executed: what they lack then cannot be acknowledged.
         if self.claim.pending().is_none() {
-            let held: Vec<id::MemberId> = self.asked.keys().collect();
-            let until = self.claimed_until;
-            for member in held.into_iter().filter(|member| Some(*member) != self.old) {
-                self.ask(Some(member), effect::Question::Release { until }, out);
-            }
+            self.release(out);
         }
         Progress::Failed {
             retry_at: now + STORE_AGAIN * 2,
         }
     }
 
+    /// Lets the members that were asked to be held receive again.
+    fn release(&self, out: &mut Vec<effect::Effect>) {
+        let until = self.claimed_until;
+        let held = self.asked.keys().filter(|member| Some(*member) != self.old);
+        for member in held {
+            self.ask(Some(member), effect::Question::Release { until }, out);
+        }
+    }
+
     /// Returns the store's clock, from its answer when the claim was read.
     fn store_now_ms(&self, now: Instant) -> u64 {
         let (then, then_ms) = self.loaded;
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -313,3 +313,61 @@
     // The order was given 200 ms after the claim was read, the answer came 600 ms later.
     assert!(until_ms >= Some(3_600), "{until_ms:?}");
 }
+
+/// Takes the members that are released.
+fn released(world: &mut World) -> Vec<id::MemberId> {
+    let release = |effect| match effect {
+        Effect::Ask {
+            member,
+            question: Question::Release { .. },
+            ..
+        } => Some(member),
+        _ => None,
+    };
+    let mut released: Vec<_> = world.take().into_iter().filter_map(release).collect();
+    released.sort_unstable();
+    released
+}
+
+/// Answers the claim's steps for a group whose leader went missing, up to the questions to the members; an order of
+/// an earlier claim may still be carried out.
+fn begin_gone(world: &mut World, pending: Option<&str>) {
+    world.handle(Event::Unlisted {
+        name: "member-1".into(),
+        revision: 20,
+    });
+    world.pass(300);
+    let mut stored = Stored {
+        revision: 4,
+        now_ms: 9_000,
+        ..Stored::default()
+    };
+    stored.claim.token = 6;
+    stored.claim.target = pending.map(Box::from);
+    stored.claim.settled = pending.is_none();
+    stored.claim.until_ms = 8_000;
+    world.pass(3_000);
+    world.handle(Event::ClaimLoaded {
+        group: GROUP,
+        stored: Some(stored),
+    });
+    let outcome = StoreOutcome::Written(11);
+    world.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome,
+    });
+    world.pass(100);
+}
+
+#[test]
+fn held_members_are_released_when_another_leads_by_then() {
+    let mut world = World::new();
+    begin_gone(&mut world, None);
+    let term = holds(&mut world)[0].1;
+    // The term is over already; the next one is asked for, and only then its leader answers.
+    answer(&mut world, 2, (false, term, (term, 166), 0));
+    answer(&mut world, 2, (false, term, (term, 166), term + 1));
+    world.effects.clear();
+    answer(&mut world, 3, (true, term, (term, 168), 0));
+    assert_eq!(released(&mut world), [2, 3]);
+}
