Requests wait only for homes that answer

Traced in the logs: a home that failed became a candidate again after its rest, cheapest by distance, and requests waited up to 900 ms for its connection; each of eight groups learned by itself that the same proxy did not answer; homes that took the place of lost ones had never been reached and were waited for too; and few departures made the queue's estimate refuse the rest with 2 to 6 s.

Change: a proxy that fails as a home of one group is left alone as a home of all, and used again for all once it answers; one that has answered another statement since is not taken as failed for the silence of an earlier one. Members and homes that have failed, and homes that have never answered, cost more than any other and are tried beside the requests. A connection to another proxy is given 300 ms.

Tests, three of them seen failing before: silent_home_is_avoided_for_other_groups_too, arrived_does_not_wait_for_home_that_has_failed, silent_statement_says_nothing_about_home_that_answers_others, and arrived_does_not_wait_for_home_that_was_never_reached. home_that_is_back_is_used_for_all_groups passed before as well.

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Contents of a group's claim row. Every change is conditional on the row's revision.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct Claim {
     /// Name of the proxy that claimed last, with its incarnation.
     pub holder: Box<str>,
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -154,7 +154,7 @@
 }
 
 /// A member's word about itself.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Standing {
     /// Whether it leads.
     pub leads: bool,
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -44,7 +44,7 @@
 const CONFIRM_FOR: Duration = Duration::from_millis(2_500);
 
 /// Where a replacement stands.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum Step {
     /// Not begun, or another proxy's claim is waited for.
     Waiting { until: Instant },
@@ -65,7 +65,7 @@
 }
 
 /// A question to a member during a replacement.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 struct Asked {
     sent_at: Option<Instant>,
     again_at: Option<Instant>,
@@ -103,7 +103,7 @@
 }
 
 /// A replacement under way.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Attempt {
     group: id::GroupId,
     me: Box<str>,
--- a/crates/broker/src/lead.rs
+++ b/crates/broker/src/lead.rs
@@ -21,7 +21,7 @@
 const NOBODY_FOR: Duration = Duration::from_millis(1_500);
 
 /// Why a leader is to be replaced.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Reason {
     /// It has announced that it will stop.
     Leaving,
--- a/crates/broker/src/place.rs
+++ b/crates/broker/src/place.rs
@@ -18,6 +18,9 @@
 const LEADER_MS: f64 = 10.0;
 /// Cost of a member that has failed the request before, in ms: more than any distance or queue that is worth waiting.
 const AVOIDED_MS: f64 = 400.0;
+/// Cost of a member that has failed and not answered since, in ms: more than all else together, so that requests wait for
+/// it only where nobody else will do. It is tried anew beside them.
+const SUSPECT_MS: f64 = 2_000.0;
 /// Cost of a replica not yet seen at the point that is asked for, in ms: a likely second attempt.
 const UNSEEN_MS: f64 = 4.0;
 
@@ -56,6 +59,9 @@
     if question.leads {
         cost += LEADER_MS;
     }
+    if seat.is_suspect() {
+        cost += SUSPECT_MS;
+    }
     if question.avoided {
         cost += AVOIDED_MS;
     }
--- a/crates/broker/src/seat.rs
+++ b/crates/broker/src/seat.rs
@@ -143,6 +143,16 @@
         self.rest_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether it has failed and not answered since.
+    pub fn is_suspect(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Returns whether it has never answered.
+    pub fn is_unproven(&self) -> bool {
+        self.answered_at.is_none()
+    }
+
     /// Returns whether a connection may be opened. While the member has few left, one at a time is tried.
     pub fn may_open(&self, now: Instant) -> bool {
         let at_once = if self.full_in_a_row > 0 {
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -46,7 +46,7 @@
         seat.idle.push(seat::Idle { conn, since: now });
         seat.rest_until = None;
         seat.full_in_a_row = 0;
-        let recovered = seat.failures > 0;
+        let recovered = seat.is_suspect();
         seat.answered(now, None);
         let member = seat.member.id;
         if recovered {
@@ -54,6 +54,7 @@
                 member,
                 reachable: true,
             }));
+            self.home_is_back(now, member, effects);
         }
         self.pump_of(now, member, effects);
     }
@@ -75,9 +76,13 @@
         match failure {
             event::OpenFailure::Full => seat.full(now),
             event::OpenFailure::Refused | event::OpenFailure::Elsewhere => {
-                fail(seat, now, true, effects)
+                fail(seat, now, true, effects);
+                self.home_has_failed(now, member, true);
+            }
+            event::OpenFailure::Silent => {
+                fail(seat, now, false, effects);
+                self.home_has_failed(now, member, false);
             }
-            event::OpenFailure::Silent => fail(seat, now, false, effects),
         }
         self.pump_of(now, member, effects);
     }
@@ -138,15 +143,19 @@
         let Some(group_id) = self.members.get(member).copied() else {
             return;
         };
+        let is_home = self.is_peer(member);
         let Some(seat) = self.seat_mut(member) else {
             return;
         };
         seat.running = seat.running.saturating_sub(1);
+        let sent_at = report.took.and_then(|took| now.checked_sub(took));
         match report.answer {
             event::Answer::Broken => {
                 // Other connections to a process that died break by themselves; a new one tells whether it did.
                 seat.rest_until = None;
             }
+            // The home is there; it waits for a member.
+            event::Answer::Silent { .. } if is_home && seat.answered_at > sent_at => {}
             event::Answer::Silent { .. } => {
                 for idle in std::mem::take(&mut seat.idle) {
                     effects.push(effect::Effect::Close(idle.conn));
@@ -155,6 +164,7 @@
                 if let Some(seat) = self.seat_mut(member) {
                     fail(seat, now, false, effects);
                 }
+                self.home_has_failed(now, member, false);
             }
             event::Answer::Unfinished => {}
             event::Answer::Busy => seat.busy(now),
@@ -167,14 +177,41 @@
                 seat.denies_lead = true;
             }
             event::Answer::Served | event::Answer::Led { .. } => {
+                let recovered = seat.is_suspect();
                 seat.answered(now, report.took);
                 seat.reached(report.point);
+                if recovered {
+                    self.home_is_back(now, member, effects);
+                }
             }
         }
         self.learn_lead(now, group_id, &report, effects);
         self.pump(now, group_id, effects);
     }
 
+    /// Tries, beside the requests, members that have failed and may be back, and homes that have never answered.
+    pub(super) fn try_doubtful(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(group) = self.groups.get(group_id) else {
+            return;
+        };
+        let homes = group.forwards_to();
+        let seats = homes.unwrap_or(&group.seats);
+        let due = |seat: &&seat::Seat| {
+            let doubtful = seat.is_suspect() || homes.is_some() && seat.is_unproven();
+            let untried = seat.idle.is_empty() && seat.opening == 0;
+            doubtful && untried && seat.usable(now) && seat.may_open(now)
+        };
+        let due = seats.values().filter(due).map(|seat| seat.member.id);
+        for member in due.collect::<Vec<_>>() {
+            self.open(member, effects);
+        }
+    }
+
     pub(super) fn trim(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         let conns = &mut self.conns;
         for (_, group) in self.groups.iter_mut() {
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -221,6 +221,11 @@
         group.is_some_and(|group| group.homes.contains(member))
     }
 
+    /// Returns whether a member, or a home, has failed and not answered since.
+    pub fn is_suspect(&self, member: id::MemberId) -> bool {
+        self.seat(member).is_some_and(seat::Seat::is_suspect)
+    }
+
     fn seat(&self, member: id::MemberId) -> Option<&seat::Seat> {
         let group = self.groups.get(*self.members.get(member)?)?;
         group.seats.get(member).or_else(|| group.homes.get(member))
--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -49,6 +49,46 @@
         self.choose_homes(now, effects);
     }
 
+    /// Leaves a proxy alone as a home of every group, once it has failed as one: it is the same process on the same way.
+    pub(super) fn home_has_failed(&mut self, now: Instant, home: id::MemberId, refused: bool) {
+        for seat in self.other_seats_of(home) {
+            seat.failed(now, refused);
+        }
+    }
+
+    /// Uses a proxy again as a home of every group, once it has answered as one.
+    pub(super) fn home_is_back(
+        &mut self,
+        now: Instant,
+        home: id::MemberId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let mut back = Vec::new();
+        for seat in self.other_seats_of(home).filter(|seat| seat.is_suspect()) {
+            seat.rest_until = None;
+            seat.answered(now, None);
+            back.push(seat.member.id);
+        }
+        for seat in back {
+            self.pump_of(now, seat, effects);
+        }
+    }
+
+    /// Returns the seats of the same proxy as a home of other groups; none for a member.
+    fn other_seats_of(&mut self, home: id::MemberId) -> impl Iterator<Item = &mut seat::Seat> {
+        let name = match self.is_peer(home) {
+            true => self.seat(home).map(|seat| seat.member.name.clone()),
+            false => None,
+        };
+        self.groups.iter_mut().filter_map(move |(group_id, group)| {
+            let other = id::member(group_id, name.as_deref()?);
+            group
+                .homes
+                .get_mut(other)
+                .filter(|seat| seat.member.id != home)
+        })
+    }
+
     fn forget_homes_of(&mut self, now: Instant, name: &str, effects: &mut Vec<effect::Effect>) {
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
         for group in groups {
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -20,6 +20,10 @@
 /// Cost of opening a connection, in ms: less than it takes, since the requests after it find it open.
 const OPEN_MS: f64 = 6.0;
 
+/// Cost of a home that has never answered, in ms: more than the way to another one that has. It is tried beside the
+/// requests.
+const UNPROVEN_MS: f64 = 100.0;
+
 /// What can be done for a waiting request now.
 enum Choice {
     Grant {
@@ -114,6 +118,7 @@
             }
         }
         self.open_wanted(now, &wanted, effects);
+        self.try_doubtful(now, group_id, effects);
         self.probe_if_wanted(now, group_id, effects);
     }
 
@@ -202,7 +207,8 @@
                 avoided: request.avoid == Some(seat.member.id),
             };
             let open = if seat.idle.is_empty() { OPEN_MS } else { 0.0 };
-            place::cost_ms(seat, &question) + open
+            let unproven = if seat.is_unproven() { UNPROVEN_MS } else { 0.0 };
+            place::cost_ms(seat, &question) + open + unproven
         };
         let reached = homes.values().filter(|seat| seat.usable(now));
         let seat = reached.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -4,11 +4,11 @@
 
 use std::time::Duration;
 
-use fulmarlift_broker::effect::Effect;
-use fulmarlift_broker::event::{Event, OpenFailure};
+use fulmarlift_broker::effect::{Effect, Grant};
+use fulmarlift_broker::event::{Answer, Event, OpenFailure, Report};
 use fulmarlift_broker::homes::{self, Candidate};
 use fulmarlift_broker::request::{Need, Request};
-use fulmarlift_broker::topology::Peer;
+use fulmarlift_broker::topology::{Member, Peer, Topology};
 use fulmarlift_core::id;
 use support::{GROUP, World, place};
 
@@ -136,3 +136,180 @@
     let opens = |effect: &Effect| matches!(effect, Effect::Open { .. });
     assert!(!world.effects.iter().any(opens));
 }
+
+const OTHER_GROUP: id::GroupId = 8;
+
+/// Adds a second group with a member of its own, which has the same homes.
+fn add_group(world: &mut World) {
+    let first = support::topology();
+    let group = first.groups.get(GROUP).expect("it is configured").clone();
+    let routes = first
+        .route(support::DATABASE)
+        .cloned()
+        .into_iter()
+        .collect();
+    let groups = vec![(GROUP, group.clone()), (OTHER_GROUP, group)];
+    world.handle(Event::Configured(Topology::new(2, routes, groups)));
+    for (member, domain) in [(4, "a"), (5, "b"), (6, "c")] {
+        world.handle(Event::Listed(Member {
+            group: OTHER_GROUP,
+            ..support::member_at(member, domain, member == 4)
+        }));
+    }
+    world.pass(100);
+    world.effects.clear();
+}
+
+fn arrive_at(world: &mut World, group: id::GroupId, id: id::RequestId) {
+    let now = world.now;
+    world.handle(Event::Arrived(Request {
+        id,
+        group,
+        need: Need::Lead,
+        priority: 1,
+        objective_at: now + Duration::from_millis(500),
+        deadline: now + Duration::from_millis(800),
+        avoid: None,
+        hedge: false,
+        forwarded: false,
+    }));
+}
+
+/// Ends a statement without an answer in time.
+fn silence(world: &mut World, grant: &Grant, took_ms: u64) {
+    world.handle(Event::Answered(Report {
+        member: grant.member,
+        answer: Answer::Silent { commit: false },
+        point: None,
+        floor: None,
+        took: Some(Duration::from_millis(took_ms)),
+    }));
+    world.handle(Event::Returned {
+        conn: grant.conn,
+        reusable: false,
+    });
+}
+
+/// Keeps so many statements under way that every home would get one.
+fn spread_over_homes(world: &mut World, group: id::GroupId) -> Vec<Grant> {
+    let mut grants = Vec::new();
+    for id in 800..830 {
+        arrive_at(world, group, id);
+        world.open_all();
+        grants.extend(world.grants());
+    }
+    grants
+}
+
+fn home_name(world: &World, member: id::MemberId) -> Box<str> {
+    let home = world.broker.member(member).expect("it is known");
+    home.name.clone()
+}
+
+#[test]
+fn silent_home_is_avoided_for_other_groups_too() {
+    let mut world = far_proxy();
+    add_group(&mut world);
+    world.arrive(Need::Lead);
+    world.open_all();
+    let grant = world.grants().remove(0);
+    let silent = home_name(&world, grant.member);
+    world.now += Duration::from_millis(760);
+    silence(&mut world, &grant, 760);
+    let used = spread_over_homes(&mut world, OTHER_GROUP);
+    assert!(used.len() > 1);
+    assert!(
+        used.iter()
+            .all(|grant| home_name(&world, grant.member) != silent)
+    );
+}
+
+#[test]
+fn arrived_does_not_wait_for_home_that_has_failed() {
+    let mut world = far_proxy();
+    world.arrive(Need::Lead);
+    world.open_all();
+    let grant = world.grants().remove(0);
+    world.now += Duration::from_millis(760);
+    silence(&mut world, &grant, 760);
+    world.effects.clear();
+    // Its rest is over, but nothing shows that it is back.
+    world.pass(200);
+    world.arrive(Need::Lead);
+    let tried = open_but(&mut world, |member| member == grant.member);
+    assert!(tried, "it is tried in the background");
+    let granted = world.grants();
+    assert_eq!(granted.len(), 1, "another home takes the request meanwhile");
+}
+
+#[test]
+fn home_that_is_back_is_used_for_all_groups() {
+    let mut world = far_proxy();
+    add_group(&mut world);
+    arrive_at(&mut world, OTHER_GROUP, 901);
+    world.open_all();
+    let first = world.grants().remove(0);
+    world.finish(&first, Answer::Served, None);
+    world.now += Duration::from_millis(10);
+    world.arrive(Need::Lead);
+    world.open_all();
+    let grant = world.grants().remove(0);
+    world.now += Duration::from_millis(760);
+    silence(&mut world, &grant, 760);
+    world.effects.clear();
+    world.pass(200);
+    world.arrive(Need::Lead);
+    world.open_all();
+    let name = home_name(&world, grant.member);
+    assert!(!world.broker.is_suspect(id::member(GROUP, &name)));
+    assert!(!world.broker.is_suspect(id::member(OTHER_GROUP, &name)));
+}
+
+#[test]
+fn silent_statement_says_nothing_about_home_that_answers_others() {
+    let mut world = far_proxy();
+    world.arrive(Need::Lead);
+    world.open_all();
+    let silent = world.grants().remove(0);
+    world.now += Duration::from_millis(400);
+    let others = spread_over_homes(&mut world, GROUP);
+    let same = others.iter().find(|grant| grant.member == silent.member);
+    let other = same.expect("it serves another one");
+    world.finish(other, Answer::Served, None);
+    world.now += Duration::from_millis(360);
+    silence(&mut world, &silent, 760);
+    assert!(!world.broker.is_suspect(silent.member));
+}
+
+#[test]
+fn arrived_does_not_wait_for_home_that_was_never_reached() {
+    let mut world = far_proxy();
+    world.arrive(Need::Lead);
+    let first = world.take().into_iter().find_map(|effect| match effect {
+        Effect::Open { conn, member } => Some((conn, member)),
+        _ => None,
+    });
+    let (conn, home) = first.expect("a connection is opened");
+    world.handle(Event::Opened(conn));
+    assert_eq!(world.grants().len(), 1);
+    // It has work, so that another one would be a little cheaper.
+    world.arrive(Need::Lead);
+    let tried = open_but(&mut world, |member| member != home);
+    let granted = world.grants();
+    assert_eq!(granted.len(), 1, "the home that answers takes it");
+    assert_eq!(granted[0].member, home);
+    assert!(!tried, "the others are being tried already");
+}
+
+/// Opens all connections that are asked for, but for some; returns whether there were such.
+fn open_but(world: &mut World, but: impl Fn(id::MemberId) -> bool) -> bool {
+    let mut seen = false;
+    for effect in world.take() {
+        match effect {
+            Effect::Open { member, .. } if but(member) => seen = true,
+            Effect::Open { conn, .. } => world.handle(Event::Opened(conn)),
+            other => world.effects.push(other),
+        }
+    }
+    seen
+}
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -20,6 +20,9 @@
 
 /// Time to open a connection: a lost first packet and its repetition, 1 s, are not waited for.
 const OPEN_FOR: Duration = Duration::from_millis(900);
+/// Time to open a connection to another proxy, which needs no slot there: two round trips between regions and a pause of
+/// its process.
+const OPEN_HOME_FOR: Duration = Duration::from_millis(300);
 /// Time for a probe: several round trips between regions.
 const PROBE_FOR: Duration = Duration::from_millis(700);
 /// Time for a question about a member's standing.
@@ -86,13 +89,14 @@
             return Err(link::OpenError::Refused(protocol::Code::Misrouted));
         };
         metrics::counter!("fulmarlift_connects_total").increment(1);
-        let deadline = clock::now() + OPEN_FOR;
         let opened = match self.with_broker(|broker| broker.is_peer(member)) {
             true => {
+                let deadline = clock::now() + OPEN_HOME_FOR;
                 let opened = link::Link::open(address, &group, (&name, member), deadline).await;
                 opened.map(shell::Wire::Home)
             }
             false => {
+                let deadline = clock::now() + OPEN_FOR;
                 let opened = link::Link::open(address, &group, (&name, member), deadline).await;
                 opened.map(shell::Wire::Member)
             }
