What needs the leader is forwarded to a home in the leader's domain

Cause: a proxy forwarded everything to the nearest home, which then asked the leader in another domain or region: two crossings, each paid and each a round trip's half.

Change: the way from the home to the leader counts when the home is chosen for a write or a read of the leader.

Test: arrived_for_leader_is_forwarded_to_its_domain, seen failing (a home of domain a for a leader in b).

--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -181,7 +181,7 @@
         };
         if let Some(homes) = group.forwards_to()
             && !request.forwarded
-            && let Some(choice) = self.choose_home(now, homes, request)
+            && let Some(choice) = self.choose_home(now, group, homes, request)
         {
             return choice;
         }
@@ -199,9 +199,21 @@
     fn choose_home(
         &self,
         now: Instant,
+        group: &state::Group,
         homes: &sorted::Map<id::MemberId, seat::Seat>,
         request: &request::Request,
     ) -> Option<Choice> {
+        // What needs the leader goes on from the home to it.
+        let leader = match request.need {
+            request::Need::Lead | request::Need::Latest => group.lead.member,
+            request::Need::Recent { .. } => None,
+        };
+        let leader = leader.and_then(|leader| group.seats.get(leader));
+        let onward_ms = |home: &seat::Seat| {
+            leader.map_or(0.0, |leader| {
+                place::distance_ms(&home.member.place, &leader.member.place)
+            })
+        };
         let cost = |seat: &seat::Seat| {
             let question = place::Question {
                 now,
@@ -212,7 +224,7 @@
             };
             let open = if seat.idle.is_empty() { OPEN_MS } else { 0.0 };
             let unproven = if seat.is_unproven() { UNPROVEN_MS } else { 0.0 };
-            place::cost_ms(seat, &question) + open + unproven
+            place::cost_ms(seat, &question) + onward_ms(seat) + open + unproven
         };
         let reached = homes.values().filter(|seat| seat.usable(now));
         let seat = reached.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -313,3 +313,23 @@
     }
     seen
 }
+
+/// Load: what needs the leader would cross two domains by way of a home elsewhere.
+#[test]
+fn arrived_for_leader_is_forwarded_to_its_domain() {
+    let mut world = far_proxy();
+    for (leader, domain) in [(1, "a"), (2, "b"), (3, "c")] {
+        world.handle(Event::Listed(Member {
+            revision: 10 + leader,
+            ..support::member_at(leader, domain, true)
+        }));
+        world.pass(100);
+        world.arrive(Need::Lead);
+        world.open_all();
+        for grant in world.grants() {
+            let home = world.broker.member(grant.member).expect("it is known");
+            assert_eq!(*home.place.domain, *domain, "member {leader} leads there");
+            world.finish(&grant, Answer::Served, None);
+        }
+    }
+}
