A home's refusal is no quick answer, and members that fail statements are left for others

An overloaded home refuses at once, the proxies that forwarded took that as an answer within a millisecond, and its mean of answer times made it the cheapest home of all: its overload drew everybody's requests. The same holds for a member that fails statements at once while its health is good: FAILED counted as served, and quickly.

Change: a home that refuses is left alone for 100 ms and its refusal does not count as an answer's time; the request is tried at another home once, out of the retry budget. A member's statements that fail or break their connection raise a share of failures, which makes it dearer and halves in 2 s, so that it is tried again.

Tests, seen failing with the mechanism taken out: home_that_refuses_is_left_for_another (0 of 40 served elsewhere), reads_leave_member_that_fails_statements (20 of 20 went on to the failing one). refusal_of_a_home_is_tried_at_another passes; it was not run against the old code.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -127,6 +127,8 @@
     NotLeading,
     /// Its log lacks the point that was asked for.
     Behind,
+    /// The statement ran there and failed.
+    Failed,
     /// It had no slot and no room in its queue.
     Busy,
     /// Nobody waits for its answer any more.
--- a/crates/broker/src/place.rs
+++ b/crates/broker/src/place.rs
@@ -21,6 +21,8 @@
 /// Cost of a member that has failed and not answered since, in ms: more than all else together, so that requests wait for
 /// it only where nobody else will do. It is tried anew beside them.
 const SUSPECT_MS: f64 = 2_000.0;
+/// Cost of a statement that fails, in ms: another attempt, and a caller's pause before it.
+const ERROR_MS: f64 = 400.0;
 /// Cost of a replica not yet seen at the point that is asked for, in ms: a likely second attempt.
 const UNSEEN_MS: f64 = 4.0;
 
@@ -59,6 +61,7 @@
     if question.leads {
         cost += LEADER_MS;
     }
+    cost += seat.error_share(question.now) * ERROR_MS;
     if seat.is_suspect() {
         cost += SUSPECT_MS;
     }
--- a/crates/broker/src/seat.rs
+++ b/crates/broker/src/seat.rs
@@ -24,6 +24,12 @@
 const OPENING_MAX: u32 = 2;
 /// Time for which a member that refused for want of slots is left alone: about a mean statement.
 const BUSY_PAUSE: Duration = Duration::from_millis(20);
+/// Time for which a home that refused a request is left alone: about a mean statement's time at each of its slots.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+/// Weight of a new answer in the running share of failures: the last ten answers decide.
+const ERROR_WEIGHT: f64 = 0.1;
+/// Time in which the share of failures halves without an answer, so that a member is tried again.
+const ERROR_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Time for which a replica that lacked a point is not asked for it or a later one: a replica's usual delay.
 const BEHIND_PAUSE: Duration = Duration::from_millis(100);
 /// Part of the allowance that is left after the member had no slot.
@@ -78,6 +84,8 @@
     /// Statements that may run there side by side for this proxy; fewer after the member had no slot, and more again
     /// with each answer.
     pub allowance: f64,
+    /// Running share of statements that failed, and when the last one did.
+    errors: (f64, Option<Instant>),
     /// Proxies that use its slots.
     pub sharers: u32,
     /// Whether it has refused to lead since its entry last said that it leads.
@@ -117,6 +125,7 @@
             full_until: None,
             lacks: None,
             allowance: ALLOWANCE_SLOTS * slots,
+            errors: (0.0, None),
             sharers: 1,
             denies_lead: false,
         }
@@ -187,6 +196,7 @@
         self.failing_since = None;
         self.refused = false;
         if let Some(took) = took {
+            self.errors.0 *= 1.0 - ERROR_WEIGHT;
             self.allowance = (self.allowance + 1.0 / self.allowance).min(self.allowance_max());
             let took_ms = took.as_secs_f64() * 1_000.0;
             self.latency_ms += LATENCY_WEIGHT * (took_ms - self.latency_ms);
@@ -207,6 +217,27 @@
         self.rest(now + doubled.min(SUSPEND_MAX));
     }
 
+    /// Notes that a statement failed there, or broke its connection, while the member answers.
+    pub fn erred(&mut self, now: Instant) {
+        let share = self.error_share(now);
+        self.errors = (share + ERROR_WEIGHT * (1.0 - share), Some(now));
+    }
+
+    /// Returns the share of statements that are expected to fail.
+    pub fn error_share(&self, now: Instant) -> f64 {
+        let (share, Some(at)) = self.errors else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        share * 0.5_f64.powf(age / ERROR_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Notes that, as a home, it refused a request.
+    pub fn turned_away(&mut self, now: Instant) {
+        self.answered_at = Some(now);
+        self.rest(now + REFUSED_PAUSE);
+    }
+
     /// Notes that all its slots and its queue were full.
     pub fn busy(&mut self, now: Instant) {
         self.allowance = (self.allowance * ALLOWANCE_CUT).max(ALLOWANCE_MIN);
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -153,6 +153,7 @@
             event::Answer::Broken => {
                 // Other connections to a process that died break by themselves; a new one tells whether it did.
                 seat.rest_until = None;
+                seat.erred(now);
             }
             // The home is there; it waits for a member.
             event::Answer::Silent { .. } if is_home && seat.answered_at > sent_at => {}
@@ -167,7 +168,15 @@
                 self.home_has_failed(now, member, false);
             }
             event::Answer::Unfinished => {}
+            event::Answer::Busy if is_home => seat.turned_away(now),
             event::Answer::Busy => seat.busy(now),
+            event::Answer::Failed => {
+                seat.answered(now, None);
+                // A home passes on how its member failed.
+                if !is_home {
+                    seat.erred(now);
+                }
+            }
             event::Answer::Behind => {
                 seat.answered(now, None);
                 seat.behind(now, report.floor);
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -333,3 +333,36 @@
         }
     }
 }
+
+/// Load: a home that is overloaded refuses at once. Its quick answers must not draw everybody's requests there.
+#[test]
+fn home_that_refuses_is_left_for_another() {
+    let mut world = far_proxy();
+    let mut served = 0;
+    let mut refusing = None;
+    for _ in 0..40 {
+        world.arrive(Need::Lead);
+        world.open_all();
+        for grant in world.grants() {
+            let refuses = *refusing.get_or_insert(grant.member) == grant.member;
+            served += usize::from(!refuses);
+            let answer = if refuses {
+                Answer::Busy
+            } else {
+                Answer::Served
+            };
+            let took_ms = if refuses { 1 } else { 30 };
+            world.now += Duration::from_millis(took_ms);
+            world.handle(Event::Answered(Report {
+                member: grant.member,
+                answer,
+                point: None,
+                floor: None,
+                took: Some(Duration::from_millis(took_ms)),
+            }));
+            let (conn, reusable) = (grant.conn, true);
+            world.handle(Event::Returned { conn, reusable });
+        }
+    }
+    assert!(served >= 25, "{served} of 40");
+}
--- a/crates/broker/tests/place.rs
+++ b/crates/broker/tests/place.rs
@@ -8,6 +8,7 @@
 use fulmarlift_broker::topology::Peer;
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
+use rstest::rstest;
 use std::time::Duration;
 use support::{GROUP, World};
 
@@ -276,3 +277,28 @@
         held.extend(grants);
     }
 }
+
+/// Load: a member whose health is good fails statements, at once or by breaking connections. Reads are worth the way to
+/// another one, and it is tried again after a while.
+#[rstest]
+#[case::answers(Answer::Failed)]
+#[case::resets(Answer::Broken)]
+fn reads_leave_member_that_fails_statements(#[case] failure: Answer) {
+    let mut world = World::at("b");
+    sample(&mut world, 10);
+    let mut there = Vec::new();
+    for nth in 0..40 {
+        let grant = read(&mut world, None);
+        there.push(grant.member == 2);
+        let fails = grant.member == 2 && nth % 2 == 0;
+        let answer = if fails { failure } else { Answer::Served };
+        world.now += Duration::from_millis(5);
+        world.finish(&grant, answer, Some(Point::new(3, 10)));
+        sample_now(&mut world);
+    }
+    let late = there[20..].iter().filter(|near| **near).count();
+    assert!(late <= 5, "{late} of 20 go on to the near one");
+    world.now += Duration::from_secs(8);
+    sample_now(&mut world);
+    assert_eq!(read(&mut world, None).member, 2, "it is tried again");
+}
--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -155,9 +155,13 @@
     }
 }
 
-/// A home's answer is final, its refusal included: it has tried the members that there are.
+/// A home's answer is passed on, its refusal included: it has tried the members that there are.
 fn pass_on<W: World>(mut lease: shell::Lease<W>, answer: member::Answer) -> Outcome {
-    lease.report(event::Answer::Served, answer.point);
+    let reading = match answer.error() {
+        Some(protocol::Code::Busy) => event::Answer::Busy,
+        _ => event::Answer::Served,
+    };
+    lease.report(reading, answer.point);
     if answer.state == protocol::State::Idle {
         lease.give_back();
     }
@@ -187,6 +191,7 @@
 pub fn reading_of(code: &protocol::Code) -> event::Answer {
     match code {
         protocol::Code::Busy => event::Answer::Busy,
+        protocol::Code::Failed => event::Answer::Failed,
         protocol::Code::Behind => event::Answer::Behind,
         protocol::Code::ReadOnly => event::Answer::NotLeading,
         protocol::Code::Misrouted | protocol::Code::TooMany => event::Answer::Broken,
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -289,6 +289,12 @@
             }
         };
         let avoid = match next {
+            Some(Ok((home, attempt::Outcome::Answered(answer))))
+                if attempts == 1 && is_refused(&answer) && job.shell.spend_hedge() =>
+            {
+                log::debug!("event=retried request={} home={home:016x}", plan.id());
+                Some(home)
+            }
             Some(Ok((_, attempt::Outcome::Answered(answer)))) => {
                 let failed = answer.error() == Some(&protocol::Code::Failed);
                 if !failed || attempts >= ATTEMPTS_MAX || !running.is_empty() {
@@ -324,6 +330,11 @@
     ended
 }
 
+/// Returns whether a home refused a statement, which another one may have room for. A member's refusal is no answer.
+fn is_refused(answer: &member::Answer) -> bool {
+    answer.error() == Some(&protocol::Code::Busy)
+}
+
 fn given_up(refuse: &effect::Refuse, was_sent: bool) -> Failure {
     let mut failure = Failure::refused(refuse);
     if was_sent {
@@ -354,8 +365,10 @@
     bounds: Bounds,
     forwarded: bool,
 ) -> Result<member::Answer, Failure> {
+    shell.earn_hedge();
     let mut refused = protocol::Code::Busy;
-    for _ in 0..ATTEMPTS_MAX {
+    let mut avoid = None;
+    for attempt in 1..=ATTEMPTS_MAX {
         if clock::now() >= bounds.deadline {
             break;
         }
@@ -364,7 +377,7 @@
             route,
             request::Need::Lead,
             bounds,
-            None,
+            avoid,
             false,
             forwarded,
         )
@@ -373,7 +386,13 @@
             shell::Turn::Granted { lease, grant } => (lease, grant),
             shell::Turn::Refused(refuse) => return Err(Failure::refused(&refuse)),
         };
+        let member = grant.member;
         match attempt::run(lease, grant, plan, held, route, bounds).await {
+            attempt::Outcome::Answered(answer)
+                if attempt == 1 && is_refused(&answer) && shell.spend_hedge() =>
+            {
+                avoid = Some(member);
+            }
             attempt::Outcome::Answered(answer) => return Ok(answer),
             attempt::Outcome::NotRun(code) => {
                 log::debug!("event=retried request={} code={code:?}", plan.id());
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -20,6 +20,7 @@
 use fulmarlift_session::session::Grace;
 use fulmarlift_session::shell::Shell;
 use member::{Manner, Member};
+use rstest::rstest;
 use support::{Fake, shell_in};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -162,6 +163,7 @@
 
 const WRITE: Verb = Verb::Run(Mode::Write);
 const BEGIN: Verb = Verb::Begin(Mode::Write);
+const READ: Verb = Verb::Run(Mode::Read);
 
 fn code(frames: &[Frame]) -> Option<&Code> {
     frames.iter().find_map(|frame| match frame {
@@ -384,3 +386,36 @@
     })
     .await;
 }
+
+#[rstest]
+#[case::write("WRITE 1 x", WRITE)]
+#[case::read("READ 1", READ)]
+#[tokio::test]
+async fn refusal_of_a_home_is_tried_at_another(#[case] text: &str, #[case] verb: Verb) {
+    on_one_thread(async {
+        let homes = [Member::start().await, Member::start().await];
+        let far = shell_in("proxy-3", "far");
+        introduce(&far, &homes[0], 0);
+        for (name, home) in ["proxy-1", "proxy-2"].into_iter().zip(&homes) {
+            far.handle(Event::PeerListed(Peer {
+                name: name.into(),
+                address: home.address,
+                news: home.address,
+                place: Place {
+                    region: "north".into(),
+                    domain: "a".into(),
+                },
+            }));
+        }
+        far.handle(Event::PeersRead);
+        let mut caller = Caller::connect(&far).await;
+        let (frames, _) = caller.run("1", text, verb).await;
+        assert_eq!(code(&frames), None);
+        let first = usize::from(homes[0].texts().is_empty());
+        homes[first].manner.set(Manner::Refuses);
+        let (frames, _) = caller.run("2", text, verb).await;
+        assert_eq!(code(&frames), None);
+        assert_eq!(homes[1 - first].texts(), [text]);
+    })
+    .await;
+}
--- a/crates/session/tests/support/member.rs
+++ b/crates/session/tests/support/member.rs
@@ -7,8 +7,8 @@
 use bytes::{Bytes, BytesMut};
 use fulmarlift_core::floor::Point;
 use fulmarlift_session::peer::Serving;
-use fulmarlift_session::protocol::State;
 use fulmarlift_session::protocol::caller::{Codec, Message, Query, Reply, Statement};
+use fulmarlift_session::protocol::{Code, State};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -19,6 +19,8 @@
     Runs,
     /// It runs them and closes the connection without an answer.
     LosesAnswers,
+    /// It refuses them, as an overloaded home does.
+    Refuses,
 }
 
 pub struct Member {
@@ -84,8 +86,13 @@
                         Statement::Commit | Statement::Rollback => State::Idle,
                         _ => state,
                     };
-                    let signature = Bytes::from_static(b"signed");
-                    codec.encode(Reply::Complete(&signature), &mut outbox);
+                    let refused = self.manner.get() == Manner::Refuses;
+                    if refused && matches!(query.statement, Statement::Run(_)) {
+                        codec.encode(Reply::Error(&Code::Busy, "overload"), &mut outbox);
+                    } else {
+                        let signature = Bytes::from_static(b"signed");
+                        codec.encode(Reply::Complete(&signature), &mut outbox);
+                    }
                 }
             }
             codec.encode(Reply::Ready(state, Some(Point::new(1, 1))), &mut outbox);
