A silence counts once it has lasted, and what cannot be answered in time is not sent

Change: an answer that stays out for less than 250 ms says nothing about its member. A request whose time left is shorter than the quickest member's mean answer is refused as not run, with when to come back, instead of being sent.

Tests, seen failing: silence_counts_once_it_has_lasted (soon), grant_is_not_given_when_too_little_time_is_left.

--- a/crates/broker/src/queue.rs
+++ b/crates/broker/src/queue.rs
@@ -83,12 +83,12 @@
         }
     }
 
-    /// Takes out the requests whose deadline has passed.
-    pub fn take_expired(&mut self, now: Instant) -> Vec<request::Request> {
+    /// Takes out the requests whose deadline would pass before an answer that takes this long.
+    pub fn take_expired(&mut self, now: Instant, answer: Duration) -> Vec<request::Request> {
         let (expired, kept) = self
             .waiting
             .drain(..)
-            .partition(|request| request.deadline <= now);
+            .partition(|request| request.deadline <= now + answer);
         self.waiting = kept;
         self.forget_rate_if_empty();
         expired
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -16,6 +16,9 @@
 const SPARE_KEEP_CONTENDED: Duration = Duration::from_millis(150);
 /// Time for which the last connection is kept without use, well below the minute after which members close it.
 const LAST_KEEP: Duration = Duration::from_secs(12);
+/// Time without an answer that says something about a member: several times what a statement takes beside a full queue
+/// there. One that was sent with less time left is given up without blame.
+const SILENCE_MIN: Duration = Duration::from_millis(250);
 /// Time after a member had no connection left during which it counts as contended.
 const CONTENDED_FOR: Duration = Duration::from_secs(3);
 
@@ -155,6 +158,7 @@
                 seat.rest_until = None;
                 seat.erred(now);
             }
+            event::Answer::Silent { .. } if report.took.is_some_and(|took| took < SILENCE_MIN) => {}
             // The home is there; it waits for a member.
             event::Answer::Silent { .. } if is_home && seat.answered_at > sent_at => {}
             event::Answer::Silent { .. } => {
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -100,7 +100,11 @@
         if group.queue.is_empty() {
             return;
         }
-        for request in group.queue.take_expired(now) {
+        // What would be given up before its answer is refused while that is still true to say.
+        let seats = group.forwards_to().unwrap_or(&group.seats).values();
+        let quickest_ms = seats.map(|seat| seat.latency_ms).reduce(f64::min);
+        let answer = Duration::from_secs_f64(quickest_ms.unwrap_or_default() / 1_000.0);
+        for request in group.queue.take_expired(now, answer) {
             self.requests.remove(request.id);
             effects.push(refuse(now, &request, effect::Reason::Late, Duration::ZERO));
         }
--- a/crates/broker/tests/conns.rs
+++ b/crates/broker/tests/conns.rs
@@ -3,8 +3,11 @@
 mod support;
 
 use fulmarlift_broker::effect::Effect;
-use fulmarlift_broker::event::{Event, OpenFailure};
+use std::time::Duration;
+
+use fulmarlift_broker::event::{Answer, Event, OpenFailure, Report};
 use fulmarlift_broker::request::Need;
+use rstest::rstest;
 use support::World;
 
 /// Load: thirty writes wait at a member that has no connection left for a second.
@@ -30,3 +33,23 @@
         "{opened} connections were tried"
     );
 }
+
+/// Load: overload. Statements whose turn comes late are given up soon after they were sent; their member is not to blame.
+#[rstest]
+#[case::soon(50, false)]
+#[case::after_a_while(400, true)]
+fn silence_counts_once_it_has_lasted(#[case] took_ms: u64, #[case] suspect: bool) {
+    let mut world = World::new();
+    world.arrive(Need::Lead);
+    world.open_all();
+    let grant = world.grants().remove(0);
+    world.now += Duration::from_millis(took_ms);
+    world.handle(Event::Answered(Report {
+        member: grant.member,
+        answer: Answer::Silent { commit: false },
+        point: None,
+        floor: None,
+        took: Some(Duration::from_millis(took_ms)),
+    }));
+    assert_eq!(world.broker.is_suspect(grant.member), suspect);
+}
--- a/crates/broker/tests/place.rs
+++ b/crates/broker/tests/place.rs
@@ -302,3 +302,23 @@
     sample_now(&mut world);
     assert_eq!(read(&mut world, None).member, 2, "it is tried again");
 }
+
+/// Load: overload. A statement that would be given up before its answer is refused as not run instead of being sent.
+#[test]
+fn grant_is_not_given_when_too_little_time_is_left() {
+    let mut world = World::at("a");
+    sample(&mut world, 10);
+    let held = fill(&mut world);
+    let waiting = world.arrive_within(Need::Lead, 0, 800);
+    // Answers take 10 ms.
+    world.now += Duration::from_millis(797);
+    let led = Answer::Led {
+        asked_at: world.now,
+        commit: true,
+    };
+    world.finish(&held[0], led, Some(Point::new(3, 11)));
+    assert!(world.grants().is_empty());
+    let refused =
+        |effect: &Effect| matches!(effect, Effect::Refuse(refuse) if refuse.request == waiting);
+    assert!(world.effects.iter().any(refused));
+}
