An objective that cannot be met any more gives way

Cause: while more waits than can be served, the earliest objective goes first until it has passed. A request is sent when its objective is a few milliseconds away, is answered just too late, and so is everyone after it.

Change: the order counts an objective as missed once an answer that starts now would miss it. Such a request waits behind those in time, and is refused as soon as its turn would come after its deadline, instead of when that has passed. The estimate on arrival includes the answer's time.

--- a/crates/broker/src/queue.rs
+++ b/crates/broker/src/queue.rs
@@ -83,21 +83,22 @@
         }
     }
 
-    /// Takes out the requests whose deadline would pass before an answer that takes this long.
-    pub fn take_expired(&mut self, now: Instant, answer: Duration) -> Vec<request::Request> {
+    /// Takes out the requests whose deadline passes before an answer could be there.
+    pub fn take_expired(&mut self, answered_at: Instant) -> Vec<request::Request> {
         let (expired, kept) = self
             .waiting
             .drain(..)
-            .partition(|request| request.deadline <= now + answer);
+            .partition(|request| request.deadline <= answered_at);
         self.waiting = kept;
         self.forget_rate_if_empty();
         expired
     }
 
-    /// Sorts the requests by the order in which they are to be served and returns them.
-    pub fn ordered(&mut self, now: Instant) -> &[request::Request] {
+    /// Sorts the requests by the order in which they are to be served and returns them. One that is sent now is answered
+    /// at `answered_at`.
+    pub fn ordered(&mut self, answered_at: Instant) -> &[request::Request] {
         self.waiting
-            .sort_by_key(|request| (rank(now, request), request.id));
+            .sort_by_key(|request| (rank(answered_at, request), request.id));
         &self.waiting
     }
 
@@ -112,15 +113,17 @@
     }
 
     /// Returns how many waiting requests go before this one.
-    pub fn ahead_of(&self, now: Instant, request: &request::Request) -> usize {
-        let before = |other: &&request::Request| rank(now, other) <= rank(now, request);
+    pub fn ahead_of(&self, answered_at: Instant, request: &request::Request) -> usize {
+        let before =
+            |other: &&request::Request| rank(answered_at, other) <= rank(answered_at, request);
         self.waiting.iter().filter(before).count()
     }
 }
 
-/// Returns the order of a request: those that can still meet their objective first, by rank and then by objective.
-fn rank(now: Instant, request: &request::Request) -> (bool, u8, Instant) {
-    let late = request.objective_at <= now;
+/// Returns the order of a request: those that can still meet their objective first, by rank and then by objective. Without
+/// the first, more load than can be served would make all just too late, one after the other.
+fn rank(answered_at: Instant, request: &request::Request) -> (bool, u8, Instant) {
+    let late = request.objective_at < answered_at;
     (late, request.priority, request.objective_at)
 }
 
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -36,6 +36,25 @@
     Refuse(effect::Reason, Duration),
 }
 
+impl state::Group {
+    /// Returns the mean time of an answer of the quickest member, or home if requests are forwarded.
+    fn quickest_answer(&self) -> Duration {
+        let seats = self.forwards_to().unwrap_or(&self.seats).values();
+        let quickest_ms = seats.map(|seat| seat.latency_ms).reduce(f64::min);
+        Duration::from_secs_f64(quickest_ms.unwrap_or_default() / 1_000.0)
+    }
+
+    /// Estimates when the turn of a request comes that has `ahead` others before it.
+    fn turn_in(&self, now: Instant, forwards: bool, ahead: usize) -> Duration {
+        let seats = if forwards { &self.homes } else { &self.seats };
+        let usable = seats.values().filter(|seat| seat.usable(now));
+        let side_by_side: f64 = usable.map(|seat| seat.allowance).sum();
+        let latencies = seats.values().map(|seat| seat.latency_ms);
+        let latency_ms = latencies.fold(0.0, f64::max);
+        self.queue.turn_in(now, ahead, latency_ms, side_by_side)
+    }
+}
+
 impl state::Broker {
     pub(super) fn arrived(
         &mut self,
@@ -49,19 +68,15 @@
         if !forwards {
             group.served_at = Some(now);
         }
-        let seats = if forwards { &group.homes } else { &group.seats };
-        let usable = seats.values().filter(|seat| seat.usable(now));
-        let side_by_side: f64 = usable.map(|seat| seat.allowance).sum();
-        let latencies = seats.values().map(|seat| seat.latency_ms);
-        let latency_ms = latencies.fold(0.0, f64::max);
-        let ahead = group.queue.ahead_of(now, &request);
-        let turn = group.queue.turn_in(now, ahead, latency_ms, side_by_side);
+        let answered_at = now + group.quickest_answer();
+        let ahead = group.queue.ahead_of(answered_at, &request);
+        let turn = group.turn_in(now, forwards, ahead);
         // A missed objective is no reason to refuse what can still be answered.
         let latest = match request.objective_at > now {
             true => request.deadline.min(request.objective_at),
             false => request.deadline,
         };
-        if ahead > 0 && now + turn > latest {
+        if ahead > 0 && answered_at + turn > latest {
             effects.push(refuse(now, &request, effect::Reason::Overload, turn));
             return;
         }
@@ -101,23 +116,21 @@
             return;
         }
         // What would be given up before its answer is refused while that is still true to say.
-        let seats = group.forwards_to().unwrap_or(&group.seats).values();
-        let quickest_ms = seats.map(|seat| seat.latency_ms).reduce(f64::min);
-        let answer = Duration::from_secs_f64(quickest_ms.unwrap_or_default() / 1_000.0);
-        for request in group.queue.take_expired(now, answer) {
+        let answered_at = now + group.quickest_answer();
+        for request in group.queue.take_expired(answered_at) {
             self.requests.remove(request.id);
             effects.push(refuse(now, &request, effect::Reason::Late, Duration::ZERO));
         }
-        let waiting = group.queue.ordered(now).to_vec();
+        let waiting = group.queue.ordered(answered_at).to_vec();
         let mut wanted: Vec<id::MemberId> = Vec::new();
-        for request in waiting {
+        for (ahead, request) in waiting.into_iter().enumerate() {
             match self.choose(now, &request) {
                 Choice::Grant { member, floor } => {
                     self.grant(now, &request, member, floor, effects);
                 }
                 Choice::Open(member) => wanted.push(member),
                 Choice::Index => self.groups.entry(group_id).wants_index = true,
-                Choice::Wait => {}
+                Choice::Wait => self.refuse_if_hopeless(now, &request, ahead, effects),
                 Choice::Refuse(reason, wait) => {
                     self.requests.remove(request.id);
                     self.groups.entry(group_id).queue.remove(request.id);
@@ -130,6 +143,26 @@
         self.probe_if_wanted(now, group_id, effects);
     }
 
+    /// Refuses a request that has missed its objective, and gives way to others until its deadline has passed as well.
+    fn refuse_if_hopeless(
+        &mut self,
+        now: Instant,
+        request: &request::Request,
+        ahead: usize,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let group = self.groups.entry(request.group);
+        let forwards = !request.forwarded && group.forwards_to().is_some();
+        let turn = group.turn_in(now, forwards, ahead);
+        let late = request.objective_at < now + group.quickest_answer();
+        if late && ahead > 0 && now + turn > request.deadline {
+            self.requests.remove(request.id);
+            group.queue.remove(request.id);
+            let reason = effect::Reason::Overload;
+            effects.push(refuse(now, request, reason, turn));
+        }
+    }
+
     fn grant(
         &mut self,
         now: Instant,
--- a/crates/broker/tests/place.rs
+++ b/crates/broker/tests/place.rs
@@ -263,6 +263,26 @@
     assert_eq!(order, [fresh, late, late_too]);
 }
 
+/// Load: more than can be served. Whoever is about to miss its objective would be served just too late, and so would
+/// everyone after it.
+#[test]
+fn objective_that_cannot_be_met_gives_way() {
+    let mut world = World::at("b");
+    sample(&mut world, 10);
+    let held = fill(&mut world);
+    // Answers take 10 ms.
+    let hopeless = world.arrive_within(Need::Lead, 5, 800);
+    let fresh = world.arrive_within(Need::Lead, 500, 800);
+    let led = Answer::Led {
+        asked_at: world.now,
+        commit: true,
+    };
+    world.finish(&held[0], led, Some(Point::new(3, 11)));
+    world.finish(&held[1], led, Some(Point::new(3, 12)));
+    let order: Vec<_> = world.grants().iter().map(|grant| grant.request).collect();
+    assert_eq!(order, [fresh, hopeless]);
+}
+
 /// Keeps the leader as busy as is allowed.
 fn fill(world: &mut World) -> Vec<Grant> {
     let mut held = Vec::new();
