Tests of the silence that replicas report

`upstream_silence_ms` had only the tests of its use. A replica's silence grows while it is cut off, ends when it hears its primary again without news, and does not grow while it holds entries back for its lag. Both wait for a state and set no bound on the clock. Neither was run against a member without the mechanism.

--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -428,3 +428,41 @@
         assert_eq!(ids.split(',').collect::<Vec<_>>(), replicated);
     }
 }
+
+async fn upstream_silence(client: &tokio_postgres::Client) -> Duration {
+    let status = support::row(client, STATUS).await;
+    let silence = status.get("upstream_silence_ms").unwrap();
+    Duration::from_millis(silence.parse().unwrap())
+}
+
+/// Waits until the replica's silence is in a range.
+async fn until_silence(client: &tokio_postgres::Client, range: std::ops::Range<Duration>) {
+    while !range.contains(&upstream_silence(client).await) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn replica_tells_how_long_it_has_missed_its_primary() {
+    const LONG: Duration = Duration::from_secs(2);
+    let members = support::group(0).await;
+    let replica = support::connect_control(&members[1]).await;
+    support::wait_position(&replica, 1).await;
+    members[0].switch(member::Switch::Cut(member::Cut::Peers));
+    until_silence(&replica, LONG..Duration::MAX).await;
+    members[0].switch(member::Switch::Cut(member::Cut::None));
+    // It hears again, also without news.
+    until_silence(&replica, Duration::ZERO..LONG / 2).await;
+}
+
+#[tokio::test]
+async fn replica_that_lags_hears_its_primary() {
+    const LAG_MS: u64 = 600_000;
+    const WHILE: Duration = Duration::from_secs(2);
+    let members = support::group(LAG_MS).await;
+    let replica = support::connect_control(&members[1]).await;
+    tokio::time::sleep(WHILE).await;
+    until_silence(&replica, Duration::ZERO..WHILE / 2).await;
+    let status = support::row(&replica, STATUS).await;
+    assert_eq!(status.get("position"), Some("0"), "it holds the entry back");
+}
