A retry says where and why, and a broken connection closes the others to that home

Attempts that had not run were logged below the level that is written.

Change: every retry is a line with the member and the code or error. When a connection to a home breaks, the other idle ones to it are closed: a new one costs no slot and tells whether the process is there.

Test, seen failing: broken_connection_closes_others_to_the_same_home (0 of 3 closed).

--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -130,6 +130,16 @@
         self.pump_of(now, member, effects);
     }
 
+    fn close_idle(&mut self, member: id::MemberId, effects: &mut Vec<effect::Effect>) {
+        let Some(seat) = self.seat_mut(member) else {
+            return;
+        };
+        for idle in std::mem::take(&mut seat.idle) {
+            effects.push(effect::Effect::Close(idle.conn));
+            self.conns.remove(idle.conn);
+        }
+    }
+
     pub(super) fn started(&mut self, member: id::MemberId) {
         if let Some(seat) = self.seat_mut(member) {
             seat.running += 1;
@@ -157,15 +167,16 @@
                 // Other connections to a process that died break by themselves; a new one tells whether it did.
                 seat.rest_until = None;
                 seat.erred(now);
+                if is_home {
+                    // A new one is cheap there, and attempts are not.
+                    self.close_idle(member, effects);
+                }
             }
             event::Answer::Silent { .. } if report.took.is_some_and(|took| took < SILENCE_MIN) => {}
             // The home is there; it waits for a member.
             event::Answer::Silent { .. } if is_home && seat.answered_at > sent_at => {}
             event::Answer::Silent { .. } => {
-                for idle in std::mem::take(&mut seat.idle) {
-                    effects.push(effect::Effect::Close(idle.conn));
-                    self.conns.remove(idle.conn);
-                }
+                self.close_idle(member, effects);
                 if let Some(seat) = self.seat_mut(member) {
                     fail(seat, now, false, effects);
                 }
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -366,3 +366,36 @@
     }
     assert!(served >= 25, "{served} of 40");
 }
+
+/// Load: a home is restarted. Each of its connections would break under another attempt of the same statement.
+#[test]
+fn broken_connection_closes_others_to_the_same_home() {
+    let mut world = far_proxy();
+    let mut held = Vec::new();
+    for _ in 0..12 {
+        world.arrive(Need::Lead);
+        world.open_all();
+        held.extend(world.grants());
+    }
+    let home = held[0].member;
+    let there: Vec<_> = held
+        .iter()
+        .filter(|grant| grant.member == home)
+        .cloned()
+        .collect();
+    assert!(there.len() > 1);
+    for grant in &there[1..] {
+        world.finish(grant, Answer::Served, None);
+    }
+    world.effects.clear();
+    world.handle(Event::Answered(Report {
+        member: home,
+        answer: Answer::Broken,
+        point: None,
+        floor: None,
+        took: Some(Duration::from_millis(1)),
+    }));
+    let closed = |effect: &Effect| matches!(effect, Effect::Close(conn) if there[1..].iter().any(|grant| grant.conn == *conn));
+    let closed = world.effects.iter().filter(|effect| closed(effect)).count();
+    assert_eq!(closed, there.len() - 1);
+}
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -292,7 +292,10 @@
             Some(Ok((home, attempt::Outcome::Answered(answer))))
                 if attempts == 1 && is_refused(&answer) && job.shell.spend_hedge() =>
             {
-                log::debug!("event=retried request={} home={home:016x}", plan.id());
+                log::info!(
+                    "event=retried request={} code=Busy member={home:016x}",
+                    plan.id()
+                );
                 Some(home)
             }
             Some(Ok((_, attempt::Outcome::Answered(answer)))) => {
@@ -303,12 +306,15 @@
                 None
             }
             Some(Ok((member, attempt::Outcome::NotRun(code)))) => {
-                log::debug!("event=retried request={} code={code:?}", plan.id());
+                log::info!(
+                    "event=retried request={} code={code:?} member={member:016x}",
+                    plan.id()
+                );
                 Some(member)
             }
             Some(Ok((member, attempt::Outcome::Lost(error)))) => {
                 was_sent = true;
-                log::info!("event=retried request={} error=\"{error}\"", plan.id());
+                log_retry(&job.shell, plan, member, &format!("error=\"{error}\""));
                 Some(member)
             }
             Some(Err(refuse)) if running.is_empty() => break Err(given_up(&refuse, was_sent)),
@@ -330,6 +336,15 @@
     ended
 }
 
+/// Logs why a statement is tried again, and where it has been tried.
+fn log_retry<W: World>(shell: &shell::Shell<W>, plan: &plan::Plan, at: id::MemberId, why: &str) {
+    log::info!(
+        "event=retried request={} member={} {why}",
+        plan.id(),
+        shell.member_name(at)
+    );
+}
+
 /// Returns whether a home refused a statement, which another one may have room for. A member's refusal is no answer.
 fn is_refused(answer: &member::Answer) -> bool {
     answer.error() == Some(&protocol::Code::Busy)
@@ -395,7 +410,10 @@
             }
             attempt::Outcome::Answered(answer) => return Ok(answer),
             attempt::Outcome::NotRun(code) => {
-                log::debug!("event=retried request={} code={code:?}", plan.id());
+                log::info!(
+                    "event=retried request={} code={code:?} member={member:016x}",
+                    plan.id()
+                );
                 refused = code;
             }
             attempt::Outcome::Lost(error) => {
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -112,6 +112,11 @@
         })
     }
 
+    /// Returns a member's name for the log.
+    pub fn member_name(&self, member: id::MemberId) -> Box<str> {
+        self.with_broker(|broker| notes::member_name(broker, member).into())
+    }
+
     /// Steps the broker and runs the effects, and those of the events that follow from them.
     pub fn handle(self: &Rc<Self>, event: event::Event) {
         if self.ended.get() {
