--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -292,10 +292,7 @@
             Some(Ok((home, attempt::Outcome::Answered(answer))))
                 if attempts == 1 && is_refused(&answer) && job.shell.spend_hedge() =>
             {
-                log::info!(
-                    "event=retried request={} code=Busy member={home:016x}",
-                    plan.id()
-                );
+                log_retry(&job.shell, plan, home, "code=Busy");
                 Some(home)
             }
             Some(Ok((_, attempt::Outcome::Answered(answer)))) => {
@@ -306,10 +303,7 @@
                 None
             }
             Some(Ok((member, attempt::Outcome::NotRun(code)))) => {
-                log::info!(
-                    "event=retried request={} code={code:?} member={member:016x}",
-                    plan.id()
-                );
+                log_retry(&job.shell, plan, member, &format!("code={code:?}"));
                 Some(member)
             }
             Some(Ok((member, attempt::Outcome::Lost(error)))) => {
@@ -410,10 +404,7 @@
             }
             attempt::Outcome::Answered(answer) => return Ok(answer),
             attempt::Outcome::NotRun(code) => {
-                log::info!(
-                    "event=retried request={} code={code:?} member={member:016x}",
-                    plan.id()
-                );
+                log_retry(shell, plan, member, &format!("code={code:?}"));
                 refused = code;
             }
             attempt::Outcome::Lost(error) => {
