--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -400,6 +400,7 @@
             attempt::Outcome::Answered(answer)
                 if attempt == 1 && is_refused(&answer) && shell.spend_hedge() =>
             {
+                log_retry(shell, plan, member, "code=Busy");
                 avoid = Some(member);
             }
             attempt::Outcome::Answered(answer) => return Ok(answer),
