--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -419,3 +419,35 @@
     })
     .await;
 }
+
+/// A home that stops closes its idle connections.
+#[tokio::test]
+async fn stop_of_a_home_leaves_no_forwarded_write_in_doubt() {
+    on_one_thread(async {
+        let (home, member) = system(0).await;
+        home.handle(Event::PeersRead);
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback is there");
+        let address = listener.local_addr().expect("it is bound");
+        tokio::task::spawn_local(serve::accept_peers(Rc::clone(&home), listener, grace()));
+        let far = shell_in("proxy-2", "far");
+        introduce(&far, &member, 0);
+        far.handle(Event::PeerListed(Peer {
+            name: "proxy-1".into(),
+            address,
+            news: address,
+            place: Place {
+                region: "north".into(),
+                domain: "a".into(),
+            },
+        }));
+        far.handle(Event::PeersRead);
+        let mut caller = Caller::connect(&far).await;
+        caller.run("1", "WRITE 1 x", WRITE).await;
+        home.stop();
+        let (frames, _) = caller.run("2", "WRITE 2 x", WRITE).await;
+        assert_ne!(code(&frames), Some(&Code::InDoubt));
+    })
+    .await;
+}
