--- a/crates/fulmarlift/tests/support/process.rs
+++ b/crates/fulmarlift/tests/support/process.rs
@@ -93,6 +93,10 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            // The log of a test that failed once may be all that there is to trace it.
+            eprintln!("log of process {}:\n{}", self.child.id(), self.log());
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
