Leases of leaders where promotions are not fenced

Cause: where the platform checks no fence, a replaced leader goes on leading until it is demoted or reaches its successor.

Change: a failover orders a promotion only once all members but the old leader have been held for 500 ms. A member that answers that it follows a term, has not led it and is not held therefore proves that no newer term began within 500 ms of the question; so does a commit that needs a replica. Reads and transactions that read wait for such a proof (broker/src/lease.rs). Orders are not sent late, and an older unanswered order is remembered until it is too old instead of being ended by a higher token. Fenced deployments ask nothing and wait for nothing.

Ruled out: asking after the read (it has run by then); a lease from the store (a call for each group and half second, and no reads at the leader while the store is away).

The search has the old leader that leads on, late orders without fences and reads: without the wait, the check or the memory of older orders it finds a violation.

Assumptions are in the module's documentation; a held replica that restarts just before the order is not covered.

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -16,6 +16,10 @@
     pub settled: bool,
     /// Time on the store's clock from which a proxy, this one included, may claim again, in milliseconds.
     pub until_ms: u64,
+    /// Time on the store's clock from which an order for `target` can no longer be executed because of its age, in
+    /// milliseconds. It counts only where orders are not fenced. Rows of earlier releases lack it, which reads as 0.
+    #[serde(skip)]
+    pub order_ends_ms: u64,
 }
 
 /// A claim row as the store returns it.
@@ -36,8 +40,11 @@
 
 impl Claim {
     /// Encodes the claim as the contents of a row.
+    ///
+    /// `order_ends_ms` comes last, so that earlier releases read the row without it.
     pub fn to_bytes(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("a claim of plain values always encodes")
+        postcard::to_stdvec(&(self, self.order_ends_ms))
+            .expect("a claim of plain values always encodes")
     }
 
     /// Decodes the contents of a row.
@@ -46,7 +53,11 @@
     ///
     /// [`Malformed`] if [`Claim::to_bytes`] did not produce the bytes.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, Malformed> {
-        Ok(postcard::from_bytes(bytes)?)
+        let (mut claim, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes)?;
+        if !rest.is_empty() {
+            claim.order_ends_ms = postcard::from_bytes(rest)?;
+        }
+        Ok(claim)
     }
 
     /// Returns the name of the member whose promotion order may still be executed.
--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -33,6 +33,15 @@
         /// Member at the other end of the connection.
         member: id::MemberId,
     },
+    /// Ask a member for its status, on an idle connection that is in use until [`crate::event::Event::Returned`].
+    AskStatus {
+        /// Group of the member.
+        group: id::GroupId,
+        /// Connection to use.
+        conn: id::ConnId,
+        /// Member at the other end of the connection.
+        member: id::MemberId,
+    },
     /// Send a command to a member, which answers with its status.
     SendCommand {
         /// Group of the member.
@@ -63,6 +72,8 @@
         member: id::MemberId,
         /// Fencing token of the claim under which the order is given.
         token: u64,
+        /// Instant from which the order must not be sent any more; `None` if the platform refuses outdated orders.
+        until: Option<Instant>,
     },
     /// Write a change of the broker's state to the proxy's diagnostic log.
     RecordChange(StateChange),
@@ -172,6 +183,15 @@
         /// Whether the member answers.
         reachable: bool,
     },
+    /// Requests wait for the lease of their leader, or do so no longer.
+    Lease {
+        /// Group of the leader.
+        group: id::GroupId,
+        /// Newest term in which a lease was granted.
+        term: id::Term,
+        /// Whether the lease covers the requests.
+        valid: bool,
+    },
     /// The broker dropped a member that is gone.
     Gone(id::MemberId),
 }
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -62,6 +62,17 @@
     },
     /// The other side closed an idle connection.
     IdleConnectionLost(id::ConnId),
+    /// A member answered the question for its status that renews a lease, or failed to answer.
+    LeaseAnswered {
+        /// Group of the member.
+        group: id::GroupId,
+        /// Member that was asked.
+        member: id::MemberId,
+        /// Instant at which the question was sent, or an earlier one.
+        asked_at: Instant,
+        /// Status in the answer; `None` if the member did not answer.
+        status: Option<MemberStatus>,
+    },
     /// A member answered a command of a failover with its status, or failed to answer.
     StatusAnswered {
         /// Group of the member.
--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -56,7 +56,7 @@
                 });
             }
         }
-        if unanswered {
+        if unanswered || now < self.leases_end_at {
             return failover::Progress::Ongoing;
         }
         self.choose_target(now, participants, out)
@@ -97,6 +97,12 @@
         self.claim.target = Some(best.name.clone());
         self.claim.settled = false;
         self.claim.until_ms = self.store_now_ms(now) + failover::CLAIM_LEASE_MS;
+        if !self.fenced {
+            let order_ends_in = failover::UNFENCED_ORDER_TIMEOUT + failover::LATE_ORDER_TIMEOUT;
+            let order_ends_in_ms = u64::try_from(order_ends_in.as_millis()).unwrap_or(u64::MAX / 2);
+            self.claim.order_ends_ms = self.store_now_ms(now) + order_ends_in_ms;
+            self.orders_end_at = Some(now + failover::UNFENCED_ORDER_TIMEOUT);
+        }
         self.step = failover::Step::Recording;
         self.store_claim(out);
         failover::Progress::Ongoing
@@ -130,7 +136,7 @@
             named.map(|participant| participant.member)
         });
         let targets_old_leader = pending.is_some() && pending == self.old_leader;
-        if !targets_old_leader {
+        if !targets_old_leader || !self.fenced {
             return self.give_up(now, out);
         }
         self.target = pending;
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -5,6 +5,9 @@
 //! 2. Hold (`Holding`): every member but the old leader stops receiving, so that the old leader can acknowledge no more
 //!    commits. All of these members must answer, also those that the directory has only just stopped listing, because one
 //!    that does not answer may have received commits that the others lack.
+//!
+//!    Where promotions are not fenced, the attempt then waits until no proxy trusts the old leader any more, see
+//!    [`crate::lease`].
 //! 3. Choose: the member that has received most has everything that was acknowledged, unless a member that is gone had
 //!    received more. So its log is compared with the point up to which commits are known to be acknowledged.
 //! 4. Record (`Recording`): the proxy writes its choice to the claim row before it gives the promotion order. If the answer
@@ -26,6 +29,7 @@
 use crate::effect;
 use crate::event;
 use crate::leader;
+use crate::lease;
 
 /// Time for which a claim excludes other proxies: enough for two promotions of 600 ms with their commands to members, and
 /// for retries. It must not be shorter than `ATTEMPT_TIMEOUT + RELEASE_SEND_TIMEOUT + RELEASE_ARRIVAL_TIMEOUT`, so that the
@@ -34,6 +38,12 @@
 /// Time for which the claim lasts after the end of its promotion order (confirmed or refused), so that no other proxy gives
 /// an order meanwhile: the platform's setting `lease-duration-ms`.
 const ORDER_LEASE_MS: u64 = 3_000;
+/// Time after the record of the choice in which promotion orders are sent, where they are not fenced: the claim lasts long
+/// enough after it that no other proxy sends an order before this one has arrived.
+const UNFENCED_ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which an order that was sent can no longer be executed, where orders are not fenced. The platform executes
+/// unanswered orders seconds later.
+const LATE_ORDER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay before a hold command that the shell reported as unanswered is sent again, and interval of status commands.
 const COMMAND_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Time without an answer after which a command counts as lost.
@@ -124,6 +134,8 @@
     group: id::GroupId,
     /// Name of this proxy, including its incarnation.
     proxy: Box<str>,
+    /// Whether promotions are fenced, see [`crate::state::Settings::fenced`].
+    fenced: bool,
     /// Reason for the replacement.
     pub reason: leader::ReplaceReason,
     old_leader: Option<id::MemberId>,
@@ -142,9 +154,15 @@
     /// An instant, and the time on the store's clock at that instant, in milliseconds.
     store_clock: (Instant, u64),
     holds: sorted::Map<id::MemberId, HoldState>,
+    /// Instant at which the last lease of the old leader ends, as far as the members that are held have granted it.
+    leases_end_at: Instant,
+    /// End of the time in which promotion orders are sent; `None` if they are fenced.
+    orders_end_at: Option<Instant>,
     target: Option<id::MemberId>,
-    /// Whether a promotion order of this attempt got no answer and may still be executed.
+    /// Whether a promotion order got no answer and may still be executed, although this attempt has ordered since.
     unanswered_order: bool,
+    /// Whether the platform may have taken a promotion order that it has not executed.
+    order_taken: bool,
     /// Instant until which no other proxy can claim.
     claim_expires_at: Instant,
 }
@@ -154,6 +172,7 @@
     pub fn new(
         group: id::GroupId,
         proxy: &str,
+        fenced: bool,
         reason: leader::ReplaceReason,
         leader: &leader::LeaderBelief,
         start_at: Instant,
@@ -161,6 +180,7 @@
         Self {
             group,
             proxy: proxy.into(),
+            fenced,
             reason,
             old_leader: leader.member,
             term: leader.term,
@@ -172,8 +192,11 @@
             revision: 0,
             store_clock: (start_at, 0),
             holds: sorted::Map::default(),
+            leases_end_at: start_at,
+            orders_end_at: None,
             target: None,
             unanswered_order: false,
+            order_taken: false,
             claim_expires_at: start_at,
         }
     }
@@ -224,14 +247,10 @@
             }
             Step::Ordering {
                 retry_at: Some(retry_at),
-            } if now >= retry_at => {
-                self.step = Step::Ordering { retry_at: None };
-                self.order_promotion(self.target, out);
-            }
+            } if now >= retry_at => return self.repeat_order(now, out),
             Step::Confirming { until, poll_at } => {
                 if now >= until {
-                    self.step = Step::Ordering { retry_at: None };
-                    self.order_promotion(self.target, out);
+                    return self.repeat_order(now, out);
                 } else if now >= poll_at {
                     let poll_at = now + COMMAND_RETRY_DELAY;
                     self.step = Step::Confirming { until, poll_at };
@@ -267,7 +286,12 @@
                 retry_at: now + remaining,
             };
         }
-        let pending = stored.claim.pending_target().map(Box::from);
+        // Where a higher token does not end an order, only its age does.
+        let ended_by_age = !self.fenced && stored.now_ms >= stored.claim.order_ends_ms;
+        let pending = stored.claim.pending_target().filter(|_| !ended_by_age);
+        let pending = pending.map(Box::from);
+        self.unanswered_order = !self.fenced && pending.is_some();
+        self.order_taken = self.unanswered_order;
         // The store read its clock after the read of the claim row was sent, so the estimate of its clock that starts at the
         // sending is never behind. This proxy ends its claim no later than the store does, and writes expiry times that are
         // no earlier than intended.
@@ -280,6 +304,7 @@
             settled: pending.is_none(),
             target: pending,
             until_ms: stored.now_ms + CLAIM_LEASE_MS,
+            order_ends_ms: stored.claim.order_ends_ms,
         };
         self.step = Step::Claiming;
         self.store_claim(out);
@@ -359,6 +384,10 @@
             if status.term >= self.hold_term {
                 self.hold_term = newest_term + 1;
             }
+            if !self.fenced {
+                // Only hold commands are answered in this step, so the member has been held since some time before now.
+                self.leases_end_at = now + lease::LEASE_DURATION;
+            }
             self.discard_outdated_holds(now);
         }
         self.hold_members(now, participants, out)
@@ -385,6 +414,7 @@
                 Progress::Ongoing
             }
             (Step::Ordering { .. }, event::OrderOutcome::Accepted) => {
+                self.order_taken = true;
                 self.step = Step::Confirming {
                     until: now + CONFIRM_TIMEOUT,
                     poll_at: now,
@@ -413,6 +443,7 @@
             }
             (Step::Ordering { .. }, event::OrderOutcome::Unknown) => {
                 self.unanswered_order = true;
+                self.order_taken = true;
                 self.step = Step::Confirming {
                     until: now + CONFIRM_UNKNOWN_TIMEOUT,
                     poll_at: now,
@@ -429,6 +460,17 @@
         }
     }
 
+    /// Repeats the promotion order, or gives the attempt up if orders are not sent any more.
+    fn repeat_order(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
+        if self.orders_end_at.is_some_and(|end_at| now >= end_at) {
+            self.claim.settled = !self.order_taken;
+            return self.give_up(now, out);
+        }
+        self.step = Step::Ordering { retry_at: None };
+        self.order_promotion(self.target, out);
+        Progress::Ongoing
+    }
+
     /// Ends the attempt after the target has confirmed that it leads. The claim lasts for [`ORDER_LEASE_MS`] from now on.
     fn finish(
         &mut self,
@@ -508,6 +550,7 @@
                 group: self.group,
                 member,
                 token: self.claim.token,
+                until: self.orders_end_at,
             });
         }
     }
--- a/crates/broker/src/index.rs
+++ b/crates/broker/src/index.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::floor;
+use fulmarlift_core::id;
 
 /// Shortest interval between a kept sample and the second one after it. A sample that would come sooner replaces the sample
 /// before it, which bounds the number of samples.
@@ -24,14 +25,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReadIndex {
     samples: VecDeque<Sample>,
+    /// Term of the leader that gave the samples.
+    term: id::Term,
 }
 
 impl ReadIndex {
-    /// Records the point in an answer of the leader to a statement that was sent at `sent_at`.
+    /// Records the point in an answer of the leader of `term` to a statement that was sent at `sent_at`.
     ///
     /// A sample of a newer term replaces all older ones. The promotion that began the newer term may have discarded entries
     /// at points of an older term. All commits acknowledged in the older term are below the first point of the newer one.
-    pub fn record(&mut self, sent_at: Instant, point: floor::Point) {
+    pub fn record(&mut self, sent_at: Instant, term: id::Term, point: floor::Point) {
+        if term > self.term {
+            self.samples.clear();
+            self.term = term;
+        }
         if let Some(newest) = self.samples.back().copied() {
             if point.term < newest.point.term {
                 return;
@@ -83,8 +90,8 @@
         self.samples.back().map(|sample| sample.sent_at)
     }
 
-    /// Returns the term of the samples.
-    pub fn term(&self) -> Option<u64> {
-        self.samples.back().map(|sample| sample.point.term)
+    /// Returns the term of the leader that gave the samples; 0 before the first one.
+    pub fn term(&self) -> id::Term {
+        self.term
     }
 }
--- a/crates/broker/src/leader.rs
+++ b/crates/broker/src/leader.rs
@@ -58,14 +58,9 @@
 }
 
 impl LeaderBelief {
-    /// Records an answer of `member` that only a leader gives, unless its term is older than the newest known term.
-    pub fn record_confirmation(
-        &mut self,
-        now: Instant,
-        member: id::MemberId,
-        point: Option<floor::Point>,
-    ) {
-        let term = point.map_or(self.term, |point| point.term);
+    /// Records an answer of `member` that only the leader of `term` gives, unless that term is older than the newest known
+    /// term.
+    pub fn record_confirmation(&mut self, now: Instant, member: id::MemberId, term: id::Term) {
         if term >= self.term {
             if self.member != Some(member) {
                 self.reset_stall();
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`queue`]: the order of waiting requests, and their refusal under overload.
 //! - [`member_state`]: the state of a member and of the connections to it.
 //! - [`leader`]: the leader of a group, and the conditions under which it is replaced.
+//! - [`lease`]: the proof that a leader has not been replaced, where promotions are not fenced.
 //! - [`homes`]: the proxies that keep connections to a group; other proxies forward requests to them.
 //! - [`readers`]: the proxy that reads the store for its failure domain.
 //! - [`failover`]: the steps that replace a leader.
@@ -26,6 +27,7 @@
 pub mod homes;
 pub mod index;
 pub mod leader;
+pub mod lease;
 pub mod member_state;
 pub mod place;
 pub mod queue;
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -70,6 +70,10 @@
     pub running: u32,
     /// Highest point of the member's log seen in an answer.
     pub reached: Option<floor::Point>,
+    /// Newest term that the member is known to follow or to lead; 0 before its first answer.
+    pub term: id::Term,
+    /// Newest term that the member is known to have led.
+    pub led_term: id::Term,
     /// Moving average of the answer time, in ms.
     pub latency_ms: f64,
     /// Number of failures to answer since the last answer.
@@ -123,6 +127,8 @@
             leased: 0,
             running: 0,
             reached: None,
+            term: 0,
+            led_term: 0,
             latency_ms: LATENCY_START_MS,
             failures: 0,
             failing_since: None,
@@ -217,6 +223,7 @@
     /// Records a point that the member's log has reached.
     pub fn record_point(&mut self, point: Option<floor::Point>) {
         self.reached = self.reached.max(point);
+        self.term = self.term.max(point.map_or(0, |point| point.term));
     }
 
     /// Records that the member did not answer, and backs off.
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -8,10 +8,18 @@
 /// Requirement of a request on the member that serves it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Requirement {
-    /// The leader, for a write or a transaction that may write.
+    /// The leader, for a write.
     Leader,
+    /// The leader, for a transaction that may read and write.
+    LeaderForReads {
+        /// Instant before which all acknowledged commits must be visible.
+        acknowledged_before: Instant,
+    },
     /// The leader, after it has confirmed since the request's arrival that it leads, for a read of the newest data.
-    VerifiedLeader,
+    VerifiedLeader {
+        /// Instant before which all acknowledged commits must be visible: the request's arrival.
+        acknowledged_before: Instant,
+    },
     /// Any member whose log contains every commit acknowledged before an instant, and the session's own commits.
     Recent {
         /// Instant before which all acknowledged commits must be visible.
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -30,24 +30,32 @@
         report: &event::StatementReport,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let replicated = self
+            .topology
+            .groups
+            .get(group_id)
+            .is_some_and(|config| config.sync_replicas > 0);
         let group = self.groups.entry(group_id);
-        if !group.members.contains(report.member) {
+        let Some(state) = group.members.get_mut(report.member) else {
             // The answer of a home is no evidence about the leader.
             return;
-        }
+        };
         match report.answer {
             event::Answer::Led { sent_at, commit } => {
-                if let Some(point) = report.point {
-                    group.index.record(sent_at, point);
-                }
-                group
-                    .leader
-                    .record_confirmation(now, report.member, report.point);
-                if commit {
-                    group.leader.record_commit(now, sent_at, report.point);
-                }
-                if let Some(state) = group.members.get_mut(report.member) {
+                let term = report.point.map_or(group.leader.term, |_| state.term);
+                state.led_term = state.led_term.max(term);
+                if term >= group.leader.term {
                     state.denies_leadership = false;
+                    if let Some(point) = report.point {
+                        group.index.record(sent_at, term, point);
+                    }
+                    group.leader.record_confirmation(now, report.member, term);
+                    if commit {
+                        group.leader.record_commit(now, sent_at, report.point);
+                    }
+                    if commit && replicated {
+                        group.lease.lease.grant(term, sent_at);
+                    }
                 }
             }
             event::Answer::Silent { commit: true }
@@ -84,7 +92,7 @@
     }
 
     /// Applies a member's answer to a command, and continues the attempt that sent the command.
-    pub(super) fn record_status(
+    pub(super) fn record_command_end(
         &mut self,
         now: Instant,
         group_id: id::GroupId,
@@ -93,16 +101,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         if let Some(status) = status {
-            let group = self.groups.entry(group_id);
-            if status.leads && status.term >= group.leader.term {
-                group
-                    .leader
-                    .record_confirmation(now, member, Some(status.received));
-            }
-            if let Some(state) = group.members.get_mut(member) {
-                state.denies_leadership = !status.leads;
-                state.record_answer(now, None);
-            }
+            self.record_status(now, group_id, member, status);
             self.reelect(now, group_id, effects);
         }
         self.advance_failover(now, group_id, effects, |attempt, participants, out| {
@@ -110,6 +109,29 @@
         });
     }
 
+    /// Applies a member's status to the beliefs about the member and the leader.
+    pub(super) fn record_status(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        member: id::MemberId,
+        status: event::MemberStatus,
+    ) {
+        let group = self.groups.entry(group_id);
+        let leads = status.leads && status.term >= group.leader.term;
+        if leads {
+            group.leader.record_confirmation(now, member, status.term);
+        }
+        if let Some(state) = group.members.get_mut(member) {
+            state.term = state.term.max(status.term);
+            if status.leads {
+                state.led_term = state.led_term.max(status.term);
+            }
+            state.denies_leadership = !leads;
+            state.record_answer(now, None);
+        }
+    }
+
     /// Starts an attempt to replace the leader if there is a reason, or continues the current attempt.
     pub(super) fn supervise_leader(
         &mut self,
@@ -121,7 +143,7 @@
             .watches_leader(now, group_id)
             .then(|| self.reason_to_replace(now, group_id))
             .flatten();
-        let proxy_name = self.settings.name.clone();
+        let (proxy_name, fenced) = (self.settings.name.clone(), self.settings.fenced);
         let group = self.groups.entry(group_id);
         let droppable = group
             .attempt
@@ -136,9 +158,14 @@
                 let spread_ms =
                     id::rendezvous_weight(id::of(&proxy_name), group_id) % START_SPREAD_MS;
                 let start_at = now + Duration::from_millis(spread_ms);
-                let attempt =
-                    failover::Attempt::new(group_id, &proxy_name, reason, &group.leader, start_at);
-                group.attempt = Some(attempt);
+                group.attempt = Some(failover::Attempt::new(
+                    group_id,
+                    &proxy_name,
+                    fenced,
+                    reason,
+                    &group.leader,
+                    start_at,
+                ));
             }
             _ => {}
         }
@@ -243,9 +270,7 @@
                 if let Some(state) = group.members.get_mut(member) {
                     state.denies_leadership = false;
                 }
-                group
-                    .leader
-                    .record_confirmation(now, member, Some(status.received));
+                group.leader.record_confirmation(now, member, status.term);
                 self.reelect(now, group_id, effects);
                 self.serve_queue(now, group_id, effects);
             }
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod conns;
 mod directory;
 mod leaders;
+mod leases;
 mod peers;
 mod requests;
 mod tick;
@@ -36,6 +37,10 @@
     /// Time from a member's announcement that it will stop to its end. A leader gets new work for the first three quarters of
     /// it, so that the last quarter is left for transactions that run; any other member gets no new work.
     pub drain_timeout: Duration,
+    /// Whether promotions are fenced: the old leader stops leading at the moment of a promotion, and the platform refuses
+    /// orders with an outdated token. Otherwise the old leader may lead on, see [`crate::lease`], and the platform may execute
+    /// an outdated order.
+    pub fenced: bool,
 }
 
 /// Decisions of one proxy about requests, connections and leaders.
@@ -72,6 +77,7 @@
     queue: queue::Queue,
     index: index::ReadIndex,
     leader: leader::LeaderBelief,
+    lease: leases::LeaseState,
     last_probe_at: Option<Instant>,
     /// Whether a probe is under way.
     probing: bool,
@@ -133,7 +139,13 @@
                 group,
                 member,
                 status,
-            } => self.record_status(now, group, member, status, effects),
+            } => self.record_command_end(now, group, member, status, effects),
+            event::Event::LeaseAnswered {
+                group,
+                member,
+                asked_at,
+                status,
+            } => self.record_lease_answer(now, group, member, asked_at, status, effects),
             event::Event::ClaimLoaded { group, stored } => {
                 self.advance_failover(now, group, effects, |attempt, _, out| {
                     attempt.apply_claim(now, stored, out)
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -35,6 +35,8 @@
     Open(id::MemberId),
     /// The request waits for a sample of the read index.
     Sample,
+    /// The request waits for the lease of the leader.
+    Lease,
     /// The request waits on: for a connection, for the end of a back-off, for an answer that leaves room in the allowance, or
     /// for a leader.
     Wait,
@@ -150,6 +152,7 @@
                 }
                 Decision::Open(member) => wanted.push(member),
                 Decision::Sample => self.groups.entry(group_id).needs_sample = true,
+                Decision::Lease => self.groups.entry(group_id).lease.renewal_due = true,
                 Decision::Wait => {
                     // The waiting time of requests that can still meet their objective is not estimated again: these are
                     // the majority, and each estimate iterates over all members.
@@ -167,6 +170,7 @@
         self.open_wanted(now, &wanted, effects);
         self.reconnect_suspects(now, group_id, effects);
         self.probe_if_needed(now, group_id, effects);
+        self.renew_lease_if_due(now, group_id, effects);
     }
 
     /// Refuses a request that cannot meet its objective any more if its estimated waiting time, behind the `ahead` requests
@@ -215,7 +219,10 @@
             conn: idle.conn,
             member,
             floor,
-            verify: request.requirement == request::Requirement::VerifiedLeader && !to_home,
+            verify: matches!(
+                request.requirement,
+                request::Requirement::VerifiedLeader { .. }
+            ) && !to_home,
         }));
     }
 
@@ -251,20 +258,51 @@
             return decision;
         }
         match request.requirement {
-            request::Requirement::Leader | request::Requirement::VerifiedLeader => {
-                self.choose_leader(now, group, request)
+            request::Requirement::Leader => self.choose_leader(now, group, request),
+            request::Requirement::LeaderForReads {
+                acknowledged_before,
             }
+            | request::Requirement::VerifiedLeader {
+                acknowledged_before,
+            } => match self.is_covered(group, group.leader_term(), acknowledged_before) {
+                true => self.choose_leader(now, group, request),
+                false => self.wait_for_lease(now, group, request),
+            },
             request::Requirement::Recent {
                 acknowledged_before,
                 session_commit,
             } => match group.index.floor(acknowledged_before, session_commit) {
-                Some(floor) => self.choose_member(now, group, request, floor),
-                None if self.usable_leader(now, group).is_some() => Decision::Sample,
-                None => decide_without_leader(now, group, request),
+                Some(floor) if self.is_covered(group, group.index.term(), acknowledged_before) => {
+                    self.choose_member(now, group, request, floor)
+                }
+                Some(_) if group.index.term() >= group.lease.lease.term() => {
+                    self.wait_for_lease(now, group, request)
+                }
+                _ if self.usable_leader(now, group).is_some() => Decision::Sample,
+                _ => decide_without_leader(now, group, request),
             },
         }
     }
 
+    /// Returns whether no member has been promoted unnoticed to a term newer than `term` before an instant, so that the log of
+    /// the leader of `term` has all commits that were acknowledged before the instant.
+    fn is_covered(&self, group: &state::GroupState, term: id::Term, instant: Instant) -> bool {
+        self.settings.fenced || group.lease.lease.covers(term, instant)
+    }
+
+    /// Decides on a request that the lease of the leader does not cover yet.
+    fn wait_for_lease(
+        &self,
+        now: Instant,
+        group: &state::GroupState,
+        request: &request::Request,
+    ) -> Decision {
+        match self.usable_leader(now, group).is_some() && group.may_renew_lease() {
+            true => Decision::Lease,
+            false => decide_without_leader(now, group, request),
+        }
+    }
+
     /// Chooses the home to which a request is forwarded. Returns `None` if no home can be reached, so that this proxy must
     /// serve the request itself.
     fn choose_home(
@@ -276,10 +314,8 @@
     ) -> Option<Decision> {
         // The home sends a request that requires the leader to the leader, so the distance between the two counts.
         let leader = match request.requirement {
-            request::Requirement::Leader | request::Requirement::VerifiedLeader => {
-                group.leader.member
-            }
             request::Requirement::Recent { .. } => None,
+            _ => group.leader.member,
         };
         let leader = leader.and_then(|leader| group.members.get(leader));
         let leader_distance_ms = |home: &member_state::MemberState| {
@@ -311,7 +347,7 @@
         let state = usable.min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
         let session_commit = match request.requirement {
             request::Requirement::Recent { session_commit, .. } => session_commit,
-            request::Requirement::Leader | request::Requirement::VerifiedLeader => None,
+            _ => None,
         };
         Some(if !state.idle.is_empty() {
             let member = state.entry.id;
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -29,6 +29,7 @@
             group.needs_sample |= watches_leader && sample_due(group, now);
             self.serve_queue(now, group_id, effects);
             self.probe_if_needed(now, group_id, effects);
+            self.renew_lease_if_due(now, group_id, effects);
             self.supervise_leader(now, group_id, effects);
         }
         self.close_timed_out(now, effects);
--- a/crates/broker/tests/model.rs
+++ b/crates/broker/tests/model.rs
@@ -34,6 +34,9 @@
     late_order: false,
     leaves: false,
     reason: ReplaceReason::Unreachable,
+    fenced: true,
+    leases: 0,
+    reads: false,
 };
 
 /// Two proxies replace the leader once each, and a claim may expire meanwhile.
@@ -65,12 +68,39 @@
     ..AFTER_LATE_ORDER
 };
 
+/// One proxy replaces the leader once, promotions are not fenced, and another proxy reads.
+const UNFENCED: Bounds = Bounds {
+    writes: 1,
+    fenced: false,
+    leases: 1,
+    reads: true,
+    ..ALONE
+};
+
+/// Two proxies replace the leader once each, and promotions are not fenced.
+const BOTH_UNFENCED: Bounds = Bounds {
+    fenced: false,
+    leases: 2,
+    ..BOTH
+};
+
+/// One proxy replaces the leader twice while an older order may still be executed, which no token ends.
+const TWICE_AFTER_LATE_ORDER_UNFENCED: Bounds = Bounds {
+    fenced: false,
+    leases: 2,
+    ..TWICE_AFTER_LATE_ORDER
+};
+
 #[rstest]
 #[case::alone(ALONE)]
 #[case::alone_and_leaving(Bounds { reason: ReplaceReason::Leaving, leaves: true, ..ALONE })]
 #[case::both(BOTH)]
 #[case::after_late_order(AFTER_LATE_ORDER)]
 #[case::twice_after_late_order(TWICE_AFTER_LATE_ORDER)]
+#[case::unfenced(UNFENCED)]
+#[case::unfenced_and_leaving(Bounds { reason: ReplaceReason::Leaving, leaves: true, ..UNFENCED })]
+#[case::both_unfenced(BOTH_UNFENCED)]
+#[case::twice_after_late_order_unfenced(TWICE_AFTER_LATE_ORDER_UNFENCED)]
 fn promotions_lose_nothing_within_bounds(#[case] bounds: Bounds) {
     let found = search(bounds, Mutation::None);
     assert_eq!(found.violation, None);
@@ -82,6 +112,9 @@
 #[case::tokens_not_checked(TWICE_AFTER_LATE_ORDER, Mutation::TokensUnchecked)]
 #[case::claim_not_conditional(BOTH, Mutation::ClaimUnconditional)]
 #[case::unanswered_order_forgotten(AFTER_LATE_ORDER, Mutation::OrdersForgotten)]
+#[case::leases_not_awaited(UNFENCED, Mutation::LeasesNotAwaited)]
+#[case::leases_ignored(UNFENCED, Mutation::LeasesIgnored)]
+#[case::older_orders_ended(Bounds { leases: 0, ..TWICE_AFTER_LATE_ORDER_UNFENCED }, Mutation::OlderOrdersEnded)]
 #[case::released_after_claim(Bounds { lost_answers: 1, ..BOTH }, Mutation::ReleasedLate)]
 fn promotions_without_mechanism_lose_writes(#[case] bounds: Bounds, #[case] mutation: Mutation) {
     let found = search(bounds, mutation);
--- a/crates/broker/tests/model/group.rs
+++ b/crates/broker/tests/model/group.rs
@@ -28,6 +28,8 @@
     pub token: (u64, usize),
     /// Targets of the accepted orders that are not yet executed, the oldest first.
     pub accepted: Vec<usize>,
+    /// Whether a promotion ends the old leader's lead. Otherwise the old leader leads on until it is demoted or steps down.
+    pub fenced: bool,
     pub writes_left: u8,
     /// Whether the last step promoted a member.
     pub promoted: bool,
@@ -36,7 +38,7 @@
 
 impl Group {
     /// Creates a group in which member 0 leads term 1 and all logs are empty.
-    pub fn new(writes: u8) -> Self {
+    pub fn new(writes: u8, fenced: bool) -> Self {
         let mut members: [Member; MEMBERS] = Default::default();
         for member in &mut members {
             member.term = 1;
@@ -47,32 +49,51 @@
             acknowledged: Vec::new(),
             token: (0, usize::MAX),
             accepted: Vec::new(),
+            fenced,
             writes_left: writes,
             promoted: false,
             violation: None,
         }
     }
 
+    /// Returns the leader of the newest term.
     pub fn leader(&self) -> Option<usize> {
-        self.members.iter().position(|member| member.leads)
+        let leaders = (0..MEMBERS).filter(|index| self.members[*index].leads);
+        leaders.max_by_key(|index| self.members[*index].term)
+    }
+
+    /// Lets a replaced leader notice that it has been replaced.
+    pub fn step_down(&mut self, index: usize) -> bool {
+        let is_replaced = self.members[index].leads && self.leader() != Some(index);
+        self.members[index].leads &= !is_replaced;
+        is_replaced
+    }
+
+    /// Reads at a member that leads. Every acknowledged entry must be in its log.
+    pub fn read(&mut self, index: usize) {
+        let log = &self.members[index].log;
+        if self.acknowledged.iter().any(|entry| !log.contains(entry)) {
+            self.violation = Some("a read is stale");
+        }
     }
 
     pub fn status(&self, index: usize) -> event::MemberStatus {
         let member = &self.members[index];
+        let last_term = member.log.last().map_or(0, |(term, _)| *term);
         event::MemberStatus {
             leads: member.leads,
             term: member.term.into(),
-            received: floor::Point::new(member.term.into(), member.log.len() as u64),
+            received: floor::Point::new(last_term.into(), member.log.len() as u64),
             held_term: member.held.into(),
         }
     }
 
-    /// Appends an entry to the leader's log.
-    pub fn write(&mut self) -> bool {
-        let Some(leader) = self.leader().filter(|_| self.writes_left > 0) else {
+    /// Appends an entry to the log of a member that leads.
+    pub fn write(&mut self, index: usize) -> bool {
+        let member = &mut self.members[index];
+        if !member.leads || self.writes_left == 0 {
             return false;
-        };
-        let member = &mut self.members[leader];
+        }
         member.log.push((member.term, self.writes_left));
         self.writes_left -= 1;
         true
@@ -81,7 +102,7 @@
     /// Lets a replica that is not held receive the next entry of the leader's log, and drop entries that the leader does not
     /// have. The leader acknowledges the received entry.
     pub fn replicate(&mut self, replica: usize, holds_ignored: bool) -> bool {
-        let Some(leader) = self.leader().filter(|leader| *leader != replica) else {
+        let Some(leader) = self.leader().filter(|_| !self.members[replica].leads) else {
             return false;
         };
         let source = self.members[leader].clone();
@@ -150,13 +171,19 @@
             return true;
         }
         let newest = self.members.iter().map(|member| member.term).max();
+        let term = newest.unwrap_or_default() + 1;
+        let fenced = self.fenced;
         for member in &mut self.members {
-            member.leads = false;
+            member.leads &= !fenced;
             member.held = 0;
+            if !fenced && !member.leads {
+                // A member whose hold ends follows the new term.
+                member.term = term;
+            }
         }
         let member = &mut self.members[target];
         member.leads = true;
-        member.term = newest.unwrap_or_default() + 1;
+        member.term = term;
         self.promoted = true;
         if self
             .acknowledged
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -7,11 +7,13 @@
 use fulmarlift_broker::event::{MemberStatus, OrderOutcome, StoreOutcome};
 use fulmarlift_broker::failover::{Attempt, Participant, Progress};
 use fulmarlift_broker::leader::{LeaderBelief, ReplaceReason};
+use fulmarlift_broker::lease;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
 use crate::model::group::{Group, MEMBERS};
 
-/// Time that passes in a pause: longer than a claim lasts.
+/// Time that passes in a pause: longer than a claim lasts. It is a multiple of the time that a lease lasts.
 const PAUSE: Duration = Duration::from_secs(10);
 const GROUP: id::GroupId = 1;
 pub const PROXIES: usize = 2;
@@ -35,6 +37,12 @@
     pub leaves: bool,
     /// Cause of the replacements.
     pub reason: ReplaceReason,
+    /// Whether promotions are fenced.
+    pub fenced: bool,
+    /// Number of times that leases may end.
+    pub leases: u8,
+    /// Whether a proxy reads at leaders.
+    pub reads: bool,
 }
 
 /// Mechanism that is disabled.
@@ -51,6 +59,12 @@
     OrdersForgotten,
     /// Members may be released after the claim has expired.
     ReleasedLate,
+    /// Orders are sent without regard to the leases that proxies may have.
+    LeasesNotAwaited,
+    /// Reads at a leader need no lease.
+    LeasesIgnored,
+    /// The choice of the next leader disregards older orders that a higher token has followed, as if it ended them.
+    OlderOrdersEnded,
 }
 
 /// Parameters of a search.
@@ -69,6 +83,10 @@
             start: Instant::now(),
         }
     }
+
+    fn checks_tokens(&self) -> bool {
+        self.bounds.fenced && self.mutation != Mutation::TokensUnchecked
+    }
 }
 
 /// Input that is applied to a proxy's attempt.
@@ -87,8 +105,8 @@
     Release(usize),
     Demote(usize, u8),
     Status(usize),
-    /// Status of a member: whether it leads, its term, the position of its last entry, and the term of its hold.
-    Answer(usize, bool, u8, u8, u8),
+    /// Status of a member: whether it leads, its term, the term and the position of its last entry, and the term of its hold.
+    Answer(usize, bool, u8, (u8, u8), u8),
     Order(usize, u64),
     /// Call whose answer was lost and that may still take effect.
     Late(Box<Message>),
@@ -122,6 +140,10 @@
     pauses: u8,
     lost_answers_left: u8,
     leaves: bool,
+    /// Number of times that leases have ended.
+    lease_ends: u8,
+    /// Lease of a proxy that reads: its term, and the number of leases that had ended before.
+    lease: Option<(u8, u8)>,
 }
 
 impl System {
@@ -131,7 +153,7 @@
             attempts_left,
         };
         let mut system = Self {
-            group: Group::new(rules.bounds.writes),
+            group: Group::new(rules.bounds.writes, rules.bounds.fenced),
             proxies: rules.bounds.attempts.map(proxy),
             row: Row {
                 settled: true,
@@ -142,6 +164,8 @@
             pauses: 0,
             lost_answers_left: rules.bounds.lost_answers,
             leaves: false,
+            lease_ends: 0,
+            lease: None,
         };
         if rules.bounds.late_order {
             system.row = Row {
@@ -174,14 +198,26 @@
                 next.push((description, system));
             }
         };
-        add_step("write".into(), &|system| system.group.write());
         add_step("promote".into(), &|system| system.group.promote());
         let holds_ignored = rules.mutation == Mutation::HoldsIgnored;
-        for replica in 0..MEMBERS {
-            add_step(format!("replicate {replica}"), &|system| {
-                system.group.replicate(replica, holds_ignored)
+        for member in 0..MEMBERS {
+            add_step(format!("write at {member}"), &|system| {
+                system.group.write(member)
+            });
+            add_step(format!("replicate {member}"), &|system| {
+                system.group.replicate(member, holds_ignored)
+            });
+            add_step(format!("{member} steps down"), &|system| {
+                system.group.step_down(member)
+            });
+            add_step(format!("lease from {member}"), &|system| {
+                system.grant_lease(rules, member)
+            });
+            add_step(format!("read at {member}"), &|system| {
+                system.read(rules, member)
             });
         }
+        add_step("leases end".into(), &|system| system.end_leases(rules));
         add_step("pause".into(), &|system| system.pause(rules));
         add_step("member 1 leaves".into(), &|system| {
             rules.bounds.leaves && !std::mem::replace(&mut system.leaves, true)
@@ -210,7 +246,38 @@
     }
 
     fn now(&self, rules: &Rules) -> Instant {
-        rules.start + PAUSE * u32::from(self.pauses)
+        rules.start
+            + PAUSE * u32::from(self.pauses)
+            + lease::LEASE_DURATION * u32::from(self.lease_ends)
+    }
+
+    /// Lets time pass, so that leases end, while messages are under way.
+    fn end_leases(&mut self, rules: &Rules) -> bool {
+        let allowed = self.lease_ends < rules.bounds.leases;
+        self.lease_ends += u8::from(allowed);
+        self.lease = self.lease.filter(|_| !allowed);
+        allowed
+    }
+
+    /// Asks a member for its status, as a proxy that reads. A replica that is not held grants a lease.
+    fn grant_lease(&mut self, rules: &Rules, index: usize) -> bool {
+        let member = &self.group.members[index];
+        let granted = rules.bounds.reads && !member.leads && member.held == 0;
+        if granted {
+            self.lease = Some((member.term, self.lease_ends));
+        }
+        granted
+    }
+
+    /// Reads at a member that leads the term of the lease.
+    fn read(&mut self, rules: &Rules, index: usize) -> bool {
+        let member = &self.group.members[index];
+        let covered = self.lease == Some((member.term, self.lease_ends));
+        let allowed = member.leads && rules.bounds.reads;
+        if allowed && (covered || rules.mutation == Mutation::LeasesIgnored) {
+            self.group.read(index);
+        }
+        self.group.violation.is_some()
     }
 
     /// Lets time pass, so that the claim expires. No release command may be under way then: one that was sent has arrived or
@@ -219,7 +286,12 @@
         let releases = |(_, message): &(usize, Message)| matches!(message, Message::Release(_));
         let none_released =
             rules.mutation == Mutation::ReleasedLate || !self.in_flight.iter().any(releases);
-        let allowed = self.pauses < rules.bounds.pauses && none_released && !self.row.expired;
+        // An order that is not fenced is sent early enough to arrive before its claim expires.
+        let orders = |(_, message): &(usize, Message)| matches!(message, Message::Order(..));
+        let none_ordered = rules.bounds.fenced || !self.in_flight.iter().any(orders);
+        let allowed =
+            self.pauses < rules.bounds.pauses && none_released && none_ordered && !self.row.expired;
+        self.lease = self.lease.filter(|_| !allowed);
         self.pauses += u8::from(allowed);
         self.row.expired |= allowed;
         allowed
@@ -245,7 +317,12 @@
         leader.term = term.into();
         let now = self.now(rules);
         let reason = rules.bounds.reason;
-        let attempt = Attempt::new(GROUP, &proxy.to_string(), reason, &leader, now);
+        let waived = matches!(
+            rules.mutation,
+            Mutation::LeasesNotAwaited | Mutation::OlderOrdersEnded
+        );
+        let fenced = rules.bounds.fenced || waived;
+        let attempt = Attempt::new(GROUP, &proxy.to_string(), fenced, reason, &leader, now);
         self.proxies[proxy].attempt = Some(attempt);
         self.tick(rules, proxy)
     }
@@ -300,6 +377,9 @@
                     settled: claim.settled,
                     revision,
                 },
+                Effect::OrderPromotion { until, .. } if until.is_some_and(|until| now >= until) => {
+                    continue;
+                }
                 Effect::OrderPromotion { member, token, .. } => {
                     Message::Order(member as usize, token)
                 }
@@ -346,7 +426,7 @@
                 self.apply(rules, proxy, input);
             }
             Message::Order(target, token) => {
-                let check_token = rules.mutation != Mutation::TokensUnchecked;
+                let check_token = rules.checks_tokens();
                 let outcome = match self.group.order(target, token, proxy, check_token) {
                     true => OrderOutcome::Accepted,
                     false => OrderOutcome::Refused,
@@ -363,7 +443,7 @@
                     member,
                     status.leads,
                     status.term as u8,
-                    status.received.position as u8,
+                    (status.received.term as u8, status.received.position as u8),
                     status.held_term as u8,
                 );
                 self.in_flight.push((proxy, answer));
@@ -371,11 +451,11 @@
                     return self.deliver(rules, self.in_flight.len() - 1);
                 }
             }
-            Message::Answer(member, leads, term, position, held) => {
+            Message::Answer(member, leads, term, (last_term, position), held) => {
                 let status = MemberStatus {
                     leads,
                     term: term.into(),
-                    received: fulmarlift_core::floor::Point::new(term.into(), position.into()),
+                    received: floor::Point::new(last_term.into(), position.into()),
                     held_term: held.into(),
                 };
                 let input: Input = Box::new(move |attempt, participants, out| {
@@ -394,7 +474,7 @@
                     self.write_row(rules, proxy, &call);
                 }
                 Message::Order(target, token) => {
-                    let check_token = rules.mutation != Mutation::TokensUnchecked;
+                    let check_token = rules.checks_tokens();
                     self.group.order(target, token, proxy, check_token);
                 }
                 _ => {}
@@ -484,6 +564,8 @@
                 target: self.row.target.map(|target| target.to_string().into()),
                 settled: self.row.settled || forgotten,
                 until_ms: 1,
+                // Orders never end by their age.
+                order_ends_ms: u64::MAX,
             },
             revision: self.row.revision,
             now_ms: u64::from(self.row.expired),
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -33,6 +33,13 @@
         Self::in_domain("a")
     }
 
+    /// Creates the same fixture with promotions that are not fenced.
+    pub fn unfenced() -> Self {
+        let mut fixture = Self::create("a", false);
+        fixture.handle(Event::PeersRead);
+        fixture
+    }
+
     /// Creates the same fixture with the proxy in another domain.
     pub fn in_domain(domain: &str) -> Self {
         let mut fixture = Self::before_peers_read(domain);
@@ -42,11 +49,16 @@
 
     /// Creates the same fixture before the list of proxies has been read.
     pub fn before_peers_read(domain: &str) -> Self {
+        Self::create(domain, true)
+    }
+
+    fn create(domain: &str, fenced: bool) -> Self {
         let settings = Settings {
             name: "proxy-1-0".into(),
             vm_name: "proxy-1".into(),
             place: place(domain),
             drain_timeout: Duration::from_secs(7),
+            fenced,
         };
         let mut fixture = Self {
             broker: Broker::new(settings),
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -76,31 +76,31 @@
     }
 }
 
-/// Returns the requirement of a statement on its member.
+/// Returns the requirement of a read, or of a transaction that reads and may write, on its member.
 pub fn requirement(
     route: &topology::Route,
     mode: protocol::Mode,
     session_commit: Option<fulmarlift_core::floor::Point>,
 ) -> request::Requirement {
+    let age_ms = route.consistency.max_staleness_ms().unwrap_or(0);
+    let now = clock::now();
+    let acknowledged_before = now
+        .checked_sub(Duration::from_millis(u64::from(age_ms)))
+        .unwrap_or(now);
     match (mode, route.consistency) {
-        (protocol::Mode::Write, _) => request::Requirement::Leader,
+        (protocol::Mode::Write, _) => request::Requirement::LeaderForReads {
+            acknowledged_before,
+        },
         (protocol::Mode::Read, topology::Consistency::Leader) => {
-            request::Requirement::VerifiedLeader
-        }
-        (
-            protocol::Mode::Read,
-            topology::Consistency::Bounded { max_staleness_ms }
-            | topology::Consistency::OwnWrites { max_staleness_ms },
-        ) => {
-            let age = Duration::from_millis(u64::from(max_staleness_ms));
-            let now = clock::now();
-            request::Requirement::Recent {
-                acknowledged_before: now.checked_sub(age).unwrap_or(now),
-                session_commit: session_commit.filter(|_| {
-                    matches!(route.consistency, topology::Consistency::OwnWrites { .. })
-                }),
+            request::Requirement::VerifiedLeader {
+                acknowledged_before,
             }
         }
+        (protocol::Mode::Read, consistency) => request::Requirement::Recent {
+            acknowledged_before,
+            session_commit: session_commit
+                .filter(|_| matches!(consistency, topology::Consistency::OwnWrites { .. })),
+        },
     }
 }
 
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -44,6 +44,8 @@
         route: topology::Route,
         /// Whether a write was sent.
         wrote: bool,
+        /// Whether a write succeeded, so that a commit has an effect.
+        has_changes: bool,
     },
     /// The transaction was rolled back, but the caller has not ended it yet.
     Failed {
@@ -124,6 +126,7 @@
             lease,
             route,
             wrote,
+            has_changes,
             ..
         } = &mut self.transaction
         else {
@@ -147,6 +150,7 @@
             Ok(answer) => {
                 let classified = answer.error().map_or(event::Answer::Served, classify_code);
                 lease.report(classified, answer.point);
+                *has_changes |= statement.mode == protocol::Mode::Write && answer.error().is_none();
                 if answer.state != protocol::TransactionState::Transaction {
                     log::info!(
                         "event=transaction_failed request={} end={:?}",
@@ -237,6 +241,7 @@
                     mode,
                     route,
                     wrote: false,
+                    has_changes: false,
                 };
                 return Ok(());
             }
@@ -323,6 +328,7 @@
             mode,
             route,
             wrote,
+            has_changes,
         } = ended
         else {
             return self.answer_error(&protocol::Code::Aborted, "the transaction has ended");
@@ -342,7 +348,7 @@
                 let success = match mode {
                     protocol::Mode::Write if !lease.is_home() => event::Answer::Led {
                         sent_at,
-                        commit: wrote,
+                        commit: has_changes,
                     },
                     _ => event::Answer::Served,
                 };
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -274,6 +274,11 @@
                 }
             }
             effect::Effect::Probe { conn, member } => self.probe(conn, member),
+            effect::Effect::AskStatus {
+                group,
+                conn,
+                member,
+            } => self.ask_status(group, conn, member),
             effect::Effect::SendCommand {
                 group,
                 member,
@@ -290,7 +295,8 @@
                 group,
                 member,
                 token,
-            } => self.order_promotion(group, member, token),
+                until,
+            } => self.order_promotion(group, member, token, until),
             effect::Effect::RecordChange(change) => {
                 state_changes::log(&self.inner.borrow().broker, &change)
             }
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -32,6 +32,10 @@
             let name = member_name(broker, member);
             log::info!("event=member_reachable member={name} reachable={reachable}");
         }
+        effect::StateChange::Lease { group, term, valid } => {
+            let group = group_name(broker, group);
+            log::info!("event=lease group={group} term={term} valid={valid}");
+        }
         effect::StateChange::Gone(member) => log::info!("event=member_gone member={member:016x}"),
     }
 }
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -180,6 +180,40 @@
         });
     }
 
+    /// Asks a member for its status on the given idle connection, and passes the status to the broker.
+    pub(super) fn ask_status(
+        self: &Rc<Self>,
+        group: id::GroupId,
+        conn: id::ConnId,
+        member: id::MemberId,
+    ) {
+        let shell = Rc::clone(self);
+        let asked_at = clock::now();
+        tokio::task::spawn_local(async move {
+            let upstream = shell.inner.borrow_mut().idle.remove(conn);
+            let (status, upstream) = match upstream {
+                Some(upstream) => {
+                    let command = effect::MemberCommand::Status;
+                    shell
+                        .exchange_command(member, command, Some(upstream))
+                        .await
+                }
+                None => (None, None),
+            };
+            let reusable = upstream.is_some();
+            if let Some(upstream) = upstream {
+                shell.inner.borrow_mut().idle.insert(conn, upstream);
+            }
+            shell.handle(event::Event::LeaseAnswered {
+                group,
+                member,
+                asked_at,
+                status,
+            });
+            shell.handle(event::Event::Returned { conn, reusable });
+        });
+    }
+
     /// Sends a command on the lent connection, on the member's control connection, or on a new one. Returns the member's
     /// status, and the connection if it is still usable. Does not send a release whose time has passed, since another proxy
     /// may hold the member by then.
@@ -263,6 +297,7 @@
         group: id::GroupId,
         member: id::MemberId,
         token: u64,
+        until: Option<Instant>,
     ) {
         let shell = Rc::clone(self);
         tokio::task::spawn_local(async move {
@@ -273,7 +308,12 @@
                 shell
                     .promotion_orders
                     .promote(&group_name, &member_name, &shell.name, token);
-            let outcome = promoted.await;
+            // The process may have been suspended since the broker gave the order.
+            let outdated = until.is_some_and(|until| clock::now() >= until);
+            let outcome = match outdated {
+                true => event::OrderOutcome::Deferred,
+                false => promoted.await,
+            };
             log::info!(
                 "event=ordered group={group_name} member={member_name} token={token} outcome={outcome:?}"
             );
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -60,6 +60,7 @@
             domain: domain.into(),
         },
         drain_timeout: Duration::from_secs(7),
+        fenced: true,
     };
     Shell::new(settings, Unavailable, Unavailable)
 }
