A home that stops says so and answers what is under way

Cause: a home that stopped closed the idle connections of other proxies at once.

Change: the home sends a closing message on these connections, answers what still arrives on them, and leaves it to the other proxy to close them. It accepts no new connections of proxies, so that these choose another home at once.

Ruled out: sending unrun statements back on close, since a closed socket drops what the kernel has received but not delivered.

--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -73,6 +73,8 @@
     codec: C,
     inbox: BytesMut,
     outbox: BytesMut,
+    /// Whether the other end stops, so that nothing more must be sent.
+    closing: bool,
     /// Member or home at the other end.
     pub member: id::MemberId,
     /// Session values and prepared statements that the other end holds for this connection.
@@ -118,6 +120,7 @@
             codec: C::default(),
             inbox: BytesMut::new(),
             outbox: BytesMut::new(),
+            closing: false,
             member: member.1,
             connection_state: values::ConnectionState::default(),
         };
@@ -183,6 +186,7 @@
                         point,
                     });
                 }
+                Some(member::Frame::Closing) => self.closing = true,
                 None => {
                     if self.stream.read_buf(&mut self.inbox).await? == 0 {
                         return match end {
@@ -196,8 +200,12 @@
         }
     }
 
-    /// Returns whether an idle connection is unusable: the other side has closed it or sent bytes without a command.
+    /// Returns whether an idle connection is unusable: the other side has closed it, stops, or has sent bytes without a
+    /// command.
     pub fn is_dead(&mut self) -> bool {
+        if self.closing {
+            return true;
+        }
         let mut byte = [0; 1];
         match self.stream.try_read(&mut byte) {
             Ok(_) => true,
--- a/crates/session/src/peer/codec.rs
+++ b/crates/session/src/peer/codec.rs
@@ -86,6 +86,7 @@
             frame::Response::Done => member::Frame::Complete(Bytes::from_static(b"-")),
             frame::Response::Error(code, text) => member::Frame::Error(code, text),
             frame::Response::Ready(state, point) => member::Frame::Ready(state, point),
+            frame::Response::Closing => member::Frame::Closing,
         }))
     }
 
@@ -159,6 +160,7 @@
             caller::Reply::Error(code, text) => {
                 frame::Response::Error(protocol::Code::clone(code), text.into())
             }
+            caller::Reply::Closing => frame::Response::Closing,
         };
         frame::encode(&response, outbox);
     }
--- a/crates/session/src/peer/frame.rs
+++ b/crates/session/src/peer/frame.rs
@@ -50,6 +50,8 @@
     Done,
     Error(protocol::Code, Box<str>),
     Ready(protocol::TransactionState, Option<floor::Point>),
+    /// The home stops: it still answers what was sent, but nothing more must be sent.
+    Closing,
 }
 
 /// Appends a message to the buffer.
--- a/crates/session/src/protocol/caller.rs
+++ b/crates/session/src/protocol/caller.rs
@@ -124,6 +124,8 @@
     Done,
     /// The statement or the session failed; carries a text for the caller.
     Error(&'a protocol::Code, &'a str),
+    /// The proxy stops, and nothing more must be sent on this connection. Only peers get it.
+    Closing,
 }
 
 /// Decodes callers' messages and encodes replies.
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -109,6 +109,8 @@
     Error(protocol::Code, Box<str>),
     /// The answer ends; carries the connection's state and the last point of the member's log.
     Ready(protocol::TransactionState, Option<floor::Point>),
+    /// The home stops. It still answers what was sent, but nothing more must be sent on this connection.
+    Closing,
 }
 
 /// Result of a command.
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -25,19 +25,23 @@
     accept::<D, D::Caller>(shell, listener, session::ClientKind::Caller, grace).await;
 }
 
-/// Accepts and serves proxies that forward statements to this one. Never returns.
+/// Accepts and serves proxies that forward statements to this one, until the graceful stop starts: a proxy that cannot
+/// connect chooses another home at once.
 pub async fn accept_peers<D: Deployment>(
     shell: Rc<shell::Shell<D>>,
     listener: TcpListener,
     grace: session::ShutdownGrace,
 ) {
-    // A forwarding proxy reconnects to another home at once, so that its idle sessions need no delay.
-    let grace = session::ShutdownGrace {
-        idle_delay: Duration::ZERO,
-        idle_spread: Duration::ZERO,
-        ..grace
+    let mut stopping = shell.stopping();
+    let stopped = async {
+        // Fails only without a sender, which the shell holds.
+        let _ = stopping.wait_for(Option::is_some).await;
     };
-    accept::<D, peer::Serving>(shell, listener, session::ClientKind::Peer, grace).await;
+    let accepting = accept::<D, peer::Serving>(shell, listener, session::ClientKind::Peer, grace);
+    tokio::select! {
+        () = stopped => {}
+        () = accepting => {}
+    }
 }
 
 async fn accept<D: Deployment, C: Codec>(
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -112,6 +112,8 @@
     idle_since: Instant,
     stopping: watch::Receiver<Option<Instant>>,
     grace: ShutdownGrace,
+    /// Whether the peer has been told that this proxy stops.
+    stop_announced: bool,
     /// Picks the time within [`ShutdownGrace::idle_spread`] at which the idle session is closed.
     close_offset_seed: u64,
 }
@@ -131,6 +133,7 @@
     let mut session = Session::<D, C> {
         close_offset_seed: id::rendezvous_weight(shell.next_request(), 0),
         stopping: shell.stopping(),
+        stop_announced: false,
         codec: C::default(),
         client_kind,
         options: None,
@@ -285,6 +288,7 @@
                     self.end_with_error(&code, error.into()).await?;
                 }
             }
+            self.announce_stop().await?;
             match self.wait_for_input().await? {
                 Wakeup::InputOrStop => {}
                 Wakeup::DeadlinePassed => self.end_idle().await?,
@@ -292,6 +296,17 @@
         }
     }
 
+    /// Tells a peer that this proxy stops. The peer closes the connection, and until then gets answers to what it sent before
+    /// it knew.
+    async fn announce_stop(&mut self) -> io::Result<()> {
+        if !self.is_forwarded() || self.stop_announced || self.stopping.borrow().is_none() {
+            return Ok(());
+        }
+        self.stop_announced = true;
+        self.reply(caller::Reply::Closing);
+        self.flush().await
+    }
+
     /// Waits for bytes, the start of a graceful stop, or the idle deadline.
     async fn wait_for_input(&mut self) -> Result<Wakeup, SessionEnd> {
         let deadline = self.idle_deadline();
@@ -318,7 +333,8 @@
         let stop = *self.stopping.borrow();
         let in_transaction = self.transaction.state() != protocol::TransactionState::Idle;
         let stop_deadline = stop.map(|stop| {
-            if in_transaction {
+            // A peer closes the connection itself once it knows of the stop.
+            if in_transaction || self.is_forwarded() {
                 return stop + self.grace.transaction_timeout;
             }
             let spread_ms = u64::try_from(self.grace.idle_spread.as_millis()).unwrap_or(u64::MAX);
