Log the recovery of a member that answers on an open connection

Cause: event=member_reachable reachable=true was logged only when a connection opened, so the log could show a member as unreachable for ever although it answered statements. Change: any answer of a suspect member or home logs it. Test: recovery_is_logged_when_a_statement_is_answered, red before.

--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -66,12 +66,7 @@
         state.record_answer(now, None);
         let member = state.entry.id;
         if recovered {
-            effects.push(effect::Effect::RecordChange(
-                effect::StateChange::Reachable {
-                    member,
-                    reachable: true,
-                },
-            ));
+            effects.push(reachable_again(member));
             self.record_home_recovery(now, member, effects);
         }
         self.serve_queue_of_member(now, member, effects);
@@ -178,6 +173,7 @@
             return;
         };
         state.running = state.running.saturating_sub(1);
+        let was_suspect = state.is_suspect();
         let sent_at = report.took.and_then(|took| now.checked_sub(took));
         match report.answer {
             event::Answer::Broken => {
@@ -220,14 +216,16 @@
                 state.denies_leadership = true;
             }
             event::Answer::Served | event::Answer::Led { .. } => {
-                let recovered = state.is_suspect();
                 state.record_answer(now, report.took);
                 state.record_point(report.point);
-                if recovered {
+                if was_suspect {
                     self.record_home_recovery(now, member, effects);
                 }
             }
         }
+        if was_suspect && !self.is_suspect(member) {
+            effects.push(reachable_again(member));
+        }
         self.record_leader_evidence(now, group_id, &report, effects);
         self.serve_queue(now, group_id, effects);
     }
@@ -300,6 +298,12 @@
     }
 }
 
+/// Returns the effect that logs the recovery of a suspect member or home.
+fn reachable_again(member: id::MemberId) -> effect::Effect {
+    let reachable = true;
+    effect::Effect::RecordChange(effect::StateChange::Reachable { member, reachable })
+}
+
 /// Records that a member or a home did not answer, refused the connection, or has another process at its address. Logs that
 /// it is unreachable unless it was suspect already. `process_gone` is whether the failure shows that its process is gone from
 /// its address.
--- a/crates/broker/tests/conns.rs
+++ b/crates/broker/tests/conns.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use fulmarlift_broker::effect::Effect;
+use fulmarlift_broker::effect::{Effect, StateChange};
 use std::time::Duration;
 
 use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport};
@@ -10,6 +10,41 @@
 use rstest::rstest;
 use support::Fixture;
 
+/// Without this line, the log would show a member as unreachable for ever.
+#[test]
+fn recovery_is_logged_when_a_statement_is_answered() {
+    let mut fixture = Fixture::new();
+    fixture.add_request(Requirement::Leader);
+    fixture.add_request(Requirement::Leader);
+    fixture.open_all();
+    let grants = fixture.take_grants();
+    let report = |answer| StatementReport {
+        member: 1,
+        answer,
+        point: None,
+        floor: None,
+        took: Some(Duration::from_millis(300)),
+    };
+    let changes = |fixture: &mut Fixture| -> Vec<bool> {
+        let reachable = |effect| match effect {
+            Effect::RecordChange(StateChange::Reachable { reachable, .. }) => Some(reachable),
+            _ => None,
+        };
+        fixture
+            .take_effects()
+            .into_iter()
+            .filter_map(reachable)
+            .collect()
+    };
+    assert_eq!(grants.len(), 2);
+    fixture.handle(Event::StatementEnded(report(Answer::Silent {
+        commit: false,
+    })));
+    assert_eq!(changes(&mut fixture), [false]);
+    fixture.handle(Event::StatementEnded(report(Answer::Served)));
+    assert_eq!(changes(&mut fixture), [true]);
+}
+
 /// Thirty writes wait for a member that has no connection left for a second. The proxy must not try a connection per write.
 #[test]
 fn open_stays_rare_while_member_is_full() {
