Bound the work of a proxy that starts beside hundreds of others

Readers answered too late, and a proxy that tried a reader stopped reading the store meanwhile, so its own listeners lost it in turn: reader_lost 1,737 times in 32 s, and 10,000 calls to the store, most of them full reads of all tables.

Change: the homes are chosen when proxies or members have changed, once for many entries, and at ticks while a home fails; the weights are hashed once a choice. After the loss of a reader, the proxy that ranks next reads the store, the others look for it for 500 ms first. A proxy with readers retries a store that does not answer less often. One line tells the number of other proxies.

Ruled out: calls of claims (29 of 8,425).

Tests: homes_are_chosen_rarely_whatever_the_number_of_proxies (30 to 1,000), observe_reads_store_until_reader_has_sent_something (red before).

--- a/crates/broker/src/homes.rs
+++ b/crates/broker/src/homes.rs
@@ -30,14 +30,17 @@
 ) -> Vec<id::ProxyId> {
     let mut homes = Vec::new();
     for domain in domains {
-        let mut local: Vec<id::ProxyId> = candidates
+        let mut local: Vec<(u64, id::ProxyId)> = candidates
             .iter()
             .filter(|candidate| candidate.domain == *domain)
-            .map(|candidate| candidate.proxy)
+            .map(|candidate| {
+                let weight = id::rendezvous_weight(group, candidate.proxy);
+                (weight, candidate.proxy)
+            })
             .collect();
-        local.sort_by_key(|proxy| std::cmp::Reverse(id::rendezvous_weight(group, *proxy)));
+        local.sort_unstable_by_key(|(weight, proxy)| std::cmp::Reverse((*weight, *proxy)));
         local.truncate(HOMES_PER_DOMAIN);
-        homes.extend(local);
+        homes.extend(local.into_iter().map(|(_, proxy)| proxy));
     }
     if homes.is_empty() {
         homes = candidates.iter().map(|candidate| candidate.proxy).collect();
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -27,7 +27,8 @@
             self.groups.entry(group);
         }
         self.topology = topology;
-        self.choose_homes(now, effects);
+        self.homes_outdated = true;
+        self.choose_homes_if_outdated(now, effects);
     }
 
     pub(super) fn apply_member_entry(
@@ -47,10 +48,11 @@
                 group
                     .members
                     .insert(member.id, member_state::MemberState::new(member, now));
+                self.homes_outdated = true;
             }
         }
         self.reelect(now, group_id, effects);
-        self.choose_homes(now, effects);
+        self.choose_homes_if_outdated(now, effects);
     }
 
     /// Drops other members of the same name: an earlier incarnation, or one in another group, cannot exist any more.
@@ -114,6 +116,7 @@
         let group = self.groups.entry(group_id);
         let state = group.members.remove(member);
         if state.is_some() {
+            self.homes_outdated = true;
             effects.push(effect::Effect::RecordChange(effect::StateChange::Gone(
                 member,
             )));
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -58,6 +58,10 @@
     peers: sorted::Map<id::ProxyId, topology::Peer>,
     /// Whether `peers` has contained all proxies that the store lists.
     peers_read: bool,
+    /// Whether the homes must be chosen again: the proxies, or the domains of the members, have changed.
+    homes_outdated: bool,
+    /// Number of times that the homes were chosen.
+    home_choices: u64,
     next_conn: id::ConnId,
     /// Instant since which every read of the directory has succeeded.
     directory_reached_since: Option<Instant>,
@@ -105,6 +109,8 @@
             request_groups: sorted::Map::default(),
             peers: sorted::Map::default(),
             peers_read: false,
+            homes_outdated: false,
+            home_choices: 0,
             next_conn: 1,
             directory_reached_since: None,
         }
@@ -199,6 +205,16 @@
         (connections, self.request_groups.len())
     }
 
+    /// Returns the number of other proxies that the store lists.
+    pub fn peers(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns the number of times that this proxy has chosen the homes of all groups.
+    pub fn home_choices(&self) -> u64 {
+        self.home_choices
+    }
+
     /// Returns the proxy on the VM of this name.
     pub fn peer(&self, name: &str) -> Option<&topology::Peer> {
         self.peers.get(id::of(name))
--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -30,7 +30,8 @@
                 // The proxy's entry has changed, so connections to it may lead to an old address.
                 self.drop_proxy_as_home(now, &peer.vm_name, effects);
             }
-            self.choose_homes(now, effects);
+            // All proxies often start together, so the homes are chosen once for many entries.
+            self.homes_outdated = true;
         }
     }
 
@@ -42,12 +43,13 @@
     ) {
         self.peers.remove(id::of(name));
         self.drop_proxy_as_home(now, name, effects);
-        self.choose_homes(now, effects);
+        self.homes_outdated = true;
     }
 
     pub(super) fn record_peers_read(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         self.peers_read = true;
-        self.choose_homes(now, effects);
+        self.homes_outdated = true;
+        self.choose_homes_if_outdated(now, effects);
     }
 
     /// Records the failure of a proxy that is a home of one group also for the other groups whose home it is: its process and
@@ -111,8 +113,27 @@
         }
     }
 
-    /// Chooses the homes of all groups again.
-    pub(super) fn choose_homes(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
+    /// Returns whether a home fails, so that another proxy may have to take its place.
+    pub(super) fn has_failing_home(&self) -> bool {
+        let mut homes = self.groups.values().flat_map(|group| group.homes.values());
+        homes.any(|home| home.failing_since.is_some())
+    }
+
+    /// Chooses the homes of all groups again if the choice is outdated.
+    ///
+    /// The choice takes time in proportion to the number of groups and of proxies, so it is not made at each event.
+    pub(super) fn choose_homes_if_outdated(
+        &mut self,
+        now: Instant,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        if std::mem::take(&mut self.homes_outdated) {
+            self.choose_homes(now, effects);
+        }
+    }
+
+    fn choose_homes(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
+        self.home_choices += 1;
         let this_proxy = id::of(&self.settings.vm_name);
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
         for group_id in groups {
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -72,6 +72,7 @@
         request: request::Request,
         effects: &mut Vec<effect::Effect>,
     ) {
+        self.choose_homes_if_outdated(now, effects);
         let group_id = request.group;
         let group = self.groups.entry(group_id);
         let forwards = !request.forwarded && group.forwards_to().is_some();
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -20,7 +20,8 @@
 impl state::Broker {
     pub(super) fn tick(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         self.drop_gone_members(now, effects);
-        self.choose_homes(now, effects);
+        self.homes_outdated |= self.has_failing_home();
+        self.choose_homes_if_outdated(now, effects);
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
         for group_id in groups {
             self.reelect(now, group_id, effects);
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -10,6 +10,7 @@
 use fulmarlift_broker::request::{Request, Requirement};
 use fulmarlift_broker::topology::{Member, Peer, Topology};
 use fulmarlift_core::id;
+use rstest::rstest;
 use support::{Fixture, GROUP, place};
 
 fn candidates<'a>(names: &[(&str, &'a str)]) -> Vec<Candidate<'a>> {
@@ -75,6 +76,28 @@
     fixture
 }
 
+/// When hundreds of proxies start together, each of them learns of all others within a moment.
+#[rstest]
+#[case::of_30(30)]
+#[case::of_100(100)]
+#[case::of_300(300)]
+#[case::of_1000(1_000)]
+fn homes_are_chosen_rarely_whatever_the_number_of_proxies(#[case] proxies: u16) {
+    let mut fixture = Fixture::in_domain("far");
+    let before = fixture.broker.home_choices();
+    for nth in 1..=proxies {
+        fixture.handle(Event::PeerListed(Peer {
+            vm_name: format!("vm-{nth}").into(),
+            address: ([127, 0, 0, 1], 7000 + nth).into(),
+            updates_address: ([127, 0, 0, 1], 8000 + nth).into(),
+            place: place(["a", "b", "c"][usize::from(nth % 3)]),
+        }));
+    }
+    fixture.advance(10_000);
+    assert_eq!(fixture.broker.home_choices() - before, 1);
+    assert!(fixture.broker.forwards_requests(GROUP));
+}
+
 #[test]
 fn arrived_is_forwarded_by_proxy_that_is_no_home() {
     let mut fixture = remote_proxy();
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -91,6 +91,8 @@
     /// Time at which the graceful stop started.
     stopping: watch::Sender<Option<Instant>>,
     sessions: Cell<usize>,
+    /// Number of other proxies in the last log line that told it.
+    logged_peers: Cell<usize>,
 }
 
 impl<D: Deployment> Shell<D> {
@@ -125,6 +127,7 @@
             store_retry_permit: Mutex::new(()),
             stopping: watch::Sender::new(None),
             sessions: Cell::new(0),
+            logged_peers: Cell::new(0),
         })
     }
 
@@ -245,9 +248,19 @@
             let (connections, waiting) = self.with_broker(Broker::connection_and_request_counts);
             metrics::gauge!("fulmarlift_connections").set(connections);
             metrics::gauge!("fulmarlift_waiting").set(waiting as f64);
+            self.log_peers();
         }
     }
 
+    /// Logs the number of other proxies if it has changed.
+    fn log_peers(&self) {
+        let (known, choices) = self.with_broker(|broker| (broker.peers(), broker.home_choices()));
+        if self.logged_peers.replace(known) != known {
+            log::info!("event=peers known={known}");
+        }
+        metrics::counter!("fulmarlift_home_choices_total").absolute(choices);
+    }
+
     /// Removes idle connections that the other side has closed, and reports them to the broker.
     fn remove_dead_connections(self: &Rc<Self>) {
         let mut dead = Vec::new();
--- a/crates/session/src/shell/updates.rs
+++ b/crates/session/src/shell/updates.rs
@@ -120,8 +120,9 @@
         deployment::Update::Unlisted { name, revision } => {
             log::info!("event=member_unlisted member={name} revision={revision}");
         }
+        // A proxy that starts learns of all others at once; `event=peers` tells their number.
         deployment::Update::PeerListed(peer) => {
-            log::info!(
+            log::debug!(
                 "event=peer_listed peer={} address={}",
                 peer.vm_name,
                 peer.address
--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -30,6 +30,8 @@
 /// Longest backoff after failed calls: the proxy must have read all entries within the platform's setting
 /// `stability-window-ms` after the store answers again.
 const BACKOFF_MAX: Duration = Duration::from_millis(1_000);
+/// Longest backoff of a proxy with readers, from which it also learns that the store answers again.
+const LISTENER_BACKOFF_MAX: Duration = Duration::from_millis(3_000);
 
 /// Reads one part of the store, and keeps the state of the polling.
 struct Follower<'a, D: Deployment, S: Source> {
@@ -182,7 +184,14 @@
     async fn back_off(&mut self) {
         let jitter = rand::random_range(0.5..1.0);
         tokio::time::sleep(self.backoff.mul_f64(jitter)).await;
-        self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
+        let has_reader = self
+            .shell
+            .with_broker(|broker| !broker.readers().is_empty());
+        let backoff_max = match has_reader {
+            true => LISTENER_BACKOFF_MAX,
+            false => BACKOFF_MAX,
+        };
+        self.backoff = (self.backoff * 2).min(backoff_max);
     }
 }
 
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -19,25 +19,65 @@
 /// Age of the store's last answer to the reader above which a listener reads the store itself: a change must be in force
 /// 3 s after the store acknowledged it, and reading the store takes part of that time.
 pub(super) const READER_AGE_MAX: Duration = Duration::from_millis(2_000);
+/// Time from the connection to a reader to its snapshot and the age of its information. A reader that has many listeners
+/// sends many snapshots at once.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Timeout to connect to the reader.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Applies a reader's updates until the connection fails or the reader's information is too old.
-pub(super) async fn listen<D: Deployment>(
-    shell: &Rc<shell::Shell<D>>,
-    reader: &topology::Peer,
-) -> io::Result<()> {
-    let timed_out = || io::Error::from(io::ErrorKind::TimedOut);
-    let connected =
-        tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(reader.updates_address)).await;
-    let mut stream = connected.map_err(|_| timed_out())??;
-    link::set_liveness_timeouts(&stream)?;
-    log::info!("event=listening reader={}", reader.vm_name);
-    let mut inbox = BytesMut::new();
-    let mut fresh_until = clock::now() + READER_AGE_MAX;
-    loop {
-        let received = frame::receive(&mut stream, &mut inbox);
-        let message = tokio::time::timeout_at(clock::tokio_deadline(fresh_until), received).await;
+/// Connection to a reader that has sent its snapshot, and has had an answer of the store lately.
+pub(super) struct Listener {
+    /// Name of the reader.
+    pub(super) reader: Box<str>,
+    stream: TcpStream,
+    inbox: BytesMut,
+    /// Time at which the reader's information becomes too old.
+    fresh_until: Instant,
+}
+
+impl Listener {
+    /// Connects to a reader, and applies its snapshot.
+    ///
+    /// # Errors
+    ///
+    /// The reader cannot be reached, or its last answer of the store is too old.
+    pub(super) async fn connect<D: Deployment>(
+        shell: &Rc<shell::Shell<D>>,
+        reader: &topology::Peer,
+    ) -> io::Result<Self> {
+        let connecting = TcpStream::connect(reader.updates_address);
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let stream = connected.map_err(|_| timed_out())??;
+        link::set_liveness_timeouts(&stream)?;
+        let connected_at = clock::now();
+        let mut listener = Self {
+            reader: reader.vm_name.clone(),
+            stream,
+            inbox: BytesMut::new(),
+            fresh_until: connected_at + SNAPSHOT_TIMEOUT,
+        };
+        while !listener.receive(shell).await? {}
+        match listener.fresh_until > clock::now() {
+            true => Ok(listener),
+            false => Err(timed_out()),
+        }
+    }
+
+    /// Applies the reader's updates until the connection fails or the reader's information is too old. Always returns the
+    /// error.
+    pub(super) async fn run<D: Deployment>(mut self, shell: &Rc<shell::Shell<D>>) -> io::Error {
+        loop {
+            if let Err(error) = self.receive(shell).await {
+                return error;
+            }
+        }
+    }
+
+    /// Receives and applies one message. Returns whether it told how old the reader's information is.
+    async fn receive<D: Deployment>(&mut self, shell: &Rc<shell::Shell<D>>) -> io::Result<bool> {
+        let received = frame::receive(&mut self.stream, &mut self.inbox);
+        let deadline = clock::tokio_deadline(self.fresh_until);
+        let message = tokio::time::timeout_at(deadline, received).await;
         match message.map_err(|_| timed_out())?? {
             frame::Message::Snapshot {
                 topology,
@@ -48,15 +88,23 @@
             frame::Message::Update(update) => shell.apply_update(update),
             frame::Message::Freshness { age_ms } => {
                 if let Some(store_answered_at) = instant_before(clock::now(), age_ms) {
-                    shell.record_store_answer(store_answered_at);
-                    fresh_until = fresh_until.max(store_answered_at + READER_AGE_MAX);
-                    shell.handle(event::Event::DirectoryRead { reached: true });
+                    self.fresh_until = store_answered_at + READER_AGE_MAX;
+                    if self.fresh_until > clock::now() {
+                        shell.record_store_answer(store_answered_at);
+                        shell.handle(event::Event::DirectoryRead { reached: true });
+                    }
                 }
+                return Ok(true);
             }
         }
+        Ok(false)
     }
 }
 
+fn timed_out() -> io::Error {
+    io::Error::from(io::ErrorKind::TimedOut)
+}
+
 fn instant_before(now: Instant, age_ms: u64) -> Option<Instant> {
     now.checked_sub(Duration::from_millis(age_ms))
 }
--- a/crates/session/src/updates/observe.rs
+++ b/crates/session/src/updates/observe.rs
@@ -3,16 +3,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fulmarlift_broker::topology;
-
 use crate::deployment::{Deployment, Source};
 use crate::shell;
 use crate::updates::{follow, listen};
 
-/// Time for which a proxy reads the store itself after it lost its reader, before it tries to listen again.
-const READER_RETRY_DELAY: Duration = Duration::from_secs(5);
+/// Delay after the readers of the domain could not be listened to, before they are tried again.
+const READER_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Interval at which a proxy that reads the store checks for a reader to listen to.
 const READER_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after the loss of a reader in which another reader is sought before the store is read. The proxy that ranks next
+/// has no reader left and reads the store at once; the others would all read it at the same time.
+const SUCCESSION_PERIOD: Duration = Duration::from_millis(500);
+/// Interval at which the readers are tried in that time.
+const SUCCESSION_INTERVAL: Duration = Duration::from_millis(150);
 
 /// The parts of the store that a proxy follows.
 #[derive(Debug)]
@@ -26,21 +29,31 @@
 }
 
 /// Keeps configuration, members and proxies up to date: from a reader of the domain if one can be reached and its
-/// information is recent, otherwise from the store. Never returns.
+/// information is recent, otherwise from the store. Reads the store until a reader has shown that its information is recent,
+/// because proxies that listen to this one depend on its reading. Never returns.
 pub async fn observe<D: Deployment, C: Source, M: Source, P: Source>(
     shell: Rc<shell::Shell<D>>,
     sources: Sources<C, M, P>,
 ) {
-    let mut reader_retry_delay = Duration::ZERO;
+    let mut succession = Duration::ZERO;
     loop {
-        tokio::select! {
-            () = read_store(&shell, &sources) => {}
-            () = wait_for_reader(&shell, reader_retry_delay) => {}
-        }
-        for reader in shell.with_broker(fulmarlift_broker::Broker::readers) {
-            listen_to(&shell, &reader).await;
-        }
-        reader_retry_delay = READER_RETRY_DELAY;
+        let reading = async {
+            tokio::time::sleep(succession).await;
+            read_store(&shell, &sources).await;
+        };
+        let listener = tokio::select! {
+            () = reading => continue,
+            listener = find_reader(&shell, succession) => listener,
+        };
+        let reader = listener.reader.clone();
+        log::info!("event=listening reader={reader}");
+        let error = listener.run(&shell).await;
+        log::info!("event=reader_lost reader={reader} error=\"{error}\"");
+        let readers = shell.with_broker(|broker| broker.readers().len());
+        succession = match readers {
+            0 | 1 => Duration::ZERO,
+            _ => SUCCESSION_PERIOD,
+        };
     }
 }
 
@@ -56,19 +69,28 @@
     );
 }
 
-/// Waits until a delay has passed and there is a reader to listen to.
-async fn wait_for_reader<D: Deployment>(shell: &Rc<shell::Shell<D>>, delay: Duration) {
-    tokio::time::sleep(delay).await;
-    while shell.with_broker(|broker| broker.readers().is_empty()) {
-        tokio::time::sleep(READER_POLL_INTERVAL).await;
-    }
-}
-
-async fn listen_to<D: Deployment>(shell: &Rc<shell::Shell<D>>, reader: &topology::Peer) {
-    if let Err(error) = listen::listen(shell, reader).await {
-        log::info!(
-            "event=reader_lost reader={} error=\"{error}\"",
-            reader.vm_name
-        );
+/// Tries the readers of the domain until one can be listened to, more often for the first `succession`.
+async fn find_reader<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    succession: Duration,
+) -> listen::Listener {
+    let started_at = tokio::time::Instant::now();
+    loop {
+        let readers = shell.with_broker(fulmarlift_broker::Broker::readers);
+        for reader in &readers {
+            match listen::Listener::connect(shell, reader).await {
+                Ok(listener) => return listener,
+                Err(error) => log::debug!(
+                    "event=reader_unavailable reader={} error=\"{error}\"",
+                    reader.vm_name
+                ),
+            }
+        }
+        let delay = match readers.is_empty() {
+            true => READER_POLL_INTERVAL,
+            false if started_at.elapsed() < succession => SUCCESSION_INTERVAL,
+            false => READER_RETRY_DELAY,
+        };
+        tokio::time::sleep(delay).await;
     }
 }
--- a/crates/session/tests/updates.rs
+++ b/crates/session/tests/updates.rs
@@ -5,6 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fulmarlift_broker::event::Event;
+use fulmarlift_broker::topology::Peer;
+use fulmarlift_core::topology::Place;
 use fulmarlift_session::deployment::Contents;
 use fulmarlift_session::updates::{self, Sources};
 use support::{Store, StorePart, shell};
@@ -69,3 +72,36 @@
     })
     .await;
 }
+
+/// A reader that is suspended accepts connections, but sends nothing. Other proxies listen to this one meanwhile.
+#[tokio::test(start_paused = true)]
+async fn observe_reads_store_until_reader_has_sent_something() {
+    on_one_thread(async {
+        let store = Rc::new(Store::default());
+        let shell = shell("proxy-1");
+        let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback is available");
+        let address = silent.local_addr().expect("the listener is bound");
+        for nth in 2..8 {
+            shell.handle(Event::PeerListed(Peer {
+                vm_name: format!("proxy-{nth}").into(),
+                address,
+                updates_address: address,
+                place: Place {
+                    region: "north".into(),
+                    domain: "a".into(),
+                },
+            }));
+        }
+        let readers = shell.with_broker(|broker| broker.readers().len());
+        assert!(readers > 0, "another proxy of the domain reads the store");
+        tokio::task::spawn_local(updates::observe(Rc::clone(&shell), sources(&store)));
+        for version in 1..20 {
+            store.version.set(version);
+            sleep_seconds(1).await;
+            let known = shell.with_broker(|broker| broker.topology().version);
+            // Changes are read in batches while the proxy starts.
+            assert!(version < 3 || known + 1 >= version, "{known} of {version}");
+        }
+    })
+    .await;
+}
