--- a/crates/broker/src/readers.rs
+++ b/crates/broker/src/readers.rs
@@ -23,6 +23,22 @@
     proxy: id::ProxyId,
     domain: &str,
     others: &[homes::Candidate<'_>],
+) -> Vec<id::ProxyId> {
+    let mut higher = higher_ranked(proxy, domain, others);
+    higher.truncate(TRIED_MAX);
+    higher
+}
+
+/// Returns the number of proxies of the domain that rank above this one; 0 if this proxy reads the store itself.
+pub fn rank(proxy: id::ProxyId, domain: &str, others: &[homes::Candidate<'_>]) -> usize {
+    higher_ranked(proxy, domain, others).len()
+}
+
+/// Returns the proxies of the domain that rank above this one, the highest first; none in a small domain.
+fn higher_ranked(
+    proxy: id::ProxyId,
+    domain: &str,
+    others: &[homes::Candidate<'_>],
 ) -> Vec<id::ProxyId> {
     let local = others.iter().filter(|other| other.domain == domain);
     let local: Vec<id::ProxyId> = local.map(|other| other.proxy).collect();
@@ -36,7 +52,6 @@
         .into_iter()
         .filter(|other| position(other) < position(&proxy))
         .collect();
-    higher.sort_by_key(position);
-    higher.truncate(TRIED_MAX);
+    higher.sort_by_cached_key(position);
     higher
 }
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -242,19 +242,28 @@
     /// Returns the proxies that may read the store for this one, the preferred one first; none if this proxy reads the store
     /// itself.
     pub fn readers(&self) -> Vec<topology::Peer> {
-        let candidates: Vec<homes::Candidate<'_>> = self
-            .peers
-            .iter()
+        let this_proxy = id::of(&self.settings.vm_name);
+        let domain = &self.settings.place.domain;
+        let readers = readers::reader_candidates(this_proxy, domain, &self.peer_candidates());
+        let peers = readers.iter().filter_map(|proxy| self.peers.get(*proxy));
+        peers.cloned().collect()
+    }
+
+    /// Returns the number of proxies of this one's domain that are preferred to it as readers of the store.
+    pub fn reader_rank(&self) -> usize {
+        let this_proxy = id::of(&self.settings.vm_name);
+        let domain = &self.settings.place.domain;
+        readers::rank(this_proxy, domain, &self.peer_candidates())
+    }
+
+    fn peer_candidates(&self) -> Vec<homes::Candidate<'_>> {
+        let peers = self.peers.iter();
+        peers
             .map(|(proxy, peer)| homes::Candidate {
                 proxy,
                 domain: &peer.place.domain,
             })
-            .collect();
-        let this_proxy = id::of(&self.settings.vm_name);
-        let readers =
-            readers::reader_candidates(this_proxy, &self.settings.place.domain, &candidates);
-        let peers = readers.iter().filter_map(|proxy| self.peers.get(*proxy));
-        peers.cloned().collect()
+            .collect()
     }
 
     /// Returns whether this proxy forwards the group's requests to homes.
--- a/crates/broker/tests/readers.rs
+++ b/crates/broker/tests/readers.rs
@@ -40,3 +40,14 @@
 fn above_is_empty_where_few_proxies_share_a_domain() {
     assert!((0..3).all(|proxy| reader_candidates(proxy, 3).is_empty()));
 }
+
+#[test]
+fn rank_differs_for_each_proxy_of_a_domain() {
+    let rank = |proxy: usize| {
+        let name = format!("proxy-{proxy}");
+        readers::rank(id::of(&name), "a", &others(proxy, 20))
+    };
+    let mut ranks: Vec<usize> = (0..10).map(rank).collect();
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..10).collect::<Vec<_>>());
+}
--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -30,8 +30,16 @@
 /// Longest backoff after failed calls: the proxy must have read all entries within the platform's setting
 /// `stability-window-ms` after the store answers again.
 const BACKOFF_MAX: Duration = Duration::from_millis(1_000);
-/// Longest backoff of a proxy with readers, from which it also learns that the store answers again.
-const LISTENER_BACKOFF_MAX: Duration = Duration::from_millis(3_000);
+/// Shortest and longest backoff of a proxy with readers, from which it also learns that the store answers again.
+const LISTENER_BACKOFF: (Duration, Duration) =
+    (Duration::from_millis(1_000), Duration::from_millis(3_000));
+/// Delay of a proxy with readers before it reads the entries of members and proxies. The readers have usually read the
+/// store by then, and the proxy can listen to them instead.
+const READER_PRECEDENCE: Duration = Duration::from_millis(500);
+/// Shortest backoff of the announcement. When hundreds of proxies start together, their writes take seconds.
+const ANNOUNCE_BACKOFF_MIN: Duration = Duration::from_millis(800);
+/// Longest backoff of the announcement.
+const ANNOUNCE_BACKOFF_MAX: Duration = Duration::from_millis(2_000);
 
 /// Reads one part of the store, and keeps the state of the polling.
 struct Follower<'a, D: Deployment, S: Source> {
@@ -67,6 +75,9 @@
     /// Reads the store once and applies the result, then waits until the next read is due. Returns early, for a poll with a
     /// shorter timeout, when a first listener connects.
     async fn poll(&mut self) {
+        if self.revision.is_none() && self.yields_to_readers() {
+            tokio::time::sleep(READER_PRECEDENCE).await;
+        }
         // While the store does not answer, only one part at a time retries.
         let shell = self.shell;
         let retry_permit = match self.reached {
@@ -184,14 +195,21 @@
     async fn back_off(&mut self) {
         let jitter = rand::random_range(0.5..1.0);
         tokio::time::sleep(self.backoff.mul_f64(jitter)).await;
-        let has_reader = self
-            .shell
-            .with_broker(|broker| !broker.readers().is_empty());
-        let backoff_max = match has_reader {
-            true => LISTENER_BACKOFF_MAX,
-            false => BACKOFF_MAX,
+        let (min, max) = match self.has_reader() {
+            true => LISTENER_BACKOFF,
+            false => (BACKOFF_MIN, BACKOFF_MAX),
         };
-        self.backoff = (self.backoff * 2).min(backoff_max);
+        self.backoff = (self.backoff * 2).clamp(min, max);
+    }
+
+    /// Returns whether the first read of this part waits for a reader of the domain. The configuration does not wait.
+    fn yields_to_readers(&self) -> bool {
+        self.source.contents() != deployment::Contents::Configuration && self.has_reader()
+    }
+
+    fn has_reader(&self) -> bool {
+        self.shell
+            .with_broker(|broker| !broker.readers().is_empty())
     }
 }
 
@@ -216,12 +234,12 @@
 
 /// Announces this proxy to the others; retries until the store has accepted the entry.
 pub async fn announce<A: Announce>(announcement: A) {
-    let mut backoff = BACKOFF_MIN;
+    let mut backoff = ANNOUNCE_BACKOFF_MIN;
     while let Err(error) = announcement.announce().await {
         log::warn!("event=announce_failed error=\"{error}\"");
         let jitter = rand::random_range(0.5..1.0);
         tokio::time::sleep(backoff.mul_f64(jitter)).await;
-        backoff = (backoff * 2).min(BACKOFF_MAX);
+        backoff = (backoff * 2).min(ANNOUNCE_BACKOFF_MAX);
     }
     log::info!("event=announced");
 }
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -87,12 +87,16 @@
             } => apply_snapshot(shell, topology, members, revision, peers),
             frame::Message::Update(update) => shell.apply_update(update),
             frame::Message::Freshness { age_ms } => {
-                if let Some(store_answered_at) = instant_before(clock::now(), age_ms) {
-                    self.fresh_until = store_answered_at + READER_AGE_MAX;
-                    if self.fresh_until > clock::now() {
-                        shell.record_store_answer(store_answered_at);
-                        shell.handle(event::Event::DirectoryRead { reached: true });
-                    }
+                let store_answered_at = instant_before(clock::now(), age_ms);
+                let fresh_until = store_answered_at.map(|answered_at| answered_at + READER_AGE_MAX);
+                let (Some(answered_at), Some(fresh_until)) = (store_answered_at, fresh_until)
+                else {
+                    return Err(timed_out());
+                };
+                self.fresh_until = fresh_until;
+                if fresh_until > clock::now() {
+                    shell.record_store_answer(answered_at);
+                    shell.handle(event::Event::DirectoryRead { reached: true });
                 }
                 return Ok(true);
             }
--- a/crates/session/src/updates/observe.rs
+++ b/crates/session/src/updates/observe.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::clock;
 use crate::deployment::{Deployment, Source};
 use crate::shell;
 use crate::updates::{follow, listen};
@@ -11,11 +12,11 @@
 const READER_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Interval at which a proxy that reads the store checks for a reader to listen to.
 const READER_POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after the loss of a reader in which another reader is sought before the store is read. The proxy that ranks next
-/// has no reader left and reads the store at once; the others would all read it at the same time.
-const SUCCESSION_PERIOD: Duration = Duration::from_millis(500);
-/// Interval at which the readers are tried in that time.
-const SUCCESSION_INTERVAL: Duration = Duration::from_millis(150);
+/// Time after the loss of a reader in which another reader is sought before the store is read, for each proxy of the domain
+/// that ranks above this one. Without it, all proxies of the domain would read the store at the same time.
+const SUCCESSION_STEP: Duration = Duration::from_millis(40);
+/// Interval at which the readers are tried in that time, and while the store does not answer.
+const SUCCESSION_INTERVAL: Duration = Duration::from_millis(400);
 
 /// The parts of the store that a proxy follows.
 #[derive(Debug)]
@@ -49,11 +50,9 @@
         log::info!("event=listening reader={reader}");
         let error = listener.run(&shell).await;
         log::info!("event=reader_lost reader={reader} error=\"{error}\"");
-        let readers = shell.with_broker(|broker| broker.readers().len());
-        succession = match readers {
-            0 | 1 => Duration::ZERO,
-            _ => SUCCESSION_PERIOD,
-        };
+        // The proxy that ranks next has no other reader, and reads the store at once.
+        let rank = shell.with_broker(fulmarlift_broker::Broker::reader_rank);
+        succession = SUCCESSION_STEP * u32::try_from(rank.saturating_sub(1)).unwrap_or(u32::MAX);
     }
 }
 
@@ -88,9 +87,17 @@
         }
         let delay = match readers.is_empty() {
             true => READER_POLL_INTERVAL,
-            false if started_at.elapsed() < succession => SUCCESSION_INTERVAL,
+            false if started_at.elapsed() < succession => SUCCESSION_INTERVAL.min(succession),
+            false if !store_answers(shell) => SUCCESSION_INTERVAL,
             false => READER_RETRY_DELAY,
         };
         tokio::time::sleep(delay).await;
     }
 }
+
+/// Returns whether the store has answered this proxy lately.
+fn store_answers<D: Deployment>(shell: &shell::Shell<D>) -> bool {
+    let answered_at = shell.store_answered_at();
+    answered_at
+        .is_some_and(|at| clock::now().saturating_duration_since(at) < listen::READER_AGE_MAX * 4)
+}
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -11,7 +11,7 @@
 use crate::deployment::Deployment;
 use crate::link;
 use crate::shell;
-use crate::updates::frame;
+use crate::updates::{frame, listen};
 
 /// Interval of the freshness messages: several within the age that listeners tolerate, `READER_AGE_MAX`.
 const FRESHNESS_INTERVAL: Duration = Duration::from_millis(500);
@@ -45,6 +45,10 @@
     mut stream: TcpStream,
 ) -> io::Result<()> {
     link::set_liveness_timeouts(&stream)?;
+    if age_ms(shell).is_none_or(|age_ms| u128::from(age_ms) >= listen::READER_AGE_MAX.as_millis()) {
+        // Snapshots are long, and a listener could not use this one.
+        return frame::send(&mut stream, &frame::Message::Freshness { age_ms: u64::MAX }).await;
+    }
     let mut updates = shell.subscribe_updates();
     let (topology, members, peers) = shell.with_broker(fulmarlift_broker::Broker::snapshot);
     let snapshot = frame::Message::Snapshot {
@@ -66,12 +70,17 @@
                 Err(broadcast::error::RecvError::Closed) => return Ok(()),
             },
             _ = freshness.tick() => {
-                if let Some(store_answered_at) = shell.store_answered_at() {
-                    let age = clock::now().saturating_duration_since(store_answered_at);
-                    let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+                if let Some(age_ms) = age_ms(shell) {
                     frame::send(&mut stream, &frame::Message::Freshness { age_ms }).await?;
                 }
             }
         }
     }
 }
+
+/// Returns the time since the store's last answer, in milliseconds; none if it has not answered yet.
+fn age_ms<D: Deployment>(shell: &shell::Shell<D>) -> Option<u64> {
+    let store_answered_at = shell.store_answered_at()?;
+    let age = clock::now().saturating_duration_since(store_answered_at);
+    Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+}
