Refuse a waiting request when its time is up, not at the next tick

Change: the shell's timer also fires when the next waiting request can no longer be answered in time (Broker::next_expiry). Ruled out: counting the silence of a home for one group only; a proxy that hangs would then be found group by group. Test: forwarded_request_is_refused_before_its_deadline.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -103,6 +103,8 @@
         /// Outcome of the order.
         outcome: OrderOutcome,
     },
+    /// The instant that [`crate::Broker::next_expiry`] returned has passed.
+    RequestsExpired,
     /// The periodic timer fired: the broker checks its deadlines and timeouts.
     Tick,
 }
--- a/crates/broker/src/queue.rs
+++ b/crates/broker/src/queue.rs
@@ -108,6 +108,11 @@
         &self.waiting
     }
 
+    /// Returns the earliest deadline of the waiting requests.
+    pub fn earliest_deadline(&self) -> Option<Instant> {
+        self.waiting.iter().map(|request| request.deadline).min()
+    }
+
     /// Returns the number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -167,6 +167,7 @@
                     attempt.apply_order_outcome(now, outcome, out)
                 });
             }
+            event::Event::RequestsExpired => self.serve_all_queues(now, effects),
             event::Event::Tick => self.tick(now, effects),
         }
     }
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -119,6 +119,24 @@
         }
     }
 
+    /// Returns the instant at which the next waiting request can no longer be answered before its deadline. A refusal is
+    /// then due: a proxy that forwarded the request would take a later one for the silence of this proxy.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        let expiries = self.groups.values().filter_map(|group| {
+            let deadline = group.queue.earliest_deadline()?;
+            deadline.checked_sub(group.shortest_answer_time())
+        });
+        expiries.min()
+    }
+
+    /// Calls [`Self::serve_queue`] for all groups.
+    pub(super) fn serve_all_queues(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
+        let groups: Vec<id::GroupId> = self.groups.keys().collect();
+        for group_id in groups {
+            self.serve_queue(now, group_id, effects);
+        }
+    }
+
     /// Decides on each waiting request of a group whether it is served, is refused or waits on.
     pub(super) fn serve_queue(
         &mut self,
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -11,7 +11,7 @@
 use fulmarlift_broker::topology::{Member, Peer, Topology};
 use fulmarlift_core::id;
 use rstest::rstest;
-use support::{Fixture, GROUP, place};
+use support::{Fixture, GROUP, member_at, place};
 
 fn candidates<'a>(names: &[(&str, &'a str)]) -> Vec<Candidate<'a>> {
     let candidate = |(name, domain): &(&str, &'a str)| Candidate {
@@ -251,6 +251,36 @@
     );
 }
 
+/// A home whose group has no leader must refuse what was forwarded to it before the forwarding proxy gives up. Otherwise all
+/// proxies take the home for dead, close their connections to it and open new ones at the same time.
+#[test]
+fn forwarded_request_is_refused_before_its_deadline() {
+    let mut fixture = Fixture::new();
+    let mut entry = member_at(1, "a", false);
+    entry.revision = 9;
+    fixture.handle(Event::Listed(entry));
+    fixture.advance(950);
+    let id = fixture.add_request_within(Requirement::Leader, 500, 2_000);
+    let deadline = fixture.now + Duration::from_millis(2_000);
+    let refused = |fixture: &Fixture| {
+        fixture
+            .effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Refuse(refusal) if refusal.request == id))
+    };
+    // The shell's timer: the next tick or the next expiry.
+    while !refused(&fixture) {
+        let tick_at = fixture.now + Duration::from_millis(97);
+        let expiry = fixture.broker.next_expiry().filter(|at| *at < tick_at);
+        fixture.now = expiry.unwrap_or(tick_at);
+        fixture.handle(match expiry {
+            Some(_) => Event::RequestsExpired,
+            None => Event::Tick,
+        });
+    }
+    assert!(fixture.now + Duration::from_millis(10) < deadline);
+}
+
 #[test]
 fn arrived_does_not_wait_for_home_that_has_failed() {
     let mut fixture = remote_proxy();
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -241,7 +241,20 @@
         let mut interval = tokio::time::interval(TICK_INTERVAL);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            interval.tick().await;
+            let expiry = self.with_broker(Broker::next_expiry);
+            let expired = async {
+                match expiry {
+                    Some(expiry) => tokio::time::sleep_until(clock::tokio_deadline(expiry)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = expired => {
+                    self.handle(event::Event::RequestsExpired);
+                    continue;
+                }
+                _ = interval.tick() => {}
+            }
             self.remove_dead_connections();
             self.handle(event::Event::Tick);
             self.control_connections.close_expired(clock::now());
