--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod conns;
 mod directory;
 mod leaders;
+mod leases;
 mod peers;
 mod requests;
 mod tick;
@@ -36,6 +37,10 @@
     /// Time from a member's announcement that it will stop to its end. A leader gets new work for the first three quarters of
     /// it, so that the last quarter is left for transactions that run; any other member gets no new work.
     pub drain_timeout: Duration,
+    /// Whether promotions are fenced: the old leader stops leading at the moment of a promotion, and the platform refuses
+    /// orders with an outdated token. Otherwise the old leader may lead on, see [`crate::lease`], and the platform may execute
+    /// an outdated order.
+    pub fenced: bool,
 }
 
 /// Decisions of one proxy about requests, connections and leaders.
@@ -53,6 +58,10 @@
     peers: sorted::Map<id::ProxyId, topology::Peer>,
     /// Whether `peers` has contained all proxies that the store lists.
     peers_read: bool,
+    /// Whether the homes must be chosen again: the proxies, or the domains of the members, have changed.
+    homes_outdated: bool,
+    /// Number of times that the homes were chosen.
+    home_choices: u64,
     next_conn: id::ConnId,
     /// Instant since which every read of the directory has succeeded.
     directory_reached_since: Option<Instant>,
@@ -72,6 +81,7 @@
     queue: queue::Queue,
     index: index::ReadIndex,
     leader: leader::LeaderBelief,
+    lease: leases::LeaseState,
     last_probe_at: Option<Instant>,
     /// Whether a probe is under way.
     probing: bool,
@@ -99,6 +109,8 @@
             request_groups: sorted::Map::default(),
             peers: sorted::Map::default(),
             peers_read: false,
+            homes_outdated: false,
+            home_choices: 0,
             next_conn: 1,
             directory_reached_since: None,
         }
@@ -133,7 +145,13 @@
                 group,
                 member,
                 status,
-            } => self.record_status(now, group, member, status, effects),
+            } => self.record_command_end(now, group, member, status, effects),
+            event::Event::LeaseAnswered {
+                group,
+                member,
+                asked_at,
+                status,
+            } => self.record_lease_answer(now, group, member, asked_at, status, effects),
             event::Event::ClaimLoaded { group, stored } => {
                 self.advance_failover(now, group, effects, |attempt, _, out| {
                     attempt.apply_claim(now, stored, out)
@@ -149,6 +167,7 @@
                     attempt.apply_order_outcome(now, outcome, out)
                 });
             }
+            event::Event::RequestsExpired => self.serve_all_queues(now, effects),
             event::Event::Tick => self.tick(now, effects),
         }
     }
@@ -187,6 +206,16 @@
         (connections, self.request_groups.len())
     }
 
+    /// Returns the number of other proxies that the store lists.
+    pub fn peers(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns the number of times that this proxy has chosen the homes of all groups.
+    pub fn home_choices(&self) -> u64 {
+        self.home_choices
+    }
+
     /// Returns the proxy on the VM of this name.
     pub fn peer(&self, name: &str) -> Option<&topology::Peer> {
         self.peers.get(id::of(name))
@@ -214,19 +243,28 @@
     /// Returns the proxies that may read the store for this one, the preferred one first; none if this proxy reads the store
     /// itself.
     pub fn readers(&self) -> Vec<topology::Peer> {
-        let candidates: Vec<homes::Candidate<'_>> = self
-            .peers
-            .iter()
+        let this_proxy = id::of(&self.settings.vm_name);
+        let domain = &self.settings.place.domain;
+        let readers = readers::reader_candidates(this_proxy, domain, &self.peer_candidates());
+        let peers = readers.iter().filter_map(|proxy| self.peers.get(*proxy));
+        peers.cloned().collect()
+    }
+
+    /// Returns the number of proxies of this one's domain that are preferred to it as readers of the store.
+    pub fn reader_rank(&self) -> usize {
+        let this_proxy = id::of(&self.settings.vm_name);
+        let domain = &self.settings.place.domain;
+        readers::rank(this_proxy, domain, &self.peer_candidates())
+    }
+
+    fn peer_candidates(&self) -> Vec<homes::Candidate<'_>> {
+        let peers = self.peers.iter();
+        peers
             .map(|(proxy, peer)| homes::Candidate {
                 proxy,
                 domain: &peer.place.domain,
             })
-            .collect();
-        let this_proxy = id::of(&self.settings.vm_name);
-        let readers =
-            readers::reader_candidates(this_proxy, &self.settings.place.domain, &candidates);
-        let peers = readers.iter().filter_map(|proxy| self.peers.get(*proxy));
-        peers.cloned().collect()
+            .collect()
     }
 
     /// Returns whether this proxy forwards the group's requests to homes.
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -20,7 +20,8 @@
 impl state::Broker {
     pub(super) fn tick(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         self.drop_gone_members(now, effects);
-        self.choose_homes(now, effects);
+        self.homes_outdated |= self.has_failing_home();
+        self.choose_homes_if_outdated(now, effects);
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
         for group_id in groups {
             self.reelect(now, group_id, effects);
@@ -29,6 +30,7 @@
             group.needs_sample |= watches_leader && sample_due(group, now);
             self.serve_queue(now, group_id, effects);
             self.probe_if_needed(now, group_id, effects);
+            self.renew_lease_if_due(now, group_id, effects);
             self.supervise_leader(now, group_id, effects);
         }
         self.close_timed_out(now, effects);
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -10,7 +10,8 @@
 use fulmarlift_broker::request::{Request, Requirement};
 use fulmarlift_broker::topology::{Member, Peer, Topology};
 use fulmarlift_core::id;
-use support::{Fixture, GROUP, place};
+use rstest::rstest;
+use support::{Fixture, GROUP, member_at, place};
 
 fn candidates<'a>(names: &[(&str, &'a str)]) -> Vec<Candidate<'a>> {
     let candidate = |(name, domain): &(&str, &'a str)| Candidate {
@@ -75,6 +76,28 @@
     fixture
 }
 
+/// When hundreds of proxies start together, each of them learns of all others within a moment.
+#[rstest]
+#[case::of_30(30)]
+#[case::of_100(100)]
+#[case::of_300(300)]
+#[case::of_1000(1_000)]
+fn homes_are_chosen_rarely_whatever_the_number_of_proxies(#[case] proxies: u16) {
+    let mut fixture = Fixture::in_domain("far");
+    let before = fixture.broker.home_choices();
+    for nth in 1..=proxies {
+        fixture.handle(Event::PeerListed(Peer {
+            vm_name: format!("vm-{nth}").into(),
+            address: ([127, 0, 0, 1], 7000 + nth).into(),
+            updates_address: ([127, 0, 0, 1], 8000 + nth).into(),
+            place: place(["a", "b", "c"][usize::from(nth % 3)]),
+        }));
+    }
+    fixture.advance(10_000);
+    assert_eq!(fixture.broker.home_choices() - before, 1);
+    assert!(fixture.broker.forwards_requests(GROUP));
+}
+
 #[test]
 fn arrived_is_forwarded_by_proxy_that_is_no_home() {
     let mut fixture = remote_proxy();
@@ -228,6 +251,36 @@
     );
 }
 
+/// A home whose group has no leader must refuse what was forwarded to it before the forwarding proxy gives up. Otherwise all
+/// proxies take the home for dead, close their connections to it and open new ones at the same time.
+#[test]
+fn forwarded_request_is_refused_before_its_deadline() {
+    let mut fixture = Fixture::new();
+    let mut entry = member_at(1, "a", false);
+    entry.revision = 9;
+    fixture.handle(Event::Listed(entry));
+    fixture.advance(950);
+    let id = fixture.add_request_within(Requirement::Leader, 500, 2_000);
+    let deadline = fixture.now + Duration::from_millis(2_000);
+    let refused = |fixture: &Fixture| {
+        fixture
+            .effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::Refuse(refusal) if refusal.request == id))
+    };
+    // The shell's timer: the next tick or the next expiry.
+    while !refused(&fixture) {
+        let tick_at = fixture.now + Duration::from_millis(97);
+        let expiry = fixture.broker.next_expiry().filter(|at| *at < tick_at);
+        fixture.now = expiry.unwrap_or(tick_at);
+        fixture.handle(match expiry {
+            Some(_) => Event::RequestsExpired,
+            None => Event::Tick,
+        });
+    }
+    assert!(fixture.now + Duration::from_millis(10) < deadline);
+}
+
 #[test]
 fn arrived_does_not_wait_for_home_that_has_failed() {
     let mut fixture = remote_proxy();
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -91,6 +91,8 @@
     /// Time at which the graceful stop started.
     stopping: watch::Sender<Option<Instant>>,
     sessions: Cell<usize>,
+    /// Number of other proxies in the last log line that told it.
+    logged_peers: Cell<usize>,
 }
 
 impl<D: Deployment> Shell<D> {
@@ -125,6 +127,7 @@
             store_retry_permit: Mutex::new(()),
             stopping: watch::Sender::new(None),
             sessions: Cell::new(0),
+            logged_peers: Cell::new(0),
         })
     }
 
@@ -238,16 +241,39 @@
         let mut interval = tokio::time::interval(TICK_INTERVAL);
         interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            interval.tick().await;
+            let expiry = self.with_broker(Broker::next_expiry);
+            let expired = async {
+                match expiry {
+                    Some(expiry) => tokio::time::sleep_until(clock::tokio_deadline(expiry)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = expired => {
+                    self.handle(event::Event::RequestsExpired);
+                    continue;
+                }
+                _ = interval.tick() => {}
+            }
             self.remove_dead_connections();
             self.handle(event::Event::Tick);
             self.control_connections.close_expired(clock::now());
             let (connections, waiting) = self.with_broker(Broker::connection_and_request_counts);
             metrics::gauge!("fulmarlift_connections").set(connections);
             metrics::gauge!("fulmarlift_waiting").set(waiting as f64);
+            self.log_peers();
         }
     }
 
+    /// Logs the number of other proxies if it has changed.
+    fn log_peers(&self) {
+        let (known, choices) = self.with_broker(|broker| (broker.peers(), broker.home_choices()));
+        if self.logged_peers.replace(known) != known {
+            log::info!("event=peers known={known}");
+        }
+        metrics::counter!("fulmarlift_home_choices_total").absolute(choices);
+    }
+
     /// Removes idle connections that the other side has closed, and reports them to the broker.
     fn remove_dead_connections(self: &Rc<Self>) {
         let mut dead = Vec::new();
@@ -274,6 +300,11 @@
                 }
             }
             effect::Effect::Probe { conn, member } => self.probe(conn, member),
+            effect::Effect::AskStatus {
+                group,
+                conn,
+                member,
+            } => self.ask_status(group, conn, member),
             effect::Effect::SendCommand {
                 group,
                 member,
@@ -290,7 +321,8 @@
                 group,
                 member,
                 token,
-            } => self.order_promotion(group, member, token),
+                until,
+            } => self.order_promotion(group, member, token, until),
             effect::Effect::RecordChange(change) => {
                 state_changes::log(&self.inner.borrow().broker, &change)
             }
