--- a/crates/broker/src/lease.rs
+++ b/crates/broker/src/lease.rs
@@ -6,8 +6,8 @@
 //! Two rules together prove it. A failover orders a promotion only once every member but the old leader has been held for
 //! [`LEASE_DURATION`]. And a member that answers, at some instant, that it follows a term, has not led it and is not held has
 //! not been held for a promotion to a newer term before that instant. So its answer grants the leader of that term a lease,
-//! which ends [`LEASE_DURATION`] after the question was sent. An acknowledged commit grants the same lease where a replica must receive
-//! commits first, because a held replica receives none.
+//! which ends [`LEASE_DURATION`] after the question was sent. An acknowledged commit grants the same lease where a replica
+//! must receive commits first, because a held replica receives none.
 //!
 //! Assumptions about the old leader: it may lead on for any time, and answer reads and begin transactions. Assumptions about
 //! the other members: a hold lasts until a release, a promotion or the member's restart; a promotion ends it only once the
