Log the transfers of configurations

Bytes and times of configuration reads, of large updates to listeners, and of answers given up midway (Transfer, which the adapter feeds); age and partial bytes when a reader is lost; counters for all of them. No change of logic.

--- a/crates/session/src/deployment.rs
+++ b/crates/session/src/deployment.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::protocol;
+use crate::transfer;
 
 /// Types by which a proxy speaks to the callers, members, store and platform of one deployment.
 pub trait Deployment: 'static {
@@ -135,14 +136,16 @@
     /// Returns the kind of entries in this part.
     fn contents(&self) -> Contents;
 
-    /// Reads all entries.
-    fn read(&self) -> impl Future<Output = Result<Batch, CallError>>;
+    /// Reads all entries. Records the progress of the answer in `transfer`.
+    fn read(&self, transfer: &transfer::Transfer)
+    -> impl Future<Output = Result<Batch, CallError>>;
 
     /// Waits for changes after a revision, at most for `wait`. Returns an empty batch if there was none. A batch of another era
-    /// does not tell what changed since the revision.
+    /// does not tell what changed since the revision. Records the progress of the answer in `transfer`.
     fn changes(
         &self,
         after: revision::Revision,
         wait: Duration,
+        transfer: &transfer::Transfer,
     ) -> impl Future<Output = Result<Batch, CallError>>;
 }
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`link`]: a connection to a member.
 //! - [`peer`]: the messages by which one proxy forwards statements to another.
 //! - [`shell`]: runs the broker and its effects; keeps the waiting requests and idle connections.
+//! - [`transfer`]: progress of a call to the store.
 //! - [`updates`]: reads configuration, members and proxies from the store or from another proxy.
 //! - [`serve`]: accepts connections, and drains them on a graceful stop.
 //! - [`clock`] and [`logging`]: the clock and the log of the process.
@@ -35,5 +36,6 @@
 pub mod serve;
 pub mod session;
 pub mod shell;
+pub mod transfer;
 pub mod updates;
 pub mod values;
--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -11,6 +11,7 @@
 use crate::deployment;
 use crate::deployment::{Announce, Deployment, Source};
 use crate::shell;
+use crate::transfer;
 use tokio::sync::watch;
 
 /// Time for which a poll asks the store to wait for changes of configuration and members. If the store never answers a
@@ -47,6 +48,8 @@
 struct Follower<'a, D: Deployment, S: Source> {
     shell: &'a Rc<shell::Shell<D>>,
     source: &'a S,
+    /// Progress of the current call.
+    transfer: transfer::Transfer,
     /// Revision up to which all changes are read; none before the first full read.
     revision: Option<revision::Revision>,
     /// Tells when another call finds the store in a newer era.
@@ -66,6 +69,7 @@
     let mut follower = Follower {
         shell,
         source,
+        transfer: transfer::Transfer::default(),
         revision: None,
         era: None,
         store_era: shell.watch_store_era(),
@@ -98,9 +102,10 @@
             true => poll_timeout(self.source.contents(), self.shell.listeners()),
             false => Duration::ZERO,
         };
+        self.transfer.start();
         let read = match self.revision {
             Some(revision) => tokio::select! {
-                changes = self.source.changes(revision, wait) => changes,
+                changes = self.source.changes(revision, wait, &self.transfer) => changes,
                 _ = self.store_era.wait_for(|era| *era > Some(revision.era)) => {
                     self.revision = None;
                     return;
@@ -108,7 +113,7 @@
                 // The first listener needs the shorter poll timeout, since it must know soon that the store answers.
                 () = shell.first_listener() => return,
             },
-            None => self.source.read().await,
+            None => self.source.read(&self.transfer).await,
         };
         match read {
             // The call was answered before the store came back older.
@@ -132,6 +137,7 @@
                 self.record_reached(true, "");
                 self.record_configuration_answer();
                 self.backoff = BACKOFF_MIN;
+                self.log_configuration_read(&batch);
                 self.apply(batch);
                 // Changes that occur shortly after each other are read with one call.
                 tokio::time::sleep(batch_delay(
@@ -145,6 +151,7 @@
                 self.revision = None;
             }
             Err(error) => {
+                self.log_partial_answer(&error);
                 self.record_reached(false, &error.to_string());
                 self.back_off().await;
             }
@@ -213,6 +220,36 @@
         }
     }
 
+    /// Logs a read of the configuration, the largest part of the store.
+    fn log_configuration_read(&self, batch: &deployment::Batch) {
+        if self.source.contents() == deployment::Contents::Configuration
+            && !batch.updates.is_empty()
+        {
+            log::info!(
+                "event=configuration_read full={} bytes={} elapsed_ms={} receiving_ms={} revision={}",
+                self.revision.is_none(),
+                self.transfer.received_bytes(),
+                self.transfer.elapsed().as_millis(),
+                self.transfer.receiving_for().as_millis(),
+                batch.revision
+            );
+        }
+    }
+
+    /// Logs a call that failed while its answer arrived: what had arrived has to be sent again.
+    fn log_partial_answer(&self, error: &deployment::CallError) {
+        if self.transfer.received_bytes() > 0 {
+            metrics::counter!("fulmarlift_store_partial_answers_total").increment(1);
+            log::warn!(
+                "event=partial_answer source={:?} bytes={} elapsed_ms={} receiving_ms={} error=\"{error}\"",
+                self.source.contents(),
+                self.transfer.received_bytes(),
+                self.transfer.elapsed().as_millis(),
+                self.transfer.receiving_for().as_millis()
+            );
+        }
+    }
+
     fn record_reached(&mut self, reached: bool, error: &str) {
         let source = self.source.contents();
         if reached != self.reached {
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -31,13 +31,16 @@
     Freshness { age_ms: u64 },
 }
 
-pub(super) async fn send(stream: &mut TcpStream, message: &Message) -> io::Result<()> {
+/// Sends a message, and returns its size in bytes.
+pub(super) async fn send(stream: &mut TcpStream, message: &Message) -> io::Result<usize> {
     let bytes = postcard::to_stdvec(message).expect("messages of plain values always encode");
     let length = u32::try_from(bytes.len()).map_err(io::Error::other)?;
     let mut frame = BytesMut::with_capacity(bytes.len() + 4);
     frame.put_u32(length);
     frame.put_slice(&bytes);
-    stream.write_all(&frame).await
+    stream.write_all(&frame).await?;
+    metrics::counter!("fulmarlift_updates_sent_bytes_total").increment(frame.len() as u64);
+    Ok(frame.len())
 }
 
 /// Reads the next message. Cancel-safe: a partial message stays in `inbox` when the future is dropped.
@@ -54,8 +57,11 @@
                 return postcard::from_bytes(&frame).map_err(io::Error::other);
             }
         }
-        if stream.read_buf(inbox).await? == 0 {
+        let received_bytes = stream.read_buf(inbox).await?;
+        if received_bytes == 0 {
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof));
         }
+        metrics::counter!("fulmarlift_updates_received_bytes_total")
+            .increment(received_bytes as u64);
     }
 }
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -64,14 +64,23 @@
         }
     }
 
-    /// Applies the reader's updates until the connection fails or the reader's information is too old. Always returns the
-    /// error.
-    pub(super) async fn run<D: Deployment>(mut self, shell: &Rc<shell::Shell<D>>) -> io::Error {
-        loop {
+    /// Applies the reader's updates until the connection fails or the reader's information is too old.
+    pub(super) async fn run<D: Deployment>(mut self, shell: &Rc<shell::Shell<D>>) {
+        let error = loop {
             if let Err(error) = self.receive(shell).await {
-                return error;
+                break error;
             }
-        }
+        };
+        let age = shell
+            .store_answered_at()
+            .map(|at| clock::now().saturating_duration_since(at).as_millis());
+        log::info!(
+            "event=reader_lost reader={} age_ms={} partial_bytes={} error=\"{error}\"",
+            self.reader,
+            age.unwrap_or_default(),
+            self.inbox.len()
+        );
+        metrics::counter!("fulmarlift_readers_lost_total").increment(1);
     }
 
     /// Receives and applies one message. Returns whether it told how old the reader's information is.
--- a/crates/session/src/updates/observe.rs
+++ b/crates/session/src/updates/observe.rs
@@ -46,10 +46,8 @@
             () = reading => continue,
             listener = find_reader(&shell, succession) => listener,
         };
-        let reader = listener.reader.clone();
-        log::info!("event=listening reader={reader}");
-        let error = listener.run(&shell).await;
-        log::info!("event=reader_lost reader={reader} error=\"{error}\"");
+        log::info!("event=listening reader={}", listener.reader);
+        listener.run(&shell).await;
         // The proxy that ranks next has no other reader, and reads the store at once.
         let rank = shell.with_broker(fulmarlift_broker::Broker::reader_rank);
         succession = SUCCESSION_STEP * u32::try_from(rank.saturating_sub(1)).unwrap_or(u32::MAX);
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast;
@@ -15,6 +15,8 @@
 
 /// Interval of the freshness messages: several within the age that listeners tolerate, `READER_AGE_MAX`.
 const FRESHNESS_INTERVAL: Duration = Duration::from_millis(500);
+/// Size from which a message is logged, in bytes.
+const LOGGED_BYTES_MIN: usize = 16 << 10;
 /// Delay after a failed `accept`.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 
@@ -47,7 +49,8 @@
     link::set_liveness_timeouts(&stream)?;
     if age_ms(shell).is_none_or(|age_ms| u128::from(age_ms) >= listen::READER_AGE_MAX.as_millis()) {
         // Snapshots are long, and a listener could not use this one.
-        return frame::send(&mut stream, &frame::Message::Freshness { age_ms: u64::MAX }).await;
+        frame::send(&mut stream, &frame::Message::Freshness { age_ms: u64::MAX }).await?;
+        return Ok(());
     }
     let mut updates = shell.subscribe_updates();
     let (topology, members, peers) = shell.with_broker(fulmarlift_broker::Broker::snapshot);
@@ -57,12 +60,18 @@
         revision: shell.members_revision(),
         peers,
     };
-    frame::send(&mut stream, &snapshot).await?;
+    let started_at = clock::now();
+    let bytes = frame::send(&mut stream, &snapshot).await?;
+    log_large_message(bytes, started_at);
     let mut freshness = tokio::time::interval(FRESHNESS_INTERVAL);
     loop {
         tokio::select! {
             update = updates.recv() => match update {
-                Ok(update) => frame::send(&mut stream, &frame::Message::Update(update)).await?,
+                Ok(update) => {
+                    let started_at = clock::now();
+                    let bytes = frame::send(&mut stream, &frame::Message::Update(update)).await?;
+                    log_large_message(bytes, started_at);
+                }
                 // The listener reconnects and gets a new snapshot.
                 Err(broadcast::error::RecvError::Lagged(_)) => {
                     return Err(io::Error::other("listener too far behind the updates"));
@@ -78,6 +87,17 @@
     }
 }
 
+/// Logs how long the listener's connection took for a message that is larger than entries of members and proxies are.
+fn log_large_message(bytes: usize, started_at: Instant) {
+    if bytes > LOGGED_BYTES_MIN {
+        let took = clock::now().saturating_duration_since(started_at);
+        log::info!(
+            "event=update_sent bytes={bytes} took_ms={}",
+            took.as_millis()
+        );
+    }
+}
+
 /// Returns the time since the store's last answer, in milliseconds; none if it has not answered yet.
 fn age_ms<D: Deployment>(shell: &shell::Shell<D>) -> Option<u64> {
     let store_answered_at = shell.store_answered_at()?;
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -19,6 +19,7 @@
 };
 use fulmarlift_session::peer::{Forwarding, Serving};
 use fulmarlift_session::shell::Shell;
+use fulmarlift_session::transfer::Transfer;
 
 /// A deployment whose callers and members speak the protocol between proxies, the only one that the crate implements.
 pub struct TestDeployment;
@@ -159,13 +160,18 @@
         self.contents
     }
 
-    async fn read(&self) -> Result<Batch, CallError> {
+    async fn read(&self, _transfer: &Transfer) -> Result<Batch, CallError> {
         self.count_call()?;
         Ok(self.batch())
     }
 
     /// Waits for a change as the store does, at most for `wait`.
-    async fn changes(&self, after: Revision, wait: Duration) -> Result<Batch, CallError> {
+    async fn changes(
+        &self,
+        after: Revision,
+        wait: Duration,
+        _transfer: &Transfer,
+    ) -> Result<Batch, CallError> {
         const POLL_INTERVAL: Duration = Duration::from_millis(10);
         self.count_call()?;
         let mut waited = Duration::ZERO;
