--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file is compiled with this module on its own, and uses only part of it.
 #![allow(dead_code)]
 
+pub mod relay;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +13,7 @@
 use fulmarlift_broker::event::{OrderOutcome, StoreOutcome};
 use fulmarlift_broker::revision::Revision;
 use fulmarlift_broker::state::Settings;
-use fulmarlift_broker::topology::{Member, Topology};
+use fulmarlift_broker::topology::{Consistency, Member, Route, Topology};
 use fulmarlift_core::id;
 use fulmarlift_core::topology::Place;
 use fulmarlift_session::deployment::{
@@ -88,6 +90,14 @@
     pub calls: Cell<u32>,
     /// Part of the store that each call was for.
     pub called_contents: RefCell<Vec<Contents>>,
+    /// Part of the store that each read of all entries was for.
+    pub read_contents: RefCell<Vec<Contents>>,
+    /// Number of routes in the configuration that every version changes.
+    pub changed_routes: Cell<usize>,
+    /// Number of routes in the configuration that are the same in all versions.
+    pub kept_routes: Cell<usize>,
+    /// Time that an answer with a changed configuration takes to arrive, in pieces.
+    pub transfer_time: Cell<Duration>,
 }
 
 /// Returns the entry of a member.
@@ -108,6 +118,17 @@
     }
 }
 
+fn route(database: String) -> Route {
+    Route {
+        database: database.into(),
+        group: 1,
+        consistency: Consistency::Leader,
+        statement_timeout_ms: 1_000,
+        objective_ms: 300,
+        priority: 1,
+    }
+}
+
 /// One part of the store, as a source of updates.
 pub struct StorePart {
     pub store: Rc<Store>,
@@ -126,9 +147,14 @@
         let version = self.store.version.get();
         let updates = match self.contents {
             Contents::Configuration => {
+                let changed = (0..self.store.changed_routes.get())
+                    .map(|nth| route(format!("changed-{version}-{nth}")));
+                let kept =
+                    (0..self.store.kept_routes.get()).map(|nth| route(format!("kept-{nth}")));
+                let routes = changed.chain(kept).collect();
                 vec![Update::Configured(Topology::new(
                     version,
-                    Vec::new(),
+                    routes,
                     Vec::new(),
                 ))]
             }
@@ -145,6 +171,18 @@
         }
     }
 
+    /// Receives a configuration in as many pieces as the transfer time has intervals.
+    async fn receive_configuration(&self, transfer: &Transfer) {
+        const PIECE_INTERVAL: Duration = Duration::from_millis(10);
+        const PIECE_BYTES: usize = 1_000;
+        let mut received_for = Duration::ZERO;
+        while received_for < self.store.transfer_time.get() {
+            transfer.record(PIECE_BYTES);
+            tokio::time::sleep(PIECE_INTERVAL).await;
+            received_for += PIECE_INTERVAL;
+        }
+    }
+
     fn count_call(&self) -> Result<(), CallError> {
         self.store.calls.set(self.store.calls.get() + 1);
         self.store.called_contents.borrow_mut().push(self.contents);
@@ -160,8 +198,12 @@
         self.contents
     }
 
-    async fn read(&self, _transfer: &Transfer) -> Result<Batch, CallError> {
+    async fn read(&self, transfer: &Transfer) -> Result<Batch, CallError> {
+        self.store.read_contents.borrow_mut().push(self.contents);
         self.count_call()?;
+        if self.contents == Contents::Configuration {
+            self.receive_configuration(transfer).await;
+        }
         Ok(self.batch())
     }
 
@@ -170,7 +212,7 @@
         &self,
         after: Revision,
         wait: Duration,
-        _transfer: &Transfer,
+        transfer: &Transfer,
     ) -> Result<Batch, CallError> {
         const POLL_INTERVAL: Duration = Duration::from_millis(10);
         self.count_call()?;
@@ -187,6 +229,9 @@
                 return Err(CallError::Unknown("cut".into()));
             }
         }
+        if changed() {
+            self.receive_configuration(transfer).await;
+        }
         Ok(self.batch())
     }
 }
