Keep a reader while bytes arrive from it, or at it

Between proxies, too, a limit held for a whole message: a listener gave its reader up 2 s after the store's last answer to it. A poll of 0.9 s, the store's answer (0.55 s for 621 KB on 10 Mbit/s) and the update to 14 listeners on that link come to more, and the messages about the reader's age wait behind the update.

A listener keeps its reader while bytes arrive, at most 1 s apart. A reader counts as in touch with the store while an answer arrives (Transfer::progress_at), for 1.5 s at most: one that takes longer has a slow path, and the domain is better served by its next proxy. A message that the reader's information is too old ends the connection at once, as before.

--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -28,6 +28,7 @@
 use crate::clock;
 use crate::deployment;
 use crate::deployment::Deployment;
+use crate::transfer;
 
 pub use crate::shell::lease::Lease;
 pub use crate::shell::upstream::Upstream;
@@ -90,6 +91,7 @@
     /// Newest known era of the store; none before its first answer.
     store_era: watch::Sender<Option<revision::Era>>,
     store_answered_at: Cell<Option<Instant>>,
+    configuration_transfer: Rc<transfer::Transfer>,
     store_retry_permit: Mutex<()>,
     /// Time at which the graceful stop started.
     stopping: watch::Sender<Option<Instant>>,
@@ -128,6 +130,7 @@
             members_revision: Cell::default(),
             store_era: watch::Sender::new(None),
             store_answered_at: Cell::new(None),
+            configuration_transfer: Rc::default(),
             store_retry_permit: Mutex::new(()),
             stopping: watch::Sender::new(None),
             sessions: Cell::new(0),
--- a/crates/session/src/shell/updates.rs
+++ b/crates/session/src/shell/updates.rs
@@ -10,6 +10,7 @@
 use crate::deployment;
 use crate::deployment::Deployment;
 use crate::shell;
+use crate::transfer;
 
 impl<D: Deployment> shell::Shell<D> {
     /// Applies an update to the broker and sends it on to the listeners.
@@ -119,6 +120,19 @@
         self.store_answered_at.get()
     }
 
+    /// Returns the latest time at which the store was seen to answer such a poll: its last answer, or a later one that is
+    /// still arriving.
+    pub fn store_heard_at(&self) -> Option<Instant> {
+        self.store_answered_at
+            .get()
+            .max(self.configuration_transfer.progress_at())
+    }
+
+    /// Returns the progress of this proxy's polls of the configuration.
+    pub(crate) fn configuration_transfer(&self) -> Rc<transfer::Transfer> {
+        Rc::clone(&self.configuration_transfer)
+    }
+
     /// Records the time of an answer of the store to a poll of the configuration.
     pub(crate) fn record_store_answer(&self, at: Instant) {
         self.store_answered_at
--- a/crates/session/src/transfer.rs
+++ b/crates/session/src/transfer.rs
@@ -5,11 +5,16 @@
 
 use crate::clock;
 
+/// Time from the first piece of an answer for which further pieces count as a sign that the store answers. A proxy whose
+/// answer takes longer has a slow path to the store, and its listeners are better served by another one.
+const PROGRESS_PERIOD: Duration = Duration::from_millis(1_500);
+
 /// Progress of the latest call for one part of the store. The adapter records each piece of the answer.
 #[derive(Debug)]
 pub struct Transfer {
     started_at: Cell<Instant>,
     first_piece_at: Cell<Option<Instant>>,
+    last_piece_at: Cell<Option<Instant>>,
     received_bytes: Cell<usize>,
 }
 
@@ -18,6 +23,7 @@
         Self {
             started_at: Cell::new(clock::now()),
             first_piece_at: Cell::default(),
+            last_piece_at: Cell::default(),
             received_bytes: Cell::default(),
         }
     }
@@ -28,18 +34,25 @@
     pub(crate) fn start(&self) {
         self.started_at.set(clock::now());
         self.first_piece_at.set(None);
+        self.last_piece_at.set(None);
         self.received_bytes.set(0);
     }
 
     /// Records that a piece of the answer of this size, in bytes, has arrived.
     pub fn record(&self, bytes: usize) {
-        if self.first_piece_at.get().is_none() {
-            self.first_piece_at.set(Some(clock::now()));
-        }
+        let now = Some(clock::now());
+        self.first_piece_at.set(self.first_piece_at.get().or(now));
+        self.last_piece_at.set(now);
         self.received_bytes.set(self.received_bytes.get() + bytes);
         metrics::counter!("fulmarlift_store_received_bytes_total").increment(bytes as u64);
     }
 
+    /// Returns the latest time at which the store showed that it answers the call; none before the first piece.
+    pub fn progress_at(&self) -> Option<Instant> {
+        let period_end = self.first_piece_at.get()? + PROGRESS_PERIOD;
+        self.last_piece_at.get().map(|at| at.min(period_end))
+    }
+
     /// Returns the number of bytes received.
     pub fn received_bytes(&self) -> usize {
         self.received_bytes.get()
--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -49,7 +49,7 @@
     shell: &'a Rc<shell::Shell<D>>,
     source: &'a S,
     /// Progress of the current call.
-    transfer: transfer::Transfer,
+    transfer: Rc<transfer::Transfer>,
     /// Revision up to which all changes are read; none before the first full read.
     revision: Option<revision::Revision>,
     /// Tells when another call finds the store in a newer era.
@@ -69,7 +69,10 @@
     let mut follower = Follower {
         shell,
         source,
-        transfer: transfer::Transfer::default(),
+        transfer: match source.contents() {
+            deployment::Contents::Configuration => shell.configuration_transfer(),
+            deployment::Contents::Members | deployment::Contents::Peers => Rc::default(),
+        },
         revision: None,
         era: None,
         store_era: shell.watch_store_era(),
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -27,7 +27,7 @@
     },
     /// A changed entry.
     Update(deployment::Update),
-    /// Time since the store last answered the reader's poll of the configuration.
+    /// Time since the store was last seen to answer the reader's polls of the configuration.
     Freshness { age_ms: u64 },
 }
 
@@ -43,25 +43,31 @@
     Ok(frame.len())
 }
 
-/// Reads the next message. Cancel-safe: a partial message stays in `inbox` when the future is dropped.
-pub(super) async fn receive(stream: &mut TcpStream, inbox: &mut BytesMut) -> io::Result<Message> {
-    loop {
-        if let Some(length) = inbox.first_chunk::<4>() {
-            let length = usize::try_from(u32::from_be_bytes(*length)).unwrap_or(usize::MAX);
-            if length > FRAME_BYTES_MAX {
-                return Err(io::Error::from(io::ErrorKind::InvalidData));
-            }
-            if inbox.len() >= 4 + length {
-                inbox.advance(4);
-                let frame = inbox.split_to(length);
-                return postcard::from_bytes(&frame).map_err(io::Error::other);
-            }
-        }
-        let received_bytes = stream.read_buf(inbox).await?;
-        if received_bytes == 0 {
-            return Err(io::Error::from(io::ErrorKind::UnexpectedEof));
-        }
-        metrics::counter!("fulmarlift_updates_received_bytes_total")
-            .increment(received_bytes as u64);
+/// Takes the next message from `inbox`; none if it is still incomplete.
+pub(super) fn take(inbox: &mut BytesMut) -> io::Result<Option<Message>> {
+    let Some(length) = inbox.first_chunk::<4>() else {
+        return Ok(None);
+    };
+    let length = usize::try_from(u32::from_be_bytes(*length)).unwrap_or(usize::MAX);
+    if length > FRAME_BYTES_MAX {
+        return Err(io::Error::from(io::ErrorKind::InvalidData));
     }
+    if inbox.len() < 4 + length {
+        return Ok(None);
+    }
+    inbox.advance(4);
+    let frame = inbox.split_to(length);
+    postcard::from_bytes(&frame)
+        .map(Some)
+        .map_err(io::Error::other)
+}
+
+/// Waits for the next bytes of the connection, and appends them to `inbox`.
+pub(super) async fn fill(stream: &mut TcpStream, inbox: &mut BytesMut) -> io::Result<()> {
+    let received_bytes = stream.read_buf(inbox).await?;
+    if received_bytes == 0 {
+        return Err(io::Error::from(io::ErrorKind::UnexpectedEof));
+    }
+    metrics::counter!("fulmarlift_updates_received_bytes_total").increment(received_bytes as u64);
+    Ok(())
 }
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -20,9 +20,12 @@
 /// Age of the store's last answer to the reader above which a listener reads the store itself: a change must be in force
 /// 3 s after the store acknowledged it, and reading the store takes part of that time.
 pub(super) const READER_AGE_MAX: Duration = Duration::from_millis(2_000);
-/// Time from the connection to a reader to its snapshot and the age of its information. A reader that has many listeners
-/// sends many snapshots at once.
+/// Time from the connection to a reader to the first bytes of its snapshot. A reader that has many listeners sends many
+/// snapshots at once.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time from one piece of the reader's messages to the next, while its information would be too old otherwise. Messages
+/// about its age wait behind a large one.
+const PIECE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Timeout to connect to the reader.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -34,6 +37,8 @@
     inbox: BytesMut,
     /// Time at which the reader's information becomes too old.
     fresh_until: Instant,
+    /// Time at which the last bytes arrived.
+    last_piece_at: Instant,
 }
 
 impl Listener {
@@ -56,12 +61,10 @@
             stream,
             inbox: BytesMut::new(),
             fresh_until: connected_at + SNAPSHOT_TIMEOUT,
+            last_piece_at: connected_at,
         };
         while !listener.receive(shell).await? {}
-        match listener.fresh_until > clock::now() {
-            true => Ok(listener),
-            false => Err(timed_out()),
-        }
+        Ok(listener)
     }
 
     /// Applies the reader's updates until the connection fails or the reader's information is too old.
@@ -83,12 +86,24 @@
         metrics::counter!("fulmarlift_readers_lost_total").increment(1);
     }
 
-    /// Receives and applies one message. Returns whether it told how old the reader's information is.
+    /// Receives the next message. Fails if nothing arrives until the reader's information is too old.
+    async fn next_message(&mut self) -> io::Result<frame::Message> {
+        loop {
+            if let Some(message) = frame::take(&mut self.inbox)? {
+                return Ok(message);
+            }
+            let deadline = self.fresh_until.max(self.last_piece_at + PIECE_TIMEOUT);
+            let filled = frame::fill(&mut self.stream, &mut self.inbox);
+            let filled = tokio::time::timeout_at(clock::tokio_deadline(deadline), filled).await;
+            filled.map_err(|_| timed_out())??;
+            self.last_piece_at = clock::now();
+        }
+    }
+
+    /// Receives and applies one message. Returns whether it told how old the reader's information is; fails if that is too
+    /// old.
     async fn receive<D: Deployment>(&mut self, shell: &Rc<shell::Shell<D>>) -> io::Result<bool> {
-        let received = frame::receive(&mut self.stream, &mut self.inbox);
-        let deadline = clock::tokio_deadline(self.fresh_until);
-        let message = tokio::time::timeout_at(deadline, received).await;
-        match message.map_err(|_| timed_out())?? {
+        match self.next_message().await? {
             frame::Message::Snapshot {
                 topology,
                 members,
@@ -103,11 +118,12 @@
                 else {
                     return Err(timed_out());
                 };
-                self.fresh_until = fresh_until;
-                if fresh_until > clock::now() {
-                    shell.record_store_answer(answered_at);
-                    shell.handle(event::Event::DirectoryRead { reached: true });
+                if fresh_until <= clock::now() {
+                    return Err(timed_out());
                 }
+                self.fresh_until = fresh_until;
+                shell.record_store_answer(answered_at);
+                shell.handle(event::Event::DirectoryRead { reached: true });
                 return Ok(true);
             }
         }
--- a/crates/session/src/updates/observe.rs
+++ b/crates/session/src/updates/observe.rs
@@ -95,7 +95,7 @@
 
 /// Returns whether the store has answered this proxy lately.
 fn store_answers<D: Deployment>(shell: &shell::Shell<D>) -> bool {
-    let answered_at = shell.store_answered_at();
-    answered_at
+    let heard_at = shell.store_heard_at();
+    heard_at
         .is_some_and(|at| clock::now().saturating_duration_since(at) < listen::READER_AGE_MAX * 4)
 }
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -98,9 +98,9 @@
     }
 }
 
-/// Returns the time since the store's last answer, in milliseconds; none if it has not answered yet.
+/// Returns the time since the store was last seen to answer, in milliseconds; none if it has not answered yet.
 fn age_ms<D: Deployment>(shell: &shell::Shell<D>) -> Option<u64> {
-    let store_answered_at = shell.store_answered_at()?;
-    let age = clock::now().saturating_duration_since(store_answered_at);
+    let store_heard_at = shell.store_heard_at()?;
+    let age = clock::now().saturating_duration_since(store_heard_at);
     Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
 }
