Poll the configuration as often during startup as later

Listeners lost their reader every 1.9 s during the first 8 s, and read the store instead.

A reader with listeners polls for 0.9 s, and waited 1 s between an answer and the next poll while it started; listeners give up a reader whose information is 2 s old. The long delay is for entries of members and proxies, many of which change at the start; the configuration does not.

--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -23,7 +23,7 @@
 const LISTENED_POLL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Delay between an answer and the next poll. Further changes gather during it, so that a change of many rows takes few calls.
 const BATCH_DELAY: Duration = Duration::from_millis(200);
-/// Batch delay for the entries of proxies, and for all entries during startup, since all proxies often start together.
+/// Batch delay for the entries of proxies, and for those of members during startup, since all proxies often start together.
 const LONG_BATCH_DELAY: Duration = Duration::from_millis(1_000);
 /// Time that counts as startup, from the moment when this proxy begins to read the store: at its start, or because it has
 /// no reader any more.
@@ -296,12 +296,10 @@
 
 fn batch_delay(contents: deployment::Contents, age: Duration) -> Duration {
     match contents {
-        deployment::Contents::Configuration | deployment::Contents::Members
-            if age > STARTUP_PERIOD =>
-        {
-            BATCH_DELAY
-        }
-        _ => LONG_BATCH_DELAY,
+        // Listeners must learn often that the store answers.
+        deployment::Contents::Configuration => BATCH_DELAY,
+        deployment::Contents::Members if age > STARTUP_PERIOD => BATCH_DELAY,
+        deployment::Contents::Members | deployment::Contents::Peers => LONG_BATCH_DELAY,
     }
 }
 
