Let few proxies of a domain read the store after the loss of its reader

The proxies of a domain asked the store 40 ms apart, so all of 15 did within 0.6 s. The first of them needs longer than that for a large answer, and could not be listened to before. Class: a fallback whose cost grows with the number of proxies, at the moment of most load.

Rounds 500 ms apart of one, two, four … proxies; by the second round the first proxy receives the store's answer and counts as in touch with it. The others try it every 200 ms, and the lost reader, which may be silent, last. The rounds take 1.5 s in a domain of 15 and 2.5 s in one of 49; with the 2 s until a reader is given up that is within the 5 s and 6 s that the deployments of that size allow.

--- a/crates/broker/src/readers.rs
+++ b/crates/broker/src/readers.rs
@@ -34,6 +34,13 @@
     higher_ranked(proxy, domain, others).len()
 }
 
+/// Returns the round after the loss of the reader in which the proxy of this rank reads the store itself, if it has not found
+/// another reader until then. The first round has one proxy, each further round twice as many as the one before, so that a
+/// reader that is slow to take over does not make a whole domain read the store.
+pub fn succession_round(rank: usize) -> u32 {
+    rank.checked_ilog2().unwrap_or(0)
+}
+
 /// Returns the proxies of the domain that rank above this one, the highest first; none in a small domain.
 fn higher_ranked(
     proxy: id::ProxyId,
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -267,11 +267,12 @@
         peers.cloned().collect()
     }
 
-    /// Returns the number of proxies of this one's domain that are preferred to it as readers of the store.
-    pub fn reader_rank(&self) -> usize {
+    /// Returns the round after the loss of its reader in which this proxy reads the store itself.
+    pub fn succession_round(&self) -> u32 {
         let this_proxy = id::of(&self.settings.vm_name);
         let domain = &self.settings.place.domain;
-        readers::rank(this_proxy, domain, &self.peer_candidates())
+        let rank = readers::rank(this_proxy, domain, &self.peer_candidates());
+        readers::succession_round(rank)
     }
 
     fn peer_candidates(&self) -> Vec<homes::Candidate<'_>> {
--- a/crates/broker/tests/readers.rs
+++ b/crates/broker/tests/readers.rs
@@ -51,3 +51,9 @@
     ranks.sort_unstable();
     assert_eq!(ranks, (0..10).collect::<Vec<_>>());
 }
+
+#[test]
+fn succession_round_doubles_the_proxies_that_read_the_store() {
+    let rounds: Vec<u32> = (1..16).map(readers::succession_round).collect();
+    assert_eq!(rounds, [0, 1, 1, 2, 2, 2, 2, 3, 3, 3, 3, 3, 3, 3, 3]);
+}
--- a/crates/session/src/updates/observe.rs
+++ b/crates/session/src/updates/observe.rs
@@ -12,11 +12,11 @@
 const READER_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Interval at which a proxy that reads the store checks for a reader to listen to.
 const READER_POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after the loss of a reader in which another reader is sought before the store is read, for each proxy of the domain
-/// that ranks above this one. Without it, all proxies of the domain would read the store at the same time.
-const SUCCESSION_STEP: Duration = Duration::from_millis(40);
-/// Interval at which the readers are tried in that time, and while the store does not answer.
-const SUCCESSION_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between two rounds of proxies that read the store after the loss of a reader: the next reader has begun to receive
+/// the store's answer by then, and can be listened to.
+const SUCCESSION_ROUND: Duration = Duration::from_millis(500);
+/// Interval at which the readers are tried until then, and while the store does not answer.
+const SUCCESSION_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The parts of the store that a proxy follows.
 #[derive(Debug)]
@@ -37,6 +37,7 @@
     sources: Sources<C, M, P>,
 ) {
     let mut succession = Duration::ZERO;
+    let mut lost_reader = None;
     loop {
         let reading = async {
             tokio::time::sleep(succession).await;
@@ -44,13 +45,13 @@
         };
         let listener = tokio::select! {
             () = reading => continue,
-            listener = find_reader(&shell, succession) => listener,
+            listener = find_reader(&shell, succession, lost_reader.as_deref()) => listener,
         };
         log::info!("event=listening reader={}", listener.reader);
+        lost_reader = Some(listener.reader.clone());
         listener.run(&shell).await;
-        // The proxy that ranks next has no other reader, and reads the store at once.
-        let rank = shell.with_broker(fulmarlift_broker::Broker::reader_rank);
-        succession = SUCCESSION_STEP * u32::try_from(rank.saturating_sub(1)).unwrap_or(u32::MAX);
+        let round = shell.with_broker(fulmarlift_broker::Broker::succession_round);
+        succession = SUCCESSION_ROUND * round;
     }
 }
 
@@ -66,14 +67,17 @@
     );
 }
 
-/// Tries the readers of the domain until one can be listened to, more often for the first `succession`.
+/// Tries the readers of the domain until one can be listened to, more often for the first `succession`. The reader that was
+/// lost is tried last, since it may be silent.
 async fn find_reader<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
     succession: Duration,
+    lost_reader: Option<&str>,
 ) -> listen::Listener {
     let started_at = tokio::time::Instant::now();
     loop {
-        let readers = shell.with_broker(fulmarlift_broker::Broker::readers);
+        let mut readers = shell.with_broker(fulmarlift_broker::Broker::readers);
+        readers.sort_by_key(|reader| lost_reader == Some(reader.vm_name.as_ref()));
         for reader in &readers {
             match listen::Listener::connect(shell, reader).await {
                 Ok(listener) => return listener,
@@ -85,7 +89,7 @@
         }
         let delay = match readers.is_empty() {
             true => READER_POLL_INTERVAL,
-            false if started_at.elapsed() < succession => SUCCESSION_INTERVAL.min(succession),
+            false if started_at.elapsed() < succession => SUCCESSION_INTERVAL,
             false if !store_answers(shell) => SUCCESSION_INTERVAL,
             false => READER_RETRY_DELAY,
         };
