Ask only for changes of the configuration after the loss of a reader

A listener that turned to the store read the configuration in full, 621 KB, though it had it from its reader. 14 of them filled the link between the regions, the reader's next poll was late for that, and the listeners lost it again: the repair kept the fault going (a metastable failure).

Messages about the age of the reader's information tell the revision up to which the configuration is complete; a proxy that turns to the store asks for changes since then. A message about the age is sent only when no update waits, so that its revision is true. A newer era of the store still leads to a full read.

--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -88,6 +88,8 @@
     listeners: Cell<usize>,
     first_listener: Notify,
     members_revision: Cell<revision::Revision>,
+    /// Revision of the store up to which the configuration is known; none before the first read.
+    configuration_revision: Cell<Option<revision::Revision>>,
     /// Newest known era of the store; none before its first answer.
     store_era: watch::Sender<Option<revision::Era>>,
     store_answered_at: Cell<Option<Instant>>,
@@ -128,6 +130,7 @@
             listeners: Cell::new(0),
             first_listener: Notify::new(),
             members_revision: Cell::default(),
+            configuration_revision: Cell::default(),
             store_era: watch::Sender::new(None),
             store_answered_at: Cell::new(None),
             configuration_transfer: Rc::default(),
--- a/crates/session/src/shell/updates.rs
+++ b/crates/session/src/shell/updates.rs
@@ -86,6 +86,17 @@
             .set(self.members_revision.get().max(revision));
     }
 
+    /// Returns the revision of the store up to which the configuration is known; none before the first read.
+    pub fn configuration_revision(&self) -> Option<revision::Revision> {
+        self.configuration_revision.get()
+    }
+
+    /// Records a revision of the store up to which the configuration is known.
+    pub(crate) fn record_configuration_revision(&self, revision: revision::Revision) {
+        self.configuration_revision
+            .set(self.configuration_revision.get().max(Some(revision)));
+    }
+
     /// Returns the newest known era of the store; 0 before its first answer.
     pub fn store_era(&self) -> revision::Era {
         self.store_era.borrow().unwrap_or_default()
--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -66,6 +66,11 @@
 
 /// Follows a part of the store, and applies its updates. Never returns.
 pub(super) async fn follow<D: Deployment, S: Source>(shell: &Rc<shell::Shell<D>>, source: &S) {
+    // What a reader has told need not be read again: a configuration may be large.
+    let known = match source.contents() {
+        deployment::Contents::Configuration => shell.configuration_revision(),
+        deployment::Contents::Members | deployment::Contents::Peers => None,
+    };
     let mut follower = Follower {
         shell,
         source,
@@ -73,8 +78,8 @@
             deployment::Contents::Configuration => shell.configuration_transfer(),
             deployment::Contents::Members | deployment::Contents::Peers => Rc::default(),
         },
-        revision: None,
-        era: None,
+        revision: known,
+        era: known.map(|revision| revision.era),
         store_era: shell.watch_store_era(),
         listed_names: Vec::new(),
         reached: false,
@@ -138,10 +143,11 @@
                     .record_store_era(batch.revision.era, Duration::ZERO);
                 drop(retry_permit);
                 self.record_reached(true, "");
-                self.record_configuration_answer();
                 self.backoff = BACKOFF_MIN;
                 self.log_configuration_read(&batch);
+                let revision = batch.revision;
                 self.apply(batch);
+                self.record_configuration_answer(revision);
                 // Changes that occur shortly after each other are read with one call.
                 tokio::time::sleep(batch_delay(
                     self.source.contents(),
@@ -216,10 +222,11 @@
     }
 
     /// If this part is the configuration, records that the store answered now: an answer, even one without changes, shows
-    /// that the configuration in force is the current one.
-    fn record_configuration_answer(&self) {
+    /// that the configuration in force is the one at this revision.
+    fn record_configuration_answer(&self, revision: revision::Revision) {
         if self.source.contents() == deployment::Contents::Configuration {
             self.shell.record_store_answer(clock::now());
+            self.shell.record_configuration_revision(revision);
         }
     }
 
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -28,7 +28,11 @@
     /// A changed entry.
     Update(deployment::Update),
     /// Time since the store was last seen to answer the reader's polls of the configuration.
-    Freshness { age_ms: u64 },
+    Freshness {
+        age_ms: u64,
+        /// Revision up to which the configuration is complete with the messages before this one.
+        configuration: Option<revision::Revision>,
+    },
 }
 
 /// Sends a message, and returns its size in bytes.
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -111,7 +111,10 @@
                 peers,
             } => apply_snapshot(shell, topology, members, revision, peers),
             frame::Message::Update(update) => shell.apply_update(update),
-            frame::Message::Freshness { age_ms } => {
+            frame::Message::Freshness {
+                age_ms,
+                configuration,
+            } => {
                 let store_answered_at = instant_before(clock::now(), age_ms);
                 let fresh_until = store_answered_at.map(|answered_at| answered_at + READER_AGE_MAX);
                 let (Some(answered_at), Some(fresh_until)) = (store_answered_at, fresh_until)
@@ -123,6 +126,9 @@
                 }
                 self.fresh_until = fresh_until;
                 shell.record_store_answer(answered_at);
+                if let Some(revision) = configuration {
+                    shell.record_configuration_revision(revision);
+                }
                 shell.handle(event::Event::DirectoryRead { reached: true });
                 return Ok(true);
             }
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -49,7 +49,7 @@
     link::set_liveness_timeouts(&stream)?;
     if age_ms(shell).is_none_or(|age_ms| u128::from(age_ms) >= listen::READER_AGE_MAX.as_millis()) {
         // Snapshots are long, and a listener could not use this one.
-        frame::send(&mut stream, &frame::Message::Freshness { age_ms: u64::MAX }).await?;
+        frame::send(&mut stream, &freshness(shell, u64::MAX)).await?;
         return Ok(());
     }
     let mut updates = shell.subscribe_updates();
@@ -63,9 +63,11 @@
     let started_at = clock::now();
     let bytes = frame::send(&mut stream, &snapshot).await?;
     log_large_message(bytes, started_at);
-    let mut freshness = tokio::time::interval(FRESHNESS_INTERVAL);
+    let mut freshness_interval = tokio::time::interval(FRESHNESS_INTERVAL);
     loop {
         tokio::select! {
+            // A freshness message follows the updates up to its revision.
+            biased;
             update = updates.recv() => match update {
                 Ok(update) => {
                     let started_at = clock::now();
@@ -78,9 +80,9 @@
                 }
                 Err(broadcast::error::RecvError::Closed) => return Ok(()),
             },
-            _ = freshness.tick() => {
+            _ = freshness_interval.tick() => {
                 if let Some(age_ms) = age_ms(shell) {
-                    frame::send(&mut stream, &frame::Message::Freshness { age_ms }).await?;
+                    frame::send(&mut stream, &freshness(shell, age_ms)).await?;
                 }
             }
         }
@@ -98,6 +100,13 @@
     }
 }
 
+fn freshness<D: Deployment>(shell: &Rc<shell::Shell<D>>, age_ms: u64) -> frame::Message {
+    frame::Message::Freshness {
+        age_ms,
+        configuration: shell.configuration_revision(),
+    }
+}
+
 /// Returns the time since the store was last seen to answer, in milliseconds; none if it has not answered yet.
 fn age_ms<D: Deployment>(shell: &shell::Shell<D>) -> Option<u64> {
     let store_heard_at = shell.store_heard_at()?;
