Give up calls of the platform's client only when nothing more arrives

Evidence. object_waits_for_answer_that_arrives_slowly (2 s of pieces every 100 ms, timeout 200 ms) failed before and passes now; call_gives_up_on_silent_platform and the adapter's read_gives_up_answer_that_stops pass before and after.

--- a/crates/store/src/admin.rs
+++ b/crates/store/src/admin.rs
@@ -175,7 +175,7 @@
 
     async fn get<T: de::DeserializeOwned>(&self, url: reqwest::Url) -> Result<T, Error> {
         let unreachable = |error: reqwest::Error| {
-            Error::Unreachable(crate::client::message_with_sources(&error).into())
+            Error::Unreachable(crate::http::message_with_sources(&error).into())
         };
         let response = self
             .http
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -6,11 +6,12 @@
 use serde::{Serialize, de};
 
 use crate::{
-    message,
+    http, message,
     platform::{self, Platform},
 };
 
-/// Timeout of a call, unless [`Client::with_timeout`] sets another one.
+/// Time until the answer of a call begins, and from one piece of it to the next, unless [`Client::with_timeout`] sets another
+/// one.
 pub const DEFAULT_TIMEOUT: time::Duration = time::Duration::from_millis(2_000);
 
 /// Maximum number of characters of an unexpected answer that an error message quotes.
@@ -40,7 +41,7 @@
         })
     }
 
-    /// Returns a client that shares this one's connections and whose calls time out after `timeout`.
+    /// Returns a client that shares this one's connections and whose calls time out when nothing arrives for `timeout`.
     #[must_use]
     pub fn with_timeout(&self, timeout: time::Duration) -> Self {
         Self {
@@ -63,26 +64,28 @@
         method: reqwest::Method,
         url: reqwest::Url,
         body: Option<Vec<u8>>,
-    ) -> Result<Answer, platform::Error> {
+    ) -> Result<http::Answer, platform::Error> {
         log::trace!("platform call method={method} url={url}");
-        let mut request = self.http.request(method, url).timeout(self.timeout);
+        let mut request = self.http.request(method, url);
         if let Some(body) = body {
             request = request
                 .header(header::CONTENT_TYPE, "application/json")
                 .body(body);
         }
-        let response = request.send().await.map_err(unavailable)?;
-        let status = response.status();
-        let bytes = response.bytes().await.map_err(unavailable)?.to_vec();
-        Ok(Answer { status, bytes })
+        let timeouts = http::Timeouts {
+            answer: self.timeout,
+            piece: self.timeout,
+        };
+        let answer = http::send(request, timeouts, |_| ()).await;
+        answer.map_err(|error| platform::Error::Unavailable(error.to_string().into()))
     }
 
     async fn get(&self, url: reqwest::Url) -> Result<Option<Vec<u8>>, platform::Error> {
         let answer = self.call(reqwest::Method::GET, url, None).await?;
         match answer.status {
-            reqwest::StatusCode::OK => Ok(Some(answer.bytes)),
+            reqwest::StatusCode::OK => Ok(Some(answer.body)),
             reqwest::StatusCode::NOT_FOUND => Ok(None),
-            _ => Err(answer.unexpected_status()),
+            _ => Err(unexpected_status(&answer)),
         }
     }
 }
@@ -129,9 +132,9 @@
             .call(reqwest::Method::POST, url, Some(encode(transaction)))
             .await?;
         match answer.status {
-            reqwest::StatusCode::OK => decode(&answer.bytes),
-            reqwest::StatusCode::CONFLICT => Err(platform::Error::Conflict(decode(&answer.bytes)?)),
-            _ => Err(answer.unexpected_status()),
+            reqwest::StatusCode::OK => decode(&answer.body),
+            reqwest::StatusCode::CONFLICT => Err(platform::Error::Conflict(decode(&answer.body)?)),
+            _ => Err(unexpected_status(&answer)),
         }
     }
 
@@ -143,7 +146,7 @@
         match answer.status {
             reqwest::StatusCode::CREATED | reqwest::StatusCode::OK => Ok(()),
             reqwest::StatusCode::CONFLICT => Err(platform::Error::ObjectDiffers(name.into())),
-            _ => Err(answer.unexpected_status()),
+            _ => Err(unexpected_status(&answer)),
         }
     }
 
@@ -161,28 +164,21 @@
     }
 }
 
-struct Answer {
-    status: reqwest::StatusCode,
-    bytes: Vec<u8>,
-}
-
-impl Answer {
-    /// Returns the error for an answer whose status the call does not handle.
-    fn unexpected_status(&self) -> platform::Error {
-        let text = format!("status {}: {}", self.status.as_u16(), self.quoted_text());
-        match self.status {
-            reqwest::StatusCode::NOT_FOUND => platform::Error::NotFound(text.into()),
-            status if status.is_server_error() => platform::Error::Unavailable(text.into()),
-            _ => platform::Error::Malformed(text.into()),
-        }
+/// Returns the error for an answer whose status the call does not handle.
+fn unexpected_status(answer: &http::Answer) -> platform::Error {
+    let text = format!("status {}: {}", answer.status.as_u16(), quoted_text(answer));
+    match answer.status {
+        reqwest::StatusCode::NOT_FOUND => platform::Error::NotFound(text.into()),
+        status if status.is_server_error() => platform::Error::Unavailable(text.into()),
+        _ => platform::Error::Malformed(text.into()),
     }
+}
 
-    fn quoted_text(&self) -> String {
-        String::from_utf8_lossy(&self.bytes)
-            .chars()
-            .take(MAX_QUOTED_CHARS)
-            .collect()
-    }
+fn quoted_text(answer: &http::Answer) -> String {
+    String::from_utf8_lossy(&answer.body)
+        .chars()
+        .take(MAX_QUOTED_CHARS)
+        .collect()
 }
 
 /// Returns an HTTP client with a connection pool, and the parsed `url`.
@@ -213,19 +209,3 @@
     serde_json::from_slice(bytes)
         .map_err(|error| platform::Error::Malformed(error.to_string().into()))
 }
-
-fn unavailable(error: reqwest::Error) -> platform::Error {
-    platform::Error::Unavailable(message_with_sources(&error).into())
-}
-
-/// Returns the error's message followed by those of its sources: the message of a `reqwest` error alone does not say
-/// what failed.
-pub(crate) fn message_with_sources(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
-    }
-    text
-}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! [`platform::Platform`] is the trait of the platform's calls. [`client::Client`] implements it over HTTP with the
 //! typed [`message`]s; tests use fakes instead. [`publish`] stores accepted configurations and their audit trail on
-//! the platform, and [`claim`] stores the claims of terms. [`admin`] reads the state of a proxy from its admin port.
+//! the platform, and [`claim`] stores the claims of terms. [`http`] sends the calls. [`admin`] reads the state of a proxy from its admin port.
 //!
 //! ```no_run
 //! use fulmarlift_store::{client, publish};
@@ -23,6 +23,7 @@
 pub mod admin;
 pub mod claim;
 pub mod client;
+pub mod http;
 pub mod message;
 pub mod platform;
 pub mod publish;
--- a/crates/store/tests/client.rs
+++ b/crates/store/tests/client.rs
@@ -167,6 +167,24 @@
     assert!(matches!(error, platform::Error::Unavailable(_)), "{error}");
 }
 
+/// The answer takes five times the timeout of the call, but its pieces arrive within it.
+#[tokio::test]
+async fn object_waits_for_answer_that_arrives_slowly() {
+    const PIECES: usize = 10;
+    let timeout = time::Duration::from_millis(200);
+    let answer = move || async move {
+        let pieces = futures::stream::unfold(0, move |sent| async move {
+            tokio::time::sleep(timeout / 2).await;
+            (sent < PIECES).then_some((Ok::<_, std::convert::Infallible>("piece"), sent + 1))
+        });
+        axum::body::Body::from_stream(pieces)
+    };
+    let slow = axum::Router::new().fallback(answer);
+    let client = client::Client::new(&serve(slow).await).unwrap();
+    let object = client.with_timeout(timeout).object("o").await.unwrap();
+    assert_eq!(object, Some("piece".repeat(PIECES).into_bytes()));
+}
+
 #[tokio::test]
 async fn call_gives_up_on_closed_port() {
     let listener = tokio::net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))
