Give up questions between proxies only when they make no progress

A proxy fetches the document of a new configuration from its peers within 1 s, and a peer closed the connection after 1 s, in the middle of the answer; on a slow link nobody would get a large document.

The limit of 1 s holds for each read and write (tokio-io-timeout) of a question and its answer. Receiving a question and processing a cancel request, which are short, keep a limit of 1 s as a whole.

Evidence. fetch_document_waits_for_answer_that_arrives_slowly (2 s) failed before and passes now; fetch_document_gives_up_answer_that_stops passes before and after. The answering side has no test of its own: it uses the same stream.

--- a/crates/proxy/src/peers/server.rs
+++ b/crates/proxy/src/peers/server.rs
@@ -1,5 +1,6 @@
 //! Asks and answers questions between proxies over TCP.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,14 +9,19 @@
 use futures::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio_io_timeout::TimeoutStream;
 use tokio_util::codec;
 
 use crate::caller;
 use crate::engine;
 use crate::peers::{Answer, Question};
 
-/// Timeout of one question with its answer.
-const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time in which each read or write of a question or its answer makes progress. A document may take longer as a whole.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout to receive a question, which is short.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout to process a cancel request.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Delay before the proxy accepts connections again after an error, such as a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Maximum length of an answer; the longest answer is a document.
@@ -25,12 +31,15 @@
 /// Maximum number of questions that the proxy answers at the same time; it closes further connections.
 const CONCURRENT_QUESTIONS_MAX: usize = 64;
 
-type Framed = codec::Framed<TcpStream, codec::LengthDelimitedCodec>;
+type Framed = codec::Framed<Pin<Box<TimeoutStream<TcpStream>>>, codec::LengthDelimitedCodec>;
 
 fn framed(stream: TcpStream, message_bytes: usize) -> Framed {
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_read_timeout(Some(PROGRESS_TIMEOUT));
+    stream.set_write_timeout(Some(PROGRESS_TIMEOUT));
     codec::LengthDelimitedCodec::builder()
         .max_frame_length(message_bytes)
-        .new_framed(stream)
+        .new_framed(Box::pin(stream))
 }
 
 /// Answers the questions of peers until the process ends.
@@ -56,9 +65,8 @@
         let engine = Arc::clone(&engine);
         let sessions = Arc::clone(&sessions);
         tokio::spawn(async move {
-            let exchange = answer_question(&engine, &sessions, framed(stream, ANSWER_BYTES_MAX));
-            // After the timeout the connection is closed without an answer.
-            let _ = tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await;
+            // Without progress the connection is closed without an answer.
+            let _ = answer_question(&engine, &sessions, framed(stream, ANSWER_BYTES_MAX)).await;
             drop(permit);
         });
     }
@@ -70,12 +78,14 @@
     mut framed: Framed,
 ) -> Option<()> {
     framed.codec_mut().set_max_frame_length(QUESTION_BYTES_MAX);
-    let bytes = framed.next().await?.ok()?;
+    let question = tokio::time::timeout(QUESTION_TIMEOUT, framed.next()).await;
+    let bytes = question.ok()??.ok()?;
     framed.codec_mut().set_max_frame_length(ANSWER_BYTES_MAX);
     let answer = match postcard::from_bytes(&bytes).ok()? {
         Question::Document { version, digest } => document(engine, version, &digest),
         Question::Cancel { pid, secret } => {
-            sessions.cancel(pid, &secret).await;
+            let cancel = sessions.cancel(pid, &secret);
+            tokio::time::timeout(CANCEL_TIMEOUT, cancel).await.ok()?;
             Answer::Cancelled
         }
     };
@@ -94,13 +104,8 @@
 
 /// Sends a question to a peer and returns its answer; returns `None` if the peer does not answer in time.
 pub async fn send_question(address: &str, question: &Question) -> Option<Answer> {
-    tokio::time::timeout(EXCHANGE_TIMEOUT, try_send_question(address, question))
-        .await
-        .ok()?
-}
-
-async fn try_send_question(address: &str, question: &Question) -> Option<Answer> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    let connecting = tokio::time::timeout(PROGRESS_TIMEOUT, TcpStream::connect(address));
+    let stream = connecting.await.ok()?.ok()?;
     let mut framed = framed(stream, ANSWER_BYTES_MAX);
     let bytes = postcard::to_stdvec(question).ok()?;
     framed.send(Bytes::from(bytes)).await.ok()?;
