Read members and proxies while a large configuration arrives

After a loss of power a process knew no members until the whole configuration had arrived, and refused requests meanwhile.

While the store does not answer, only one part of it is tried at a time, by a permit that the part kept until its answer was complete. Since an answer is no longer given up after 1.5 s that may be seconds.

The permit is given back when the answer begins to arrive. The call stands in a function of its own.

--- a/crates/session/src/transfer.rs
+++ b/crates/session/src/transfer.rs
@@ -3,6 +3,9 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+
 use crate::clock;
 
 /// Time from the first piece of an answer for which further pieces count as a sign that the store answers. A proxy whose
@@ -16,6 +19,7 @@
     first_piece_at: Cell<Option<Instant>>,
     last_piece_at: Cell<Option<Instant>>,
     received_bytes: Cell<usize>,
+    first_piece: Notify,
 }
 
 impl Default for Transfer {
@@ -25,6 +29,7 @@
             first_piece_at: Cell::default(),
             last_piece_at: Cell::default(),
             received_bytes: Cell::default(),
+            first_piece: Notify::new(),
         }
     }
 }
@@ -41,12 +46,20 @@
     /// Records that a piece of the answer of this size, in bytes, has arrived.
     pub fn record(&self, bytes: usize) {
         let now = Some(clock::now());
-        self.first_piece_at.set(self.first_piece_at.get().or(now));
+        if self.first_piece_at.get().is_none() {
+            self.first_piece_at.set(now);
+            self.first_piece.notify_waiters();
+        }
         self.last_piece_at.set(now);
         self.received_bytes.set(self.received_bytes.get() + bytes);
         metrics::counter!("fulmarlift_store_received_bytes_total").increment(bytes as u64);
     }
 
+    /// Waits until the answer of the current call begins to arrive.
+    pub(crate) fn begins(&self) -> Notified<'_> {
+        self.first_piece.notified()
+    }
+
     /// Returns the latest time at which the store showed that it answers the call; none before the first piece.
     pub fn progress_at(&self) -> Option<Instant> {
         let period_end = self.first_piece_at.get()? + PROGRESS_PERIOD;
--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -12,7 +12,7 @@
 use crate::deployment::{Announce, Deployment, Source};
 use crate::shell;
 use crate::transfer;
-use tokio::sync::watch;
+use tokio::sync::{MutexGuard, watch};
 
 /// Time for which a poll asks the store to wait for changes of configuration and members. If the store never answers a
 /// poll, the proxy notices it only a little after this time.
@@ -92,15 +92,14 @@
 }
 
 impl<D: Deployment, S: Source> Follower<'_, D, S> {
-    /// Reads the store once and applies the result, then waits until the next read is due. Returns early, for a poll with a
-    /// shorter timeout, when a first listener connects.
+    /// Reads the store once and applies the result, then waits until the next read is due.
     async fn poll(&mut self) {
         if self.revision.is_none() && self.yields_to_readers() {
             tokio::time::sleep(READER_PRECEDENCE).await;
         }
         // While the store does not answer, only one part at a time retries.
         let shell = self.shell;
-        let retry_permit = match self.reached {
+        let mut retry_permit = match self.reached {
             true => None,
             false => Some(shell.store_retry_permit().await),
         };
@@ -110,18 +109,8 @@
             true => poll_timeout(self.source.contents(), self.shell.listeners()),
             false => Duration::ZERO,
         };
-        self.transfer.start();
-        let read = match self.revision {
-            Some(revision) => tokio::select! {
-                changes = self.source.changes(revision, wait, &self.transfer) => changes,
-                _ = self.store_era.wait_for(|era| *era > Some(revision.era)) => {
-                    self.revision = None;
-                    return;
-                }
-                // The first listener needs the shorter poll timeout, since it must know soon that the store answers.
-                () = shell.first_listener() => return,
-            },
-            None => self.source.read(&self.transfer).await,
+        let Some(read) = self.call(wait, &mut retry_permit).await else {
+            return;
         };
         match read {
             // The call was answered before the store came back older.
@@ -141,7 +130,6 @@
             Ok(batch) => {
                 self.shell
                     .record_store_era(batch.revision.era, Duration::ZERO);
-                drop(retry_permit);
                 self.record_reached(true, "");
                 self.backoff = BACKOFF_MIN;
                 self.log_configuration_read(&batch);
@@ -167,6 +155,39 @@
         }
     }
 
+    /// Calls the store. Gives the permit back when the answer begins to arrive, since the store answers then. Returns nothing
+    /// if the call is obsolete.
+    async fn call(
+        &mut self,
+        wait: Duration,
+        retry_permit: &mut Option<MutexGuard<'_, ()>>,
+    ) -> Option<Result<deployment::Batch, deployment::CallError>> {
+        let (source, shell, revision) = (self.source, self.shell, self.revision);
+        let transfer = Rc::clone(&self.transfer);
+        transfer.start();
+        let call = async {
+            match revision {
+                Some(revision) => source.changes(revision, wait, &transfer).await,
+                None => source.read(&transfer).await,
+            }
+        };
+        tokio::pin!(call);
+        loop {
+            tokio::select! {
+                read = &mut call => return Some(read),
+                () = transfer.begins(), if retry_permit.is_some() => *retry_permit = None,
+                _ = self.store_era.wait_for(|era| *era > revision.map(|known| known.era)),
+                    if revision.is_some() =>
+                {
+                    self.revision = None;
+                    return None;
+                }
+                // The first listener needs the shorter poll timeout, since it must know soon that the store answers.
+                () = shell.first_listener(), if revision.is_some() => return None,
+            }
+        }
+    }
+
     /// Applies the updates of a batch. After a full read, entries that are no longer in the store count as removed.
     fn apply(&mut self, batch: deployment::Batch) {
         let is_full_read = self.revision.is_none();
--- a/crates/session/tests/updates.rs
+++ b/crates/session/tests/updates.rs
@@ -84,6 +84,23 @@
     .await;
 }
 
+/// Only one part of the store is tried at a time until it answers, and a large configuration takes long to arrive.
+#[tokio::test(start_paused = true)]
+async fn observe_reads_members_while_large_configuration_arrives() {
+    on_one_thread(async {
+        let store = Rc::new(Store::default());
+        store.version.set(1);
+        store.listed.replace(vec!["member-1"]);
+        store.transfer_time.set(Duration::from_secs(5));
+        let shell = shell("proxy-1");
+        tokio::task::spawn_local(updates::observe(Rc::clone(&shell), sources(&store)));
+        sleep_seconds(2).await;
+        let listed = shell.with_broker(fulmarlift_broker::Broker::listed_members);
+        assert_eq!(listed.len(), 1);
+    })
+    .await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn observe_calls_a_refusing_store_rarely() {
     on_one_thread(async {
