Let a restarted proxy get the configuration from its reader

A process that starts knew no other proxies when it decided what to read, and the configuration did not wait for a reader.

A process reads the entries of the proxies first (200 ms at most), and looks for a reader as soon as it has them. The configuration waits for a reader as members did, 500 ms at most.

Evidence. restarted_proxy_receives_configuration_from_its_reader failed before ([Configuration] read from the store) and passes now.

--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -87,6 +87,8 @@
     updates: broadcast::Sender<Bytes>,
     listeners: Cell<usize>,
     first_listener: Notify,
+    /// Whether the entries of the other proxies have been read once.
+    peers_read: watch::Sender<bool>,
     members_revision: Cell<revision::Revision>,
     /// Revision of the store up to which the configuration is known; none before the first read.
     configuration_revision: Cell<Option<revision::Revision>>,
@@ -129,6 +131,7 @@
             updates: broadcast::Sender::new(UPDATES_WAITING_MAX),
             listeners: Cell::new(0),
             first_listener: Notify::new(),
+            peers_read: watch::Sender::new(false),
             members_revision: Cell::default(),
             configuration_revision: Cell::default(),
             store_era: watch::Sender::new(None),
--- a/crates/session/src/shell/updates.rs
+++ b/crates/session/src/shell/updates.rs
@@ -93,6 +93,19 @@
         self.first_listener.notified().await;
     }
 
+    /// Records that the entries of the other proxies have been read.
+    pub(crate) fn record_peers_read(self: &Rc<Self>) {
+        self.handle(event::Event::PeersRead);
+        self.peers_read.send_replace(true);
+    }
+
+    /// Waits until the entries of the other proxies have been read once.
+    pub(crate) async fn peers_read(&self) {
+        let mut peers_read = self.peers_read.subscribe();
+        // Fails only without a sender, and the shell has one.
+        let _ = peers_read.wait_for(|read| *read).await;
+    }
+
     /// Returns the revision of the store up to which the members are complete.
     pub fn members_revision(&self) -> revision::Revision {
         self.members_revision.get()
--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -36,8 +36,8 @@
 /// Shortest and longest backoff of a proxy with readers, from which it also learns that the store answers again.
 const LISTENER_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(1_000), Duration::from_millis(3_000));
-/// Delay of a proxy with readers before it reads the entries of members and proxies. The readers have usually read the
-/// store by then, and the proxy can listen to them instead.
+/// Delay of a proxy with readers before it reads a part of the store in full. The readers have usually read the store by
+/// then, and the proxy can listen to them instead.
 const READER_PRECEDENCE: Duration = Duration::from_millis(500);
 /// Shortest backoff of the announcement. When hundreds of proxies start together, their writes take seconds.
 const ANNOUNCE_BACKOFF_MIN: Duration = Duration::from_millis(800);
@@ -94,7 +94,7 @@
 impl<D: Deployment, S: Source> Follower<'_, D, S> {
     /// Reads the store once and applies the result, then waits until the next read is due.
     async fn poll(&mut self) {
-        if self.revision.is_none() && self.yields_to_readers() {
+        if self.revision.is_none() && self.has_reader() {
             tokio::time::sleep(READER_PRECEDENCE).await;
         }
         // While the store does not answer, only one part at a time retries.
@@ -221,7 +221,7 @@
             self.shell.record_members_revision(batch.revision);
         }
         if is_full_read && self.source.contents() == deployment::Contents::Peers {
-            self.shell.handle(event::Event::PeersRead);
+            self.shell.record_peers_read();
         }
         for name in listed_in_batch {
             if !self.listed_names.contains(&name) {
@@ -303,11 +303,6 @@
         self.backoff = (self.backoff * 2).clamp(min, max);
     }
 
-    /// Returns whether the first read of this part waits for a reader of the domain. The configuration does not wait.
-    fn yields_to_readers(&self) -> bool {
-        self.source.contents() != deployment::Contents::Configuration && self.has_reader()
-    }
-
     fn has_reader(&self) -> bool {
         self.shell
             .with_broker(|broker| !broker.readers().is_empty())
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -207,5 +207,5 @@
     for peer in peers {
         shell.apply_update(deployment::Update::PeerListed(peer));
     }
-    shell.handle(event::Event::PeersRead);
+    shell.record_peers_read();
 }
--- a/crates/session/src/updates/observe.rs
+++ b/crates/session/src/updates/observe.rs
@@ -10,6 +10,8 @@
 
 /// Delay after the readers of the domain could not be listened to, before they are tried again.
 const READER_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Time for which a proxy that starts reads only the entries of the other proxies.
+const PEERS_PRECEDENCE: Duration = Duration::from_millis(200);
 /// Interval at which a proxy that reads the store checks for a reader to listen to.
 const READER_POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two rounds of proxies that read the store after the loss of a reader: the next reader has begun to receive
@@ -55,16 +57,21 @@
     }
 }
 
-/// Follows all parts of the store. Never returns.
+/// Follows all parts of the store. The entries of proxies come first, since a proxy with a reader need not read the others.
+/// Never returns.
 async fn read_store<D: Deployment, C: Source, M: Source, P: Source>(
     shell: &Rc<shell::Shell<D>>,
     sources: &Sources<C, M, P>,
 ) {
-    tokio::join!(
-        follow::follow(shell, &sources.configurations),
-        follow::follow(shell, &sources.members),
-        follow::follow(shell, &sources.proxies),
-    );
+    let others = async {
+        // Fails if the store does not answer yet.
+        let _ = tokio::time::timeout(PEERS_PRECEDENCE, shell.peers_read()).await;
+        tokio::join!(
+            follow::follow(shell, &sources.configurations),
+            follow::follow(shell, &sources.members),
+        );
+    };
+    tokio::join!(follow::follow(shell, &sources.proxies), others);
 }
 
 /// Tries the readers of the domain until one can be listened to, more often for the first `succession`. The reader that was
@@ -75,6 +82,7 @@
     lost_reader: Option<&str>,
 ) -> listen::Listener {
     let started_at = tokio::time::Instant::now();
+    let mut peers_read = false;
     loop {
         let mut readers = shell.with_broker(fulmarlift_broker::Broker::readers);
         readers.sort_by_key(|reader| lost_reader == Some(reader.vm_name.as_ref()));
@@ -93,7 +101,10 @@
             false if !store_answers(shell) => SUCCESSION_INTERVAL,
             false => READER_RETRY_DELAY,
         };
-        tokio::time::sleep(delay).await;
+        tokio::select! {
+            () = tokio::time::sleep(delay) => {}
+            () = shell.peers_read(), if !peers_read => peers_read = true,
+        }
     }
 }
 
--- a/crates/session/tests/listen.rs
+++ b/crates/session/tests/listen.rs
@@ -204,6 +204,25 @@
     .await;
 }
 
+/// After a loss of power many proxies start at once. One that has a reader need not read a large configuration from the store.
+#[tokio::test]
+async fn restarted_proxy_receives_configuration_from_its_reader() {
+    on_one_thread(async {
+        let pair = Pair::start(|store| store.kept_routes.set(3_000)).await;
+        let restarted = Proxy::start("listener").await;
+        for nth in 2..8 {
+            restarted.list(format!("proxy-{nth}"), pair.relay.address);
+        }
+        restarted.observe();
+        restarted.wait_for_version(1).await;
+        tokio::time::sleep(SETTLING_TIME).await;
+        let read = restarted.store.read_contents.borrow();
+        assert!(!read.contains(&Contents::Configuration), "{read:?}");
+        assert!(!read.contains(&Contents::Members), "{read:?}");
+    })
+    .await;
+}
+
 /// All polls of the store are rarer during startup, but the listeners must not take that for a reader without the store.
 #[tokio::test]
 async fn listener_keeps_reader_during_startup() {
