Give the permit for a silent store back with every answer

Cause. gave the permit back when an answer begins to arrive, and no longer before the delay between polls. An answer that is complete as soon as it begins kept it for that delay, up to 1 s, while the other parts waited.

Ruled out by the trace of rejected listeners: the age of the next reader's information, which was recent from the first piece on.

--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -130,6 +130,7 @@
             Ok(batch) => {
                 self.shell
                     .record_store_era(batch.revision.era, Duration::ZERO);
+                drop(retry_permit);
                 self.record_reached(true, "");
                 self.backoff = BACKOFF_MIN;
                 self.log_configuration_read(&batch);
