Listen only to proxies that have read the members

A proxy that has just started answers listeners as soon as the store has answered its poll of the configuration.

A proxy counts as a reader only when it has read the members, too.

Evidence. proxy_is_no_reader_before_it_has_read_the_members failed before (0 members of 1 after 3 s) and passes now.

--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use fulmarlift_broker::revision;
 use fulmarlift_broker::topology;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast;
@@ -125,9 +126,13 @@
     message.encode()
 }
 
-/// Returns the time since the store was last seen to answer, in milliseconds; none if it has not answered yet.
+/// Returns the time since the store was last seen to answer, in milliseconds; none if it has not answered yet, or the members
+/// have not been read.
 fn age_ms<D: Deployment>(shell: &shell::Shell<D>) -> Option<u64> {
     let store_heard_at = shell.store_heard_at()?;
+    if shell.members_revision() == revision::Revision::default() {
+        return None;
+    }
     let age = clock::now().saturating_duration_since(store_heard_at);
     Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/session/tests/listen.rs
+++ b/crates/session/tests/listen.rs
@@ -223,6 +223,27 @@
     .await;
 }
 
+/// A proxy that has just started has the configuration before the members, and would make its listeners refuse requests.
+#[tokio::test]
+async fn proxy_is_no_reader_before_it_has_read_the_members() {
+    on_one_thread(async {
+        let reader = Proxy::start("reader").await;
+        let listener = Proxy::start("listener").await;
+        reader.store.refused_contents.set(Some(Contents::Members));
+        listener.store.listed.replace(vec!["member-1"]);
+        for nth in 2..8 {
+            listener.list(format!("proxy-{nth}"), reader.updates_address);
+        }
+        reader.observe();
+        reader.wait_for_version(1).await;
+        listener.observe();
+        tokio::time::sleep(SETTLING_TIME).await;
+        let members = listener.shell.with_broker(|broker| broker.listed_members());
+        assert_eq!(members.len(), 1);
+    })
+    .await;
+}
+
 /// All polls of the store are rarer during startup, but the listeners must not take that for a reader without the store.
 #[tokio::test]
 async fn listener_keeps_reader_during_startup() {
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -86,6 +86,8 @@
     pub listed: RefCell<Vec<&'static str>>,
     /// Whether the store refuses all calls and ends those that wait for changes.
     pub down: Cell<bool>,
+    /// Part whose calls the store refuses.
+    pub refused_contents: Cell<Option<Contents>>,
     /// Number of calls.
     pub calls: Cell<u32>,
     /// Part of the store that each call was for.
@@ -186,7 +188,8 @@
     fn count_call(&self) -> Result<(), CallError> {
         self.store.calls.set(self.store.calls.get() + 1);
         self.store.called_contents.borrow_mut().push(self.contents);
-        match self.store.down.get() {
+        let refused = self.store.refused_contents.get() == Some(self.contents);
+        match self.store.down.get() || refused {
             true => Err(CallError::Deferred("down".into())),
             false => Ok(()),
         }
