Don't count a refusal as progress of an answer

The store turned some machines away from 2.5 s on, among them the first two readers of three domains; of the 44 proxies there 3 had version 8, acknowledged at 3.1 s, by 12.3 s.

The body of a 503 has 21 bytes, so a reader that the store refused seemed in touch with it, and its listeners never looked for another. Trace: `event=partial_answer … bytes=21 … error="refused for now: 503` on the readers; their listeners lost them at 5 to 10 s. Ruled out: the rounds of succession, which begin with the loss.

Only bytes of a successful answer are reported as progress. Evidence: refused_call_makes_no_progress failed before and passes now.

--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -36,7 +36,8 @@
     Failed(#[from] reqwest::Error),
 }
 
-/// Sends a request and receives its answer. Calls `on_piece` with the size in bytes of each piece that arrives.
+/// Sends a request and receives its answer. Calls `on_piece` with the size in bytes of each piece that arrives; not for an
+/// answer that is a refusal or an error.
 ///
 /// # Errors
 ///
@@ -54,7 +55,9 @@
         let Some(piece) = piece.map_err(|_| Error::Silent)?? else {
             break;
         };
-        on_piece(piece.len());
+        if response.status().is_success() {
+            on_piece(piece.len());
+        }
         body.extend_from_slice(&piece);
     }
     Ok(Answer {
