Don't count the progress of an answer after one that was cut

A reader whose answers are cut midway each time seemed in touch with the store for ever, and its listeners never got the change.

Progress counts only if the call before it succeeded; after a failed call the age of the last whole answer counts.

Evidence. listener_leaves_reader_whose_answers_are_cut failed before (version 2 not there after 20 s) and passes now.

--- a/crates/session/src/transfer.rs
+++ b/crates/session/src/transfer.rs
@@ -20,6 +20,8 @@
     last_piece_at: Cell<Option<Instant>>,
     received_bytes: Cell<usize>,
     first_piece: Notify,
+    /// Whether the call before the current one failed.
+    failed: Cell<bool>,
 }
 
 impl Default for Transfer {
@@ -30,6 +32,7 @@
             last_piece_at: Cell::default(),
             received_bytes: Cell::default(),
             first_piece: Notify::new(),
+            failed: Cell::default(),
         }
     }
 }
@@ -55,13 +58,22 @@
         metrics::counter!("fulmarlift_store_received_bytes_total").increment(bytes as u64);
     }
 
+    /// Ends the call.
+    pub(crate) fn end(&self, succeeded: bool) {
+        self.failed.set(!succeeded);
+    }
+
     /// Waits until the answer of the current call begins to arrive.
     pub(crate) fn begins(&self) -> Notified<'_> {
         self.first_piece.notified()
     }
 
-    /// Returns the latest time at which the store showed that it answers the call; none before the first piece.
+    /// Returns the latest time at which the store showed that it answers the call; none before the first piece, and after a
+    /// call that failed, since the answer may be cut again.
     pub fn progress_at(&self) -> Option<Instant> {
+        if self.failed.get() {
+            return None;
+        }
         let period_end = self.first_piece_at.get()? + PROGRESS_PERIOD;
         self.last_piece_at.get().map(|at| at.min(period_end))
     }
--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -112,6 +112,7 @@
         let Some(read) = self.call(wait, &mut retry_permit).await else {
             return;
         };
+        self.transfer.end(read.is_ok());
         match read {
             // The call was answered before the store came back older.
             Ok(batch) if batch.revision.era < self.shell.store_era() => {
--- a/crates/session/tests/listen.rs
+++ b/crates/session/tests/listen.rs
@@ -147,6 +147,21 @@
     .await;
 }
 
+/// The reader receives part of the change again and again. What arrives is no sign that it will ever have the whole.
+#[tokio::test]
+async fn listener_leaves_reader_whose_answers_are_cut() {
+    on_one_thread(async {
+        let transfer_time = Duration::from_millis(500);
+        let pair = Pair::start(|store| store.transfer_time.set(transfer_time)).await;
+        pair.reader.store.cuts_answers.set(true);
+        pair.reader.store.version.set(2);
+        pair.listener.store.version.set(2);
+        pair.listener.wait_for_version(2).await;
+        assert_eq!(pair.reader.version(), 1);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn listener_without_reader_does_not_read_known_configuration_again() {
     on_one_thread(async {
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -98,6 +98,8 @@
     pub changed_routes: Cell<usize>,
     /// Number of routes in the configuration that are the same in all versions.
     pub kept_routes: Cell<usize>,
+    /// Whether answers with a changed configuration end in an error after most of them has arrived.
+    pub cuts_answers: Cell<bool>,
     /// Time that an answer with a changed configuration takes to arrive, in pieces.
     pub transfer_time: Cell<Duration>,
 }
@@ -234,6 +236,9 @@
         }
         if changed() {
             self.receive_configuration(transfer).await;
+            if self.store.cuts_answers.get() {
+                return Err(CallError::Unknown("cut".into()));
+            }
         }
         Ok(self.batch())
     }
