Log what grants a leader's lease

A line is written when validity, term or asked member change; commits alone write none, so the volume stays as bounded as before. No decision changes.

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -1,12 +1,13 @@
 //! Outputs of the broker: the actions that the shell carries out.
 
 use std::fmt;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
 use crate::claim;
+use crate::event;
 use crate::leader;
 use crate::revision;
 
@@ -184,7 +185,7 @@
         /// Whether the member answers.
         reachable: bool,
     },
-    /// Requests wait for the lease of their leader, or do so no longer.
+    /// Requests wait for the lease of their leader, or do so no longer, or another member grants the lease.
     Lease {
         /// Group of the leader.
         group: id::GroupId,
@@ -192,7 +193,28 @@
         term: id::Term,
         /// Whether the lease covers the requests.
         valid: bool,
+        /// Newest evidence, whether or not it granted a lease.
+        evidence: LeaseEvidence,
     },
     /// The broker dropped a member that is gone.
     Gone(id::MemberId),
 }
+
+/// Answer from which a proxy concludes whether the leader of a group has a lease.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LeaseEvidence {
+    /// The leader acknowledged a commit.
+    Commit {
+        /// Leader.
+        member: id::MemberId,
+    },
+    /// A member answered the question for its status, or failed to answer.
+    Status {
+        /// Member that was asked.
+        member: id::MemberId,
+        /// Time from the question to its answer.
+        took: Duration,
+        /// Status in the answer; `None` if the member did not answer.
+        status: Option<event::MemberStatus>,
+    },
+}
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -32,8 +32,8 @@
     /// Whether the lease must be renewed.
     pub(super) renewal_due: bool,
     question: Option<Question>,
-    /// Whether the last [`effect::StateChange::Lease`] said that the lease has lapsed.
-    logged_lapse: bool,
+    /// Validity, term and member of the last [`effect::StateChange::Lease`].
+    logged: Option<(bool, id::Term, id::MemberId)>,
 }
 
 impl LeaseState {
@@ -45,6 +45,36 @@
             self.renewal_due |= !granted;
         }
     }
+
+    /// Logs the evidence if the lease has lapsed or become valid, its term has changed, or another member was asked.
+    pub(super) fn log_evidence(
+        &mut self,
+        now: Instant,
+        group: id::GroupId,
+        evidence: effect::LeaseEvidence,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let valid = self
+            .lease
+            .expires_at()
+            .is_some_and(|expires_at| now < expires_at);
+        let term = self.lease.term();
+        let member = match evidence {
+            // Commits and questions alternate, which is no news.
+            effect::LeaseEvidence::Commit { member } => {
+                self.logged.map_or(member, |(_, _, logged)| logged)
+            }
+            effect::LeaseEvidence::Status { member, .. } => member,
+        };
+        if self.logged.replace((valid, term, member)) != Some((valid, term, member)) {
+            effects.push(effect::Effect::RecordChange(effect::StateChange::Lease {
+                group,
+                term,
+                valid,
+                evidence,
+            }));
+        }
+    }
 }
 
 impl state::GroupState {
@@ -200,15 +230,11 @@
                 leader.denies_leadership = true;
             }
         }
-        let lease = &mut group.lease;
-        let expires_at = lease.lease.expires_at();
-        let lapsed = expires_at.is_none_or(|expires_at| now >= expires_at);
-        if std::mem::replace(&mut lease.logged_lapse, lapsed) != lapsed {
-            effects.push(effect::Effect::RecordChange(effect::StateChange::Lease {
-                group: group_id,
-                term: lease.lease.term(),
-                valid: !lapsed,
-            }));
-        }
+        let evidence = effect::LeaseEvidence::Status {
+            member,
+            took: now.saturating_duration_since(asked_at),
+            status,
+        };
+        group.lease.log_evidence(now, group_id, evidence, effects);
     }
 }
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -32,9 +32,32 @@
             let name = member_name(broker, member);
             log::info!("event=member_reachable member={name} reachable={reachable}");
         }
-        effect::StateChange::Lease { group, term, valid } => {
+        effect::StateChange::Lease {
+            group,
+            term,
+            valid,
+            evidence,
+        } => {
             let group = group_name(broker, group);
-            log::info!("event=lease group={group} term={term} valid={valid}");
+            match evidence {
+                effect::LeaseEvidence::Commit { member } => {
+                    let member = member_name(broker, member);
+                    log::info!(
+                        "event=lease group={group} term={term} valid={valid} evidence=commit member={member}"
+                    );
+                }
+                effect::LeaseEvidence::Status {
+                    member,
+                    took,
+                    status,
+                } => {
+                    let member = member_name(broker, member);
+                    let took_ms = took.as_millis();
+                    log::info!(
+                        "event=lease group={group} term={term} valid={valid} evidence=status member={member} took_ms={took_ms} status={status:?}"
+                    );
+                }
+            }
         }
         effect::StateChange::Gone(member) => log::info!("event=member_gone member={member:016x}"),
     }
