Failing test: a replica released by a promotion grants the old leader a lease

The replica is held, the member M is promoted, the promotion ends the hold, and the replica says "term 1, not held" until it hears from M: the proxy reads at the replaced leader. No logic has changed.

--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -126,6 +126,23 @@
     assert_eq!(fixture.take_grants().len(), 1);
 }
 
+/// A promotion ends the hold of a replica before the replica has heard of the new leader.
+#[test]
+fn replica_released_by_promotion_grants_no_lease_of_old_term() {
+    let mut fixture = unfenced();
+    read(&mut fixture);
+    let question = take_questions(&mut fixture)[0];
+    answer(&mut fixture, question, Some((false, 1, (1, 10), 2)));
+    fixture.advance(900);
+    read(&mut fixture);
+    let question = take_questions(&mut fixture)
+        .pop()
+        .expect("a replica is asked");
+    answer(&mut fixture, question, Some((false, 1, (1, 10), 0)));
+    fixture.open_all();
+    assert!(fixture.take_grants().is_empty());
+}
+
 #[rstest]
 #[case::for_read_of_newest_data(0, false)]
 #[case::for_read_that_allows_staleness(1_500, true)]
