Prove a leader's lease by the claim row, not by the word of one replica

Cause: a replica that answered "old term, not held" started a lease. A promotion ends a hold at once, while the replica follows the old term until it hears of the new leader, 20 to 40 ms later or once it is not cut from it. So "not held yet" and "not held any more" look alike: an ABA fault. The same holds for the second kind of evidence: a commit that the old leader acknowledges may have been received by such a member, or by one that joined or restarted after the holds.

Test replica_released_by_promotion_grants_no_lease_of_old_term was red before.

Change: three kinds of evidence remain, none of which rests on the hold of a single member. - The claim row. It now names the member that was ordered last. Read after c, and with no attempt under way, it proves that nobody is promoted before c + 500 ms, because an attempt claims first and orders no sooner than 500 ms after its last hold. - A member that shows the next term within the 3 s in which no second promotion is ordered. - While the row cannot be read or does not tell, the consent of all other known members, repeatedly for 200 ms: the target of a promotion is held until it leads, so its word is among them. Leases in use are then renewed early, since none can be started from the row after their end. An attempt that finds another leader records it in the row, so that the others need not wait for its claim to end. A read of the claim row carries the instant at which it was asked for, since leases and attempts both read it.

Tests: those that took one replica's answer or a commit for a lease stated the fault as wanted; they are replaced by tests of the three kinds of evidence, each with the cases that must grant nothing (claimed, pending, replaced, lost rows; one member that is held, silent, joined or of a newer term; a late or skipped term). read_is_refused_at_once_without_member_to_ask now also tells that the row cannot be read; what it checks is unchanged.

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fulmarlift_core::id;
 use serde::{Deserialize, Serialize};
 
 use crate::revision;
@@ -11,6 +12,36 @@
 /// Highest era that counts in a token, so that tokens stay below 2^53 and pass through a floating-point number.
 const TOKEN_ERA_MAX: revision::Era = (1 << 32) - 1;
 
+/// Member that was ordered last to lead a group, as far as the claim row tells.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub enum LastOrdered {
+    /// No order has been given.
+    #[default]
+    Nobody,
+    /// The order for this member has been executed, or is about to be given, or its outcome is not known yet.
+    Member {
+        /// Name of the member.
+        name: Box<str>,
+        /// Newest term before the order. Once the order has been executed, the member leads a newer one.
+        replaced_term: id::Term,
+    },
+    /// It is not known which orders have been executed.
+    Unknown,
+}
+
+/// What a claim row tells about the member that is believed to lead.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// The member was ordered last, and no attempt to replace it has begun.
+    Undisputed,
+    /// An attempt to replace the member has begun, or may have.
+    Disputed,
+    /// Another member has been promoted since.
+    Replaced,
+    /// The row does not tell.
+    Unknown,
+}
+
 /// Contents of a group's claim row. Every change is conditional on the row's revision.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct Claim {
@@ -32,6 +63,9 @@
     /// Era of the store in which the proxy claimed. Rows of earlier releases lack it, which reads as 0.
     #[serde(skip)]
     pub era: revision::Era,
+    /// Member that was ordered last. Rows of earlier releases lack it, which reads as [`LastOrdered::Unknown`].
+    #[serde(skip)]
+    pub last_ordered: LastOrdered,
 }
 
 /// A claim row as the store returns it.
@@ -51,6 +85,30 @@
         self.claim.era < self.revision.era
     }
 
+    /// Returns what the row tells about a member that is believed to lead and has led `led_term`.
+    pub fn standing(&self, member: &str, led_term: id::Term) -> Standing {
+        if self.may_lack_newest_claim() {
+            return Standing::Unknown;
+        }
+        let pending = self.claim.pending_target().is_some();
+        // A settled target was promoted; its claim only keeps others from claiming.
+        let attempted = self.claim.target.is_none() && self.now_ms < self.claim.until_ms;
+        match &self.claim.last_ordered {
+            // An order that may be executed again changes nothing once its member leads.
+            LastOrdered::Member {
+                name,
+                replaced_term,
+            } if pending && name.as_ref() == member && led_term > *replaced_term => {
+                Standing::Undisputed
+            }
+            _ if pending || attempted => Standing::Disputed,
+            LastOrdered::Nobody => Standing::Undisputed,
+            LastOrdered::Member { name, .. } if name.as_ref() == member => Standing::Undisputed,
+            LastOrdered::Member { .. } => Standing::Replaced,
+            LastOrdered::Unknown => Standing::Unknown,
+        }
+    }
+
     /// Treats the row as claimed for at least `remaining`.
     pub fn extend_claim(&mut self, remaining: Duration) {
         let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX / 2);
@@ -69,9 +127,9 @@
 impl Claim {
     /// Encodes the claim as the contents of a row.
     ///
-    /// `order_ends_ms` and `era` come last, so that earlier releases read the row without them.
+    /// `order_ends_ms`, `era` and `last_ordered` come last, so that earlier releases read the row without them.
     pub fn to_bytes(&self) -> Vec<u8> {
-        postcard::to_stdvec(&(self, self.order_ends_ms, self.era))
+        postcard::to_stdvec(&(self, self.order_ends_ms, self.era, &self.last_ordered))
             .expect("a claim of plain values always encodes")
     }
 
@@ -81,13 +139,16 @@
     ///
     /// [`Malformed`] if [`Claim::to_bytes`] did not produce the bytes.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, Malformed> {
-        let (mut claim, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes)?;
+        let (mut claim, mut rest): (Self, &[u8]) = postcard::take_from_bytes(bytes)?;
+        claim.last_ordered = LastOrdered::Unknown;
         if !rest.is_empty() {
-            let (order_ends_ms, rest) = postcard::take_from_bytes(rest)?;
-            claim.order_ends_ms = order_ends_ms;
-            if !rest.is_empty() {
-                claim.era = postcard::from_bytes(rest)?;
-            }
+            (claim.order_ends_ms, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            (claim.era, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            claim.last_ordered = postcard::from_bytes(rest)?;
         }
         Ok(claim)
     }
--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -203,10 +203,12 @@
 /// Answer from which a proxy concludes whether the leader of a group has a lease.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LeaseEvidence {
-    /// The leader acknowledged a commit.
-    Commit {
-        /// Leader.
+    /// The claim row was read, or could not be read.
+    Claim {
+        /// Member that is believed to lead.
         member: id::MemberId,
+        /// What the row tells about the member.
+        standing: claim::Standing,
     },
     /// A member answered the question for its status, or failed to answer.
     Status {
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -94,6 +94,8 @@
     ClaimLoaded {
         /// Group of the row.
         group: id::GroupId,
+        /// Instant at which the row was asked for, or an earlier one.
+        asked_at: Instant,
         /// Row that was read; `None` if the store did not answer.
         stored: Option<claim::ClaimRow>,
     },
--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -4,6 +4,7 @@
 
 use fulmarlift_core::floor;
 
+use crate::claim;
 use crate::effect;
 use crate::failover;
 use crate::leader;
@@ -95,6 +96,10 @@
         };
         self.target = Some(best.member);
         self.claim.target = Some(best.name.clone());
+        self.claim.last_ordered = claim::LastOrdered::Member {
+            name: best.name.clone(),
+            replaced_term: self.hold_term.saturating_sub(1),
+        };
         self.claim.settled = false;
         self.claim.until_ms = self.store_now_ms(now) + failover::CLAIM_LEASE_MS;
         let order_timeout = match self.fenced {
@@ -103,8 +108,8 @@
         };
         self.orders_end_at = Some(now + order_timeout);
         if !self.fenced {
-            let order_ends_in = failover::UNFENCED_ORDER_TIMEOUT + failover::LATE_ORDER_TIMEOUT;
-            let order_ends_in_ms = u64::try_from(order_ends_in.as_millis()).unwrap_or(u64::MAX / 2);
+            let order_ends_in_ms =
+                u64::try_from(failover::ORDER_AGE_MAX.as_millis()).unwrap_or(u64::MAX / 2);
             self.claim.order_ends_ms = self.store_now_ms(now) + order_ends_in_ms;
         }
         self.step = failover::Step::Recording;
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -38,7 +38,7 @@
 const CLAIM_LEASE_MS: u64 = 4_000;
 /// Time for which the claim lasts after the end of its promotion order (confirmed or refused), so that no other proxy gives
 /// an order meanwhile: the platform's setting `lease-duration-ms`.
-const ORDER_LEASE_MS: u64 = 3_000;
+pub const ORDER_LEASE: Duration = Duration::from_secs(3);
 /// Time after the record of the choice in which promotion orders are sent, where they are not fenced: the claim lasts long
 /// enough after it that no other proxy sends an order before this one has arrived.
 const UNFENCED_ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -47,6 +47,8 @@
 /// Time after which an order that was sent can no longer be executed, where orders are not fenced. The platform executes
 /// unanswered orders seconds later.
 const LATE_ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time from the choice of a member to the execution of its promotion order, where orders are not fenced.
+pub const ORDER_AGE_MAX: Duration = UNFENCED_ORDER_TIMEOUT.saturating_add(LATE_ORDER_TIMEOUT);
 /// Time after the begin of an era of the store from which no claim of an earlier era is in force, and no promotion order of
 /// such a claim can be executed, although the store may have lost the claim.
 pub const LOST_CLAIM_TIMEOUT: Duration = Duration::from_secs(14);
@@ -152,7 +154,7 @@
     /// Term at which the members are held: above every term that a member has reported.
     hold_term: id::Term,
     step: Step,
-    /// Instant at which the claim row was last asked for; before that, the instant at which the attempt is to begin.
+    /// Instant at which the claim row was asked for; before that, the instant at which the attempt is to begin.
     read_sent_at: Instant,
     claim: claim::Claim,
     /// Revision of the claim row.
@@ -162,6 +164,8 @@
     holds: sorted::Map<id::MemberId, HoldState>,
     /// Instant at which the last lease of the old leader ends, as far as the members that are held have granted it.
     leases_end_at: Instant,
+    /// Member that was ordered last before this attempt.
+    ordered_before: claim::LastOrdered,
     /// End of the time in which promotion orders are sent; `None` until the choice is recorded.
     orders_end_at: Option<Instant>,
     target: Option<id::MemberId>,
@@ -199,6 +203,7 @@
             store_clock: (start_at, 0),
             holds: sorted::Map::default(),
             leases_end_at: start_at,
+            ordered_before: claim::LastOrdered::default(),
             orders_end_at: None,
             target: None,
             unanswered_order: false,
@@ -268,10 +273,11 @@
         Progress::Ongoing
     }
 
-    /// Continues after a read of the claim row.
+    /// Continues after a read of the claim row that was sent at `asked_at`.
     pub fn apply_claim(
         &mut self,
         now: Instant,
+        asked_at: Instant,
         stored: Option<claim::ClaimRow>,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
@@ -282,6 +288,7 @@
             self.wait_until(now + STORE_RETRY_DELAY);
             return Progress::Ongoing;
         };
+        self.read_sent_at = asked_at;
         // The attempt also waits for an earlier claim of this proxy to expire: release commands of that claim may still be
         // under way to members that this attempt would hold.
         let claimed = stored.now_ms < stored.claim.until_ms;
@@ -294,8 +301,13 @@
         }
         // Where a higher token does not end an order, only its age does.
         let ended_by_age = !self.fenced && stored.now_ms >= stored.claim.order_ends_ms;
-        let pending = stored.claim.pending_target().filter(|_| !ended_by_age);
-        let pending = pending.map(Box::from);
+        let pending = stored.claim.pending_target();
+        // An order that has ended by its age may have been executed before.
+        let last_ordered = match pending.is_some() && ended_by_age {
+            true => claim::LastOrdered::Unknown,
+            false => stored.claim.last_ordered.clone(),
+        };
+        let pending: Option<Box<str>> = pending.filter(|_| !ended_by_age).map(Box::from);
         self.unanswered_order = !self.fenced && pending.is_some();
         self.order_taken = self.unanswered_order;
         // The store read its clock after the read of the claim row was sent, so the estimate of its clock that starts at the
@@ -312,7 +324,9 @@
             until_ms: stored.now_ms + CLAIM_LEASE_MS,
             order_ends_ms: stored.claim.order_ends_ms,
             era: stored.revision.era,
+            last_ordered,
         };
+        self.ordered_before = self.claim.last_ordered.clone();
         self.step = Step::Claiming;
         self.store_claim(out);
         Progress::Ongoing
@@ -387,10 +401,13 @@
                 let leader = participants
                     .iter()
                     .find(|participant| participant.member == member);
+                let leader = leader.map(|participant| participant.name.clone());
                 let pending = self.claim.pending_target();
-                if pending.is_none()
-                    || pending == leader.map(|participant| participant.name.as_ref())
-                {
+                let settles = pending.is_none();
+                if settles || pending == leader.as_deref() {
+                    if let Some(name) = leader.filter(|_| settles && status.term >= self.term) {
+                        self.record_leader(name, status.term);
+                    }
                     self.release(now, Duration::ZERO, out);
                 }
                 return Progress::Done { member, status };
@@ -420,7 +437,7 @@
                 event::OrderOutcome::Accepted | event::OrderOutcome::Refused,
             ) => {
                 self.claim.settled = true;
-                self.give_up_with_lease(now, Duration::from_millis(ORDER_LEASE_MS), out)
+                self.give_up_with_lease(now, ORDER_LEASE, out)
             }
             (Step::EndingOlderOrder { .. }, _) => {
                 let retry_at = Some(now + ORDER_RETRY_DELAY);
@@ -447,8 +464,8 @@
             (Step::Ordering { .. }, event::OrderOutcome::Refused) => {
                 // Either a higher token was used, or the member does not run. The next read of the claim row shows which.
                 if !self.unanswered_order {
-                    self.claim.settled = true;
-                    self.claim.until_ms = self.store_now_ms(now) + ORDER_LEASE_MS;
+                    self.withdraw_target();
+                    self.claim.until_ms = self.store_now_ms(now + ORDER_LEASE);
                     self.store_claim(out);
                 }
                 Progress::GivenUp {
@@ -494,7 +511,9 @@
     /// Repeats the promotion order, or gives the attempt up if orders are not sent any more.
     fn repeat_order(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
         if self.orders_end_at.is_some_and(|end_at| now >= end_at) {
-            self.claim.settled = !self.order_taken;
+            if !self.order_taken {
+                self.withdraw_target();
+            }
             return self.give_up(now, out);
         }
         self.step = Step::Ordering { retry_at: None };
@@ -502,7 +521,23 @@
         Progress::Ongoing
     }
 
-    /// Ends the attempt after the target has confirmed that it leads. The claim lasts for [`ORDER_LEASE_MS`] from now on.
+    /// Records in the claim that a member has been promoted by an earlier order and leads `term`.
+    fn record_leader(&mut self, name: Box<str>, term: id::Term) {
+        self.claim.target = Some(name.clone());
+        self.claim.last_ordered = claim::LastOrdered::Member {
+            name,
+            replaced_term: term.saturating_sub(1),
+        };
+    }
+
+    /// Records in the claim that the order for the target has not been executed and will not be.
+    fn withdraw_target(&mut self) {
+        self.claim.settled = true;
+        self.claim.target = None;
+        self.claim.last_ordered = self.ordered_before.clone();
+    }
+
+    /// Ends the attempt after the target has confirmed that it leads. The claim lasts for [`ORDER_LEASE`] from now on.
     fn finish(
         &mut self,
         now: Instant,
@@ -511,7 +546,7 @@
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
         self.claim.settled = !self.unanswered_order;
-        self.claim.until_ms = self.store_now_ms(now) + ORDER_LEASE_MS;
+        self.claim.until_ms = self.store_now_ms(now + ORDER_LEASE);
         self.store_claim(out);
         Progress::Done { member, status }
     }
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -82,6 +82,8 @@
     pub term: id::Term,
     /// Newest term that the member is known to have led.
     pub led_term: id::Term,
+    /// Instant at which the member was last asked for its status to renew a lease.
+    pub lease_asked_at: Option<Instant>,
     /// Moving average of the answer time, in ms.
     pub latency_ms: f64,
     /// Number of failures to answer since the last answer.
@@ -140,6 +142,7 @@
             reached: None,
             term: 0,
             led_term: 0,
+            lease_asked_at: None,
             latency_ms: LATENCY_START_MS,
             failures: 0,
             failing_since: None,
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -30,12 +30,6 @@
         report: &event::StatementReport,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let replicated = self
-            .topology
-            .groups
-            .get(group_id)
-            .is_some_and(|config| config.sync_replicas > 0);
-        let fenced = self.settings.fenced;
         let group = self.groups.entry(group_id);
         let Some(state) = group.members.get_mut(report.member) else {
             // The answer of a home is no evidence about the leader.
@@ -54,13 +48,6 @@
                     if commit {
                         group.leader.record_commit(now, sent_at, report.point);
                     }
-                    if commit && replicated && !fenced {
-                        group.lease.lease.grant(term, sent_at);
-                        let evidence = effect::LeaseEvidence::Commit {
-                            member: report.member,
-                        };
-                        group.lease.log_evidence(now, group_id, evidence, effects);
-                    }
                 }
             }
             event::Answer::Silent { commit: true }
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -1,9 +1,10 @@
-//! Renewal of the leases of leaders, by questions to replicas.
+//! Leases of leaders at this proxy: started by the claim row, and renewed by questions to members.
 
 use std::time::{Duration, Instant};
 
 use fulmarlift_core::id;
 
+use crate::claim;
 use crate::effect;
 use crate::event;
 use crate::lease;
@@ -16,6 +17,18 @@
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which a member is passed over after an answer that granted no lease.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+/// Remaining time from which a lease in use is renewed while only members can do so: time for a member that does not answer, and
+/// for another one that does.
+const RENEWAL_LEAD: Duration = Duration::from_millis(300);
+/// Delay before the claim row is read again after a read that started no lease.
+const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// The same while members renew a lease.
+const CLAIM_RETRY_DELAY_WITH_LEASE: Duration = Duration::from_secs(1);
+/// Time of a read of the claim row from which members are asked meanwhile.
+const CLAIM_READ_PATIENCE: Duration = Duration::from_millis(100);
+/// Time after which a read of the claim row counts as lost.
+const CLAIM_READ_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// The newest question that was asked for a lease.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Question {
@@ -32,6 +45,13 @@
     /// Whether the lease must be renewed.
     pub(super) renewal_due: bool,
     question: Option<Question>,
+    /// Instant at which the read of the claim row that is under way was sent.
+    claim_read_sent_at: Option<Instant>,
+    /// Instant from which the claim row may be read again.
+    claim_retry_at: Option<Instant>,
+    /// What the newest read of the claim row has told about the leader.
+    standing: Option<claim::Standing>,
+    consents: lease::Consents,
     /// Validity, term and member of the last [`effect::StateChange::Lease`].
     logged: Option<(bool, id::Term, id::MemberId)>,
 }
@@ -46,6 +66,20 @@
         }
     }
 
+    /// Returns whether members are asked: the claim row starts no lease, or is not read in time.
+    fn needs_members(&self, now: Instant) -> bool {
+        let slow = self
+            .claim_read_sent_at
+            .is_some_and(|sent_at| now.saturating_duration_since(sent_at) > CLAIM_READ_PATIENCE);
+        self.is_unconfirmed() || slow
+    }
+
+    /// Returns whether the newest read of the claim row has started no lease.
+    fn is_unconfirmed(&self) -> bool {
+        self.standing
+            .is_some_and(|standing| standing != claim::Standing::Undisputed)
+    }
+
     /// Logs the evidence if the lease has lapsed or become valid, its term has changed, or another member was asked.
     pub(super) fn log_evidence(
         &mut self,
@@ -54,14 +88,11 @@
         evidence: effect::LeaseEvidence,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let valid = self
-            .lease
-            .expires_at()
-            .is_some_and(|expires_at| now < expires_at);
+        let valid = self.lease.is_valid(now);
         let term = self.lease.term();
         let member = match evidence {
-            // Commits and questions alternate, which is no news.
-            effect::LeaseEvidence::Commit { member } => {
+            // Claim rows and questions alternate, which is no news.
+            effect::LeaseEvidence::Claim { member, .. } => {
                 self.logged.map_or(member, |(_, _, logged)| logged)
             }
             effect::LeaseEvidence::Status { member, .. } => member,
@@ -85,16 +116,51 @@
         leader.map_or(0, |leader| leader.term)
     }
 
-    /// Returns whether a member can be expected to grant the leader a lease.
+    /// Returns whether the claim row or a member can be expected to grant the leader a lease.
     pub(super) fn may_renew_lease(&self) -> bool {
         let leader = self.leader.member;
-        self.members.values().any(|state| {
+        let reachable = |state: &member_state::MemberState| {
             Some(state.entry.id) != leader && state.unlisted_since.is_none() && state.failures < 2
-        })
+        };
+        !self.lease.is_unconfirmed() || self.members.values().any(reachable)
+    }
+
+    /// Returns whether the leader has shown that it leads a term not older than that of the last lease.
+    fn is_leader_shown(&self) -> bool {
+        let leader = self.leader.member;
+        let leader = leader.and_then(|leader| self.members.get(leader));
+        leader.is_some_and(|leader| self.has_shown_term(leader))
+    }
+
+    fn has_shown_term(&self, leader: &member_state::MemberState) -> bool {
+        leader.led_term > 0 && leader.led_term >= self.lease.lease.term()
+    }
+
+    /// Starts or extends the lease if all other members consent. A member whose process is gone cannot be promoted. Returns
+    /// whether the lease is valid.
+    fn start_lease_by_consent(&mut self, now: Instant) -> bool {
+        let leader = self.leader.member;
+        let others = self
+            .members
+            .values()
+            .filter(|state| Some(state.entry.id) != leader && !state.process_gone)
+            .map(|state| state.entry.id);
+        let term = self.leader_term();
+        if let Some(given_at) = self.lease.consents.given_at(term, others) {
+            self.lease.lease.start(term, given_at);
+        }
+        self.lease.lease.is_valid(now)
+    }
+
+    /// Requests the renewal of a lease that is in use and ends soon, if the claim row could not start another one after its end.
+    pub(super) fn renew_lease_early(&mut self, now: Instant) {
+        let lease = &mut self.lease;
+        let ends_soon = !lease.lease.covers(lease.lease.term(), now + RENEWAL_LEAD);
+        lease.renewal_due |= ends_soon && lease.is_unconfirmed();
     }
 
     /// Returns the member to ask next. A member that is listed as leader is asked itself if it is not known to lead the
-    /// newest term, and a replica otherwise.
+    /// newest term. Otherwise the replicas are asked in turn.
     fn choose_witness(
         &self,
         now: Instant,
@@ -107,7 +173,7 @@
             None => self.members.values().rfind(listed),
         };
         let unproven = leader.filter(|state| {
-            (state.term == 0 || state.term < self.lease.lease.term())
+            !self.has_shown_term(state)
                 && !state.is_backing_off(now)
                 && passed_over != Some(state.entry.id)
         });
@@ -119,10 +185,16 @@
             let queue_ms = state.latency_ms * f64::from(state.running);
             distance_ms + queue_ms
         };
-        self.members
+        let candidates = self
+            .members
             .values()
             .filter(|state| Some(state.entry.id) != self.leader.member)
-            .filter(|state| state.unlisted_since.is_none() && !state.is_backing_off(now))
+            .filter(|state| state.unlisted_since.is_none() && !state.is_backing_off(now));
+        if self.lease.needs_members(now) {
+            let asked = candidates.min_by_key(|state| state.lease_asked_at);
+            return asked.map(|state| state.entry.id);
+        }
+        candidates
             .min_by(|a, b| {
                 let passed_over =
                     |state: &member_state::MemberState| passed_over == Some(state.entry.id);
@@ -135,13 +207,46 @@
 }
 
 impl state::Broker {
-    /// Asks a member for its status if the lease must be renewed and no question is under way. Without an idle connection,
-    /// opens one.
+    /// Renews the lease if that is due: reads the claim row if the lease has ended, and asks a member for its status if the answer
+    /// can count.
     pub(super) fn renew_lease_if_due(
         &mut self,
         now: Instant,
         group_id: id::GroupId,
         effects: &mut Vec<effect::Effect>,
+    ) {
+        if self.settings.fenced {
+            return;
+        }
+        let Some(group) = self.groups.get_mut(group_id) else {
+            return;
+        };
+        let valid = group.lease.lease.is_valid(now);
+        // Without requests that wait, a lease that has ended is not needed.
+        group.lease.renewal_due &= valid || !group.queue.is_empty();
+        if !group.lease.renewal_due {
+            return;
+        }
+        let is_shown = group.is_leader_shown();
+        let lease = &mut group.lease;
+        let may_read = lease.claim_retry_at.is_none_or(|retry_at| now >= retry_at);
+        let needs_claim = !valid || lease.is_unconfirmed();
+        if is_shown && needs_claim && may_read {
+            lease.claim_read_sent_at = Some(now);
+            lease.claim_retry_at = Some(now + CLAIM_READ_TIMEOUT);
+            effects.push(effect::Effect::LoadClaim(group_id));
+        }
+        if !is_shown || lease.needs_members(now) {
+            self.ask_witness(now, group_id, effects);
+        }
+    }
+
+    /// Asks a member for its status if no question is under way. Without an idle connection, opens one.
+    fn ask_witness(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        effects: &mut Vec<effect::Effect>,
     ) {
         let Some(group) = self.groups.get(group_id) else {
             return;
@@ -150,7 +255,7 @@
             .lease
             .question
             .is_some_and(|asked| now < asked.retry_at);
-        if self.settings.fenced || !group.lease.renewal_due || waits {
+        if waits {
             return;
         }
         let Some(member) = group.choose_witness(now, &self.settings.place) else {
@@ -166,6 +271,7 @@
             return;
         };
         state.leased += 1;
+        state.lease_asked_at = Some(now);
         let lease = &mut self.groups.entry(group_id).lease;
         lease.renewal_due = false;
         let retry_at = now + QUESTION_TIMEOUT;
@@ -195,6 +301,52 @@
         self.serve_queue(now, group_id, effects);
     }
 
+    /// Applies a read of the claim row to the lease of the group's leader.
+    pub(super) fn record_claim_row(
+        &mut self,
+        now: Instant,
+        group_id: id::GroupId,
+        asked_at: Instant,
+        stored: Option<&claim::ClaimRow>,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        if self.settings.fenced {
+            return;
+        }
+        let Some(group) = self.groups.get_mut(group_id) else {
+            return;
+        };
+        group.lease.claim_read_sent_at = None;
+        let retry_delay = match group.lease.lease.is_valid(now) {
+            true => CLAIM_RETRY_DELAY_WITH_LEASE,
+            false => CLAIM_RETRY_DELAY,
+        };
+        group.lease.claim_retry_at = Some(now + retry_delay);
+        let leader = group.leader.member;
+        let Some(leader) = leader.and_then(|leader| group.members.get_mut(leader)) else {
+            return;
+        };
+        let standing = stored.map_or(claim::Standing::Unknown, |row| {
+            row.standing(&leader.entry.name, leader.led_term)
+        });
+        group.lease.standing = Some(standing);
+        match standing {
+            claim::Standing::Undisputed if leader.led_term > 0 => {
+                group.lease.lease.start(leader.led_term, asked_at);
+                group.lease.renewal_due = false;
+            }
+            claim::Standing::Replaced => leader.denies_leadership = true,
+            _ => {}
+        }
+        let evidence = effect::LeaseEvidence::Claim {
+            member: leader.entry.id,
+            standing,
+        };
+        group.lease.log_evidence(now, group_id, evidence, effects);
+        self.reelect(now, group_id, effects);
+        self.serve_queue(now, group_id, effects);
+    }
+
     /// Applies a status to the lease of the group's leader.
     ///
     /// A status of a newer term than the believed leader's means that the leader has been replaced, or has not shown its
@@ -209,18 +361,22 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         let group = self.groups.entry(group_id);
-        // The leader of a term is not held, so its own answers prove nothing about that term, also once it has stepped down.
-        let led_term = group.members.get(member).map_or(0, |state| state.led_term);
-        let grants = status
-            .filter(|status| !status.leads && status.held_term == 0 && status.term > led_term);
+        let term = group.leader_term();
         let leads = status.is_some_and(|status| status.leads);
-        group
-            .lease
-            .record_answer(now, member, grants.is_some() || leads);
-        if let Some(status) = grants {
-            group.lease.lease.grant(status.term, asked_at);
-        }
         let newest = status.map_or(0, |status| status.term);
+        let lease = &mut group.lease;
+        let mut granted = lease.lease.follow(now, newest, asked_at);
+        if let Some(status) = status {
+            // A replaced leader that leads on is not held and cannot be the target of a promotion.
+            let leads_older_term = status.leads && status.term < term;
+            let consents = status.held_term == 0 && (leads_older_term || !status.leads);
+            match consents && status.term <= term {
+                true => lease.consents.record(member, term, asked_at),
+                false => lease.consents.withdraw(member),
+            }
+        }
+        granted |= group.start_lease_by_consent(now);
+        group.lease.record_answer(now, member, granted || leads);
         if newest > group.leader.term {
             group.leader.term = newest;
             group.lease.renewal_due = true;
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -168,10 +168,15 @@
             event::Event::StoreEra { era, known_for } => {
                 self.record_store_era(now, era, known_for, effects);
             }
-            event::Event::ClaimLoaded { group, stored } => {
+            event::Event::ClaimLoaded {
+                group,
+                asked_at,
+                stored,
+            } => {
                 let stored = stored.map(|row| self.protect_lost_claim(now, row));
+                self.record_claim_row(now, group, asked_at, stored.as_ref(), effects);
                 self.advance_failover(now, group, effects, |attempt, _, out| {
-                    attempt.apply_claim(now, stored, out)
+                    attempt.apply_claim(now, asked_at, stored, out)
                 });
             }
             event::Event::ClaimStored { group, outcome } => {
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -182,6 +182,10 @@
         for (ahead, request) in waiting.into_iter().enumerate() {
             match self.decide(now, &request) {
                 Decision::Grant { member, floor } => {
+                    if request.requirement != request::Requirement::Leader && !self.is_home(member)
+                    {
+                        self.groups.entry(group_id).renew_lease_early(now);
+                    }
                     self.grant(now, &request, member, floor, effects);
                 }
                 Decision::Open(member) => wanted.push(member),
--- a/crates/broker/tests/eras.rs
+++ b/crates/broker/tests/eras.rs
@@ -63,6 +63,7 @@
     let stored = Some(stored);
     fixture.handle(Event::ClaimLoaded {
         group: GROUP,
+        asked_at: fixture.now,
         stored,
     });
 }
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -2,11 +2,12 @@
 
 mod support;
 
-use fulmarlift_broker::claim::ClaimRow;
+use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered};
 use fulmarlift_broker::effect::{Effect, MemberCommand};
 use fulmarlift_broker::event::{Answer, Event, OrderOutcome, StatementReport, StoreOutcome};
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
+use rstest::rstest;
 use std::time::Duration;
 use support::{Fixture, GROUP, member_at, status, version};
 
@@ -15,6 +16,7 @@
 fn write_claim(fixture: &mut Fixture, stored: ClaimRow) {
     fixture.handle(Event::ClaimLoaded {
         group: GROUP,
+        asked_at: fixture.now,
         stored: Some(stored),
     });
     let outcome = StoreOutcome::Written(version(11));
@@ -440,6 +442,7 @@
     fixture.effects.clear();
     fixture.handle(Event::ClaimLoaded {
         group: GROUP,
+        asked_at: fixture.now,
         stored: Some(ClaimRow {
             now_ms: claim.until_ms - 1,
             revision: version(12),
@@ -461,9 +464,11 @@
     let loads_claim = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
     assert!(fixture.effects.iter().any(loads_claim));
     // The store reads its clock when the read of the claim row arrives, and its answer takes 2 s.
+    let asked_at = fixture.now;
     fixture.advance(2_000);
     fixture.handle(Event::ClaimLoaded {
         group: GROUP,
+        asked_at,
         stored: Some(ClaimRow {
             now_ms: 9_000,
             ..ClaimRow::default()
@@ -485,3 +490,127 @@
     let until_ms = fixture.effects.iter().find_map(until);
     assert!(until_ms >= Some(9_000 + 2_000 + 4_000), "{until_ms:?}");
 }
+
+/// Takes all effects, and returns the claim that is written.
+fn take_written_claim(fixture: &mut Fixture) -> Claim {
+    let claim = |effect| match effect {
+        Effect::StoreClaim { claim, .. } => Some(claim),
+        _ => None,
+    };
+    let mut effects = fixture.take_effects().into_iter();
+    effects.find_map(claim).expect("a claim is written")
+}
+
+fn ordered() -> LastOrdered {
+    LastOrdered::Member {
+        name: "member-2".into(),
+        replaced_term: 0,
+    }
+}
+
+/// Returns a row whose last claim ordered member 2, with tokens and times of the past.
+fn row_after_order(settled: bool, order_ends_ms: u64) -> ClaimRow {
+    let claim = Claim {
+        token: 6,
+        target: Some("member-2".into()),
+        settled,
+        until_ms: 8_000,
+        order_ends_ms,
+        last_ordered: ordered(),
+        ..Claim::default()
+    };
+    ClaimRow {
+        claim,
+        revision: version(4),
+        now_ms: 9_000,
+    }
+}
+
+#[rstest]
+#[case::after_promotion(row_after_order(true, 0), ordered())]
+#[case::after_order_without_answer(row_after_order(false, 20_000), ordered())]
+#[case::after_order_without_answer_that_has_ended(
+    row_after_order(false, 9_000),
+    LastOrdered::Unknown
+)]
+fn claim_keeps_last_ordered_member(#[case] stored: ClaimRow, #[case] expected: LastOrdered) {
+    let mut fixture = Fixture::unfenced();
+    let mut leaving = member_at(1, "a", true);
+    leaving.leaving = true;
+    leaving.revision = version(10);
+    fixture.handle(Event::Listed(leaving));
+    fixture.advance(300);
+    fixture.take_effects();
+    fixture.handle(Event::ClaimLoaded {
+        group: GROUP,
+        asked_at: fixture.now,
+        stored: Some(stored),
+    });
+    assert_eq!(take_written_claim(&mut fixture).last_ordered, expected);
+}
+
+#[rstest]
+#[case::accepted(OrderOutcome::Accepted, ordered())]
+#[case::unanswered(OrderOutcome::Unknown, ordered())]
+#[case::refused(OrderOutcome::Refused, LastOrdered::Nobody)]
+fn claim_names_ordered_member_unless_order_is_refused(
+    #[case] outcome: OrderOutcome,
+    #[case] expected: LastOrdered,
+) {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    fixture.take_effects();
+    for member in [2, 3] {
+        answer_status(&mut fixture, member, (false, 0, (0, 500), 1));
+    }
+    let recorded = take_written_claim(&mut fixture).last_ordered;
+    assert_eq!(recorded, ordered());
+    let written = StoreOutcome::Written(version(12));
+    fixture.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome: written,
+    });
+    fixture.handle(Event::PromotionOrdered {
+        group: GROUP,
+        outcome,
+    });
+    if outcome != OrderOutcome::Refused {
+        fixture.take_effects();
+        answer_status(&mut fixture, 2, (true, 1, (1, 501), 0));
+    }
+    assert_eq!(take_written_claim(&mut fixture).last_ordered, expected);
+}
+
+#[rstest]
+#[case::of_newest_term(5, Some("member-2"))]
+#[case::of_older_term(3, None)]
+fn claim_names_leader_that_was_found(#[case] term: id::Term, #[case] expected: Option<&str>) {
+    let mut fixture = Fixture::new();
+    let newest = StatementReport {
+        member: 3,
+        answer: Answer::Led {
+            sent_at: fixture.now,
+            commit: false,
+        },
+        point: Some(Point::new(4, 10)),
+        floor: None,
+        took: None,
+    };
+    fixture.handle(Event::StatementEnded(newest));
+    let mut leaving = member_at(3, "c", true);
+    leaving.leaving = true;
+    leaving.revision = version(10);
+    fixture.handle(Event::Listed(leaving));
+    fixture.advance(300);
+    write_claim(&mut fixture, ClaimRow::default());
+    fixture.take_effects();
+    answer_status(&mut fixture, 2, (true, term, (term, 20), 0));
+    let claim = take_written_claim(&mut fixture);
+    assert_eq!(claim.target.as_deref(), expected);
+    let named = claim.last_ordered
+        == LastOrdered::Member {
+            name: "member-2".into(),
+            replaced_term: term - 1,
+        };
+    assert_eq!(named, expected.is_some());
+}
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_broker::claim::{Claim, ClaimRow};
+use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered, Standing};
 use fulmarlift_broker::effect::{Effect, MemberCommand, RefusalReason};
 use fulmarlift_broker::event::{Answer, Event, OpenFailure, StoreOutcome};
 use fulmarlift_broker::lease::LEASE_DURATION;
@@ -44,6 +44,40 @@
     })
 }
 
+/// Answers the read of the claim row that the proxy has sent, and returns whether there was one.
+fn answer_claim_read(fixture: &mut Fixture, stored: Option<&ClaimRow>) -> bool {
+    let is_read = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
+    let asked = fixture.effects.iter().any(is_read);
+    fixture.effects.retain(|effect| !is_read(effect));
+    if asked {
+        fixture.handle(Event::ClaimLoaded {
+            group: GROUP,
+            asked_at: fixture.now,
+            stored: stored.cloned(),
+        });
+    }
+    asked
+}
+
+/// Returns a broker with a lease that the claim row has started.
+fn with_lease() -> Fixture {
+    let mut fixture = unfenced();
+    read(&mut fixture);
+    assert!(answer_claim_read(&mut fixture, Some(&ClaimRow::default())));
+    let grant = fixture.take_grants().remove(0);
+    fixture.end_statement(&grant, Answer::Served, Some(Point::new(1, 10)));
+    fixture.effects.clear();
+    fixture
+}
+
+/// Returns a broker that has no lease and cannot read the claim row.
+fn without_claim_row() -> Fixture {
+    let mut fixture = unfenced();
+    read(&mut fixture);
+    assert!(answer_claim_read(&mut fixture, None));
+    fixture
+}
+
 /// Opens the requested connections, and returns the members that are asked for their status, with the connections.
 fn take_questions(fixture: &mut Fixture) -> Vec<(id::MemberId, id::ConnId, Instant)> {
     for _ in 0..3 {
@@ -81,56 +115,269 @@
 }
 
 #[test]
-fn read_waits_until_free_replica_has_answered() {
+fn read_waits_until_claim_row_has_been_read() {
     let mut fixture = unfenced();
     let request = read(&mut fixture);
-    let questions = take_questions(&mut fixture);
-    assert_eq!(questions.len(), 1);
-    assert_ne!(questions[0].0, 1, "the leader cannot vouch for itself");
     assert!(fixture.take_grants().is_empty());
-    answer(&mut fixture, questions[0], Some((false, 1, (1, 10), 0)));
+    assert!(answer_claim_read(&mut fixture, Some(&ClaimRow::default())));
     let grants = fixture.take_grants();
     assert_eq!(grants.len(), 1);
     assert_eq!((grants[0].request, grants[0].member), (request, 1));
+    assert!(take_questions(&mut fixture).is_empty());
 }
 
 #[test]
-fn read_that_arrives_within_lease_needs_no_question() {
-    let mut fixture = unfenced();
-    read(&mut fixture);
-    let question = take_questions(&mut fixture)[0];
-    answer(&mut fixture, question, Some((false, 1, (1, 10), 0)));
-    let grant = fixture.take_grants().remove(0);
-    fixture.end_statement(&grant, Answer::Served, Some(Point::new(1, 10)));
-    fixture.now = question.2 + LEASE_DURATION - Duration::from_millis(1);
+fn read_that_arrives_within_lease_needs_no_claim_row() {
+    let mut fixture = with_lease();
+    let started_at = fixture.now;
+    fixture.now = started_at + LEASE_DURATION - Duration::from_millis(1);
     read(&mut fixture);
     let grant = fixture.take_grants().remove(0);
     fixture.end_statement(&grant, Answer::Served, Some(Point::new(1, 10)));
-    fixture.now = question.2 + LEASE_DURATION;
+    assert!(!answer_claim_read(&mut fixture, None));
+    fixture.now = started_at + LEASE_DURATION;
     read(&mut fixture);
     assert!(fixture.take_grants().is_empty(), "the lease has ended");
-    assert_eq!(take_questions(&mut fixture).len(), 1);
+    assert!(answer_claim_read(&mut fixture, None));
+}
+
+/// Opens the requested connections, runs the granted reads and those that follow, and returns their number.
+fn serve_reads(fixture: &mut Fixture) -> usize {
+    let mut served = 0;
+    loop {
+        fixture.open_all();
+        let grants = fixture.take_grants();
+        if grants.is_empty() {
+            return served;
+        }
+        served += grants.len();
+        for grant in grants {
+            fixture.end_statement(&grant, Answer::Served, Some(Point::new(1, 10)));
+        }
+    }
+}
+
+/// Returns a broker with a lease by the consent of both replicas, while the claim row cannot be read.
+fn with_lease_by_consent() -> Fixture {
+    let mut fixture = with_lease();
+    fixture.now += 2 * LEASE_DURATION;
+    for _ in 0..8 {
+        read(&mut fixture);
+        answer_claim_read(&mut fixture, None);
+        for question in take_questions(&mut fixture) {
+            answer(&mut fixture, question, Some((false, 1, (1, 10), 0)));
+        }
+        if serve_reads(&mut fixture) > 0 {
+            fixture.effects.clear();
+            return fixture;
+        }
+        fixture.advance(70);
+    }
+    panic!("no lease has been started");
 }
 
 #[test]
-fn held_replica_grants_no_lease_and_other_is_asked() {
+fn consent_of_all_replicas_starts_lease_without_claim_row() {
+    let mut fixture = with_lease_by_consent();
+    read(&mut fixture);
+    assert_eq!(fixture.take_grants().len(), 1);
+}
+
+#[rstest]
+#[case::held(Some((false, 1, (1, 10), 2)))]
+#[case::silent(None)]
+#[case::of_newer_term(Some((false, 3, (1, 10), 0)))]
+fn lease_is_not_started_without_consent_of_one_replica(
+    #[case] status_of_other: Option<(bool, u64, (u64, u64), u64)>,
+) {
+    let mut fixture = with_lease();
+    fixture.now += 2 * LEASE_DURATION;
+    for _ in 0..20 {
+        read(&mut fixture);
+        answer_claim_read(&mut fixture, None);
+        for question in take_questions(&mut fixture) {
+            let status = match question.0 {
+                2 => Some((false, 1, (1, 10), 0)),
+                _ => status_of_other,
+            };
+            answer(&mut fixture, question, status);
+        }
+        fixture.open_all();
+        assert!(fixture.take_grants().is_empty());
+        fixture.advance(70);
+    }
+}
+
+#[test]
+fn lease_ends_once_replica_is_held_while_others_are_asked() {
+    let mut fixture = with_lease_by_consent();
+    let mut asked = Vec::new();
+    let mut served_at = fixture.now;
+    let held_at = fixture.now;
+    while fixture.now < held_at + 3 * LEASE_DURATION {
+        read(&mut fixture);
+        answer_claim_read(&mut fixture, None);
+        for question in take_questions(&mut fixture) {
+            asked.push(question.0);
+            let held_term = if question.0 == 2 { 2 } else { 0 };
+            answer(&mut fixture, question, Some((false, 1, (1, 10), held_term)));
+        }
+        if serve_reads(&mut fixture) > 0 {
+            served_at = fixture.now;
+        }
+        fixture.advance(70);
+    }
+    assert!(served_at < held_at + LEASE_DURATION);
+    assert!(asked.contains(&2) && asked.contains(&3));
+    assert!(!asked.contains(&1), "the leader cannot vouch for itself");
+}
+
+#[test]
+fn lease_is_not_extended_without_consent_of_replica_that_joined() {
+    let mut fixture = with_lease_by_consent();
+    let mut joined = member_at(4, "a", false);
+    joined.revision = version(40);
+    fixture.handle(Event::Listed(joined));
+    fixture.advance(2 * LEASE_MS);
+    for _ in 0..20 {
+        read(&mut fixture);
+        answer_claim_read(&mut fixture, None);
+        for question in take_questions(&mut fixture) {
+            let consents = question.0 != 4;
+            answer(
+                &mut fixture,
+                question,
+                consents.then_some((false, 1, (1, 10), 0)),
+            );
+        }
+        assert_eq!(serve_reads(&mut fixture), 0);
+        fixture.advance(70);
+    }
+}
+
+#[rstest]
+#[case::soon(1_000, 2, true)]
+#[case::late(4_000, 2, false)]
+#[case::after_two_promotions(1_000, 3, false)]
+fn member_that_shows_newer_term_starts_its_lease(
+    #[case] later_ms: u64,
+    #[case] term: id::Term,
+    #[case] started: bool,
+) {
+    let mut fixture = with_lease();
+    fixture.now += Duration::from_millis(later_ms);
+    let entry = |listed_as_leader| {
+        let mut entry = member_at(2, "b", listed_as_leader);
+        entry.revision = version(50);
+        entry
+    };
+    fixture.handle(Event::Listed(entry(true)));
+    read(&mut fixture);
+    answer_claim_read(&mut fixture, None);
+    let asked_at = fixture.now;
+    answer(
+        &mut fixture,
+        (2, 900, asked_at),
+        Some((true, term, (1, 10), 0)),
+    );
+    assert_eq!(fixture.leader(), Some(2));
+    fixture.open_all();
+    let grants = fixture.take_grants();
+    assert_eq!(grants.iter().any(|grant| grant.member == 2), started);
+    assert!(grants.iter().all(|grant| grant.member == 2));
+}
+
+/// Returns the entry of a claim row for an order that replaces the leader of term 1.
+fn ordered(member: &str) -> LastOrdered {
+    LastOrdered::Member {
+        name: member.into(),
+        replaced_term: 1,
+    }
+}
+
+#[rstest]
+#[case::of_nobody(LastOrdered::Nobody, None, true, 0, Standing::Undisputed)]
+#[case::of_leader(ordered("member-1"), Some("member-1"), true, 0, Standing::Undisputed)]
+#[case::of_leader_by_last_claim(
+    ordered("member-1"),
+    Some("member-1"),
+    true,
+    9,
+    Standing::Undisputed
+)]
+#[case::of_leader_by_repeated_order(
+    ordered("member-1"),
+    Some("member-1"),
+    false,
+    9,
+    Standing::Undisputed
+)]
+#[case::of_other(ordered("member-2"), Some("member-2"), true, 0, Standing::Replaced)]
+#[case::of_other_by_earlier_claim(ordered("member-2"), None, true, 0, Standing::Replaced)]
+#[case::of_pending_order(ordered("member-2"), Some("member-2"), false, 0, Standing::Disputed)]
+#[case::of_attempt(LastOrdered::Nobody, None, true, 9, Standing::Disputed)]
+#[case::unknown(LastOrdered::Unknown, None, true, 0, Standing::Unknown)]
+fn standing_of_leader_of_term_2(
+    #[case] last_ordered: LastOrdered,
+    #[case] target: Option<&str>,
+    #[case] settled: bool,
+    #[case] until_ms: u64,
+    #[case] expected: Standing,
+) {
+    let claim = Claim {
+        target: target.map(Box::from),
+        settled,
+        until_ms,
+        last_ordered,
+        ..Claim::default()
+    };
+    let row = ClaimRow {
+        claim,
+        now_ms: 5,
+        ..ClaimRow::default()
+    };
+    assert_eq!(row.standing("member-1", 2), expected);
+}
+
+#[test]
+fn standing_of_former_leader_is_disputed_while_it_is_ordered_again() {
+    let mut row = ClaimRow::default();
+    row.claim.target = Some("member-1".into());
+    row.claim.last_ordered = ordered("member-1");
+    assert_eq!(row.standing("member-1", 1), Standing::Disputed);
+}
+
+#[test]
+fn standing_is_unknown_in_row_that_store_may_have_lost() {
+    let mut row = ClaimRow::default();
+    row.claim.settled = true;
+    row.revision.era = 1;
+    assert_eq!(row.standing("member-1", 1), Standing::Unknown);
+}
+
+#[test]
+fn leader_is_not_believed_once_claim_row_names_another() {
     let mut fixture = unfenced();
     read(&mut fixture);
-    let first = take_questions(&mut fixture)[0];
-    answer(&mut fixture, first, Some((false, 1, (1, 10), 2)));
+    let claim = Claim {
+        target: Some("member-2".into()),
+        settled: true,
+        last_ordered: ordered("member-2"),
+        ..Claim::default()
+    };
+    let row = ClaimRow {
+        claim,
+        ..ClaimRow::default()
+    };
+    assert!(answer_claim_read(&mut fixture, Some(&row)));
+    assert_eq!(fixture.leader(), None);
     assert!(fixture.take_grants().is_empty());
-    fixture.advance(100);
-    let second = take_questions(&mut fixture)[0];
-    assert_ne!(second.0, first.0);
-    answer(&mut fixture, second, Some((false, 1, (1, 10), 0)));
-    assert_eq!(fixture.take_grants().len(), 1);
 }
 
 /// A promotion ends the hold of a replica before the replica has heard of the new leader.
 #[test]
 fn replica_released_by_promotion_grants_no_lease_of_old_term() {
-    let mut fixture = unfenced();
-    read(&mut fixture);
+    let mut fixture = without_claim_row();
     let question = take_questions(&mut fixture)[0];
     answer(&mut fixture, question, Some((false, 1, (1, 10), 2)));
     fixture.advance(900);
@@ -147,8 +394,7 @@
 #[case::for_read_of_newest_data(0, false)]
 #[case::for_read_that_allows_staleness(1_500, true)]
 fn old_leader_proves_nothing_after_promotion(#[case] staleness_ms: u64, #[case] stale: bool) {
-    let mut fixture = unfenced();
-    read(&mut fixture);
+    let mut fixture = without_claim_row();
     let question = take_questions(&mut fixture)[0];
     // A replica follows a newer term, while the old leader leads on.
     answer(&mut fixture, question, Some((false, 2, (1, 10), 0)));
@@ -211,8 +457,7 @@
 
 #[test]
 fn leader_that_has_not_shown_its_term_is_asked_itself() {
-    let mut fixture = unfenced();
-    read(&mut fixture);
+    let mut fixture = without_claim_row();
     let question = take_questions(&mut fixture)[0];
     answer(&mut fixture, question, Some((false, 2, (1, 10), 0)));
     fixture.advance(100);
@@ -222,23 +467,24 @@
     assert_eq!(fixture.leader(), Some(1));
 }
 
+/// A member may have received the commit that was released by a promotion, or that no attempt has held.
 #[rstest]
-#[case::with_effect(true, 0)]
-#[case::without_effect(false, 1)]
-fn acknowledged_commit_grants_lease(#[case] commit: bool, #[case] questions: usize) {
-    let mut fixture = unfenced();
+#[case::within_lease(100)]
+#[case::after_lease(500)]
+fn acknowledged_commit_extends_no_lease(#[case] later_ms: u64) {
+    let mut fixture = with_lease();
+    fixture.now += Duration::from_millis(later_ms);
+    let sent_at = fixture.now;
     fixture.add_request(Requirement::Leader);
     let grant = fixture.take_grants().remove(0);
-    let led = Answer::Led {
-        sent_at: fixture.now,
-        commit,
-    };
+    let commit = true;
+    let led = Answer::Led { sent_at, commit };
     fixture.end_statement(&grant, led, Some(Point::new(1, 11)));
-    fixture.advance(LEASE_MS - 100);
+    fixture.now = sent_at + LEASE_DURATION - Duration::from_millis(1);
     fixture.effects.clear();
     read(&mut fixture);
-    assert_eq!(fixture.take_grants().len(), 1 - questions);
-    assert_eq!(take_questions(&mut fixture).len(), questions);
+    assert!(fixture.take_grants().is_empty());
+    assert!(answer_claim_read(&mut fixture, None));
 }
 
 #[test]
@@ -246,6 +492,7 @@
     let mut fixture = unfenced();
     for _ in 0..4 {
         read(&mut fixture);
+        answer_claim_read(&mut fixture, None);
         for effect in fixture.take_effects() {
             if let Effect::Open { conn, member } = effect {
                 assert_ne!(member, 1);
@@ -282,6 +529,7 @@
     fixture.advance(300);
     fixture.handle(Event::ClaimLoaded {
         group: GROUP,
+        asked_at: fixture.now,
         stored: Some(ClaimRow::default()),
     });
     let outcome = StoreOutcome::Written(version(11));
@@ -344,7 +592,9 @@
     let bytes = postcard::to_stdvec(&earlier).expect("plain values encode");
     let mut claim = Claim::from_bytes(&bytes).expect("the row is valid");
     assert_eq!((claim.token, claim.order_ends_ms), (7, 0));
+    assert_eq!(claim.last_ordered, LastOrdered::Unknown);
     claim.order_ends_ms = 12_000;
+    claim.last_ordered = ordered("member-2");
     assert_eq!(
         Claim::from_bytes(&claim.to_bytes()).ok(),
         Some(claim.clone())
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -476,7 +476,7 @@
             self.proxies[proxy].known_era = self.era;
             let stored = self.stored_claim(rules);
             let loaded: Input =
-                Box::new(move |attempt, _, out| attempt.apply_claim(now, Some(stored), out));
+                Box::new(move |attempt, _, out| attempt.apply_claim(now, now, Some(stored), out));
             self.apply(rules, proxy, loaded);
         }
     }
@@ -653,6 +653,7 @@
                 // Orders never end by their age.
                 order_ends_ms: u64::MAX,
                 era: self.row.era,
+                last_ordered: claim::LastOrdered::default(),
             },
             revision: self.revision(rules),
             now_ms: u64::from(self.row.expired && !lost),
--- a/crates/broker/tests/search.rs
+++ b/crates/broker/tests/search.rs
@@ -24,7 +24,11 @@
                 Effect::Open { conn, .. } => fixture.handle(Event::Opened(conn)),
                 Effect::LoadClaim(group) => {
                     let stored = None;
-                    fixture.handle(Event::ClaimLoaded { group, stored });
+                    fixture.handle(Event::ClaimLoaded {
+                        group,
+                        asked_at: fixture.now,
+                        stored,
+                    });
                 }
                 Effect::AskStatus { conn, member, .. } => {
                     let status = Some(status(member == 2, 2, (1, 5), 0));
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -40,10 +40,10 @@
         } => {
             let group = group_name(broker, group);
             match evidence {
-                effect::LeaseEvidence::Commit { member } => {
+                effect::LeaseEvidence::Claim { member, standing } => {
                     let member = member_name(broker, member);
                     log::info!(
-                        "event=lease group={group} term={term} valid={valid} evidence=commit member={member}"
+                        "event=lease group={group} term={term} valid={valid} evidence=claim member={member} standing={standing:?}"
                     );
                 }
                 effect::LeaseEvidence::Status {
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -262,6 +262,7 @@
         let shell = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let name = shell.group_name(group);
+            let asked_at = clock::now();
             let stored = match shell.claims.load(&name).await {
                 Ok(stored) if stored.revision.era < shell.store_era() => {
                     log::warn!(
@@ -278,7 +279,11 @@
                     None
                 }
             };
-            shell.handle(event::Event::ClaimLoaded { group, stored });
+            shell.handle(event::Event::ClaimLoaded {
+                group,
+                asked_at,
+                stored,
+            });
         });
     }
 
