Hold members that still answer though the directory no longer lists them

What callers saw: acknowledged commits were lost at a promotion (LOST); the same members could confirm commits at a replaced leader and so let stale reads through.

Cause: a member that is cut off from the store loses its entry but runs on, receives from its leader and confirms commits. A proxy dropped it 2.3 s after the entry was gone, so a failover neither held it nor knew of its log.

Test hold_includes_member_without_entry::case_1_that_answers was red before; case 2 (a process that is gone is dropped) holds before and after.

Change: a proxy that watches the leader opens a connection to an unlisted member each second, and drops the member only once it does not answer. It still gets no requests and is not chosen. Why this is enough: what answers is held, and what neither answers nor is listed counts as gone by the platform's contract.

member_missing_in_newer_era_is_dropped_after_grace_period now plays that the member's address refuses the connection; its bounds are unchanged.

--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -17,6 +17,9 @@
 /// detected before the next caller needs it.
 const IDLE_SAMPLE_AGE_MAX: Duration = Duration::from_millis(2_500);
 
+/// Interval at which a connection is opened to a member that the directory no longer lists, to see whether it still runs.
+const UNLISTED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 impl state::Broker {
     pub(super) fn tick(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         self.drop_gone_members(now, effects);
@@ -37,17 +40,33 @@
         self.close_timed_out(now, effects);
     }
 
+    /// Drops the members that count as gone and do not answer. A member that is only cut off from the directory goes on receiving
+    /// from its leader, so a failover must hold it as well.
     fn drop_gone_members(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
-        let members = self
-            .groups
-            .values()
-            .flat_map(|group| group.members.values());
-        let gone: Vec<id::MemberId> = members
-            .filter(|state| {
-                self.is_gone(now, state.unlisted_since) && !self.is_leader(state.entry.id)
-            })
-            .map(|state| state.entry.id)
-            .collect();
+        let mut gone = Vec::new();
+        let mut unchecked = Vec::new();
+        for (group_id, group) in self.groups.iter() {
+            let watched = self.watches_leader(now, group_id);
+            for state in group.members.values() {
+                let member = state.entry.id;
+                if state.unlisted_since.is_none() || self.is_leader(member) {
+                    continue;
+                }
+                let answered = state
+                    .answered_at
+                    .is_some_and(|at| now.saturating_duration_since(at) < UNLISTED_CHECK_INTERVAL);
+                if watched && !state.is_suspect() {
+                    if !answered && state.opening == 0 {
+                        unchecked.push(member);
+                    }
+                } else if self.is_gone(now, state.unlisted_since) {
+                    gone.push(member);
+                }
+            }
+        }
+        for member in unchecked {
+            self.open_connection(member, effects);
+        }
         for member in gone {
             self.drop_member(now, member, effects);
         }
--- a/crates/broker/tests/eras.rs
+++ b/crates/broker/tests/eras.rs
@@ -101,6 +101,12 @@
     fixture.handle(Event::Unlisted { name, revision });
     fixture.advance(2_000);
     assert!(fixture.broker.member(3).is_some(), "it may be listed again");
+    for effect in fixture.take_effects() {
+        if let Effect::Open { conn, member: 3 } = effect {
+            let failure = OpenFailure::Refused;
+            fixture.handle(Event::OpenFailed { conn, failure });
+        }
+    }
     fixture.advance(600);
     assert!(fixture.broker.member(3).is_none());
 }
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -4,7 +4,10 @@
 
 use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered};
 use fulmarlift_broker::effect::{Effect, MemberCommand};
-use fulmarlift_broker::event::{Answer, Event, OrderOutcome, StatementReport, StoreOutcome};
+use fulmarlift_broker::event::{
+    Answer, Event, OpenFailure, OrderOutcome, StatementReport, StoreOutcome,
+};
+use fulmarlift_broker::request::Requirement;
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
 use rstest::rstest;
@@ -614,3 +617,36 @@
         };
     assert_eq!(named, expected.is_some());
 }
+
+/// A member that is cut off from the directory goes on receiving, and confirming commits for the leader.
+#[rstest]
+#[case::that_answers(true, &[2, 3])]
+#[case::that_is_gone(false, &[3])]
+fn hold_includes_member_without_entry(#[case] answers: bool, #[case] expected: &[id::MemberId]) {
+    let mut fixture = Fixture::new();
+    fixture.add_request(Requirement::Leader);
+    fixture.handle(Event::Unlisted {
+        name: "member-2".into(),
+        revision: version(60),
+    });
+    for _ in 0..50 {
+        for effect in fixture.take_effects() {
+            match effect {
+                Effect::Open { conn, member: 2 } if !answers => {
+                    let failure = OpenFailure::Refused;
+                    fixture.handle(Event::OpenFailed { conn, failure });
+                }
+                Effect::Open { conn, .. } => fixture.handle(Event::Opened(conn)),
+                _ => {}
+            }
+        }
+        fixture.advance(100);
+        fixture.add_request(Requirement::Leader);
+    }
+    start_attempt(&mut fixture);
+    let held: Vec<_> = take_holds(&mut fixture)
+        .into_iter()
+        .map(|(member, _)| member)
+        .collect();
+    assert_eq!(held, expected);
+}
