Count the log of a member that was dropped after its hold

Cause: the choice took the furthest log among the members known at that moment. One that had been held and had received most was dropped between its hold and the choice, so its log was left out of the comparison.

Test choose_waits_for_log_of_member_that_was_dropped_after_its_hold was red before.

Change: the furthest log is that of all holds of the attempt. If its member may no longer be chosen and nobody else has as much, the attempt is given up and the members are released, as for a leaving member that is ahead.

--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -78,7 +78,13 @@
         let held = participants
             .iter()
             .filter(|participant| Some(participant.member) != self.old_leader);
-        let furthest = held.clone().filter_map(received).max();
+        // A member that has been dropped since its hold may have confirmed entries that the others lack.
+        let furthest = self
+            .holds
+            .iter()
+            .filter(|(member, _)| Some(*member) != self.old_leader)
+            .filter_map(|(_, hold)| hold.status.map(|status| status.received))
+            .max();
         if !furthest.is_some_and(|furthest| self.has_all_acknowledged(furthest)) {
             self.give_up(now, out);
             return failover::Progress::GivenUp {
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -650,3 +650,26 @@
         .collect();
     assert_eq!(held, expected);
 }
+
+#[test]
+fn choose_waits_for_log_of_member_that_was_dropped_after_its_hold() {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    answer_status(&mut fixture, 2, (false, 0, (0, 501), 1));
+    fixture.handle(Event::Unlisted {
+        name: "member-2".into(),
+        revision: version(60),
+    });
+    for _ in 0..24 {
+        for effect in fixture.take_effects() {
+            if let Effect::Open { conn, member: 2 } = effect {
+                let failure = OpenFailure::Refused;
+                fixture.handle(Event::OpenFailed { conn, failure });
+            }
+        }
+        fixture.advance(100);
+    }
+    assert!(fixture.broker.member(2).is_none());
+    answer_status(&mut fixture, 3, (false, 0, (0, 500), 1));
+    assert_eq!(take_recorded_target(&mut fixture), None);
+}
