Let the claim row name a leader only where that is certain

- A replaced leader that led on was recorded as the leader that an attempt had found.
A leader of an older term than any known one is now demoted, so that it can be held, and is not recorded (test claim_does_not_name_replaced_leader_that_leads_on).
- A claim in a new era of the store kept the last ordered member of the copy (claim_does_not_keep_last_ordered_member_of_earlier_era).
- The term before an order was taken from the term of the hold, which may be higher than that of the leader; the row then never told that its member leads (claim_tells_promotion_of_member_that_earlier_claimant_has_held).
- A claimant that had been suspended recorded its choice after its claim had ended (choice_is_not_written_after_claim_has_ended).
An order that has ended by its age no longer counts as pending in the row.

All these tests were red before.

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -85,27 +85,43 @@
         self.claim.era < self.revision.era
     }
 
+    /// Returns the term that the member that was ordered last leads at least; `None` if that is not known, or the order may not
+    /// have been executed.
+    pub fn promoted_term(&self) -> Option<id::Term> {
+        match &self.claim.last_ordered {
+            LastOrdered::Member { replaced_term, .. }
+                if self.claim.pending_target().is_none() && !self.may_lack_newest_claim() =>
+            {
+                Some(replaced_term.saturating_add(1))
+            }
+            _ => None,
+        }
+    }
+
     /// Returns what the row tells about a member that is believed to lead and has led `led_term`.
     pub fn standing(&self, member: &str, led_term: id::Term) -> Standing {
-        if self.may_lack_newest_claim() {
+        let pending = self.claim.pending_target().is_some();
+        let pending_ended = pending && (1..=self.now_ms).contains(&self.claim.order_ends_ms);
+        if self.may_lack_newest_claim() || pending_ended {
             return Standing::Unknown;
         }
-        let pending = self.claim.pending_target().is_some();
         // A settled target was promoted; its claim only keeps others from claiming.
         let attempted = self.claim.target.is_none() && self.now_ms < self.claim.until_ms;
         match &self.claim.last_ordered {
+            LastOrdered::Unknown => Standing::Unknown,
+            _ if attempted => Standing::Disputed,
+            LastOrdered::Nobody if pending => Standing::Disputed,
+            LastOrdered::Nobody => Standing::Undisputed,
             // An order that may be executed again changes nothing once its member leads.
             LastOrdered::Member {
                 name,
                 replaced_term,
-            } if pending && name.as_ref() == member && led_term > *replaced_term => {
-                Standing::Undisputed
-            }
-            _ if pending || attempted => Standing::Disputed,
-            LastOrdered::Nobody => Standing::Undisputed,
-            LastOrdered::Member { name, .. } if name.as_ref() == member => Standing::Undisputed,
+            } if name.as_ref() == member => match led_term > *replaced_term {
+                true => Standing::Undisputed,
+                false => Standing::Disputed,
+            },
+            LastOrdered::Member { .. } if pending => Standing::Disputed,
             LastOrdered::Member { .. } => Standing::Replaced,
-            LastOrdered::Unknown => Standing::Unknown,
         }
     }
 
--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -71,6 +71,10 @@
         participants: &[failover::Participant],
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
+        // This proxy may have been suspended until its claim ended.
+        if now >= self.claim_expires_at {
+            return self.give_up(now, out);
+        }
         let received = |participant: &failover::Participant| {
             let hold = self.holds.get(participant.member)?;
             hold.status.map(|status| status.received)
@@ -104,7 +108,7 @@
         self.claim.target = Some(best.name.clone());
         self.claim.last_ordered = claim::LastOrdered::Member {
             name: best.name.clone(),
-            replaced_term: self.hold_term.saturating_sub(1),
+            replaced_term: self.newest_term,
         };
         self.claim.settled = false;
         self.claim.until_ms = self.store_now_ms(now) + failover::CLAIM_LEASE_MS;
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -151,6 +151,8 @@
     term: id::Term,
     /// Point up to which all commits of the old leader are known to be acknowledged.
     acknowledged: Option<floor::Point>,
+    /// Newest term that is known to have a leader.
+    newest_term: id::Term,
     /// Term at which the members are held: above every term that a member has reported.
     hold_term: id::Term,
     step: Step,
@@ -195,6 +197,7 @@
             old_leader: leader.member,
             term: leader.term,
             acknowledged: leader.acknowledged,
+            newest_term: leader.term,
             hold_term: leader.term.saturating_add(1),
             step: Step::Waiting { until: start_at },
             read_sent_at: start_at,
@@ -303,10 +306,13 @@
         let ended_by_age = !self.fenced && stored.now_ms >= stored.claim.order_ends_ms;
         let pending = stored.claim.pending_target();
         // An order that has ended by its age may have been executed before.
-        let last_ordered = match pending.is_some() && ended_by_age {
+        let last_ordered = match pending.is_some() && ended_by_age || stored.may_lack_newest_claim()
+        {
             true => claim::LastOrdered::Unknown,
             false => stored.claim.last_ordered.clone(),
         };
+        self.newest_term = self.newest_term.max(stored.promoted_term().unwrap_or(0));
+        self.hold_term = self.hold_term.max(self.newest_term.saturating_add(1));
         let pending: Option<Box<str>> = pending.filter(|_| !ended_by_age).map(Box::from);
         self.unanswered_order = !self.fenced && pending.is_some();
         self.order_taken = self.unanswered_order;
@@ -394,7 +400,15 @@
         hold.retry_at = Some(now + COMMAND_RETRY_DELAY);
         hold.status = status;
         if let Some(status) = status {
-            let newest_term = status.term.max(status.held_term);
+            let newest_held_term = status.term.max(status.held_term);
+            if status.leads && status.term < self.newest_term {
+                // A replaced leader that leads on cannot be held before it is demoted.
+                hold.status = None;
+                let command = effect::MemberCommand::Demote(self.hold_term);
+                self.send_command(Some(member), command, out);
+                return Progress::Ongoing;
+            }
+            self.newest_term = self.newest_term.max(status.term);
             if status.leads && Some(member) != self.old_leader {
                 // Another member has been promoted meanwhile. The promotion released the members that were held before it;
                 // those that were held after it, at a later term, still are.
@@ -405,7 +419,7 @@
                 let pending = self.claim.pending_target();
                 let settles = pending.is_none();
                 if settles || pending == leader.as_deref() {
-                    if let Some(name) = leader.filter(|_| settles && status.term >= self.term) {
+                    if let Some(name) = leader.filter(|_| settles) {
                         self.record_leader(name, status.term);
                     }
                     self.release(now, Duration::ZERO, out);
@@ -413,7 +427,7 @@
                 return Progress::Done { member, status };
             }
             if status.term >= self.hold_term {
-                self.hold_term = newest_term.saturating_add(1);
+                self.hold_term = newest_held_term.saturating_add(1);
             }
             if !self.fenced {
                 // Only hold commands are answered in this step, so the member has been held since some time before now.
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered};
+use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered, Standing};
 use fulmarlift_broker::effect::{Effect, MemberCommand};
 use fulmarlift_broker::event::{
     Answer, Event, OpenFailure, OrderOutcome, StatementReport, StoreOutcome,
@@ -585,9 +585,9 @@
 }
 
 #[rstest]
-#[case::of_newest_term(5, Some("member-2"))]
-#[case::of_older_term(3, None)]
-fn claim_names_leader_that_was_found(#[case] term: id::Term, #[case] expected: Option<&str>) {
+#[case::of_newest_term(5, true)]
+#[case::of_older_term(3, false)]
+fn claim_names_leader_that_was_found(#[case] term: id::Term, #[case] named: bool) {
     let mut fixture = Fixture::new();
     let newest = StatementReport {
         member: 3,
@@ -608,14 +608,29 @@
     write_claim(&mut fixture, ClaimRow::default());
     fixture.take_effects();
     answer_status(&mut fixture, 2, (true, term, (term, 20), 0));
-    let claim = take_written_claim(&mut fixture);
-    assert_eq!(claim.target.as_deref(), expected);
-    let named = claim.last_ordered
-        == LastOrdered::Member {
-            name: "member-2".into(),
-            replaced_term: term - 1,
-        };
-    assert_eq!(named, expected.is_some());
+    let effects = fixture.take_effects();
+    let found = LastOrdered::Member {
+        name: "member-2".into(),
+        replaced_term: term - 1,
+    };
+    let names_found = |effect: &Effect| match effect {
+        Effect::StoreClaim { claim, .. } => {
+            claim.target.as_deref() == Some("member-2") && claim.last_ordered == found
+        }
+        _ => false,
+    };
+    let demotes = |effect: &Effect| match effect {
+        Effect::SendCommand {
+            member, command, ..
+        } => *member == 2 && matches!(command, MemberCommand::Demote(_)),
+        _ => false,
+    };
+    assert_eq!(effects.iter().any(names_found), named);
+    assert_eq!(
+        effects.iter().any(demotes),
+        !named,
+        "a replaced leader that leads on can be held only once it is demoted"
+    );
 }
 
 /// A member that is cut off from the directory goes on receiving, and confirming commits for the leader.
@@ -651,6 +666,19 @@
     assert_eq!(held, expected);
 }
 
+/// Takes all effects, and lets the connections to a member fail: its process is gone.
+fn refuse_connections(fixture: &mut Fixture, refusing: id::MemberId) {
+    for effect in fixture.take_effects() {
+        match effect {
+            Effect::Open { conn, member } if member == refusing => {
+                let failure = OpenFailure::Refused;
+                fixture.handle(Event::OpenFailed { conn, failure });
+            }
+            _ => {}
+        }
+    }
+}
+
 #[test]
 fn choose_waits_for_log_of_member_that_was_dropped_after_its_hold() {
     let mut fixture = Fixture::new();
@@ -661,15 +689,172 @@
         revision: version(60),
     });
     for _ in 0..24 {
-        for effect in fixture.take_effects() {
-            if let Effect::Open { conn, member: 2 } = effect {
-                let failure = OpenFailure::Refused;
-                fixture.handle(Event::OpenFailed { conn, failure });
-            }
-        }
+        refuse_connections(&mut fixture, 2);
         fixture.advance(100);
     }
     assert!(fixture.broker.member(2).is_none());
     answer_status(&mut fixture, 3, (false, 0, (0, 500), 1));
     assert_eq!(take_recorded_target(&mut fixture), None);
 }
+
+/// A row that names member 3, promoted to term 2. Its claim has ended.
+fn row_of_promoted_member() -> ClaimRow {
+    let claim = Claim {
+        token: 6,
+        target: Some("member-3".into()),
+        settled: true,
+        until_ms: 8_000,
+        last_ordered: LastOrdered::Member {
+            name: "member-3".into(),
+            replaced_term: 1,
+        },
+        ..Claim::default()
+    };
+    ClaimRow {
+        claim,
+        revision: version(4),
+        now_ms: 9_000,
+    }
+}
+
+/// Member 3 has been promoted to term 2 and leaves, or cannot be reached. Its predecessor, member 1, leads on in term 1, which is
+/// the newest term that this proxy has seen.
+#[rstest]
+#[case::without_other_answer(false)]
+#[case::after_replica_has_shown_newer_term(true)]
+fn claim_does_not_name_replaced_leader_that_leads_on(#[case] replica_answers_first: bool) {
+    let mut fixture = Fixture::unfenced();
+    let led = StatementReport {
+        member: 1,
+        answer: Answer::Led {
+            sent_at: fixture.now,
+            commit: false,
+        },
+        point: Some(Point::new(1, 10)),
+        floor: None,
+        took: None,
+    };
+    fixture.handle(Event::StatementEnded(led));
+    fixture.now += Duration::from_millis(10);
+    let mut successor = member_at(3, "c", true);
+    successor.leaving = true;
+    successor.revision = version(10);
+    fixture.handle(Event::Listed(successor));
+    assert_eq!(fixture.leader(), Some(3));
+    fixture.advance(300);
+    write_claim(&mut fixture, row_of_promoted_member());
+    fixture.take_effects();
+    if replica_answers_first {
+        answer_status(&mut fixture, 2, (false, 2, (2, 20), 0));
+    }
+    answer_status(&mut fixture, 1, (true, 1, (1, 20), 0));
+    let named = fixture
+        .take_effects()
+        .into_iter()
+        .find_map(|effect| match effect {
+            Effect::StoreClaim { claim, .. } => Some(claim.last_ordered),
+            _ => None,
+        });
+    let replaced = LastOrdered::Member {
+        name: "member-1".into(),
+        replaced_term: 0,
+    };
+    assert_ne!(named, Some(replaced), "member 3 has been promoted since");
+}
+
+/// The newest claim, which may have ordered another member, is lost with the store's changes.
+#[test]
+fn claim_does_not_keep_last_ordered_member_of_earlier_era() {
+    let mut fixture = Fixture::unfenced();
+    fixture.handle(Event::StoreEra {
+        era: 1,
+        known_for: Duration::from_secs(60),
+    });
+    fixture.handle(Event::DirectoryRead { reached: true });
+    let mut leaving = member_at(1, "a", true);
+    leaving.leaving = true;
+    leaving.revision.era = 1;
+    fixture.handle(Event::Listed(leaving));
+    fixture.advance(300);
+    fixture.take_effects();
+    let mut stored = row_of_promoted_member();
+    stored.revision.era = 1;
+    fixture.handle(Event::ClaimLoaded {
+        group: GROUP,
+        asked_at: fixture.now,
+        stored: Some(stored),
+    });
+    let claim = take_written_claim(&mut fixture);
+    assert_eq!(claim.last_ordered, LastOrdered::Unknown);
+}
+
+/// The claim ends 4 s after its read. The proxy is suspended meanwhile, and the first event after it is the loss of a connection to
+/// a member that has been dropped.
+#[test]
+fn choice_is_not_written_after_claim_has_ended() {
+    let mut fixture = Fixture::unfenced();
+    fixture.handle(Event::Unlisted {
+        name: "member-3".into(),
+        revision: version(9),
+    });
+    fixture.advance(1_800);
+    refuse_connections(&mut fixture, 3);
+    let mut leaving = member_at(1, "a", true);
+    leaving.leaving = true;
+    leaving.revision = version(10);
+    fixture.handle(Event::Listed(leaving));
+    fixture.advance(300);
+    write_claim(&mut fixture, ClaimRow::default());
+    let term = take_holds(&mut fixture)[0].1;
+    answer_status(&mut fixture, 2, (false, term - 1, (term - 1, 500), term));
+    fixture.advance(300);
+    assert!(fixture.broker.member(3).is_none());
+    fixture.take_effects();
+    fixture.now += Duration::from_millis(5_000);
+    fixture.handle(Event::StatusAnswered {
+        group: GROUP,
+        member: 3,
+        status: None,
+    });
+    assert_eq!(take_recorded_target(&mut fixture), None);
+}
+
+/// The claimant before has held both replicas for term 3 and ended. This proxy has seen no term yet.
+#[test]
+fn claim_tells_promotion_of_member_that_earlier_claimant_has_held() {
+    let mut fixture = Fixture::unfenced();
+    let mut leaving = member_at(1, "a", true);
+    leaving.leaving = true;
+    leaving.revision = version(10);
+    fixture.handle(Event::Listed(leaving));
+    fixture.advance(300);
+    write_claim(&mut fixture, row_after_order(false, 20_000));
+    for member in [2, 3] {
+        answer_status(&mut fixture, member, (false, 2, (2, 500), 3));
+    }
+    let holds = take_holds(&mut fixture);
+    for (member, term) in [2, 3].map(|member| (member, holds.last().map_or(3, |hold| hold.1))) {
+        answer_status(&mut fixture, member, (false, 2, (2, 500), term));
+    }
+    fixture.advance(600);
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some("member-2")
+    );
+    fixture.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome: StoreOutcome::Written(version(12)),
+    });
+    fixture.handle(Event::PromotionOrdered {
+        group: GROUP,
+        outcome: OrderOutcome::Accepted,
+    });
+    fixture.take_effects();
+    answer_status(&mut fixture, 2, (true, 3, (3, 501), 0));
+    let row = ClaimRow {
+        claim: take_written_claim(&mut fixture),
+        revision: version(13),
+        now_ms: 12_000,
+    };
+    assert_eq!(row.standing("member-2", 3), Standing::Undisputed);
+}
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -603,3 +603,230 @@
         postcard::from_bytes(&claim.to_bytes()).expect("trailing bytes are ignored");
     assert_eq!(read, earlier);
 }
+
+/// Both questions to a replica may be answered right after a promotion has released it, although they were sent one after the other.
+#[test]
+fn answers_at_the_same_instant_are_no_consent() {
+    let mut fixture = with_lease();
+    fixture.now += 2 * LEASE_DURATION;
+    read(&mut fixture);
+    assert!(answer_claim_read(&mut fixture, None));
+    let now = fixture.now;
+    for member in [2, 3] {
+        for asked_at in [now - Duration::from_millis(300), now] {
+            fixture.handle(Event::LeaseAnswered {
+                group: GROUP,
+                member,
+                asked_at,
+                status: Some(status(false, 1, (1, 10), 0)),
+            });
+        }
+    }
+    fixture.open_all();
+    assert!(fixture.take_grants().is_empty());
+}
+
+/// A process that refuses a connection or has moved may be back under its identifier at once, be promoted, and release the other
+/// replica, which has not heard of it yet.
+#[rstest]
+#[case::refused(OpenFailure::Refused)]
+#[case::at_another_address(OpenFailure::WrongMember)]
+fn lease_is_not_started_while_one_replica_only_refuses_connections(#[case] failure: OpenFailure) {
+    let mut fixture = with_lease();
+    fixture.now += 2 * LEASE_DURATION;
+    for _ in 0..20 {
+        read(&mut fixture);
+        answer_claim_read(&mut fixture, None);
+        for _ in 0..3 {
+            for effect in fixture.take_effects() {
+                match effect {
+                    Effect::Open { conn, member: 3 } => {
+                        fixture.handle(Event::OpenFailed { conn, failure });
+                    }
+                    Effect::Open { conn, .. } => fixture.handle(Event::Opened(conn)),
+                    Effect::AskStatus { conn, member, .. } => {
+                        let asked_at = fixture.now;
+                        answer(
+                            &mut fixture,
+                            (member, conn, asked_at),
+                            Some((false, 1, (1, 10), 0)),
+                        );
+                    }
+                    other => fixture.effects.push(other),
+                }
+            }
+            fixture.advance(10);
+        }
+        assert!(fixture.take_grants().is_empty());
+        fixture.advance(70);
+    }
+}
+
+/// While the directory cannot be read, a member may have joined and been promoted.
+#[test]
+fn lease_is_not_started_by_consent_while_directory_is_not_reached() {
+    let mut fixture = with_lease();
+    let reached = false;
+    fixture.handle(Event::DirectoryRead { reached });
+    fixture.now += Duration::from_secs(30);
+    for _ in 0..8 {
+        read(&mut fixture);
+        answer_claim_read(&mut fixture, None);
+        for question in take_questions(&mut fixture) {
+            answer(&mut fixture, question, Some((false, 1, (1, 10), 0)));
+        }
+        assert_eq!(serve_reads(&mut fixture), 0);
+        fixture.advance(70);
+    }
+}
+
+/// The leader has been replaced in term 1, and promoted again since. Its lease of term 1 would cover samples of its log from the
+/// time when it led on.
+#[test]
+fn standing_of_leader_that_was_promoted_back_is_not_undisputed_in_its_earlier_term() {
+    let mut row = ClaimRow::default();
+    row.claim.target = Some("member-1".into());
+    row.claim.settled = true;
+    row.claim.last_ordered = LastOrdered::Member {
+        name: "member-1".into(),
+        replaced_term: 2,
+    };
+    assert_eq!(row.standing("member-1", 3), Standing::Undisputed);
+    assert_ne!(row.standing("member-1", 1), Standing::Undisputed);
+}
+
+/// An answer that the replaced leader still gives must not win it back.
+#[test]
+fn replaced_leader_is_not_believed_again_by_answer_of_its_term() {
+    let mut fixture = unfenced();
+    read(&mut fixture);
+    let mut row = ClaimRow::default();
+    row.claim.target = Some("member-2".into());
+    row.claim.settled = true;
+    row.claim.last_ordered = ordered("member-2");
+    assert!(answer_claim_read(&mut fixture, Some(&row)));
+    assert_eq!(fixture.leader(), None);
+    let asked_at = fixture.now;
+    answer(
+        &mut fixture,
+        (1, 900, asked_at),
+        Some((true, 1, (1, 12), 0)),
+    );
+    assert_ne!(fixture.leader(), Some(1));
+}
+
+/// Plays a store that answers each read of the claim row after `store_ms`, and members that consent, for 10 s. Returns the number
+/// of instants, one every 50 ms, at which a read is granted at once.
+fn instants_with_lease(store_ms: Option<u64>) -> usize {
+    let mut fixture = with_lease();
+    let mut reads: Vec<(Instant, Instant)> = Vec::new();
+    let mut served_instants = 0;
+    for _ in 0..200 {
+        read(&mut fixture);
+        for _ in 0..4 {
+            for effect in fixture.take_effects() {
+                match effect {
+                    Effect::LoadClaim(_) => {
+                        let took = Duration::from_millis(store_ms.unwrap_or(10));
+                        reads.push((fixture.now, fixture.now + took));
+                    }
+                    Effect::Open { conn, .. } => fixture.handle(Event::Opened(conn)),
+                    Effect::AskStatus { conn, member, .. } => {
+                        let asked_at = fixture.now;
+                        answer(
+                            &mut fixture,
+                            (member, conn, asked_at),
+                            Some((false, 1, (1, 10), 0)),
+                        );
+                    }
+                    other => fixture.effects.push(other),
+                }
+            }
+        }
+        served_instants += usize::from(serve_reads(&mut fixture) > 0);
+        fixture
+            .effects
+            .retain(|effect| !matches!(effect, Effect::Refuse(_)));
+        fixture.advance(50);
+        let now = fixture.now;
+        let (answered, waiting) = reads.into_iter().partition(|(_, at)| *at <= now);
+        reads = waiting;
+        let answered: Vec<(Instant, Instant)> = answered;
+        for (asked_at, _) in answered {
+            let stored = store_ms.map(|_| ClaimRow::default());
+            fixture.handle(Event::ClaimLoaded {
+                group: GROUP,
+                asked_at,
+                stored,
+            });
+        }
+    }
+    served_instants
+}
+
+/// A slow store must not make leases rarer than a store that refuses all reads.
+#[rstest]
+#[case::of_450_ms(450)]
+#[case::of_600_ms(600)]
+#[case::of_1000_ms(1_000)]
+fn slow_store_leaves_as_many_leases_as_store_that_refuses(#[case] store_ms: u64) {
+    let refused = instants_with_lease(None);
+    let slow = instants_with_lease(Some(store_ms));
+    assert!(
+        slow * 10 >= refused * 9,
+        "{slow} of 200 instants, {refused} while refused"
+    );
+}
+
+/// Without the claim row, no lease can be started while one member is silent, so a read must not wait for its whole time.
+#[rstest]
+#[case::replica(3)]
+#[case::replica_of_other_domain(2)]
+fn read_is_refused_early_while_one_member_is_silent(#[case] silent: id::MemberId) {
+    let mut fixture = without_claim_row();
+    let play = |fixture: &mut Fixture| {
+        for _ in 0..4 {
+            for effect in fixture.take_effects() {
+                match effect {
+                    Effect::LoadClaim(group) => fixture.handle(Event::ClaimLoaded {
+                        group,
+                        asked_at: fixture.now,
+                        stored: None,
+                    }),
+                    Effect::Open { conn, member } if member == silent => {
+                        let failure = OpenFailure::Silent;
+                        fixture.handle(Event::OpenFailed { conn, failure });
+                    }
+                    Effect::Open { conn, .. } => fixture.handle(Event::Opened(conn)),
+                    Effect::AskStatus { conn, member, .. } => {
+                        let asked_at = fixture.now;
+                        let fields = (false, 1, (1, 10), 0);
+                        answer(fixture, (member, conn, asked_at), Some(fields));
+                    }
+                    other => fixture.effects.push(other),
+                }
+            }
+        }
+        fixture.advance(50);
+    };
+    for _ in 0..40 {
+        play(&mut fixture);
+    }
+    fixture.effects.clear();
+    let acknowledged_before = fixture.now;
+    let requirement = Requirement::VerifiedLeader {
+        acknowledged_before,
+    };
+    let request = fixture.add_request_within(requirement, 300, 5_000);
+    let refused =
+        |effect: &Effect| matches!(effect, Effect::Refuse(refusal) if refusal.request == request);
+    let mut waited_ms = 0;
+    while !fixture.effects.iter().any(refused) {
+        assert!(
+            waited_ms < 2_500,
+            "the read still waits after {waited_ms} ms"
+        );
+        play(&mut fixture);
+        waited_ms += 50;
+    }
+}
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -281,3 +281,20 @@
         "reports of unreachable members do not count"
     );
 }
+
+/// Member 2 has confirmed the commit and is removed from the group. Of the three that remain, only the primary holds the commit.
+#[test]
+fn commit_is_not_confirmed_by_member_that_was_removed() {
+    let now = Instant::now();
+    let point = floor::Point::new(4, 10);
+    let mut watch = status::Watch::new(GROUP, 1..=4, now);
+    watch.confirmations.add(7, point, MEMBER);
+    let report = |position| event::Status {
+        term: 4,
+        last: floor::Point::new(4, position),
+        ..event::Status::default()
+    };
+    assert_eq!(watch.record_status(now, 2, report(10)).confirmed, []);
+    watch.configure([1, 3, 4].into_iter(), now);
+    assert_eq!(watch.record_status(now, 3, report(9)).confirmed, []);
+}
--- a/crates/session/tests/listen.rs
+++ b/crates/session/tests/listen.rs
@@ -315,3 +315,32 @@
     })
     .await;
 }
+
+/// The member's entry vanishes after the reader's last update, so no change in the store tells of it any more.
+#[tokio::test]
+async fn listener_without_reader_does_not_keep_member_that_store_no_longer_lists() {
+    on_one_thread(async {
+        let pair = Pair::start(|store| {
+            store.listed.replace(vec!["member-1", "member-2"]);
+        })
+        .await;
+        let listed = || {
+            let members = pair
+                .listener
+                .shell
+                .with_broker(|broker| broker.listed_members());
+            members
+                .into_iter()
+                .map(|member| member.name)
+                .collect::<Vec<_>>()
+        };
+        assert_eq!(listed().len(), 2);
+        pair.reader.store.down.set(true);
+        pair.listener.store.listed.replace(vec!["member-2"]);
+        pair.listener.store.version.set(2);
+        pair.listener.wait_for_version(2).await;
+        tokio::time::sleep(SETTLING_TIME).await;
+        assert_eq!(listed(), ["member-2".into()]);
+    })
+    .await;
+}
