Start leases of leaders without gaps while the claim row is slow or unread

What callers would have seen, cause, and the test that was red before:

- Stale reads: a replica that refused one connection needed no consent, and two questions answered at one instant counted as a span of time (lease_is_not_started_while_one_replica_only_refuses_connections, answers_at_the_same_instant_are_no_consent).
All other known members must consent, and the span runs from the first answer.
- Writes sent to a replaced leader: its next answer won it back after the row had named another (replaced_leader_is_not_believed_again_by_answer_of_its_term).
The row tells the term that the last ordered member leads at least.
A read of over 250 ms now counts as one that does not tell.
- Reads that waited for their whole time though neither row nor all members could be reached (read_is_refused_early_while_one_member_is_silent).

--- a/crates/broker/src/lease.rs
+++ b/crates/broker/src/lease.rs
@@ -30,7 +30,7 @@
 /// Time from the question to the end of the lease, and from the last confirmed hold to the promotion order. It bounds from
 /// below how often replicas are asked, and it is added to the time without a leader.
 pub const LEASE_DURATION: Duration = Duration::from_millis(500);
-/// Time from the first to the last answer by which a member consents, see [`Consents`]. A member that a promotion has released
+/// Time from the first answer to the last question by which a member consents, see [`Consents`]. A member that a promotion has released
 /// hears of the new leader meanwhile, unless it is cut off from it.
 const CONSENT_SPAN: Duration = Duration::from_millis(200);
 
@@ -98,8 +98,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Consent {
     term: id::Term,
-    /// Instant at which the question for the first of these answers was sent.
-    first_asked_at: Instant,
+    /// Instant at which the first of these answers arrived.
+    first_answered_at: Instant,
     /// Instant at which the question for the last of these answers was sent.
     last_asked_at: Instant,
 }
@@ -114,10 +114,16 @@
 
 impl Consents {
     /// Records that a member answered as the consent to the lease of the leader of `term` requires.
-    pub fn record(&mut self, member: id::MemberId, term: id::Term, asked_at: Instant) {
+    pub fn record(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        term: id::Term,
+        asked_at: Instant,
+    ) {
         let first = Consent {
             term,
-            first_asked_at: asked_at,
+            first_answered_at: now,
             last_asked_at: asked_at,
         };
         let consent = self.members.get(member).copied();
@@ -149,7 +155,7 @@
             let consent = self.members.get(member)?;
             let span = consent
                 .last_asked_at
-                .saturating_duration_since(consent.first_asked_at);
+                .saturating_duration_since(consent.first_answered_at);
             if consent.term != term || span < CONSENT_SPAN {
                 return None;
             }
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -26,6 +26,10 @@
 const CLAIM_RETRY_DELAY_WITH_LEASE: Duration = Duration::from_secs(1);
 /// Time of a read of the claim row from which members are asked meanwhile.
 const CLAIM_READ_PATIENCE: Duration = Duration::from_millis(100);
+/// Longest time of a read of the claim row after which the row is relied on again: too little would be left of a lease.
+const CLAIM_READ_TIME_MAX: Duration = Duration::from_millis(250);
+/// Time after the last request without a lease from which a lease that has ended is not renewed.
+const WISH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which a read of the claim row counts as lost.
 const CLAIM_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -44,6 +48,10 @@
     pub(super) lease: lease::LeaderLease,
     /// Whether the lease must be renewed.
     pub(super) renewal_due: bool,
+    /// Instant since which requests have waited for a lease, or been refused without one.
+    pub(super) wanted_since: Option<Instant>,
+    /// Instant at which the last such request was decided on.
+    wanted_at: Option<Instant>,
     question: Option<Question>,
     /// Instant at which the read of the claim row that is under way was sent.
     claim_read_sent_at: Option<Instant>,
@@ -66,6 +74,25 @@
         }
     }
 
+    /// Records that a request waits for a lease, or is refused without one.
+    pub(super) fn want(&mut self, now: Instant) {
+        self.renewal_due = true;
+        self.wanted_since.get_or_insert(now);
+        self.wanted_at = Some(now);
+    }
+
+    /// Ends the renewal of a lease that no request has wanted lately.
+    fn forget_wish(&mut self, now: Instant) {
+        let wanted = self
+            .wanted_at
+            .is_some_and(|at| now.saturating_duration_since(at) < WISH_TIMEOUT);
+        let valid = self.lease.is_valid(now);
+        self.renewal_due &= valid || wanted;
+        if valid || !wanted {
+            self.wanted_since = None;
+        }
+    }
+
     /// Returns whether members are asked: the claim row starts no lease, or is not read in time.
     fn needs_members(&self, now: Instant) -> bool {
         let slow = self
@@ -119,10 +146,16 @@
     /// Returns whether the claim row or a member can be expected to grant the leader a lease.
     pub(super) fn may_renew_lease(&self) -> bool {
         let leader = self.leader.member;
-        let reachable = |state: &member_state::MemberState| {
-            Some(state.entry.id) != leader && state.unlisted_since.is_none() && state.failures < 2
-        };
-        !self.lease.is_unconfirmed() || self.members.values().any(reachable)
+        let mut others = self
+            .members
+            .values()
+            .filter(|state| Some(state.entry.id) != leader);
+        let reachable = |state: &member_state::MemberState| state.failures < 2;
+        match self.lease.standing {
+            None | Some(claim::Standing::Undisputed) => true,
+            Some(claim::Standing::Unknown) => others.all(reachable),
+            Some(claim::Standing::Disputed | claim::Standing::Replaced) => others.any(reachable),
+        }
     }
 
     /// Returns whether the leader has shown that it leads a term not older than that of the last lease.
@@ -133,17 +166,16 @@
     }
 
     fn has_shown_term(&self, leader: &member_state::MemberState) -> bool {
-        leader.led_term > 0 && leader.led_term >= self.lease.lease.term()
+        leader.led_term > 0 && leader.led_term >= self.lease.lease.term().max(self.leader.term)
     }
 
-    /// Starts or extends the lease if all other members consent. A member whose process is gone cannot be promoted. Returns
-    /// whether the lease is valid.
+    /// Starts or extends the lease if all other members consent. Returns whether the lease is valid.
     fn start_lease_by_consent(&mut self, now: Instant) -> bool {
         let leader = self.leader.member;
         let others = self
             .members
             .values()
-            .filter(|state| Some(state.entry.id) != leader && !state.process_gone)
+            .filter(|state| Some(state.entry.id) != leader)
             .map(|state| state.entry.id);
         let term = self.leader_term();
         if let Some(given_at) = self.lease.consents.given_at(term, others) {
@@ -222,8 +254,7 @@
             return;
         };
         let valid = group.lease.lease.is_valid(now);
-        // Without requests that wait, a lease that has ended is not needed.
-        group.lease.renewal_due &= valid || !group.queue.is_empty();
+        group.lease.forget_wish(now);
         if !group.lease.renewal_due {
             return;
         }
@@ -322,6 +353,8 @@
             false => CLAIM_RETRY_DELAY,
         };
         group.lease.claim_retry_at = Some(now + retry_delay);
+        let promoted_term = stored.and_then(claim::ClaimRow::promoted_term);
+        group.leader.term = group.leader.term.max(promoted_term.unwrap_or(0));
         let leader = group.leader.member;
         let Some(leader) = leader.and_then(|leader| group.members.get_mut(leader)) else {
             return;
@@ -334,6 +367,9 @@
             claim::Standing::Undisputed if leader.led_term > 0 => {
                 group.lease.lease.start(leader.led_term, asked_at);
                 group.lease.renewal_due = false;
+                if now.saturating_duration_since(asked_at) > CLAIM_READ_TIME_MAX {
+                    group.lease.standing = Some(claim::Standing::Unknown);
+                }
             }
             claim::Standing::Replaced => leader.denies_leadership = true,
             _ => {}
@@ -371,7 +407,7 @@
             let leads_older_term = status.leads && status.term < term;
             let consents = status.held_term == 0 && (leads_older_term || !status.leads);
             match consents && status.term <= term {
-                true => lease.consents.record(member, term, asked_at),
+                true => lease.consents.record(now, member, term, asked_at),
                 false => lease.consents.withdraw(member),
             }
         }
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -180,7 +180,16 @@
         let (direct, forwarding) = (group.answer_rate(now, false), group.answer_rate(now, true));
         let mut wanted: Vec<id::MemberId> = Vec::new();
         for (ahead, request) in waiting.into_iter().enumerate() {
-            match self.decide(now, &request) {
+            let decision = self.decide(now, &request);
+            let without_leader = matches!(
+                decision,
+                Decision::Wait | Decision::Refuse(effect::RefusalReason::NoLeader, _)
+            );
+            let is_direct = !forwards || request.forwarded;
+            if without_leader && is_direct && self.lacks_lease(now, &request) {
+                self.groups.entry(group_id).lease.want(now);
+            }
+            match decision {
                 Decision::Grant { member, floor } => {
                     if request.requirement != request::Requirement::Leader && !self.is_home(member)
                     {
@@ -190,7 +199,7 @@
                 }
                 Decision::Open(member) => wanted.push(member),
                 Decision::Sample => self.groups.entry(group_id).needs_sample = true,
-                Decision::Lease => self.groups.entry(group_id).lease.renewal_due = true,
+                Decision::Lease => self.groups.entry(group_id).lease.want(now),
                 Decision::Wait if ahead > 0 => {
                     let rate = match forwards && !request.forwarded {
                         true => forwarding,
@@ -353,6 +362,14 @@
         self.settings.fenced || group.lease.lease.covers(term, instant)
     }
 
+    /// Returns whether a request needs a lease of the leader and there is none.
+    fn lacks_lease(&self, now: Instant, request: &request::Request) -> bool {
+        let reads = request.requirement != request::Requirement::Leader;
+        let group = self.groups.get(request.group);
+        let leased = group.is_some_and(|group| group.lease.lease.is_valid(now));
+        reads && !leased && !self.settings.fenced
+    }
+
     /// Decides on a request that the lease of the leader does not cover yet.
     fn wait_for_lease(
         &self,
@@ -360,10 +377,20 @@
         group: &state::GroupState,
         request: &request::Request,
     ) -> Decision {
-        match self.usable_leader(now, group).is_some() && group.may_renew_lease() {
-            true => Decision::Lease,
-            false => decide_without_leader(now, group, request),
+        let led = self.usable_leader(now, group).is_some();
+        if led && group.may_renew_lease() {
+            return Decision::Lease;
+        }
+        let waited = group
+            .lease
+            .wanted_since
+            .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        if led && waited > LEADER_GAP_USUAL {
+            // Another proxy may reach the claim row or the members that this one does not reach.
+            let wait = waited.mul_f64(LEADER_GAP_GROWTH);
+            return Decision::Refuse(effect::RefusalReason::NoLeader, wait);
         }
+        decide_without_leader(now, group, request)
     }
 
     /// Chooses the home to which a request is forwarded. Returns `None` if no home can be reached, so that this proxy must
