Remove members that only a reader has told once the store no longer lists them

What callers would have seen: failovers of a proxy that never finish, since each waits for the hold of a member that no longer exists.

Cause: a listener that loses its reader reads the store in full, but removed only names that it had read itself before; members that the reader had told stayed for good.

Change: the full read removes every member that the proxy knows and the store does not list. An entry that is newer than the read stays, by its revision.

--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -213,7 +213,7 @@
             self.shell.apply_update(update);
         }
         if is_full_read && !peers_lost {
-            for name in std::mem::take(&mut self.listed_names) {
+            for name in self.take_known_names() {
                 if !listed_in_batch.contains(&name) {
                     self.apply_removal(name, batch.revision);
                 }
@@ -232,6 +232,18 @@
         }
     }
 
+    /// Takes the names whose entries this proxy knows. A reader may have told members that this follower has never read.
+    fn take_known_names(&mut self) -> Vec<Box<str>> {
+        let mut names = std::mem::take(&mut self.listed_names);
+        if self.source.contents() == deployment::Contents::Members {
+            let listed = self.shell.with_broker(|broker| broker.listed_members());
+            names.extend(listed.into_iter().map(|member| member.name));
+            names.sort_unstable();
+            names.dedup();
+        }
+        names
+    }
+
     fn apply_removal(&mut self, name: Box<str>, revision: revision::Revision) {
         match self.source.contents() {
             deployment::Contents::Peers => self
