--- a/crates/broker/tests/model.rs
+++ b/crates/broker/tests/model.rs
@@ -38,6 +38,8 @@
     leases: 0,
     reads: false,
     restores: 0,
+    late_confirms: false,
+    judged: None,
 };
 
 /// Two proxies replace the leader once each, and a claim may expire meanwhile.
@@ -92,6 +94,20 @@
     ..ALONE
 };
 
+/// One proxy replaces the leader twice, promotions are not fenced, and a replica that has not heard of the new leader goes on
+/// confirming entries of the old one.
+const LATE_CONFIRMS: Bounds = Bounds {
+    attempts: [2, 0],
+    writes: 1,
+    pauses: 1,
+    lost_answers: 0,
+    delayed_answers: false,
+    fenced: false,
+    leases: 2,
+    late_confirms: true,
+    ..ALONE
+};
+
 /// Two proxies replace the leader once each, and promotions are not fenced.
 const BOTH_UNFENCED: Bounds = Bounds {
     fenced: false,
@@ -124,6 +140,12 @@
     assert!(found.promotions > 0, "some attempts succeed");
 }
 
+#[test]
+fn writes_that_old_leader_acknowledges_after_promotion_are_kept() {
+    let found = search(LATE_CONFIRMS, Mutation::None);
+    assert_eq!(found.violation, None);
+}
+
 #[rstest]
 #[case::members_not_held(ALONE, Mutation::HoldsIgnored)]
 #[case::tokens_not_checked(TWICE_AFTER_LATE_ORDER, Mutation::TokensUnchecked)]
