Model: leases start from the claim row, the next term or all members

This is the rule that is planned, in the model only: crates/broker/src is as it was. system.rs has it in start_lease_from_claim, extend_lease, observe_next_term and start_lease_from_members; the claim row has the last ordered member. Virtual time passes in half or whole leases; evidence may be overtaken (delayed_evidence).

Two conditions that the search requires and that the plan did not state: - The believed leader must show that it leads the term, in an answer that was asked for after the row was read. A row that names the believed leader as pending needs no condition of its own, as the member is written together with the target.

--- a/crates/broker/tests/model.rs
+++ b/crates/broker/tests/model.rs
@@ -35,8 +35,11 @@
     leaves: false,
     reason: ReplaceReason::Unreachable,
     fenced: true,
-    leases: 0,
+    time_steps: 0,
+    steps_per_lease: 1,
     reads: false,
+    delayed_evidence: false,
+    store_silent: false,
     restores: 0,
     late_confirms: false,
     judged: None,
@@ -62,7 +65,7 @@
 /// The same where promotions are not fenced.
 const BOTH_WITH_RESTORE_UNFENCED: Bounds = Bounds {
     fenced: false,
-    leases: 1,
+    time_steps: 1,
     ..BOTH_WITH_RESTORE
 };
 
@@ -89,11 +92,59 @@
 const UNFENCED: Bounds = Bounds {
     writes: 1,
     fenced: false,
-    leases: 1,
+    time_steps: 2,
+    steps_per_lease: 2,
     reads: true,
     ..ALONE
 };
 
+/// The same with answers that reach the reading proxy late.
+const LATE_EVIDENCE: Bounds = Bounds {
+    lost_answers: 0,
+    delayed_answers: false,
+    time_steps: 3,
+    delayed_evidence: true,
+    ..UNFENCED
+};
+
+/// The same, and the store does not answer the reading proxy.
+const STORE_SILENT: Bounds = Bounds {
+    delayed_evidence: false,
+    store_silent: true,
+    ..LATE_EVIDENCE
+};
+
+/// One proxy replaces the leader twice, promotions are not fenced, and another proxy reads.
+const TWICE_UNFENCED: Bounds = Bounds {
+    attempts: [2, 0],
+    pauses: 1,
+    lost_answers: 0,
+    delayed_answers: false,
+    time_steps: 2,
+    steps_per_lease: 1,
+    ..UNFENCED
+};
+
+/// One proxy replaces the leader once, the store comes back without its claim, and another proxy reads.
+const RESTORE_WITH_READS: Bounds = Bounds {
+    attempts: [1, 0],
+    pauses: 0,
+    lost_answers: 0,
+    delayed_answers: false,
+    time_steps: 2,
+    steps_per_lease: 1,
+    restores: 1,
+    ..UNFENCED
+};
+
+/// The same, and the proxy claims again after that.
+const TWICE_WITH_RESTORE: Bounds = Bounds {
+    attempts: [2, 0],
+    pauses: 2,
+    time_steps: 1,
+    ..RESTORE_WITH_READS
+};
+
 /// One proxy replaces the leader twice, promotions are not fenced, and a replica that has not heard of the new leader goes on
 /// confirming entries of the old one.
 const LATE_CONFIRMS: Bounds = Bounds {
@@ -103,7 +154,7 @@
     lost_answers: 0,
     delayed_answers: false,
     fenced: false,
-    leases: 2,
+    time_steps: 2,
     late_confirms: true,
     ..ALONE
 };
@@ -111,14 +162,14 @@
 /// Two proxies replace the leader once each, and promotions are not fenced.
 const BOTH_UNFENCED: Bounds = Bounds {
     fenced: false,
-    leases: 2,
+    time_steps: 2,
     ..BOTH
 };
 
 /// One proxy replaces the leader twice while an older order may still be executed, which no token ends.
 const TWICE_AFTER_LATE_ORDER_UNFENCED: Bounds = Bounds {
     fenced: false,
-    leases: 2,
+    time_steps: 2,
     ..TWICE_AFTER_LATE_ORDER
 };
 
@@ -130,6 +181,10 @@
 #[case::twice_after_late_order(TWICE_AFTER_LATE_ORDER)]
 #[case::unfenced(UNFENCED)]
 #[case::unfenced_and_leaving(Bounds { reason: ReplaceReason::Leaving, leaves: true, ..UNFENCED })]
+#[case::late_evidence(LATE_EVIDENCE)]
+#[case::store_silent(STORE_SILENT)]
+#[case::twice_unfenced(TWICE_UNFENCED)]
+#[case::restore_with_reads(RESTORE_WITH_READS)]
 #[case::both_unfenced(BOTH_UNFENCED)]
 #[case::both_with_restore(BOTH_WITH_RESTORE)]
 #[case::both_with_restore_unfenced(BOTH_WITH_RESTORE_UNFENCED)]
@@ -153,7 +208,16 @@
 #[case::unanswered_order_forgotten(AFTER_LATE_ORDER, Mutation::OrdersForgotten)]
 #[case::leases_not_awaited(UNFENCED, Mutation::LeasesNotAwaited)]
 #[case::leases_ignored(UNFENCED, Mutation::LeasesIgnored)]
-#[case::older_orders_ended(Bounds { leases: 0, ..TWICE_AFTER_LATE_ORDER_UNFENCED }, Mutation::OlderOrdersEnded)]
+#[case::replicas_start_leases(UNFENCED, Mutation::ReplicasStartLeases)]
+#[case::claim_in_progress_starts_lease(UNFENCED, Mutation::ClaimInProgressStartsLease)]
+#[case::other_ordered_starts_lease(UNFENCED, Mutation::OtherOrderedStartsLease)]
+#[case::lapsed_leases_extended(UNFENCED, Mutation::LapsedLeasesExtended)]
+#[case::next_term_always_believed(TWICE_UNFENCED, Mutation::NextTermAlwaysBelieved)]
+#[case::lost_claim_starts_lease(RESTORE_WITH_READS, Mutation::LostClaimStartsLease)]
+#[case::old_beliefs_start_leases(TWICE_UNFENCED, Mutation::OldBeliefsStartLeases)]
+#[case::last_ordered_kept_across_eras(TWICE_WITH_RESTORE, Mutation::LastOrderedKeptAcrossEras)]
+#[case::one_member_starts_lease(STORE_SILENT, Mutation::OneMemberStartsLease)]
+#[case::older_orders_ended(Bounds { time_steps: 0, ..TWICE_AFTER_LATE_ORDER_UNFENCED }, Mutation::OlderOrdersEnded)]
 #[case::lost_claims_ignored(BOTH_WITH_RESTORE, Mutation::LostClaimsIgnored)]
 #[case::tokens_without_era(BOTH_WITH_RESTORE_UNFENCED, Mutation::TokensWithoutEra)]
 #[case::released_after_claim(Bounds { lost_answers: 1, ..BOTH }, Mutation::ReleasedLate)]
--- a/crates/broker/tests/model/group.rs
+++ b/crates/broker/tests/model/group.rs
@@ -46,6 +46,8 @@
     /// Whether a member that has not heard of the newest leader may still receive from an older one.
     pub late_confirms: bool,
     pub writes_left: u8,
+    /// Members that have led, with their terms.
+    led: Vec<(usize, u8)>,
     /// Whether the last step promoted a member.
     pub promoted: bool,
     pub violation: Option<Violation>,
@@ -68,6 +70,7 @@
             fenced,
             late_confirms,
             writes_left: writes,
+            led: vec![(0, 1)],
             promoted: false,
             violation: None,
         }
@@ -79,6 +82,15 @@
         leaders.max_by_key(|index| self.members[*index].term)
     }
 
+    /// Returns the members that lead, with their terms, and with `old` also those that have led.
+    pub fn beliefs(&self, old: bool) -> Vec<(usize, u8)> {
+        let leads = |(index, term): &(usize, u8)| {
+            let member = &self.members[*index];
+            old || (member.leads && member.term == *term)
+        };
+        self.led.iter().copied().filter(leads).collect()
+    }
+
     /// Lets a replaced leader notice that it has been replaced.
     pub fn step_down(&mut self, index: usize) -> bool {
         let is_replaced = self.members[index].leads && self.leader() != Some(index);
@@ -224,6 +236,7 @@
         let member = &mut self.members[target];
         member.leads = true;
         member.term = term;
+        self.led.push((target, term));
         self.promoted = true;
         let is_missing = |entry: &&Entry| !member.log.contains(entry);
         self.lacked = self
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -17,6 +17,12 @@
 
 /// Time that passes in a pause: longer than a claim lasts. It is a multiple of the time that a lease lasts.
 const PAUSE: Duration = Duration::from_secs(10);
+/// Time after the end of a lease in which the next term starts a lease: the claim lasts as long after a promotion, and no
+/// promotion comes before the end of the lease.
+const NEXT_TERM_TIMEOUT_MS: u32 = 3_000;
+/// Smallest time between the two answers with which a member consents to a lease.
+const CONSENT_INTERVAL_MS: u32 = 200;
+const LEASE_DURATION_MS: u32 = lease::LEASE_DURATION.as_millis() as u32;
 const GROUP: id::GroupId = 1;
 pub const PROXIES: usize = 2;
 
@@ -41,10 +47,16 @@
     pub reason: ReplaceReason,
     /// Whether promotions are fenced.
     pub fenced: bool,
-    /// Number of times that leases may end.
-    pub leases: u8,
+    /// Number of steps in which time passes, other than pauses.
+    pub time_steps: u8,
+    /// Number of these steps in which a lease ends.
+    pub steps_per_lease: u8,
     /// Whether a proxy reads at leaders.
     pub reads: bool,
+    /// Whether other events may happen between a question of that proxy and the arrival of the answer.
+    pub delayed_evidence: bool,
+    /// Whether the store does not answer the proxy that reads.
+    pub store_silent: bool,
     /// Number of times that the store comes back from its first state.
     pub restores: u8,
     /// Whether a member that has not heard of the newest leader may still receive from an older one that leads on.
@@ -71,6 +83,24 @@
     LeasesNotAwaited,
     /// Reads at a leader need no lease.
     LeasesIgnored,
+    /// A replica that is not held starts a lease.
+    ReplicasStartLeases,
+    /// The claim row starts a lease while an attempt is in progress.
+    ClaimInProgressStartsLease,
+    /// The claim row starts a lease although another member was ordered last.
+    OtherOrderedStartsLease,
+    /// The claim row starts a lease although the store may have lost a newer claim.
+    LostClaimStartsLease,
+    /// The first claim of an era tells which member was ordered last, as far as the store knows.
+    LastOrderedKeptAcrossEras,
+    /// A lease is extended after it has lapsed.
+    LapsedLeasesExtended,
+    /// The next term starts a lease at any time after the last one.
+    NextTermAlwaysBelieved,
+    /// The consent of one member starts a lease.
+    OneMemberStartsLease,
+    /// A lease starts for a term that the believed leader led at any time before, not only for the term that it leads.
+    OldBeliefsStartLeases,
     /// The choice of the next leader disregards older orders that a higher token has followed, as if it ended them.
     OlderOrdersEnded,
     /// A proxy claims in a new era of the store without regard to claims that the store has lost.
@@ -149,6 +179,143 @@
     expired: bool,
     /// Era in which the claim was made.
     era: u64,
+    last_ordered: LastOrdered,
+}
+
+/// Member for which a promotion order was recorded last.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+enum LastOrdered {
+    #[default]
+    Nobody,
+    Member(usize),
+    /// The store may have lost the newest record.
+    Unknown,
+}
+
+/// Lease of the leader at the proxy that reads: no member is promoted to a newer term before its end. Instants are in
+/// milliseconds since the start.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+struct Lease {
+    term: u8,
+    expires_at_ms: u32,
+}
+
+impl Lease {
+    fn covers(self, term: u8, now_ms: u32) -> bool {
+        self.term == term && now_ms < self.expires_at_ms
+    }
+
+    /// Sets the end of the lease, by evidence that was asked for at `asked_at_ms`. A newer term ends the lease of an older one.
+    fn set(&mut self, term: u8, asked_at_ms: u32) {
+        let expires_at_ms = asked_at_ms + LEASE_DURATION_MS;
+        if term > self.term {
+            *self = Self {
+                term,
+                expires_at_ms,
+            };
+        } else if term == self.term {
+            self.expires_at_ms = self.expires_at_ms.max(expires_at_ms);
+        }
+    }
+
+    /// Starts a lease by a claim row of no attempt in progress, if the believed leader was ordered last. The next promotion then
+    /// waits until all members have been held for [`lease::LEASE_DURATION`] after the row was read.
+    fn start_lease_from_claim(
+        &mut self,
+        mutation: Mutation,
+        last_ordered: LastOrdered,
+        (leader, term): (usize, u8),
+        asked_at_ms: u32,
+    ) {
+        let leads = match last_ordered {
+            LastOrdered::Nobody => true,
+            LastOrdered::Member(member) => member == leader,
+            LastOrdered::Unknown => false,
+        };
+        if leads || mutation == Mutation::OtherOrderedStartsLease {
+            self.set(term, asked_at_ms);
+        }
+    }
+
+    /// Extends the lease by a replica that follows its term and is not held, if the lease is valid when the answer arrives. An
+    /// acknowledged commit is no other evidence than this answer of the replica that has received it.
+    fn extend_lease(&mut self, mutation: Mutation, term: u8, asked_at_ms: u32, now_ms: u32) {
+        let lapsed = self.term == term && mutation == Mutation::LapsedLeasesExtended;
+        if self.covers(term, now_ms) || lapsed || mutation == Mutation::ReplicasStartLeases {
+            self.set(term, asked_at_ms);
+        }
+    }
+
+    /// Starts a lease of the term that directly follows that of the last lease.
+    fn observe_next_term(&mut self, mutation: Mutation, term: u8, asked_at_ms: u32) {
+        let recent = asked_at_ms <= self.expires_at_ms + NEXT_TERM_TIMEOUT_MS
+            || mutation == Mutation::NextTermAlwaysBelieved;
+        if self.term > 0 && term == self.term + 1 && recent {
+            self.set(term, asked_at_ms);
+        }
+    }
+
+    /// Starts a lease if all members but the believed leader have consented.
+    fn start_lease_from_members(
+        &mut self,
+        mutation: Mutation,
+        consents: &[Option<Consent>; MEMBERS],
+        known: &[bool; MEMBERS],
+        (leader, term): (usize, u8),
+    ) {
+        let others = (0..MEMBERS).filter(|member| *member != leader && known[*member]);
+        let asked_at_ms = |member: usize| {
+            consents[member]
+                .filter(|consent| consent.term == term)
+                .filter(|consent| {
+                    consent.last_asked_at_ms - consent.first_asked_at_ms >= CONSENT_INTERVAL_MS
+                })
+                .map(|consent| consent.last_asked_at_ms)
+        };
+        let oldest = match mutation {
+            Mutation::OneMemberStartsLease => others.filter_map(asked_at_ms).min(),
+            _ => others
+                .map(asked_at_ms)
+                .try_fold(u32::MAX, |oldest, asked_at_ms| {
+                    Some(oldest.min(asked_at_ms?))
+                })
+                .filter(|oldest| *oldest < u32::MAX),
+        };
+        if let Some(oldest) = oldest {
+            self.set(term, oldest);
+        }
+    }
+}
+
+/// Answers of a member which say, without another one between them, that it follows a term and is not held.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Consent {
+    term: u8,
+    first_asked_at_ms: u32,
+    last_asked_at_ms: u32,
+}
+
+/// What the proxy that reads has asked for.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Evidence {
+    /// Last ordered member in a claim row that may start a lease.
+    Claim(LastOrdered),
+    /// Term that a member leads or follows.
+    Status {
+        member: usize,
+        term: u8,
+        /// Whether the member is a replica that is not held.
+        free: bool,
+    },
+}
+
+/// Proxy that reads.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+struct Reader {
+    lease: Lease,
+    /// Evidence that has not arrived yet, and the instant of the question. Other evidence may overtake it.
+    delayed: Option<(u32, Evidence)>,
+    consents: [Option<Consent>; MEMBERS],
 }
 
 /// State of the whole model.
@@ -166,10 +333,9 @@
     pauses: u8,
     lost_answers_left: u8,
     leaves: bool,
-    /// Number of times that leases have ended.
-    lease_ends: u8,
-    /// Lease of a proxy that reads: its term, and the number of leases that had ended before.
-    lease: Option<(u8, u8)>,
+    /// Number of steps in which time has passed, other than pauses.
+    time_steps: u8,
+    reader: Reader,
 }
 
 impl System {
@@ -197,8 +363,8 @@
             pauses: 0,
             lost_answers_left: rules.bounds.lost_answers,
             leaves: false,
-            lease_ends: 0,
-            lease: None,
+            time_steps: 0,
+            reader: Reader::default(),
         };
         if rules.bounds.late_order {
             system.row = Row {
@@ -206,6 +372,7 @@
                 target: Some(1),
                 revision: 1,
                 expired: true,
+                last_ordered: LastOrdered::Member(1),
                 ..Row::default()
             };
             let late = Message::Late(Box::new(Message::Order(1, 1)));
@@ -258,15 +425,25 @@
             add_step(format_args!("{member} steps down"), &|system| {
                 system.group.step_down(member)
             });
-            add_step(format_args!("lease from {member}"), &|system| {
-                system.grant_lease(rules, member)
-            });
+            for delayed in [false, true] {
+                let when = if delayed { "later" } else { "at once" };
+                add_step(format_args!("{member} answers {when}"), &|system| {
+                    system.ask_status(rules, member, delayed)
+                });
+            }
             add_step(format_args!("read at {member}"), &|system| {
                 system.read(rules, member)
             });
         }
-        add_step(format_args!("leases end"), &|system| {
-            system.end_leases(rules)
+        add_step(format_args!("time passes"), &|system| system.wait(rules));
+        for delayed in [false, true] {
+            let when = if delayed { "later" } else { "at once" };
+            add_step(format_args!("claim row is read, {when}"), &|system| {
+                system.read_claim_row(rules, delayed)
+            });
+        }
+        add_step(format_args!("evidence arrives"), &|system| {
+            system.apply_delayed_evidence(rules)
         });
         add_step(format_args!("pause"), &|system| system.pause(rules));
         add_step(format_args!("store goes back"), &|system| {
@@ -304,33 +481,115 @@
     }
 
     fn now(&self, rules: &Rules) -> Instant {
-        rules.start
-            + PAUSE * u32::from(self.pauses)
-            + lease::LEASE_DURATION * u32::from(self.lease_ends)
+        rules.start + Duration::from_millis(self.now_ms(rules).into())
+    }
+
+    fn now_ms(&self, rules: &Rules) -> u32 {
+        PAUSE.as_millis() as u32 * u32::from(self.pauses)
+            + LEASE_DURATION_MS / u32::from(rules.bounds.steps_per_lease)
+                * u32::from(self.time_steps)
     }
 
-    /// Lets time pass, so that leases end, while messages are under way.
-    fn end_leases(&mut self, rules: &Rules) -> bool {
-        let allowed = self.lease_ends < rules.bounds.leases;
-        self.lease_ends += u8::from(allowed);
-        self.lease = self.lease.filter(|_| !allowed);
+    /// Lets time pass while messages are under way.
+    fn wait(&mut self, rules: &Rules) -> bool {
+        let allowed = self.time_steps < rules.bounds.time_steps;
+        self.time_steps += u8::from(allowed);
         allowed
     }
 
-    /// Asks a member for its status, as a proxy that reads. A replica that is not held grants a lease.
-    fn grant_lease(&mut self, rules: &Rules, index: usize) -> bool {
+    /// Asks a member for its status, as the proxy that reads.
+    fn ask_status(&mut self, rules: &Rules, index: usize, delayed: bool) -> bool {
         let member = &self.group.members[index];
-        let granted = rules.bounds.reads && !member.leads && member.held == 0;
-        if granted {
-            self.lease = Some((member.term, self.lease_ends));
+        let status = Evidence::Status {
+            member: index,
+            term: member.term,
+            free: !member.leads && member.held == 0,
+        };
+        self.ask(rules, status, delayed)
+    }
+
+    /// Reads the claim row, as the proxy that reads. The row of an attempt in progress has no target, and its claim has not
+    /// expired.
+    fn read_claim_row(&mut self, rules: &Rules, delayed: bool) -> bool {
+        let in_progress = !self.row.expired
+            && self.row.target.is_none()
+            && rules.mutation != Mutation::ClaimInProgressStartsLease;
+        let lost = self.row.era < self.era && rules.mutation != Mutation::LostClaimStartsLease;
+        if in_progress || lost || rules.bounds.store_silent {
+            return false;
+        }
+        self.ask(rules, Evidence::Claim(self.row.last_ordered), delayed)
+    }
+
+    /// Applies evidence at once or lets it arrive later.
+    fn ask(&mut self, rules: &Rules, evidence: Evidence, delayed: bool) -> bool {
+        let now_ms = self.now_ms(rules);
+        if !rules.bounds.reads {
+            return false;
+        }
+        if !delayed {
+            let before = self.reader.clone();
+            self.apply_evidence(rules, evidence, now_ms);
+            return before != self.reader;
+        }
+        let allowed = rules.bounds.delayed_evidence && self.reader.delayed.is_none();
+        if allowed {
+            self.reader.delayed = Some((now_ms, evidence));
+        }
+        allowed
+    }
+
+    fn apply_delayed_evidence(&mut self, rules: &Rules) -> bool {
+        let Some((asked_at_ms, evidence)) = self.reader.delayed.take() else {
+            return false;
+        };
+        self.apply_evidence(rules, evidence, asked_at_ms);
+        true
+    }
+
+    /// Applies evidence that was asked for at `asked_at_ms` and arrives now.
+    fn apply_evidence(&mut self, rules: &Rules, evidence: Evidence, asked_at_ms: u32) {
+        let now_ms = self.now_ms(rules);
+        let mutation = rules.mutation;
+        // The believed leader must have shown that it leads the term, in an answer that was asked for after the row was read.
+        let old = mutation == Mutation::OldBeliefsStartLeases;
+        let beliefs = self.group.beliefs(old);
+        let lease = &mut self.reader.lease;
+        match evidence {
+            Evidence::Claim(last_ordered) => {
+                for believed in beliefs {
+                    lease.start_lease_from_claim(mutation, last_ordered, believed, asked_at_ms);
+                }
+            }
+            Evidence::Status { member, term, free } => {
+                lease.observe_next_term(mutation, term, asked_at_ms);
+                if free {
+                    lease.extend_lease(mutation, term, asked_at_ms, now_ms);
+                }
+                if !rules.bounds.store_silent {
+                    return;
+                }
+                let known = self.reader.consents[member].filter(|consent| consent.term == term);
+                self.reader.consents[member] = free.then_some(Consent {
+                    term,
+                    first_asked_at_ms: known
+                        .map_or(asked_at_ms, |consent| consent.first_asked_at_ms),
+                    last_asked_at_ms: known.map_or(asked_at_ms, |consent| {
+                        consent.last_asked_at_ms.max(asked_at_ms)
+                    }),
+                });
+                for believed in beliefs {
+                    let consents = &self.reader.consents;
+                    lease.start_lease_from_members(mutation, consents, &[true; MEMBERS], believed);
+                }
+            }
         }
-        granted
     }
 
     /// Reads at a member that leads the term of the lease.
     fn read(&mut self, rules: &Rules, index: usize) -> bool {
         let member = &self.group.members[index];
-        let covered = self.lease == Some((member.term, self.lease_ends));
+        let covered = self.reader.lease.covers(member.term, self.now_ms(rules));
         let allowed = member.leads && rules.bounds.reads;
         if allowed && (covered || rules.mutation == Mutation::LeasesIgnored) {
             self.group.read(index);
@@ -349,7 +608,6 @@
         let none_ordered = rules.bounds.fenced || !self.in_flight.iter().any(orders);
         let allowed =
             self.pauses < rules.bounds.pauses && none_released && none_ordered && !self.row.expired;
-        self.lease = self.lease.filter(|_| !allowed);
         self.pauses += u8::from(allowed);
         self.row.expired |= allowed;
         allowed
@@ -382,7 +640,6 @@
             self.claims_lost = false;
             self.pauses += 1;
             self.row.expired = true;
-            self.lease = None;
         }
         allowed
     }
@@ -651,6 +908,12 @@
         if conditional && version != self.row.revision {
             return false;
         }
+        let kept = rules.mutation == Mutation::LastOrderedKeptAcrossEras;
+        let last_ordered = match target {
+            Some(target) => LastOrdered::Member(target),
+            None if era > self.row.era && !kept => LastOrdered::Unknown,
+            None => self.row.last_ordered,
+        };
         self.row = Row {
             holder: proxy,
             token,
@@ -659,6 +922,7 @@
             revision: self.row.revision + 1,
             expired: false,
             era,
+            last_ordered,
         };
         true
     }
