Model: members that are not in the hold

Cause: the search knew no member that joins, or restarts and forgets its hold. docs/design/users-platform.md names both as not covered.

Change: behind bounds, a held replica restarts (it keeps its term and log, and no proxy learns of it), and the last member joins with an empty log, at any time or only after a hold, and is listed at any time after that. Members that are listed are held as usual.

Lost write: write at 0; hold; 2 joins or restarts and receives the entry, 0 acknowledges it; 1, which lacks it, is promoted.

The reading proxy asks only members that the claimant lists too; then no answer of a member that joins extends a lease past a promotion.

--- a/crates/broker/tests/model.rs
+++ b/crates/broker/tests/model.rs
@@ -10,6 +10,7 @@
 }
 
 use fulmarlift_broker::leader::ReplaceReason;
+use model::group::Violation;
 use model::search;
 use model::system::{Bounds, Mutation, Rules};
 use rstest::rstest;
@@ -42,6 +43,10 @@
     store_silent: false,
     restores: 0,
     late_confirms: false,
+    restarts: 0,
+    joins: false,
+    joins_after_hold: false,
+    one_directory: false,
     judged: None,
 };
 
@@ -159,6 +164,27 @@
     ..ALONE
 };
 
+/// One proxy replaces the leader once, promotions are not fenced, another proxy reads, and a replica forgets its hold.
+const RESTARTS: Bounds = Bounds {
+    lost_answers: 0,
+    delayed_answers: false,
+    restarts: 1,
+    ..UNFENCED
+};
+
+/// The same with a member that joins instead of one that restarts.
+const JOINS: Bounds = Bounds {
+    restarts: 0,
+    joins: true,
+    ..RESTARTS
+};
+
+/// The same with a member that joins after the hold.
+const JOINS_LATE: Bounds = Bounds {
+    joins_after_hold: true,
+    ..JOINS
+};
+
 /// Two proxies replace the leader once each, and promotions are not fenced.
 const BOTH_UNFENCED: Bounds = Bounds {
     fenced: false,
@@ -184,6 +210,12 @@
 #[case::late_evidence(LATE_EVIDENCE)]
 #[case::store_silent(STORE_SILENT)]
 #[case::twice_unfenced(TWICE_UNFENCED)]
+#[case::join_in_one_directory(Bounds {
+    time_steps: 3,
+    one_directory: true,
+    judged: Some(Violation::StaleRead),
+    ..JOINS
+})]
 #[case::restore_with_reads(RESTORE_WITH_READS)]
 #[case::both_unfenced(BOTH_UNFENCED)]
 #[case::both_with_restore(BOTH_WITH_RESTORE)]
@@ -201,6 +233,23 @@
     assert_eq!(found.violation, None);
 }
 
+#[rstest]
+#[case::restart_stale_read(RESTARTS, Violation::StaleRead)]
+#[case::restart_lost_write(RESTARTS, Violation::LostWrite)]
+#[case::restart_lost_write_fenced(Bounds { reads: false, fenced: true, ..RESTARTS }, Violation::LostWrite)]
+#[case::restart_stale_read_store_silent(Bounds { time_steps: 3, store_silent: true, ..RESTARTS }, Violation::StaleRead)]
+#[case::join_stale_read(JOINS, Violation::StaleRead)]
+#[case::join_lost_write(JOINS, Violation::LostWrite)]
+#[case::join_lost_write_fenced(Bounds { reads: false, fenced: true, ..JOINS }, Violation::LostWrite)]
+#[case::join_stale_read_store_silent(Bounds { time_steps: 3, store_silent: true, ..JOINS }, Violation::StaleRead)]
+#[case::join_after_hold_stale_read(JOINS_LATE, Violation::StaleRead)]
+#[case::join_after_hold_lost_write(JOINS_LATE, Violation::LostWrite)]
+fn promises_hold_beside_members_outside_hold(#[case] bounds: Bounds, #[case] judged: Violation) {
+    let judged = Some(judged);
+    let found = search(Bounds { judged, ..bounds }, Mutation::None);
+    assert_eq!(found.violation, None);
+}
+
 #[rstest]
 #[case::members_not_held(ALONE, Mutation::HoldsIgnored)]
 #[case::tokens_not_checked(TWICE_AFTER_LATE_ORDER, Mutation::TokensUnchecked)]
--- a/crates/broker/tests/model/group.rs
+++ b/crates/broker/tests/model/group.rs
@@ -27,6 +27,8 @@
     /// Term of the hold; 0 while the member receives.
     pub held: u8,
     pub log: Vec<Entry>,
+    /// Whether the member does not run yet.
+    pub absent: bool,
 }
 
 /// Model of a group.
@@ -54,13 +56,17 @@
 }
 
 impl Group {
-    /// Creates a group in which member 0 leads term 1 and all logs are empty.
-    pub fn new(writes: u8, fenced: bool, late_confirms: bool) -> Self {
+    /// Creates a group in which member 0 leads term 1 and all logs are empty. With `joins`, the last member joins later.
+    pub fn new(writes: u8, fenced: bool, late_confirms: bool, joins: bool) -> Self {
         let mut members: [Member; MEMBERS] = Default::default();
         for member in &mut members {
             member.term = 1;
         }
         members[0].leads = true;
+        if joins {
+            members[MEMBERS - 1].term = 0;
+            members[MEMBERS - 1].absent = true;
+        }
         Self {
             members,
             acknowledged: Vec::new(),
@@ -135,7 +141,7 @@
         let term = self.members[leader].term;
         let leads = self.members[leader].leads;
         let member = &mut self.members[replica];
-        let follows = leads && !member.leads && term > member.term;
+        let follows = leads && !member.leads && !member.absent && term > member.term;
         if !follows || (member.held > 0 && !holds_ignored) {
             return false;
         }
@@ -148,7 +154,7 @@
     pub fn replicate(&mut self, replica: usize, holds_ignored: bool) -> bool {
         let member = &self.members[replica];
         let term = member.term;
-        if member.leads || (member.held > 0 && !holds_ignored) {
+        if member.leads || member.absent || (member.held > 0 && !holds_ignored) {
             return false;
         }
         let leads_term = |source: &&Member| source.leads && source.term == term;
@@ -195,6 +201,17 @@
         self.members[index].held = 0;
     }
 
+    /// Restarts a replica, which forgets its hold and keeps its term and its log.
+    pub fn restart(&mut self, index: usize) -> bool {
+        let held = std::mem::take(&mut self.members[index].held);
+        held > 0
+    }
+
+    /// Lets a member join with an empty log.
+    pub fn join(&mut self, index: usize) -> bool {
+        std::mem::take(&mut self.members[index].absent)
+    }
+
     pub fn demote(&mut self, index: usize, term: u8) {
         let member = &mut self.members[index];
         if member.term < term {
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -61,6 +61,14 @@
     pub restores: u8,
     /// Whether a member that has not heard of the newest leader may still receive from an older one that leads on.
     pub late_confirms: bool,
+    /// Number of restarts of held replicas, of which the proxies learn nothing.
+    pub restarts: u8,
+    /// Whether the last member joins later, and is listed at any time after that.
+    pub joins: bool,
+    /// Whether it joins only once another member is held.
+    pub joins_after_hold: bool,
+    /// Whether the proxy that reads asks only members that the other proxies know as well.
+    pub one_directory: bool,
     /// Guarantee that is judged alone; all are judged if none is named.
     pub judged: Option<Violation>,
 }
@@ -322,6 +330,9 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct System {
     pub group: Group,
+    /// Members that the directory lists.
+    listed: [bool; MEMBERS],
+    restarts_left: u8,
     proxies: [Proxy; PROXIES],
     row: Row,
     /// Era of the store.
@@ -350,7 +361,10 @@
                 rules.bounds.writes,
                 rules.bounds.fenced,
                 rules.bounds.late_confirms,
+                rules.bounds.joins,
             ),
+            listed: [true, true, !rules.bounds.joins],
+            restarts_left: rules.bounds.restarts,
             proxies: rules.bounds.attempts.map(proxy),
             row: Row {
                 settled: true,
@@ -422,6 +436,19 @@
                     system.group.follow(member, leader, holds_ignored)
                 });
             }
+            add_step(format_args!("{member} restarts"), &|system| {
+                let restarted = system.restarts_left > 0 && system.group.restart(member);
+                system.restarts_left -= u8::from(restarted);
+                restarted
+            });
+            add_step(format_args!("{member} joins"), &|system| {
+                let any_held = system.group.members.iter().any(|member| member.held > 0);
+                (any_held || !rules.bounds.joins_after_hold) && system.group.join(member)
+            });
+            add_step(format_args!("{member} is listed"), &|system| {
+                let absent = system.group.members[member].absent;
+                !absent && !std::mem::replace(&mut system.listed[member], true)
+            });
             add_step(format_args!("{member} steps down"), &|system| {
                 system.group.step_down(member)
             });
@@ -500,6 +527,9 @@
     /// Asks a member for its status, as the proxy that reads.
     fn ask_status(&mut self, rules: &Rules, index: usize, delayed: bool) -> bool {
         let member = &self.group.members[index];
+        if member.absent || (rules.bounds.one_directory && !self.listed[index]) {
+            return false;
+        }
         let status = Evidence::Status {
             member: index,
             term: member.term,
@@ -580,7 +610,7 @@
                 });
                 for believed in beliefs {
                     let consents = &self.reader.consents;
-                    lease.start_lease_from_members(mutation, consents, &[true; MEMBERS], believed);
+                    lease.start_lease_from_members(mutation, consents, &self.listed, believed);
                 }
             }
         }
@@ -705,12 +735,16 @@
             return;
         };
         let leaves = self.leaves;
+        let listed = self.listed;
         let participant = |member: usize| Participant {
             member: member as id::MemberId,
             name: member.to_string().into(),
             eligible: !(leaves && member == 1),
         };
-        let participants: Vec<Participant> = (0..MEMBERS).map(participant).collect();
+        let participants: Vec<Participant> = (0..MEMBERS)
+            .filter(|member| listed[*member])
+            .map(participant)
+            .collect();
         let mut out = Vec::new();
         let mut progress = input(attempt, &participants, &mut out);
         // Ticks that change the attempt follow at once.
