--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -1,4 +1,4 @@
-//! Leases of leaders at this proxy: started by the claim row, and renewed by questions to members.
+//! Leases of leaders at this proxy: reads of the claim row, and questions to members while it does not tell.
 
 use std::time::{Duration, Instant};
 
@@ -29,7 +29,7 @@
 /// Longest time of a read of the claim row after which the row is relied on again: too little would be left of a lease.
 const CLAIM_READ_TIME_MAX: Duration = Duration::from_millis(250);
 /// Time after the last request without a lease from which a lease that has ended is not renewed.
-const WISH_TIMEOUT: Duration = Duration::from_secs(1);
+const DEMAND_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which a read of the claim row counts as lost.
 const CLAIM_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -49,9 +49,9 @@
     /// Whether the lease must be renewed.
     pub(super) renewal_due: bool,
     /// Instant since which requests have waited for a lease, or been refused without one.
-    pub(super) wanted_since: Option<Instant>,
+    pub(super) demanded_since: Option<Instant>,
     /// Instant at which the last such request was decided on.
-    wanted_at: Option<Instant>,
+    demanded_at: Option<Instant>,
     question: Option<Question>,
     /// Instant at which the read of the claim row that is under way was sent.
     claim_read_sent_at: Option<Instant>,
@@ -75,21 +75,21 @@
     }
 
     /// Records that a request waits for a lease, or is refused without one.
-    pub(super) fn want(&mut self, now: Instant) {
+    pub(super) fn record_demand(&mut self, now: Instant) {
         self.renewal_due = true;
-        self.wanted_since.get_or_insert(now);
-        self.wanted_at = Some(now);
+        self.demanded_since.get_or_insert(now);
+        self.demanded_at = Some(now);
     }
 
-    /// Ends the renewal of a lease that no request has wanted lately.
-    fn forget_wish(&mut self, now: Instant) {
-        let wanted = self
-            .wanted_at
-            .is_some_and(|at| now.saturating_duration_since(at) < WISH_TIMEOUT);
+    /// Ends the renewal of a lease that no request has needed lately.
+    fn expire_demand(&mut self, now: Instant) {
+        let demanded = self
+            .demanded_at
+            .is_some_and(|at| now.saturating_duration_since(at) < DEMAND_TIMEOUT);
         let valid = self.lease.is_valid(now);
-        self.renewal_due &= valid || wanted;
-        if valid || !wanted {
-            self.wanted_since = None;
+        self.renewal_due &= valid || demanded;
+        if valid || !demanded {
+            self.demanded_since = None;
         }
     }
 
@@ -254,7 +254,7 @@
             return;
         };
         let valid = group.lease.lease.is_valid(now);
-        group.lease.forget_wish(now);
+        group.lease.expire_demand(now);
         if !group.lease.renewal_due {
             return;
         }
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -187,7 +187,7 @@
             );
             let is_direct = !forwards || request.forwarded;
             if without_leader && is_direct && self.lacks_lease(now, &request) {
-                self.groups.entry(group_id).lease.want(now);
+                self.groups.entry(group_id).lease.record_demand(now);
             }
             match decision {
                 Decision::Grant { member, floor } => {
@@ -199,7 +199,7 @@
                 }
                 Decision::Open(member) => wanted.push(member),
                 Decision::Sample => self.groups.entry(group_id).needs_sample = true,
-                Decision::Lease => self.groups.entry(group_id).lease.want(now),
+                Decision::Lease => self.groups.entry(group_id).lease.record_demand(now),
                 Decision::Wait if ahead > 0 => {
                     let rate = match forwards && !request.forwarded {
                         true => forwarding,
@@ -383,7 +383,7 @@
         }
         let waited = group
             .lease
-            .wanted_since
+            .demanded_since
             .map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
         if led && waited > LEADER_GAP_USUAL {
             // Another proxy may reach the claim row or the members that this one does not reach.
