--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -3,8 +3,9 @@
 //! 1. Claim (`Waiting`, `Loading`, `Claiming`): the proxy reads the claim row, and a conditional write takes the next fencing
 //!    token, so that one proxy at a time acts on a group.
 //! 2. Hold (`Holding`): every member but the old leader stops receiving, so that the old leader can acknowledge no more
-//!    commits. All of these members must answer, also those that the directory has only just stopped listing, because one
-//!    that does not answer may have received commits that the others lack.
+//!    commits. All of these members must answer, also those that the directory no longer lists but that still run, because
+//!    one that does not answer may have received commits that the others lack. A replaced leader that leads on cannot be held,
+//!    so it is demoted first.
 //!
 //!    Where promotions are not fenced, the attempt then waits until no proxy trusts the old leader any more, see
 //!    [`crate::lease`].
@@ -430,7 +431,7 @@
                 self.hold_term = newest_held_term.saturating_add(1);
             }
             if !self.fenced {
-                // Only hold commands are answered in this step, so the member has been held since some time before now.
+                // If the member is held, it has been held since some time before now.
                 self.leases_end_at = now + lease::LEASE_DURATION;
             }
             self.discard_outdated_holds(now);
--- a/crates/broker/src/lease.rs
+++ b/crates/broker/src/lease.rs
@@ -28,7 +28,7 @@
 use crate::failover;
 
 /// Time from the question to the end of the lease, and from the last confirmed hold to the promotion order. It bounds from
-/// below how often replicas are asked, and it is added to the time without a leader.
+/// below how often the claim row is read, and it is added to the time without a leader.
 pub const LEASE_DURATION: Duration = Duration::from_millis(500);
 /// Time from the first answer to the last question by which a member consents, see [`Consents`]. A member that a promotion has released
 /// hears of the new leader meanwhile, unless it is cut off from it.
