Log what moved the belief about a leader, and the first grant after it

Now event=leader tells the observation (statement with its answer, position and time; status; claim row; failover; directory; tick), and event=granted names the first request that a member gets after the leader or the lease's validity or term has changed, with both. Bounded: one line for each such change.

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -96,6 +96,21 @@
     pub floor: Option<floor::Point>,
     /// Whether the member must confirm that it leads before the shell sends the statement.
     pub verify: bool,
+    /// What this proxy believes about the leader, on the first grant to a member after a change of that.
+    pub new_belief: Option<Belief>,
+}
+
+/// What a proxy believes about the leader of a group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Belief {
+    /// Member that is believed to lead.
+    pub leader: Option<id::MemberId>,
+    /// Newest term that this member is known to follow or to lead.
+    pub leader_term: id::Term,
+    /// Newest term in which a lease was granted; 0 before the first one.
+    pub lease_term: id::Term,
+    /// End of that lease.
+    pub lease_expires_at: Option<Instant>,
 }
 
 /// Refusal of a request.
@@ -164,6 +179,8 @@
         member: Option<id::MemberId>,
         /// Newest term that an answer has shown.
         term: id::Term,
+        /// Observation after which the leader was determined again.
+        evidence: LeaderEvidence,
     },
     /// A failover reached another step.
     Failover {
@@ -200,6 +217,28 @@
     Gone(id::MemberId),
 }
 
+/// Observation after which a proxy determines the leader of a group again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LeaderEvidence {
+    /// A statement or a probe ended.
+    Statement(event::StatementReport),
+    /// A member told its status.
+    Status {
+        /// Member that was asked.
+        member: id::MemberId,
+        /// Status in the answer; `None` if the member did not answer.
+        status: Option<event::MemberStatus>,
+    },
+    /// The claim row was read. It tells this about the member that was believed to lead.
+    Claim(claim::Standing),
+    /// An attempt of this proxy found or promoted a leader.
+    Failover,
+    /// A directory entry changed, or a member was dropped.
+    Directory,
+    /// Time has passed.
+    Tick,
+}
+
 /// Answer from which a proxy concludes whether the leader of a group has a lease.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LeaseEvidence {
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -120,7 +120,7 @@
 }
 
 /// End of a statement or a probe, and what it shows about the member.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StatementReport {
     /// Member that ran the statement.
     pub member: id::MemberId,
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -53,7 +53,7 @@
                 self.homes_outdated = true;
             }
         }
-        self.reelect(now, group_id, effects);
+        self.reelect(now, group_id, effect::LeaderEvidence::Directory, effects);
         self.choose_homes_if_outdated(now, effects);
     }
 
@@ -143,6 +143,6 @@
                 effects.push(effect::Effect::Close(idle.conn));
             }
         }
-        self.reelect(now, group_id, effects);
+        self.reelect(now, group_id, effect::LeaderEvidence::Directory, effects);
     }
 }
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -60,24 +60,28 @@
             }
             _ => {}
         }
-        self.reelect(now, group_id, effects);
+        let evidence = effect::LeaderEvidence::Statement(*report);
+        self.reelect(now, group_id, evidence, effects);
     }
 
-    /// Determines the leader of a group again, and logs a change.
+    /// Determines the leader of a group again after an observation, and logs a change.
     pub(super) fn reelect(
         &mut self,
         now: Instant,
         group_id: id::GroupId,
+        evidence: effect::LeaderEvidence,
         effects: &mut Vec<effect::Effect>,
     ) {
         let group = self.groups.entry(group_id);
         group.leader.elect(&group.members, now);
         if group.logged_leader != group.leader.member {
             group.logged_leader = group.leader.member;
+            group.belief_changed = true;
             effects.push(effect::Effect::RecordChange(effect::StateChange::Leader {
                 group: group_id,
                 member: group.leader.member,
                 term: group.leader.term,
+                evidence,
             }));
             self.serve_queue(now, group_id, effects);
         }
@@ -94,7 +98,9 @@
     ) {
         if let Some(status) = status {
             self.record_status(now, group_id, member, status);
-            self.reelect(now, group_id, effects);
+            let status = Some(status);
+            let evidence = effect::LeaderEvidence::Status { member, status };
+            self.reelect(now, group_id, evidence, effects);
         }
         self.advance_failover(now, group_id, effects, |attempt, participants, out| {
             attempt.apply_status(now, member, status, participants, out)
@@ -263,7 +269,8 @@
                     state.denies_leadership = false;
                 }
                 group.leader.record_confirmation(now, member, status.term);
-                self.reelect(now, group_id, effects);
+                let evidence = effect::LeaderEvidence::Failover;
+                self.reelect(now, group_id, evidence, effects);
                 self.serve_queue(now, group_id, effects);
             }
             failover::Progress::GivenUp { retry_at } => {
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -62,6 +62,8 @@
     consents: lease::Consents,
     /// Validity, term and member of the last [`effect::StateChange::Lease`].
     logged: Option<(bool, id::Term, id::MemberId)>,
+    /// Whether validity or term have changed since the last grant to a member.
+    pub(super) validity_changed: bool,
 }
 
 impl LeaseState {
@@ -124,7 +126,10 @@
             }
             effect::LeaseEvidence::Status { member, .. } => member,
         };
-        if self.logged.replace((valid, term, member)) != Some((valid, term, member)) {
+        let before = self.logged.replace((valid, term, member));
+        self.validity_changed |=
+            before.is_none_or(|(was_valid, was_term, _)| (was_valid, was_term) != (valid, term));
+        if before != Some((valid, term, member)) {
             effects.push(effect::Effect::RecordChange(effect::StateChange::Lease {
                 group,
                 term,
@@ -328,7 +333,8 @@
             self.record_status(now, group_id, member, status);
         }
         self.apply_lease_evidence(now, group_id, member, asked_at, status, effects);
-        self.reelect(now, group_id, effects);
+        let evidence = effect::LeaderEvidence::Status { member, status };
+        self.reelect(now, group_id, evidence, effects);
         self.serve_queue(now, group_id, effects);
     }
 
@@ -379,7 +385,8 @@
             standing,
         };
         group.lease.log_evidence(now, group_id, evidence, effects);
-        self.reelect(now, group_id, effects);
+        let evidence = effect::LeaderEvidence::Claim(standing);
+        self.reelect(now, group_id, evidence, effects);
         self.serve_queue(now, group_id, effects);
     }
 
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -101,6 +101,8 @@
     next_attempt_at: Option<Instant>,
     /// Leader in the last [`effect::StateChange::Leader`].
     logged_leader: Option<id::MemberId>,
+    /// Whether the leader has changed since the last grant to a member.
+    belief_changed: bool,
     /// Step in the last [`effect::StateChange::Failover`]; empty before the first one.
     logged_step: &'static str,
 }
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -78,6 +78,18 @@
         }
     }
 
+    /// Returns what is believed about the leader if that has changed since the last call.
+    fn take_new_belief(&mut self) -> Option<effect::Belief> {
+        let leader_changed = std::mem::take(&mut self.belief_changed);
+        let lease_changed = std::mem::take(&mut self.lease.validity_changed);
+        (leader_changed || lease_changed).then(|| effect::Belief {
+            leader: self.leader.member,
+            leader_term: self.leader_term(),
+            lease_term: self.lease.lease.term(),
+            lease_expires_at: self.lease.lease.expires_at(),
+        })
+    }
+
     /// Estimates the waiting time of a request with `ahead` others before it.
     fn estimated_wait(&self, now: Instant, rate: AnswerRate, ahead: usize) -> Duration {
         self.queue
@@ -275,6 +287,10 @@
         let queue = &mut self.groups.entry(request.group).queue;
         queue.remove(request.id);
         queue.record_departure(now);
+        let new_belief = match to_home {
+            true => None,
+            false => self.groups.entry(request.group).take_new_belief(),
+        };
         effects.push(effect::Effect::Grant(effect::Grant {
             request: request.id,
             conn: idle.conn,
@@ -284,6 +300,7 @@
                 request.requirement,
                 request::Requirement::VerifiedLeader { .. }
             ) && !to_home,
+            new_belief,
         }));
     }
 
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -27,7 +27,7 @@
         self.choose_homes_if_outdated(now, effects);
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
         for group_id in groups {
-            self.reelect(now, group_id, effects);
+            self.reelect(now, group_id, effect::LeaderEvidence::Tick, effects);
             let watches_leader = self.watches_leader(now, group_id);
             let group = self.groups.entry(group_id);
             group.needs_sample |= watches_leader && sample_due(group, now);
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -830,3 +830,19 @@
         waited_ms += 50;
     }
 }
+
+#[test]
+fn grant_tells_belief_after_change_of_lease_only() {
+    let mut fixture = unfenced();
+    read(&mut fixture);
+    answer_claim_read(&mut fixture, Some(&ClaimRow::default()));
+    let first = fixture.take_grants().remove(0);
+    fixture.end_statement(&first, Answer::Served, Some(Point::new(1, 10)));
+    read(&mut fixture);
+    let second = fixture.take_grants().remove(0);
+    let belief = first.new_belief.expect("the lease has started");
+    assert_eq!(belief.leader, Some(1));
+    assert_eq!((belief.leader_term, belief.lease_term), (1, 1));
+    assert_eq!(belief.lease_expires_at, Some(fixture.now + LEASE_DURATION));
+    assert_eq!(second.new_belief, None);
+}
--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -111,6 +111,9 @@
     timing: single::Timing,
 ) -> Outcome {
     let deadline = timing.deadline;
+    if let Some(belief) = &grant.new_belief {
+        lease.log_belief(&grant, belief, &statement.id_text());
+    }
     if let Err(error) = synchronize(
         &mut lease,
         session_state,
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -220,6 +220,9 @@
                 }
             };
             avoid = Some(grant.member);
+            if let Some(belief) = &grant.new_belief {
+                lease.log_belief(&grant, belief, &begin.id_text());
+            }
             let mut floor = grant.floor;
             if grant.verify {
                 match attempt::verify_leader(&mut lease, timing.deadline).await {
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
@@ -60,6 +61,26 @@
         self.upstream.as_ref().is_some_and(shell::Upstream::is_home)
     }
 
+    /// Logs a grant with the belief about the leader under which it was made. `request` is the caller's id of the statement.
+    pub fn log_belief(&self, grant: &effect::Grant, belief: &effect::Belief, request: &str) {
+        let lease_ends_in_ms = belief.lease_expires_at.map(|expires_at| {
+            expires_at
+                .saturating_duration_since(clock::now())
+                .as_millis()
+        });
+        let leader = belief.leader.map(|leader| self.shell.member_name(leader));
+        log::info!(
+            "event=granted request={} member={} verify={} leader={} leader_term={} lease_term={} lease_ends_in_ms={}",
+            request,
+            self.shell.member_name(grant.member),
+            grant.verify,
+            leader.as_deref().unwrap_or("none"),
+            belief.leader_term,
+            belief.lease_term,
+            lease_ends_in_ms.unwrap_or_default(),
+        );
+    }
+
     /// Sets the point that the next statement requires, for the report of its answer.
     pub fn set_floor(&mut self, floor: Option<floor::Point>) {
         self.floor = floor;
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -2,6 +2,8 @@
 
 use fulmarlift_broker::Broker;
 use fulmarlift_broker::effect;
+use fulmarlift_broker::event;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
 pub(super) fn log(broker: &Broker, change: &effect::StateChange) {
@@ -10,10 +12,12 @@
             group,
             member,
             term,
+            evidence,
         } => {
             let member = member.map_or("none", |member| member_name(broker, member));
             let group = group_name(broker, group);
-            log::info!("event=leader group={group} member={member} term={term}");
+            let evidence = leader_evidence(broker, &evidence);
+            log::info!("event=leader group={group} member={member} term={term} {evidence}");
         }
         effect::StateChange::Failover {
             group,
@@ -63,6 +67,40 @@
     }
 }
 
+/// Returns the observation after which the leader was determined again, as keys of a log line.
+fn leader_evidence(broker: &Broker, evidence: &effect::LeaderEvidence) -> String {
+    match evidence {
+        effect::LeaderEvidence::Statement(report) => {
+            let answer = match report.answer {
+                event::Answer::Led { commit, .. } => format!("Led commit={commit}"),
+                answer => format!("{answer:?}"),
+            };
+            let from = member_name(broker, report.member);
+            let took_ms = report.took.unwrap_or_default().as_millis();
+            let point = point_text(report.point);
+            format!(
+                "evidence=statement from={from} took_ms={took_ms} point={point} answer={answer}"
+            )
+        }
+        effect::LeaderEvidence::Status { member, status } => {
+            let from = member_name(broker, *member);
+            format!("evidence=status from={from} status={status:?}")
+        }
+        effect::LeaderEvidence::Claim(standing) => format!("evidence=claim standing={standing:?}"),
+        effect::LeaderEvidence::Failover => "evidence=failover".to_owned(),
+        effect::LeaderEvidence::Directory => "evidence=directory".to_owned(),
+        effect::LeaderEvidence::Tick => "evidence=tick".to_owned(),
+    }
+}
+
+/// Returns a point of a log as `TERM.POSITION`, or `none`.
+fn point_text(point: Option<floor::Point>) -> String {
+    point.map_or_else(
+        || "none".to_owned(),
+        |point| format!("{}.{}", point.term, point.position),
+    )
+}
+
 pub(super) fn group_name(broker: &Broker, group: id::GroupId) -> &str {
     let config = broker.topology().groups.get(group);
     config.map_or("unknown", |config| config.name.as_ref())
