Test: the COMMIT of a transaction without writes is no evidence of the lead

A member that has lost the lead accepts just this statement (PROTOCOL, Members). The session reports it as an answer that only a leader gives, so the proxy believes in the former leader again, sends it writes and takes its log as a sample of the read index, whether promotions are fenced or not.

--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -258,6 +258,43 @@
     .await;
 }
 
+/// Lists a second member, which becomes the leader, at the address of the first one.
+fn list_successor(shell: &Rc<Shell<TestDeployment>>, member: &Member) {
+    shell.handle(Event::Listed(Entry {
+        id: 12,
+        name: "member-2".into(),
+        group: id::of(GROUP),
+        address: member.address,
+        place: Place {
+            region: "north".into(),
+            domain: "a".into(),
+        },
+        slots: 2,
+        leaving: false,
+        listed_as_leader: true,
+        revision: Revision { era: 0, version: 2 },
+    }));
+}
+
+/// A member that has lost the lead answers just this statement as a leader does.
+#[tokio::test]
+async fn commit_of_transaction_without_writes_is_no_evidence_of_leader() {
+    on_one_thread(async {
+        let (shell, member) = start_system(0).await;
+        let leader = || shell.with_broker(|broker| broker.leader(id::of(GROUP)));
+        let mut caller = Caller::connect(&shell).await;
+        caller.run("1", "BEGIN", BEGIN).await;
+        caller.run("2", "READ 1", READ).await;
+        assert_eq!(leader(), Some(11));
+        list_successor(&shell, &member);
+        assert_eq!(leader(), Some(12));
+        let (frames, _) = caller.run("3", "COMMIT", Verb::Commit).await;
+        assert_eq!(error_code(&frames), None);
+        assert_eq!(leader(), Some(12));
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn transaction_is_rolled_back_when_its_caller_leaves() {
     on_one_thread(async {
