Tests: evidence of the lead that must go on counting

Guards for a change of what an answer proves: a promoted leader whose log ends with an entry of the older term gives samples at once, and answers that prove a newer term, or that were sent after the last entry where promotions are fenced, move the belief.

--- a/crates/broker/tests/evidence.rs
+++ b/crates/broker/tests/evidence.rs
@@ -395,3 +395,89 @@
     let floor = index.floor(later, None);
     assert!(floor.is_none_or(|floor| floor >= Point::new(2, 200)));
 }
+
+/// Adds a bounded read, and returns the floors with which it is granted at once.
+fn floors_granted(fixture: &mut Fixture, acknowledged_before: Instant) -> Vec<Option<Point>> {
+    fixture.effects.clear();
+    fixture.add_request(Requirement::Recent {
+        acknowledged_before,
+        session_commit: None,
+    });
+    let granted = take_grants(fixture);
+    granted.into_iter().map(|(_, floor)| floor).collect()
+}
+
+/// A promoted leader's log ends with an entry of the older term until its first write.
+#[test]
+fn sample_of_promoted_leader_counts_before_its_first_write() {
+    let mut fixture = led_by_successor();
+    advance_by(&mut fixture, 10);
+    let sent_at = fixture.now;
+    report_led(&mut fixture, 2, sent_at, Some((1, 10)));
+    let floors = floors_granted(&mut fixture, sent_at);
+    assert_eq!(floors, [Some(Point::new(1, 10))]);
+}
+
+#[test]
+fn sample_of_promoted_leader_counts_before_any_status_where_promotions_are_fenced() {
+    let mut fixture = led_by_first(Fixture::new());
+    list_successor(&mut fixture);
+    advance_by(&mut fixture, 10);
+    let sent_at = fixture.now;
+    report_led(&mut fixture, 2, sent_at, Some((1, 10)));
+    assert_eq!(fixture.leader(), Some(2));
+    let floors = floors_granted(&mut fixture, sent_at);
+    assert_eq!(floors, [Some(Point::new(1, 10))]);
+}
+
+/// Where promotions are fenced, only one member can lead at the time of the answer.
+#[test]
+fn answer_to_statement_sent_after_entry_of_other_member_wins_where_promotions_are_fenced() {
+    let mut fixture = led_by_first(Fixture::new());
+    list_successor(&mut fixture);
+    advance_by(&mut fixture, 10);
+    let sent_at = fixture.now;
+    report_led(&mut fixture, 1, sent_at, Some((1, 11)));
+    assert_eq!(members_granted(&mut fixture, Requirement::Leader), [1]);
+}
+
+/// A member whose status shows that it leads a newer term than the known one.
+#[rstest]
+#[case::fenced(Fixture::new())]
+#[case::unfenced(Fixture::unfenced())]
+fn status_of_newer_term_wins_without_entry(#[case] fixture: Fixture) {
+    let mut fixture = led_by_first(fixture);
+    let asked_at = fixture.now;
+    report_status(&mut fixture, 3, asked_at, (true, 2, (1, 10), 0));
+    assert_eq!(members_granted(&mut fixture, Requirement::Leader), [3]);
+}
+
+#[rstest]
+#[case::fenced(Fixture::new())]
+#[case::unfenced(Fixture::unfenced())]
+fn answer_with_entry_of_newer_term_wins_without_entry_or_status(#[case] fixture: Fixture) {
+    let mut fixture = led_by_first(fixture);
+    let sent_at = fixture.now;
+    report_led(&mut fixture, 3, sent_at, Some((2, 12)));
+    assert_eq!(members_granted(&mut fixture, Requirement::Leader), [3]);
+}
+
+/// The answer of any member to a read, or to the end of a transaction that has changed nothing.
+#[rstest]
+#[case::fenced(Fixture::new())]
+#[case::unfenced(Fixture::unfenced())]
+fn answer_that_any_member_gives_is_no_sample_and_moves_no_belief(#[case] fixture: Fixture) {
+    let mut fixture = led_by_first(fixture);
+    list_successor(&mut fixture);
+    advance_by(&mut fixture, 10);
+    fixture.handle(Event::StatementEnded(StatementReport {
+        member: 1,
+        answer: Answer::Served,
+        point: Some(Point::new(2, 12)),
+        floor: None,
+        took: None,
+    }));
+    let now = fixture.now;
+    assert_eq!(floors_granted(&mut fixture, now), []);
+    assert_eq!(fixture.leader(), Some(2));
+}
