Tests: bounded reads at the log of a former leader

A bounded read is granted at the end of the log of a former leader that has stepped down and follows the newer term without having caught up (its answer counts as a sample of that term), and at a floor below an earlier sample, also where promotions are fenced.

--- a/crates/broker/tests/evidence.rs
+++ b/crates/broker/tests/evidence.rs
@@ -152,6 +152,46 @@
     assert_eq!(take_grants(&mut fixture), []);
 }
 
+/// Member 1 has stepped down and follows term 2, but has not caught up yet: 1.12 is the end of its own log.
+#[test]
+fn bounded_read_is_not_granted_at_end_of_log_of_former_leader_that_has_stepped_down() {
+    let mut fixture = led_by_successor();
+    advance_by(&mut fixture, 20);
+    let asked_at = fixture.now;
+    report_status(&mut fixture, 1, asked_at, (false, 2, (1, 12), 0));
+    advance_by(&mut fixture, 100);
+    let sent_at = fixture.now;
+    report_led(&mut fixture, 1, sent_at, Some((1, 12)));
+    fixture.effects.clear();
+    fixture.add_request(Requirement::Recent {
+        acknowledged_before: sent_at,
+        session_commit: None,
+    });
+    assert_eq!(take_grants(&mut fixture), []);
+}
+
+/// Commits up to 2.200 were acknowledged before the second statement was sent.
+#[test]
+fn bounded_read_is_not_granted_below_earlier_sample_where_promotions_are_fenced() {
+    let mut fixture = led_by_first(Fixture::new());
+    let sent_at = fixture.now;
+    report_led(&mut fixture, 2, sent_at, Some((2, 200)));
+    advance_by(&mut fixture, 200);
+    let sent_at = fixture.now;
+    report_led(&mut fixture, 1, sent_at, Some((2, 140)));
+    fixture.effects.clear();
+    fixture.add_request(Requirement::Recent {
+        acknowledged_before: sent_at,
+        session_commit: None,
+    });
+    let granted = take_grants(&mut fixture);
+    let lowest = granted.iter().filter_map(|(_, floor)| *floor).min();
+    assert!(
+        lowest.is_none_or(|floor| floor >= Point::new(2, 200)),
+        "{granted:?}"
+    );
+}
+
 /// The same answer, for what only the leader may serve.
 #[test]
 fn answer_of_replaced_leader_does_not_win_it_newer_term_that_it_follows_by_then() {
