Take the COMMIT of a transaction without writes for no evidence of the lead

What callers saw: reads of any route that miss commits, and writes at a member that has lost the lead. The COMMIT of a read-write transaction that wrote nothing is the one statement that such a member still accepts, but it was reported as an answer that only a leader gives: the proxy believed in the old leader again, under the lease of the new term, and took its log for a sample of the read index, with and without fences. Cause: the mode of the transaction stood for a write that was made. Now only the COMMIT of a transaction with a successful write is evidence. Why it works: a member that has lost the lead refuses every other statement that is reported as a leader's (plain BEGIN, writes, commits of writes).

--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -38,8 +38,6 @@
     Open {
         /// Connection that the transaction uses.
         lease: Box<shell::Lease<D>>,
-        /// Whether the transaction may write.
-        mode: protocol::Mode,
         /// Route of the transaction's statements.
         route: topology::Route,
         /// Whether a write was sent.
@@ -238,10 +236,8 @@
                 .begin_on(&mut lease, &begin, &route, floor, grant.verify, timing)
                 .await
             {
-                let mode = begin.mode;
                 self.transaction = Transaction::Open {
                     lease,
-                    mode,
                     route,
                     wrote: false,
                     has_changes: false,
@@ -328,7 +324,6 @@
         let ended = std::mem::replace(&mut self.transaction, Transaction::None);
         let Transaction::Open {
             mut lease,
-            mode,
             route,
             wrote,
             has_changes,
@@ -348,12 +343,12 @@
         .await
         {
             Ok(answer) => {
-                let success = match mode {
-                    protocol::Mode::Write if !lease.is_home() => event::Answer::Led {
-                        sent_at,
-                        commit: has_changes,
-                    },
-                    _ => event::Answer::Served,
+                // A member that has lost the lead still commits a transaction that wrote nothing.
+                let success = if has_changes && !lease.is_home() {
+                    let commit = true;
+                    event::Answer::Led { sent_at, commit }
+                } else {
+                    event::Answer::Served
                 };
                 lease.report(answer.error().map_or(success, classify_code), answer.point);
                 if answer.error().is_none()
