--- a/crates/broker/tests/evidence.rs
+++ b/crates/broker/tests/evidence.rs
@@ -225,6 +225,8 @@
     StatementAfter,
     /// To a question for its status that was sent before the entry.
     StatusBefore,
+    /// To a question for its status that was sent after the entry.
+    StatusAfter,
 }
 
 /// Member 2 has not shown its term, or has answered with its log, which has no entry of its term yet.
@@ -236,6 +238,7 @@
 #[case::leading_on(Fixture::unfenced(), OldAnswer::StatementAfter, false)]
 #[case::leading_on_with_answer_of_successor(Fixture::unfenced(), OldAnswer::StatementAfter, true)]
 #[case::status(Fixture::unfenced(), OldAnswer::StatusBefore, false)]
+#[case::status_leading_on(Fixture::unfenced(), OldAnswer::StatusAfter, false)]
 fn write_is_not_granted_at_replaced_leader_whose_answer_arrives_after_entry_of_successor(
     #[case] fixture: Fixture,
     #[case] answer: OldAnswer,
@@ -258,6 +261,7 @@
         OldAnswer::StatusBefore => {
             report_status(&mut fixture, 1, before, (true, 1, (1, 11), 0));
         }
+        OldAnswer::StatusAfter => report_status(&mut fixture, 1, after, (true, 1, (1, 11), 0)),
     }
     let granted = members_granted(&mut fixture, Requirement::Leader);
     assert!(!granted.contains(&1), "granted at {granted:?}");
