Credit answers with the term known when their statement was sent

What callers saw: bounded reads that miss commits, under the lease of the successor's term, and writes at a replaced leader. An answer that only a leader gives was credited with the newest term that its member was known to follow when the answer arrived, and without a position with the newest term of the group. A status that overtook the answer, or the answer of another statement, so made the old leader the believed leader of the new term, and its log a sample of the read index of that term. Cause: the state at arrival stands for the state in which the statement ran. Now the term is that of the log in the answer or, if newer, the one known when the statement was sent: where promotions are fenced, the newest of the group, since only its leader answers so; otherwise the newest that the member itself is known to have led, since a replaced leader answers so, too. A term that became known meanwhile does not count: the next statement proves it. Why it works: terms that a member leads only rise, so the credited term is a lower bound of the one in which the statement ran.

--- a/crates/broker/src/leader.rs
+++ b/crates/broker/src/leader.rs
@@ -41,6 +41,8 @@
     pub member: Option<id::MemberId>,
     /// Newest term that an answer has shown.
     pub term: id::Term,
+    /// Instant at which an answer first showed that term.
+    pub term_known_at: Option<Instant>,
     /// Instant of the last answer that only a leader gives.
     pub confirmed_at: Option<Instant>,
     /// Instant since which no leader is known.
@@ -65,13 +67,29 @@
             if self.member != Some(member) {
                 self.reset_stall();
             }
-            self.term = term;
+            self.record_term(now, term);
             self.member = Some(member);
             self.confirmed_at = Some(now);
             self.no_leader_since = None;
         }
     }
 
+    /// Records that a term has a leader.
+    pub fn record_term(&mut self, now: Instant, term: id::Term) {
+        if term > self.term {
+            self.term = term;
+            self.term_known_at = Some(now);
+        }
+    }
+
+    /// Returns a term that was known to have a leader at an instant; 0 if the newest one was not known yet.
+    pub fn term_known_by(&self, instant: Instant) -> id::Term {
+        match self.term_known_at <= Some(instant) {
+            true => self.term,
+            false => 0,
+        }
+    }
+
     /// Records the answer to a commit that was sent at `sent_at`, and the end of the leader's log in that answer.
     ///
     /// The end of the log may lie past the last acknowledged entry. A commit that is sent after the end was seen gets a
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -82,6 +82,8 @@
     pub term: id::Term,
     /// Newest term that the member is known to have led.
     pub led_term: id::Term,
+    /// Instant at which that term became known.
+    pub led_term_known_at: Option<Instant>,
     /// Instant at which the member was last asked for its status to renew a lease.
     pub lease_asked_at: Option<Instant>,
     /// Moving average of the answer time, in ms.
@@ -142,6 +144,7 @@
             reached: None,
             term: 0,
             led_term: 0,
+            led_term_known_at: None,
             lease_asked_at: None,
             latency_ms: LATENCY_START_MS,
             failures: 0,
@@ -265,6 +268,22 @@
         self.term = self.term.max(point.map_or(0, |point| point.term));
     }
 
+    /// Records that the member leads a term.
+    pub fn record_led_term(&mut self, now: Instant, term: id::Term) {
+        if term > self.led_term {
+            self.led_term = term;
+            self.led_term_known_at = Some(now);
+        }
+    }
+
+    /// Returns a term that the member was known to have led at an instant; 0 if its newest one was not known yet.
+    pub fn led_term_known_by(&self, instant: Instant) -> id::Term {
+        match self.led_term_known_at <= Some(instant) {
+            true => self.led_term,
+            false => 0,
+        }
+    }
+
     /// Records that the member did not answer, and backs off.
     pub fn record_failure(&mut self, now: Instant, process_gone: bool) {
         self.failures += 1;
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -30,6 +30,7 @@
         report: &event::StatementReport,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let fenced = self.settings.fenced;
         let group = self.groups.entry(group_id);
         let Some(state) = group.members.get_mut(report.member) else {
             // The answer of a home is no evidence about the leader.
@@ -37,8 +38,15 @@
         };
         match report.answer {
             event::Answer::Led { sent_at, commit } => {
-                let term = report.point.map_or(group.leader.term, |_| state.term);
-                state.led_term = state.led_term.max(term);
+                let logged_term = report.point.map_or(0, |point| point.term);
+                let known_term = match fenced {
+                    // Only the leader of the newest term answers so.
+                    true => group.leader.term_known_by(sent_at),
+                    // A replaced leader that leads on answers so, too.
+                    false => state.led_term_known_by(sent_at),
+                };
+                let term = logged_term.max(known_term);
+                state.record_led_term(now, term);
                 if term >= group.leader.term {
                     state.denies_leadership = false;
                     if let Some(point) = report.point {
@@ -123,7 +131,7 @@
         if let Some(state) = group.members.get_mut(member) {
             state.term = state.term.max(status.term);
             if status.leads {
-                state.led_term = state.led_term.max(status.term);
+                state.record_led_term(now, status.term);
             }
             state.denies_leadership = !leads;
             state.record_answer(now, None);
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -360,7 +360,7 @@
         };
         group.lease.claim_retry_at = Some(now + retry_delay);
         let promoted_term = stored.and_then(claim::ClaimRow::promoted_term);
-        group.leader.term = group.leader.term.max(promoted_term.unwrap_or(0));
+        group.leader.record_term(now, promoted_term.unwrap_or(0));
         let leader = group.leader.member;
         let Some(leader) = leader.and_then(|leader| group.members.get_mut(leader)) else {
             return;
@@ -421,7 +421,7 @@
         granted |= group.start_lease_by_consent(now);
         group.lease.record_answer(now, member, granted || leads);
         if newest > group.leader.term {
-            group.leader.term = newest;
+            group.leader.record_term(now, newest);
             group.lease.renewal_due = true;
             let leader = group.leader.member;
             let leader = leader.and_then(|leader| group.members.get_mut(leader));
