Order the evidence about a leader by when it was asked for

Each answer of the old leader counted from its arrival, so it always came after the successor's entry and won the belief back; a status that was overtaken by a later one denied the present leader. Cause: the instant of arrival stands for the instant from which an answer tells, and, where promotions are not fenced, an answer in the known term counted against the entry of another member, although a replaced leader answers so for as long as it leads on. Now confirmations count from the sending of the statement or question (commands tell theirs, too), a member's status only if no later question has been answered, and without fences an answer in the believed leader's term does not count against that leader: a newer term does, and so does the believed member's own denial. What an attempt finds counts through the same status. Why it works: without fences two members may lead at once, in different terms; only a term, never the time of an answer, tells which one is newer.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -87,6 +87,8 @@
         group: id::GroupId,
         /// Member that got the command.
         member: id::MemberId,
+        /// Instant at which the command was sent, or an earlier one.
+        asked_at: Instant,
         /// Status in the answer; `None` if the member did not answer.
         status: Option<MemberStatus>,
     },
--- a/crates/broker/src/leader.rs
+++ b/crates/broker/src/leader.rs
@@ -43,7 +43,7 @@
     pub term: id::Term,
     /// Instant at which an answer first showed that term.
     pub term_known_at: Option<Instant>,
-    /// Instant of the last answer that only a leader gives.
+    /// Instant at which the last statement or question was sent to which the leader has answered as only a leader does.
     pub confirmed_at: Option<Instant>,
     /// Instant since which no leader is known.
     pub no_leader_since: Option<Instant>,
@@ -60,18 +60,34 @@
 }
 
 impl LeaderBelief {
-    /// Records an answer of `member` that only the leader of `term` gives, unless that term is older than the newest known
-    /// term.
-    pub fn record_confirmation(&mut self, now: Instant, member: id::MemberId, term: id::Term) {
-        if term >= self.term {
-            if self.member != Some(member) {
-                self.reset_stall();
-            }
-            self.record_term(now, term);
-            self.member = Some(member);
-            self.confirmed_at = Some(now);
-            self.no_leader_since = None;
+    /// Records an answer of `member` that only the leader of `term` gives, to a statement or a question that was sent at `sent_at`,
+    /// unless that term is older than the newest known term.
+    ///
+    /// `fenced` tells whether only the leader of the newest term answers so. Otherwise a replaced leader may, so an answer in the
+    /// term of the believed leader does not count against that leader. Returns whether the member is believed to lead.
+    pub fn record_confirmation(
+        &mut self,
+        now: Instant,
+        sent_at: Instant,
+        member: id::MemberId,
+        term: id::Term,
+        fenced: bool,
+    ) -> bool {
+        let other_leads = self.member.is_some_and(|leader| leader != member);
+        if term < self.term || !fenced && other_leads && term == self.term {
+            return false;
+        }
+        self.confirmed_at = match other_leads {
+            true => Some(sent_at),
+            false => self.confirmed_at.max(Some(sent_at)),
+        };
+        if self.member != Some(member) {
+            self.reset_stall();
         }
+        self.record_term(now, term);
+        self.member = Some(member);
+        self.no_leader_since = None;
+        true
     }
 
     /// Records that a term has a leader.
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -84,6 +84,8 @@
     pub led_term: id::Term,
     /// Instant at which that term became known.
     pub led_term_known_at: Option<Instant>,
+    /// Instant at which the newest question was sent to which the member has answered with its status.
+    pub status_asked_at: Option<Instant>,
     /// Instant at which the member was last asked for its status to renew a lease.
     pub lease_asked_at: Option<Instant>,
     /// Moving average of the answer time, in ms.
@@ -145,6 +147,7 @@
             term: 0,
             led_term: 0,
             led_term_known_at: None,
+            status_asked_at: None,
             lease_asked_at: None,
             latency_ms: LATENCY_START_MS,
             failures: 0,
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -47,12 +47,15 @@
                 };
                 let term = logged_term.max(known_term);
                 state.record_led_term(now, term);
-                if term >= group.leader.term {
+                let confirmed =
+                    group
+                        .leader
+                        .record_confirmation(now, sent_at, report.member, term, fenced);
+                if confirmed {
                     state.denies_leadership = false;
                     if let Some(point) = report.point {
                         group.index.record(sent_at, term, point);
                     }
-                    group.leader.record_confirmation(now, report.member, term);
                     if commit {
                         group.leader.record_commit(now, sent_at, report.point);
                     }
@@ -101,11 +104,12 @@
         now: Instant,
         group_id: id::GroupId,
         member: id::MemberId,
+        asked_at: Instant,
         status: Option<event::MemberStatus>,
         effects: &mut Vec<effect::Effect>,
     ) {
         if let Some(status) = status {
-            self.record_status(now, group_id, member, status);
+            self.record_status(now, group_id, member, asked_at, status);
             let status = Some(status);
             let evidence = effect::LeaderEvidence::Status { member, status };
             self.reelect(now, group_id, evidence, effects);
@@ -115,26 +119,36 @@
         });
     }
 
-    /// Applies a member's status to the beliefs about the member and the leader.
+    /// Applies a member's status, which was asked for at `asked_at`, to the beliefs about the member and the leader.
     pub(super) fn record_status(
         &mut self,
         now: Instant,
         group_id: id::GroupId,
         member: id::MemberId,
+        asked_at: Instant,
         status: event::MemberStatus,
     ) {
+        let fenced = self.settings.fenced;
         let group = self.groups.entry(group_id);
+        let Some(state) = group.members.get_mut(member) else {
+            return;
+        };
+        state.term = state.term.max(status.term);
+        state.record_answer(now, None);
+        if status.leads {
+            state.record_led_term(now, status.term);
+        }
+        // Of answers that overtook each other, the one to the last question counts.
+        if state.status_asked_at > Some(asked_at) {
+            return;
+        }
+        state.status_asked_at = Some(asked_at);
         let leads = status.leads && status.term >= group.leader.term;
+        state.denies_leadership = !leads;
         if leads {
-            group.leader.record_confirmation(now, member, status.term);
-        }
-        if let Some(state) = group.members.get_mut(member) {
-            state.term = state.term.max(status.term);
-            if status.leads {
-                state.record_led_term(now, status.term);
-            }
-            state.denies_leadership = !leads;
-            state.record_answer(now, None);
+            group
+                .leader
+                .record_confirmation(now, asked_at, member, status.term, fenced);
         }
     }
 
@@ -270,13 +284,9 @@
         }
         match progress {
             failover::Progress::Ongoing => {}
-            failover::Progress::Done { member, status } => {
+            failover::Progress::Done { .. } => {
                 group.attempt = None;
                 group.next_attempt_at = Some(now + NEXT_FAILOVER_DELAY);
-                if let Some(state) = group.members.get_mut(member) {
-                    state.denies_leadership = false;
-                }
-                group.leader.record_confirmation(now, member, status.term);
                 let evidence = effect::LeaderEvidence::Failover;
                 self.reelect(now, group_id, evidence, effects);
                 self.serve_queue(now, group_id, effects);
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -330,7 +330,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         if let Some(status) = status {
-            self.record_status(now, group_id, member, status);
+            self.record_status(now, group_id, member, asked_at, status);
         }
         self.apply_lease_evidence(now, group_id, member, asked_at, status, effects);
         let evidence = effect::LeaderEvidence::Status { member, status };
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -159,8 +159,9 @@
             event::Event::StatusAnswered {
                 group,
                 member,
+                asked_at,
                 status,
-            } => self.record_command_end(now, group, member, status, effects),
+            } => self.record_command_end(now, group, member, asked_at, status, effects),
             event::Event::LeaseAnswered {
                 group,
                 member,
--- a/crates/broker/tests/eras.rs
+++ b/crates/broker/tests/eras.rs
@@ -133,6 +133,7 @@
     fixture.handle(Event::StatusAnswered {
         group: GROUP,
         member: 2,
+        asked_at: fixture.now,
         status: Some(status(true, 2, (2, 8), 0)),
     });
     assert_eq!(fixture.leader(), Some(2));
@@ -247,6 +248,7 @@
     fixture.handle(Event::StatusAnswered {
         group: GROUP,
         member,
+        asked_at: fixture.now,
         status: Some(status(false, 0, (0, 5), 1)),
     });
 }
--- a/crates/broker/tests/evidence.rs
+++ b/crates/broker/tests/evidence.rs
@@ -378,6 +378,7 @@
     fixture.handle(Event::StatusAnswered {
         group: GROUP,
         member: 1,
+        asked_at: fixture.now,
         status: Some(status(true, 1, (1, 20), 0)),
     });
     fixture
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -70,6 +70,7 @@
     fixture.handle(Event::StatusAnswered {
         group: GROUP,
         member,
+        asked_at: fixture.now,
         status: Some(status(leads, term, received, held_term)),
     });
 }
@@ -814,6 +815,7 @@
     fixture.handle(Event::StatusAnswered {
         group: GROUP,
         member: 3,
+        asked_at: fixture.now,
         status: None,
     });
     assert_eq!(take_recorded_target(&mut fixture), None);
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -553,6 +553,7 @@
         fixture.handle(Event::StatusAnswered {
             group: GROUP,
             member,
+            asked_at: fixture.now,
             status: Some(status(false, term - 1, (term - 1, 10), term)),
         });
     }
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -153,6 +153,7 @@
         conn: Option<id::ConnId>,
     ) {
         let shell = Rc::clone(self);
+        let asked_at = clock::now();
         tokio::task::spawn_local(async move {
             let lent = conn.and_then(|conn| shell.inner.borrow_mut().idle.remove(conn));
             let (status, upstream) = shell.exchange_command(member, command, lent).await;
@@ -176,6 +177,7 @@
             shell.handle(event::Event::StatusAnswered {
                 group,
                 member,
+                asked_at,
                 status,
             });
         });
