Demote a replaced leader that an attempt finds leading on

A claimant that believes the successor to lead, by its directory entry, but has not seen its term yet, took the old leader's status for a promotion in between: it ended the attempt and, if the successor's order had got no answer and had ended since, wrote the old leader into the claim row as the last ordered member. Every proxy then read Undisputed. Cause: a leader of the term that is known already was taken for news. Now, where promotions are not fenced, such a member is demoted and held like any replaced leader, so the attempt goes on to a member that has all that was acknowledged. Why it works: the attempt knows that another member has been made leader since that term was seen; if the entry is wrong, the member is held with its whole log and chosen again.

--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -396,15 +396,16 @@
         if self.step != Step::Holding {
             return Progress::Ongoing;
         }
+        let leads_on =
+            status.is_some_and(|status| status.leads && self.is_replaced(member, status.term));
         let hold = self.holds.entry(member);
         hold.sent_at = None;
         hold.retry_at = Some(now + COMMAND_RETRY_DELAY);
-        hold.status = status;
+        hold.status = status.filter(|_| !leads_on);
         if let Some(status) = status {
             let newest_held_term = status.term.max(status.held_term);
-            if status.leads && status.term < self.newest_term {
+            if leads_on {
                 // A replaced leader that leads on cannot be held before it is demoted.
-                hold.status = None;
                 let command = effect::MemberCommand::Demote(self.hold_term);
                 self.send_command(Some(member), command, out);
                 return Progress::Ongoing;
@@ -536,6 +537,13 @@
         Progress::Ongoing
     }
 
+    /// Returns whether a member that leads `term` has been replaced: a newer term has a leader or, where a replaced leader may lead
+    /// on, the member leads no newer term than the one that was known when another member became the believed leader.
+    fn is_replaced(&self, member: id::MemberId, term: id::Term) -> bool {
+        let other_leads = self.old_leader.is_some_and(|leader| leader != member);
+        term < self.newest_term || !self.fenced && other_leads && term <= self.term
+    }
+
     /// Records in the claim that a member has been promoted by an earlier order and leads `term`.
     fn record_leader(&mut self, name: Box<str>, term: id::Term) {
         self.claim.target = Some(name.clone());
--- a/crates/broker/tests/evidence.rs
+++ b/crates/broker/tests/evidence.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered, Standing};
-use fulmarlift_broker::effect::Effect;
+use fulmarlift_broker::effect::{Effect, MemberCommand};
 use fulmarlift_broker::event::{Answer, Event, StatementReport, StoreOutcome};
 use fulmarlift_broker::index::ReadIndex;
 use fulmarlift_broker::request::Requirement;
@@ -418,6 +418,17 @@
     );
 }
 
+/// Otherwise each attempt to replace member 3, which leaves, would end at member 1.
+#[test]
+fn replaced_leader_that_is_found_by_attempt_is_demoted() {
+    let mut fixture = find_replaced_leader(row_of_unanswered_order(9_000));
+    let demoted = fixture.take_effects().into_iter().any(|effect| {
+        let command = MemberCommand::Demote(2);
+        matches!(effect, Effect::SendCommand { member: 1, command: sent, .. } if sent == command)
+    });
+    assert!(demoted);
+}
+
 #[rstest]
 #[case::that_may_be_executed_again(20_000)]
 #[case::that_has_ended(9_000)]
