Ignore a claim row that a newer one has overtaken

An attempt and a lease read the same row on two connections; the older answer, which names the old leader, came last and denied the present one, so the next listed leader was taken. Cause: rows counted in the order of their arrival. Leases were not affected: one that a row starts counts from the instant at which the row was asked for. Why it works: the revision of the row, not its arrival, orders its states.

--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -10,6 +10,7 @@
 use crate::lease;
 use crate::member_state;
 use crate::place;
+use crate::revision;
 use crate::state;
 
 /// Time after which a member that has not answered the question is passed over: several round trips between regions. The
@@ -55,6 +56,8 @@
     question: Option<Question>,
     /// Instant at which the read of the claim row that is under way was sent.
     claim_read_sent_at: Option<Instant>,
+    /// Newest revision of the claim row that a read has returned.
+    claim_revision: Option<revision::Revision>,
     /// Instant from which the claim row may be read again.
     claim_retry_at: Option<Instant>,
     /// What the newest read of the claim row has told about the leader.
@@ -359,6 +362,12 @@
             false => CLAIM_RETRY_DELAY,
         };
         group.lease.claim_retry_at = Some(now + retry_delay);
+        let revision = stored.map(|row| row.revision);
+        // A later read has overtaken this one and found a newer row.
+        if revision.is_some() && revision < group.lease.claim_revision {
+            return;
+        }
+        group.lease.claim_revision = group.lease.claim_revision.max(revision);
         let promoted_term = stored.and_then(claim::ClaimRow::promoted_term);
         group.leader.record_term(now, promoted_term.unwrap_or(0));
         let leader = group.leader.member;
