Don't take an entry for a leader whose term is known to be older

What callers saw (by a test): writes at a replaced leader. Once the believed leader denied that it leads, the newest directory entry counted, although its member was last known to lead an older term: the directory still lists a replaced leader that leads on. Cause: an entry was not compared with what its member has shown since it began. Now an entry counts only if it began after its member was last seen to lead an older term. Why it works: terms only rise, and an entry that began before tells of the older lead. Without another entry the members are asked, as before.

--- a/crates/broker/src/leader.rs
+++ b/crates/broker/src/leader.rs
@@ -152,7 +152,7 @@
         let newest = members
             .values()
             .filter(|state| !state.denies_leadership && state.unlisted_since.is_none())
-            .filter(|state| state.listed_as_leader_since.is_some())
+            .filter(|state| state.listed_as_leader_since > self.known_to_be_replaced_at(state))
             .max_by_key(|state| (state.listed_as_leader_since, state.entry.revision));
         let current = self.member.and_then(|member| members.get(member));
         let keep = current.is_some_and(|state| {
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Returns the instant at which a member was known to lead a term that is older than the newest one now; `None` if it was not.
+    /// An entry that has said since before then that the member leads tells no more.
+    fn known_to_be_replaced_at(&self, state: &member_state::MemberState) -> Option<Instant> {
+        let is_older = state.led_term < self.term;
+        state.led_term_known_at.filter(|_| is_older)
+    }
+
     /// Returns the reason to replace the leader, if there is one. `grace_period_over` tells whether the directory has had the
     /// time to list the leader again, or, if no leader is known, to list one.
     pub fn reason_to_replace(
