Take a leader that the claim row calls replaced for one of an older term

What callers saw (by a test): writes at a replaced leader. Its next answer won the belief back that the claim row had taken from it, if the claimant had known an older term than the one that was replaced: the row then tells too low a bound for the successor's term. Cause: the denial that the row implies ended with the next answer. Now a successor's term is known to be above the one that the replaced member had shown before the row was asked for, so only a newer term brings it back. Why it works: the row names the last member that was ordered, so that member was promoted after the term in which the other one had been seen.

--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -386,7 +386,12 @@
                     group.lease.standing = Some(claim::Standing::Unknown);
                 }
             }
-            claim::Standing::Replaced => leader.denies_leadership = true,
+            claim::Standing::Replaced => {
+                leader.denies_leadership = true;
+                // The row names the term that its claimant knew, which may be older than the one that has been replaced.
+                let replaced_term = leader.led_term_known_by(asked_at);
+                group.leader.record_term(now, replaced_term + 1);
+            }
             _ => {}
         }
         let evidence = effect::LeaseEvidence::Claim {
