Take consents for a lease only of members that are known to be all

A proxy that the store refused took the consent of the members that it knew for a lease, while a member that had joined unknown to it had been promoted; the known replicas, released by the promotion, heard nothing of it and consented truly, for seconds. Cause: the members known to the proxy stood for the members of the group. Now the directory's answers carry their instant, and a lease by consent ends 0.5 s after the last of them: a member that joins later is held then at the earliest, and ordered 0.5 s after its hold.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -39,8 +39,8 @@
     },
     /// A read of the directory ended, or the reader of this proxy's domain reported one.
     DirectoryRead {
-        /// Whether the directory answered.
-        reached: bool,
+        /// Instant at which the directory answered, or an earlier one; `None` if it did not.
+        answered_at: Option<Instant>,
     },
     /// A request arrived from a caller or from another proxy.
     Arrived(request::Request),
--- a/crates/broker/src/lease.rs
+++ b/crates/broker/src/lease.rs
@@ -13,12 +13,12 @@
 //!   see [`crate::claim::ClaimRow::standing`]. It starts a lease which ends [`LEASE_DURATION`] after the row was asked for.
 //! - A member that shows the term that follows the one of the last lease. It starts a lease of that term, until
 //!   [`failover::ORDER_LEASE`] after the end of the last lease: no second promotion is ordered before that.
-//! - While the claim row cannot be read or does not tell, the consent of all other known members, see [`Consents`]: the target
-//!   of a promotion is held until it leads.
+//! - While the claim row cannot be read or does not tell, the consent of all other members, see [`Consents`]: the target of a
+//!   promotion is held until it leads. A member that joins unnoticed is ordered [`LEASE_DURATION`] after the last answer of the
+//!   directory at the earliest, so the lease ends by then.
 //!
-//! Assumptions about the old leader: it may lead on for any time, and answer reads and begin transactions. Assumptions about
-//! the other members, for the last kind only: a hold lasts until a release, a promotion or the member's restart, and this proxy
-//! knows the member that is promoted.
+//! Assumptions about the old leader: it may lead on for any time, and answer reads and begin transactions. Assumption about
+//! the other members, for the last kind only: a hold lasts until a release, a promotion or the member's restart.
 
 use std::time::{Duration, Instant};
 
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -95,18 +95,19 @@
     pub(super) fn record_directory_read(
         &mut self,
         now: Instant,
-        reached: bool,
+        answered_at: Option<Instant>,
         effects: &mut Vec<effect::Effect>,
     ) {
-        match reached {
-            true => {
+        self.directory_answered_at = self.directory_answered_at.max(answered_at);
+        match answered_at {
+            Some(_) => {
                 self.directory_reached_since.get_or_insert(now);
                 let is_first = !std::mem::replace(&mut self.directory_read, true);
                 if is_first {
                     self.serve_all_queues(now, effects);
                 }
             }
-            false => self.directory_reached_since = None,
+            None => self.directory_reached_since = None,
         }
     }
 
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -151,8 +151,9 @@
         leader.map_or(0, |leader| leader.term)
     }
 
-    /// Returns whether the claim row or a member can be expected to grant the leader a lease.
-    pub(super) fn may_renew_lease(&self) -> bool {
+    /// Returns whether the claim row or a member can be expected to grant the leader a lease. `knows_members` tells whether this
+    /// proxy knows all members that may have been promoted by now.
+    pub(super) fn may_renew_lease(&self, knows_members: bool) -> bool {
         let leader = self.leader.member;
         let mut others = self
             .members
@@ -161,7 +162,7 @@
         let reachable = |state: &member_state::MemberState| state.failures < 2;
         match self.lease.standing {
             None | Some(claim::Standing::Undisputed) => true,
-            Some(claim::Standing::Unknown) => others.all(reachable),
+            Some(claim::Standing::Unknown) => knows_members && others.all(reachable),
             Some(claim::Standing::Disputed | claim::Standing::Replaced) => others.any(reachable),
         }
     }
@@ -177,8 +178,11 @@
         leader.led_term > 0 && leader.led_term >= self.lease.lease.term().max(self.leader.term)
     }
 
-    /// Starts or extends the lease if all other members consent. Returns whether the lease is valid.
-    fn start_lease_by_consent(&mut self, now: Instant) -> bool {
+    /// Starts or extends the lease if all other members consent that joined before the instant `members_known_at`. Returns whether
+    /// the lease is valid.
+    ///
+    /// A member that joined later is held at `members_known_at` at the earliest, and ordered [`lease::LEASE_DURATION`] after that.
+    fn start_lease_by_consent(&mut self, now: Instant, members_known_at: Option<Instant>) -> bool {
         let leader = self.leader.member;
         let others = self
             .members
@@ -186,8 +190,9 @@
             .filter(|state| Some(state.entry.id) != leader)
             .map(|state| state.entry.id);
         let term = self.leader_term();
-        if let Some(given_at) = self.lease.consents.given_at(term, others) {
-            self.lease.lease.start(term, given_at);
+        let given_at = self.lease.consents.given_at(term, others);
+        if let Some(known_at) = given_at.min(members_known_at) {
+            self.lease.lease.start(term, known_at);
         }
         self.lease.lease.is_valid(now)
     }
@@ -247,6 +252,12 @@
 }
 
 impl state::Broker {
+    /// Returns whether this proxy knows all members that may have been promoted by now.
+    pub(super) fn knows_members(&self, now: Instant) -> bool {
+        self.directory_answered_at
+            .is_some_and(|answered_at| now < answered_at + lease::LEASE_DURATION)
+    }
+
     /// Renews the lease if that is due: reads the claim row if the lease has ended, and asks a member for its status if the answer
     /// can count.
     pub(super) fn renew_lease_if_due(
@@ -417,6 +428,7 @@
         status: Option<event::MemberStatus>,
         effects: &mut Vec<effect::Effect>,
     ) {
+        let members_known_at = self.directory_answered_at;
         let group = self.groups.entry(group_id);
         let term = group.leader_term();
         let leads = status.is_some_and(|status| status.leads);
@@ -432,7 +444,7 @@
                 false => lease.consents.withdraw(member),
             }
         }
-        granted |= group.start_lease_by_consent(now);
+        granted |= group.start_lease_by_consent(now, members_known_at);
         group.lease.record_answer(now, member, granted || leads);
         if newest > group.leader.term {
             group.leader.record_term(now, newest);
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -71,6 +71,8 @@
     next_conn: id::ConnId,
     /// Instant since which every read of the directory has succeeded.
     directory_reached_since: Option<Instant>,
+    /// Instant of the newest answer of the directory: this proxy knows all members that joined before it.
+    directory_answered_at: Option<Instant>,
     eras: eras::StoreEra,
 }
 
@@ -125,6 +127,7 @@
             home_choices: 0,
             next_conn: 1,
             directory_reached_since: None,
+            directory_answered_at: None,
             eras: eras::StoreEra::default(),
         }
     }
@@ -138,8 +141,8 @@
             event::Event::PeerListed(peer) => self.apply_peer_entry(now, peer, effects),
             event::Event::PeerUnlisted(name) => self.remove_peer(now, &name, effects),
             event::Event::PeersRead => self.record_peers_read(now, effects),
-            event::Event::DirectoryRead { reached } => {
-                self.record_directory_read(now, reached, effects);
+            event::Event::DirectoryRead { answered_at } => {
+                self.record_directory_read(now, answered_at, effects);
             }
             event::Event::Arrived(request) => self.add_request(now, request, effects),
             event::Event::Abandoned(request) => self.remove_request(request),
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -395,7 +395,8 @@
         request: &request::Request,
     ) -> Decision {
         let led = self.usable_leader(now, group).is_some();
-        if led && group.may_renew_lease() {
+        let knows_members = self.knows_members(now);
+        if led && group.may_renew_lease(knows_members) {
             return Decision::Lease;
         }
         let waited = group
--- a/crates/broker/tests/eras.rs
+++ b/crates/broker/tests/eras.rs
@@ -28,7 +28,9 @@
 fn begin_era(fixture: &mut Fixture, era: u64) {
     let known_for = Duration::ZERO;
     fixture.handle(Event::StoreEra { era, known_for });
-    fixture.handle(Event::DirectoryRead { reached: true });
+    fixture.handle(Event::DirectoryRead {
+        answered_at: Some(fixture.now),
+    });
 }
 
 fn has(effects: &[Effect], matches: impl Fn(&Effect) -> bool) -> bool {
@@ -229,7 +231,9 @@
 fn hold_replicas(fixture: &mut Fixture) {
     let known_for = Duration::from_secs(30);
     fixture.handle(Event::StoreEra { era: 1, known_for });
-    fixture.handle(Event::DirectoryRead { reached: true });
+    fixture.handle(Event::DirectoryRead {
+        answered_at: Some(fixture.now),
+    });
     begin_replacement(fixture);
     load(fixture, Claim::default(), in_era(1, 40));
     fixture.take_effects();
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -771,7 +771,9 @@
         era: 1,
         known_for: Duration::from_secs(60),
     });
-    fixture.handle(Event::DirectoryRead { reached: true });
+    fixture.handle(Event::DirectoryRead {
+        answered_at: Some(fixture.now),
+    });
     let mut leaving = member_at(1, "a", true);
     leaving.leaving = true;
     leaving.revision.era = 1;
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -667,8 +667,7 @@
 #[test]
 fn lease_is_not_started_by_consent_while_directory_is_not_reached() {
     let mut fixture = with_lease();
-    let reached = false;
-    fixture.handle(Event::DirectoryRead { reached });
+    fixture.directory_answers = false;
     fixture.now += Duration::from_secs(30);
     for _ in 0..8 {
         read(&mut fixture);
--- a/crates/broker/tests/restart.rs
+++ b/crates/broker/tests/restart.rs
@@ -113,7 +113,9 @@
         let entry = support::member_at(member, "a", member == 1);
         fixture.handle(Event::Listed(entry));
     }
-    fixture.handle(Event::DirectoryRead { reached: true });
+    fixture.handle(Event::DirectoryRead {
+        answered_at: Some(fixture.now),
+    });
     fixture.add_request(Requirement::Leader);
     assert_eq!(fixture.take_effects().iter().filter(is_refusal).count(), 0);
     fixture.handle(Event::PeersRead);
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -24,6 +24,8 @@
     pub broker: Broker,
     pub now: Instant,
     pub effects: Vec<Effect>,
+    /// Whether the directory answers whenever the clock advances.
+    pub directory_answers: bool,
     next_request: id::RequestId,
 }
 
@@ -63,6 +65,7 @@
             broker,
             now: Instant::now(),
             effects: Vec::new(),
+            directory_answers: false,
             next_request: 0,
         }
     }
@@ -74,8 +77,11 @@
         for (member, domain) in [(1, "a"), (2, "b"), (3, "c")] {
             fixture.handle(Event::Listed(member_at(member, domain, member == 1)));
         }
-        fixture.handle(Event::DirectoryRead { reached: true });
+        fixture.handle(Event::DirectoryRead {
+            answered_at: Some(fixture.now),
+        });
         fixture.now += Duration::from_secs(5);
+        fixture.directory_answers = true;
         fixture.effects.clear();
         fixture
     }
@@ -89,6 +95,10 @@
         let until = self.now + Duration::from_millis(ms);
         while self.now < until {
             self.now += Duration::from_millis(100).min(until - self.now);
+            if self.directory_answers {
+                let answered_at = Some(self.now);
+                self.handle(Event::DirectoryRead { answered_at });
+            }
             self.handle(Event::Tick);
         }
     }
--- a/crates/session/src/updates/follow.rs
+++ b/crates/session/src/updates/follow.rs
@@ -302,7 +302,9 @@
             log::info!("event=store_reached source={source:?} reached={reached} error=\"{error}\"");
         }
         if source == deployment::Contents::Members {
-            self.shell.handle(event::Event::DirectoryRead { reached });
+            let answered_at = reached.then(clock::now);
+            self.shell
+                .handle(event::Event::DirectoryRead { answered_at });
         }
     }
 
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -138,7 +138,8 @@
                 if let Some(revision) = configuration {
                     shell.record_configuration_revision(revision);
                 }
-                shell.handle(event::Event::DirectoryRead { reached: true });
+                let answered_at = Some(answered_at);
+                shell.handle(event::Event::DirectoryRead { answered_at });
                 return Ok(true);
             }
         }
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -82,7 +82,9 @@
         listed_as_leader: true,
         revision: Revision { era: 0, version: 1 },
     }));
-    shell.handle(Event::DirectoryRead { reached: true });
+    shell.handle(Event::DirectoryRead {
+        answered_at: Some(fulmarlift_session::clock::now()),
+    });
 }
 
 /// A caller's connection, in the protocol between proxies.
