Tests: a lease by consent beside a claim row that names an order for an unknown member

The row is read, and names as ordered a member that this proxy doesn't know (it joined unseen, or was dropped), but the consent of the known members starts a lease of the replaced leader all the same, and a read of the newest data is granted there at once. Replicas consent so for as long as they are released and cut from the new leader (200 ms), and may confirm its commits within the 500 ms that the lease still lasts.

--- a/crates/broker/tests/review.rs
+++ b/crates/broker/tests/review.rs
@@ -569,3 +569,77 @@
     fixture.advance(600);
     assert!(!records_target(&mut fixture));
 }
+
+fn row_of_pending_order(order_ends_ms: u64) -> ClaimRow {
+    let mut row = row_of_unanswered_order("member-9", 1);
+    row.claim.order_ends_ms = order_ends_ms;
+    row
+}
+
+/// Member 9 has been promoted to term 2, and another proxy has claimed to replace it.
+fn row_of_attempt_after_promotion() -> ClaimRow {
+    let mut row = row_of("member-9", 1);
+    row.claim.target = None;
+    row.claim.until_ms = 99_000;
+    row
+}
+
+#[test]
+fn standing_of_replaced_leader_is_replaced_during_later_attempt() {
+    let row = row_of_attempt_after_promotion();
+    assert_eq!(row.standing("member-1", 1), Standing::Replaced);
+}
+
+/// Member 9 is not known to this proxy: it joined unseen, or was dropped. Its promotion has released the replicas, which are cut from it.
+#[rstest]
+#[case::that_may_have_been_executed(row_of_pending_order(20_000))]
+#[case::that_can_no_longer_be_executed(row_of_pending_order(9_000))]
+#[case::that_was_executed_before_claim_in_force(row_of_attempt_after_promotion())]
+fn lease_is_not_started_by_consent_while_claim_row_names_order_for_unknown_member(
+    #[case] row: ClaimRow,
+) {
+    let mut fixture = led_by_first(Fixture::unfenced());
+    for _ in 0..20 {
+        let acknowledged_before = fixture.now;
+        fixture.add_request(Requirement::VerifiedLeader {
+            acknowledged_before,
+        });
+        for _ in 0..3 {
+            fixture.open_all();
+            for effect in fixture.take_effects() {
+                answer_with_consent(&mut fixture, effect, &row);
+            }
+        }
+        let granted = fixture.take_grants();
+        assert!(granted.is_empty(), "granted at {}", granted[0].member);
+        fixture.advance(70);
+    }
+}
+
+/// Answers a read of the claim row with this row, and a question to a member with its consent; member 1 does not answer questions.
+fn answer_with_consent(fixture: &mut Fixture, effect: Effect, row: &ClaimRow) {
+    let asked_at = fixture.now;
+    match effect {
+        Effect::LoadClaim(group) => fixture.handle(Event::ClaimLoaded {
+            group,
+            asked_at,
+            stored: Some(row.clone()),
+        }),
+        Effect::AskStatus {
+            group,
+            conn,
+            member,
+        } => {
+            let consent = status(false, 1, (1, 10), 0);
+            fixture.handle(Event::LeaseAnswered {
+                group,
+                member,
+                asked_at,
+                status: (member != 1).then_some(consent),
+            });
+            let reusable = true;
+            fixture.handle(Event::Returned { conn, reusable });
+        }
+        other => fixture.effects.push(other),
+    }
+}
