Don't let consents overrule a claim row that names an unknown member

The claim row, which the proxy had read, names a member that it doesn't know as the last one that was ordered; the consents of the members that it knows still started a lease. Cause: two observations of different scope were combined: the members known here, and an order for a member outside them. Now no lease starts by consent while the row names a member that is not known. Why it works: a member that may have been promoted is either asked itself, or known not to be known.

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -29,6 +29,16 @@
     Unknown,
 }
 
+impl LastOrdered {
+    /// Returns the name of the member, if one is known.
+    pub fn member(&self) -> Option<&str> {
+        match self {
+            Self::Member { name, .. } => Some(name),
+            Self::Nobody | Self::Unknown => None,
+        }
+    }
+}
+
 /// What a claim row tells about the member that is believed to lead.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Standing {
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -62,6 +62,8 @@
     claim_retry_at: Option<Instant>,
     /// What the newest read of the claim row has told about the leader.
     standing: Option<claim::Standing>,
+    /// Member that the newest read of the claim row names as the last one that was ordered.
+    last_ordered: Option<Box<str>>,
     consents: lease::Consents,
     /// Validity, term and member of the last [`effect::StateChange::Lease`].
     logged: Option<(bool, id::Term, id::MemberId)>,
@@ -183,6 +185,14 @@
     ///
     /// A member that joined later is held at `members_known_at` at the earliest, and ordered [`lease::LEASE_DURATION`] after that.
     fn start_lease_by_consent(&mut self, now: Instant, members_known_at: Option<Instant>) -> bool {
+        let last_ordered = self.lease.last_ordered.as_deref();
+        let knows_last_ordered = last_ordered.is_none_or(|name| {
+            let mut members = self.members.values();
+            members.any(|state| state.entry.name.as_ref() == name)
+        });
+        if !knows_last_ordered {
+            return self.lease.lease.is_valid(now);
+        }
         let leader = self.leader.member;
         let others = self
             .members
@@ -379,6 +389,9 @@
             return;
         }
         group.lease.claim_revision = group.lease.claim_revision.max(revision);
+        if let Some(row) = stored {
+            group.lease.last_ordered = row.claim.last_ordered.member().map(Box::from);
+        }
         let promoted_term = stored.and_then(claim::ClaimRow::promoted_term);
         group.leader.record_term(now, promoted_term.unwrap_or(0));
         let leader = group.leader.member;
