Call a leader replaced by the claim row during a later attempt, too

What callers saw (by the review's tests): waits for leases and writes at a replaced leader. A row whose last order was settled for another member read Disputed while any later claim was in force, so the replaced leader stayed the believed one. Cause: the claim in force was looked at before the last order. Now a settled order for another member says Replaced, whether or not another attempt has begun. Evidence: standing_of_replaced_leader_is_replaced_during_later_attempt and successor_that_shows_known_term_is_believed_over_leader_of_older_one were red before.

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -119,6 +119,9 @@
         let attempted = self.claim.target.is_none() && self.now_ms < self.claim.until_ms;
         match &self.claim.last_ordered {
             LastOrdered::Unknown => Standing::Unknown,
+            LastOrdered::Member { name, .. } if name.as_ref() != member && !pending => {
+                Standing::Replaced
+            }
             _ if attempted => Standing::Disputed,
             LastOrdered::Nobody if pending => Standing::Disputed,
             LastOrdered::Nobody => Standing::Undisputed,
@@ -130,8 +133,7 @@
                 true => Standing::Undisputed,
                 false => Standing::Disputed,
             },
-            LastOrdered::Member { .. } if pending => Standing::Disputed,
-            LastOrdered::Member { .. } => Standing::Replaced,
+            LastOrdered::Member { .. } => Standing::Disputed,
         }
     }
 
