Count a status of a newer term although a later question was answered before

Cause: the instant of the question is only a lower bound of the instant from which the answer tells. Now it decides only between answers of the same term. Evidence: status_of_newer_term_counts_though_later_question_was_answered_before (two cases) and status_of_newer_term_denies_leader_though_later_question_was_answered_before were red before, green on.

--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -84,8 +84,8 @@
     pub led_term: id::Term,
     /// Instant at which that term became known.
     pub led_term_known_at: Option<Instant>,
-    /// Instant at which the newest question was sent to which the member has answered with its status.
-    pub status_asked_at: Option<Instant>,
+    /// Instant at which the member was asked for its newest status, and the term in that status.
+    pub newest_status: Option<(Instant, id::Term)>,
     /// Instant at which the member was last asked for its status to renew a lease.
     pub lease_asked_at: Option<Instant>,
     /// Moving average of the answer time, in ms.
@@ -147,7 +147,7 @@
             term: 0,
             led_term: 0,
             led_term_known_at: None,
-            status_asked_at: None,
+            newest_status: None,
             lease_asked_at: None,
             latency_ms: LATENCY_START_MS,
             failures: 0,
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -138,11 +138,14 @@
         if status.leads {
             state.record_led_term(now, status.term);
         }
-        // Of answers that overtook each other, the one to the last question counts.
-        if state.status_asked_at > Some(asked_at) {
+        // Of answers in the same term that overtook each other, the one to the last question counts.
+        let overtaken = state.newest_status.is_some_and(|(newest_asked_at, term)| {
+            newest_asked_at > asked_at && term >= status.term
+        });
+        if overtaken {
             return;
         }
-        state.status_asked_at = Some(asked_at);
+        state.newest_status = Some((asked_at, status.term));
         let leads = status.leads && status.term >= group.leader.term;
         state.denies_leadership = !leads;
         if leads {
