Weigh answers of the newest known term by what the believed leader has shown

Cause: an answer in the known term never counted, or always. Now, without fences, it counts if the believed leader is known to lead an older term; with fences, unless the believed leader has answered a later statement. Evidence: leader_that_shows_known_term_is_believed_over_member_that_has_shown_older_one and leader_is_not_replaced_by_answer_to_statement_sent_before_its_own were red before.

--- a/crates/broker/src/leader.rs
+++ b/crates/broker/src/leader.rs
@@ -64,7 +64,8 @@
     /// unless that term is older than the newest known term.
     ///
     /// `fenced` tells whether only the leader of the newest term answers so. Otherwise a replaced leader may, so an answer in the
-    /// term of the believed leader does not count against that leader. Returns whether the member is believed to lead.
+    /// newest known term does not count against the believed leader, unless that one is known to lead an older term
+    /// (`is_outdated`). Returns whether the member is believed to lead.
     pub fn record_confirmation(
         &mut self,
         now: Instant,
@@ -72,9 +73,14 @@
         member: id::MemberId,
         term: id::Term,
         fenced: bool,
+        is_outdated: bool,
     ) -> bool {
         let other_leads = self.member.is_some_and(|leader| leader != member);
-        if term < self.term || !fenced && other_leads && term == self.term {
+        let is_overtaken = match fenced {
+            true => self.confirmed_at > Some(sent_at),
+            false => !is_outdated,
+        };
+        if term < self.term || term == self.term && other_leads && is_overtaken {
             return false;
         }
         self.confirmed_at = match other_leads {
@@ -90,6 +96,15 @@
         true
     }
 
+    /// Returns whether the believed leader is known to lead a term that is older than the newest known one.
+    pub fn is_outdated(
+        &self,
+        members: &sorted::Map<id::MemberId, member_state::MemberState>,
+    ) -> bool {
+        let leader = self.member.and_then(|member| members.get(member));
+        leader.is_some_and(|leader| leader.led_term > 0 && leader.led_term < self.term)
+    }
+
     /// Records that a term has a leader.
     pub fn record_term(&mut self, now: Instant, term: id::Term) {
         if term > self.term {
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -32,6 +32,7 @@
     ) {
         let fenced = self.settings.fenced;
         let group = self.groups.entry(group_id);
+        let is_outdated = group.leader.is_outdated(&group.members);
         let Some(state) = group.members.get_mut(report.member) else {
             // The answer of a home is no evidence about the leader.
             return;
@@ -47,10 +48,14 @@
                 };
                 let term = logged_term.max(known_term);
                 state.record_led_term(now, term);
-                let confirmed =
-                    group
-                        .leader
-                        .record_confirmation(now, sent_at, report.member, term, fenced);
+                let confirmed = group.leader.record_confirmation(
+                    now,
+                    sent_at,
+                    report.member,
+                    term,
+                    fenced,
+                    is_outdated,
+                );
                 if confirmed {
                     state.denies_leadership = false;
                     if let Some(point) = report.point {
@@ -130,6 +135,7 @@
     ) {
         let fenced = self.settings.fenced;
         let group = self.groups.entry(group_id);
+        let is_outdated = group.leader.is_outdated(&group.members);
         let Some(state) = group.members.get_mut(member) else {
             return;
         };
@@ -149,9 +155,10 @@
         let leads = status.leads && status.term >= group.leader.term;
         state.denies_leadership = !leads;
         if leads {
+            let term = status.term;
             group
                 .leader
-                .record_confirmation(now, asked_at, member, status.term, fenced);
+                .record_confirmation(now, asked_at, member, term, fenced, is_outdated);
         }
     }
 
