Don't let denials from before a promotion count against the promoted member

A claim row, a status or a refusal that had been asked for before the successor's entry or answer came after it (a slow store, a proxy that stood still), denied the successor, and the old leader's entry counted again. Cause: denials counted from their arrival. Now a status or a row that was asked for before the member's entry began to say that it leads denies nothing, nor does the refusal of a statement that was sent before the member showed the newest term that it is known to have led. Why it works: a true denial comes again with the next question; one from before the promotion does not.

--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -213,7 +213,9 @@
             }
             event::Answer::NotLeading => {
                 state.record_answer(now, None);
-                state.denies_leadership = true;
+                // The member may have been promoted after it had refused.
+                let answered_as_leader = state.led_term_known_at > sent_at.or(Some(now));
+                state.denies_leadership |= !answered_as_leader;
             }
             event::Answer::Served | event::Answer::Led { .. } => {
                 state.record_answer(now, report.took);
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -153,7 +153,7 @@
         }
         state.newest_status = Some((asked_at, status.term));
         let leads = status.leads && status.term >= group.leader.term;
-        state.denies_leadership = !leads;
+        state.denies_leadership = !leads && state.listed_as_leader_since <= Some(asked_at);
         if leads {
             let term = status.term;
             group
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -410,6 +410,8 @@
                     group.lease.standing = Some(claim::Standing::Unknown);
                 }
             }
+            // The member may have been promoted after the row was read.
+            claim::Standing::Replaced if leader.listed_as_leader_since > Some(asked_at) => {}
             claim::Standing::Replaced => {
                 leader.denies_leadership = true;
                 // The row names the term that its claimant knew, which may be older than the one that has been replaced.
