Tell a replaced leader by the last order, whatever the claimant has seen

Cause: what the claimant knows stood for what the row says. Now a leader of a term that the last order ended, or would end, is demoted and held; if that order has not been executed, the attempt goes on with all logs held, so nothing acknowledged is lost. Also: outcomes of an earlier attempt's writes and holds no longer count for the present one (revision of the write, instant of the question).

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -37,6 +37,14 @@
             Self::Nobody | Self::Unknown => None,
         }
     }
+
+    /// Returns the newest term before the order; 0 if none is known.
+    pub fn replaced_term(&self) -> id::Term {
+        match self {
+            Self::Member { replaced_term, .. } => *replaced_term,
+            Self::Nobody | Self::Unknown => 0,
+        }
+    }
 }
 
 /// What a claim row tells about the member that is believed to lead.
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -154,6 +154,8 @@
     acknowledged: Option<floor::Point>,
     /// Newest term that is known to have a leader.
     newest_term: id::Term,
+    /// Term that the last order before this attempt has ended if it was executed, or ends when it is.
+    replaced_term: id::Term,
     /// Term at which the members are held: above every term that a member has reported.
     hold_term: id::Term,
     step: Step,
@@ -199,6 +201,7 @@
             term: leader.term,
             acknowledged: leader.acknowledged,
             newest_term: leader.term,
+            replaced_term: 0,
             hold_term: leader.term.saturating_add(1),
             step: Step::Waiting { until: start_at },
             read_sent_at: start_at,
@@ -221,6 +224,11 @@
         matches!(self.step, Step::Waiting { .. } | Step::Loading)
     }
 
+    /// Returns the instant at which the attempt began, by a read of the claim row.
+    pub fn began_at(&self) -> Instant {
+        self.read_sent_at
+    }
+
     /// Returns the name of the current step, the fencing token and the target, for the proxy's diagnostic log.
     pub fn step_token_and_target(&self) -> (&'static str, u64, Option<id::MemberId>) {
         let name = match self.step {
@@ -312,6 +320,7 @@
             true => claim::LastOrdered::Unknown,
             false => stored.claim.last_ordered.clone(),
         };
+        self.replaced_term = stored.claim.last_ordered.replaced_term();
         self.newest_term = self.newest_term.max(stored.promoted_term().unwrap_or(0));
         self.hold_term = self.hold_term.max(self.newest_term.saturating_add(1));
         let pending: Option<Box<str>> = pending.filter(|_| !ended_by_age).map(Box::from);
@@ -346,6 +355,10 @@
         outcome: event::StoreOutcome,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
+        // An outcome of a write before the last one, by an earlier attempt.
+        if matches!(outcome, event::StoreOutcome::Written(revision) if revision <= self.revision) {
+            return Progress::Ongoing;
+        }
         // What was written in another era than the claim was read in may have replaced a row that this proxy has not read.
         let outcome = match outcome {
             event::StoreOutcome::Written(revision) if revision.era != self.revision.era => {
@@ -397,7 +410,7 @@
             return Progress::Ongoing;
         }
         let leads_on =
-            status.is_some_and(|status| status.leads && self.is_replaced(member, status.term));
+            status.is_some_and(|status| status.leads && self.may_be_replaced(member, status.term));
         let hold = self.holds.entry(member);
         hold.sent_at = None;
         hold.retry_at = Some(now + COMMAND_RETRY_DELAY);
@@ -537,11 +550,16 @@
         Progress::Ongoing
     }
 
-    /// Returns whether a member that leads `term` has been replaced: a newer term has a leader or, where a replaced leader may lead
-    /// on, the member leads no newer term than the one that was known when another member became the believed leader.
-    fn is_replaced(&self, member: id::MemberId, term: id::Term) -> bool {
+    /// Returns whether a member that leads `term` may have been replaced: a newer term has a leader or, where a replaced leader may
+    /// lead on, the last order has been given for another member since, or the member leads no newer term than the one that was
+    /// known when another member became the believed leader.
+    fn may_be_replaced(&self, member: id::MemberId, term: id::Term) -> bool {
         let other_leads = self.old_leader.is_some_and(|leader| leader != member);
-        term < self.newest_term || !self.fenced && other_leads && term <= self.term
+        let ended_term = match other_leads {
+            true => self.replaced_term.max(self.term),
+            false => self.replaced_term,
+        };
+        term < self.newest_term || !self.fenced && term <= ended_term
     }
 
     /// Records in the claim that a member has been promoted by an earlier order and leads `term`.
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -120,7 +120,11 @@
             self.reelect(now, group_id, evidence, effects);
         }
         self.advance_failover(now, group_id, effects, |attempt, participants, out| {
-            attempt.apply_status(now, member, status, participants, out)
+            // An earlier attempt, which has released its members since, may have asked.
+            match asked_at < attempt.began_at() {
+                true => failover::Progress::Ongoing,
+                false => attempt.apply_status(now, member, status, participants, out),
+            }
         });
     }
 
