Read claim rows through another proxy while the store does not answer

What callers saw: with consents only of members that are known to be all, reads of the newest data wait and are refused on proxies that the store refuses, although others reach it. Change: a proxy whose read of the claim row fails, or takes 60 ms, asks up to three other proxies for the row, those of other failure domains first. The row is read after the question, so a lease that it starts is as sound as one from an own read. Only leases use such rows: an attempt to replace a leader must reach the store itself. Test: read_of_newest_data_is_served_by_claim_row_that_other_proxy_reads (session).

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -101,6 +101,16 @@
         /// Row that was read; `None` if the store did not answer.
         stored: Option<claim::ClaimRow>,
     },
+    /// Another proxy has read a claim row for this one, which the store does not answer. Only leases use it: an attempt must reach
+    /// the store itself.
+    ClaimRelayed {
+        /// Group of the row.
+        group: id::GroupId,
+        /// Instant at which the row was asked for, or an earlier one.
+        asked_at: Instant,
+        /// Row that was read.
+        row: claim::ClaimRow,
+    },
     /// A conditional write of a claim row to the store ended, whether or not the row was written.
     ClaimStored {
         /// Group of the row.
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -56,6 +56,8 @@
     question: Option<Question>,
     /// Instant at which the read of the claim row that is under way was sent.
     claim_read_sent_at: Option<Instant>,
+    /// Instant at which the newest claim row that was read was asked for.
+    claim_asked_at: Option<Instant>,
     /// Newest revision of the claim row that a read has returned.
     claim_revision: Option<revision::Revision>,
     /// Instant from which the claim row may be read again.
@@ -377,6 +379,13 @@
         let Some(group) = self.groups.get_mut(group_id) else {
             return;
         };
+        // Another proxy has read the row meanwhile.
+        if stored.is_none() && group.lease.claim_asked_at >= Some(asked_at) {
+            return;
+        }
+        if stored.is_some() {
+            group.lease.claim_asked_at = group.lease.claim_asked_at.max(Some(asked_at));
+        }
         group.lease.claim_read_sent_at = None;
         let retry_delay = match group.lease.lease.is_valid(now) {
             true => CLAIM_RETRY_DELAY_WITH_LEASE,
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -185,6 +185,14 @@
                     attempt.apply_claim(now, asked_at, stored, out)
                 });
             }
+            event::Event::ClaimRelayed {
+                group,
+                asked_at,
+                row,
+            } => {
+                let row = self.protect_lost_claim(now, row);
+                self.record_claim_row(now, group, asked_at, Some(&row), effects);
+            }
             event::Event::ClaimStored { group, outcome } => {
                 self.advance_failover(now, group, effects, |attempt, _, out| {
                     attempt.apply_store_outcome(now, outcome, out)
@@ -200,6 +208,16 @@
         }
     }
 
+    /// Returns the region and the failure domain of this proxy.
+    pub fn place(&self) -> &Place {
+        &self.settings.place
+    }
+
+    /// Returns whether reads of the newest data need a lease, see [`crate::lease`].
+    pub fn uses_leases(&self) -> bool {
+        !self.settings.fenced
+    }
+
     /// Returns the configuration in force.
     pub fn topology(&self) -> &topology::Topology {
         &self.topology
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -83,6 +83,8 @@
     promotion_orders: D::PromotionOrders,
     control_connections: tasks::ControlConnections<D>,
     retry_budget: Cell<limit::RetryBudget>,
+    /// Name of the VM whose proxy answered the last question for a claim row.
+    claim_relay: RefCell<Option<Box<str>>>,
     /// Sends encoded updates to the tasks that serve listeners.
     updates: broadcast::Sender<Bytes>,
     listeners: Cell<usize>,
@@ -128,6 +130,7 @@
             promotion_orders,
             control_connections: tasks::ControlConnections::default(),
             retry_budget: Cell::new(limit::RetryBudget::default()),
+            claim_relay: RefCell::new(None),
             updates: broadcast::Sender::new(UPDATES_WAITING_MAX),
             listeners: Cell::new(0),
             first_listener: Notify::new(),
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -18,6 +18,7 @@
 use crate::protocol::member;
 use crate::shell;
 use crate::shell::state_changes;
+use crate::updates::relay;
 
 /// Timeout to open a connection to a member: less than the 1 s after which the kernel repeats a lost first packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -28,6 +29,8 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Timeout of a command to a member on the control path.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time of a read of a claim row from which another proxy is asked as well.
+const CLAIM_RELAY_DELAY: Duration = Duration::from_millis(60);
 /// Lifetime of an unused control connection: about the duration of a failover.
 const CONTROL_CONNECTION_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -260,35 +263,71 @@
         }
     }
 
+    /// Reads a claim row from the store and, if that fails or takes long, through another proxy as well.
     pub(super) fn load_claim(self: &Rc<Self>, group: id::GroupId) {
         let shell = Rc::clone(self);
+        let asked_at = clock::now();
         tokio::task::spawn_local(async move {
             let name = shell.group_name(group);
-            let asked_at = clock::now();
-            let stored = match shell.claims.load(&name).await {
-                Ok(stored) if stored.revision.era < shell.store_era() => {
-                    log::warn!(
-                        "event=claim_unread group={name} error=\"answer of an earlier era\""
-                    );
-                    None
+            let loading = async {
+                let stored = shell.read_claim(&name).await;
+                let loaded = stored.is_some();
+                shell.handle(event::Event::ClaimLoaded {
+                    group,
+                    asked_at,
+                    stored,
+                });
+                loaded
+            };
+            tokio::pin!(loading);
+            let loaded = tokio::select! {
+                loaded = &mut loading => Some(loaded),
+                () = tokio::time::sleep(CLAIM_RELAY_DELAY) => None,
+            };
+            let relaying = async {
+                let row = relay::load_claim(&shell, &name).await;
+                if let Some(row) = row.filter(|row| row.revision.era >= shell.store_era()) {
+                    shell.record_store_era(row.revision.era, Duration::ZERO);
+                    shell.handle(event::Event::ClaimRelayed {
+                        group,
+                        asked_at,
+                        row,
+                    });
                 }
-                Ok(stored) => {
-                    shell.record_store_era(stored.revision.era, Duration::ZERO);
-                    Some(stored)
+            };
+            match loaded {
+                Some(true) => {}
+                _ if !shell.with_broker(fulmarlift_broker::Broker::uses_leases) => {
+                    if loaded.is_none() {
+                        loading.await;
+                    }
                 }
-                Err(error) => {
-                    log::warn!("event=claim_unread group={name} error=\"{error}\"");
-                    None
+                Some(false) => relaying.await,
+                None => {
+                    tokio::join!(loading, relaying);
                 }
-            };
-            shell.handle(event::Event::ClaimLoaded {
-                group,
-                asked_at,
-                stored,
-            });
+            }
         });
     }
 
+    /// Reads a claim row from the store.
+    pub(crate) async fn read_claim(self: &Rc<Self>, group: &str) -> Option<claim::ClaimRow> {
+        match self.claims.load(group).await {
+            Ok(stored) if stored.revision.era < self.store_era() => {
+                log::warn!("event=claim_unread group={group} error=\"answer of an earlier era\"");
+                None
+            }
+            Ok(stored) => {
+                self.record_store_era(stored.revision.era, Duration::ZERO);
+                Some(stored)
+            }
+            Err(error) => {
+                log::warn!("event=claim_unread group={group} error=\"{error}\"");
+                None
+            }
+        }
+    }
+
     pub(super) fn store_claim(
         self: &Rc<Self>,
         group: id::GroupId,
--- a/crates/session/src/shell/updates.rs
+++ b/crates/session/src/shell/updates.rs
@@ -171,6 +171,16 @@
             .max(self.configuration_transfer.progress_at())
     }
 
+    /// Returns the name of the VM whose proxy answered the last question for a claim row.
+    pub(crate) fn claim_relay(&self) -> Option<Box<str>> {
+        self.claim_relay.borrow().clone()
+    }
+
+    /// Records which proxy answered the last question for a claim row, if one did.
+    pub(crate) fn set_claim_relay(&self, vm_name: Option<Box<str>>) {
+        *self.claim_relay.borrow_mut() = vm_name;
+    }
+
     /// Returns the progress of this proxy's polls of the configuration.
     pub(crate) fn configuration_transfer(&self) -> Rc<transfer::Transfer> {
         Rc::clone(&self.configuration_transfer)
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use fulmarlift_broker::claim;
 use fulmarlift_broker::revision;
 use fulmarlift_broker::topology;
 use fulmarlift_broker::topology_change;
@@ -42,6 +43,43 @@
         /// Version of the configuration that the listener has.
         configuration_version: u64,
     },
+    /// Question for the claim row of a group, the first and only message of a proxy that the store does not answer.
+    ClaimQuestion {
+        /// Name of the group.
+        group: Box<str>,
+    },
+    /// Answer to it.
+    ClaimAnswer {
+        /// Row that the store returned meanwhile; `None` if the store did not answer.
+        row: Option<EncodedClaimRow>,
+    },
+}
+
+/// A claim row as the store returned it.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct EncodedClaimRow {
+    claim: Vec<u8>,
+    revision: revision::Revision,
+    now_ms: u64,
+}
+
+impl EncodedClaimRow {
+    pub(crate) fn new(row: &claim::ClaimRow) -> Self {
+        Self {
+            claim: row.claim.to_bytes(),
+            revision: row.revision,
+            now_ms: row.now_ms,
+        }
+    }
+
+    pub(crate) fn decode(self) -> io::Result<claim::ClaimRow> {
+        let claim = claim::Claim::from_bytes(&self.claim).map_err(io::Error::other)?;
+        Ok(claim::ClaimRow {
+            claim,
+            revision: self.revision,
+            now_ms: self.now_ms,
+        })
+    }
 }
 
 impl Message {
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -117,7 +117,9 @@
             } => apply_snapshot(shell, topology, members, revision, peers),
             frame::Message::Update(update) => shell.apply_update(update),
             frame::Message::ConfigurationChanged(change) => apply_change(shell, change)?,
-            frame::Message::Hello { .. } => {
+            frame::Message::Hello { .. }
+            | frame::Message::ClaimQuestion { .. }
+            | frame::Message::ClaimAnswer { .. } => {
                 return Err(io::Error::from(io::ErrorKind::InvalidData));
             }
             frame::Message::Freshness {
--- a/crates/session/src/updates/mod.rs
+++ b/crates/session/src/updates/mod.rs
@@ -3,12 +3,14 @@
 //! One proxy of each larger failure domain, the reader, reads the store (`follow`) and sends the updates to its listeners,
 //! the other proxies of the domain ([`publish()`]). A listener (`listen`) reads the store itself when the store's last answer
 //! to the reader is too old. `observe` chooses between the two.
+//! A proxy that the store does not answer reads claim rows through another one (`relay`).
 
 mod follow;
 pub(crate) mod frame;
 mod listen;
 mod observe;
 mod publish;
+pub(crate) mod relay;
 
 pub use follow::announce;
 pub use observe::{Sources, observe};
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -14,11 +14,11 @@
 use crate::deployment::Deployment;
 use crate::link;
 use crate::shell;
-use crate::updates::{frame, listen};
+use crate::updates::{frame, listen, relay};
 
 /// Interval of the freshness messages: several within the age that listeners tolerate, `READER_AGE_MAX`.
 const FRESHNESS_INTERVAL: Duration = Duration::from_millis(500);
-/// Time from the connection of a listener to its message.
+/// Time from the connection of another proxy to its message.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Size from which a message is logged, in bytes.
 const LOGGED_BYTES_MIN: usize = 16 << 10;
@@ -32,11 +32,9 @@
             Ok((stream, _)) => {
                 let shell = Rc::clone(&shell);
                 tokio::task::spawn_local(async move {
-                    shell.count_listener(true);
                     if let Err(error) = serve(&shell, stream).await {
                         log::debug!("event=listener_ended error=\"{error}\"");
                     }
-                    shell.count_listener(false);
                 });
             }
             Err(error) => {
@@ -52,18 +50,32 @@
     mut stream: TcpStream,
 ) -> io::Result<()> {
     link::set_liveness_timeouts(&stream)?;
+    let mut inbox = BytesMut::new();
+    let first = tokio::time::timeout(HELLO_TIMEOUT, frame::receive(&mut stream, &mut inbox)).await;
+    match first?? {
+        frame::Message::Hello {
+            configuration_version,
+        } => {
+            shell.count_listener(true);
+            let served = send_updates(shell, stream, configuration_version).await;
+            shell.count_listener(false);
+            served
+        }
+        frame::Message::ClaimQuestion { group } => relay::answer(shell, stream, &group).await,
+        _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
+    }
+}
+
+/// Sends a listener the snapshot and all updates after it.
+async fn send_updates<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    mut stream: TcpStream,
+    configuration_version: u64,
+) -> io::Result<()> {
     if age_ms(shell).is_none_or(|age_ms| u128::from(age_ms) >= listen::READER_AGE_MAX.as_millis()) {
         // Snapshots are long, and a listener could not use this one.
         return frame::send(&mut stream, &freshness(shell, u64::MAX)).await;
     }
-    let mut inbox = BytesMut::new();
-    let hello = tokio::time::timeout(HELLO_TIMEOUT, frame::receive(&mut stream, &mut inbox)).await;
-    let frame::Message::Hello {
-        configuration_version,
-    } = hello??
-    else {
-        return Err(io::Error::from(io::ErrorKind::InvalidData));
-    };
     let mut updates = shell.subscribe_updates();
     send_update(&mut stream, &snapshot(shell, configuration_version)).await?;
     let mut freshness_interval = tokio::time::interval(FRESHNESS_INTERVAL);
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -21,9 +21,10 @@
 use fulmarlift_session::serve;
 use fulmarlift_session::session::ShutdownGrace;
 use fulmarlift_session::shell::Shell;
+use fulmarlift_session::updates;
 use member::{Behavior, Member};
 use rstest::rstest;
-use support::{TestDeployment, shell_in};
+use support::{ClaimRows, TestDeployment, shell_in, shell_with};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -297,6 +298,40 @@
     .await;
 }
 
+/// The store answers only the other proxy, and no member can tell that the leader has not been replaced.
+#[tokio::test]
+async fn read_of_newest_data_is_served_by_claim_row_that_other_proxy_reads() {
+    on_one_thread(async {
+        let member = Member::start().await;
+        let reachable = true;
+        let other = shell_with("proxy-2", "b", false, ClaimRows { reachable });
+        other.handle(Event::Configured(topology(0)));
+        let socket = TcpListener::bind("127.0.0.1:0").await;
+        let socket = socket.expect("the loopback address is available");
+        let updates_address = socket.local_addr().expect("the listener is bound");
+        tokio::task::spawn_local(updates::publish(other, socket));
+        let reachable = false;
+        let shell = shell_with("proxy-1", "a", false, ClaimRows { reachable });
+        configure(&shell, &member, 0);
+        shell.handle(Event::PeerListed(Peer {
+            vm_name: "proxy-2".into(),
+            address: updates_address,
+            updates_address,
+            place: Place {
+                region: "north".into(),
+                domain: "c".into(),
+            },
+        }));
+        shell.handle(Event::PeersRead);
+        let mut caller = Caller::connect(&shell).await;
+        caller.run("1", "WRITE 1 a", WRITE).await;
+        caller.run("2", "BEGIN", BEGIN).await;
+        let (frames, _) = caller.run("3", "READ 1", READ).await;
+        assert_eq!(error_code(&frames), None);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn transaction_is_rolled_back_when_its_caller_leaves() {
     on_one_thread(async {
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -29,16 +29,24 @@
 impl Deployment for TestDeployment {
     type Caller = Serving;
     type Member = Forwarding;
-    type Claims = Unavailable;
+    type Claims = ClaimRows;
     type PromotionOrders = Unavailable;
 }
 
 /// Claim rows and promotion orders that cannot be reached.
 pub struct Unavailable;
 
-impl Claims for Unavailable {
+/// Claim rows that no proxy has written yet, if they can be reached.
+pub struct ClaimRows {
+    pub reachable: bool,
+}
+
+impl Claims for ClaimRows {
     async fn load(&self, _group: &str) -> Result<claim::ClaimRow, CallError> {
-        Err(CallError::Unknown("unavailable".into()))
+        match self.reachable {
+            true => Ok(claim::ClaimRow::default()),
+            false => Err(CallError::Unknown("unavailable".into())),
+        }
     }
 
     async fn store(
@@ -62,6 +70,17 @@
 }
 
 pub fn shell_in(vm_name: &str, domain: &str) -> Rc<Shell<TestDeployment>> {
+    let claims = ClaimRows { reachable: false };
+    shell_with(vm_name, domain, true, claims)
+}
+
+/// Returns a shell where promotions are fenced or not, and claim rows can be reached or not.
+pub fn shell_with(
+    vm_name: &str,
+    domain: &str,
+    fenced: bool,
+    claims: ClaimRows,
+) -> Rc<Shell<TestDeployment>> {
     let settings = Settings {
         name: format!("{vm_name}-0").into(),
         vm_name: vm_name.into(),
@@ -70,9 +89,9 @@
             domain: domain.into(),
         },
         drain_timeout: Duration::from_secs(7),
-        fenced: true,
+        fenced,
     };
-    Shell::new(settings, Unavailable, Unavailable)
+    Shell::new(settings, claims, Unavailable)
 }
 
 /// A stand-in for the store, with a version of the configuration.
