Broker: simulate real brokers beside members, store and platform

The exhaustive search copies the lease rule and knows few members, so it can't show what the broker does beside members that a proxy does not know.

What it plays: three real brokers whose promotions are not fenced; members with terms, logs, holds, demotion and a replaced leader that leads on in its old term until it is demoted or for a second after it hears of its successor; a claim row with conditional writes, lost answers and late writes; the directory; promotion orders that are late, lost or refused; callers that read, write and hold transactions open. Time is simulated, all draws come from the seed. Faults: leaders cut from their replicas, ended or leaving, proxies that are refused by the store, frozen between the steps of an attempt, started again or that learn late, members that join, start again, are dropped or receive nothing, cuts of single paths. A read is checked when it runs at its member, against the commits that callers had been told of before its first byte.

Not modelled: slots and limits of connections, forwarding to homes, hedges, eras of the store, delays between receiving and applying. Proxies don't know each other.

A COMMIT without writes ends at a replica, counts as a leader's answer and becomes a sample of the read index.

--- /dev/null
+++ b/crates/broker/tests/simulation/effects.rs
@@ -0,0 +1,522 @@
+//! Carries out a broker's effects, as the shell of the product does.
+
+use std::time::Instant;
+
+use fulmarlift_broker::effect;
+use fulmarlift_broker::event;
+use fulmarlift_core::id;
+use rand::RngExt;
+
+use crate::simulation::clock::{MS, Micros, S};
+use crate::simulation::member;
+use crate::simulation::net::Node;
+use crate::simulation::proxy::{self, Ended, Exchange, Purpose};
+use crate::simulation::world::{Happening, Input, World};
+
+/// Timeout to open a connection.
+const CONNECT_TIMEOUT: Micros = 900 * MS;
+/// Timeout of a probe.
+const PROBE_TIMEOUT: Micros = 700 * MS;
+/// Timeout of a command to a member.
+const COMMAND_TIMEOUT: Micros = 800 * MS;
+/// Time after which a call to the store or the platform counts as unanswered.
+const CALL_TIMEOUT: Micros = S;
+
+impl World {
+    /// Takes an effect. What needs the network is done by a task shortly after, or later if the proxy is frozen then.
+    pub(super) fn carry_out(&mut self, index: usize, effect: effect::Effect) {
+        match effect {
+            effect::Effect::Grant(grant) => self.granted(index, grant),
+            effect::Effect::Refuse(refusal) => {
+                self.proxies[index].jobs.remove(&refusal.request);
+            }
+            effect::Effect::Close(conn) => {
+                self.proxies[index].conns.remove(&conn);
+            }
+            effect::Effect::RecordChange(change) => self.record_change(index, &change),
+            effect => {
+                if let effect::Effect::Probe { conn, .. }
+                | effect::Effect::AskStatus { conn, .. }
+                | effect::Effect::SendCommand {
+                    conn: Some(conn), ..
+                } = &effect
+                    && let Some(conn) = self.proxies[index].conns.get_mut(conn)
+                {
+                    conn.busy = true;
+                }
+                let at = self.now + self.random.random_range(0..MS);
+                self.wake(index, at, Input::Act(effect, self.now));
+            }
+        }
+    }
+
+    fn record_change(&mut self, index: usize, change: &effect::StateChange) {
+        if self.is_traced() {
+            let mut text = format!("{change:?}");
+            for (index, member) in self.members.iter().enumerate() {
+                for starts in 1..=member.starts {
+                    let id = self.member_id(index, starts).to_string();
+                    text = text.replace(&id, &format!("member-{}@{starts}", index + 1));
+                }
+            }
+            self.note(|| format!("proxy-{index}: {text}"));
+        }
+        if let effect::StateChange::Failover { step, .. } = change {
+            self.freeze_claimant(index, step);
+        }
+    }
+
+    pub(super) fn act(&mut self, index: usize, effect: effect::Effect, given_at: Micros) {
+        match effect {
+            effect::Effect::Open { conn, member } => {
+                let command = member::Command::Connect;
+                let timeout = CONNECT_TIMEOUT;
+                self.send(index, Some(conn), member, command, Purpose::Open, timeout);
+            }
+            effect::Effect::Probe { conn, member } => {
+                let (command, timeout) = (member::Command::Begin, PROBE_TIMEOUT);
+                let purpose = Purpose::Probe(None);
+                self.send(index, Some(conn), member, command, purpose, timeout);
+            }
+            effect::Effect::AskStatus { conn, member, .. } => {
+                let (command, timeout) = (member::Command::Status, COMMAND_TIMEOUT);
+                let purpose = Purpose::Status(given_at);
+                self.send(index, Some(conn), member, command, purpose, timeout);
+            }
+            effect::Effect::SendCommand {
+                member,
+                command,
+                conn,
+                ..
+            } => match conn {
+                Some(_) => self.send_command(index, conn, member, command),
+                None => {
+                    let purpose = Purpose::Command(command, false);
+                    let connect = member::Command::Connect;
+                    self.send(index, None, member, connect, purpose, CONNECT_TIMEOUT);
+                }
+            },
+            effect::Effect::LoadClaim(_) => {
+                let at = self.call_arrival(index);
+                let (starts, asked_at) = (self.proxies[index].starts, self.instant());
+                self.queue
+                    .push(at, Happening::Load(index, starts, asked_at));
+            }
+            effect @ effect::Effect::StoreClaim { .. } => {
+                let at = self.call_arrival(index);
+                let starts = self.proxies[index].starts;
+                let answered = true;
+                self.queue
+                    .push(at, Happening::Store(index, starts, effect, answered));
+            }
+            effect::Effect::OrderPromotion { member, until, .. } => {
+                let outdated = until.is_some_and(|until| self.instant() >= until);
+                if outdated {
+                    let event = event::Event::PromotionOrdered {
+                        group: proxy::GROUP,
+                        outcome: event::OrderOutcome::Deferred,
+                    };
+                    return self.step(index, event);
+                }
+                let at = self.now + self.random.random_range(MS..8 * MS);
+                let (starts, member) = (self.proxies[index].starts, self.member_index(member));
+                self.queue
+                    .push(at, Happening::Ordered(index, starts, member));
+            }
+            _ => {}
+        }
+    }
+
+    fn call_arrival(&mut self, index: usize) -> Micros {
+        let slow = match self.now < self.store.slow_until {
+            true => self.random.random_range(0..700 * MS),
+            false => 0,
+        };
+        let path = (Node::Proxy(index), Node::Store);
+        slow + self.net.arrival(path.0, path.1, self.now, &mut self.random)
+            + self.random.random_range(MS..4 * MS)
+    }
+
+    /// Answers a call to the store, or lets it run into its timeout.
+    fn answer_call(&mut self, index: usize, starts: u32, event: event::Event, answered: bool) {
+        let delay = match answered {
+            true => self.random.random_range(MS..4 * MS),
+            false => CALL_TIMEOUT,
+        };
+        let input = Input::Event(event);
+        self.queue.push(
+            self.now + delay,
+            Happening::Proxy(index, Some(starts), input),
+        );
+    }
+
+    pub(super) fn load(&mut self, index: usize, starts: u32, asked_at: Instant) {
+        let refused = self.store.refuses(index, self.now);
+        let lost = self.now < self.store.lossy_until && self.random.random_bool(0.3);
+        let stored = (!refused && !lost).then(|| self.store.load(self.now));
+        let event = event::Event::ClaimLoaded {
+            group: proxy::GROUP,
+            asked_at,
+            stored,
+        };
+        let quick = refused && index.is_multiple_of(2);
+        self.answer_call(index, starts, event, !lost && (!refused || quick));
+    }
+
+    pub(super) fn store_claim(
+        &mut self,
+        index: usize,
+        starts: u32,
+        effect: effect::Effect,
+        answered: bool,
+    ) {
+        let effect::Effect::StoreClaim {
+            claim, revision, ..
+        } = &effect
+        else {
+            return;
+        };
+        let mut outcome = event::StoreOutcome::Unknown;
+        let mut in_time = answered;
+        if !answered {
+            // A late write: its caller has been told already that the answer is missing.
+            let written = self.store.store(claim, *revision);
+            self.note(|| format!("store: late write of {claim:?}: {written:?}"));
+            return;
+        }
+        if self.store.refuses(index, self.now) {
+            in_time = index.is_multiple_of(2);
+            if in_time {
+                // The product takes a call that the store has refused for a write that was not made.
+                outcome = event::StoreOutcome::Conflict;
+            }
+        } else if self.now < self.store.lossy_until && self.random.random_bool(0.5) {
+            in_time = false;
+            let late = self.random.random_bool(0.5);
+            let delay = match late {
+                true => self.random.random_range(300 * MS..4 * S),
+                false => 0,
+            };
+            let late = Happening::Store(index, starts, effect.clone(), false);
+            self.queue.push(self.now + delay, late);
+        } else {
+            outcome = self.store.store(claim, *revision);
+        }
+        self.note(|| format!("store: write by proxy-{index} of {claim:?}: {outcome:?}"));
+        let event = event::Event::ClaimStored {
+            group: proxy::GROUP,
+            outcome,
+        };
+        self.answer_call(index, starts, event, in_time);
+    }
+
+    /// Sends a command of a failover on a connection, or on a new one that is open now.
+    fn send_command(
+        &mut self,
+        index: usize,
+        conn: Option<id::ConnId>,
+        member: id::MemberId,
+        command: effect::MemberCommand,
+    ) {
+        let sent = match command {
+            effect::MemberCommand::Status => member::Command::Status,
+            effect::MemberCommand::Hold(term) => member::Command::Hold(term),
+            effect::MemberCommand::Release { until } if self.instant() >= until => {
+                if let Some(conn) = conn {
+                    self.give_back(index, conn, true);
+                }
+                return self.command_ended(index, member, None);
+            }
+            effect::MemberCommand::Release { .. } => member::Command::Release,
+            effect::MemberCommand::Demote(term) => member::Command::Demote(term),
+        };
+        let purpose = Purpose::Command(command, true);
+        self.send(index, conn, member, sent, purpose, COMMAND_TIMEOUT);
+    }
+
+    fn command_ended(
+        &mut self,
+        index: usize,
+        member: id::MemberId,
+        status: Option<event::MemberStatus>,
+    ) {
+        let event = event::Event::StatusAnswered {
+            group: proxy::GROUP,
+            member,
+            status,
+        };
+        self.step(index, event);
+    }
+
+    /// Sends a command to a member.
+    pub(super) fn send(
+        &mut self,
+        index: usize,
+        conn: Option<id::ConnId>,
+        member: id::MemberId,
+        command: member::Command,
+        purpose: Purpose,
+        timeout: Micros,
+    ) {
+        let member_id = member;
+        let member = self.member_index(member);
+        let known = conn.and_then(|conn| self.proxies[index].conns.get(&conn));
+        let member_starts = match known {
+            Some(known) => known.member_starts,
+            None => self.members[member].starts,
+        };
+        self.next_exchange += 1;
+        let exchange = self.next_exchange;
+        self.exchanges.insert(
+            exchange,
+            Exchange {
+                proxy: index,
+                proxy_starts: self.proxies[index].starts,
+                conn,
+                member_id,
+                member,
+                member_starts,
+                command,
+                purpose,
+                sent_at: self.now,
+            },
+        );
+        let path = (Node::Proxy(index), Node::Member(member));
+        let at = self.net.arrival(path.0, path.1, self.now, &mut self.random);
+        self.queue.push(at, Happening::Arrives(exchange));
+        let silent = Input::Ended(exchange, Ended::Silent);
+        self.wake(index, self.now + timeout, silent);
+    }
+
+    /// A command arrives at its member, unless the proxy has closed the connection meanwhile.
+    pub(super) fn command_arrives(&mut self, id: u64) {
+        let Some(exchange) = self.exchanges.get_mut(&id) else {
+            return;
+        };
+        let (index, command) = (exchange.member, exchange.command);
+        let member = &mut self.members[index];
+        let connects = matches!(command, member::Command::Connect);
+        if connects {
+            exchange.member_starts = member.starts;
+        }
+        let outlived = exchange.member_starts != member.starts;
+        match member.process {
+            member::Process::Dark => return,
+            member::Process::Ended => return self.answer(id, Ended::Refused),
+            member::Process::Running if outlived => return self.answer(id, Ended::Broken),
+            member::Process::Running => {}
+        }
+        let led = member.leads;
+        let reply = member.execute(command);
+        if led != member.leads {
+            self.note(|| format!("member-{} is demoted", index + 1));
+            self.publish(index);
+        }
+        match reply {
+            Some(reply) => {
+                if reply.code == member::Code::Done {
+                    self.check_read(id, index, command);
+                }
+                self.answer(id, Ended::Answered(reply));
+            }
+            None => {
+                let member = &mut self.members[index];
+                let point = member.log.end();
+                member.waiting.push(member::Waiting {
+                    exchange: id,
+                    point,
+                });
+                self.commits.insert(id, point);
+                self.replicate(index, 0);
+            }
+        }
+    }
+
+    /// Sends the end of an exchange back to its proxy.
+    pub(super) fn answer(&mut self, id: u64, ended: Ended) {
+        let Some(exchange) = self.exchanges.get(&id).copied() else {
+            return;
+        };
+        let service = match exchange.command {
+            member::Command::Read(..)
+            | member::Command::ReadWithin(..)
+            | member::Command::Status => self.random.random_range(MS..8 * MS),
+            _ => self.random.random_range(0..MS),
+        };
+        let path = (Node::Member(exchange.member), Node::Proxy(exchange.proxy));
+        let at = self.net.arrival(path.0, path.1, self.now, &mut self.random);
+        let input = Input::Ended(id, ended);
+        self.queue.push(
+            at + service,
+            Happening::Proxy(exchange.proxy, Some(exchange.proxy_starts), input),
+        );
+    }
+
+    /// Ends an exchange at its proxy, unless that has given it up.
+    pub(super) fn exchange_ended(&mut self, index: usize, id: u64, ended: Ended) {
+        let Some(exchange) = self.exchanges.remove(&id) else {
+            return;
+        };
+        let member = exchange.member_id;
+        let status = match ended {
+            Ended::Answered(reply) => Some(reply.status),
+            _ => None,
+        };
+        match (exchange.purpose, exchange.conn) {
+            (Purpose::Open, Some(conn)) => self.open_ended(index, conn, &exchange, ended),
+            (Purpose::Probe(report), Some(conn)) => {
+                self.probe_ended(index, conn, &exchange, report, ended);
+            }
+            (Purpose::Status(asked_at), Some(conn)) => {
+                self.step(
+                    index,
+                    event::Event::LeaseAnswered {
+                        group: proxy::GROUP,
+                        member,
+                        asked_at: self.instant_at(asked_at),
+                        status,
+                    },
+                );
+                self.give_back(index, conn, status.is_some());
+            }
+            (Purpose::Command(command, false), _) if status.is_some() => {
+                self.send_command(index, None, member, command);
+            }
+            (Purpose::Command(command, _), conn) => {
+                if let Some(conn) = conn {
+                    self.give_back(index, conn, status.is_some());
+                }
+                if !matches!(command, effect::MemberCommand::Status) {
+                    self.note(|| {
+                        format!(
+                            "proxy-{index}: member-{} answers {command:?}: {status:?}",
+                            exchange.member + 1
+                        )
+                    });
+                }
+                self.command_ended(index, member, status);
+            }
+            (Purpose::Job(request), Some(conn)) => {
+                let commit = self.commits.remove(&id);
+                self.job_ended(index, request, conn, &exchange, ended, commit);
+            }
+            _ => {}
+        }
+    }
+
+    fn open_ended(&mut self, index: usize, conn: id::ConnId, exchange: &Exchange, ended: Ended) {
+        let failure = match ended {
+            Ended::Answered(_) => {
+                self.proxies[index].conns.insert(
+                    conn,
+                    proxy::Conn {
+                        member: exchange.member,
+                        member_starts: exchange.member_starts,
+                        busy: false,
+                    },
+                );
+                return self.step(index, event::Event::Opened(conn));
+            }
+            Ended::Broken | Ended::Refused => event::OpenFailure::Refused,
+            Ended::Silent => event::OpenFailure::Silent,
+        };
+        self.step(index, event::Event::OpenFailed { conn, failure });
+    }
+
+    fn probe_ended(
+        &mut self,
+        index: usize,
+        conn: id::ConnId,
+        exchange: &Exchange,
+        begun: Option<event::StatementReport>,
+        ended: Ended,
+    ) {
+        let member = exchange.member_id;
+        let (report, reusable) = match (begun, ended) {
+            (Some(report), Ended::Answered(_)) => (report, true),
+            (Some(report), _) => (report, false),
+            (None, ended) => {
+                let sent_at = self.instant_at(exchange.sent_at);
+                let (answer, point) = match ended {
+                    Ended::Answered(reply) => match reply.code {
+                        member::Code::Done => (
+                            event::Answer::Led {
+                                sent_at,
+                                commit: false,
+                            },
+                            Some(reply.point),
+                        ),
+                        _ => (event::Answer::NotLeading, Some(reply.point)),
+                    },
+                    Ended::Silent => (event::Answer::Silent { commit: false }, None),
+                    Ended::Broken | Ended::Refused => (event::Answer::Broken, None),
+                };
+                let report = event::StatementReport {
+                    member,
+                    answer,
+                    point,
+                    floor: None,
+                    took: None,
+                };
+                if matches!(answer, event::Answer::Led { .. }) {
+                    let purpose = Purpose::Probe(Some(report));
+                    let rollback = member::Command::Rollback;
+                    let timeout = PROBE_TIMEOUT;
+                    return self.send(index, Some(conn), member, rollback, purpose, timeout);
+                }
+                (report, matches!(ended, Ended::Answered(_)))
+            }
+        };
+        self.step(index, event::Event::ProbeEnded(report));
+        self.give_back(index, conn, reusable);
+    }
+
+    /// Gives a connection back to the broker.
+    pub(super) fn give_back(&mut self, index: usize, conn: id::ConnId, reusable: bool) {
+        match self.proxies[index].conns.get_mut(&conn) {
+            Some(known) if reusable => known.busy = false,
+            _ => {
+                self.proxies[index].conns.remove(&conn);
+            }
+        }
+        self.step(index, event::Event::Returned { conn, reusable });
+    }
+
+    /// Lets a proxy that has just started, or whose store answers again, read the directory.
+    pub(super) fn read_directory(&mut self, index: usize) {
+        if self.store.refuses(index, self.now) {
+            return;
+        }
+        let entries: Vec<_> = self.store.entries.values().cloned().collect();
+        let revision = self.store.revision();
+        for known in self.proxies[index].broker.listed_members() {
+            if entries.iter().all(|entry| entry.id != known.id) {
+                let name = known.name;
+                self.step(index, event::Event::Unlisted { name, revision });
+            }
+        }
+        for entry in entries {
+            self.step(index, event::Event::Listed(entry));
+        }
+        self.step(index, event::Event::DirectoryRead { reached: true });
+    }
+
+    /// Starts a proxy, which learns of the members from the directory, or from the peer of this index.
+    pub(super) fn start_proxy(&mut self, index: usize, reader: Option<usize>) {
+        self.step(index, event::Event::Configured(proxy::topology()));
+        // The proxies do not know each other, so each of them serves its callers itself.
+        self.step(index, event::Event::PeersRead);
+        match reader {
+            Some(reader) => {
+                for entry in self.proxies[reader].broker.listed_members() {
+                    self.step(index, event::Event::Listed(entry));
+                }
+                let reached = !self.store.refuses(reader, self.now);
+                self.step(index, event::Event::DirectoryRead { reached });
+            }
+            None => self.read_directory(index),
+        }
+        let at = self.now + self.random.random_range(0..100 * MS);
+        self.wake(index, at, Input::Tick);
+    }
+}
--- /dev/null
+++ b/crates/broker/tests/simulation/plan.rs
@@ -0,0 +1,349 @@
+//! The faults of a simulation, drawn from its seed. Each kind is drawn from a generator of its own, so that taking one kind out of
+//! the mix leaves the others as they are.
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::simulation::clock::{MS, Micros, S};
+use crate::simulation::faults::Fault;
+use crate::simulation::world::PROXIES;
+
+/// The kinds of faults that a simulation may draw.
+#[derive(Clone, Copy, Debug)]
+pub struct Mix {
+    /// A leader is cut from its replicas.
+    pub stalls: bool,
+    /// A leader ends, or its VM is gone.
+    pub crashes: bool,
+    /// A leader says that it will stop.
+    pub leaves: bool,
+    /// The store refuses proxies.
+    pub refusals: bool,
+    /// The store loses answers, is slow and does writes late.
+    pub lossy_store: bool,
+    /// Orders go unanswered and are done late.
+    pub late_orders: bool,
+    /// Proxies stand still, also between the steps of a replacement.
+    pub freezes: bool,
+    /// Members join, and are listed late.
+    pub joins: bool,
+    /// Replicas start again.
+    pub restarts: bool,
+    /// Members are dropped from the directory and listed again.
+    pub drops: bool,
+    /// Paths between proxies and members, and among members, are cut.
+    pub cuts: bool,
+    /// Proxies start again.
+    pub proxy_restarts: bool,
+    /// Replicas receive nothing.
+    pub deaf: bool,
+    /// Proxies learn late of the directory's changes.
+    pub slow_feeds: bool,
+    /// The leader's faults come twice.
+    pub twice: bool,
+}
+
+impl Mix {
+    /// A leader that stalls, nothing else.
+    pub const STALLS: Self = Self {
+        stalls: true,
+        crashes: false,
+        leaves: false,
+        refusals: false,
+        lossy_store: false,
+        late_orders: false,
+        freezes: false,
+        joins: false,
+        restarts: false,
+        drops: false,
+        cuts: false,
+        proxy_restarts: false,
+        deaf: false,
+        slow_feeds: false,
+        twice: true,
+    };
+
+    /// All kinds.
+    pub const ALL: Self = Self {
+        crashes: true,
+        leaves: true,
+        refusals: true,
+        lossy_store: true,
+        late_orders: true,
+        freezes: true,
+        joins: true,
+        restarts: true,
+        drops: true,
+        cuts: true,
+        proxy_restarts: true,
+        deaf: true,
+        slow_feeds: true,
+        ..Self::STALLS
+    };
+
+    /// A leader stalls while members come and go, and proxies do not learn of it.
+    pub const MEMBERS: Self = Self {
+        refusals: true,
+        joins: true,
+        restarts: true,
+        drops: true,
+        deaf: true,
+        slow_feeds: true,
+        ..Self::STALLS
+    };
+
+    /// A leader stalls while orders and writes are done late.
+    pub const ORDERS: Self = Self {
+        lossy_store: true,
+        late_orders: true,
+        freezes: true,
+        crashes: true,
+        ..Self::STALLS
+    };
+
+    /// A leader stalls while proxies stand still, start again and are cut from members and the store.
+    pub const PROXIES: Self = Self {
+        refusals: true,
+        freezes: true,
+        proxy_restarts: true,
+        cuts: true,
+        ..Self::STALLS
+    };
+
+    /// A leader stalls while the store refuses a proxy, and paths are cut.
+    pub const READER: Self = Self {
+        refusals: true,
+        cuts: true,
+        deaf: true,
+        slow_feeds: true,
+        ..Self::STALLS
+    };
+}
+
+/// The faults of a simulation, with their times.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub faults: Vec<(Micros, Fault)>,
+    /// Time at which the simulation ends.
+    pub end: Micros,
+    /// Whether proxies that claim are frozen at times.
+    pub freezes_claimants: bool,
+}
+
+impl Plan {
+    /// Draws the faults of a seed.
+    pub fn new(seed: u64, mix: Mix) -> Self {
+        let mut plan = Self {
+            faults: Vec::new(),
+            end: 14 * S,
+            freezes_claimants: false,
+        };
+        let mut draw = Draw { seed, kind: 0 };
+        let mut scenes = draw.next();
+        let first = scenes.random_range(2_500 * MS..4 * S);
+        let second = first + scenes.random_range(2 * S..6 * S);
+        let moments = match mix.twice && scenes.random_bool(0.6) {
+            true => vec![first, second],
+            false => vec![first],
+        };
+        // A proxy that mostly reaches the leader when others do not.
+        let reader = scenes.random_range(0..PROXIES);
+        let mostly = move |random: &mut StdRng| match random.random_bool(0.6) {
+            true => reader,
+            false => random.random_range(0..PROXIES),
+        };
+        for moment in &moments {
+            plan.add_leader_fault(*moment, reader, mix, &mut scenes);
+        }
+        // Each kind has a generator, whether or not it is in the mix.
+        plan.add(mix.refusals, &mut draw, &moments, 0.7, 2, |random| {
+            Fault::Refuse {
+                proxy: mostly(random),
+                lasts: random.random_range(500 * MS..6 * S),
+            }
+        });
+        plan.add(mix.lossy_store, &mut draw, &moments, 0.3, 1, |random| {
+            Fault::LossyStore {
+                lasts: random.random_range(S..4 * S),
+            }
+        });
+        plan.add(mix.lossy_store, &mut draw, &moments, 0.3, 1, |random| {
+            Fault::SlowStore {
+                lasts: random.random_range(S..4 * S),
+            }
+        });
+        plan.add(mix.late_orders, &mut draw, &moments, 0.4, 1, |random| {
+            Fault::LateOrders {
+                lasts: random.random_range(S..6 * S),
+            }
+        });
+        plan.add(mix.freezes, &mut draw, &moments, 0.5, 2, |random| {
+            Fault::Freeze {
+                proxy: random.random_range(0..PROXIES),
+                lasts: random.random_range(200 * MS..3 * S),
+            }
+        });
+        plan.add(mix.joins, &mut draw, &moments, 0.5, 2, |random| {
+            Fault::Join {
+                listed_after: random.random_range(50 * MS..2_500 * MS),
+            }
+        });
+        plan.add(mix.restarts, &mut draw, &moments, 0.4, 2, |random| {
+            Fault::Restart {
+                nth: random.random_range(0..3),
+                away: random.random_range(50 * MS..1_500 * MS),
+            }
+        });
+        plan.add(mix.drops, &mut draw, &moments, 0.4, 2, |random| {
+            Fault::Drop {
+                nth: random.random_range(0..3),
+                lasts: random.random_range(200 * MS..4 * S),
+            }
+        });
+        plan.add(mix.cuts, &mut draw, &moments, 0.6, 3, |random| {
+            Fault::CutProxy {
+                proxy: random.random_range(0..PROXIES),
+                nth: random.random_range(0..4),
+                way: random.random_range(0..3),
+                lasts: random.random_range(100 * MS..4 * S),
+            }
+        });
+        plan.add(mix.cuts, &mut draw, &moments, 0.5, 2, |random| {
+            Fault::CutMembers {
+                a: random.random_range(0..4),
+                b: random.random_range(0..5),
+                lasts: random.random_range(100 * MS..3 * S),
+            }
+        });
+        plan.add(mix.proxy_restarts, &mut draw, &moments, 0.3, 2, |random| {
+            Fault::RestartProxy {
+                proxy: random.random_range(0..PROXIES),
+                from_peer: random.random_bool(0.5),
+            }
+        });
+        plan.add(mix.deaf, &mut draw, &moments, 0.3, 2, |random| {
+            Fault::Deaf {
+                nth: random.random_range(0..3),
+                lasts: random.random_range(300 * MS..3 * S),
+            }
+        });
+        plan.add(mix.slow_feeds, &mut draw, &moments, 0.4, 2, |random| {
+            Fault::SlowFeed {
+                proxy: mostly(random),
+                lag: random.random_range(50 * MS..2 * S),
+            }
+        });
+        plan.freezes_claimants = draw.next().random_bool(0.4) && mix.freezes;
+        plan
+    }
+
+    /// Draws the faults of a seed in which a member is promoted that one proxy does not know, and the replicas hear of it late. The
+    /// store refuses that proxy if `refused`; otherwise it reads the claim row, but learns late of the members, and orders go
+    /// unanswered.
+    pub fn with_unknown_member(seed: u64, refused: bool) -> Self {
+        let mut random = StdRng::seed_from_u64(seed);
+        let reader = random.random_range(0..PROXIES);
+        let stall_at = random.random_range(3 * S..4 * S);
+        let unaware_at = stall_at - random.random_range(300 * MS..1_500 * MS);
+        let joins_at = unaware_at + random.random_range(10 * MS..200 * MS);
+        let deaf_at = stall_at + 200 * MS;
+        let stall = Fault::Stall {
+            lasts: random.random_range(3 * S..6 * S),
+            one_way: false,
+            proxies: std::array::from_fn(|proxy| proxy != reader),
+        };
+        let unaware_for = random.random_range(4 * S..7 * S);
+        let unaware = match refused {
+            true => Fault::Refuse {
+                proxy: reader,
+                lasts: unaware_for,
+            },
+            false => Fault::SlowFeed {
+                proxy: reader,
+                lag: unaware_for,
+            },
+        };
+        let join = Fault::Join {
+            listed_after: random.random_range(10 * MS..300 * MS),
+        };
+        let lasts = random.random_range(1_500 * MS..4 * S);
+        let deaf = (0..3).map(|nth| (deaf_at, Fault::Deaf { nth, lasts }));
+        let late_orders = Fault::LateOrders { lasts: 6 * S };
+        let faults = [(unaware_at, unaware), (joins_at, join), (stall_at, stall)];
+        let orders = (!refused).then_some((stall_at, late_orders));
+        Self {
+            faults: faults.into_iter().chain(deaf).chain(orders).collect(),
+            end: 10 * S,
+            freezes_claimants: false,
+        }
+    }
+
+    fn add_leader_fault(&mut self, at: Micros, reader: usize, mix: Mix, random: &mut StdRng) {
+        let stall = Fault::Stall {
+            lasts: random.random_range(1_500 * MS..6 * S),
+            one_way: random.random_bool(0.2),
+            proxies: std::array::from_fn(|proxy| {
+                random.random_bool(if proxy == reader { 0.05 } else { 0.7 })
+            }),
+        };
+        let crash = Fault::Crash {
+            dark: random.random_bool(0.4),
+            lasts: random.random_range(500 * MS..5 * S),
+        };
+        let leave = Fault::Leave {
+            ends_after: random.random_range(2 * S..9 * S),
+        };
+        let kinds: Vec<Fault> = [
+            (mix.stalls, stall),
+            (mix.stalls, stall),
+            (mix.stalls, stall),
+            (mix.crashes, crash),
+            (mix.leaves, leave),
+        ]
+        .into_iter()
+        .filter(|(in_mix, _)| *in_mix)
+        .map(|(_, fault)| fault)
+        .collect();
+        let pick = random.random_range(0..u32::MAX) as usize;
+        if !kinds.is_empty() {
+            self.faults.push((at, kinds[pick % kinds.len()]));
+        }
+    }
+
+    /// Adds up to `most` faults of a kind with a probability, near the moments of the leader's faults.
+    fn add(
+        &mut self,
+        in_mix: bool,
+        draw: &mut Draw,
+        moments: &[Micros],
+        probability: f64,
+        most: u32,
+        make: impl Fn(&mut StdRng) -> Fault,
+    ) {
+        let mut random = draw.next();
+        if !random.random_bool(probability) {
+            return;
+        }
+        for _ in 0..random.random_range(1..=most) {
+            let moment = moments[random.random_range(0..moments.len())];
+            let at = moment - 1_200 * MS + random.random_range(0..5 * S);
+            let fault = make(&mut random);
+            if in_mix {
+                self.faults.push((at, fault));
+            }
+        }
+    }
+}
+
+/// Gives each kind of fault a generator.
+struct Draw {
+    seed: u64,
+    kind: u64,
+}
+
+impl Draw {
+    fn next(&mut self) -> StdRng {
+        self.kind += 1;
+        StdRng::seed_from_u64(self.seed.wrapping_mul(1_000_003) + self.kind)
+    }
+}
