Simulation: the directory's answers, statuses with their questions, and commits as sessions report them

The simulation plays what the broker's events now tell: how long a proxy has known all members (each tick, less the delay of its feed), when a command was sent, and that the COMMIT of a transaction without writes is an answer of any member.

--- a/crates/broker/tests/simulation/callers.rs
+++ b/crates/broker/tests/simulation/callers.rs
@@ -242,6 +242,7 @@
                     member::Command::Read(..) | member::Command::ReadWithin(..) => {
                         event::Answer::Served
                     }
+                    member::Command::Commit(..) if !commits => event::Answer::Served,
                     _ => led,
                 };
                 if let Some(commit) = commit {
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -18,6 +18,10 @@
 use crate::simulation::plan;
 use crate::simulation::proxy;
 use crate::simulation::store;
+/// Longest time in which a change of the directory reaches a proxy that the store serves.
+pub const FEED_DELAY_MAX: Micros = 40 * MS;
+/// Longest time in which a proxy that the store serves again reads the directory.
+pub const DIRECTORY_BACK_MAX: Micros = 500 * MS;
 
 /// Number of proxies.
 pub const PROXIES: usize = 3;
@@ -315,6 +319,7 @@
         }
         match input {
             Input::Tick => {
+                self.confirm_directory(index);
                 self.step(index, event::Event::Tick);
                 self.wake(index, self.now + TICK, Input::Tick);
             }
