Release held members when the store refuses the record of the choice

The store's 503 or 429 to the record of the choice counted as a conflict, that is, as another proxy's claim which holds the members itself, so the attempt ended without releasing them. Cause: two outcomes of a write were one. Now a refused write is an outcome of its own: nothing was written, so no order is given, the target is withdrawn unless an older order for it may still be executed, and the members are released. Evidence: members_are_released_when_store_refuses_record_of_choice; it uses the new outcome, so it could not run before: the outcome Conflict, which stood for it, sends no release.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -210,6 +210,8 @@
     Written(revision::Revision),
     /// The row's revision had changed; nothing was written.
     Conflict,
+    /// The store refused the call for now; nothing was written.
+    Refused,
     /// The store did not confirm the write. The write may still be made later if the row has the expected revision then.
     Unknown,
 }
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -385,6 +385,13 @@
             (Step::Recording, event::StoreOutcome::Conflict) => Progress::GivenUp {
                 retry_at: now + STORE_RETRY_DELAY,
             },
+            // The choice is not recorded, so no order is given.
+            (Step::Recording, event::StoreOutcome::Refused) => {
+                if !self.unanswered_order {
+                    self.withdraw_target();
+                }
+                self.give_up(now, out)
+            }
             (Step::Recording, event::StoreOutcome::Unknown) => self.give_up(now, out),
             _ => Progress::Ongoing,
         }
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -862,3 +862,25 @@
     };
     assert_eq!(row.standing("member-2", 3), Standing::Undisputed);
 }
+
+/// Otherwise the leader's commits wait until another attempt holds the members and releases them.
+#[test]
+fn members_are_released_when_store_refuses_record_of_choice() {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let term = take_holds(&mut fixture)[0].1;
+    answer_status(&mut fixture, 2, (false, term - 1, (term - 1, 500), term));
+    answer_status(&mut fixture, 3, (false, term - 1, (term - 1, 500), term));
+    assert!(take_recorded_target(&mut fixture).is_some());
+    fixture.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome: StoreOutcome::Refused,
+    });
+    let released = fixture.take_effects().into_iter().filter(|effect| {
+        let Effect::SendCommand { command, .. } = effect else {
+            return false;
+        };
+        matches!(command, MemberCommand::Release { .. })
+    });
+    assert_eq!(released.count(), 2);
+}
