--- a/review/standin/group.rs
+++ b/review/standin/group.rs
@@ -17,6 +17,11 @@
 /// Time from an executed promotion order to the new lead (`promote_ms` of the users' site).
 pub const PROMOTE: Duration = Duration::from_millis(600);
 
+/// Time after a promotion for which a replaced primary leads on where promotions are not fenced: it reaches the new one at once.
+const STEP_DOWN: Duration = Duration::from_millis(1_000);
+/// Time after a promotion after which a replica hears of the new primary: a heartbeat across regions.
+const HEARS: Duration = Duration::from_millis(40);
+
 #[derive(Clone, Debug)]
 pub struct Member {
     pub id: String,
@@ -33,6 +38,8 @@
     pub gone_since: Option<Instant>,
     /// Whether it has left after its drain, so that its entry is removed at once.
     pub left: bool,
+    /// Instant from which it knows of the newest leader: only where promotions are not fenced, see [`Group::fenced`].
+    pub hears_at: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -43,6 +50,8 @@
     pub acknowledged: Vec<(u64, String)>,
     /// Acknowledged commits that a promoted member lacked.
     pub lost: Vec<String>,
+    /// Commits that a member acknowledged although another member led a newer term.
+    pub late: Vec<String>,
     streams: HashMap<String, Vec<TcpStream>>,
 }
 
@@ -60,13 +69,17 @@
 pub struct Group {
     pub state: Mutex<State>,
     pub record: Arc<Record>,
+    /// Whether a promotion ends the old lead at once. Otherwise the old primary goes on until DEMOTE or a second after it can reach the new
+    /// one, and a replica, whose hold ends with the promotion, follows it until it hears of the new one.
+    pub fenced: bool,
 }
 
 impl Group {
-    pub fn new(record: Arc<Record>) -> Arc<Self> {
+    pub fn new(record: Arc<Record>, fenced: bool) -> Arc<Self> {
         let group = Arc::new(Self {
             state: Mutex::default(),
             record,
+            fenced,
         });
         let replicating = Arc::clone(&group);
         thread::spawn(move || loop {
@@ -94,6 +107,7 @@
             draining: false,
             gone_since: None,
             left: false,
+            hears_at: None,
         });
         drop(state);
         self.record.line(&format!("member {id} starts, leads={leads}"));
@@ -150,11 +164,18 @@
 
     fn replicate(&self) {
         let mut state = self.state.lock().unwrap();
-        let Some(leader) = state.leader().cloned() else {
-            return;
-        };
+        let leaders: Vec<Member> = state.members.iter().filter(|member| member.leads && member.up).cloned().collect();
+        let newest = leaders.iter().map(|leader| leader.term).max().unwrap_or(0);
         for member in &mut state.members {
-            if member.leads || !member.up || member.held_term > 0 || member.term > leader.term {
+            let hears = member.hears_at.is_none_or(|at| Instant::now() >= at);
+            if member.leads && member.term < newest && hears {
+                member.leads = false;
+            }
+            let known = leaders.iter().filter(|leader| leader.term == member.term || hears && leader.term > member.term);
+            let Some(leader) = known.max_by_key(|leader| leader.term) else {
+                continue;
+            };
+            if member.leads || !member.up || member.held_term > 0 {
                 continue;
             }
             let pairs = member.log.iter().zip(&leader.log);
@@ -169,10 +190,10 @@
     pub fn order(self: &Arc<Self>, id: &str, token: u64) -> u16 {
         let mut state = self.state.lock().unwrap();
         let runs = state.find(id).is_some_and(|member| member.up);
-        let status = match token < state.token || !runs {
+        let status = match self.fenced && token < state.token || !runs {
             true => 409,
             false => {
-                state.token = token;
+                state.token = token.max(state.token);
                 200
             }
         };
@@ -194,12 +215,19 @@
             return;
         }
         let term = 1 + state.members.iter().map(|member| member.term).max().unwrap_or(0);
+        let now = Instant::now();
         for member in &mut state.members {
-            member.leads = member.id == id;
             member.held_term = 0;
+            if self.fenced {
+                member.leads = member.id == id;
+            } else {
+                member.hears_at = Some(now + if member.leads { STEP_DOWN } else { HEARS });
+            }
         }
         let member = state.find(id).unwrap();
         member.term = term;
+        member.leads = true;
+        member.hears_at = None;
         let (log, end) = (member.log.clone(), member.log.len());
         let lacks = |commit: &&(u64, String)| !log.contains(commit);
         let lost: Vec<String> = state.acknowledged.iter().filter(lacks).map(|(_, data)| data.clone()).collect();
@@ -343,6 +371,9 @@
             let has = |member: &&Member| member.up && member.id != id && member.log.get(position - 1) == Some(&entry);
             if let Some(replica) = state.members.iter().find(has).map(|member| member.id.clone()) {
                 state.acknowledged.extend(writes.iter().map(|data| (term, data.clone())));
+                if state.members.iter().any(|member| member.leads && member.term > term) {
+                    state.late.extend(writes.iter().cloned());
+                }
                 drop(state);
                 self.record.line(&format!("member {id} acknowledges {term}.{position} {writes:?}, received by {replica}"));
                 return Some(format!("COMPLETE {id}.{statement}\r\n"));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,10 +6,11 @@
 mod json;
 mod proxies;
 mod record;
+mod relay;
 mod store;
 
 use std::path::Path;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -29,6 +30,8 @@
     proxies: Vec<Proxy>,
     clients: Arc<Clients>,
     trouble: bool,
+    /// Whether the last proxy is cut from the first primary.
+    cut: Arc<AtomicBool>,
 }
 
 fn main() {
@@ -36,8 +39,9 @@
     let scenario = arguments.next().unwrap_or_default();
     let folder = arguments.next().unwrap_or_else(|| ".".to_owned());
     let status = match scenario.as_str() {
-        "target-gone" => set_up(&folder).map(target_gone),
-        "late-order" => set_up(&folder).map(late_order),
+        "target-gone" => set_up(&folder, true).map(target_gone),
+        "late-order" => set_up(&folder, true).map(late_order),
+        "old-primary" => set_up(&folder, false).map(old_primary),
         _ => Err(format!("unknown scenario {scenario:?}")),
     };
     std::process::exit(status.unwrap_or_else(|error| {
@@ -60,24 +64,31 @@
     )
 }
 
-fn set_up(folder: &str) -> Result<Testbed, String> {
+fn set_up(folder: &str, fenced: bool) -> Result<Testbed, String> {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&format!("{folder}/record.txt")).map_err(|error| error.to_string())?;
     let record = Arc::new(record);
     record.line(&format!("trouble: {trouble}"));
-    let group = Group::new(Arc::clone(&record));
+    let group = Group::new(Arc::clone(&record), fenced);
     for (index, zone) in ZONES.iter().enumerate() {
         group.start_member(&format!("i-{}", index + 1), zone, index == 0);
     }
     let store = Store::new(Arc::clone(&group), Arc::clone(&record), Duration::from_secs(6));
     store.put("op", "config", Some(&configuration(1)));
     let (store_port, promotion_port) = (store.listen(), store.listen_promotions());
+    let primary_port = group.state.lock().unwrap().members[0].port;
+    let (relay_port, cut) = relay::start(primary_port);
+    let addresses = (format!("127.0.0.1:{primary_port}"), format!("127.0.0.1:{relay_port}"));
+    *store.relayed.lock().unwrap() = Some(addresses);
+    let relayed_port = store.listen_relayed();
     let logs = std::env::temp_dir().join(format!("fulmarlift-review-{}", std::process::id()));
     std::fs::create_dir_all(&logs).map_err(|error| error.to_string())?;
     let mut proxies = Vec::new();
     for (index, zone) in ZONES.iter().enumerate() {
         let name = format!("entry-{index}");
-        let proxy = Proxy::start(Path::new(&logs), &name, zone, store_port, promotion_port);
+        // The last proxy reaches the first primary through the relay.
+        let store_port = if index == 2 { relayed_port } else { store_port };
+        let proxy = Proxy::start(Path::new(&logs), &name, zone, store_port, promotion_port, fenced);
         proxies.push(proxy.map_err(|error| format!("target/release/fulmarlift-entry: {error}"))?);
     }
     record.line(&format!("proxies run with their settings and logs in {}", logs.display()));
@@ -91,6 +102,7 @@
         proxies,
         clients,
         trouble,
+        cut,
     })
 }
 
@@ -201,3 +213,26 @@
     );
     testbed.finish(told > 0, &text)
 }
+
+/// Promotions are not fenced. One proxy of three is cut from the primary for 5 s; the others and the replicas reach it.
+fn old_primary(testbed: Testbed) -> i32 {
+    testbed.until(10);
+    if testbed.trouble {
+        testbed.record.line("the last proxy is cut from the primary");
+        testbed.cut.store(true, Ordering::SeqCst);
+    }
+    testbed.until(15);
+    testbed.cut.store(false, Ordering::SeqCst);
+    testbed.until(25);
+    let late = testbed.group.state.lock().unwrap().late.clone();
+    let log = testbed.group.state.lock().unwrap().leader().map(|leader| leader.log.clone()).unwrap_or_default();
+    let confirmed = testbed.clients.confirmed.lock().unwrap().clone();
+    let told: Vec<_> = late.iter().filter(|data| confirmed.contains(data)).collect();
+    let gone = told.iter().filter(|data| log.iter().all(|(_, other)| other != **data)).count();
+    let text = format!(
+        "ONE: {} commits acknowledged at the old primary after a promote had taken effect, {} of them told to clients; {gone} of these are gone",
+        late.len(),
+        told.len()
+    );
+    testbed.finish(!told.is_empty(), &text)
+}
--- a/review/standin/proxies.rs
+++ b/review/standin/proxies.rs
@@ -13,7 +13,7 @@
 }
 
 impl Proxy {
-    pub fn start(folder: &Path, name: &str, zone: &str, store: u16, promotions: u16) -> std::io::Result<Self> {
+    pub fn start(folder: &Path, name: &str, zone: &str, store: u16, promotions: u16, fenced: bool) -> std::io::Result<Self> {
         let first = free_ports(6);
         let settings = folder.join(format!("{name}.toml"));
         fs::write(
@@ -22,7 +22,7 @@
                 "node-name = \"{name}\"\nzone = \"{zone}\"\nregion = \"north\"\nip-address = \"127.0.0.1\"\n\
                  internal-port-range = [{first}, {}]\n[zones]\na = \"north\"\nb = \"north\"\nc = \"north\"\n\
                  [listen-addresses]\nfrontend = \"127.0.0.1:{}\"\nready = \"127.0.0.1:{}\"\n\
-                 [bounds]\ndrain-timeout-ms = 7000\ngrace-period-s = 6\nrequire-fencing = true\n\
+                 [bounds]\ndrain-timeout-ms = 7000\ngrace-period-s = 6\nrequire-fencing = {fenced}\n\
                  [platform]\naddress = \"127.0.0.1:{store}\"\n[cloud-api]\naddress = \"127.0.0.1:{promotions}\"\n",
                 first + 3,
                 first + 4,
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -36,6 +36,8 @@
     pub late_by: Duration,
     /// Target of the first order, once it has arrived.
     pub first_target: Mutex<Option<String>>,
+    /// Address in the members' entries and the one of a relay that some proxies read in its place.
+    pub relayed: Mutex<Option<(String, String)>>,
 }
 
 struct Request {
@@ -54,18 +56,19 @@
             unanswered: AtomicUsize::new(0),
             late_by,
             first_target: Mutex::new(None),
+            relayed: Mutex::new(None),
         })
     }
 
     /// Listens at a free port, and returns it.
     pub fn listen(self: &Arc<Self>) -> u16 {
-        let port = self.accept();
+        let port = self.accept(false);
         let store = Arc::clone(self);
         thread::spawn(move || store.register());
         port
     }
 
-    fn accept(self: &Arc<Self>) -> u16 {
+    fn accept(self: &Arc<Self>, relayed: bool) -> u16 {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let port = listener.local_addr().expect("bound").port();
         let store = Arc::clone(self);
@@ -74,7 +77,7 @@
                 let store = Arc::clone(&store);
                 thread::spawn(move || {
                     let _ = stream.set_nodelay(true);
-                    let _ = store.serve(stream);
+                    let _ = store.serve(stream, relayed);
                 });
             }
         });
@@ -83,7 +86,12 @@
 
     /// Listens for promotion orders at a free port of its own, and returns it.
     pub fn listen_promotions(self: &Arc<Self>) -> u16 {
-        self.accept()
+        self.accept(false)
+    }
+
+    /// Listens for proxies that read a relay's address in place of a member's, and returns the port.
+    pub fn listen_relayed(self: &Arc<Self>) -> u16 {
+        self.accept(true)
     }
 
     pub fn put(&self, table: &str, key: &str, value: Option<&str>) {
@@ -121,10 +129,10 @@
         }
     }
 
-    fn serve(self: &Arc<Self>, mut stream: TcpStream) -> std::io::Result<()> {
+    fn serve(self: &Arc<Self>, mut stream: TcpStream, relayed: bool) -> std::io::Result<()> {
         let mut reader = BufReader::new(stream.try_clone()?);
         while let Some(request) = read_request(&mut reader)? {
-            let Some((status, body)) = self.answer(&request) else {
+            let Some((status, body)) = self.answer(&request, relayed) else {
                 // No answer: the connection delivers nothing further.
                 let mut rest = Vec::new();
                 let _ = reader.read_to_end(&mut rest);
@@ -140,7 +148,9 @@
         Ok(())
     }
 
-    fn answer(self: &Arc<Self>, request: &Request) -> Option<(u16, String)> {
+    fn answer(self: &Arc<Self>, request: &Request, relayed: bool) -> Option<(u16, String)> {
+        let relay = self.relayed.lock().unwrap().clone().filter(|_| relayed);
+        let row_json = |row: (&Key, &(Option<Vec<u8>>, u64))| row_json(row, relay.as_ref());
         let field = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         match request.path.as_str() {
             "/v1/rows-get" => {
@@ -151,7 +161,7 @@
                 let found = rows.rows.iter().filter(|(key, (value, _))| {
                     key.0 == table && key.1 == part && key.2 >= from && value.is_some()
                 });
-                let found: Vec<String> = found.take(limit).map(row_json).collect();
+                let found: Vec<String> = found.take(limit).map(&row_json).collect();
                 Some((200, self.rows_json(&found, rows.revision)))
             }
             "/v1/rows-feed" => {
@@ -168,7 +178,7 @@
                         .collect();
                     if !changed.is_empty() || Instant::now() >= until {
                         changed.sort_by_key(|(_, (_, revision))| *revision);
-                        let found: Vec<String> = changed.into_iter().map(row_json).collect();
+                        let found: Vec<String> = changed.into_iter().map(&row_json).collect();
                         return Some((200, self.rows_json(&found, rows.revision)));
                     }
                     drop(rows);
@@ -236,9 +246,15 @@
     }
 }
 
-fn row_json((key, (value, revision)): (&Key, &(Option<Vec<u8>>, u64))) -> String {
+fn row_json((key, (value, revision)): (&Key, &(Option<Vec<u8>>, u64)), relay: Option<&(String, String)>) -> String {
     let deleted = value.is_none();
-    let value = to_base64(value.as_deref().unwrap_or_default());
+    let value = value.as_deref().unwrap_or_default();
+    let value = match relay {
+        Some((address, seen)) if key.0 == "servers" => {
+            to_base64(String::from_utf8_lossy(value).replace(&format!("\"{address}\""), &format!("\"{seen}\"")).as_bytes())
+        }
+        _ => to_base64(value),
+    };
     format!(
         "{{\"table\":\"{}\",\"part\":\"{}\",\"key\":\"{}\",\"value\":\"{value}\",\"record-version\":{revision},\"deleted\":{deleted}}}",
         key.0, key.1, key.2
