--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -57,6 +57,8 @@
     },
     /// Read the claim row of a group.
     LoadClaim(id::GroupId),
+    /// Read the entries of all members, for the attempt to replace the leader of a group.
+    ReadDirectory(id::GroupId),
     /// Write the claim row of a group if the row still has the given revision and the store is still in that era.
     StoreClaim {
         /// Group of the row.
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -111,6 +111,14 @@
         /// Row that was read.
         row: claim::ClaimRow,
     },
+    /// A read of the directory for an attempt to replace a leader ended. [`Event::Listed`] has been reported for every member that
+    /// was listed then.
+    DirectoryLoaded {
+        /// Group whose leader is to be replaced.
+        group: id::GroupId,
+        /// Whether the directory answered.
+        is_read: bool,
+    },
     /// A conditional write of a claim row to the store ended, whether or not the row was written.
     ClaimStored {
         /// Group of the row.
--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -3,11 +3,22 @@
 use std::time::Instant;
 
 use fulmarlift_core::floor;
+use fulmarlift_core::id;
 
 use crate::claim;
 use crate::effect;
+use crate::event;
 use crate::failover;
 use crate::leader;
+use crate::lease;
+
+/// Why no held member can be chosen.
+enum Unfit {
+    /// All of them may lack acknowledged entries.
+    Behind,
+    /// None of those that have received most is eligible, or is the target of the older order.
+    NotEligible,
+}
 
 impl failover::Attempt {
     /// Discards the status of members that are not held, or are held below the current hold term, so that
@@ -19,69 +30,150 @@
                 .status
                 .is_some_and(|status| status.held_term < hold_term);
             if Some(member) != old_leader && released {
-                hold.status = None;
-                hold.retry_at = Some(now);
+                hold.discard_answer(now);
             }
         }
     }
 
-    /// Sends the hold commands that are due. Once all members but the old leader have answered, chooses the target.
+    /// Holds the members, because the old leader does not hand over.
+    pub(super) fn take_over(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        // A member that the directory does not list yet may have confirmed entries that the others lack.
+        if !roster.is_complete {
+            return self.give_up(now, out);
+        }
+        self.hands_over = false;
+        self.step = failover::Step::Holding;
+        self.hold_members(now, roster, out)
+    }
+
+    /// Sends the hold commands that are due. Continues once all members but the old leader have answered, and no proxy trusts the old
+    /// leader any more.
     pub(super) fn hold_members(
         &mut self,
         now: Instant,
-        participants: &[failover::Participant],
+        roster: &failover::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
-        let hold_term = self.hold_term;
         let mut unanswered = false;
-        for participant in participants {
+        for participant in &roster.members {
             if Some(participant.member) == self.old_leader {
                 continue;
             }
             let hold = self.holds.entry(participant.member);
-            if hold.status.is_some() {
-                continue;
-            }
-            unanswered = true;
-            let lost = hold.sent_at.is_some_and(|sent_at| {
-                now.saturating_duration_since(sent_at) > failover::COMMAND_TIMEOUT
-            });
-            let due = hold.retry_at.is_none_or(|retry_at| now >= retry_at);
-            if lost || (hold.sent_at.is_none() && due) {
-                hold.sent_at = Some(now);
-                out.push(effect::Effect::SendCommand {
-                    group: self.group,
-                    member: participant.member,
-                    command: effect::MemberCommand::Hold(hold_term),
-                    conn: None,
-                });
+            unanswered |= hold.status.is_none();
+            if hold.send_if_due(now) {
+                let command = effect::MemberCommand::Hold(self.hold_term);
+                self.send_command(Some(participant.member), command, out);
             }
         }
         if unanswered || now < self.leases_end_at {
             return failover::Progress::Ongoing;
         }
-        self.choose_target(now, participants, out)
+        if self.second_round_at.is_some() {
+            return self.choose_target(now, roster, out);
+        }
+        if self.reason == leader::ReplaceReason::Stalled {
+            // A leader that stops without a successor would leave the group without one.
+            return match self.find_furthest(roster) {
+                Ok(_) => self.start_stop(now, roster, out),
+                Err(unfit) => self.give_up_without_choice(now, unfit, roster, out),
+            };
+        }
+        self.read_directory(out);
+        failover::Progress::Ongoing
+    }
+
+    /// Records the answer to a hold command that was sent at `asked_at`.
+    pub(super) fn apply_hold(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        asked_at: Instant,
+        status: Option<event::MemberStatus>,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        let leads_on =
+            status.is_some_and(|status| status.leads && self.may_be_replaced(member, status.term));
+        let is_of_this_round = self.second_round_at.is_none_or(|since| asked_at >= since);
+        let held = status.filter(|_| !leads_on && is_of_this_round);
+        self.holds.entry(member).record_answer(now, held);
+        if leads_on {
+            // A replaced leader that leads on cannot be held before it is demoted.
+            let command = effect::MemberCommand::Demote(self.hold_term);
+            self.send_command(Some(member), command, out);
+            return failover::Progress::Ongoing;
+        }
+        if let Some(status) = status {
+            if status.leads && Some(member) != self.old_leader {
+                self.newest_term = self.newest_term.max(status.term);
+                return self.end_beside_other_leader(now, member, status, roster, out);
+            }
+            self.raise_hold_term(status);
+            if !self.fenced && self.second_round_at.is_none() {
+                // If the member is held, it has been held since some time before now.
+                self.leases_end_at = now + lease::LEASE_DURATION;
+            }
+            self.discard_outdated_holds(now);
+        }
+        self.hold_members(now, roster, out)
+    }
+
+    /// Holds all members once more, those included that have joined, for the logs on which the choice rests. The hold term stays the
+    /// same: a hold at a term above that of the next leader would outlast the promotion.
+    pub(super) fn start_second_round(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        if !roster.is_complete {
+            return self.give_up(now, out);
+        }
+        self.second_round_at = Some(now);
+        self.step = failover::Step::Holding;
+        for (_, hold) in self.holds.iter_mut() {
+            *hold = failover::CommandState::default();
+        }
+        self.hold_members(now, roster, out)
     }
 
-    /// Chooses an eligible member that has received most, and writes it to the claim row as the target. While an older order
-    /// may still be executed, only the target of that order may be chosen.
+    /// Writes the eligible member that has received most to the claim row as the target.
     fn choose_target(
         &mut self,
         now: Instant,
-        participants: &[failover::Participant],
+        roster: &failover::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         // This proxy may have been suspended until its claim ended.
         if now >= self.claim_expires_at {
             return self.give_up(now, out);
         }
+        match self.find_furthest(roster) {
+            Ok(best) => {
+                let (member, name) = (best.member, best.name.clone());
+                self.record_choice(now, member, &name, out);
+                failover::Progress::Ongoing
+            }
+            Err(unfit) => self.give_up_without_choice(now, unfit, roster, out),
+        }
+    }
+
+    /// Returns an eligible member that has received most. While an older order may still be executed, only the target of that order may
+    /// be chosen.
+    fn find_furthest<'a>(
+        &self,
+        roster: &'a failover::Roster,
+    ) -> Result<&'a failover::Participant, Unfit> {
         let received = |participant: &failover::Participant| {
             let hold = self.holds.get(participant.member)?;
             hold.status.map(|status| status.received)
         };
-        let held = participants
-            .iter()
-            .filter(|participant| Some(participant.member) != self.old_leader);
         // A member that has been dropped since its hold may have confirmed entries that the others lack.
         let furthest = self
             .holds
@@ -90,24 +182,49 @@
             .filter_map(|(_, hold)| hold.status.map(|status| status.received))
             .max();
         if !furthest.is_some_and(|furthest| self.has_all_acknowledged(furthest)) {
-            self.give_up(now, out);
-            return failover::Progress::GivenUp {
-                retry_at: now + failover::CATCH_UP_DELAY,
-            };
+            return Err(Unfit::Behind);
         }
-        let best = held
+        let pending = self.claim.pending_target();
+        roster
+            .members
+            .iter()
+            .filter(|participant| Some(participant.member) != self.old_leader)
             .filter(|participant| participant.eligible && received(participant) == furthest)
-            .find(|participant| {
-                let pending = self.claim.pending_target();
-                pending.is_none_or(|name| name == participant.name.as_ref())
-            });
-        let (Some(best), Some(_)) = (best, furthest) else {
-            return self.end_older_order_or_give_up(now, participants, out);
-        };
-        self.target = Some(best.member);
-        self.claim.target = Some(best.name.clone());
+            .find(|participant| pending.is_none_or(|name| name == participant.name.as_ref()))
+            .ok_or(Unfit::NotEligible)
+    }
+
+    /// Gives up because no member can be chosen.
+    fn give_up_without_choice(
+        &mut self,
+        now: Instant,
+        unfit: Unfit,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        match unfit {
+            Unfit::Behind => {
+                self.give_up(now, out);
+                failover::Progress::GivenUp {
+                    retry_at: now + failover::CATCH_UP_DELAY,
+                }
+            }
+            Unfit::NotEligible => self.end_older_order_or_give_up(now, &roster.members, out),
+        }
+    }
+
+    /// Writes a member to the claim row as the target.
+    pub(super) fn record_choice(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        name: &str,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        self.target = Some(member);
+        self.claim.target = Some(name.into());
         self.claim.last_ordered = claim::LastOrdered::Member {
-            name: best.name.clone(),
+            name: name.into(),
             replaced_term: self.newest_term,
         };
         self.claim.settled = false;
@@ -124,7 +241,6 @@
         }
         self.step = failover::Step::Recording;
         self.store_claim(out);
-        failover::Progress::Ongoing
     }
 
     /// Returns whether a log that ends at `end` may contain every acknowledged entry.
@@ -132,7 +248,7 @@
     /// A member that is gone may have been the only one besides the old leader that received some of these entries. If the
     /// replicas of a stalled leader have received nothing of its term, they may lack such entries, so the leader must not be
     /// replaced yet.
-    fn has_all_acknowledged(&self, end: floor::Point) -> bool {
+    pub(super) fn has_all_acknowledged(&self, end: floor::Point) -> bool {
         let of_this_term = self.reason != leader::ReplaceReason::Stalled || end.term >= self.term;
         of_this_term && Some(end) >= self.acknowledged
     }
--- /dev/null
+++ b/crates/broker/src/failover/handover.rs
@@ -0,0 +1,261 @@
+//! The lead handed over by a leader that answers.
+
+use std::time::Instant;
+
+use fulmarlift_core::floor;
+use fulmarlift_core::id;
+
+use crate::claim;
+use crate::effect;
+use crate::event;
+use crate::failover;
+use crate::leader;
+
+impl failover::Attempt {
+    /// Returns whether the old leader is asked to hand over. Otherwise it is taken over from.
+    ///
+    /// The end of its log counts only if no newer leader can have acknowledged entries: the claim row tells which member was ordered
+    /// last, and no order is left that may still be executed.
+    pub(super) fn may_hand_over(&self) -> bool {
+        let is_reachable = matches!(
+            self.reason,
+            leader::ReplaceReason::Leaving | leader::ReplaceReason::Gone
+        );
+        let knows_orders = self.claim.last_ordered != claim::LastOrdered::Unknown
+            && self.claim.pending_target().is_none();
+        is_reachable && knows_orders && self.old_leader.is_some()
+    }
+
+    /// Begins to ask all members for their status.
+    pub(super) fn start_survey(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        self.hands_over = true;
+        let until = now + failover::SURVEY_TIMEOUT;
+        self.step = failover::Step::Surveying { until };
+        self.survey_members(now, roster, out)
+    }
+
+    /// Sends the questions that are due. Once the old leader has answered and an eligible member has received what that leader had logged
+    /// by its first answer, records this member as the target: it receives from the leader, and will have the rest soon.
+    pub(super) fn survey_members(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        let failover::Step::Surveying { until } = self.step else {
+            return failover::Progress::Ongoing;
+        };
+        self.ask_members(now, roster, out);
+        let Some(surveyed_end) = self.surveyed_end else {
+            return match now >= until {
+                true => self.take_over(now, roster, out),
+                false => failover::Progress::Ongoing,
+            };
+        };
+        match self.find_successor(roster, surveyed_end) {
+            Some((member, name)) => self.record_choice(now, member, &name, out),
+            None => self.ask_again(now),
+        }
+        failover::Progress::Ongoing
+    }
+
+    /// Records the answer to a question of the survey.
+    pub(super) fn apply_survey(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        status: Option<event::MemberStatus>,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        let is_old_leader = Some(member) == self.old_leader;
+        let may_be_replaced =
+            status.is_some_and(|status| self.may_be_replaced(member, status.term));
+        self.surveyed.entry(member).record_answer(now, status);
+        if let Some(status) = status {
+            self.raise_hold_term(status);
+            if is_old_leader && (!status.leads || may_be_replaced) {
+                // It has nothing to hand over. It is held like the others, unless it leads on after its replacement.
+                self.old_leader = self.old_leader.filter(|_| status.leads);
+                return self.take_over(now, roster, out);
+            }
+            if is_old_leader {
+                self.surveyed_end.get_or_insert(status.received);
+            } else if status.leads && may_be_replaced {
+                let command = effect::MemberCommand::Demote(self.hold_term);
+                self.send_command(Some(member), command, out);
+            } else if status.leads {
+                return self.end_beside_other_leader(now, member, status, roster, out);
+            }
+        }
+        self.survey_members(now, roster, out)
+    }
+
+    /// Begins to stop the old leader.
+    pub(super) fn start_stop(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        let until = now + failover::STOP_TIMEOUT;
+        self.step = failover::Step::Stopping { until };
+        self.stop_leader(now, roster, out)
+    }
+
+    /// Stops the old leader, and then orders the promotion of a member that has received its whole log. If none does so in time,
+    /// because entries were under way or only a member that is gone had them, the old leader itself is promoted again.
+    pub(super) fn stop_leader(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        let failover::Step::Stopping { until } = self.step else {
+            return failover::Progress::Ongoing;
+        };
+        let Some(log_end) = self.log_end else {
+            if now >= until {
+                return self.go_on_without_answer(now, roster, out);
+            }
+            if self.demotion.send_if_due(now) {
+                let command = effect::MemberCommand::Demote(self.hold_term);
+                self.send_command(self.old_leader, command, out);
+            }
+            return failover::Progress::Ongoing;
+        };
+        if !self.hands_over {
+            self.read_directory(out);
+            return failover::Progress::Ongoing;
+        }
+        self.ask_members(now, roster, out);
+        let successor = self.find_successor(roster, log_end).or_else(|| {
+            let old_leader = self.old_leader.filter(|_| now >= until)?;
+            Some((old_leader, roster.name(old_leader)?))
+        });
+        match successor {
+            Some((member, _)) if Some(member) == self.target => self.give_order(out),
+            Some((member, name)) => self.record_choice(now, member, &name, out),
+            None => self.ask_again(now),
+        }
+        failover::Progress::Ongoing
+    }
+
+    /// Records the answer to the command that stops the old leader, or to a question for the log of another member.
+    pub(super) fn apply_stop(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        status: Option<event::MemberStatus>,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        if Some(member) != self.old_leader {
+            self.surveyed.entry(member).record_answer(now, status);
+            return self.stop_leader(now, roster, out);
+        }
+        let stopped = status.filter(|status| !status.leads);
+        self.demotion.record_answer(now, stopped);
+        if let Some(status) = status {
+            self.raise_hold_term(status);
+        }
+        if let Some(status) = stopped.filter(|_| self.log_end.is_none()) {
+            if !self.is_whole_log(status) {
+                return self.go_on_without_answer(now, roster, out);
+            }
+            self.log_end = Some(status.received);
+            let until = now + failover::STOP_TIMEOUT;
+            self.step = failover::Step::Stopping { until };
+            if self.find_successor(roster, status.received).is_none() {
+                self.discard_surveyed(now);
+            }
+        }
+        self.stop_leader(now, roster, out)
+    }
+
+    /// Takes over from a leader that does not stop, or whose log does not tell what it has acknowledged.
+    fn go_on_without_answer(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        if !self.hands_over {
+            self.read_directory(out);
+            return failover::Progress::Ongoing;
+        }
+        // No order has been given for the target.
+        self.withdraw_target();
+        self.target = None;
+        self.take_over(now, roster, out)
+    }
+
+    /// Returns whether the log of a leader that has stopped contains all that it has acknowledged: the leader has not restarted without
+    /// its log, and follows no newer one.
+    fn is_whole_log(&self, stopped: event::MemberStatus) -> bool {
+        let answered = self.surveyed.values().chain(self.holds.values());
+        let furthest = answered
+            .filter_map(|answered| answered.status.map(|status| status.received))
+            .max();
+        stopped.term == self.newest_term
+            && Some(stopped.received) >= furthest.max(self.surveyed_end)
+            && self.has_all_acknowledged(stopped.received)
+    }
+
+    /// Returns an eligible member whose log has reached `end`, the target if it is one.
+    fn find_successor(
+        &self,
+        roster: &failover::Roster,
+        end: floor::Point,
+    ) -> Option<(id::MemberId, Box<str>)> {
+        let has_reached = |participant: &&failover::Participant| {
+            let asked = self.surveyed.get(participant.member);
+            let status = asked.and_then(|asked| asked.status);
+            status.is_some_and(|status| {
+                status.received >= end && self.has_all_acknowledged(status.received)
+            })
+        };
+        let reached = roster
+            .members
+            .iter()
+            .filter(|participant| participant.eligible)
+            .filter(|participant| Some(participant.member) != self.old_leader)
+            .filter(has_reached);
+        let found = reached.min_by_key(|participant| Some(participant.member) != self.target);
+        found.map(|participant| (participant.member, participant.name.clone()))
+    }
+
+    /// Sends the questions for the status that are due.
+    fn ask_members(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        for participant in &roster.members {
+            let is_stopped = self.log_end.is_some() && Some(participant.member) == self.old_leader;
+            if !is_stopped && self.surveyed.entry(participant.member).send_if_due(now) {
+                let command = effect::MemberCommand::Status;
+                self.send_command(Some(participant.member), command, out);
+            }
+        }
+    }
+
+    /// Asks the members again that have answered, after a delay.
+    fn ask_again(&mut self, now: Instant) {
+        self.discard_surveyed(now + failover::COMMAND_RETRY_DELAY);
+    }
+
+    fn discard_surveyed(&mut self, retry_at: Instant) {
+        for (_, asked) in self.surveyed.iter_mut() {
+            if asked.status.is_some() {
+                asked.discard_answer(retry_at);
+            }
+        }
+    }
+}
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -1,24 +1,29 @@
-//! Replacement of a leader. An attempt of a proxy takes these steps, with the names of `Step` in parentheses:
+//! Replacement of a leader. An attempt of a proxy first claims (`Waiting`, `Loading`, `Claiming`, the names of [`Step`]): it reads the
+//! claim row, and a conditional write takes the next fencing token, so that one proxy at a time acts on a group.
 //!
-//! 1. Claim (`Waiting`, `Loading`, `Claiming`): the proxy reads the claim row, and a conditional write takes the next fencing
-//!    token, so that one proxy at a time acts on a group.
-//! 2. Hold (`Holding`): every member but the old leader stops receiving, so that the old leader can acknowledge no more
-//!    commits. All of these members must answer, also those that the directory no longer lists but that still run, because
-//!    one that does not answer may have received commits that the others lack. A replaced leader that leads on cannot be held,
-//!    so it is demoted first.
+//! The chosen member must have every commit whose success a caller was told. So the choice rests on logs that were read when no
+//! acknowledgement of the old leader could reach a caller any more. How that is known depends on the leader:
 //!
-//!    Where promotions are not fenced, the attempt then waits until no proxy trusts the old leader any more, see
-//!    [`crate::lease`].
-//! 3. Choose: the member that has received most has everything that was acknowledged, unless a member that is gone had
-//!    received more. So its log is compared with the point up to which commits are known to be acknowledged.
-//! 4. Record (`Recording`): the proxy writes its choice to the claim row before it gives the promotion order. If the answer
-//!    to an order is lost, the platform may still execute the order seconds later. The next claimant therefore orders the
-//!    same member again with a higher token, which ends the older order. If that member is the old leader, the repeated
-//!    order only serves to end the older one (`EndingOlderOrder`), and the attempt is given up after it.
-//! 5. Order (`Ordering`, `Confirming`): the platform promotes the member, and the proxy waits until the member confirms that
-//!    it leads.
+//! - A leader that answers hands over. The proxy asks all members for their status (`Surveying`), records its choice (`Recording`),
+//!   stops the leader by a demotion, and orders the promotion once the target has received the log of the stopped leader to its end
+//!   (`Stopping`). Members outside the view of this proxy do not matter: they cannot have confirmed what the target lacks.
+//! - A leader that does not answer is taken over from. Every other member is held (`Holding`), also those that the directory no longer
+//!   lists but that still run: a member that does not answer may have received commits that the others lack. A replaced leader that
+//!   leads on cannot be held, so it is demoted first. Where promotions are not fenced, the attempt then waits until no proxy
+//!   trusts the old leader any more, see [`crate::lease`]. A member may have joined since and confirmed commits, so the directory is
+//!   read (`ReadingDirectory`), and all members are held and their logs read once more before the choice. A leader that answers
+//!   everything but commits is held off from its replicas in this way as well, and stopped before that second round.
+//!
+//! The member that has received most has everything that was acknowledged, unless a member that is gone had received more. So
+//! its log is also compared with the point up to which commits are known to be acknowledged.
+//!
+//! The choice is recorded in the claim row before the promotion order is given (`Ordering`, `Confirming`). If the answer to an order is
+//! lost, the platform may still execute the order seconds later. The next claimant therefore orders the same member again with
+//! a higher token, which ends the older order. If that member is the old leader, the repeated order only serves to end the
+//! older one (`EndingOlderOrder`), and the attempt is given up after it.
 
 mod choice;
+mod handover;
 
 use std::time::{Duration, Instant};
 
@@ -30,7 +35,6 @@
 use crate::effect;
 use crate::event;
 use crate::leader;
-use crate::lease;
 use crate::revision;
 
 /// Time for which a claim excludes other proxies: enough for two promotions of 600 ms with their commands to members, and
@@ -70,6 +74,10 @@
 const RELEASE_SEND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a release command that was sent can no longer arrive: the `TCP_USER_TIMEOUT` of the sockets.
 const RELEASE_ARRIVAL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time in which the old leader must answer that it leads, or else is taken over from.
+const SURVEY_TIMEOUT: Duration = COMMAND_TIMEOUT;
+/// Time in which the old leader must answer that it has stopped, and then in which a member must have received its log to the end.
+const STOP_TIMEOUT: Duration = COMMAND_TIMEOUT;
 /// Time that the chosen member has to confirm that it leads after an order without an answer, which may not have arrived.
 const CONFIRM_UNKNOWN_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time that the chosen member has to confirm that it leads after the order was accepted.
@@ -84,8 +92,14 @@
     Loading,
     /// The claim is being written.
     Claiming,
+    /// The members are asked for their status. A leader that does not answer until `until` is taken over from.
+    Surveying { until: Instant },
+    /// The old leader is being stopped, and then a member awaited that has received its whole log.
+    Stopping { until: Instant },
     /// The members are being held.
     Holding,
+    /// The directory is being read, or is read again at `retry_at`.
+    ReadingDirectory { retry_at: Option<Instant> },
     /// The old leader was the target of an older order and is ordered again with a higher token, which ends that order.
     EndingOlderOrder { retry_at: Option<Instant> },
     /// The chosen target is being written to the claim row.
@@ -96,17 +110,45 @@
     Confirming { until: Instant, poll_at: Instant },
 }
 
-/// State of the hold command to one member.
+/// State of the command to one member.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
-struct HoldState {
+struct CommandState {
     /// Instant at which the unanswered command was sent; `None` if no command is under way.
     sent_at: Option<Instant>,
     /// Earliest instant of the next command.
     retry_at: Option<Instant>,
-    /// Status of the member while it is held.
+    /// Status in the answer that counts.
     status: Option<event::MemberStatus>,
 }
 
+impl CommandState {
+    /// Records that the command is sent if it is due and neither answered nor under way. Returns whether to send it.
+    fn send_if_due(&mut self, now: Instant) -> bool {
+        let is_lost = self
+            .sent_at
+            .is_some_and(|sent_at| now.saturating_duration_since(sent_at) > COMMAND_TIMEOUT);
+        let is_due = self.retry_at.is_none_or(|retry_at| now >= retry_at);
+        let sends = self.status.is_none() && (is_lost || self.sent_at.is_none() && is_due);
+        if sends {
+            self.sent_at = Some(now);
+        }
+        sends
+    }
+
+    /// Records the answer to the command, or its absence.
+    fn record_answer(&mut self, now: Instant, status: Option<event::MemberStatus>) {
+        self.sent_at = None;
+        self.retry_at = Some(now + COMMAND_RETRY_DELAY);
+        self.status = status;
+    }
+
+    /// Discards the answer, so that the command is sent again at `retry_at`.
+    fn discard_answer(&mut self, retry_at: Instant) {
+        self.status = None;
+        self.retry_at = Some(retry_at);
+    }
+}
+
 /// The facts about a member that an attempt needs.
 #[derive(Clone, Debug)]
 pub struct Participant {
@@ -118,6 +160,23 @@
     pub eligible: bool,
 }
 
+/// The members of a group, as far as a proxy knows them.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    /// Members that the directory lists, and those that it no longer lists but that do not count as gone.
+    pub members: Vec<Participant>,
+    /// Whether all members that run have had the time to be listed since the directory was reached again.
+    pub is_complete: bool,
+}
+
+impl Roster {
+    /// Returns the name of a member.
+    fn name(&self, member: id::MemberId) -> Option<Box<str>> {
+        let found = self.members.iter().find(|known| known.member == member);
+        found.map(|known| known.name.clone())
+    }
+}
+
 /// Progress of an attempt after an input.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Progress {
@@ -166,9 +225,21 @@
     revision: revision::Revision,
     /// An instant, and the time on the store's clock at that instant, in milliseconds.
     store_clock: (Instant, u64),
-    holds: sorted::Map<id::MemberId, HoldState>,
+    holds: sorted::Map<id::MemberId, CommandState>,
     /// Instant at which the last lease of the old leader ends, as far as the members that are held have granted it.
     leases_end_at: Instant,
+    /// Whether the old leader hands over, rather than being taken over from.
+    hands_over: bool,
+    /// Instant since which the members are held for the second time: no acknowledgement of the old leader can reach a caller any more.
+    second_round_at: Option<Instant>,
+    /// Questions for the status of the members while the old leader hands over.
+    surveyed: sorted::Map<id::MemberId, CommandState>,
+    /// Command that stops the old leader; its answer counts once the leader has stopped.
+    demotion: CommandState,
+    /// End of the old leader's log when it first answered the survey.
+    surveyed_end: Option<floor::Point>,
+    /// End of the log of the old leader, which has stopped.
+    log_end: Option<floor::Point>,
     /// Member that was ordered last before this attempt.
     ordered_before: claim::LastOrdered,
     /// End of the time in which promotion orders are sent; `None` until the choice is recorded.
@@ -210,6 +281,12 @@
             store_clock: (start_at, 0),
             holds: sorted::Map::default(),
             leases_end_at: start_at,
+            hands_over: false,
+            second_round_at: None,
+            surveyed: sorted::Map::default(),
+            demotion: CommandState::default(),
+            surveyed_end: None,
+            log_end: None,
             ordered_before: claim::LastOrdered::default(),
             orders_end_at: None,
             target: None,
@@ -235,7 +312,10 @@
             Step::Waiting { .. } => "waiting",
             Step::Loading => "loading",
             Step::Claiming => "claiming",
+            Step::Surveying { .. } => "surveying",
+            Step::Stopping { .. } => "stopping",
             Step::Holding => "holding",
+            Step::ReadingDirectory { .. } => "reading_directory",
             Step::EndingOlderOrder { .. } => "flushing",
             Step::Recording => "recording",
             Step::Ordering { .. } => "ordering",
@@ -248,10 +328,16 @@
     pub fn tick(
         &mut self,
         now: Instant,
-        participants: &[Participant],
+        roster: &Roster,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
-        let can_time_out = matches!(self.step, Step::EndingOlderOrder { .. } | Step::Holding);
+        let can_time_out = matches!(
+            self.step,
+            Step::EndingOlderOrder { .. }
+                | Step::Surveying { .. }
+                | Step::Holding
+                | Step::ReadingDirectory { .. }
+        );
         if can_time_out && now.saturating_duration_since(self.read_sent_at) > ATTEMPT_TIMEOUT {
             return self.give_up(now, out);
         }
@@ -261,7 +347,12 @@
                 self.read_sent_at = now;
                 out.push(effect::Effect::LoadClaim(self.group));
             }
-            Step::Holding => return self.hold_members(now, participants, out),
+            Step::Surveying { .. } => return self.survey_members(now, roster, out),
+            Step::Stopping { .. } => return self.stop_leader(now, roster, out),
+            Step::Holding => return self.hold_members(now, roster, out),
+            Step::ReadingDirectory {
+                retry_at: Some(retry_at),
+            } if now >= retry_at => self.read_directory(out),
             Step::EndingOlderOrder {
                 retry_at: Some(retry_at),
             } if now >= retry_at => {
@@ -353,6 +444,7 @@
         &mut self,
         now: Instant,
         outcome: event::StoreOutcome,
+        roster: &Roster,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
         // An outcome of a write before the last one, by an earlier attempt.
@@ -369,13 +461,17 @@
         match (self.step, outcome) {
             (Step::Claiming, event::StoreOutcome::Written(revision)) => {
                 self.revision = revision;
-                self.step = Step::Holding;
-                Progress::Ongoing
+                match self.may_hand_over() {
+                    true => self.start_survey(now, roster, out),
+                    false => self.take_over(now, roster, out),
+                }
             }
             (Step::Recording, event::StoreOutcome::Written(revision)) => {
                 self.revision = revision;
-                self.step = Step::Ordering { retry_at: None };
-                self.order_promotion(self.target, out);
+                if self.hands_over && self.log_end.is_none() {
+                    return self.start_stop(now, roster, out);
+                }
+                self.give_order(out);
                 Progress::Ongoing
             }
             (Step::Claiming, _) => Progress::GivenUp {
@@ -397,67 +493,77 @@
         }
     }
 
-    /// Continues after a member's answer to a command, or after its absence (`None`).
+    /// Continues after a member's answer to a command that was sent at `asked_at`, or after its absence (`None`).
     pub fn apply_status(
         &mut self,
         now: Instant,
         member: id::MemberId,
+        asked_at: Instant,
         status: Option<event::MemberStatus>,
-        participants: &[Participant],
+        roster: &Roster,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
-        if let Step::Confirming { .. } = self.step
-            && Some(member) == self.target
-            && let Some(status) = status
-            && status.leads
-        {
-            return self.finish(now, member, status, out);
-        }
-        if self.step != Step::Holding {
-            return Progress::Ongoing;
-        }
-        let leads_on =
-            status.is_some_and(|status| status.leads && self.may_be_replaced(member, status.term));
-        let hold = self.holds.entry(member);
-        hold.sent_at = None;
-        hold.retry_at = Some(now + COMMAND_RETRY_DELAY);
-        hold.status = status.filter(|_| !leads_on);
-        if let Some(status) = status {
-            let newest_held_term = status.term.max(status.held_term);
-            if leads_on {
-                // A replaced leader that leads on cannot be held before it is demoted.
-                let command = effect::MemberCommand::Demote(self.hold_term);
-                self.send_command(Some(member), command, out);
-                return Progress::Ongoing;
-            }
-            self.newest_term = self.newest_term.max(status.term);
-            if status.leads && Some(member) != self.old_leader {
-                // Another member has been promoted meanwhile. The promotion released the members that were held before it;
-                // those that were held after it, at a later term, still are.
-                let leader = participants
-                    .iter()
-                    .find(|participant| participant.member == member);
-                let leader = leader.map(|participant| participant.name.clone());
-                let pending = self.claim.pending_target();
-                let settles = pending.is_none();
-                if settles || pending == leader.as_deref() {
-                    if let Some(name) = leader.filter(|_| settles) {
-                        self.record_leader(name, status.term);
-                    }
-                    self.release(now, Duration::ZERO, out);
+        match self.step {
+            Step::Confirming { .. } => match status {
+                Some(status) if status.leads && Some(member) == self.target => {
+                    self.finish(now, member, status, out)
                 }
-                return Progress::Done { member, status };
-            }
-            if status.term >= self.hold_term {
-                self.hold_term = newest_held_term.saturating_add(1);
+                _ => Progress::Ongoing,
+            },
+            Step::Surveying { .. } => self.apply_survey(now, member, status, roster, out),
+            Step::Stopping { .. } => self.apply_stop(now, member, status, roster, out),
+            Step::Holding => self.apply_hold(now, member, asked_at, status, roster, out),
+            _ => Progress::Ongoing,
+        }
+    }
+
+    /// Continues after a read of the directory; `is_read` tells whether it answered.
+    pub fn apply_directory(
+        &mut self,
+        now: Instant,
+        is_read: bool,
+        roster: &Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> Progress {
+        match self.step {
+            Step::ReadingDirectory { .. } if is_read => self.start_second_round(now, roster, out),
+            Step::ReadingDirectory { .. } => {
+                let retry_at = Some(now + STORE_RETRY_DELAY);
+                self.step = Step::ReadingDirectory { retry_at };
+                Progress::Ongoing
             }
-            if !self.fenced {
-                // If the member is held, it has been held since some time before now.
-                self.leases_end_at = now + lease::LEASE_DURATION;
+            _ => Progress::Ongoing,
+        }
+    }
+
+    /// Raises the hold term above the terms in a status.
+    fn raise_hold_term(&mut self, status: event::MemberStatus) {
+        self.newest_term = self.newest_term.max(status.term);
+        if status.term >= self.hold_term {
+            self.hold_term = status.term.max(status.held_term).saturating_add(1);
+        }
+    }
+
+    /// Ends the attempt because another member has been promoted meanwhile. That promotion released the members that were held before
+    /// it; those that were held after it, at a later term, still are.
+    fn end_beside_other_leader(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        status: event::MemberStatus,
+        roster: &Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> Progress {
+        let leader = roster.name(member);
+        let pending = self.claim.pending_target();
+        let settles = pending.is_none();
+        if settles || pending == leader.as_deref() {
+            if let Some(name) = leader.filter(|_| settles) {
+                self.record_leader(name, status.term);
             }
-            self.discard_outdated_holds(now);
+            self.release(now, Duration::ZERO, out);
         }
-        self.hold_members(now, participants, out)
+        Progress::Done { member, status }
     }
 
     /// Continues after a promotion order.
@@ -486,7 +592,8 @@
                     until: now + CONFIRM_TIMEOUT,
                     poll_at: now,
                 };
-                if self.reason != leader::ReplaceReason::Unreachable {
+                let may_lead_on = self.log_end.is_none() && self.target != self.old_leader;
+                if may_lead_on && self.reason != leader::ReplaceReason::Unreachable {
                     // The demoted leader refuses commits at once. Otherwise they would wait for confirmations that the
                     // held replicas no longer send.
                     self.send_command(
@@ -534,9 +641,12 @@
             Step::Waiting { .. } | Step::Loading | Step::Claiming => Progress::GivenUp {
                 retry_at: now + STORE_RETRY_DELAY,
             },
-            Step::Holding | Step::EndingOlderOrder { .. } | Step::Recording => {
-                self.give_up(now, out)
-            }
+            Step::Surveying { .. }
+            | Step::Stopping { .. }
+            | Step::Holding
+            | Step::ReadingDirectory { .. }
+            | Step::EndingOlderOrder { .. }
+            | Step::Recording => self.give_up(now, out),
             Step::Ordering { .. } | Step::Confirming { .. } => {
                 self.orders_end_at = Some(now);
                 Progress::Ongoing
@@ -552,8 +662,7 @@
             }
             return self.give_up(now, out);
         }
-        self.step = Step::Ordering { retry_at: None };
-        self.order_promotion(self.target, out);
+        self.give_order(out);
         Progress::Ongoing
     }
 
@@ -658,6 +767,17 @@
         });
     }
 
+    /// Gives the order for the recorded target.
+    fn give_order(&mut self, out: &mut Vec<effect::Effect>) {
+        self.step = Step::Ordering { retry_at: None };
+        self.order_promotion(self.target, out);
+    }
+
+    fn read_directory(&mut self, out: &mut Vec<effect::Effect>) {
+        self.step = Step::ReadingDirectory { retry_at: None };
+        out.push(effect::Effect::ReadDirectory(self.group));
+    }
+
     fn order_promotion(&self, member: Option<id::MemberId>, out: &mut Vec<effect::Effect>) {
         if let Some(member) = member {
             out.push(effect::Effect::OrderPromotion {
--- a/crates/broker/src/lease.rs
+++ b/crates/broker/src/lease.rs
@@ -3,8 +3,9 @@
 //! Where promotions are not fenced (see [`crate::state::Settings::fenced`]), a replaced leader goes on leading until it is
 //! demoted or reaches its successor. Its own answers then no longer prove that it leads, and reads at it may be stale.
 //!
-//! A failover claims, holds every member but the old leader, and orders a promotion only [`LEASE_DURATION`] after the last hold. A
-//! promotion ends the holds before the members have heard of the new leader, so a member that answers that it follows the old
+//! A failover claims and, unless the old leader hands over (see [`crate::failover`]), holds every member but that leader and orders a
+//! promotion only [`LEASE_DURATION`] after the last hold. A leader that hands over is stopped before the order, so a lease that goes
+//! on does no harm: that leader answers nothing any more as a leader does. A promotion ends the holds before the members have heard of the new leader, so a member that answers that it follows the old
 //! term and is not held may just as well have been held and released by a promotion. Commits that the old leader acknowledges
 //! prove no more: a member may have received them that was released, or that joined or restarted after the holds. Three
 //! kinds of evidence remain:
@@ -12,7 +13,7 @@
 //! - The claim row, if it shows that the leader was the last member that was ordered and that no attempt to replace it has begun,
 //!   see [`crate::claim::ClaimRow::standing`]. It starts a lease which ends [`LEASE_DURATION`] after the row was asked for.
 //! - A member that shows the term that follows the one of the last lease. It starts a lease of that term, until
-//!   [`failover::ORDER_LEASE`] after the end of the last lease: no second promotion is ordered before that.
+//!   [`NEXT_TERM_TIMEOUT`] after the end of the last lease: no second promotion is ordered before that.
 //! - While the claim row cannot be read or does not tell, the consent of all other members, see [`Consents`]: the target of a
 //!   promotion is held until it leads. A member that joins unnoticed is ordered [`LEASE_DURATION`] after the last answer of the
 //!   directory at the earliest, so the lease ends by then.
@@ -30,6 +31,9 @@
 /// Time from the question to the end of the lease, and from the last confirmed hold to the promotion order. It bounds from
 /// below how often the claim row is read, and it is added to the time without a leader.
 pub const LEASE_DURATION: Duration = Duration::from_millis(500);
+/// Time after the end of a lease in which the next term starts another one. A leader that hands over may be followed by the next
+/// one before the leases of the proxies have ended.
+const NEXT_TERM_TIMEOUT: Duration = failover::ORDER_LEASE.saturating_sub(LEASE_DURATION);
 /// Time from the first answer to the last question by which a member consents, see [`Consents`]. A member that a promotion has released
 /// hears of the new leader meanwhile, unless it is cut off from it.
 const CONSENT_SPAN: Duration = Duration::from_millis(200);
@@ -61,7 +65,7 @@
     pub fn follow(&mut self, now: Instant, term: id::Term, asked_at: Instant) -> bool {
         let current = self
             .expires_at
-            .is_some_and(|expires_at| now < expires_at + failover::ORDER_LEASE);
+            .is_some_and(|expires_at| now < expires_at + NEXT_TERM_TIMEOUT);
         let follows = current && term == self.term + 1;
         if follows {
             self.start(term, asked_at);
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -119,11 +119,11 @@
             let evidence = effect::LeaderEvidence::Status { member, status };
             self.reelect(now, group_id, evidence, effects);
         }
-        self.advance_failover(now, group_id, effects, |attempt, participants, out| {
+        self.advance_failover(now, group_id, effects, |attempt, roster, out| {
             // An earlier attempt, which has released its members since, may have asked.
             match asked_at < attempt.began_at() {
                 true => failover::Progress::Ongoing,
-                false => attempt.apply_status(now, member, status, participants, out),
+                false => attempt.apply_status(now, member, asked_at, status, roster, out),
             }
         });
     }
@@ -177,6 +177,10 @@
             .watches_leader(now, group_id)
             .then(|| self.reason_to_replace(now, group_id))
             .flatten();
+        // A leader that answers can hand over to a member that has its whole log, whichever members are listed.
+        let is_complete = self.is_directory_complete(now);
+        let reason =
+            reason.filter(|reason| is_complete || *reason == leader::ReplaceReason::Leaving);
         let (proxy_name, fenced) = (self.settings.name.clone(), self.settings.fenced);
         let group = self.groups.entry(group_id);
         let droppable = group
@@ -203,8 +207,8 @@
             }
             _ => {}
         }
-        self.advance_failover(now, group_id, effects, |attempt, participants, out| {
-            attempt.tick(now, participants, out)
+        self.advance_failover(now, group_id, effects, |attempt, roster, out| {
+            attempt.tick(now, roster, out)
         });
     }
 
@@ -252,27 +256,28 @@
         effects: &mut Vec<effect::Effect>,
         apply_input: impl FnOnce(
             &mut failover::Attempt,
-            &[failover::Participant],
+            &failover::Roster,
             &mut Vec<effect::Effect>,
         ) -> failover::Progress,
     ) {
+        let is_complete = self.is_directory_complete(now);
         let Some(group) = self.groups.get_mut(group_id) else {
             return;
         };
         let Some(attempt) = group.attempt.as_mut() else {
             return;
         };
-        let participants: Vec<failover::Participant> = group
-            .members
-            .values()
-            .map(|state| failover::Participant {
-                member: state.entry.id,
-                name: state.entry.name.clone(),
-                eligible: !state.entry.leaving && state.unlisted_since.is_none(),
-            })
-            .collect();
+        let participants = group.members.values().map(|state| failover::Participant {
+            member: state.entry.id,
+            name: state.entry.name.clone(),
+            eligible: !state.entry.leaving && state.unlisted_since.is_none(),
+        });
+        let roster = failover::Roster {
+            members: participants.collect(),
+            is_complete,
+        };
         let first_new_effect = effects.len();
-        let progress = apply_input(attempt, &participants, effects);
+        let progress = apply_input(attempt, &roster, effects);
         for effect in &mut effects[first_new_effect..] {
             assign_connection(effect, &mut group.members);
         }
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -71,6 +71,8 @@
     next_conn: id::ConnId,
     /// Instant since which every read of the directory has succeeded.
     directory_reached_since: Option<Instant>,
+    /// Whether a read of the directory has failed, or the store has come back older, since the first read.
+    directory_was_lost: bool,
     /// Instant of the newest answer of the directory: this proxy knows all members that joined before it.
     directory_answered_at: Option<Instant>,
     eras: eras::StoreEra,
@@ -127,6 +129,7 @@
             home_choices: 0,
             next_conn: 1,
             directory_reached_since: None,
+            directory_was_lost: false,
             directory_answered_at: None,
             eras: eras::StoreEra::default(),
         }
@@ -193,9 +196,14 @@
                 let row = self.protect_lost_claim(now, row);
                 self.record_claim_row(now, group, asked_at, Some(&row), effects);
             }
+            event::Event::DirectoryLoaded { group, is_read } => {
+                self.advance_failover(now, group, effects, |attempt, roster, out| {
+                    attempt.apply_directory(now, is_read, roster, out)
+                });
+            }
             event::Event::ClaimStored { group, outcome } => {
-                self.advance_failover(now, group, effects, |attempt, _, out| {
-                    attempt.apply_store_outcome(now, outcome, out)
+                self.advance_failover(now, group, effects, |attempt, roster, out| {
+                    attempt.apply_store_outcome(now, outcome, roster, out)
                 });
             }
             event::Event::PromotionOrdered { group, outcome } => {
--- a/crates/broker/tests/eras.rs
+++ b/crates/broker/tests/eras.rs
@@ -37,10 +37,11 @@
     effects.iter().any(matches)
 }
 
-/// Makes the leader unreachable and advances to the read of the claim row.
+/// Makes the leader unreachable and advances to the read of the claim row. The members have 2.3 s to write entries that the
+/// directory has lost.
 fn begin_replacement(fixture: &mut Fixture) {
     fixture.add_request(Requirement::Leader);
-    for _ in 0..20 {
+    for _ in 0..30 {
         for effect in fixture.take_effects() {
             match effect {
                 Effect::Open { conn, .. } => {
@@ -257,6 +258,16 @@
     });
 }
 
+/// Answers the hold commands of both rounds, between which the directory is read.
+fn hold_twice(fixture: &mut Fixture) {
+    for _ in 0..2 {
+        answer_hold(fixture, 2);
+        answer_hold(fixture, 3);
+        let (group, is_read) = (GROUP, true);
+        fixture.handle(Event::DirectoryLoaded { group, is_read });
+    }
+}
+
 /// The holder's claim is lost. It must not order, and the members that it holds must receive again.
 #[test]
 fn holder_releases_members_when_store_went_back() {
@@ -288,8 +299,7 @@
 fn holder_does_not_order_after_record_in_newer_era() {
     let mut fixture = Fixture::new();
     hold_replicas(&mut fixture);
-    answer_hold(&mut fixture, 2);
-    answer_hold(&mut fixture, 3);
+    hold_twice(&mut fixture);
     let recorded = written_claim(&fixture.take_effects());
     assert!(recorded.is_some_and(|claim| claim.target.is_some()));
     store_outcome(&mut fixture, StoreOutcome::Written(in_era(2, 42)));
@@ -304,8 +314,7 @@
 fn holder_repeats_no_order_after_store_went_back() {
     let mut fixture = Fixture::new();
     hold_replicas(&mut fixture);
-    answer_hold(&mut fixture, 2);
-    answer_hold(&mut fixture, 3);
+    hold_twice(&mut fixture);
     store_outcome(&mut fixture, StoreOutcome::Written(in_era(1, 42)));
     let orders = |effect: &Effect| matches!(effect, Effect::OrderPromotion { .. });
     assert!(has(&fixture.take_effects(), orders));
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use support::{Fixture, GROUP, member_at, status, version};
 
-/// Plays the store: answers the read of the claim row with this row, and confirms the write. Then the attempt sends the hold
+/// Plays the store: answers the read of the claim row with this row, and confirms the write. Then the attempt sends its first
 /// commands.
 fn write_claim(fixture: &mut Fixture, stored: ClaimRow) {
     fixture.handle(Event::ClaimLoaded {
@@ -30,16 +30,34 @@
     fixture.advance(100);
 }
 
-/// Lets the leader announce that it leaves, and plays the store until the attempt has sent the hold commands.
+/// Leaves statements at the leader unanswered until an attempt to replace it reads the claim row.
+fn lose_leader(fixture: &mut Fixture) {
+    for _ in 0..2 {
+        fixture.handle(Event::StatementEnded(StatementReport {
+            member: 1,
+            answer: Answer::Silent { commit: false },
+            point: None,
+            floor: None,
+            took: Some(Duration::from_millis(760)),
+        }));
+    }
+    fixture.advance(1_600);
+}
+
+/// Loses the leader, and plays the store until the attempt has sent the hold commands.
 fn start_attempt(fixture: &mut Fixture) {
-    let mut leaving = member_at(1, "a", true);
-    leaving.leaving = true;
-    leaving.revision = version(10);
-    fixture.handle(Event::Listed(leaving));
-    fixture.advance(300);
+    lose_leader(fixture);
     write_claim(fixture, ClaimRow::default());
 }
 
+/// Plays the directory: answers the read after which the members are held once more.
+fn read_directory(fixture: &mut Fixture) {
+    let reads = |effect: &Effect| matches!(effect, Effect::ReadDirectory(GROUP));
+    assert!(fixture.effects.iter().any(reads), "the directory is read");
+    let (group, is_read) = (GROUP, true);
+    fixture.handle(Event::DirectoryLoaded { group, is_read });
+}
+
 /// Takes all effects, and returns the member and the term of each hold command, sorted by member.
 fn take_holds(fixture: &mut Fixture) -> Vec<(id::MemberId, id::Term)> {
     let hold = |effect| match effect {
@@ -59,13 +77,12 @@
     holds
 }
 
-/// Answers a command to a member. The fields are those of [`status`]: whether the member leads, its term, the term and the
-/// position up to which it has received, and the term of its hold.
-fn answer_status(
-    fixture: &mut Fixture,
-    member: id::MemberId,
-    fields: (bool, u64, (u64, u64), u64),
-) {
+/// Fields of [`status`]: whether the member leads, its term, the term and the position up to which it has received, and the term
+/// of its hold.
+type MemberFields = (bool, u64, (u64, u64), u64);
+
+/// Answers a command to a member.
+fn answer_status(fixture: &mut Fixture, member: id::MemberId, fields: MemberFields) {
     let (leads, term, received, held_term) = fields;
     fixture.handle(Event::StatusAnswered {
         group: GROUP,
@@ -75,6 +92,17 @@
     });
 }
 
+/// Answers both hold commands to each of these members with the same status, see [`answer_status`].
+fn hold_members(fixture: &mut Fixture, statuses: &[(id::MemberId, MemberFields)]) {
+    for (member, fields) in statuses {
+        answer_status(fixture, *member, *fields);
+    }
+    read_directory(fixture);
+    for (member, fields) in statuses {
+        answer_status(fixture, *member, *fields);
+    }
+}
+
 /// Takes all effects, and returns the target in the claim row that is written; `None` if none is written.
 fn take_recorded_target(fixture: &mut Fixture) -> Option<Box<str>> {
     let target = |effect| match effect {
@@ -101,8 +129,13 @@
     );
     let again = take_holds(&mut fixture);
     assert_eq!(again, [(2, term + 1), (3, term + 1)]);
-    answer_status(&mut fixture, 2, (false, term, (term, 531), term + 1));
-    answer_status(&mut fixture, 3, (false, term, (term, 530), term + 1));
+    hold_members(
+        &mut fixture,
+        &[
+            (2, (false, term, (term, 531), term + 1)),
+            (3, (false, term, (term, 530), term + 1)),
+        ],
+    );
     assert_eq!(
         take_recorded_target(&mut fixture).as_deref(),
         Some("member-2")
@@ -115,6 +148,9 @@
     start_attempt(&mut fixture);
     let term = take_holds(&mut fixture)[0].1;
     answer_status(&mut fixture, 2, (false, term - 1, (term - 1, 500), term));
+    answer_status(&mut fixture, 3, (false, term - 1, (term - 1, 502), term));
+    read_directory(&mut fixture);
+    answer_status(&mut fixture, 2, (false, term - 1, (term - 1, 500), term));
     assert_eq!(
         take_recorded_target(&mut fixture),
         None,
@@ -127,6 +163,47 @@
     );
 }
 
+/// Commits were acknowledged by way of a member that had joined after the holds, and lost with the promotion of a held one.
+#[test]
+fn choose_takes_member_that_has_joined_after_holds() {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let term = take_holds(&mut fixture)[0].1;
+    let held = |position| (false, term - 1, (term - 1, position), term);
+    for member in [2, 3] {
+        answer_status(&mut fixture, member, held(500));
+    }
+    fixture.handle(Event::Listed(member_at(4, "d", false)));
+    read_directory(&mut fixture);
+    assert_eq!(
+        take_holds(&mut fixture),
+        [(2, term), (3, term), (4, term)],
+        "all members are held before the choice"
+    );
+    for (member, position) in [(2, 500), (3, 500), (4, 502)] {
+        answer_status(&mut fixture, member, held(position));
+    }
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some("member-4")
+    );
+}
+
+/// A member that started during an outage of the directory may have confirmed commits, and has 2 s to be listed.
+#[test]
+fn leader_is_replaced_only_once_directory_is_complete_again() {
+    let mut fixture = Fixture::new();
+    fixture.directory_answers = false;
+    fixture.handle(Event::DirectoryRead { answered_at: None });
+    let answered_at = Some(fixture.now);
+    fixture.handle(Event::DirectoryRead { answered_at });
+    let loads_claim = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
+    lose_leader(&mut fixture);
+    assert!(!fixture.effects.iter().any(loads_claim));
+    fixture.advance(1_000);
+    assert!(fixture.effects.iter().any(loads_claim));
+}
+
 #[test]
 fn choose_names_member_of_unanswered_order_again() {
     let mut fixture = Fixture::new();
@@ -145,8 +222,8 @@
     stored.claim.until_ms = 8_000;
     write_claim(&mut fixture, stored);
     let term = take_holds(&mut fixture)[0].1;
-    answer_status(&mut fixture, 2, (false, term - 1, (term - 1, 500), term));
-    answer_status(&mut fixture, 3, (false, term - 1, (term - 1, 500), term));
+    let held = (false, term - 1, (term - 1, 500), term);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
     assert_eq!(
         take_recorded_target(&mut fixture).as_deref(),
         Some("member-2")
@@ -166,58 +243,12 @@
     assert_eq!(order, Some((2, 7)));
 }
 
-/// Takes all effects, and returns the promotion orders and the demotions in order.
-fn take_orders_and_demotions(fixture: &mut Fixture) -> Vec<(&'static str, id::MemberId)> {
-    let order = |effect| match effect {
-        Effect::OrderPromotion { member, .. } => Some(("order", member)),
-        Effect::SendCommand {
-            member,
-            command: MemberCommand::Demote(_),
-            ..
-        } => Some(("demote", member)),
-        _ => None,
-    };
-    fixture
-        .take_effects()
-        .into_iter()
-        .filter_map(order)
-        .collect()
-}
-
-#[test]
-fn leaving_leader_steps_down_only_after_order_is_accepted() {
-    let mut fixture = Fixture::new();
-    start_attempt(&mut fixture);
-    assert_eq!(
-        take_orders_and_demotions(&mut fixture),
-        [],
-        "if the leader stepped down now, an older order for it could be executed"
-    );
-    fixture.advance(1_000);
-    let outcome = StoreOutcome::Written(version(12));
-    for member in [2, 3] {
-        answer_status(&mut fixture, member, (false, 0, (0, 500), 1));
-    }
-    fixture.handle(Event::ClaimStored {
-        group: GROUP,
-        outcome,
-    });
-    assert_eq!(take_orders_and_demotions(&mut fixture), [("order", 2)]);
-    let outcome = OrderOutcome::Accepted;
-    fixture.handle(Event::PromotionOrdered {
-        group: GROUP,
-        outcome,
-    });
-    assert_eq!(take_orders_and_demotions(&mut fixture), [("demote", 1)]);
-}
-
 #[test]
 fn finish_leaves_claim_unsettled_after_unanswered_order() {
     let mut fixture = Fixture::new();
     start_attempt(&mut fixture);
-    for member in [2, 3] {
-        answer_status(&mut fixture, member, (false, 0, (0, 500), 1));
-    }
+    let held = (false, 0, (0, 500), 1);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
     let outcome = StoreOutcome::Written(version(12));
     fixture.handle(Event::ClaimStored {
         group: GROUP,
@@ -269,8 +300,8 @@
     start_attempt(&mut fixture);
     let term = take_holds(&mut fixture)[0].1;
     // Only a member that is gone had received the later entries; these two have received nothing for a while.
-    answer_status(&mut fixture, 2, (false, 1, (1, 281), term));
-    answer_status(&mut fixture, 3, (false, 1, (1, 281), term));
+    let held = (false, 1, (1, 281), term);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
     assert_eq!(
         take_recorded_target(&mut fixture),
         None,
@@ -284,8 +315,11 @@
     commit_twice(&mut fixture, [(1, 309), (1, 312)]);
     start_attempt(&mut fixture);
     let term = take_holds(&mut fixture)[0].1;
-    answer_status(&mut fixture, 2, (false, 1, (1, 309), term));
-    answer_status(&mut fixture, 3, (false, 1, (1, 281), term));
+    let (ahead, behind) = ((1, 309), (1, 281));
+    hold_members(
+        &mut fixture,
+        &[(2, (false, 1, ahead, term)), (3, (false, 1, behind, term))],
+    );
     assert_eq!(
         take_recorded_target(&mut fixture).as_deref(),
         Some("member-2")
@@ -327,9 +361,8 @@
 fn finish_extends_claim_by_order_lease() {
     let mut fixture = Fixture::new();
     start_attempt(&mut fixture);
-    for member in [2, 3] {
-        answer_status(&mut fixture, member, (false, 0, (0, 500), 1));
-    }
+    let held = (false, 0, (0, 500), 1);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
     let outcome = StoreOutcome::Written(version(12));
     fixture.handle(Event::ClaimStored {
         group: GROUP,
@@ -374,7 +407,8 @@
     released
 }
 
-/// Takes the leader's entry from the directory, and plays the store until the attempt has sent the hold commands. `pending` is
+/// Takes the leader's entry from the directory, and plays the store until the attempt has sent the hold commands: the leader does not
+/// answer either. `pending` is
 /// the target of an earlier claim's order that may still be executed.
 fn start_attempt_for_missing_leader(fixture: &mut Fixture, pending: Option<&str>) {
     fixture.handle(Event::Unlisted {
@@ -393,6 +427,8 @@
     stored.claim.until_ms = 8_000;
     fixture.advance(3_000);
     write_claim(fixture, stored);
+    // The leader does not answer that it leads.
+    fixture.advance(1_000);
 }
 
 #[test]
@@ -460,11 +496,7 @@
 #[test]
 fn claim_lasts_as_long_as_intended_after_slow_answer_of_the_store() {
     let mut fixture = Fixture::new();
-    let mut leaving = member_at(1, "a", true);
-    leaving.leaving = true;
-    leaving.revision = version(10);
-    fixture.handle(Event::Listed(leaving));
-    fixture.advance(300);
+    lose_leader(&mut fixture);
     let loads_claim = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
     assert!(fixture.effects.iter().any(loads_claim));
     // The store reads its clock when the read of the claim row arrives, and its answer takes 2 s.
@@ -489,8 +521,8 @@
     });
     fixture.advance(100);
     let term = take_holds(&mut fixture)[0].1;
-    answer_status(&mut fixture, 2, (false, term - 1, (term - 1, 166), term));
-    answer_status(&mut fixture, 3, (false, term - 1, (term - 1, 166), term));
+    let held = (false, term - 1, (term - 1, 166), term);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
     let until_ms = fixture.effects.iter().find_map(until);
     assert!(until_ms >= Some(9_000 + 2_000 + 4_000), "{until_ms:?}");
 }
@@ -564,9 +596,8 @@
     let mut fixture = Fixture::new();
     start_attempt(&mut fixture);
     fixture.take_effects();
-    for member in [2, 3] {
-        answer_status(&mut fixture, member, (false, 0, (0, 500), 1));
-    }
+    let held = (false, 0, (0, 500), 1);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
     let recorded = take_written_claim(&mut fixture).last_ordered;
     assert_eq!(recorded, ordered());
     let written = StoreOutcome::Written(version(12));
@@ -802,16 +833,13 @@
     });
     fixture.advance(1_800);
     refuse_connections(&mut fixture, 3);
-    let mut leaving = member_at(1, "a", true);
-    leaving.leaving = true;
-    leaving.revision = version(10);
-    fixture.handle(Event::Listed(leaving));
-    fixture.advance(300);
-    write_claim(&mut fixture, ClaimRow::default());
+    start_attempt(&mut fixture);
     let term = take_holds(&mut fixture)[0].1;
     answer_status(&mut fixture, 2, (false, term - 1, (term - 1, 500), term));
-    fixture.advance(300);
+    fixture.advance(600);
     assert!(fixture.broker.member(3).is_none());
+    read_directory(&mut fixture);
+    answer_status(&mut fixture, 2, (false, term - 1, (term - 1, 500), term));
     fixture.take_effects();
     fixture.now += Duration::from_millis(5_000);
     fixture.handle(Event::StatusAnswered {
@@ -837,10 +865,15 @@
         answer_status(&mut fixture, member, (false, 2, (2, 500), 3));
     }
     let holds = take_holds(&mut fixture);
-    for (member, term) in [2, 3].map(|member| (member, holds.last().map_or(3, |hold| hold.1))) {
+    let term = holds.last().map_or(3, |hold| hold.1);
+    for member in [2, 3] {
         answer_status(&mut fixture, member, (false, 2, (2, 500), term));
     }
     fixture.advance(600);
+    read_directory(&mut fixture);
+    for member in [2, 3] {
+        answer_status(&mut fixture, member, (false, 2, (2, 500), term));
+    }
     assert_eq!(
         take_recorded_target(&mut fixture).as_deref(),
         Some("member-2")
@@ -869,8 +902,8 @@
     let mut fixture = Fixture::new();
     start_attempt(&mut fixture);
     let term = take_holds(&mut fixture)[0].1;
-    answer_status(&mut fixture, 2, (false, term - 1, (term - 1, 500), term));
-    answer_status(&mut fixture, 3, (false, term - 1, (term - 1, 500), term));
+    let held = (false, term - 1, (term - 1, 500), term);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
     assert!(take_recorded_target(&mut fixture).is_some());
     fixture.handle(Event::ClaimStored {
         group: GROUP,
--- /dev/null
+++ b/crates/broker/tests/handover.rs
@@ -0,0 +1,214 @@
+//! Tests of leaders that hand over: the members, the store and the platform answer by themselves.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use fulmarlift_broker::claim::ClaimRow;
+use fulmarlift_broker::effect::{Effect, MemberCommand};
+use fulmarlift_broker::event::{Event, OrderOutcome, StoreOutcome};
+use fulmarlift_core::id;
+use rstest::rstest;
+use support::{Fixture, GROUP, member_at, status, version};
+
+/// A group whose member 1 leads term 1 and leaves. Its replicas have received its log up to 528.
+struct Group {
+    fixture: Fixture,
+    /// Position up to which each member has received.
+    received: BTreeMap<id::MemberId, u64>,
+    leader_leads: bool,
+    /// Whether member 4 joins, and confirms two entries, once the choice has been made.
+    joins: bool,
+    /// Whether the replicas receive the rest of the leader's log.
+    catches_up: bool,
+    /// Members that answer no command.
+    silent: Vec<id::MemberId>,
+    row_version: u64,
+    /// Targets of the orders that were given, with the position up to which each had received.
+    orders: Vec<(id::MemberId, u64)>,
+    /// Outcomes of the next orders; later ones are accepted.
+    outcomes: Vec<OrderOutcome>,
+}
+
+impl Group {
+    fn new() -> Self {
+        let mut fixture = Fixture::new();
+        let mut leaving = member_at(1, "a", true);
+        leaving.leaving = true;
+        leaving.revision = version(10);
+        fixture.handle(Event::Listed(leaving));
+        Self {
+            fixture,
+            received: [(1, 528), (2, 528), (3, 528)].into(),
+            leader_leads: true,
+            joins: false,
+            catches_up: true,
+            silent: Vec::new(),
+            row_version: 20,
+            orders: Vec::new(),
+            outcomes: Vec::new(),
+        }
+    }
+
+    /// Plays for `ms` milliseconds.
+    fn play(&mut self, ms: u64) {
+        for _ in 0..ms / 100 {
+            self.answer_all();
+            self.fixture.advance(100);
+        }
+        self.answer_all();
+    }
+
+    fn answer_all(&mut self) {
+        loop {
+            let effects = self.fixture.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            for effect in effects {
+                self.answer(effect);
+            }
+        }
+    }
+
+    fn answer(&mut self, effect: Effect) {
+        let group = GROUP;
+        match effect {
+            Effect::LoadClaim(_) => {
+                let asked_at = self.fixture.now;
+                let stored = Some(ClaimRow::default());
+                self.fixture.handle(Event::ClaimLoaded {
+                    group,
+                    asked_at,
+                    stored,
+                });
+            }
+            Effect::StoreClaim { claim, .. } => {
+                if claim.target.is_some() && std::mem::take(&mut self.joins) {
+                    self.join();
+                }
+                self.row_version += 1;
+                let outcome = StoreOutcome::Written(version(self.row_version));
+                self.fixture.handle(Event::ClaimStored { group, outcome });
+            }
+            Effect::OrderPromotion { member, .. } => {
+                self.orders.push((member, self.received[&member]));
+                let outcome = match self.outcomes.is_empty() {
+                    true => OrderOutcome::Accepted,
+                    false => self.outcomes.remove(0),
+                };
+                let event = Event::PromotionOrdered { group, outcome };
+                self.fixture.handle(event);
+            }
+            Effect::SendCommand {
+                member, command, ..
+            } if !self.silent.contains(&member) => {
+                if member == 1 && matches!(command, MemberCommand::Demote(_)) {
+                    self.leader_leads = false;
+                }
+                let held_term = match command {
+                    MemberCommand::Hold(term) => term,
+                    _ => 0,
+                };
+                let leads = member == 1 && self.leader_leads;
+                let received = (1, self.received[&member]);
+                let asked_at = self.fixture.now;
+                let status = Some(status(leads, 1, received, held_term));
+                self.fixture.handle(Event::StatusAnswered {
+                    group,
+                    member,
+                    asked_at,
+                    status,
+                });
+                if self.catches_up && member != 1 {
+                    self.received.insert(member, self.received[&1]);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets member 4 join and confirm two entries of the leader.
+    fn join(&mut self) {
+        let mut joined = member_at(4, "d", false);
+        joined.revision = version(30);
+        self.received.extend([(4, 530), (1, 530)]);
+        self.fixture.handle(Event::Listed(joined));
+    }
+}
+
+/// Commits were acknowledged by way of a member that had joined after the choice, and lost with the promotion of another one (review
+/// cases 1 and 2).
+#[rstest]
+#[case::others_catch_up(true, vec![])]
+#[case::others_do_not_catch_up(false, vec![])]
+#[case::order_is_unanswered(false, vec![OrderOutcome::Unknown])]
+fn order_names_member_with_whole_log_of_stopped_leader(
+    #[case] catches_up: bool,
+    #[case] outcomes: Vec<OrderOutcome>,
+) {
+    let mut group = Group::new();
+    group.joins = true;
+    group.catches_up = catches_up;
+    group.outcomes = outcomes;
+    group.play(2_000);
+    assert!(
+        !group.leader_leads,
+        "the leader is stopped before the order"
+    );
+    assert!(!group.orders.is_empty());
+    for (target, received) in group.orders {
+        assert_eq!(received, 530, "member {target}");
+    }
+}
+
+/// A leader whose last entries only a member had that is gone must not be left without a successor.
+#[test]
+fn leader_leads_on_if_no_member_has_its_whole_log() {
+    let mut group = Group::new();
+    group.joins = true;
+    group.catches_up = false;
+    group.silent = vec![4];
+    group.play(2_000);
+    assert_eq!(group.orders, [(1, 530)]);
+}
+
+/// A replica that cannot be reached does not delay the handover: another one has the whole log.
+#[test]
+fn handover_does_not_wait_for_silent_replica() {
+    let mut group = Group::new();
+    group.silent = vec![3];
+    group.play(500);
+    assert_eq!(group.orders, [(2, 528)]);
+}
+
+/// The leader is not stopped while no replica follows its log.
+#[test]
+fn leader_is_not_stopped_while_replicas_receive_nothing() {
+    let mut group = Group::new();
+    group.received.insert(1, 600);
+    group.catches_up = false;
+    group.play(2_000);
+    assert!(group.leader_leads);
+    assert_eq!(group.orders, []);
+}
+
+/// A leader that does not answer is taken over from, which takes the logs of all members.
+#[test]
+fn silent_leader_is_taken_over_from() {
+    let mut group = Group::new();
+    group.silent = vec![1];
+    group.play(1_200);
+    assert_eq!(
+        group.orders,
+        [],
+        "the directory is read before the choice, which nobody answers here"
+    );
+    let (group_id, is_read) = (GROUP, true);
+    group.fixture.handle(Event::DirectoryLoaded {
+        group: group_id,
+        is_read,
+    });
+    group.play(200);
+    assert_eq!(group.orders, [(2, 528)]);
+}
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -6,7 +6,7 @@
 
 use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered, Standing};
 use fulmarlift_broker::effect::{Effect, MemberCommand, RefusalReason};
-use fulmarlift_broker::event::{Answer, Event, OpenFailure, StoreOutcome};
+use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport, StoreOutcome};
 use fulmarlift_broker::lease::LEASE_DURATION;
 use fulmarlift_broker::request::Requirement;
 use fulmarlift_core::floor::Point;
@@ -520,13 +520,19 @@
     assert!(take_questions(&mut fixture).is_empty());
 }
 
-/// Lets the leader announce that it leaves, holds both replicas, and returns the time until the choice is written.
-fn time_from_hold_to_record_ms(mut fixture: Fixture) -> u64 {
-    let mut leaving = member_at(1, "a", true);
-    leaving.leaving = true;
-    leaving.revision = version(10);
-    fixture.handle(Event::Listed(leaving));
-    fixture.advance(300);
+/// Leaves statements at the leader unanswered, holds both replicas, and returns the time until the directory is read, after which the
+/// choice is made.
+fn time_from_hold_to_choice_ms(mut fixture: Fixture) -> u64 {
+    for _ in 0..2 {
+        fixture.handle(Event::StatementEnded(StatementReport {
+            member: 1,
+            answer: Answer::Silent { commit: false },
+            point: None,
+            floor: None,
+            took: Some(Duration::from_millis(760)),
+        }));
+    }
+    fixture.advance(1_600);
     fixture.handle(Event::ClaimLoaded {
         group: GROUP,
         asked_at: fixture.now,
@@ -557,20 +563,20 @@
             status: Some(status(false, term - 1, (term - 1, 10), term)),
         });
     }
-    let recorded = |effect: &Effect| matches!(effect, Effect::StoreClaim { .. });
+    let reads = |effect: &Effect| matches!(effect, Effect::ReadDirectory(_));
     let mut waited_ms = 0;
-    while !fixture.effects.iter().any(recorded) {
+    while !fixture.effects.iter().any(reads) {
         fixture.advance(100);
         waited_ms += 100;
-        assert!(waited_ms < 2_000, "the choice is never written");
+        assert!(waited_ms < 2_000, "the choice is never made");
     }
     waited_ms
 }
 
 #[test]
 fn promotion_waits_for_end_of_leases() {
-    assert_eq!(time_from_hold_to_record_ms(Fixture::new()), 0);
-    assert_eq!(time_from_hold_to_record_ms(Fixture::unfenced()), LEASE_MS);
+    assert_eq!(time_from_hold_to_choice_ms(Fixture::new()), 0);
+    assert_eq!(time_from_hold_to_choice_ms(Fixture::unfenced()), LEASE_MS);
 }
 
 #[test]
--- a/crates/broker/tests/model.rs
+++ b/crates/broker/tests/model.rs
@@ -50,6 +50,13 @@
     judged: None,
 };
 
+/// The leader hands over.
+const HANDOVER: Bounds = Bounds {
+    leaves: true,
+    reason: ReplaceReason::Leaving,
+    ..ALONE
+};
+
 /// Two proxies replace the leader once each, and a claim may expire meanwhile.
 const BOTH: Bounds = Bounds {
     attempts: [1, 1],
@@ -103,7 +110,14 @@
     ..ALONE
 };
 
-/// The same with answers that reach the reading proxy late.
+/// The leader hands over, promotions are not fenced, and another proxy reads.
+const UNFENCED_HANDOVER: Bounds = Bounds {
+    leaves: true,
+    reason: ReplaceReason::Leaving,
+    ..UNFENCED
+};
+
+/// As [`UNFENCED`], with answers that reach the reading proxy late.
 const LATE_EVIDENCE: Bounds = Bounds {
     lost_answers: 0,
     delayed_answers: false,
@@ -201,12 +215,15 @@
 
 #[rstest]
 #[case::alone(ALONE)]
-#[case::alone_and_leaving(Bounds { reason: ReplaceReason::Leaving, leaves: true, ..ALONE })]
+#[case::alone_and_leaving(HANDOVER)]
 #[case::both(BOTH)]
 #[case::after_late_order(AFTER_LATE_ORDER)]
 #[case::twice_after_late_order(TWICE_AFTER_LATE_ORDER)]
 #[case::unfenced(UNFENCED)]
-#[case::unfenced_and_leaving(Bounds { reason: ReplaceReason::Leaving, leaves: true, ..UNFENCED })]
+#[case::unfenced_and_leaving(Bounds { time_steps: 1, steps_per_lease: 1, ..UNFENCED_HANDOVER })]
+#[case::unfenced_and_leaving_in_half_steps(Bounds { lost_answers: 0, delayed_answers: false, ..UNFENCED_HANDOVER })]
+#[case::leaving_while_member_joins(Bounds { joins: true, ..HANDOVER })]
+#[case::leaving_while_held_member_restarts(Bounds { restarts: 1, delayed_answers: false, ..HANDOVER })]
 #[case::late_evidence(LATE_EVIDENCE)]
 #[case::store_silent(STORE_SILENT)]
 #[case::twice_unfenced(TWICE_UNFENCED)]
--- a/crates/broker/tests/model/group.rs
+++ b/crates/broker/tests/model/group.rs
@@ -234,8 +234,8 @@
         true
     }
 
-    /// Executes the oldest accepted order: the target leads the next term with the log that it has received. All holds end at
-    /// once. A replica follows the new term only when it hears from the target.
+    /// Executes the oldest accepted order: the target leads the next term with the log that it has received. Holds end at once,
+    /// unless their term is above the next one. A replica follows the new term only when it hears from the target.
     pub fn promote(&mut self) -> bool {
         if self.accepted.is_empty() {
             return false;
@@ -248,7 +248,7 @@
         let term = newest.unwrap_or_default() + 1;
         for member in &mut self.members {
             member.leads &= !self.fenced;
-            member.held = 0;
+            member.held *= u8::from(member.held > term);
         }
         let member = &mut self.members[target];
         member.leads = true;
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -6,7 +6,7 @@
 use fulmarlift_broker::claim;
 use fulmarlift_broker::effect::{Effect, MemberCommand};
 use fulmarlift_broker::event::{MemberStatus, OrderOutcome, StoreOutcome};
-use fulmarlift_broker::failover::{Attempt, Participant, Progress};
+use fulmarlift_broker::failover::{Attempt, Participant, Progress, Roster};
 use fulmarlift_broker::leader::{LeaderBelief, ReplaceReason};
 use fulmarlift_broker::lease;
 use fulmarlift_broker::revision::Revision;
@@ -17,9 +17,11 @@
 
 /// Time that passes in a pause: longer than a claim lasts. It is a multiple of the time that a lease lasts.
 const PAUSE: Duration = Duration::from_secs(10);
-/// Time after the end of a lease in which the next term starts a lease: the claim lasts as long after a promotion, and no
-/// promotion comes before the end of the lease.
-const NEXT_TERM_TIMEOUT_MS: u32 = 3_000;
+/// Time after the end of a lease in which the next term starts a lease: the claim lasts for [`ORDER_LEASE`] after a promotion, which
+/// may come before the end of the lease if the old leader hands over.
+///
+/// [`ORDER_LEASE`]: fulmarlift_broker::failover::ORDER_LEASE
+const NEXT_TERM_TIMEOUT_MS: u32 = 2_500;
 /// Smallest time between the two answers with which a member consents to a lease.
 const CONSENT_INTERVAL_MS: u32 = 200;
 const LEASE_DURATION_MS: u32 = lease::LEASE_DURATION.as_millis() as u32;
@@ -147,7 +149,7 @@
 }
 
 /// Input that is applied to a proxy's attempt.
-type Input = Box<dyn FnOnce(&mut Attempt, &[Participant], &mut Vec<Effect>) -> Progress>;
+type Input = Box<dyn FnOnce(&mut Attempt, &Roster, &mut Vec<Effect>) -> Progress>;
 
 /// Message to or from a proxy.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -159,12 +161,15 @@
         era: u64,
         revision: (u64, u64),
     },
-    Hold(usize, u8),
+    /// Commands to a member, and the number of times that the proxy had read the directory when it sent them.
+    Hold(usize, u8, u8),
+    Demote(usize, u8, u8),
+    Status(usize, u8),
     Release(usize),
-    Demote(usize, u8),
-    Status(usize),
-    /// Status of a member: whether it leads, its term, the term and the position of its last entry, and the term of its hold.
-    Answer(usize, bool, u8, (u8, u8), u8),
+    /// Status of a member: whether it leads, its term, the term and the position of its last entry, and the term of its hold. The
+    /// last number is that of the command.
+    Answer(usize, bool, u8, (u8, u8), u8, u8),
+    Directory,
     Order(usize, u64),
     /// Call whose answer was lost and that may still take effect.
     Late(Box<Message>),
@@ -176,6 +181,8 @@
     attempts_left: u8,
     /// Newest era of the store that the proxy knows.
     known_era: u64,
+    /// Number of times that the attempt has read the directory. Each read takes some time.
+    directory_reads: u8,
 }
 
 /// Claim row in the store.
@@ -363,6 +370,7 @@
             attempt: None,
             attempts_left,
             known_era: 0,
+            directory_reads: 0,
         };
         let mut system = Self {
             group: Group::new(
@@ -406,9 +414,28 @@
         system
     }
 
-    /// Sorts the messages under way, so that states that differ only in their order become equal.
+    /// Sorts the messages under way, so that states that differ only in their order become equal, and drops those that can have no
+    /// effect any more.
     pub fn normalise(&mut self) {
-        self.in_flight.sort_unstable();
+        let mut in_flight = std::mem::take(&mut self.in_flight);
+        in_flight.retain(|(proxy, message)| match message {
+            Message::Status(member, _) | Message::Answer(member, ..) => {
+                self.awaits_status(*proxy, *member)
+            }
+            _ => true,
+        });
+        in_flight.sort_unstable();
+        self.in_flight = in_flight;
+    }
+
+    /// Returns whether a proxy may still use the status of a member that it has asked for.
+    fn awaits_status(&self, proxy: usize, member: usize) -> bool {
+        let Some(attempt) = &self.proxies[proxy].attempt else {
+            return false;
+        };
+        let (step, _, target) = attempt.step_token_and_target();
+        let is_ordered = matches!(step, "ordering" | "confirming");
+        !is_ordered || target == Some(member as id::MemberId)
     }
 
     /// Appends all possible next states to `next`, each with a description of the step if `describes` is set. A step that is
@@ -519,6 +546,20 @@
         rules.start + Duration::from_millis(self.now_ms(rules).into())
     }
 
+    /// Returns the time at a proxy, at which its reads of the directory have taken time.
+    fn now_at(&self, rules: &Rules, proxy: usize) -> Instant {
+        let reads = self.proxies[proxy].directory_reads;
+        self.now(rules) + Duration::from_nanos(reads.into())
+    }
+
+    /// Returns the instant at which a proxy sent a command, from the number of its reads of the directory before.
+    fn sent_at(&self, rules: &Rules, proxy: usize, reads: u8) -> Instant {
+        match reads == self.proxies[proxy].directory_reads {
+            true => self.now_at(rules, proxy),
+            false => rules.start,
+        }
+    }
+
     fn now_ms(&self, rules: &Rules) -> u32 {
         PAUSE.as_millis() as u32 * u32::from(self.pauses)
             + LEASE_DURATION_MS / u32::from(rules.bounds.steps_per_lease)
@@ -709,6 +750,7 @@
             return false;
         }
         self.proxies[proxy].attempts_left -= 1;
+        self.proxies[proxy].directory_reads = 0;
         let mut leader = LeaderBelief::default();
         leader.member = Some(old_leader as id::MemberId);
         leader.term = term.into();
@@ -729,19 +771,15 @@
             return false;
         }
         let before = (self.proxies[proxy].clone(), self.in_flight.len());
-        let now = self.now(rules);
-        let input: Input =
-            Box::new(move |attempt, participants, out| attempt.tick(now, participants, out));
+        let now = self.now_at(rules, proxy);
+        let input: Input = Box::new(move |attempt, roster, out| attempt.tick(now, roster, out));
         self.apply(rules, proxy, input);
         before != (self.proxies[proxy].clone(), self.in_flight.len())
     }
 
     /// Applies an input to a proxy's attempt, and sends the messages that follow from it.
     fn apply(&mut self, rules: &Rules, proxy: usize, input: Input) {
-        let now = self.now(rules);
-        let Some(attempt) = &mut self.proxies[proxy].attempt else {
-            return;
-        };
+        let now = self.now_at(rules, proxy);
         let leaves = self.leaves;
         let listed = self.listed;
         let participant = |member: usize| Participant {
@@ -749,16 +787,23 @@
             name: member.to_string().into(),
             eligible: !(leaves && member == 1),
         };
-        let participants: Vec<Participant> = (0..MEMBERS)
-            .filter(|member| listed[*member])
-            .map(participant)
-            .collect();
+        let roster = Roster {
+            members: (0..MEMBERS)
+                .filter(|member| listed[*member])
+                .map(participant)
+                .collect(),
+            is_complete: true,
+        };
+        let reads = self.proxies[proxy].directory_reads;
+        let Some(attempt) = &mut self.proxies[proxy].attempt else {
+            return;
+        };
         let mut out = Vec::new();
-        let mut progress = input(attempt, &participants, &mut out);
+        let mut progress = input(attempt, &roster, &mut out);
         // Ticks that change the attempt follow at once.
         while matches!(progress, Progress::Ongoing) {
             let before = (attempt.clone(), out.len());
-            progress = attempt.tick(now, &participants, &mut out);
+            progress = attempt.tick(now, &roster, &mut out);
             if before == (attempt.clone(), out.len()) {
                 break;
             }
@@ -793,9 +838,9 @@
                 } => {
                     let member = member as usize;
                     match command {
-                        MemberCommand::Status => Message::Status(member),
-                        MemberCommand::Hold(term) => Message::Hold(member, term as u8),
-                        MemberCommand::Demote(term) => Message::Demote(member, term as u8),
+                        MemberCommand::Status => Message::Status(member, reads),
+                        MemberCommand::Hold(term) => Message::Hold(member, term as u8, reads),
+                        MemberCommand::Demote(term) => Message::Demote(member, term as u8, reads),
                         MemberCommand::Release { until } => {
                             if now >= until && rules.mutation != Mutation::ReleasedLate {
                                 continue;
@@ -804,6 +849,7 @@
                         }
                     }
                 }
+                Effect::ReadDirectory(_) => Message::Directory,
                 _ => continue,
             };
             self.in_flight.push((proxy, message));
@@ -820,15 +866,16 @@
     /// Delivers a message.
     fn deliver(&mut self, rules: &Rules, index: usize) -> bool {
         let (proxy, message) = self.in_flight.remove(index);
-        let now = self.now(rules);
+        let now = self.now_at(rules, proxy);
         match message {
             Message::Store { .. } => {
                 let outcome = match self.write_row(rules, proxy, &message) {
                     true => StoreOutcome::Written(self.revision(rules)),
                     false => StoreOutcome::Conflict,
                 };
-                let input: Input =
-                    Box::new(move |attempt, _, out| attempt.apply_store_outcome(now, outcome, out));
+                let input: Input = Box::new(move |attempt, roster, out| {
+                    attempt.apply_store_outcome(now, outcome, roster, out)
+                });
                 self.apply(rules, proxy, input);
             }
             Message::Order(target, token) => {
@@ -841,8 +888,22 @@
                     Box::new(move |attempt, _, out| attempt.apply_order_outcome(now, outcome, out));
                 self.apply(rules, proxy, input);
             }
-            Message::Release(_) | Message::Demote(..) => self.apply_command(&message),
-            Message::Hold(member, _) | Message::Status(member) => {
+            Message::Release(_) => self.apply_command(&message),
+            Message::Directory => {
+                // A member has an entry before it receives.
+                for (member, listed) in self.group.members.iter().zip(&mut self.listed) {
+                    *listed |= !member.absent;
+                }
+                self.proxies[proxy].directory_reads += 1;
+                let now = self.now_at(rules, proxy);
+                let input: Input = Box::new(move |attempt, roster, out| {
+                    attempt.apply_directory(now, true, roster, out)
+                });
+                self.apply(rules, proxy, input);
+            }
+            Message::Hold(member, _, reads)
+            | Message::Demote(member, _, reads)
+            | Message::Status(member, reads) => {
                 self.apply_command(&message);
                 let status = self.group.status(member);
                 let answer = Message::Answer(
@@ -851,27 +912,24 @@
                     status.term as u8,
                     (status.received.term as u8, status.received.position as u8),
                     status.held_term as u8,
+                    reads,
                 );
                 self.in_flight.push((proxy, answer));
                 if !rules.bounds.delayed_answers {
                     return self.deliver(rules, self.in_flight.len() - 1);
                 }
             }
-            Message::Answer(member, leads, term, (last_term, position), held) => {
+            Message::Answer(member, leads, term, (last_term, position), held, reads) => {
+                let sent_at = self.sent_at(rules, proxy, reads);
                 let status = MemberStatus {
                     leads,
                     term: term.into(),
                     received: floor::Point::new(last_term.into(), position.into()),
                     held_term: held.into(),
                 };
-                let input: Input = Box::new(move |attempt, participants, out| {
-                    attempt.apply_status(
-                        now,
-                        member as id::MemberId,
-                        Some(status),
-                        participants,
-                        out,
-                    )
+                let input: Input = Box::new(move |attempt, roster, out| {
+                    let member = member as id::MemberId;
+                    attempt.apply_status(now, member, sent_at, Some(status), roster, out)
                 });
                 self.apply(rules, proxy, input);
             }
@@ -896,13 +954,13 @@
         }
         self.lost_answers_left -= 1;
         let (proxy, message) = self.in_flight.remove(index);
-        let now = self.now(rules);
+        let now = self.now_at(rules, proxy);
         match &message {
             Message::Store { .. } => {
                 let late = Message::Late(Box::new(message));
                 self.in_flight.push((proxy, late));
-                let input: Input = Box::new(move |attempt, _, out| {
-                    attempt.apply_store_outcome(now, StoreOutcome::Unknown, out)
+                let input: Input = Box::new(move |attempt, roster, out| {
+                    attempt.apply_store_outcome(now, StoreOutcome::Unknown, roster, out)
                 });
                 self.apply(rules, proxy, input);
             }
@@ -914,23 +972,32 @@
                 });
                 self.apply(rules, proxy, input);
             }
-            Message::Hold(member, _) | Message::Status(member) => {
+            Message::Hold(member, _, reads)
+            | Message::Demote(member, _, reads)
+            | Message::Status(member, reads) => {
+                let sent_at = self.sent_at(rules, proxy, *reads);
                 let member = *member as id::MemberId;
-                let input: Input = Box::new(move |attempt, participants, out| {
-                    attempt.apply_status(now, member, None, participants, out)
+                let input: Input = Box::new(move |attempt, roster, out| {
+                    attempt.apply_status(now, member, sent_at, None, roster, out)
+                });
+                self.apply(rules, proxy, input);
+            }
+            Message::Directory => {
+                let input: Input = Box::new(move |attempt, roster, out| {
+                    attempt.apply_directory(now, false, roster, out)
                 });
                 self.apply(rules, proxy, input);
             }
-            Message::Late(_) | Message::Release(_) | Message::Demote(..) | Message::Answer(..) => {}
+            Message::Late(_) | Message::Release(_) | Message::Answer(..) => {}
         }
         true
     }
 
     fn apply_command(&mut self, message: &Message) {
         match message {
-            Message::Hold(member, term) => self.group.hold(*member, *term),
+            Message::Hold(member, term, _) => self.group.hold(*member, *term),
             Message::Release(member) => self.group.release(*member),
-            Message::Demote(member, term) => self.group.demote(*member, *term),
+            Message::Demote(member, term, _) => self.group.demote(*member, *term),
             _ => {}
         }
     }
--- a/crates/broker/tests/review.rs
+++ b/crates/broker/tests/review.rs
@@ -521,11 +521,24 @@
     assert_eq!(members_granted(&mut fixture, Requirement::Leader), [2]);
 }
 
-/// Returns a broker whose attempt to replace member 1, which leaves, has read this row and sent its hold commands.
+/// Returns a broker whose attempt to replace member 1, which leaves and does not answer, has sent its hold commands.
 fn holding() -> Fixture {
     let mut fixture = led_by_first(Fixture::unfenced());
     list_leader(&mut fixture, 1, "a", true);
     start_attempt(&mut fixture, ClaimRow::default());
+    fixture.advance(1_000);
+    let holds = |effect: &Effect| match effect {
+        Effect::SendCommand { command, .. } => matches!(command, MemberCommand::Hold(_)),
+        _ => false,
+    };
+    assert_eq!(
+        fixture
+            .effects
+            .iter()
+            .filter(|effect| holds(effect))
+            .count(),
+        2
+    );
     fixture
 }
 
@@ -545,6 +558,10 @@
     answer_command(&mut fixture, 2, (false, 1, (1, 10), 2));
     answer_command(&mut fixture, 3, (false, 1, (1, 10), 2));
     fixture.advance(600);
+    let (group, is_read) = (GROUP, true);
+    fixture.handle(Event::DirectoryLoaded { group, is_read });
+    answer_command(&mut fixture, 2, (false, 1, (1, 10), 2));
+    answer_command(&mut fixture, 3, (false, 1, (1, 10), 2));
     assert!(records_target(&mut fixture));
     fixture.handle(Event::ClaimStored {
         group: GROUP,
--- a/crates/broker/tests/simulation/effects.rs
+++ b/crates/broker/tests/simulation/effects.rs
@@ -4,6 +4,7 @@
 
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
+use fulmarlift_broker::topology;
 use fulmarlift_core::id;
 use rand::RngExt;
 
@@ -102,6 +103,12 @@
                 self.queue
                     .push(at, Happening::Load(index, starts, asked_at));
             }
+            effect::Effect::ReadDirectory(_) => {
+                let at = self.call_arrival(index);
+                let (starts, asked_at) = (self.proxies[index].starts, self.instant());
+                self.queue
+                    .push(at, Happening::ReadDirectory(index, starts, asked_at));
+            }
             effect @ effect::Effect::StoreClaim { .. } => {
                 let at = self.call_arrival(index);
                 let starts = self.proxies[index].starts;
@@ -163,6 +170,40 @@
         self.answer_call(index, starts, event, !lost && (!refused || quick));
     }
 
+    /// Answers a read of the directory for an attempt, or does not.
+    pub(super) fn directory_read(&mut self, index: usize, starts: u32, asked_at: Instant) {
+        let unanswered = self.store.refuses(index, self.now)
+            || self.now < self.store.lossy_until && self.random.random_bool(0.3);
+        if unanswered {
+            let (group, is_read) = (proxy::GROUP, false);
+            let event = event::Event::DirectoryLoaded { group, is_read };
+            return self.answer_call(index, starts, event, false);
+        }
+        let entries = self.store.entries.values().cloned().collect();
+        let delay = self.random.random_range(MS..4 * MS);
+        let input = Input::Directory(entries, asked_at);
+        self.queue.push(
+            self.now + delay,
+            Happening::Proxy(index, Some(starts), input),
+        );
+    }
+
+    /// Applies an answered read of the directory.
+    pub(super) fn apply_directory(
+        &mut self,
+        index: usize,
+        entries: Vec<topology::Member>,
+        asked_at: Instant,
+    ) {
+        for entry in entries {
+            self.step(index, event::Event::Listed(entry));
+        }
+        let answered_at = Some(asked_at);
+        self.step(index, event::Event::DirectoryRead { answered_at });
+        let (group, is_read) = (proxy::GROUP, true);
+        self.step(index, event::Event::DirectoryLoaded { group, is_read });
+    }
+
     pub(super) fn store_claim(
         &mut self,
         index: usize,
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -5,6 +5,7 @@
 
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
+use fulmarlift_broker::topology;
 use fulmarlift_core::id;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -42,6 +43,8 @@
     Event(event::Event),
     /// An idle connection was closed by its member.
     ConnLost(id::ConnId),
+    /// The directory has answered the proxy, which asked at this time.
+    Directory(Vec<topology::Member>, Instant),
     /// The store answers again.
     DirectoryBack,
     /// A transaction's caller sends the next statement.
@@ -74,6 +77,8 @@
     Expires(usize, u32),
     /// The claim row is read by a proxy that asked at this time.
     Load(usize, u32, Instant),
+    /// The directory is read by a proxy that asked at this time.
+    ReadDirectory(usize, u32, Instant),
     /// The claim row is written; without an answer if `false`.
     Store(usize, u32, effect::Effect, bool),
     /// A promotion order arrives at the platform.
@@ -298,6 +303,9 @@
                 }
             }
             Happening::Load(index, starts, asked_at) => self.load(index, starts, asked_at),
+            Happening::ReadDirectory(index, starts, asked_at) => {
+                self.directory_read(index, starts, asked_at);
+            }
             Happening::Store(index, starts, effect, answered) => {
                 self.store_claim(index, starts, effect, answered);
             }
@@ -334,6 +342,9 @@
                     self.step(index, event::Event::IdleConnectionLost(conn));
                 }
             }
+            Input::Directory(entries, asked_at) => {
+                self.apply_directory(index, entries, asked_at);
+            }
             Input::DirectoryBack => self.read_directory(index),
             Input::Continue(request) => self.continue_transaction(index, request),
         }
--- a/crates/session/src/deployment.rs
+++ b/crates/session/src/deployment.rs
@@ -29,6 +29,8 @@
     type Claims: Claims;
     /// Interface that executes promotion orders.
     type PromotionOrders: PromotionOrders;
+    /// Entries of the members, for reads that an attempt to replace a leader needs.
+    type Directory: Source;
 }
 
 /// Error of a call to the store.
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -81,6 +81,7 @@
     name: Box<str>,
     claims: D::Claims,
     promotion_orders: D::PromotionOrders,
+    directory: D::Directory,
     control_connections: tasks::ControlConnections<D>,
     retry_budget: Cell<limit::RetryBudget>,
     /// Name of the VM whose proxy answered the last question for a claim row.
@@ -112,6 +113,7 @@
         settings: state::Settings,
         claims: D::Claims,
         promotion_orders: D::PromotionOrders,
+        directory: D::Directory,
     ) -> Rc<Self> {
         let name = settings.name.clone();
         let inner = Inner {
@@ -128,6 +130,7 @@
             name,
             claims,
             promotion_orders,
+            directory,
             control_connections: tasks::ControlConnections::default(),
             retry_budget: Cell::new(limit::RetryBudget::default()),
             claim_relay: RefCell::new(None),
@@ -328,6 +331,7 @@
                 conn,
             } => self.send_command(group, member, command, conn),
             effect::Effect::LoadClaim(group) => self.load_claim(group),
+            effect::Effect::ReadDirectory(group) => self.read_directory(group),
             effect::Effect::StoreClaim {
                 group,
                 claim,
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -12,12 +12,13 @@
 use fulmarlift_core::sorted;
 
 use crate::clock;
-use crate::deployment::{Claims, Deployment, PromotionOrders};
+use crate::deployment::{Claims, Deployment, PromotionOrders, Source, Update};
 use crate::link;
 use crate::protocol;
 use crate::protocol::member;
 use crate::shell;
 use crate::shell::state_changes;
+use crate::transfer;
 use crate::updates::relay;
 
 /// Timeout to open a connection to a member: less than the 1 s after which the kernel repeats a lost first packet.
@@ -328,6 +329,40 @@
         }
     }
 
+    /// Reads the entries of all members from the store, and applies those that are listed. What has been removed is left to the
+    /// updates of the store.
+    pub(super) fn read_directory(self: &Rc<Self>, group: id::GroupId) {
+        let shell = Rc::clone(self);
+        let asked_at = clock::now();
+        tokio::task::spawn_local(async move {
+            let read = shell.directory.read(&transfer::Transfer::default()).await;
+            let read = match read {
+                Ok(batch) if batch.revision.era < shell.store_era() => {
+                    Err(Box::from("answer of an earlier era"))
+                }
+                Ok(batch) => Ok(batch),
+                Err(error) => Err(error.to_string().into_boxed_str()),
+            };
+            let is_read = read.is_ok();
+            match read {
+                Ok(batch) => {
+                    shell.record_store_era(batch.revision.era, Duration::ZERO);
+                    let is_entry = |update: &Update| matches!(update, Update::Listed(_));
+                    for update in batch.updates.into_iter().filter(is_entry) {
+                        shell.apply_update(update);
+                    }
+                    let answered_at = Some(asked_at);
+                    shell.handle(event::Event::DirectoryRead { answered_at });
+                }
+                Err(error) => {
+                    let name = shell.group_name(group);
+                    log::warn!("event=directory_unread group={name} error=\"{error}\"");
+                }
+            }
+            shell.handle(event::Event::DirectoryLoaded { group, is_read });
+        });
+    }
+
     pub(super) fn store_claim(
         self: &Rc<Self>,
         group: id::GroupId,
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -31,9 +31,10 @@
     type Member = Forwarding;
     type Claims = ClaimRows;
     type PromotionOrders = Unavailable;
+    type Directory = Unavailable;
 }
 
-/// Claim rows and promotion orders that cannot be reached.
+/// Promotion orders and a directory that cannot be reached.
 pub struct Unavailable;
 
 /// Claim rows that no proxy has written yet, if they can be reached.
@@ -65,6 +66,20 @@
     }
 }
 
+impl Source for Unavailable {
+    fn contents(&self) -> Contents {
+        Contents::Members
+    }
+
+    async fn read(&self, _: &Transfer) -> Result<Batch, CallError> {
+        Err(CallError::Unknown("unavailable".into()))
+    }
+
+    async fn changes(&self, _: Revision, _: Duration, _: &Transfer) -> Result<Batch, CallError> {
+        Err(CallError::Unknown("unavailable".into()))
+    }
+}
+
 pub fn shell(vm_name: &str) -> Rc<Shell<TestDeployment>> {
     shell_in(vm_name, "a")
 }
@@ -91,7 +106,7 @@
         drain_timeout: Duration::from_secs(7),
         fenced,
     };
-    Shell::new(settings, claims, Unavailable)
+    Shell::new(settings, claims, Unavailable, Unavailable)
 }
 
 /// A stand-in for the store, with a version of the configuration.
