Pass a commit's success on only within a lease

One proxy of three cannot reach the leader and has it replaced; the others still write there.

Cause: reads of the newest data need a lease and an attempt waits for the end of all leases, but writes needed none. The promotion ends the holds, a replica confirms the waiting writes before it hears of the new leader, and the success was passed on whatever had become known since.

Change: where promotions are not fenced, a write is sent only within a lease, and its success is passed on only if the answer arrived within a lease of the term in which the commit was logged. Otherwise the lease is renewed; a newer term, or nothing within 1 s, makes the outcome unknown. An order follows the end of all leases, so no success can arrive within one after the promotion. Fenced platforms are left as they are.

Ruled out: to demote the leader before the order; the claimant cannot reach it. Weighed: a status of a majority after each commit (two slots a write).

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -70,6 +70,8 @@
     },
     /// The other side closed an idle connection.
     IdleConnectionLost(id::ConnId),
+    /// A success of a commit waits for the lease of the group's leader, see [`crate::Broker::confirms_commit`].
+    LeaseNeeded(id::GroupId),
     /// A member answered the question for its status that renews a lease, or failed to answer.
     LeaseAnswered {
         /// Group of the member.
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -264,6 +264,37 @@
 }
 
 impl state::Broker {
+    /// Returns whether the success of a commit may be passed on that a leader has logged in `term` and acknowledged before the
+    /// instant `arrived_at`: no other member had been promoted by then, and none is without the commit. `None` if that is not known
+    /// yet, and may be known after [`event::Event::LeaseNeeded`].
+    pub fn confirms_commit(
+        &self,
+        group: id::GroupId,
+        term: id::Term,
+        arrived_at: Instant,
+    ) -> Option<bool> {
+        if self.settings.fenced {
+            return Some(true);
+        }
+        let group = self.groups.get(group)?;
+        let newest_term = group.leader.term.max(group.lease.lease.term());
+        match group.lease.lease.covers(term, arrived_at) {
+            true => Some(true),
+            false => (newest_term > term).then_some(false),
+        }
+    }
+
+    /// Renews the lease for the success of a commit that waits for it.
+    pub(super) fn renew_needed_lease(
+        &mut self,
+        now: Instant,
+        group: id::GroupId,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        self.groups.entry(group).lease.record_demand(now);
+        self.renew_lease_if_due(now, group, effects);
+    }
+
     /// Returns whether this proxy knows all members that may have been promoted by now.
     pub(super) fn knows_members(&self, now: Instant) -> bool {
         self.directory_answered_at
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -168,6 +168,7 @@
                 asked_at,
                 status,
             } => self.record_command_end(now, group, member, asked_at, status, effects),
+            event::Event::LeaseNeeded(group) => self.renew_needed_lease(now, group, effects),
             event::Event::LeaseAnswered {
                 group,
                 member,
@@ -221,7 +222,7 @@
         &self.settings.place
     }
 
-    /// Returns whether reads of the newest data need a lease, see [`crate::lease`].
+    /// Returns whether writes and reads of the newest data need a lease, see [`crate::lease`].
     pub fn uses_leases(&self) -> bool {
         !self.settings.fenced
     }
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -203,8 +203,7 @@
             }
             match decision {
                 Decision::Grant { member, floor } => {
-                    if request.requirement != request::Requirement::Leader && !self.is_home(member)
-                    {
+                    if !self.is_home(member) {
                         self.groups.entry(group_id).renew_lease_early(now);
                     }
                     self.grant(now, &request, member, floor, effects);
@@ -339,7 +338,10 @@
             return decision;
         }
         match request.requirement {
-            request::Requirement::Leader => self.choose_leader(now, group, request),
+            request::Requirement::Leader if self.is_covered(group, group.leader_term(), now) => {
+                self.choose_leader(now, group, request)
+            }
+            request::Requirement::Leader => self.wait_for_lease(now, group, request),
             request::Requirement::LeaderForReads {
                 acknowledged_before,
             }
@@ -381,10 +383,9 @@
 
     /// Returns whether a request needs a lease of the leader and there is none.
     fn lacks_lease(&self, now: Instant, request: &request::Request) -> bool {
-        let reads = request.requirement != request::Requirement::Leader;
         let group = self.groups.get(request.group);
         let leased = group.is_some_and(|group| group.lease.lease.is_valid(now));
-        reads && !leased && !self.settings.fenced
+        !leased && !self.settings.fenced
     }
 
     /// Decides on a request that the lease of the leader does not cover yet.
--- a/crates/broker/tests/review.rs
+++ b/crates/broker/tests/review.rs
@@ -87,7 +87,8 @@
     fixture
 }
 
-/// Adds a request, opens all connections, and returns the members to which requests are granted at once.
+/// Adds a request, opens all connections, and returns the members to which requests are granted at once. A write that waits only for
+/// a lease counts as granted at the member for whose lease it waits.
 fn members_granted(fixture: &mut Fixture, requirement: Requirement) -> Vec<id::MemberId> {
     fixture.effects.clear();
     fixture.add_request(requirement);
@@ -99,6 +100,9 @@
             fixture.end_statement(&grant, Answer::Unfinished, None);
         }
     }
+    if granted.is_empty() && requirement == Requirement::Leader && fixture.broker.uses_leases() {
+        granted.extend(fixture.leader());
+    }
     granted
 }
 
@@ -328,11 +332,24 @@
                 answer_truly(fixture, effect, statuses);
             }
         }
+        answer_write_at_leader(fixture, statuses);
         fixture.advance(100);
     }
     members_granted(fixture, Requirement::Leader)
 }
 
+/// Lets the believed leader answer a write that was sent to it before its lease ended.
+fn answer_write_at_leader(fixture: &mut Fixture, statuses: &[(id::MemberId, StatusFields)]) {
+    let sent_at = fixture.now;
+    let leader = fixture.leader();
+    let known = statuses.iter().find(|(other, _)| Some(*other) == leader);
+    match known {
+        Some((member, (true, _, end, _))) => report_led(fixture, *member, sent_at, *end),
+        Some((member, _)) => report(fixture, *member, sent_at, Answer::NotLeading, None),
+        None => {}
+    }
+}
+
 fn answer_truly(fixture: &mut Fixture, effect: Effect, statuses: &[(id::MemberId, StatusFields)]) {
     let status_of = |member| {
         let known = statuses.iter().find(|(other, _)| *other == member);
--- a/crates/broker/tests/simulation/proxy.rs
+++ b/crates/broker/tests/simulation/proxy.rs
@@ -12,6 +12,7 @@
 use fulmarlift_core::id;
 use fulmarlift_core::topology::Place;
 
+use crate::simulation::callers;
 use crate::simulation::clock::Micros;
 use crate::simulation::member;
 
@@ -132,6 +133,8 @@
     pub next_request: id::RequestId,
     /// Newest commit of the proxy's callers.
     pub newest_commit: Option<floor::Point>,
+    /// Successes of commits that wait until they may be passed on.
+    pub successes: Vec<callers::Success>,
 }
 
 impl Proxy {
@@ -151,6 +154,7 @@
             jobs: BTreeMap::new(),
             next_request: 0,
             newest_commit: None,
+            successes: Vec::new(),
         }
     }
 }
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -98,6 +98,8 @@
     pub promotions: u64,
     pub reads: u64,
     pub commits: u64,
+    /// Commits of which callers were told that their outcome is unknown, though a leader had acknowledged them.
+    pub unknown: u64,
     /// What happened; empty unless it was asked for.
     pub trace: Vec<String>,
 }
@@ -329,6 +331,9 @@
             Input::Tick => {
                 self.confirm_directory(index);
                 self.step(index, event::Event::Tick);
+                if !self.proxies[index].successes.is_empty() {
+                    self.step(index, event::Event::LeaseNeeded(proxy::GROUP));
+                }
                 self.wake(index, self.now + TICK, Input::Tick);
             }
             Input::Call(kind, sent_at) => self.begin_job(index, kind, sent_at),
@@ -358,5 +363,6 @@
         for effect in effects {
             self.carry_out(index, effect);
         }
+        self.settle_successes(index);
     }
 }
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -395,6 +395,16 @@
     }
 }
 
+/// Returns the failure of a write or commit whose success cannot be passed on: its leader may have been replaced before it
+/// acknowledged the commit.
+pub(super) fn unconfirmed_failure() -> Failure {
+    metrics::counter!("fulmarlift_commits_unconfirmed_total").increment(1);
+    Failure {
+        code: protocol::Code::InDoubt,
+        text: "the leader may have been replaced".to_owned(),
+    }
+}
+
 /// Runs a write. Once the write is sent, the proxy retries it only if the member answers that it has not run, or a home
 /// that it has no capacity.
 async fn write<D: Deployment>(
@@ -434,7 +444,17 @@
                 log_retry(shell, statement, member, "code=Busy");
                 avoid = Some(member);
             }
-            attempt::Outcome::Answered(answer) => return Ok(answer),
+            attempt::Outcome::Answered(answer) => {
+                let is_confirmed = answer.error().is_some()
+                    || shell.with_broker(|broker| broker.is_home(member))
+                    || shell
+                        .confirm_commit(route.group, answer.point, timing.deadline)
+                        .await;
+                return match is_confirmed {
+                    true => Ok(answer),
+                    false => Err(unconfirmed_failure()),
+                };
+            }
             attempt::Outcome::NotRun(code) => {
                 log_retry(shell, statement, member, &format!("code={code:?}"));
                 last_refusal = code;
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -363,11 +363,28 @@
                         statement.id_text()
                     );
                 }
+                let needs_confirmation =
+                    has_changes && answer.error().is_none() && !lease.is_home();
                 match answer.state {
                     protocol::TransactionState::Idle => lease.give_back(),
                     protocol::TransactionState::Transaction
                     | protocol::TransactionState::Failed => lease.roll_back(),
                 }
+                let shell = std::rc::Rc::clone(&self.shell);
+                if needs_confirmation
+                    && !shell
+                        .confirm_commit(route.group, answer.point, timing.deadline)
+                        .await
+                {
+                    let failure = single::unconfirmed_failure();
+                    log::info!(
+                        "event=failed request={} commit=true code={:?} text=\"{}\"",
+                        statement.id_text(),
+                        failure.code,
+                        failure.text
+                    );
+                    return self.answer_error(&failure.code, &failure.text);
+                }
                 self.relay_answer(&answer);
             }
             Err(error) => {
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -21,6 +21,7 @@
 use fulmarlift_broker::request;
 use fulmarlift_broker::revision;
 use fulmarlift_broker::state;
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use fulmarlift_core::limit;
 use fulmarlift_core::sorted;
@@ -36,6 +37,9 @@
 /// Interval of the broker's ticks, which is the resolution of its deadlines and retries.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time for which the success of a commit waits for a lease: about the duration of a failover that begins.
+const COMMIT_CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Most updates that may wait for a slow listener; beyond it the proxy disconnects the listener, which reconnects for a
 /// new snapshot.
 const UPDATES_WAITING_MAX: usize = 256;
@@ -84,6 +88,8 @@
     directory: D::Directory,
     control_connections: tasks::ControlConnections<D>,
     retry_budget: Cell<limit::RetryBudget>,
+    /// Notifies successes of commits that wait for a lease.
+    lease_evidence: Notify,
     /// Name of the VM whose proxy answered the last question for a claim row.
     claim_relay: RefCell<Option<Box<str>>>,
     /// Sends encoded updates to the tasks that serve listeners.
@@ -133,6 +139,7 @@
             directory,
             control_connections: tasks::ControlConnections::default(),
             retry_budget: Cell::new(limit::RetryBudget::default()),
+            lease_evidence: Notify::new(),
             claim_relay: RefCell::new(None),
             updates: broadcast::Sender::new(UPDATES_WAITING_MAX),
             listeners: Cell::new(0),
@@ -160,6 +167,13 @@
         if self.halted.get() {
             return;
         }
+        let tells_of_lease = matches!(
+            event,
+            event::Event::ClaimLoaded { .. }
+                | event::Event::ClaimRelayed { .. }
+                | event::Event::LeaseAnswered { .. }
+                | event::Event::Tick
+        );
         self.inner.borrow_mut().events.push_back(event);
         if self.stepping.replace(true) {
             return;
@@ -178,6 +192,37 @@
             }
         }
         self.stepping.set(false);
+        if tells_of_lease {
+            self.lease_evidence.notify_waiters();
+        }
+    }
+
+    /// Waits until it is known whether the success of a commit may be passed on whose answer, with this end of the leader's log, has
+    /// just arrived. Returns whether it may; if not, the outcome of the commit is unknown.
+    pub(crate) async fn confirm_commit(
+        self: &Rc<Self>,
+        group: id::GroupId,
+        point: Option<floor::Point>,
+        deadline: Instant,
+    ) -> bool {
+        let arrived_at = clock::now();
+        let deadline = deadline.min(arrived_at + COMMIT_CONFIRM_TIMEOUT);
+        let term = point.map_or(0, |point| point.term);
+        loop {
+            let evidence = self.lease_evidence.notified();
+            let confirmed =
+                self.with_broker(|broker| broker.confirms_commit(group, term, arrived_at));
+            match confirmed {
+                Some(confirmed) => return confirmed,
+                None if clock::now() >= deadline => return false,
+                None => {}
+            }
+            self.handle(event::Event::LeaseNeeded(group));
+            tokio::select! {
+                () = evidence => {}
+                () = tokio::time::sleep_until(clock::tokio_deadline(deadline)) => {}
+            }
+        }
     }
 
     /// Calls a function with read access to the broker.
--- a/crates/session/tests/support/member.rs
+++ b/crates/session/tests/support/member.rs
@@ -3,15 +3,19 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use fulmarlift_core::floor::Point;
 use fulmarlift_session::peer::Serving;
 use fulmarlift_session::protocol::caller::{Codec, Message, Query, Reply, Statement};
-use fulmarlift_session::protocol::{Code, TransactionState};
+use fulmarlift_session::protocol::{Code, Mode, TransactionState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Delay of late answers: longer than a lease.
+const LATE_ANSWER_DELAY: Duration = Duration::from_millis(600);
+
 /// Reaction of the member to statements that read or write data.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behavior {
@@ -21,6 +25,8 @@
     LosesAnswers,
     /// Refuses them for lack of capacity, as an overloaded home does.
     Refuses,
+    /// Runs them, and answers writes and commits when a lease has ended that was valid before.
+    AnswersLate,
 }
 
 /// The stand-in. It speaks the protocol between proxies, as a home does.
@@ -83,6 +89,11 @@
                     if loses_answer && matches!(query.statement, Statement::Run(_)) {
                         return;
                     }
+                    let is_late = self.behavior.get() == Behavior::AnswersLate;
+                    let is_write = matches!(query.statement, Statement::Run(Mode::Write));
+                    if is_late && (is_write || query.statement == Statement::Commit) {
+                        tokio::time::sleep(LATE_ANSWER_DELAY).await;
+                    }
                     state = match query.statement {
                         Statement::Begin(_) => TransactionState::Transaction,
                         Statement::Commit | Statement::Rollback => TransactionState::Idle,
