Pause between questions to a leader of an older term

Cause: an answer in which the member leads counted as a renewal of the lease, also if its term is older than the known one and nothing is renewed. The next request asked it again at once. Evidence: `event=lease … took_ms=0` lines every 1 to 3 ms, for the same member and status.

Change: only a status of the newest known term counts. After 2 s without a lease the pause between questions is 240 ms in place of 60, unless members consent to one, so that a usual replacement is noticed as fast as before.

--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -18,6 +18,10 @@
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for which a member is passed over after an answer that granted no lease.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(60);
+/// The same once no lease could be had for [`REFUSAL_PATIENCE`], unless members consent to one.
+const REFUSAL_PAUSE_MAX: Duration = Duration::from_millis(240);
+/// Time without a lease after which members are asked less often: the time that a replacement of the leader takes.
+const REFUSAL_PATIENCE: Duration = Duration::from_secs(2);
 /// Remaining time from which a lease in use is renewed while only members can do so: time for a member that does not answer, and
 /// for another one that does.
 const RENEWAL_LEAD: Duration = Duration::from_millis(300);
@@ -75,9 +79,21 @@
 
 impl LeaseState {
     /// Records that a member answered or failed to answer. After an answer that granted nothing, another one is asked.
-    fn record_answer(&mut self, now: Instant, member: id::MemberId, granted: bool) {
+    fn record_answer(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        granted: bool,
+        consents: bool,
+    ) {
         if self.question.is_some_and(|asked| asked.member == member) {
-            let retry_at = now + REFUSAL_PAUSE;
+            let lasts = self
+                .demanded_since
+                .is_some_and(|since| now.saturating_duration_since(since) > REFUSAL_PATIENCE);
+            let retry_at = match lasts && !consents {
+                true => now + REFUSAL_PAUSE_MAX,
+                false => now + REFUSAL_PAUSE,
+            };
             self.question = (!granted).then_some(Question { member, retry_at });
             self.renewal_due |= !granted;
         }
@@ -486,21 +502,26 @@
         let members_known_at = self.directory_answered_at;
         let group = self.groups.entry(group_id);
         let term = group.leader_term();
-        let leads = status.is_some_and(|status| status.leads);
         let newest = status.map_or(0, |status| status.term);
         let lease = &mut group.lease;
         let mut granted = lease.lease.follow(now, newest, asked_at);
-        if let Some(status) = status {
+        let known_term = group.leader.term.max(lease.lease.term());
+        let leads_newest = status.is_some_and(|status| status.leads && status.term >= known_term);
+        let consents = status.is_some_and(|status| {
             // A replaced leader that leads on is not held and cannot be the target of a promotion.
             let leads_older_term = status.leads && status.term < term;
-            let consents = status.held_term == 0 && (leads_older_term || !status.leads);
-            match consents && status.term <= term {
-                true => lease.consents.record(now, member, term, asked_at),
-                false => lease.consents.withdraw(member),
-            }
+            let is_released = status.held_term == 0 && (leads_older_term || !status.leads);
+            is_released && status.term <= term
+        });
+        match status {
+            Some(_) if consents => lease.consents.record(now, member, term, asked_at),
+            Some(_) => lease.consents.withdraw(member),
+            None => {}
         }
         granted |= group.start_lease_by_consent(now, members_known_at);
-        group.lease.record_answer(now, member, granted || leads);
+        group
+            .lease
+            .record_answer(now, member, granted || leads_newest, consents);
         if newest > group.leader.term {
             group.leader.record_term(now, newest);
             group.lease.renewal_due = true;
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -526,6 +526,25 @@
     assert!(refused);
 }
 
+/// Requests made a proxy ask a leader of an older term again with each answer, a thousand times a second (inc6).
+#[test]
+fn leader_of_older_term_is_asked_with_pauses() {
+    let mut fixture = without_claim_row();
+    let question = take_questions(&mut fixture).remove(0);
+    answer(&mut fixture, question, Some((false, 2, (2, 10), 0)));
+    let mut asked = 0;
+    for _ in 0..1_000 {
+        read(&mut fixture);
+        for question in take_questions(&mut fixture) {
+            asked += usize::from(question.0 == 1);
+            answer(&mut fixture, question, Some((true, 1, (1, 10), 0)));
+        }
+        fixture.effects.clear();
+    }
+    assert!(asked > 0, "the listed leader is asked");
+    assert!(asked <= 50, "asked {asked} times in 3 s");
+}
+
 #[test]
 fn fenced_leader_needs_no_lease() {
     let mut fixture = Fixture::new();
