Hold at the term of the next leader, and release what is held above it

A leader of term 3 had been confirmed while its replicas were held at 4.

Cause: the platform counts terms from the last leader, and a promotion ends only holds up to the new term. Nobody released the others, whether their claimant had died, its releases were lost, or it had held at a wrong term; and an attempt that knew no term held above the hold that it found, which is wrong by one itself.

Change: a hold is one above the newest term that a member has shown. Once the next leader is confirmed, its claimant, which still has the claim, releases the members whose hold is above the leader's term. An attempt to replace a stalled leader gives up and releases if its replicas are held above: the leader goes on then.

Ruled out: a release by whoever sees a hold; without the claim it may end the hold of an attempt under way.

Tests that failed before: member_held_above_term_of_next_leader_is_released, stalled_leader_of_held_replicas_is_not_replaced. claim_tells_promotion_of_member_that_earlier_claimant_has_held let a member that is held at 3 answer a hold at 1 with 1; now it keeps its hold.

--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -78,6 +78,10 @@
             return self.choose_target(now, roster, out);
         }
         if self.reason == leader::ReplaceReason::Stalled {
+            // Its commits wait for replicas that an earlier claimant has held: once they are released, it goes on.
+            if self.are_held_above() {
+                return self.give_up(now, out);
+            }
             // A leader that stops without a successor would leave the group without one.
             return match self.find_furthest(roster) {
                 Ok(_) => self.start_stop(now, roster, out),
@@ -88,6 +92,12 @@
         failover::Progress::Ongoing
     }
 
+    /// Returns whether members are held at a term above the one at which this attempt holds them.
+    fn are_held_above(&self) -> bool {
+        let mut held = self.holds.values().filter_map(|hold| hold.status);
+        held.any(|status| status.held_term > self.hold_term)
+    }
+
     /// Records the answer to a hold command that was sent at `asked_at`.
     pub(super) fn apply_hold(
         &mut self,
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -536,12 +536,11 @@
         }
     }
 
-    /// Raises the hold term above the terms in a status.
+    /// Raises the hold term above the term in a status. A hold that another proxy has left there tells nothing of the term of the next
+    /// leader.
     fn raise_hold_term(&mut self, status: event::MemberStatus) {
         self.newest_term = self.newest_term.max(status.term);
-        if status.term >= self.hold_term {
-            self.hold_term = status.term.max(status.held_term).saturating_add(1);
-        }
+        self.hold_term = self.hold_term.max(status.term.saturating_add(1));
     }
 
     /// Ends the attempt because another member has been promoted meanwhile. That promotion released the members that were held before
@@ -702,6 +701,7 @@
         status: event::MemberStatus,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
+        self.release_held_above(now, member, status.term, out);
         self.claim.settled = !self.unanswered_order;
         self.claim.until_ms = self.store_now_ms(now + ORDER_LEASE);
         self.store_claim(out);
@@ -729,6 +729,26 @@
         }
     }
 
+    /// Releases the members that another claimant has held at a term above that of the new leader: the promotion did not.
+    fn release_held_above(
+        &self,
+        now: Instant,
+        leader: id::MemberId,
+        term: id::Term,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        let claim_left_ms = self.claim.until_ms.saturating_sub(self.store_now_ms(now));
+        let claim_left = Duration::from_millis(claim_left_ms);
+        let send_timeout = claim_left.saturating_sub(RELEASE_ARRIVAL_TIMEOUT);
+        let until = now + RELEASE_SEND_TIMEOUT.min(send_timeout);
+        for (member, hold) in self.holds.iter() {
+            let is_held_above = hold.status.is_some_and(|status| status.held_term > term);
+            if is_held_above && member != leader {
+                self.send_command(Some(member), effect::MemberCommand::Release { until }, out);
+            }
+        }
+    }
+
     /// Releases the members that got a hold command, and sets the claim to expire when the release commands can no longer
     /// arrive, but not before `lease` has passed.
     fn release(&mut self, now: Instant, lease: Duration, out: &mut Vec<effect::Effect>) {
