Tell in the claim row which term the promoted member leads

Cause: a leader that goes dark and starts again under another name leads on with its log. The claim row named the promoted member only, so proxies took the same leader under its new name for a replaced one and counted the term after its own as led by somebody. The next holds were a term too high and outlasted the promotion, and the member just promoted was rejected for leading too old a term.

Change: the claimant writes the term in which the promoted member has confirmed that it leads. A term has one leader, so a member that has led that term is that member, whatever its name; without a pending order it is undisputed. No term is inferred from such a row. Rows of earlier releases read as before, and they read new rows without the field.

Test that failed before: leader_that_started_again_under_another_name_is_not_called_replaced.

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -84,6 +84,10 @@
     /// Member that was ordered last. Rows of earlier releases lack it, which reads as [`LastOrdered::Unknown`].
     #[serde(skip)]
     pub last_ordered: LastOrdered,
+    /// Term in which the member that was ordered last has confirmed that it leads; 0 if that is not known. Rows of earlier
+    /// releases lack it, which reads as 0.
+    #[serde(skip)]
+    pub led_term: id::Term,
 }
 
 /// A claim row as the store returns it.
@@ -110,13 +114,16 @@
             LastOrdered::Member { replaced_term, .. }
                 if self.claim.pending_target().is_none() && !self.may_lack_newest_claim() =>
             {
-                Some(replaced_term.saturating_add(1))
+                Some(self.claim.led_term.max(replaced_term.saturating_add(1)))
             }
             _ => None,
         }
     }
 
     /// Returns what the row tells about a member that is believed to lead and has led `led_term`.
+    ///
+    /// A member that starts again under another name still leads its term until another one is promoted. A term has one leader, so
+    /// a member that has led the term of the member that was ordered last is that member.
     pub fn standing(&self, member: &str, led_term: id::Term) -> Standing {
         let pending = self.claim.pending_target().is_some();
         let pending_ended = pending && (1..=self.now_ms).contains(&self.claim.order_ends_ms);
@@ -125,9 +132,16 @@
         }
         // A settled target was promoted; its claim only keeps others from claiming.
         let attempted = self.claim.target.is_none() && self.now_ms < self.claim.until_ms;
+        let is_last_ordered = |name: &str| {
+            name == member || !pending && led_term > 0 && led_term == self.claim.led_term
+        };
         match &self.claim.last_ordered {
             LastOrdered::Unknown => Standing::Unknown,
-            LastOrdered::Member { name, .. } if name.as_ref() != member && !pending => {
+            // It leads by an order that the row does not tell.
+            LastOrdered::Member { .. } if (1..led_term).contains(&self.claim.led_term) => {
+                Standing::Unknown
+            }
+            LastOrdered::Member { name, .. } if !is_last_ordered(name) && !pending => {
                 Standing::Replaced
             }
             _ if attempted => Standing::Disputed,
@@ -137,7 +151,7 @@
             LastOrdered::Member {
                 name,
                 replaced_term,
-            } if name.as_ref() == member => match led_term > *replaced_term {
+            } if is_last_ordered(name) => match led_term > *replaced_term {
                 true => Standing::Undisputed,
                 false => Standing::Disputed,
             },
@@ -163,10 +177,16 @@
 impl Claim {
     /// Encodes the claim as the contents of a row.
     ///
-    /// `order_ends_ms`, `era` and `last_ordered` come last, so that earlier releases read the row without them.
+    /// `order_ends_ms`, `era`, `last_ordered` and `led_term` come last, so that earlier releases read the row without them.
     pub fn to_bytes(&self) -> Vec<u8> {
-        postcard::to_stdvec(&(self, self.order_ends_ms, self.era, &self.last_ordered))
-            .expect("a claim of plain values always encodes")
+        let row = (
+            self,
+            self.order_ends_ms,
+            self.era,
+            &self.last_ordered,
+            self.led_term,
+        );
+        postcard::to_stdvec(&row).expect("a claim of plain values always encodes")
     }
 
     /// Decodes the contents of a row.
@@ -184,7 +204,10 @@
             (claim.era, rest) = postcard::take_from_bytes(rest)?;
         }
         if !rest.is_empty() {
-            claim.last_ordered = postcard::from_bytes(rest)?;
+            (claim.last_ordered, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            claim.led_term = postcard::from_bytes(rest)?;
         }
         Ok(claim)
     }
--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -237,6 +237,7 @@
             name: name.into(),
             replaced_term: self.newest_term,
         };
+        self.claim.led_term = 0;
         self.claim.settled = false;
         self.claim.until_ms = self.store_now_ms(now) + failover::CLAIM_LEASE_MS;
         let order_timeout = match self.fenced {
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -242,6 +242,8 @@
     log_end: Option<floor::Point>,
     /// Member that was ordered last before this attempt.
     ordered_before: claim::LastOrdered,
+    /// Term in which that member has confirmed that it leads; 0 if that is not known.
+    led_before: id::Term,
     /// End of the time in which promotion orders are sent; `None` until the choice is recorded.
     orders_end_at: Option<Instant>,
     target: Option<id::MemberId>,
@@ -288,6 +290,7 @@
             surveyed_end: None,
             log_end: None,
             ordered_before: claim::LastOrdered::default(),
+            led_before: 0,
             orders_end_at: None,
             target: None,
             unanswered_order: false,
@@ -431,9 +434,14 @@
             until_ms: stored.now_ms + CLAIM_LEASE_MS,
             order_ends_ms: stored.claim.order_ends_ms,
             era: stored.revision.era,
+            led_term: match last_ordered {
+                claim::LastOrdered::Unknown => 0,
+                _ => stored.claim.led_term,
+            },
             last_ordered,
         };
         self.ordered_before = self.claim.last_ordered.clone();
+        self.led_before = self.claim.led_term;
         self.step = Step::Claiming;
         self.store_claim(out);
         Progress::Ongoing
@@ -684,6 +692,7 @@
             name,
             replaced_term: term.saturating_sub(1),
         };
+        self.claim.led_term = term;
     }
 
     /// Records in the claim that the order for the target has not been executed and will not be.
@@ -691,6 +700,7 @@
         self.claim.settled = true;
         self.claim.target = None;
         self.claim.last_ordered = self.ordered_before.clone();
+        self.claim.led_term = self.led_before;
     }
 
     /// Ends the attempt after the target has confirmed that it leads. The claim lasts for [`ORDER_LEASE`] from now on.
@@ -703,6 +713,7 @@
     ) -> Progress {
         self.release_held_above(now, member, status.term, out);
         self.claim.settled = !self.unanswered_order;
+        self.claim.led_term = status.term;
         self.claim.until_ms = self.store_now_ms(now + ORDER_LEASE);
         self.store_claim(out);
         Progress::Done { member, status }
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -79,13 +79,7 @@
 
 impl LeaseState {
     /// Records that a member answered or failed to answer. After an answer that granted nothing, another one is asked.
-    fn record_answer(
-        &mut self,
-        now: Instant,
-        member: id::MemberId,
-        granted: bool,
-        consents: bool,
-    ) {
+    fn record_answer(&mut self, now: Instant, member: id::MemberId, granted: bool, consents: bool) {
         if self.question.is_some_and(|asked| asked.member == member) {
             let lasts = self
                 .demanded_since
@@ -470,9 +464,12 @@
             claim::Standing::Replaced if leader.listed_as_leader_since > Some(asked_at) => {}
             claim::Standing::Replaced => {
                 leader.denies_leadership = true;
-                // The row names the term that its claimant knew, which may be older than the one that has been replaced.
-                let replaced_term = leader.led_term_known_by(asked_at);
-                group.leader.record_term(now, replaced_term + 1);
+                // Without the successor's term, the row names the term that its claimant knew, which may be older than the one that
+                // has been replaced.
+                if stored.is_some_and(|row| row.claim.led_term == 0) {
+                    let replaced_term = leader.led_term_known_by(asked_at);
+                    group.leader.record_term(now, replaced_term + 1);
+                }
             }
             _ => {}
         }
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -955,6 +955,39 @@
     }
 }
 
+/// A leader that started again under another name was taken for a replaced one, and members were held at a term after that of the next
+/// leader (inc6).
+#[test]
+fn leader_that_started_again_under_another_name_is_not_called_replaced() {
+    let mut fixture = Fixture::unfenced();
+    let row = replace_leader(&mut fixture, [2, 2]);
+    fixture.handle(Event::Unlisted {
+        name: "member-2".into(),
+        revision: version(30),
+    });
+    let mut entry = member_at(9, "b", true);
+    entry.revision = version(31);
+    fixture.handle(Event::Listed(entry));
+    fixture.now += Duration::from_millis(10);
+    fixture.handle(Event::StatementEnded(StatementReport {
+        member: 9,
+        answer: Answer::Led {
+            sent_at: fixture.now,
+            commit: false,
+        },
+        point: Some(Point::new(2, 501)),
+        floor: None,
+        took: None,
+    }));
+    fixture.now += Duration::from_millis(10);
+    fixture.handle(Event::ClaimLoaded {
+        group: GROUP,
+        asked_at: fixture.now,
+        stored: Some(row),
+    });
+    assert_eq!(fixture.leader(), Some(9));
+}
+
 /// Replicas were held at a term after that of the leader, as a claimant had died or its releases were lost, and the leader could commit
 /// nothing any more (inc6).
 #[test]
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -1087,6 +1087,7 @@
                 order_ends_ms: u64::MAX,
                 era: self.row.era,
                 last_ordered: claim::LastOrdered::default(),
+                led_term: 0,
             },
             revision: self.revision(rules),
             now_ms: u64::from(self.row.expired && !lost),
