Write to a leader only while it is trusted, where promotions are fenced

Cause: a promotion ends the lead of the old leader at once where promotions are fenced, so writes needed no evidence but a believed leader. Between the choice and the effect of the promotion a leader that is back after an absence acknowledges what the next one lacks, by a member that the claimant does not hold.

Change: broker/src/trust.rs. Trust begins with a read of the claim row that shows no attempt (or the consent of the other members, or the next term soon after) and ends with what an attempt could explain. Writes and transactions that may write wait for it; the success of a commit that arrives without it waits for a row that was asked for after the answer. The claim row is relayed through other proxies on these platforms, too.

Ruled out: a choice that misses a log of its time; an order of an earlier claim.

Tests that failed before: five of the six cases of broker/tests/trust.rs. Fixtures with fenced promotions begin with a trusted leader now; requests_wait_for_first_read_of_members_and_proxies and new_leader_is_found_while_store_does_not_answer play the evidence that is needed now.

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -132,9 +132,8 @@
         }
         // A settled target was promoted; its claim only keeps others from claiming.
         let attempted = self.claim.target.is_none() && self.now_ms < self.claim.until_ms;
-        let is_last_ordered = |name: &str| {
-            name == member || !pending && led_term > 0 && led_term == self.claim.led_term
-        };
+        let is_last_ordered =
+            |name: &str| name == member || led_term > 0 && led_term == self.claim.led_term;
         match &self.claim.last_ordered {
             LastOrdered::Unknown => Standing::Unknown,
             // It leads by an order that the row does not tell.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -38,5 +38,6 @@
 pub mod state;
 pub mod topology;
 pub mod topology_change;
+pub mod trust;
 
 pub use state::Broker;
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -45,8 +45,14 @@
         let group = self.groups.entry(group_id);
         match group.members.get_mut(member.id) {
             Some(state) if state.entry.revision > member.revision => return,
-            Some(state) => state.apply_entry(member, now),
+            Some(state) => {
+                if state.unlisted_since.is_some() {
+                    group.lease.trust.doubt(now);
+                }
+                state.apply_entry(member, now);
+            }
             None => {
+                group.lease.trust.doubt(now);
                 group
                     .members
                     .insert(member.id, member_state::MemberState::new(member, now));
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -18,6 +18,8 @@
 /// must arrive meanwhile.
 const NEXT_FAILOVER_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Answer time of a commit above which it may have waited for a confirmation, because replicas were held.
+const COMMIT_WAIT_USUAL: Duration = Duration::from_millis(500);
 /// Time for which a proxy that is no home watches the leader after the last request that it did not forward.
 const WATCH_GRACE_PERIOD: Duration = Duration::from_secs(3);
 
@@ -39,6 +41,10 @@
         };
         match report.answer {
             event::Answer::Led { sent_at, commit } => {
+                let waited = commit && report.took.is_some_and(|took| took > COMMIT_WAIT_USUAL);
+                if waited {
+                    group.lease.trust.doubt(now);
+                }
                 let logged_term = report.point.map_or(0, |point| point.term);
                 let known_term = match fenced {
                     // Only the leader of the newest term answers so.
@@ -57,6 +63,7 @@
                     is_outdated,
                 );
                 if confirmed {
+                    group.lease.trust.record_contact(sent_at);
                     state.denies_leadership = false;
                     if let Some(point) = report.point {
                         group.index.record(sent_at, term, point);
@@ -92,6 +99,10 @@
         group.leader.elect(&group.members, now);
         if group.logged_leader != group.leader.member {
             group.logged_leader = group.leader.member;
+            let leader = group.leader.member;
+            let leader = leader.and_then(|member| group.members.get(member));
+            let led_term = leader.map_or(0, |leader| leader.led_term);
+            group.lease.trust.change_leader(now, led_term);
             group.belief_changed = true;
             effects.push(effect::Effect::RecordChange(effect::StateChange::Leader {
                 group: group_id,
@@ -160,9 +171,13 @@
         state.denies_leadership = !leads && state.listed_as_leader_since <= Some(asked_at);
         if leads {
             let term = status.term;
-            group
-                .leader
-                .record_confirmation(now, asked_at, member, term, fenced, is_outdated);
+            let confirmed =
+                group
+                    .leader
+                    .record_confirmation(now, asked_at, member, term, fenced, is_outdated);
+            if confirmed {
+                group.lease.trust.record_contact(asked_at);
+            }
         }
     }
 
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -12,6 +12,7 @@
 use crate::place;
 use crate::revision;
 use crate::state;
+use crate::trust;
 
 /// Time after which a member that has not answered the question is passed over: several round trips between regions. The
 /// question takes a slot, for which it may wait.
@@ -29,6 +30,8 @@
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The same while members renew a lease.
 const CLAIM_RETRY_DELAY_WITH_LEASE: Duration = Duration::from_secs(1);
+/// Interval of the reads that prove the trust in a leader, while there is reason to doubt after each of them.
+const PROOF_INTERVAL: Duration = Duration::from_millis(50);
 /// Time of a read of the claim row from which members are asked meanwhile.
 const CLAIM_READ_PATIENCE: Duration = Duration::from_millis(100);
 /// Longest time of a read of the claim row after which the row is relied on again: too little would be left of a lease.
@@ -49,8 +52,10 @@
 /// State of the lease of a group's leader at this proxy.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LeaseState {
-    /// The lease.
+    /// The lease, where promotions are not fenced.
     pub(super) lease: lease::LeaderLease,
+    /// Trust in the leader, where they are fenced.
+    pub(super) trust: trust::Trust,
     /// Whether the lease must be renewed.
     pub(super) renewal_due: bool,
     /// Instant since which requests have waited for a lease, or been refused without one.
@@ -101,11 +106,10 @@
     }
 
     /// Ends the renewal of a lease that no request has needed lately.
-    fn expire_demand(&mut self, now: Instant) {
+    fn expire_demand(&mut self, now: Instant, valid: bool) {
         let demanded = self
             .demanded_at
             .is_some_and(|at| now.saturating_duration_since(at) < DEMAND_TIMEOUT);
-        let valid = self.lease.is_valid(now);
         self.renewal_due &= valid || demanded;
         if valid || !demanded {
             self.demanded_since = None;
@@ -129,13 +133,12 @@
     /// Logs the evidence if the lease has lapsed or become valid, its term has changed, or another member was asked.
     pub(super) fn log_evidence(
         &mut self,
-        now: Instant,
+        valid: bool,
+        term: id::Term,
         group: id::GroupId,
         evidence: effect::LeaseEvidence,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let valid = self.lease.is_valid(now);
-        let term = self.lease.term();
         let member = match evidence {
             // Claim rows and questions alternate, which is no news.
             effect::LeaseEvidence::Claim { member, .. } => {
@@ -165,6 +168,14 @@
         leader.map_or(0, |leader| leader.term)
     }
 
+    /// Returns whether writes may be sent to the leader: it has a lease or, where promotions are fenced, is trusted.
+    pub(super) fn may_write(&self, now: Instant, fenced: bool) -> bool {
+        match fenced {
+            true => self.lease.trust.holds(now),
+            false => self.lease.lease.covers(self.leader_term(), now),
+        }
+    }
+
     /// Returns whether the claim row or a member can be expected to grant the leader a lease. `knows_members` tells whether this
     /// proxy knows all members that may have been promoted by now.
     pub(super) fn may_renew_lease(&self, knows_members: bool) -> bool {
@@ -195,15 +206,22 @@
     /// Starts or extends the lease if all other members consent that joined before the instant `members_known_at`. Returns whether
     /// the lease is valid.
     ///
-    /// A member that joined later is held at `members_known_at` at the earliest, and ordered [`lease::LEASE_DURATION`] after that.
-    fn start_lease_by_consent(&mut self, now: Instant, members_known_at: Option<Instant>) -> bool {
+    /// A member that joined later is held at `members_known_at` at the earliest, and ordered [`lease::LEASE_DURATION`] after that. Where
+    /// promotions are fenced, no such member leads while the leader answers, so the leader is trusted by the consents alone.
+    fn start_lease_by_consent(
+        &mut self,
+        now: Instant,
+        members_known_at: Option<Instant>,
+        fenced: bool,
+    ) -> bool {
         let last_ordered = self.lease.last_ordered.as_deref();
+        // Where promotions are fenced, the answers of the leader tell that no member unknown to this proxy has been promoted.
         let knows_last_ordered = last_ordered.is_none_or(|name| {
             let mut members = self.members.values();
-            members.any(|state| state.entry.name.as_ref() == name)
+            fenced || members.any(|state| state.entry.name.as_ref() == name)
         });
         if !knows_last_ordered {
-            return self.lease.lease.is_valid(now);
+            return self.may_write(now, fenced);
         }
         let leader = self.leader.member;
         let others = self
@@ -213,10 +231,38 @@
             .map(|state| state.entry.id);
         let term = self.leader_term();
         let given_at = self.lease.consents.given_at(term, others);
-        if let Some(known_at) = given_at.min(members_known_at) {
+        if fenced && let Some(given_at) = given_at {
+            self.lease.trust.prove(given_at, term);
+        } else if let Some(known_at) = given_at.min(members_known_at) {
             self.lease.lease.start(term, known_at);
         }
-        self.lease.lease.is_valid(now)
+        self.may_write(now, fenced)
+    }
+
+    /// Returns whether there is a lease of any term or, where promotions are fenced, the leader is trusted.
+    pub(super) fn has_evidence(&self, now: Instant, fenced: bool) -> bool {
+        match fenced {
+            true => self.lease.trust.holds(now),
+            false => self.lease.lease.is_valid(now),
+        }
+    }
+
+    /// Logs evidence for or against the lease or the trust of the leader.
+    fn log_lease(
+        &mut self,
+        now: Instant,
+        fenced: bool,
+        group: id::GroupId,
+        evidence: effect::LeaseEvidence,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let valid = self.has_evidence(now, fenced);
+        let term = match fenced {
+            true => self.leader_term(),
+            false => self.lease.lease.term(),
+        };
+        self.lease
+            .log_evidence(valid, term, group, evidence, effects);
     }
 
     /// Requests the renewal of a lease that is in use and ends soon, if the claim row could not start another one after its end.
@@ -276,21 +322,24 @@
 impl state::Broker {
     /// Returns whether the success of a commit may be passed on that a leader has logged in `term` and acknowledged before the
     /// instant `arrived_at`: no other member had been promoted by then, and none is without the commit. `None` if that is not known
-    /// yet, and may be known after [`event::Event::LeaseNeeded`].
+    /// yet, and may be known after [`event::Event::LeaseNeeded`]. The term is 0 if the leader has not told it.
     pub fn confirms_commit(
         &self,
         group: id::GroupId,
         term: id::Term,
         arrived_at: Instant,
     ) -> Option<bool> {
-        if self.settings.fenced {
-            return Some(true);
-        }
         let group = self.groups.get(group)?;
         let newest_term = group.leader.term.max(group.lease.lease.term());
+        let is_older = newest_term > term;
+        if self.settings.fenced {
+            let is_older = is_older && term > 0;
+            let trusted = group.lease.trust.holds(arrived_at);
+            return (is_older || trusted).then_some(!is_older);
+        }
         match group.lease.lease.covers(term, arrived_at) {
             true => Some(true),
-            false => (newest_term > term).then_some(false),
+            false => is_older.then_some(false),
         }
     }
 
@@ -319,14 +368,12 @@
         group_id: id::GroupId,
         effects: &mut Vec<effect::Effect>,
     ) {
-        if self.settings.fenced {
-            return;
-        }
+        let fenced = self.settings.fenced;
         let Some(group) = self.groups.get_mut(group_id) else {
             return;
         };
-        let valid = group.lease.lease.is_valid(now);
-        group.lease.expire_demand(now);
+        let valid = group.has_evidence(now, fenced);
+        group.lease.expire_demand(now, valid);
         if !group.lease.renewal_due {
             return;
         }
@@ -414,9 +461,7 @@
         stored: Option<&claim::ClaimRow>,
         effects: &mut Vec<effect::Effect>,
     ) {
-        if self.settings.fenced {
-            return;
-        }
+        let fenced = self.settings.fenced;
         let Some(group) = self.groups.get_mut(group_id) else {
             return;
         };
@@ -428,7 +473,7 @@
             group.lease.claim_asked_at = group.lease.claim_asked_at.max(Some(asked_at));
         }
         group.lease.claim_read_sent_at = None;
-        let retry_delay = match group.lease.lease.is_valid(now) {
+        let retry_delay = match group.has_evidence(now, fenced) {
             true => CLAIM_RETRY_DELAY_WITH_LEASE,
             false => CLAIM_RETRY_DELAY,
         };
@@ -453,6 +498,13 @@
         });
         group.lease.standing = Some(standing);
         match standing {
+            claim::Standing::Undisputed if fenced => {
+                group.lease.trust.prove(asked_at, leader.led_term);
+                group.lease.renewal_due = false;
+                group.lease.claim_retry_at = Some(now + PROOF_INTERVAL);
+            }
+            // The answers of the leader tell whether it leads.
+            _ if fenced => {}
             claim::Standing::Undisputed if leader.led_term > 0 => {
                 group.lease.lease.start(leader.led_term, asked_at);
                 group.lease.renewal_due = false;
@@ -477,7 +529,7 @@
             member: leader.entry.id,
             standing,
         };
-        group.lease.log_evidence(now, group_id, evidence, effects);
+        group.log_lease(now, fenced, group_id, evidence, effects);
         let evidence = effect::LeaderEvidence::Claim(standing);
         self.reelect(now, group_id, evidence, effects);
         self.serve_queue(now, group_id, effects);
@@ -497,6 +549,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         let members_known_at = self.directory_answered_at;
+        let fenced = self.settings.fenced;
         let group = self.groups.entry(group_id);
         let term = group.leader_term();
         let newest = status.map_or(0, |status| status.term);
@@ -515,7 +568,7 @@
             Some(_) => lease.consents.withdraw(member),
             None => {}
         }
-        granted |= group.start_lease_by_consent(now, members_known_at);
+        granted |= group.start_lease_by_consent(now, members_known_at, fenced);
         group
             .lease
             .record_answer(now, member, granted || leads_newest, consents);
@@ -533,6 +586,6 @@
             took: now.saturating_duration_since(asked_at),
             status,
         };
-        group.lease.log_evidence(now, group_id, evidence, effects);
+        group.log_lease(now, fenced, group_id, evidence, effects);
     }
 }
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -222,11 +222,6 @@
         &self.settings.place
     }
 
-    /// Returns whether writes and reads of the newest data need a lease, see [`crate::lease`].
-    pub fn uses_leases(&self) -> bool {
-        !self.settings.fenced
-    }
-
     /// Returns the configuration in force.
     pub fn topology(&self) -> &topology::Topology {
         &self.topology
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -203,7 +203,7 @@
             }
             match decision {
                 Decision::Grant { member, floor } => {
-                    if !self.is_home(member) {
+                    if !self.settings.fenced && !self.is_home(member) {
                         self.groups.entry(group_id).renew_lease_early(now);
                     }
                     self.grant(now, &request, member, floor, effects);
@@ -338,10 +338,15 @@
             return decision;
         }
         match request.requirement {
-            request::Requirement::Leader if self.is_covered(group, group.leader_term(), now) => {
-                self.choose_leader(now, group, request)
+            request::Requirement::Leader => match group.may_write(now, self.settings.fenced) {
+                true => self.choose_leader(now, group, request),
+                false => self.wait_for_lease(now, group, request),
+            },
+            request::Requirement::LeaderForReads { .. }
+                if self.settings.fenced && self.lacks_lease(now, request) =>
+            {
+                self.wait_for_lease(now, group, request)
             }
-            request::Requirement::Leader => self.wait_for_lease(now, group, request),
             request::Requirement::LeaderForReads {
                 acknowledged_before,
             }
@@ -381,11 +386,17 @@
         self.settings.fenced || group.lease.lease.covers(term, instant)
     }
 
-    /// Returns whether a request needs a lease of the leader and there is none.
+    /// Returns whether a request needs a lease of the leader, or trust in it, and there is none.
     fn lacks_lease(&self, now: Instant, request: &request::Request) -> bool {
+        let fenced = self.settings.fenced;
         let group = self.groups.get(request.group);
-        let leased = group.is_some_and(|group| group.lease.lease.is_valid(now));
-        !leased && !self.settings.fenced
+        let needs = match request.requirement {
+            request::Requirement::Leader | request::Requirement::LeaderForReads { .. } => true,
+            request::Requirement::VerifiedLeader { .. } | request::Requirement::Recent { .. } => {
+                !fenced
+            }
+        };
+        needs && !group.is_some_and(|group| group.has_evidence(now, fenced))
     }
 
     /// Decides on a request that the lease of the leader does not cover yet.
@@ -396,7 +407,7 @@
         request: &request::Request,
     ) -> Decision {
         let led = self.usable_leader(now, group).is_some();
-        let knows_members = self.knows_members(now);
+        let knows_members = self.settings.fenced || self.knows_members(now);
         if led && group.may_renew_lease(knows_members) {
             return Decision::Lease;
         }
--- a/crates/broker/tests/evidence.rs
+++ b/crates/broker/tests/evidence.rs
@@ -77,7 +77,7 @@
     fixture.add_request(requirement);
     let granted = take_grants(fixture);
     let mut granted: Vec<_> = granted.into_iter().map(|(member, _)| member).collect();
-    if granted.is_empty() && requirement == Requirement::Leader && fixture.broker.uses_leases() {
+    if granted.is_empty() && requirement == Requirement::Leader {
         granted.extend(fixture.leader());
     }
     granted
--- a/crates/broker/tests/restart.rs
+++ b/crates/broker/tests/restart.rs
@@ -119,6 +119,7 @@
     fixture.add_request(Requirement::Leader);
     assert_eq!(fixture.take_effects().iter().filter(is_refusal).count(), 0);
     fixture.handle(Event::PeersRead);
+    fixture.trust_leader();
     let connections = fixture.open_all();
     assert!(!connections.is_empty());
     assert!(!fixture.take_grants().is_empty());
--- a/crates/broker/tests/review.rs
+++ b/crates/broker/tests/review.rs
@@ -100,7 +100,7 @@
             fixture.end_statement(&grant, Answer::Unfinished, None);
         }
     }
-    if granted.is_empty() && requirement == Requirement::Leader && fixture.broker.uses_leases() {
+    if granted.is_empty() && requirement == Requirement::Leader {
         granted.extend(fixture.leader());
     }
     granted
--- a/crates/broker/tests/search.rs
+++ b/crates/broker/tests/search.rs
@@ -3,8 +3,9 @@
 mod support;
 
 use fulmarlift_broker::effect::Effect;
-use fulmarlift_broker::event::{Event, OpenFailure};
+use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport};
 use fulmarlift_broker::request::Requirement;
+use fulmarlift_core::floor::Point;
 use support::{Fixture, GROUP, status};
 
 /// Another proxy has replaced the leader. This one reaches the members, but neither the old leader nor the store. Its callers'
@@ -12,6 +13,17 @@
 #[test]
 fn new_leader_is_found_while_store_does_not_answer() {
     let mut fixture = Fixture::new();
+    fixture.handle(Event::StatementEnded(StatementReport {
+        member: 1,
+        answer: Answer::Led {
+            sent_at: fixture.now,
+            commit: false,
+        },
+        point: Some(Point::new(1, 4)),
+        floor: None,
+        took: None,
+    }));
+    fixture.trust_leader();
     let mut served_by = None;
     for _ in 0..50 {
         fixture.add_request(Requirement::Leader);
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_broker::Broker;
+use fulmarlift_broker::claim::ClaimRow;
 use fulmarlift_broker::effect::{Effect, Grant};
 use fulmarlift_broker::event::{Answer, Event, MemberStatus, StatementReport};
 use fulmarlift_broker::request::{Request, Requirement};
@@ -82,10 +83,22 @@
         });
         fixture.now += Duration::from_secs(5);
         fixture.directory_answers = true;
+        if fenced {
+            fixture.trust_leader();
+        }
         fixture.effects.clear();
         fixture
     }
 
+    /// Lets a read of the claim row show that nobody replaces the leader.
+    pub fn trust_leader(&mut self) {
+        self.handle(Event::ClaimLoaded {
+            group: GROUP,
+            asked_at: self.now,
+            stored: Some(ClaimRow::default()),
+        });
+    }
+
     pub fn handle(&mut self, event: Event) {
         self.broker.step(self.now, event, &mut self.effects);
     }
--- /dev/null
+++ b/crates/broker/tests/trust.rs
@@ -0,0 +1,150 @@
+//! Tests of the trust in leaders where promotions are fenced.
+
+mod support;
+
+use std::time::Duration;
+
+use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered};
+use fulmarlift_broker::effect::Effect;
+use fulmarlift_broker::event::{Answer, Event, StatementReport};
+use fulmarlift_broker::request::Requirement;
+use fulmarlift_core::floor::Point;
+use fulmarlift_core::id;
+use rstest::rstest;
+use support::{Fixture, GROUP, member_at, version};
+
+/// Lets a member answer as the leader of term 1. With `took_ms`, the answer ends a commit.
+fn lead(fixture: &mut Fixture, member: id::MemberId, took_ms: Option<u64>) {
+    let took = took_ms.map(Duration::from_millis);
+    let sent_at = fixture.now;
+    fixture.now += took.unwrap_or_default();
+    fixture.handle(Event::StatementEnded(StatementReport {
+        member,
+        answer: Answer::Led {
+            sent_at,
+            commit: took.is_some(),
+        },
+        point: Some(Point::new(1, 10)),
+        floor: None,
+        took,
+    }));
+}
+
+/// Returns a broker that trusts member 1, which leads term 1.
+fn trusting() -> Fixture {
+    let mut fixture = Fixture::new();
+    lead(&mut fixture, 1, None);
+    fixture.trust_leader();
+    fixture.effects.clear();
+    fixture
+}
+
+fn join(fixture: &mut Fixture, member: id::MemberId, leads: bool) {
+    let mut entry = member_at(member, "b", leads);
+    entry.revision = version(30 + member);
+    fixture.handle(Event::Listed(entry));
+}
+
+/// A row of an attempt that has ordered member 2, and whose order is not known to have been executed.
+fn row_of_attempt() -> ClaimRow {
+    let claim = Claim {
+        token: 2,
+        target: Some("member-2".into()),
+        until_ms: 8_000,
+        last_ordered: LastOrdered::Member {
+            name: "member-2".into(),
+            replaced_term: 1,
+        },
+        ..Claim::default()
+    };
+    ClaimRow {
+        claim,
+        revision: version(8),
+        now_ms: 6_000,
+    }
+}
+
+/// Plays the store and the connections for a second, and returns whether a request was granted at a member.
+fn is_granted(fixture: &mut Fixture, member: id::MemberId, row: &ClaimRow) -> bool {
+    let mut granted = false;
+    for _ in 0..10 {
+        fixture.open_all();
+        for effect in fixture.take_effects() {
+            match effect {
+                Effect::LoadClaim(group) => fixture.handle(Event::ClaimLoaded {
+                    group,
+                    asked_at: fixture.now,
+                    stored: Some(row.clone()),
+                }),
+                Effect::Grant(grant) => granted |= grant.member == member,
+                _ => {}
+            }
+        }
+        fixture.advance(100);
+    }
+    granted
+}
+
+/// Commits were lost that a leader acknowledged which was back after an absence, while the order for another member was accepted and
+/// not yet executed (users' LOST, inc7).
+#[rstest]
+#[case::write(Requirement::Leader, row_of_attempt(), false)]
+#[case::transaction(Requirement::LeaderForReads { acknowledged_before: std::time::Instant::now() }, row_of_attempt(), false)]
+#[case::write_without_attempt(Requirement::Leader, ClaimRow::default(), true)]
+fn write_is_sent_to_leader_that_is_back_only_without_attempt(
+    #[case] requirement: Requirement,
+    #[case] row: ClaimRow,
+    #[case] expected: bool,
+) {
+    let mut fixture = trusting();
+    fixture.handle(Event::Unlisted {
+        name: "member-1".into(),
+        revision: version(20),
+    });
+    fixture.advance(5_000);
+    fixture.effects.clear();
+    join(&mut fixture, 11, true);
+    lead(&mut fixture, 11, None);
+    assert_eq!(fixture.leader(), Some(11));
+    fixture.add_request_within(requirement, 2_000, 4_000);
+    assert_eq!(is_granted(&mut fixture, 11, &row), expected);
+}
+
+/// A member that joined after the holds of an attempt confirmed commits, and their successes were passed on (inc7).
+#[rstest]
+#[case::member_joined(None, true)]
+#[case::commit_waited(Some(700), false)]
+fn success_is_passed_on_only_if_claim_row_shows_no_attempt_since(
+    #[case] took_ms: Option<u64>,
+    #[case] joins: bool,
+) {
+    let mut fixture = trusting();
+    assert_eq!(
+        fixture.broker.confirms_commit(GROUP, 1, fixture.now),
+        Some(true)
+    );
+    fixture.now += Duration::from_millis(100);
+    if joins {
+        join(&mut fixture, 4, false);
+    }
+    lead(&mut fixture, 1, took_ms.or(Some(20)));
+    let arrived_at = fixture.now;
+    assert_eq!(fixture.broker.confirms_commit(GROUP, 1, arrived_at), None);
+    fixture.handle(Event::LeaseNeeded(GROUP));
+    let reads = |effect: &Effect| matches!(effect, Effect::LoadClaim(GROUP));
+    assert!(fixture.effects.iter().any(reads), "the claim row is read");
+    fixture.trust_leader();
+    assert_eq!(
+        fixture.broker.confirms_commit(GROUP, 1, arrived_at),
+        Some(true)
+    );
+}
+
+#[test]
+fn trust_ends_with_silence_of_leader() {
+    let mut fixture = trusting();
+    fixture.advance(2_000);
+    lead(&mut fixture, 1, Some(20));
+    let now = fixture.now;
+    assert_eq!(fixture.broker.confirms_commit(GROUP, 1, now), None);
+}
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -298,11 +298,6 @@
             };
             match loaded {
                 Some(true) => {}
-                _ if !shell.with_broker(fulmarlift_broker::Broker::uses_leases) => {
-                    if loaded.is_none() {
-                        loading.await;
-                    }
-                }
                 Some(false) => relaying.await,
                 None => {
                     tokio::join!(loading, relaying);
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -198,6 +198,7 @@
     let member = Member::start().await;
     configure(&shell, &member, transaction_idle_ms);
     shell.handle(Event::PeersRead);
+    show_leader(&shell);
     (shell, member)
 }
 
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -95,7 +95,7 @@
 }
 
 pub fn shell_in(vm_name: &str, domain: &str) -> Rc<Shell<TestDeployment>> {
-    shell_with(vm_name, domain, true, ClaimRows::default())
+    shell_with(vm_name, domain, true, ClaimRows::unwritten())
 }
 
 /// Returns a shell where promotions are fenced or not, with these claim rows.
