Choose afresh after an order without an answer, where a token ends it

Cause: while an order without an answer was pending, later attempts could name its target only. If the target was gone, or another member had received more, none was chosen and all stayed held.

Change: where orders are fenced, any member with the furthest log may be chosen, the pending target first. The claimant's answered order ends the older one. Against a late promotion in between, members are held four terms higher, and proxies do not trust the pending target while a claim is in force until it has confirmed that it leads. The trust in the next term is taken out for the same reason. Consents count for trust from all members that answer. A refused fresh order leaves the older one pending.

The search's fenced cases with late orders pass on the successes of promoted leaders by the rule of trust now, and late_leader_trusted shows the loss without it. choose_names_member_of_unanswered_order_again let members answer in the term before the hold; they answer in the term that the fixture's leader has. The rows of standing_of_leader_of_term_2 are those of orders that end by age, as before, and say so.

--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -130,8 +130,11 @@
         if self.may_lack_newest_claim() || pending_ended {
             return Standing::Unknown;
         }
-        // A settled target was promoted; its claim only keeps others from claiming.
-        let attempted = self.claim.target.is_none() && self.now_ms < self.claim.until_ms;
+        // Where a token ends orders, a claimant may still choose another member than the pending target, until that one has confirmed
+        // that it leads. A settled target was promoted; its claim only keeps others from claiming.
+        let may_change = pending && self.claim.order_ends_ms == 0 && self.claim.led_term == 0;
+        let attempted =
+            (self.claim.target.is_none() || may_change) && self.now_ms < self.claim.until_ms;
         let is_last_ordered =
             |name: &str| name == member || led_term > 0 && led_term == self.claim.led_term;
         match &self.claim.last_ordered {
--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -16,7 +16,7 @@
 enum Unfit {
     /// All of them may lack acknowledged entries.
     Behind,
-    /// None of those that have received most is eligible, or is the target of the older order.
+    /// None of those that have received most may be chosen.
     NotEligible,
 }
 
@@ -174,8 +174,8 @@
         }
     }
 
-    /// Returns an eligible member that has received most. While an older order may still be executed, only the target of that order may
-    /// be chosen.
+    /// Returns an eligible member that has received most, the target of an older order that may still be executed if it is one. Where
+    /// no token ends that order, only its target may be chosen.
     fn find_furthest<'a>(
         &self,
         roster: &'a failover::Roster,
@@ -195,12 +195,16 @@
             return Err(Unfit::Behind);
         }
         let pending = self.claim.pending_target();
+        let is_pending = |participant: &failover::Participant| {
+            pending.is_none_or(|name| name == participant.name.as_ref())
+        };
         roster
             .members
             .iter()
             .filter(|participant| Some(participant.member) != self.old_leader)
             .filter(|participant| participant.eligible && received(participant) == furthest)
-            .find(|participant| pending.is_none_or(|name| name == participant.name.as_ref()))
+            .filter(|participant| self.fenced || is_pending(participant))
+            .min_by_key(|participant| !is_pending(participant))
             .ok_or(Unfit::NotEligible)
     }
 
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -18,9 +18,12 @@
 //! its log is also compared with the point up to which commits are known to be acknowledged.
 //!
 //! The choice is recorded in the claim row before the promotion order is given (`Ordering`, `Confirming`). If the answer to an order is
-//! lost, the platform may still execute the order seconds later. The next claimant therefore orders the same member again with
-//! a higher token, which ends the older order. If that member is the old leader, the repeated order only serves to end the
-//! older one (`EndingOlderOrder`), and the attempt is given up after it.
+//! lost, the platform may still execute the order seconds later.
+//!
+//! - Where promotions are not fenced, only the age of that order ends it. Until then, the next claimant orders the same member again.
+//! - Where they are fenced, an answered order with a higher token ends it, so the next claimant makes a fresh choice. It holds the members
+//!   at a term that outlasts late promotions: a member that is promoted late commits nothing before its successor leads. If
+//!   no member can be chosen and the older order is for the old leader, that order is only repeated to end it (`EndingOlderOrder`).
 
 mod choice;
 mod handover;
@@ -52,6 +55,9 @@
 /// Time after which an order that was sent can no longer be executed, where orders are not fenced. The platform executes
 /// unanswered orders seconds later.
 const LATE_ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Most orders without an answer that may be executed one after the other while a later attempt holds the members: those of the
+/// attempts within [`LATE_ORDER_TIMEOUT`], each of which claims for [`CLAIM_LEASE_MS`].
+const LATE_ORDERS_MAX: id::Term = 4;
 /// Longest time from the choice of a member to the execution of its promotion order, where orders are not fenced.
 pub const ORDER_AGE_MAX: Duration = UNFENCED_ORDER_TIMEOUT.saturating_add(LATE_ORDER_TIMEOUT);
 /// Time after the begin of an era of the store from which no claim of an earlier era is in force, and no promotion order of
@@ -244,6 +250,8 @@
     ordered_before: claim::LastOrdered,
     /// Term in which that member has confirmed that it leads; 0 if that is not known.
     led_before: id::Term,
+    /// Target of an order before this attempt that may still be executed.
+    pending_before: Option<Box<str>>,
     /// End of the time in which promotion orders are sent; `None` until the choice is recorded.
     orders_end_at: Option<Instant>,
     target: Option<id::MemberId>,
@@ -291,6 +299,7 @@
             log_end: None,
             ordered_before: claim::LastOrdered::default(),
             led_before: 0,
+            pending_before: None,
             orders_end_at: None,
             target: None,
             unanswered_order: false,
@@ -416,8 +425,9 @@
         };
         self.replaced_term = stored.claim.last_ordered.replaced_term();
         self.newest_term = self.newest_term.max(stored.promoted_term().unwrap_or(0));
-        self.hold_term = self.hold_term.max(self.newest_term.saturating_add(1));
         let pending: Option<Box<str>> = pending.filter(|_| !ended_by_age).map(Box::from);
+        self.pending_before = pending.clone();
+        self.hold_term = self.hold_term.max(self.hold_term_after(self.newest_term));
         self.unanswered_order = !self.fenced && pending.is_some();
         self.order_taken = self.unanswered_order;
         // The store read its clock after the read of the claim row was sent, so the estimate of its clock that starts at the
@@ -544,11 +554,21 @@
         }
     }
 
+    /// Returns the term at which members are held that follow a term: that of the next leader or, if other members may be promoted
+    /// late before it, a later one.
+    fn hold_term_after(&self, term: id::Term) -> id::Term {
+        let late_orders = match self.fenced && self.pending_before.is_some() {
+            true => LATE_ORDERS_MAX,
+            false => 0,
+        };
+        term.saturating_add(1 + late_orders)
+    }
+
     /// Raises the hold term above the term in a status. A hold that another proxy has left there tells nothing of the term of the next
     /// leader.
     fn raise_hold_term(&mut self, status: event::MemberStatus) {
         self.newest_term = self.newest_term.max(status.term);
-        self.hold_term = self.hold_term.max(status.term.saturating_add(1));
+        self.hold_term = self.hold_term.max(self.hold_term_after(status.term));
     }
 
     /// Ends the attempt because another member has been promoted meanwhile. That promotion released the members that were held before
@@ -695,10 +715,12 @@
         self.claim.led_term = term;
     }
 
-    /// Records in the claim that the order for the target has not been executed and will not be.
+    /// Records in the claim that the order for the target has not been executed and will not be. An older order for another member may
+    /// still be.
     fn withdraw_target(&mut self) {
-        self.claim.settled = true;
-        self.claim.target = None;
+        let older = self.pending_before.clone();
+        self.claim.target = older.filter(|name| Some(name) != self.claim.target.as_ref());
+        self.claim.settled = self.claim.target.is_none();
         self.claim.last_ordered = self.ordered_before.clone();
         self.claim.led_term = self.led_before;
     }
--- a/crates/broker/src/lease.rs
+++ b/crates/broker/src/lease.rs
@@ -33,7 +33,7 @@
 pub const LEASE_DURATION: Duration = Duration::from_millis(500);
 /// Time after the end of a lease in which the next term starts another one. A leader that hands over may be followed by the next
 /// one before the leases of the proxies have ended.
-pub const NEXT_TERM_TIMEOUT: Duration = failover::ORDER_LEASE.saturating_sub(LEASE_DURATION);
+const NEXT_TERM_TIMEOUT: Duration = failover::ORDER_LEASE.saturating_sub(LEASE_DURATION);
 /// Time from the first answer to the last question by which a member consents, see [`Consents`]. A member that a promotion has released
 /// hears of the new leader meanwhile, unless it is cut off from it.
 const CONSENT_SPAN: Duration = Duration::from_millis(200);
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -99,10 +99,7 @@
         group.leader.elect(&group.members, now);
         if group.logged_leader != group.leader.member {
             group.logged_leader = group.leader.member;
-            let leader = group.leader.member;
-            let leader = leader.and_then(|member| group.members.get(member));
-            let led_term = leader.map_or(0, |leader| leader.led_term);
-            group.lease.trust.change_leader(now, led_term);
+            group.lease.trust.doubt(now);
             group.belief_changed = true;
             effects.push(effect::Effect::RecordChange(effect::StateChange::Leader {
                 group: group_id,
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -178,7 +178,7 @@
 
     /// Returns whether the claim row or a member can be expected to grant the leader a lease. `knows_members` tells whether this
     /// proxy knows all members that may have been promoted by now.
-    pub(super) fn may_renew_lease(&self, knows_members: bool) -> bool {
+    pub(super) fn may_renew_lease(&self, knows_members: bool, fenced: bool) -> bool {
         let leader = self.leader.member;
         let mut others = self
             .members
@@ -187,8 +187,8 @@
         let reachable = |state: &member_state::MemberState| state.failures < 2;
         match self.lease.standing {
             None | Some(claim::Standing::Undisputed) => true,
-            Some(claim::Standing::Unknown) => knows_members && others.all(reachable),
-            Some(claim::Standing::Disputed | claim::Standing::Replaced) => others.any(reachable),
+            Some(claim::Standing::Unknown) if !fenced => knows_members && others.all(reachable),
+            Some(_) => others.any(reachable),
         }
     }
 
@@ -207,7 +207,8 @@
     /// the lease is valid.
     ///
     /// A member that joined later is held at `members_known_at` at the earliest, and ordered [`lease::LEASE_DURATION`] after that. Where
-    /// promotions are fenced, no such member leads while the leader answers, so the leader is trusted by the consents alone.
+    /// promotions are fenced, no such member leads while the leader answers, so the leader is trusted by the consents of all members that
+    /// answer: an attempt holds them.
     fn start_lease_by_consent(
         &mut self,
         now: Instant,
@@ -228,11 +229,12 @@
             .members
             .values()
             .filter(|state| Some(state.entry.id) != leader)
+            .filter(|state| !fenced || !state.is_suspect())
             .map(|state| state.entry.id);
         let term = self.leader_term();
         let given_at = self.lease.consents.given_at(term, others);
         if fenced && let Some(given_at) = given_at {
-            self.lease.trust.prove(given_at, term);
+            self.lease.trust.prove(given_at);
         } else if let Some(known_at) = given_at.min(members_known_at) {
             self.lease.lease.start(term, known_at);
         }
@@ -499,7 +501,7 @@
         group.lease.standing = Some(standing);
         match standing {
             claim::Standing::Undisputed if fenced => {
-                group.lease.trust.prove(asked_at, leader.led_term);
+                group.lease.trust.prove(asked_at);
                 group.lease.renewal_due = false;
                 group.lease.claim_retry_at = Some(now + PROOF_INTERVAL);
             }
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -407,8 +407,8 @@
         request: &request::Request,
     ) -> Decision {
         let led = self.usable_leader(now, group).is_some();
-        let knows_members = self.settings.fenced || self.knows_members(now);
-        if led && group.may_renew_lease(knows_members) {
+        let knows_members = self.knows_members(now);
+        if led && group.may_renew_lease(knows_members, self.settings.fenced) {
             return Decision::Lease;
         }
         let waited = group
--- a/crates/broker/src/trust.rs
+++ b/crates/broker/src/trust.rs
@@ -8,10 +8,6 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_core::id;
-
-use crate::lease;
-
 /// Longest time between two signs of life of a leader that is trusted. Active groups are probed more often than that.
 const CONTACT_GAP_MAX: Duration = Duration::from_secs(1);
 
@@ -24,36 +20,20 @@
     doubted_at: Option<Instant>,
     /// Instant of the last sign of life of the leader.
     contact_at: Option<Instant>,
-    /// Term of the leader that was trusted last; 0 before the first one.
-    term: id::Term,
 }
 
 impl Trust {
-    /// Records that no attempt was under way at an instant to replace the leader of `term`.
-    pub fn prove(&mut self, at: Instant, term: id::Term) {
-        self.term = self.term.max(term);
+    /// Records that no attempt was under way at an instant.
+    pub fn prove(&mut self, at: Instant) {
         self.proven_at = self.proven_at.max(Some(at));
         self.contact_at = self.contact_at.max(Some(at));
     }
 
-    /// Records an event that an attempt could explain: a member joins or is back, or a commit has waited for a confirmation.
+    /// Records an event that an attempt could explain: another leader is believed, a member joins or is back, or a commit has waited for a confirmation.
     pub fn doubt(&mut self, now: Instant) {
         self.doubted_at = self.doubted_at.max(Some(now));
     }
 
-    /// Records that another leader of `term` is believed from now on. It is trusted if it follows the last one that was: no second attempt
-    /// begins so soon.
-    pub fn change_leader(&mut self, now: Instant, term: id::Term) {
-        let is_soon = self
-            .contact_at
-            .is_some_and(|contact_at| now < contact_at + lease::NEXT_TERM_TIMEOUT);
-        let follows = is_soon && self.term > 0 && term == self.term + 1;
-        self.doubt(now);
-        if follows {
-            self.prove(now, term);
-        }
-    }
-
     /// Records that the leader has answered a question that was sent at `sent_at`. Silence before it is a reason to doubt.
     pub fn record_contact(&mut self, sent_at: Instant) {
         if !self.is_in_contact(sent_at) {
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -222,7 +222,7 @@
     stored.claim.until_ms = 8_000;
     write_claim(&mut fixture, stored);
     let term = take_holds(&mut fixture)[0].1;
-    let held = (false, term - 1, (term - 1, 500), term);
+    let held = (false, 0, (0, 500), term);
     hold_members(&mut fixture, &[(2, held), (3, held)]);
     assert_eq!(
         take_recorded_target(&mut fixture).as_deref(),
@@ -1025,3 +1025,45 @@
     assert!(!fixture.effects.iter().any(demotes));
     assert_eq!(take_releases(&mut fixture), [2, 3]);
 }
+
+/// The target of an order without an answer was gone for good, but stayed the only member that could be chosen (review case 5).
+#[test]
+fn choose_takes_another_member_once_target_of_unanswered_order_is_gone() {
+    let mut fixture = Fixture::new();
+    fixture.handle(Event::Unlisted {
+        name: "member-3".into(),
+        revision: version(20),
+    });
+    for _ in 0..40 {
+        refuse_connections(&mut fixture, 3);
+        fixture.advance(100);
+    }
+    assert!(fixture.broker.member(3).is_none());
+    start_attempt_for_missing_leader(&mut fixture, Some("member-3"));
+    let holds = take_holds(&mut fixture);
+    let term = holds.last().map_or(0, |hold| hold.1);
+    hold_members(&mut fixture, &[(2, (false, 0, (0, 500), term))]);
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some("member-2")
+    );
+    fixture.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome: StoreOutcome::Written(version(12)),
+    });
+    let order = fixture
+        .take_effects()
+        .into_iter()
+        .find_map(|effect| match effect {
+            Effect::OrderPromotion { member, token, .. } => Some((member, token)),
+            _ => None,
+        });
+    assert_eq!(order, Some((2, 7)));
+    // If it is refused, the older order may still be executed.
+    fixture.handle(Event::PromotionOrdered {
+        group: GROUP,
+        outcome: OrderOutcome::Refused,
+    });
+    let claim = take_written_claim(&mut fixture);
+    assert_eq!(claim.pending_target(), Some("member-3"));
+}
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -343,6 +343,7 @@
         target: target.map(Box::from),
         settled,
         until_ms,
+        order_ends_ms: 100,
         last_ordered,
         ..Claim::default()
     };
@@ -354,6 +355,23 @@
     assert_eq!(row.standing("member-1", 2), expected);
 }
 
+/// Where a token ends orders, the claimant may be about to order another member than the one that was promoted late.
+#[test]
+fn standing_of_late_leader_is_disputed_while_another_may_be_chosen() {
+    let claim = Claim {
+        target: Some("member-1".into()),
+        until_ms: 10,
+        last_ordered: ordered("member-1"),
+        ..Claim::default()
+    };
+    let row = ClaimRow {
+        claim,
+        now_ms: 5,
+        ..ClaimRow::default()
+    };
+    assert_eq!(row.standing("member-1", 2), Standing::Disputed);
+}
+
 #[test]
 fn standing_of_former_leader_is_disputed_while_it_is_ordered_again() {
     let mut row = ClaimRow::default();
--- a/crates/broker/tests/model.rs
+++ b/crates/broker/tests/model.rs
@@ -42,6 +42,7 @@
     delayed_evidence: false,
     store_silent: false,
     successes_need_lease: false,
+    successes_need_trust: false,
     restores: 0,
     late_confirms: false,
     restarts: 0,
@@ -87,6 +88,7 @@
     attempts: [0, 1],
     late_order: true,
     leaves: true,
+    successes_need_trust: true,
     ..ALONE
 };
 
@@ -214,6 +216,7 @@
 const TWICE_AFTER_LATE_ORDER_UNFENCED: Bounds = Bounds {
     fenced: false,
     time_steps: 2,
+    successes_need_trust: false,
     ..TWICE_AFTER_LATE_ORDER
 };
 
@@ -303,6 +306,7 @@
 #[case::leases_not_awaited(UNFENCED, Mutation::LeasesNotAwaited)]
 #[case::leases_ignored(UNFENCED, Mutation::LeasesIgnored)]
 #[case::successes_not_covered(LATE_CONFIRMS, Mutation::SuccessesNotCovered)]
+#[case::late_leader_trusted(AFTER_LATE_ORDER, Mutation::SuccessesNotCovered)]
 #[case::successes_beside_joins_not_covered(Bounds { successes_need_lease: true, ..JOINS }, Mutation::SuccessesNotCovered)]
 #[case::leader_not_stopped(Bounds { joins: true, ..HANDOVER }, Mutation::DemotionsIgnored)]
 #[case::directory_not_read(
--- a/crates/broker/tests/model/group.rs
+++ b/crates/broker/tests/model/group.rs
@@ -43,6 +43,8 @@
     pub unconfirmed: Vec<Entry>,
     /// Whether a success is passed on only when that is known to be safe, rather than at once.
     successes_wait: bool,
+    /// Whether this holds only for leaders that have been promoted: the first leader is trusted.
+    first_leader_is_trusted: bool,
     /// Acknowledged entries that the log of the newest leader lacks: an older leader acknowledged them after the promotion.
     pub lacked: Vec<Entry>,
     /// Highest token that the platform has seen, and the proxy that sent it.
@@ -77,7 +79,8 @@
             members,
             acknowledged: Vec::new(),
             unconfirmed: Vec::new(),
-            successes_wait: bounds.successes_need_lease,
+            successes_wait: bounds.successes_need_lease || bounds.successes_need_trust,
+            first_leader_is_trusted: bounds.successes_need_trust,
             lacked: Vec::new(),
             token: (0, usize::MAX),
             accepted: Vec::new(),
@@ -187,7 +190,7 @@
             member.log.push(*entry);
             let is_new = !self.acknowledged.contains(entry) && !self.unconfirmed.contains(entry);
             match is_new {
-                true if self.successes_wait => {
+                true if self.successes_wait && !(self.first_leader_is_trusted && entry.0 == 1) => {
                     self.unconfirmed.push(*entry);
                     self.unconfirmed.sort_unstable();
                 }
@@ -198,6 +201,12 @@
         before != self.members[replica]
     }
 
+    /// Returns the member that has led a term.
+    pub fn leader_of(&self, term: u8) -> Option<usize> {
+        let led = self.led.iter().find(|(_, led)| *led == term);
+        led.map(|(member, _)| *member)
+    }
+
     /// Passes the success of an entry on to its caller.
     pub fn confirm(&mut self, entry: Entry) {
         self.unconfirmed.retain(|other| *other != entry);
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -61,6 +61,8 @@
     pub store_silent: bool,
     /// Whether that proxy also passes on the successes of writes, only within its lease. Otherwise they are passed on at once.
     pub successes_need_lease: bool,
+    /// Whether successes of promoted leaders are passed on only while the claim row shows no attempt.
+    pub successes_need_trust: bool,
     /// Number of times that the store comes back from its first state.
     pub restores: u8,
     /// Whether a member that has not heard of the newest leader may still receive from an older one that leads on.
@@ -685,9 +687,18 @@
         self.group.violation.is_some()
     }
 
-    /// Passes on the success of a write within the lease of its term.
+    /// Passes on the success of a write within the lease of its term or, with [`Bounds::successes_need_trust`], while the claim row
+    /// shows that nobody replaces its leader.
     fn confirm(&mut self, rules: &Rules, entry: Entry) -> bool {
-        let covered = self.reader.lease.covers(entry.0, self.now_ms(rules));
+        let leader = self.group.leader_of(entry.0);
+        let is_undisputed = leader.is_some_and(|leader| {
+            let is_free = self.row.settled || self.row.expired;
+            is_free && self.row.last_ordered == LastOrdered::Member(leader)
+        });
+        let covered = match rules.bounds.successes_need_trust {
+            true => is_undisputed,
+            false => self.reader.lease.covers(entry.0, self.now_ms(rules)),
+        };
         let allowed = covered || rules.mutation == Mutation::SuccessesNotCovered;
         if allowed {
             self.group.confirm(entry);
