--- a/crates/broker/src/trust.rs
+++ b/crates/broker/src/trust.rs
@@ -29,7 +29,8 @@
         self.contact_at = self.contact_at.max(Some(at));
     }
 
-    /// Records an event that an attempt could explain: another leader is believed, a member joins or is back, or a commit has waited for a confirmation.
+    /// Records an event that an attempt could explain: another leader is believed, a member joins or is back, or a commit has waited for
+    /// a confirmation.
     pub fn doubt(&mut self, now: Instant) {
         self.doubted_at = self.doubted_at.max(Some(now));
     }
