Log the end of each member's log on which a choice rests

Cause: the log of an attempt told the target, not what the members had answered. Change: event=log_end, a line for each member that has answered, when an attempt ends a step in which it asks members. Ruled out: a line for each commit that is passed on, which the volume of the log forbids.

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -197,6 +197,21 @@
         /// Member that is to lead; `None` before one is chosen.
         target: Option<id::MemberId>,
     },
+    /// A member told a failover the end of its log, on which the choice of the next leader rests.
+    LogEnd {
+        /// Group whose leader is replaced.
+        group: id::GroupId,
+        /// Fencing token of the claim.
+        token: u64,
+        /// Member that answered.
+        member: id::MemberId,
+        /// Status in its last answer.
+        status: event::MemberStatus,
+        /// Whether the member is leaving.
+        leaving: bool,
+        /// Instant of the member's first entry in the directory.
+        first_listed_at: Instant,
+    },
     /// A member or a home stopped answering, or a connection to it was opened after it had stopped answering.
     Reachable {
         /// Member or home whose reachability changed.
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -336,6 +336,12 @@
         (name, self.claim.token, self.target)
     }
 
+    /// Returns the members that have answered a hold command or the survey, each with its last status.
+    pub fn answered(&self) -> impl Iterator<Item = (id::MemberId, event::MemberStatus)> {
+        let answers = self.holds.iter().chain(self.surveyed.iter());
+        answers.filter_map(|(member, command)| Some((member, command.status?)))
+    }
+
     /// Checks the timeouts of the current step and continues the attempt.
     pub fn tick(
         &mut self,
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -18,6 +18,8 @@
 /// must arrive meanwhile.
 const NEXT_FAILOVER_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Steps of an attempt in which members are asked for the ends of their logs.
+const ASKING_STEPS: [&str; 3] = ["surveying", "stopping", "holding"];
 /// Answer time of a commit above which it may have waited for a confirmation, because replicas were held.
 const COMMIT_WAIT_USUAL: Duration = Duration::from_millis(500);
 /// Time for which a proxy that is no home watches the leader after the last request that it did not forward.
@@ -300,6 +302,20 @@
             failover::Progress::Done { .. } => "done",
             failover::Progress::GivenUp { .. } => "given_up",
         };
+        if group.logged_step != step && ASKING_STEPS.contains(&group.logged_step) {
+            let ends = attempt.answered().filter_map(|(member, status)| {
+                let state = group.members.get(member)?;
+                Some(effect::StateChange::LogEnd {
+                    group: group_id,
+                    token,
+                    member,
+                    status,
+                    leaving: state.entry.leaving,
+                    first_listed_at: state.first_listed_at,
+                })
+            });
+            effects.extend(ends.map(effect::Effect::RecordChange));
+        }
         // Waiting is not logged before any other step: nothing has happened yet.
         if group.logged_step != step && !(step == "waiting" && group.logged_step.is_empty()) {
             group.logged_step = step;
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -6,6 +6,8 @@
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
+use crate::clock;
+
 pub(super) fn log(broker: &Broker, change: &effect::StateChange) {
     match *change {
         effect::StateChange::Leader {
@@ -32,6 +34,26 @@
                 "event=failover group={group} reason={reason:?} step={step} token={token} target={target}"
             );
         }
+        effect::StateChange::LogEnd {
+            group,
+            token,
+            member,
+            status,
+            leaving,
+            first_listed_at,
+        } => {
+            let group = group_name(broker, group);
+            let member = member_name(broker, member);
+            let received = point_text(Some(status.received));
+            let listed_for = clock::now().saturating_duration_since(first_listed_at);
+            log::info!(
+                "event=log_end group={group} token={token} member={member} received={received} leads={} term={} held_term={} leaving={leaving} listed_for_ms={}",
+                status.leads,
+                status.term,
+                status.held_term,
+                listed_for.as_millis()
+            );
+        }
         effect::StateChange::Reachable { member, reachable } => {
             let name = member_name(broker, member);
             log::info!("event=member_reachable member={name} reachable={reachable}");
