Model: replicas that leave with their logs, members that are listed late

A replica that leaves ends once all proxies know that it leaves and a member that stays has received what it had by then (the drain timeout), or when the members that stay have been held for a pause. Ended earlier, its log would be lost whatever the proxies know.

Ruled out: an end at any time after the announcement. It loses a commit that was confirmed before the announcement, which no rule for successes can prevent.

--- a/crates/broker/tests/model.rs
+++ b/crates/broker/tests/model.rs
@@ -34,6 +34,7 @@
     delayed_answers: true,
     late_order: false,
     leaves: false,
+    ends: false,
     reason: ReplaceReason::Unreachable,
     fenced: true,
     time_steps: 0,
@@ -48,6 +49,7 @@
     restarts: 0,
     joins: false,
     joins_after_hold: false,
+    listed_late: false,
     one_directory: false,
     judged: None,
 };
@@ -205,6 +207,54 @@
     ..JOINS
 };
 
+/// One proxy replaces the leader once, and a replica leaves and ends with its log. Another proxy passes on the successes.
+const LEAVER_ENDS: Bounds = Bounds {
+    writes: 1,
+    lost_answers: 0,
+    delayed_answers: false,
+    leaves: true,
+    ends: true,
+    judged: Some(Violation::LostWrite),
+    ..ALONE
+};
+
+/// The same where promotions are not fenced.
+const LEAVER_ENDS_UNFENCED: Bounds = Bounds {
+    fenced: false,
+    time_steps: 2,
+    steps_per_lease: 2,
+    reads: true,
+    successes_need_lease: true,
+    ..LEAVER_ENDS
+};
+
+/// The leader hands over, and the store's answer to a record may be lost.
+const LEAVER_ENDS_TWICE: Bounds = Bounds {
+    attempts: [2, 0],
+    pauses: 1,
+    lost_answers: 1,
+    reason: ReplaceReason::Leaving,
+    ..LEAVER_ENDS
+};
+
+/// One proxy replaces the leader once, and a member that has joined is listed late.
+const LISTED_LATE: Bounds = Bounds {
+    leaves: false,
+    ends: false,
+    joins: true,
+    listed_late: true,
+    ..LEAVER_ENDS
+};
+
+/// The same where promotions are not fenced.
+const LISTED_LATE_UNFENCED: Bounds = Bounds {
+    leaves: false,
+    ends: false,
+    joins: true,
+    listed_late: true,
+    ..LEAVER_ENDS_UNFENCED
+};
+
 /// Two proxies replace the leader once each, and promotions are not fenced.
 const BOTH_UNFENCED: Bounds = Bounds {
     fenced: false,
@@ -298,6 +348,19 @@
     assert_eq!(found.violation, None);
 }
 
+/// The only replica that confirmed was one that leaves, or one that claimants did not know, and the commit was lost.
+#[rstest]
+#[case::leaver_ends(LEAVER_ENDS)]
+#[case::leaver_ends_unfenced(LEAVER_ENDS_UNFENCED)]
+#[case::leaver_ends_after_lost_record(LEAVER_ENDS_TWICE)]
+#[case::listed_late(LISTED_LATE)]
+#[case::listed_late_unfenced(LISTED_LATE_UNFENCED)]
+fn writes_are_kept_beside_uncounted_confirmers(#[case] bounds: Bounds) {
+    let found = search(bounds, Mutation::None);
+    assert_eq!(found.violation, None);
+    assert!(found.promotions > 0, "some attempts succeed");
+}
+
 #[rstest]
 #[case::members_not_held(ALONE, Mutation::HoldsIgnored)]
 #[case::tokens_not_checked(TWICE_AFTER_LATE_ORDER, Mutation::TokensUnchecked)]
--- a/crates/broker/tests/model/group.rs
+++ b/crates/broker/tests/model/group.rs
@@ -29,8 +29,10 @@
     /// Term of the hold; 0 while the member receives.
     pub held: u8,
     pub log: Vec<Entry>,
-    /// Whether the member does not run yet.
+    /// Whether the member does not run: it has not joined yet, or has ended.
     pub absent: bool,
+    /// Whether the member has ended.
+    pub ended: bool,
 }
 
 /// Model of a group.
@@ -246,7 +248,32 @@
 
     /// Lets a member join with an empty log.
     pub fn join(&mut self, index: usize) -> bool {
-        std::mem::take(&mut self.members[index].absent)
+        let member = &mut self.members[index];
+        !member.ended && std::mem::take(&mut member.absent)
+    }
+
+    /// Returns whether a replica other than this one has an entry of the newest leader's log.
+    pub fn is_kept_without(&self, index: usize, entry: Entry) -> bool {
+        let mut others = (0..MEMBERS)
+            .filter(|other| *other != index && self.leader_of(entry.0) != Some(*other))
+            .map(|other| &self.members[other]);
+        let leader = self.leader().map(|leader| &self.members[leader]);
+        leader.is_some_and(|leader| !leader.log.contains(&entry))
+            || others.any(|other| other.log.contains(&entry))
+    }
+
+    /// Ends a replica, whose log is gone with it.
+    pub fn end(&mut self, index: usize) -> bool {
+        let member = &mut self.members[index];
+        let ends = !member.absent && !member.leads;
+        if ends {
+            *member = Member {
+                absent: true,
+                ended: true,
+                ..Member::default()
+            };
+        }
+        ends
     }
 
     pub fn demote(&mut self, index: usize, term: u8) {
@@ -258,7 +285,7 @@
 
     /// Applies a promotion order, and returns whether the platform accepts it.
     pub fn order(&mut self, target: usize, token: u64, holder: usize, check_token: bool) -> bool {
-        if token < self.token.0 && check_token {
+        if token < self.token.0 && check_token || self.members[target].ended {
             return false;
         }
         if token == self.token.0 && holder != self.token.1 {
@@ -278,7 +305,7 @@
             return false;
         }
         let target = self.accepted.remove(0);
-        if self.members[target].leads {
+        if self.members[target].leads || self.members[target].ended {
             return true;
         }
         let newest = self.members.iter().map(|member| member.term).max();
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -45,6 +45,9 @@
     pub late_order: bool,
     /// Whether member 1 may announce that it leaves.
     pub leaves: bool,
+    /// Whether it ends after that, and its log with it: once all proxies know that it leaves, and a member that stays has received
+    /// what it had received by then, unless all of those have been held meanwhile.
+    pub ends: bool,
     /// Cause of the replacements.
     pub reason: ReplaceReason,
     /// Whether promotions are fenced.
@@ -73,6 +76,8 @@
     pub joins: bool,
     /// Whether it joins only once another member is held.
     pub joins_after_hold: bool,
+    /// Whether it may receive before the directory lists it.
+    pub listed_late: bool,
     /// Whether the proxy that reads asks only members that the other proxies know as well.
     pub one_directory: bool,
     /// Guarantee that is judged alone; all are judged if none is named.
@@ -369,6 +374,10 @@
     pauses: u8,
     lost_answers_left: u8,
     leaves: bool,
+    /// Log of member 1 when the last proxy learned that it leaves.
+    log_of_leaver: Option<Vec<Entry>>,
+    /// Whether the members that stay have been held in a pause since.
+    outlasted: bool,
     /// Number of steps in which time has passed, other than pauses.
     time_steps: u8,
     reader: Reader,
@@ -398,6 +407,8 @@
             pauses: 0,
             lost_answers_left: rules.bounds.lost_answers,
             leaves: false,
+            log_of_leaver: None,
+            outlasted: false,
             time_steps: 0,
             reader: Reader::default(),
         };
@@ -526,6 +537,10 @@
         add_step(format_args!("member 1 leaves"), &|system| {
             rules.bounds.leaves && !std::mem::replace(&mut system.leaves, true)
         });
+        add_step(format_args!("all know that member 1 leaves"), &|system| {
+            system.learn_leaver(rules)
+        });
+        add_step(format_args!("member 1 ends"), &|system| system.end(rules));
         let leader = self.group.leader();
         let term = leader.map_or(1, |leader| self.group.members[leader].term);
         for proxy in 0..PROXIES {
@@ -553,6 +568,28 @@
         }
     }
 
+    /// Lets the last proxy learn that member 1 leaves.
+    fn learn_leaver(&mut self, rules: &Rules) -> bool {
+        let learns = rules.bounds.ends && self.leaves && self.log_of_leaver.is_none();
+        if learns {
+            self.log_of_leaver = Some(self.group.members[1].log.clone());
+        }
+        learns
+    }
+
+    /// Ends member 1, which leaves.
+    fn end(&mut self, rules: &Rules) -> bool {
+        let Some(log) = &self.log_of_leaver else {
+            return false;
+        };
+        let is_kept = log
+            .iter()
+            .all(|entry| self.group.is_kept_without(1, *entry));
+        let ends = rules.bounds.ends && (is_kept || self.outlasted) && self.group.end(1);
+        self.listed[1] &= !ends;
+        ends
+    }
+
     fn now(&self, rules: &Rules) -> Instant {
         rules.start + Duration::from_millis(self.now_ms(rules).into())
     }
@@ -719,6 +756,11 @@
             self.pauses < rules.bounds.pauses && none_released && none_ordered && !self.row.expired;
         self.pauses += u8::from(allowed);
         self.row.expired |= allowed;
+        let is_held = |index: usize| {
+            let member = &self.group.members[index];
+            index == 1 || member.leads || member.absent || member.held > 0
+        };
+        self.outlasted |= allowed && self.log_of_leaver.is_some() && (0..MEMBERS).all(is_held);
         allowed
     }
 
@@ -920,9 +962,11 @@
             }
             Message::Release(_) => self.apply_command(&message),
             Message::Directory => {
-                // A member has an entry before it receives.
+                // Unless it is listed late, a member has an entry before it receives.
+                let listed_late =
+                    rules.bounds.listed_late || rules.mutation == Mutation::JoinsNotListed;
                 for (member, listed) in self.group.members.iter().zip(&mut self.listed) {
-                    *listed |= !member.absent && rules.mutation != Mutation::JoinsNotListed;
+                    *listed |= !member.absent && !listed_late;
                 }
                 self.proxies[proxy].directory_reads += 1;
                 let now = self.now_at(rules, proxy);
@@ -934,6 +978,10 @@
             Message::Hold(member, _, reads)
             | Message::Demote(member, _, reads)
             | Message::Status(member, reads) => {
+                if self.group.members[member].ended {
+                    self.miss_answer(rules, proxy, member, reads);
+                    return true;
+                }
                 let ignored = matches!(message, Message::Demote(..))
                     && rules.mutation == Mutation::DemotionsIgnored;
                 if !ignored {
@@ -1010,12 +1058,7 @@
             Message::Hold(member, _, reads)
             | Message::Demote(member, _, reads)
             | Message::Status(member, reads) => {
-                let sent_at = self.sent_at(rules, proxy, *reads);
-                let member = *member as id::MemberId;
-                let input: Input = Box::new(move |attempt, roster, out| {
-                    attempt.apply_status(now, member, sent_at, None, roster, out)
-                });
-                self.apply(rules, proxy, input);
+                self.miss_answer(rules, proxy, *member, *reads);
             }
             Message::Directory => {
                 let input: Input = Box::new(move |attempt, roster, out| {
@@ -1028,6 +1071,17 @@
         true
     }
 
+    /// Tells a proxy that a member has not answered a command.
+    fn miss_answer(&mut self, rules: &Rules, proxy: usize, member: usize, reads: u8) {
+        let now = self.now_at(rules, proxy);
+        let sent_at = self.sent_at(rules, proxy, reads);
+        let member = member as id::MemberId;
+        let input: Input = Box::new(move |attempt, roster, out| {
+            attempt.apply_status(now, member, sent_at, None, roster, out)
+        });
+        self.apply(rules, proxy, input);
+    }
+
     fn apply_command(&mut self, message: &Message) {
         match message {
             Message::Hold(member, term, _) => self.group.hold(*member, *term),
