Pass a commit's success on once a counted member has received it

Cause: a leader answers a commit once any other member has received it, and proxies passed that on while they trusted the leader. Trust rested on the absence of news. Class: evidence of absence from an absence of evidence; a decision on less than what is decided about. Change: the success is passed on only once a member has received the commit that every later choice counts: it is listed, does not leave, has led no such term, and has been known, over the same connection, since before the newest evidence that no attempt was under way (claim row or consents). A receipt that does not count yet makes the proxy read the claim row. Where promotions are not fenced, the receipt must have arrived within the lease, too. After 1 s the outcome is reported as unknown, which is true. The rule stands beside trust and leases, which it does not weaken. Why it works: an attempt that begins after that evidence holds this member and reads its log, so the choice has the commit, whoever else confirmed it. An older attempt would have shown in the row. Log: event=commit_waited with the outcome for a success that waited 200 ms or was not passed on; fulmarlift_commit_confirmation_seconds, fulmarlift_commits_waited_total.

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -43,6 +43,8 @@
         conn: id::ConnId,
         /// Member at the other end of the connection.
         member: id::MemberId,
+        /// What the answer is for, which tells the event that reports it.
+        purpose: StatusPurpose,
     },
     /// Send a command to a member, which answers with its status.
     SendCommand {
@@ -152,6 +154,15 @@
     }
 }
 
+/// Purpose of a question for a member's status.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StatusPurpose {
+    /// The lease of a leader; the answer is a [`event::Event::LeaseAnswered`].
+    Lease,
+    /// The confirmation of a commit; the answer is a [`event::Event::ReceiptAnswered`].
+    Receipt,
+}
+
 /// Command to a member during a failover. The member answers each with its status.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum MemberCommand {
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -70,8 +70,28 @@
     },
     /// The other side closed an idle connection.
     IdleConnectionLost(id::ConnId),
-    /// A success of a commit waits for the lease of the group's leader, see [`crate::Broker::confirms_commit`].
-    LeaseNeeded(id::GroupId),
+    /// A success of a commit waits for evidence, see [`crate::Broker::confirms_commit`].
+    ConfirmationNeeded {
+        /// Group whose leader has answered the commit.
+        group: id::GroupId,
+        /// End of the leader's log in that answer.
+        point: Option<floor::Point>,
+        /// Instant at which the answer arrived.
+        arrived_at: Instant,
+    },
+    /// A member answered the question whether it has received a commit, or failed to answer.
+    ReceiptAnswered {
+        /// Group of the member.
+        group: id::GroupId,
+        /// Member that was asked.
+        member: id::MemberId,
+        /// Instant at which the question was sent, or an earlier one.
+        asked_at: Instant,
+        /// Instant at which the connection was opened, or a later one.
+        connected_at: Instant,
+        /// Status in the answer; `None` if the member did not answer.
+        status: Option<MemberStatus>,
+    },
     /// A member answered the question for its status that renews a lease, or failed to answer.
     LeaseAnswered {
         /// Group of the member.
@@ -152,6 +172,8 @@
     pub point: Option<floor::Point>,
     /// Floor that was sent with the statement: the point that the member's log must have reached to run it.
     pub floor: Option<floor::Point>,
+    /// Instant at which the connection was opened, or a later one; `None` if the point counts as no receipt.
+    pub connected_at: Option<Instant>,
     /// Time from sending the statement to its end, answered or not; `None` if the statement used no slot of the member.
     pub took: Option<Duration>,
 }
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -78,6 +78,11 @@
     pub running: u32,
     /// Highest point of the member's log seen in an answer.
     pub reached: Option<floor::Point>,
+    /// What the member is known to have received.
+    pub receipt: Option<Receipt>,
+    /// Instant since which every attempt that begins to replace the leader knows this member and its log: it was listed, or answered
+    /// again after a failure that a restart may explain.
+    pub known_since: Instant,
     /// Newest term that the member is known to follow or to lead; 0 before its first answer.
     pub term: id::Term,
     /// Newest term that the member is known to have led.
@@ -120,6 +125,17 @@
     pub denies_leadership: bool,
 }
 
+/// Answer that shows what a member has received.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Receipt {
+    /// Highest point of the member's log.
+    pub point: floor::Point,
+    /// Instant at which the answer arrived.
+    pub known_at: Instant,
+    /// Instant at which the connection was opened. A member that has restarted since may have forgotten a hold.
+    pub connected_at: Instant,
+}
+
 /// An idle connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct IdleConnection {
@@ -144,6 +160,8 @@
             leased: 0,
             running: 0,
             reached: None,
+            receipt: None,
+            known_since: now,
             term: 0,
             led_term: 0,
             led_term_known_at: None,
@@ -209,7 +227,9 @@
         if entry.leaving && !self.entry.leaving {
             self.leaving_since = Some(now);
         }
-        self.unlisted_since = None;
+        if self.unlisted_since.take().is_some() {
+            self.known_since = now;
+        }
         self.entry = entry;
     }
 
@@ -253,6 +273,10 @@
 
     /// Records an answer of the member, and the answer time if it answered a statement that took a slot.
     pub fn record_answer(&mut self, now: Instant, took: Option<Duration>) {
+        if self.is_suspect() {
+            self.known_since = now;
+            self.receipt = None;
+        }
         self.answered_at = Some(now);
         self.failures = 0;
         self.failing_since = None;
@@ -271,6 +295,24 @@
         self.term = self.term.max(point.map_or(0, |point| point.term));
     }
 
+    /// Records an answer that shows what the member has received, unless the known one tells as much over an older connection.
+    pub fn record_receipt(&mut self, receipt: Receipt) {
+        let tells_more = self.receipt.is_none_or(|known| {
+            known.point < receipt.point
+                || known.point == receipt.point && known.connected_at > receipt.connected_at
+        });
+        if tells_more {
+            self.receipt = Some(receipt);
+        }
+    }
+
+    /// Returns the receipt of an entry of another member's log.
+    pub fn receipt_of(&self, entry: floor::Point) -> Option<Receipt> {
+        let receipt = self.receipt?;
+        let has_entry = receipt.point.term == entry.term && receipt.point >= entry;
+        (has_entry && self.led_term < entry.term).then_some(receipt)
+    }
+
     /// Records that the member leads a term.
     pub fn record_led_term(&mut self, now: Instant, term: id::Term) {
         if term > self.led_term {
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -66,6 +66,7 @@
         state.record_answer(now, None);
         let member = state.entry.id;
         if recovered {
+            self.doubt_leader_of(now, member);
             effects.push(reachable_again(member));
             self.record_home_recovery(now, member, effects);
         }
@@ -226,8 +227,12 @@
             }
         }
         if was_suspect && !self.is_suspect(member) {
+            self.doubt_leader_of(now, member);
             effects.push(reachable_again(member));
         }
+        if let (Some(point), Some(connected_at)) = (report.point, report.connected_at) {
+            self.record_receipt(now, member, point, connected_at);
+        }
         self.record_leader_evidence(now, group_id, &report, effects);
         self.serve_queue(now, group_id, effects);
     }
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -154,6 +154,10 @@
             return;
         };
         state.term = state.term.max(status.term);
+        if state.is_suspect() {
+            // It may have restarted and forgotten a hold.
+            group.lease.trust.doubt(now);
+        }
         state.record_answer(now, None);
         if status.leads {
             state.record_led_term(now, status.term);
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -12,6 +12,7 @@
 use crate::place;
 use crate::revision;
 use crate::state;
+use crate::state::confirmations;
 use crate::trust;
 
 /// Time after which a member that has not answered the question is passed over: several round trips between regions. The
@@ -78,6 +79,10 @@
     consents: lease::Consents,
     /// Validity, term and member of the last [`effect::StateChange::Lease`].
     logged: Option<(bool, id::Term, id::MemberId)>,
+    /// The newest question whether a member has received a commit.
+    pub(super) receipt_question: Option<confirmations::ReceiptQuestion>,
+    /// Whether a success waits for evidence that no attempt was under way lately.
+    pub(super) needs_proof: bool,
     /// Whether validity or term have changed since the last grant to a member.
     pub(super) validity_changed: bool,
 }
@@ -233,9 +238,10 @@
             .map(|state| state.entry.id);
         let term = self.leader_term();
         let given_at = self.lease.consents.given_at(term, others);
-        if fenced && let Some(given_at) = given_at {
+        if let Some(given_at) = given_at {
             self.lease.trust.prove(given_at);
-        } else if let Some(known_at) = given_at.min(members_known_at) {
+        }
+        if !fenced && let Some(known_at) = given_at.min(members_known_at) {
             self.lease.lease.start(term, known_at);
         }
         self.may_write(now, fenced)
@@ -322,40 +328,6 @@
 }
 
 impl state::Broker {
-    /// Returns whether the success of a commit may be passed on that a leader has logged in `term` and acknowledged before the
-    /// instant `arrived_at`: no other member had been promoted by then, and none is without the commit. `None` if that is not known
-    /// yet, and may be known after [`event::Event::LeaseNeeded`]. The term is 0 if the leader has not told it.
-    pub fn confirms_commit(
-        &self,
-        group: id::GroupId,
-        term: id::Term,
-        arrived_at: Instant,
-    ) -> Option<bool> {
-        let group = self.groups.get(group)?;
-        let newest_term = group.leader.term.max(group.lease.lease.term());
-        let is_older = newest_term > term;
-        if self.settings.fenced {
-            let is_older = is_older && term > 0;
-            let trusted = group.lease.trust.holds(arrived_at);
-            return (is_older || trusted).then_some(!is_older);
-        }
-        match group.lease.lease.covers(term, arrived_at) {
-            true => Some(true),
-            false => is_older.then_some(false),
-        }
-    }
-
-    /// Renews the lease for the success of a commit that waits for it.
-    pub(super) fn renew_needed_lease(
-        &mut self,
-        now: Instant,
-        group: id::GroupId,
-        effects: &mut Vec<effect::Effect>,
-    ) {
-        self.groups.entry(group).lease.record_demand(now);
-        self.renew_lease_if_due(now, group, effects);
-    }
-
     /// Returns whether this proxy knows all members that may have been promoted by now.
     pub(super) fn knows_members(&self, now: Instant) -> bool {
         self.directory_answered_at
@@ -382,7 +354,7 @@
         let is_shown = group.is_leader_shown();
         let lease = &mut group.lease;
         let may_read = lease.claim_retry_at.is_none_or(|retry_at| now >= retry_at);
-        let needs_claim = !valid || lease.is_unconfirmed();
+        let needs_claim = !valid || lease.is_unconfirmed() || lease.needs_proof;
         if is_shown && needs_claim && may_read {
             lease.claim_read_sent_at = Some(now);
             lease.claim_retry_at = Some(now + CLAIM_READ_TIMEOUT);
@@ -432,6 +404,7 @@
             group: group_id,
             conn: idle.conn,
             member,
+            purpose: effect::StatusPurpose::Lease,
         });
     }
 
@@ -499,11 +472,13 @@
             row.standing(&leader.entry.name, leader.led_term)
         });
         group.lease.standing = Some(standing);
+        if standing == claim::Standing::Undisputed {
+            group.lease.trust.prove(asked_at);
+            group.lease.claim_retry_at = Some(now + PROOF_INTERVAL);
+        }
         match standing {
             claim::Standing::Undisputed if fenced => {
-                group.lease.trust.prove(asked_at);
                 group.lease.renewal_due = false;
-                group.lease.claim_retry_at = Some(now + PROOF_INTERVAL);
             }
             // The answers of the leader tell whether it leads.
             _ if fenced => {}
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! The broker: the state of one proxy's decisions, and the step that applies an event to it.
 
+mod confirmations;
 mod conns;
 mod directory;
 mod eras;
@@ -168,7 +169,23 @@
                 asked_at,
                 status,
             } => self.record_command_end(now, group, member, asked_at, status, effects),
-            event::Event::LeaseNeeded(group) => self.renew_needed_lease(now, group, effects),
+            event::Event::ConfirmationNeeded {
+                group,
+                point,
+                arrived_at,
+            } => self.seek_confirmation(now, group, point, arrived_at, effects),
+            event::Event::ReceiptAnswered {
+                group,
+                member,
+                asked_at,
+                connected_at,
+                status,
+            } => {
+                self.record_receipt_answer(now, group, member, asked_at, status, effects);
+                if let Some(status) = status {
+                    self.record_receipt(now, member, status.received, connected_at);
+                }
+            }
             event::Event::LeaseAnswered {
                 group,
                 member,
--- a/crates/broker/src/state/search.rs
+++ b/crates/broker/src/state/search.rs
@@ -80,6 +80,7 @@
             group: group_id,
             conn: idle.conn,
             member,
+            purpose: effect::StatusPurpose::Lease,
         });
     }
 }
--- a/crates/broker/src/trust.rs
+++ b/crates/broker/src/trust.rs
@@ -43,6 +43,11 @@
         self.contact_at = self.contact_at.max(Some(sent_at));
     }
 
+    /// Returns whether evidence is known that no attempt was under way at an instant or later.
+    pub fn is_proven_since(&self, instant: Instant) -> bool {
+        self.proven_at >= Some(instant)
+    }
+
     /// Returns whether the leader is trusted at an instant.
     pub fn holds(&self, at: Instant) -> bool {
         self.proven_at.is_some() && self.proven_at >= self.doubted_at && self.is_in_contact(at)
--- a/crates/broker/tests/conns.rs
+++ b/crates/broker/tests/conns.rs
@@ -23,6 +23,7 @@
         answer,
         point: None,
         floor: None,
+        connected_at: None,
         took: Some(Duration::from_millis(300)),
     };
     let changes = |fixture: &mut Fixture| -> Vec<bool> {
@@ -85,6 +86,7 @@
         answer: Answer::Silent { commit: false },
         point: None,
         floor: None,
+        connected_at: None,
         took: Some(Duration::from_millis(took_ms)),
     }));
     assert_eq!(fixture.broker.is_suspect(grant.member), suspect);
@@ -110,6 +112,7 @@
                 answer: Answer::Served,
                 point: None,
                 floor: None,
+                connected_at: None,
                 took: Some(Duration::from_millis(5)),
             };
             // The transaction goes on, so the connection is not returned.
--- a/crates/broker/tests/evidence.rs
+++ b/crates/broker/tests/evidence.rs
@@ -26,6 +26,7 @@
         answer: Answer::Led { sent_at, commit },
         point: point.map(|(term, position)| Point::new(term, position)),
         floor: None,
+        connected_at: None,
         took: None,
     }));
 }
@@ -334,6 +335,7 @@
         answer: Answer::NotLeading,
         point: None,
         floor: None,
+        connected_at: None,
         took: None,
     }));
     let granted = members_granted(&mut fixture, Requirement::Leader);
@@ -545,6 +547,7 @@
         answer: Answer::Served,
         point: Some(Point::new(2, 12)),
         floor: None,
+        connected_at: None,
         took: None,
     }));
     let now = fixture.now;
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -38,6 +38,7 @@
             answer: Answer::Silent { commit: false },
             point: None,
             floor: None,
+            connected_at: None,
             took: Some(Duration::from_millis(760)),
         }));
     }
@@ -288,6 +289,7 @@
             },
             point: Some(Point::new(term, position)),
             floor: None,
+            connected_at: None,
             took: Some(Duration::from_millis(20)),
         }));
     }
@@ -338,6 +340,7 @@
         },
         point: Some(Point::new(2, 325)),
         floor: None,
+        connected_at: None,
         took: None,
     }));
     for _ in 0..2 {
@@ -346,6 +349,7 @@
             answer: Answer::Silent { commit: true },
             point: None,
             floor: None,
+            connected_at: None,
             took: Some(Duration::from_millis(760)),
         }));
     }
@@ -629,6 +633,7 @@
         },
         point: Some(Point::new(4, 10)),
         floor: None,
+        connected_at: None,
         took: None,
     };
     fixture.handle(Event::StatementEnded(newest));
@@ -764,6 +769,7 @@
         },
         point: Some(Point::new(1, 10)),
         floor: None,
+        connected_at: None,
         took: None,
     };
     fixture.handle(Event::StatementEnded(led));
@@ -977,6 +983,7 @@
         },
         point: Some(Point::new(2, 501)),
         floor: None,
+        connected_at: None,
         took: None,
     }));
     fixture.now += Duration::from_millis(10);
@@ -1009,6 +1016,7 @@
             answer: Answer::Silent { commit: true },
             point: None,
             floor: None,
+            connected_at: None,
             took: Some(Duration::from_millis(760)),
         }));
     }
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -209,6 +209,7 @@
         answer: Answer::Silent { commit: false },
         point: None,
         floor: None,
+        connected_at: None,
         took: Some(Duration::from_millis(took_ms)),
     }));
     fixture.handle(Event::Returned {
@@ -432,6 +433,7 @@
                 answer,
                 point: None,
                 floor: None,
+                connected_at: None,
                 took: Some(Duration::from_millis(took_ms)),
             }));
             let (conn, reusable) = (grant.conn, true);
@@ -467,6 +469,7 @@
         answer: Answer::Broken,
         point: None,
         floor: None,
+        connected_at: None,
         took: Some(Duration::from_millis(1)),
     }));
     let closed = |effect: &Effect| matches!(effect, Effect::Close(conn) if same_home[1..].iter().any(|grant| grant.conn == *conn));
--- a/crates/broker/tests/leader.rs
+++ b/crates/broker/tests/leader.rs
@@ -68,6 +68,7 @@
         answer,
         point: Some(Point::new(3, 10)),
         floor: None,
+        connected_at: None,
         took: Some(Duration::from_millis(760)),
     }));
 }
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -44,6 +44,7 @@
         answer: Answer::Led { sent_at, commit },
         point: Some(Point::new(term, 10)),
         floor: None,
+        connected_at: None,
         took: None,
     }));
     let reusable = true;
@@ -446,6 +447,7 @@
             },
             point: Some(Point::new(1, 99)),
             floor: None,
+            connected_at: None,
             took: None,
         },
     ));
@@ -581,6 +583,7 @@
             answer: Answer::Silent { commit: false },
             point: None,
             floor: None,
+            connected_at: None,
             took: Some(Duration::from_millis(760)),
         }));
     }
--- a/crates/broker/tests/place.rs
+++ b/crates/broker/tests/place.rs
@@ -203,6 +203,7 @@
                 answer: Answer::Served,
                 point: Some(Point::new(3, 10)),
                 floor: grant.floor,
+                connected_at: None,
                 took: Some(Duration::from_millis(40)),
             }));
             let (conn, reusable) = (grant.conn, true);
@@ -248,6 +249,7 @@
         answer: led,
         point: Some(Point::new(3, 10)),
         floor: None,
+        connected_at: None,
         took: None,
     }));
 }
--- a/crates/broker/tests/review.rs
+++ b/crates/broker/tests/review.rs
@@ -29,6 +29,7 @@
         answer,
         point: point.map(|(term, position)| Point::new(term, position)),
         floor: None,
+        connected_at: None,
         took: Some(fixture.now - sent_at),
     }));
 }
@@ -378,6 +379,7 @@
                 answer,
                 point: point.map(|(term, position)| Point::new(term, position)),
                 floor: None,
+                connected_at: None,
                 took: None,
             }));
             fixture.handle(Event::Returned { conn, reusable });
@@ -663,6 +665,7 @@
             group,
             conn,
             member,
+            ..
         } => {
             let consent = status(false, 1, (1, 10), 0);
             fixture.handle(Event::LeaseAnswered {
--- a/crates/broker/tests/search.rs
+++ b/crates/broker/tests/search.rs
@@ -21,6 +21,7 @@
         },
         point: Some(Point::new(1, 4)),
         floor: None,
+        connected_at: None,
         took: None,
     }));
     fixture.trust_leader();
--- a/crates/broker/tests/simulation/callers.rs
+++ b/crates/broker/tests/simulation/callers.rs
@@ -23,6 +23,8 @@
 const ANSWER_MARGIN: Micros = 40 * MS;
 /// Longest time for which the success of a commit waits for a lease.
 const COMMIT_CONFIRM_TIMEOUT: Micros = S;
+/// Interval at which a success that waits looks for evidence.
+const COMMIT_CONFIRM_INTERVAL: Micros = 10 * MS;
 /// Most attempts of a request.
 const ATTEMPTS_MAX: u32 = 6;
 
@@ -256,20 +258,39 @@
                 }
                 self.report(index, &job, answer, point);
                 if commit.is_some() {
-                    self.step(index, event::Event::LeaseNeeded(proxy::GROUP));
+                    self.seek_confirmation(index);
                 }
                 self.go_on(index, request, job, reply, exchange.command);
             }
         }
     }
 
+    /// Looks for evidence for the successes that wait, and again after an interval.
+    pub(super) fn seek_confirmation(&mut self, index: usize) {
+        self.settle_successes(index);
+        if let Some(newest) = self.proxies[index].successes.last() {
+            let (point, arrived_at) = (newest.point, self.instant_at(newest.arrived_at));
+            let group = proxy::GROUP;
+            self.step(
+                index,
+                event::Event::ConfirmationNeeded {
+                    group,
+                    point,
+                    arrived_at,
+                },
+            );
+            let at = self.now + COMMIT_CONFIRM_INTERVAL;
+            self.wake(index, at, Input::SeekConfirmation);
+        }
+    }
+
     /// Passes on the successes of commits that the proxy's broker confirms, and drops those that it denies or does not know in time.
     pub(super) fn settle_successes(&mut self, index: usize) {
         let waiting = std::mem::take(&mut self.proxies[index].successes);
         for success in waiting {
             let confirmed = self.proxies[index].broker.confirms_commit(
                 proxy::GROUP,
-                success.commit.term,
+                success.point,
                 self.instant_at(success.arrived_at),
             );
             match confirmed {
@@ -341,6 +362,8 @@
         point: Option<floor::Point>,
     ) {
         let took = Duration::from_micros(self.now - job.running_since);
+        let conn = self.proxies[index].conns.get(&job.conn);
+        let connected_at = conn.map(|conn| self.instant_at(conn.opened_at));
         self.step(
             index,
             event::Event::StatementEnded(event::StatementReport {
@@ -348,6 +371,7 @@
                 answer,
                 point,
                 floor: job.floor,
+                connected_at,
                 took: Some(took),
             }),
         );
--- a/crates/broker/tests/simulation/effects.rs
+++ b/crates/broker/tests/simulation/effects.rs
@@ -79,9 +79,14 @@
                 let purpose = Purpose::Probe(None);
                 self.send(index, Some(conn), member, command, purpose, timeout);
             }
-            effect::Effect::AskStatus { conn, member, .. } => {
+            effect::Effect::AskStatus {
+                conn,
+                member,
+                purpose,
+                ..
+            } => {
                 let (command, timeout) = (member::Command::Status, COMMAND_TIMEOUT);
-                let purpose = Purpose::Status(given_at);
+                let purpose = Purpose::Status(given_at, purpose);
                 self.send(index, Some(conn), member, command, purpose, timeout);
             }
             effect::Effect::SendCommand {
@@ -410,16 +415,27 @@
             (Purpose::Probe(report), Some(conn)) => {
                 self.probe_ended(index, conn, &exchange, report, ended);
             }
-            (Purpose::Status(asked_at), Some(conn)) => {
-                self.step(
-                    index,
-                    event::Event::LeaseAnswered {
-                        group: proxy::GROUP,
+            (Purpose::Status(asked_at, purpose), Some(conn)) => {
+                let (group, asked_at) = (proxy::GROUP, self.instant_at(asked_at));
+                let conns = &self.proxies[index].conns;
+                let opened_at = conns.get(&conn).map_or(self.now, |conn| conn.opened_at);
+                let connected_at = self.instant_at(opened_at);
+                let event = match purpose {
+                    effect::StatusPurpose::Lease => event::Event::LeaseAnswered {
+                        group,
                         member,
-                        asked_at: self.instant_at(asked_at),
+                        asked_at,
                         status,
                     },
-                );
+                    effect::StatusPurpose::Receipt => event::Event::ReceiptAnswered {
+                        group,
+                        member,
+                        asked_at,
+                        connected_at,
+                        status,
+                    },
+                };
+                self.step(index, event);
                 self.give_back(index, conn, status.is_some());
             }
             (Purpose::Command(command, false), _) if status.is_some() => {
@@ -455,6 +471,7 @@
                     proxy::Conn {
                         member: exchange.member,
                         member_starts: exchange.member_starts,
+                        opened_at: self.now,
                         busy: false,
                     },
                 );
@@ -499,6 +516,7 @@
                     answer,
                     point,
                     floor: None,
+                    connected_at: None,
                     took: None,
                 };
                 if matches!(answer, event::Answer::Led { .. }) {
--- a/crates/broker/tests/simulation/proxy.rs
+++ b/crates/broker/tests/simulation/proxy.rs
@@ -80,6 +80,7 @@
 pub struct Conn {
     pub member: usize,
     pub member_starts: u32,
+    pub opened_at: Micros,
     pub busy: bool,
 }
 
@@ -91,7 +92,7 @@
     /// A probe begins a transaction, and rolls it back with this report.
     Probe(Option<event::StatementReport>),
     /// A question, asked at this time, that renews a lease.
-    Status(Micros),
+    Status(Micros, effect::StatusPurpose),
     /// A command of a failover, and whether it has been sent: its connection may have to be opened first.
     Command(effect::MemberCommand, bool),
     /// A statement of a caller's request.
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -49,6 +49,8 @@
     DirectoryBack,
     /// A transaction's caller sends the next statement.
     Continue(id::RequestId),
+    /// A success of a commit looks for evidence.
+    SeekConfirmation,
 }
 
 /// What happens at a time.
@@ -331,9 +333,6 @@
             Input::Tick => {
                 self.confirm_directory(index);
                 self.step(index, event::Event::Tick);
-                if !self.proxies[index].successes.is_empty() {
-                    self.step(index, event::Event::LeaseNeeded(proxy::GROUP));
-                }
                 self.wake(index, self.now + TICK, Input::Tick);
             }
             Input::Call(kind, sent_at) => self.begin_job(index, kind, sent_at),
@@ -352,6 +351,7 @@
             }
             Input::DirectoryBack => self.read_directory(index),
             Input::Continue(request) => self.continue_transaction(index, request),
+            Input::SeekConfirmation => self.seek_confirmation(index),
         }
     }
 
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -184,6 +184,7 @@
             answer,
             point,
             floor: grant.floor,
+            connected_at: None,
             took: Some(Duration::from_millis(10)),
         }));
         self.handle(Event::Returned {
@@ -192,6 +193,27 @@
         });
     }
 
+    /// Lets a replica that follows term 1 answer that it has received a point.
+    pub fn receive(&mut self, member: id::MemberId, received: Point) {
+        self.receive_over(member, received, self.now - Duration::from_secs(1));
+    }
+
+    /// The same over a connection that was opened at an instant.
+    pub fn receive_over(&mut self, member: id::MemberId, received: Point, connected_at: Instant) {
+        self.handle(Event::ReceiptAnswered {
+            group: GROUP,
+            member,
+            asked_at: self.now,
+            connected_at,
+            status: Some(MemberStatus {
+                leads: false,
+                term: 1,
+                received,
+                held_term: 0,
+            }),
+        });
+    }
+
     pub fn leader(&self) -> Option<id::MemberId> {
         self.broker.leader(GROUP)
     }
--- a/crates/broker/tests/trust.rs
+++ b/crates/broker/tests/trust.rs
@@ -26,6 +26,7 @@
         },
         point: Some(Point::new(1, 10)),
         floor: None,
+        connected_at: None,
         took,
     }));
 }
@@ -119,8 +120,10 @@
     #[case] joins: bool,
 ) {
     let mut fixture = trusting();
+    let point = Some(Point::new(1, 10));
+    fixture.receive(2, Point::new(1, 10));
     assert_eq!(
-        fixture.broker.confirms_commit(GROUP, 1, fixture.now),
+        fixture.broker.confirms_commit(GROUP, point, fixture.now),
         Some(true)
     );
     fixture.now += Duration::from_millis(100);
@@ -129,13 +132,21 @@
     }
     lead(&mut fixture, 1, took_ms.or(Some(20)));
     let arrived_at = fixture.now;
-    assert_eq!(fixture.broker.confirms_commit(GROUP, 1, arrived_at), None);
-    fixture.handle(Event::LeaseNeeded(GROUP));
+    assert_eq!(
+        fixture.broker.confirms_commit(GROUP, point, arrived_at),
+        None
+    );
+    let group = GROUP;
+    fixture.handle(Event::ConfirmationNeeded {
+        group,
+        point,
+        arrived_at,
+    });
     let reads = |effect: &Effect| matches!(effect, Effect::LoadClaim(GROUP));
     assert!(fixture.effects.iter().any(reads), "the claim row is read");
     fixture.trust_leader();
     assert_eq!(
-        fixture.broker.confirms_commit(GROUP, 1, arrived_at),
+        fixture.broker.confirms_commit(GROUP, point, arrived_at),
         Some(true)
     );
 }
@@ -145,6 +156,7 @@
     let mut fixture = trusting();
     fixture.advance(2_000);
     lead(&mut fixture, 1, Some(20));
-    let now = fixture.now;
-    assert_eq!(fixture.broker.confirms_commit(GROUP, 1, now), None);
+    fixture.receive(2, Point::new(1, 10));
+    let (now, point) = (fixture.now, Some(Point::new(1, 10)));
+    assert_eq!(fixture.broker.confirms_commit(GROUP, point, now), None);
 }
--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -77,6 +77,8 @@
     closing: bool,
     /// Member or home at the other end.
     pub member: id::MemberId,
+    /// Instant at which the connection was opened.
+    pub connected_at: Instant,
     /// Session values and prepared statements that the other end holds for this connection.
     pub connection_state: values::ConnectionState,
 }
@@ -122,6 +124,7 @@
             outbox: BytesMut::new(),
             closing: false,
             member: member.1,
+            connected_at: clock::now(),
             connection_state: values::ConnectionState::default(),
         };
         link.push(member::Command::Startup {
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -107,6 +107,7 @@
                 answer,
                 point,
                 floor: self.floor,
+                connected_at: self.upstream.as_ref().map(shell::Upstream::connected_at),
                 took: Some(took),
             }));
     }
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -37,8 +37,12 @@
 /// Interval of the broker's ticks, which is the resolution of its deadlines and retries.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Longest time for which the success of a commit waits for a lease: about the duration of a failover that begins.
+/// Longest time for which the success of a commit waits for evidence: about the duration of a failover that begins.
 const COMMIT_CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Interval at which a success that waits looks for evidence: a little more than a round trip to a replica of the same region.
+const COMMIT_CONFIRM_INTERVAL: Duration = Duration::from_millis(10);
+/// Time that the success of a commit has waited for evidence from which the log tells of it.
+const LOGGED_CONFIRMATION_WAIT: Duration = Duration::from_millis(200);
 
 /// Most updates that may wait for a slow listener; beyond it the proxy disconnects the listener, which reconnects for a
 /// new snapshot.
@@ -88,8 +92,8 @@
     directory: D::Directory,
     control_connections: tasks::ControlConnections<D>,
     retry_budget: Cell<limit::RetryBudget>,
-    /// Notifies successes of commits that wait for a lease.
-    lease_evidence: Notify,
+    /// Notifies successes of commits that wait for evidence.
+    commit_evidence: Notify,
     /// Name of the VM whose proxy answered the last question for a claim row.
     claim_relay: RefCell<Option<Box<str>>>,
     /// Sends encoded updates to the tasks that serve listeners.
@@ -139,7 +143,7 @@
             directory,
             control_connections: tasks::ControlConnections::default(),
             retry_budget: Cell::new(limit::RetryBudget::default()),
-            lease_evidence: Notify::new(),
+            commit_evidence: Notify::new(),
             claim_relay: RefCell::new(None),
             updates: broadcast::Sender::new(UPDATES_WAITING_MAX),
             listeners: Cell::new(0),
@@ -167,11 +171,14 @@
         if self.halted.get() {
             return;
         }
-        let tells_of_lease = matches!(
+        let may_confirm_commits = matches!(
             event,
             event::Event::ClaimLoaded { .. }
                 | event::Event::ClaimRelayed { .. }
                 | event::Event::LeaseAnswered { .. }
+                | event::Event::ReceiptAnswered { .. }
+                | event::Event::StatusAnswered { .. }
+                | event::Event::StatementEnded(_)
                 | event::Event::Tick
         );
         self.inner.borrow_mut().events.push_back(event);
@@ -192,8 +199,8 @@
             }
         }
         self.stepping.set(false);
-        if tells_of_lease {
-            self.lease_evidence.notify_waiters();
+        if may_confirm_commits {
+            self.commit_evidence.notify_waiters();
         }
     }
 
@@ -207,22 +214,53 @@
     ) -> bool {
         let arrived_at = clock::now();
         let deadline = deadline.min(arrived_at + COMMIT_CONFIRM_TIMEOUT);
-        let term = point.map_or(0, |point| point.term);
-        loop {
-            let evidence = self.lease_evidence.notified();
+        let confirmed = loop {
+            let evidence = self.commit_evidence.notified();
             let confirmed =
-                self.with_broker(|broker| broker.confirms_commit(group, term, arrived_at));
-            match confirmed {
-                Some(confirmed) => return confirmed,
-                None if clock::now() >= deadline => return false,
-                None => {}
+                self.with_broker(|broker| broker.confirms_commit(group, point, arrived_at));
+            if confirmed.is_some() || clock::now() >= deadline {
+                break confirmed;
             }
-            self.handle(event::Event::LeaseNeeded(group));
+            self.handle(event::Event::ConfirmationNeeded {
+                group,
+                point,
+                arrived_at,
+            });
+            let retry_at = deadline.min(clock::now() + COMMIT_CONFIRM_INTERVAL);
             tokio::select! {
                 () = evidence => {}
-                () = tokio::time::sleep_until(clock::tokio_deadline(deadline)) => {}
+                () = tokio::time::sleep_until(clock::tokio_deadline(retry_at)) => {}
             }
+        };
+        self.record_confirmation(group, point, arrived_at, confirmed);
+        confirmed.unwrap_or(false)
+    }
+
+    /// Records how long the success of a commit has waited for evidence, and with which result.
+    fn record_confirmation(
+        &self,
+        group: id::GroupId,
+        point: Option<floor::Point>,
+        arrived_at: Instant,
+        confirmed: Option<bool>,
+    ) {
+        let waited = clock::now().saturating_duration_since(arrived_at);
+        metrics::histogram!("fulmarlift_commit_confirmation_seconds").record(waited.as_secs_f64());
+        if confirmed == Some(true) && waited < LOGGED_CONFIRMATION_WAIT {
+            return;
         }
+        let outcome = match confirmed {
+            Some(true) => "confirmed",
+            Some(false) => "replaced",
+            None => "unknown",
+        };
+        metrics::counter!("fulmarlift_commits_waited_total", "outcome" => outcome).increment(1);
+        log::info!(
+            "event=commit_waited group={} point={} waited_ms={} outcome={outcome}",
+            self.group_name(group),
+            state_changes::point_text(point),
+            waited.as_millis()
+        );
     }
 
     /// Calls a function with read access to the broker.
@@ -368,7 +406,8 @@
                 group,
                 conn,
                 member,
-            } => self.ask_status(group, conn, member),
+                purpose,
+            } => self.ask_status(group, conn, member, purpose),
             effect::Effect::SendCommand {
                 group,
                 member,
@@ -436,6 +475,7 @@
             answer,
             point: None,
             floor: None,
+            connected_at: None,
             took: None,
         }));
     }
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -116,7 +116,7 @@
 }
 
 /// Returns a point of a log as `TERM.POSITION`, or `none`.
-fn point_text(point: Option<floor::Point>) -> String {
+pub(super) fn point_text(point: Option<floor::Point>) -> String {
     point.map_or_else(
         || "none".to_owned(),
         |point| format!("{}.{}", point.term, point.position),
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -193,6 +193,7 @@
         group: id::GroupId,
         conn: id::ConnId,
         member: id::MemberId,
+        purpose: effect::StatusPurpose,
     ) {
         let shell = Rc::clone(self);
         let asked_at = clock::now();
@@ -208,14 +209,26 @@
                 None => (None, None),
             };
             let reusable = upstream.is_some();
+            let connected_at = upstream
+                .as_ref()
+                .map_or(clock::now(), shell::Upstream::connected_at);
             if let Some(upstream) = upstream {
                 shell.inner.borrow_mut().idle.insert(conn, upstream);
             }
-            shell.handle(event::Event::LeaseAnswered {
-                group,
-                member,
-                asked_at,
-                status,
+            shell.handle(match purpose {
+                effect::StatusPurpose::Lease => event::Event::LeaseAnswered {
+                    group,
+                    member,
+                    asked_at,
+                    status,
+                },
+                effect::StatusPurpose::Receipt => event::Event::ReceiptAnswered {
+                    group,
+                    member,
+                    asked_at,
+                    connected_at,
+                    status,
+                },
             });
             shell.handle(event::Event::Returned { conn, reusable });
         });
@@ -414,7 +427,7 @@
         });
     }
 
-    fn group_name(&self, group: id::GroupId) -> Box<str> {
+    pub(super) fn group_name(&self, group: id::GroupId) -> Box<str> {
         self.with_broker(|broker| state_changes::group_name(broker, group).into())
     }
 }
@@ -426,6 +439,7 @@
         answer,
         point: None,
         floor: None,
+        connected_at: None,
         took: None,
     }
 }
--- a/crates/session/src/shell/upstream.rs
+++ b/crates/session/src/shell/upstream.rs
@@ -28,6 +28,14 @@
         }
     }
 
+    /// Returns the instant at which the connection was opened.
+    pub fn connected_at(&self) -> Instant {
+        match self {
+            Self::Member(link) => link.connected_at,
+            Self::Home(link) => link.connected_at,
+        }
+    }
+
     /// Returns whether a home is at the other end.
     pub fn is_home(&self) -> bool {
         matches!(self, Self::Home(_))
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -310,6 +310,7 @@
         answer: Answer::Led { sent_at, commit },
         point: Some(Point::new(1, 1)),
         floor: None,
+        connected_at: None,
         took: None,
     }));
 }
