--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -165,6 +165,14 @@
             return self.give_up(now, out);
         }
         match self.find_furthest(roster) {
+            // The record was made before the logs were read once more.
+            Ok(best)
+                if self.target == Some(best.member)
+                    && self.orders_end_at.is_some_and(|end_at| now < end_at) =>
+            {
+                self.give_order(out);
+                failover::Progress::Ongoing
+            }
             Ok(best) => {
                 let (member, name) = (best.member, best.name.clone());
                 self.record_choice(now, member, &name, out);
@@ -194,7 +202,7 @@
         if !furthest.is_some_and(|furthest| self.has_all_acknowledged(furthest)) {
             return Err(Unfit::Behind);
         }
-        let pending = self.claim.pending_target();
+        let pending = self.pending_before.as_deref();
         let is_pending = |participant: &failover::Participant| {
             pending.is_none_or(|name| name == participant.name.as_ref())
         };
@@ -279,7 +287,7 @@
         participants: &[failover::Participant],
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
-        let pending = self.claim.pending_target().and_then(|name| {
+        let pending = self.pending_before.as_deref().and_then(|name| {
             let named = participants
                 .iter()
                 .find(|participant| participant.name.as_ref() == name);
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -27,6 +27,7 @@
 
 mod choice;
 mod handover;
+mod verification;
 
 use std::time::{Duration, Instant};
 
@@ -41,8 +42,7 @@
 use crate::revision;
 
 /// Time for which a claim excludes other proxies: enough for two promotions of 600 ms with their commands to members, and
-/// for retries. It must not be shorter than `ATTEMPT_TIMEOUT + RELEASE_SEND_TIMEOUT + RELEASE_ARRIVAL_TIMEOUT`, so that the
-/// members can be released before another proxy holds them again.
+/// for retries.
 const CLAIM_LEASE_MS: u64 = 4_000;
 /// Time for which the claim lasts after the end of its promotion order (confirmed or refused), so that no other proxy gives
 /// an order meanwhile: the platform's setting `lease-duration-ms`.
@@ -73,13 +73,13 @@
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Delay before the next attempt after all members lacked acknowledged entries. Held members cannot catch up.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(1_500);
-/// Time after which an attempt that still holds members, or ends an older order, is given up. The claim must last long enough
-/// after it for members to be released before another proxy holds them again.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time in which a release command is sent, including the opening of a connection.
 const RELEASE_SEND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which a release command that was sent can no longer arrive: the `TCP_USER_TIMEOUT` of the sockets.
 const RELEASE_ARRIVAL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time before the end of the claim at which an attempt that still holds members, or ends an older order, is given up: members can be
+/// released before another proxy holds them again.
+const RELEASE_TIMEOUT: Duration = RELEASE_SEND_TIMEOUT.saturating_add(RELEASE_ARRIVAL_TIMEOUT);
 /// Time in which the old leader must answer that it leads, or else is taken over from.
 const SURVEY_TIMEOUT: Duration = COMMAND_TIMEOUT;
 /// Time in which the old leader must answer that it has stopped, and then in which a member must have received its log to the end.
@@ -98,6 +98,10 @@
     Loading,
     /// The claim is being written.
     Claiming,
+    /// A write of the claim row got no answer, and the row is read again.
+    Verifying(verification::Verification),
+    /// The row that was read shows that the write was made.
+    Written(verification::Write),
     /// The members are asked for their status. A leader that does not answer until `until` is taken over from.
     Surveying { until: Instant },
     /// The old leader is being stopped, and then a member awaited that has received its whole log.
@@ -261,6 +265,8 @@
     order_taken: bool,
     /// Instant until which no other proxy can claim.
     claim_expires_at: Instant,
+    /// Whether the write of the claim row that is under way repeats one that got no answer.
+    repeats_write: bool,
 }
 
 impl Attempt {
@@ -305,6 +311,7 @@
             unanswered_order: false,
             order_taken: false,
             claim_expires_at: start_at,
+            repeats_write: false,
         }
     }
 
@@ -324,6 +331,7 @@
             Step::Waiting { .. } => "waiting",
             Step::Loading => "loading",
             Step::Claiming => "claiming",
+            Step::Verifying(_) | Step::Written(_) => "verifying",
             Step::Surveying { .. } => "surveying",
             Step::Stopping { .. } => "stopping",
             Step::Holding => "holding",
@@ -350,7 +358,7 @@
                 | Step::Holding
                 | Step::ReadingDirectory { .. }
         );
-        if can_time_out && now.saturating_duration_since(self.read_sent_at) > ATTEMPT_TIMEOUT {
+        if can_time_out && now > self.gives_up_at() {
             return self.give_up(now, out);
         }
         match self.step {
@@ -359,6 +367,10 @@
                 self.read_sent_at = now;
                 out.push(effect::Effect::LoadClaim(self.group));
             }
+            Step::Verifying(verification) => {
+                return self.continue_verification(now, verification, out);
+            }
+            Step::Written(write) => return self.continue_after_write(now, write, roster, out),
             Step::Surveying { .. } => return self.survey_members(now, roster, out),
             Step::Stopping { .. } => return self.stop_leader(now, roster, out),
             Step::Holding => return self.hold_members(now, roster, out),
@@ -396,8 +408,12 @@
         stored: Option<claim::ClaimRow>,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
-        if self.step != Step::Loading {
-            return Progress::Ongoing;
+        match self.step {
+            Step::Loading => {}
+            Step::Verifying(verification) => {
+                return self.apply_verification(now, asked_at, verification, stored, out);
+            }
+            _ => return Progress::Ongoing,
         }
         let Some(stored) = stored else {
             self.wait_until(now + STORE_RETRY_DELAY);
@@ -476,21 +492,30 @@
             }
             outcome => outcome,
         };
+        let may_be_written = outcome == event::StoreOutcome::Unknown
+            || outcome == event::StoreOutcome::Conflict && self.repeats_write;
         match (self.step, outcome) {
             (Step::Claiming, event::StoreOutcome::Written(revision)) => {
                 self.revision = revision;
-                match self.may_hand_over() {
-                    true => self.start_survey(now, roster, out),
-                    false => self.take_over(now, roster, out),
-                }
+                self.repeats_write = false;
+                self.start_replacement(now, roster, out)
             }
             (Step::Recording, event::StoreOutcome::Written(revision)) => {
                 self.revision = revision;
-                if self.hands_over && self.log_end.is_none() {
-                    return self.start_stop(now, roster, out);
+                let is_repeated = std::mem::take(&mut self.repeats_write);
+                match is_repeated {
+                    true => {
+                        let write = verification::Write::Choice;
+                        self.continue_after_write(now, write, roster, out)
+                    }
+                    false => self.continue_with_choice(now, roster, out),
                 }
-                self.give_order(out);
-                Progress::Ongoing
+            }
+            (Step::Claiming, _) if may_be_written => {
+                self.start_verification(now, verification::Write::Claim, out)
+            }
+            (Step::Recording, _) if may_be_written => {
+                self.start_verification(now, verification::Write::Choice, out)
             }
             (Step::Claiming, _) => Progress::GivenUp {
                 retry_at: now + STORE_RETRY_DELAY,
@@ -506,11 +531,37 @@
                 }
                 self.give_up(now, out)
             }
-            (Step::Recording, event::StoreOutcome::Unknown) => self.give_up(now, out),
             _ => Progress::Ongoing,
         }
     }
 
+    /// Begins to replace the leader under the claim.
+    fn start_replacement(
+        &mut self,
+        now: Instant,
+        roster: &Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> Progress {
+        match self.may_hand_over() {
+            true => self.start_survey(now, roster, out),
+            false => self.take_over(now, roster, out),
+        }
+    }
+
+    /// Stops a leader that hands over, or gives the order for the recorded target.
+    fn continue_with_choice(
+        &mut self,
+        now: Instant,
+        roster: &Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> Progress {
+        if self.hands_over && self.log_end.is_none() {
+            return self.start_stop(now, roster, out);
+        }
+        self.give_order(out);
+        Progress::Ongoing
+    }
+
     /// Continues after a member's answer to a command that was sent at `asked_at`, or after its absence (`None`).
     pub fn apply_status(
         &mut self,
@@ -668,6 +719,8 @@
             Step::Waiting { .. } | Step::Loading | Step::Claiming => Progress::GivenUp {
                 retry_at: now + STORE_RETRY_DELAY,
             },
+            Step::Verifying(verification) => self.give_up_write(now, verification.write, out),
+            Step::Written(write) => self.give_up_write(now, write, out),
             Step::Surveying { .. }
             | Step::Stopping { .. }
             | Step::Holding
@@ -794,7 +847,7 @@
         for member in held {
             self.send_command(Some(member), effect::MemberCommand::Release { until }, out);
         }
-        let remaining = (RELEASE_SEND_TIMEOUT + RELEASE_ARRIVAL_TIMEOUT).max(lease);
+        let remaining = RELEASE_TIMEOUT.max(lease);
         // Half of the maximum, so that the sum does not overflow.
         let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX / 2);
         self.claim.until_ms = self.store_now_ms(now) + remaining_ms;
@@ -808,6 +861,11 @@
         read_ms + u64::try_from(elapsed).unwrap_or(u64::MAX / 2)
     }
 
+    /// Returns the instant at which the attempt is given up if it still holds members.
+    fn gives_up_at(&self) -> Instant {
+        self.claim_expires_at - RELEASE_TIMEOUT
+    }
+
     fn wait_until(&mut self, until: Instant) {
         self.step = Step::Waiting { until };
     }
