--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -582,6 +582,11 @@
             Step::Surveying { .. } => self.apply_survey(now, member, status, roster, out),
             Step::Stopping { .. } => self.apply_stop(now, member, status, roster, out),
             Step::Holding => self.apply_hold(now, member, asked_at, status, roster, out),
+            Step::Recording | Step::Verifying(_) | Step::Written(_) if self.hands_over => {
+                // Members that have answered may be asked again once the leader has stopped.
+                self.surveyed.entry(member).record_answer(now, status);
+                Progress::Ongoing
+            }
             _ => Progress::Ongoing,
         }
     }
--- a/crates/broker/tests/handover.rs
+++ b/crates/broker/tests/handover.rs
@@ -21,6 +21,10 @@
     joins: bool,
     /// Whether the replicas receive the rest of the leader's log.
     catches_up: bool,
+    /// Member that receives nothing more once the choice has been made, while another entry follows.
+    stops_following: Option<id::MemberId>,
+    /// That member, from then on.
+    stopped: Option<id::MemberId>,
     /// Members that answer no command.
     silent: Vec<id::MemberId>,
     row_version: u64,
@@ -43,6 +47,8 @@
             leader_leads: true,
             joins: false,
             catches_up: true,
+            stops_following: None,
+            stopped: None,
             silent: Vec::new(),
             row_version: 20,
             orders: Vec::new(),
@@ -87,6 +93,12 @@
                 if claim.target.is_some() && std::mem::take(&mut self.joins) {
                     self.join();
                 }
+                if claim.target.is_some()
+                    && let Some(member) = self.stops_following.take()
+                {
+                    self.stopped = Some(member);
+                    self.received.insert(1, 529);
+                }
                 self.row_version += 1;
                 let outcome = StoreOutcome::Written(version(self.row_version));
                 self.fixture.handle(Event::ClaimStored { group, outcome });
@@ -120,7 +132,7 @@
                     asked_at,
                     status,
                 });
-                if self.catches_up && member != 1 {
+                if self.catches_up && member != 1 && Some(member) != self.stopped {
                     self.received.insert(member, self.received[&1]);
                 }
             }
@@ -212,3 +224,12 @@
     group.play(200);
     assert_eq!(group.orders, [(2, 528)]);
 }
+
+/// The answer of the other member had arrived while the choice was recorded, and it was not asked again for 0.9 s (inc10).
+#[test]
+fn leader_hands_over_to_other_member_once_target_receives_nothing() {
+    let mut group = Group::new();
+    group.stops_following = Some(2);
+    group.play(600);
+    assert_eq!(group.orders, [(3, 529)]);
+}
