--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -16,7 +16,7 @@
 enum Unfit {
     /// All of them may lack acknowledged entries.
     Behind,
-    /// None of those that have received most may be chosen.
+    /// None of those that have received most is listed.
     NotEligible,
 }
 
@@ -153,7 +153,7 @@
         self.hold_members(now, roster, out)
     }
 
-    /// Writes the eligible member that has received most to the claim row as the target.
+    /// Writes the member that has received most to the claim row as the target.
     fn choose_target(
         &mut self,
         now: Instant,
@@ -182,8 +182,8 @@
         }
     }
 
-    /// Returns an eligible member that has received most, the target of an older order that may still be executed if it is one. Where
-    /// no token ends that order, only its target may be chosen.
+    /// Returns a listed member that has received most: one that stays if there is one, and among these the target of an older order that
+    /// may still be executed. Where no token ends that order, only its target may be chosen.
     fn find_furthest<'a>(
         &self,
         roster: &'a failover::Roster,
@@ -210,9 +210,12 @@
             .members
             .iter()
             .filter(|participant| Some(participant.member) != self.old_leader)
-            .filter(|participant| participant.eligible && received(participant) == furthest)
+            .filter(|participant| {
+                participant.eligible || self.leaving.binary_search(&participant.member).is_ok()
+            })
+            .filter(|participant| received(participant) == furthest)
             .filter(|participant| self.fenced || is_pending(participant))
-            .min_by_key(|participant| !is_pending(participant))
+            .min_by_key(|participant| (!participant.eligible, !is_pending(participant)))
             .ok_or(Unfit::NotEligible)
     }
 
@@ -276,7 +279,7 @@
         of_this_term && Some(end) >= self.acknowledged
     }
 
-    /// Handles the case that no eligible member has received as much as the furthest held member, or that the target of an
+    /// Handles the case that no listed member has received as much as the furthest held member, or that the target of an
     /// older order has not.
     ///
     /// If the target of the older order is the old leader, it either leads already or does not run. Then another order for it
--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -207,7 +207,7 @@
             && self.has_all_acknowledged(stopped.received)
     }
 
-    /// Returns an eligible member whose log has reached `end`, the target if it is one.
+    /// Returns a listed member that stays and whose log has reached `end`, the target if it is one.
     fn find_successor(
         &self,
         roster: &failover::Roster,
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -166,7 +166,7 @@
     pub member: id::MemberId,
     /// Name of the member.
     pub name: Box<str>,
-    /// Whether the member may become the leader.
+    /// Whether the member is listed and stays. One that leaves may become the leader as well, see [`Attempt::set_leaving`].
     pub eligible: bool,
 }
 
@@ -265,6 +265,8 @@
     order_taken: bool,
     /// Instant until which no other proxy can claim.
     claim_expires_at: Instant,
+    /// Listed members that leave, sorted.
+    leaving: Vec<id::MemberId>,
     /// Whether the write of the claim row that is under way repeats one that got no answer.
     repeats_write: bool,
 }
@@ -311,10 +313,17 @@
             unanswered_order: false,
             order_taken: false,
             claim_expires_at: start_at,
+            leaving: Vec::new(),
             repeats_write: false,
         }
     }
 
+    /// Sets the listed members that leave, sorted. Their logs count until they end, and are gone then. So one of them is chosen where no member
+    /// that stays has received as much, and hands over afterwards.
+    pub fn set_leaving(&mut self, leaving: Vec<id::MemberId>) {
+        self.leaving = leaving;
+    }
+
     /// Returns whether the attempt has changed nothing yet and may be dropped without clean-up.
     pub fn may_be_dropped(&self) -> bool {
         matches!(self.step, Step::Waiting { .. } | Step::Loading)
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -284,6 +284,10 @@
             name: state.entry.name.clone(),
             eligible: !state.entry.leaving && state.unlisted_since.is_none(),
         });
+        let listed = |state: &&member_state::MemberState| state.unlisted_since.is_none();
+        let leaving = group.members.values().filter(listed);
+        let leaving = leaving.filter(|state| state.entry.leaving);
+        attempt.set_leaving(leaving.map(|state| state.entry.id).collect());
         let roster = failover::Roster {
             members: participants.collect(),
             is_complete,
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -1067,3 +1067,103 @@
     let claim = take_written_claim(&mut fixture);
     assert_eq!(claim.pending_target(), Some("member-3"));
 }
+
+/// Lists a member as one that leaves.
+fn list_leaving(fixture: &mut Fixture, member: id::MemberId, domain: &str) {
+    let mut entry = member_at(member, domain, false);
+    entry.leaving = true;
+    entry.revision = version(30 + member);
+    fixture.handle(Event::Listed(entry));
+}
+
+/// Two replicas that left had confirmed a commit. Neither might be chosen, nothing was released, and the commit was lost with their logs
+/// (inc10).
+#[rstest]
+#[case::leaving_member_alone_is_furthest([502, 500], "member-2")]
+#[case::member_that_stays_is_as_far([502, 502], "member-3")]
+#[case::member_that_stays_is_furthest([500, 502], "member-3")]
+fn choose_takes_leaving_member_only_if_none_that_stays_is_as_far(
+    #[case] positions: [u64; 2],
+    #[case] expected: &str,
+    #[values(true, false)] fenced: bool,
+) {
+    let mut fixture = match fenced {
+        true => Fixture::new(),
+        false => Fixture::unfenced(),
+    };
+    list_leaving(&mut fixture, 2, "b");
+    start_attempt(&mut fixture);
+    let term = take_holds(&mut fixture)[0].1;
+    let held = |position| (false, term - 1, (term - 1, position), term);
+    let [second, third] = positions;
+    for member in [(2, second), (3, third)] {
+        answer_status(&mut fixture, member.0, held(member.1));
+    }
+    fixture.advance(600);
+    read_directory(&mut fixture);
+    for member in [(2, second), (3, third)] {
+        answer_status(&mut fixture, member.0, held(member.1));
+    }
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some(expected)
+    );
+}
+
+/// A promoted member that leaves would have to be replaced at once.
+#[test]
+fn choose_takes_member_that_stays_rather_than_pending_target_that_leaves() {
+    let mut fixture = Fixture::new();
+    list_leaving(&mut fixture, 2, "b");
+    start_attempt_for_missing_leader(&mut fixture, Some("member-2"));
+    let term = take_holds(&mut fixture)[0].1;
+    let held = (false, 0, (0, 500), term);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some("member-3")
+    );
+}
+
+/// A member without an entry may have ended by the time of the order.
+#[test]
+fn choose_passes_over_leaving_member_that_is_not_listed_any_more() {
+    let mut fixture = Fixture::new();
+    list_leaving(&mut fixture, 2, "b");
+    start_attempt(&mut fixture);
+    let term = take_holds(&mut fixture)[0].1;
+    let held = |position| (false, term - 1, (term - 1, position), term);
+    for member in [(2, 502), (3, 500)] {
+        answer_status(&mut fixture, member.0, held(member.1));
+    }
+    fixture.handle(Event::Unlisted {
+        name: "member-2".into(),
+        revision: version(60),
+    });
+    read_directory(&mut fixture);
+    for member in [(2, 502), (3, 500)] {
+        answer_status(&mut fixture, member.0, held(member.1));
+    }
+    assert_eq!(take_recorded_target(&mut fixture), None);
+}
+
+#[test]
+fn leaving_member_that_was_promoted_hands_over() {
+    let mut fixture = Fixture::new();
+    list_leaving(&mut fixture, 2, "b");
+    list_leaving(&mut fixture, 3, "c");
+    let mut row = replace_leader(&mut fixture, [2, 2]);
+    row.revision = version(10);
+    assert_eq!(row.claim.target.as_deref(), Some("member-2"));
+    fixture.take_effects();
+    fixture.advance(1_800);
+    let loads_claim = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
+    assert!(fixture.effects.iter().any(loads_claim));
+    write_claim(&mut fixture, row);
+    let asks = |effect: &Effect| match effect {
+        Effect::SendCommand { command, .. } => matches!(command, MemberCommand::Status),
+        _ => false,
+    };
+    assert!(fixture.effects.iter().any(asks), "the leader is asked");
+    assert_eq!(take_holds(&mut fixture), []);
+}
--- a/crates/broker/tests/handover.rs
+++ b/crates/broker/tests/handover.rs
@@ -233,3 +233,16 @@
     group.play(600);
     assert_eq!(group.orders, [(3, 529)]);
 }
+
+/// The leader itself is no worse than another member that leaves: it has its whole log, and nobody has to change.
+#[test]
+fn leader_does_not_hand_over_to_leaving_member() {
+    let mut group = Group::new();
+    let mut leaving = member_at(3, "c", false);
+    leaving.leaving = true;
+    leaving.revision = version(31);
+    group.fixture.handle(Event::Listed(leaving));
+    group.stops_following = Some(2);
+    group.play(2_000);
+    assert_eq!(group.orders, [(1, 529)]);
+}
