--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -189,8 +189,7 @@
             self.read_directory(out);
             return failover::Progress::Ongoing;
         }
-        // No order has been given for the target.
-        self.withdraw_target();
+        self.restore_pending();
         self.target = None;
         self.take_over(now, roster, out)
     }
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -536,7 +536,7 @@
             // The choice is not recorded, so no order is given.
             (Step::Recording, event::StoreOutcome::Refused) => {
                 if !self.unanswered_order {
-                    self.withdraw_target();
+                    self.restore_pending();
                 }
                 self.give_up(now, out)
             }
@@ -752,7 +752,7 @@
     fn repeat_order(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
         if self.orders_end_at.is_some_and(|end_at| now >= end_at) {
             if !self.order_taken {
-                self.withdraw_target();
+                self.restore_pending();
             }
             return self.give_up(now, out);
         }
@@ -785,8 +785,18 @@
     /// Records in the claim that the order for the target has not been executed and will not be. An older order for another member may
     /// still be.
     fn withdraw_target(&mut self) {
-        let older = self.pending_before.clone();
-        self.claim.target = older.filter(|name| Some(name) != self.claim.target.as_ref());
+        let ends_older_order = self.claim.target == self.pending_before;
+        self.restore_pending();
+        if ends_older_order {
+            self.claim.target = None;
+            self.claim.settled = true;
+        }
+    }
+
+    /// Records in the claim that no order has been given for the target. An older order may still be executed, for the same member
+    /// as well.
+    fn restore_pending(&mut self) {
+        self.claim.target = self.pending_before.clone();
         self.claim.settled = self.claim.target.is_none();
         self.claim.last_ordered = self.ordered_before.clone();
         self.claim.led_term = self.led_before;
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -1167,3 +1167,37 @@
     assert!(fixture.effects.iter().any(asks), "the leader is asked");
     assert_eq!(take_holds(&mut fixture), []);
 }
+
+/// The older order for the member that was chosen again may still be executed.
+#[rstest]
+#[case::record_is_refused(StoreOutcome::Refused)]
+#[case::orders_are_not_taken(StoreOutcome::Written(version(12)))]
+fn members_stay_held_if_pending_target_is_not_ordered_again(#[case] outcome: StoreOutcome) {
+    let mut fixture = Fixture::new();
+    start_attempt_for_missing_leader(&mut fixture, Some("member-2"));
+    let term = take_holds(&mut fixture)[0].1;
+    let held = (false, 0, (0, 500), term);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
+    let target = take_recorded_target(&mut fixture);
+    assert_eq!(target.as_deref(), Some("member-2"));
+    let group = GROUP;
+    fixture.handle(Event::ClaimStored { group, outcome });
+    let mut effects = Vec::new();
+    for _ in 0..50 {
+        let taken = fixture.take_effects();
+        let ordered = |effect: &Effect| matches!(effect, Effect::OrderPromotion { .. });
+        if taken.iter().any(ordered) {
+            let outcome = OrderOutcome::Deferred;
+            fixture.handle(Event::PromotionOrdered { group, outcome });
+        }
+        effects.extend(taken);
+        fixture.advance(100);
+    }
+    let releases = |effect: &Effect| match effect {
+        Effect::SendCommand { command, .. } => matches!(command, MemberCommand::Release { .. }),
+        _ => false,
+    };
+    assert!(!effects.iter().any(releases));
+    let loads_claim = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
+    assert!(effects.iter().any(loads_claim), "the attempt has ended");
+}
