--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -534,12 +534,7 @@
                 retry_at: now + STORE_RETRY_DELAY,
             },
             // The choice is not recorded, so no order is given.
-            (Step::Recording, event::StoreOutcome::Refused) => {
-                if !self.unanswered_order {
-                    self.restore_pending();
-                }
-                self.give_up(now, out)
-            }
+            (Step::Recording, event::StoreOutcome::Refused) => self.give_up(now, out),
             _ => Progress::Ongoing,
         }
     }
@@ -646,6 +641,9 @@
         roster: &Roster,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
+        if !self.order_taken {
+            self.restore_pending();
+        }
         let leader = roster.name(member);
         let pending = self.claim.pending_target();
         let settles = pending.is_none();
@@ -751,9 +749,6 @@
     /// Repeats the promotion order, or gives the attempt up if orders are not sent any more.
     fn repeat_order(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
         if self.orders_end_at.is_some_and(|end_at| now >= end_at) {
-            if !self.order_taken {
-                self.restore_pending();
-            }
             return self.give_up(now, out);
         }
         self.give_order(out);
@@ -819,6 +814,9 @@
     }
 
     fn give_up(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
+        if !self.order_taken {
+            self.restore_pending();
+        }
         self.give_up_with_lease(now, Duration::ZERO, out)
     }
 
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -1201,3 +1201,33 @@
     let loads_claim = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
     assert!(effects.iter().any(loads_claim), "the attempt has ended");
 }
+
+/// The platform may still execute an order that got no answer, or that was accepted.
+#[rstest]
+#[case::unanswered(OrderOutcome::Unknown)]
+#[case::accepted(OrderOutcome::Accepted)]
+fn members_stay_held_if_target_does_not_confirm(#[case] outcome: OrderOutcome) {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let held = (false, 0, (0, 500), 1);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
+    let group = GROUP;
+    fixture.handle(Event::ClaimStored {
+        group,
+        outcome: StoreOutcome::Written(version(12)),
+    });
+    fixture.handle(Event::PromotionOrdered { group, outcome });
+    fixture.take_effects();
+    let mut released = Vec::new();
+    for _ in 0..60 {
+        let orders = |effect: &Effect| matches!(effect, Effect::OrderPromotion { .. });
+        let is_ordered = fixture.effects.iter().any(orders);
+        released.extend(take_releases(&mut fixture));
+        if is_ordered {
+            let outcome = OrderOutcome::Deferred;
+            fixture.handle(Event::PromotionOrdered { group, outcome });
+        }
+        fixture.advance(100);
+    }
+    assert_eq!(released, []);
+}
