--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -166,10 +166,7 @@
         }
         match self.find_furthest(roster) {
             // The record was made before the logs were read once more.
-            Ok(best)
-                if self.target == Some(best.member)
-                    && self.orders_end_at.is_some_and(|end_at| now < end_at) =>
-            {
+            Ok(best) if self.is_recorded(now, best.member) => {
                 self.give_order(out);
                 failover::Progress::Ongoing
             }
@@ -219,6 +216,13 @@
             .ok_or(Unfit::NotEligible)
     }
 
+    /// Returns whether the row names a member as the target, and an order that is given now agrees with the row.
+    fn is_recorded(&self, now: Instant, member: id::MemberId) -> bool {
+        self.target == Some(member)
+            && self.claim.last_ordered.replaced_term() == self.newest_term
+            && self.orders_end_at.is_some_and(|end_at| now < end_at)
+    }
+
     /// Gives up because no member can be chosen.
     fn give_up_without_choice(
         &mut self,
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -17,8 +17,9 @@
 //! The member that has received most has everything that was acknowledged, unless a member that is gone had received more. So
 //! its log is also compared with the point up to which commits are known to be acknowledged.
 //!
-//! The choice is recorded in the claim row before the promotion order is given (`Ordering`, `Confirming`). If the answer to an order is
-//! lost, the platform may still execute the order seconds later.
+//! The choice is recorded in the claim row before the promotion order is given (`Ordering`, `Confirming`). If the store does not answer
+//! a write of the row, the row is read again (`Verifying`): no order is given before the choice is known to be recorded. If the answer
+//! to an order is lost, the platform may still execute the order seconds later.
 //!
 //! - Where promotions are not fenced, only the age of that order ends it. Until then, the next claimant orders the same member again.
 //! - Where they are fenced, an answered order with a higher token ends it, so the next claimant makes a fresh choice. It holds the members
--- a/crates/broker/tests/unanswered_writes.rs
+++ b/crates/broker/tests/unanswered_writes.rs
@@ -52,6 +52,8 @@
     reads_after_writes: u32,
     /// Member that answers nothing.
     silent: Option<id::MemberId>,
+    /// Newest term that the members know.
+    newest_term: id::Term,
     /// Whether member 3 leads the next term.
     other_leads: bool,
     directory_reads: u32,
@@ -108,6 +110,7 @@
             reads_are_answered: true,
             reads_after_writes: u32::MAX,
             silent: None,
+            newest_term: 1,
             other_leads: false,
             directory_reads: 0,
             leader_leads: true,
@@ -272,7 +275,7 @@
                 let leads = member == 1 && self.leader_leads;
                 let status = match self.other_leads && member == 3 {
                     true => status(true, 2, (2, position), 0),
-                    false => status(leads, 1, (1, position), held_term),
+                    false => status(leads, self.newest_term, (1, position), held_term),
                 };
                 self.fixture.handle(Event::StatusAnswered {
                     group,
@@ -414,6 +417,19 @@
     assert_eq!(group.orders, []);
 }
 
+/// The row tells the newest term before the order, from which proxies conclude which term the target leads.
+#[test]
+fn choice_is_recorded_again_if_newer_term_has_begun() {
+    let fates = [Fate::Answered, Fate::AnswerLost];
+    let mut group = Group::with_silent_leader(Fixture::new(), &fates);
+    group.play(1_900);
+    assert_eq!(group.writes, 2);
+    group.newest_term = 2;
+    group.play(2_600);
+    assert_eq!(group.orders, [(2, Some("member-2".into()))]);
+    assert_eq!(group.row.claim.last_ordered.replaced_term(), 2);
+}
+
 /// The members stayed held although no order had been given (inc10).
 #[test]
 fn members_are_released_if_record_stays_unanswered() {
