--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -16,7 +16,7 @@
 enum Unfit {
     /// All of them may lack acknowledged entries.
     Behind,
-    /// None of those that have received most may be chosen.
+    /// None of those that have received most is listed.
     NotEligible,
 }
 
@@ -153,7 +153,7 @@
         self.hold_members(now, roster, out)
     }
 
-    /// Writes the eligible member that has received most to the claim row as the target.
+    /// Writes the member that has received most to the claim row as the target.
     fn choose_target(
         &mut self,
         now: Instant,
@@ -165,6 +165,11 @@
             return self.give_up(now, out);
         }
         match self.find_furthest(roster) {
+            // The record was made before the logs were read once more.
+            Ok(best) if self.is_recorded(now, best.member) => {
+                self.give_order(out);
+                failover::Progress::Ongoing
+            }
             Ok(best) => {
                 let (member, name) = (best.member, best.name.clone());
                 self.record_choice(now, member, &name, out);
@@ -174,8 +179,8 @@
         }
     }
 
-    /// Returns an eligible member that has received most, the target of an older order that may still be executed if it is one. Where
-    /// no token ends that order, only its target may be chosen.
+    /// Returns a listed member that has received most: one that stays if there is one, and among these the target of an older order that
+    /// may still be executed. Where no token ends that order, only its target may be chosen.
     fn find_furthest<'a>(
         &self,
         roster: &'a failover::Roster,
@@ -194,7 +199,7 @@
         if !furthest.is_some_and(|furthest| self.has_all_acknowledged(furthest)) {
             return Err(Unfit::Behind);
         }
-        let pending = self.claim.pending_target();
+        let pending = self.pending_before.as_deref();
         let is_pending = |participant: &failover::Participant| {
             pending.is_none_or(|name| name == participant.name.as_ref())
         };
@@ -202,12 +207,22 @@
             .members
             .iter()
             .filter(|participant| Some(participant.member) != self.old_leader)
-            .filter(|participant| participant.eligible && received(participant) == furthest)
+            .filter(|participant| {
+                participant.eligible || self.leaving.binary_search(&participant.member).is_ok()
+            })
+            .filter(|participant| received(participant) == furthest)
             .filter(|participant| self.fenced || is_pending(participant))
-            .min_by_key(|participant| !is_pending(participant))
+            .min_by_key(|participant| (!participant.eligible, !is_pending(participant)))
             .ok_or(Unfit::NotEligible)
     }
 
+    /// Returns whether the row names a member as the target, and an order that is given now agrees with the row.
+    fn is_recorded(&self, now: Instant, member: id::MemberId) -> bool {
+        self.target == Some(member)
+            && self.claim.last_ordered.replaced_term() == self.newest_term
+            && self.orders_end_at.is_some_and(|end_at| now < end_at)
+    }
+
     /// Gives up because no member can be chosen.
     fn give_up_without_choice(
         &mut self,
@@ -268,7 +283,7 @@
         of_this_term && Some(end) >= self.acknowledged
     }
 
-    /// Handles the case that no eligible member has received as much as the furthest held member, or that the target of an
+    /// Handles the case that no listed member has received as much as the furthest held member, or that the target of an
     /// older order has not.
     ///
     /// If the target of the older order is the old leader, it either leads already or does not run. Then another order for it
@@ -279,7 +294,7 @@
         participants: &[failover::Participant],
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
-        let pending = self.claim.pending_target().and_then(|name| {
+        let pending = self.pending_before.as_deref().and_then(|name| {
             let named = participants
                 .iter()
                 .find(|participant| participant.name.as_ref() == name);
--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -134,7 +134,11 @@
             return failover::Progress::Ongoing;
         }
         self.ask_members(now, roster, out);
-        let successor = self.find_successor(roster, log_end).or_else(|| {
+        // A successor that has been recorded needs no other call of the store.
+        let awaits_target = now + failover::STOP_TIMEOUT < until + failover::COMMAND_RETRY_DELAY;
+        let found = self.find_successor(roster, log_end);
+        let found = found.filter(|(member, _)| Some(*member) == self.target || !awaits_target);
+        let successor = found.or_else(|| {
             let old_leader = self.old_leader.filter(|_| now >= until)?;
             Some((old_leader, roster.name(old_leader)?))
         });
@@ -171,7 +175,8 @@
             self.log_end = Some(status.received);
             let until = now + failover::STOP_TIMEOUT;
             self.step = failover::Step::Stopping { until };
-            if self.find_successor(roster, status.received).is_none() {
+            let found = self.find_successor(roster, status.received);
+            if !found.is_some_and(|(member, _)| Some(member) == self.target) {
                 self.discard_surveyed(now);
             }
         }
@@ -189,8 +194,7 @@
             self.read_directory(out);
             return failover::Progress::Ongoing;
         }
-        // No order has been given for the target.
-        self.withdraw_target();
+        self.restore_pending();
         self.target = None;
         self.take_over(now, roster, out)
     }
@@ -207,7 +211,7 @@
             && self.has_all_acknowledged(stopped.received)
     }
 
-    /// Returns an eligible member whose log has reached `end`, the target if it is one.
+    /// Returns a listed member that stays and whose log has reached `end`, the target if it is one.
     fn find_successor(
         &self,
         roster: &failover::Roster,
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -1075,3 +1075,167 @@
     let claim = take_written_claim(&mut fixture);
     assert_eq!(claim.pending_target(), Some("member-3"));
 }
+
+/// Lists a member as one that leaves.
+fn list_leaving(fixture: &mut Fixture, member: id::MemberId, domain: &str) {
+    let mut entry = member_at(member, domain, false);
+    entry.leaving = true;
+    entry.revision = version(30 + member);
+    fixture.handle(Event::Listed(entry));
+}
+
+/// Two replicas that left had confirmed a commit. Neither might be chosen, nothing was released, and the commit was lost with their logs
+/// (inc10).
+#[rstest]
+#[case::leaving_member_alone_is_furthest([502, 500], "member-2")]
+#[case::member_that_stays_is_as_far([502, 502], "member-3")]
+#[case::member_that_stays_is_furthest([500, 502], "member-3")]
+fn choose_takes_leaving_member_only_if_none_that_stays_is_as_far(
+    #[case] positions: [u64; 2],
+    #[case] expected: &str,
+    #[values(true, false)] fenced: bool,
+) {
+    let mut fixture = match fenced {
+        true => Fixture::new(),
+        false => Fixture::unfenced(),
+    };
+    list_leaving(&mut fixture, 2, "b");
+    start_attempt(&mut fixture);
+    let term = take_holds(&mut fixture)[0].1;
+    let held = |position| (false, term - 1, (term - 1, position), term);
+    let [second, third] = positions;
+    for member in [(2, second), (3, third)] {
+        answer_status(&mut fixture, member.0, held(member.1));
+    }
+    fixture.advance(600);
+    read_directory(&mut fixture);
+    for member in [(2, second), (3, third)] {
+        answer_status(&mut fixture, member.0, held(member.1));
+    }
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some(expected)
+    );
+}
+
+/// A promoted member that leaves would have to be replaced at once.
+#[test]
+fn choose_takes_member_that_stays_rather_than_pending_target_that_leaves() {
+    let mut fixture = Fixture::new();
+    list_leaving(&mut fixture, 2, "b");
+    start_attempt_for_missing_leader(&mut fixture, Some("member-2"));
+    let term = take_holds(&mut fixture)[0].1;
+    let held = (false, 0, (0, 500), term);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some("member-3")
+    );
+}
+
+/// A member without an entry may have ended by the time of the order.
+#[test]
+fn choose_passes_over_leaving_member_that_is_not_listed_any_more() {
+    let mut fixture = Fixture::new();
+    list_leaving(&mut fixture, 2, "b");
+    start_attempt(&mut fixture);
+    let term = take_holds(&mut fixture)[0].1;
+    let held = |position| (false, term - 1, (term - 1, position), term);
+    for member in [(2, 502), (3, 500)] {
+        answer_status(&mut fixture, member.0, held(member.1));
+    }
+    fixture.handle(Event::Unlisted {
+        name: "member-2".into(),
+        revision: version(60),
+    });
+    read_directory(&mut fixture);
+    for member in [(2, 502), (3, 500)] {
+        answer_status(&mut fixture, member.0, held(member.1));
+    }
+    assert_eq!(take_recorded_target(&mut fixture), None);
+}
+
+#[test]
+fn leaving_member_that_was_promoted_hands_over() {
+    let mut fixture = Fixture::new();
+    list_leaving(&mut fixture, 2, "b");
+    list_leaving(&mut fixture, 3, "c");
+    let mut row = replace_leader(&mut fixture, [2, 2]);
+    row.revision = version(10);
+    assert_eq!(row.claim.target.as_deref(), Some("member-2"));
+    fixture.take_effects();
+    fixture.advance(1_800);
+    let loads_claim = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
+    assert!(fixture.effects.iter().any(loads_claim));
+    write_claim(&mut fixture, row);
+    let asks = |effect: &Effect| match effect {
+        Effect::SendCommand { command, .. } => matches!(command, MemberCommand::Status),
+        _ => false,
+    };
+    assert!(fixture.effects.iter().any(asks), "the leader is asked");
+    assert_eq!(take_holds(&mut fixture), []);
+}
+
+/// The older order for the member that was chosen again may still be executed.
+#[rstest]
+#[case::record_is_refused(StoreOutcome::Refused)]
+#[case::orders_are_not_taken(StoreOutcome::Written(version(12)))]
+fn members_stay_held_if_pending_target_is_not_ordered_again(#[case] outcome: StoreOutcome) {
+    let mut fixture = Fixture::new();
+    start_attempt_for_missing_leader(&mut fixture, Some("member-2"));
+    let term = take_holds(&mut fixture)[0].1;
+    let held = (false, 0, (0, 500), term);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
+    let target = take_recorded_target(&mut fixture);
+    assert_eq!(target.as_deref(), Some("member-2"));
+    let group = GROUP;
+    fixture.handle(Event::ClaimStored { group, outcome });
+    let mut effects = Vec::new();
+    for _ in 0..50 {
+        let taken = fixture.take_effects();
+        let ordered = |effect: &Effect| matches!(effect, Effect::OrderPromotion { .. });
+        if taken.iter().any(ordered) {
+            let outcome = OrderOutcome::Deferred;
+            fixture.handle(Event::PromotionOrdered { group, outcome });
+        }
+        effects.extend(taken);
+        fixture.advance(100);
+    }
+    let releases = |effect: &Effect| match effect {
+        Effect::SendCommand { command, .. } => matches!(command, MemberCommand::Release { .. }),
+        _ => false,
+    };
+    assert!(!effects.iter().any(releases));
+    let loads_claim = |effect: &Effect| matches!(effect, Effect::LoadClaim(_));
+    assert!(effects.iter().any(loads_claim), "the attempt has ended");
+}
+
+/// The platform may still execute an order that got no answer, or that was accepted.
+#[rstest]
+#[case::unanswered(OrderOutcome::Unknown)]
+#[case::accepted(OrderOutcome::Accepted)]
+fn members_stay_held_if_target_does_not_confirm(#[case] outcome: OrderOutcome) {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let held = (false, 0, (0, 500), 1);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
+    let group = GROUP;
+    fixture.handle(Event::ClaimStored {
+        group,
+        outcome: StoreOutcome::Written(version(12)),
+    });
+    fixture.handle(Event::PromotionOrdered { group, outcome });
+    fixture.take_effects();
+    let mut released = Vec::new();
+    for _ in 0..60 {
+        let orders = |effect: &Effect| matches!(effect, Effect::OrderPromotion { .. });
+        let is_ordered = fixture.effects.iter().any(orders);
+        released.extend(take_releases(&mut fixture));
+        if is_ordered {
+            let outcome = OrderOutcome::Deferred;
+            fixture.handle(Event::PromotionOrdered { group, outcome });
+        }
+        fixture.advance(100);
+    }
+    assert_eq!(released, []);
+}
