A panic is logged without waiting for the error output

Cause: after its log line, the panic hook wrote to the error output on the thread of the runtime. Where nobody reads it, the panic of one task blocked the process, and with it every request and the stop. Change: the log line, which never blocks, is all that a panic writes. A guard writes the last lines also when the process ends by an error or a panic.

--- a/crates/session/src/logging.rs
+++ b/crates/session/src/logging.rs
@@ -24,8 +24,19 @@
 /// Lines dropped since the last `event=log_dropped` line.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
-/// Starts the log. `RUST_LOG` sets the level, `info` by default.
-pub fn init() {
+/// Writes the queued lines at the end of the process.
+#[derive(Debug)]
+pub struct Guard(());
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        flush();
+    }
+}
+
+/// Starts the log, which is written to its end as long as the guard is kept. `RUST_LOG` sets the level, `info` by default.
+#[must_use = "without the guard, the last lines are lost"]
+pub fn init() -> Guard {
     let (sender, receiver) = sync_channel(UNWRITTEN_LINES_MAX);
     let spawned = thread::Builder::new()
         .name("log".to_owned())
@@ -51,20 +62,20 @@
         .target(target)
         .init();
     log_panics();
+    Guard(())
 }
 
-/// Logs panics. A panic ends only the task in which it occurs, so the process goes on and the line is its only trace.
+/// Logs panics, in place of writing them to the error output, which could block. A panic ends only the task in which it occurs,
+/// so the process goes on and the line is its only trace.
 fn log_panics() {
-    let default_hook = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
+    std::panic::set_hook(Box::new(|info| {
         log::error!("event=panicked error=\"{info}\"");
         metrics::counter!("fulmarlift_panics_total").increment(1);
-        default_hook(info);
     }));
 }
 
 /// Blocks until all queued lines are written, for a short time at most. Only for the end of the process.
-pub fn flush() {
+pub(crate) fn flush() {
     let deadline = Instant::now() + FLUSH_TIMEOUT;
     while UNWRITTEN_LINES.load(Ordering::Acquire) > 0 && Instant::now() < deadline {
         thread::sleep(FLUSH_POLL_INTERVAL);
