A stop has a deadline that a blocked thread cannot hold up

Cause: the stop, its deadline included, runs on the only thread of the runtime. Change: a thread with a runtime of its own waits for SIGTERM too. Test first: process_ends_after_stop_deadline_although_its_thread_is_blocked; without the thread its process never ends by itself.

--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`transfer`]: progress of a call to the store.
 //! - [`updates`]: reads configuration, members and proxies from the store or from another proxy.
 //! - [`serve`]: accepts connections, and drains them on a graceful stop.
+//! - [`stop`]: ends the process if its graceful stop takes too long.
 //! - [`clock`] and [`logging`]: the clock and the log of the process.
 
 pub mod clock;
@@ -36,6 +37,7 @@
 pub mod serve;
 pub mod session;
 pub mod shell;
+pub mod stop;
 pub mod transfer;
 pub mod updates;
 pub mod values;
--- a/crates/session/tests/stop.rs
+++ b/crates/session/tests/stop.rs
@@ -6,12 +6,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use fulmarlift_session::logging;
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
+use fulmarlift_session::{logging, stop};
+use nix::sys::signal::{Signal, raise};
 
 /// Environment variable that tells a process that it is the one under test.
 const UNDER_TEST_VARIABLE: &str = "FULMARLIFT_UNDER_TEST";
+/// Time from SIGTERM to the end of the process.
+const STOP_LIMIT: Duration = Duration::from_millis(300);
 const END_TIMEOUT: Duration = Duration::from_secs(10);
 /// Exit status of a process that has got past the call under test.
 const PASSED_EXIT_STATUS: i32 = 40;
@@ -36,13 +37,29 @@
         thread::sleep(Duration::from_millis(10));
         status = child.try_wait().expect("the process is a child");
     }
-    if status.is_none() {
-        let pid = i32::try_from(child.id()).expect("process ids are positive");
-        kill(Pid::from_raw(pid), Signal::SIGKILL).expect("the process runs");
-    }
+    let _ = child.kill();
+    let _ = child.wait();
     status
 }
 
+#[test]
+fn process_ends_after_stop_deadline_although_its_thread_is_blocked() {
+    if is_under_test() {
+        let _log = logging::init();
+        stop::enforce_deadline(STOP_LIMIT).expect("a thread can be started");
+        raise(Signal::SIGTERM).expect("the signal exists");
+        loop {
+            thread::park();
+        }
+    }
+    let status = run(
+        "process_ends_after_stop_deadline_although_its_thread_is_blocked",
+        Stdio::null(),
+    );
+    let code = status.and_then(|status| status.code());
+    assert_eq!(code, Some(stop::OVERDUE_EXIT_STATUS));
+}
+
 /// Guards against a panic of a task that blocked the process because nobody read its error output.
 #[test]
 fn panic_does_not_wait_for_reader_of_error_output() {
