--- a/crates/broker/tests/unanswered_writes.rs
+++ b/crates/broker/tests/unanswered_writes.rs
@@ -89,6 +89,7 @@
                 answer: Answer::Silent { commit: false },
                 point: None,
                 floor: None,
+                connected_at: None,
                 took: Some(Duration::from_millis(760)),
             }));
         }
