--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -134,7 +134,11 @@
             return failover::Progress::Ongoing;
         }
         self.ask_members(now, roster, out);
-        let successor = self.find_successor(roster, log_end).or_else(|| {
+        // A successor that has been recorded needs no other call of the store.
+        let awaits_target = now + failover::STOP_TIMEOUT < until + failover::COMMAND_RETRY_DELAY;
+        let found = self.find_successor(roster, log_end);
+        let found = found.filter(|(member, _)| Some(*member) == self.target || !awaits_target);
+        let successor = found.or_else(|| {
             let old_leader = self.old_leader.filter(|_| now >= until)?;
             Some((old_leader, roster.name(old_leader)?))
         });
@@ -171,7 +175,8 @@
             self.log_end = Some(status.received);
             let until = now + failover::STOP_TIMEOUT;
             self.step = failover::Step::Stopping { until };
-            if self.find_successor(roster, status.received).is_none() {
+            let found = self.find_successor(roster, status.received);
+            if !found.is_some_and(|(member, _)| Some(member) == self.target) {
                 self.discard_surveyed(now);
             }
         }
--- a/crates/broker/tests/handover.rs
+++ b/crates/broker/tests/handover.rs
@@ -25,6 +25,8 @@
     stops_following: Option<id::MemberId>,
     /// That member, from then on.
     stopped: Option<id::MemberId>,
+    /// Whether member 3 receives another entry before it first answers, after member 2 has been chosen.
+    grows: bool,
     /// Members that answer no command.
     silent: Vec<id::MemberId>,
     row_version: u64,
@@ -49,6 +51,7 @@
             catches_up: true,
             stops_following: None,
             stopped: None,
+            grows: false,
             silent: Vec::new(),
             row_version: 20,
             orders: Vec::new(),
@@ -118,6 +121,9 @@
                 if member == 1 && matches!(command, MemberCommand::Demote(_)) {
                     self.leader_leads = false;
                 }
+                if member == 3 && std::mem::take(&mut self.grows) {
+                    self.received.extend([(1, 529), (3, 529)]);
+                }
                 let held_term = match command {
                     MemberCommand::Hold(term) => term,
                     _ => 0,
@@ -246,3 +252,12 @@
     group.play(2_000);
     assert_eq!(group.orders, [(1, 529)]);
 }
+
+/// Another record would cost a call of the store, and 1.5 s if its answer were lost.
+#[test]
+fn target_has_time_to_receive_rest_of_log_before_other_is_recorded() {
+    let mut group = Group::new();
+    group.grows = true;
+    group.play(300);
+    assert_eq!(group.orders, [(2, 529)]);
+}
