--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -176,7 +176,7 @@
             let until = now + failover::STOP_TIMEOUT;
             self.step = failover::Step::Stopping { until };
             let found = self.find_successor(roster, status.received);
-            if !found.is_some_and(|(member, _)| Some(member) == self.target) {
+            if found.is_none_or(|(member, _)| Some(member) != self.target) {
                 self.discard_surveyed(now);
             }
         }
