--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -207,12 +207,9 @@
             .members
             .iter()
             .filter(|participant| Some(participant.member) != self.old_leader)
-            .filter(|participant| {
-                participant.eligible || self.leaving.binary_search(&participant.member).is_ok()
-            })
-            .filter(|participant| received(participant) == furthest)
+            .filter(|participant| participant.listed && received(participant) == furthest)
             .filter(|participant| self.fenced || is_pending(participant))
-            .min_by_key(|participant| (!participant.eligible, !is_pending(participant)))
+            .min_by_key(|participant| (!participant.stays(), !is_pending(participant)))
             .ok_or(Unfit::NotEligible)
     }
 
--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -39,7 +39,7 @@
         self.survey_members(now, roster, out)
     }
 
-    /// Sends the questions that are due. Once the old leader has answered and an eligible member has received what that leader had logged
+    /// Sends the questions that are due. Once the old leader has answered and a member that stays has received what that leader had logged
     /// by its first answer, records this member as the target: it receives from the leader, and will have the rest soon.
     pub(super) fn survey_members(
         &mut self,
@@ -227,7 +227,7 @@
         let reached = roster
             .members
             .iter()
-            .filter(|participant| participant.eligible)
+            .filter(|participant| participant.stays())
             .filter(|participant| Some(participant.member) != self.old_leader)
             .filter(has_reached);
         let found = reached.min_by_key(|participant| Some(participant.member) != self.target);
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -288,12 +288,9 @@
         let participants = group.members.values().map(|state| failover::Participant {
             member: state.entry.id,
             name: state.entry.name.clone(),
-            eligible: !state.entry.leaving && state.unlisted_since.is_none(),
+            listed: state.unlisted_since.is_none(),
+            leaving: state.entry.leaving,
         });
-        let listed = |state: &&member_state::MemberState| state.unlisted_since.is_none();
-        let leaving = group.members.values().filter(listed);
-        let leaving = leaving.filter(|state| state.entry.leaving);
-        attempt.set_leaving(leaving.map(|state| state.entry.id).collect());
         let roster = failover::Roster {
             members: participants.collect(),
             is_complete,
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -1020,7 +1020,8 @@
         let participant = |member: usize| Participant {
             member: member as id::MemberId,
             name: member.to_string().into(),
-            eligible: !(leaves && member == 1),
+            listed: true,
+            leaving: leaves && member == 1,
         };
         let roster = Roster {
             members: (0..MEMBERS)
