Choose anew where a choice is recorded only after the claim has ended

What callers saw: nothing yet; found by review. Cause: an attempt that was paused, or whose record the store made late, ordered on logs that it had read before. Meanwhile the row shows no attempt, so a proxy may count members that have joined since. Evidence: the test gave an order without another read of the directory. Change: a record that is answered after the end of the claim continues like one that was verified: the directory is read, and all members are held and read again. Why it works: the choice then counts whoever was counted while the row showed no attempt. Test: unanswered_writes::choice_that_is_recorded_after_end_of_claim_is_made_anew, red without the change. Ruled out: giving up; the record is made, and the next attempt would meet a pending target.

--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -519,8 +519,10 @@
             }
             (Step::Recording, event::StoreOutcome::Written(revision)) => {
                 self.revision = revision;
-                let is_repeated = std::mem::take(&mut self.repeats_write);
-                match is_repeated {
+                // The logs may have been read before the members were released, or before others joined.
+                let is_late =
+                    std::mem::take(&mut self.repeats_write) || now >= self.claim_expires_at;
+                match is_late {
                     true => {
                         let write = verification::Write::Choice;
                         self.continue_after_write(now, write, roster, out)
--- a/crates/broker/tests/unanswered_writes.rs
+++ b/crates/broker/tests/unanswered_writes.rs
@@ -495,3 +495,34 @@
     assert_eq!(group.writes, 1);
     assert_eq!(group.holds, 0, "the members could not be released in time");
 }
+
+/// The store wrote the choice after the end of the claim, while the row showed no attempt, and an order on the old logs followed (inc10).
+#[test]
+fn choice_that_is_recorded_after_end_of_claim_is_made_anew() {
+    let mut group = Group::with_silent_leader(Fixture::new(), &[Fate::Answered, Fate::Late]);
+    group.silent = Some(3);
+    while group.writes == 0 {
+        group.play(50);
+    }
+    group.play(300);
+    let asked_at = group.fixture.now;
+    let left_ms = group.row.claim.until_ms - group.now_ms();
+    group.fixture.now += Duration::from_millis(left_ms - 30);
+    group.silent = None;
+    group.fixture.handle(Event::StatusAnswered {
+        group: GROUP,
+        member: 3,
+        asked_at,
+        status: Some(status(false, 1, (1, 520), 2)),
+    });
+    group.answer_all();
+    assert_eq!(group.writes, 2, "the choice is being recorded");
+    let directory_reads = group.directory_reads;
+    group.fixture.now += Duration::from_millis(500);
+    let late = group.late.take().expect("the store has not written yet");
+    let outcome = group.write(late);
+    group.unanswered = None;
+    group.end_write(outcome);
+    group.answer_all();
+    assert!(group.orders.is_empty() || group.directory_reads > directory_reads);
+}
