Ask the lease whether a home has answered a write

Cause: whether a home had answered was looked up after the answer. If the proxies had changed meanwhile, a success that the home had confirmed waited 1 s for a receipt and ended as unknown. Found by review. Change: the lease tells, as it does for transactions. Ruled out: nothing.

--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -436,7 +436,7 @@
             shell::Admission::Granted { lease, grant } => (lease, grant),
             shell::Admission::Refused(refusal) => return Err(Failure::refused(&refusal)),
         };
-        let member = grant.member;
+        let (member, is_home) = (grant.member, lease.is_home());
         match attempt::run(lease, grant, statement, session_state, route, timing).await {
             attempt::Outcome::Answered(answer)
                 if attempt == 1 && is_busy_answer(&answer) && shell.spend_retry() =>
@@ -446,7 +446,7 @@
             }
             attempt::Outcome::Answered(answer) => {
                 let is_confirmed = answer.error().is_some()
-                    || shell.with_broker(|broker| broker.is_home(member))
+                    || is_home
                     || shell
                         .confirm_commit(route.group, answer.point, timing.deadline)
                         .await;
