Count a late receipt only while the leader is known to lead on

Cause: a promotion ends the holds, and a replica that has not heard of the new leader still receives entries of the old one that are under way. A proxy whose success waited for a receipt took that for one before the choice. Where promotions are not fenced, the lease bounds the receipt; where they are, nothing did. Change: a receipt more than 150 ms after the success counts only if the leader has answered something that was sent after it: a promotion ends the lead at once. An answer of a replica that is held ends the trust in the leader. Why it works: while the leader leads, no promotion has ended the holds. What remains: a promotion within those 150 ms, at a proxy that knows of no change of the members. Tests: late_receipt_counts_only_while_leader_still_leads, answer_of_held_replica_ends_trust, red without the change; four more for parts of the rule on receipts that no test held (term, restart, listed again, older connection).

--- a/crates/broker/src/state/confirmations.rs
+++ b/crates/broker/src/state/confirmations.rs
@@ -18,6 +18,8 @@
 
 /// Time that a success waits for answers of replicas to other statements, which show what they have received, before one is asked.
 const RECEIPT_PATIENCE: Duration = Duration::from_millis(100);
+/// Time from the arrival of a success in which a receipt counts without another answer of the leader: the question for it and its answer.
+const PROMPT_RECEIPT_TIME: Duration = Duration::from_millis(150);
 /// Time after a change of a group's members in which a replica is asked at once.
 const MEMBERSHIP_CHANGE_PERIOD: Duration = Duration::from_secs(10);
 /// Time after which another member is asked instead of one that has not answered.
@@ -123,7 +125,12 @@
             false => Some(arrived_at),
         };
         let is_confirmed = received_at.is_some_and(|received_at| match self.settings.fenced {
-            true => group.lease.trust.holds(arrived_at),
+            // A promotion ends holds, and a member may receive the commit after it from the old leader.
+            true => {
+                let led_since = group.leader.confirmed_at >= Some(received_at);
+                let is_prompt = received_at <= arrived_at + PROMPT_RECEIPT_TIME;
+                group.lease.trust.holds(arrived_at) && (led_since || is_prompt)
+            }
             // A member that receives the commit after the choice of another leader does not count.
             false => group.lease.lease.covers(term, arrived_at.max(received_at)),
         });
@@ -239,6 +246,9 @@
             asked.retry_at = now + RECEIPT_RETRY_DELAY;
         }
         if let Some(status) = status {
+            if status.held_term > 0 {
+                self.groups.entry(group_id).lease.trust.doubt(now);
+            }
             self.record_status(now, group_id, member, asked_at, status);
             let status = Some(status);
             let evidence = effect::LeaderEvidence::Status { member, status };
--- a/crates/broker/tests/confirmations.rs
+++ b/crates/broker/tests/confirmations.rs
@@ -74,16 +74,17 @@
     fixture.now += Duration::from_millis(1);
 }
 
-fn seek_confirmation(fixture: &mut Fixture, arrived_at: Instant) {
+fn seek_confirmation(fixture: &mut Fixture, point: Point, arrived_at: Instant) {
     fixture.handle(Event::ConfirmationNeeded {
         group: GROUP,
-        point: Some(COMMIT),
+        point: Some(point),
         arrived_at,
     });
 }
 
 fn refuse_connection(fixture: &mut Fixture, member: id::MemberId) {
-    seek_confirmation(fixture, fixture.now - Duration::from_secs(1));
+    let arrived_at = fixture.now - Duration::from_secs(1);
+    seek_confirmation(fixture, Point::new(1, 100), arrived_at);
     let opened = |effect: &Effect| match effect {
         Effect::Open { conn, member: to } => (*to == member).then_some(*conn),
         _ => None,
@@ -150,7 +151,7 @@
     fixture.now += Duration::from_millis(60);
     fixture.receive_over(2, COMMIT, fixture.now);
     let arrived_at = fixture.now;
-    seek_confirmation(&mut fixture, arrived_at);
+    seek_confirmation(&mut fixture, COMMIT, arrived_at);
     let reads = |effect: &Effect| matches!(effect, Effect::LoadClaim(GROUP));
     assert!(fixture.effects.iter().any(reads));
     fixture.trust_leader();
@@ -173,6 +174,92 @@
     assert_eq!(is_confirmed(&fixture), Some(true));
 }
 
+/// A replica that has forgotten its log with its restart does not vouch for what it had before.
+#[rstest]
+fn receipt_before_restart_does_not_count_after_it(#[values(true, false)] fenced: bool) {
+    let mut fixture = committed(fenced);
+    fixture.receive(2, COMMIT);
+    apply(&mut fixture, 2, Change::MayRestart);
+    fixture.receive(2, Point::new(1, 2));
+    fixture.now += Duration::from_millis(1);
+    fixture.trust_leader();
+    assert_eq!(is_confirmed(&fixture), None);
+}
+
+/// A member whose entry had lapsed may have been passed over by an attempt.
+#[rstest]
+fn member_listed_again_counts_once_claim_row_shows_no_attempt_since(
+    #[values(true, false)] fenced: bool,
+) {
+    let mut fixture = committed(fenced);
+    apply(&mut fixture, 2, Change::Unlisted);
+    let mut entry = member_at(2, "b", false);
+    entry.revision = version(50);
+    fixture.handle(Event::Listed(entry));
+    fixture.receive(2, COMMIT);
+    assert_eq!(is_confirmed(&fixture), None);
+    fixture.trust_leader();
+    assert_eq!(is_confirmed(&fixture), Some(true));
+}
+
+#[rstest]
+#[case::older_connection_last([0, 1_000])]
+#[case::older_connection_first([1_000, 0])]
+fn receipt_over_oldest_connection_counts(#[case] ages_ms: [u64; 2]) {
+    let mut fixture = committed(true);
+    for age_ms in ages_ms {
+        let connected_at = fixture.now - Duration::from_millis(age_ms);
+        fixture.receive_over(2, COMMIT, connected_at);
+    }
+    assert_eq!(is_confirmed(&fixture), Some(true));
+}
+
+/// A position in the log of another term says nothing of this one.
+#[rstest]
+fn receipt_of_other_term_does_not_count(#[values(true, false)] fenced: bool) {
+    let mut fixture = committed(fenced);
+    fixture.receive(2, Point::new(2, 50));
+    assert_ne!(is_confirmed(&fixture), Some(true));
+}
+
+/// Held replicas received a commit of the old leader after the promotion had released them, and the success was passed on (inc10).
+#[rstest]
+#[case::prompt(50, false, Some(true))]
+#[case::late(400, false, None)]
+#[case::late_and_leader_answers(400, true, Some(true))]
+fn late_receipt_counts_only_while_leader_still_leads(
+    #[case] after_ms: u64,
+    #[case] leads_on: bool,
+    #[case] expected: Option<bool>,
+) {
+    let mut fixture = committed(true);
+    let arrived_at = fixture.now;
+    fixture.now += Duration::from_millis(after_ms);
+    fixture.receive(2, COMMIT);
+    if leads_on {
+        commit(&mut fixture);
+    }
+    let confirmed = fixture
+        .broker
+        .confirms_commit(GROUP, Some(COMMIT), arrived_at);
+    assert_eq!(confirmed, expected);
+}
+
+#[test]
+fn answer_of_held_replica_ends_trust() {
+    let mut fixture = committed(true);
+    fixture.receive(2, COMMIT);
+    assert_eq!(is_confirmed(&fixture), Some(true));
+    fixture.handle(Event::ReceiptAnswered {
+        group: GROUP,
+        member: 3,
+        asked_at: fixture.now,
+        connected_at: fixture.now,
+        status: Some(support::status(false, 1, (1, 9), 3)),
+    });
+    assert_eq!(is_confirmed(&fixture), None);
+}
+
 /// Where promotions are not fenced, a member that has received the commit after the last lease may follow the old leader beside the new one.
 #[test]
 fn receipt_after_end_of_lease_does_not_confirm() {
@@ -207,7 +294,7 @@
     let arrived_at = fixture.now;
     let mut asked = Vec::new();
     for _ in 0..within_ms / 10 {
-        seek_confirmation(fixture, arrived_at);
+        seek_confirmation(fixture, COMMIT, arrived_at);
         fixture.open_all();
         for effect in fixture.take_effects() {
             match effect {
