Let consents prove nothing beside a claim row of an attempt

What callers saw: nothing yet; found by review. Cause: where promotions are fenced, members that do not answer are left out of the consents. One that joined after the holds consented alone, beside a claim row that showed the attempt, and its receipts counted. Change: for 5 s after a row of an attempt (a claim lasts 4 s) consents prove nothing. A success that waits for a receipt to count reads the row again after 0.25 s, not after 1 s. Why it works: who passes a success on then has a row without an attempt that was asked for after the member had joined. Test: consents_prove_nothing_beside_row_of_attempt, red without the change. Ruled out: consents of suspect members, too: a crashed replica would keep a healthy leader from writes while the store is away.

--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -39,6 +39,8 @@
 const CLAIM_READ_TIME_MAX: Duration = Duration::from_millis(250);
 /// Time after the last request without a lease from which a lease that has ended is not renewed.
 const DEMAND_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after a claim row that shows an attempt in which the members' consents prove nothing: longer than a claim lasts.
+const DISPUTE_PERIOD: Duration = Duration::from_secs(5);
 /// Time after which a read of the claim row counts as lost.
 const CLAIM_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -81,6 +83,8 @@
     logged: Option<(bool, id::Term, id::MemberId)>,
     /// The newest question whether a member has received a commit.
     pub(super) receipt_question: Option<confirmations::ReceiptQuestion>,
+    /// Instant at which the newest claim row was asked for that shows an attempt.
+    disputed_at: Option<Instant>,
     /// Whether a success waits for evidence that no attempt was under way lately.
     pub(super) needs_proof: bool,
     /// Whether validity or term have changed since the last grant to a member.
@@ -238,7 +242,12 @@
             .map(|state| state.entry.id);
         let term = self.leader_term();
         let given_at = self.lease.consents.given_at(term, others);
-        if let Some(given_at) = given_at {
+        // Of an attempt that is under way, only some members may have been held.
+        let is_disputed = self
+            .lease
+            .disputed_at
+            .is_some_and(|disputed_at| now < disputed_at + DISPUTE_PERIOD);
+        if let Some(given_at) = given_at.filter(|_| !is_disputed) {
             self.lease.trust.prove(given_at);
         }
         if !fenced && let Some(known_at) = given_at.min(members_known_at) {
@@ -448,7 +457,7 @@
             group.lease.claim_asked_at = group.lease.claim_asked_at.max(Some(asked_at));
         }
         group.lease.claim_read_sent_at = None;
-        let retry_delay = match group.has_evidence(now, fenced) {
+        let retry_delay = match group.has_evidence(now, fenced) && !group.lease.needs_proof {
             true => CLAIM_RETRY_DELAY_WITH_LEASE,
             false => CLAIM_RETRY_DELAY,
         };
@@ -472,7 +481,11 @@
             row.standing(&leader.entry.name, leader.led_term)
         });
         group.lease.standing = Some(standing);
+        if standing == claim::Standing::Disputed {
+            group.lease.disputed_at = Some(asked_at);
+        }
         if standing == claim::Standing::Undisputed {
+            group.lease.disputed_at = None;
             group.lease.trust.prove(asked_at);
             group.lease.claim_retry_at = Some(now + PROOF_INTERVAL);
         }
--- a/crates/broker/tests/confirmations.rs
+++ b/crates/broker/tests/confirmations.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use fulmarlift_broker::claim::ClaimRow;
+use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered};
 use fulmarlift_broker::effect::{Effect, StatusPurpose};
 use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport};
 use fulmarlift_broker::topology::{Group, Topology};
@@ -245,6 +245,66 @@
     assert_eq!(confirmed, expected);
 }
 
+fn row_of_attempt() -> ClaimRow {
+    let claim = Claim {
+        token: 2,
+        target: Some("member-2".into()),
+        until_ms: 8_000,
+        last_ordered: LastOrdered::Member {
+            name: "member-2".into(),
+            replaced_term: 1,
+        },
+        ..Claim::default()
+    };
+    ClaimRow {
+        claim,
+        revision: version(8),
+        now_ms: 6_000,
+    }
+}
+
+fn fall_silent(fixture: &mut Fixture, member: id::MemberId) {
+    fixture.handle(Event::StatementEnded(StatementReport {
+        member,
+        answer: Answer::Silent { commit: false },
+        point: None,
+        floor: None,
+        connected_at: None,
+        took: Some(Duration::from_millis(760)),
+    }));
+}
+
+/// A member that had joined after the holds consented alone, as the held members could not be reached, and its receipt counted (inc10).
+#[test]
+fn consents_prove_nothing_beside_row_of_attempt() {
+    let mut fixture = committed(true);
+    fall_silent(&mut fixture, 2);
+    fall_silent(&mut fixture, 3);
+    list(&mut fixture, 4, false);
+    for _ in 0..4 {
+        fixture.now += Duration::from_millis(100);
+        let asked_at = fixture.now - Duration::from_millis(2);
+        for event in [
+            Event::ClaimLoaded {
+                group: GROUP,
+                asked_at,
+                stored: Some(row_of_attempt()),
+            },
+            Event::LeaseAnswered {
+                group: GROUP,
+                member: 4,
+                asked_at,
+                status: Some(support::status(false, 1, (1, 9), 0)),
+            },
+        ] {
+            fixture.handle(event);
+        }
+    }
+    commit(&mut fixture);
+    fixture.receive_over(4, COMMIT, fixture.now - Duration::from_millis(300));
+    assert_eq!(is_confirmed(&fixture), None);
+}
+
 #[test]
 fn answer_of_held_replica_ends_trust() {
     let mut fixture = committed(true);
