--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -245,7 +245,7 @@
         confirmed: Option<bool>,
     ) {
         let waited = clock::now().saturating_duration_since(arrived_at);
-        metrics::histogram!("fulmarlift_commit_confirmation_seconds").record(waited.as_secs_f64());
+        metrics::histogram!("fulmarlift_commit_evidence_wait_seconds").record(waited.as_secs_f64());
         if confirmed == Some(true) && waited < LOGGED_CONFIRMATION_WAIT {
             return;
         }
