--- a/crates/broker/src/state/confirmations.rs
+++ b/crates/broker/src/state/confirmations.rs
@@ -3,7 +3,8 @@
 //! A leader answers a commit once any other member has received it. The choice of the next leader may not count that member: it has
 //! joined while an attempt was under way, or it leaves, and its log ends with it. So a success is passed on only once a member has
 //! received the commit that every later choice counts: it is listed, does not leave, and has been known since before the newest
-//! evidence that no attempt was under way.
+//! evidence that no attempt was under way. Whether it is listed and stays is told by the directory as this proxy knows it, and a claimant
+//! that cannot reach a member whose entry has lapsed drops it.
 
 use std::time::{Duration, Instant};
 
