One line tells what a claimant knew when it ordered a promotion

event=choice is written at the first order for a target. It has the old leader with the end of its log, and for every member of the directory, and every member that answered and was dropped since, the point, the term, the hold, the age of the answer, the age of the connection (a restart ends it) and how long the member has been known. What members told is kept beside the attempt and not in it, so the search of the model sees the same states and no decision can rest on it. The age of a connection comes with an event of its own for the same reason.

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -208,6 +208,8 @@
         /// Member that is to lead; `None` before one is chosen.
         target: Option<id::MemberId>,
     },
+    /// A failover orders the promotion of a member.
+    Choice(Choice),
     /// A member told a failover the end of its log, on which the choice of the next leader rests.
     LogEnd {
         /// Group whose leader is replaced.
@@ -245,6 +247,66 @@
     Gone(id::MemberId),
 }
 
+/// The choice of the next leader, with what its claimant knew of the members at the order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Group whose leader is replaced.
+    pub group: id::GroupId,
+    /// Fencing token of the claim.
+    pub token: u64,
+    /// Reason for the replacement.
+    pub reason: leader::ReplaceReason,
+    /// Member that is to lead.
+    pub target: Option<id::MemberId>,
+    /// What the attempt knew of the old leader.
+    pub basis: ChoiceBasis,
+    /// Members that the attempt knew, and those that have answered it and been dropped since.
+    pub members: Vec<ChoiceMember>,
+}
+
+/// What an attempt to replace a leader knows of that leader.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChoiceBasis {
+    /// Leader that is replaced, if one is known.
+    pub old_leader: Option<id::MemberId>,
+    /// Whether the old leader hands over, rather than being taken over from.
+    pub hands_over: bool,
+    /// End of the old leader's log when it first answered.
+    pub surveyed_end: Option<floor::Point>,
+    /// End of the old leader's log when it had stopped.
+    pub log_end: Option<floor::Point>,
+}
+
+/// What an attempt to replace a leader knows of a member at the choice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChoiceMember {
+    /// Identifier of the member.
+    pub member: id::MemberId,
+    /// Name of the member.
+    pub name: Box<str>,
+    /// Its answer to the newest command of the attempt.
+    pub answer: Option<CommandAnswer>,
+    /// Instant since which the member is known, see [`crate::member_state::MemberState::known_since`]; `None` if it was dropped.
+    pub known_since: Option<Instant>,
+    /// Whether the attempt has asked the member for its log.
+    pub asked: bool,
+    /// Whether the directory lists the member.
+    pub listed: bool,
+    /// Whether the member leaves.
+    pub leaving: bool,
+}
+
+/// Answer of a member to a command.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CommandAnswer {
+    /// Status in the answer.
+    pub status: event::MemberStatus,
+    /// Instant of the answer.
+    pub answered_at: Instant,
+    /// Instant at which the connection was opened; `None` if that is not known.
+    pub connected_at: Option<Instant>,
+}
+
 /// Observation after which a proxy determines the leader of a group again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LeaderEvidence {
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -103,6 +103,15 @@
         /// Status in the answer; `None` if the member did not answer.
         status: Option<MemberStatus>,
     },
+    /// A member answered a command of a failover, which [`Event::StatusAnswered`] tells next. For the diagnostic log.
+    CommandAnswered {
+        /// Group of the member.
+        group: id::GroupId,
+        /// Member that got the command.
+        member: id::MemberId,
+        /// Instant at which the connection was opened.
+        connected_at: Instant,
+    },
     /// A member answered a command of a failover with its status, or failed to answer.
     StatusAnswered {
         /// Group of the member.
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -361,6 +361,21 @@
         answers.filter_map(|(member, command)| Some((member, command.status?)))
     }
 
+    /// Returns whether the attempt has asked a member for its log.
+    pub fn has_asked(&self, member: id::MemberId) -> bool {
+        self.holds.contains(member) || self.surveyed.contains(member)
+    }
+
+    /// Returns what the attempt knows of the old leader, for the proxy's diagnostic log.
+    pub fn choice_basis(&self) -> effect::ChoiceBasis {
+        effect::ChoiceBasis {
+            old_leader: self.old_leader,
+            hands_over: self.hands_over,
+            surveyed_end: self.surveyed_end,
+            log_end: self.log_end,
+        }
+    }
+
     /// Checks the timeouts of the current step and continues the attempt.
     pub fn tick(
         &mut self,
--- /dev/null
+++ b/crates/broker/src/state/failover_log.rs
@@ -0,0 +1,142 @@
+//! What the members of a group told while its leader was replaced, for the proxy's diagnostic log. No decision rests on it.
+
+use std::time::Instant;
+
+use fulmarlift_core::id;
+use fulmarlift_core::sorted;
+
+use crate::effect;
+use crate::event;
+use crate::failover;
+use crate::member_state;
+use crate::state;
+
+/// What the members of a group told while its leader was replaced.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FailoverLog {
+    /// Instant at which the connection was opened over which each member has answered a command last.
+    connected_at: sorted::Map<id::MemberId, Instant>,
+    /// Answer of each member to the newest command.
+    answers: sorted::Map<id::MemberId, Told>,
+    /// Token and target of the last [`effect::StateChange::Choice`].
+    logged_choice: Option<(u64, Option<id::MemberId>)>,
+}
+
+/// An answer of a member to a command.
+#[derive(Clone, Debug)]
+struct Told {
+    /// Name of the member, which may have been dropped since.
+    name: Box<str>,
+    /// Instant at which the command was sent, or an earlier one.
+    asked_at: Instant,
+    answer: effect::CommandAnswer,
+}
+
+impl FailoverLog {
+    /// Records the instant at which the connection was opened over which a member answers a command.
+    pub(super) fn record_connection(&mut self, member: id::MemberId, connected_at: Instant) {
+        self.connected_at.insert(member, connected_at);
+    }
+
+    /// Records the answer of a member to a command.
+    pub(super) fn record_answer(
+        &mut self,
+        now: Instant,
+        state: &member_state::MemberState,
+        asked_at: Instant,
+        status: event::MemberStatus,
+    ) {
+        let member = state.entry.id;
+        let connected_at = self.connected_at.remove(member);
+        let known = self.answers.get(member);
+        if known.is_some_and(|known| known.asked_at > asked_at) {
+            return;
+        }
+        let told = Told {
+            name: state.entry.name.clone(),
+            asked_at,
+            answer: effect::CommandAnswer {
+                status,
+                answered_at: now,
+                connected_at,
+            },
+        };
+        self.answers.insert(member, told);
+    }
+
+    /// Forgets what the members told to an attempt that has ended.
+    pub(super) fn end_attempt(&mut self) {
+        self.answers = sorted::Map::default();
+        self.logged_choice = None;
+    }
+
+    /// Returns the choice of an attempt that gives an order, unless that choice has been logged.
+    pub(super) fn choice(
+        &mut self,
+        group: id::GroupId,
+        attempt: &failover::Attempt,
+        roster: &failover::Roster,
+        members: &sorted::Map<id::MemberId, member_state::MemberState>,
+    ) -> Option<effect::StateChange> {
+        let (_, token, target) = attempt.step_token_and_target();
+        if self.logged_choice.replace((token, target)) == Some((token, target)) {
+            return None;
+        }
+        let answer = |member| {
+            let told = self.answers.get(member);
+            let told = told.filter(|told| told.asked_at >= attempt.began_at());
+            told.map(|told| told.answer)
+        };
+        let known = roster
+            .members
+            .iter()
+            .map(|participant| effect::ChoiceMember {
+                member: participant.member,
+                name: participant.name.clone(),
+                answer: answer(participant.member),
+                known_since: members
+                    .get(participant.member)
+                    .map(|state| state.known_since),
+                asked: attempt.has_asked(participant.member),
+                listed: participant.listed,
+                leaving: participant.leaving,
+            });
+        let is_known = |member| roster.members.iter().any(|known| known.member == member);
+        let dropped = self
+            .answers
+            .iter()
+            .filter(|(member, _)| !is_known(*member))
+            .filter(|(member, _)| answer(*member).is_some())
+            .map(|(member, told)| effect::ChoiceMember {
+                member,
+                name: told.name.clone(),
+                answer: Some(told.answer),
+                known_since: None,
+                asked: true,
+                listed: false,
+                leaving: false,
+            });
+        Some(effect::StateChange::Choice(effect::Choice {
+            group,
+            token,
+            reason: attempt.reason,
+            target,
+            basis: attempt.choice_basis(),
+            members: known.chain(dropped).collect(),
+        }))
+    }
+}
+
+impl state::Broker {
+    /// Records the instant at which the connection was opened over which a member answers a command.
+    pub(super) fn record_command_connection(
+        &mut self,
+        group_id: id::GroupId,
+        member: id::MemberId,
+        connected_at: Instant,
+    ) {
+        if let Some(group) = self.groups.get_mut(group_id) {
+            group.failover_log.record_connection(member, connected_at);
+        }
+    }
+}
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -124,6 +124,12 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         if let Some(status) = status {
+            if let Some(group) = self.groups.get_mut(group_id)
+                && let Some(state) = group.members.get(member)
+            {
+                let log = &mut group.failover_log;
+                log.record_answer(now, state, asked_at, status);
+            }
             self.record_status(now, group_id, member, asked_at, status);
             let status = Some(status);
             let evidence = effect::LeaderEvidence::Status { member, status };
@@ -300,6 +306,14 @@
         for effect in &mut effects[first_new_effect..] {
             assign_connection(effect, &mut group.members);
         }
+        let orders = effects[first_new_effect..]
+            .iter()
+            .any(|effect| matches!(effect, effect::Effect::OrderPromotion { .. }));
+        if orders {
+            let log = &mut group.failover_log;
+            let choice = log.choice(group_id, attempt, &roster, &group.members);
+            effects.extend(choice.map(effect::Effect::RecordChange));
+        }
         let (step, token, target) = attempt.step_token_and_target();
         let reason = attempt.reason;
         let step = match progress {
@@ -338,6 +352,7 @@
             failover::Progress::Ongoing => {}
             failover::Progress::Done { .. } => {
                 group.attempt = None;
+                group.failover_log.end_attempt();
                 group.next_attempt_at = Some(now + NEXT_FAILOVER_DELAY);
                 let evidence = effect::LeaderEvidence::Failover;
                 self.reelect(now, group_id, evidence, effects);
@@ -345,6 +360,7 @@
             }
             failover::Progress::GivenUp { retry_at } => {
                 group.attempt = None;
+                group.failover_log.end_attempt();
                 group.next_attempt_at = Some(retry_at);
             }
         }
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod conns;
 mod directory;
 mod eras;
+mod failover_log;
 mod leaders;
 mod leases;
 mod peers;
@@ -110,6 +111,7 @@
     belief_changed: bool,
     /// Step in the last [`effect::StateChange::Failover`]; empty before the first one.
     logged_step: &'static str,
+    failover_log: failover_log::FailoverLog,
 }
 
 impl Broker {
@@ -163,6 +165,11 @@
             event::Event::IdleConnectionLost(conn) => {
                 self.remove_lost_connection(now, conn, effects)
             }
+            event::Event::CommandAnswered {
+                group,
+                member,
+                connected_at,
+            } => self.record_command_connection(group, member, connected_at),
             event::Event::StatusAnswered {
                 group,
                 member,
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -4,7 +4,7 @@
 //! spawns the tasks that open connections, probe and command members, and access the store.
 
 mod lease;
-mod state_changes;
+pub mod state_changes;
 mod tasks;
 mod updates;
 mod upstream;
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -1,5 +1,7 @@
 //! Log lines of the broker's state changes.
 
+use std::time::Instant;
+
 use fulmarlift_broker::Broker;
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
@@ -8,7 +10,8 @@
 
 use crate::clock;
 
-pub(super) fn log(broker: &Broker, change: &effect::StateChange) {
+/// Writes a state change to the log.
+pub fn log(broker: &Broker, change: &effect::StateChange) {
     match *change {
         effect::StateChange::Leader {
             group,
@@ -34,6 +37,7 @@
                 "event=failover group={group} reason={reason:?} step={step} token={token} target={target}"
             );
         }
+        effect::StateChange::Choice(ref choice) => log_choice(broker, choice),
         effect::StateChange::LogEnd {
             group,
             token,
@@ -89,6 +93,74 @@
     }
 }
 
+/// Logs the choice of the next leader in one line, so that a loss can be explained from it alone.
+fn log_choice(broker: &Broker, choice: &effect::Choice) {
+    let now = clock::now();
+    let name = |member: Option<id::MemberId>| {
+        let name = |member| {
+            let known = choice.members.iter().find(|known| known.member == member);
+            known.map_or(member_name(broker, member), |known| known.name.as_ref())
+        };
+        member.map_or("none", name)
+    };
+    let members: Vec<String> = choice
+        .members
+        .iter()
+        .map(|member| choice_member_text(now, member))
+        .collect();
+    log::info!(
+        "event=choice group={} token={} reason={:?} hands_over={} target={} old_leader={} log_end={} surveyed_end={} members=\"{}\"",
+        group_name(broker, choice.group),
+        choice.token,
+        choice.reason,
+        choice.basis.hands_over,
+        name(choice.target),
+        name(choice.basis.old_leader),
+        point_text(choice.basis.log_end),
+        point_text(choice.basis.surveyed_end),
+        members.join(" ")
+    );
+}
+
+/// Returns what is known of a member at a choice: `NAME:RECEIVED/TERM/HELD_TERM/ANSWER_AGE/CONNECTED_FOR/KNOWN_FOR/FLAGS`, with times in ms
+/// and `-` for what is not known.
+fn choice_member_text(now: Instant, member: &effect::ChoiceMember) -> String {
+    let age_ms = |then: Option<Instant>| {
+        let age = then.map(|then| now.saturating_duration_since(then).as_millis());
+        age.map_or_else(|| "-".to_owned(), |age| age.to_string())
+    };
+    let answer = member.answer;
+    let told = answer.map_or_else(
+        || "-/-/-".to_owned(),
+        |answer| {
+            let status = answer.status;
+            let received = point_text(Some(status.received));
+            format!("{received}/{}/{}", status.term, status.held_term)
+        },
+    );
+    let flags = [
+        (answer.is_some_and(|answer| answer.status.leads), "leads"),
+        (member.known_since.is_none(), "dropped"),
+        (member.leaving, "leaving"),
+        (!member.listed && member.known_since.is_some(), "unlisted"),
+        (!member.asked, "not_asked"),
+        (member.asked && answer.is_none(), "no_answer"),
+    ];
+    let flags = flags.into_iter().filter(|(applies, _)| *applies);
+    let flags: Vec<&str> = flags.map(|(_, flag)| flag).collect();
+    let flags = match flags.is_empty() {
+        true => "-".to_owned(),
+        false => flags.join("+"),
+    };
+    format!(
+        "{}:{told}/{}/{}/{}/{flags}",
+        member.name,
+        age_ms(answer.map(|answer| answer.answered_at)),
+        age_ms(answer.and_then(|answer| answer.connected_at)),
+        age_ms(member.known_since)
+    )
+}
+
 /// Returns the observation after which the leader was determined again, as keys of a log line.
 fn leader_evidence(broker: &Broker, evidence: &effect::LeaderEvidence) -> String {
     match evidence {
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -165,6 +165,13 @@
                 shell.with_broker(|broker| state_changes::member_name(broker, member).into());
             // `question` is the command, `answer` the member's status.
             log::info!("event=asked member={name} question={command:?} answer={status:?}");
+            if let Some(upstream) = upstream.as_ref().filter(|_| status.is_some()) {
+                shell.handle(event::Event::CommandAnswered {
+                    group,
+                    member,
+                    connected_at: upstream.connected_at(),
+                });
+            }
             match (conn, upstream) {
                 (Some(conn), Some(upstream)) => {
                     shell.inner.borrow_mut().idle.insert(conn, upstream);
--- /dev/null
+++ b/crates/session/tests/state_changes.rs
@@ -0,0 +1,140 @@
+//! Log lines of state changes.
+
+mod support;
+
+use std::cell::RefCell;
+use std::sync::Once;
+use std::time::{Duration, Instant};
+
+use fulmarlift_broker::effect::{Choice, ChoiceBasis, ChoiceMember, CommandAnswer, StateChange};
+use fulmarlift_broker::event::MemberStatus;
+use fulmarlift_broker::leader::ReplaceReason;
+use fulmarlift_core::floor::Point;
+use fulmarlift_core::id;
+use fulmarlift_session::clock;
+use fulmarlift_session::shell::state_changes;
+use support::{ClaimRows, shell_with};
+
+thread_local! {
+    /// Lines that the current test has written.
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Keeps lines with their levels.
+struct Lines;
+
+impl log::Log for Lines {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let line = format!("level={} {}", record.level(), record.args());
+        LINES.with_borrow_mut(|lines| lines.push(line));
+    }
+
+    fn flush(&self) {}
+}
+
+/// Logs a state change of a broker that knows no member, and returns the lines.
+fn lines_of(change: &StateChange) -> Vec<String> {
+    static START: Once = Once::new();
+    START.call_once(|| {
+        log::set_logger(&Lines).expect("no other logger is set");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    let shell = shell_with("proxy-1", "a", true, ClaimRows::default());
+    LINES.take();
+    shell.with_broker(|broker| state_changes::log(broker, change));
+    LINES.take()
+}
+
+fn ago(now: Instant, seconds: u64) -> Option<Instant> {
+    now.checked_sub(Duration::from_secs(seconds))
+}
+
+/// A member that was listed 60 s ago, and answered 7 s ago over a connection that was opened 9 s ago.
+fn answered(now: Instant, member: id::MemberId, leads: bool, position: u64) -> ChoiceMember {
+    let status = MemberStatus {
+        leads,
+        term: 13,
+        received: Point::new(13, position),
+        held_term: 14,
+    };
+    ChoiceMember {
+        member,
+        name: format!("member-{member}").into(),
+        answer: Some(CommandAnswer {
+            status,
+            answered_at: ago(now, 7).expect("the clock counts from long ago"),
+            connected_at: ago(now, 9),
+        }),
+        known_since: ago(now, 60),
+        asked: true,
+        listed: true,
+        leaving: false,
+    }
+}
+
+/// Replaces the milliseconds of ages in whole seconds, which depend on the time between two readings of the clock.
+fn in_seconds(line: &str) -> String {
+    let whole = |text: &str| match text.parse::<u64>() {
+        Ok(ms) if ms >= 1_000 => format!("{}s", ms / 1_000),
+        _ => text.to_owned(),
+    };
+    let parts: Vec<String> = line.split('/').map(whole).collect();
+    parts.join("/")
+}
+
+#[test]
+fn line_of_choice_tells_all_that_its_claimant_knew() {
+    let now = clock::now();
+    let silent = ChoiceMember {
+        answer: None,
+        ..answered(now, 3, false, 0)
+    };
+    let dropped = ChoiceMember {
+        known_since: None,
+        listed: false,
+        ..answered(now, 4, false, 528)
+    };
+    let away = ChoiceMember {
+        asked: false,
+        listed: false,
+        leaving: true,
+        answer: None,
+        ..answered(now, 5, false, 0)
+    };
+    let change = StateChange::Choice(Choice {
+        group: 7,
+        token: 12,
+        reason: ReplaceReason::Leaving,
+        target: Some(2),
+        basis: ChoiceBasis {
+            old_leader: Some(1),
+            hands_over: true,
+            surveyed_end: Some(Point::new(13, 528)),
+            log_end: Some(Point::new(13, 529)),
+        },
+        members: vec![
+            answered(now, 1, true, 528),
+            answered(now, 2, false, 529),
+            silent,
+            dropped,
+            away,
+        ],
+    });
+    let lines: Vec<String> = lines_of(&change)
+        .iter()
+        .map(|line| in_seconds(line))
+        .collect();
+    assert_eq!(
+        lines,
+        [
+            "level=INFO event=choice group=unknown token=12 reason=Leaving hands_over=true target=member-2 old_leader=member-1 \
+             log_end=13.529 surveyed_end=13.528 members=\"member-1:13.528/13/14/7s/9s/60s/leads member-2:13.529/13/14/7s/9s/60s/- \
+             member-3:-/-/-/-/-/60s/no_answer member-4:13.528/13/14/7s/9s/-/dropped \
+             member-5:-/-/-/-/-/60s/leaving+unlisted+not_asked\""
+        ]
+    );
+}
