A refusal does not show what a member has received

record_statement_end took the point in any answer over a known connection for a receipt, also in a refusal.

Now the points in BUSY, READONLY and LAGGING do not count: a leader that has lost the lead refuses with READONLY before it is rolled back. An answer to a statement that has run counts as before, and so does STATUS, which is refused as a whole during a roll-back. Probes never counted: they carry no connection.

--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -230,7 +230,14 @@
             self.doubt_leader_of(now, member);
             effects.push(reachable_again(member));
         }
-        if let (Some(point), Some(connected_at)) = (report.point, report.connected_at) {
+        // A member that refuses may still have to drop entries that the leader of the newest term lacks.
+        let refused = matches!(
+            report.answer,
+            event::Answer::Busy | event::Answer::NotLeading | event::Answer::Behind
+        );
+        if let (Some(point), Some(connected_at)) = (report.point, report.connected_at)
+            && !refused
+        {
             self.record_receipt(now, member, point, connected_at);
         }
         self.record_leader_evidence(now, group_id, &report, effects);
--- a/crates/broker/tests/confirmations.rs
+++ b/crates/broker/tests/confirmations.rs
@@ -263,6 +263,27 @@
     }
 }
 
+/// A replica that is ahead of a promoted member is rolled back, and until then refuses with a point of the new term.
+#[rstest]
+#[case::served(Answer::Served, Some(true))]
+#[case::failed(Answer::Failed, Some(true))]
+#[case::busy(Answer::Busy, None)]
+#[case::not_leading(Answer::NotLeading, None)]
+#[case::behind(Answer::Behind, None)]
+fn refusal_is_no_receipt(#[case] answer: Answer, #[case] expected: Option<bool>) {
+    let mut fixture = committed(true);
+    let connected_at = Some(fixture.now - Duration::from_secs(1));
+    fixture.handle(Event::StatementEnded(StatementReport {
+        member: 2,
+        answer,
+        point: Some(COMMIT),
+        floor: None,
+        connected_at,
+        took: Some(Duration::from_millis(5)),
+    }));
+    assert_eq!(is_confirmed(&fixture), expected);
+}
+
 fn fall_silent(fixture: &mut Fixture, member: id::MemberId) {
     fixture.handle(Event::StatementEnded(StatementReport {
         member,
