The other members are compared with a leader that was just promoted

A replica that was ahead is rolled back, and the one sign of it is that it refuses its status with BUSY in the new term; event=standing_refused told neither the member nor its group.

When the ordered member confirms that it leads, the claimant asks each other member of the directory once for its status, on an idle connection and without a retry; no connection is opened for it. event=promotion_compared tells the answer beside what the member, and the leader, had received at the order. level=WARN event=replica_ahead and fulmarlift_replicas_ahead_total tell of a member that has more than the choice counted: in the old term, more than it had while it was held, or more than the target in a hand-over; in the new term, a refusal with BUSY. The answers go to the log only, by an event of their own, and change no belief. event=standing_refused and event=standing_failed have group and member now.

A member whose slots and queue are full answers BUSY as well, so a warning with refused=true under overload is no proof. A member without an idle connection is not asked.

The new tests fail without the freeze of the points at the order, the rule that a follower of the new term shows nothing, each of the two bounds, and the once-only rule (each tried).

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -161,6 +161,9 @@
     Lease,
     /// The confirmation of a commit; the answer is a [`event::Event::ReceiptAnswered`].
     Receipt,
+    /// The comparison of the other members with a new leader, for the diagnostic log; the answer is a
+    /// [`event::Event::ComparisonAnswered`].
+    Comparison,
 }
 
 /// Command to a member during a failover. The member answers each with its status.
@@ -210,6 +213,8 @@
     },
     /// A failover orders the promotion of a member.
     Choice(Choice),
+    /// A member was compared with the leader that has been promoted.
+    Compared(Comparison),
     /// A member told a failover the end of its log, on which the choice of the next leader rests.
     LogEnd {
         /// Group whose leader is replaced.
@@ -264,6 +269,29 @@
     pub members: Vec<ChoiceMember>,
 }
 
+/// A member beside a leader that has just confirmed its promotion.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Comparison {
+    /// Group of the members.
+    pub group: id::GroupId,
+    /// Fencing token of the claim under which the leader was promoted.
+    pub token: u64,
+    /// The new leader.
+    pub leader: id::MemberId,
+    /// Term of the new leader.
+    pub term: id::Term,
+    /// Point up to which the leader had received when the promotion was ordered.
+    pub leader_had: Option<floor::Point>,
+    /// The other member.
+    pub member: id::MemberId,
+    /// Point up to which the other member had received when the promotion was ordered, as far as the attempt knew.
+    pub choice_received: Option<floor::Point>,
+    /// Answer of the other member; `None` if it was not asked, for want of an idle connection.
+    pub answer: Option<event::StatusAnswer>,
+    /// Whether the answer shows that the member had received more than the choice counted.
+    pub is_ahead: bool,
+}
+
 /// What an attempt to replace a leader knows of that leader.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ChoiceBasis {
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -123,6 +123,17 @@
         /// Status in the answer; `None` if the member did not answer.
         status: Option<MemberStatus>,
     },
+    /// A member answered the question that [`crate::effect::StatusPurpose::Comparison`] describes, or failed to answer.
+    ComparisonAnswered {
+        /// Group of the member.
+        group: id::GroupId,
+        /// Member that was asked.
+        member: id::MemberId,
+        /// Instant at which the question was sent, or an earlier one.
+        asked_at: Instant,
+        /// The answer.
+        answer: StatusAnswer,
+    },
     /// A read of a claim row from the store ended.
     ClaimLoaded {
         /// Group of the row.
@@ -244,6 +255,41 @@
     pub held_term: id::Term,
 }
 
+/// Answer of a member that was asked for its status.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StatusAnswer {
+    /// The member told its status.
+    Status(MemberStatus),
+    /// The member refused.
+    Refused {
+        /// Whether it said that it is busy. A replica that is rolled back says so, and one whose slots and queue are full.
+        is_busy: bool,
+        /// Last point of the member's log in the refusal.
+        point: Option<floor::Point>,
+    },
+    /// The member did not answer.
+    Missing,
+}
+
+impl StatusAnswer {
+    /// Returns the status, if the member told it.
+    pub fn status(self) -> Option<MemberStatus> {
+        match self {
+            Self::Status(status) => Some(status),
+            Self::Refused { .. } | Self::Missing => None,
+        }
+    }
+
+    /// Returns the last point of the member's log in the answer.
+    pub fn point(self) -> Option<floor::Point> {
+        match self {
+            Self::Status(status) => Some(status.received),
+            Self::Refused { point, .. } => point,
+            Self::Missing => None,
+        }
+    }
+}
+
 /// Outcome of a conditional write.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreOutcome {
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -366,6 +366,11 @@
         self.holds.contains(member) || self.surveyed.contains(member)
     }
 
+    /// Returns whether a member leads by an order of this attempt, once the attempt is done.
+    pub fn has_confirmed(&self, leader: id::MemberId) -> bool {
+        matches!(self.step, Step::Confirming { .. }) && self.target == Some(leader)
+    }
+
     /// Returns what the attempt knows of the old leader, for the proxy's diagnostic log.
     pub fn choice_basis(&self) -> effect::ChoiceBasis {
         effect::ChoiceBasis {
--- a/crates/broker/src/state/failover_log.rs
+++ b/crates/broker/src/state/failover_log.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
@@ -20,6 +21,24 @@
     answers: sorted::Map<id::MemberId, Told>,
     /// Token and target of the last [`effect::StateChange::Choice`].
     logged_choice: Option<(u64, Option<id::MemberId>)>,
+    /// Points up to which the members had received at that choice.
+    received: sorted::Map<id::MemberId, floor::Point>,
+    /// The last promotion that this proxy has seen to its end.
+    promotion: Option<Promotion>,
+}
+
+/// A promotion after which the other members are compared with the leader.
+#[derive(Clone, Debug)]
+struct Promotion {
+    token: u64,
+    leader: id::MemberId,
+    term: id::Term,
+    hands_over: bool,
+    confirmed_at: Instant,
+    /// Points up to which the members had received when the promotion was ordered.
+    received: sorted::Map<id::MemberId, floor::Point>,
+    /// Members that have been compared.
+    compared: Vec<id::MemberId>,
 }
 
 /// An answer of a member to a command.
@@ -68,6 +87,55 @@
     pub(super) fn end_attempt(&mut self) {
         self.answers = sorted::Map::default();
         self.logged_choice = None;
+        self.received = sorted::Map::default();
+    }
+
+    /// Keeps what the members had received when an attempt ordered the promotion that `leader` has confirmed.
+    pub(super) fn start_comparison(
+        &mut self,
+        now: Instant,
+        attempt: &failover::Attempt,
+        leader: id::MemberId,
+        term: id::Term,
+    ) {
+        let (_, token, _) = attempt.step_token_and_target();
+        self.promotion = Some(Promotion {
+            token,
+            leader,
+            term,
+            hands_over: attempt.choice_basis().hands_over,
+            confirmed_at: now,
+            received: self.received.clone(),
+            compared: Vec::new(),
+        });
+    }
+
+    /// Compares a member with the new leader, once; `None` is the answer of a member that is not asked.
+    pub(super) fn compare(
+        &mut self,
+        group: id::GroupId,
+        member: id::MemberId,
+        answer: Option<event::StatusAnswer>,
+    ) -> Option<effect::StateChange> {
+        let promotion = self.promotion.as_mut()?;
+        if promotion.compared.contains(&member) {
+            return None;
+        }
+        promotion.compared.push(member);
+        let leader_had = promotion.received.get(promotion.leader).copied();
+        let choice_received = promotion.received.get(member).copied();
+        Some(effect::StateChange::Compared(effect::Comparison {
+            group,
+            token: promotion.token,
+            leader: promotion.leader,
+            term: promotion.term,
+            leader_had,
+            member,
+            choice_received,
+            answer,
+            is_ahead: answer
+                .is_some_and(|answer| promotion.shows_more(leader_had, choice_received, answer)),
+        }))
     }
 
     /// Returns the choice of an attempt that gives an order, unless that choice has been logged.
@@ -82,6 +150,11 @@
         if self.logged_choice.replace((token, target)) == Some((token, target)) {
             return None;
         }
+        let told = self.answers.iter();
+        self.received = told
+            .filter(|(_, told)| told.asked_at >= attempt.began_at())
+            .map(|(member, told)| (member, told.answer.status.received))
+            .collect();
         let answer = |member| {
             let told = self.answers.get(member);
             let told = told.filter(|told| told.asked_at >= attempt.began_at());
@@ -127,7 +200,53 @@
     }
 }
 
+impl Promotion {
+    /// Returns whether the answer of a member shows that it had received more than the choice counted. A replica that has been rolled
+    /// back, or that follows the new leader, shows nothing.
+    fn shows_more(
+        &self,
+        leader_had: Option<floor::Point>,
+        choice_received: Option<floor::Point>,
+        answer: event::StatusAnswer,
+    ) -> bool {
+        let follows = answer.point().is_some_and(|point| point.term >= self.term);
+        if follows {
+            return matches!(answer, event::StatusAnswer::Refused { is_busy: true, .. });
+        }
+        // A member that is held receives nothing more, and any other one what the old leader logs until it stops.
+        let counted = match self.hands_over {
+            true => leader_had,
+            false => choice_received.or(leader_had),
+        };
+        counted.is_some() && answer.point() > counted
+    }
+}
+
 impl state::Broker {
+    /// Logs the answer of a member that was asked after the promotion of another one.
+    pub(super) fn record_comparison(
+        &mut self,
+        group_id: id::GroupId,
+        member: id::MemberId,
+        asked_at: Instant,
+        answer: event::StatusAnswer,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let Some(group) = self.groups.get_mut(group_id) else {
+            return;
+        };
+        let log = &mut group.failover_log;
+        // A later promotion may have ended meanwhile.
+        let is_of_last = log
+            .promotion
+            .as_ref()
+            .is_some_and(|promotion| asked_at >= promotion.confirmed_at);
+        if is_of_last {
+            let compared = log.compare(group_id, member, Some(answer));
+            effects.extend(compared.map(effect::Effect::RecordChange));
+        }
+    }
+
     /// Records the instant at which the connection was opened over which a member answers a command.
     pub(super) fn record_command_connection(
         &mut self,
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -348,6 +348,21 @@
                 },
             ));
         }
+        if let failover::Progress::Done { member, status } = progress
+            && attempt.has_confirmed(member)
+        {
+            let log = &mut group.failover_log;
+            log.start_comparison(now, attempt, member, status.term);
+            let others = roster.members.iter().map(|other| other.member);
+            for other in others.filter(|other| *other != member) {
+                let asked = ask_for_comparison(group_id, other, &mut group.members);
+                let asked = asked.or_else(|| {
+                    let compared = group.failover_log.compare(group_id, other, None)?;
+                    Some(effect::Effect::RecordChange(compared))
+                });
+                effects.extend(asked);
+            }
+        }
         match progress {
             failover::Progress::Ongoing => {}
             failover::Progress::Done { .. } => {
@@ -380,3 +395,20 @@
         *conn = Some(idle.conn);
     }
 }
+
+/// Asks a member for its status on an idle connection, to compare it with a new leader. Without one, it is not asked.
+fn ask_for_comparison(
+    group: id::GroupId,
+    member: id::MemberId,
+    members: &mut sorted::Map<id::MemberId, member_state::MemberState>,
+) -> Option<effect::Effect> {
+    let state = members.get_mut(member)?;
+    let idle = state.idle.pop()?;
+    state.leased += 1;
+    Some(effect::Effect::AskStatus {
+        group,
+        conn: idle.conn,
+        member,
+        purpose: effect::StatusPurpose::Comparison,
+    })
+}
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -199,6 +199,12 @@
                 asked_at,
                 status,
             } => self.record_lease_answer(now, group, member, asked_at, status, effects),
+            event::Event::ComparisonAnswered {
+                group,
+                member,
+                asked_at,
+                answer,
+            } => self.record_comparison(group, member, asked_at, answer, effects),
             event::Event::StoreEra { era, known_for } => {
                 self.record_store_era(now, era, known_for, effects);
             }
--- a/crates/broker/tests/failover_log.rs
+++ b/crates/broker/tests/failover_log.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use fulmarlift_broker::claim::ClaimRow;
-use fulmarlift_broker::effect::{Choice, ChoiceMember, Effect, StateChange};
+use fulmarlift_broker::effect::{
+    Choice, ChoiceMember, Comparison, Effect, StateChange, StatusPurpose,
+};
 use fulmarlift_broker::event::{
-    Answer, Event, MemberStatus, OrderOutcome, StatementReport, StoreOutcome,
+    Answer, Event, MemberStatus, OrderOutcome, StatementReport, StatusAnswer, StoreOutcome,
 };
 use fulmarlift_broker::leader::ReplaceReason;
+use fulmarlift_broker::request::Requirement;
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
 use rstest::rstest;
@@ -209,3 +212,165 @@
     assert!(orders > 1, "the order is repeated");
     assert_eq!(take_choices(&mut fixture).len(), 1);
 }
+
+/// Ways of replacing leader 1 by member 2, which then leads term 2.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Way {
+    /// Members 2 and 3 are held, and have received up to 530 and 528.
+    TakeOver,
+    /// Member 1 stops at 529. Member 2 has received up to there, and member 3 does not answer.
+    HandOver,
+}
+
+/// Returns a proxy beside member 3, with an idle connection to it if `is_connected`.
+fn beside_third(is_connected: bool) -> Fixture {
+    let mut fixture = Fixture::in_domain("c");
+    if is_connected {
+        let acknowledged_before = fixture.now;
+        fixture.handle(Event::StatementEnded(StatementReport {
+            member: 1,
+            answer: Answer::Led {
+                sent_at: fixture.now,
+                commit: false,
+            },
+            point: Some(Point::new(1, 500)),
+            floor: None,
+            connected_at: None,
+            took: None,
+        }));
+        fixture.add_request(Requirement::Recent {
+            acknowledged_before,
+            session_commit: None,
+        });
+        assert_eq!(fixture.open_all().len(), 1);
+        let grants = fixture.take_grants();
+        assert_eq!(grants[0].member, 3);
+        fixture.end_statement(&grants[0], Answer::Served, None);
+        fixture.effects.clear();
+    }
+    fixture
+}
+
+/// Replaces the leader, and leaves what follows from the new leader's confirmation in the effects.
+fn replace_leader(fixture: &mut Fixture, way: Way) {
+    match way {
+        Way::TakeOver => take_over(
+            fixture,
+            &[
+                (2, status(false, 1, (1, 530), 2)),
+                (3, status(false, 1, (1, 528), 2)),
+            ],
+        ),
+        Way::HandOver => hand_over(fixture),
+    }
+    let (group, outcome) = (GROUP, OrderOutcome::Accepted);
+    fixture.handle(Event::PromotionOrdered { group, outcome });
+    fixture.advance(100);
+    for effect in fixture.take_effects() {
+        if let Effect::SendCommand {
+            conn: Some(conn), ..
+        } = effect
+        {
+            let reusable = true;
+            fixture.handle(Event::Returned { conn, reusable });
+        }
+    }
+    fixture.effects.clear();
+    answer(fixture, 2, status(true, 2, (2, 530), 0));
+}
+
+/// Returns the members that are asked for a comparison.
+fn asked_for_comparison(fixture: &Fixture) -> Vec<id::MemberId> {
+    let asked = |effect: &Effect| match effect {
+        Effect::AskStatus {
+            member,
+            purpose: StatusPurpose::Comparison,
+            ..
+        } => Some(*member),
+        _ => None,
+    };
+    fixture.effects.iter().filter_map(asked).collect()
+}
+
+fn take_comparisons(fixture: &mut Fixture) -> Vec<Comparison> {
+    let compared = |effect| match effect {
+        Effect::RecordChange(StateChange::Compared(comparison)) => Some(comparison),
+        _ => None,
+    };
+    let effects = fixture.take_effects().into_iter();
+    effects.filter_map(compared).collect()
+}
+
+fn compare(fixture: &mut Fixture, answer: StatusAnswer) {
+    fixture.handle(Event::ComparisonAnswered {
+        group: GROUP,
+        member: 3,
+        asked_at: fixture.now,
+        answer,
+    });
+}
+
+const fn refused(is_busy: bool, term: id::Term, position: id::Position) -> StatusAnswer {
+    let point = Some(Point { term, position });
+    StatusAnswer::Refused { is_busy, point }
+}
+
+fn told(received: (u64, u64)) -> StatusAnswer {
+    StatusAnswer::Status(status(false, received.0, received, 0))
+}
+
+/// A replica that had more than the promoted member is rolled back, and says so once, by `BUSY` in the new term (users' LOST, inc12).
+#[rstest]
+#[case::same_as_at_choice(Way::TakeOver, told((1, 528)), false)]
+#[case::received_while_held(Way::TakeOver, told((1, 529)), true)]
+#[case::received_more_than_leader(Way::TakeOver, told((1, 531)), true)]
+#[case::follows_leader(Way::TakeOver, told((2, 531)), false)]
+#[case::rolled_back(Way::TakeOver, refused(true, 2, 531), true)]
+#[case::refused_otherwise(Way::TakeOver, refused(false, 2, 531), false)]
+#[case::busy_before_new_term(Way::TakeOver, refused(true, 1, 528), false)]
+#[case::busy_and_ahead_before_new_term(Way::TakeOver, refused(true, 1, 531), true)]
+#[case::unanswered(Way::TakeOver, StatusAnswer::Missing, false)]
+#[case::received_rest_of_log(Way::HandOver, told((1, 529)), false)]
+#[case::received_past_end(Way::HandOver, told((1, 530)), true)]
+#[case::rolled_back_after_handover(Way::HandOver, refused(true, 2, 530), true)]
+fn replica_is_ahead_if_it_shows_more_than_choice_counted(
+    #[case] way: Way,
+    #[case] answer: StatusAnswer,
+    #[case] expected: bool,
+) {
+    let mut fixture = beside_third(true);
+    replace_leader(&mut fixture, way);
+    assert_eq!(asked_for_comparison(&fixture), [3]);
+    fixture.take_effects();
+    compare(&mut fixture, answer);
+    compare(&mut fixture, answer);
+    let comparisons = take_comparisons(&mut fixture);
+    let [comparison] = comparisons.as_slice() else {
+        panic!("one comparison, not {comparisons:?}");
+    };
+    let (leader_had, choice_received) = match way {
+        Way::TakeOver => (530, Some(Point::new(1, 528))),
+        Way::HandOver => (529, None),
+    };
+    assert_eq!((comparison.leader, comparison.term), (2, 2));
+    assert_eq!(comparison.leader_had, Some(Point::new(1, leader_had)));
+    assert_eq!(comparison.choice_received, choice_received);
+    assert_eq!((comparison.member, comparison.answer), (3, Some(answer)));
+    assert_eq!(comparison.is_ahead, expected);
+}
+
+/// No connection is opened for a comparison.
+#[test]
+fn comparison_tells_members_that_are_not_asked() {
+    let mut fixture = beside_third(false);
+    replace_leader(&mut fixture, Way::TakeOver);
+    assert_eq!(asked_for_comparison(&fixture), []);
+    let comparisons = take_comparisons(&mut fixture);
+    let compared = comparisons
+        .iter()
+        .map(|compared| (compared.member, compared.answer, compared.is_ahead));
+    assert_eq!(
+        compared.collect::<Vec<_>>(),
+        [(1, None, false), (3, None, false)]
+    );
+}
--- a/crates/broker/tests/simulation/effects.rs
+++ b/crates/broker/tests/simulation/effects.rs
@@ -427,6 +427,13 @@
                         asked_at,
                         status,
                     },
+                    effect::StatusPurpose::Comparison => event::Event::ComparisonAnswered {
+                        group,
+                        member,
+                        asked_at,
+                        answer: status
+                            .map_or(event::StatusAnswer::Missing, event::StatusAnswer::Status),
+                    },
                     effect::StatusPurpose::Receipt => event::Event::ReceiptAnswered {
                         group,
                         member,
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -38,6 +38,7 @@
             );
         }
         effect::StateChange::Choice(ref choice) => log_choice(broker, choice),
+        effect::StateChange::Compared(ref comparison) => log_comparison(broker, comparison),
         effect::StateChange::LogEnd {
             group,
             token,
@@ -122,6 +123,36 @@
     );
 }
 
+/// Logs the comparison of a member with a new leader, and warns if the member was ahead.
+fn log_comparison(broker: &Broker, comparison: &effect::Comparison) {
+    let group = group_name(broker, comparison.group);
+    let leader = member_name(broker, comparison.leader);
+    let member = member_name(broker, comparison.member);
+    let point = point_text(comparison.answer.and_then(event::StatusAnswer::point));
+    let leader_had = point_text(comparison.leader_had);
+    let (token, term) = (comparison.token, comparison.term);
+    let answer = match comparison.answer {
+        None => "not_asked".to_owned(),
+        Some(event::StatusAnswer::Missing) => "none".to_owned(),
+        Some(event::StatusAnswer::Refused { is_busy: true, .. }) => "busy".to_owned(),
+        Some(event::StatusAnswer::Refused { .. }) => "refused".to_owned(),
+        Some(event::StatusAnswer::Status(status)) => {
+            format!("{}/{}", status.term, status.held_term)
+        }
+    };
+    log::info!(
+        "event=promotion_compared group={group} token={token} leader={leader} leader_term={term} leader_had={leader_had} member={member} choice_received={} received={point} answer={answer}",
+        point_text(comparison.choice_received)
+    );
+    if comparison.is_ahead {
+        let refused = matches!(comparison.answer, Some(event::StatusAnswer::Refused { .. }));
+        metrics::counter!("fulmarlift_replicas_ahead_total").increment(1);
+        log::warn!(
+            "event=replica_ahead group={group} token={token} leader={leader} leader_term={term} leader_had={leader_had} member={member} had={point} refused={refused}"
+        );
+    }
+}
+
 /// Returns what is known of a member at a choice: `NAME:RECEIVED/TERM/HELD_TERM/ANSWER_AGE/CONNECTED_FOR/KNOWN_FOR/FLAGS`, with times in ms
 /// and `-` for what is not known.
 fn choice_member_text(now: Instant, member: &effect::ChoiceMember) -> String {
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -88,6 +88,13 @@
         })
     }
 
+    /// Returns the names of a member and its group for the log.
+    fn group_and_member_name(&self, member: id::MemberId) -> (Box<str>, Box<str>) {
+        let unknown = || (Box::from("unknown"), Box::from("unknown"));
+        self.locate(member)
+            .map_or_else(unknown, |(group, name, _)| (group, name))
+    }
+
     async fn connect(&self, member: id::MemberId) -> Result<shell::Upstream<D>, link::OpenError> {
         let Some((group, name, address)) = self.locate(member) else {
             return Err(link::OpenError::Refused(protocol::Code::Misrouted));
@@ -160,7 +167,8 @@
         let asked_at = clock::now();
         tokio::task::spawn_local(async move {
             let lent = conn.and_then(|conn| shell.inner.borrow_mut().idle.remove(conn));
-            let (status, upstream) = shell.exchange_command(member, command, lent).await;
+            let (answer, upstream) = shell.exchange_command(member, command, lent).await;
+            let status = answer.status();
             let name: Box<str> =
                 shell.with_broker(|broker| state_changes::member_name(broker, member).into());
             // `question` is the command, `answer` the member's status.
@@ -206,15 +214,16 @@
         let asked_at = clock::now();
         tokio::task::spawn_local(async move {
             let upstream = shell.inner.borrow_mut().idle.remove(conn);
-            let (status, upstream) = match upstream {
+            let (answer, upstream) = match upstream {
                 Some(upstream) => {
                     let command = effect::MemberCommand::Status;
                     shell
                         .exchange_command(member, command, Some(upstream))
                         .await
                 }
-                None => (None, None),
+                None => (event::StatusAnswer::Missing, None),
             };
+            let status = answer.status();
             let reusable = upstream.is_some();
             let connected_at = upstream
                 .as_ref()
@@ -236,6 +245,12 @@
                     connected_at,
                     status,
                 },
+                effect::StatusPurpose::Comparison => event::Event::ComparisonAnswered {
+                    group,
+                    member,
+                    asked_at,
+                    answer,
+                },
             });
             shell.handle(event::Event::Returned { conn, reusable });
         });
@@ -249,7 +264,7 @@
         member: id::MemberId,
         command: effect::MemberCommand,
         lent: Option<shell::Upstream<D>>,
-    ) -> (Option<event::MemberStatus>, Option<shell::Upstream<D>>) {
+    ) -> (event::StatusAnswer, Option<shell::Upstream<D>>) {
         let available = lent.or_else(|| self.control_connections.take(member));
         let opened = match available {
             Some(upstream) => Ok(upstream),
@@ -257,29 +272,39 @@
         };
         // `connect` has logged the error; the broker sends the command again.
         let Ok(mut upstream) = opened else {
-            return (None, None);
+            return (event::StatusAnswer::Missing, None);
         };
         upstream.push(match command {
             effect::MemberCommand::Status => member::Command::Status,
             effect::MemberCommand::Hold(term) => member::Command::Hold(term),
             effect::MemberCommand::Release { until } if clock::now() >= until => {
-                return (None, Some(upstream));
+                return (event::StatusAnswer::Missing, Some(upstream));
             }
             effect::MemberCommand::Release { .. } => member::Command::Release,
             effect::MemberCommand::Demote(term) => member::Command::Demote(term),
         });
         match upstream.exchange(clock::now() + COMMAND_TIMEOUT).await {
             Ok(answer) => {
-                let status = upstream.member_status(&answer);
-                if status.is_none() {
-                    // The event's name calls the status a standing, and `question` is the command.
-                    log::info!("event=standing_refused question={command:?} answer={answer:?}");
+                if let Some(status) = upstream.member_status(&answer) {
+                    return (event::StatusAnswer::Status(status), Some(upstream));
                 }
-                (status, Some(upstream))
+                let (group, name) = self.group_and_member_name(member);
+                // The event's name calls the status a standing, and `question` is the command.
+                log::info!(
+                    "event=standing_refused group={group} member={name} question={command:?} answer={answer:?}"
+                );
+                let refused = event::StatusAnswer::Refused {
+                    is_busy: answer.error() == Some(&protocol::Code::Busy),
+                    point: answer.point,
+                };
+                (refused, Some(upstream))
             }
             Err(error) => {
-                log::info!("event=standing_failed question={command:?} error=\"{error}\"");
-                (None, None)
+                let (group, name) = self.group_and_member_name(member);
+                log::info!(
+                    "event=standing_failed group={group} member={name} question={command:?} error=\"{error}\""
+                );
+                (event::StatusAnswer::Missing, None)
             }
         }
     }
--- a/crates/session/tests/state_changes.rs
+++ b/crates/session/tests/state_changes.rs
@@ -6,13 +6,16 @@
 use std::sync::Once;
 use std::time::{Duration, Instant};
 
-use fulmarlift_broker::effect::{Choice, ChoiceBasis, ChoiceMember, CommandAnswer, StateChange};
-use fulmarlift_broker::event::MemberStatus;
+use fulmarlift_broker::effect::{
+    Choice, ChoiceBasis, ChoiceMember, CommandAnswer, Comparison, StateChange,
+};
+use fulmarlift_broker::event::{MemberStatus, StatusAnswer};
 use fulmarlift_broker::leader::ReplaceReason;
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
 use fulmarlift_session::clock;
 use fulmarlift_session::shell::state_changes;
+use rstest::rstest;
 use support::{ClaimRows, shell_with};
 
 thread_local! {
@@ -138,3 +141,70 @@
         ]
     );
 }
+
+const REFUSED: StatusAnswer = StatusAnswer::Refused {
+    is_busy: true,
+    point: Some(Point {
+        term: 14,
+        position: 530,
+    }),
+};
+const TOLD: StatusAnswer = StatusAnswer::Status(MemberStatus {
+    leads: false,
+    term: 14,
+    received: Point {
+        term: 13,
+        position: 528,
+    },
+    held_term: 14,
+});
+
+#[rstest]
+#[case::told(Some(TOLD), false, "received=13.528 answer=14/14", None)]
+#[case::busy(
+    Some(REFUSED),
+    true,
+    "received=14.530 answer=busy",
+    Some("had=14.530 refused=true")
+)]
+#[case::ahead(
+    Some(TOLD),
+    true,
+    "received=13.528 answer=14/14",
+    Some("had=13.528 refused=false")
+)]
+#[case::refused(
+    Some(StatusAnswer::Refused { is_busy: false, point: None }),
+    false,
+    "received=none answer=refused",
+    None
+)]
+#[case::unanswered(Some(StatusAnswer::Missing), false, "received=none answer=none", None)]
+#[case::not_asked(None, false, "received=none answer=not_asked", None)]
+fn lines_of_comparison_warn_of_replica_ahead(
+    #[case] answer: Option<StatusAnswer>,
+    #[case] is_ahead: bool,
+    #[case] compared: &str,
+    #[case] warned: Option<&str>,
+) {
+    let change = StateChange::Compared(Comparison {
+        group: 7,
+        token: 12,
+        leader: 2,
+        term: 14,
+        leader_had: Some(Point::new(13, 529)),
+        member: 3,
+        choice_received: Some(Point::new(13, 528)),
+        answer,
+        is_ahead,
+    });
+    let promotion =
+        "group=unknown token=12 leader=unknown leader_term=14 leader_had=13.529 member=unknown";
+    let compared = format!(
+        "level=INFO event=promotion_compared {promotion} choice_received=13.528 {compared}"
+    );
+    let warned =
+        warned.map(|warned| format!("level=WARN event=replica_ahead {promotion} {warned}"));
+    let expected: Vec<String> = [compared].into_iter().chain(warned).collect();
+    assert_eq!(lines_of(&change), expected);
+}
