A leader that goes on after it has stopped to hand over is told

event=leader_stopped tells the end of the log in the answer to the demotion. If any later answer of this member to this proxy (a status, a statement, a refusal) has a point past it in the same term, level=WARN event=stopped_leader_went_on tells both, once, and fulmarlift_stopped_leaders_went_on_total counts it. A point of a newer term ends the watch: the member follows its successor.

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -213,6 +213,30 @@
     },
     /// A failover orders the promotion of a member.
     Choice(Choice),
+    /// A leader that hands over has stopped.
+    LeaderStopped {
+        /// Group of the leader.
+        group: id::GroupId,
+        /// Fencing token of the claim.
+        token: u64,
+        /// The leader.
+        member: id::MemberId,
+        /// End of its log in the answer that says that it has stopped.
+        log_end: floor::Point,
+    },
+    /// A leader that had stopped has logged more in the same term since.
+    StoppedLeaderWentOn {
+        /// Group of the leader.
+        group: id::GroupId,
+        /// Fencing token of the claim under which it was stopped.
+        token: u64,
+        /// The leader.
+        member: id::MemberId,
+        /// End of its log in the answer that said that it had stopped.
+        log_end: floor::Point,
+        /// End of its log now.
+        point: floor::Point,
+    },
     /// A member was compared with the leader that has been promoted.
     Compared(Comparison),
     /// A member told a failover the end of its log, on which the choice of the next leader rests.
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -230,6 +230,9 @@
             self.doubt_leader_of(now, member);
             effects.push(reachable_again(member));
         }
+        if let Some(point) = report.point {
+            self.watch_stopped_leader(group_id, member, point, effects);
+        }
         // A member that refuses may still have to drop entries that the leader of the newest term lacks.
         let refused = matches!(
             report.answer,
--- a/crates/broker/src/state/failover_log.rs
+++ b/crates/broker/src/state/failover_log.rs
@@ -25,6 +25,8 @@
     received: sorted::Map<id::MemberId, floor::Point>,
     /// The last promotion that this proxy has seen to its end.
     promotion: Option<Promotion>,
+    /// Leader that has stopped last to hand over.
+    stopped: Option<Stopped>,
 }
 
 /// A promotion after which the other members are compared with the leader.
@@ -41,6 +43,16 @@
     compared: Vec<id::MemberId>,
 }
 
+/// A leader that has stopped to hand over.
+#[derive(Clone, Copy, Debug)]
+struct Stopped {
+    token: u64,
+    member: id::MemberId,
+    log_end: floor::Point,
+    /// Whether no answer has shown more yet.
+    is_watched: bool,
+}
+
 /// An answer of a member to a command.
 #[derive(Clone, Debug)]
 struct Told {
@@ -90,6 +102,55 @@
         self.received = sorted::Map::default();
     }
 
+    /// Returns that the leader of an attempt has stopped to hand over, unless that has been logged.
+    pub(super) fn stopped_leader(
+        &mut self,
+        group: id::GroupId,
+        attempt: &failover::Attempt,
+    ) -> Option<effect::StateChange> {
+        let (_, token, _) = attempt.step_token_and_target();
+        let basis = attempt.choice_basis();
+        let (member, log_end) = basis.old_leader.zip(basis.log_end)?;
+        let is_logged = self.stopped.is_some_and(|stopped| stopped.token == token);
+        if !basis.hands_over || is_logged {
+            return None;
+        }
+        self.stopped = Some(Stopped {
+            token,
+            member,
+            log_end,
+            is_watched: true,
+        });
+        Some(effect::StateChange::LeaderStopped {
+            group,
+            token,
+            member,
+            log_end,
+        })
+    }
+
+    /// Applies a point of a member's log. Returns whether a leader that had stopped has gone on, which is told once.
+    fn watch_stopped(
+        &mut self,
+        group: id::GroupId,
+        member: id::MemberId,
+        point: floor::Point,
+    ) -> Option<effect::StateChange> {
+        let stopped = self.stopped.as_mut()?;
+        if !stopped.is_watched || stopped.member != member || point <= stopped.log_end {
+            return None;
+        }
+        // In a newer term, it follows its successor.
+        stopped.is_watched = false;
+        (point.term == stopped.log_end.term).then_some(effect::StateChange::StoppedLeaderWentOn {
+            group,
+            token: stopped.token,
+            member,
+            log_end: stopped.log_end,
+            point,
+        })
+    }
+
     /// Keeps what the members had received when an attempt ordered the promotion that `leader` has confirmed.
     pub(super) fn start_comparison(
         &mut self,
@@ -223,6 +284,20 @@
 }
 
 impl state::Broker {
+    /// Logs if a member's answer with this point shows that it went on after it had stopped to hand over.
+    pub(super) fn watch_stopped_leader(
+        &mut self,
+        group_id: id::GroupId,
+        member: id::MemberId,
+        point: floor::Point,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        if let Some(group) = self.groups.get_mut(group_id) {
+            let change = group.failover_log.watch_stopped(group_id, member, point);
+            effects.extend(change.map(effect::Effect::RecordChange));
+        }
+    }
+
     /// Logs the answer of a member that was asked after the promotion of another one.
     pub(super) fn record_comparison(
         &mut self,
@@ -232,6 +307,9 @@
         answer: event::StatusAnswer,
         effects: &mut Vec<effect::Effect>,
     ) {
+        if let Some(point) = answer.point() {
+            self.watch_stopped_leader(group_id, member, point, effects);
+        }
         let Some(group) = self.groups.get_mut(group_id) else {
             return;
         };
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -124,6 +124,7 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         if let Some(status) = status {
+            self.watch_stopped_leader(group_id, member, status.received, effects);
             if let Some(group) = self.groups.get_mut(group_id)
                 && let Some(state) = group.members.get(member)
             {
@@ -314,6 +315,8 @@
             let choice = log.choice(group_id, attempt, &roster, &group.members);
             effects.extend(choice.map(effect::Effect::RecordChange));
         }
+        let stopped = group.failover_log.stopped_leader(group_id, attempt);
+        effects.extend(stopped.map(effect::Effect::RecordChange));
         let (step, token, target) = attempt.step_token_and_target();
         let reason = attempt.reason;
         let step = match progress {
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -190,6 +190,7 @@
             } => {
                 self.record_receipt_answer(now, group, member, asked_at, status, effects);
                 if let Some(status) = status {
+                    self.watch_stopped_leader(group, member, status.received, effects);
                     self.record_receipt(now, member, status.received, connected_at);
                 }
             }
@@ -198,7 +199,12 @@
                 member,
                 asked_at,
                 status,
-            } => self.record_lease_answer(now, group, member, asked_at, status, effects),
+            } => {
+                if let Some(status) = status {
+                    self.watch_stopped_leader(group, member, status.received, effects);
+                }
+                self.record_lease_answer(now, group, member, asked_at, status, effects);
+            }
             event::Event::ComparisonAnswered {
                 group,
                 member,
--- a/crates/broker/tests/failover_log.rs
+++ b/crates/broker/tests/failover_log.rs
@@ -374,3 +374,93 @@
         [(1, None, false), (3, None, false)]
     );
 }
+
+/// Takes the changes that tell that the old leader has stopped, and that it has gone on.
+fn take_stops(fixture: &mut Fixture) -> (Vec<Point>, Vec<(Point, Point)>) {
+    let (mut stopped, mut went_on) = (Vec::new(), Vec::new());
+    for effect in fixture.take_effects() {
+        match effect {
+            Effect::RecordChange(StateChange::LeaderStopped {
+                member, log_end, ..
+            }) => {
+                assert_eq!(member, 1);
+                stopped.push(log_end);
+            }
+            Effect::RecordChange(StateChange::StoppedLeaderWentOn {
+                member,
+                log_end,
+                point,
+                ..
+            }) => {
+                assert_eq!(member, 1);
+                went_on.push((log_end, point));
+            }
+            _ => {}
+        }
+    }
+    (stopped, went_on)
+}
+
+/// Ways in which the old leader answers after it has stopped.
+#[derive(Clone, Copy, Debug)]
+enum Later {
+    Command,
+    Lease,
+    Receipt,
+    Refusal,
+}
+
+/// Lets the old leader answer with this end of its log, in a newer term if the end is of one.
+fn answer_later(fixture: &mut Fixture, later: Later, end: (u64, u64)) {
+    let (group, member, asked_at) = (GROUP, 1, fixture.now);
+    let told = status(false, end.0, end, 0);
+    let status = Some(told);
+    let event = match later {
+        Later::Command => return answer(fixture, member, told),
+        Later::Lease => Event::LeaseAnswered {
+            group,
+            member,
+            asked_at,
+            status,
+        },
+        Later::Receipt => Event::ReceiptAnswered {
+            group,
+            member,
+            asked_at,
+            connected_at: asked_at,
+            status,
+        },
+        Later::Refusal => Event::StatementEnded(StatementReport {
+            member,
+            answer: Answer::NotLeading,
+            point: Some(told.received),
+            floor: None,
+            connected_at: None,
+            took: Some(Duration::from_millis(5)),
+        }),
+    };
+    fixture.handle(event);
+}
+
+/// A commit that was being executed when the demotion arrived is in the log only after the answer (hypothesis of inc12).
+#[rstest]
+#[case::no_more((1, 529), false)]
+#[case::more((1, 530), true)]
+#[case::follows_successor((2, 531), false)]
+fn stopped_leader_went_on_if_it_shows_more_in_its_term(
+    #[case] end: (u64, u64),
+    #[case] expected: bool,
+    #[values(Later::Command, Later::Lease, Later::Receipt, Later::Refusal)] later: Later,
+) {
+    let mut fixture = Fixture::new();
+    hand_over(&mut fixture);
+    let log_end = Point::new(1, 529);
+    assert_eq!(take_stops(&mut fixture), (vec![log_end], vec![]));
+    answer_later(&mut fixture, later, end);
+    answer_later(&mut fixture, later, end);
+    let went_on = match expected {
+        true => vec![(log_end, Point::new(end.0, end.1))],
+        false => vec![],
+    };
+    assert_eq!(take_stops(&mut fixture), (vec![], went_on));
+}
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -38,6 +38,34 @@
             );
         }
         effect::StateChange::Choice(ref choice) => log_choice(broker, choice),
+        effect::StateChange::LeaderStopped {
+            group,
+            token,
+            member,
+            log_end,
+        } => {
+            let group = group_name(broker, group);
+            let member = member_name(broker, member);
+            let log_end = point_text(Some(log_end));
+            log::info!(
+                "event=leader_stopped group={group} token={token} member={member} log_end={log_end}"
+            );
+        }
+        effect::StateChange::StoppedLeaderWentOn {
+            group,
+            token,
+            member,
+            log_end,
+            point,
+        } => {
+            metrics::counter!("fulmarlift_stopped_leaders_went_on_total").increment(1);
+            let group = group_name(broker, group);
+            let member = member_name(broker, member);
+            let (log_end, point) = (point_text(Some(log_end)), point_text(Some(point)));
+            log::warn!(
+                "event=stopped_leader_went_on group={group} token={token} member={member} log_end={log_end} now={point}"
+            );
+        }
         effect::StateChange::Compared(ref comparison) => log_comparison(broker, comparison),
         effect::StateChange::LogEnd {
             group,
--- a/crates/session/tests/state_changes.rs
+++ b/crates/session/tests/state_changes.rs
@@ -208,3 +208,31 @@
     let expected: Vec<String> = [compared].into_iter().chain(warned).collect();
     assert_eq!(lines_of(&change), expected);
 }
+
+#[test]
+fn line_of_stopped_leader_that_went_on_warns() {
+    let stopped = StateChange::LeaderStopped {
+        group: 7,
+        token: 12,
+        member: 1,
+        log_end: Point::new(13, 529),
+    };
+    let went_on = StateChange::StoppedLeaderWentOn {
+        group: 7,
+        token: 12,
+        member: 1,
+        log_end: Point::new(13, 529),
+        point: Point::new(13, 530),
+    };
+    let leader = "group=unknown token=12 member=unknown log_end=13.529";
+    assert_eq!(
+        lines_of(&stopped),
+        [format!("level=INFO event=leader_stopped {leader}")]
+    );
+    assert_eq!(
+        lines_of(&went_on),
+        [format!(
+            "level=WARN event=stopped_leader_went_on {leader} now=13.530"
+        )]
+    );
+}
