Broker: trust ends by itself where promotions are fenced, and a takeover waits for its end

A proxy trusted a leader from a read of the claim row on, without end, until it saw something that an attempt could explain.

Trust now ends TRUST_DURATION (1 s) after its evidence. A success counts only if the answer and the receipt are within the trust; otherwise it waits for a row that is read then. A claimant that takes over waits until 1 s after the last hold before the directory is read and the logs that count are: what a caller was told of is in them, whatever has become of the holds in the first round. Writes are sent as before while nothing speaks against the leader. A single write that is sent within 100 ms of the end has the row read meanwhile; transactions wait for it at their commit. Nothing is read without a write. The claim lasts 4.5 s instead of 4 s where promotions are fenced, as the wait is 0.5 s longer than that for leases: without it, an attempt whose claim got no answer could not end in time.

A hand-over does not wait: the log of the stopped leader tells. That the claimed leader's process is gone is no reason to skip the wait: another proxy may have an answer of it and a receipt of a replica that was released. Ruled out: 2 s, which is most of the 3 s in which a claim may hold members.

--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -10,7 +10,6 @@
 use crate::event;
 use crate::failover;
 use crate::leader;
-use crate::lease;
 
 /// Why no held member can be chosen.
 enum Unfit {
@@ -125,9 +124,9 @@
                 return self.end_beside_other_leader(now, member, status, roster, out);
             }
             self.raise_hold_term(status);
-            if !self.fenced && self.second_round_at.is_none() {
+            if self.second_round_at.is_none() {
                 // If the member is held, it has been held since some time before now.
-                self.leases_end_at = now + lease::LEASE_DURATION;
+                self.leases_end_at = now + self.lease_duration();
             }
             self.discard_outdated_holds(now);
         }
@@ -255,7 +254,7 @@
         };
         self.claim.led_term = 0;
         self.claim.settled = false;
-        self.claim.until_ms = self.store_now_ms(now) + failover::CLAIM_LEASE_MS;
+        self.claim.until_ms = self.store_now_ms(now) + self.claim_lease_ms();
         let order_timeout = match self.fenced {
             true => failover::FENCED_ORDER_TIMEOUT,
             false => failover::UNFENCED_ORDER_TIMEOUT,
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -9,8 +9,8 @@
 //!   (`Stopping`). Members outside the view of this proxy do not matter: they cannot have confirmed what the target lacks.
 //! - A leader that does not answer is taken over from. Every other member is held (`Holding`), also those that the directory no longer
 //!   lists but that still run: a member that does not answer may have received commits that the others lack. A replaced leader that
-//!   leads on cannot be held, so it is demoted first. Where promotions are not fenced, the attempt then waits until no proxy
-//!   trusts the old leader any more, see [`crate::lease`]. A member may have joined since and confirmed commits, so the directory is
+//!   leads on cannot be held, so it is demoted first. The attempt then waits until no proxy trusts the old leader any more, see
+//!   [`crate::lease`] and, where promotions are fenced, [`crate::trust`]. A member may have joined since and confirmed commits, so the directory is
 //!   read (`ReadingDirectory`), and all members are held and their logs read once more before the choice. A leader that answers
 //!   everything but commits is held off from its replicas in this way as well, and stopped before that second round.
 //!
@@ -40,11 +40,15 @@
 use crate::effect;
 use crate::event;
 use crate::leader;
+use crate::lease;
 use crate::revision;
+use crate::trust;
 
-/// Time for which a claim excludes other proxies: enough for two promotions of 600 ms with their commands to members, and
-/// for retries.
-const CLAIM_LEASE_MS: u64 = 4_000;
+/// Time for which a claim excludes other proxies where promotions are not fenced: enough for the end of the leases, two promotions of
+/// 600 ms with their commands to members, and for retries.
+const UNFENCED_CLAIM_LEASE_MS: u64 = 4_000;
+/// The same where they are fenced, with the longer wait for the end of the trust.
+const FENCED_CLAIM_LEASE_MS: u64 = 4_500;
 /// Time for which the claim lasts after the end of its promotion order (confirmed or refused), so that no other proxy gives
 /// an order meanwhile: the platform's setting `lease-duration-ms`.
 pub const ORDER_LEASE: Duration = Duration::from_secs(3);
@@ -52,12 +56,12 @@
 /// enough after it that no other proxy sends an order before this one has arrived.
 const UNFENCED_ORDER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after the record of the choice in which fenced promotion orders are sent. It bounds [`LOST_CLAIM_TIMEOUT`].
-const FENCED_ORDER_TIMEOUT: Duration = Duration::from_millis(CLAIM_LEASE_MS);
+const FENCED_ORDER_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Time after which an order that was sent can no longer be executed, where orders are not fenced. The platform executes
 /// unanswered orders seconds later.
 const LATE_ORDER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most orders without an answer that may be executed one after the other while a later attempt holds the members: those of the
-/// attempts within [`LATE_ORDER_TIMEOUT`], each of which claims for [`CLAIM_LEASE_MS`].
+/// attempts within [`LATE_ORDER_TIMEOUT`], each of which claims for [`UNFENCED_CLAIM_LEASE_MS`] at least.
 const LATE_ORDERS_MAX: id::Term = 4;
 /// Longest time from the choice of a member to the execution of its promotion order, where orders are not fenced.
 pub const ORDER_AGE_MAX: Duration = UNFENCED_ORDER_TIMEOUT.saturating_add(LATE_ORDER_TIMEOUT);
@@ -247,7 +251,7 @@
     /// An instant, and the time on the store's clock at that instant, in milliseconds.
     store_clock: (Instant, u64),
     holds: sorted::Map<id::MemberId, CommandState>,
-    /// Instant at which the last lease of the old leader ends, as far as the members that are held have granted it.
+    /// Instant at which the last lease of the old leader, or the last trust in it, ends.
     leases_end_at: Instant,
     /// Whether the old leader hands over, rather than being taken over from.
     hands_over: bool,
@@ -466,7 +470,7 @@
         // The store read its clock after the read of the claim row was sent, so the estimate of its clock that starts at the
         // sending is never behind. This proxy ends its claim no later than the store does, and writes expiry times that are
         // no earlier than intended.
-        self.claim_expires_at = self.read_sent_at + Duration::from_millis(CLAIM_LEASE_MS);
+        self.claim_expires_at = self.read_sent_at + Duration::from_millis(self.claim_lease_ms());
         self.store_clock = (self.read_sent_at, stored.now_ms);
         self.revision = stored.revision;
         self.claim = claim::Claim {
@@ -474,7 +478,7 @@
             token: stored.claim.next_token(stored.revision.era),
             settled: pending.is_none(),
             target: pending,
-            until_ms: stored.now_ms + CLAIM_LEASE_MS,
+            until_ms: stored.now_ms + self.claim_lease_ms(),
             order_ends_ms: stored.claim.order_ends_ms,
             era: stored.revision.era,
             led_term: match last_ordered {
@@ -893,6 +897,22 @@
         read_ms + u64::try_from(elapsed).unwrap_or(u64::MAX / 2)
     }
 
+    /// Returns for how long a proxy relies on evidence that no attempt is under way.
+    fn lease_duration(&self) -> Duration {
+        match self.fenced {
+            true => trust::TRUST_DURATION,
+            false => lease::LEASE_DURATION,
+        }
+    }
+
+    /// Returns for how many milliseconds a claim excludes other proxies.
+    fn claim_lease_ms(&self) -> u64 {
+        match self.fenced {
+            true => FENCED_CLAIM_LEASE_MS,
+            false => UNFENCED_CLAIM_LEASE_MS,
+        }
+    }
+
     /// Returns the instant at which the attempt is given up if it still holds members.
     fn gives_up_at(&self) -> Instant {
         self.claim_expires_at - RELEASE_TIMEOUT
--- a/crates/broker/src/state/confirmations.rs
+++ b/crates/broker/src/state/confirmations.rs
@@ -130,7 +130,9 @@
             true => {
                 let led_since = group.leader.confirmed_at >= Some(received_at);
                 let is_prompt = received_at <= arrived_at + PROMPT_RECEIPT_TIME;
-                group.lease.trust.holds(arrived_at) && (led_since || is_prompt)
+                let trust = &group.lease.trust;
+                // A claimant may read the logs from the end of the trust on.
+                trust.holds(arrived_at) && trust.covers(received_at) && (led_since || is_prompt)
             }
             // A member that receives the commit after the choice of another leader does not count.
             false => group.lease.lease.covers(term, arrived_at.max(received_at)),
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -27,6 +27,9 @@
 /// Remaining time from which a lease in use is renewed while only members can do so: time for a member that does not answer, and
 /// for another one that does.
 const RENEWAL_LEAD: Duration = Duration::from_millis(300);
+/// Remaining time of the trust from which a write that is sent renews it: the usual time to the answer, which otherwise waits for the
+/// claim row.
+const TRUST_RENEWAL_LEAD: Duration = Duration::from_millis(100);
 /// Delay before the claim row is read again after a read that started no lease.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The same while members renew a lease.
@@ -177,10 +180,11 @@
         leader.map_or(0, |leader| leader.term)
     }
 
-    /// Returns whether writes may be sent to the leader: it has a lease or, where promotions are fenced, is trusted.
+    /// Returns whether writes may be sent to the leader: it has a lease or, where promotions are fenced, there is no reason to doubt it.
+    /// There, the successes of these writes may still wait for evidence.
     pub(super) fn may_write(&self, now: Instant, fenced: bool) -> bool {
         match fenced {
-            true => self.lease.trust.holds(now),
+            true => self.lease.trust.is_undoubted(now),
             false => self.lease.lease.covers(self.leader_term(), now),
         }
     }
@@ -231,7 +235,7 @@
             fenced || members.any(|state| state.entry.name.as_ref() == name)
         });
         if !knows_last_ordered {
-            return self.may_write(now, fenced);
+            return self.covers_writes(now, fenced);
         }
         let leader = self.leader.member;
         let others = self
@@ -253,7 +257,15 @@
         if !fenced && let Some(known_at) = given_at.min(members_known_at) {
             self.lease.lease.start(term, known_at);
         }
-        self.may_write(now, fenced)
+        self.covers_writes(now, fenced)
+    }
+
+    /// Returns whether the successes of writes that are answered now need no further evidence about the leader.
+    fn covers_writes(&self, now: Instant, fenced: bool) -> bool {
+        match fenced {
+            true => self.lease.trust.holds(now),
+            false => self.may_write(now, fenced),
+        }
     }
 
     /// Returns whether there is a lease of any term or, where promotions are fenced, the leader is trusted.
@@ -282,6 +294,13 @@
             .log_evidence(valid, term, group, evidence, effects);
     }
 
+    /// Requests the renewal of trust that would end before the answer to a write that is sent now.
+    pub(super) fn renew_trust_early(&mut self, now: Instant) {
+        if !self.lease.trust.covers(now + TRUST_RENEWAL_LEAD) {
+            self.lease.record_demand(now);
+        }
+    }
+
     /// Requests the renewal of a lease that is in use and ends soon, if the claim row could not start another one after its end.
     pub(super) fn renew_lease_early(&mut self, now: Instant) {
         let lease = &mut self.lease;
@@ -363,7 +382,8 @@
         let is_shown = group.is_leader_shown();
         let lease = &mut group.lease;
         let may_read = lease.claim_retry_at.is_none_or(|retry_at| now >= retry_at);
-        let needs_claim = !valid || lease.is_unconfirmed() || lease.needs_proof;
+        let ends_soon = fenced && !lease.trust.covers(now + TRUST_RENEWAL_LEAD);
+        let needs_claim = !valid || ends_soon || lease.is_unconfirmed() || lease.needs_proof;
         if is_shown && needs_claim && may_read {
             lease.claim_read_sent_at = Some(now);
             lease.claim_retry_at = Some(now + CLAIM_READ_TIMEOUT);
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -203,8 +203,14 @@
             }
             match decision {
                 Decision::Grant { member, floor } => {
-                    if !self.settings.fenced && !self.is_home(member) {
-                        self.groups.entry(group_id).renew_lease_early(now);
+                    let (fenced, is_home) = (self.settings.fenced, self.is_home(member));
+                    let writes = request.requirement == request::Requirement::Leader;
+                    let group = self.groups.entry(group_id);
+                    match fenced {
+                        _ if is_home => {}
+                        true if writes => group.renew_trust_early(now),
+                        true => {}
+                        false => group.renew_lease_early(now),
                     }
                     self.grant(now, &request, member, floor, effects);
                 }
@@ -396,7 +402,11 @@
                 !fenced
             }
         };
-        needs && !group.is_some_and(|group| group.has_evidence(now, fenced))
+        let has_lease = |group: &state::GroupState| match fenced {
+            true => group.may_write(now, fenced),
+            false => group.has_evidence(now, fenced),
+        };
+        needs && !group.is_some_and(has_lease)
     }
 
     /// Decides on a request that the lease of the leader does not cover yet.
--- a/crates/broker/tests/trust.rs
+++ b/crates/broker/tests/trust.rs
@@ -8,6 +8,7 @@
 use fulmarlift_broker::effect::Effect;
 use fulmarlift_broker::event::{Answer, Event, StatementReport};
 use fulmarlift_broker::request::Requirement;
+use fulmarlift_broker::trust::TRUST_DURATION;
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
 use rstest::rstest;
@@ -160,3 +161,86 @@
     let (now, point) = (fixture.now, Some(Point::new(1, 10)));
     assert_eq!(fixture.broker.confirms_commit(GROUP, point, now), None);
 }
+
+/// Lets time pass in which the leader answers, and a caller writes nothing.
+fn wait_in_contact(fixture: &mut Fixture, time: Duration) {
+    let until = fixture.now + time;
+    while fixture.now < until {
+        let step = Duration::from_millis(400).min(until - fixture.now);
+        fixture.advance(step.as_millis() as u64);
+        lead(fixture, 1, None);
+    }
+}
+
+fn reads_claim(fixture: &mut Fixture) -> bool {
+    let reads = |effect: &Effect| matches!(effect, Effect::LoadClaim(GROUP));
+    fixture.take_effects().iter().any(reads)
+}
+
+/// Nothing that a proxy sees tells of an attempt whose holds have been undone.
+#[rstest]
+#[case::before_end(TRUST_DURATION - Duration::from_millis(1), Some(true))]
+#[case::at_end(TRUST_DURATION, None)]
+fn trust_ends_by_itself(#[case] after: Duration, #[case] expected: Option<bool>) {
+    let mut fixture = trusting();
+    fixture.receive(2, Point::new(1, 10));
+    wait_in_contact(&mut fixture, after);
+    let (arrived_at, point) = (fixture.now, Some(Point::new(1, 10)));
+    let confirmed = |fixture: &Fixture| fixture.broker.confirms_commit(GROUP, point, arrived_at);
+    assert_eq!(confirmed(&fixture), expected);
+    assert!(!reads_claim(&mut fixture), "no write needs the row");
+    fixture.trust_leader();
+    assert_eq!(confirmed(&fixture), Some(true));
+}
+
+#[test]
+fn success_makes_claim_row_read_once_trust_has_ended() {
+    let mut fixture = trusting();
+    wait_in_contact(&mut fixture, TRUST_DURATION);
+    fixture.receive(2, Point::new(1, 10));
+    fixture.handle(Event::ConfirmationNeeded {
+        group: GROUP,
+        point: Some(Point::new(1, 10)),
+        arrived_at: fixture.now,
+    });
+    assert!(reads_claim(&mut fixture));
+}
+
+/// A claimant may have read the logs by the time that the receipt came.
+#[rstest]
+#[case::within_trust(60, Some(true))]
+#[case::after_trust(140, None)]
+fn receipt_confirms_only_within_trust(
+    #[case] received_after_ms: u64,
+    #[case] expected: Option<bool>,
+) {
+    let mut fixture = trusting();
+    let connected_at = fixture.now - Duration::from_secs(1);
+    wait_in_contact(&mut fixture, TRUST_DURATION - Duration::from_millis(100));
+    let (arrived_at, point) = (fixture.now, Some(Point::new(1, 10)));
+    fixture.now += Duration::from_millis(received_after_ms);
+    fixture.receive_over(2, Point::new(1, 10), connected_at);
+    lead(&mut fixture, 1, None);
+    let confirmed = |fixture: &Fixture| fixture.broker.confirms_commit(GROUP, point, arrived_at);
+    assert_eq!(confirmed(&fixture), expected);
+    fixture.trust_leader();
+    assert_eq!(confirmed(&fixture), Some(true));
+}
+
+/// A success may wait for the row, a write need not.
+#[rstest]
+#[case::write(Requirement::Leader, true)]
+#[case::transaction(Requirement::LeaderForReads { acknowledged_before: std::time::Instant::now() }, false)]
+fn write_is_sent_without_delay_after_end_of_trust(
+    #[case] requirement: Requirement,
+    #[case] reads: bool,
+    #[values(Duration::ZERO, Duration::from_millis(50))] before_end: Duration,
+) {
+    let mut fixture = trusting();
+    wait_in_contact(&mut fixture, TRUST_DURATION - before_end);
+    fixture.effects.clear();
+    fixture.add_request(requirement);
+    fixture.open_all();
+    assert_eq!(fixture.take_grants().len(), 1);
+    assert_eq!(reads_claim(&mut fixture), reads);
+}
