Broker: the claim after an unanswered order tells that its target is disputed

After a promotion order without an answer, a member that confirms that it leads leaves a row with a pending target and the term that it leads. Where promotions are fenced, the next claim kept both, so the row of an attempt to replace this member could not be told from the one before: it read as Undisputed until the choice was recorded. A proxy that read it meanwhile trusted the leader during the attempt, and a claimant's wait for the end of the trust would have been in vain. Where they are not fenced, the next claim can only order the same member again.

The claim leaves the term out while such an attempt lasts, and writes it back when the attempt is given up without an order, as the member may go on leading under another name. If the claimant dies before that, a member that starts again under another name reads as Disputed until the next attempt; not mended. Ruled out: no trust in the row until the claim after the order has ended, which would have kept the writes waiting for 3 s after each unanswered order.

The test failed on the code before (Undisputed); without the write on giving up, it fails on the term.

--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -489,6 +489,10 @@
         };
         self.ordered_before = self.claim.last_ordered.clone();
         self.led_before = self.claim.led_term;
+        // With the term, the row would tell that its pending target leads undisputed.
+        if self.fenced && self.pending_before.is_some() {
+            self.claim.led_term = 0;
+        }
         self.step = Step::Claiming;
         self.store_claim(out);
         Progress::Ongoing
@@ -845,6 +849,9 @@
         // target of that order lacks.
         if self.claim.pending_target().is_none() {
             self.release(now, lease, out);
+        } else if self.fenced && !self.order_taken && self.led_before > 0 {
+            // The pending target leads undisputed again, also under another name.
+            self.store_claim(out);
         }
         Progress::GivenUp {
             retry_at: now + STORE_RETRY_DELAY * 2,
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -311,6 +311,51 @@
     );
 }
 
+/// The row of a member that had confirmed its lead after an order without an answer did not change its target with the next claim, and told
+/// proxies that nobody replaces that member.
+#[test]
+fn claim_disputes_leader_whose_order_got_no_answer() {
+    let mut fixture = Fixture::new();
+    lose_leader(&mut fixture);
+    let claim = Claim {
+        token: 6,
+        target: Some("member-1".into()),
+        until_ms: 8_000,
+        last_ordered: LastOrdered::Member {
+            name: "member-1".into(),
+            replaced_term: 0,
+        },
+        led_term: 1,
+        ..Claim::default()
+    };
+    let stored = ClaimRow {
+        claim,
+        revision: version(4),
+        now_ms: 9_000,
+    };
+    assert_eq!(stored.standing("member-1", 1), Standing::Undisputed);
+    fixture.handle(Event::ClaimLoaded {
+        group: GROUP,
+        asked_at: fixture.now,
+        stored: Some(stored.clone()),
+    });
+    let written = ClaimRow {
+        claim: take_written_claim(&mut fixture),
+        revision: version(11),
+        now_ms: 9_100,
+    };
+    assert_eq!(written.standing("member-1", 1), Standing::Disputed);
+    let outcome = StoreOutcome::Written(version(11));
+    fixture.handle(Event::ClaimStored {
+        group: GROUP,
+        outcome,
+    });
+    // Nobody answers, and the attempt is given up.
+    fixture.advance(4_000);
+    let given_up = take_written_claim(&mut fixture);
+    assert_eq!(given_up.led_term, 1);
+}
+
 /// Answers two commits at the leader, one after the other, with these points (term and position) as the end of its log.
 fn commit_twice(fixture: &mut Fixture, ends: [(u64, u64); 2]) {
     for (term, position) in ends {
