--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -12,7 +12,7 @@
 use crate::leader;
 
 /// Why no held member can be chosen.
-enum Unfit {
+pub(super) enum Unfit {
     /// All of them may lack acknowledged entries.
     Behind,
     /// None of those that have received most is listed.
@@ -180,7 +180,7 @@
 
     /// Returns a listed member that has received most: one that stays if there is one, and among these the target of an older order that
     /// may still be executed. Where no token ends that order, only its target may be chosen.
-    fn find_furthest<'a>(
+    pub(super) fn find_furthest<'a>(
         &self,
         roster: &'a failover::Roster,
     ) -> Result<&'a failover::Participant, Unfit> {
@@ -213,7 +213,7 @@
     }
 
     /// Returns whether the row names a member as the target, and an order that is given now agrees with the row.
-    fn is_recorded(&self, now: Instant, member: id::MemberId) -> bool {
+    pub(super) fn is_recorded(&self, now: Instant, member: id::MemberId) -> bool {
         self.target == Some(member)
             && self.claim.last_ordered.replaced_term() == self.newest_term
             && self.orders_end_at.is_some_and(|end_at| now < end_at)
--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -133,23 +133,89 @@
             self.read_directory(out);
             return failover::Progress::Ongoing;
         }
+        if self.handover_holds_until.is_some() {
+            return self.hold_for_handover(now, roster, out);
+        }
         self.ask_members(now, roster, out);
         // A successor that has been recorded needs no other call of the store.
         let awaits_target = now + failover::STOP_TIMEOUT < until + failover::COMMAND_RETRY_DELAY;
         let found = self.find_successor(roster, log_end);
         let found = found.filter(|(member, _)| Some(*member) == self.target || !awaits_target);
-        let successor = found.or_else(|| {
-            let old_leader = self.old_leader.filter(|_| now >= until)?;
-            Some((old_leader, roster.name(old_leader)?))
-        });
-        match successor {
-            Some((member, _)) if Some(member) == self.target => self.give_order(out),
-            Some((member, name)) => self.record_choice(now, member, &name, out),
+        if found.is_some() {
+            self.handover_holds_until = Some(now + failover::HANDOVER_HOLD_TIMEOUT);
+            return self.hold_for_handover(now, roster, out);
+        }
+        match self.old_leader.filter(|_| now >= until) {
+            Some(old_leader) => self.order_recorded(now, old_leader, roster, out),
             None => self.ask_again(now),
         }
         failover::Progress::Ongoing
     }
 
+    /// Holds all members but the old leader, and orders the promotion of a member that has received most. The old leader may have
+    /// acknowledged commits after it answered that it had stopped: those that waited there for their execution.
+    fn hold_for_handover(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        let mut unanswered = false;
+        for participant in &roster.members {
+            if Some(participant.member) == self.old_leader {
+                continue;
+            }
+            let hold = self.holds.entry(participant.member);
+            unanswered |= hold.status.is_none();
+            if hold.send_if_due(now) {
+                let command = effect::MemberCommand::Hold(self.hold_term);
+                self.send_command(Some(participant.member), command, out);
+            }
+        }
+        let is_over = self.handover_holds_until.is_none_or(|until| now >= until);
+        if unanswered && !is_over {
+            return failover::Progress::Ongoing;
+        }
+        let furthest = self.find_furthest(roster).ok();
+        let furthest = furthest.map(|participant| participant.member);
+        let has_whole_log = furthest
+            .and_then(|member| self.holds.get(member)?.status)
+            .is_some_and(|status| Some(status.received) >= self.log_end);
+        match furthest.filter(|_| has_whole_log) {
+            Some(member) => {
+                self.order_recorded(now, member, roster, out);
+                failover::Progress::Ongoing
+            }
+            None => self.go_on_without_answer(now, roster, out),
+        }
+    }
+
+    /// Records the answer to a hold command of a hand-over.
+    fn apply_handover_hold(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        status: Option<event::MemberStatus>,
+    ) {
+        let held = status.filter(|status| status.held_term >= self.hold_term);
+        self.holds.entry(member).record_answer(now, held);
+    }
+
+    /// Orders the promotion of a member, after it was written to the claim row.
+    fn order_recorded(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        if self.is_recorded(now, member) {
+            self.give_order(out);
+        } else if let Some(name) = roster.name(member) {
+            self.record_choice(now, member, &name, out);
+        }
+    }
+
     /// Records the answer to the command that stops the old leader, or to a question for the log of another member.
     pub(super) fn apply_stop(
         &mut self,
@@ -160,7 +226,10 @@
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         if Some(member) != self.old_leader {
-            self.surveyed.entry(member).record_answer(now, status);
+            match self.handover_holds_until {
+                Some(_) => self.apply_handover_hold(now, member, status),
+                None => self.surveyed.entry(member).record_answer(now, status),
+            }
             return self.stop_leader(now, roster, out);
         }
         let stopped = status.filter(|status| !status.leads);
@@ -196,6 +265,7 @@
         }
         self.restore_pending();
         self.target = None;
+        self.handover_holds_until = None;
         self.take_over(now, roster, out)
     }
 
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! - A leader that answers hands over. The proxy asks all members for their status (`Surveying`), records its choice (`Recording`),
 //!   stops the leader by a demotion, and orders the promotion once the target has received the log of the stopped leader to its end
-//!   (`Stopping`). Members outside the view of this proxy do not matter: they cannot have confirmed what the target lacks.
+//!   (`Stopping`). The members that answer are held before the order, and the one that has received most is ordered: commits that waited
+//!   at the old leader when it was stopped may have been executed and confirmed since.
 //! - A leader that does not answer is taken over from. Every other member is held (`Holding`), also those that the directory no longer
 //!   lists but that still run: a member that does not answer may have received commits that the others lack. A replaced leader that
 //!   leads on cannot be held, so it is demoted first. The attempt then waits until no proxy trusts the old leader any more, see
@@ -89,6 +90,9 @@
 const SURVEY_TIMEOUT: Duration = COMMAND_TIMEOUT;
 /// Time in which the old leader must answer that it has stopped, and then in which a member must have received its log to the end.
 const STOP_TIMEOUT: Duration = COMMAND_TIMEOUT;
+/// Time in which the members answer the hold commands of a hand-over. Members that do not answer are passed over: the old leader has
+/// stopped.
+const HANDOVER_HOLD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that the chosen member has to confirm that it leads after an order without an answer, which may not have arrived.
 const CONFIRM_UNKNOWN_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time that the chosen member has to confirm that it leads after the order was accepted.
@@ -255,6 +259,8 @@
     leases_end_at: Instant,
     /// Whether the old leader hands over, rather than being taken over from.
     hands_over: bool,
+    /// Instant until which the members may answer the hold commands of a hand-over; `None` before these are sent.
+    handover_holds_until: Option<Instant>,
     /// Instant since which the members are held for the second time: no acknowledgement of the old leader can reach a caller any more.
     second_round_at: Option<Instant>,
     /// Questions for the status of the members while the old leader hands over.
@@ -313,6 +319,7 @@
             holds: sorted::Map::default(),
             leases_end_at: start_at,
             hands_over: false,
+            handover_holds_until: None,
             second_round_at: None,
             surveyed: sorted::Map::default(),
             demotion: CommandState::default(),
--- a/crates/broker/tests/failover_log.rs
+++ b/crates/broker/tests/failover_log.rs
@@ -13,6 +13,7 @@
 };
 use fulmarlift_broker::leader::ReplaceReason;
 use fulmarlift_broker::request::Requirement;
+use fulmarlift_broker::trust::TRUST_DURATION;
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
 use rstest::rstest;
@@ -76,6 +77,7 @@
     for (member, status) in statuses {
         answer(fixture, *member, *status);
     }
+    fixture.advance(TRUST_DURATION.as_millis() as u64);
     let (group, is_read) = (GROUP, true);
     fixture.handle(Event::DirectoryLoaded { group, is_read });
     for (member, status) in statuses {
@@ -103,6 +105,9 @@
     answer(fixture, 1, status(false, 1, (1, 529), 0));
     fixture.advance(100);
     answer(fixture, 2, status(false, 1, (1, 529), 0));
+    answer(fixture, 2, status(false, 1, (1, 529), 2));
+    // Member 3 does not answer its hold command.
+    fixture.advance(300);
 }
 
 fn hand_over(fixture: &mut Fixture) {
@@ -186,7 +191,7 @@
     let mut fixture = Fixture::new();
     start_handover(&mut fixture);
     answer(&mut fixture, 3, status(false, 1, (1, 540), 0));
-    fixture.advance(3_500);
+    fixture.advance(4_000);
     write_claim(&mut fixture);
     finish_handover(&mut fixture);
     let choices = take_choices(&mut fixture);
--- a/crates/broker/tests/handover.rs
+++ b/crates/broker/tests/handover.rs
@@ -28,6 +28,8 @@
     stopped: Option<id::MemberId>,
     /// Whether member 3 receives another entry before it first answers, after member 2 has been chosen.
     grows: bool,
+    /// Member that confirms two more entries after the leader has answered that it has stopped, while the others receive nothing.
+    confirms_after_stop: Option<id::MemberId>,
     /// Members that answer no command.
     silent: Vec<id::MemberId>,
     row_version: u64,
@@ -53,6 +55,7 @@
             stops_following: None,
             stopped: None,
             grows: false,
+            confirms_after_stop: None,
             silent: Vec::new(),
             row_version: 20,
             orders: Vec::new(),
@@ -139,6 +142,13 @@
                     asked_at,
                     status,
                 });
+                if member == 1
+                    && !leads
+                    && let Some(member) = self.confirms_after_stop.take()
+                {
+                    self.received.insert(member, 530);
+                    self.catches_up = false;
+                }
                 if self.catches_up && member != 1 && Some(member) != self.stopped {
                     self.received.insert(member, self.received[&1]);
                 }
@@ -181,6 +191,18 @@
     }
 }
 
+/// Guards against the loss of commits that waited for their execution when their leader was stopped (inc12).
+#[test]
+fn order_names_member_that_confirmed_commits_after_leader_had_stopped() {
+    let mut group = Group::new();
+    group.confirms_after_stop = Some(3);
+    group.play(500);
+    assert!(!group.orders.is_empty());
+    for (target, received) in group.orders {
+        assert_eq!((target, received), (3, 530));
+    }
+}
+
 /// A leader whose last entries only a member had that is gone must not be left without a successor.
 #[test]
 fn leader_leads_on_if_no_member_has_its_whole_log() {
