--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -1,6 +1,6 @@
 //! Simulation of real brokers with members, a store and a platform, on a simulated clock and with faults drawn from a seed.
 //!
-//! Promotions are not fenced: a replaced leader leads on until it is demoted, or for a second after it can reach its successor.
+//! Where promotions are not fenced, a replaced leader leads on until it is demoted, or for a second after it can reach its successor.
 
 mod simulation {
     pub mod callers;
@@ -78,6 +78,7 @@
 fn run_seeds(seeds: impl IntoIterator<Item = u64>, plan_of: impl Fn(u64) -> Plan) {
     let mut failures = Vec::new();
     let (mut count, mut promotions, mut reads, mut commits, mut unknown) = (0, 0, 0, 0, 0);
+    let mut cut_back = 0;
     for seed in seeds {
         let outcome = world::run(seed, plan_of(seed), false);
         count += 1;
@@ -85,11 +86,12 @@
         reads += outcome.reads;
         commits += outcome.commits;
         unknown += outcome.unknown;
+        cut_back += outcome.cut_back;
         failures.extend(Failure::of(seed, &outcome));
     }
     println!(
-        "{count} seeds: {promotions} promotions, {reads} reads, {commits} commits, {unknown} of unknown outcome; \
-         seeds with lost commits or stale reads: {}",
+        "{count} seeds: {promotions} promotions, {reads} reads, {commits} commits, {unknown} of unknown outcome, \
+         {cut_back} acknowledged by leaders alone; seeds with lost commits or stale reads: {}",
         failures.len()
     );
     // Reads of the newest data come first.
@@ -140,10 +142,25 @@
 #[case::orders(Mix::ORDERS)]
 #[case::proxies(Mix::PROXIES)]
 #[case::reader(Mix::READER)]
+#[case::late_commands(Mix::LATE_COMMANDS)]
+#[case::queued_commits(Mix::QUEUED_COMMITS)]
 fn promises_hold_with_faults(#[case] mix: Mix) {
     run_seeds(SEEDS, |seed| Plan::new(seed, mix));
 }
 
+/// The same where promotions are fenced.
+#[rstest]
+#[case::all(Mix::ALL)]
+#[case::orders(Mix::ORDERS)]
+#[case::late_commands(Mix::LATE_COMMANDS)]
+#[case::queued_commits(Mix::QUEUED_COMMITS)]
+fn promises_hold_with_faults_where_fenced(#[case] mix: Mix) {
+    run_seeds(SEEDS, |seed| Plan {
+        fenced: true,
+        ..Plan::new(seed, mix)
+    });
+}
+
 /// Bounded reads: the answer to a `COMMIT` at a member that follows the newest term, but receives nothing, counts as that of the
 /// leader and becomes a sample of the read index.
 #[test]
--- a/crates/broker/tests/simulation/effects.rs
+++ b/crates/broker/tests/simulation/effects.rs
@@ -121,7 +121,12 @@
                 self.queue
                     .push(at, Happening::Store(index, starts, effect, answered));
             }
-            effect::Effect::OrderPromotion { member, until, .. } => {
+            effect::Effect::OrderPromotion {
+                member,
+                until,
+                token,
+                ..
+            } => {
                 let outdated = until.is_some_and(|until| self.instant() >= until);
                 if outdated {
                     let event = event::Event::PromotionOrdered {
@@ -133,7 +138,7 @@
                 let at = self.now + self.random.random_range(MS..8 * MS);
                 let (starts, member) = (self.proxies[index].starts, self.member_index(member));
                 self.queue
-                    .push(at, Happening::Ordered(index, starts, member));
+                    .push(at, Happening::Ordered(index, starts, member, token));
             }
             _ => {}
         }
@@ -330,7 +335,11 @@
             },
         );
         let path = (Node::Proxy(index), Node::Member(member));
-        let at = self.net.arrival(path.0, path.1, self.now, &mut self.random);
+        let mut at = self.net.arrival(path.0, path.1, self.now, &mut self.random);
+        let is_release = matches!(command, member::Command::Release);
+        if is_release && self.plan.late_commands && self.random.random_bool(0.5) {
+            at += self.random.random_range(500 * MS..6 * S);
+        }
         self.queue.push(at, Happening::Arrives(exchange));
         let silent = Input::Ended(exchange, Ended::Silent);
         self.wake(index, self.now + timeout, silent);
@@ -338,6 +347,9 @@
 
     /// A command arrives at its member, unless the proxy has closed the connection meanwhile.
     pub(super) fn command_arrives(&mut self, id: u64) {
+        if let Some((index, starts, command)) = self.given_up.remove(&id) {
+            return self.late_command_arrives(index, starts, command);
+        }
         let Some(exchange) = self.exchanges.get_mut(&id) else {
             return;
         };
@@ -355,11 +367,52 @@
             member::Process::Running => {}
         }
         let led = member.leads;
-        let reply = member.execute(command);
+        let commits = matches!(
+            command,
+            member::Command::Write | member::Command::Commit(_, true)
+        );
+        if led && commits && self.plan.queued_commits {
+            let at = self.now + self.random.random_range(0..150 * MS);
+            return self.queue.push(at, Happening::Executes(id));
+        }
+        let reply = match command {
+            member::Command::Demote(term)
+                if self.plan.queued_commits && led && member.term < term =>
+            {
+                member.stop_with_queue();
+                Some(member.reply(member::Code::Done))
+            }
+            command => member.execute(command),
+        };
         if led != member.leads {
             self.note(|| format!("member-{} is demoted", index + 1));
             self.publish(index);
         }
+        self.conclude(id, index, command, reply);
+    }
+
+    /// A commit that has waited for a slot is executed.
+    pub(super) fn execute_queued(&mut self, id: u64) {
+        let Some(exchange) = self.exchanges.get(&id) else {
+            return;
+        };
+        let (index, command, starts) = (exchange.member, exchange.command, exchange.member_starts);
+        let member = &mut self.members[index];
+        if !member.is_running() || member.starts != starts {
+            return;
+        }
+        let reply = member.execute(command);
+        self.conclude(id, index, command, reply);
+    }
+
+    /// Answers a command that a member has executed, or lets its commit wait for a replica.
+    fn conclude(
+        &mut self,
+        id: u64,
+        index: usize,
+        command: member::Command,
+        reply: Option<member::Reply>,
+    ) {
         match reply {
             Some(reply) => {
                 if reply.code == member::Code::Done {
@@ -380,6 +433,20 @@
         }
     }
 
+    /// A command arrives that its proxy has given up. Its answer reaches nobody.
+    fn late_command_arrives(&mut self, index: usize, starts: u32, command: member::Command) {
+        let member = &mut self.members[index];
+        if !member.is_running() || member.starts != starts {
+            return;
+        }
+        let led = member.leads;
+        member.execute(command);
+        if led != member.leads {
+            self.publish(index);
+        }
+        self.note(|| format!("member-{} executes late: {command:?}", index + 1));
+    }
+
     /// Sends the end of an exchange back to its proxy.
     pub(super) fn answer(&mut self, id: u64, ended: Ended) {
         let Some(exchange) = self.exchanges.get(&id).copied() else {
@@ -405,6 +472,10 @@
         let Some(exchange) = self.exchanges.remove(&id) else {
             return;
         };
+        if self.plan.late_commands && matches!(ended, Ended::Silent) {
+            let command = (exchange.member, exchange.member_starts, exchange.command);
+            self.given_up.insert(id, command);
+        }
         let member = exchange.member_id;
         let status = match ended {
             Ended::Answered(reply) => Some(reply.status),
--- a/crates/broker/tests/simulation/faults.rs
+++ b/crates/broker/tests/simulation/faults.rs
@@ -88,6 +88,11 @@
         proxy: usize,
         lag: Micros,
     },
+    /// The nth member stands still.
+    Pause {
+        nth: usize,
+        lasts: Micros,
+    },
 }
 
 impl World {
@@ -184,7 +189,7 @@
             Fault::RestartProxy { proxy, from_peer } => {
                 let starts = self.proxies[proxy].starts + 1;
                 self.exchanges.retain(|_, exchange| exchange.proxy != proxy);
-                self.proxies[proxy] = proxy::Proxy::new(proxy, starts, self.seed);
+                self.proxies[proxy] = proxy::Proxy::new(proxy, starts, self.seed, self.plan.fenced);
                 let reader = from_peer.then_some((proxy + 1) % PROXIES);
                 self.start_proxy(proxy, reader);
                 if let Some(until) = self.store.refused_until.get(&proxy).copied() {
@@ -197,6 +202,10 @@
                 self.deaf_until.insert(member, self.now + lasts);
             }
             Fault::SlowFeed { proxy, lag } => self.feed_lag[proxy] = lag,
+            Fault::Pause { nth, lasts } => {
+                let member = nth % self.members.len();
+                self.paused_until.insert(member, self.now + lasts);
+            }
         }
     }
 
--- a/crates/broker/tests/simulation/group.rs
+++ b/crates/broker/tests/simulation/group.rs
@@ -122,7 +122,7 @@
         position: id::Position,
     ) {
         let member = &mut self.members[leader];
-        if !member.is_running() || !member.leads || member.term != term {
+        if !member.is_running() || !(member.leads || member.finishes) || member.term != term {
             return;
         }
         let (received, waiting) = member
@@ -133,6 +133,13 @@
         let reply = member.reply(member::Code::Done);
         let received: Vec<member::Waiting> = received;
         for waiting in received {
+            let newest = &self.members[self.newest_leader];
+            let is_outdated = newest.term > term && !newest.log.contains(waiting.point);
+            if is_outdated {
+                self.outcome.cut_back += 1;
+                self.note(|| format!("CUT BACK: acknowledged late {:?}", waiting.point));
+            }
+            self.answered.record(self.now, waiting.point);
             self.answer(waiting.exchange, proxy::Ended::Answered(reply));
         }
     }
@@ -146,9 +153,9 @@
         }
     }
 
-    pub(super) fn order_arrives(&mut self, index: usize, starts: u32, target: usize) {
+    pub(super) fn order_arrives(&mut self, index: usize, starts: u32, target: usize, token: u64) {
         let late = self.now < self.orders_lost_until && self.random.random_bool(0.6);
-        let running = self.members[target].is_running();
+        let running = self.members[target].is_running() && !self.is_outdated(token);
         let outcome = match (late, running) {
             (true, _) => event::OrderOutcome::Unknown,
             (false, true) => event::OrderOutcome::Accepted,
@@ -175,8 +182,13 @@
             )
         });
         if running && executed {
-            let at = self.now + delay + PROMOTION;
-            self.queue.push(at, Happening::Promote(target));
+            match late {
+                true => {
+                    let at = self.now + delay;
+                    self.queue.push(at, Happening::LateOrder(target, token));
+                }
+                false => self.execute_order(target, token),
+            }
         }
         let at = self.now + answer + self.random.random_range(MS..6 * MS);
         let event = event::Event::PromotionOrdered {
@@ -189,6 +201,23 @@
         );
     }
 
+    /// Returns whether an order with a higher token has been seen, where promotions are fenced.
+    fn is_outdated(&self, token: u64) -> bool {
+        self.plan.fenced && token < self.newest_token
+    }
+
+    fn execute_order(&mut self, target: usize, token: u64) {
+        self.newest_token = self.newest_token.max(token);
+        let at = self.now + PROMOTION;
+        self.queue.push(at, Happening::Promote(target));
+    }
+
+    pub(super) fn execute_late_order(&mut self, target: usize, token: u64) {
+        if !self.is_outdated(token) {
+            self.execute_order(target, token);
+        }
+    }
+
     pub(super) fn promote(&mut self, index: usize) {
         let leads = self.members[index].leads && self.members[index].term == self.newest_term;
         if leads || !self.members[index].is_running() {
@@ -198,14 +227,31 @@
         self.newest_leader = index;
         self.outcome.promotions += 1;
         let term = self.newest_term;
+        let fenced = self.plan.fenced;
         for member in &mut self.members {
-            member.held_term = 0;
+            // Holds at a later term than that of the new leader outlast its promotion.
+            if !fenced || member.held_term <= term {
+                member.held_term = 0;
+            }
+            if fenced && member.leads || member.finishes {
+                member.stop_leading();
+            }
         }
         let member = &mut self.members[index];
         member.stop_leading();
         member.leads = true;
         member.term = term;
         let end = member.log.end();
+        let newest = self.answered.furthest(self.now).next();
+        if let Some(point) = newest.filter(|point| !self.members[index].log.contains(*point)) {
+            let end = self.members[index].log.end();
+            let count = match point.term == end.term {
+                true => point.position - end.position,
+                false => 1,
+            };
+            self.outcome.cut_back += count;
+            self.note(|| format!("CUT BACK: {count} up to {point:?}"));
+        }
         let lacking = self
             .acknowledged
             .furthest(self.now)
--- a/crates/broker/tests/simulation/member.rs
+++ b/crates/broker/tests/simulation/member.rs
@@ -97,6 +97,8 @@
     pub waiting: Vec<Waiting>,
     /// Whether the member says that it will stop.
     pub leaving: bool,
+    /// Whether the member has been demoted, and still executes the commits that waited for a slot then.
+    pub finishes: bool,
 }
 
 impl Member {
@@ -112,6 +114,7 @@
             steps_down: false,
             waiting: Vec::new(),
             leaving: false,
+            finishes: false,
         }
     }
 
@@ -143,7 +146,7 @@
                 true => Code::Behind,
                 false => Code::Done,
             },
-            Command::Write if self.leads => {
+            Command::Write if self.leads || self.finishes => {
                 self.log.append(self.term, 1);
                 return None;
             }
@@ -151,7 +154,7 @@
             Command::ReadWithin(term, _) => self.if_leading(self.leads && self.term == term),
             // The commit of a transaction that wrote nothing succeeds wherever it ends.
             Command::Commit(_, false) => Code::Done,
-            Command::Commit(term, true) if self.leads && self.term == term => {
+            Command::Commit(term, true) if (self.leads || self.finishes) && self.term == term => {
                 self.log.append(self.term, 1);
                 return None;
             }
@@ -187,15 +190,24 @@
     pub fn stop_leading(&mut self) {
         self.leads = false;
         self.steps_down = false;
+        self.finishes = false;
         self.waiting.clear();
     }
 
+    /// Becomes a replica that executes the commits that wait for a slot.
+    pub fn stop_with_queue(&mut self) {
+        self.leads = false;
+        self.finishes = true;
+    }
+
     /// Receives the log of the leader of a term. Returns whether the member has it now.
     pub fn receive(&mut self, term: id::Term, log: &log::Log) -> bool {
         if !self.is_running() || self.leads || term < self.term || term < self.held_term {
             return false;
         }
         if term > self.term {
+            self.finishes = false;
+            self.waiting.clear();
             self.term = term;
             self.log = log.clone();
         } else if log.end() > self.log.end() {
--- a/crates/broker/tests/simulation/plan.rs
+++ b/crates/broker/tests/simulation/plan.rs
@@ -39,6 +39,12 @@
     pub deaf: bool,
     /// Proxies learn late of the directory's changes.
     pub slow_feeds: bool,
+    /// Members stand still, and execute afterwards what has arrived meanwhile.
+    pub pauses: bool,
+    /// Commands arrive after a cut although their proxies have given them up.
+    pub late_commands: bool,
+    /// Commits that wait for a slot when their leader is demoted are executed after that.
+    pub queued_commits: bool,
     /// The leader's faults come twice.
     pub twice: bool,
 }
@@ -60,6 +66,9 @@
         proxy_restarts: false,
         deaf: false,
         slow_feeds: false,
+        pauses: false,
+        late_commands: false,
+        queued_commits: false,
         twice: true,
     };
 
@@ -81,6 +90,25 @@
         ..Self::STALLS
     };
 
+    /// A leader stalls, crashes or leaves while paths are cut and members stand still, and commands arrive late.
+    pub const LATE_COMMANDS: Self = Self {
+        crashes: true,
+        leaves: true,
+        cuts: true,
+        freezes: true,
+        pauses: true,
+        late_commands: true,
+        ..Self::STALLS
+    };
+
+    /// Leaders leave or stall while commits wait for slots.
+    pub const QUEUED_COMMITS: Self = Self {
+        leaves: true,
+        joins: true,
+        queued_commits: true,
+        ..Self::STALLS
+    };
+
     /// A leader stalls while members come and go, and proxies do not learn of it.
     pub const MEMBERS: Self = Self {
         refusals: true,
@@ -128,6 +156,12 @@
     pub end: Micros,
     /// Whether proxies that claim are frozen at times.
     pub freezes_claimants: bool,
+    /// Whether promotions are fenced: a promotion ends the lead of the old leader, and an order with an outdated token is refused.
+    pub fenced: bool,
+    /// Whether a command that a cut holds up arrives after it although its proxy has closed the connection.
+    pub late_commands: bool,
+    /// Whether commits wait for a slot at the leader, and those that wait when it is demoted are executed after that.
+    pub queued_commits: bool,
 }
 
 impl Plan {
@@ -137,6 +171,9 @@
             faults: Vec::new(),
             end: 14 * S,
             freezes_claimants: false,
+            fenced: false,
+            late_commands: mix.late_commands,
+            queued_commits: mix.queued_commits,
         };
         let mut draw = Draw { seed, kind: 0 };
         let mut scenes = draw.next();
@@ -234,6 +271,12 @@
             }
         });
         plan.freezes_claimants = draw.next().random_bool(0.4) && mix.freezes;
+        plan.add(mix.pauses, &mut draw, &moments, 0.5, 3, |random| {
+            Fault::Pause {
+                nth: random.random_range(0..4),
+                lasts: random.random_range(100 * MS..4 * S),
+            }
+        });
         plan
     }
 
@@ -275,6 +318,9 @@
             faults: faults.into_iter().chain(deaf).chain(orders).collect(),
             end: 10 * S,
             freezes_claimants: false,
+            fenced: false,
+            late_commands: false,
+            queued_commits: false,
         }
     }
 
--- a/crates/broker/tests/simulation/proxy.rs
+++ b/crates/broker/tests/simulation/proxy.rs
@@ -140,14 +140,14 @@
 
 impl Proxy {
     /// Creates a proxy that knows nothing. Seeds differ in the order in which proxies begin to replace a leader.
-    pub fn new(index: usize, starts: u32, seed: u64) -> Self {
+    pub fn new(index: usize, starts: u32, seed: u64, fenced: bool) -> Self {
         Self {
             broker: Broker::new(state::Settings {
                 name: format!("proxy-{index}-{starts}#{seed}").into(),
                 vm_name: vm_name(index),
                 place: place(DOMAINS[index % DOMAINS.len()]),
                 drain_timeout: Duration::from_secs(7),
-                fenced: false,
+                fenced,
             }),
             starts,
             frozen_until: 0,
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -60,6 +60,8 @@
     Proxy(usize, Option<u32>, Input),
     /// A command arrives at its member.
     Arrives(u64),
+    /// A commit that waited for a slot is executed.
+    Executes(u64),
     /// A leader of a term sends its log again.
     Heartbeat(usize, id::Term),
     /// The log of the leader of a term arrives at a member.
@@ -83,8 +85,10 @@
     ReadDirectory(usize, u32, Instant),
     /// The claim row is written; without an answer if `false`.
     Store(usize, u32, effect::Effect, bool),
-    /// A promotion order arrives at the platform.
-    Ordered(usize, u32, usize),
+    /// A promotion order with a token arrives at the platform.
+    Ordered(usize, u32, usize, u64),
+    /// The platform executes an order that it has not answered.
+    LateOrder(usize, u64),
     /// The platform promotes a member.
     Promote(usize),
     Fault(faults::Fault),
@@ -97,6 +101,8 @@
     pub stale: Vec<checks::Stale>,
     /// Acknowledged commits, by promotion, that the promoted member lacked.
     pub lost: u64,
+    /// Commits, counted in the log of the leader that acknowledged them, that the promoted member lacked.
+    pub cut_back: u64,
     pub promotions: u64,
     pub reads: u64,
     pub commits: u64,
@@ -125,6 +131,8 @@
     pub newest_term: id::Term,
     pub newest_leader: usize,
     pub acknowledged: checks::Acknowledged,
+    /// Commits that leaders have acknowledged to proxies, whether or not their successes were passed on.
+    pub answered: checks::Acknowledged,
     pub plan: plan::Plan,
     /// Time until which entries of each member are written late.
     pub hidden_until: BTreeMap<usize, Micros>,
@@ -132,6 +140,12 @@
     pub feed_lag: [Micros; PROXIES],
     /// Members that receive nothing until a time.
     pub deaf_until: BTreeMap<usize, Micros>,
+    /// Members that stand still until a time.
+    pub paused_until: BTreeMap<usize, Micros>,
+    /// Commands that their proxies have given up, with the member and its start, and that may still arrive.
+    pub given_up: BTreeMap<u64, (usize, u32, member::Command)>,
+    /// Highest token of an order that the platform has seen.
+    pub newest_token: u64,
     /// Time until which orders go unanswered or are done late.
     pub orders_lost_until: Micros,
     pub statement_timeout: Micros,
@@ -181,10 +195,14 @@
             newest_term: 1,
             newest_leader: 0,
             acknowledged: checks::Acknowledged::default(),
+            answered: checks::Acknowledged::default(),
             plan,
             hidden_until: BTreeMap::new(),
             feed_lag: [0; PROXIES],
             deaf_until: BTreeMap::new(),
+            paused_until: BTreeMap::new(),
+            given_up: BTreeMap::new(),
+            newest_token: 0,
             orders_lost_until: 0,
             statement_timeout,
             slots,
@@ -202,7 +220,8 @@
             self.store.list(entry);
         }
         for index in 0..PROXIES {
-            self.proxies.push(proxy::Proxy::new(index, 1, self.seed));
+            let proxy = proxy::Proxy::new(index, 1, self.seed, self.plan.fenced);
+            self.proxies.push(proxy);
             self.start_proxy(index, None);
             self.plan_calls(index);
         }
@@ -271,10 +290,31 @@
         self.ids.insert(self.current_id(index), index);
     }
 
+    /// Returns the member at which something happens that waits while the member stands still.
+    fn member_of(&self, happening: &Happening) -> Option<usize> {
+        match happening {
+            Happening::Arrives(exchange) => {
+                let given_up = self.given_up.get(exchange).map(|(member, ..)| *member);
+                given_up.or_else(|| Some(self.exchanges.get(exchange)?.member))
+            }
+            Happening::Heartbeat(member, _) | Happening::Received(member, ..) => Some(*member),
+            Happening::Replicate { to, .. } => Some(*to),
+            _ => None,
+        }
+    }
+
     fn apply(&mut self, happening: Happening) {
+        let paused_until = self
+            .member_of(&happening)
+            .and_then(|member| self.paused_until.get(&member).copied());
+        if let Some(until) = paused_until.filter(|until| self.now < *until) {
+            let at = until + self.random.random_range(0..20 * MS);
+            return self.queue.push(at, happening);
+        }
         match happening {
             Happening::Proxy(index, starts, input) => self.wake_now(index, starts, input),
             Happening::Arrives(exchange) => self.command_arrives(exchange),
+            Happening::Executes(exchange) => self.execute_queued(exchange),
             Happening::Heartbeat(leader, term) => {
                 let member = &self.members[leader];
                 if member.leads && member.term == term {
@@ -313,7 +353,10 @@
             Happening::Store(index, starts, effect, answered) => {
                 self.store_claim(index, starts, effect, answered);
             }
-            Happening::Ordered(index, starts, member) => self.order_arrives(index, starts, member),
+            Happening::Ordered(index, starts, member, token) => {
+                self.order_arrives(index, starts, member, token);
+            }
+            Happening::LateOrder(member, token) => self.execute_late_order(member, token),
             Happening::Promote(member) => self.promote(member),
             Happening::Fault(fault) => self.apply_fault(fault),
         }
