--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -10,10 +10,9 @@
 use crate::event;
 use crate::failover;
 use crate::leader;
-use crate::lease;
 
 /// Why no held member can be chosen.
-enum Unfit {
+pub(super) enum Unfit {
     /// All of them may lack acknowledged entries.
     Behind,
     /// None of those that have received most is listed.
@@ -125,9 +124,9 @@
                 return self.end_beside_other_leader(now, member, status, roster, out);
             }
             self.raise_hold_term(status);
-            if !self.fenced && self.second_round_at.is_none() {
+            if self.second_round_at.is_none() {
                 // If the member is held, it has been held since some time before now.
-                self.leases_end_at = now + lease::LEASE_DURATION;
+                self.leases_end_at = now + self.lease_duration();
             }
             self.discard_outdated_holds(now);
         }
@@ -181,7 +180,7 @@
 
     /// Returns a listed member that has received most: one that stays if there is one, and among these the target of an older order that
     /// may still be executed. Where no token ends that order, only its target may be chosen.
-    fn find_furthest<'a>(
+    pub(super) fn find_furthest<'a>(
         &self,
         roster: &'a failover::Roster,
     ) -> Result<&'a failover::Participant, Unfit> {
@@ -214,7 +213,7 @@
     }
 
     /// Returns whether the row names a member as the target, and an order that is given now agrees with the row.
-    fn is_recorded(&self, now: Instant, member: id::MemberId) -> bool {
+    pub(super) fn is_recorded(&self, now: Instant, member: id::MemberId) -> bool {
         self.target == Some(member)
             && self.claim.last_ordered.replaced_term() == self.newest_term
             && self.orders_end_at.is_some_and(|end_at| now < end_at)
@@ -255,7 +254,7 @@
         };
         self.claim.led_term = 0;
         self.claim.settled = false;
-        self.claim.until_ms = self.store_now_ms(now) + failover::CLAIM_LEASE_MS;
+        self.claim.until_ms = self.store_now_ms(now) + self.claim_lease_ms();
         let order_timeout = match self.fenced {
             true => failover::FENCED_ORDER_TIMEOUT,
             false => failover::UNFENCED_ORDER_TIMEOUT,
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -124,6 +124,13 @@
         effects: &mut Vec<effect::Effect>,
     ) {
         if let Some(status) = status {
+            self.watch_stopped_leader(group_id, member, status.received, effects);
+            if let Some(group) = self.groups.get_mut(group_id)
+                && let Some(state) = group.members.get(member)
+            {
+                let log = &mut group.failover_log;
+                log.record_answer(now, state, asked_at, status);
+            }
             self.record_status(now, group_id, member, asked_at, status);
             let status = Some(status);
             let evidence = effect::LeaderEvidence::Status { member, status };
@@ -300,6 +307,16 @@
         for effect in &mut effects[first_new_effect..] {
             assign_connection(effect, &mut group.members);
         }
+        let orders = effects[first_new_effect..]
+            .iter()
+            .any(|effect| matches!(effect, effect::Effect::OrderPromotion { .. }));
+        if orders {
+            let log = &mut group.failover_log;
+            let choice = log.choice(group_id, attempt, &roster, &group.members);
+            effects.extend(choice.map(effect::Effect::RecordChange));
+        }
+        let stopped = group.failover_log.stopped_leader(group_id, attempt);
+        effects.extend(stopped.map(effect::Effect::RecordChange));
         let (step, token, target) = attempt.step_token_and_target();
         let reason = attempt.reason;
         let step = match progress {
@@ -334,10 +351,26 @@
                 },
             ));
         }
+        if let failover::Progress::Done { member, status } = progress
+            && attempt.has_confirmed(member)
+        {
+            let log = &mut group.failover_log;
+            log.start_comparison(now, attempt, member, status.term);
+            let others = roster.members.iter().map(|other| other.member);
+            for other in others.filter(|other| *other != member) {
+                let asked = ask_for_comparison(group_id, other, &mut group.members);
+                let asked = asked.or_else(|| {
+                    let compared = group.failover_log.compare(group_id, other, None)?;
+                    Some(effect::Effect::RecordChange(compared))
+                });
+                effects.extend(asked);
+            }
+        }
         match progress {
             failover::Progress::Ongoing => {}
             failover::Progress::Done { .. } => {
                 group.attempt = None;
+                group.failover_log.end_attempt();
                 group.next_attempt_at = Some(now + NEXT_FAILOVER_DELAY);
                 let evidence = effect::LeaderEvidence::Failover;
                 self.reelect(now, group_id, evidence, effects);
@@ -345,6 +378,7 @@
             }
             failover::Progress::GivenUp { retry_at } => {
                 group.attempt = None;
+                group.failover_log.end_attempt();
                 group.next_attempt_at = Some(retry_at);
             }
         }
@@ -364,3 +398,20 @@
         *conn = Some(idle.conn);
     }
 }
+
+/// Asks a member for its status on an idle connection, to compare it with a new leader. Without one, it is not asked.
+fn ask_for_comparison(
+    group: id::GroupId,
+    member: id::MemberId,
+    members: &mut sorted::Map<id::MemberId, member_state::MemberState>,
+) -> Option<effect::Effect> {
+    let state = members.get_mut(member)?;
+    let idle = state.idle.pop()?;
+    state.leased += 1;
+    Some(effect::Effect::AskStatus {
+        group,
+        conn: idle.conn,
+        member,
+        purpose: effect::StatusPurpose::Comparison,
+    })
+}
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod conns;
 mod directory;
 mod eras;
+mod failover_log;
 mod leaders;
 mod leases;
 mod peers;
@@ -110,6 +111,7 @@
     belief_changed: bool,
     /// Step in the last [`effect::StateChange::Failover`]; empty before the first one.
     logged_step: &'static str,
+    failover_log: failover_log::FailoverLog,
 }
 
 impl Broker {
@@ -163,6 +165,11 @@
             event::Event::IdleConnectionLost(conn) => {
                 self.remove_lost_connection(now, conn, effects)
             }
+            event::Event::CommandAnswered {
+                group,
+                member,
+                connected_at,
+            } => self.record_command_connection(group, member, connected_at),
             event::Event::StatusAnswered {
                 group,
                 member,
@@ -183,6 +190,7 @@
             } => {
                 self.record_receipt_answer(now, group, member, asked_at, status, effects);
                 if let Some(status) = status {
+                    self.watch_stopped_leader(group, member, status.received, effects);
                     self.record_receipt(now, member, status.received, connected_at);
                 }
             }
@@ -191,7 +199,18 @@
                 member,
                 asked_at,
                 status,
-            } => self.record_lease_answer(now, group, member, asked_at, status, effects),
+            } => {
+                if let Some(status) = status {
+                    self.watch_stopped_leader(group, member, status.received, effects);
+                }
+                self.record_lease_answer(now, group, member, asked_at, status, effects);
+            }
+            event::Event::ComparisonAnswered {
+                group,
+                member,
+                asked_at,
+                answer,
+            } => self.record_comparison(group, member, asked_at, answer, effects),
             event::Event::StoreEra { era, known_for } => {
                 self.record_store_era(now, era, known_for, effects);
             }
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -1,5 +1,7 @@
 //! Log lines of the broker's state changes.
 
+use std::time::Instant;
+
 use fulmarlift_broker::Broker;
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
@@ -8,7 +10,8 @@
 
 use crate::clock;
 
-pub(super) fn log(broker: &Broker, change: &effect::StateChange) {
+/// Writes a state change to the log.
+pub fn log(broker: &Broker, change: &effect::StateChange) {
     match *change {
         effect::StateChange::Leader {
             group,
@@ -34,6 +37,36 @@
                 "event=failover group={group} reason={reason:?} step={step} token={token} target={target}"
             );
         }
+        effect::StateChange::Choice(ref choice) => log_choice(broker, choice),
+        effect::StateChange::LeaderStopped {
+            group,
+            token,
+            member,
+            log_end,
+        } => {
+            let group = group_name(broker, group);
+            let member = member_name(broker, member);
+            let log_end = point_text(Some(log_end));
+            log::info!(
+                "event=leader_stopped group={group} token={token} member={member} log_end={log_end}"
+            );
+        }
+        effect::StateChange::StoppedLeaderWentOn {
+            group,
+            token,
+            member,
+            log_end,
+            point,
+        } => {
+            metrics::counter!("fulmarlift_stopped_leaders_went_on_total").increment(1);
+            let group = group_name(broker, group);
+            let member = member_name(broker, member);
+            let (log_end, point) = (point_text(Some(log_end)), point_text(Some(point)));
+            log::warn!(
+                "event=stopped_leader_went_on group={group} token={token} member={member} log_end={log_end} now={point}"
+            );
+        }
+        effect::StateChange::Compared(ref comparison) => log_comparison(broker, comparison),
         effect::StateChange::LogEnd {
             group,
             token,
@@ -89,6 +122,104 @@
     }
 }
 
+/// Logs the choice of the next leader in one line, so that a loss can be explained from it alone.
+fn log_choice(broker: &Broker, choice: &effect::Choice) {
+    let now = clock::now();
+    let name = |member: Option<id::MemberId>| {
+        let name = |member| {
+            let known = choice.members.iter().find(|known| known.member == member);
+            known.map_or(member_name(broker, member), |known| known.name.as_ref())
+        };
+        member.map_or("none", name)
+    };
+    let members: Vec<String> = choice
+        .members
+        .iter()
+        .map(|member| choice_member_text(now, member))
+        .collect();
+    log::info!(
+        "event=choice group={} token={} reason={:?} hands_over={} target={} old_leader={} log_end={} surveyed_end={} members=\"{}\"",
+        group_name(broker, choice.group),
+        choice.token,
+        choice.reason,
+        choice.basis.hands_over,
+        name(choice.target),
+        name(choice.basis.old_leader),
+        point_text(choice.basis.log_end),
+        point_text(choice.basis.surveyed_end),
+        members.join(" ")
+    );
+}
+
+/// Logs the comparison of a member with a new leader, and warns if the member was ahead.
+fn log_comparison(broker: &Broker, comparison: &effect::Comparison) {
+    let group = group_name(broker, comparison.group);
+    let leader = member_name(broker, comparison.leader);
+    let member = member_name(broker, comparison.member);
+    let point = point_text(comparison.answer.and_then(event::StatusAnswer::point));
+    let leader_had = point_text(comparison.leader_had);
+    let (token, term) = (comparison.token, comparison.term);
+    let answer = match comparison.answer {
+        None => "not_asked".to_owned(),
+        Some(event::StatusAnswer::Missing) => "none".to_owned(),
+        Some(event::StatusAnswer::Refused { is_busy: true, .. }) => "busy".to_owned(),
+        Some(event::StatusAnswer::Refused { .. }) => "refused".to_owned(),
+        Some(event::StatusAnswer::Status(status)) => {
+            format!("{}/{}", status.term, status.held_term)
+        }
+    };
+    log::info!(
+        "event=promotion_compared group={group} token={token} leader={leader} leader_term={term} leader_had={leader_had} member={member} choice_received={} received={point} answer={answer}",
+        point_text(comparison.choice_received)
+    );
+    if comparison.is_ahead {
+        let refused = matches!(comparison.answer, Some(event::StatusAnswer::Refused { .. }));
+        metrics::counter!("fulmarlift_replicas_ahead_total").increment(1);
+        log::warn!(
+            "event=replica_ahead group={group} token={token} leader={leader} leader_term={term} leader_had={leader_had} member={member} had={point} refused={refused}"
+        );
+    }
+}
+
+/// Returns what is known of a member at a choice: `NAME:RECEIVED/TERM/HELD_TERM/ANSWER_AGE/CONNECTED_FOR/KNOWN_FOR/FLAGS`, with times in ms
+/// and `-` for what is not known.
+fn choice_member_text(now: Instant, member: &effect::ChoiceMember) -> String {
+    let age_ms = |then: Option<Instant>| {
+        let age = then.map(|then| now.saturating_duration_since(then).as_millis());
+        age.map_or_else(|| "-".to_owned(), |age| age.to_string())
+    };
+    let answer = member.answer;
+    let told = answer.map_or_else(
+        || "-/-/-".to_owned(),
+        |answer| {
+            let status = answer.status;
+            let received = point_text(Some(status.received));
+            format!("{received}/{}/{}", status.term, status.held_term)
+        },
+    );
+    let flags = [
+        (answer.is_some_and(|answer| answer.status.leads), "leads"),
+        (member.known_since.is_none(), "dropped"),
+        (member.leaving, "leaving"),
+        (!member.listed && member.known_since.is_some(), "unlisted"),
+        (!member.asked, "not_asked"),
+        (member.asked && answer.is_none(), "no_answer"),
+    ];
+    let flags = flags.into_iter().filter(|(applies, _)| *applies);
+    let flags: Vec<&str> = flags.map(|(_, flag)| flag).collect();
+    let flags = match flags.is_empty() {
+        true => "-".to_owned(),
+        false => flags.join("+"),
+    };
+    format!(
+        "{}:{told}/{}/{}/{}/{flags}",
+        member.name,
+        age_ms(answer.map(|answer| answer.answered_at)),
+        age_ms(answer.and_then(|answer| answer.connected_at)),
+        age_ms(member.known_since)
+    )
+}
+
 /// Returns the observation after which the leader was determined again, as keys of a log line.
 fn leader_evidence(broker: &Broker, evidence: &effect::LeaderEvidence) -> String {
     match evidence {
