--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -133,8 +133,9 @@
             self.read_directory(out);
             return failover::Progress::Ongoing;
         }
-        if self.handover_holds_until.is_some() {
-            return self.hold_for_handover(now, roster, out);
+        if self.handover_held_at.is_some() {
+            self.hold_for_handover(now, roster, out);
+            return failover::Progress::Ongoing;
         }
         self.ask_members(now, roster, out);
         // A successor that has been recorded needs no other call of the store.
@@ -142,8 +143,9 @@
         let found = self.find_successor(roster, log_end);
         let found = found.filter(|(member, _)| Some(*member) == self.target || !awaits_target);
         if found.is_some() {
-            self.handover_holds_until = Some(now + failover::HANDOVER_HOLD_TIMEOUT);
-            return self.hold_for_handover(now, roster, out);
+            self.handover_held_at = Some(now);
+            self.hold_for_handover(now, roster, out);
+            return failover::Progress::Ongoing;
         }
         match self.old_leader.filter(|_| now >= until) {
             Some(old_leader) => self.order_recorded(now, old_leader, roster, out),
@@ -153,50 +155,59 @@
     }
 
     /// Holds all members but the old leader, and orders the promotion of a member that has received most. The old leader may have
-    /// acknowledged commits after it answered that it had stopped: those that waited there for their execution.
+    /// acknowledged commits after it answered that it had stopped: those that waited there for their execution. So it leads on itself
+    /// if a member that runs does not answer, or none that may be ordered has received as much as the others.
     fn hold_for_handover(
         &mut self,
         now: Instant,
         roster: &failover::Roster,
         out: &mut Vec<effect::Effect>,
-    ) -> failover::Progress {
-        let mut unanswered = false;
+    ) {
+        let held_at = self.handover_held_at.unwrap_or(now);
+        let (mut awaits_running, mut awaits_other) = (false, false);
         for participant in &roster.members {
             if Some(participant.member) == self.old_leader {
                 continue;
             }
+            let asked = self.surveyed.get(participant.member);
+            let runs = asked.is_some_and(|asked| asked.has_answered);
             let hold = self.holds.entry(participant.member);
-            unanswered |= hold.status.is_none();
+            awaits_running |= hold.status.is_none() && runs;
+            awaits_other |= hold.status.is_none() && !runs;
             if hold.send_if_due(now) {
                 let command = effect::MemberCommand::Hold(self.hold_term);
                 self.send_command(Some(participant.member), command, out);
             }
         }
-        let is_over = self.handover_holds_until.is_none_or(|until| now >= until);
-        if unanswered && !is_over {
-            return failover::Progress::Ongoing;
+        let waited = now.saturating_duration_since(held_at);
+        if awaits_running && waited < failover::HANDOVER_ANSWER_TIMEOUT
+            || awaits_other && waited < failover::HANDOVER_HOLD_TIMEOUT
+        {
+            return;
         }
-        let furthest = self.find_furthest(roster).ok();
-        let furthest = furthest.map(|participant| participant.member);
-        let has_whole_log = furthest
-            .and_then(|member| self.holds.get(member)?.status)
-            .is_some_and(|status| Some(status.received) >= self.log_end);
-        match furthest.filter(|_| has_whole_log) {
-            Some(member) => {
-                self.order_recorded(now, member, roster, out);
-                failover::Progress::Ongoing
-            }
-            None => self.go_on_without_answer(now, roster, out),
+        let furthest = self.find_furthest(roster).ok().filter(|participant| {
+            let hold = self.holds.get(participant.member);
+            let status = hold.and_then(|hold| hold.status);
+            status.is_some_and(|status| Some(status.received) >= self.log_end)
+        });
+        let furthest = furthest.filter(|_| !awaits_running);
+        let successor = furthest.map(|participant| participant.member);
+        if let Some(successor) = successor.or(self.old_leader) {
+            self.order_recorded(now, successor, roster, out);
         }
     }
 
     /// Records the answer to a hold command of a hand-over.
-    fn apply_handover_hold(
+    pub(super) fn apply_handover_hold(
         &mut self,
         now: Instant,
         member: id::MemberId,
         status: Option<event::MemberStatus>,
     ) {
+        if let Some(status) = status.filter(|_| Some(member) != self.old_leader) {
+            self.raise_hold_term(status);
+            self.discard_outdated_holds(now);
+        }
         let held = status.filter(|status| status.held_term >= self.hold_term);
         self.holds.entry(member).record_answer(now, held);
     }
@@ -226,7 +237,7 @@
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         if Some(member) != self.old_leader {
-            match self.handover_holds_until {
+            match self.handover_held_at {
                 Some(_) => self.apply_handover_hold(now, member, status),
                 None => self.surveyed.entry(member).record_answer(now, status),
             }
@@ -265,7 +276,7 @@
         }
         self.restore_pending();
         self.target = None;
-        self.handover_holds_until = None;
+        self.handover_held_at = None;
         self.take_over(now, roster, out)
     }
 
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -90,9 +90,11 @@
 const SURVEY_TIMEOUT: Duration = COMMAND_TIMEOUT;
 /// Time in which the old leader must answer that it has stopped, and then in which a member must have received its log to the end.
 const STOP_TIMEOUT: Duration = COMMAND_TIMEOUT;
-/// Time in which the members answer the hold commands of a hand-over. Members that do not answer are passed over: the old leader has
-/// stopped.
+/// Time in which a member that has not answered the survey may answer the hold command of a hand-over. It is passed over after that.
 const HANDOVER_HOLD_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which a member that has answered the survey must answer the hold command, or else the old leader leads on: a command that
+/// is lost is sent once more.
+const HANDOVER_ANSWER_TIMEOUT: Duration = COMMAND_TIMEOUT.saturating_add(HANDOVER_HOLD_TIMEOUT);
 /// Time that the chosen member has to confirm that it leads after an order without an answer, which may not have arrived.
 const CONFIRM_UNKNOWN_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time that the chosen member has to confirm that it leads after the order was accepted.
@@ -138,6 +140,8 @@
     retry_at: Option<Instant>,
     /// Status in the answer that counts.
     status: Option<event::MemberStatus>,
+    /// Whether the member has answered a command.
+    has_answered: bool,
 }
 
 impl CommandState {
@@ -159,6 +163,7 @@
         self.sent_at = None;
         self.retry_at = Some(now + COMMAND_RETRY_DELAY);
         self.status = status;
+        self.has_answered |= status.is_some();
     }
 
     /// Discards the answer, so that the command is sent again at `retry_at`.
@@ -259,8 +264,8 @@
     leases_end_at: Instant,
     /// Whether the old leader hands over, rather than being taken over from.
     hands_over: bool,
-    /// Instant until which the members may answer the hold commands of a hand-over; `None` before these are sent.
-    handover_holds_until: Option<Instant>,
+    /// Instant at which the hold commands of a hand-over were sent first.
+    handover_held_at: Option<Instant>,
     /// Instant since which the members are held for the second time: no acknowledgement of the old leader can reach a caller any more.
     second_round_at: Option<Instant>,
     /// Questions for the status of the members while the old leader hands over.
@@ -319,7 +324,7 @@
             holds: sorted::Map::default(),
             leases_end_at: start_at,
             hands_over: false,
-            handover_holds_until: None,
+            handover_held_at: None,
             second_round_at: None,
             surveyed: sorted::Map::default(),
             demotion: CommandState::default(),
@@ -607,6 +612,12 @@
         if self.hands_over && self.log_end.is_none() {
             return self.start_stop(now, roster, out);
         }
+        if self.handover_held_at.is_some() && self.target != self.old_leader {
+            // Members may have answered their hold commands meanwhile.
+            let until = now + STOP_TIMEOUT;
+            self.step = Step::Stopping { until };
+            return self.stop_leader(now, roster, out);
+        }
         self.give_order(out);
         Progress::Ongoing
     }
@@ -633,7 +644,10 @@
             Step::Holding => self.apply_hold(now, member, asked_at, status, roster, out),
             Step::Recording | Step::Verifying(_) | Step::Written(_) if self.hands_over => {
                 // Members that have answered may be asked again once the leader has stopped.
-                self.surveyed.entry(member).record_answer(now, status);
+                match self.handover_held_at {
+                    Some(_) => self.apply_handover_hold(now, member, status),
+                    None => self.surveyed.entry(member).record_answer(now, status),
+                }
                 Progress::Ongoing
             }
             _ => Progress::Ongoing,
--- a/crates/broker/tests/handover.rs
+++ b/crates/broker/tests/handover.rs
@@ -30,6 +30,8 @@
     grows: bool,
     /// Member that confirms two more entries after the leader has answered that it has stopped, while the others receive nothing.
     confirms_after_stop: Option<id::MemberId>,
+    /// Members that answer no hold command.
+    silent_to_holds: Vec<id::MemberId>,
     /// Members that answer no command.
     silent: Vec<id::MemberId>,
     row_version: u64,
@@ -56,6 +58,7 @@
             stopped: None,
             grows: false,
             confirms_after_stop: None,
+            silent_to_holds: Vec::new(),
             silent: Vec::new(),
             row_version: 20,
             orders: Vec::new(),
@@ -129,6 +132,7 @@
                     self.received.extend([(1, 529), (3, 529)]);
                 }
                 let held_term = match command {
+                    MemberCommand::Hold(_) if self.silent_to_holds.contains(&member) => return,
                     MemberCommand::Hold(term) => term,
                     _ => 0,
                 };
@@ -203,6 +207,27 @@
     }
 }
 
+/// Guards against the loss of such commits where the member that confirmed them is slow (inc12).
+#[rstest]
+#[case::answers_late(true, (3, 530))]
+#[case::never_answers(false, (1, 528))]
+fn handover_waits_for_hold_of_member_that_runs(
+    #[case] answers: bool,
+    #[case] ordered: (id::MemberId, u64),
+) {
+    let mut group = Group::new();
+    group.confirms_after_stop = Some(3);
+    group.silent_to_holds = vec![3];
+    group.play(800);
+    assert!(!group.leader_leads, "the leader has stopped");
+    assert_eq!(group.orders, []);
+    if answers {
+        group.silent_to_holds.clear();
+    }
+    group.play(1_000);
+    assert_eq!(group.orders.first(), Some(&ordered));
+}
+
 /// A leader whose last entries only a member had that is gone must not be left without a successor.
 #[test]
 fn leader_leads_on_if_no_member_has_its_whole_log() {
