Hand-over: an attempt without a successor ends before its claim

Cause: if no held member may be ordered and the old leader is not known any more, the hold phase of a hand-over had no end.

Change: the attempt is given up, and the members are released, when releases still arrive within the claim.

--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -134,8 +134,7 @@
             return failover::Progress::Ongoing;
         }
         if self.handover_held_at.is_some() {
-            self.hold_for_handover(now, roster, out);
-            return failover::Progress::Ongoing;
+            return self.hold_for_handover(now, roster, out);
         }
         self.ask_members(now, roster, out);
         // A successor that has been recorded needs no other call of the store.
@@ -144,8 +143,7 @@
         let found = found.filter(|(member, _)| Some(*member) == self.target || !awaits_target);
         if found.is_some() {
             self.handover_held_at = Some(now);
-            self.hold_for_handover(now, roster, out);
-            return failover::Progress::Ongoing;
+            return self.hold_for_handover(now, roster, out);
         }
         match self.old_leader.filter(|_| now >= until) {
             Some(old_leader) => self.order_recorded(now, old_leader, roster, out),
@@ -162,7 +160,7 @@
         now: Instant,
         roster: &failover::Roster,
         out: &mut Vec<effect::Effect>,
-    ) {
+    ) -> failover::Progress {
         let held_at = self.handover_held_at.unwrap_or(now);
         let (mut awaits_running, mut awaits_other) = (false, false);
         for participant in &roster.members {
@@ -183,7 +181,7 @@
         if awaits_running && waited < failover::HANDOVER_ANSWER_TIMEOUT
             || awaits_other && waited < failover::HANDOVER_HOLD_TIMEOUT
         {
-            return;
+            return failover::Progress::Ongoing;
         }
         let furthest = self.find_furthest(roster).ok().filter(|participant| {
             let hold = self.holds.get(participant.member);
@@ -192,9 +190,15 @@
         });
         let furthest = furthest.filter(|_| !awaits_running);
         let successor = furthest.map(|participant| participant.member);
-        if let Some(successor) = successor.or(self.old_leader) {
-            self.order_recorded(now, successor, roster, out);
+        let old_leader = self
+            .old_leader
+            .filter(|member| roster.name(*member).is_some());
+        match successor.or(old_leader) {
+            Some(successor) => self.order_recorded(now, successor, roster, out),
+            None if now >= self.gives_up_at() => return self.give_up(now, out),
+            None => {}
         }
+        failover::Progress::Ongoing
     }
 
     /// Records the answer to a hold command of a hand-over.
