--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -168,7 +168,8 @@
                 continue;
             }
             let asked = self.surveyed.get(participant.member);
-            let runs = asked.is_some_and(|asked| asked.has_answered);
+            let has_answered = asked.is_some_and(|asked| asked.answered_at.is_some());
+            let runs = participant.may_run || has_answered;
             let hold = self.holds.entry(participant.member);
             awaits_running |= hold.status.is_none() && runs;
             awaits_other |= hold.status.is_none() && !runs;
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -90,10 +90,10 @@
 const SURVEY_TIMEOUT: Duration = COMMAND_TIMEOUT;
 /// Time in which the old leader must answer that it has stopped, and then in which a member must have received its log to the end.
 const STOP_TIMEOUT: Duration = COMMAND_TIMEOUT;
-/// Time in which a member that has not answered the survey may answer the hold command of a hand-over. It is passed over after that.
+/// Time in which a member that seems not to run may answer the hold command of a hand-over. It is passed over after that.
 const HANDOVER_HOLD_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time in which a member that has answered the survey must answer the hold command, or else the old leader leads on: a command that
-/// is lost is sent once more.
+/// Time in which any other member must answer the hold command of a hand-over, or else the old leader leads on: a command that is lost is
+/// sent once more.
 const HANDOVER_ANSWER_TIMEOUT: Duration = COMMAND_TIMEOUT.saturating_add(HANDOVER_HOLD_TIMEOUT);
 /// Time that the chosen member has to confirm that it leads after an order without an answer, which may not have arrived.
 const CONFIRM_UNKNOWN_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -140,8 +140,8 @@
     retry_at: Option<Instant>,
     /// Status in the answer that counts.
     status: Option<event::MemberStatus>,
-    /// Whether the member has answered a command.
-    has_answered: bool,
+    /// Instant of the last answer.
+    answered_at: Option<Instant>,
 }
 
 impl CommandState {
@@ -163,7 +163,9 @@
         self.sent_at = None;
         self.retry_at = Some(now + COMMAND_RETRY_DELAY);
         self.status = status;
-        self.has_answered |= status.is_some();
+        if status.is_some() {
+            self.answered_at = Some(now);
+        }
     }
 
     /// Discards the answer, so that the command is sent again at `retry_at`.
@@ -185,6 +187,8 @@
     /// Whether the member leaves. Its log counts until it ends, and is gone then. So it is chosen only where no member that stays has
     /// received as much, and hands over afterwards.
     pub leaving: bool,
+    /// Whether the member may run: its process has not shown to be gone, and it has not been silent for long.
+    pub may_run: bool,
 }
 
 impl Participant {
--- a/crates/broker/src/leader.rs
+++ b/crates/broker/src/leader.rs
@@ -21,6 +21,18 @@
 /// Time after which a group counts as having no leader while no directory entry says that its member leads.
 const NO_LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Returns whether a member may run: it has not failed to answer for as long as it takes until a leader counts as unreachable.
+pub fn may_run(state: &member_state::MemberState, now: Instant) -> bool {
+    let timeout = match state.process_gone {
+        true => REFUSED_TIMEOUT,
+        false => SILENCE_TIMEOUT,
+    };
+    let failing_for = state
+        .failing_since
+        .map(|since| now.saturating_duration_since(since));
+    state.failures < 2 || failing_for.is_none_or(|failing_for| failing_for < timeout)
+}
+
 /// Reason for the replacement of a leader.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum ReplaceReason {
@@ -216,12 +228,7 @@
             return (grace_period_over && has_lasted(self.no_leader_since, NO_LEADER_TIMEOUT))
                 .then_some(ReplaceReason::Gone);
         };
-        let silence_timeout = if leader.process_gone {
-            REFUSED_TIMEOUT
-        } else {
-            SILENCE_TIMEOUT
-        };
-        if leader.failures >= 2 && has_lasted(leader.failing_since, silence_timeout) {
+        if !may_run(leader, now) {
             Some(ReplaceReason::Unreachable)
         } else if grace_period_over && leader.unlisted_since.is_some() {
             Some(ReplaceReason::Gone)
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -297,6 +297,7 @@
             name: state.entry.name.clone(),
             listed: state.unlisted_since.is_none(),
             leaving: state.entry.leaving,
+            may_run: leader::may_run(state, now),
         });
         let roster = failover::Roster {
             members: participants.collect(),
--- a/crates/broker/tests/failover_log.rs
+++ b/crates/broker/tests/failover_log.rs
@@ -6,7 +6,7 @@
 
 use fulmarlift_broker::claim::ClaimRow;
 use fulmarlift_broker::effect::{
-    Choice, ChoiceMember, Comparison, Effect, StateChange, StatusPurpose,
+    Choice, ChoiceMember, Comparison, Effect, Grant, StateChange, StatusPurpose,
 };
 use fulmarlift_broker::event::{
     Answer, Event, MemberStatus, OrderOutcome, StatementReport, StatusAnswer, StoreOutcome,
@@ -87,8 +87,9 @@
     store_row(fixture, 12);
 }
 
-/// Lets the leader leave, until an attempt to replace it has claimed.
+/// Lets the leader leave beside a silent member 3, until an attempt to replace the leader has claimed.
 fn start_handover(fixture: &mut Fixture) {
+    fixture.silence(3);
     let mut leaving = member_at(1, "a", true);
     leaving.leaving = true;
     leaving.revision = version(10);
@@ -191,7 +192,8 @@
     let mut fixture = Fixture::new();
     start_handover(&mut fixture);
     answer(&mut fixture, 3, status(false, 1, (1, 540), 0));
-    fixture.advance(4_000);
+    fixture.advance(2_600);
+    fixture.silence(3);
     write_claim(&mut fixture);
     finish_handover(&mut fixture);
     let choices = take_choices(&mut fixture);
@@ -231,33 +233,40 @@
 fn beside_third(is_connected: bool) -> Fixture {
     let mut fixture = Fixture::in_domain("c");
     if is_connected {
-        let acknowledged_before = fixture.now;
-        fixture.handle(Event::StatementEnded(StatementReport {
-            member: 1,
-            answer: Answer::Led {
-                sent_at: fixture.now,
-                commit: false,
-            },
-            point: Some(Point::new(1, 500)),
-            floor: None,
-            connected_at: None,
-            took: None,
-        }));
-        fixture.add_request(Requirement::Recent {
-            acknowledged_before,
-            session_commit: None,
-        });
-        assert_eq!(fixture.open_all().len(), 1);
-        let grants = fixture.take_grants();
-        assert_eq!(grants[0].member, 3);
-        fixture.end_statement(&grants[0], Answer::Served, None);
+        let grant = read_at_third(&mut fixture);
+        fixture.end_statement(&grant, Answer::Served, None);
         fixture.effects.clear();
     }
     fixture
 }
 
+/// Begins a read at member 3, over the only connection to it.
+fn read_at_third(fixture: &mut Fixture) -> Grant {
+    let acknowledged_before = fixture.now;
+    fixture.handle(Event::StatementEnded(StatementReport {
+        member: 1,
+        answer: Answer::Led {
+            sent_at: fixture.now,
+            commit: false,
+        },
+        point: Some(Point::new(1, 500)),
+        floor: None,
+        connected_at: None,
+        took: None,
+    }));
+    fixture.add_request(Requirement::Recent {
+        acknowledged_before,
+        session_commit: None,
+    });
+    assert_eq!(fixture.open_all().len(), 1);
+    let mut grants = fixture.take_grants();
+    assert_eq!(grants[0].member, 3);
+    grants.remove(0)
+}
+
 /// Replaces the leader, and leaves what follows from the new leader's confirmation in the effects.
 fn replace_leader(fixture: &mut Fixture, way: Way) {
+    let mut read = None;
     match way {
         Way::TakeOver => take_over(
             fixture,
@@ -266,7 +275,10 @@
                 (3, status(false, 1, (1, 528), 2)),
             ],
         ),
-        Way::HandOver => hand_over(fixture),
+        Way::HandOver => {
+            read = Some(read_at_third(fixture));
+            hand_over(fixture);
+        }
     }
     let (group, outcome) = (GROUP, OrderOutcome::Accepted);
     fixture.handle(Event::PromotionOrdered { group, outcome });
@@ -279,8 +291,17 @@
             let reusable = true;
             fixture.handle(Event::Returned { conn, reusable });
         }
+        eprintln!("E {effect:?}"); // Member 3 is back after the choice.
+        if let Effect::Open { conn, member: 3 } = effect {
+            fixture.handle(Event::Opened(conn));
+        }
     }
     fixture.effects.clear();
+    if let Some(read) = read {
+        // Member 3 is back after the choice.
+        fixture.end_statement(&read, Answer::Served, None);
+        fixture.effects.clear();
+    }
     answer(fixture, 2, status(true, 2, (2, 530), 0));
 }
 
@@ -343,7 +364,7 @@
     #[case] answer: StatusAnswer,
     #[case] expected: bool,
 ) {
-    let mut fixture = beside_third(true);
+    let mut fixture = beside_third(way == Way::TakeOver);
     replace_leader(&mut fixture, way);
     assert_eq!(asked_for_comparison(&fixture), [3]);
     fixture.take_effects();
--- a/crates/broker/tests/handover.rs
+++ b/crates/broker/tests/handover.rs
@@ -43,13 +43,21 @@
 
 impl Group {
     fn new() -> Self {
-        let mut fixture = Fixture::new();
+        let mut group = Self::before_leaving();
+        group.let_leader_leave();
+        group
+    }
+
+    fn let_leader_leave(&mut self) {
         let mut leaving = member_at(1, "a", true);
         leaving.leaving = true;
         leaving.revision = version(10);
-        fixture.handle(Event::Listed(leaving));
+        self.fixture.handle(Event::Listed(leaving));
+    }
+
+    fn before_leaving() -> Self {
         Self {
-            fixture,
+            fixture: Fixture::new(),
             received: [(1, 528), (2, 528), (3, 528)].into(),
             leader_leads: true,
             joins: false,
@@ -239,15 +247,38 @@
     assert_eq!(group.orders, [(1, 530)]);
 }
 
-/// A replica that cannot be reached does not delay the handover: another one has the whole log.
+/// A replica that does not run does not delay the handover: another one has the whole log.
 #[test]
-fn handover_does_not_wait_for_silent_replica() {
-    let mut group = Group::new();
+fn handover_does_not_wait_for_replica_that_does_not_run() {
+    let mut group = Group::before_leaving();
     group.silent = vec![3];
+    group.fixture.silence(3);
+    group.let_leader_leave();
     group.play(500);
     assert_eq!(group.orders, [(2, 528)]);
 }
 
+/// Guards against the loss of commits that a slow replica confirms after the leader has stopped (inc13).
+#[rstest]
+#[case::answers_late(true, (3, 530))]
+#[case::never_answers(false, (1, 528))]
+fn handover_waits_for_replica_that_may_run(
+    #[case] answers: bool,
+    #[case] ordered: (id::MemberId, u64),
+) {
+    let mut group = Group::new();
+    group.confirms_after_stop = Some(3);
+    group.silent = vec![3];
+    group.play(800);
+    assert!(!group.leader_leads, "the leader has stopped");
+    assert_eq!(group.orders, []);
+    if answers {
+        group.silent.clear();
+    }
+    group.play(1_000);
+    assert_eq!(group.orders.first(), Some(&ordered));
+}
+
 /// The leader is not stopped while no replica follows its log.
 #[test]
 fn leader_is_not_stopped_while_replicas_receive_nothing() {
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -1041,6 +1041,7 @@
             name: member.to_string().into(),
             listed: true,
             leaving: leaves && member == 1,
+            may_run: true,
         };
         let roster = Roster {
             members: (0..MEMBERS)
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -116,6 +116,21 @@
         }
     }
 
+    /// Leaves statements at a member unanswered until it seems not to run.
+    pub fn silence(&mut self, member: id::MemberId) {
+        for _ in 0..2 {
+            self.handle(Event::StatementEnded(StatementReport {
+                member,
+                answer: Answer::Silent { commit: false },
+                point: None,
+                floor: None,
+                connected_at: None,
+                took: Some(Duration::from_millis(760)),
+            }));
+        }
+        self.advance(1_400);
+    }
+
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
     }
