--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -70,6 +70,9 @@
                 self.send_command(Some(participant.member), command, out);
             }
         }
+        if !unanswered && self.second_round_at.is_none() {
+            self.stop_held_off_leader(now, roster, out);
+        }
         if unanswered || now < self.leases_end_at {
             return failover::Progress::Ongoing;
         }
@@ -91,6 +94,20 @@
         failover::Progress::Ongoing
     }
 
+    /// Stops the old leader if a member can be chosen: it cannot commit anything while all others are held.
+    fn stop_held_off_leader(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        let may_go_on = self.reason == leader::ReplaceReason::Stalled && self.are_held_above();
+        if !may_go_on && self.find_furthest(roster).is_ok() && self.demotion.send_if_due(now) {
+            let command = effect::MemberCommand::Demote(self.hold_term);
+            self.send_command(self.old_leader, command, out);
+        }
+    }
+
     /// Returns whether members are held at a term above the one at which this attempt holds them.
     fn are_held_above(&self) -> bool {
         let mut held = self.holds.values().filter_map(|hold| hold.status);
@@ -107,6 +124,10 @@
         roster: &failover::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
+        if Some(member) == self.old_leader {
+            self.record_stop(now, status);
+            return self.hold_members(now, roster, out);
+        }
         let leads_on =
             status.is_some_and(|status| status.leads && self.may_be_replaced(member, status.term));
         let is_of_this_round = self.second_round_at.is_none_or(|since| asked_at >= since);
@@ -119,7 +140,7 @@
             return failover::Progress::Ongoing;
         }
         if let Some(status) = status {
-            if status.leads && Some(member) != self.old_leader {
+            if status.leads {
                 self.newest_term = self.newest_term.max(status.term);
                 return self.end_beside_other_leader(now, member, status, roster, out);
             }
--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -248,11 +248,7 @@
             }
             return self.stop_leader(now, roster, out);
         }
-        let stopped = status.filter(|status| !status.leads);
-        self.demotion.record_answer(now, stopped);
-        if let Some(status) = status {
-            self.raise_hold_term(status);
-        }
+        let stopped = self.record_stop(now, status);
         if let Some(status) = stopped.filter(|_| self.log_end.is_none()) {
             if !self.is_whole_log(status) {
                 return self.go_on_without_answer(now, roster, out);
@@ -268,6 +264,20 @@
         self.stop_leader(now, roster, out)
     }
 
+    /// Records the answer to the command that stops the old leader. Returns its status if it has stopped.
+    pub(super) fn record_stop(
+        &mut self,
+        now: Instant,
+        status: Option<event::MemberStatus>,
+    ) -> Option<event::MemberStatus> {
+        let stopped = status.filter(|status| !status.leads);
+        self.demotion.record_answer(now, stopped);
+        if let Some(status) = status {
+            self.raise_hold_term(status);
+        }
+        stopped
+    }
+
     /// Takes over from a leader that does not stop, or whose log does not tell what it has acknowledged.
     fn go_on_without_answer(
         &mut self,
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -10,10 +10,11 @@
 //!   at the old leader when it was stopped may have been executed and confirmed since.
 //! - A leader that does not answer is taken over from. Every other member is held (`Holding`), also those that the directory no longer
 //!   lists but that still run: a member that does not answer may have received commits that the others lack. A replaced leader that
-//!   leads on cannot be held, so it is demoted first. The attempt then waits until no proxy trusts the old leader any more, see
-//!   [`crate::lease`] and, where promotions are fenced, [`crate::trust`]. A member may have joined since and confirmed commits, so the directory is
-//!   read (`ReadingDirectory`), and all members are held and their logs read once more before the choice. A leader that answers
-//!   everything but commits is held off from its replicas in this way as well, and stopped before that second round.
+//!   leads on cannot be held, so it is demoted first. Once all are held, the old leader is told to stop, through another proxy if this one
+//!   does not reach it: nothing is acknowledged any more then, even if a hold is undone. The attempt then waits until no proxy trusts
+//!   the old leader any more, see [`crate::lease`] and, where promotions are fenced, [`crate::trust`]. A member may have joined since and confirmed commits, so the directory is
+//!   read (`ReadingDirectory`), and all members are held and their logs read once more before the choice. For a leader that
+//!   answers everything but commits, the attempt waits until it has stopped before that second round.
 //!
 //! The member that has received most has everything that was acknowledged, unless a member that is gone had received more. So
 //! its log is also compared with the point up to which commits are known to be acknowledged.
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -225,6 +225,64 @@
     );
 }
 
+/// Returns whether the effects since the last look stop the old leader.
+fn stops_leader(fixture: &mut Fixture) -> bool {
+    let stops = |effect: &Effect| {
+        matches!(
+            effect,
+            Effect::SendCommand {
+                member: 1,
+                command: MemberCommand::Demote(_),
+                ..
+            }
+        )
+    };
+    fixture.take_effects().iter().any(stops)
+}
+
+/// Guards against commits that an old leader acknowledges after the choice, by way of a member whose hold is undone (inc13).
+#[test]
+fn old_leader_is_stopped_before_logs_are_read_once_others_are_held() {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let term = take_holds(&mut fixture)[0].1;
+    let held = (false, term - 1, (term - 1, 500), term);
+    answer_status(&mut fixture, 2, held);
+    fixture.advance(100);
+    assert!(
+        !stops_leader(&mut fixture),
+        "member 3 may confirm what it commits"
+    );
+    answer_status(&mut fixture, 3, held);
+    assert!(stops_leader(&mut fixture));
+    answer_status(&mut fixture, 1, (false, term - 1, (term - 1, 504), 0));
+    await_end_of_trust(&mut fixture);
+    read_directory(&mut fixture);
+    assert!(!stops_leader(&mut fixture), "it has stopped");
+    for member in [2, 3] {
+        answer_status(&mut fixture, member, held);
+    }
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some("member-2")
+    );
+}
+
+/// The answer of a leader that has been stopped tells nothing of the leases.
+#[test]
+fn stopped_leader_does_not_delay_choice() {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let held = (false, 0, (0, 500), 1);
+    for member in [2, 3] {
+        answer_status(&mut fixture, member, held);
+    }
+    fixture.advance(500);
+    answer_status(&mut fixture, 1, (false, 0, (0, 504), 0));
+    fixture.advance(TRUST_DURATION.as_millis() as u64 - 500);
+    read_directory(&mut fixture);
+}
+
 /// A member that started during an outage of the directory may have confirmed commits, and has 2 s to be listed.
 #[test]
 fn leader_is_replaced_only_once_directory_is_complete_again() {
