--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -108,6 +108,16 @@
         }
     }
 
+    /// Returns whether all members that may be held have answered the last hold command.
+    pub(super) fn are_all_held(&self, roster: &failover::Roster) -> bool {
+        let members = roster.members.iter().map(|participant| participant.member);
+        let mut others = members.filter(|member| Some(*member) != self.old_leader);
+        others.all(|member| {
+            let hold = self.holds.get(member);
+            hold.is_some_and(|hold| hold.status.is_some())
+        })
+    }
+
     /// Returns whether members are held at a term above the one at which this attempt holds them.
     fn are_held_above(&self) -> bool {
         let mut held = self.holds.values().filter_map(|hold| hold.status);
@@ -184,6 +194,10 @@
         if now >= self.claim_expires_at {
             return self.give_up(now, out);
         }
+        if self.discard_old_holds(now) {
+            return self.hold_members(now, roster, out);
+        }
+        self.chosen_at = now;
         match self.find_furthest(roster) {
             // The record was made before the logs were read once more.
             Ok(best) if self.is_recorded(now, best.member) => {
@@ -199,6 +213,21 @@
         }
     }
 
+    /// Discards the answers that are too old for a choice. Returns whether there were any.
+    fn discard_old_holds(&mut self, now: Instant) -> bool {
+        let mut discards = false;
+        for (_, hold) in self.holds.iter_mut() {
+            let is_old = hold
+                .answered_at
+                .is_some_and(|at| now > at + failover::HOLD_AGE_MAX);
+            if hold.status.is_some() && is_old {
+                hold.discard_answer(now);
+                discards = true;
+            }
+        }
+        discards
+    }
+
     /// Returns a listed member that has received most: one that stays if there is one, and among these the target of an older order that
     /// may still be executed. Where no token ends that order, only its target may be chosen.
     pub(super) fn find_furthest<'a>(
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -96,6 +96,9 @@
 /// Time in which any other member must answer the hold command of a hand-over, or else the old leader leads on: a command that is lost is
 /// sent once more.
 const HANDOVER_ANSWER_TIMEOUT: Duration = COMMAND_TIMEOUT.saturating_add(HANDOVER_HOLD_TIMEOUT);
+/// Longest time from a member's answer to the last hold command to the choice that counts it, and from the choice to its order. A member
+/// that starts again forgets its hold.
+const HOLD_AGE_MAX: Duration = Duration::from_millis(400);
 /// Time that the chosen member has to confirm that it leads after an order without an answer, which may not have arrived.
 const CONFIRM_UNKNOWN_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time that the chosen member has to confirm that it leads after the order was accepted.
@@ -277,6 +280,8 @@
     surveyed: sorted::Map<id::MemberId, CommandState>,
     /// Command that stops the old leader; its answer counts once the leader has stopped.
     demotion: CommandState,
+    /// Instant of the last choice of a target.
+    chosen_at: Instant,
     /// End of the old leader's log when it first answered the survey.
     surveyed_end: Option<floor::Point>,
     /// End of the log of the old leader, which has stopped.
@@ -333,6 +338,7 @@
             second_round_at: None,
             surveyed: sorted::Map::default(),
             demotion: CommandState::default(),
+            chosen_at: start_at,
             surveyed_end: None,
             log_end: None,
             ordered_before: claim::LastOrdered::default(),
@@ -565,8 +571,10 @@
             (Step::Recording, event::StoreOutcome::Written(revision)) => {
                 self.revision = revision;
                 // The logs may have been read before the members were released, or before others joined.
-                let is_late =
-                    std::mem::take(&mut self.repeats_write) || now >= self.claim_expires_at;
+                let is_outdated = !self.hands_over && now > self.chosen_at + HOLD_AGE_MAX;
+                let is_late = std::mem::take(&mut self.repeats_write)
+                    || is_outdated
+                    || now >= self.claim_expires_at;
                 match is_late {
                     true => {
                         let write = verification::Write::Choice;
@@ -623,6 +631,9 @@
             self.step = Step::Stopping { until };
             return self.stop_leader(now, roster, out);
         }
+        if !self.hands_over && !self.are_all_held(roster) {
+            return self.start_second_round(now, roster, out);
+        }
         self.give_order(out);
         Progress::Ongoing
     }
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -283,6 +283,86 @@
     read_directory(&mut fixture);
 }
 
+/// Guards against a choice that counts a member which has started again since its answer, and forgotten its hold (inc13).
+#[test]
+fn members_are_held_again_if_others_answer_late() {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let held = |position| (false, 0, (0, position), 1);
+    for member in [2, 3] {
+        answer_status(&mut fixture, member, held(500));
+    }
+    await_end_of_trust(&mut fixture);
+    read_directory(&mut fixture);
+    answer_status(&mut fixture, 2, held(500));
+    fixture.advance(500);
+    fixture.take_effects();
+    answer_status(&mut fixture, 3, held(502));
+    assert_eq!(take_holds(&mut fixture), [(2, 1)]);
+    answer_status(&mut fixture, 2, held(505));
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some("member-2")
+    );
+}
+
+/// The same while the choice is written to the claim row.
+#[rstest]
+#[case::at_once(0, false)]
+#[case::late(500, true)]
+fn members_are_held_again_if_record_takes_long(#[case] took_ms: u64, #[case] again: bool) {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let held = (false, 0, (0, 500), 1);
+    hold_members(&mut fixture, &[(2, held), (3, held)]);
+    fixture.take_effects();
+    fixture.advance(took_ms);
+    store_choice(&mut fixture);
+    assert_eq!(ordered_member(&fixture), (!again).then_some(2));
+    if again {
+        read_directory(&mut fixture);
+        assert_eq!(take_holds(&mut fixture), [(2, 1), (3, 1)]);
+    }
+}
+
+/// Guards against an order beside a member that has started again while the choice was recorded (inc13).
+#[test]
+fn member_that_starts_again_before_order_is_held_again() {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let held = |position| (false, 0, (0, position), 1);
+    hold_members(&mut fixture, &[(2, held(500)), (3, held(500))]);
+    let mut restarted = member_at(4, "c", false);
+    restarted.name = "member-3".into();
+    restarted.revision = version(20);
+    fixture.handle(Event::Listed(restarted));
+    fixture.take_effects();
+    store_choice(&mut fixture);
+    assert_eq!(take_holds(&mut fixture), [(2, 1), (4, 1)]);
+    answer_status(&mut fixture, 2, held(500));
+    answer_status(&mut fixture, 4, held(503));
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some("member-3")
+    );
+}
+
+/// Plays the store: the choice is written.
+fn store_choice(fixture: &mut Fixture) {
+    let outcome = StoreOutcome::Written(version(12));
+    let group = GROUP;
+    fixture.handle(Event::ClaimStored { group, outcome });
+}
+
+/// Returns the member that is ordered in the effects.
+fn ordered_member(fixture: &Fixture) -> Option<id::MemberId> {
+    let ordered = |effect: &Effect| match effect {
+        Effect::OrderPromotion { member, .. } => Some(*member),
+        _ => None,
+    };
+    fixture.effects.iter().find_map(ordered)
+}
+
 /// A member that started during an outage of the directory may have confirmed commits, and has 2 s to be listed.
 #[test]
 fn leader_is_replaced_only_once_directory_is_complete_again() {
