A member without an entry is dropped only once it has been asked in vain

Cause: a proxy dropped a member 2.3 s after its entry had vanished without asking it if it did not watch the group at that time, or if the member had failed before. A proxy that came to watch the group later, by a request of its own or because homes moved, claimed with a roster without that member, so nobody held it and its log did not count.

Change: such a member is dropped once this proxy has asked it for 3.2 s (the time to be listed again, and a connect timeout), and it has failed and not answered, a refusal for too many connections included. In a group that the proxy does not watch, the member is neither asked nor dropped for 60 s; the time of asking begins anew when the proxy begins to watch. Such members count in the roster of an attempt and in the consents to a lease only: not for the domains that have homes, answer times, refusals for lack of a member, readiness, the changes of members that let a replica be asked at once, or the second member that a replacement needs. A member that counts as gone no longer has homes in its domain where it answers, either, so that proxies choose the same homes.

Evidence: the six cases of unlisted_member_is_asked_first_by_proxy_that_comes_to_watch, unlisted_member_is_dropped_once_it_has_been_asked_in_vain and unlisted_member_is_not_dropped_for_failure_before failed before; the other three tests of the file passed before and hold the decisions that must not change.

--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -11,6 +11,9 @@
 use crate::leader;
 use crate::revision;
 
+/// Timeout to open a connection to a member: less than the 1 s after which the kernel repeats a lost first packet.
+pub const MEMBER_CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// An output of [`crate::Broker::step`].
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -64,6 +64,10 @@
     pub first_listed_at: Instant,
     /// Instant since which the directory has no entry of the member.
     pub unlisted_since: Option<Instant>,
+    /// Whether the entry has been missing for so long that the member counts as gone. It is kept until it has been asked.
+    pub counts_as_gone: bool,
+    /// Instant from which this proxy has asked the member without an answer while the entry was missing.
+    pub unanswered_since: Option<Instant>,
     /// Instant since which the member's entry says that it leads.
     pub listed_as_leader_since: Option<Instant>,
     /// Instant since which the member is known to be leaving.
@@ -155,6 +159,8 @@
             entry,
             first_listed_at: now,
             unlisted_since: None,
+            counts_as_gone: false,
+            unanswered_since: None,
             idle: Vec::new(),
             opening: 0,
             leased: 0,
@@ -230,9 +236,35 @@
         if self.unlisted_since.take().is_some() {
             self.known_since = now;
         }
+        self.counts_as_gone = false;
+        self.unanswered_since = None;
         self.entry = entry;
     }
 
+    /// Returns whether the member counts in decisions other than the roster of an attempt and the consents to a lease: it does not
+    /// count as gone, or answers although its entry is missing.
+    pub fn is_present(&self) -> bool {
+        let answers = self.answered_at > self.unlisted_since && !self.is_suspect();
+        !self.counts_as_gone || answers
+    }
+
+    /// Returns whether a connection should be opened to see whether the member runs: it has not answered for `interval`.
+    pub fn is_check_due(&self, now: Instant, interval: Duration) -> bool {
+        let answered_lately = self
+            .answered_at
+            .is_some_and(|at| now.saturating_duration_since(at) < interval);
+        let unanswered = !answered_lately || self.is_suspect();
+        unanswered && self.opening == 0 && self.may_open(now) && !self.is_backing_off(now)
+    }
+
+    /// Returns whether the member, whose entry is missing, has been asked for at least this time and has failed to answer.
+    pub fn has_not_answered_for(&self, now: Instant, time: Duration) -> bool {
+        let asked_for_long = self
+            .unanswered_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= time);
+        asked_for_long && self.is_suspect() && self.opening == 0
+    }
+
     /// Returns whether the member may get new work: the directory lists it, it is not leaving, and it is not backing off.
     pub fn is_usable(&self, now: Instant) -> bool {
         self.unlisted_since.is_none() && !self.entry.leaving && !self.is_backing_off(now)
@@ -278,6 +310,7 @@
             self.receipt = None;
         }
         self.answered_at = Some(now);
+        self.unanswered_since = None;
         self.failures = 0;
         self.failing_since = None;
         self.process_gone = false;
@@ -361,6 +394,7 @@
 
     /// Records that the member's slots and queue were full.
     pub fn record_busy(&mut self, now: Instant) {
+        self.unanswered_since = None;
         self.allowance = (self.allowance * ALLOWANCE_CUT).max(ALLOWANCE_MIN);
         self.back_off(now + BUSY_BACKOFF);
     }
@@ -387,6 +421,7 @@
 
     /// Records that the member allows no further connection.
     pub fn record_no_connection_left(&mut self, now: Instant) {
+        self.unanswered_since = None;
         let backoff = FULL_BACKOFF_MIN * (1 << self.rejected_connects.min(4));
         self.rejected_connects += 1;
         self.opening_backoff_until = Some(now + backoff.min(FULL_BACKOFF_MAX));
--- a/crates/broker/src/state/confirmations.rs
+++ b/crates/broker/src/state/confirmations.rs
@@ -71,7 +71,8 @@
     /// Returns whether members leave, or have joined or been away lately. Confirmations are then likely to come from members that do not
     /// count.
     fn is_membership_changing(&self, now: Instant) -> bool {
-        self.members.values().any(|state| {
+        let mut present = self.members.values().filter(|state| state.is_present());
+        present.any(|state| {
             let known_for = now.saturating_duration_since(state.known_since);
             state.entry.leaving
                 || state.unlisted_since.is_some()
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -49,6 +49,8 @@
                 if state.unlisted_since.is_some() {
                     group.lease.trust.doubt(now);
                 }
+                // The domains of members that count as gone have no homes.
+                self.homes_outdated |= state.counts_as_gone;
                 state.apply_entry(member, now);
             }
             None => {
@@ -134,10 +136,8 @@
     /// Returns whether a member without an entry since `unlisted_since` counts as gone: its entry has had the time to come
     /// back after an outage of the directory.
     pub(super) fn is_gone(&self, now: Instant, unlisted_since: Option<Instant>) -> bool {
-        let grace_is_over = |since: Option<Instant>| {
-            since.is_some_and(|since| now.saturating_duration_since(since) >= RELIST_GRACE_PERIOD)
-        };
-        grace_is_over(unlisted_since) && grace_is_over(self.directory_reached_since)
+        let reached_since = self.directory_reached_since;
+        unlisted_since.is_some_and(|since| is_relist_over(now, reached_since, since))
     }
 
     /// Drops a member or a home, and closes the idle connections to it.
@@ -167,3 +167,14 @@
         self.reelect(now, group_id, effect::LeaderEvidence::Directory, effects);
     }
 }
+
+/// Returns whether an entry that has been missing since `unlisted_since` has had the time to come back, also after an outage of the
+/// directory that ended at `reached_since`.
+pub(super) fn is_relist_over(
+    now: Instant,
+    reached_since: Option<Instant>,
+    unlisted_since: Instant,
+) -> bool {
+    let lasts = |since: Instant| now.saturating_duration_since(since) >= RELIST_GRACE_PERIOD;
+    lasts(unlisted_since) && reached_since.is_some_and(lasts)
+}
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -257,7 +257,12 @@
         let group = self.groups.get(group_id)?;
         self.topology.groups.get(group_id)?;
         // The only member of a group cannot be replaced.
-        if group.members.len() < 2 {
+        let leader = group.leader.member;
+        let counted = group
+            .members
+            .values()
+            .filter(|state| Some(state.entry.id) == leader || state.is_present());
+        if counted.count() < 2 {
             return None;
         }
         let leader = group
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -201,7 +201,7 @@
         match self.lease.standing {
             None | Some(claim::Standing::Undisputed) => true,
             Some(claim::Standing::Unknown) if !fenced => knows_members && others.all(reachable),
-            Some(_) => others.any(reachable),
+            Some(_) => others.any(|state| state.is_present() && reachable(state)),
         }
     }
 
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -83,7 +83,7 @@
 /// State of one group at this proxy.
 #[derive(Clone, Debug, Default)]
 struct GroupState {
-    /// Members that the directory lists, and those that it no longer lists but that do not count as gone yet.
+    /// Members that the directory lists, and those that it no longer lists but that have not been asked in vain for long enough.
     members: sorted::Map<id::MemberId, member_state::MemberState>,
     /// Other proxies that are homes of the group. Each has one identifier per group, see [`id::member`].
     homes: sorted::Map<id::MemberId, member_state::MemberState>,
@@ -264,7 +264,7 @@
     }
 
     /// Returns the directory entry of a member, or an entry made up for a home. A member that is no longer listed keeps its
-    /// last entry until it counts as gone.
+    /// last entry until it is dropped.
     pub fn member(&self, member: id::MemberId) -> Option<&topology::Member> {
         self.member_state(member).map(|state| &state.entry)
     }
@@ -281,7 +281,8 @@
 
     /// Returns whether requests can be served: a configuration is in force, and at least one member or home is known.
     pub fn is_ready(&self) -> bool {
-        self.is_configured() && !self.member_groups.is_empty()
+        let mut groups = self.groups.values();
+        self.is_configured() && groups.any(|group| !group.homes.is_empty() || group.has_member())
     }
 
     /// Returns the number of connections to members and homes, including those being opened, and of waiting requests.
--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -201,6 +201,8 @@
         let mut domains: Vec<&str> = group
             .members
             .values()
+            // Proxies keep members that count as gone for different times, and must choose the same homes.
+            .filter(|state| !state.counts_as_gone)
             .map(|state| state.entry.place.domain.as_ref())
             .collect();
         domains.sort_unstable();
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -60,10 +60,17 @@
 }
 
 impl state::GroupState {
+    /// Returns whether a member is known that does not count as gone.
+    pub(super) fn has_member(&self) -> bool {
+        let mut members = self.members.values();
+        members.any(member_state::MemberState::is_present)
+    }
+
     /// Returns the shortest mean answer time of all members, or of all homes if requests are forwarded.
     fn shortest_answer_time(&self) -> Duration {
         let members = self.forwards_to().unwrap_or(&self.members).values();
-        let shortest_ms = members.map(|state| state.latency_ms).reduce(f64::min);
+        let present = members.filter(|state| state.is_present());
+        let shortest_ms = present.map(|state| state.latency_ms).reduce(f64::min);
         Duration::from_secs_f64(shortest_ms.unwrap_or_default() / 1_000.0)
     }
 
@@ -71,7 +78,8 @@
     fn answer_rate(&self, now: Instant, forwards: bool) -> AnswerRate {
         let members = if forwards { &self.homes } else { &self.members };
         let usable = members.values().filter(|state| state.is_usable(now));
-        let latencies = members.values().map(|state| state.latency_ms);
+        let present = members.values().filter(|state| state.is_present());
+        let latencies = present.map(|state| state.latency_ms);
         AnswerRate {
             latency_ms: latencies.fold(0.0, f64::max),
             concurrency: usable.map(|state| state.allowance).sum(),
@@ -573,7 +581,7 @@
             None if request.hedge => {
                 Decision::Refuse(effect::RefusalReason::Overload, Duration::ZERO)
             }
-            None if group.members.is_empty() => {
+            None if !group.has_member() => {
                 Decision::Refuse(effect::RefusalReason::NoMember, LEADER_GAP_USUAL)
             }
             None => Decision::Wait,
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -7,6 +7,7 @@
 use crate::effect;
 use crate::event;
 use crate::state;
+use crate::state::directory;
 
 /// Time after the last request that this proxy did not forward from which a group counts as idle.
 const ACTIVITY_TIMEOUT: Duration = Duration::from_secs(3);
@@ -19,6 +20,13 @@
 
 /// Interval at which a connection is opened to a member that the directory no longer lists, to see whether it still runs.
 const UNLISTED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which a member that the directory no longer lists must have been asked without an answer before it is dropped: its
+/// entry would be back by then, and the slowest member has accepted a connection.
+const UNANSWERED_TIME: Duration =
+    directory::RELIST_GRACE_PERIOD.saturating_add(effect::MEMBER_CONNECT_TIMEOUT);
+/// Time for which a member that the directory no longer lists is kept in a group that this proxy does not watch, in which it is not
+/// asked. Bounds the number of members that are kept.
+const UNWATCHED_RETENTION: Duration = Duration::from_secs(60);
 
 impl state::Broker {
     pub(super) fn tick(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
@@ -40,27 +48,42 @@
         self.close_timed_out(now, effects);
     }
 
-    /// Drops the members that count as gone and do not answer. A member that is only cut off from the directory goes on receiving
-    /// from its leader, so a failover must hold it as well.
+    /// Drops the members that count as gone and have not answered. A member that is only cut off from the directory goes on
+    /// receiving from its leader, so a failover must hold it as well; so must the failover of a proxy that comes to watch the group
+    /// later.
     fn drop_gone_members(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         let mut gone = Vec::new();
         let mut unchecked = Vec::new();
-        for (group_id, group) in self.groups.iter() {
+        let groups: Vec<id::GroupId> = self.groups.keys().collect();
+        for group_id in groups {
             let watched = self.watches_leader(now, group_id);
-            for state in group.members.values() {
-                let member = state.entry.id;
-                if state.unlisted_since.is_none() || self.is_leader(member) {
+            let reached_since = self.directory_reached_since;
+            let group = self.groups.entry(group_id);
+            let is_asked = watched || group.attempt.is_some();
+            for (member, state) in group.members.iter_mut() {
+                let Some(unlisted_since) = state.unlisted_since else {
+                    continue;
+                };
+                let was_gone = state.counts_as_gone;
+                let is_leader = group.leader.member == Some(member);
+                let is_gone = directory::is_relist_over(now, reached_since, unlisted_since);
+                state.counts_as_gone = !is_leader && (was_gone || is_gone);
+                self.homes_outdated |= state.counts_as_gone != was_gone;
+                if is_leader {
                     continue;
                 }
-                let answered = state
-                    .answered_at
-                    .is_some_and(|at| now.saturating_duration_since(at) < UNLISTED_CHECK_INTERVAL);
-                if watched && !state.is_suspect() {
-                    if !answered && state.opening == 0 {
-                        unchecked.push(member);
+                if !is_asked {
+                    state.unanswered_since = None;
+                    if is_gone
+                        && now.saturating_duration_since(unlisted_since) >= UNWATCHED_RETENTION
+                    {
+                        gone.push(member);
                     }
-                } else if self.is_gone(now, state.unlisted_since) {
+                } else if is_gone && state.has_not_answered_for(now, UNANSWERED_TIME) {
                     gone.push(member);
+                } else if state.is_check_due(now, UNLISTED_CHECK_INTERVAL) {
+                    state.unanswered_since.get_or_insert(now);
+                    unchecked.push(member);
                 }
             }
         }
@@ -72,11 +95,6 @@
         }
     }
 
-    fn is_leader(&self, member: id::MemberId) -> bool {
-        let group = self.member_groups.get(member);
-        group.and_then(|group| self.leader(*group)) == Some(member)
-    }
-
     /// Records the end of a group's probe, and handles its answer like that of any statement.
     pub(super) fn record_probe_end(
         &mut self,
--- /dev/null
+++ b/crates/broker/tests/directory.rs
@@ -0,0 +1,184 @@
+//! What a proxy believes about the members that the directory does not list.
+
+mod support;
+
+use std::time::Duration;
+
+use fulmarlift_broker::effect::Effect;
+use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport};
+use fulmarlift_broker::request::{Request, Requirement};
+use fulmarlift_broker::topology::Peer;
+use fulmarlift_core::id;
+use rstest::rstest;
+use support::{Fixture, GROUP, place, version};
+
+/// Creates a proxy in a domain without members, which forwards requests to the homes in the domains of the members.
+fn remote_proxy() -> Fixture {
+    let mut fixture = Fixture::in_domain("far");
+    for domain in ["a", "b", "c"] {
+        fixture.handle(Event::PeerListed(Peer {
+            vm_name: format!("home-{domain}").into(),
+            address: ([127, 0, 0, 1], 7000).into(),
+            updates_address: ([127, 0, 0, 1], 8000).into(),
+            place: place(domain),
+        }));
+    }
+    fixture.advance(100);
+    fixture.effects.clear();
+    fixture
+}
+
+fn unlist(fixture: &mut Fixture, member: id::MemberId) {
+    fixture.handle(Event::Unlisted {
+        name: format!("member-{member}").into(),
+        revision: version(60),
+    });
+}
+
+/// Lets a request arrive that another proxy has forwarded, so that this proxy watches the group.
+fn add_forwarded_request(fixture: &mut Fixture) {
+    fixture.handle(Event::Arrived(Request {
+        id: 900,
+        group: GROUP,
+        requirement: Requirement::Leader,
+        priority: 1,
+        objective_at: fixture.now + Duration::from_millis(500),
+        deadline: fixture.now + Duration::from_millis(800),
+        avoid: None,
+        hedge: false,
+        forwarded: true,
+    }));
+}
+
+/// Takes all effects, lets connections to `member` end so, and opens the others. Returns the number of those to `member`.
+fn end_connections(
+    fixture: &mut Fixture,
+    member: id::MemberId,
+    failure: Option<OpenFailure>,
+) -> usize {
+    let mut asked = 0;
+    for effect in fixture.take_effects() {
+        let Effect::Open { conn, member: to } = effect else {
+            continue;
+        };
+        asked += usize::from(to == member);
+        match failure {
+            Some(failure) if to == member => fixture.handle(Event::OpenFailed { conn, failure }),
+            _ => fixture.handle(Event::Opened(conn)),
+        }
+    }
+    asked
+}
+
+/// Lets time pass while the group is watched, and connections to `member` end so. Returns the number of those.
+fn watch(
+    fixture: &mut Fixture,
+    ms: u64,
+    member: id::MemberId,
+    failure: Option<OpenFailure>,
+) -> usize {
+    let mut asked = 0;
+    for _ in 0..ms / 100 {
+        add_forwarded_request(fixture);
+        fixture.advance(100);
+        asked += end_connections(fixture, member, failure);
+    }
+    asked
+}
+
+/// A member that is cut off from the directory may run, and the proxy may come to watch the group.
+#[test]
+fn unlisted_member_is_asked_first_by_proxy_that_comes_to_watch() {
+    let mut fixture = remote_proxy();
+    unlist(&mut fixture, 2);
+    for _ in 0..100 {
+        fixture.advance(100);
+        assert_eq!(end_connections(&mut fixture, 2, None), 0, "nobody watches");
+    }
+    assert!(fixture.broker.member(2).is_some());
+    assert!(watch(&mut fixture, 10_000, 2, None) > 0);
+    assert!(fixture.broker.member(2).is_some(), "it has answered");
+}
+
+#[rstest]
+#[case::that_refuses(OpenFailure::Refused)]
+#[case::that_is_silent(OpenFailure::Silent)]
+#[case::whose_address_has_another(OpenFailure::WrongMember)]
+fn unlisted_member_is_dropped_once_it_has_been_asked_in_vain(#[case] failure: OpenFailure) {
+    let mut fixture = remote_proxy();
+    unlist(&mut fixture, 2);
+    fixture.advance(10_000);
+    fixture.effects.clear();
+    assert!(watch(&mut fixture, 3_000, 2, Some(failure)) > 0);
+    assert!(fixture.broker.member(2).is_some());
+    watch(&mut fixture, 1_000, 2, Some(failure));
+    assert!(fixture.broker.member(2).is_none());
+}
+
+/// The member had failed before its entry vanished, and nobody had asked it since.
+#[rstest]
+#[case::that_answers(None)]
+#[case::that_allows_no_further_connection(Some(OpenFailure::Full))]
+fn unlisted_member_is_not_dropped_for_failure_before(#[case] failure: Option<OpenFailure>) {
+    let mut fixture = Fixture::new();
+    fixture.handle(Event::StatementEnded(StatementReport {
+        member: 2,
+        answer: Answer::Silent { commit: false },
+        point: None,
+        floor: None,
+        connected_at: None,
+        took: Some(Duration::from_millis(500)),
+    }));
+    assert!(fixture.broker.is_suspect(2), "it has failed");
+    unlist(&mut fixture, 2);
+    watch(&mut fixture, 10_000, 2, failure);
+    assert!(fixture.broker.member(2).is_some());
+}
+
+#[test]
+fn unlisted_member_of_group_that_is_not_watched_is_dropped_at_last() {
+    let mut fixture = remote_proxy();
+    unlist(&mut fixture, 2);
+    fixture.advance(70_000);
+    assert!(fixture.broker.member(2).is_none());
+}
+
+/// Proxies keep such a member for different times.
+#[test]
+fn homes_are_not_chosen_for_domain_of_member_that_counts_as_gone() {
+    let mut fixture = remote_proxy();
+    let home = id::member(GROUP, "home-b");
+    assert!(fixture.broker.is_home(home));
+    unlist(&mut fixture, 2);
+    fixture.advance(2_500);
+    assert!(!fixture.broker.is_home(home));
+    let mut entry = support::member_at(2, "b", false);
+    entry.revision = version(70);
+    fixture.handle(Event::Listed(entry));
+    fixture.advance(100);
+    assert!(fixture.broker.is_home(home));
+}
+
+/// The only listed member of a group cannot be replaced, whichever members are kept.
+#[test]
+fn leader_is_not_replaced_beside_members_that_count_as_gone() {
+    let mut fixture = remote_proxy();
+    unlist(&mut fixture, 2);
+    unlist(&mut fixture, 3);
+    fixture.advance(5_000);
+    fixture.effects.clear();
+    for _ in 0..50 {
+        add_forwarded_request(&mut fixture);
+        fixture.advance(100);
+        for effect in fixture.take_effects() {
+            let failure = OpenFailure::Refused;
+            match effect {
+                Effect::Open { conn, .. } => fixture.handle(Event::OpenFailed { conn, failure }),
+                Effect::SendCommand { .. } | Effect::StoreClaim { .. } => {
+                    panic!("an attempt has begun")
+                }
+                _ => {}
+            }
+        }
+    }
+}
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -21,8 +21,6 @@
 use crate::transfer;
 use crate::updates::relay;
 
-/// Timeout to open a connection to a member: less than the 1 s after which the kernel repeats a lost first packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
 /// Timeout to open a connection to a home: two round trips between regions and a pause of the home's process. A shorter
 /// timeout than for members does no harm, since a connection that opens after the timeout occupies no slot of a home.
 const HOME_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -107,7 +105,7 @@
                 opened.map(shell::Upstream::Home)
             }
             false => {
-                let deadline = clock::now() + CONNECT_TIMEOUT;
+                let deadline = clock::now() + effect::MEMBER_CONNECT_TIMEOUT;
                 let opened = link::Link::open(address, &group, (&name, member), deadline).await;
                 opened.map(shell::Upstream::Member)
             }
