A proxy that has just started takes no group over before members had the time to be listed

Cause: the directory counted as complete from the first read on, unless a later read had failed. Entries that had lapsed in an outage that ended just before the first read were missing, and the proxy, which has never known these members, claimed with a roster without them.

Change: the first read counts like the return of the directory: a take-over waits until 2.3 s after it. A leader that leaves hands over at once, as after an outage.

Evidence: leader_is_not_replaced_by_proxy_that_has_just_started failed before (it claimed in the first 2 s). Price, by construction: after a restart of all proxies, a leader that refuses connections is replaced 2.3 s after the first read in place of 0.25 s, one that is silent 1 s later, one that is not listed at no other time.

--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -122,15 +122,13 @@
     /// Records that the directory may lack entries of members that run, until they have had the time to write them again.
     pub(super) fn record_directory_lost(&mut self) {
         self.directory_reached_since = None;
-        self.directory_was_lost |= self.directory_read;
     }
 
     /// Returns whether the directory lists all members that run, as far as this proxy can know: it answers, and after its last
-    /// outage the members have had the time to write their entries.
+    /// outage, which may have ended just before the first read, the members have had the time to write their entries.
     pub(super) fn is_directory_complete(&self, now: Instant) -> bool {
-        self.directory_reached_since.is_some_and(|since| {
-            !self.directory_was_lost || now.saturating_duration_since(since) >= RELIST_GRACE_PERIOD
-        })
+        self.directory_reached_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= RELIST_GRACE_PERIOD)
     }
 
     /// Returns whether a member without an entry since `unlisted_since` counts as gone: its entry has had the time to come
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -73,8 +73,6 @@
     next_conn: id::ConnId,
     /// Instant since which every read of the directory has succeeded.
     directory_reached_since: Option<Instant>,
-    /// Whether a read of the directory has failed, or the store has come back older, since the first read.
-    directory_was_lost: bool,
     /// Instant of the newest answer of the directory: this proxy knows all members that joined before it.
     directory_answered_at: Option<Instant>,
     eras: eras::StoreEra,
@@ -132,7 +130,6 @@
             home_choices: 0,
             next_conn: 1,
             directory_reached_since: None,
-            directory_was_lost: false,
             directory_answered_at: None,
             eras: eras::StoreEra::default(),
         }
--- a/crates/broker/tests/directory.rs
+++ b/crates/broker/tests/directory.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use fulmarlift_broker::effect::Effect;
+use fulmarlift_broker::claim::ClaimRow;
+use fulmarlift_broker::effect::{Effect, StateChange};
 use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport};
 use fulmarlift_broker::request::{Request, Requirement};
 use fulmarlift_broker::topology::Peer;
@@ -182,3 +183,72 @@
         }
     }
 }
+
+/// Creates a proxy that has just started and read the directory, which lists members 1 to 3.
+fn started_proxy() -> Fixture {
+    let mut fixture = Fixture::starting();
+    fixture.handle(Event::Configured(support::topology()));
+    fixture.handle(Event::PeersRead);
+    for (member, domain) in [(1, "a"), (2, "b"), (3, "c")] {
+        fixture.handle(Event::Listed(support::member_at(
+            member,
+            domain,
+            member == 1,
+        )));
+    }
+    let answered_at = Some(fixture.now);
+    fixture.handle(Event::DirectoryRead { answered_at });
+    fixture.effects.clear();
+    fixture
+}
+
+/// Lets connections to the leader be refused for some time. Returns whether an attempt to replace it has read the claim row.
+fn claims_while_leader_refuses(fixture: &mut Fixture, ms: u64) -> bool {
+    let mut claims = false;
+    for _ in 0..ms / 100 {
+        fixture.add_request(Requirement::Leader);
+        for effect in fixture.take_effects() {
+            let failure = OpenFailure::Refused;
+            match effect {
+                Effect::Open { conn, member: 1 } => {
+                    fixture.handle(Event::OpenFailed { conn, failure });
+                }
+                Effect::RecordChange(StateChange::Failover { step, .. }) => {
+                    claims |= step == "claiming";
+                }
+                Effect::LoadClaim(group) => fixture.handle(Event::ClaimLoaded {
+                    group,
+                    asked_at: fixture.now,
+                    stored: Some(ClaimRow::default()),
+                }),
+                _ => {}
+            }
+        }
+        fixture.advance(100);
+    }
+    claims
+}
+
+/// Entries may have lapsed during an outage that ended just before the start.
+#[test]
+fn leader_is_not_replaced_by_proxy_that_has_just_started() {
+    let mut fixture = started_proxy();
+    assert!(!claims_while_leader_refuses(&mut fixture, 2_000));
+    assert!(claims_while_leader_refuses(&mut fixture, 1_500));
+}
+
+/// A leader that answers hands over to a member that has its whole log, whichever members are listed.
+#[test]
+fn leader_that_leaves_is_replaced_by_proxy_that_has_just_started() {
+    let mut fixture = started_proxy();
+    let mut entry = support::member_at(1, "a", true);
+    entry.leaving = true;
+    entry.revision = version(60);
+    fixture.handle(Event::Listed(entry));
+    fixture.advance(500);
+    let begins = |effect: &Effect| match effect {
+        Effect::RecordChange(StateChange::Failover { step, .. }) => *step == "loading",
+        _ => false,
+    };
+    assert!(fixture.effects.iter().any(begins));
+}
