An entry that is older than the known one, or than its removal, lists nothing and drops nothing

Cause: an entry's revision was compared with that of the same incarnation only, and with no removal. An entry that arrived late, or from a proxy that is behind, listed a member again that had been removed since, and dropped a later incarnation of its name.

Change: an entry is ignored if it is older than the known entry of its name, whichever incarnation, or than the revision at which that one was missing. An entry of a newer era is newer than both.

--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -8,6 +8,7 @@
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
+use crate::revision;
 use crate::topology;
 
 /// Weight of a new measurement in the moving average of answer times: about the last dozen answers count.
@@ -64,6 +65,8 @@
     pub first_listed_at: Instant,
     /// Instant since which the directory has no entry of the member.
     pub unlisted_since: Option<Instant>,
+    /// Newest revision of the directory at which the entry was missing.
+    pub missing_at: Option<revision::Revision>,
     /// Whether the entry has been missing for so long that the member counts as gone. It is kept until it has been asked.
     pub counts_as_gone: bool,
     /// Instant from which this proxy has asked the member without an answer while the entry was missing.
@@ -159,6 +162,7 @@
             entry,
             first_listed_at: now,
             unlisted_since: None,
+            missing_at: None,
             counts_as_gone: false,
             unanswered_since: None,
             idle: Vec::new(),
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -39,12 +39,14 @@
         member: topology::Member,
         effects: &mut Vec<effect::Effect>,
     ) {
+        if self.is_outdated(&member) {
+            return;
+        }
         self.drop_other_incarnations(now, &member, effects);
         let group_id = member.group;
         self.member_groups.insert(member.id, group_id);
         let group = self.groups.entry(group_id);
         match group.members.get_mut(member.id) {
-            Some(state) if state.entry.revision > member.revision => return,
             Some(state) => {
                 if state.unlisted_since.is_some() {
                     group.lease.trust.doubt(now);
@@ -65,6 +67,18 @@
         self.choose_homes_if_outdated(now, effects);
     }
 
+    /// Returns whether an entry is older than the known one of its name, or than the removal of that one. A proxy that is behind may
+    /// pass it on, or a newer answer has overtaken it.
+    fn is_outdated(&self, member: &topology::Member) -> bool {
+        let groups = self.groups.values();
+        let mut known = groups
+            .flat_map(|group| group.members.values())
+            .filter(|state| state.entry.name == member.name);
+        known.any(|state| {
+            Some(member.revision) < state.missing_at || member.revision < state.entry.revision
+        })
+    }
+
     /// Drops other members of the same name: an earlier incarnation, or one in another group, cannot exist any more.
     fn drop_other_incarnations(
         &mut self,
@@ -95,6 +109,7 @@
             for (_, state) in group.members.iter_mut() {
                 if state.entry.name.as_ref() == name && state.entry.revision <= revision {
                     state.unlisted_since.get_or_insert(now);
+                    state.missing_at = state.missing_at.max(Some(revision));
                 }
             }
         }
--- a/crates/broker/tests/directory.rs
+++ b/crates/broker/tests/directory.rs
@@ -8,7 +8,7 @@
 use fulmarlift_broker::effect::{Effect, StateChange};
 use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport};
 use fulmarlift_broker::request::{Request, Requirement};
-use fulmarlift_broker::topology::Peer;
+use fulmarlift_broker::topology::{Member, Peer};
 use fulmarlift_core::id;
 use rstest::rstest;
 use support::{Fixture, GROUP, place, version};
@@ -252,3 +252,35 @@
     };
     assert!(fixture.effects.iter().any(begins));
 }
+
+/// Returns an entry of member 2, or of a later incarnation of it.
+fn incarnation(id: id::MemberId, revision: u64) -> Member {
+    Member {
+        id,
+        revision: version(revision),
+        ..support::member_at(2, "b", false)
+    }
+}
+
+/// The entry is one that a proxy passes on which is behind, or an answer that was overtaken.
+#[test]
+fn incarnation_is_not_dropped_for_older_entry_of_earlier_one() {
+    let mut fixture = Fixture::new();
+    fixture.handle(Event::Listed(incarnation(22, 50)));
+    assert!(fixture.broker.member(2).is_none());
+    fixture.handle(Event::Listed(incarnation(2, 40)));
+    assert!(fixture.broker.member(22).is_some());
+    assert!(fixture.broker.member(2).is_none());
+}
+
+#[test]
+fn incarnation_is_not_listed_by_entry_older_than_removal_of_later_one() {
+    let mut fixture = Fixture::new();
+    fixture.handle(Event::Listed(incarnation(22, 50)));
+    unlist(&mut fixture, 2);
+    fixture.handle(Event::Listed(incarnation(2, 40)));
+    assert!(fixture.broker.member(2).is_none());
+    fixture.handle(Event::Listed(incarnation(23, 70)));
+    assert!(fixture.broker.member(23).is_some());
+    assert!(fixture.broker.member(22).is_none());
+}
