--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -39,16 +39,20 @@
         member: topology::Member,
         effects: &mut Vec<effect::Effect>,
     ) {
+        if self.is_outdated(&member) {
+            return;
+        }
         self.drop_other_incarnations(now, &member, effects);
         let group_id = member.group;
         self.member_groups.insert(member.id, group_id);
         let group = self.groups.entry(group_id);
         match group.members.get_mut(member.id) {
-            Some(state) if state.entry.revision > member.revision => return,
             Some(state) => {
                 if state.unlisted_since.is_some() {
                     group.lease.trust.doubt(now);
                 }
+                // The domains of members that count as gone have no homes.
+                self.homes_outdated |= state.counts_as_gone;
                 state.apply_entry(member, now);
             }
             None => {
@@ -63,6 +67,18 @@
         self.choose_homes_if_outdated(now, effects);
     }
 
+    /// Returns whether an entry is older than the known one of its name, or than the removal of that one. A proxy that is behind may
+    /// pass it on, or a newer answer has overtaken it.
+    fn is_outdated(&self, member: &topology::Member) -> bool {
+        let groups = self.groups.values();
+        let mut known = groups
+            .flat_map(|group| group.members.values())
+            .filter(|state| state.entry.name == member.name);
+        known.any(|state| {
+            Some(member.revision) < state.missing_at || member.revision < state.entry.revision
+        })
+    }
+
     /// Drops other members of the same name: an earlier incarnation, or one in another group, cannot exist any more.
     fn drop_other_incarnations(
         &mut self,
@@ -93,6 +109,7 @@
             for (_, state) in group.members.iter_mut() {
                 if state.entry.name.as_ref() == name && state.entry.revision <= revision {
                     state.unlisted_since.get_or_insert(now);
+                    state.missing_at = state.missing_at.max(Some(revision));
                 }
             }
         }
@@ -120,24 +137,20 @@
     /// Records that the directory may lack entries of members that run, until they have had the time to write them again.
     pub(super) fn record_directory_lost(&mut self) {
         self.directory_reached_since = None;
-        self.directory_was_lost |= self.directory_read;
     }
 
     /// Returns whether the directory lists all members that run, as far as this proxy can know: it answers, and after its last
-    /// outage the members have had the time to write their entries.
+    /// outage, which may have ended just before the first read, the members have had the time to write their entries.
     pub(super) fn is_directory_complete(&self, now: Instant) -> bool {
-        self.directory_reached_since.is_some_and(|since| {
-            !self.directory_was_lost || now.saturating_duration_since(since) >= RELIST_GRACE_PERIOD
-        })
+        self.directory_reached_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= RELIST_GRACE_PERIOD)
     }
 
     /// Returns whether a member without an entry since `unlisted_since` counts as gone: its entry has had the time to come
     /// back after an outage of the directory.
     pub(super) fn is_gone(&self, now: Instant, unlisted_since: Option<Instant>) -> bool {
-        let grace_is_over = |since: Option<Instant>| {
-            since.is_some_and(|since| now.saturating_duration_since(since) >= RELIST_GRACE_PERIOD)
-        };
-        grace_is_over(unlisted_since) && grace_is_over(self.directory_reached_since)
+        let reached_since = self.directory_reached_since;
+        unlisted_since.is_some_and(|since| is_relist_over(now, reached_since, since))
     }
 
     /// Drops a member or a home, and closes the idle connections to it.
@@ -167,3 +180,14 @@
         self.reelect(now, group_id, effect::LeaderEvidence::Directory, effects);
     }
 }
+
+/// Returns whether an entry that has been missing since `unlisted_since` has had the time to come back, also after an outage of the
+/// directory that ended at `reached_since`.
+pub(super) fn is_relist_over(
+    now: Instant,
+    reached_since: Option<Instant>,
+    unlisted_since: Instant,
+) -> bool {
+    let lasts = |since: Instant| now.saturating_duration_since(since) >= RELIST_GRACE_PERIOD;
+    lasts(unlisted_since) && reached_since.is_some_and(lasts)
+}
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -73,8 +73,6 @@
     next_conn: id::ConnId,
     /// Instant since which every read of the directory has succeeded.
     directory_reached_since: Option<Instant>,
-    /// Whether a read of the directory has failed, or the store has come back older, since the first read.
-    directory_was_lost: bool,
     /// Instant of the newest answer of the directory: this proxy knows all members that joined before it.
     directory_answered_at: Option<Instant>,
     eras: eras::StoreEra,
@@ -83,7 +81,7 @@
 /// State of one group at this proxy.
 #[derive(Clone, Debug, Default)]
 struct GroupState {
-    /// Members that the directory lists, and those that it no longer lists but that do not count as gone yet.
+    /// Members that the directory lists, and those that it no longer lists but that have not been asked in vain for long enough.
     members: sorted::Map<id::MemberId, member_state::MemberState>,
     /// Other proxies that are homes of the group. Each has one identifier per group, see [`id::member`].
     homes: sorted::Map<id::MemberId, member_state::MemberState>,
@@ -132,7 +130,6 @@
             home_choices: 0,
             next_conn: 1,
             directory_reached_since: None,
-            directory_was_lost: false,
             directory_answered_at: None,
             eras: eras::StoreEra::default(),
         }
@@ -264,7 +261,7 @@
     }
 
     /// Returns the directory entry of a member, or an entry made up for a home. A member that is no longer listed keeps its
-    /// last entry until it counts as gone.
+    /// last entry until it is dropped.
     pub fn member(&self, member: id::MemberId) -> Option<&topology::Member> {
         self.member_state(member).map(|state| &state.entry)
     }
@@ -281,7 +278,8 @@
 
     /// Returns whether requests can be served: a configuration is in force, and at least one member or home is known.
     pub fn is_ready(&self) -> bool {
-        self.is_configured() && !self.member_groups.is_empty()
+        let mut groups = self.groups.values();
+        self.is_configured() && groups.any(|group| !group.homes.is_empty() || group.has_member())
     }
 
     /// Returns the number of connections to members and homes, including those being opened, and of waiting requests.
