A listener's directory is read and complete no earlier than its reader's

Cause: the messages about freshness tell when the store last answered the reader's polls of the configuration. A listener took that for answers about members: its directory counted as reached and, 2.3 s later, as complete while the directory did not answer the reader or had only just come back, and it claimed to know all members that had joined by then, on which leases by consent rest.

Change: the message also tells the reader's contact with the directory: the age of its newest answer, and the time for which every read has succeeded. The listener takes both over; without a contact its directory is lost. What the listener has seen itself (a failed read of its own, a newer era) counts on top. A listener that has just started has its reader's past as well, so it waits no 2.3 s of its own.

Evidence: both listener tests of listen.rs failed before with an accessor alone (the listener had a contact while its reader had none; its newest answer was 2.4 s newer than its reader's, 1 s is allowed). The cases of leader_is_not_replaced_by_listener_* hold the broker's part.

Price: a reader's polls of the members are answered every 6 s while nothing changes, so leases by consent (unfenced, while the claim row tells nothing) are rarer at listeners than before, as rare as at readers. Not measured.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -37,11 +37,14 @@
         /// Time for which the store has been in this era at least.
         known_for: Duration,
     },
-    /// A read of the directory ended, or the reader of this proxy's domain reported one.
+    /// A read of the directory by this proxy ended.
     DirectoryRead {
         /// Instant at which the directory answered, or an earlier one; `None` if it did not.
         answered_at: Option<Instant>,
     },
+    /// The reader of this proxy's domain has told its contact with the directory, and before it all that it knew then; `None` if
+    /// the directory does not answer the reader.
+    DirectoryTold(Option<DirectoryContact>),
     /// A request arrived from a caller or from another proxy.
     Arrived(request::Request),
     /// The caller of a waiting request has gone away.
@@ -181,6 +184,15 @@
     Tick,
 }
 
+/// Contact of a proxy with the directory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DirectoryContact {
+    /// Instant of the newest answer: all members that joined before it are known.
+    pub answered_at: Instant,
+    /// Instant since which every read has succeeded.
+    pub reached_since: Instant,
+}
+
 /// End of a statement or a probe, and what it shows about the member.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StatementReport {
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -5,6 +5,7 @@
 use fulmarlift_core::id;
 
 use crate::effect;
+use crate::event;
 use crate::member_state;
 use crate::revision;
 use crate::state;
@@ -125,18 +126,49 @@
         match answered_at {
             Some(_) => {
                 self.directory_reached_since.get_or_insert(now);
-                let is_first = !std::mem::replace(&mut self.directory_read, true);
-                if is_first {
-                    self.serve_all_queues(now, effects);
-                }
+                self.record_members_known(now, effects);
             }
-            None => self.record_directory_lost(),
+            None => self.record_directory_lost(now),
+        }
+    }
+
+    /// Records the contact of this proxy's reader with the directory: this proxy knows what the reader knows.
+    pub(super) fn record_directory_told(
+        &mut self,
+        now: Instant,
+        contact: Option<event::DirectoryContact>,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        self.directory_reached_since = contact.map(|contact| {
+            // The reader may not have noticed yet what this proxy has seen itself.
+            let lost_at = self.directory_lost_at.unwrap_or(contact.reached_since);
+            contact.reached_since.max(lost_at)
+        });
+        if let Some(contact) = contact {
+            self.directory_answered_at = self.directory_answered_at.max(Some(contact.answered_at));
+            self.record_members_known(now, effects);
+        }
+    }
+
+    fn record_members_known(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
+        let is_first = !std::mem::replace(&mut self.directory_read, true);
+        if is_first {
+            self.serve_all_queues(now, effects);
         }
     }
 
+    /// Returns the contact with the directory; `None` if the last read failed, or there has been none.
+    pub fn directory_contact(&self) -> Option<event::DirectoryContact> {
+        Some(event::DirectoryContact {
+            answered_at: self.directory_answered_at?,
+            reached_since: self.directory_reached_since?,
+        })
+    }
+
     /// Records that the directory may lack entries of members that run, until they have had the time to write them again.
-    pub(super) fn record_directory_lost(&mut self) {
+    pub(super) fn record_directory_lost(&mut self, now: Instant) {
         self.directory_reached_since = None;
+        self.directory_lost_at = Some(now);
     }
 
     /// Returns whether the directory lists all members that run, as far as this proxy can know: it answers, and after its last
--- a/crates/broker/src/state/eras.rs
+++ b/crates/broker/src/state/eras.rs
@@ -39,7 +39,7 @@
         };
         if is_newer {
             // The members write their entries again, as after an outage of the directory.
-            self.record_directory_lost();
+            self.record_directory_lost(now);
             let groups: Vec<id::GroupId> = self.groups.keys().collect();
             for group_id in groups {
                 self.advance_failover(now, group_id, effects, |attempt, _, out| {
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -73,6 +73,8 @@
     next_conn: id::ConnId,
     /// Instant since which every read of the directory has succeeded.
     directory_reached_since: Option<Instant>,
+    /// Instant of the last read of this proxy that failed, or at which the store was found in a newer era.
+    directory_lost_at: Option<Instant>,
     /// Instant of the newest answer of the directory: this proxy knows all members that joined before it.
     directory_answered_at: Option<Instant>,
     eras: eras::StoreEra,
@@ -130,6 +132,7 @@
             home_choices: 0,
             next_conn: 1,
             directory_reached_since: None,
+            directory_lost_at: None,
             directory_answered_at: None,
             eras: eras::StoreEra::default(),
         }
@@ -147,6 +150,9 @@
             event::Event::DirectoryRead { answered_at } => {
                 self.record_directory_read(now, answered_at, effects);
             }
+            event::Event::DirectoryTold(contact) => {
+                self.record_directory_told(now, contact, effects);
+            }
             event::Event::Arrived(request) => self.add_request(now, request, effects),
             event::Event::Abandoned(request) => self.remove_request(request),
             event::Event::NextStatementStarted(member) => self.record_statement_start(member),
--- a/crates/broker/tests/directory.rs
+++ b/crates/broker/tests/directory.rs
@@ -2,11 +2,11 @@
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fulmarlift_broker::claim::ClaimRow;
 use fulmarlift_broker::effect::{Effect, StateChange};
-use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport};
+use fulmarlift_broker::event::{Answer, DirectoryContact, Event, OpenFailure, StatementReport};
 use fulmarlift_broker::request::{Request, Requirement};
 use fulmarlift_broker::topology::{Member, Peer};
 use fulmarlift_core::id;
@@ -284,3 +284,53 @@
     assert!(fixture.broker.member(23).is_some());
     assert!(fixture.broker.member(22).is_none());
 }
+
+/// Creates a proxy that knows members 1 to 3 from its reader, which has reached the directory for some time.
+fn listening_proxy(reached_ms: u64) -> Fixture {
+    let mut fixture = started_proxy();
+    let reached_since = fixture.now;
+    fixture.now += Duration::from_millis(reached_ms);
+    tell(&mut fixture, reached_since);
+    fixture
+}
+
+fn tell(fixture: &mut Fixture, reached_since: Instant) {
+    fixture.handle(Event::DirectoryTold(Some(DirectoryContact {
+        answered_at: fixture.now,
+        reached_since,
+    })));
+}
+
+/// The members that run have had the time to be listed with its reader.
+#[test]
+fn leader_is_replaced_by_listener_whose_reader_knows_the_members() {
+    let mut fixture = listening_proxy(2_300);
+    assert!(claims_while_leader_refuses(&mut fixture, 1_500));
+}
+
+#[rstest]
+#[case::that_has_just_reached_the_directory(Some(0))]
+#[case::that_does_not_reach_the_directory(None)]
+fn leader_is_not_replaced_by_listener_of_reader(#[case] reached_ms: Option<u64>) {
+    let mut fixture = listening_proxy(10_000);
+    match reached_ms {
+        Some(reached_ms) => {
+            let reached_since = fixture.now - Duration::from_millis(reached_ms);
+            tell(&mut fixture, reached_since);
+        }
+        None => fixture.handle(Event::DirectoryTold(None)),
+    }
+    assert!(!claims_while_leader_refuses(&mut fixture, 2_000));
+}
+
+/// The reader has not noticed yet what the listener has seen itself.
+#[rstest]
+#[case::that_began_a_new_era(Event::StoreEra { era: 1, known_for: Duration::ZERO })]
+#[case::that_did_not_answer(Event::DirectoryRead { answered_at: None })]
+fn leader_is_not_replaced_by_listener_that_has_lost_directory(#[case] loss: Event) {
+    let mut fixture = listening_proxy(10_000);
+    let reached_since = fixture.now - Duration::from_secs(10);
+    fixture.handle(loss);
+    tell(&mut fixture, reached_since);
+    assert!(!claims_while_leader_refuses(&mut fixture, 2_000));
+}
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -1,9 +1,11 @@
 //! Messages between a reader and its listeners: a length of four bytes and a `postcard` value.
 
 use std::io;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use fulmarlift_broker::claim;
+use fulmarlift_broker::event;
 use fulmarlift_broker::revision;
 use fulmarlift_broker::topology;
 use fulmarlift_broker::topology_change;
@@ -35,6 +37,8 @@
         age_ms: u64,
         /// Revision up to which the configuration is complete with the messages before this one.
         configuration: Option<revision::Revision>,
+        /// The reader's contact with the directory of members, which may differ; none if the directory does not answer it.
+        directory: Option<DirectoryAges>,
     },
     /// A changed configuration.
     ConfigurationChanged(topology_change::TopologyChange),
@@ -55,6 +59,37 @@
     },
 }
 
+/// A proxy's contact with the directory, see [`event::DirectoryContact`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct DirectoryAges {
+    /// Time since the newest answer, rounded up.
+    pub(super) answered_ms: u64,
+    /// Time for which every read has succeeded, rounded down.
+    pub(super) reached_ms: u64,
+}
+
+impl DirectoryAges {
+    pub(super) fn of(contact: event::DirectoryContact, now: Instant) -> Self {
+        let age_ms = |at| {
+            let age = now.saturating_duration_since(at).as_millis();
+            u64::try_from(age).unwrap_or(u64::MAX / 2)
+        };
+        Self {
+            answered_ms: age_ms(contact.answered_at) + 1,
+            reached_ms: age_ms(contact.reached_since),
+        }
+    }
+
+    /// Returns the contact of a proxy that has told its ages just now; `None` if it is older than this machine's clock.
+    pub(super) fn contact(self, now: Instant) -> Option<event::DirectoryContact> {
+        let instant = |age_ms| now.checked_sub(Duration::from_millis(age_ms));
+        Some(event::DirectoryContact {
+            answered_at: instant(self.answered_ms)?,
+            reached_since: instant(self.reached_ms)?,
+        })
+    }
+}
+
 /// A claim row as the store returned it.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct EncodedClaimRow {
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -125,6 +125,7 @@
             frame::Message::Freshness {
                 age_ms,
                 configuration,
+                directory,
             } => {
                 let store_answered_at = instant_before(clock::now(), age_ms);
                 let fresh_until = store_answered_at.map(|answered_at| answered_at + READER_AGE_MAX);
@@ -140,8 +141,8 @@
                 if let Some(revision) = configuration {
                     shell.record_configuration_revision(revision);
                 }
-                let answered_at = Some(answered_at);
-                shell.handle(event::Event::DirectoryRead { answered_at });
+                let contact = directory.and_then(|ages| ages.contact(clock::now()));
+                shell.handle(event::Event::DirectoryTold(contact));
                 return Ok(true);
             }
         }
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -131,9 +131,11 @@
 }
 
 fn freshness<D: Deployment>(shell: &Rc<shell::Shell<D>>, age_ms: u64) -> Bytes {
+    let contact = shell.with_broker(fulmarlift_broker::Broker::directory_contact);
     let message = frame::Message::Freshness {
         age_ms,
         configuration: shell.configuration_revision(),
+        directory: contact.map(|contact| frame::DirectoryAges::of(contact, clock::now())),
     };
     message.encode()
 }
--- a/crates/session/tests/listen.rs
+++ b/crates/session/tests/listen.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fulmarlift_broker::event::Event;
+use fulmarlift_broker::event::{DirectoryContact, Event};
 use fulmarlift_broker::topology::Peer;
 use fulmarlift_core::topology::Place;
 use fulmarlift_session::deployment::Contents;
@@ -117,6 +117,13 @@
     }
 }
 
+impl Proxy {
+    fn directory_contact(&self) -> Option<DirectoryContact> {
+        self.shell
+            .with_broker(fulmarlift_broker::Broker::directory_contact)
+    }
+}
+
 async fn on_one_thread(test: impl Future<Output = ()>) {
     tokio::task::LocalSet::new().run_until(test).await;
 }
@@ -344,3 +351,49 @@
     })
     .await;
 }
+
+/// The reader's polls of the configuration are answered, its polls of the members are not. The last one that waits ends after 6 s.
+#[tokio::test]
+async fn listener_does_not_reach_directory_that_its_reader_does_not_reach() {
+    const POLL_TIME: Duration = Duration::from_secs(7);
+    on_one_thread(async {
+        let pair = Pair::start(|store| {
+            store.listed.replace(vec!["member-1"]);
+        })
+        .await;
+        let reader = || pair.reader.directory_contact();
+        let listener = || pair.listener.directory_contact();
+        let earlier = listener().expect("the reader reaches the directory");
+        pair.reader
+            .store
+            .refused_contents
+            .set(Some(Contents::Members));
+        tokio::time::sleep(POLL_TIME).await;
+        assert_eq!((reader(), listener()), (None, None));
+        assert_eq!(pair.listener.store.calls.get(), 0, "it listens");
+        pair.reader.store.refused_contents.set(None);
+        tokio::time::sleep(SETTLING_TIME).await;
+        let reader = reader().expect("the reader reaches the directory again");
+        let listener = listener().expect("the listener hears of it");
+        assert!(listener.reached_since >= reader.reached_since);
+        assert!(reader.reached_since > earlier.reached_since);
+    })
+    .await;
+}
+
+/// The reader's polls of the members are answered every 6 s, those of the configuration more often.
+#[tokio::test]
+async fn listener_takes_answers_about_configuration_for_none_about_members() {
+    on_one_thread(async {
+        let pair = Pair::start(|_| ()).await;
+        let reader = pair.reader.directory_contact();
+        let listener = pair.listener.directory_contact();
+        let reader = reader.expect("the reader reaches the directory");
+        let listener = listener.expect("the reader reaches the directory");
+        let excess = listener
+            .answered_at
+            .saturating_duration_since(reader.answered_at);
+        assert!(excess < Duration::from_millis(1_000), "{excess:?}");
+    })
+    .await;
+}
--- a/crates/session/tests/updates.rs
+++ b/crates/session/tests/updates.rs
@@ -190,6 +190,7 @@
         wait_for_version(&reader, 3).await;
         let listener = shell("listener");
         listener.handle(listed("member-2", 4));
+        listener.handle(listed("member-3", 4));
         listener.apply_update(Update::Unlisted {
             name: "member-1".into(),
             revision: version(5),
@@ -201,6 +202,13 @@
         wait_for_version(&listener, 3).await;
         let known = |name| listener.with_broker(|broker| broker.member(id::of(name)).is_some());
         assert!(known("member-2") && !known("member-1"));
+        let listed = listener.with_broker(fulmarlift_broker::Broker::listed_members);
+        let names: Vec<&str> = listed.iter().map(|member| member.name.as_ref()).collect();
+        assert_eq!(names.len(), 2, "{names:?}");
+        assert!(
+            names.contains(&"member-3"),
+            "it joined unseen by the reader"
+        );
     })
     .await;
 }
