A group whose members all count as gone keeps its homes

What callers saw: nothing yet; a fault of the change that keeps members which count as gone.

Cause: their domains do not count for the choice of homes. Where all members of a group count as gone and none is believed to lead, no domain was left, every proxy was a home, and each asked the members that it keeps. Before that change such members had been dropped.

Change: if all known members count as gone, their domains count as before.

Evidence: proxy_does_not_become_home_where_all_members_count_as_gone failed before.

--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -198,11 +198,13 @@
         let Some(group) = self.groups.get(group_id) else {
             return Vec::new();
         };
+        // Proxies keep members that count as gone for different times, and must choose the same homes. Without any domain, all
+        // proxies would be homes.
+        let all_gone = group.members.values().all(|state| state.counts_as_gone);
         let mut domains: Vec<&str> = group
             .members
             .values()
-            // Proxies keep members that count as gone for different times, and must choose the same homes.
-            .filter(|state| !state.counts_as_gone)
+            .filter(|state| !state.counts_as_gone || all_gone)
             .map(|state| state.entry.place.domain.as_ref())
             .collect();
         domains.sort_unstable();
--- a/crates/broker/tests/directory.rs
+++ b/crates/broker/tests/directory.rs
@@ -334,3 +334,27 @@
     tell(&mut fixture, reached_since);
     assert!(!claims_while_leader_refuses(&mut fixture, 2_000));
 }
+
+/// Without a domain that has members, all proxies would be homes, and connect to members that allow few connections.
+#[test]
+fn proxy_does_not_become_home_where_all_members_count_as_gone() {
+    let mut fixture = remote_proxy();
+    fixture.handle(Event::LeaseAnswered {
+        group: GROUP,
+        member: 1,
+        asked_at: fixture.now,
+        status: Some(support::status(false, 2, (1, 10), 0)),
+    });
+    assert_eq!(fixture.leader(), None);
+    for member in 1..=3 {
+        unlist(&mut fixture, member);
+    }
+    fixture.effects.clear();
+    fixture.advance(5_000);
+    let asks = |effect: &Effect| match effect {
+        Effect::Open { member, .. } => (1..=3).contains(member),
+        _ => false,
+    };
+    assert!(!fixture.effects.iter().any(asks));
+    assert!(fixture.broker.forwards_requests(GROUP));
+}
