Commands of a failover go through other proxies to members that the claimant does not reach

The old leader went on, with a replica that confirmed its commits.

Cause (one of several paths): a claimant that cannot reach the old leader or a replica (cut off, refused with TooMany, slow to accept) takes it for gone, although other proxies reach it. Nobody stops the one or holds the other.

Change: if a connection for a status, hold or demotion does not open within 100 ms or at all, or no answer comes within 300 ms, up to three other proxies are asked at once, for 300 ms, to send the command: the one that answered last, homes of the group, then proxies of other domains. The first status counts. The messages come last in their enum, so that older numbers stay. A release is never sent so.

Ruled out: one proxy after the other, as for claim rows (a silent one costs an answer time each); reporting both answers of a command (a late one would overwrite that of the next round).

Remains: a member that was held through another proxy, and that its claimant cannot release, stays held until the next attempt or promotion.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -4,6 +4,7 @@
 
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
+use serde::{Deserialize, Serialize};
 
 use crate::claim;
 use crate::request;
@@ -243,7 +244,7 @@
 }
 
 /// Role, term and log position that a member reports about itself.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct MemberStatus {
     /// Whether the member leads.
     pub leads: bool,
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -30,6 +30,17 @@
 const CONTENTION_WINDOW: Duration = Duration::from_secs(3);
 
 impl state::Broker {
+    /// Lends an idle connection to a member for a command that another proxy has asked this one to send. It is in use until
+    /// [`event::Event::Returned`].
+    pub fn lend_connection(&mut self, member: id::MemberId) -> Option<id::ConnId> {
+        let group = *self.member_groups.get(member)?;
+        // A home takes no commands.
+        let state = self.groups.get_mut(group)?.members.get_mut(member)?;
+        let idle = state.idle.pop()?;
+        state.leased += 1;
+        Some(idle.conn)
+    }
+
     pub(super) fn open_connection(
         &mut self,
         member: id::MemberId,
--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -19,6 +19,15 @@
 const HOME_REPLACEMENT_DELAY: Duration = Duration::from_secs(3);
 
 impl state::Broker {
+    /// Returns the other proxies that are homes of a group, in no particular order.
+    pub fn home_peers(&self, now: Instant, group: id::GroupId) -> Vec<topology::Peer> {
+        let this_proxy = id::of(&self.settings.vm_name);
+        let homes = self.homes_of(now, group, this_proxy).into_iter();
+        homes
+            .filter_map(|proxy| self.peers.get(proxy).cloned())
+            .collect()
+    }
+
     pub(super) fn apply_peer_entry(
         &mut self,
         now: Instant,
--- a/crates/broker/tests/conns.rs
+++ b/crates/broker/tests/conns.rs
@@ -8,7 +8,7 @@
 use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport};
 use fulmarlift_broker::request::Requirement;
 use rstest::rstest;
-use support::Fixture;
+use support::{Fixture, member_at};
 
 /// Without this line, the log would show a member as unreachable for ever.
 #[test]
@@ -121,3 +121,47 @@
     }
     assert_eq!(opened, STATEMENTS_MAX);
 }
+
+/// A command of another proxy uses a connection like one of this proxy: no request gets it meanwhile, and the next one does then.
+#[rstest]
+#[case::reusable(true)]
+#[case::broken(false)]
+fn lent_connection_is_in_use_until_it_is_returned(#[case] reusable: bool) {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.broker.lend_connection(1), None);
+    let request = fixture.add_request(Requirement::Leader);
+    let conn = fixture.open_all()[0];
+    let grant = fixture.take_grants()[0];
+    assert_eq!((grant.request, grant.conn), (request, conn));
+    fixture.end_statement(&grant, Answer::Served, None);
+    assert_eq!(fixture.broker.lend_connection(1), Some(conn));
+    assert_eq!(fixture.broker.lend_connection(1), None);
+    assert_eq!(fixture.broker.connection_and_request_counts().0, 1);
+    fixture.add_request(Requirement::Leader);
+    assert!(fixture.take_grants().is_empty());
+    fixture.handle(Event::Returned { conn, reusable });
+    let grants = fixture.take_grants();
+    assert_eq!(grants.iter().any(|grant| grant.conn == conn), reusable);
+}
+
+/// A member that is dropped while its connection is lent leaves no connection behind.
+#[test]
+fn lent_connection_of_dropped_member_is_closed_on_return() {
+    let mut fixture = Fixture::new();
+    fixture.add_request(Requirement::Leader);
+    fixture.open_all();
+    let grant = fixture.take_grants()[0];
+    fixture.end_statement(&grant, Answer::Served, None);
+    let conn = fixture.broker.lend_connection(1);
+    let conn = conn.expect("the connection is idle");
+    let mut successor = member_at(4, "a", true);
+    successor.name = "member-1".into();
+    fixture.handle(Event::Listed(successor));
+    fixture.take_effects();
+    fixture.handle(Event::Returned {
+        conn,
+        reusable: true,
+    });
+    assert!(fixture.take_effects().contains(&Effect::Close(conn)));
+    assert_eq!(fixture.broker.lend_connection(1), None);
+}
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -4,6 +4,7 @@
 //! spawns the tasks that open connections, probe and command members, and access the store.
 
 mod lease;
+mod relayed;
 pub mod state_changes;
 mod tasks;
 mod updates;
@@ -91,6 +92,7 @@
     promotion_orders: D::PromotionOrders,
     directory: D::Directory,
     control_connections: tasks::ControlConnections<D>,
+    relayed_commands: relayed::RelayedCommands,
     retry_budget: Cell<limit::RetryBudget>,
     /// Notifies successes of commits that wait for evidence.
     commit_evidence: Notify,
@@ -142,6 +144,7 @@
             promotion_orders,
             directory,
             control_connections: tasks::ControlConnections::default(),
+            relayed_commands: relayed::RelayedCommands::default(),
             retry_budget: Cell::new(limit::RetryBudget::default()),
             commit_evidence: Notify::new(),
             claim_relay: RefCell::new(None),
@@ -161,6 +164,11 @@
         })
     }
 
+    /// Returns the name of this proxy, under which it holds claims.
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Returns a member's name for the log.
     pub fn member_name(&self, member: id::MemberId) -> Box<str> {
         self.with_broker(|broker| state_changes::member_name(broker, member).into())
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -1,6 +1,7 @@
 //! Tasks that carry out the broker's effects: connections, probes, commands to members, claim rows, promotion orders.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
 use fulmarlift_broker::revision;
+use fulmarlift_broker::topology;
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
@@ -30,6 +32,11 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Timeout of a command to a member on the control path.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time in which a connection opens for a command, before other proxies are asked to send it as well.
+const COMMAND_OPEN_PATIENCE: Duration = Duration::from_millis(100);
+/// Time in which a member answers a command that was sent on an open connection, before other proxies are asked to send it as well:
+/// longer than a question waits for a slot of a member that is busy.
+const COMMAND_ANSWER_PATIENCE: Duration = Duration::from_millis(300);
 /// Time of a read of a claim row from which another proxy is asked as well.
 const CLAIM_RELAY_DELAY: Duration = Duration::from_millis(60);
 /// Lifetime of an unused control connection: about the duration of a failover.
@@ -51,12 +58,12 @@
 }
 
 impl<D: Deployment> ControlConnections<D> {
-    fn take(&self, member: id::MemberId) -> Option<shell::Upstream<D>> {
+    pub(super) fn take(&self, member: id::MemberId) -> Option<shell::Upstream<D>> {
         let (_, mut upstream) = self.connections.borrow_mut().remove(member)?;
         (!upstream.is_dead()).then_some(upstream)
     }
 
-    fn put(&self, upstream: shell::Upstream<D>) {
+    pub(super) fn put(&self, upstream: shell::Upstream<D>) {
         let expires_at = clock::now() + CONTROL_CONNECTION_LIFETIME;
         self.connections
             .borrow_mut()
@@ -80,7 +87,7 @@
 
 impl<D: Deployment> shell::Shell<D> {
     /// Returns the group's name, and the member's name and address; none if the broker knows no such member.
-    fn locate(&self, member: id::MemberId) -> Option<(Box<str>, Box<str>, std::net::SocketAddr)> {
+    fn locate(&self, member: id::MemberId) -> Option<(Box<str>, Box<str>, SocketAddr)> {
         self.with_broker(|broker| {
             let entry = broker.member(member)?;
             let group = broker.topology().groups.get(entry.group)?;
@@ -112,9 +119,22 @@
                 opened.map(shell::Upstream::Member)
             }
         };
-        if let Err(error) = &opened {
-            log::info!("event=connect_failed member={name} address={address} error=\"{error}\"");
-        }
+        log_connect_failure(&name, address, &opened);
+        opened
+    }
+
+    /// Opens a connection to a member that the broker need not know.
+    pub(super) async fn open_member(
+        &self,
+        group: &str,
+        member: &topology::Member,
+        deadline: Instant,
+    ) -> Result<shell::Upstream<D>, link::OpenError> {
+        metrics::counter!("fulmarlift_connects_total").increment(1);
+        let name_and_id = (&*member.name, member.id);
+        let opened = link::Link::open(member.address, group, name_and_id, deadline).await;
+        let opened = opened.map(shell::Upstream::Member);
+        log_connect_failure(&member.name, member.address, &opened);
         opened
     }
 
@@ -155,7 +175,8 @@
     }
 
     /// Sends a command to a member, on the given idle connection if there is one, and passes the member's status to the
-    /// broker.
+    /// broker. If no connection opens soon, or no answer arrives, the command also goes through other proxies, and the first status
+    /// counts.
     pub(super) fn send_command(
         self: &Rc<Self>,
         group: id::GroupId,
@@ -167,12 +188,54 @@
         let asked_at = clock::now();
         tokio::task::spawn_local(async move {
             let lent = conn.and_then(|conn| shell.inner.borrow_mut().idle.remove(conn));
-            let (answer, upstream) = shell.exchange_command(member, command, lent).await;
+            let is_sent = Cell::new(false);
+            let direct = async {
+                match shell.open_for_command(member, lent).await {
+                    Ok(upstream) => {
+                        is_sent.set(true);
+                        shell.exchange_command(upstream, command).await
+                    }
+                    // `connect` has logged the error; the broker sends the command again.
+                    Err(_) => (event::StatusAnswer::Missing, None),
+                }
+            };
+            tokio::pin!(direct);
+            let mut ended = tokio::select! {
+                ended = &mut direct => Some(ended),
+                () = lose_patience(&is_sent) => None,
+            };
+            let mut relayed = None;
+            if is_unanswered(ended.as_ref()) {
+                let relaying = shell.relay_command(member, command);
+                tokio::pin!(relaying);
+                let mut has_relayed = false;
+                while !has_relayed && is_unanswered(ended.as_ref()) {
+                    tokio::select! {
+                        end = &mut direct, if ended.is_none() => ended = Some(end),
+                        status = &mut relaying => {
+                            relayed = status;
+                            has_relayed = true;
+                        }
+                    }
+                }
+            }
+            if let Some(relayed) = relayed {
+                let via = &*relayed.vm_name;
+                let status = Some(relayed.status);
+                shell.report_status(group, member, command, asked_at, status, via);
+                // A command that was sent ends, so that its connection can be used again; one that was not sent is not sent any more.
+                if ended.is_none() && is_sent.get() {
+                    ended = Some(direct.await);
+                }
+                let upstream = ended.and_then(|(_, upstream)| upstream);
+                shell.return_command_connection(conn, upstream);
+                return;
+            }
+            let (answer, upstream) = match ended {
+                Some(ended) => ended,
+                None => direct.await,
+            };
             let status = answer.status();
-            let name: Box<str> =
-                shell.with_broker(|broker| state_changes::member_name(broker, member).into());
-            // `question` is the command, `answer` the member's status.
-            log::info!("event=asked member={name} question={command:?} answer={status:?}");
             if let Some(upstream) = upstream.as_ref().filter(|_| status.is_some()) {
                 shell.handle(event::Event::CommandAnswered {
                     group,
@@ -180,25 +243,56 @@
                     connected_at: upstream.connected_at(),
                 });
             }
-            match (conn, upstream) {
-                (Some(conn), Some(upstream)) => {
-                    shell.inner.borrow_mut().idle.insert(conn, upstream);
-                    let reusable = true;
-                    shell.handle(event::Event::Returned { conn, reusable });
-                }
-                (Some(conn), None) => {
-                    let reusable = false;
-                    shell.handle(event::Event::Returned { conn, reusable });
-                }
-                (None, Some(upstream)) => shell.control_connections.put(upstream),
-                (None, None) => {}
-            }
-            shell.handle(event::Event::StatusAnswered {
-                group,
-                member,
-                asked_at,
-                status,
-            });
+            shell.return_command_connection(conn, upstream);
+            shell.report_status(group, member, command, asked_at, status, "none");
+        });
+    }
+
+    /// Gives a connection back on which a command was sent, or reports that it is closed.
+    fn return_command_connection(
+        self: &Rc<Self>,
+        conn: Option<id::ConnId>,
+        upstream: Option<shell::Upstream<D>>,
+    ) {
+        match (conn, upstream) {
+            (Some(conn), upstream) => self.return_lent(conn, upstream),
+            (None, Some(upstream)) => self.control_connections.put(upstream),
+            (None, None) => {}
+        }
+    }
+
+    /// Gives a connection back that a command has used, or reports that it is closed.
+    pub(super) fn return_lent(
+        self: &Rc<Self>,
+        conn: id::ConnId,
+        upstream: Option<shell::Upstream<D>>,
+    ) {
+        let reusable = upstream.is_some();
+        if let Some(upstream) = upstream {
+            self.inner.borrow_mut().idle.insert(conn, upstream);
+        }
+        self.handle(event::Event::Returned { conn, reusable });
+    }
+
+    /// Logs the end of a command and passes it to the broker. `via` is the name of the VM whose proxy has sent the command.
+    fn report_status(
+        self: &Rc<Self>,
+        group: id::GroupId,
+        member: id::MemberId,
+        command: effect::MemberCommand,
+        asked_at: Instant,
+        status: Option<event::MemberStatus>,
+        via: &str,
+    ) {
+        let name: Box<str> =
+            self.with_broker(|broker| state_changes::member_name(broker, member).into());
+        // `question` is the command, `answer` the member's status.
+        log::info!("event=asked member={name} question={command:?} via={via} answer={status:?}");
+        self.handle(event::Event::StatusAnswered {
+            group,
+            member,
+            asked_at,
+            status,
         });
     }
 
@@ -217,9 +311,7 @@
             let (answer, upstream) = match upstream {
                 Some(upstream) => {
                     let command = effect::MemberCommand::Status;
-                    shell
-                        .exchange_command(member, command, Some(upstream))
-                        .await
+                    shell.exchange_command(upstream, command).await
                 }
                 None => (event::StatusAnswer::Missing, None),
             };
@@ -256,24 +348,26 @@
         });
     }
 
-    /// Sends a command on the lent connection, on the member's control connection, or on a new one. Returns the member's
-    /// status, and the connection if it is still usable. Does not send a release whose time has passed, since another proxy
-    /// may hold the member by then.
-    async fn exchange_command(
+    /// Returns the lent connection, the member's control connection, or a new one.
+    async fn open_for_command(
         &self,
         member: id::MemberId,
-        command: effect::MemberCommand,
         lent: Option<shell::Upstream<D>>,
-    ) -> (event::StatusAnswer, Option<shell::Upstream<D>>) {
-        let available = lent.or_else(|| self.control_connections.take(member));
-        let opened = match available {
+    ) -> Result<shell::Upstream<D>, link::OpenError> {
+        match lent.or_else(|| self.control_connections.take(member)) {
             Some(upstream) => Ok(upstream),
             None => self.connect(member).await,
-        };
-        // `connect` has logged the error; the broker sends the command again.
-        let Ok(mut upstream) = opened else {
-            return (event::StatusAnswer::Missing, None);
-        };
+        }
+    }
+
+    /// Sends a command on a connection. Returns the member's status, and the connection if it is still usable. Does not send a
+    /// release whose time has passed, since another proxy may hold the member by then.
+    pub(super) async fn exchange_command(
+        &self,
+        mut upstream: shell::Upstream<D>,
+        command: effect::MemberCommand,
+    ) -> (event::StatusAnswer, Option<shell::Upstream<D>>) {
+        let member = upstream.member();
         upstream.push(match command {
             effect::MemberCommand::Status => member::Command::Status,
             effect::MemberCommand::Hold(term) => member::Command::Hold(term),
@@ -464,6 +558,29 @@
     }
 }
 
+/// Waits until other proxies are asked to send a command as well. `is_sent` tells whether a connection has been opened for it.
+async fn lose_patience(is_sent: &Cell<bool>) {
+    tokio::time::sleep(COMMAND_OPEN_PATIENCE).await;
+    if is_sent.get() {
+        tokio::time::sleep(COMMAND_ANSWER_PATIENCE - COMMAND_OPEN_PATIENCE).await;
+    }
+}
+
+/// Returns whether a command has not ended yet, or has ended without an answer of the member.
+fn is_unanswered<T>(ended: Option<&(event::StatusAnswer, T)>) -> bool {
+    ended.is_none_or(|(answer, _)| *answer == event::StatusAnswer::Missing)
+}
+
+fn log_connect_failure<D: Deployment>(
+    name: &str,
+    address: SocketAddr,
+    opened: &Result<shell::Upstream<D>, link::OpenError>,
+) {
+    if let Err(error) = opened {
+        log::info!("event=connect_failed member={name} address={address} error=\"{error}\"");
+    }
+}
+
 /// Returns a report of a probe without a point of the member's log.
 fn report_without_point(member: id::MemberId, answer: event::Answer) -> event::StatementReport {
     event::StatementReport {
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -4,9 +4,12 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use fulmarlift_broker::claim;
+use fulmarlift_broker::effect;
+use fulmarlift_broker::event;
 use fulmarlift_broker::revision;
 use fulmarlift_broker::topology;
 use fulmarlift_broker::topology_change;
+use fulmarlift_core::id;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -53,6 +56,47 @@
         /// Row that the store returned meanwhile; `None` if the store did not answer.
         row: Option<EncodedClaimRow>,
     },
+    /// Command for a member, the first and only message of a proxy that does not reach the member.
+    CommandQuestion {
+        /// Name of the proxy that asks.
+        asker: Box<str>,
+        /// Entry of the member, which the proxy that answers may not know.
+        member: topology::Member,
+        command: RelayedCommand,
+    },
+    /// Answer to it.
+    CommandAnswer {
+        /// Status in the member's answer to the command; `None` if there was none.
+        status: Option<event::MemberStatus>,
+    },
+}
+
+/// A command that may be sent to a member through another proxy. A release may not: sent late, it would end the hold of another
+/// claimant. The others change nothing when they are sent twice.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum RelayedCommand {
+    Status,
+    Hold(id::Term),
+    Demote(id::Term),
+}
+
+impl RelayedCommand {
+    pub(crate) fn new(command: effect::MemberCommand) -> Option<Self> {
+        match command {
+            effect::MemberCommand::Status => Some(Self::Status),
+            effect::MemberCommand::Hold(term) => Some(Self::Hold(term)),
+            effect::MemberCommand::Release { .. } => None,
+            effect::MemberCommand::Demote(term) => Some(Self::Demote(term)),
+        }
+    }
+
+    pub(crate) fn command(self) -> effect::MemberCommand {
+        match self {
+            Self::Status => effect::MemberCommand::Status,
+            Self::Hold(term) => effect::MemberCommand::Hold(term),
+            Self::Demote(term) => effect::MemberCommand::Demote(term),
+        }
+    }
 }
 
 /// A claim row as the store returned it.
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -119,7 +119,9 @@
             frame::Message::ConfigurationChanged(change) => apply_change(shell, change)?,
             frame::Message::Hello { .. }
             | frame::Message::ClaimQuestion { .. }
-            | frame::Message::ClaimAnswer { .. } => {
+            | frame::Message::ClaimAnswer { .. }
+            | frame::Message::CommandQuestion { .. }
+            | frame::Message::CommandAnswer { .. } => {
                 return Err(io::Error::from(io::ErrorKind::InvalidData));
             }
             frame::Message::Freshness {
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -62,6 +62,14 @@
             served
         }
         frame::Message::ClaimQuestion { group } => relay::answer(shell, stream, &group).await,
+        frame::Message::CommandQuestion {
+            asker,
+            member,
+            command,
+        } => {
+            let command = command.command();
+            relay::answer_command(shell, stream, &asker, &member, command).await
+        }
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
 }
--- a/crates/session/src/updates/relay.rs
+++ b/crates/session/src/updates/relay.rs
@@ -1,4 +1,5 @@
-//! Reads of claim rows through other proxies, for a proxy that the store does not answer.
+//! Reads of claim rows through other proxies, for a proxy that the store does not answer, and commands to members through other
+//! proxies, for one that does not reach a member.
 
 use std::cmp::Reverse;
 use std::io;
@@ -7,10 +8,15 @@
 
 use bytes::BytesMut;
 use fulmarlift_broker::claim;
+use fulmarlift_broker::effect;
+use fulmarlift_broker::event;
 use fulmarlift_broker::topology;
 use fulmarlift_core::id;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use tokio::net::TcpStream;
 
+use crate::clock;
 use crate::deployment::Deployment;
 use crate::link;
 use crate::shell;
@@ -20,6 +26,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
 /// Most proxies that are asked, one after the other, within the duration of a lease.
 const PROXIES_MAX: usize = 3;
+/// Time for proxies that are asked at once to send a command to a member: two round trips between regions, a connection to the
+/// member that is opened meanwhile, and the member's answer.
+const COMMAND_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Reads the claim row of a group through another proxy. Asks the one that answered last first, and then those of other failure
 /// domains, since the store often refuses a domain as a whole. Returns nothing if none of them can read it.
@@ -85,3 +94,109 @@
     let answer = frame::Message::ClaimAnswer { row };
     frame::send(&mut stream, &answer.encode()).await
 }
+
+/// A member's answer to a command that went through another proxy.
+pub(crate) struct RelayedStatus {
+    pub(crate) status: event::MemberStatus,
+    /// Name of the VM of the proxy that sent the command.
+    pub(crate) vm_name: Box<str>,
+}
+
+/// Sends a command to a member through several other proxies at once. Returns the first status that one of them passes on; none if
+/// none does in time, and for a release, which is never sent so.
+pub(crate) async fn send_command<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    member: &topology::Member,
+    command: effect::MemberCommand,
+) -> Option<RelayedStatus> {
+    let deadline = clock::now() + COMMAND_ANSWER_TIMEOUT;
+    let question = frame::Message::CommandQuestion {
+        asker: shell.name().into(),
+        member: member.clone(),
+        command: frame::RelayedCommand::new(command)?,
+    };
+    let question = question.encode();
+    let peers = choose_command_peers(shell, member);
+    let mut asking: FuturesUnordered<_> = peers
+        .iter()
+        .map(|peer| {
+            let question = &question;
+            async move { (peer, ask_for_command(peer, question).await) }
+        })
+        .collect();
+    let answering = async {
+        while let Some((peer, answered)) = asking.next().await {
+            match answered {
+                Ok(Some(status)) => {
+                    let vm_name = peer.vm_name.clone();
+                    return Some(RelayedStatus { status, vm_name });
+                }
+                Ok(None) => {}
+                Err(error) => log::debug!(
+                    "event=command_relay_failed proxy={} error=\"{error}\"",
+                    peer.vm_name
+                ),
+            }
+        }
+        None
+    };
+    let answered = tokio::time::timeout_at(clock::tokio_deadline(deadline), answering).await;
+    let relayed = answered.unwrap_or(None);
+    shell.record_command_relay(relayed.as_ref().map(|relayed| &*relayed.vm_name));
+    relayed
+}
+
+/// Returns the proxies that a command goes through: the one that answered last, then homes of the group, which keep connections to
+/// its members, and then proxies of other failure domains. After an ask that nobody answered, others are asked, and no homes
+/// first.
+fn choose_command_peers<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    member: &topology::Member,
+) -> Vec<topology::Peer> {
+    let (last_relay, failed_asks) = shell.command_relay();
+    let (domain, mut peers, homes) = shell.with_broker(|broker| {
+        let homes = broker.home_peers(clock::now(), member.group);
+        let homes: Vec<Box<str>> = homes.into_iter().map(|home| home.vm_name).collect();
+        (broker.place().domain.clone(), broker.listed_peers(), homes)
+    });
+    let prefers_homes = failed_asks % 2 == 0;
+    peers.sort_by_cached_key(|peer| {
+        let answered_last = last_relay.as_ref() == Some(&peer.vm_name);
+        let is_home = prefers_homes && homes.contains(&peer.vm_name);
+        let is_remote = peer.place.domain != domain;
+        let seed = member.group ^ failed_asks;
+        let weight = id::rendezvous_weight(id::of(&peer.vm_name), seed);
+        Reverse((answered_last, is_home, is_remote, weight))
+    });
+    peers.truncate(PROXIES_MAX);
+    peers
+}
+
+async fn ask_for_command(
+    peer: &topology::Peer,
+    question: &[u8],
+) -> io::Result<Option<event::MemberStatus>> {
+    let mut stream = TcpStream::connect(peer.updates_address).await?;
+    link::set_liveness_timeouts(&stream)?;
+    frame::send(&mut stream, question).await?;
+    let mut inbox = BytesMut::new();
+    match frame::receive(&mut stream, &mut inbox).await? {
+        frame::Message::CommandAnswer { status } => Ok(status),
+        _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
+    }
+}
+
+/// Sends a command of another proxy to a member, and passes the member's status on.
+pub(super) async fn answer_command<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    mut stream: TcpStream,
+    asker: &str,
+    member: &topology::Member,
+    command: effect::MemberCommand,
+) -> io::Result<()> {
+    let status = shell
+        .carry_out_relayed(&mut stream, asker, member, command)
+        .await;
+    let answer = frame::Message::CommandAnswer { status };
+    frame::send(&mut stream, &answer.encode()).await
+}
