A claimant asks other proxies for members that it does not know, beside the read of the directory

A proxy that does not watch the group drops it without asking it, one that cannot reach it drops it as well, and one that has just started has never known it. If such a proxy claims, its attempt neither holds the replica nor counts its log.

Change: beside the read of the directory, up to three other proxies are asked for the members of the group that they know and have not failed to reach, whether or not these are listed. The answers are waited for 150 ms longer than the store's. A member that is unknown here joins the group as one without an entry, so the attempt holds it before the choice, it is not chosen, and it is dropped after 2.3 s if it does not answer. A known member, and one of a name that is listed or known by a newer entry, is left alone.

Evidence: three tests of the broker (tests/failover.rs), three with proxies (tests/relayed_commands.rs). Without the event, the question, the wait, its bound, the filter of members that the other proxy has failed to reach, the check of names, or with the member as a listed one, one to four of them fail.

Ruled out: to clear what the entry says of the lead. An unlisted member is not believed to lead, and cleared, its entry would count as new once it is back.

Remains: a member that has ended, and that another proxy still names within its 2.3 s, delays an attempt by up to 2.3 s.

--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -25,6 +25,8 @@
         /// Revision of the directory at which the entry was missing.
         revision: revision::Revision,
     },
+    /// Another proxy knows this member and has not failed to reach it, whether or not the directory lists it.
+    MemberKnown(topology::Member),
     /// The store has a new or changed entry of another proxy.
     PeerListed(topology::Peer),
     /// The store no longer has an entry of the proxy of this name.
@@ -155,7 +157,7 @@
         row: claim::ClaimRow,
     },
     /// A read of the directory for an attempt to replace a leader ended. [`Event::Listed`] has been reported for every member that
-    /// was listed then.
+    /// was listed then, and [`Event::MemberKnown`] for those that other proxies have named meanwhile.
     DirectoryLoaded {
         /// Group whose leader is to be replaced.
         group: id::GroupId,
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -63,6 +63,38 @@
         self.choose_homes_if_outdated(now, effects);
     }
 
+    /// Adds a member that another proxy knows, as one that the directory does not list: it is held like the others, and dropped if it
+    /// does not run. A member that this proxy knows is left as it is, and so is a later incarnation or one that is listed.
+    pub(super) fn add_known_member(
+        &mut self,
+        now: Instant,
+        member: topology::Member,
+        effects: &mut Vec<effect::Effect>,
+    ) {
+        let group_id = member.group;
+        let is_known = |state: &member_state::MemberState| {
+            let entry = &state.entry;
+            let is_newer = state.unlisted_since.is_none() || entry.revision >= member.revision;
+            entry.id == member.id || entry.name == member.name && is_newer
+        };
+        let knows_it = self
+            .groups
+            .values()
+            .any(|group| group.members.values().any(is_known));
+        if knows_it || !self.groups.contains(group_id) {
+            return;
+        }
+        self.drop_other_incarnations(now, &member, effects);
+        self.member_groups.insert(member.id, group_id);
+        let group = self.groups.entry(group_id);
+        group.lease.trust.doubt(now);
+        let mut state = member_state::MemberState::new(member, now);
+        state.unlisted_since = Some(now);
+        group.members.insert(state.entry.id, state);
+        self.homes_outdated = true;
+        self.choose_homes_if_outdated(now, effects);
+    }
+
     /// Drops other members of the same name: an earlier incarnation, or one in another group, cannot exist any more.
     fn drop_other_incarnations(
         &mut self,
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -144,6 +144,7 @@
             event::Event::Configured(topology) => self.apply_configuration(now, topology, effects),
             event::Event::Listed(member) => self.apply_member_entry(now, member, effects),
             event::Event::Unlisted { name, revision } => self.record_unlisted(now, &name, revision),
+            event::Event::MemberKnown(member) => self.add_known_member(now, member, effects),
             event::Event::PeerListed(peer) => self.apply_peer_entry(now, peer, effects),
             event::Event::PeerUnlisted(name) => self.remove_peer(now, &name, effects),
             event::Event::PeersRead => self.record_peers_read(now, effects),
@@ -317,6 +318,15 @@
         listed.map(|state| state.entry.clone()).collect()
     }
 
+    /// Returns the entries of the members of a group, also of those that the directory no longer lists, except for those that have
+    /// failed and not answered since.
+    pub fn running_members(&self, group: id::GroupId) -> Vec<topology::Member> {
+        let group = self.groups.get(group).into_iter();
+        let members = group.flat_map(|group| group.members.values());
+        let running = members.filter(|state| !state.is_suspect());
+        running.map(|state| state.entry.clone()).collect()
+    }
+
     /// Returns the entries of the other proxies.
     pub fn listed_peers(&self) -> Vec<topology::Peer> {
         self.peers.values().cloned().collect()
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -225,6 +225,90 @@
     );
 }
 
+/// A member whose entry has lapsed and that this proxy has dropped, or has never known, still confirms commits if it runs. Another
+/// proxy knows it.
+#[test]
+fn choose_waits_for_log_of_unlisted_member_that_another_proxy_knows() {
+    let mut fixture = Fixture::new();
+    start_attempt(&mut fixture);
+    let term = take_holds(&mut fixture)[0].1;
+    let held = |position| (false, term - 1, (term - 1, position), term);
+    for member in [2, 3] {
+        answer_status(&mut fixture, member, held(500));
+    }
+    await_end_of_trust(&mut fixture);
+    fixture.handle(Event::MemberKnown(member_at(4, "d", false)));
+    read_directory(&mut fixture);
+    assert_eq!(take_holds(&mut fixture), [(2, term), (3, term), (4, term)]);
+    for member in [2, 3] {
+        answer_status(&mut fixture, member, held(500));
+    }
+    assert_eq!(take_recorded_target(&mut fixture), None);
+    answer_status(&mut fixture, 4, held(499));
+    assert_eq!(
+        take_recorded_target(&mut fixture).as_deref(),
+        Some("member-2")
+    );
+}
+
+/// Another proxy may know a member that has ended: the attempt must not wait for it for long.
+#[test]
+fn member_that_another_proxy_knows_is_dropped_if_it_does_not_run() {
+    let mut fixture = Fixture::new();
+    fixture.handle(Event::MemberKnown(member_at(4, "d", true)));
+    fixture.handle(Event::Tick);
+    assert!(fixture.broker.member(4).is_some());
+    assert_eq!(fixture.leader(), Some(1), "the entry may be an old one");
+    let known = |fixture: &Fixture| fixture.broker.running_members(GROUP).len();
+    assert_eq!(known(&fixture), 4);
+    for _ in 0..2 {
+        fixture.advance(100);
+        refuse_connections(&mut fixture, 4);
+    }
+    assert_eq!(known(&fixture), 3, "others do not learn of it any more");
+    for _ in 0..24 {
+        fixture.advance(100);
+        refuse_connections(&mut fixture, 4);
+    }
+    assert!(fixture.broker.member(4).is_none());
+}
+
+/// What another proxy knows may be older than what this one knows.
+#[test]
+fn member_that_another_proxy_knows_changes_nothing_that_is_known() {
+    let mut fixture = Fixture::new();
+    let mut moved = member_at(2, "d", true);
+    moved.revision = version(90);
+    fixture.handle(Event::MemberKnown(moved));
+    let mut earlier = member_at(4, "d", false);
+    earlier.name = "member-3".into();
+    fixture.handle(Event::MemberKnown(earlier.clone()));
+    let mut elsewhere = member_at(5, "d", false);
+    elsewhere.group = GROUP + 1;
+    fixture.handle(Event::MemberKnown(elsewhere));
+    assert_eq!(fixture.broker.member(2), Some(&member_at(2, "b", false)));
+    assert!(fixture.broker.member(4).is_none() && fixture.broker.member(5).is_none());
+    assert_eq!(fixture.broker.running_members(GROUP).len(), 3);
+    // Once the name is not listed any more, its newest incarnation counts.
+    fixture.handle(Event::Unlisted {
+        name: "member-3".into(),
+        revision: version(60),
+    });
+    earlier.revision = version(2);
+    fixture.handle(Event::MemberKnown(earlier.clone()));
+    assert!(fixture.broker.member(4).is_none());
+    earlier.revision = version(61);
+    fixture.handle(Event::MemberKnown(earlier));
+    assert!(fixture.broker.member(4).is_some() && fixture.broker.member(3).is_none());
+    assert!(
+        fixture
+            .broker
+            .listed_members()
+            .iter()
+            .all(|member| member.id != 4)
+    );
+}
+
 /// A member that started during an outage of the directory may have confirmed commits, and has 2 s to be listed.
 #[test]
 fn leader_is_replaced_only_once_directory_is_complete_again() {
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -39,6 +39,8 @@
 const COMMAND_ANSWER_PATIENCE: Duration = Duration::from_millis(300);
 /// Time of a read of a claim row from which another proxy is asked as well.
 const CLAIM_RELAY_DELAY: Duration = Duration::from_millis(60);
+/// Time after a read of the directory for which the members that other proxies know are waited for.
+const ROSTER_PATIENCE: Duration = Duration::from_millis(150);
 /// Lifetime of an unused control connection: about the duration of a failover.
 const CONTROL_CONNECTION_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -464,12 +466,16 @@
     }
 
     /// Reads the entries of all members from the store, and applies those that are listed. What has been removed is left to the
-    /// updates of the store.
+    /// updates of the store. Asks other proxies meanwhile for members that this one does not know.
     pub(super) fn read_directory(self: &Rc<Self>, group: id::GroupId) {
         let shell = Rc::clone(self);
         let asked_at = clock::now();
         tokio::task::spawn_local(async move {
-            let read = shell.directory.read(&transfer::Transfer::default()).await;
+            let unknown = RefCell::new(Vec::new());
+            let transfer = transfer::Transfer::default();
+            let reading = shell.directory.read(&transfer);
+            let asking = relay::ask_for_rosters(&shell, group, &unknown);
+            let read = read_beside(reading, asking).await;
             let read = match read {
                 Ok(batch) if batch.revision.era < shell.store_era() => {
                     Err(Box::from("answer of an earlier era"))
@@ -493,6 +499,9 @@
                     log::warn!("event=directory_unread group={name} error=\"{error}\"");
                 }
             }
+            for member in unknown.take() {
+                shell.handle(event::Event::MemberKnown(member));
+            }
             shell.handle(event::Event::DirectoryLoaded { group, is_read });
         });
     }
@@ -566,6 +575,28 @@
     }
 }
 
+/// Waits for a read of the directory, and for [`ROSTER_PATIENCE`] more for the answers of other proxies. If it fails, it is repeated
+/// soon, and so is the question.
+async fn read_beside<T, E>(
+    reading: impl Future<Output = Result<T, E>>,
+    asking: impl Future<Output = ()>,
+) -> Result<T, E> {
+    tokio::pin!(asking);
+    tokio::pin!(reading);
+    let mut has_asked = false;
+    let read = loop {
+        tokio::select! {
+            read = &mut reading => break read,
+            () = &mut asking, if !has_asked => has_asked = true,
+        }
+    };
+    if read.is_ok() && !has_asked {
+        // What has arrived by then counts.
+        let _ = tokio::time::timeout(ROSTER_PATIENCE, asking).await;
+    }
+    read
+}
+
 /// Returns whether a command has not ended yet, or has ended without an answer of the member.
 fn is_unanswered<T>(ended: Option<&(event::StatusAnswer, T)>) -> bool {
     ended.is_none_or(|(answer, _)| *answer == event::StatusAnswer::Missing)
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -69,6 +69,13 @@
         /// Status in the member's answer to the command; `None` if there was none.
         status: Option<event::MemberStatus>,
     },
+    /// Question for the members of a group, the first and only message of a proxy that replaces the group's leader.
+    RosterQuestion { group: id::GroupId },
+    /// Answer to it.
+    RosterAnswer {
+        /// Members that the answering proxy knows and has not failed to reach, whether or not the directory lists them.
+        members: Vec<topology::Member>,
+    },
 }
 
 /// A command that may be sent to a member through another proxy. A release may not: sent late, it would end the hold of another
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -121,7 +121,9 @@
             | frame::Message::ClaimQuestion { .. }
             | frame::Message::ClaimAnswer { .. }
             | frame::Message::CommandQuestion { .. }
-            | frame::Message::CommandAnswer { .. } => {
+            | frame::Message::CommandAnswer { .. }
+            | frame::Message::RosterQuestion { .. }
+            | frame::Message::RosterAnswer { .. } => {
                 return Err(io::Error::from(io::ErrorKind::InvalidData));
             }
             frame::Message::Freshness {
--- a/crates/session/src/updates/relay.rs
+++ b/crates/session/src/updates/relay.rs
@@ -1,6 +1,7 @@
 //! Reads of claim rows through other proxies, for a proxy that the store does not answer, and commands to members through other
-//! proxies, for one that does not reach a member.
+//! proxies, for one that does not reach a member. Questions to others for the members of a group.
 
+use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::io;
 use std::rc::Rc;
@@ -70,14 +71,10 @@
 }
 
 async fn ask(peer: &topology::Peer, group: &str) -> io::Result<Option<claim::ClaimRow>> {
-    let mut stream = TcpStream::connect(peer.updates_address).await?;
-    link::set_liveness_timeouts(&stream)?;
     let question = frame::Message::ClaimQuestion {
         group: group.into(),
     };
-    frame::send(&mut stream, &question.encode()).await?;
-    let mut inbox = BytesMut::new();
-    match frame::receive(&mut stream, &mut inbox).await? {
+    match ask_peer(peer, &question.encode()).await? {
         frame::Message::ClaimAnswer { row } => row.map(frame::EncodedClaimRow::decode).transpose(),
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
@@ -116,7 +113,7 @@
         command: frame::RelayedCommand::new(command)?,
     };
     let question = question.encode();
-    let peers = choose_command_peers(shell, member);
+    let peers = choose_peers_near_members(shell, member.group);
     let mut asking: FuturesUnordered<_> = peers
         .iter()
         .map(|peer| {
@@ -146,16 +143,16 @@
     relayed
 }
 
-/// Returns the proxies that a command goes through: the one that answered last, then homes of the group, which keep connections to
-/// its members, and then proxies of other failure domains. After an ask that nobody answered, others are asked, and no homes
-/// first.
-fn choose_command_peers<D: Deployment>(
+/// Returns the proxies that are asked about the members of a group: the one that passed on the last answer to a command, then homes of
+/// the group, which keep connections to its members, and then proxies of other failure domains. After a command that nobody has
+/// answered, others are asked, and no homes first.
+fn choose_peers_near_members<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
-    member: &topology::Member,
+    group: id::GroupId,
 ) -> Vec<topology::Peer> {
     let (last_relay, failed_asks) = shell.command_relay();
     let (domain, mut peers, homes) = shell.with_broker(|broker| {
-        let homes = broker.home_peers(clock::now(), member.group);
+        let homes = broker.home_peers(clock::now(), group);
         let homes: Vec<Box<str>> = homes.into_iter().map(|home| home.vm_name).collect();
         (broker.place().domain.clone(), broker.listed_peers(), homes)
     });
@@ -164,7 +161,7 @@
         let answered_last = last_relay.as_ref() == Some(&peer.vm_name);
         let is_home = prefers_homes && homes.contains(&peer.vm_name);
         let is_remote = peer.place.domain != domain;
-        let seed = member.group ^ failed_asks;
+        let seed = group ^ failed_asks;
         let weight = id::rendezvous_weight(id::of(&peer.vm_name), seed);
         Reverse((answered_last, is_home, is_remote, weight))
     });
@@ -176,14 +173,19 @@
     peer: &topology::Peer,
     question: &[u8],
 ) -> io::Result<Option<event::MemberStatus>> {
+    match ask_peer(peer, question).await? {
+        frame::Message::CommandAnswer { status } => Ok(status),
+        _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
+    }
+}
+
+/// Sends an encoded question to another proxy, and returns its answer.
+async fn ask_peer(peer: &topology::Peer, question: &[u8]) -> io::Result<frame::Message> {
     let mut stream = TcpStream::connect(peer.updates_address).await?;
     link::set_liveness_timeouts(&stream)?;
     frame::send(&mut stream, question).await?;
     let mut inbox = BytesMut::new();
-    match frame::receive(&mut stream, &mut inbox).await? {
-        frame::Message::CommandAnswer { status } => Ok(status),
-        _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
-    }
+    frame::receive(&mut stream, &mut inbox).await
 }
 
 /// Sends a command of another proxy to a member, and passes the member's status on.
@@ -200,3 +202,69 @@
     let answer = frame::Message::CommandAnswer { status };
     frame::send(&mut stream, &answer.encode()).await
 }
+
+/// Asks several other proxies at once for the members of a group, and adds those that this proxy does not know to `unknown`. Ends once
+/// all have answered or failed.
+pub(crate) async fn ask_for_rosters<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    group: id::GroupId,
+    unknown: &RefCell<Vec<topology::Member>>,
+) {
+    let question = frame::Message::RosterQuestion { group }.encode();
+    let peers = choose_peers_near_members(shell, group);
+    let mut asking: FuturesUnordered<_> = peers
+        .iter()
+        .map(|peer| {
+            let question = &question;
+            async move { (peer, ask_for_roster(peer, question).await) }
+        })
+        .collect();
+    while let Some((peer, answered)) = asking.next().await {
+        let members = match answered {
+            Ok(members) => members,
+            Err(error) => {
+                log::debug!(
+                    "event=roster_unread proxy={} error=\"{error}\"",
+                    peer.vm_name
+                );
+                continue;
+            }
+        };
+        for member in members {
+            let is_known = shell.with_broker(|broker| broker.member(member.id).is_some());
+            let mut unknown = unknown.borrow_mut();
+            let is_new = !is_known && unknown.iter().all(|other| other.id != member.id);
+            if is_new && member.group == group {
+                log::info!(
+                    "event=member_known member={} address={} revision={} proxy={}",
+                    member.name,
+                    member.address,
+                    member.revision,
+                    peer.vm_name
+                );
+                unknown.push(member);
+            }
+        }
+    }
+}
+
+async fn ask_for_roster(
+    peer: &topology::Peer,
+    question: &[u8],
+) -> io::Result<Vec<topology::Member>> {
+    match ask_peer(peer, question).await? {
+        frame::Message::RosterAnswer { members } => Ok(members),
+        _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
+    }
+}
+
+/// Answers the question of another proxy for the members of a group.
+pub(super) async fn answer_roster<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    mut stream: TcpStream,
+    group: id::GroupId,
+) -> io::Result<()> {
+    let members = shell.with_broker(|broker| broker.running_members(group));
+    let answer = frame::Message::RosterAnswer { members };
+    frame::send(&mut stream, &answer.encode()).await
+}
--- a/crates/session/tests/relayed_commands.rs
+++ b/crates/session/tests/relayed_commands.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 use commanded::{Member, Proxy, Silent, entry, peer, refusing_address};
-use fulmarlift_broker::event::{Event, MemberStatus};
+use fulmarlift_broker::event::{Answer, Event, MemberStatus, StatementReport};
+use fulmarlift_broker::revision::Revision;
 use fulmarlift_broker::topology::Member as Entry;
 use fulmarlift_core::id;
 use fulmarlift_session::clock;
@@ -330,3 +331,72 @@
     })
     .await;
 }
+
+/// Starts a takeover: the leader leaves and answers nobody. The claimant knows the replica; other proxies know a second one as well,
+/// which the directory does not list.
+async fn start_takeover(silent_proxies: bool) -> (System, Rc<Member>) {
+    let system = System::start(None, None).await;
+    system.leader.silent.set(true);
+    let forgotten = Member::start(false).await;
+    let entry = entry("forgotten", "b", forgotten.address, false);
+    system.other.shell.handle(Event::Listed(entry));
+    system.other.shell.handle(Event::Unlisted {
+        name: "forgotten".into(),
+        revision: Revision { era: 0, version: 2 },
+    });
+    system.list_leader_as_leaving();
+    system.claimant.directory.0.replace(Some(Vec::new()));
+    if silent_proxies {
+        let silent = Silent::start().await;
+        let deaf = ["deaf-1", "deaf-2"].map(|name| peer(name, "b", silent.address));
+        system.claimant.run(&[&deaf[0], &deaf[1]]);
+    } else {
+        system.claimant.run(&[&system.other.peer]);
+    }
+    (system, forgotten)
+}
+
+/// A replica whose entry has lapsed may run and confirm the commits of the old leader.
+#[tokio::test]
+async fn member_that_only_another_proxy_knows_is_held() {
+    on_one_thread(async {
+        let (system, forgotten) = start_takeover(false).await;
+        assert!(becomes_true(|| !system.claimant.orders.0.borrow().is_empty()).await);
+        assert_eq!(*system.claimant.orders.0.borrow(), ["replica"]);
+        assert!(forgotten.got("HOLD"));
+    })
+    .await;
+}
+
+/// A proxy that has failed to reach a member since its entry was removed does not name it.
+#[tokio::test]
+async fn member_that_another_proxy_fails_to_reach_is_not_named() {
+    on_one_thread(async {
+        let (system, forgotten) = start_takeover(false).await;
+        system
+            .other
+            .shell
+            .handle(Event::StatementEnded(StatementReport {
+                member: id::of("forgotten"),
+                answer: Answer::Silent { commit: false },
+                point: None,
+                floor: None,
+                connected_at: None,
+                took: Some(ANSWER_TIMEOUT),
+            }));
+        assert!(becomes_true(|| !system.claimant.orders.0.borrow().is_empty()).await);
+        assert!(!forgotten.got("HOLD"));
+    })
+    .await;
+}
+
+/// Proxies that say nothing, as suspended ones do, hold up the attempt by the time for which it waits for them, and no more.
+#[tokio::test]
+async fn attempt_does_not_wait_for_members_known_to_silent_proxies() {
+    on_one_thread(async {
+        let (system, _) = start_takeover(true).await;
+        assert!(becomes_true(|| !system.claimant.orders.0.borrow().is_empty()).await);
+        assert_eq!(*system.claimant.orders.0.borrow(), ["replica"]);
+    })
+    .await;
+}
