--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -4,6 +4,7 @@
 
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
+use serde::{Deserialize, Serialize};
 
 use crate::claim;
 use crate::request;
@@ -24,6 +25,8 @@
         /// Revision of the directory at which the entry was missing.
         revision: revision::Revision,
     },
+    /// Another proxy knows this member and has not failed to reach it, whether or not the directory lists it.
+    MemberKnown(topology::Member),
     /// The store has a new or changed entry of another proxy.
     PeerListed(topology::Peer),
     /// The store no longer has an entry of the proxy of this name.
@@ -157,7 +160,7 @@
         row: claim::ClaimRow,
     },
     /// A read of the directory for an attempt to replace a leader ended. [`Event::Listed`] has been reported for every member that
-    /// was listed then.
+    /// was listed then, and [`Event::MemberKnown`] for those that other proxies have named meanwhile.
     DirectoryLoaded {
         /// Group whose leader is to be replaced.
         group: id::GroupId,
@@ -255,7 +258,7 @@
 }
 
 /// Role, term and log position that a member reports about itself.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct MemberStatus {
     /// Whether the member leads.
     pub leads: bool,
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -62,6 +62,17 @@
             served
         }
         frame::Message::ClaimQuestion { group } => relay::answer(shell, stream, &group).await,
+        frame::Message::CommandQuestion {
+            asker,
+            member,
+            command,
+        } => {
+            let command = command.command();
+            relay::answer_command(shell, stream, &asker, &member, command).await
+        }
+        frame::Message::RosterQuestion { group } => {
+            relay::answer_roster(shell, stream, group).await
+        }
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
 }
