--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -70,9 +70,6 @@
                 self.send_command(Some(participant.member), command, out);
             }
         }
-        if !unanswered && self.second_round_at.is_none() {
-            self.stop_held_off_leader(now, roster, out);
-        }
         if unanswered || now < self.leases_end_at {
             return failover::Progress::Ongoing;
         }
@@ -94,20 +91,6 @@
         failover::Progress::Ongoing
     }
 
-    /// Stops the old leader if a member can be chosen: it cannot commit anything while all others are held.
-    fn stop_held_off_leader(
-        &mut self,
-        now: Instant,
-        roster: &failover::Roster,
-        out: &mut Vec<effect::Effect>,
-    ) {
-        let may_go_on = self.reason == leader::ReplaceReason::Stalled && self.are_held_above();
-        if !may_go_on && self.find_furthest(roster).is_ok() && self.demotion.send_if_due(now) {
-            let command = effect::MemberCommand::Demote(self.hold_term);
-            self.send_command(self.old_leader, command, out);
-        }
-    }
-
     /// Returns whether all members that may be held have answered the last hold command.
     pub(super) fn are_all_held(&self, roster: &failover::Roster) -> bool {
         let members = roster.members.iter().map(|participant| participant.member);
@@ -175,6 +158,12 @@
         if !roster.is_complete {
             return self.give_up(now, out);
         }
+        // Whatever becomes of the holds, it cannot commit once it has stopped. Until then, it could not serve anybody: the leases have
+        // ended.
+        if now < self.gives_up_at() && self.demotion.send_if_due(now) {
+            let command = effect::MemberCommand::Demote(self.hold_term);
+            self.send_command(self.old_leader, command, out);
+        }
         self.second_round_at = Some(now);
         self.step = failover::Step::Holding;
         for (_, hold) in self.holds.iter_mut() {
@@ -194,7 +183,8 @@
         if now >= self.claim_expires_at {
             return self.give_up(now, out);
         }
-        if self.discard_old_holds(now) {
+        if !self.holds_again && self.discard_old_holds(now) {
+            self.holds_again = true;
             return self.hold_members(now, roster, out);
         }
         self.chosen_at = now;
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -10,11 +10,10 @@
 //!   at the old leader when it was stopped may have been executed and confirmed since.
 //! - A leader that does not answer is taken over from. Every other member is held (`Holding`), also those that the directory no longer
 //!   lists but that still run: a member that does not answer may have received commits that the others lack. A replaced leader that
-//!   leads on cannot be held, so it is demoted first. Once all are held, the old leader is told to stop, through another proxy if this one
-//!   does not reach it: nothing is acknowledged any more then, even if a hold is undone. The attempt then waits until no proxy trusts
-//!   the old leader any more, see [`crate::lease`] and, where promotions are fenced, [`crate::trust`]. A member may have joined since and confirmed commits, so the directory is
-//!   read (`ReadingDirectory`), and all members are held and their logs read once more before the choice. For a leader that
-//!   answers everything but commits, the attempt waits until it has stopped before that second round.
+//!   leads on cannot be held, so it is demoted first. The attempt then waits until no proxy trusts the old leader any more, see [`crate::lease`] and, where promotions are fenced, [`crate::trust`]. A member may have joined since and confirmed commits, so the directory is
+//!   read (`ReadingDirectory`), and all members are held and their logs read once more before the choice. The old leader is told to stop at that
+//!   moment, through another proxy if this one does not reach it: an undone hold does less harm then. For a leader that answers
+//!   everything but commits, the attempt waits until it has stopped before that second round.
 //!
 //! The member that has received most has everything that was acknowledged, unless a member that is gone had received more. So
 //! its log is also compared with the point up to which commits are known to be acknowledged.
@@ -96,8 +95,8 @@
 /// Time in which any other member must answer the hold command of a hand-over, or else the old leader leads on: a command that is lost is
 /// sent once more.
 const HANDOVER_ANSWER_TIMEOUT: Duration = COMMAND_TIMEOUT.saturating_add(HANDOVER_HOLD_TIMEOUT);
-/// Longest time from a member's answer to the last hold command to the choice that counts it, and from the choice to its order. A member
-/// that starts again forgets its hold.
+/// Time from a member's answer to the last hold command to the choice that counts it, and from the choice to the end of its record, after
+/// which the members are held once more. A member that starts again forgets its hold.
 const HOLD_AGE_MAX: Duration = Duration::from_millis(400);
 /// Time that the chosen member has to confirm that it leads after an order without an answer, which may not have arrived.
 const CONFIRM_UNKNOWN_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -282,6 +281,9 @@
     demotion: CommandState,
     /// Instant of the last choice of a target.
     chosen_at: Instant,
+    /// Whether members have been asked again because their answers were too old for the choice. That happens once: among slow members,
+    /// some answers are always old.
+    holds_again: bool,
     /// End of the old leader's log when it first answered the survey.
     surveyed_end: Option<floor::Point>,
     /// End of the log of the old leader, which has stopped.
@@ -339,6 +341,7 @@
             surveyed: sorted::Map::default(),
             demotion: CommandState::default(),
             chosen_at: start_at,
+            holds_again: false,
             surveyed_end: None,
             log_end: None,
             ordered_before: claim::LastOrdered::default(),
@@ -571,7 +574,9 @@
             (Step::Recording, event::StoreOutcome::Written(revision)) => {
                 self.revision = revision;
                 // The logs may have been read before the members were released, or before others joined.
-                let is_outdated = !self.hands_over && now > self.chosen_at + HOLD_AGE_MAX;
+                let is_outdated =
+                    !self.hands_over && !self.holds_again && now > self.chosen_at + HOLD_AGE_MAX;
+                self.holds_again |= is_outdated;
                 let is_late = std::mem::take(&mut self.repeats_write)
                     || is_outdated
                     || now >= self.claim_expires_at;
