--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -34,6 +34,7 @@
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         self.hands_over = true;
+        self.survey_began_at = now;
         let until = now + failover::SURVEY_TIMEOUT;
         self.step = failover::Step::Surveying { until };
         self.survey_members(now, roster, out)
@@ -58,12 +59,24 @@
             };
         };
         match self.find_successor(roster, surveyed_end) {
+            // The leader leads on meanwhile. One that may confirm its last commits has to be held after it has stopped.
+            Some(_) if self.awaits_survey(now, roster) => {}
             Some((member, name)) => self.record_choice(now, member, &name, out),
             None => self.ask_again(now),
         }
         failover::Progress::Ongoing
     }
 
+    /// Returns whether a member that may run has not answered the survey yet.
+    fn awaits_survey(&self, now: Instant, roster: &failover::Roster) -> bool {
+        let mut others = roster.members.iter();
+        now < self.survey_began_at + failover::HANDOVER_ANSWER_TIMEOUT
+            && others.any(|participant| {
+                let asked = self.surveyed.get(participant.member);
+                participant.may_run && asked.is_none_or(|asked| asked.answered_at.is_none())
+            })
+    }
+
     /// Records the answer to a question of the survey.
     pub(super) fn apply_survey(
         &mut self,
@@ -169,7 +182,7 @@
             }
             let asked = self.surveyed.get(participant.member);
             let has_answered = asked.is_some_and(|asked| asked.answered_at.is_some());
-            let runs = participant.may_run || has_answered;
+            let runs = has_answered || participant.answered_at >= Some(self.survey_began_at);
             let hold = self.holds.entry(participant.member);
             awaits_running |= hold.status.is_none() && runs;
             awaits_other |= hold.status.is_none() && !runs;
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -90,10 +90,10 @@
 const SURVEY_TIMEOUT: Duration = COMMAND_TIMEOUT;
 /// Time in which the old leader must answer that it has stopped, and then in which a member must have received its log to the end.
 const STOP_TIMEOUT: Duration = COMMAND_TIMEOUT;
-/// Time in which a member that seems not to run may answer the hold command of a hand-over. It is passed over after that.
+/// Time in which a member that has not answered the survey may answer the hold command of a hand-over. It is passed over after that.
 const HANDOVER_HOLD_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time in which any other member must answer the hold command of a hand-over, or else the old leader leads on: a command that is lost is
-/// sent once more.
+/// Time in which a member that may run answers the survey, before the old leader is stopped without its answer, and time in which one that
+/// has answered must answer the hold command, or else the old leader leads on: a command that is lost is sent once more.
 const HANDOVER_ANSWER_TIMEOUT: Duration = COMMAND_TIMEOUT.saturating_add(HANDOVER_HOLD_TIMEOUT);
 /// Time from a member's answer to the last hold command to the choice that counts it, and from the choice to the end of its record, after
 /// which the members are held once more. A member that starts again forgets its hold.
@@ -192,6 +192,8 @@
     pub leaving: bool,
     /// Whether the member may run: its process has not shown to be gone, and it has not been silent for long.
     pub may_run: bool,
+    /// Instant of its last answer to this proxy.
+    pub answered_at: Option<Instant>,
 }
 
 impl Participant {
@@ -284,6 +286,8 @@
     /// Whether members have been asked again because their answers were too old for the choice. That happens once: among slow members,
     /// some answers are always old.
     holds_again: bool,
+    /// Instant at which the members were first asked for their status while the old leader leads.
+    survey_began_at: Instant,
     /// End of the old leader's log when it first answered the survey.
     surveyed_end: Option<floor::Point>,
     /// End of the log of the old leader, which has stopped.
@@ -342,6 +346,7 @@
             demotion: CommandState::default(),
             chosen_at: start_at,
             holds_again: false,
+            survey_began_at: start_at,
             surveyed_end: None,
             log_end: None,
             ordered_before: claim::LastOrdered::default(),
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -303,6 +303,7 @@
             listed: state.unlisted_since.is_none(),
             leaving: state.entry.leaving,
             may_run: leader::may_run(state, now),
+            answered_at: state.answered_at,
         });
         let roster = failover::Roster {
             members: participants.collect(),
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -1042,6 +1042,7 @@
             listed: true,
             leaving: leaves && member == 1,
             may_run: true,
+            answered_at: None,
         };
         let roster = Roster {
             members: (0..MEMBERS)
