A command that no other proxy could deliver is not asked of others again for 300 ms

What callers saw: nothing yet. A member whose process is gone refuses the claimant and all that it asks at once, and the attempt sends its command every 100 ms: thirty questions a second, each with a connection to the member.

Change: after an ask without an answer, the same command to the same member goes only the direct way for 300 ms.

Evidence: `member_that_no_proxy_reaches_is_asked_for_rarely` fails without the delay.

--- a/crates/session/src/shell/relayed.rs
+++ b/crates/session/src/shell/relayed.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
@@ -22,11 +22,17 @@
 /// bounds how late the command is sent.
 const RELAYED_OPEN_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time after an ask that nobody answered in which the same command does not go through others again. A member whose process is gone
+/// refuses at once, and the broker sends its commands often.
+const ASK_RETRY_DELAY: Duration = Duration::from_millis(300);
+
 /// State of the commands that this proxy sends through others, and that others send through it.
 #[derive(Default)]
 pub(super) struct RelayedCommands {
     /// Commands of this proxy that others have been asked to send.
     asked: RefCell<Vec<(id::MemberId, effect::MemberCommand)>>,
+    /// Commands that nobody has answered, with the time from which others are asked to send them again.
+    unanswered: RefCell<Vec<(id::MemberId, effect::MemberCommand, Instant)>>,
     /// Members to which a connection is being opened for a command of another proxy.
     opening: RefCell<Vec<id::MemberId>>,
     /// Name of the VM whose proxy passed on the last answer; none if the last ask got no answer.
@@ -105,16 +111,33 @@
 }
 
 impl<D: Deployment> shell::Shell<D> {
-    /// Sends a command to a member through other proxies, unless the same one is under way so already.
+    /// Sends a command to a member through other proxies, unless the same one is under way so already, or has just got no answer.
     pub(super) async fn relay_command(
         self: &Rc<Self>,
         member: id::MemberId,
         command: effect::MemberCommand,
     ) -> Option<relay::RelayedStatus> {
-        let asked = &self.relayed_commands.asked;
-        let _guard = EntryGuard::new(asked, (member, command))?;
+        let commands = &self.relayed_commands;
+        let now = clock::now();
+        let is_unanswered = {
+            let mut unanswered = commands.unanswered.borrow_mut();
+            unanswered.retain(|(_, _, retry_at)| now < *retry_at);
+            let is_same = |known: &(id::MemberId, effect::MemberCommand, Instant)| {
+                (known.0, known.1) == (member, command)
+            };
+            unanswered.iter().any(is_same)
+        };
+        if is_unanswered {
+            return None;
+        }
+        let _guard = EntryGuard::new(&commands.asked, (member, command))?;
         let entry = self.with_broker(|broker| broker.member(member).cloned())?;
-        relay::send_command(self, &entry, command).await
+        let relayed = relay::send_command(self, &entry, command).await;
+        if relayed.is_none() {
+            let unanswered = (member, command, now + ASK_RETRY_DELAY);
+            commands.unanswered.borrow_mut().push(unanswered);
+        }
+        relayed
     }
 
     /// Returns the name of the VM whose proxy passed on the last answer of a member, and the number of asks without an answer.
--- a/crates/session/tests/relayed_commands.rs
+++ b/crates/session/tests/relayed_commands.rs
@@ -5,6 +5,7 @@
 #[path = "support/relay.rs"]
 mod relay;
 
+use std::cell::Cell;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,7 +21,7 @@
 use relay::Relay;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Time in which an attempt gets as far as a test needs, unless it never does: the duration of a claim and of the spread before it.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(6);
@@ -212,6 +213,30 @@
     .await;
 }
 
+/// A member whose process is gone refuses every proxy at once, and the claimant asks for its status every 100 ms.
+#[tokio::test]
+async fn member_that_no_proxy_reaches_is_asked_for_rarely() {
+    on_one_thread(async {
+        let system = System::start(Some(refusing_address()), None).await;
+        let socket = TcpListener::bind("127.0.0.1:0").await;
+        let socket = socket.expect("loopback is available");
+        let address = socket.local_addr().expect("the listener is bound");
+        let asked = Rc::new(Cell::new(0));
+        let counted = Rc::clone(&asked);
+        tokio::task::spawn_local(async move {
+            while socket.accept().await.is_ok() {
+                counted.set(counted.get() + 1);
+            }
+        });
+        system.list_leader_as_leaving();
+        system.claimant.run(&[&peer("useless", "b", address)]);
+        assert!(becomes_true(|| system.replica.got("HOLD")).await);
+        // The survey lasts for 900 ms.
+        assert!((1..=4).contains(&asked.get()), "{} questions", asked.get());
+    })
+    .await;
+}
+
 /// Returns the question of a proxy to hold a member, as it is sent.
 fn hold_question(member: &Entry) -> Vec<u8> {
     const COMMAND_QUESTION: u32 = 7;
