--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -22,6 +22,7 @@
 use std::ops::Range;
 
 use rstest::rstest;
+use simulation::checks::BehindReplica;
 use simulation::plan::{Mix, Plan};
 use simulation::world;
 
@@ -30,12 +31,13 @@
 /// Number of seeds whose traces are printed.
 const TRACES: usize = 1;
 
-/// A seed with stale reads or lost commits.
+/// A seed with stale reads, lost commits, or commits that a replica had and a promoted member lacked.
 #[derive(Clone, Copy)]
 struct Failure {
     seed: u64,
     /// Commits whose success was passed on and that a promoted member lacked.
     lost: u64,
+    behind_replica: BehindReplica,
     stale: usize,
     of_newest_data: usize,
     /// Of those of the newest data: by proxies that do not know the newest leader.
@@ -48,9 +50,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} lost commits, {} stale reads, {} of the newest data ({} by proxies that do not know the leader, {} by refused ones)",
+            "seed {}: {} lost commits, {:?}, {} stale reads, {} of the newest data ({} by proxies that do not know the leader, {} by refused ones)",
             self.seed,
             self.lost,
+            self.behind_replica,
             self.stale,
             self.of_newest_data,
             self.leader_unknown,
@@ -60,12 +63,15 @@
 }
 
 impl Failure {
-    /// Returns the stale reads and lost commits of a seed; `None` without any.
+    /// Returns what a seed broke; `None` if that is nothing.
     fn of(seed: u64, outcome: &world::Outcome) -> Option<Self> {
         let newest = || outcome.stale.iter().filter(|stale| stale.newest);
-        (!outcome.stale.is_empty() || outcome.lost > 0).then(|| Self {
+        let broken =
+            !outcome.stale.is_empty() || outcome.lost > 0 || outcome.behind_replica.is_broken();
+        broken.then(|| Self {
             seed,
             lost: outcome.lost,
+            behind_replica: outcome.behind_replica,
             stale: outcome.stale.len(),
             of_newest_data: newest().count(),
             leader_unknown: newest().filter(|stale| !stale.knows_leader).count(),
@@ -74,11 +80,11 @@
     }
 }
 
-/// Runs seeds and fails with the traces of some that have a stale read or a lost commit.
+/// Runs seeds and fails with the traces of some that broke a promise.
 fn run_seeds(seeds: impl IntoIterator<Item = u64>, plan_of: impl Fn(u64) -> Plan) {
     let mut failures = Vec::new();
     let (mut count, mut promotions, mut reads, mut commits, mut unknown) = (0, 0, 0, 0, 0);
-    let mut cut_back = 0;
+    let (mut cut_back, mut behind_replica) = (0, BehindReplica::default());
     for seed in seeds {
         let outcome = world::run(seed, plan_of(seed), false);
         count += 1;
@@ -87,15 +93,23 @@
         commits += outcome.commits;
         unknown += outcome.unknown;
         cut_back += outcome.cut_back;
+        behind_replica.add(outcome.behind_replica);
         failures.extend(Failure::of(seed, &outcome));
     }
     println!(
         "{count} seeds: {promotions} promotions, {reads} reads, {commits} commits, {unknown} of unknown outcome, \
-         {cut_back} acknowledged by leaders alone; seeds with lost commits or stale reads: {}",
+         {cut_back} acknowledged by leaders alone, {behind_replica:?}; seeds that broke a promise: {}",
         failures.len()
     );
-    // Reads of the newest data come first.
-    failures.sort_by_key(|failure| (failure.of_newest_data == 0, failure.seed));
+    // Lost commits come first, then what a replica had, then reads of the newest data.
+    failures.sort_by_key(|failure| {
+        (
+            failure.lost == 0,
+            !failure.behind_replica.is_broken(),
+            failure.of_newest_data == 0,
+            failure.seed,
+        )
+    });
     for failure in &failures {
         println!("{failure}");
     }
@@ -108,8 +122,8 @@
     assert!(failures.is_empty(), "{} of {count} seeds", failures.len());
 }
 
-/// Leaves out the faults without which the seed fails as well: with a stale read of the newest data, if it had one, or with a lost commit,
-/// if it had one.
+/// Leaves out the faults without which the seed fails as well: with a stale read of the newest data, a lost commit, and a commit that a
+/// replica had, if it had one.
 fn minimize(failure: &Failure, mut plan: Plan) -> Plan {
     let fails = |plan: &Plan| {
         let outcome = world::run(failure.seed, plan.clone(), false);
@@ -117,6 +131,7 @@
         found.is_some_and(|found| {
             (found.of_newest_data > 0 || failure.of_newest_data == 0)
                 && (found.lost > 0 || failure.lost == 0)
+                && (found.behind_replica.is_broken() || !failure.behind_replica.is_broken())
         })
     };
     let mut index = plan.faults.len();
@@ -178,3 +193,71 @@
 fn reads_are_not_stale_beside_unknown_member(#[case] refused: bool, #[case] seeds: [u64; 6]) {
     run_seeds(seeds, |seed| Plan::with_unknown_member(seed, refused));
 }
+
+/// Draws the plan of a seed without members that join.
+fn without_joins(seed: u64, mix: Mix, fenced: bool) -> Plan {
+    Plan {
+        fenced,
+        ..Plan::new(seed, mix.without_joins())
+    }
+}
+
+/// A replica forgets its hold, or was away when the others were held, and confirms commits until the promotion takes effect.
+#[rstest]
+#[case::members(Mix::MEMBERS, false, &[3_886])]
+#[case::all(Mix::ALL, false, &[3_113, 4_326, 4_685, 5_472])]
+#[case::fenced(Mix::ALL, true, &[4_676])]
+fn promoted_member_has_what_restarted_replica_confirmed(
+    #[case] mix: Mix,
+    #[case] fenced: bool,
+    #[case] seeds: &[u64],
+) {
+    run_seeds(seeds.iter().copied(), |seed| {
+        without_joins(seed, mix, fenced)
+    });
+}
+
+/// A replica has started again, and its entry is written late, so that the attempt does not hold it.
+#[rstest]
+#[case::members(Mix::MEMBERS, false, &[2_129])]
+#[case::all(Mix::ALL, false, &[2_285])]
+#[case::fenced(Mix::ALL, true, &[2_503, 3_295])]
+fn attempt_counts_unlisted_member_that_runs(
+    #[case] mix: Mix,
+    #[case] fenced: bool,
+    #[case] seeds: &[u64],
+) {
+    run_seeds(seeds.iter().copied(), |seed| {
+        without_joins(seed, mix, fenced)
+    });
+}
+
+/// A proxy has just started, and reads a directory that lacks a replica. It promotes the other one, which was deaf. A caller was told of
+/// what that lacks.
+#[test]
+fn fresh_proxy_counts_unlisted_member_that_runs() {
+    run_seeds([1_616], |seed| without_joins(seed, Mix::ALL, true));
+}
+
+/// A hand-over passes over a replica that has not answered its hold yet, and the demoted leader executes what waits for a slot. A caller
+/// was told of it.
+#[test]
+fn handover_counts_slow_member_that_confirms_queued_commits() {
+    run_seeds([2_420], |seed| {
+        without_joins(seed, Mix::QUEUED_COMMITS, false)
+    });
+}
+
+/// The release of an attempt that was given up arrives late, and ends the hold of the next attempt.
+#[test]
+fn late_release_leaves_hold_of_next_attempt() {
+    run_seeds([4_193, 4_365], |seed| {
+        without_joins(seed, Mix::LATE_COMMANDS, false)
+    });
+}
+
+/// A replaced leader and a replica that is cut from the new leader go on, and the next attempt promotes a member of the newer term.
+#[test]
+fn promoted_member_has_what_replaced_leader_acknowledged() {
+    run_seeds([800], |seed| without_joins(seed, Mix::LATE_COMMANDS, false));
+}
--- a/crates/broker/tests/simulation/checks.rs
+++ b/crates/broker/tests/simulation/checks.rs
@@ -7,6 +7,7 @@
 
 use crate::simulation::clock::Micros;
 use crate::simulation::log;
+use crate::simulation::member;
 
 /// What a read must show.
 #[derive(Clone, Copy, Debug)]
@@ -64,3 +65,80 @@
         })
     }
 }
+
+/// A commit that a leader has acknowledged to a proxy, whether or not a caller was told.
+#[derive(Clone, Copy, Debug)]
+pub struct Receipt {
+    pub acknowledged_at: Micros,
+    pub point: floor::Point,
+    /// Index of the leader.
+    pub leader: usize,
+    /// Whether another member had been promoted before.
+    pub is_replaced: bool,
+}
+
+/// Numbers of commits that a promoted member lacked although a leader had acknowledged them and another running replica had them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BehindReplica {
+    /// Acknowledged by the leader that the promotion replaced.
+    pub of_leader: u64,
+    /// Acknowledged by a leader after another member's promotion.
+    pub of_replaced: u64,
+    /// Had only by replicas that the directory had not listed yet when the commits were acknowledged; not among the other numbers.
+    pub at_unlisted: u64,
+}
+
+impl BehindReplica {
+    /// Returns whether a replica that the directory had listed had a commit.
+    pub fn is_broken(&self) -> bool {
+        self.of_leader + self.of_replaced > 0
+    }
+
+    /// Adds the numbers of another promotion.
+    pub fn add(&mut self, other: Self) {
+        self.of_leader += other.of_leader;
+        self.of_replaced += other.of_replaced;
+        self.at_unlisted += other.at_unlisted;
+    }
+}
+
+/// Compares the log of a promoted member with what leaders have acknowledged, and forgets what it lacks. Returns the numbers, and the last
+/// commit that it lacks and a replica has.
+pub fn compare_promoted(
+    receipts: &mut Vec<Receipt>,
+    members: &[member::Member],
+    first_listed: &BTreeMap<usize, Micros>,
+    promoted: usize,
+) -> (BehindReplica, Option<Receipt>) {
+    let mut behind = BehindReplica::default();
+    let mut last = None;
+    receipts.retain(|receipt| {
+        if members[promoted].log.contains(receipt.point) {
+            return true;
+        }
+        let owners = members.iter().enumerate().filter(|(index, member)| {
+            *index != promoted
+                && *index != receipt.leader
+                && member.is_running()
+                && !member.leads
+                && member.log.contains(receipt.point)
+        });
+        let listed: Vec<bool> = owners
+            .map(|(index, _)| {
+                let listed_at = first_listed.get(&index);
+                listed_at.is_some_and(|at| *at <= receipt.acknowledged_at)
+            })
+            .collect();
+        match (listed.contains(&true), listed.is_empty()) {
+            (true, _) if receipt.is_replaced => behind.of_replaced += 1,
+            (true, _) => behind.of_leader += 1,
+            (false, false) => behind.at_unlisted += 1,
+            (false, true) => {}
+        }
+        if !listed.is_empty() {
+            last = Some(*receipt);
+        }
+        false
+    });
+    (behind, last)
+}
--- a/crates/broker/tests/simulation/group.rs
+++ b/crates/broker/tests/simulation/group.rs
@@ -5,6 +5,7 @@
 use fulmarlift_core::id;
 use rand::RngExt;
 
+use crate::simulation::checks;
 use crate::simulation::clock::{MS, Micros, S};
 use crate::simulation::log;
 use crate::simulation::member;
@@ -46,6 +47,13 @@
         self.queue.push(at, Happening::Published(index, starts));
     }
 
+    /// Writes the entry of a member.
+    pub fn list(&mut self, index: usize) -> topology::Member {
+        self.first_listed.entry(index).or_insert(self.now);
+        let entry = self.entry(index);
+        self.store.list(entry)
+    }
+
     /// Removes the entry of a member.
     pub fn unlist(&mut self, index: usize) {
         if let Some(revision) = self.store.unlist(&Self::member_name(index)) {
@@ -140,6 +148,12 @@
                 self.note(|| format!("CUT BACK: acknowledged late {:?}", waiting.point));
             }
             self.answered.record(self.now, waiting.point);
+            self.receipts.push(checks::Receipt {
+                acknowledged_at: self.now,
+                point: waiting.point,
+                leader,
+                is_replaced: self.newest_term > term,
+            });
             self.answer(waiting.exchange, proxy::Ended::Answered(reply));
         }
     }
@@ -242,6 +256,12 @@
         member.leads = true;
         member.term = term;
         let end = member.log.end();
+        let (behind, last) =
+            checks::compare_promoted(&mut self.receipts, &self.members, &self.first_listed, index);
+        self.outcome.behind_replica.add(behind);
+        if let Some(last) = last {
+            self.note(|| format!("BEHIND A REPLICA: {behind:?}, last {last:?}"));
+        }
         let newest = self.answered.furthest(self.now).next();
         if let Some(point) = newest.filter(|point| !self.members[index].log.contains(*point)) {
             let end = self.members[index].log.end();
--- a/crates/broker/tests/simulation/plan.rs
+++ b/crates/broker/tests/simulation/plan.rs
@@ -50,6 +50,14 @@
 }
 
 impl Mix {
+    /// Returns the mix without members that join.
+    pub const fn without_joins(self) -> Self {
+        Self {
+            joins: false,
+            ..self
+        }
+    }
+
     /// A leader that stalls, nothing else.
     pub const STALLS: Self = Self {
         stalls: true,
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -103,6 +103,7 @@
     pub lost: u64,
     /// Commits, counted in the log of the leader that acknowledged them, that the promoted member lacked.
     pub cut_back: u64,
+    pub behind_replica: checks::BehindReplica,
     pub promotions: u64,
     pub reads: u64,
     pub commits: u64,
@@ -133,6 +134,10 @@
     pub acknowledged: checks::Acknowledged,
     /// Commits that leaders have acknowledged to proxies, whether or not their successes were passed on.
     pub answered: checks::Acknowledged,
+    /// The same, one by one, as far as the promoted members had them.
+    pub receipts: Vec<checks::Receipt>,
+    /// Time at which the directory first listed each member.
+    pub first_listed: BTreeMap<usize, Micros>,
     pub plan: plan::Plan,
     /// Time until which entries of each member are written late.
     pub hidden_until: BTreeMap<usize, Micros>,
@@ -196,6 +201,8 @@
             newest_leader: 0,
             acknowledged: checks::Acknowledged::default(),
             answered: checks::Acknowledged::default(),
+            receipts: Vec::new(),
+            first_listed: BTreeMap::new(),
             plan,
             hidden_until: BTreeMap::new(),
             feed_lag: [0; PROXIES],
@@ -216,8 +223,7 @@
     fn begin(&mut self) {
         for member in 0..self.members.len() {
             self.record_id(member);
-            let entry = self.entry(member);
-            self.store.list(entry);
+            self.list(member);
         }
         for index in 0..PROXIES {
             let proxy = proxy::Proxy::new(index, 1, self.seed, self.plan.fenced);
@@ -336,8 +342,7 @@
             Happening::Published(member, starts) => {
                 let state = &self.members[member];
                 if state.is_running() && state.starts == starts {
-                    let entry = self.entry(member);
-                    let entry = self.store.list(entry);
+                    let entry = self.list(member);
                     self.tell(&event::Event::Listed(entry));
                 }
             }
