--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -18,6 +18,7 @@
     pub mod world;
 }
 
+use std::env;
 use std::fmt;
 use std::ops::Range;
 
@@ -28,6 +29,8 @@
 
 /// Seeds of each case of [`promises_hold_with_faults`]. A range of 20,000 takes about four minutes in release mode.
 const SEEDS: Range<u64> = 0..60;
+/// Environment variable with another end of the range.
+const SEEDS_END_VARIABLE: &str = "SIMULATION_SEEDS_END";
 /// Number of seeds whose traces are printed.
 const TRACES: usize = 1;
 
@@ -80,6 +83,13 @@
     }
 }
 
+/// Returns the seeds of each case.
+fn seeds() -> Range<u64> {
+    let end = env::var(SEEDS_END_VARIABLE).ok();
+    let end = end.map(|end| end.parse().expect("the variable is a number"));
+    SEEDS.start..end.unwrap_or(SEEDS.end)
+}
+
 /// Runs seeds and fails with the traces of some that broke a promise.
 fn run_seeds(seeds: impl IntoIterator<Item = u64>, plan_of: impl Fn(u64) -> Plan) {
     let mut failures = Vec::new();
@@ -143,11 +153,18 @@
             plan = smaller;
         }
     }
-    let smaller = Plan {
-        freezes_claimants: false,
-        ..plan.clone()
-    };
-    if fails(&smaller) { smaller } else { plan }
+    for without in [
+        |plan: &mut Plan| plan.freezes_claimants = false,
+        |plan: &mut Plan| plan.late_commands = false,
+        |plan: &mut Plan| plan.queued_commits = false,
+    ] {
+        let mut smaller = plan.clone();
+        without(&mut smaller);
+        if fails(&smaller) {
+            plan = smaller;
+        }
+    }
+    plan
 }
 
 #[rstest]
@@ -159,8 +176,15 @@
 #[case::reader(Mix::READER)]
 #[case::late_commands(Mix::LATE_COMMANDS)]
 #[case::queued_commits(Mix::QUEUED_COMMITS)]
+#[case::store_away(Mix::STORE_AWAY)]
+#[case::deaf_crashes(Mix::DEAF_CRASHES)]
+#[case::flaps(Mix::FLAPS)]
+#[case::full(Mix::FULL)]
+#[case::repeated_orders(Mix::REPEATED_ORDERS)]
+#[case::lone_readers(Mix::LONE_READERS)]
+#[case::rough(Mix::ROUGH)]
 fn promises_hold_with_faults(#[case] mix: Mix) {
-    run_seeds(SEEDS, |seed| Plan::new(seed, mix));
+    run_seeds(seeds(), |seed| Plan::new(seed, mix));
 }
 
 /// The same where promotions are fenced.
@@ -169,8 +193,15 @@
 #[case::orders(Mix::ORDERS)]
 #[case::late_commands(Mix::LATE_COMMANDS)]
 #[case::queued_commits(Mix::QUEUED_COMMITS)]
+#[case::store_away(Mix::STORE_AWAY)]
+#[case::deaf_crashes(Mix::DEAF_CRASHES)]
+#[case::flaps(Mix::FLAPS)]
+#[case::full(Mix::FULL)]
+#[case::repeated_orders(Mix::REPEATED_ORDERS)]
+#[case::lone_readers(Mix::LONE_READERS)]
+#[case::rough(Mix::ROUGH)]
 fn promises_hold_with_faults_where_fenced(#[case] mix: Mix) {
-    run_seeds(SEEDS, |seed| Plan {
+    run_seeds(seeds(), |seed| Plan {
         fenced: true,
         ..Plan::new(seed, mix)
     });
--- a/crates/broker/tests/simulation/callers.rs
+++ b/crates/broker/tests/simulation/callers.rs
@@ -208,7 +208,7 @@
         let sent_at = self.instant_at(exchange.sent_at);
         let reply = match ended {
             Ended::Answered(reply) => reply,
-            Ended::Silent | Ended::Broken | Ended::Refused => {
+            Ended::Silent | Ended::Broken | Ended::Refused | Ended::Full => {
                 let answer = match ended {
                     Ended::Silent => event::Answer::Silent { commit: commits },
                     _ => event::Answer::Broken,
--- a/crates/broker/tests/simulation/effects.rs
+++ b/crates/broker/tests/simulation/effects.rs
@@ -366,6 +366,10 @@
             member::Process::Running if outlived => return self.answer(id, Ended::Broken),
             member::Process::Running => {}
         }
+        if connects && self.is_full(index) {
+            return self.answer(id, Ended::Full);
+        }
+        let member = &mut self.members[index];
         let led = member.leads;
         let commits = matches!(
             command,
@@ -391,6 +395,12 @@
         self.conclude(id, index, command, reply);
     }
 
+    /// Returns whether a member refuses new connections.
+    fn is_full(&self, index: usize) -> bool {
+        let until = self.full_until.get(&index);
+        until.is_some_and(|until| self.now < *until)
+    }
+
     /// A commit that has waited for a slot is executed.
     pub(super) fn execute_queued(&mut self, id: u64) {
         let Some(exchange) = self.exchanges.get(&id) else {
@@ -556,6 +566,7 @@
                 return self.step(index, event::Event::Opened(conn));
             }
             Ended::Broken | Ended::Refused => event::OpenFailure::Refused,
+            Ended::Full => event::OpenFailure::Full,
             Ended::Silent => event::OpenFailure::Silent,
         };
         self.step(index, event::Event::OpenFailed { conn, failure });
@@ -587,7 +598,7 @@
                         _ => (event::Answer::NotLeading, Some(reply.point)),
                     },
                     Ended::Silent => (event::Answer::Silent { commit: false }, None),
-                    Ended::Broken | Ended::Refused => (event::Answer::Broken, None),
+                    Ended::Broken | Ended::Refused | Ended::Full => (event::Answer::Broken, None),
                 };
                 let report = event::StatementReport {
                     member,
@@ -651,8 +662,8 @@
 
     /// Tells a proxy that the directory answers, unless the store has refused the proxy until just now.
     pub(super) fn confirm_directory(&mut self, index: usize) {
-        let refused_until = self.store.refused_until.get(&index).copied();
-        if refused_until.is_none_or(|until| self.now > until + world::DIRECTORY_BACK_MAX) {
+        let served_from = self.store.serves_from(index);
+        if served_from.is_none_or(|from| self.now > from + world::DIRECTORY_BACK_MAX) {
             let answered_at = Some(self.directory_known_at(index));
             self.step(index, event::Event::DirectoryRead { answered_at });
         }
--- a/crates/broker/tests/simulation/faults.rs
+++ b/crates/broker/tests/simulation/faults.rs
@@ -9,6 +9,10 @@
 use crate::simulation::proxy;
 use crate::simulation::world::{self, Happening, Input, PROXIES, World};
 
+/// Time from one start of a member that flaps to the next.
+const FLAP_INTERVAL: Micros = 1_100 * MS;
+/// Longest time after the return of the store until it answers each proxy.
+const STORE_BACK_MAX: Micros = S;
 /// Most members, those that join included.
 const MEMBERS_MAX: usize = 6;
 
@@ -93,6 +97,33 @@
         nth: usize,
         lasts: Micros,
     },
+    /// The store answers no proxy and loses all entries, which come back one by one after it.
+    StoreAway {
+        lasts: Micros,
+        /// Longest time from the store's return to an entry's.
+        relisted_within: Micros,
+    },
+    /// The nth member ends and starts again, some times in a row.
+    Flap {
+        nth: usize,
+        times: u32,
+        away: Micros,
+    },
+    /// The nth member refuses new connections; those that are open work.
+    Full {
+        nth: usize,
+        lasts: Micros,
+    },
+    /// Orders are executed, not answered, and executed again later.
+    RepeatOrders {
+        lasts: Micros,
+    },
+    /// The leader is cut from all proxies but one, and from a replica if `nth` is given.
+    CutLeader {
+        reached_by: usize,
+        nth: Option<usize>,
+        lasts: Micros,
+    },
 }
 
 impl World {
@@ -135,11 +166,7 @@
             Fault::Refuse { proxy, lasts } => {
                 let until = self.now + lasts;
                 self.store.refused_until.insert(proxy, until);
-                let told_at = self.now + self.random.random_range(20 * MS..500 * MS);
-                let unreached = event::Event::DirectoryRead { answered_at: None };
-                self.wake(proxy, told_at, Input::Event(unreached));
-                let back_at = until + self.random.random_range(10 * MS..world::DIRECTORY_BACK_MAX);
-                self.wake(proxy, back_at, Input::DirectoryBack);
+                self.tell_refused(proxy, until);
             }
             Fault::LossyStore { lasts } => self.store.lossy_until = self.now + lasts,
             Fault::SlowStore { lasts } => self.store.slow_until = self.now + lasts,
@@ -192,7 +219,7 @@
                 self.proxies[proxy] = proxy::Proxy::new(proxy, starts, self.seed, self.plan.fenced);
                 let reader = from_peer.then_some((proxy + 1) % PROXIES);
                 self.start_proxy(proxy, reader);
-                if let Some(until) = self.store.refused_until.get(&proxy).copied() {
+                if let Some(until) = self.store.serves_from(proxy) {
                     let at = until.max(self.now) + 50 * MS;
                     self.wake(proxy, at, Input::DirectoryBack);
                 }
@@ -206,6 +233,66 @@
                 let member = nth % self.members.len();
                 self.paused_until.insert(member, self.now + lasts);
             }
+            Fault::StoreAway {
+                lasts,
+                relisted_within,
+            } => self.take_store_away(self.now + lasts, relisted_within),
+            Fault::Flap { nth, times, away } => {
+                let member = nth % self.members.len();
+                self.end_member(member, member::Process::Ended);
+                self.queue
+                    .push(self.now + away, Happening::Fault(Fault::Start(member)));
+                if times > 1 {
+                    let times = times - 1;
+                    let next = Fault::Flap { nth, times, away };
+                    self.queue
+                        .push(self.now + FLAP_INTERVAL, Happening::Fault(next));
+                }
+            }
+            Fault::Full { nth, lasts } => {
+                let member = nth % self.members.len();
+                self.full_until.insert(member, self.now + lasts);
+            }
+            Fault::RepeatOrders { lasts } => self.orders_repeated_until = self.now + lasts,
+            Fault::CutLeader {
+                reached_by,
+                nth,
+                lasts,
+            } => {
+                let until = self.now + lasts;
+                for proxy in (0..PROXIES).filter(|proxy| *proxy != reached_by) {
+                    self.net
+                        .cut_both(Node::Member(leader), Node::Proxy(proxy), until);
+                }
+                if let Some(nth) = nth {
+                    let replica = Node::Member(self.replica(nth));
+                    self.net.cut_both(Node::Member(leader), replica, until);
+                }
+            }
+        }
+    }
+
+    /// Lets a proxy that the store does not serve until a time learn of it, and of its end, a little later.
+    fn tell_refused(&mut self, proxy: usize, until: Micros) {
+        let told_at = self.now + self.random.random_range(20 * MS..500 * MS);
+        let unreached = event::Event::DirectoryRead { answered_at: None };
+        self.wake(proxy, told_at, Input::Event(unreached));
+        let back_at = until + self.random.random_range(10 * MS..world::DIRECTORY_BACK_MAX);
+        self.wake(proxy, back_at, Input::DirectoryBack);
+    }
+
+    fn take_store_away(&mut self, until: Micros, relisted_within: Micros) {
+        for proxy in 0..PROXIES {
+            let back_at = until + self.random.random_range(0..STORE_BACK_MAX);
+            self.store.away_until.insert(proxy, back_at);
+            self.tell_refused(proxy, back_at);
+        }
+        for member in 0..self.members.len() {
+            self.unlist(member);
+            let listed_at = until + self.random.random_range(0..relisted_within);
+            self.hidden_until.insert(member, listed_at);
+            self.queue
+                .push(listed_at, Happening::Fault(Fault::Relist(member)));
         }
     }
 
--- a/crates/broker/tests/simulation/group.rs
+++ b/crates/broker/tests/simulation/group.rs
@@ -168,16 +168,19 @@
     }
 
     pub(super) fn order_arrives(&mut self, index: usize, starts: u32, target: usize, token: u64) {
-        let late = self.now < self.orders_lost_until && self.random.random_bool(0.6);
+        let repeated = self.now < self.orders_repeated_until;
+        let late = !repeated && self.now < self.orders_lost_until && self.random.random_bool(0.6);
         let running = self.members[target].is_running() && !self.is_outdated(token);
-        let outcome = match (late, running) {
+        let outcome = match (late || repeated, running) {
             (true, _) => event::OrderOutcome::Unknown,
             (false, true) => event::OrderOutcome::Accepted,
             (false, false) => event::OrderOutcome::Refused,
         };
         let (mut delay, mut answer) = (0, 0);
-        if late {
+        if late || repeated {
             answer = S;
+        }
+        if late {
             delay = match self.random.random_range(0..3) {
                 0 => 0,
                 _ => self.random.random_range(200 * MS..8 * S),
@@ -191,6 +194,7 @@
                 match (late, executed) {
                     (true, true) => format!(", executed {} ms later", delay / MS),
                     (true, false) => ", never executed".to_owned(),
+                    _ if repeated => ", executed twice".to_owned(),
                     _ => String::new(),
                 }
             )
@@ -204,6 +208,10 @@
                 false => self.execute_order(target, token),
             }
         }
+        if running && repeated {
+            let at = self.now + self.random.random_range(200 * MS..4 * S);
+            self.queue.push(at, Happening::LateOrder(target, token));
+        }
         let at = self.now + answer + self.random.random_range(MS..6 * MS);
         let event = event::Event::PromotionOrdered {
             group: proxy::GROUP,
--- a/crates/broker/tests/simulation/plan.rs
+++ b/crates/broker/tests/simulation/plan.rs
@@ -47,6 +47,18 @@
     pub queued_commits: bool,
     /// The leader's faults come twice.
     pub twice: bool,
+    /// The store answers nobody for a while, and has lost all entries afterwards.
+    pub store_away: bool,
+    /// A replica receives nothing, and then the leader ends.
+    pub deaf_crashes: bool,
+    /// Members end and start again, over and over.
+    pub flaps: bool,
+    /// Members refuse new connections.
+    pub full: bool,
+    /// Orders are executed twice, and not answered.
+    pub repeated_orders: bool,
+    /// One proxy alone reaches the leader.
+    pub lone_readers: bool,
 }
 
 impl Mix {
@@ -78,6 +90,12 @@
         late_commands: false,
         queued_commits: false,
         twice: true,
+        store_away: false,
+        deaf_crashes: false,
+        flaps: false,
+        full: false,
+        repeated_orders: false,
+        lone_readers: false,
     };
 
     /// All kinds.
@@ -146,6 +164,79 @@
         ..Self::STALLS
     };
 
+    /// A leader stalls or crashes around the store's absence.
+    pub const STORE_AWAY: Self = Self {
+        store_away: true,
+        crashes: true,
+        cuts: true,
+        proxy_restarts: true,
+        deaf: true,
+        ..Self::STALLS
+    };
+
+    /// A leader crashes after a replica has received nothing.
+    pub const DEAF_CRASHES: Self = Self {
+        deaf_crashes: true,
+        stalls: false,
+        cuts: true,
+        freezes: true,
+        proxy_restarts: true,
+        late_orders: true,
+        ..Self::STALLS
+    };
+
+    /// A leader stalls or crashes while members end and start again.
+    pub const FLAPS: Self = Self {
+        flaps: true,
+        crashes: true,
+        deaf: true,
+        slow_feeds: true,
+        ..Self::STALLS
+    };
+
+    /// A leader stalls, or one proxy alone reaches it, while members refuse connections.
+    pub const FULL: Self = Self {
+        full: true,
+        lone_readers: true,
+        cuts: true,
+        refusals: true,
+        ..Self::STALLS
+    };
+
+    /// A leader stalls or crashes while orders are executed twice.
+    pub const REPEATED_ORDERS: Self = Self {
+        repeated_orders: true,
+        crashes: true,
+        restarts: true,
+        freezes: true,
+        cuts: true,
+        ..Self::STALLS
+    };
+
+    /// One proxy alone reaches a leader, which may stall.
+    pub const LONE_READERS: Self = Self {
+        lone_readers: true,
+        cuts: true,
+        freezes: true,
+        proxy_restarts: true,
+        ..Self::STALLS
+    };
+
+    /// All kinds, with commands that arrive late and commits that wait for slots; no member joins.
+    pub const ROUGH: Self = Self {
+        store_away: true,
+        deaf_crashes: true,
+        flaps: true,
+        full: true,
+        repeated_orders: true,
+        lone_readers: true,
+        pauses: true,
+        late_commands: true,
+        queued_commits: true,
+        joins: false,
+        ..Self::ALL
+    };
+
     /// A leader stalls while the store refuses a proxy, and paths are cut.
     pub const READER: Self = Self {
         refusals: true,
@@ -285,6 +376,42 @@
                 lasts: random.random_range(100 * MS..4 * S),
             }
         });
+        plan.add(mix.store_away, &mut draw, &moments, 0.7, 1, |random| {
+            Fault::StoreAway {
+                lasts: random.random_range(1_500 * MS..6 * S),
+                // Members that run are listed again within two seconds, as a rule.
+                relisted_within: match random.random_bool(0.5) {
+                    true => 2 * S,
+                    false => 5 * S,
+                },
+            }
+        });
+        plan.add_deaf_crashes(mix.deaf_crashes, &mut draw, &moments);
+        plan.add(mix.flaps, &mut draw, &moments, 0.7, 2, |random| {
+            Fault::Flap {
+                nth: random.random_range(0..3),
+                times: random.random_range(2..6),
+                away: random.random_range(50 * MS..S),
+            }
+        });
+        plan.add(mix.full, &mut draw, &moments, 0.7, 3, |random| {
+            Fault::Full {
+                nth: random.random_range(0..3),
+                lasts: random.random_range(500 * MS..5 * S),
+            }
+        });
+        plan.add(mix.repeated_orders, &mut draw, &moments, 0.7, 1, |random| {
+            Fault::RepeatOrders {
+                lasts: random.random_range(2 * S..6 * S),
+            }
+        });
+        plan.add(mix.lone_readers, &mut draw, &moments, 0.7, 2, |random| {
+            Fault::CutLeader {
+                reached_by: random.random_range(0..PROXIES),
+                nth: random.random_bool(0.5).then(|| random.random_range(0..2)),
+                lasts: random.random_range(S..6 * S),
+            }
+        });
         plan
     }
 
@@ -364,6 +491,26 @@
         }
     }
 
+    /// Adds crashes of the leader, each after a time in which a replica received nothing.
+    fn add_deaf_crashes(&mut self, in_mix: bool, draw: &mut Draw, moments: &[Micros]) {
+        let mut random = draw.next();
+        for moment in moments {
+            let deaf_for = random.random_range(50 * MS..1_500 * MS);
+            let deaf = Fault::Deaf {
+                nth: random.random_range(0..3),
+                lasts: deaf_for + random.random_range(0..2 * S),
+            };
+            let crash = Fault::Crash {
+                dark: random.random_bool(0.4),
+                lasts: random.random_range(500 * MS..5 * S),
+            };
+            if in_mix && random.random_bool(0.8) {
+                self.faults.push((moment - deaf_for, deaf));
+                self.faults.push((*moment, crash));
+            }
+        }
+    }
+
     /// Adds up to `most` faults of a kind with a probability, near the moments of the leader's faults.
     fn add(
         &mut self,
--- a/crates/broker/tests/simulation/proxy.rs
+++ b/crates/broker/tests/simulation/proxy.rs
@@ -120,6 +120,8 @@
     Answered(member::Reply),
     Broken,
     Refused,
+    /// The member refuses new connections.
+    Full,
     Silent,
 }
 
--- a/crates/broker/tests/simulation/store.rs
+++ b/crates/broker/tests/simulation/store.rs
@@ -18,6 +18,8 @@
     pub entries: BTreeMap<Box<str>, topology::Member>,
     /// For each proxy that is refused, until when.
     pub refused_until: BTreeMap<usize, Micros>,
+    /// For each proxy, until when the store is away.
+    pub away_until: BTreeMap<usize, Micros>,
     /// Time until which answers are lost, and writes done late.
     pub lossy_until: Micros,
     /// Time until which calls are slow.
@@ -27,9 +29,13 @@
 impl Store {
     /// Returns whether a proxy is refused.
     pub fn refuses(&self, proxy: usize, now: Micros) -> bool {
-        self.refused_until
-            .get(&proxy)
-            .is_some_and(|until| now < *until)
+        self.serves_from(proxy).is_some_and(|from| now < from)
+    }
+
+    /// Returns the time from which a proxy is served; `None` if it always was.
+    pub fn serves_from(&self, proxy: usize) -> Option<Micros> {
+        let refused_until = self.refused_until.get(&proxy).copied();
+        refused_until.max(self.away_until.get(&proxy).copied())
     }
 
     /// Returns the current revision.
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -145,6 +145,8 @@
     pub feed_lag: [Micros; PROXIES],
     /// Members that receive nothing until a time.
     pub deaf_until: BTreeMap<usize, Micros>,
+    /// Members that refuse new connections until a time.
+    pub full_until: BTreeMap<usize, Micros>,
     /// Members that stand still until a time.
     pub paused_until: BTreeMap<usize, Micros>,
     /// Commands that their proxies have given up, with the member and its start, and that may still arrive.
@@ -153,6 +155,8 @@
     pub newest_token: u64,
     /// Time until which orders go unanswered or are done late.
     pub orders_lost_until: Micros,
+    /// Time until which orders are executed twice, and not answered.
+    pub orders_repeated_until: Micros,
     pub statement_timeout: Micros,
     pub slots: u32,
     traced: bool,
@@ -207,10 +211,12 @@
             hidden_until: BTreeMap::new(),
             feed_lag: [0; PROXIES],
             deaf_until: BTreeMap::new(),
+            full_until: BTreeMap::new(),
             paused_until: BTreeMap::new(),
             given_up: BTreeMap::new(),
             newest_token: 0,
             orders_lost_until: 0,
+            orders_repeated_until: 0,
             statement_timeout,
             slots,
             traced,
