--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -14,6 +14,7 @@
     pub mod net;
     pub mod plan;
     pub mod proxy;
+    pub mod relays;
     pub mod store;
     pub mod world;
 }
@@ -95,6 +96,7 @@
     let mut failures = Vec::new();
     let (mut count, mut promotions, mut reads, mut commits, mut unknown) = (0, 0, 0, 0, 0);
     let (mut cut_back, mut behind_replica) = (0, BehindReplica::default());
+    let mut relayed = 0;
     for seed in seeds {
         let outcome = world::run(seed, plan_of(seed), false);
         count += 1;
@@ -104,11 +106,12 @@
         unknown += outcome.unknown;
         cut_back += outcome.cut_back;
         behind_replica.add(outcome.behind_replica);
+        relayed += outcome.relayed;
         failures.extend(Failure::of(seed, &outcome));
     }
     println!(
         "{count} seeds: {promotions} promotions, {reads} reads, {commits} commits, {unknown} of unknown outcome, \
-         {cut_back} acknowledged by leaders alone, {behind_replica:?}; seeds that broke a promise: {}",
+         {cut_back} acknowledged by leaders alone, {behind_replica:?}, {relayed} commands answered through other proxies; seeds that broke a promise: {}",
         failures.len()
     );
     // Lost commits come first, then what a replica had, then reads of the newest data.
@@ -157,6 +160,7 @@
         |plan: &mut Plan| plan.freezes_claimants = false,
         |plan: &mut Plan| plan.late_commands = false,
         |plan: &mut Plan| plan.queued_commits = false,
+        |plan: &mut Plan| plan.relays = false,
     ] {
         let mut smaller = plan.clone();
         without(&mut smaller);
@@ -207,6 +211,24 @@
     });
 }
 
+/// The same where proxies pass on commands to members that the sender does not reach.
+#[rstest]
+#[case::all(Mix::ALL)]
+#[case::members(Mix::MEMBERS)]
+#[case::late_commands(Mix::LATE_COMMANDS)]
+#[case::queued_commits(Mix::QUEUED_COMMITS)]
+#[case::store_away(Mix::STORE_AWAY)]
+#[case::full(Mix::FULL)]
+#[case::lone_readers(Mix::LONE_READERS)]
+#[case::rough(Mix::ROUGH)]
+fn promises_hold_with_relays(#[case] mix: Mix, #[values(false, true)] fenced: bool) {
+    run_seeds(seeds(), |seed| Plan {
+        fenced,
+        relays: true,
+        ..Plan::new(seed, mix)
+    });
+}
+
 /// Bounded reads: the answer to a `COMMIT` at a member that follows the newest term, but receives nothing, counts as that of the
 /// leader and becomes a sample of the read index.
 #[test]
--- a/crates/broker/tests/simulation/effects.rs
+++ b/crates/broker/tests/simulation/effects.rs
@@ -19,7 +19,7 @@
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Micros = 700 * MS;
 /// Timeout of a command to a member.
-const COMMAND_TIMEOUT: Micros = 800 * MS;
+pub const COMMAND_TIMEOUT: Micros = 800 * MS;
 /// Time after which a call to the store or the platform counts as unanswered.
 const CALL_TIMEOUT: Micros = S;
 
@@ -89,6 +89,14 @@
                 let purpose = Purpose::Status(given_at, purpose);
                 self.send(index, Some(conn), member, command, purpose, timeout);
             }
+            effect::Effect::SendCommand {
+                member,
+                command,
+                conn,
+                ..
+            } if self.plan.relays && !matches!(command, effect::MemberCommand::Release { .. }) => {
+                self.begin_errand(index, conn, member, command);
+            }
             effect::Effect::SendCommand {
                 member,
                 command,
@@ -285,7 +293,8 @@
         self.send(index, conn, member, sent, purpose, COMMAND_TIMEOUT);
     }
 
-    fn command_ended(
+    /// Tells a broker how a command of a failover ended.
+    pub(super) fn command_ended(
         &mut self,
         index: usize,
         member: id::MemberId,
@@ -332,6 +341,7 @@
                 command,
                 purpose,
                 sent_at: self.now,
+                via: None,
             },
         );
         let path = (Node::Proxy(index), Node::Member(member));
@@ -396,7 +406,7 @@
     }
 
     /// Returns whether a member refuses new connections.
-    fn is_full(&self, index: usize) -> bool {
+    pub(super) fn is_full(&self, index: usize) -> bool {
         let until = self.full_until.get(&index);
         until.is_some_and(|until| self.now < *until)
     }
@@ -468,8 +478,12 @@
             | member::Command::Status => self.random.random_range(MS..8 * MS),
             _ => self.random.random_range(0..MS),
         };
-        let path = (Node::Member(exchange.member), Node::Proxy(exchange.proxy));
-        let at = self.net.arrival(path.0, path.1, self.now, &mut self.random);
+        let last = exchange.via.unwrap_or(exchange.proxy);
+        let path = (Node::Member(exchange.member), Node::Proxy(last));
+        let mut at = self.net.arrival(path.0, path.1, self.now, &mut self.random);
+        if let Some(helper) = exchange.via {
+            at = self.passed_on(helper, exchange.proxy, at);
+        }
         let input = Input::Ended(id, ended);
         self.queue.push(
             at + service,
@@ -543,6 +557,15 @@
                 }
                 self.command_ended(index, member, exchange.sent_at, status);
             }
+            (Purpose::Errand(errand, command, false), None) if status.is_some() => {
+                self.send_errand(index, None, errand, command);
+            }
+            (Purpose::Errand(errand, command, _), conn) => {
+                if let Some(conn) = conn {
+                    self.give_back(index, conn, status.is_some());
+                }
+                self.errand_ended(errand, command, &exchange, status);
+            }
             (Purpose::Job(request), Some(conn)) => {
                 let commit = self.commits.remove(&id);
                 self.job_ended(index, request, conn, &exchange, ended, commit);
--- a/crates/broker/tests/simulation/plan.rs
+++ b/crates/broker/tests/simulation/plan.rs
@@ -259,6 +259,8 @@
     pub fenced: bool,
     /// Whether a command that a cut holds up arrives after it although its proxy has closed the connection.
     pub late_commands: bool,
+    /// Whether proxies pass on commands to members that the sender does not reach.
+    pub relays: bool,
     /// Whether commits wait for a slot at the leader, and those that wait when it is demoted are executed after that.
     pub queued_commits: bool,
 }
@@ -272,6 +274,7 @@
             freezes_claimants: false,
             fenced: false,
             late_commands: mix.late_commands,
+            relays: false,
             queued_commits: mix.queued_commits,
         };
         let mut draw = Draw { seed, kind: 0 };
@@ -455,6 +458,7 @@
             freezes_claimants: false,
             fenced: false,
             late_commands: false,
+            relays: false,
             queued_commits: false,
         }
     }
--- a/crates/broker/tests/simulation/proxy.rs
+++ b/crates/broker/tests/simulation/proxy.rs
@@ -95,6 +95,8 @@
     Status(Micros, effect::StatusPurpose),
     /// A command of a failover, and whether it has been sent: its connection may have to be opened first.
     Command(effect::MemberCommand, bool),
+    /// The same, with the identifier of the errand to which it belongs.
+    Errand(u64, effect::MemberCommand, bool),
     /// A statement of a caller's request.
     Job(id::RequestId),
 }
@@ -112,6 +114,8 @@
     pub command: member::Command,
     pub purpose: Purpose,
     pub sent_at: Micros,
+    /// Proxy that passes the command on, if it does not go the direct way.
+    pub via: Option<usize>,
 }
 
 /// How an exchange ended.
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -18,6 +18,7 @@
 use crate::simulation::net;
 use crate::simulation::plan;
 use crate::simulation::proxy;
+use crate::simulation::relays;
 use crate::simulation::store;
 /// Longest time in which a change of the directory reaches a proxy that the store serves.
 pub const FEED_DELAY_MAX: Micros = 40 * MS;
@@ -51,6 +52,8 @@
     Continue(id::RequestId),
     /// A success of a commit looks for evidence.
     SeekConfirmation,
+    /// A command has not been answered on the direct way for a while.
+    AskRelays(u64),
 }
 
 /// What happens at a time.
@@ -109,6 +112,8 @@
     pub commits: u64,
     /// Commits of which callers were told that their outcome is unknown, though a leader had acknowledged them.
     pub unknown: u64,
+    /// Commands that members answered through other proxies.
+    pub relayed: u64,
     /// What happened; empty unless it was asked for.
     pub trace: Vec<String>,
 }
@@ -129,6 +134,8 @@
     /// Entries that the commits under way wrote.
     pub commits: BTreeMap<u64, fulmarlift_core::floor::Point>,
     pub next_exchange: u64,
+    /// Commands that other proxies may pass on.
+    pub errands: BTreeMap<u64, relays::Errand>,
     pub newest_term: id::Term,
     pub newest_leader: usize,
     pub acknowledged: checks::Acknowledged,
@@ -201,6 +208,7 @@
             exchanges: BTreeMap::new(),
             commits: BTreeMap::new(),
             next_exchange: 0,
+            errands: BTreeMap::new(),
             newest_term: 1,
             newest_leader: 0,
             acknowledged: checks::Acknowledged::default(),
@@ -406,6 +414,7 @@
             Input::DirectoryBack => self.read_directory(index),
             Input::Continue(request) => self.continue_transaction(index, request),
             Input::SeekConfirmation => self.seek_confirmation(index),
+            Input::AskRelays(errand) => self.ask_relays(errand),
         }
     }
 
