--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -187,6 +187,7 @@
 #[case::repeated_orders(Mix::REPEATED_ORDERS)]
 #[case::lone_readers(Mix::LONE_READERS)]
 #[case::rough(Mix::ROUGH)]
+#[case::rough_listed(Mix::ROUGH_LISTED)]
 fn promises_hold_with_faults(#[case] mix: Mix) {
     run_seeds(seeds(), |seed| Plan::new(seed, mix));
 }
@@ -204,6 +205,7 @@
 #[case::repeated_orders(Mix::REPEATED_ORDERS)]
 #[case::lone_readers(Mix::LONE_READERS)]
 #[case::rough(Mix::ROUGH)]
+#[case::rough_listed(Mix::ROUGH_LISTED)]
 fn promises_hold_with_faults_where_fenced(#[case] mix: Mix) {
     run_seeds(seeds(), |seed| Plan {
         fenced: true,
@@ -221,6 +223,7 @@
 #[case::full(Mix::FULL)]
 #[case::lone_readers(Mix::LONE_READERS)]
 #[case::rough(Mix::ROUGH)]
+#[case::rough_listed(Mix::ROUGH_LISTED)]
 fn promises_hold_with_relays(#[case] mix: Mix, #[values(false, true)] fenced: bool) {
     run_seeds(seeds(), |seed| Plan {
         fenced,
--- a/crates/broker/tests/simulation/plan.rs
+++ b/crates/broker/tests/simulation/plan.rs
@@ -49,6 +49,8 @@
     pub twice: bool,
     /// The store answers nobody for a while, and has lost all entries afterwards.
     pub store_away: bool,
+    /// Entries are back up to five seconds after the store, though the platform promises two.
+    pub late_listings: bool,
     /// A replica receives nothing, and then the leader ends.
     pub deaf_crashes: bool,
     /// Members end and start again, over and over.
@@ -91,6 +93,7 @@
         queued_commits: false,
         twice: true,
         store_away: false,
+        late_listings: false,
         deaf_crashes: false,
         flaps: false,
         full: false,
@@ -167,6 +170,7 @@
     /// A leader stalls or crashes around the store's absence.
     pub const STORE_AWAY: Self = Self {
         store_away: true,
+        late_listings: true,
         crashes: true,
         cuts: true,
         proxy_restarts: true,
@@ -225,6 +229,7 @@
     /// All kinds, with commands that arrive late and commits that wait for slots; no member joins.
     pub const ROUGH: Self = Self {
         store_away: true,
+        late_listings: true,
         deaf_crashes: true,
         flaps: true,
         full: true,
@@ -237,6 +242,13 @@
         ..Self::ALL
     };
 
+    /// The same as far as members that run are listed as the platform promises.
+    pub const ROUGH_LISTED: Self = Self {
+        late_listings: false,
+        drops: false,
+        ..Self::ROUGH
+    };
+
     /// A leader stalls while the store refuses a proxy, and paths are cut.
     pub const READER: Self = Self {
         refusals: true,
@@ -382,10 +394,9 @@
         plan.add(mix.store_away, &mut draw, &moments, 0.7, 1, |random| {
             Fault::StoreAway {
                 lasts: random.random_range(1_500 * MS..6 * S),
-                // Members that run are listed again within two seconds, as a rule.
-                relisted_within: match random.random_bool(0.5) {
-                    true => 2 * S,
-                    false => 5 * S,
+                relisted_within: match random.random_bool(0.5) && mix.late_listings {
+                    true => 5 * S,
+                    false => 2 * S,
                 },
             }
         });
--- a/crates/broker/tests/simulation/relays.rs
+++ b/crates/broker/tests/simulation/relays.rs
@@ -12,8 +12,12 @@
 use crate::simulation::proxy::{Ended, Exchange, Purpose};
 use crate::simulation::world::{Happening, Input, PROXIES, World};
 
-/// Time without an answer after which other proxies are asked.
-const RELAY_AFTER: Micros = 200 * MS;
+/// Time after which other proxies are asked if the connection is not open.
+const OPEN_PATIENCE: Micros = 100 * MS;
+/// Time after which other proxies are asked if an open connection brings no answer.
+const ANSWER_PATIENCE: Micros = 300 * MS;
+/// Timeout of the answer through another proxy.
+const RELAYED_ANSWER_TIMEOUT: Micros = 300 * MS;
 /// Most proxies that are asked.
 const RELAYS_MAX: usize = 3;
 
@@ -50,7 +54,11 @@
             is_relayed: false,
         };
         self.errands.insert(id, errand);
-        self.wake(index, self.now + RELAY_AFTER, Input::AskRelays(id));
+        let patience = match conn {
+            Some(_) => ANSWER_PATIENCE,
+            None => OPEN_PATIENCE,
+        };
+        self.wake(index, self.now + patience, Input::AskRelays(id));
         match conn {
             Some(_) => self.send_errand(index, conn, id, command),
             None => {
@@ -137,7 +145,8 @@
             let at = self.net.arrival(path.0, path.1, at, &mut self.random);
             self.queue.push(at, Happening::Arrives(exchange));
             let silent = Input::Ended(exchange, Ended::Silent);
-            self.wake(index, until, silent);
+            let silent_at = until.min(self.now + RELAYED_ANSWER_TIMEOUT);
+            self.wake(index, silent_at, silent);
             if let Some(errand) = self.errands.get_mut(&id) {
                 errand.open += 1;
             }
