--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -304,6 +304,26 @@
     });
 }
 
+/// A demoted leader executes what waits for a slot, and a member confirms it that the hand-over does not hold: it has joined just before,
+/// or its entry is not back after the store's return. Callers were told of it in the first case.
+#[rstest]
+#[case::joined_unlisted(Mix::QUEUED_COMMITS, false, false, &[4_959])]
+#[case::joined_listed(Mix::QUEUED_COMMITS, false, true, &[3_229, 4_112, 4_116])]
+#[case::listed_late(Mix::ROUGH, false, true, &[5_134])]
+#[case::listed_late_fenced(Mix::ROUGH, true, true, &[5_887])]
+fn handover_counts_members_that_confirm_queued_commits(
+    #[case] mix: Mix,
+    #[case] fenced: bool,
+    #[case] relays: bool,
+    #[case] seeds: &[u64],
+) {
+    run_seeds(seeds.iter().copied(), |seed| Plan {
+        fenced,
+        relays,
+        ..Plan::new(seed, mix)
+    });
+}
+
 /// The release of an attempt that was given up arrives late, and ends the hold of the next attempt.
 #[test]
 fn late_release_leaves_hold_of_next_attempt() {
