--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -4,6 +4,7 @@
 
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
+use serde::{Deserialize, Serialize};
 
 use crate::claim;
 use crate::request;
@@ -24,6 +25,8 @@
         /// Revision of the directory at which the entry was missing.
         revision: revision::Revision,
     },
+    /// Another proxy knows this member and has not failed to reach it, whether or not the directory lists it.
+    MemberKnown(topology::Member),
     /// The store has a new or changed entry of another proxy.
     PeerListed(topology::Peer),
     /// The store no longer has an entry of the proxy of this name.
@@ -37,11 +40,14 @@
         /// Time for which the store has been in this era at least.
         known_for: Duration,
     },
-    /// A read of the directory ended, or the reader of this proxy's domain reported one.
+    /// A read of the directory by this proxy ended.
     DirectoryRead {
         /// Instant at which the directory answered, or an earlier one; `None` if it did not.
         answered_at: Option<Instant>,
     },
+    /// The reader of this proxy's domain has told its contact with the directory, and before it all that it knew then; `None` if
+    /// the directory does not answer the reader.
+    DirectoryTold(Option<DirectoryContact>),
     /// A request arrived from a caller or from another proxy.
     Arrived(request::Request),
     /// The caller of a waiting request has gone away.
@@ -154,7 +160,7 @@
         row: claim::ClaimRow,
     },
     /// A read of the directory for an attempt to replace a leader ended. [`Event::Listed`] has been reported for every member that
-    /// was listed then.
+    /// was listed then, and [`Event::MemberKnown`] for those that other proxies have named meanwhile.
     DirectoryLoaded {
         /// Group whose leader is to be replaced.
         group: id::GroupId,
@@ -181,6 +187,15 @@
     Tick,
 }
 
+/// Contact of a proxy with the directory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DirectoryContact {
+    /// Instant of the newest answer: all members that joined before it are known.
+    pub answered_at: Instant,
+    /// Instant since which every read has succeeded.
+    pub reached_since: Instant,
+}
+
 /// End of a statement or a probe, and what it shows about the member.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StatementReport {
@@ -243,7 +258,7 @@
 }
 
 /// Role, term and log position that a member reports about itself.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct MemberStatus {
     /// Whether the member leads.
     pub leads: bool,
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -73,6 +73,8 @@
     next_conn: id::ConnId,
     /// Instant since which every read of the directory has succeeded.
     directory_reached_since: Option<Instant>,
+    /// Instant of the last read of this proxy that failed, or at which the store was found in a newer era.
+    directory_lost_at: Option<Instant>,
     /// Instant of the newest answer of the directory: this proxy knows all members that joined before it.
     directory_answered_at: Option<Instant>,
     eras: eras::StoreEra,
@@ -130,6 +132,7 @@
             home_choices: 0,
             next_conn: 1,
             directory_reached_since: None,
+            directory_lost_at: None,
             directory_answered_at: None,
             eras: eras::StoreEra::default(),
         }
@@ -141,12 +144,16 @@
             event::Event::Configured(topology) => self.apply_configuration(now, topology, effects),
             event::Event::Listed(member) => self.apply_member_entry(now, member, effects),
             event::Event::Unlisted { name, revision } => self.record_unlisted(now, &name, revision),
+            event::Event::MemberKnown(member) => self.add_known_member(now, member, effects),
             event::Event::PeerListed(peer) => self.apply_peer_entry(now, peer, effects),
             event::Event::PeerUnlisted(name) => self.remove_peer(now, &name, effects),
             event::Event::PeersRead => self.record_peers_read(now, effects),
             event::Event::DirectoryRead { answered_at } => {
                 self.record_directory_read(now, answered_at, effects);
             }
+            event::Event::DirectoryTold(contact) => {
+                self.record_directory_told(now, contact, effects);
+            }
             event::Event::Arrived(request) => self.add_request(now, request, effects),
             event::Event::Abandoned(request) => self.remove_request(request),
             event::Event::NextStatementStarted(member) => self.record_statement_start(member),
@@ -315,6 +322,15 @@
         listed.map(|state| state.entry.clone()).collect()
     }
 
+    /// Returns the entries of the members of a group, also of those that the directory no longer lists, except for those that have
+    /// failed and not answered since.
+    pub fn running_members(&self, group: id::GroupId) -> Vec<topology::Member> {
+        let group = self.groups.get(group).into_iter();
+        let members = group.flat_map(|group| group.members.values());
+        let running = members.filter(|state| !state.is_suspect());
+        running.map(|state| state.entry.clone()).collect()
+    }
+
     /// Returns the entries of the other proxies.
     pub fn listed_peers(&self) -> Vec<topology::Peer> {
         self.peers.values().cloned().collect()
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -1,12 +1,16 @@
 //! Messages between a reader and its listeners: a length of four bytes and a `postcard` value.
 
 use std::io;
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use fulmarlift_broker::claim;
+use fulmarlift_broker::effect;
+use fulmarlift_broker::event;
 use fulmarlift_broker::revision;
 use fulmarlift_broker::topology;
 use fulmarlift_broker::topology_change;
+use fulmarlift_core::id;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -35,6 +39,8 @@
         age_ms: u64,
         /// Revision up to which the configuration is complete with the messages before this one.
         configuration: Option<revision::Revision>,
+        /// The reader's contact with the directory of members, which may differ; none if the directory does not answer it.
+        directory: Option<DirectoryAges>,
     },
     /// A changed configuration.
     ConfigurationChanged(topology_change::TopologyChange),
@@ -53,6 +59,85 @@
         /// Row that the store returned meanwhile; `None` if the store did not answer.
         row: Option<EncodedClaimRow>,
     },
+    /// Command for a member, the first and only message of a proxy that does not reach the member.
+    CommandQuestion {
+        /// Name of the proxy that asks.
+        asker: Box<str>,
+        /// Entry of the member, which the proxy that answers may not know.
+        member: topology::Member,
+        command: RelayedCommand,
+    },
+    /// Answer to it.
+    CommandAnswer {
+        /// Status in the member's answer to the command; `None` if there was none.
+        status: Option<event::MemberStatus>,
+    },
+    /// Question for the members of a group, the first and only message of a proxy that replaces the group's leader.
+    RosterQuestion { group: id::GroupId },
+    /// Answer to it.
+    RosterAnswer {
+        /// Members that the answering proxy knows and has not failed to reach, whether or not the directory lists them.
+        members: Vec<topology::Member>,
+    },
+}
+
+/// A command that may be sent to a member through another proxy. A release may not: sent late, it would end the hold of another
+/// claimant. The others change nothing when they are sent twice.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum RelayedCommand {
+    Status,
+    Hold(id::Term),
+    Demote(id::Term),
+}
+
+impl RelayedCommand {
+    pub(crate) fn new(command: effect::MemberCommand) -> Option<Self> {
+        match command {
+            effect::MemberCommand::Status => Some(Self::Status),
+            effect::MemberCommand::Hold(term) => Some(Self::Hold(term)),
+            effect::MemberCommand::Release { .. } => None,
+            effect::MemberCommand::Demote(term) => Some(Self::Demote(term)),
+        }
+    }
+
+    pub(crate) fn command(self) -> effect::MemberCommand {
+        match self {
+            Self::Status => effect::MemberCommand::Status,
+            Self::Hold(term) => effect::MemberCommand::Hold(term),
+            Self::Demote(term) => effect::MemberCommand::Demote(term),
+        }
+    }
+}
+
+/// A proxy's contact with the directory, see [`event::DirectoryContact`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct DirectoryAges {
+    /// Time since the newest answer, rounded up.
+    pub(super) answered_ms: u64,
+    /// Time for which every read has succeeded, rounded down.
+    pub(super) reached_ms: u64,
+}
+
+impl DirectoryAges {
+    pub(super) fn of(contact: event::DirectoryContact, now: Instant) -> Self {
+        let age_ms = |at| {
+            let age = now.saturating_duration_since(at).as_millis();
+            u64::try_from(age).unwrap_or(u64::MAX / 2)
+        };
+        Self {
+            answered_ms: age_ms(contact.answered_at) + 1,
+            reached_ms: age_ms(contact.reached_since),
+        }
+    }
+
+    /// Returns the contact of a proxy that has told its ages just now; `None` if it is older than this machine's clock.
+    pub(super) fn contact(self, now: Instant) -> Option<event::DirectoryContact> {
+        let instant = |age_ms| now.checked_sub(Duration::from_millis(age_ms));
+        Some(event::DirectoryContact {
+            answered_at: instant(self.answered_ms)?,
+            reached_since: instant(self.reached_ms)?,
+        })
+    }
 }
 
 /// A claim row as the store returned it.
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -119,12 +119,17 @@
             frame::Message::ConfigurationChanged(change) => apply_change(shell, change)?,
             frame::Message::Hello { .. }
             | frame::Message::ClaimQuestion { .. }
-            | frame::Message::ClaimAnswer { .. } => {
+            | frame::Message::ClaimAnswer { .. }
+            | frame::Message::CommandQuestion { .. }
+            | frame::Message::CommandAnswer { .. }
+            | frame::Message::RosterQuestion { .. }
+            | frame::Message::RosterAnswer { .. } => {
                 return Err(io::Error::from(io::ErrorKind::InvalidData));
             }
             frame::Message::Freshness {
                 age_ms,
                 configuration,
+                directory,
             } => {
                 let store_answered_at = instant_before(clock::now(), age_ms);
                 let fresh_until = store_answered_at.map(|answered_at| answered_at + READER_AGE_MAX);
@@ -140,8 +145,8 @@
                 if let Some(revision) = configuration {
                     shell.record_configuration_revision(revision);
                 }
-                let answered_at = Some(answered_at);
-                shell.handle(event::Event::DirectoryRead { answered_at });
+                let contact = directory.and_then(|ages| ages.contact(clock::now()));
+                shell.handle(event::Event::DirectoryTold(contact));
                 return Ok(true);
             }
         }
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -62,6 +62,17 @@
             served
         }
         frame::Message::ClaimQuestion { group } => relay::answer(shell, stream, &group).await,
+        frame::Message::CommandQuestion {
+            asker,
+            member,
+            command,
+        } => {
+            let command = command.command();
+            relay::answer_command(shell, stream, &asker, &member, command).await
+        }
+        frame::Message::RosterQuestion { group } => {
+            relay::answer_roster(shell, stream, group).await
+        }
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
 }
@@ -131,9 +142,11 @@
 }
 
 fn freshness<D: Deployment>(shell: &Rc<shell::Shell<D>>, age_ms: u64) -> Bytes {
+    let contact = shell.with_broker(fulmarlift_broker::Broker::directory_contact);
     let message = frame::Message::Freshness {
         age_ms,
         configuration: shell.configuration_revision(),
+        directory: contact.map(|contact| frame::DirectoryAges::of(contact, clock::now())),
     };
     message.encode()
 }
