--- a/crates/broker/tests/simulation/effects.rs
+++ b/crates/broker/tests/simulation/effects.rs
@@ -117,6 +117,9 @@
                     .push(at, Happening::Load(index, starts, asked_at));
             }
             effect::Effect::ReadDirectory(_) => {
+                if self.plan.relays {
+                    self.ask_for_members(index);
+                }
                 let at = self.call_arrival(index);
                 let (starts, asked_at) = (self.proxies[index].starts, self.instant());
                 self.queue
--- a/crates/broker/tests/simulation/plan.rs
+++ b/crates/broker/tests/simulation/plan.rs
@@ -271,7 +271,7 @@
     pub fenced: bool,
     /// Whether a command that a cut holds up arrives after it although its proxy has closed the connection.
     pub late_commands: bool,
-    /// Whether proxies pass on commands to members that the sender does not reach.
+    /// Whether proxies pass on commands to members that the sender does not reach, and name the members that they know.
     pub relays: bool,
     /// Whether commits wait for a slot at the leader, and those that wait when it is demoted are executed after that.
     pub queued_commits: bool,
--- a/crates/broker/tests/simulation/relays.rs
+++ b/crates/broker/tests/simulation/relays.rs
@@ -1,7 +1,8 @@
-//! Commands of a failover that other proxies pass on to members that the sender does not reach.
+//! Commands of a failover that other proxies pass on to members that the sender does not reach, and the members that they know.
 
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
+use fulmarlift_broker::topology;
 use fulmarlift_core::id;
 use rand::RngExt;
 
@@ -9,7 +10,7 @@
 use crate::simulation::effects;
 use crate::simulation::member;
 use crate::simulation::net::Node;
-use crate::simulation::proxy::{Ended, Exchange, Purpose};
+use crate::simulation::proxy::{self, Ended, Exchange, Purpose};
 use crate::simulation::world::{Happening, Input, PROXIES, World};
 
 /// Time after which other proxies are asked if the connection is not open.
@@ -154,6 +155,19 @@
         self.give_up_errand(id);
     }
 
+    /// Lets other proxies name the members that they know, before the directory answers.
+    pub(super) fn ask_for_members(&mut self, index: usize) {
+        let others = (1..PROXIES).map(|other| (index + other) % PROXIES);
+        let known: Vec<topology::Member> = others
+            .filter(|other| self.now >= self.proxies[*other].frozen_until)
+            .flat_map(|other| self.proxies[other].broker.running_members(proxy::GROUP))
+            .collect();
+        for member in known {
+            let event = event::Event::MemberKnown(member);
+            self.wake(index, self.now + MS, Input::Event(event));
+        }
+    }
+
     /// Returns the time at which an answer that a proxy passes on arrives.
     pub(super) fn passed_on(&mut self, helper: usize, to: usize, at: Micros) -> Micros {
         let sent_at = at.max(self.proxies[helper].frozen_until);
