--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -295,12 +295,17 @@
     run_seeds([1_616], |seed| without_joins(seed, Mix::ALL, true));
 }
 
-/// A hand-over passes over a replica that has not answered its hold yet, and the demoted leader executes what waits for a slot. A caller
-/// was told of it.
-#[test]
-fn handover_counts_slow_member_that_confirms_queued_commits() {
-    run_seeds([2_420], |seed| {
-        without_joins(seed, Mix::QUEUED_COMMITS, false)
+/// A hand-over passes over a replica that does not answer its hold, as it is slow, cut off or full, and the demoted leader executes what
+/// waits for a slot. Callers were told of it in the last two seeds.
+#[rstest]
+#[case::slow(Mix::QUEUED_COMMITS, &[2_420])]
+#[case::unreached(Mix::ROUGH_LISTED, &[265, 4_246])]
+fn handover_counts_slow_member_that_confirms_queued_commits(
+    #[case] mix: Mix,
+    #[case] seeds: &[u64],
+) {
+    run_seeds(seeds.iter().copied(), |seed| {
+        without_joins(seed, mix, false)
     });
 }
 
@@ -332,6 +337,15 @@
     });
 }
 
+/// The same with a hand-over, whose demoted leader executes what waits for a slot. A caller was told of it.
+#[test]
+fn late_release_leaves_hold_of_handover() {
+    run_seeds([5_435], |seed| Plan {
+        relays: true,
+        ..Plan::new(seed, Mix::ROUGH_LISTED)
+    });
+}
+
 /// A replaced leader and a replica that is cut from the new leader go on, and the next attempt promotes a member of the newer term.
 #[test]
 fn promoted_member_has_what_replaced_leader_acknowledged() {
