--- a/crates/broker/tests/simulation/effects.rs
+++ b/crates/broker/tests/simulation/effects.rs
@@ -19,7 +19,7 @@
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Micros = 700 * MS;
 /// Timeout of a command to a member.
-const COMMAND_TIMEOUT: Micros = 800 * MS;
+pub const COMMAND_TIMEOUT: Micros = 800 * MS;
 /// Time after which a call to the store or the platform counts as unanswered.
 const CALL_TIMEOUT: Micros = S;
 
@@ -89,6 +89,14 @@
                 let purpose = Purpose::Status(given_at, purpose);
                 self.send(index, Some(conn), member, command, purpose, timeout);
             }
+            effect::Effect::SendCommand {
+                member,
+                command,
+                conn,
+                ..
+            } if self.plan.relays && !matches!(command, effect::MemberCommand::Release { .. }) => {
+                self.begin_errand(index, conn, member, command);
+            }
             effect::Effect::SendCommand {
                 member,
                 command,
@@ -109,6 +117,9 @@
                     .push(at, Happening::Load(index, starts, asked_at));
             }
             effect::Effect::ReadDirectory(_) => {
+                if self.plan.relays {
+                    self.ask_for_members(index);
+                }
                 let at = self.call_arrival(index);
                 let (starts, asked_at) = (self.proxies[index].starts, self.instant());
                 self.queue
@@ -285,7 +296,8 @@
         self.send(index, conn, member, sent, purpose, COMMAND_TIMEOUT);
     }
 
-    fn command_ended(
+    /// Tells a broker how a command of a failover ended.
+    pub(super) fn command_ended(
         &mut self,
         index: usize,
         member: id::MemberId,
@@ -332,6 +344,7 @@
                 command,
                 purpose,
                 sent_at: self.now,
+                via: None,
             },
         );
         let path = (Node::Proxy(index), Node::Member(member));
@@ -366,6 +379,10 @@
             member::Process::Running if outlived => return self.answer(id, Ended::Broken),
             member::Process::Running => {}
         }
+        if connects && self.is_full(index) {
+            return self.answer(id, Ended::Full);
+        }
+        let member = &mut self.members[index];
         let led = member.leads;
         let commits = matches!(
             command,
@@ -391,6 +408,12 @@
         self.conclude(id, index, command, reply);
     }
 
+    /// Returns whether a member refuses new connections.
+    pub(super) fn is_full(&self, index: usize) -> bool {
+        let until = self.full_until.get(&index);
+        until.is_some_and(|until| self.now < *until)
+    }
+
     /// A commit that has waited for a slot is executed.
     pub(super) fn execute_queued(&mut self, id: u64) {
         let Some(exchange) = self.exchanges.get(&id) else {
@@ -401,7 +424,7 @@
         if !member.is_running() || member.starts != starts {
             return;
         }
-        let reply = member.execute(command);
+        let reply = member.execute_queued(command);
         self.conclude(id, index, command, reply);
     }
 
@@ -458,8 +481,12 @@
             | member::Command::Status => self.random.random_range(MS..8 * MS),
             _ => self.random.random_range(0..MS),
         };
-        let path = (Node::Member(exchange.member), Node::Proxy(exchange.proxy));
-        let at = self.net.arrival(path.0, path.1, self.now, &mut self.random);
+        let last = exchange.via.unwrap_or(exchange.proxy);
+        let path = (Node::Member(exchange.member), Node::Proxy(last));
+        let mut at = self.net.arrival(path.0, path.1, self.now, &mut self.random);
+        if let Some(helper) = exchange.via {
+            at = self.passed_on(helper, exchange.proxy, at);
+        }
         let input = Input::Ended(id, ended);
         self.queue.push(
             at + service,
@@ -533,6 +560,15 @@
                 }
                 self.command_ended(index, member, exchange.sent_at, status);
             }
+            (Purpose::Errand(errand, command, false), None) if status.is_some() => {
+                self.send_errand(index, None, errand, command);
+            }
+            (Purpose::Errand(errand, command, _), conn) => {
+                if let Some(conn) = conn {
+                    self.give_back(index, conn, status.is_some());
+                }
+                self.errand_ended(errand, command, &exchange, status);
+            }
             (Purpose::Job(request), Some(conn)) => {
                 let commit = self.commits.remove(&id);
                 self.job_ended(index, request, conn, &exchange, ended, commit);
@@ -556,6 +592,7 @@
                 return self.step(index, event::Event::Opened(conn));
             }
             Ended::Broken | Ended::Refused => event::OpenFailure::Refused,
+            Ended::Full => event::OpenFailure::Full,
             Ended::Silent => event::OpenFailure::Silent,
         };
         self.step(index, event::Event::OpenFailed { conn, failure });
@@ -587,7 +624,7 @@
                         _ => (event::Answer::NotLeading, Some(reply.point)),
                     },
                     Ended::Silent => (event::Answer::Silent { commit: false }, None),
-                    Ended::Broken | Ended::Refused => (event::Answer::Broken, None),
+                    Ended::Broken | Ended::Refused | Ended::Full => (event::Answer::Broken, None),
                 };
                 let report = event::StatementReport {
                     member,
@@ -651,8 +688,8 @@
 
     /// Tells a proxy that the directory answers, unless the store has refused the proxy until just now.
     pub(super) fn confirm_directory(&mut self, index: usize) {
-        let refused_until = self.store.refused_until.get(&index).copied();
-        if refused_until.is_none_or(|until| self.now > until + world::DIRECTORY_BACK_MAX) {
+        let served_from = self.store.serves_from(index);
+        if served_from.is_none_or(|from| self.now > from + world::DIRECTORY_BACK_MAX) {
             let answered_at = Some(self.directory_known_at(index));
             self.step(index, event::Event::DirectoryRead { answered_at });
         }
--- a/crates/broker/tests/simulation/group.rs
+++ b/crates/broker/tests/simulation/group.rs
@@ -5,6 +5,7 @@
 use fulmarlift_core::id;
 use rand::RngExt;
 
+use crate::simulation::checks;
 use crate::simulation::clock::{MS, Micros, S};
 use crate::simulation::log;
 use crate::simulation::member;
@@ -46,6 +47,13 @@
         self.queue.push(at, Happening::Published(index, starts));
     }
 
+    /// Writes the entry of a member.
+    pub fn list(&mut self, index: usize) -> topology::Member {
+        self.first_listed.entry(index).or_insert(self.now);
+        let entry = self.entry(index);
+        self.store.list(entry)
+    }
+
     /// Removes the entry of a member.
     pub fn unlist(&mut self, index: usize) {
         if let Some(revision) = self.store.unlist(&Self::member_name(index)) {
@@ -140,6 +148,12 @@
                 self.note(|| format!("CUT BACK: acknowledged late {:?}", waiting.point));
             }
             self.answered.record(self.now, waiting.point);
+            self.receipts.push(checks::Receipt {
+                acknowledged_at: self.now,
+                point: waiting.point,
+                leader,
+                is_replaced: self.newest_term > term,
+            });
             self.answer(waiting.exchange, proxy::Ended::Answered(reply));
         }
     }
@@ -154,16 +168,19 @@
     }
 
     pub(super) fn order_arrives(&mut self, index: usize, starts: u32, target: usize, token: u64) {
-        let late = self.now < self.orders_lost_until && self.random.random_bool(0.6);
+        let repeated = self.now < self.orders_repeated_until;
+        let late = !repeated && self.now < self.orders_lost_until && self.random.random_bool(0.6);
         let running = self.members[target].is_running() && !self.is_outdated(token);
-        let outcome = match (late, running) {
+        let outcome = match (late || repeated, running) {
             (true, _) => event::OrderOutcome::Unknown,
             (false, true) => event::OrderOutcome::Accepted,
             (false, false) => event::OrderOutcome::Refused,
         };
         let (mut delay, mut answer) = (0, 0);
-        if late {
+        if late || repeated {
             answer = S;
+        }
+        if late {
             delay = match self.random.random_range(0..3) {
                 0 => 0,
                 _ => self.random.random_range(200 * MS..8 * S),
@@ -177,6 +194,7 @@
                 match (late, executed) {
                     (true, true) => format!(", executed {} ms later", delay / MS),
                     (true, false) => ", never executed".to_owned(),
+                    _ if repeated => ", executed twice".to_owned(),
                     _ => String::new(),
                 }
             )
@@ -190,6 +208,10 @@
                 false => self.execute_order(target, token),
             }
         }
+        if running && repeated {
+            let at = self.now + self.random.random_range(200 * MS..4 * S);
+            self.queue.push(at, Happening::LateOrder(target, token));
+        }
         let at = self.now + answer + self.random.random_range(MS..6 * MS);
         let event = event::Event::PromotionOrdered {
             group: proxy::GROUP,
@@ -242,6 +264,12 @@
         member.leads = true;
         member.term = term;
         let end = member.log.end();
+        let (behind, last) =
+            checks::compare_promoted(&mut self.receipts, &self.members, &self.first_listed, index);
+        self.outcome.behind_replica.add(behind);
+        if let Some(last) = last {
+            self.note(|| format!("BEHIND A REPLICA: {behind:?}, last {last:?}"));
+        }
         let newest = self.answered.furthest(self.now).next();
         if let Some(point) = newest.filter(|point| !self.members[index].log.contains(*point)) {
             let end = self.members[index].log.end();
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -18,6 +18,7 @@
 use crate::simulation::net;
 use crate::simulation::plan;
 use crate::simulation::proxy;
+use crate::simulation::relays;
 use crate::simulation::store;
 /// Longest time in which a change of the directory reaches a proxy that the store serves.
 pub const FEED_DELAY_MAX: Micros = 40 * MS;
@@ -51,6 +52,8 @@
     Continue(id::RequestId),
     /// A success of a commit looks for evidence.
     SeekConfirmation,
+    /// A command has not been answered on the direct way for a while.
+    AskRelays(u64),
 }
 
 /// What happens at a time.
@@ -103,11 +106,14 @@
     pub lost: u64,
     /// Commits, counted in the log of the leader that acknowledged them, that the promoted member lacked.
     pub cut_back: u64,
+    pub behind_replica: checks::BehindReplica,
     pub promotions: u64,
     pub reads: u64,
     pub commits: u64,
     /// Commits of which callers were told that their outcome is unknown, though a leader had acknowledged them.
     pub unknown: u64,
+    /// Commands that members answered through other proxies.
+    pub relayed: u64,
     /// What happened; empty unless it was asked for.
     pub trace: Vec<String>,
 }
@@ -128,11 +134,17 @@
     /// Entries that the commits under way wrote.
     pub commits: BTreeMap<u64, fulmarlift_core::floor::Point>,
     pub next_exchange: u64,
+    /// Commands that other proxies may pass on.
+    pub errands: BTreeMap<u64, relays::Errand>,
     pub newest_term: id::Term,
     pub newest_leader: usize,
     pub acknowledged: checks::Acknowledged,
     /// Commits that leaders have acknowledged to proxies, whether or not their successes were passed on.
     pub answered: checks::Acknowledged,
+    /// The same, one by one, as far as the promoted members had them.
+    pub receipts: Vec<checks::Receipt>,
+    /// Time at which the directory first listed each member.
+    pub first_listed: BTreeMap<usize, Micros>,
     pub plan: plan::Plan,
     /// Time until which entries of each member are written late.
     pub hidden_until: BTreeMap<usize, Micros>,
@@ -140,6 +152,8 @@
     pub feed_lag: [Micros; PROXIES],
     /// Members that receive nothing until a time.
     pub deaf_until: BTreeMap<usize, Micros>,
+    /// Members that refuse new connections until a time.
+    pub full_until: BTreeMap<usize, Micros>,
     /// Members that stand still until a time.
     pub paused_until: BTreeMap<usize, Micros>,
     /// Commands that their proxies have given up, with the member and its start, and that may still arrive.
@@ -148,6 +162,8 @@
     pub newest_token: u64,
     /// Time until which orders go unanswered or are done late.
     pub orders_lost_until: Micros,
+    /// Time until which orders are executed twice, and not answered.
+    pub orders_repeated_until: Micros,
     pub statement_timeout: Micros,
     pub slots: u32,
     traced: bool,
@@ -192,18 +208,23 @@
             exchanges: BTreeMap::new(),
             commits: BTreeMap::new(),
             next_exchange: 0,
+            errands: BTreeMap::new(),
             newest_term: 1,
             newest_leader: 0,
             acknowledged: checks::Acknowledged::default(),
             answered: checks::Acknowledged::default(),
+            receipts: Vec::new(),
+            first_listed: BTreeMap::new(),
             plan,
             hidden_until: BTreeMap::new(),
             feed_lag: [0; PROXIES],
             deaf_until: BTreeMap::new(),
+            full_until: BTreeMap::new(),
             paused_until: BTreeMap::new(),
             given_up: BTreeMap::new(),
             newest_token: 0,
             orders_lost_until: 0,
+            orders_repeated_until: 0,
             statement_timeout,
             slots,
             traced,
@@ -216,8 +237,7 @@
     fn begin(&mut self) {
         for member in 0..self.members.len() {
             self.record_id(member);
-            let entry = self.entry(member);
-            self.store.list(entry);
+            self.list(member);
         }
         for index in 0..PROXIES {
             let proxy = proxy::Proxy::new(index, 1, self.seed, self.plan.fenced);
@@ -336,8 +356,7 @@
             Happening::Published(member, starts) => {
                 let state = &self.members[member];
                 if state.is_running() && state.starts == starts {
-                    let entry = self.entry(member);
-                    let entry = self.store.list(entry);
+                    let entry = self.list(member);
                     self.tell(&event::Event::Listed(entry));
                 }
             }
@@ -395,6 +414,7 @@
             Input::DirectoryBack => self.read_directory(index),
             Input::Continue(request) => self.continue_transaction(index, request),
             Input::SeekConfirmation => self.seek_confirmation(index),
+            Input::AskRelays(errand) => self.ask_relays(errand),
         }
     }
 
