--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -158,9 +158,9 @@
         if !roster.is_complete {
             return self.give_up(now, out);
         }
-        // Whatever becomes of the holds, it cannot commit once it has stopped. Until then, it could not serve anybody: the leases have
-        // ended.
-        if now < self.gives_up_at() && self.demotion.send_if_due(now) {
+        // Nothing but the holds keeps a replaced leader that leads on from committing. Where promotions are fenced, an older order for
+        // the leader, which changes nothing while it leads, would make it lead again once it has been demoted.
+        if !self.fenced && now < self.gives_up_at() && self.demotion.send_if_due(now) {
             let command = effect::MemberCommand::Demote(self.hold_term);
             self.send_command(self.old_leader, command, out);
         }
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -10,10 +10,12 @@
 //!   at the old leader when it was stopped may have been executed and confirmed since.
 //! - A leader that does not answer is taken over from. Every other member is held (`Holding`), also those that the directory no longer
 //!   lists but that still run: a member that does not answer may have received commits that the others lack. A replaced leader that
-//!   leads on cannot be held, so it is demoted first. The attempt then waits until no proxy trusts the old leader any more, see [`crate::lease`] and, where promotions are fenced, [`crate::trust`]. A member may have joined since and confirmed commits, so the directory is
-//!   read (`ReadingDirectory`), and all members are held and their logs read once more before the choice. The old leader is told to stop at that
-//!   moment, through another proxy if this one does not reach it: an undone hold does less harm then. For a leader that answers
-//!   everything but commits, the attempt waits until it has stopped before that second round.
+//!   leads on cannot be held, so it is demoted first. The attempt then waits until no proxy trusts the old leader any more, see
+//!   [`crate::lease`] and, where promotions are fenced, [`crate::trust`]. A member may have joined since and confirmed commits, so the
+//!   directory is read (`ReadingDirectory`), and all members are held and their logs read once more before the choice. Where promotions
+//!   are not fenced, the old leader is told to stop at that moment, through another proxy if this one does not reach it: an undone hold
+//!   does less harm then. For a leader that answers everything but commits, the attempt waits until it has stopped before that second
+//!   round.
 //!
 //! The member that has received most has everything that was acknowledged, unless a member that is gone had received more. So
 //! its log is also compared with the point up to which commits are known to be acknowledged.
--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -243,7 +243,7 @@
 /// Guards against commits that an old leader acknowledges after the choice, by way of a member whose hold is undone (inc13).
 #[test]
 fn old_leader_is_stopped_as_logs_are_read() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::unfenced();
     start_attempt(&mut fixture);
     let term = take_holds(&mut fixture)[0].1;
     let held = (false, term - 1, (term - 1, 500), term);
