--- a/crates/broker/tests/failover.rs
+++ b/crates/broker/tests/failover.rs
@@ -33,17 +33,8 @@
 
 /// Leaves statements at the leader unanswered until an attempt to replace it reads the claim row.
 fn lose_leader(fixture: &mut Fixture) {
-    for _ in 0..2 {
-        fixture.handle(Event::StatementEnded(StatementReport {
-            member: 1,
-            answer: Answer::Silent { commit: false },
-            point: None,
-            floor: None,
-            connected_at: None,
-            took: Some(Duration::from_millis(760)),
-        }));
-    }
-    fixture.advance(1_600);
+    fixture.silence(1);
+    fixture.advance(200);
 }
 
 /// Loses the leader, and plays the store until the attempt has sent the hold commands.
--- a/crates/broker/tests/failover_log.rs
+++ b/crates/broker/tests/failover_log.rs
@@ -57,17 +57,8 @@
 
 /// Leaves the leader's statements unanswered until an attempt to take over from it has claimed.
 fn lose_leader(fixture: &mut Fixture) {
-    for _ in 0..2 {
-        fixture.handle(Event::StatementEnded(StatementReport {
-            member: 1,
-            answer: Answer::Silent { commit: false },
-            point: None,
-            floor: None,
-            connected_at: None,
-            took: Some(Duration::from_millis(760)),
-        }));
-    }
-    fixture.advance(1_600);
+    fixture.silence(1);
+    fixture.advance(200);
     write_claim(fixture);
 }
 
