--- a/crates/session/tests/support/commanded.rs
+++ b/crates/session/tests/support/commanded.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use fulmarlift_broker::claim::{Claim, ClaimRow};
-use fulmarlift_broker::event::{Event, MemberStatus, OrderOutcome, StoreOutcome};
+use fulmarlift_broker::event::{DirectoryContact, Event, MemberStatus, OrderOutcome, StoreOutcome};
 use fulmarlift_broker::revision::Revision;
 use fulmarlift_broker::state::Settings;
 use fulmarlift_broker::topology::{Consistency, Group, Member as Entry, Peer, Route, Topology};
@@ -31,6 +31,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// Time for which a started proxy has reached the directory: longer than the members have to write their entries.
+const DIRECTORY_REACHED_FOR: Duration = Duration::from_secs(3);
+
 pub const GROUP: &str = "ledger";
 
 /// A deployment whose members speak the protocol between proxies, with the commands of a failover as texts of reads.
@@ -171,7 +174,8 @@
 }
 
 impl Proxy {
-    /// Starts a proxy that answers the questions of others, with the group and these members. It gets no ticks yet.
+    /// Starts a proxy that answers the questions of others, with the group and these members, and that has reached the directory for long
+    /// enough to take over. It gets no ticks yet.
     pub async fn start(vm_name: &str, domain: &str, members: &[Entry]) -> Self {
         let (row, orders, directory) = (Row::new(), Orders::default(), Directory::default());
         let settings = Settings {
@@ -190,9 +194,11 @@
         for member in members {
             shell.handle(Event::Listed(member.clone()));
         }
-        shell.handle(Event::DirectoryRead {
-            answered_at: Some(clock::now()),
-        });
+        let now = clock::now();
+        shell.handle(Event::DirectoryTold(Some(DirectoryContact {
+            answered_at: now,
+            reached_since: now.checked_sub(DIRECTORY_REACHED_FOR).unwrap_or(now),
+        })));
         Self {
             shell,
             row,
