--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use serde::{Deserialize, Serialize};
 
@@ -60,6 +61,91 @@
     Unknown,
 }
 
+/// Most members in the record of a choice.
+const CHOICE_MEMBERS_MAX: usize = 8;
+/// Most proxies in the record of a choice.
+const CHOICE_PROXIES_MAX: usize = 4;
+/// Longest name in the record of a choice, in bytes.
+const CHOICE_NAME_BYTES_MAX: usize = 200;
+
+/// Record of the choice of a leader, for the diagnostic logs of all proxies. No decision rests on it.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct ChoiceRecord {
+    /// Fencing token of the claim under which the choice was made.
+    pub token: u64,
+    /// Name of the proxy that chose, including its incarnation.
+    pub claimant: Box<str>,
+    /// Name of the member that was chosen.
+    pub target: Box<str>,
+    /// Newest term that was known to have a leader. The target leads a newer one.
+    pub replaced_term: id::Term,
+    /// Whether the old leader handed over, rather than being taken over from.
+    pub hands_over: bool,
+    /// Whether the logs are those at the order, rather than at the earlier record of the choice.
+    pub at_order: bool,
+    /// Point up to which the claimant knew all commits to be acknowledged.
+    pub acknowledged: Option<floor::Point>,
+    /// Point up to which the target had received.
+    pub target_had: Option<floor::Point>,
+    /// Members that the claimant knew, and those that it had dropped.
+    pub members: Vec<RecordedMember>,
+    /// Names of the proxies that the claimant asked about the group.
+    pub asked_proxies: Vec<Box<str>>,
+}
+
+/// A member in the record of a choice.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct RecordedMember {
+    /// Name of the member.
+    pub name: Box<str>,
+    /// Point up to which the member had received; its last known point if it was dropped.
+    pub received: Option<floor::Point>,
+    /// Term of the hold in its answer; 0 if it was not held.
+    pub held_term: id::Term,
+    /// Whether the directory listed the member.
+    pub listed: bool,
+    /// Whether the member was leaving.
+    pub leaving: bool,
+    /// Whether the member had answered the attempt.
+    pub answered: bool,
+    /// Time since the claimant dropped the member, in milliseconds; `None` if it did not.
+    pub dropped_for_ms: Option<u64>,
+}
+
+impl ChoiceRecord {
+    /// Returns the record with at most 8 members, the target first, at most 4 proxies, and names of at most 200 bytes.
+    pub fn bounded(mut self) -> Self {
+        self.members
+            .sort_by_key(|member| member.name != self.target);
+        self.members.truncate(CHOICE_MEMBERS_MAX);
+        self.asked_proxies.truncate(CHOICE_PROXIES_MAX);
+        for name in [&mut self.claimant, &mut self.target] {
+            shorten(name);
+        }
+        for member in &mut self.members {
+            shorten(&mut member.name);
+        }
+        for name in &mut self.asked_proxies {
+            shorten(name);
+        }
+        self
+    }
+
+    /// Returns whether `target_had` is the end of the log with which the target leads: a leader that hands over goes on after the first
+    /// record of the choice.
+    pub fn is_final(&self) -> bool {
+        self.at_order || !self.hands_over
+    }
+}
+
+fn shorten(name: &mut Box<str>) {
+    if name.len() > CHOICE_NAME_BYTES_MAX {
+        let is_end = |end: &usize| name.is_char_boundary(*end);
+        let end = (0..=CHOICE_NAME_BYTES_MAX).rfind(is_end).unwrap_or(0);
+        *name = name[..end].into();
+    }
+}
+
 /// Contents of a group's claim row. Every change is conditional on the row's revision.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct Claim {
@@ -88,6 +174,9 @@
     /// releases lack it, which reads as 0.
     #[serde(skip)]
     pub led_term: id::Term,
+    /// The newest choice that was recorded. Rows of earlier releases lack it.
+    #[serde(skip)]
+    pub choice: Option<Box<ChoiceRecord>>,
 }
 
 /// A claim row as the store returns it.
@@ -179,7 +268,7 @@
 impl Claim {
     /// Encodes the claim as the contents of a row.
     ///
-    /// `order_ends_ms`, `era`, `last_ordered` and `led_term` come last, so that earlier releases read the row without them.
+    /// `order_ends_ms`, `era`, `last_ordered`, `led_term` and `choice` come last, so that earlier releases read the row without them.
     pub fn to_bytes(&self) -> Vec<u8> {
         let row = (
             self,
@@ -187,6 +276,7 @@
             self.era,
             &self.last_ordered,
             self.led_term,
+            &self.choice,
         );
         postcard::to_stdvec(&row).expect("a claim of plain values always encodes")
     }
@@ -209,7 +299,13 @@
             (claim.last_ordered, rest) = postcard::take_from_bytes(rest)?;
         }
         if !rest.is_empty() {
-            claim.led_term = postcard::from_bytes(rest)?;
+            (claim.led_term, rest) = postcard::take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            // A record that this release cannot read must not make the claim unreadable.
+            let choice: Option<Option<ChoiceRecord>> = postcard::from_bytes(rest).ok();
+            let choice = choice.flatten().map(ChoiceRecord::bounded);
+            claim.choice = choice.map(Box::new);
         }
         Ok(claim)
     }
--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -292,7 +292,7 @@
     pub target: Option<id::MemberId>,
     /// What the attempt knew of the old leader.
     pub basis: ChoiceBasis,
-    /// Members that the attempt knew, and those that have answered it and been dropped since.
+    /// Members that the attempt knew, and those that were dropped lately.
     pub members: Vec<ChoiceMember>,
 }
 
@@ -330,6 +330,8 @@
     pub surveyed_end: Option<floor::Point>,
     /// End of the old leader's log when it had stopped.
     pub log_end: Option<floor::Point>,
+    /// Point up to which all commits were known to be acknowledged when the attempt was created.
+    pub acknowledged: Option<floor::Point>,
 }
 
 /// What an attempt to replace a leader knows of a member at the choice.
@@ -349,6 +351,17 @@
     pub listed: bool,
     /// Whether the member leaves.
     pub leaving: bool,
+    /// What is known of the drop of the member; `None` if it was not dropped.
+    pub dropped: Option<DroppedMember>,
+}
+
+/// A member that the broker has dropped.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DroppedMember {
+    /// Instant of the drop.
+    pub at: Instant,
+    /// Last known point of the member's log.
+    pub reached: Option<floor::Point>,
 }
 
 /// Answer of a member to a command.
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -415,6 +415,7 @@
             hands_over: self.hands_over,
             surveyed_end: self.surveyed_end,
             log_end: self.log_end,
+            acknowledged: self.acknowledged,
         }
     }
 
@@ -539,6 +540,7 @@
                 _ => stored.claim.led_term,
             },
             last_ordered,
+            choice: None,
         };
         self.ordered_before = self.claim.last_ordered.clone();
         self.led_before = self.claim.led_term;
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -229,7 +229,8 @@
         };
         let group = self.groups.entry(group_id);
         let state = group.members.remove(member);
-        if state.is_some() {
+        if let Some(state) = &state {
+            group.failover_log.record_dropped(now, state);
             self.homes_outdated = true;
             effects.push(effect::Effect::RecordChange(effect::StateChange::Gone(
                 member,
--- a/crates/broker/src/state/failover_log.rs
+++ b/crates/broker/src/state/failover_log.rs
@@ -1,17 +1,23 @@
 //! What the members of a group told while its leader was replaced, for the proxy's diagnostic log. No decision rests on it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
 
+use crate::claim;
 use crate::effect;
 use crate::event;
 use crate::failover;
 use crate::member_state;
 use crate::state;
 
+/// Most dropped members that are kept.
+const DROPPED_MAX: usize = 8;
+/// Time for which a dropped member is kept.
+const DROPPED_RETENTION: Duration = Duration::from_secs(60);
+
 /// What the members of a group told while its leader was replaced.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FailoverLog {
@@ -27,6 +33,10 @@
     promotion: Option<Promotion>,
     /// Leader that has stopped last to hand over.
     stopped: Option<Stopped>,
+    /// Members that were dropped lately, the last one at the end.
+    dropped: Vec<(id::MemberId, Box<str>, effect::DroppedMember)>,
+    /// The newest choice that this proxy has made or read.
+    pub(super) record: Option<Box<claim::ChoiceRecord>>,
 }
 
 /// A promotion after which the other members are compared with the leader.
@@ -199,14 +209,101 @@
         }))
     }
 
+    /// Keeps what is known of a member that is dropped.
+    pub(super) fn record_dropped(&mut self, now: Instant, state: &member_state::MemberState) {
+        self.dropped
+            .retain(|(_, _, dropped)| now < dropped.at + DROPPED_RETENTION);
+        if self.dropped.len() == DROPPED_MAX {
+            self.dropped.remove(0);
+        }
+        let receipt = state.receipt.map(|receipt| receipt.point);
+        let dropped = effect::DroppedMember {
+            at: now,
+            reached: state.reached.max(receipt),
+        };
+        self.dropped
+            .push((state.entry.id, state.entry.name.clone(), dropped));
+    }
+
+    /// Keeps the choice that a claim row tells, unless a newer one is known.
+    pub(super) fn learn_record(&mut self, record: &claim::ChoiceRecord) {
+        let rank = |record: &claim::ChoiceRecord| (record.token, record.at_order);
+        let is_newer = self
+            .record
+            .as_deref()
+            .is_none_or(|known| rank(known) < rank(record));
+        if is_newer {
+            self.record = Some(Box::new(record.clone()));
+        }
+    }
+
+    /// Adds the record of the choice to writes of the claim row. Returns the choice of an attempt that gives an order, unless that choice
+    /// has been logged.
+    pub(super) fn tell_choice(
+        &mut self,
+        now: Instant,
+        claimant: &str,
+        attempt: &failover::Attempt,
+        roster: &failover::Roster,
+        members: &sorted::Map<id::MemberId, member_state::MemberState>,
+        effects: &mut [effect::Effect],
+    ) -> Option<effect::StateChange> {
+        let mut told = None;
+        for effect in effects {
+            match effect {
+                effect::Effect::OrderPromotion { group, .. } => {
+                    told = told.or_else(|| {
+                        let choice = self.choice(now, *group, attempt, roster, members)?;
+                        self.update_record(now, &choice);
+                        Some(effect::StateChange::Choice(choice))
+                    });
+                }
+                effect::Effect::StoreClaim { group, claim, .. } => {
+                    let (step, ..) = attempt.step_token_and_target();
+                    if step == "recording" {
+                        let choice = self.describe(now, *group, attempt, roster, members);
+                        let replaced_term = claim.last_ordered.replaced_term();
+                        self.record = new_record(now, claimant, replaced_term, &choice);
+                    }
+                    claim.choice = self.record.clone();
+                }
+                _ => {}
+            }
+        }
+        told
+    }
+
+    /// Updates the record of a choice with the logs at the order.
+    fn update_record(&mut self, now: Instant, choice: &effect::Choice) {
+        let Some(known) = self.record.as_deref() else {
+            return;
+        };
+        let (claimant, replaced_term) = (known.claimant.clone(), known.replaced_term);
+        let record = new_record(now, &claimant, replaced_term, choice);
+        // An order that only ends an older one was not recorded.
+        let updated = record
+            .filter(|record| record.token == known.token && record.target == known.target)
+            .map(|record| {
+                Box::new(claim::ChoiceRecord {
+                    at_order: true,
+                    asked_proxies: known.asked_proxies.clone(),
+                    ..*record
+                })
+            });
+        if updated.is_some() {
+            self.record = updated;
+        }
+    }
+
     /// Returns the choice of an attempt that gives an order, unless that choice has been logged.
-    pub(super) fn choice(
+    fn choice(
         &mut self,
+        now: Instant,
         group: id::GroupId,
         attempt: &failover::Attempt,
         roster: &failover::Roster,
         members: &sorted::Map<id::MemberId, member_state::MemberState>,
-    ) -> Option<effect::StateChange> {
+    ) -> Option<effect::Choice> {
         let (_, token, target) = attempt.step_token_and_target();
         if self.logged_choice.replace((token, target)) == Some((token, target)) {
             return None;
@@ -216,6 +313,19 @@
             .filter(|(_, told)| told.asked_at >= attempt.began_at())
             .map(|(member, told)| (member, told.answer.status.received))
             .collect();
+        Some(self.describe(now, group, attempt, roster, members))
+    }
+
+    /// Returns the choice of an attempt with what is known of the members.
+    fn describe(
+        &self,
+        now: Instant,
+        group: id::GroupId,
+        attempt: &failover::Attempt,
+        roster: &failover::Roster,
+        members: &sorted::Map<id::MemberId, member_state::MemberState>,
+    ) -> effect::Choice {
+        let (_, token, target) = attempt.step_token_and_target();
         let answer = |member| {
             let told = self.answers.get(member);
             let told = told.filter(|told| told.asked_at >= attempt.began_at());
@@ -234,9 +344,14 @@
                 asked: attempt.has_asked(participant.member),
                 listed: participant.listed,
                 leaving: participant.leaving,
+                dropped: None,
             });
         let is_known = |member| roster.members.iter().any(|known| known.member == member);
-        let dropped = self
+        let drop_of = |member| {
+            let mut dropped = self.dropped.iter().rev();
+            dropped.find(|(dropped, ..)| *dropped == member)
+        };
+        let answered = self
             .answers
             .iter()
             .filter(|(member, _)| !is_known(*member))
@@ -249,18 +364,74 @@
                 asked: true,
                 listed: false,
                 leaving: false,
+                dropped: drop_of(member).map(|(_, _, dropped)| *dropped),
             });
-        Some(effect::StateChange::Choice(effect::Choice {
+        let unanswered = self
+            .dropped
+            .iter()
+            .filter(|(_, _, dropped)| now < dropped.at + DROPPED_RETENTION)
+            .filter(|(member, ..)| !is_known(*member) && answer(*member).is_none())
+            .map(|(member, name, dropped)| effect::ChoiceMember {
+                member: *member,
+                name: name.clone(),
+                answer: None,
+                known_since: None,
+                asked: attempt.has_asked(*member),
+                listed: false,
+                leaving: false,
+                dropped: Some(*dropped),
+            });
+        effect::Choice {
             group,
             token,
             reason: attempt.reason,
             target,
             basis: attempt.choice_basis(),
-            members: known.chain(dropped).collect(),
-        }))
+            members: known.chain(answered).chain(unanswered).collect(),
+        }
     }
 }
 
+/// Returns the record of a choice; `None` if the target is not known.
+fn new_record(
+    now: Instant,
+    claimant: &str,
+    replaced_term: id::Term,
+    choice: &effect::Choice,
+) -> Option<Box<claim::ChoiceRecord>> {
+    let mut members = choice.members.iter();
+    let target = members.find(|member| Some(member.member) == choice.target)?;
+    let received = |member: &effect::ChoiceMember| {
+        let answered = member.answer.map(|answer| answer.status.received);
+        answered.or(member.dropped.and_then(|dropped| dropped.reached))
+    };
+    let recorded = choice.members.iter().map(|member| claim::RecordedMember {
+        name: member.name.clone(),
+        received: received(member),
+        held_term: member.answer.map_or(0, |answer| answer.status.held_term),
+        listed: member.listed,
+        leaving: member.leaving,
+        answered: member.answer.is_some(),
+        dropped_for_ms: member.dropped.map(|dropped| {
+            let dropped_for = now.saturating_duration_since(dropped.at);
+            u64::try_from(dropped_for.as_millis()).unwrap_or(u64::MAX)
+        }),
+    });
+    let record = claim::ChoiceRecord {
+        token: choice.token,
+        claimant: claimant.into(),
+        target: target.name.clone(),
+        replaced_term,
+        hands_over: choice.basis.hands_over,
+        at_order: false,
+        acknowledged: choice.basis.acknowledged,
+        target_had: received(target),
+        members: recorded.collect(),
+        asked_proxies: Vec::new(),
+    };
+    Some(Box::new(record.bounded()))
+}
+
 impl Promotion {
     /// Returns whether the answer of a member shows that it had received more than the choice counted. A replica that has been rolled
     /// back, or that follows the new leader, shows nothing.
@@ -284,6 +455,15 @@
 }
 
 impl state::Broker {
+    /// Keeps the choice that a claim row tells.
+    pub(super) fn learn_choice(&mut self, group_id: id::GroupId, row: Option<&claim::ClaimRow>) {
+        if let Some(group) = self.groups.get_mut(group_id)
+            && let Some(record) = row.and_then(|row| row.claim.choice.as_deref())
+        {
+            group.failover_log.learn_record(record);
+        }
+    }
+
     /// Logs if a member's answer with this point shows that it went on after it had stopped to hand over.
     pub(super) fn watch_stopped_leader(
         &mut self,
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -314,14 +314,15 @@
         for effect in &mut effects[first_new_effect..] {
             assign_connection(effect, &mut group.members);
         }
-        let orders = effects[first_new_effect..]
-            .iter()
-            .any(|effect| matches!(effect, effect::Effect::OrderPromotion { .. }));
-        if orders {
-            let log = &mut group.failover_log;
-            let choice = log.choice(group_id, attempt, &roster, &group.members);
-            effects.extend(choice.map(effect::Effect::RecordChange));
-        }
+        let choice = group.failover_log.tell_choice(
+            now,
+            &self.settings.name,
+            attempt,
+            &roster,
+            &group.members,
+            &mut effects[first_new_effect..],
+        );
+        effects.extend(choice.map(effect::Effect::RecordChange));
         let stopped = group.failover_log.stopped_leader(group_id, attempt);
         effects.extend(stopped.map(effect::Effect::RecordChange));
         let (step, token, target) = attempt.step_token_and_target();
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -224,6 +224,7 @@
                 stored,
             } => {
                 let stored = stored.map(|row| self.protect_lost_claim(now, row));
+                self.learn_choice(group, stored.as_ref());
                 self.record_claim_row(now, group, asked_at, stored.as_ref(), effects);
                 self.advance_failover(now, group, effects, |attempt, _, out| {
                     attempt.apply_claim(now, asked_at, stored, out)
@@ -235,6 +236,7 @@
                 row,
             } => {
                 let row = self.protect_lost_claim(now, row);
+                self.learn_choice(group, Some(&row));
                 self.record_claim_row(now, group, asked_at, Some(&row), effects);
             }
             event::Event::DirectoryLoaded { group, is_read } => {
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -1350,6 +1350,7 @@
                 era: self.row.era,
                 last_ordered: claim::LastOrdered::default(),
                 led_term: 0,
+                choice: None,
             },
             revision: self.revision(rules),
             now_ms: u64::from(self.row.expired && !lost),
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -138,7 +138,7 @@
         .map(|member| choice_member_text(now, member))
         .collect();
     log::info!(
-        "event=choice group={} token={} reason={:?} hands_over={} target={} old_leader={} log_end={} surveyed_end={} members=\"{}\"",
+        "event=choice group={} token={} reason={:?} hands_over={} target={} old_leader={} log_end={} surveyed_end={} acknowledged={} members=\"{}\"",
         group_name(broker, choice.group),
         choice.token,
         choice.reason,
@@ -147,6 +147,7 @@
         name(choice.basis.old_leader),
         point_text(choice.basis.log_end),
         point_text(choice.basis.surveyed_end),
+        point_text(choice.basis.acknowledged),
         members.join(" ")
     );
 }
@@ -189,17 +190,25 @@
         age.map_or_else(|| "-".to_owned(), |age| age.to_string())
     };
     let answer = member.answer;
+    let dropped = member.dropped;
     let told = answer.map_or_else(
-        || "-/-/-".to_owned(),
+        || match dropped.and_then(|dropped| dropped.reached) {
+            Some(reached) => format!("{}/-/-", point_text(Some(reached))),
+            None => "-/-/-".to_owned(),
+        },
         |answer| {
             let status = answer.status;
             let received = point_text(Some(status.received));
             format!("{received}/{}/{}", status.term, status.held_term)
         },
     );
+    let dropped_flag = dropped.map_or_else(
+        || "dropped".to_owned(),
+        |dropped| format!("dropped={}", age_ms(Some(dropped.at))),
+    );
     let flags = [
         (answer.is_some_and(|answer| answer.status.leads), "leads"),
-        (member.known_since.is_none(), "dropped"),
+        (member.known_since.is_none(), dropped_flag.as_str()),
         (member.leaving, "leaving"),
         (!member.listed && member.known_since.is_some(), "unlisted"),
         (!member.asked, "not_asked"),
--- a/crates/session/tests/state_changes.rs
+++ b/crates/session/tests/state_changes.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_broker::effect::{
-    Choice, ChoiceBasis, ChoiceMember, CommandAnswer, Comparison, StateChange,
+    Choice, ChoiceBasis, ChoiceMember, CommandAnswer, Comparison, DroppedMember, StateChange,
 };
 use fulmarlift_broker::event::{MemberStatus, StatusAnswer};
 use fulmarlift_broker::leader::ReplaceReason;
@@ -76,6 +76,7 @@
         asked: true,
         listed: true,
         leaving: false,
+        dropped: None,
     }
 }
 
@@ -86,7 +87,12 @@
         _ => text.to_owned(),
     };
     let parts: Vec<String> = line.split('/').map(whole).collect();
-    parts.join("/")
+    let line = parts.join("/");
+    let (before, after) = line.split_once("dropped=").unwrap_or((&line, ""));
+    match after.split_once('+') {
+        Some((age, after)) => format!("{before}dropped={}+{after}", whole(age)),
+        None => line,
+    }
 }
 
 #[test]
@@ -101,6 +107,14 @@
         listed: false,
         ..answered(now, 4, false, 528)
     };
+    let dropped_unanswered = ChoiceMember {
+        answer: None,
+        dropped: Some(DroppedMember {
+            at: ago(now, 3).expect("the clock counts from long ago"),
+            reached: Some(Point::new(13, 527)),
+        }),
+        ..dropped.clone()
+    };
     let away = ChoiceMember {
         asked: false,
         listed: false,
@@ -118,12 +132,14 @@
             hands_over: true,
             surveyed_end: Some(Point::new(13, 528)),
             log_end: Some(Point::new(13, 529)),
+            acknowledged: Some(Point::new(13, 526)),
         },
         members: vec![
             answered(now, 1, true, 528),
             answered(now, 2, false, 529),
             silent,
             dropped,
+            dropped_unanswered,
             away,
         ],
     });
@@ -135,8 +151,9 @@
         lines,
         [
             "level=INFO event=choice group=unknown token=12 reason=Leaving hands_over=true target=member-2 old_leader=member-1 \
-             log_end=13.529 surveyed_end=13.528 members=\"member-1:13.528/13/14/7s/9s/60s/leads member-2:13.529/13/14/7s/9s/60s/- \
+             log_end=13.529 surveyed_end=13.528 acknowledged=13.526 members=\"member-1:13.528/13/14/7s/9s/60s/leads member-2:13.529/13/14/7s/9s/60s/- \
              member-3:-/-/-/-/-/60s/no_answer member-4:13.528/13/14/7s/9s/-/dropped \
+             member-4:13.527/-/-/-/-/-/dropped=3s+no_answer \
              member-5:-/-/-/-/-/60s/leaving+unlisted+not_asked\""
         ]
     );
