--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -62,6 +62,9 @@
     },
     /// Read the claim row of a group.
     LoadClaim(id::GroupId),
+    /// Read the claim row of a group for the diagnostic log, which [`event::Event::ChoiceLoaded`] reports. If the store does not answer,
+    /// nothing is reported.
+    LoadChoice(id::GroupId),
     /// Read the entries of all members, for the attempt to replace the leader of a group.
     ReadDirectory(id::GroupId),
     /// Write the claim row of a group if the row still has the given revision and the store is still in that era.
@@ -216,6 +219,17 @@
     },
     /// A failover orders the promotion of a member.
     Choice(Choice),
+    /// The choice of the leader that this proxy believes in, as the claim row tells it.
+    LeaderChoice {
+        /// Group of the leader.
+        group: id::GroupId,
+        /// The leader.
+        leader: id::MemberId,
+        /// Newest term that an answer has shown.
+        term: id::Term,
+        /// The choice.
+        choice: Box<claim::ChoiceRecord>,
+    },
     /// A leader that hands over has stopped.
     LeaderStopped {
         /// Group of the leader.
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -159,6 +159,15 @@
         /// Row that was read.
         row: claim::ClaimRow,
     },
+    /// The store has answered [`crate::effect::Effect::LoadChoice`]. For the diagnostic log: no decision rests on this read.
+    ChoiceLoaded {
+        /// Group of the row.
+        group: id::GroupId,
+        /// Instant at which the row was asked for, or an earlier one.
+        asked_at: Instant,
+        /// Row that was read.
+        row: claim::ClaimRow,
+    },
     /// A read of the directory for an attempt to replace a leader ended. [`Event::Listed`] has been reported for every member that
     /// was listed then, and [`Event::MemberKnown`] for those that other proxies have named meanwhile.
     DirectoryLoaded {
--- a/crates/broker/src/state/failover_log.rs
+++ b/crates/broker/src/state/failover_log.rs
@@ -455,15 +455,6 @@
 }
 
 impl state::Broker {
-    /// Keeps the choice that a claim row tells.
-    pub(super) fn learn_choice(&mut self, group_id: id::GroupId, row: Option<&claim::ClaimRow>) {
-        if let Some(group) = self.groups.get_mut(group_id)
-            && let Some(record) = row.and_then(|row| row.claim.choice.as_deref())
-        {
-            group.failover_log.learn_record(record);
-        }
-    }
-
     /// Logs if a member's answer with this point shows that it went on after it had stopped to hand over.
     pub(super) fn watch_stopped_leader(
         &mut self,
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -103,6 +103,10 @@
             group.logged_leader = group.leader.member;
             group.lease.trust.doubt(now);
             group.belief_changed = true;
+            if let Some(leader) = group.leader.member {
+                let proxy = id::of(&self.settings.name);
+                group.choice_log.record_leader(now, proxy, group_id, leader);
+            }
             effects.push(effect::Effect::RecordChange(effect::StateChange::Leader {
                 group: group_id,
                 member: group.leader.member,
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! The broker: the state of one proxy's decisions, and the step that applies an event to it.
 
+mod choice_log;
 mod confirmations;
 mod conns;
 mod directory;
@@ -112,6 +113,7 @@
     /// Step in the last [`effect::StateChange::Failover`]; empty before the first one.
     logged_step: &'static str,
     failover_log: failover_log::FailoverLog,
+    choice_log: choice_log::ChoiceLog,
 }
 
 impl Broker {
@@ -224,7 +226,7 @@
                 stored,
             } => {
                 let stored = stored.map(|row| self.protect_lost_claim(now, row));
-                self.learn_choice(group, stored.as_ref());
+                self.learn_choice(group, asked_at, stored.as_ref());
                 self.record_claim_row(now, group, asked_at, stored.as_ref(), effects);
                 self.advance_failover(now, group, effects, |attempt, _, out| {
                     attempt.apply_claim(now, asked_at, stored, out)
@@ -236,9 +238,14 @@
                 row,
             } => {
                 let row = self.protect_lost_claim(now, row);
-                self.learn_choice(group, Some(&row));
+                self.learn_choice(group, asked_at, Some(&row));
                 self.record_claim_row(now, group, asked_at, Some(&row), effects);
             }
+            event::Event::ChoiceLoaded {
+                group,
+                asked_at,
+                row,
+            } => self.learn_choice(group, asked_at, Some(&row)),
             event::Event::DirectoryLoaded { group, is_read } => {
                 self.advance_failover(now, group, effects, |attempt, roster, out| {
                     attempt.apply_directory(now, is_read, roster, out)
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -44,6 +44,7 @@
             self.renew_lease_if_due(now, group_id, effects);
             self.supervise_leader(now, group_id, effects);
             self.search_leader(now, group_id, effects);
+            self.follow_choices(now, group_id, effects);
         }
         self.close_timed_out(now, effects);
     }
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -423,6 +423,7 @@
                 conn,
             } => self.send_command(group, member, command, conn),
             effect::Effect::LoadClaim(group) => self.load_claim(group),
+            effect::Effect::LoadChoice(group) => self.load_choice(group),
             effect::Effect::ReadDirectory(group) => self.read_directory(group),
             effect::Effect::StoreClaim {
                 group,
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use fulmarlift_broker::Broker;
+use fulmarlift_broker::claim;
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
 use fulmarlift_core::floor;
@@ -38,6 +39,12 @@
             );
         }
         effect::StateChange::Choice(ref choice) => log_choice(broker, choice),
+        effect::StateChange::LeaderChoice {
+            group,
+            leader,
+            term,
+            ref choice,
+        } => log_leader_choice(broker, group, leader, term, choice),
         effect::StateChange::LeaderStopped {
             group,
             token,
@@ -152,6 +159,56 @@
     );
 }
 
+/// Logs the choice of a leader as its claimant has recorded it, in one line.
+fn log_leader_choice(
+    broker: &Broker,
+    group: id::GroupId,
+    leader: id::MemberId,
+    term: id::Term,
+    choice: &claim::ChoiceRecord,
+) {
+    let members: Vec<String> = choice.members.iter().map(recorded_member_text).collect();
+    log::info!(
+        "event=leader_choice group={} leader={} term={term} token={} claimant={} target={} target_had={} acknowledged={} hands_over={} at_order={} asked=\"{}\" members=\"{}\"",
+        group_name(broker, group),
+        member_name(broker, leader),
+        choice.token,
+        choice.claimant,
+        choice.target,
+        point_text(choice.target_had),
+        point_text(choice.acknowledged),
+        choice.hands_over,
+        choice.at_order,
+        choice.asked_proxies.join(" "),
+        members.join(" ")
+    );
+}
+
+/// Returns what a claimant has recorded of a member: `NAME:RECEIVED/HELD_TERM/FLAGS`, with the time since its drop in ms.
+fn recorded_member_text(member: &claim::RecordedMember) -> String {
+    let dropped = member.dropped_for_ms.map(|ms| format!("dropped={ms}"));
+    let flags = [
+        (member.listed, "listed"),
+        (member.leaving, "leaving"),
+        (member.answered, "answered"),
+        (dropped.is_some(), dropped.as_deref().unwrap_or_default()),
+    ];
+    let flags = flags.into_iter().filter(|(applies, _)| *applies);
+    let flags: Vec<&str> = flags.map(|(_, flag)| flag).collect();
+    let received = member
+        .received
+        .map_or_else(|| "-".to_owned(), |point| point_text(Some(point)));
+    format!(
+        "{}:{received}/{}/{}",
+        member.name,
+        member.held_term,
+        match flags.is_empty() {
+            true => "-".to_owned(),
+            false => flags.join("+"),
+        }
+    )
+}
+
 /// Logs the comparison of a member with a new leader, and warns if the member was ahead.
 fn log_comparison(broker: &Broker, comparison: &effect::Comparison) {
     let group = group_name(broker, comparison.group);
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -445,6 +445,27 @@
         });
     }
 
+    /// Reads a claim row from the store for the diagnostic log. Neither the answer nor its lack changes what this proxy knows of the store.
+    pub(super) fn load_choice(self: &Rc<Self>, group: id::GroupId) {
+        let shell = Rc::clone(self);
+        let asked_at = clock::now();
+        tokio::task::spawn_local(async move {
+            let name = shell.group_name(group);
+            let loaded = shell.claims.load(&name).await;
+            let row = loaded.ok().filter(|row| {
+                let era = *shell.store_era.borrow();
+                era == Some(row.revision.era)
+            });
+            if let Some(row) = row {
+                shell.handle(event::Event::ChoiceLoaded {
+                    group,
+                    asked_at,
+                    row,
+                });
+            }
+        });
+    }
+
     /// Reads a claim row from the store.
     pub(crate) async fn read_claim(self: &Rc<Self>, group: &str) -> Option<claim::ClaimRow> {
         match self.claims.load(group).await {
--- a/crates/session/tests/state_changes.rs
+++ b/crates/session/tests/state_changes.rs
@@ -6,6 +6,7 @@
 use std::sync::Once;
 use std::time::{Duration, Instant};
 
+use fulmarlift_broker::claim::{ChoiceRecord, RecordedMember};
 use fulmarlift_broker::effect::{
     Choice, ChoiceBasis, ChoiceMember, CommandAnswer, Comparison, DroppedMember, StateChange,
 };
@@ -159,6 +160,55 @@
     );
 }
 
+#[test]
+fn line_of_leader_choice_tells_record() {
+    let member = RecordedMember {
+        name: "member-1".into(),
+        received: Some(Point::new(13, 528)),
+        held_term: 14,
+        listed: true,
+        leaving: true,
+        answered: true,
+        dropped_for_ms: None,
+    };
+    let dropped = RecordedMember {
+        name: "member-2".into(),
+        received: Some(Point::new(13, 530)),
+        dropped_for_ms: Some(3_200),
+        ..RecordedMember::default()
+    };
+    let unknown = RecordedMember {
+        name: "member-3".into(),
+        ..RecordedMember::default()
+    };
+    let choice = ChoiceRecord {
+        token: 12,
+        claimant: "proxy-2-0".into(),
+        target: "member-1".into(),
+        replaced_term: 13,
+        hands_over: false,
+        at_order: true,
+        acknowledged: None,
+        target_had: Some(Point::new(13, 528)),
+        members: vec![member, dropped, unknown],
+        asked_proxies: vec!["proxy-3".into(), "proxy-4".into()],
+    };
+    let change = StateChange::LeaderChoice {
+        group: 7,
+        leader: 1,
+        term: 14,
+        choice: Box::new(choice),
+    };
+    assert_eq!(
+        lines_of(&change),
+        [
+            "level=INFO event=leader_choice group=unknown leader=unknown term=14 token=12 claimant=proxy-2-0 target=member-1 \
+             target_had=13.528 acknowledged=none hands_over=false at_order=true asked=\"proxy-3 proxy-4\" \
+             members=\"member-1:13.528/14/listed+leaving+answered member-2:13.530/0/dropped=3200 member-3:-/0/-\""
+        ]
+    );
+}
+
 const REFUSED: StatusAnswer = StatusAnswer::Refused {
     is_busy: true,
     point: Some(Point {
