--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -230,6 +230,21 @@
         /// The choice.
         choice: Box<claim::ChoiceRecord>,
     },
+    /// The leader lacks a commit of whose success this proxy has told.
+    CommitLost(LostCommit),
+    /// The leader lacks further such commits.
+    MoreCommitsLost {
+        /// Group of the leader.
+        group: id::GroupId,
+        /// The leader.
+        leader: id::MemberId,
+        /// Point up to which it had received when it was chosen.
+        leader_had: floor::Point,
+        /// Number of commits that are certain to lie past that point.
+        certain: usize,
+        /// Number of commits that may lie past that point.
+        uncertain: usize,
+    },
     /// A leader that hands over has stopped.
     LeaderStopped {
         /// Group of the leader.
@@ -310,6 +325,25 @@
     pub members: Vec<ChoiceMember>,
 }
 
+/// A commit that a promoted leader lacks, and of whose success this proxy has told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LostCommit {
+    /// Group of the commit.
+    pub group: id::GroupId,
+    /// Identifier that the caller gave the commit.
+    pub request: Box<str>,
+    /// End of the old leader's log in the answer to the commit.
+    pub point: floor::Point,
+    /// Instant at which this proxy told of the success.
+    pub told_at: Instant,
+    /// The promoted leader.
+    pub leader: id::MemberId,
+    /// Point up to which it had received when it was chosen.
+    pub leader_had: floor::Point,
+    /// Whether the old leader's log had reached that point before the commit was sent, so that the commit lies past it.
+    pub is_certain: bool,
+}
+
 /// A member beside a leader that has just confirmed its promotion.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Comparison {
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -85,6 +85,13 @@
         /// Instant at which the answer arrived.
         arrived_at: Instant,
     },
+    /// This proxy passes the success of a commit on to a caller or to another proxy. For the diagnostic log.
+    CommitTold {
+        /// Group of the commit.
+        group: id::GroupId,
+        /// The commit.
+        commit: ToldCommit,
+    },
     /// A member answered the question whether it has received a commit, or failed to answer.
     ReceiptAnswered {
         /// Group of the member.
@@ -196,6 +203,17 @@
     Tick,
 }
 
+/// A commit of whose success a proxy tells.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ToldCommit {
+    /// Identifier that the caller gave the commit.
+    pub request: Box<str>,
+    /// End of the leader's log in the answer to the commit, which may lie past the commit.
+    pub point: floor::Point,
+    /// [`crate::Broker::newest_log_end`] before the commit was sent.
+    pub seen_before: Option<floor::Point>,
+}
+
 /// Contact of a proxy with the directory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DirectoryContact {
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -180,6 +180,8 @@
         let Some(group_id) = self.member_groups.get(member).copied() else {
             return;
         };
+        let choice_log = &mut self.groups.entry(group_id).choice_log;
+        choice_log.record_log_end(report.point);
         let is_home = self.is_home(member);
         let Some(state) = self.member_state_mut(member) else {
             return;
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -241,6 +241,9 @@
                 self.learn_choice(group, asked_at, Some(&row));
                 self.record_claim_row(now, group, asked_at, Some(&row), effects);
             }
+            event::Event::CommitTold { group, commit } => {
+                self.record_told_commit(now, group, commit);
+            }
             event::Event::ChoiceLoaded {
                 group,
                 asked_at,
--- a/crates/broker/tests/choice_log.rs
+++ b/crates/broker/tests/choice_log.rs
@@ -6,7 +6,7 @@
 
 use fulmarlift_broker::claim::{ChoiceRecord, Claim, ClaimRow, LastOrdered};
 use fulmarlift_broker::effect::{Effect, StateChange};
-use fulmarlift_broker::event::{Event, StoreOutcome};
+use fulmarlift_broker::event::{Answer, Event, StatementReport, StoreOutcome, ToldCommit};
 use fulmarlift_broker::request::Requirement;
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
@@ -243,3 +243,144 @@
     let with_lease_read = effects_after(&before, Some((Read::ForLease, &row)));
     assert_ne!(with_lease_read, expected, "the comparison sees decisions");
 }
+
+/// Lets the proxy tell of a commit in term 1 at this position, before which the log was seen to reach `seen_before`.
+fn tell_commit(
+    fixture: &mut Fixture,
+    request: &str,
+    point: (id::Term, id::Position),
+    seen_before: (id::Term, id::Position),
+) {
+    let commit = ToldCommit {
+        request: request.into(),
+        point: Point::new(point.0, point.1),
+        seen_before: Some(Point::new(seen_before.0, seen_before.1)),
+    };
+    let group = GROUP;
+    fixture.handle(Event::CommitTold { group, commit });
+}
+
+/// Lets member 2 lead by this choice, and the proxy read of it.
+fn promote_second(fixture: &mut Fixture, choice: ChoiceRecord) {
+    list_leader(fixture, 2, 10);
+    load_choice(fixture, row(choice));
+    fixture.advance(100);
+}
+
+/// Requests whose commits were logged as lost, each with whether that is certain, and the numbers of others that are and that are not.
+type Lost = (Vec<(Box<str>, bool)>, Vec<(usize, usize)>);
+
+fn take_lost(fixture: &mut Fixture) -> Lost {
+    let (mut lost, mut more) = (Vec::new(), Vec::new());
+    for effect in fixture.take_effects() {
+        match effect {
+            Effect::RecordChange(StateChange::CommitLost(commit)) => {
+                assert_eq!((commit.group, commit.leader), (GROUP, 2));
+                assert_eq!(commit.leader_had, Point::new(1, 40));
+                lost.push((commit.request, commit.is_certain));
+            }
+            Effect::RecordChange(StateChange::MoreCommitsLost {
+                certain, uncertain, ..
+            }) => more.push((certain, uncertain)),
+            _ => {}
+        }
+    }
+    (lost, more)
+}
+
+/// Five records of the loss did not tell whether callers had been told of the lost commits (users' LOST, inc14).
+#[rstest]
+#[case::in_log_of_leader((1, 40), (1, 39), None)]
+#[case::answer_past_log_of_leader((1, 41), (1, 39), Some(false))]
+#[case::sent_past_log_of_leader((1, 41), (1, 40), Some(true))]
+#[case::log_was_seen_in_earlier_term((1, 41), (0, 50), Some(false))]
+#[case::of_term_of_leader((2, 41), (1, 40), None)]
+fn lost_commit_is_told_once(
+    #[case] point: (id::Term, id::Position),
+    #[case] seen_before: (id::Term, id::Position),
+    #[case] expected: Option<bool>,
+) {
+    let mut fixture = Fixture::new();
+    tell_commit(&mut fixture, "r-1", point, seen_before);
+    promote_second(&mut fixture, choice(4));
+    let expected = expected.map(|is_certain| ("r-1".into(), is_certain));
+    assert_eq!(
+        take_lost(&mut fixture),
+        (expected.into_iter().collect(), vec![])
+    );
+    load_choice(&mut fixture, row(choice(5)));
+    fixture.advance(500);
+    assert_eq!(take_lost(&mut fixture), (vec![], vec![]));
+}
+
+/// An answer of the old leader may be passed on after the promotion.
+#[test]
+fn commit_that_is_told_after_choice_is_lost() {
+    let mut fixture = Fixture::new();
+    promote_second(&mut fixture, choice(4));
+    tell_commit(&mut fixture, "r-1", (1, 44), (1, 43));
+    fixture.advance(100);
+    assert_eq!(
+        take_lost(&mut fixture),
+        (vec![("r-1".into(), true)], vec![])
+    );
+}
+
+#[rstest]
+#[case::other_member_leads(ChoiceRecord { target: "member-3".into(), ..choice(4) })]
+#[case::first_record_of_handover(ChoiceRecord { hands_over: true, at_order: false, ..choice(4) })]
+#[case::log_of_leader_unknown(ChoiceRecord { target_had: None, ..choice(4) })]
+fn commit_is_not_lost_by_choice_that_tells_no_end_of_log(#[case] choice: ChoiceRecord) {
+    let mut fixture = Fixture::new();
+    tell_commit(&mut fixture, "r-1", (1, 44), (1, 43));
+    promote_second(&mut fixture, choice);
+    assert_eq!(take_lost(&mut fixture), (vec![], vec![]));
+}
+
+#[rstest]
+#[case::kept(19_000, true)]
+#[case::too_old(21_000, false)]
+fn told_commit_is_kept_for_20_s(#[case] ms: u64, #[case] expected: bool) {
+    let mut fixture = Fixture::new();
+    tell_commit(&mut fixture, "r-1", (1, 44), (1, 43));
+    fixture.advance(ms);
+    promote_second(&mut fixture, choice(4));
+    assert_eq!(!take_lost(&mut fixture).0.is_empty(), expected);
+}
+
+#[test]
+fn lost_commits_are_logged_up_to_a_bound() {
+    let mut fixture = Fixture::new();
+    for number in 0..500 {
+        let request = format!("r-{number}");
+        let seen = if number % 2 == 0 { 40 } else { 30 };
+        tell_commit(&mut fixture, &request, (1, 41 + number), (1, seen));
+    }
+    promote_second(&mut fixture, choice(4));
+    let (lost, more) = take_lost(&mut fixture);
+    assert_eq!(lost.len(), 24);
+    assert_eq!(lost[0], ("r-100".into(), true));
+    assert_eq!(more, [(188, 188)]);
+    tell_commit(&mut fixture, "r-late", (1, 600), (1, 599));
+    fixture.advance(100);
+    assert_eq!(take_lost(&mut fixture), (vec![], vec![(1, 0)]));
+}
+
+/// The end of the log is what any member has shown, before the commit is sent.
+#[test]
+fn newest_log_end_is_that_of_answers() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.broker.newest_log_end(GROUP), None);
+    for (member, position) in [(1, 7), (2, 9), (3, 8)] {
+        fixture.handle(Event::StatementEnded(StatementReport {
+            member,
+            answer: Answer::Served,
+            point: Some(Point::new(1, position)),
+            floor: None,
+            connected_at: None,
+            took: None,
+        }));
+    }
+    let expected = Some(Point::new(1, 9));
+    assert_eq!(fixture.broker.newest_log_end(GROUP), expected);
+}
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -437,6 +437,7 @@
             shell::Admission::Refused(refusal) => return Err(Failure::refused(&refusal)),
         };
         let (member, is_home) = (grant.member, lease.is_home());
+        let seen_before = shell.newest_log_end(route.group);
         match attempt::run(lease, grant, statement, session_state, route, timing).await {
             attempt::Outcome::Answered(answer)
                 if attempt == 1 && is_busy_answer(&answer) && shell.spend_retry() =>
@@ -450,6 +451,10 @@
                     || shell
                         .confirm_commit(route.group, answer.point, timing.deadline)
                         .await;
+                if is_confirmed && answer.error().is_none() {
+                    let request = statement.id_text();
+                    shell.record_told_commit(route.group, request, answer.point, seen_before);
+                }
                 return match is_confirmed {
                     true => Ok(answer),
                     false => Err(unconfirmed_failure()),
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -333,6 +333,7 @@
         };
         let timing = single::Timing::new(&route);
         let sent_at = clock::now();
+        let seen_before = self.shell.newest_log_end(route.group);
         lease.start_statement();
         match exchange(
             &mut lease,
@@ -363,8 +364,8 @@
                         statement.id_text()
                     );
                 }
-                let needs_confirmation =
-                    has_changes && answer.error().is_none() && !lease.is_home();
+                let tells_commit = has_changes && answer.error().is_none();
+                let needs_confirmation = tells_commit && !lease.is_home();
                 match answer.state {
                     protocol::TransactionState::Idle => lease.give_back(),
                     protocol::TransactionState::Transaction
@@ -385,6 +386,10 @@
                     );
                     return self.answer_error(&failure.code, &failure.text);
                 }
+                if tells_commit {
+                    let request = statement.id_text();
+                    shell.record_told_commit(route.group, request, answer.point, seen_before);
+                }
                 self.relay_answer(&answer);
             }
             Err(error) => {
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -244,6 +244,29 @@
         confirmed.unwrap_or(false)
     }
 
+    /// Returns the highest point of a group's log that an answer has shown, for [`Self::record_told_commit`].
+    pub(crate) fn newest_log_end(&self, group: id::GroupId) -> Option<floor::Point> {
+        self.with_broker(|broker| broker.newest_log_end(group))
+    }
+
+    /// Records that the success of a commit is passed on. `seen_before` is [`Self::newest_log_end`] before the commit was sent.
+    pub(crate) fn record_told_commit(
+        self: &Rc<Self>,
+        group: id::GroupId,
+        request: String,
+        point: Option<floor::Point>,
+        seen_before: Option<floor::Point>,
+    ) {
+        if let Some(point) = point {
+            let commit = event::ToldCommit {
+                request: request.into(),
+                point,
+                seen_before,
+            };
+            self.handle(event::Event::CommitTold { group, commit });
+        }
+    }
+
     /// Records how long the success of a commit has waited for evidence, and with which result.
     fn record_confirmation(
         &self,
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -45,6 +45,21 @@
             term,
             ref choice,
         } => log_leader_choice(broker, group, leader, term, choice),
+        effect::StateChange::CommitLost(ref lost) => log_lost_commit(broker, lost),
+        effect::StateChange::MoreCommitsLost {
+            group,
+            leader,
+            leader_had,
+            certain,
+            uncertain,
+        } => {
+            let group = group_name(broker, group);
+            let leader = member_name(broker, leader);
+            let leader_had = point_text(Some(leader_had));
+            log::warn!(
+                "event=more_commits_lost group={group} leader={leader} leader_had={leader_had} certain={certain} uncertain={uncertain}"
+            );
+        }
         effect::StateChange::LeaderStopped {
             group,
             token,
@@ -184,6 +199,21 @@
     );
 }
 
+/// Warns of a commit that the leader lacks.
+fn log_lost_commit(broker: &Broker, lost: &effect::LostCommit) {
+    let told_for = clock::now().saturating_duration_since(lost.told_at);
+    log::warn!(
+        "event=commit_lost request={} group={} point={} leader={} leader_had={} acknowledged_ms_ago={} certain={}",
+        lost.request,
+        group_name(broker, lost.group),
+        point_text(Some(lost.point)),
+        member_name(broker, lost.leader),
+        point_text(Some(lost.leader_had)),
+        told_for.as_millis(),
+        lost.is_certain
+    );
+}
+
 /// Returns what a claimant has recorded of a member: `NAME:RECEIVED/HELD_TERM/FLAGS`, with the time since its drop in ms.
 fn recorded_member_text(member: &claim::RecordedMember) -> String {
     let dropped = member.dropped_for_ms.map(|ms| format!("dropped={ms}"));
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -4,12 +4,14 @@
 mod member;
 mod support;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Once;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use fulmarlift_broker::claim::{Claim, ClaimRow};
+use fulmarlift_broker::claim::{ChoiceRecord, Claim, ClaimRow};
 use fulmarlift_broker::event::{Answer, Event, StatementReport};
 use fulmarlift_broker::revision::Revision;
 use fulmarlift_broker::topology::{Consistency, Group, Member as Entry, Peer, Route, Topology};
@@ -715,3 +717,101 @@
     })
     .await;
 }
+
+thread_local! {
+    /// Lines that the current test has logged.
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Keeps lines with their levels.
+struct Lines;
+
+impl log::Log for Lines {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let line = format!("level={} {}", record.level(), record.args());
+        LINES.with_borrow_mut(|lines| lines.push(line));
+    }
+
+    fn flush(&self) {}
+}
+
+fn keep_lines() {
+    static START: Once = Once::new();
+    START.call_once(|| {
+        log::set_logger(&Lines).expect("no other logger is set");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    LINES.take();
+}
+
+/// Lets a shell learn that member 2 was promoted, whose log has nothing of term 1. Returns the requests of the commits that it warns of.
+fn lost_requests(shell: &Rc<Shell<TestDeployment>>, member: &Member) -> Vec<String> {
+    list_successor(shell, member);
+    let choice = ChoiceRecord {
+        token: 1,
+        target: "member-2".into(),
+        replaced_term: 1,
+        target_had: Some(Point::new(1, 0)),
+        ..ChoiceRecord::default()
+    };
+    let claim = Claim {
+        token: 1,
+        choice: Some(Box::new(choice)),
+        ..Claim::default()
+    };
+    let row = ClaimRow {
+        claim,
+        ..row_of_attempt()
+    };
+    LINES.take();
+    let (group, asked_at) = (id::of(GROUP), fulmarlift_session::clock::now());
+    shell.handle(Event::ChoiceLoaded {
+        group,
+        asked_at,
+        row,
+    });
+    shell.handle(Event::Tick);
+    let request = |line: &String| {
+        let line = line.strip_prefix("level=WARN event=commit_lost request=")?;
+        line.split(' ').next().map(str::to_owned)
+    };
+    LINES.take().iter().filter_map(request).collect()
+}
+
+/// The record of a loss shows proxies that have told callers of the commits, directly or for another proxy (users' LOST, inc14).
+#[rstest]
+#[case::write(false, Behavior::Runs, &["7e"])]
+#[case::transaction(true, Behavior::Runs, &["9a"])]
+#[case::write_in_doubt(false, Behavior::LosesAnswers, &[])]
+#[tokio::test]
+async fn told_commit_that_is_lost_is_warned_of(
+    #[values(false, true)] forwards: bool,
+    #[case] in_transaction: bool,
+    #[case] behavior: Behavior,
+    #[case] expected: &[&str],
+) {
+    on_one_thread(async {
+        keep_lines();
+        let (home, member) = start_system(0).await;
+        let remote = forwarding_shell(&[("proxy-1", serve_peers(&home).await)], &member);
+        member.behavior.set(behavior);
+        let mut caller = Caller::connect(if forwards { &remote } else { &home }).await;
+        let (frames, _) = match in_transaction {
+            false => caller.run("7e", "WRITE 1 a", WRITE).await,
+            true => {
+                caller.run("7c", "BEGIN", BEGIN).await;
+                caller.run("7d", "WRITE 1 a", WRITE).await;
+                caller.run("9a", "COMMIT", Verb::Commit).await
+            }
+        };
+        assert_eq!(error_code(&frames).is_some(), expected.is_empty());
+        assert_eq!(lost_requests(&home, &member), expected);
+        let forwarded = if forwards { expected } else { &[] };
+        assert_eq!(lost_requests(&remote, &member), forwarded);
+    })
+    .await;
+}
--- a/crates/session/tests/state_changes.rs
+++ b/crates/session/tests/state_changes.rs
@@ -8,7 +8,8 @@
 
 use fulmarlift_broker::claim::{ChoiceRecord, RecordedMember};
 use fulmarlift_broker::effect::{
-    Choice, ChoiceBasis, ChoiceMember, CommandAnswer, Comparison, DroppedMember, StateChange,
+    Choice, ChoiceBasis, ChoiceMember, CommandAnswer, Comparison, DroppedMember, LostCommit,
+    StateChange,
 };
 use fulmarlift_broker::event::{MemberStatus, StatusAnswer};
 use fulmarlift_broker::leader::ReplaceReason;
@@ -209,6 +210,44 @@
     );
 }
 
+#[test]
+fn lines_of_lost_commits_name_request_and_leader() {
+    let lost = LostCommit {
+        group: 7,
+        request: "09ab".into(),
+        point: Point::new(13, 531),
+        told_at: ago(clock::now(), 3).expect("the clock counts from long ago"),
+        leader: 2,
+        leader_had: Point::new(13, 528),
+        is_certain: true,
+    };
+    let lines = lines_of(&StateChange::CommitLost(lost));
+    let [line] = lines.as_slice() else {
+        panic!("one line, not {lines:?}");
+    };
+    let (before, after) = line
+        .split_once("acknowledged_ms_ago=3")
+        .expect("the age is told");
+    assert_eq!(
+        before,
+        "level=WARN event=commit_lost request=09ab group=unknown point=13.531 leader=unknown leader_had=13.528 "
+    );
+    assert!(after.ends_with(" certain=true"), "{after}");
+    let more = StateChange::MoreCommitsLost {
+        group: 7,
+        leader: 2,
+        leader_had: Point::new(13, 528),
+        certain: 5,
+        uncertain: 14,
+    };
+    assert_eq!(
+        lines_of(&more),
+        [
+            "level=WARN event=more_commits_lost group=unknown leader=unknown leader_had=13.528 certain=5 uncertain=14"
+        ]
+    );
+}
+
 const REFUSED: StatusAnswer = StatusAnswer::Refused {
     is_busy: true,
     point: Some(Point {
