--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -53,6 +53,8 @@
             certain,
             uncertain,
         } => {
+            count_lost_commits(true, certain);
+            count_lost_commits(false, uncertain);
             let group = group_name(broker, group);
             let leader = member_name(broker, leader);
             let leader_had = point_text(Some(leader_had));
@@ -146,6 +148,9 @@
 
 /// Logs the choice of the next leader in one line, so that a loss can be explained from it alone.
 fn log_choice(broker: &Broker, choice: &effect::Choice) {
+    if choice.basis.acknowledged.is_none() {
+        metrics::counter!("fulmarlift_choices_without_point_total").increment(1);
+    }
     let now = clock::now();
     let name = |member: Option<id::MemberId>| {
         let name = |member| {
@@ -199,8 +204,15 @@
     );
 }
 
+fn count_lost_commits(is_certain: bool, count: usize) {
+    let certain = if is_certain { "true" } else { "false" };
+    metrics::counter!("fulmarlift_commits_lost_total", "certain" => certain)
+        .increment(count as u64);
+}
+
 /// Warns of a commit that the leader lacks.
 fn log_lost_commit(broker: &Broker, lost: &effect::LostCommit) {
+    count_lost_commits(lost.is_certain, 1);
     let told_for = clock::now().saturating_duration_since(lost.told_at);
     log::warn!(
         "event=commit_lost request={} group={} point={} leader={} leader_had={} acknowledged_ms_ago={} certain={}",
--- a/crates/session/tests/state_changes.rs
+++ b/crates/session/tests/state_changes.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::cell::RefCell;
-use std::sync::Once;
+use std::sync::{Arc, Mutex, Once};
 use std::time::{Duration, Instant};
 
 use fulmarlift_broker::claim::{ChoiceRecord, RecordedMember};
@@ -17,6 +17,7 @@
 use fulmarlift_core::id;
 use fulmarlift_session::clock;
 use fulmarlift_session::shell::state_changes;
+use metrics::{Counter, Gauge, Histogram, Key, KeyName, Metadata, SharedString, Unit};
 use rstest::rstest;
 use support::{ClaimRows, shell_with};
 
@@ -41,6 +42,55 @@
     fn flush(&self) {}
 }
 
+/// Keeps the increments of counters, each with the counter's name and labels.
+#[derive(Default)]
+struct Counters(Arc<Mutex<Vec<(String, u64)>>>);
+
+struct Counted(String, Arc<Mutex<Vec<(String, u64)>>>);
+
+impl metrics::CounterFn for Counted {
+    fn increment(&self, value: u64) {
+        let mut counted = self.1.lock().expect("no test panics meanwhile");
+        counted.push((self.0.clone(), value));
+    }
+
+    fn absolute(&self, _: u64) {}
+}
+
+impl metrics::Recorder for Counters {
+    fn describe_counter(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn describe_gauge(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn describe_histogram(&self, _: KeyName, _: Option<Unit>, _: SharedString) {}
+
+    fn register_counter(&self, key: &Key, _: &Metadata<'_>) -> Counter {
+        let labels = key.labels();
+        let labels: String = labels
+            .map(|label| format!(" {}={}", label.key(), label.value()))
+            .collect();
+        let name = format!("{}{labels}", key.name());
+        Counter::from_arc(Arc::new(Counted(name, Arc::clone(&self.0))))
+    }
+
+    fn register_gauge(&self, _: &Key, _: &Metadata<'_>) -> Gauge {
+        Gauge::noop()
+    }
+
+    fn register_histogram(&self, _: &Key, _: &Metadata<'_>) -> Histogram {
+        Histogram::noop()
+    }
+}
+
+/// Logs a state change, and returns the increments of counters other than 0.
+fn counted_by(change: &StateChange) -> Vec<(String, u64)> {
+    let counters = Counters::default();
+    metrics::with_local_recorder(&counters, || lines_of(change));
+    let mut counted = counters.0.lock().expect("no test panics meanwhile").clone();
+    counted.retain(|(_, value)| *value > 0);
+    counted
+}
+
 /// Logs a state change of a broker that knows no member, and returns the lines.
 fn lines_of(change: &StateChange) -> Vec<String> {
     static START: Once = Once::new();
@@ -248,6 +298,57 @@
     );
 }
 
+#[rstest]
+#[case::certain(true, "true")]
+#[case::uncertain(false, "false")]
+fn lost_commits_are_counted_by_certainty(#[case] is_certain: bool, #[case] certain: &str) {
+    let point = Point::new(13, 531);
+    let lost = StateChange::CommitLost(LostCommit {
+        group: 7,
+        request: "09ab".into(),
+        point,
+        told_at: clock::now(),
+        leader: 2,
+        leader_had: Point::new(13, 528),
+        is_certain,
+    });
+    let name = format!("fulmarlift_commits_lost_total certain={certain}");
+    assert_eq!(counted_by(&lost), [(name.clone(), 1)]);
+    let more = StateChange::MoreCommitsLost {
+        group: 7,
+        leader: 2,
+        leader_had: Point::new(13, 528),
+        certain: if is_certain { 5 } else { 0 },
+        uncertain: if is_certain { 0 } else { 5 },
+    };
+    assert_eq!(counted_by(&more), [(name, 5)]);
+}
+
+#[rstest]
+#[case::without_point(None, 1)]
+#[case::with_point(Some(Point::new(13, 528)), 0)]
+fn choice_without_acknowledged_point_is_counted(
+    #[case] acknowledged: Option<Point>,
+    #[case] expected: usize,
+) {
+    let change = StateChange::Choice(Choice {
+        group: 7,
+        token: 12,
+        reason: ReplaceReason::Gone,
+        target: None,
+        basis: ChoiceBasis {
+            old_leader: None,
+            hands_over: false,
+            surveyed_end: None,
+            log_end: None,
+            acknowledged,
+        },
+        members: vec![],
+    });
+    let name = "fulmarlift_choices_without_point_total".to_owned();
+    assert_eq!(counted_by(&change), vec![(name, 1); expected]);
+}
+
 const REFUSED: StatusAnswer = StatusAnswer::Refused {
     is_busy: true,
     point: Some(Point {
