--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -62,6 +62,9 @@
     },
     /// Read the claim row of a group.
     LoadClaim(id::GroupId),
+    /// Read the claim row of a group for the diagnostic log, which [`event::Event::ChoiceLoaded`] reports. If the store does not answer,
+    /// nothing is reported.
+    LoadChoice(id::GroupId),
     /// Read the entries of all members, for the attempt to replace the leader of a group.
     ReadDirectory(id::GroupId),
     /// Write the claim row of a group if the row still has the given revision and the store is still in that era.
@@ -216,6 +219,32 @@
     },
     /// A failover orders the promotion of a member.
     Choice(Choice),
+    /// The choice of the leader that this proxy believes in, as the claim row tells it.
+    LeaderChoice {
+        /// Group of the leader.
+        group: id::GroupId,
+        /// The leader.
+        leader: id::MemberId,
+        /// Newest term that an answer has shown.
+        term: id::Term,
+        /// The choice.
+        choice: Box<claim::ChoiceRecord>,
+    },
+    /// The leader lacks a commit of whose success this proxy has told.
+    CommitLost(LostCommit),
+    /// The leader lacks further such commits.
+    MoreCommitsLost {
+        /// Group of the leader.
+        group: id::GroupId,
+        /// The leader.
+        leader: id::MemberId,
+        /// Point up to which it had received when it was chosen.
+        leader_had: floor::Point,
+        /// Number of commits that are certain to lie past that point.
+        certain: usize,
+        /// Number of commits that may lie past that point.
+        uncertain: usize,
+    },
     /// A leader that hands over has stopped.
     LeaderStopped {
         /// Group of the leader.
@@ -292,10 +321,29 @@
     pub target: Option<id::MemberId>,
     /// What the attempt knew of the old leader.
     pub basis: ChoiceBasis,
-    /// Members that the attempt knew, and those that have answered it and been dropped since.
+    /// Members that the attempt knew, and those that were dropped lately.
     pub members: Vec<ChoiceMember>,
 }
 
+/// A commit that a promoted leader lacks, and of whose success this proxy has told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LostCommit {
+    /// Group of the commit.
+    pub group: id::GroupId,
+    /// Identifier that the caller gave the commit.
+    pub request: Box<str>,
+    /// End of the old leader's log in the answer to the commit.
+    pub point: floor::Point,
+    /// Instant at which this proxy told of the success.
+    pub told_at: Instant,
+    /// The promoted leader.
+    pub leader: id::MemberId,
+    /// Point up to which it had received when it was chosen.
+    pub leader_had: floor::Point,
+    /// Whether the old leader's log had reached that point before the commit was sent, so that the commit lies past it.
+    pub is_certain: bool,
+}
+
 /// A member beside a leader that has just confirmed its promotion.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Comparison {
@@ -330,6 +378,8 @@
     pub surveyed_end: Option<floor::Point>,
     /// End of the old leader's log when it had stopped.
     pub log_end: Option<floor::Point>,
+    /// Point up to which all commits were known to be acknowledged when the attempt was created.
+    pub acknowledged: Option<floor::Point>,
 }
 
 /// What an attempt to replace a leader knows of a member at the choice.
@@ -349,6 +399,17 @@
     pub listed: bool,
     /// Whether the member leaves.
     pub leaving: bool,
+    /// What is known of the drop of the member; `None` if it was not dropped.
+    pub dropped: Option<DroppedMember>,
+}
+
+/// A member that the broker has dropped.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DroppedMember {
+    /// Instant of the drop.
+    pub at: Instant,
+    /// Last known point of the member's log.
+    pub reached: Option<floor::Point>,
 }
 
 /// Answer of a member to a command.
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -103,6 +103,10 @@
             group.logged_leader = group.leader.member;
             group.lease.trust.doubt(now);
             group.belief_changed = true;
+            if let Some(leader) = group.leader.member {
+                let proxy = id::of(&self.settings.name);
+                group.choice_log.record_leader(now, proxy, group_id, leader);
+            }
             effects.push(effect::Effect::RecordChange(effect::StateChange::Leader {
                 group: group_id,
                 member: group.leader.member,
@@ -314,14 +318,15 @@
         for effect in &mut effects[first_new_effect..] {
             assign_connection(effect, &mut group.members);
         }
-        let orders = effects[first_new_effect..]
-            .iter()
-            .any(|effect| matches!(effect, effect::Effect::OrderPromotion { .. }));
-        if orders {
-            let log = &mut group.failover_log;
-            let choice = log.choice(group_id, attempt, &roster, &group.members);
-            effects.extend(choice.map(effect::Effect::RecordChange));
-        }
+        let choice = group.failover_log.tell_choice(
+            now,
+            &self.settings.name,
+            attempt,
+            &roster,
+            &group.members,
+            &mut effects[first_new_effect..],
+        );
+        effects.extend(choice.map(effect::Effect::RecordChange));
         let stopped = group.failover_log.stopped_leader(group_id, attempt);
         effects.extend(stopped.map(effect::Effect::RecordChange));
         let (step, token, target) = attempt.step_token_and_target();
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use fulmarlift_broker::Broker;
+use fulmarlift_broker::claim;
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
 use fulmarlift_core::floor;
@@ -38,6 +39,29 @@
             );
         }
         effect::StateChange::Choice(ref choice) => log_choice(broker, choice),
+        effect::StateChange::LeaderChoice {
+            group,
+            leader,
+            term,
+            ref choice,
+        } => log_leader_choice(broker, group, leader, term, choice),
+        effect::StateChange::CommitLost(ref lost) => log_lost_commit(broker, lost),
+        effect::StateChange::MoreCommitsLost {
+            group,
+            leader,
+            leader_had,
+            certain,
+            uncertain,
+        } => {
+            count_lost_commits(true, certain);
+            count_lost_commits(false, uncertain);
+            let group = group_name(broker, group);
+            let leader = member_name(broker, leader);
+            let leader_had = point_text(Some(leader_had));
+            log::warn!(
+                "event=more_commits_lost group={group} leader={leader} leader_had={leader_had} certain={certain} uncertain={uncertain}"
+            );
+        }
         effect::StateChange::LeaderStopped {
             group,
             token,
@@ -124,6 +148,9 @@
 
 /// Logs the choice of the next leader in one line, so that a loss can be explained from it alone.
 fn log_choice(broker: &Broker, choice: &effect::Choice) {
+    if choice.basis.acknowledged.is_none() {
+        metrics::counter!("fulmarlift_choices_without_point_total").increment(1);
+    }
     let now = clock::now();
     let name = |member: Option<id::MemberId>| {
         let name = |member| {
@@ -138,7 +165,7 @@
         .map(|member| choice_member_text(now, member))
         .collect();
     log::info!(
-        "event=choice group={} token={} reason={:?} hands_over={} target={} old_leader={} log_end={} surveyed_end={} members=\"{}\"",
+        "event=choice group={} token={} reason={:?} hands_over={} target={} old_leader={} log_end={} surveyed_end={} acknowledged={} members=\"{}\"",
         group_name(broker, choice.group),
         choice.token,
         choice.reason,
@@ -147,10 +174,83 @@
         name(choice.basis.old_leader),
         point_text(choice.basis.log_end),
         point_text(choice.basis.surveyed_end),
+        point_text(choice.basis.acknowledged),
         members.join(" ")
     );
 }
 
+/// Logs the choice of a leader as its claimant has recorded it, in one line.
+fn log_leader_choice(
+    broker: &Broker,
+    group: id::GroupId,
+    leader: id::MemberId,
+    term: id::Term,
+    choice: &claim::ChoiceRecord,
+) {
+    let members: Vec<String> = choice.members.iter().map(recorded_member_text).collect();
+    log::info!(
+        "event=leader_choice group={} leader={} term={term} token={} claimant={} target={} target_had={} acknowledged={} hands_over={} at_order={} asked=\"{}\" members=\"{}\"",
+        group_name(broker, group),
+        member_name(broker, leader),
+        choice.token,
+        choice.claimant,
+        choice.target,
+        point_text(choice.target_had),
+        point_text(choice.acknowledged),
+        choice.hands_over,
+        choice.at_order,
+        choice.asked_proxies.join(" "),
+        members.join(" ")
+    );
+}
+
+fn count_lost_commits(is_certain: bool, count: usize) {
+    let certain = if is_certain { "true" } else { "false" };
+    metrics::counter!("fulmarlift_commits_lost_total", "certain" => certain)
+        .increment(count as u64);
+}
+
+/// Warns of a commit that the leader lacks.
+fn log_lost_commit(broker: &Broker, lost: &effect::LostCommit) {
+    count_lost_commits(lost.is_certain, 1);
+    let told_for = clock::now().saturating_duration_since(lost.told_at);
+    log::warn!(
+        "event=commit_lost request={} group={} point={} leader={} leader_had={} acknowledged_ms_ago={} certain={}",
+        lost.request,
+        group_name(broker, lost.group),
+        point_text(Some(lost.point)),
+        member_name(broker, lost.leader),
+        point_text(Some(lost.leader_had)),
+        told_for.as_millis(),
+        lost.is_certain
+    );
+}
+
+/// Returns what a claimant has recorded of a member: `NAME:RECEIVED/HELD_TERM/FLAGS`, with the time since its drop in ms.
+fn recorded_member_text(member: &claim::RecordedMember) -> String {
+    let dropped = member.dropped_for_ms.map(|ms| format!("dropped={ms}"));
+    let flags = [
+        (member.listed, "listed"),
+        (member.leaving, "leaving"),
+        (member.answered, "answered"),
+        (dropped.is_some(), dropped.as_deref().unwrap_or_default()),
+    ];
+    let flags = flags.into_iter().filter(|(applies, _)| *applies);
+    let flags: Vec<&str> = flags.map(|(_, flag)| flag).collect();
+    let received = member
+        .received
+        .map_or_else(|| "-".to_owned(), |point| point_text(Some(point)));
+    format!(
+        "{}:{received}/{}/{}",
+        member.name,
+        member.held_term,
+        match flags.is_empty() {
+            true => "-".to_owned(),
+            false => flags.join("+"),
+        }
+    )
+}
+
 /// Logs the comparison of a member with a new leader, and warns if the member was ahead.
 fn log_comparison(broker: &Broker, comparison: &effect::Comparison) {
     let group = group_name(broker, comparison.group);
@@ -189,17 +289,25 @@
         age.map_or_else(|| "-".to_owned(), |age| age.to_string())
     };
     let answer = member.answer;
+    let dropped = member.dropped;
     let told = answer.map_or_else(
-        || "-/-/-".to_owned(),
+        || match dropped.and_then(|dropped| dropped.reached) {
+            Some(reached) => format!("{}/-/-", point_text(Some(reached))),
+            None => "-/-/-".to_owned(),
+        },
         |answer| {
             let status = answer.status;
             let received = point_text(Some(status.received));
             format!("{received}/{}/{}", status.term, status.held_term)
         },
     );
+    let dropped_flag = dropped.map_or_else(
+        || "dropped".to_owned(),
+        |dropped| format!("dropped={}", age_ms(Some(dropped.at))),
+    );
     let flags = [
         (answer.is_some_and(|answer| answer.status.leads), "leads"),
-        (member.known_since.is_none(), "dropped"),
+        (member.known_since.is_none(), dropped_flag.as_str()),
         (member.leaving, "leaving"),
         (!member.listed && member.known_since.is_some(), "unlisted"),
         (!member.asked, "not_asked"),
