--- a/crates/broker/tests/simulation/checks.rs
+++ b/crates/broker/tests/simulation/checks.rs
@@ -77,37 +77,41 @@
     pub is_replaced: bool,
 }
 
-/// Numbers of commits that a promoted member lacked although a leader had acknowledged them and another running replica had them.
+/// Numbers of commits that a promoted member lacked although a leader had acknowledged them and another replica had them.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct BehindReplica {
     /// Acknowledged by the leader that the promotion replaced.
     pub of_leader: u64,
     /// Acknowledged by a leader after another member's promotion.
     pub of_replaced: u64,
-    /// Had only by replicas that the directory had not listed yet when the commits were acknowledged; not among the other numbers.
+    /// Had only by replicas that have ended, of which one that the directory had listed starts again with its log.
+    pub at_returning: u64,
+    /// Had only by running replicas that the directory had not listed yet when the commits were acknowledged; not among the other numbers.
     pub at_unlisted: u64,
 }
 
 impl BehindReplica {
-    /// Returns whether a replica that the directory had listed had a commit.
+    /// Returns whether a replica that the directory had listed had a commit, and runs or starts again with its log.
     pub fn is_broken(&self) -> bool {
-        self.of_leader + self.of_replaced > 0
+        self.of_leader + self.of_replaced + self.at_returning > 0
     }
 
     /// Adds the numbers of another promotion.
     pub fn add(&mut self, other: Self) {
         self.of_leader += other.of_leader;
         self.of_replaced += other.of_replaced;
+        self.at_returning += other.at_returning;
         self.at_unlisted += other.at_unlisted;
     }
 }
 
 /// Compares the log of a promoted member with what leaders have acknowledged, and forgets what it lacks. Returns the numbers, and the last
-/// commit that it lacks and a replica has.
+/// commit that it lacks and a replica has. `returning` tells whether a member that has ended starts again.
 pub fn compare_promoted(
     receipts: &mut Vec<Receipt>,
     members: &[member::Member],
     first_listed: &BTreeMap<usize, Micros>,
+    returning: impl Fn(usize) -> bool,
     promoted: usize,
 ) -> (BehindReplica, Option<Receipt>) {
     let mut behind = BehindReplica::default();
@@ -119,25 +123,26 @@
         let owners = members.iter().enumerate().filter(|(index, member)| {
             *index != promoted
                 && *index != receipt.leader
-                && member.is_running()
                 && !member.leads
                 && member.log.contains(receipt.point)
         });
-        let listed: Vec<bool> = owners
-            .map(|(index, _)| {
-                let listed_at = first_listed.get(&index);
-                listed_at.is_some_and(|at| *at <= receipt.acknowledged_at)
-            })
-            .collect();
-        match (listed.contains(&true), listed.is_empty()) {
-            (true, _) if receipt.is_replaced => behind.of_replaced += 1,
-            (true, _) => behind.of_leader += 1,
-            (false, false) => behind.at_unlisted += 1,
-            (false, true) => {}
-        }
-        if !listed.is_empty() {
-            last = Some(*receipt);
+        let was_listed = |index: usize| {
+            let listed_at = first_listed.get(&index);
+            listed_at.is_some_and(|at| *at <= receipt.acknowledged_at)
+        };
+        let (running, ended): (Vec<_>, Vec<_>) =
+            owners.partition(|(_, member)| member.is_running());
+        let returns = ended
+            .iter()
+            .any(|(index, _)| was_listed(*index) && returning(*index));
+        match running.iter().any(|(index, _)| was_listed(*index)) {
+            true if receipt.is_replaced => behind.of_replaced += 1,
+            true => behind.of_leader += 1,
+            false if returns => behind.at_returning += 1,
+            false if !running.is_empty() => behind.at_unlisted += 1,
+            false => return false,
         }
+        last = Some(*receipt);
         false
     });
     (behind, last)
--- a/crates/broker/tests/simulation/faults.rs
+++ b/crates/broker/tests/simulation/faults.rs
@@ -150,8 +150,7 @@
                     false => member::Process::Ended,
                 };
                 self.end_member(leader, process);
-                self.queue
-                    .push(self.now + lasts, Happening::Fault(Fault::Start(leader)));
+                self.start_later(leader, lasts);
             }
             Fault::Leave { ends_after } => {
                 self.members[leader].leaving = true;
@@ -183,8 +182,7 @@
                     None => self.replica(nth),
                 };
                 self.end_member(member, member::Process::Ended);
-                self.queue
-                    .push(self.now + away, Happening::Fault(Fault::Start(member)));
+                self.start_later(member, away);
             }
             Fault::Start(member) => self.start_member(member),
             Fault::Drop { nth, lasts } => {
@@ -240,8 +238,7 @@
             Fault::Flap { nth, times, away } => {
                 let member = nth % self.members.len();
                 self.end_member(member, member::Process::Ended);
-                self.queue
-                    .push(self.now + away, Happening::Fault(Fault::Start(member)));
+                self.start_later(member, away);
                 if times > 1 {
                     let times = times - 1;
                     let next = Fault::Flap { nth, times, away };
@@ -272,6 +269,15 @@
         }
     }
 
+    /// Lets a member that has ended start again after a time.
+    fn start_later(&mut self, member: usize, away: Micros) {
+        let at = self.now + away;
+        let known = self.starts_at.get(&member).copied();
+        let earlier = known.filter(|known| self.now < *known && *known < at);
+        self.starts_at.insert(member, earlier.unwrap_or(at));
+        self.queue.push(at, Happening::Fault(Fault::Start(member)));
+    }
+
     /// Lets a proxy that the store does not serve until a time learn of it, and of its end, a little later.
     fn tell_refused(&mut self, proxy: usize, until: Micros) {
         let told_at = self.now + self.random.random_range(20 * MS..500 * MS);
--- a/crates/broker/tests/simulation/group.rs
+++ b/crates/broker/tests/simulation/group.rs
@@ -269,8 +269,18 @@
         member.leads = true;
         member.term = term;
         let end = member.log.end();
-        let (behind, last) =
-            checks::compare_promoted(&mut self.receipts, &self.members, &self.first_listed, index);
+        let (starts_at, now, end_at) = (&self.starts_at, self.now, self.plan.end);
+        let returning = |member: usize| {
+            let at = starts_at.get(&member);
+            at.is_some_and(|at| now < *at && *at < end_at)
+        };
+        let (behind, last) = checks::compare_promoted(
+            &mut self.receipts,
+            &self.members,
+            &self.first_listed,
+            returning,
+            index,
+        );
         self.outcome.behind_replica.add(behind);
         if let Some(last) = last {
             self.note(|| format!("BEHIND A REPLICA: {behind:?}, last {last:?}"));
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -156,6 +156,8 @@
     pub full_until: BTreeMap<usize, Micros>,
     /// Members that stand still until a time.
     pub paused_until: BTreeMap<usize, Micros>,
+    /// Time at which each member that has ended starts again.
+    pub starts_at: BTreeMap<usize, Micros>,
     /// Commands that their proxies have given up, with the member and its start, and that may still arrive.
     pub given_up: BTreeMap<u64, (usize, u32, member::Command)>,
     /// Highest token of an order that the platform has seen.
@@ -221,6 +223,7 @@
             deaf_until: BTreeMap::new(),
             full_until: BTreeMap::new(),
             paused_until: BTreeMap::new(),
+            starts_at: BTreeMap::new(),
             given_up: BTreeMap::new(),
             newest_token: 0,
             orders_lost_until: 0,
