--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -188,6 +188,8 @@
 #[case::lone_readers(Mix::LONE_READERS)]
 #[case::rough(Mix::ROUGH)]
 #[case::rough_listed(Mix::ROUGH_LISTED)]
+#[case::missing_confirmers(Mix::MISSING_CONFIRMERS)]
+#[case::missing_confirmers_rough(Mix::MISSING_CONFIRMERS_ROUGH)]
 fn promises_hold_with_faults(#[case] mix: Mix) {
     run_seeds(seeds(), |seed| Plan::new(seed, mix));
 }
@@ -206,6 +208,8 @@
 #[case::lone_readers(Mix::LONE_READERS)]
 #[case::rough(Mix::ROUGH)]
 #[case::rough_listed(Mix::ROUGH_LISTED)]
+#[case::missing_confirmers(Mix::MISSING_CONFIRMERS)]
+#[case::missing_confirmers_rough(Mix::MISSING_CONFIRMERS_ROUGH)]
 fn promises_hold_with_faults_where_fenced(#[case] mix: Mix) {
     run_seeds(seeds(), |seed| Plan {
         fenced: true,
@@ -224,6 +228,8 @@
 #[case::lone_readers(Mix::LONE_READERS)]
 #[case::rough(Mix::ROUGH)]
 #[case::rough_listed(Mix::ROUGH_LISTED)]
+#[case::missing_confirmers(Mix::MISSING_CONFIRMERS)]
+#[case::missing_confirmers_rough(Mix::MISSING_CONFIRMERS_ROUGH)]
 fn promises_hold_with_relays(#[case] mix: Mix, #[values(false, true)] fenced: bool) {
     run_seeds(seeds(), |seed| Plan {
         fenced,
@@ -351,3 +357,27 @@
 fn promoted_member_has_what_replaced_leader_acknowledged() {
     run_seeds([800], |seed| without_joins(seed, Mix::LATE_COMMANDS, false));
 }
+
+/// A replica that has received nothing is promoted: those that confirmed are away and have no entries, and were dropped, or never known.
+#[rstest]
+#[case::replica_ended(false, false, &[333, 348, 462])]
+#[case::replica_dark_after_store_away(false, false, &[25, 61, 98])]
+#[case::replica_cut_from_claimant(false, false, &[43, 53, 103])]
+#[case::replica_cut_from_all(false, false, &[22, 63, 72])]
+#[case::replica_never_known(false, false, &[4, 114, 362])]
+#[case::two_replicas(false, false, &[155, 266, 328])]
+#[case::claimant_knows_lower_point(false, false, &[67, 212, 299])]
+#[case::fenced(true, false, &[3, 18, 327])]
+#[case::relays(false, true, &[10, 67, 120])]
+#[case::relays_fenced(true, true, &[155, 249, 460])]
+fn promoted_member_has_what_missing_replica_confirmed(
+    #[case] fenced: bool,
+    #[case] relays: bool,
+    #[case] seeds: &[u64],
+) {
+    run_seeds(seeds.iter().copied(), |seed| Plan {
+        fenced,
+        relays,
+        ..Plan::new(seed, Mix::MISSING_CONFIRMERS)
+    });
+}
--- a/crates/broker/tests/simulation/callers.rs
+++ b/crates/broker/tests/simulation/callers.rs
@@ -59,6 +59,10 @@
 
     /// A caller's request arrives at a proxy.
     pub(super) fn begin_job(&mut self, index: usize, kind: Kind, sent_at: Micros) {
+        let writes = matches!(kind, Kind::Write | Kind::Transaction { writes: true, .. });
+        if writes && self.now < self.idle_until[index] {
+            return;
+        }
         let reads_left = match kind {
             Kind::Transaction { reads, .. } => reads,
             _ => 0,
--- a/crates/broker/tests/simulation/faults.rs
+++ b/crates/broker/tests/simulation/faults.rs
@@ -124,6 +124,16 @@
         nth: Option<usize>,
         lasts: Micros,
     },
+    /// The VM of the nth replica is gone for a time.
+    Dark {
+        nth: usize,
+        away: Micros,
+    },
+    /// The callers of a proxy write nothing.
+    Idle {
+        proxy: usize,
+        lasts: Micros,
+    },
 }
 
 impl World {
@@ -266,6 +276,12 @@
                     self.net.cut_both(Node::Member(leader), replica, until);
                 }
             }
+            Fault::Dark { nth, away } => {
+                let member = self.replica(nth);
+                self.end_member(member, member::Process::Dark);
+                self.start_later(member, away);
+            }
+            Fault::Idle { proxy, lasts } => self.idle_until[proxy] = self.now + lasts,
         }
     }
 
--- a/crates/broker/tests/simulation/plan.rs
+++ b/crates/broker/tests/simulation/plan.rs
@@ -61,6 +61,8 @@
     pub repeated_orders: bool,
     /// One proxy alone reaches the leader.
     pub lone_readers: bool,
+    /// A replica receives nothing while others confirm, and then the leader ends while those are away and have no entries.
+    pub missing_confirmers: bool,
 }
 
 impl Mix {
@@ -99,6 +101,7 @@
         full: false,
         repeated_orders: false,
         lone_readers: false,
+        missing_confirmers: false,
     };
 
     /// All kinds.
@@ -226,6 +229,24 @@
         ..Self::STALLS
     };
 
+    /// A leader ends while the replicas that confirmed are away.
+    pub const MISSING_CONFIRMERS: Self = Self {
+        missing_confirmers: true,
+        stalls: false,
+        ..Self::STALLS
+    };
+
+    /// The same while paths are cut, proxies stand still, and orders and commands arrive late.
+    pub const MISSING_CONFIRMERS_ROUGH: Self = Self {
+        cuts: true,
+        freezes: true,
+        proxy_restarts: true,
+        late_orders: true,
+        late_commands: true,
+        slow_feeds: true,
+        ..Self::MISSING_CONFIRMERS
+    };
+
     /// All kinds, with commands that arrive late and commits that wait for slots; no member joins.
     pub const ROUGH: Self = Self {
         store_away: true,
@@ -426,6 +447,7 @@
                 lasts: random.random_range(S..6 * S),
             }
         });
+        plan.add_missing_confirmers(mix.missing_confirmers, &mut draw, moments[0]);
         plan
     }
 
@@ -526,6 +548,104 @@
         }
     }
 
+    /// Adds an end of the leader after a time in which a replica received nothing. The replicas that confirmed are away or cut off, and
+    /// have no entries, for longer than a proxy waits for them, and come back with their logs. A proxy has committed nothing before.
+    fn add_missing_confirmers(&mut self, in_mix: bool, draw: &mut Draw, lost_at: Micros) {
+        let mut random = draw.next();
+        if !in_mix {
+            return;
+        }
+        self.end = 18 * S;
+        let members = match random.random_bool(0.3) {
+            true => 4,
+            false => 3,
+        };
+        if members > 3 {
+            let listed_after = random.random_range(10 * MS..100 * MS);
+            self.faults.push((200 * MS, Fault::Join { listed_after }));
+        }
+        let deaf = random.random_range(1..members);
+        let deaf_for = random.random_range(1_300 * MS..1_800 * MS);
+        self.faults.push((
+            lost_at - deaf_for,
+            Fault::Deaf {
+                nth: deaf - 1,
+                lasts: deaf_for + random.random_range(0..500 * MS),
+            },
+        ));
+        let claimant = random.random_range(0..PROXIES);
+        self.add_fresh_claimant(claimant, lost_at, &mut random);
+        for member in (1..members).filter(|member| *member != deaf) {
+            self.add_missing_confirmer(member, claimant, lost_at, &mut random);
+        }
+        let crash = Fault::Crash {
+            dark: random.random_bool(0.6),
+            lasts: random.random_range(9 * S..13 * S),
+        };
+        self.faults.push((lost_at, crash));
+    }
+
+    /// Lets a proxy, or each of them, start again, or a proxy serve no write.
+    fn add_fresh_claimant(&mut self, claimant: usize, lost_at: Micros, random: &mut StdRng) {
+        let idle = random.random_bool(0.4);
+        let all = random.random_bool(0.3);
+        for proxy in 0..PROXIES {
+            let at = lost_at + random.random_range(0..1_500 * MS) - 300 * MS;
+            let from_peer = random.random_bool(0.5);
+            if !idle && (all || proxy == claimant) {
+                self.faults
+                    .push((at, Fault::RestartProxy { proxy, from_peer }));
+            }
+        }
+        if idle {
+            let (proxy, lasts) = (claimant, lost_at + 2 * S);
+            self.faults.push((0, Fault::Idle { proxy, lasts }));
+        }
+    }
+
+    /// Takes a replica and its entry away for a time.
+    fn add_missing_confirmer(
+        &mut self,
+        member: usize,
+        claimant: usize,
+        lost_at: Micros,
+        random: &mut StdRng,
+    ) {
+        let away_at = lost_at - random.random_range(0..400 * MS);
+        let unlisted_at = lost_at - random.random_range(0..2 * S);
+        let lasts = random.random_range(6 * S..10 * S);
+        let store_away_for = random.random_range(500 * MS..2 * S);
+        let (nth, away) = (member - 1, lasts);
+        let cut = |proxy| Fault::CutProxy {
+            proxy,
+            nth: member,
+            way: 2,
+            lasts,
+        };
+        let kind = random.random_range(0..6);
+        match kind {
+            0 => self.faults.push((away_at, Fault::Restart { nth, away })),
+            1 => self.faults.push((away_at, Fault::Dark { nth, away })),
+            2 | 3 => self.faults.push((away_at, cut(claimant))),
+            _ => {
+                let cuts = (0..PROXIES).map(|proxy| (away_at, cut(proxy)));
+                self.faults.extend(cuts);
+            }
+        }
+        if kind % 2 == 1 {
+            let store_away = Fault::StoreAway {
+                lasts: store_away_for,
+                relisted_within: 2 * S,
+            };
+            self.faults.push((unlisted_at, store_away));
+        }
+        if kind > 1 {
+            let lasts = lost_at + lasts - unlisted_at;
+            self.faults
+                .push((unlisted_at, Fault::Drop { nth: member, lasts }));
+        }
+    }
+
     /// Adds up to `most` faults of a kind with a probability, near the moments of the leader's faults.
     fn add(
         &mut self,
--- a/crates/broker/tests/simulation/world.rs
+++ b/crates/broker/tests/simulation/world.rs
@@ -158,6 +158,8 @@
     pub paused_until: BTreeMap<usize, Micros>,
     /// Time at which each member that has ended starts again.
     pub starts_at: BTreeMap<usize, Micros>,
+    /// Time until which the callers of each proxy write nothing.
+    pub idle_until: [Micros; PROXIES],
     /// Commands that their proxies have given up, with the member and its start, and that may still arrive.
     pub given_up: BTreeMap<u64, (usize, u32, member::Command)>,
     /// Highest token of an order that the platform has seen.
@@ -224,6 +226,7 @@
             full_until: BTreeMap::new(),
             paused_until: BTreeMap::new(),
             starts_at: BTreeMap::new(),
+            idle_until: [0; PROXIES],
             given_up: BTreeMap::new(),
             newest_token: 0,
             orders_lost_until: 0,
