--- a/crates/broker/src/claim.rs
+++ b/crates/broker/src/claim.rs
@@ -89,8 +89,8 @@
     pub target_had: Option<floor::Point>,
     /// Members that the claimant knew, and those that it had dropped.
     pub members: Vec<RecordedMember>,
-    /// Names of the proxies that the claimant asked about the group.
-    pub asked_proxies: Vec<Box<str>>,
+    /// Names of the VMs whose proxies had told the claimant what they know of the group.
+    pub told_by: Vec<Box<str>>,
 }
 
 /// A member in the record of a choice.
@@ -118,14 +118,14 @@
         self.members
             .sort_by_key(|member| member.name != self.target);
         self.members.truncate(CHOICE_MEMBERS_MAX);
-        self.asked_proxies.truncate(CHOICE_PROXIES_MAX);
+        self.told_by.truncate(CHOICE_PROXIES_MAX);
         for name in [&mut self.claimant, &mut self.target] {
             shorten(name);
         }
         for member in &mut self.members {
             shorten(&mut member.name);
         }
-        for name in &mut self.asked_proxies {
+        for name in &mut self.told_by {
             shorten(name);
         }
         self
--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -65,7 +65,9 @@
     /// Read the claim row of a group for the diagnostic log, which [`event::Event::ChoiceLoaded`] reports. If the store does not answer,
     /// nothing is reported.
     LoadChoice(id::GroupId),
-    /// Read the entries of all members, for the attempt to replace the leader of a group.
+    /// Ask other proxies what they know of a group whose leader is replaced; each answer is a [`event::Event::ProxyTold`].
+    AskProxies(id::GroupId),
+    /// Read the entries of all members, for the attempt to replace the leader of a group, and ask other proxies meanwhile.
     ReadDirectory(id::GroupId),
     /// Write the claim row of a group if the row still has the given revision and the store is still in that era.
     StoreClaim {
@@ -245,6 +247,23 @@
         /// Number of commits that may lie past that point.
         uncertain: usize,
     },
+    /// No member is promoted, since all that answer may lack acknowledged commits.
+    ChoiceWithheld {
+        /// Group whose leader is replaced.
+        group: id::GroupId,
+        /// Fencing token of the claim.
+        token: u64,
+        /// Highest point up to which a member has received.
+        furthest: Option<floor::Point>,
+        /// Point up to which all commits are known to be acknowledged.
+        acknowledged: Option<floor::Point>,
+        /// Point from which on a log lacks none of the commits that were answered.
+        answered_end: Option<floor::Point>,
+        /// Whether a member has been dropped that may come back with its log.
+        awaits_missing: bool,
+        /// Whether all homes have told what they know.
+        homes_told: bool,
+    },
     /// A leader that hands over has stopped.
     LeaderStopped {
         /// Group of the leader.
@@ -323,6 +342,8 @@
     pub basis: ChoiceBasis,
     /// Members that the attempt knew, and those that were dropped lately.
     pub members: Vec<ChoiceMember>,
+    /// Names of the VMs whose proxies have told what they know since the attempt began.
+    pub told_by: Vec<Box<str>>,
 }
 
 /// A commit that a promoted leader lacks, and of whose success this proxy has told.
@@ -378,8 +399,10 @@
     pub surveyed_end: Option<floor::Point>,
     /// End of the old leader's log when it had stopped.
     pub log_end: Option<floor::Point>,
-    /// Point up to which all commits were known to be acknowledged when the attempt was created.
+    /// Point up to which all commits are known to be acknowledged.
     pub acknowledged: Option<floor::Point>,
+    /// Point from which on a log lacks none of the commits that were answered.
+    pub answered_end: Option<floor::Point>,
 }
 
 /// What an attempt to replace a leader knows of a member at the choice.
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claim;
+use crate::leader;
 use crate::request;
 use crate::revision;
 use crate::topology;
@@ -25,8 +26,17 @@
         /// Revision of the directory at which the entry was missing.
         revision: revision::Revision,
     },
-    /// Another proxy knows this member and has not failed to reach it, whether or not the directory lists it.
-    MemberKnown(topology::Member),
+    /// Another proxy, which a claimant has asked, told what it knows of a group.
+    ProxyTold {
+        /// Group that was asked for.
+        group: id::GroupId,
+        /// Proxy that answered.
+        proxy: id::ProxyId,
+        /// Instant at which the question was sent, or an earlier one.
+        asked_at: Instant,
+        /// Its answer.
+        knowledge: GroupKnowledge,
+    },
     /// The store has a new or changed entry of another proxy.
     PeerListed(topology::Peer),
     /// The store no longer has an entry of the proxy of this name.
@@ -85,7 +95,7 @@
         /// Instant at which the answer arrived.
         arrived_at: Instant,
     },
-    /// This proxy passes the success of a commit on to a caller or to another proxy. For the diagnostic log.
+    /// This proxy passes the success of a commit on to a caller or to another proxy.
     CommitTold {
         /// Group of the commit.
         group: id::GroupId,
@@ -176,7 +186,7 @@
         row: claim::ClaimRow,
     },
     /// A read of the directory for an attempt to replace a leader ended. [`Event::Listed`] has been reported for every member that
-    /// was listed then, and [`Event::MemberKnown`] for those that other proxies have named meanwhile.
+    /// was listed then, and [`Event::ProxyTold`] for the proxies that have answered meanwhile.
     DirectoryLoaded {
         /// Group whose leader is to be replaced.
         group: id::GroupId,
@@ -214,6 +224,30 @@
     pub seen_before: Option<floor::Point>,
 }
 
+/// What a proxy knows of a group.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GroupKnowledge {
+    /// Members that the proxy has not failed to reach, whether or not the directory lists them.
+    pub running: Vec<topology::Member>,
+    /// Members that may come back with their logs.
+    pub missing: Vec<MissingMember>,
+    /// What the answers to commits have told the proxy.
+    pub points: leader::KnownPoints,
+    /// Instant since which the process has had a configuration.
+    pub known_since: Option<Instant>,
+}
+
+/// A member without an entry that may run, and that its proxy does not know to run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MissingMember {
+    /// Last known entry of the member.
+    pub entry: topology::Member,
+    /// Instant until which the member may come back with its log.
+    pub awaited_until: Instant,
+    /// Whether the member has failed to answer.
+    pub is_silent: bool,
+}
+
 /// Contact of a proxy with the directory.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DirectoryContact {
--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -13,8 +13,10 @@
 
 /// Why no held member can be chosen.
 pub(super) enum Unfit {
-    /// All of them may lack acknowledged entries.
+    /// All of them lack acknowledged entries.
     Behind,
+    /// All of them may lack acknowledged entries that a missing member has.
+    Uncertain,
     /// None of those that have received most is listed.
     NotEligible,
 }
@@ -46,6 +48,7 @@
             return self.give_up(now, out);
         }
         self.hands_over = false;
+        out.push(effect::Effect::AskProxies(self.group));
         self.step = failover::Step::Holding;
         self.hold_members(now, roster, out)
     }
@@ -158,6 +161,19 @@
         if !roster.is_complete {
             return self.give_up(now, out);
         }
+        // A leader that is stopped without a successor would leave the group without one.
+        let retry_at = now + failover::STORE_RETRY_DELAY;
+        match self.find_furthest(roster) {
+            Err(Unfit::Uncertain) if !roster.homes_told && retry_at < self.gives_up_at() => {
+                let retry_at = Some(retry_at);
+                self.step = failover::Step::ReadingDirectory { retry_at };
+                return failover::Progress::Ongoing;
+            }
+            Err(unfit @ (Unfit::Behind | Unfit::Uncertain)) => {
+                return self.give_up_without_choice(now, unfit, roster, out);
+            }
+            _ => {}
+        }
         // Nothing but the holds keeps a replaced leader that leads on from committing. Where promotions are fenced, an older order for
         // the leader, which changes nothing while it leads, would make it lead again once it has been demoted.
         if !self.fenced && now < self.gives_up_at() && self.demotion.send_if_due(now) {
@@ -228,15 +244,13 @@
             let hold = self.holds.get(participant.member)?;
             hold.status.map(|status| status.received)
         };
-        // A member that has been dropped since its hold may have confirmed entries that the others lack.
-        let furthest = self
-            .holds
-            .iter()
-            .filter(|(member, _)| Some(*member) != self.old_leader)
-            .filter_map(|(_, hold)| hold.status.map(|status| status.received))
-            .max();
-        if !furthest.is_some_and(|furthest| self.has_all_acknowledged(furthest)) {
+        let furthest = self.furthest();
+        let Some(end) = furthest.filter(|end| self.has_all_acknowledged(*end, roster)) else {
             return Err(Unfit::Behind);
+        };
+        let needs_proof = roster.awaits_missing || roster.is_uninformed;
+        if !self.hands_over && needs_proof && !roster.is_proven_whole(end) {
+            return Err(Unfit::Uncertain);
         }
         let pending = self.pending_before.as_deref();
         let is_pending = |participant: &failover::Participant| {
@@ -252,6 +266,16 @@
             .ok_or(Unfit::NotEligible)
     }
 
+    /// Returns the highest point up to which a held member has received. One that has been dropped since its hold may have confirmed
+    /// entries that the others lack.
+    fn furthest(&self) -> Option<floor::Point> {
+        let others = self.holds.iter();
+        let others = others.filter(|(member, _)| Some(*member) != self.old_leader);
+        others
+            .filter_map(|(_, hold)| hold.status.map(|status| status.received))
+            .max()
+    }
+
     /// Returns whether the row names a member as the target, and an order that is given now agrees with the row.
     pub(super) fn is_recorded(&self, now: Instant, member: id::MemberId) -> bool {
         self.target == Some(member)
@@ -268,7 +292,18 @@
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         match unfit {
-            Unfit::Behind => {
+            Unfit::Behind | Unfit::Uncertain => {
+                out.push(effect::Effect::RecordChange(
+                    effect::StateChange::ChoiceWithheld {
+                        group: self.group,
+                        token: self.claim.token,
+                        furthest: self.furthest(),
+                        acknowledged: roster.points.required(),
+                        answered_end: roster.points.sufficient(),
+                        awaits_missing: roster.awaits_missing,
+                        homes_told: roster.homes_told,
+                    },
+                ));
                 self.give_up(now, out);
                 failover::Progress::GivenUp {
                     retry_at: now + failover::CATCH_UP_DELAY,
@@ -314,9 +349,13 @@
     /// A member that is gone may have been the only one besides the old leader that received some of these entries. If the
     /// replicas of a stalled leader have received nothing of its term, they may lack such entries, so the leader must not be
     /// replaced yet.
-    pub(super) fn has_all_acknowledged(&self, end: floor::Point) -> bool {
+    pub(super) fn has_all_acknowledged(
+        &self,
+        end: floor::Point,
+        roster: &failover::Roster,
+    ) -> bool {
         let of_this_term = self.reason != leader::ReplaceReason::Stalled || end.term >= self.term;
-        of_this_term && Some(end) >= self.acknowledged
+        of_this_term && Some(end) >= roster.points.required()
     }
 
     /// Handles the case that no listed member has received as much as the furthest held member, or that the target of an
--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -263,7 +263,7 @@
         }
         let stopped = self.record_stop(now, status);
         if let Some(status) = stopped.filter(|_| self.log_end.is_none()) {
-            if !self.is_whole_log(status) {
+            if !self.is_whole_log(status, roster) {
                 return self.go_on_without_answer(now, roster, out);
             }
             self.log_end = Some(status.received);
@@ -310,14 +310,14 @@
 
     /// Returns whether the log of a leader that has stopped contains all that it has acknowledged: the leader has not restarted without
     /// its log, and follows no newer one.
-    fn is_whole_log(&self, stopped: event::MemberStatus) -> bool {
+    fn is_whole_log(&self, stopped: event::MemberStatus, roster: &failover::Roster) -> bool {
         let answered = self.surveyed.values().chain(self.holds.values());
         let furthest = answered
             .filter_map(|answered| answered.status.map(|status| status.received))
             .max();
         stopped.term == self.newest_term
             && Some(stopped.received) >= furthest.max(self.surveyed_end)
-            && self.has_all_acknowledged(stopped.received)
+            && self.has_all_acknowledged(stopped.received, roster)
     }
 
     /// Returns a listed member that stays and whose log has reached `end`, the target if it is one.
@@ -330,7 +330,7 @@
             let asked = self.surveyed.get(participant.member);
             let status = asked.and_then(|asked| asked.status);
             status.is_some_and(|status| {
-                status.received >= end && self.has_all_acknowledged(status.received)
+                status.received >= end && self.has_all_acknowledged(status.received, roster)
             })
         };
         let reached = roster
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -206,12 +206,22 @@
 }
 
 /// The members of a group, as far as a proxy knows them.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Roster {
     /// Members that the directory lists, and those that it no longer lists but that do not count as gone.
     pub members: Vec<Participant>,
     /// Whether all members that run have had the time to be listed since the directory was reached again.
     pub is_complete: bool,
+    /// What the answers to commits have told this proxy and those that it has asked.
+    pub points: leader::KnownPoints,
+    /// Whether a member is missing that may come back with its log.
+    pub awaits_missing: bool,
+    /// Whether the last commits are not known, since no proxy that has run for long has told.
+    pub is_uninformed: bool,
+    /// Whether all homes of the group have told what they know since the end of the leases.
+    pub homes_told: bool,
+    /// Names of the VMs whose proxies have told what they know since the attempt began.
+    pub told_by: Vec<Box<str>>,
 }
 
 impl Roster {
@@ -220,6 +230,13 @@
         let found = self.members.iter().find(|known| known.member == member);
         found.map(|known| known.name.clone())
     }
+
+    /// Returns whether a log that ends at `end` is known to contain each commit that was answered: all homes have told how far the log
+    /// of the leader was, and it was no further.
+    fn is_proven_whole(&self, end: floor::Point) -> bool {
+        let sufficient = self.points.sufficient();
+        self.homes_told && sufficient.is_some_and(|sufficient| end >= sufficient)
+    }
 }
 
 /// Progress of an attempt after an input.
@@ -254,8 +271,6 @@
     old_leader: Option<id::MemberId>,
     /// Newest term that was known when the attempt was created.
     term: id::Term,
-    /// Point up to which all commits of the old leader are known to be acknowledged.
-    acknowledged: Option<floor::Point>,
     /// Newest term that is known to have a leader.
     newest_term: id::Term,
     /// Term that the last order before this attempt has ended if it was executed, or ends when it is.
@@ -330,7 +345,6 @@
             reason,
             old_leader: leader.member,
             term: leader.term,
-            acknowledged: leader.acknowledged,
             newest_term: leader.term,
             replaced_term: 0,
             hold_term: leader.term.saturating_add(1),
@@ -408,14 +422,23 @@
         matches!(self.step, Step::Confirming { .. }) && self.target == Some(leader)
     }
 
+    /// Returns the end of the target's log when its promotion was ordered.
+    pub fn target_log_end(&self) -> Option<floor::Point> {
+        let target = self.target?;
+        let held = self.holds.get(target).and_then(|hold| hold.status);
+        let received = held.map(|status| status.received);
+        received.or(self.log_end.filter(|_| self.target == self.old_leader))
+    }
+
     /// Returns what the attempt knows of the old leader, for the proxy's diagnostic log.
-    pub fn choice_basis(&self) -> effect::ChoiceBasis {
+    pub fn choice_basis(&self, roster: &Roster) -> effect::ChoiceBasis {
         effect::ChoiceBasis {
             old_leader: self.old_leader,
             hands_over: self.hands_over,
             surveyed_end: self.surveyed_end,
             log_end: self.log_end,
-            acknowledged: self.acknowledged,
+            acknowledged: roster.points.required(),
+            answered_end: roster.points.sufficient(),
         }
     }
 
@@ -460,10 +483,10 @@
             }
             Step::Ordering {
                 retry_at: Some(retry_at),
-            } if now >= retry_at => return self.repeat_order(now, out),
+            } if now >= retry_at => return self.repeat_order(now, roster, out),
             Step::Confirming { until, poll_at } => {
                 if now >= until {
-                    return self.repeat_order(now, out);
+                    return self.repeat_order(now, roster, out);
                 } else if now >= poll_at {
                     let poll_at = now + COMMAND_RETRY_DELAY;
                     self.step = Step::Confirming { until, poll_at };
@@ -645,13 +668,21 @@
             self.step = Step::Stopping { until };
             return self.stop_leader(now, roster, out);
         }
-        if !self.hands_over && !self.are_all_held(roster) {
+        let is_fit =
+            self.hands_over || self.are_all_held(roster) && self.find_furthest(roster).is_ok();
+        if !is_fit {
+            // A member has joined meanwhile, or a proxy has told of commits that all of them lack.
             return self.start_second_round(now, roster, out);
         }
         self.give_order(out);
         Progress::Ongoing
     }
 
+    /// Returns whether the logs on which the choice of a take-over rests are still those of all members.
+    fn is_choice_current(&self, roster: &Roster) -> bool {
+        self.hands_over || self.are_all_held(roster) && self.find_furthest(roster).is_ok()
+    }
+
     /// Continues after a member's answer to a command that was sent at `asked_at`, or after its absence (`None`).
     pub fn apply_status(
         &mut self,
@@ -836,10 +867,18 @@
     }
 
     /// Repeats the promotion order, or gives the attempt up if orders are not sent any more.
-    fn repeat_order(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
+    fn repeat_order(
+        &mut self,
+        now: Instant,
+        roster: &Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> Progress {
         if self.orders_end_at.is_some_and(|end_at| now >= end_at) {
             return self.give_up(now, out);
         }
+        if !self.order_taken && !self.is_choice_current(roster) {
+            return self.give_up(now, out);
+        }
         self.give_order(out);
         Progress::Ongoing
     }
--- a/crates/broker/src/leader.rs
+++ b/crates/broker/src/leader.rs
@@ -5,6 +5,7 @@
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use fulmarlift_core::sorted;
+use serde::{Deserialize, Serialize};
 
 use crate::member_state;
 
@@ -46,6 +47,66 @@
     Stalled,
 }
 
+/// The start of a leader's term.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TermStart {
+    /// Term of the leader.
+    pub term: id::Term,
+    /// End of its log when its promotion was ordered.
+    pub log_end: floor::Point,
+}
+
+/// What the answers to commits tell about the log of a group.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KnownPoints {
+    /// Point up to which all commits are known to be acknowledged. A log that ends before it lacks some of them.
+    pub acknowledged: Option<floor::Point>,
+    /// Highest end of a leader's log in the answer to a commit. A log that reaches it lacks none of the commits that were answered.
+    pub answered_end: Option<floor::Point>,
+    /// Start of the newest term for which it is known.
+    pub term_start: Option<TermStart>,
+}
+
+impl KnownPoints {
+    /// Adds what another proxy knows.
+    pub fn merge(&mut self, other: Self) {
+        self.acknowledged = self.acknowledged.max(other.acknowledged);
+        self.answered_end = self.answered_end.max(other.answered_end);
+        if other.term_start.map(|start| start.term) > self.term_start.map(|start| start.term) {
+            self.term_start = other.term_start;
+        }
+    }
+
+    /// Records the end of the log of the leader of a term. One of an earlier term is the start of that term.
+    pub fn record_leader_end(&mut self, term: id::Term, log_end: floor::Point) {
+        let term_start = (log_end.term < term).then_some(TermStart { term, log_end });
+        self.merge(Self {
+            term_start,
+            ..Self::default()
+        });
+    }
+
+    /// Returns the point that a log must have reached to lack no acknowledged commit.
+    pub fn required(&self) -> Option<floor::Point> {
+        self.without_rolled_back(self.acknowledged)
+    }
+
+    /// Returns the point from which on a log lacks none of the commits that were answered.
+    pub fn sufficient(&self) -> Option<floor::Point> {
+        self.without_rolled_back(self.answered_end)
+    }
+
+    /// Lowers a point of an earlier term to the start of the newest one: no log can have what a promotion has rolled back.
+    fn without_rolled_back(&self, point: Option<floor::Point>) -> Option<floor::Point> {
+        match self.term_start {
+            Some(start) if point.is_some_and(|point| point.term < start.term) => {
+                point.min(Some(start.log_end))
+            }
+            _ => point,
+        }
+    }
+}
+
 /// Belief about the leader of a group, from directory entries and answers.
 #[derive(Clone, Debug, Default)]
 pub struct LeaderBelief {
@@ -65,8 +126,8 @@
     pub stalled_commits: u32,
     /// Instant at which a commit was last answered.
     pub committed_at: Option<Instant>,
-    /// Point up to which all commits are known to be acknowledged.
-    pub acknowledged: Option<floor::Point>,
+    /// What the answers to commits have told this proxy, and other proxies that it has asked.
+    pub points: KnownPoints,
     /// End of the log in the answer to a commit, and the instant of that answer.
     log_end: Option<(Instant, floor::Point)>,
 }
@@ -137,14 +198,23 @@
     ///
     /// The end of the log may lie past the last acknowledged entry. A commit that is sent after the end was seen gets a
     /// higher position, and replicas receive entries in order. So once that commit is answered, all entries up to the
-    /// earlier end are acknowledged.
+    /// one after the earlier end are acknowledged.
     pub fn record_commit(&mut self, now: Instant, sent_at: Instant, end: Option<floor::Point>) {
         self.committed_at = Some(now);
         self.reset_stall();
         let earlier_end = self.log_end.filter(|(seen_at, _)| *seen_at <= sent_at);
-        if let Some((_, point)) = earlier_end {
-            self.acknowledged = self.acknowledged.max(Some(point));
-        }
+        let acknowledged = earlier_end.map(|(_, earlier)| match end {
+            Some(end) if end.term == earlier.term => end.min(floor::Point::new(
+                earlier.term,
+                earlier.position.saturating_add(1),
+            )),
+            _ => earlier,
+        });
+        self.points.merge(KnownPoints {
+            acknowledged,
+            answered_end: end,
+            term_start: None,
+        });
         if self.log_end.is_none() || earlier_end.is_some() {
             self.log_end = end.map(|point| (now, point));
         }
--- a/crates/broker/src/state/choice_log.rs
+++ b/crates/broker/src/state/choice_log.rs
@@ -1,4 +1,5 @@
-//! The choices of leaders that other proxies have made, for this proxy's diagnostic log. No decision rests on them.
+//! The choices of leaders that other proxies have made, for this proxy's diagnostic log, and the commits of which it has told. Of these,
+//! only the points count in decisions.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -9,6 +10,7 @@
 use crate::claim;
 use crate::effect;
 use crate::event;
+use crate::leader;
 use crate::state;
 
 /// Range in ms over which proxies spread their reads of the claim row after a change of the leader.
@@ -198,6 +200,11 @@
         commit: event::ToldCommit,
     ) {
         if let Some(group) = self.groups.get_mut(group_id) {
+            // A success is told only once another member has received the log up to this point.
+            group.leader.points.merge(leader::KnownPoints {
+                acknowledged: Some(commit.point),
+                ..leader::KnownPoints::default()
+            });
             group.choice_log.record_told(now, commit);
         }
     }
--- a/crates/broker/src/state/confirmations.rs
+++ b/crates/broker/src/state/confirmations.rs
@@ -145,7 +145,7 @@
     }
 
     /// Returns whether the commits of a group wait for other members.
-    fn is_replicated(&self, group: id::GroupId) -> bool {
+    pub(super) fn is_replicated(&self, group: id::GroupId) -> bool {
         let config = self.topology.groups.get(group);
         config.is_none_or(|config| config.sync_replicas > 0)
     }
--- a/crates/broker/src/state/failover_log.rs
+++ b/crates/broker/src/state/failover_log.rs
@@ -117,9 +117,10 @@
         &mut self,
         group: id::GroupId,
         attempt: &failover::Attempt,
+        roster: &failover::Roster,
     ) -> Option<effect::StateChange> {
         let (_, token, _) = attempt.step_token_and_target();
-        let basis = attempt.choice_basis();
+        let basis = attempt.choice_basis(roster);
         let (member, log_end) = basis.old_leader.zip(basis.log_end)?;
         let is_logged = self.stopped.is_some_and(|stopped| stopped.token == token);
         if !basis.hands_over || is_logged {
@@ -166,6 +167,7 @@
         &mut self,
         now: Instant,
         attempt: &failover::Attempt,
+        roster: &failover::Roster,
         leader: id::MemberId,
         term: id::Term,
     ) {
@@ -174,7 +176,7 @@
             token,
             leader,
             term,
-            hands_over: attempt.choice_basis().hands_over,
+            hands_over: attempt.choice_basis(roster).hands_over,
             confirmed_at: now,
             received: self.received.clone(),
             compared: Vec::new(),
@@ -286,7 +288,6 @@
             .map(|record| {
                 Box::new(claim::ChoiceRecord {
                     at_order: true,
-                    asked_proxies: known.asked_proxies.clone(),
                     ..*record
                 })
             });
@@ -386,8 +387,9 @@
             token,
             reason: attempt.reason,
             target,
-            basis: attempt.choice_basis(),
+            basis: attempt.choice_basis(roster),
             members: known.chain(answered).chain(unanswered).collect(),
+            told_by: roster.told_by.clone(),
         }
     }
 }
@@ -427,7 +429,7 @@
         acknowledged: choice.basis.acknowledged,
         target_had: received(target),
         members: recorded.collect(),
-        asked_proxies: Vec::new(),
+        told_by: choice.told_by.clone(),
     };
     Some(Box::new(record.bounded()))
 }
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -69,6 +69,7 @@
                     state.denies_leadership = false;
                     if let Some(point) = report.point {
                         group.index.record(sent_at, term, point);
+                        group.leader.points.record_leader_end(term, point);
                     }
                     if commit {
                         group.leader.record_commit(now, sent_at, report.point);
@@ -191,6 +192,7 @@
                     .record_confirmation(now, asked_at, member, term, fenced, is_outdated);
             if confirmed {
                 group.lease.trust.record_contact(asked_at);
+                group.leader.points.record_leader_end(term, status.received);
             }
         }
     }
@@ -208,6 +210,7 @@
             .flatten();
         // A leader that answers can hand over to a member that has its whole log, whichever members are listed.
         let is_complete = self.is_directory_complete(now);
+        let is_answering = reason.is_none() && self.leader(group_id).is_some();
         let reason =
             reason.filter(|reason| is_complete || *reason == leader::ReplaceReason::Leaving);
         let (proxy_name, fenced) = (self.settings.name.clone(), self.settings.fenced);
@@ -216,6 +219,9 @@
             .attempt
             .as_ref()
             .is_some_and(failover::Attempt::may_be_dropped);
+        if is_answering {
+            group.withheld_since = None;
+        }
         match reason {
             None if droppable => group.attempt = None,
             Some(reason) if group.attempt.is_none() => {
@@ -294,30 +300,32 @@
             &mut Vec<effect::Effect>,
         ) -> failover::Progress,
     ) {
-        let is_complete = self.is_directory_complete(now);
-        let Some(group) = self.groups.get_mut(group_id) else {
+        let attempt = self
+            .groups
+            .get(group_id)
+            .and_then(|group| group.attempt.as_ref());
+        let Some(began_at) = attempt.map(failover::Attempt::began_at) else {
             return;
         };
+        let roster = self.roster(now, group_id, began_at);
+        let group = self.groups.entry(group_id);
         let Some(attempt) = group.attempt.as_mut() else {
             return;
         };
-        let participants = group.members.values().map(|state| failover::Participant {
-            member: state.entry.id,
-            name: state.entry.name.clone(),
-            listed: state.unlisted_since.is_none(),
-            leaving: state.entry.leaving,
-            may_run: leader::may_run(state, now),
-            answered_at: state.answered_at,
-        });
-        let roster = failover::Roster {
-            members: participants.collect(),
-            is_complete,
-        };
         let first_new_effect = effects.len();
         let progress = apply_input(attempt, &roster, effects);
         for effect in &mut effects[first_new_effect..] {
             assign_connection(effect, &mut group.members);
         }
+        let new_effects = &effects[first_new_effect..];
+        let reads = |effect: &effect::Effect| matches!(effect, effect::Effect::ReadDirectory(_));
+        let asked_at = group.asked_after_leases_at;
+        if asked_at.is_none_or(|at| at < began_at) && new_effects.iter().any(reads) {
+            group.asked_after_leases_at = Some(now);
+        }
+        if new_effects.iter().any(withholds_choice) {
+            group.withheld_since.get_or_insert(now);
+        }
         let choice = group.failover_log.tell_choice(
             now,
             &self.settings.name,
@@ -327,7 +335,9 @@
             &mut effects[first_new_effect..],
         );
         effects.extend(choice.map(effect::Effect::RecordChange));
-        let stopped = group.failover_log.stopped_leader(group_id, attempt);
+        let stopped = group
+            .failover_log
+            .stopped_leader(group_id, attempt, &roster);
         effects.extend(stopped.map(effect::Effect::RecordChange));
         let (step, token, target) = attempt.step_token_and_target();
         let reason = attempt.reason;
@@ -366,8 +376,11 @@
         if let failover::Progress::Done { member, status } = progress
             && attempt.has_confirmed(member)
         {
+            if let Some(log_end) = attempt.target_log_end() {
+                group.leader.points.record_leader_end(status.term, log_end);
+            }
             let log = &mut group.failover_log;
-            log.start_comparison(now, attempt, member, status.term);
+            log.start_comparison(now, attempt, &roster, member, status.term);
             let others = roster.members.iter().map(|other| other.member);
             for other in others.filter(|other| *other != member) {
                 let asked = ask_for_comparison(group_id, other, &mut group.members);
@@ -382,6 +395,7 @@
             failover::Progress::Ongoing => {}
             failover::Progress::Done { .. } => {
                 group.attempt = None;
+                group.withheld_since = None;
                 group.failover_log.end_attempt();
                 group.next_attempt_at = Some(now + NEXT_FAILOVER_DELAY);
                 let evidence = effect::LeaderEvidence::Failover;
@@ -397,6 +411,14 @@
     }
 }
 
+/// Returns whether an effect tells that no member is promoted, because all of them may lack acknowledged commits.
+fn withholds_choice(effect: &effect::Effect) -> bool {
+    let effect::Effect::RecordChange(change) = effect else {
+        return false;
+    };
+    matches!(change, effect::StateChange::ChoiceWithheld { .. })
+}
+
 /// Assigns an idle connection to a command, so that the command can be sent even if the member allows no further connection.
 fn assign_connection(
     effect: &mut effect::Effect,
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod failover_log;
 mod leaders;
 mod leases;
+mod missing;
 mod peers;
 mod requests;
 mod search;
@@ -102,6 +103,14 @@
     probing: bool,
     /// Whether the read index needs a newer sample, which a probe gets.
     needs_sample: bool,
+    /// Members that have been dropped and may come back with their logs.
+    missing: sorted::Map<id::MemberId, event::MissingMember>,
+    /// Newest answer of each proxy that was asked what it knows.
+    testimonies: sorted::Map<id::ProxyId, missing::Testimony>,
+    /// Instant at which proxies were first asked in an attempt after the end of the leases.
+    asked_after_leases_at: Option<Instant>,
+    /// Instant since which no member is promoted, because all of them may lack acknowledged commits.
+    withheld_since: Option<Instant>,
     /// Current attempt to replace the leader.
     attempt: Option<failover::Attempt>,
     /// Earliest instant of the next attempt.
@@ -146,7 +155,12 @@
             event::Event::Configured(topology) => self.apply_configuration(now, topology, effects),
             event::Event::Listed(member) => self.apply_member_entry(now, member, effects),
             event::Event::Unlisted { name, revision } => self.record_unlisted(now, &name, revision),
-            event::Event::MemberKnown(member) => self.add_known_member(now, member, effects),
+            event::Event::ProxyTold {
+                group,
+                proxy,
+                asked_at,
+                knowledge,
+            } => self.record_told(now, group, proxy, asked_at, knowledge, effects),
             event::Event::PeerListed(peer) => self.apply_peer_entry(now, peer, effects),
             event::Event::PeerUnlisted(name) => self.remove_peer(now, &name, effects),
             event::Event::PeersRead => self.record_peers_read(now, effects),
@@ -334,15 +348,6 @@
         listed.map(|state| state.entry.clone()).collect()
     }
 
-    /// Returns the entries of the members of a group, also of those that the directory no longer lists, except for those that have
-    /// failed and not answered since.
-    pub fn running_members(&self, group: id::GroupId) -> Vec<topology::Member> {
-        let group = self.groups.get(group).into_iter();
-        let members = group.flat_map(|group| group.members.values());
-        let running = members.filter(|state| !state.is_suspect());
-        running.map(|state| state.entry.clone()).collect()
-    }
-
     /// Returns the entries of the other proxies.
     pub fn listed_peers(&self) -> Vec<topology::Peer> {
         self.peers.values().cloned().collect()
--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -198,7 +198,7 @@
     }
 
     /// Returns the homes of a group. Proxies that have failed as homes for too long are left out.
-    fn homes_of(
+    pub(super) fn homes_of(
         &self,
         now: Instant,
         group_id: id::GroupId,
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -31,6 +31,7 @@
 impl state::Broker {
     pub(super) fn tick(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
         self.drop_gone_members(now, effects);
+        self.forget_lost_members(now);
         self.homes_outdated |= self.has_failing_home();
         self.choose_homes_if_outdated(now, effects);
         let groups: Vec<id::GroupId> = self.groups.keys().collect();
@@ -92,6 +93,7 @@
             self.open_connection(member, effects);
         }
         for member in gone {
+            self.record_missing(member);
             self.drop_member(now, member, effects);
         }
     }
--- a/crates/broker/tests/choice_log.rs
+++ b/crates/broker/tests/choice_log.rs
@@ -314,6 +314,15 @@
 }
 
 /// An answer of the old leader may be passed on after the promotion.
+/// A claimant asks for it: no member without the commit may be promoted.
+#[test]
+fn told_commit_is_known_to_be_acknowledged() {
+    let mut fixture = Fixture::new();
+    tell_commit(&mut fixture, "r-1", (1, 41), (1, 40));
+    let known = fixture.broker.knowledge(fixture.now, GROUP).points;
+    assert_eq!(known.acknowledged, Some(Point::new(1, 41)));
+}
+
 #[test]
 fn commit_that_is_told_after_choice_is_lost() {
     let mut fixture = Fixture::new();
--- a/crates/broker/tests/leader.rs
+++ b/crates/broker/tests/leader.rs
@@ -4,6 +4,7 @@
 
 use fulmarlift_broker::effect::Effect;
 use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport};
+use fulmarlift_broker::leader::{KnownPoints, TermStart};
 use fulmarlift_broker::request::Requirement;
 use fulmarlift_core::floor::Point;
 use std::time::Duration;
@@ -112,3 +113,24 @@
     }
     assert_eq!(count_claim_loads(&mut fixture), 0);
 }
+
+/// No log can have what a promotion has rolled back, so no later choice may wait for it.
+#[test]
+fn required_leaves_out_commits_that_promotion_rolled_back() {
+    let points = |acknowledged, term_start| KnownPoints {
+        acknowledged,
+        answered_end: acknowledged,
+        term_start,
+    };
+    let start = TermStart {
+        term: 3,
+        log_end: Point::new(2, 290),
+    };
+    let mut known = points(Some(Point::new(2, 340)), None);
+    assert_eq!(known.required(), Some(Point::new(2, 340)));
+    known.merge(points(Some(Point::new(2, 310)), Some(start)));
+    assert_eq!(known.required(), Some(Point::new(2, 290)));
+    assert_eq!(known.sufficient(), Some(Point::new(2, 290)));
+    known.merge(points(Some(Point::new(3, 291)), None));
+    assert_eq!(known.required(), Some(Point::new(3, 291)));
+}
--- a/crates/broker/tests/model/system.rs
+++ b/crates/broker/tests/model/system.rs
@@ -1050,6 +1050,7 @@
                 .map(participant)
                 .collect(),
             is_complete: true,
+            ..Roster::default()
         };
         let reads = self.proxies[proxy].directory_reads;
         let Some(attempt) = &mut self.proxies[proxy].attempt else {
--- a/crates/broker/tests/simulation/callers.rs
+++ b/crates/broker/tests/simulation/callers.rs
@@ -312,6 +312,15 @@
         self.acknowledged.record(self.now, commit);
         self.outcome.commits += 1;
         self.proxies[index].newest_commit = success.point;
+        if let Some(point) = success.point {
+            let commit = event::ToldCommit {
+                request: Box::default(),
+                point,
+                seen_before: None,
+            };
+            let group = proxy::GROUP;
+            self.step(index, event::Event::CommitTold { group, commit });
+        }
         let newest = &self.members[self.newest_leader];
         if newest.term > commit.term && !newest.log.contains(commit) {
             self.outcome.lost += 1;
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -447,6 +447,7 @@
             } => self.send_command(group, member, command, conn),
             effect::Effect::LoadClaim(group) => self.load_claim(group),
             effect::Effect::LoadChoice(group) => self.load_choice(group),
+            effect::Effect::AskProxies(group) => drop(self.ask_proxies(group)),
             effect::Effect::ReadDirectory(group) => self.read_directory(group),
             effect::Effect::StoreClaim {
                 group,
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -62,6 +62,24 @@
                 "event=more_commits_lost group={group} leader={leader} leader_had={leader_had} certain={certain} uncertain={uncertain}"
             );
         }
+        effect::StateChange::ChoiceWithheld {
+            group,
+            token,
+            furthest,
+            acknowledged,
+            answered_end,
+            awaits_missing,
+            homes_told,
+        } => {
+            metrics::counter!("fulmarlift_choices_withheld_total").increment(1);
+            log::warn!(
+                "event=choice_withheld group={} token={token} furthest={} acknowledged={} answered_end={} awaits_missing={awaits_missing} homes_told={homes_told}",
+                group_name(broker, group),
+                point_text(furthest),
+                point_text(acknowledged),
+                point_text(answered_end)
+            );
+        }
         effect::StateChange::LeaderStopped {
             group,
             token,
@@ -165,7 +183,7 @@
         .map(|member| choice_member_text(now, member))
         .collect();
     log::info!(
-        "event=choice group={} token={} reason={:?} hands_over={} target={} old_leader={} log_end={} surveyed_end={} acknowledged={} members=\"{}\"",
+        "event=choice group={} token={} reason={:?} hands_over={} target={} old_leader={} log_end={} surveyed_end={} acknowledged={} answered_end={} told_by=\"{}\" members=\"{}\"",
         group_name(broker, choice.group),
         choice.token,
         choice.reason,
@@ -175,6 +193,8 @@
         point_text(choice.basis.log_end),
         point_text(choice.basis.surveyed_end),
         point_text(choice.basis.acknowledged),
+        point_text(choice.basis.answered_end),
+        choice.told_by.join(" "),
         members.join(" ")
     );
 }
@@ -189,7 +209,7 @@
 ) {
     let members: Vec<String> = choice.members.iter().map(recorded_member_text).collect();
     log::info!(
-        "event=leader_choice group={} leader={} term={term} token={} claimant={} target={} target_had={} acknowledged={} hands_over={} at_order={} asked=\"{}\" members=\"{}\"",
+        "event=leader_choice group={} leader={} term={term} token={} claimant={} target={} target_had={} acknowledged={} hands_over={} at_order={} told_by=\"{}\" members=\"{}\"",
         group_name(broker, group),
         member_name(broker, leader),
         choice.token,
@@ -199,7 +219,7 @@
         point_text(choice.acknowledged),
         choice.hands_over,
         choice.at_order,
-        choice.asked_proxies.join(" "),
+        choice.told_by.join(" "),
         members.join(" ")
     );
 }
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -37,8 +37,10 @@
 const COMMAND_ANSWER_PATIENCE: Duration = Duration::from_millis(300);
 /// Time of a read of a claim row from which another proxy is asked as well.
 const CLAIM_RELAY_DELAY: Duration = Duration::from_millis(60);
-/// Time after a read of the directory for which the members that other proxies know are waited for.
-const ROSTER_PATIENCE: Duration = Duration::from_millis(150);
+/// Time in which other proxies answer what they know of a group.
+const KNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time after a read of the directory for which the answers of other proxies are waited for.
+const KNOWLEDGE_PATIENCE: Duration = Duration::from_millis(150);
 /// Lifetime of an unused control connection: about the duration of a failover.
 const CONTROL_CONNECTION_LIFETIME: Duration = Duration::from_secs(2);
 
@@ -484,17 +486,25 @@
         }
     }
 
+    /// Asks other proxies what they know of a group. The task ends once all have answered or failed, or in time.
+    pub(super) fn ask_proxies(self: &Rc<Self>, group: id::GroupId) -> tokio::task::JoinHandle<()> {
+        let shell = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            let asking = relay::ask_for_knowledge(&shell, group);
+            let _ = tokio::time::timeout(KNOWLEDGE_TIMEOUT, asking).await;
+        })
+    }
+
     /// Reads the entries of all members from the store, and applies those that are listed. What has been removed is left to the
-    /// updates of the store. Asks other proxies meanwhile for members that this one does not know.
+    /// updates of the store. Asks other proxies meanwhile what they know of the group.
     pub(super) fn read_directory(self: &Rc<Self>, group: id::GroupId) {
         let shell = Rc::clone(self);
         let asked_at = clock::now();
         tokio::task::spawn_local(async move {
-            let unknown = RefCell::new(Vec::new());
             let transfer = transfer::Transfer::default();
             let reading = shell.directory.read(&transfer);
-            let asking = relay::ask_for_rosters(&shell, group, &unknown);
-            let read = read_beside(reading, asking).await;
+            let asking = shell.ask_proxies(group);
+            let read = read_beside(reading, async { drop(asking.await) }).await;
             let read = match read {
                 Ok(batch) if batch.revision.era < shell.store_era() => {
                     Err(Box::from("answer of an earlier era"))
@@ -518,9 +528,6 @@
                     log::warn!("event=directory_unread group={name} error=\"{error}\"");
                 }
             }
-            for member in unknown.take() {
-                shell.handle(event::Event::MemberKnown(member));
-            }
             shell.handle(event::Event::DirectoryLoaded { group, is_read });
         });
     }
@@ -594,7 +601,7 @@
     }
 }
 
-/// Waits for a read of the directory, and for [`ROSTER_PATIENCE`] more for the answers of other proxies. If it fails, it is repeated
+/// Waits for a read of the directory, and for [`KNOWLEDGE_PATIENCE`] more for the answers of other proxies. If it fails, it is repeated
 /// soon, and so is the question.
 async fn read_beside<T, E>(
     reading: impl Future<Output = Result<T, E>>,
@@ -611,7 +618,7 @@
     };
     if read.is_ok() && !has_asked {
         // What has arrived by then counts.
-        let _ = tokio::time::timeout(ROSTER_PATIENCE, asking).await;
+        let _ = tokio::time::timeout(KNOWLEDGE_PATIENCE, asking).await;
     }
     read
 }
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -7,6 +7,7 @@
 use fulmarlift_broker::claim;
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
+use fulmarlift_broker::leader;
 use fulmarlift_broker::revision;
 use fulmarlift_broker::topology;
 use fulmarlift_broker::topology_change;
@@ -72,13 +73,10 @@
         /// Status in the member's answer to the command; `None` if there was none.
         status: Option<event::MemberStatus>,
     },
-    /// Question for the members of a group, the first and only message of a proxy that replaces the group's leader.
-    RosterQuestion { group: id::GroupId },
+    /// Question for what a proxy knows of a group, the first and only message of a proxy that replaces the group's leader.
+    GroupQuestion { group: id::GroupId },
     /// Answer to it.
-    RosterAnswer {
-        /// Members that the answering proxy knows and has not failed to reach, whether or not the directory lists them.
-        members: Vec<topology::Member>,
-    },
+    GroupAnswer(EncodedKnowledge),
 }
 
 /// A command that may be sent to a member through another proxy. A release may not: sent late, it would end the hold of another
@@ -140,6 +138,56 @@
     }
 }
 
+/// What a proxy knows of a group, see [`event::GroupKnowledge`].
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct EncodedKnowledge {
+    running: Vec<topology::Member>,
+    /// Missing members, each with the time in milliseconds for which it is still awaited, and whether it is silent.
+    missing: Vec<(topology::Member, u64, bool)>,
+    points: leader::KnownPoints,
+    /// Time in milliseconds for which the proxy has had a configuration.
+    known_for_ms: Option<u64>,
+}
+
+impl EncodedKnowledge {
+    pub(super) fn of(knowledge: event::GroupKnowledge, now: Instant) -> Self {
+        let missing = knowledge.missing.into_iter().map(|missing| {
+            let awaited = missing.awaited_until.saturating_duration_since(now);
+            let awaited_ms = u64::try_from(awaited.as_millis()).unwrap_or(u64::MAX / 2);
+            (missing.entry, awaited_ms, missing.is_silent)
+        });
+        let known_for_ms = knowledge.known_since.map(|since| {
+            let known_for = now.saturating_duration_since(since);
+            u64::try_from(known_for.as_millis()).unwrap_or(u64::MAX / 2)
+        });
+        Self {
+            known_for_ms,
+            missing: missing.collect(),
+            running: knowledge.running,
+            points: knowledge.points,
+        }
+    }
+
+    pub(super) fn decode(self, now: Instant) -> event::GroupKnowledge {
+        let missing = self.missing.into_iter();
+        let missing = missing.filter_map(|(entry, awaited_ms, is_silent)| {
+            let awaited_until = now.checked_add(Duration::from_millis(awaited_ms))?;
+            Some(event::MissingMember {
+                entry,
+                awaited_until,
+                is_silent,
+            })
+        });
+        let known_for = self.known_for_ms.map(Duration::from_millis);
+        event::GroupKnowledge {
+            known_since: known_for.and_then(|known_for| now.checked_sub(known_for)),
+            missing: missing.collect(),
+            running: self.running,
+            points: self.points,
+        }
+    }
+}
+
 /// A claim row as the store returned it.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct EncodedClaimRow {
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -122,8 +122,8 @@
             | frame::Message::ClaimAnswer { .. }
             | frame::Message::CommandQuestion { .. }
             | frame::Message::CommandAnswer { .. }
-            | frame::Message::RosterQuestion { .. }
-            | frame::Message::RosterAnswer { .. } => {
+            | frame::Message::GroupQuestion { .. }
+            | frame::Message::GroupAnswer(_) => {
                 return Err(io::Error::from(io::ErrorKind::InvalidData));
             }
             frame::Message::Freshness {
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -70,9 +70,7 @@
             let command = command.command();
             relay::answer_command(shell, stream, &asker, &member, command).await
         }
-        frame::Message::RosterQuestion { group } => {
-            relay::answer_roster(shell, stream, group).await
-        }
+        frame::Message::GroupQuestion { group } => relay::answer_group(shell, stream, group).await,
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
 }
--- a/crates/session/src/updates/relay.rs
+++ b/crates/session/src/updates/relay.rs
@@ -1,7 +1,6 @@
 //! Reads of claim rows through other proxies, for a proxy that the store does not answer, and commands to members through other
 //! proxies, for one that does not reach a member. Questions to others for the members of a group.
 
-use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::io;
 use std::rc::Rc;
@@ -203,68 +202,79 @@
     frame::send(&mut stream, &answer.encode()).await
 }
 
-/// Asks several other proxies at once for the members of a group, and adds those that this proxy does not know to `unknown`. Ends once
-/// all have answered or failed.
-pub(crate) async fn ask_for_rosters<D: Deployment>(
+/// Asks other proxies at once what they know of a group, and passes each answer to the broker. Ends once all have answered or failed.
+pub(crate) async fn ask_for_knowledge<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
     group: id::GroupId,
-    unknown: &RefCell<Vec<topology::Member>>,
 ) {
-    let question = frame::Message::RosterQuestion { group }.encode();
-    let peers = choose_peers_near_members(shell, group);
+    let asked_at = clock::now();
+    let question = frame::Message::GroupQuestion { group }.encode();
+    let peers = shell.with_broker(|broker| broker.witnesses(group));
     let mut asking: FuturesUnordered<_> = peers
         .iter()
         .map(|peer| {
             let question = &question;
-            async move { (peer, ask_for_roster(peer, question).await) }
+            async move { (peer, ask_for_group(peer, question).await) }
         })
         .collect();
     while let Some((peer, answered)) = asking.next().await {
-        let members = match answered {
-            Ok(members) => members,
-            Err(error) => {
-                log::debug!(
-                    "event=roster_unread proxy={} error=\"{error}\"",
-                    peer.vm_name
-                );
-                continue;
-            }
-        };
-        for member in members {
-            let is_known = shell.with_broker(|broker| broker.member(member.id).is_some());
-            let mut unknown = unknown.borrow_mut();
-            let is_new = !is_known && unknown.iter().all(|other| other.id != member.id);
-            if is_new && member.group == group {
-                log::info!(
-                    "event=member_known member={} address={} revision={} proxy={}",
-                    member.name,
-                    member.address,
-                    member.revision,
-                    peer.vm_name
-                );
-                unknown.push(member);
+        match answered {
+            Ok(knowledge) => {
+                log_knowledge(shell, group, peer, &knowledge);
+                shell.handle(event::Event::ProxyTold {
+                    group,
+                    proxy: id::of(&peer.vm_name),
+                    asked_at,
+                    knowledge,
+                });
             }
+            Err(error) => log::debug!(
+                "event=knowledge_unread proxy={} error=\"{error}\"",
+                peer.vm_name
+            ),
         }
     }
 }
 
-async fn ask_for_roster(
+/// Logs the members that another proxy has named and that this one does not know.
+fn log_knowledge<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    group: id::GroupId,
+    peer: &topology::Peer,
+    knowledge: &event::GroupKnowledge,
+) {
+    let is_unknown = |member: &&topology::Member| {
+        member.group == group && shell.with_broker(|broker| broker.member(member.id).is_none())
+    };
+    for member in knowledge.running.iter().filter(is_unknown) {
+        log::info!(
+            "event=member_known member={} address={} revision={} proxy={}",
+            member.name,
+            member.address,
+            member.revision,
+            peer.vm_name
+        );
+    }
+}
+
+async fn ask_for_group(
     peer: &topology::Peer,
     question: &[u8],
-) -> io::Result<Vec<topology::Member>> {
+) -> io::Result<event::GroupKnowledge> {
     match ask_peer(peer, question).await? {
-        frame::Message::RosterAnswer { members } => Ok(members),
+        frame::Message::GroupAnswer(knowledge) => Ok(knowledge.decode(clock::now())),
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
 }
 
-/// Answers the question of another proxy for the members of a group.
-pub(super) async fn answer_roster<D: Deployment>(
+/// Answers the question of another proxy for what this one knows of a group.
+pub(super) async fn answer_group<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
     mut stream: TcpStream,
     group: id::GroupId,
 ) -> io::Result<()> {
-    let members = shell.with_broker(|broker| broker.running_members(group));
-    let answer = frame::Message::RosterAnswer { members };
+    let now = clock::now();
+    let knowledge = shell.with_broker(|broker| broker.knowledge(now, group));
+    let answer = frame::Message::GroupAnswer(frame::EncodedKnowledge::of(knowledge, now));
     frame::send(&mut stream, &answer.encode()).await
 }
