--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -381,3 +381,36 @@
         ..Plan::new(seed, Mix::MISSING_CONFIRMERS)
     });
 }
+
+/// The replicas that confirmed are missing, and the claimant has sent commits that the replica which it reaches lacks.
+#[rstest]
+#[case::unfenced(false, false, &[2, 5, 6, 17, 20, 23])]
+#[case::fenced(true, false, &[1, 2, 6, 20, 23, 27])]
+#[case::relays(false, true, &[2, 5, 6, 17, 20, 23])]
+#[case::relays_fenced(true, true, &[1, 2, 6, 20, 23, 27])]
+fn promoted_member_has_what_claimant_saw_acknowledged(
+    #[case] fenced: bool,
+    #[case] relays: bool,
+    #[case] seeds: &[u64],
+) {
+    run_seeds(seeds.iter().copied(), |seed| Plan {
+        fenced,
+        relays,
+        ..Plan::new(seed, Mix::MISSING_CONFIRMERS)
+    });
+}
+
+/// The claimant has never known a replica that confirmed, and other proxies reach it.
+#[rstest]
+#[case::unfenced(false, &[4, 11, 43])]
+#[case::fenced(true, &[16, 36, 45, 53])]
+fn promoted_member_has_what_member_named_by_other_proxies_confirmed(
+    #[case] fenced: bool,
+    #[case] seeds: &[u64],
+) {
+    run_seeds(seeds.iter().copied(), |seed| Plan {
+        fenced,
+        relays: true,
+        ..Plan::new(seed, Mix::MISSING_CONFIRMERS)
+    });
+}
