--- a/crates/broker/tests/simulation.rs
+++ b/crates/broker/tests/simulation.rs
@@ -302,10 +302,10 @@
 }
 
 /// A hand-over passes over a replica that does not answer its hold, as it is slow, cut off or full, and the demoted leader executes what
-/// waits for a slot. Callers were told of it in the last two seeds.
+/// waits for a slot. Callers were told of it in the last three seeds.
 #[rstest]
 #[case::slow(Mix::QUEUED_COMMITS, &[2_420])]
-#[case::unreached(Mix::ROUGH_LISTED, &[265, 4_246])]
+#[case::unreached(Mix::ROUGH_LISTED, &[733, 265, 4_246, 4_609])]
 fn handover_counts_slow_member_that_confirms_queued_commits(
     #[case] mix: Mix,
     #[case] seeds: &[u64],
@@ -381,3 +381,36 @@
         ..Plan::new(seed, Mix::MISSING_CONFIRMERS)
     });
 }
+
+/// The replicas that confirmed are missing, and the claimant has sent commits that the replica which it reaches lacks.
+#[rstest]
+#[case::unfenced(false, false, &[2, 5, 6, 17, 20, 23])]
+#[case::fenced(true, false, &[1, 2, 6, 20, 23, 27])]
+#[case::relays(false, true, &[2, 5, 6, 17, 20, 23])]
+#[case::relays_fenced(true, true, &[1, 2, 6, 20, 23, 27])]
+fn promoted_member_has_what_claimant_saw_acknowledged(
+    #[case] fenced: bool,
+    #[case] relays: bool,
+    #[case] seeds: &[u64],
+) {
+    run_seeds(seeds.iter().copied(), |seed| Plan {
+        fenced,
+        relays,
+        ..Plan::new(seed, Mix::MISSING_CONFIRMERS)
+    });
+}
+
+/// The claimant has never known a replica that confirmed, and other proxies reach it.
+#[rstest]
+#[case::unfenced(false, &[4, 11, 43])]
+#[case::fenced(true, &[16, 36, 45, 53])]
+fn promoted_member_has_what_member_named_by_other_proxies_confirmed(
+    #[case] fenced: bool,
+    #[case] seeds: &[u64],
+) {
+    run_seeds(seeds.iter().copied(), |seed| Plan {
+        fenced,
+        relays: true,
+        ..Plan::new(seed, Mix::MISSING_CONFIRMERS)
+    });
+}
