--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -44,7 +44,7 @@
             return;
         }
         self.drop_other_incarnations(now, &member, effects);
-        self.forget_missing(&member.name);
+        self.forget_missing(&member);
         let group_id = member.group;
         self.member_groups.insert(member.id, group_id);
         let group = self.groups.entry(group_id);
--- a/crates/broker/src/state/missing.rs
+++ b/crates/broker/src/state/missing.rs
@@ -168,12 +168,14 @@
         }
     }
 
-    /// Forgets a missing member that has come back, under the same id or another one.
-    pub(super) fn forget_missing(&mut self, name: &str) {
+    /// Forgets a missing member that has come back: under its name, or under another one at its address in the same group, with its log.
+    pub(super) fn forget_missing(&mut self, listed: &topology::Member) {
+        let is_back = |missing: &topology::Member| {
+            let is_successor = missing.group == listed.group && missing.address == listed.address;
+            missing.name == listed.name || is_successor
+        };
         for (_, group) in self.groups.iter_mut() {
-            group
-                .missing
-                .retain(|_, missing| missing.entry.name.as_ref() != name);
+            group.missing.retain(|_, missing| !is_back(&missing.entry));
         }
     }
 
--- a/crates/broker/tests/withheld_choice.rs
+++ b/crates/broker/tests/withheld_choice.rs
@@ -705,3 +705,26 @@
     fixture.advance(100);
     assert_eq!(fixture.broker.witnesses(GROUP).len(), 32);
 }
+
+/// A crashed member is back under another name, at its address, with its log: it takes part itself.
+#[test]
+fn member_that_is_back_under_another_name_is_not_awaited() {
+    let mut fixture = Fixture::unfenced();
+    unlist(&mut fixture, "member-3");
+    let mut world = World::new(fixture, &[(1, (1, 340)), (2, (1, 300)), (4, (1, 340))]);
+    world.run(4_000);
+    assert_eq!(missing_members(&world), 1);
+    let mut back = member_at(3, "c", false);
+    (back.id, back.name, back.revision) = (4, "member-4".into(), version(70));
+    world.fixture.handle(Event::Listed(back));
+    assert_eq!(missing_members(&world), 0);
+    world.logs.retain(|(member, _)| *member != 1);
+    silence(&mut world.fixture, 1);
+    assert_eq!(world.run(5_000).map(|order| order.1), Some(4));
+}
+
+/// Returns the number of members that the proxy tells others to be missing.
+fn missing_members(world: &World) -> usize {
+    let fixture = &world.fixture;
+    fixture.broker.knowledge(fixture.now, GROUP).missing.len()
+}
