--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -1,6 +1,6 @@
 //! The lead handed over by a leader that answers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
@@ -11,6 +11,11 @@
 use crate::failover;
 use crate::leader;
 
+/// Time from the answer of a leader that it has stopped to the first question for what it has logged since.
+const QUEUE_TIME: Duration = Duration::from_millis(150);
+/// Time without another entry after which a leader that has logged more since then counts as done with the commits that waited there.
+const QUIET_TIME: Duration = Duration::from_millis(50);
+
 impl failover::Attempt {
     /// Returns whether the old leader is asked to hand over. Otherwise it is taken over from.
     ///
@@ -121,8 +126,8 @@
         self.stop_leader(now, roster, out)
     }
 
-    /// Stops the old leader, and holds the members once one that stays has received its whole log. If none does so in time, because
-    /// entries were under way or only a member that is gone had them, the old leader itself is promoted again.
+    /// Stops the old leader, and holds the members once it logs nothing more and one that stays has received its whole log. If none does
+    /// so in time, because entries were under way or only a member that is gone had them, the old leader itself is promoted again.
     pub(super) fn stop_leader(
         &mut self,
         now: Instant,
@@ -150,12 +155,19 @@
             return self.hold_for_handover(now, roster, out);
         }
         self.ask_members(now, roster, out);
+        let Some(quiet_at) = self.quiet_since() else {
+            return match now >= until {
+                true => self.go_on_beside_stopped_leader(now, roster, out),
+                false => failover::Progress::Ongoing,
+            };
+        };
         // A successor that has been recorded needs no other call of the store.
-        let awaits_target = now + failover::STOP_TIMEOUT < until + failover::COMMAND_RETRY_DELAY;
+        let awaits_target = now < quiet_at + failover::COMMAND_RETRY_DELAY;
         let found = self.find_successor(roster, log_end);
         let found = found.filter(|(member, _)| Some(*member) == self.target || !awaits_target);
         if found.is_some() {
             self.handover_held_at = Some(now);
+            self.ask_stopped_leader(now);
             return self.hold_for_handover(now, roster, out);
         }
         match self.old_leader.filter(|_| now >= until) {
@@ -166,8 +178,9 @@
     }
 
     /// Holds all members but the old leader, and orders the promotion of a member that has received most. The old leader may have
-    /// acknowledged commits after it answered that it had stopped: those that waited there for their execution. So it leads on itself
-    /// if a member that runs does not answer, or none that may be ordered has received as much as the others.
+    /// acknowledged commits after it answered that it had stopped: those that waited there for their execution. A member that is not
+    /// known yet may have confirmed them. So the old leader is asked for the end of its log once more, and leads on itself if it or a
+    /// member that runs does not answer, or none that may be ordered has received as much as it and the others.
     fn hold_for_handover(
         &mut self,
         now: Instant,
@@ -175,7 +188,10 @@
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let held_at = self.handover_held_at.unwrap_or(now);
-        let (mut awaits_running, mut awaits_other) = (false, false);
+        self.ask_member_status(now, self.old_leader, out);
+        let stopped = self.stopped().and_then(|stopped| stopped.status);
+        let stopped_end = stopped.map(|status| status.received);
+        let (mut awaits_running, mut awaits_other) = (stopped_end.is_none(), false);
         for participant in &roster.members {
             if Some(participant.member) == self.old_leader {
                 continue;
@@ -200,7 +216,7 @@
         let furthest = self.find_furthest(roster).ok().filter(|participant| {
             let hold = self.holds.get(participant.member);
             let status = hold.and_then(|hold| hold.status);
-            status.is_some_and(|status| Some(status.received) >= self.log_end)
+            status.is_some_and(|status| Some(status.received) >= self.log_end.max(stopped_end))
         });
         let furthest = furthest.filter(|_| !awaits_running);
         let successor = furthest.map(|participant| participant.member);
@@ -245,11 +261,13 @@
         }
     }
 
-    /// Records the answer to the command that stops the old leader, or to a question for the log of another member.
+    /// Records the answer to the command that stops the old leader, or to a question for the log of a member, which was sent at
+    /// `asked_at`.
     pub(super) fn apply_stop(
         &mut self,
         now: Instant,
         member: id::MemberId,
+        asked_at: Instant,
         status: Option<event::MemberStatus>,
         roster: &failover::Roster,
         out: &mut Vec<effect::Effect>,
@@ -261,14 +279,19 @@
             }
             return self.stop_leader(now, roster, out);
         }
-        let stopped = self.record_stop(now, status);
-        if let Some(status) = stopped.filter(|_| self.log_end.is_none()) {
+        if self.log_end.is_some() {
+            return self.apply_stopped_status(now, member, asked_at, status, roster, out);
+        }
+        if let Some(status) = self.record_stop(now, status) {
             if !self.is_whole_log(status) {
                 return self.go_on_without_answer(now, roster, out);
             }
             self.log_end = Some(status.received);
             let until = now + failover::STOP_TIMEOUT;
             self.step = failover::Step::Stopping { until };
+            if self.hands_over {
+                self.ask_stopped_leader(now + QUEUE_TIME);
+            }
             let found = self.find_successor(roster, status.received);
             if found.is_none_or(|(member, _)| Some(member) != self.target) {
                 self.discard_surveyed(now);
@@ -277,6 +300,77 @@
         self.stop_leader(now, roster, out)
     }
 
+    /// Records the answer of the old leader, which has stopped, to a question for the end of its log. If that has grown, commits that
+    /// waited for their execution are being executed, and others may follow.
+    fn apply_stopped_status(
+        &mut self,
+        now: Instant,
+        member: id::MemberId,
+        asked_at: Instant,
+        status: Option<event::MemberStatus>,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        let asked = self.surveyed.entry(member);
+        // An answer that is older than the question tells nothing of what was executed until then.
+        if asked.sent_at.is_none() || Some(asked_at) < asked.retry_at {
+            return failover::Progress::Ongoing;
+        }
+        let stopped = status.filter(|status| !status.leads && status.term == self.newest_term);
+        asked.record_answer(now, stopped);
+        if let Some(status) = stopped.filter(|_| self.handover_held_at.is_none()) {
+            if Some(status.received) < self.log_end {
+                return self.go_on_without_answer(now, roster, out);
+            }
+            if Some(status.received) > self.log_end {
+                self.log_end = Some(status.received);
+                self.discard_surveyed(now + QUIET_TIME);
+            }
+        }
+        self.stop_leader(now, roster, out)
+    }
+
+    /// Returns the state of the question to the old leader, which has stopped, for the end of its log.
+    fn stopped(&self) -> Option<&failover::CommandState> {
+        let old_leader = self.old_leader?;
+        self.surveyed.get(old_leader)
+    }
+
+    /// Returns the instant at which the old leader, which has stopped, has answered that it has logged nothing more.
+    fn quiet_since(&self) -> Option<Instant> {
+        let stopped = self.stopped();
+        stopped
+            .filter(|stopped| stopped.status.is_some())?
+            .answered_at
+    }
+
+    /// Lets the old leader, which has stopped, be asked for the end of its log at `ask_at`. Answers to earlier questions do not count.
+    fn ask_stopped_leader(&mut self, ask_at: Instant) {
+        if let Some(old_leader) = self.old_leader {
+            let asked = self.surveyed.entry(old_leader);
+            asked.sent_at = None;
+            asked.discard_answer(ask_at);
+        }
+    }
+
+    /// Continues after a time in which the old leader, which has stopped, has gone on logging, or has not answered. In the first case it
+    /// leads on.
+    fn go_on_beside_stopped_leader(
+        &mut self,
+        now: Instant,
+        roster: &failover::Roster,
+        out: &mut Vec<effect::Effect>,
+    ) -> failover::Progress {
+        let answered_at = self.stopped().and_then(|stopped| stopped.answered_at);
+        match self.old_leader {
+            Some(old_leader) if answered_at > self.demotion.answered_at => {
+                self.order_recorded(now, old_leader, roster, out);
+                failover::Progress::Ongoing
+            }
+            _ => self.go_on_without_answer(now, roster, out),
+        }
+    }
+
     /// Records the answer to the command that stops the old leader. Returns its status if it has stopped.
     pub(super) fn record_stop(
         &mut self,
@@ -351,17 +445,32 @@
         out: &mut Vec<effect::Effect>,
     ) {
         for participant in &roster.members {
-            let is_stopped = self.log_end.is_some() && Some(participant.member) == self.old_leader;
-            if !is_stopped && self.surveyed.entry(participant.member).send_if_due(now) {
-                let command = effect::MemberCommand::Status;
-                self.send_command(Some(participant.member), command, out);
-            }
+            self.ask_member_status(now, Some(participant.member), out);
         }
     }
 
-    /// Asks the members again that have answered, after a delay.
+    /// Sends a member the question for its status if it is due.
+    fn ask_member_status(
+        &mut self,
+        now: Instant,
+        member: Option<id::MemberId>,
+        out: &mut Vec<effect::Effect>,
+    ) {
+        if let Some(member) = member
+            && self.surveyed.entry(member).send_if_due(now)
+        {
+            self.send_command(Some(member), effect::MemberCommand::Status, out);
+        }
+    }
+
+    /// Asks the members again that have answered, after a delay. The answer of an old leader that logs nothing more stands.
     fn ask_again(&mut self, now: Instant) {
-        self.discard_surveyed(now + failover::COMMAND_RETRY_DELAY);
+        let stopped = self.old_leader.filter(|_| self.log_end.is_some());
+        for (member, asked) in self.surveyed.iter_mut() {
+            if asked.status.is_some() && Some(member) != stopped {
+                asked.discard_answer(now + failover::COMMAND_RETRY_DELAY);
+            }
+        }
     }
 
     fn discard_surveyed(&mut self, retry_at: Instant) {
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -668,7 +668,7 @@
                 _ => Progress::Ongoing,
             },
             Step::Surveying { .. } => self.apply_survey(now, member, status, roster, out),
-            Step::Stopping { .. } => self.apply_stop(now, member, status, roster, out),
+            Step::Stopping { .. } => self.apply_stop(now, member, asked_at, status, roster, out),
             Step::Holding => self.apply_hold(now, member, asked_at, status, roster, out),
             Step::Recording | Step::Verifying(_) | Step::Written(_) if self.hands_over => {
                 // Members that have answered may be asked again once the leader has stopped.
--- a/crates/broker/tests/failover_log.rs
+++ b/crates/broker/tests/failover_log.rs
@@ -97,7 +97,11 @@
     answer(fixture, 1, status(false, 1, (1, 529), 0));
     fixture.advance(100);
     answer(fixture, 2, status(false, 1, (1, 529), 0));
+    // The leader has logged nothing more, neither before nor beside the holds.
+    fixture.advance(100);
+    answer(fixture, 1, status(false, 1, (1, 529), 0));
     answer(fixture, 2, status(false, 1, (1, 529), 2));
+    answer(fixture, 1, status(false, 1, (1, 529), 0));
     // Member 3 does not answer its hold command.
     fixture.advance(300);
 }
