Broker: the failover module is split by step

failover/mod.rs had 1,100 lines. The claim row (claiming), the promotion order (ordering), the end of an attempt (release), the members that take part (roster) and the state of a command are files of their own. Only moved; visibilities and paths follow.

--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -40,7 +40,7 @@
     pub(super) fn take_over(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         // A member that the directory does not list yet may have confirmed entries that the others lack.
@@ -58,7 +58,7 @@
     pub(super) fn hold_members(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let mut unanswered = false;
@@ -95,7 +95,7 @@
     }
 
     /// Returns whether all members that may be held have answered the last hold command.
-    pub(super) fn are_all_held(&self, roster: &failover::Roster) -> bool {
+    pub(super) fn are_all_held(&self, roster: &failover::roster::Roster) -> bool {
         let members = roster.members.iter().map(|participant| participant.member);
         let mut others = members.filter(|member| Some(*member) != self.old_leader);
         others.all(|member| {
@@ -117,7 +117,7 @@
         member: id::MemberId,
         asked_at: Instant,
         status: Option<event::MemberStatus>,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         if Some(member) == self.old_leader {
@@ -155,7 +155,7 @@
     pub(super) fn start_second_round(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         if !roster.is_complete {
@@ -183,7 +183,7 @@
         self.second_round_at = Some(now);
         self.step = failover::Step::Holding;
         for (_, hold) in self.holds.iter_mut() {
-            *hold = failover::CommandState::default();
+            *hold = failover::command::CommandState::default();
         }
         self.hold_members(now, roster, out)
     }
@@ -192,7 +192,7 @@
     fn choose_target(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         // This proxy may have been suspended until its claim ended.
@@ -238,9 +238,9 @@
     /// may still be executed. Where no token ends that order, only its target may be chosen.
     pub(super) fn find_furthest<'a>(
         &self,
-        roster: &'a failover::Roster,
-    ) -> Result<&'a failover::Participant, Unfit> {
-        let received = |participant: &failover::Participant| {
+        roster: &'a failover::roster::Roster,
+    ) -> Result<&'a failover::roster::Participant, Unfit> {
+        let received = |participant: &failover::roster::Participant| {
             let hold = self.holds.get(participant.member)?;
             hold.status.map(|status| status.received)
         };
@@ -253,7 +253,7 @@
             return Err(Unfit::Uncertain);
         }
         let pending = self.pending_before.as_deref();
-        let is_pending = |participant: &failover::Participant| {
+        let is_pending = |participant: &failover::roster::Participant| {
             pending.is_none_or(|name| name == participant.name.as_ref())
         };
         roster
@@ -288,7 +288,7 @@
         &mut self,
         now: Instant,
         unfit: Unfit,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         match unfit {
@@ -352,7 +352,7 @@
     pub(super) fn has_all_acknowledged(
         &self,
         end: floor::Point,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
     ) -> bool {
         let of_this_term = self.reason != leader::ReplaceReason::Stalled || end.term >= self.term;
         of_this_term && Some(end) >= roster.points.required()
@@ -366,7 +366,7 @@
     fn end_older_order_or_give_up(
         &mut self,
         now: Instant,
-        participants: &[failover::Participant],
+        participants: &[failover::roster::Participant],
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let pending = self.pending_before.as_deref().and_then(|name| {
--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -35,7 +35,7 @@
     pub(super) fn start_survey(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         self.hands_over = true;
@@ -50,7 +50,7 @@
     pub(super) fn survey_members(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let failover::Step::Surveying { until } = self.step else {
@@ -73,7 +73,7 @@
     }
 
     /// Returns whether a member that may run has not answered the survey yet.
-    fn awaits_survey(&self, now: Instant, roster: &failover::Roster) -> bool {
+    fn awaits_survey(&self, now: Instant, roster: &failover::roster::Roster) -> bool {
         let mut others = roster.members.iter();
         now < self.survey_began_at + failover::HANDOVER_ANSWER_TIMEOUT
             && others.any(|participant| {
@@ -88,7 +88,7 @@
         now: Instant,
         member: id::MemberId,
         status: Option<event::MemberStatus>,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let is_old_leader = Some(member) == self.old_leader;
@@ -118,7 +118,7 @@
     pub(super) fn start_stop(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let until = now + failover::STOP_TIMEOUT;
@@ -131,7 +131,7 @@
     pub(super) fn stop_leader(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let failover::Step::Stopping { until } = self.step else {
@@ -184,7 +184,7 @@
     fn hold_for_handover(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let held_at = self.handover_held_at.unwrap_or(now);
@@ -251,7 +251,7 @@
         &mut self,
         now: Instant,
         member: id::MemberId,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) {
         if self.is_recorded(now, member) {
@@ -269,7 +269,7 @@
         member: id::MemberId,
         asked_at: Instant,
         status: Option<event::MemberStatus>,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         if Some(member) != self.old_leader {
@@ -308,7 +308,7 @@
         member: id::MemberId,
         asked_at: Instant,
         status: Option<event::MemberStatus>,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let asked = self.surveyed.entry(member);
@@ -331,7 +331,7 @@
     }
 
     /// Returns the state of the question to the old leader, which has stopped, for the end of its log.
-    fn stopped(&self) -> Option<&failover::CommandState> {
+    fn stopped(&self) -> Option<&failover::command::CommandState> {
         let old_leader = self.old_leader?;
         self.surveyed.get(old_leader)
     }
@@ -358,7 +358,7 @@
     fn go_on_beside_stopped_leader(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let answered_at = self.stopped().and_then(|stopped| stopped.answered_at);
@@ -389,7 +389,7 @@
     fn go_on_without_answer(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         if !self.hands_over {
@@ -404,7 +404,11 @@
 
     /// Returns whether the log of a leader that has stopped contains all that it has acknowledged: the leader has not restarted without
     /// its log, and follows no newer one.
-    fn is_whole_log(&self, stopped: event::MemberStatus, roster: &failover::Roster) -> bool {
+    fn is_whole_log(
+        &self,
+        stopped: event::MemberStatus,
+        roster: &failover::roster::Roster,
+    ) -> bool {
         let answered = self.surveyed.values().chain(self.holds.values());
         let furthest = answered
             .filter_map(|answered| answered.status.map(|status| status.received))
@@ -417,10 +421,10 @@
     /// Returns a listed member that stays and whose log has reached `end`, the target if it is one.
     fn find_successor(
         &self,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         end: floor::Point,
     ) -> Option<(id::MemberId, Box<str>)> {
-        let has_reached = |participant: &&failover::Participant| {
+        let has_reached = |participant: &&failover::roster::Participant| {
             let asked = self.surveyed.get(participant.member);
             let status = asked.and_then(|asked| asked.status);
             status.is_some_and(|status| {
@@ -441,7 +445,7 @@
     fn ask_members(
         &mut self,
         now: Instant,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) {
         for participant in &roster.members {
--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -30,7 +30,12 @@
 //!   no member can be chosen and the older order is for the old leader, that order is only repeated to end it (`EndingOlderOrder`).
 
 mod choice;
+mod claiming;
+mod command;
 mod handover;
+mod ordering;
+mod release;
+pub mod roster;
 mod verification;
 
 use std::time::{Duration, Instant};
@@ -136,109 +141,6 @@
     Confirming { until: Instant, poll_at: Instant },
 }
 
-/// State of the command to one member.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
-struct CommandState {
-    /// Instant at which the unanswered command was sent; `None` if no command is under way.
-    sent_at: Option<Instant>,
-    /// Earliest instant of the next command.
-    retry_at: Option<Instant>,
-    /// Status in the answer that counts.
-    status: Option<event::MemberStatus>,
-    /// Instant of the last answer.
-    answered_at: Option<Instant>,
-}
-
-impl CommandState {
-    /// Records that the command is sent if it is due and neither answered nor under way. Returns whether to send it.
-    fn send_if_due(&mut self, now: Instant) -> bool {
-        let is_lost = self
-            .sent_at
-            .is_some_and(|sent_at| now.saturating_duration_since(sent_at) > COMMAND_TIMEOUT);
-        let is_due = self.retry_at.is_none_or(|retry_at| now >= retry_at);
-        let sends = self.status.is_none() && (is_lost || self.sent_at.is_none() && is_due);
-        if sends {
-            self.sent_at = Some(now);
-        }
-        sends
-    }
-
-    /// Records the answer to the command, or its absence.
-    fn record_answer(&mut self, now: Instant, status: Option<event::MemberStatus>) {
-        self.sent_at = None;
-        self.retry_at = Some(now + COMMAND_RETRY_DELAY);
-        self.status = status;
-        if status.is_some() {
-            self.answered_at = Some(now);
-        }
-    }
-
-    /// Discards the answer, so that the command is sent again at `retry_at`.
-    fn discard_answer(&mut self, retry_at: Instant) {
-        self.status = None;
-        self.retry_at = Some(retry_at);
-    }
-}
-
-/// The facts about a member that an attempt needs.
-#[derive(Clone, Debug)]
-pub struct Participant {
-    /// Identifier of the member.
-    pub member: id::MemberId,
-    /// Name of the member.
-    pub name: Box<str>,
-    /// Whether the directory lists the member. One that it does not list is held, but cannot become the leader.
-    pub listed: bool,
-    /// Whether the member leaves. Its log counts until it ends, and is gone then. So it is chosen only where no member that stays has
-    /// received as much, and hands over afterwards.
-    pub leaving: bool,
-    /// Whether the member may run: its process has not shown to be gone, and it has not been silent for long.
-    pub may_run: bool,
-    /// Instant of its last answer to this proxy.
-    pub answered_at: Option<Instant>,
-}
-
-impl Participant {
-    /// Returns whether the member may lead for longer than until its successor is found.
-    fn stays(&self) -> bool {
-        self.listed && !self.leaving
-    }
-}
-
-/// The members of a group, as far as a proxy knows them.
-#[derive(Clone, Debug, Default)]
-pub struct Roster {
-    /// Members that the directory lists, and those that it no longer lists but that do not count as gone.
-    pub members: Vec<Participant>,
-    /// Whether all members that run have had the time to be listed since the directory was reached again.
-    pub is_complete: bool,
-    /// What the answers to commits have told this proxy and those that it has asked.
-    pub points: leader::KnownPoints,
-    /// Whether a member is missing that may come back with its log.
-    pub awaits_missing: bool,
-    /// Whether the last commits are not known, since no proxy that has run for long has told.
-    pub is_uninformed: bool,
-    /// Whether all homes of the group have told what they know since the end of the leases.
-    pub homes_told: bool,
-    /// Names of the VMs whose proxies have told what they know since the attempt began.
-    pub told_by: Vec<Box<str>>,
-}
-
-impl Roster {
-    /// Returns the name of a member.
-    fn name(&self, member: id::MemberId) -> Option<Box<str>> {
-        let found = self.members.iter().find(|known| known.member == member);
-        found.map(|known| known.name.clone())
-    }
-
-    /// Returns whether a log that ends at `end` is known to contain each commit that was answered: all homes have told how far the log
-    /// of the leader was, and it was no further.
-    fn is_proven_whole(&self, end: floor::Point) -> bool {
-        let sufficient = self.points.sufficient();
-        self.homes_told && sufficient.is_some_and(|sufficient| end >= sufficient)
-    }
-}
-
 /// Progress of an attempt after an input.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Progress {
@@ -285,7 +187,7 @@
     revision: revision::Revision,
     /// An instant, and the time on the store's clock at that instant, in milliseconds.
     store_clock: (Instant, u64),
-    holds: sorted::Map<id::MemberId, CommandState>,
+    holds: sorted::Map<id::MemberId, command::CommandState>,
     /// Instant at which the last lease of the old leader, or the last trust in it, ends.
     leases_end_at: Instant,
     /// Whether the old leader hands over, rather than being taken over from.
@@ -295,9 +197,9 @@
     /// Instant since which the members are held for the second time: no acknowledgement of the old leader can reach a caller any more.
     second_round_at: Option<Instant>,
     /// Questions for the status of the members while the old leader hands over.
-    surveyed: sorted::Map<id::MemberId, CommandState>,
+    surveyed: sorted::Map<id::MemberId, command::CommandState>,
     /// Command that stops the old leader; its answer counts once the leader has stopped.
-    demotion: CommandState,
+    demotion: command::CommandState,
     /// Instant of the last choice of a target.
     chosen_at: Instant,
     /// Whether members have been asked again because their answers were too old for the choice. That happens once: among slow members,
@@ -359,7 +261,7 @@
             handover_held_at: None,
             second_round_at: None,
             surveyed: sorted::Map::default(),
-            demotion: CommandState::default(),
+            demotion: command::CommandState::default(),
             chosen_at: start_at,
             holds_again: false,
             survey_began_at: start_at,
@@ -431,7 +333,7 @@
     }
 
     /// Returns what the attempt knows of the old leader, for the proxy's diagnostic log.
-    pub fn choice_basis(&self, roster: &Roster) -> effect::ChoiceBasis {
+    pub fn choice_basis(&self, roster: &roster::Roster) -> effect::ChoiceBasis {
         effect::ChoiceBasis {
             old_leader: self.old_leader,
             hands_over: self.hands_over,
@@ -446,7 +348,7 @@
     pub fn tick(
         &mut self,
         now: Instant,
-        roster: &Roster,
+        roster: &roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
         let can_time_out = matches!(
@@ -498,188 +400,8 @@
         Progress::Ongoing
     }
 
-    /// Continues after a read of the claim row that was sent at `asked_at`.
-    pub fn apply_claim(
-        &mut self,
-        now: Instant,
-        asked_at: Instant,
-        stored: Option<claim::ClaimRow>,
-        out: &mut Vec<effect::Effect>,
-    ) -> Progress {
-        match self.step {
-            Step::Loading => {}
-            Step::Verifying(verification) => {
-                return self.apply_verification(now, asked_at, verification, stored, out);
-            }
-            _ => return Progress::Ongoing,
-        }
-        let Some(stored) = stored else {
-            self.wait_until(now + STORE_RETRY_DELAY);
-            return Progress::Ongoing;
-        };
-        self.read_sent_at = asked_at;
-        // The attempt also waits for an earlier claim of this proxy to expire: release commands of that claim may still be
-        // under way to members that this attempt would hold.
-        let claimed = stored.now_ms < stored.claim.until_ms;
-        if claimed {
-            let remaining_ms = stored.claim.until_ms - stored.now_ms;
-            let remaining = Duration::from_millis(remaining_ms).min(STORE_RETRY_DELAY * 2);
-            return Progress::GivenUp {
-                retry_at: now + remaining,
-            };
-        }
-        // Where a higher token does not end an order, only its age does.
-        let ended_by_age = !self.fenced && stored.now_ms >= stored.claim.order_ends_ms;
-        let pending = stored.claim.pending_target();
-        // An order that has ended by its age may have been executed before.
-        let last_ordered = match pending.is_some() && ended_by_age || stored.may_lack_newest_claim()
-        {
-            true => claim::LastOrdered::Unknown,
-            false => stored.claim.last_ordered.clone(),
-        };
-        self.replaced_term = stored.claim.last_ordered.replaced_term();
-        self.newest_term = self.newest_term.max(stored.promoted_term().unwrap_or(0));
-        let pending: Option<Box<str>> = pending.filter(|_| !ended_by_age).map(Box::from);
-        self.pending_before = pending.clone();
-        self.hold_term = self.hold_term.max(self.hold_term_after(self.newest_term));
-        self.unanswered_order = !self.fenced && pending.is_some();
-        self.order_taken = self.unanswered_order;
-        // The store read its clock after the read of the claim row was sent, so the estimate of its clock that starts at the
-        // sending is never behind. This proxy ends its claim no later than the store does, and writes expiry times that are
-        // no earlier than intended.
-        self.claim_expires_at = self.read_sent_at + Duration::from_millis(self.claim_lease_ms());
-        self.store_clock = (self.read_sent_at, stored.now_ms);
-        self.revision = stored.revision;
-        self.claim = claim::Claim {
-            holder: self.proxy.clone(),
-            token: stored.claim.next_token(stored.revision.era),
-            settled: pending.is_none(),
-            target: pending,
-            until_ms: stored.now_ms + self.claim_lease_ms(),
-            order_ends_ms: stored.claim.order_ends_ms,
-            era: stored.revision.era,
-            led_term: match last_ordered {
-                claim::LastOrdered::Unknown => 0,
-                _ => stored.claim.led_term,
-            },
-            last_ordered,
-            choice: None,
-        };
-        self.ordered_before = self.claim.last_ordered.clone();
-        self.led_before = self.claim.led_term;
-        // With the term, the row would tell that its pending target leads undisputed.
-        if self.fenced && self.pending_before.is_some() {
-            self.claim.led_term = 0;
-        }
-        self.step = Step::Claiming;
-        self.store_claim(out);
-        Progress::Ongoing
-    }
-
-    /// Continues after a conditional write of the claim row.
-    pub fn apply_store_outcome(
-        &mut self,
-        now: Instant,
-        outcome: event::StoreOutcome,
-        roster: &Roster,
-        out: &mut Vec<effect::Effect>,
-    ) -> Progress {
-        // An outcome of a write before the last one, by an earlier attempt.
-        if matches!(outcome, event::StoreOutcome::Written(revision) if revision <= self.revision) {
-            return Progress::Ongoing;
-        }
-        // What was written in another era than the claim was read in may have replaced a row that this proxy has not read.
-        let outcome = match outcome {
-            event::StoreOutcome::Written(revision) if revision.era != self.revision.era => {
-                event::StoreOutcome::Unknown
-            }
-            outcome => outcome,
-        };
-        let may_be_written = outcome == event::StoreOutcome::Unknown
-            || outcome == event::StoreOutcome::Conflict && self.repeats_write;
-        match (self.step, outcome) {
-            (Step::Claiming, event::StoreOutcome::Written(revision)) => {
-                self.revision = revision;
-                self.repeats_write = false;
-                self.start_replacement(now, roster, out)
-            }
-            (Step::Recording, event::StoreOutcome::Written(revision)) => {
-                self.revision = revision;
-                // The logs may have been read before the members were released, or before others joined.
-                let is_outdated =
-                    !self.hands_over && !self.holds_again && now > self.chosen_at + HOLD_AGE_MAX;
-                self.holds_again |= is_outdated;
-                let is_late = std::mem::take(&mut self.repeats_write)
-                    || is_outdated
-                    || now >= self.claim_expires_at;
-                match is_late {
-                    true => {
-                        let write = verification::Write::Choice;
-                        self.continue_after_write(now, write, roster, out)
-                    }
-                    false => self.continue_with_choice(now, roster, out),
-                }
-            }
-            (Step::Claiming, _) if may_be_written => {
-                self.start_verification(now, verification::Write::Claim, out)
-            }
-            (Step::Recording, _) if may_be_written => {
-                self.start_verification(now, verification::Write::Choice, out)
-            }
-            (Step::Claiming, _) => Progress::GivenUp {
-                retry_at: now + STORE_RETRY_DELAY,
-            },
-            // Another proxy has claimed and holds the members itself, so this attempt does not release them.
-            (Step::Recording, event::StoreOutcome::Conflict) => Progress::GivenUp {
-                retry_at: now + STORE_RETRY_DELAY,
-            },
-            // The choice is not recorded, so no order is given.
-            (Step::Recording, event::StoreOutcome::Refused) => self.give_up(now, out),
-            _ => Progress::Ongoing,
-        }
-    }
-
-    /// Begins to replace the leader under the claim.
-    fn start_replacement(
-        &mut self,
-        now: Instant,
-        roster: &Roster,
-        out: &mut Vec<effect::Effect>,
-    ) -> Progress {
-        match self.may_hand_over() {
-            true => self.start_survey(now, roster, out),
-            false => self.take_over(now, roster, out),
-        }
-    }
-
-    /// Stops a leader that hands over, or gives the order for the recorded target.
-    fn continue_with_choice(
-        &mut self,
-        now: Instant,
-        roster: &Roster,
-        out: &mut Vec<effect::Effect>,
-    ) -> Progress {
-        if self.hands_over && self.log_end.is_none() {
-            return self.start_stop(now, roster, out);
-        }
-        if self.handover_held_at.is_some() && self.target != self.old_leader {
-            // Members may have answered their hold commands meanwhile.
-            let until = now + STOP_TIMEOUT;
-            self.step = Step::Stopping { until };
-            return self.stop_leader(now, roster, out);
-        }
-        let is_fit =
-            self.hands_over || self.are_all_held(roster) && self.find_furthest(roster).is_ok();
-        if !is_fit {
-            // A member has joined meanwhile, or a proxy has told of commits that all of them lack.
-            return self.start_second_round(now, roster, out);
-        }
-        self.give_order(out);
-        Progress::Ongoing
-    }
-
     /// Returns whether the logs on which the choice of a take-over rests are still those of all members.
-    fn is_choice_current(&self, roster: &Roster) -> bool {
+    fn is_choice_current(&self, roster: &roster::Roster) -> bool {
         self.hands_over || self.are_all_held(roster) && self.find_furthest(roster).is_ok()
     }
 
@@ -690,7 +412,7 @@
         member: id::MemberId,
         asked_at: Instant,
         status: Option<event::MemberStatus>,
-        roster: &Roster,
+        roster: &roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
         match self.step {
@@ -720,7 +442,7 @@
         &mut self,
         now: Instant,
         is_read: bool,
-        roster: &Roster,
+        roster: &roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> Progress {
         match self.step {
@@ -751,269 +473,6 @@
         self.hold_term = self.hold_term.max(self.hold_term_after(status.term));
     }
 
-    /// Ends the attempt because another member has been promoted meanwhile. That promotion released the members that were held before
-    /// it; those that were held after it, at a later term, still are.
-    fn end_beside_other_leader(
-        &mut self,
-        now: Instant,
-        member: id::MemberId,
-        status: event::MemberStatus,
-        roster: &Roster,
-        out: &mut Vec<effect::Effect>,
-    ) -> Progress {
-        if !self.order_taken {
-            self.restore_pending();
-        }
-        let leader = roster.name(member);
-        let pending = self.claim.pending_target();
-        let settles = pending.is_none();
-        if settles || pending == leader.as_deref() {
-            if let Some(name) = leader.filter(|_| settles) {
-                self.record_leader(name, status.term);
-            }
-            self.release(now, Duration::ZERO, out);
-        }
-        Progress::Done { member, status }
-    }
-
-    /// Continues after a promotion order.
-    pub fn apply_order_outcome(
-        &mut self,
-        now: Instant,
-        outcome: event::OrderOutcome,
-        out: &mut Vec<effect::Effect>,
-    ) -> Progress {
-        match (self.step, outcome) {
-            (
-                Step::EndingOlderOrder { .. },
-                event::OrderOutcome::Accepted | event::OrderOutcome::Refused,
-            ) => {
-                self.claim.settled = true;
-                self.give_up_with_lease(now, ORDER_LEASE, out)
-            }
-            (Step::EndingOlderOrder { .. }, _) => {
-                let retry_at = Some(now + ORDER_RETRY_DELAY);
-                self.step = Step::EndingOlderOrder { retry_at };
-                Progress::Ongoing
-            }
-            (Step::Ordering { .. }, event::OrderOutcome::Accepted) => {
-                self.order_taken = true;
-                self.step = Step::Confirming {
-                    until: now + CONFIRM_TIMEOUT,
-                    poll_at: now,
-                };
-                let may_lead_on = self.log_end.is_none() && self.target != self.old_leader;
-                if may_lead_on && self.reason != leader::ReplaceReason::Unreachable {
-                    // The demoted leader refuses commits at once. Otherwise they would wait for confirmations that the
-                    // held replicas no longer send.
-                    self.send_command(
-                        self.old_leader,
-                        effect::MemberCommand::Demote(self.hold_term),
-                        out,
-                    );
-                }
-                Progress::Ongoing
-            }
-            (Step::Ordering { .. }, event::OrderOutcome::Refused) => {
-                // Either a higher token was used, or the member does not run. The next read of the claim row shows which.
-                if !self.unanswered_order {
-                    self.withdraw_target();
-                    self.claim.until_ms = self.store_now_ms(now + ORDER_LEASE);
-                    self.store_claim(out);
-                }
-                Progress::GivenUp {
-                    retry_at: now + STORE_RETRY_DELAY,
-                }
-            }
-            (Step::Ordering { .. }, event::OrderOutcome::Unknown) => {
-                self.unanswered_order = true;
-                self.order_taken = true;
-                self.step = Step::Confirming {
-                    until: now + CONFIRM_UNKNOWN_TIMEOUT,
-                    poll_at: now,
-                };
-                Progress::Ongoing
-            }
-            (Step::Ordering { .. }, event::OrderOutcome::Deferred) => {
-                self.step = Step::Ordering {
-                    retry_at: Some(now + ORDER_RETRY_DELAY),
-                };
-                Progress::Ongoing
-            }
-            _ => Progress::Ongoing,
-        }
-    }
-
-    /// Ends the attempt because the store may have lost the claim. Until [`LOST_CLAIM_TIMEOUT`] has passed, no other proxy
-    /// claims, so members can still be released, and an order that was given can still be confirmed.
-    pub fn end_era(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
-        match self.step {
-            Step::Waiting { .. } | Step::Loading | Step::Claiming => Progress::GivenUp {
-                retry_at: now + STORE_RETRY_DELAY,
-            },
-            Step::Verifying(verification) => self.give_up_write(now, verification.write, out),
-            Step::Written(write) => self.give_up_write(now, write, out),
-            Step::Surveying { .. }
-            | Step::Stopping { .. }
-            | Step::Holding
-            | Step::ReadingDirectory { .. }
-            | Step::EndingOlderOrder { .. }
-            | Step::Recording => self.give_up(now, out),
-            Step::Ordering { .. } | Step::Confirming { .. } => {
-                self.orders_end_at = Some(now);
-                Progress::Ongoing
-            }
-        }
-    }
-
-    /// Repeats the promotion order, or gives the attempt up if orders are not sent any more.
-    fn repeat_order(
-        &mut self,
-        now: Instant,
-        roster: &Roster,
-        out: &mut Vec<effect::Effect>,
-    ) -> Progress {
-        if self.orders_end_at.is_some_and(|end_at| now >= end_at) {
-            return self.give_up(now, out);
-        }
-        if !self.order_taken && !self.is_choice_current(roster) {
-            return self.give_up(now, out);
-        }
-        self.give_order(out);
-        Progress::Ongoing
-    }
-
-    /// Returns whether a member that leads `term` may have been replaced: a newer term has a leader or, where a replaced leader may
-    /// lead on, the last order has been given for another member since, or the member leads no newer term than the one that was
-    /// known when another member became the believed leader.
-    fn may_be_replaced(&self, member: id::MemberId, term: id::Term) -> bool {
-        let other_leads = self.old_leader.is_some_and(|leader| leader != member);
-        let ended_term = match other_leads {
-            true => self.replaced_term.max(self.term),
-            false => self.replaced_term,
-        };
-        term < self.newest_term || !self.fenced && term <= ended_term
-    }
-
-    /// Records in the claim that a member has been promoted by an earlier order and leads `term`.
-    fn record_leader(&mut self, name: Box<str>, term: id::Term) {
-        self.claim.target = Some(name.clone());
-        self.claim.last_ordered = claim::LastOrdered::Member {
-            name,
-            replaced_term: term.saturating_sub(1),
-        };
-        self.claim.led_term = term;
-    }
-
-    /// Records in the claim that the order for the target has not been executed and will not be. An older order for another member may
-    /// still be.
-    fn withdraw_target(&mut self) {
-        let ends_older_order = self.claim.target == self.pending_before;
-        self.restore_pending();
-        if ends_older_order {
-            self.claim.target = None;
-            self.claim.settled = true;
-        }
-    }
-
-    /// Records in the claim that no order has been given for the target. An older order may still be executed, for the same member
-    /// as well.
-    fn restore_pending(&mut self) {
-        self.claim.target = self.pending_before.clone();
-        self.claim.settled = self.claim.target.is_none();
-        self.claim.last_ordered = self.ordered_before.clone();
-        self.claim.led_term = self.led_before;
-    }
-
-    /// Ends the attempt after the target has confirmed that it leads. The claim lasts for [`ORDER_LEASE`] from now on.
-    fn finish(
-        &mut self,
-        now: Instant,
-        member: id::MemberId,
-        status: event::MemberStatus,
-        out: &mut Vec<effect::Effect>,
-    ) -> Progress {
-        self.release_held_above(now, member, status.term, out);
-        self.claim.settled = !self.unanswered_order;
-        self.claim.led_term = status.term;
-        self.claim.until_ms = self.store_now_ms(now + ORDER_LEASE);
-        self.store_claim(out);
-        Progress::Done { member, status }
-    }
-
-    fn give_up(&mut self, now: Instant, out: &mut Vec<effect::Effect>) -> Progress {
-        if !self.order_taken {
-            self.restore_pending();
-        }
-        self.give_up_with_lease(now, Duration::ZERO, out)
-    }
-
-    /// Gives up the attempt. The claim lasts for at least `lease` from now on.
-    fn give_up_with_lease(
-        &mut self,
-        now: Instant,
-        lease: Duration,
-        out: &mut Vec<effect::Effect>,
-    ) -> Progress {
-        // Members stay held while an older order may still be executed. Otherwise entries could be acknowledged that the
-        // target of that order lacks.
-        if self.claim.pending_target().is_none() {
-            self.release(now, lease, out);
-        } else if self.fenced && !self.order_taken && self.led_before > 0 {
-            // The pending target leads undisputed again, also under another name.
-            self.store_claim(out);
-        }
-        Progress::GivenUp {
-            retry_at: now + STORE_RETRY_DELAY * 2,
-        }
-    }
-
-    /// Releases the members that another claimant has held at a term above that of the new leader: the promotion did not.
-    fn release_held_above(
-        &self,
-        now: Instant,
-        leader: id::MemberId,
-        term: id::Term,
-        out: &mut Vec<effect::Effect>,
-    ) {
-        let claim_left_ms = self.claim.until_ms.saturating_sub(self.store_now_ms(now));
-        let claim_left = Duration::from_millis(claim_left_ms);
-        let send_timeout = claim_left.saturating_sub(RELEASE_ARRIVAL_TIMEOUT);
-        let until = now + RELEASE_SEND_TIMEOUT.min(send_timeout);
-        for (member, hold) in self.holds.iter() {
-            let is_held_above = hold.status.is_some_and(|status| status.held_term > term);
-            if is_held_above && member != leader {
-                self.send_command(Some(member), effect::MemberCommand::Release { until }, out);
-            }
-        }
-    }
-
-    /// Releases the members that got a hold command, and sets the claim to expire when the release commands can no longer
-    /// arrive, but not before `lease` has passed.
-    fn release(&mut self, now: Instant, lease: Duration, out: &mut Vec<effect::Effect>) {
-        let until =
-            (now + RELEASE_SEND_TIMEOUT).min(self.claim_expires_at - RELEASE_ARRIVAL_TIMEOUT);
-        let held = self
-            .holds
-            .keys()
-            .filter(|member| Some(*member) != self.old_leader);
-        for member in held {
-            self.send_command(Some(member), effect::MemberCommand::Release { until }, out);
-        }
-        let remaining = RELEASE_TIMEOUT.max(lease);
-        // Half of the maximum, so that the sum does not overflow.
-        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX / 2);
-        self.claim.until_ms = self.store_now_ms(now) + remaining_ms;
-        self.store_claim(out);
-    }
-
-    /// Returns the time on the store's clock, in milliseconds, estimated from its answer when the claim row was read.
-    fn store_now_ms(&self, now: Instant) -> u64 {
-        let (read_at, read_ms) = self.store_clock;
-        let elapsed = now.saturating_duration_since(read_at).as_millis();
-        read_ms + u64::try_from(elapsed).unwrap_or(u64::MAX / 2)
-    }
-
     /// Returns for how long a proxy relies on evidence that no attempt is under way.
     fn lease_duration(&self) -> Duration {
         match self.fenced {
@@ -1022,53 +481,11 @@
         }
     }
 
-    /// Returns for how many milliseconds a claim excludes other proxies.
-    fn claim_lease_ms(&self) -> u64 {
-        match self.fenced {
-            true => FENCED_CLAIM_LEASE_MS,
-            false => UNFENCED_CLAIM_LEASE_MS,
-        }
-    }
-
-    /// Returns the instant at which the attempt is given up if it still holds members.
-    fn gives_up_at(&self) -> Instant {
-        self.claim_expires_at - RELEASE_TIMEOUT
-    }
-
-    fn wait_until(&mut self, until: Instant) {
-        self.step = Step::Waiting { until };
-    }
-
-    fn store_claim(&self, out: &mut Vec<effect::Effect>) {
-        out.push(effect::Effect::StoreClaim {
-            group: self.group,
-            claim: self.claim.clone(),
-            revision: self.revision,
-        });
-    }
-
-    /// Gives the order for the recorded target.
-    fn give_order(&mut self, out: &mut Vec<effect::Effect>) {
-        self.step = Step::Ordering { retry_at: None };
-        self.order_promotion(self.target, out);
-    }
-
     fn read_directory(&mut self, out: &mut Vec<effect::Effect>) {
         self.step = Step::ReadingDirectory { retry_at: None };
         out.push(effect::Effect::ReadDirectory(self.group));
     }
 
-    fn order_promotion(&self, member: Option<id::MemberId>, out: &mut Vec<effect::Effect>) {
-        if let Some(member) = member {
-            out.push(effect::Effect::OrderPromotion {
-                group: self.group,
-                member,
-                token: self.claim.token,
-                until: self.orders_end_at,
-            });
-        }
-    }
-
     fn send_command(
         &self,
         member: Option<id::MemberId>,
--- a/crates/broker/src/failover/verification.rs
+++ b/crates/broker/src/failover/verification.rs
@@ -140,7 +140,7 @@
         &mut self,
         now: Instant,
         write: Write,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
         let (read_at, read_ms) = self.store_clock;
--- a/crates/broker/src/state/failover_log.rs
+++ b/crates/broker/src/state/failover_log.rs
@@ -117,7 +117,7 @@
         &mut self,
         group: id::GroupId,
         attempt: &failover::Attempt,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
     ) -> Option<effect::StateChange> {
         let (_, token, _) = attempt.step_token_and_target();
         let basis = attempt.choice_basis(roster);
@@ -167,7 +167,7 @@
         &mut self,
         now: Instant,
         attempt: &failover::Attempt,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         leader: id::MemberId,
         term: id::Term,
     ) {
@@ -246,7 +246,7 @@
         now: Instant,
         claimant: &str,
         attempt: &failover::Attempt,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         members: &sorted::Map<id::MemberId, member_state::MemberState>,
         effects: &mut [effect::Effect],
     ) -> Option<effect::StateChange> {
@@ -302,7 +302,7 @@
         now: Instant,
         group: id::GroupId,
         attempt: &failover::Attempt,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         members: &sorted::Map<id::MemberId, member_state::MemberState>,
     ) -> Option<effect::Choice> {
         let (_, token, target) = attempt.step_token_and_target();
@@ -323,7 +323,7 @@
         now: Instant,
         group: id::GroupId,
         attempt: &failover::Attempt,
-        roster: &failover::Roster,
+        roster: &failover::roster::Roster,
         members: &sorted::Map<id::MemberId, member_state::MemberState>,
     ) -> effect::Choice {
         let (_, token, target) = attempt.step_token_and_target();
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -296,7 +296,7 @@
         effects: &mut Vec<effect::Effect>,
         apply_input: impl FnOnce(
             &mut failover::Attempt,
-            &failover::Roster,
+            &failover::roster::Roster,
             &mut Vec<effect::Effect>,
         ) -> failover::Progress,
     ) {
--- a/crates/broker/src/state/missing.rs
+++ b/crates/broker/src/state/missing.rs
@@ -228,22 +228,25 @@
         now: Instant,
         group_id: id::GroupId,
         began_at: Instant,
-    ) -> failover::Roster {
+    ) -> failover::roster::Roster {
         let Some(group) = self.groups.get(group_id) else {
-            return failover::Roster::default();
+            return failover::roster::Roster::default();
         };
-        let members = group.members.values().map(|state| failover::Participant {
-            member: state.entry.id,
-            name: state.entry.name.clone(),
-            listed: state.unlisted_since.is_none(),
-            leaving: state.entry.leaving,
-            may_run: leader::may_run(state, now),
-            answered_at: state.answered_at,
-        });
-        let roster = failover::Roster {
+        let members = group
+            .members
+            .values()
+            .map(|state| failover::roster::Participant {
+                member: state.entry.id,
+                name: state.entry.name.clone(),
+                listed: state.unlisted_since.is_none(),
+                leaving: state.entry.leaving,
+                may_run: leader::may_run(state, now),
+                answered_at: state.answered_at,
+            });
+        let roster = failover::roster::Roster {
             members: members.collect(),
             is_complete: self.is_directory_complete(now),
-            ..failover::Roster::default()
+            ..failover::roster::Roster::default()
         };
         if !self.is_replicated(group_id) {
             return roster;
@@ -257,7 +260,7 @@
         let mut missing = group.missing.iter().filter(|(member, missing)| {
             now < missing.awaited_until && !group.members.contains(*member)
         });
-        failover::Roster {
+        failover::roster::Roster {
             points: group.leader.points,
             awaits_missing: is_patient && missing.next().is_some(),
             is_uninformed: is_patient && !self.is_informed(now, group_id, began_at),
