--- a/crates/broker/src/failover/mod.rs
+++ b/crates/broker/src/failover/mod.rs
@@ -17,8 +17,10 @@
 //!   does less harm then. For a leader that answers everything but commits, the attempt waits until it has stopped before that second
 //!   round.
 //!
-//! The member that has received most has everything that was acknowledged, unless a member that is gone had received more. So
-//! its log is also compared with the point up to which commits are known to be acknowledged.
+//! The member that has received most has everything that was acknowledged, unless a member that does not take part had received more. So
+//! its log is also compared with what the answers to commits have told this proxy and those that it asks: the homes of the group and
+//! others. The choice is withheld, and the attempt repeated, while the log lacks a commit that is known to be acknowledged, and for some
+//! time if it may lack one: a member is missing that may come back with its log, or nobody knows the last commits.
 //!
 //! The choice is recorded in the claim row before the promotion order is given (`Ordering`, `Confirming`). If the store does not answer
 //! a write of the row, the row is read again (`Verifying`): no order is given before the choice is known to be recorded. If the answer
