--- a/crates/session/tests/relayed_commands.rs
+++ b/crates/session/tests/relayed_commands.rs
@@ -412,6 +412,7 @@
 async fn member_that_only_another_proxy_knows_is_held() {
     on_one_thread(async {
         let (system, forgotten) = start_takeover(false).await;
+        see_commit(&system.other, 5);
         assert!(becomes_true(|| !system.claimant.orders.0.borrow().is_empty()).await);
         assert_eq!(*system.claimant.orders.0.borrow(), ["replica"]);
         assert!(forgotten.got("HOLD"));
