--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -34,6 +34,9 @@
     /// No answer arrived before the deadline.
     #[error("no answer in time")]
     Silent,
+    /// A command was not sent; the connection itself is usable.
+    #[error(transparent)]
+    Withheld(#[from] protocol::Withheld),
     /// The member sent a message that the codec cannot decode.
     #[error("member's answer: {0}")]
     Wire(#[from] protocol::WireError),
@@ -127,11 +130,11 @@
             connected_at: clock::now(),
             connection_state: values::ConnectionState::default(),
         };
-        link.push(member::Command::Startup {
+        let startup = member::Command::Startup {
             group,
             member: member.0,
-        });
-        let answer = link.exchange(deadline).await?;
+        };
+        let answer = link.request(startup, deadline).await?;
         match answer.end {
             member::End::Ready => Ok(link),
             member::End::Error(code, _) => Err(OpenError::Refused(code)),
@@ -142,8 +145,31 @@
     }
 
     /// Appends a command to the bytes that the next [`Self::exchange`] sends.
-    pub fn push(&mut self, command: member::Command<'_>) {
-        self.codec.encode(command, &mut self.outbox);
+    ///
+    /// # Errors
+    ///
+    /// [`protocol::Withheld`] if the command must not be sent; nothing is appended.
+    pub fn push(&mut self, command: member::Command<'_>) -> Result<(), protocol::Withheld> {
+        let start = self.outbox.len();
+        let encoded = self.codec.encode(command, &mut self.outbox);
+        if encoded.is_err() {
+            self.outbox.truncate(start);
+        }
+        encoded
+    }
+
+    /// Appends a command, sends the appended commands, and returns the answer to the oldest unanswered one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::push`] and [`Self::exchange`].
+    pub async fn request(
+        &mut self,
+        command: member::Command<'_>,
+        deadline: Instant,
+    ) -> Result<member::Answer, LinkError> {
+        self.push(command)?;
+        self.exchange(deadline).await
     }
 
     /// Sends the appended commands and returns the answer to the oldest unanswered command.
@@ -218,7 +244,8 @@
 
     /// Closes the connection, with a termination message if the socket accepts it without waiting.
     pub fn close(mut self) {
-        self.push(member::Command::Terminate);
+        // The other end sees that the connection is closed, with the message or without it.
+        let _ = self.push(member::Command::Terminate);
         // On an error the member still sees that the connection is closed.
         if let Ok(sent) = self.stream.try_write(&self.outbox) {
             self.outbox.advance(sent);
--- a/crates/session/src/peer/codec.rs
+++ b/crates/session/src/peer/codec.rs
@@ -17,7 +17,11 @@
 pub struct Serving;
 
 impl member::Codec for Forwarding {
-    fn encode(&mut self, command: member::Command<'_>, outbox: &mut BytesMut) {
+    fn encode(
+        &mut self,
+        command: member::Command<'_>,
+        outbox: &mut BytesMut,
+    ) -> Result<(), protocol::Withheld> {
         let request = match command {
             member::Command::Startup { group, .. } => frame::Request::Startup {
                 group: group.into(),
@@ -73,7 +77,12 @@
             | member::Command::Release
             | member::Command::Demote(_) => unforwardable("command for a member only"),
         };
+        let start = outbox.len();
         frame::encode(&request, outbox);
+        match frame::fits(outbox.len() - start) {
+            true => Ok(()),
+            false => Err(protocol::Withheld::TooLong),
+        }
     }
 
     fn decode(
--- a/crates/session/src/peer/frame.rs
+++ b/crates/session/src/peer/frame.rs
@@ -62,6 +62,11 @@
     outbox.put_slice(&bytes);
 }
 
+/// Returns whether the other end accepts an encoded message of this length.
+pub(super) fn fits(message_bytes: usize) -> bool {
+    message_bytes <= LENGTH_BYTES + FRAME_BYTES_MAX
+}
+
 /// Removes the next complete message from the buffer; returns none if more bytes are needed.
 pub(super) fn decode<T: de::DeserializeOwned>(
     inbox: &mut BytesMut,
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -151,7 +151,15 @@
 /// Encodes commands and decodes members' messages.
 pub trait Codec: Default + 'static {
     /// Appends a command to the buffer.
-    fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut);
+    ///
+    /// # Errors
+    ///
+    /// [`protocol::Withheld`] if the command must not be sent; the buffer may then end with a part of it.
+    fn encode(
+        &mut self,
+        command: Command<'_>,
+        outbox: &mut BytesMut,
+    ) -> Result<(), protocol::Withheld>;
 
     /// Removes the next complete message from the buffer; returns none if more bytes are needed.
     ///
--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -73,6 +73,23 @@
     Write,
 }
 
+/// Reason why a command is not sent. Nothing of it reaches the member, and the connection remains usable.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Withheld {
+    /// The message would exceed the protocol's limit: on the way to a member it can become longer than the caller's.
+    #[error("not run: the message to the member would be too long")]
+    TooLong,
+}
+
+impl Withheld {
+    /// Returns the name of the reason, for the log and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::TooLong => "TooLong",
+        }
+    }
+}
+
 /// Error of a codec; the connection is unusable after it.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum WireError {
--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -24,6 +24,8 @@
     Answered(member::Answer),
     /// The statement has certainly not run; another attempt is safe.
     NotRun(protocol::Code),
+    /// The statement must not be sent to a member, and has not been.
+    Withheld(protocol::Withheld),
     /// The statement was sent, but the connection broke or timed out before the answer.
     Lost(link::LinkError),
 }
@@ -33,30 +35,27 @@
 ///
 /// # Errors
 ///
-/// [`link::LinkError`] when the connection is unusable; the session's statement has not been sent.
+/// [`link::LinkError::Withheld`] when a change must not be sent, which leaves the connection usable, and any other
+/// [`link::LinkError`] when it is unusable; the session's statement has not been sent.
 pub async fn synchronize<D: Deployment>(
     lease: &mut shell::Lease<D>,
     session_state: &values::SessionState,
-    prepared: Option<&member::Prepared>,
+    statement: &statement::MemberStatement,
     deadline: Instant,
 ) -> Result<(), link::LinkError> {
     // A home gets the definition with each statement and prepares it at the members itself.
-    let prepared = prepared.filter(|_| !lease.is_home());
+    let prepared = statement.required_prepared().filter(|_| !lease.is_home());
     let upstream = lease.upstream();
     let diff = upstream
         .connection_state()
         .sync_with(session_state, prepared);
     let mut sent = 0;
-    if diff.reset {
-        upstream.push(member::Command::Reset);
-        sent += 1;
-    }
-    for (name, value) in &diff.values {
-        upstream.push(member::Command::Set { name, value });
-        sent += 1;
-    }
-    if let Some(prepared) = &diff.prepare {
-        upstream.push(member::Command::Prepare(prepared));
+    let mut pushed = Ok(());
+    for command in diff.commands() {
+        pushed = upstream.push(command);
+        if pushed.is_err() {
+            break;
+        }
         sent += 1;
     }
     for _ in 0..sent {
@@ -67,6 +66,11 @@
             return Err(error.into());
         }
     }
+    if let Err(reason) = pushed {
+        upstream.connection_state().mark_uncertain();
+        lease.log_withheld(&statement.id_text(), reason);
+        return Err(reason.into());
+    }
     Ok(())
 }
 
@@ -81,8 +85,9 @@
     deadline: Instant,
 ) -> Result<Option<floor::Point>, Option<protocol::Code>> {
     let sent_at = clock::now();
-    lease.upstream().push(member::Command::Begin);
-    let begun = lease.exchange(deadline).await.map_err(|error| {
+    let begin = member::Command::Begin;
+    let begun = lease.upstream().request(begin, deadline).await;
+    let begun = begun.map_err(|error| {
         lease.report_failure(&error, false);
         None
     })?;
@@ -96,10 +101,31 @@
     };
     lease.report(led, begun.point);
     lease.start_statement();
-    lease.upstream().push(member::Command::Rollback);
+    let rollback = lease.upstream().push(member::Command::Rollback);
+    rollback.map_err(|_| None)?;
     Ok(begun.point)
 }
 
+/// Awaits the answer to the rollback that [`verify_leader`] has appended.
+///
+/// # Errors
+///
+/// [`link::LinkError`] when the connection is unusable, or still in the transaction.
+pub async fn end_verification<D: Deployment>(
+    lease: &mut shell::Lease<D>,
+    deadline: Instant,
+) -> Result<(), link::LinkError> {
+    match lease.exchange(deadline).await {
+        Ok(ended) if ended.state == protocol::TransactionState::Idle => Ok(()),
+        // The member has not rolled back. Answers to what was sent behind the rollback are not awaited.
+        Ok(_) => Err(link::LinkError::Silent),
+        Err(error) => {
+            lease.report_failure(&error, false);
+            Err(error)
+        }
+    }
+}
+
 /// Runs a single statement on a granted connection, and gives the connection back if it is usable. First brings the
 /// connection to the session's state, and verifies that the member leads if the grant demands it.
 pub async fn run<D: Deployment>(
@@ -114,16 +140,16 @@
     if let Some(belief) = &grant.new_belief {
         lease.log_belief(&grant, belief, &statement.id_text());
     }
-    if let Err(error) = synchronize(
-        &mut lease,
-        session_state,
-        statement.required_prepared(),
-        deadline,
-    )
-    .await
-    {
-        lease.report_failure(&error, false);
-        return Outcome::NotRun(protocol::Code::Busy);
+    match synchronize(&mut lease, session_state, statement, deadline).await {
+        Ok(()) => {}
+        Err(link::LinkError::Withheld(reason)) => {
+            lease.give_back();
+            return Outcome::Withheld(reason);
+        }
+        Err(error) => {
+            lease.report_failure(&error, false);
+            return Outcome::NotRun(protocol::Code::Busy);
+        }
     }
     let mut floor = grant.floor;
     if grant.verify {
@@ -139,17 +165,19 @@
     }
     let sent_at = clock::now();
     lease.set_floor(floor);
-    statement.push(lease.upstream(), floor, timing.options(route));
-    if grant.verify {
-        // The first answer is that to the rollback of the verifying transaction.
-        match lease.exchange(deadline).await {
-            Ok(ended) if ended.state == protocol::TransactionState::Idle => {}
-            // The member has not rolled back. The answer to the statement, which is sent already, is not awaited.
-            Ok(_) => return Outcome::Lost(link::LinkError::Silent),
-            Err(error) => {
-                lease.report_failure(&error, false);
-                return Outcome::Lost(error);
+    let pushed = statement.push(&mut lease, floor, timing.options(route));
+    let verified = match grant.verify {
+        true => end_verification(&mut lease, deadline).await,
+        false => Ok(()),
+    };
+    match (pushed, verified) {
+        (Ok(()), Ok(())) => {}
+        (Ok(()), Err(error)) => return Outcome::Lost(error),
+        (Err(reason), verified) => {
+            if verified.is_ok() {
+                lease.give_back();
             }
+            return Outcome::Withheld(reason);
         }
     }
     let writes = statement.mode == protocol::Mode::Write;
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -122,6 +122,14 @@
             text: format!("{}, retry after {} ms", refusal.reason, wait.as_millis()),
         }
     }
+
+    /// Returns the failure of a statement that no member got, and that none would.
+    pub fn withheld(reason: protocol::Withheld) -> Self {
+        Self {
+            code: protocol::Code::Aborted,
+            text: reason.to_string(),
+        }
+    }
 }
 
 impl<D: Deployment, C: Codec> session::Session<D, C> {
@@ -325,6 +333,9 @@
                 log_retry(&job.shell, statement, member, &format!("code={code:?}"));
                 Some(member)
             }
+            Some(Ok((_, attempt::Outcome::Withheld(reason)))) => {
+                break Err(Failure::withheld(reason));
+            }
             Some(Ok((member, attempt::Outcome::Lost(error)))) => {
                 was_sent = true;
                 log_retry(&job.shell, statement, member, &format!("error=\"{error}\""));
@@ -464,6 +475,7 @@
                 log_retry(shell, statement, member, &format!("code={code:?}"));
                 last_refusal = code;
             }
+            attempt::Outcome::Withheld(reason) => return Err(Failure::withheld(reason)),
             attempt::Outcome::Lost(error) => {
                 return Err(Failure {
                     code: protocol::Code::InDoubt,
--- a/crates/session/src/session/statement.rs
+++ b/crates/session/src/session/statement.rs
@@ -61,15 +61,19 @@
         self.prepared.as_ref().map(|(prepared, _)| prepared)
     }
 
-    /// Appends the statement to the commands that the connection sends next.
+    /// Appends the statement to the commands that the leased connection sends next.
+    ///
+    /// # Errors
+    ///
+    /// [`protocol::Withheld`] if the statement must not be sent, which is logged; nothing is appended.
     pub fn push<D: Deployment>(
         &self,
-        upstream: &mut shell::Upstream<D>,
+        lease: &mut shell::Lease<D>,
         floor: Option<floor::Point>,
         options: caller::StatementOptions,
-    ) {
+    ) -> Result<(), protocol::Withheld> {
         let options = Some(options);
-        upstream.push(match &self.prepared {
+        let pushed = lease.upstream().push(match &self.prepared {
             None => member::Command::Run {
                 id: &self.id,
                 text: &self.text,
@@ -85,5 +89,6 @@
                 options,
             },
         });
+        pushed.inspect_err(|reason| lease.log_withheld(&self.id_text(), *reason))
     }
 }
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -133,13 +133,8 @@
         let timing = single::Timing::new(route);
         *wrote |= statement.mode == protocol::Mode::Write;
         lease.start_statement();
-        let synchronized = attempt::synchronize(
-            lease,
-            &session_state,
-            statement.required_prepared(),
-            timing.deadline,
-        )
-        .await;
+        let synchronized =
+            attempt::synchronize(lease, &session_state, &statement, timing.deadline).await;
         let answered = match synchronized {
             Ok(()) => exchange(lease, &statement, timing.deadline, timing.options(route)).await,
             Err(error) => Err(error),
@@ -161,7 +156,10 @@
             }
             Err(error) => {
                 lease.report_failure(&error, false);
-                // The proxy closes the connection, and the member rolls the transaction back.
+                // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
+                if matches!(error, link::LinkError::Withheld(_)) {
+                    self.transaction.fail(true);
+                }
                 let failure = single::Failure {
                     code: protocol::Code::Aborted,
                     text: error.to_string(),
@@ -232,17 +230,24 @@
                     Err(None) => continue,
                 }
             }
-            if self
+            match self
                 .begin_on(&mut lease, &begin, &route, floor, grant.verify, timing)
                 .await
             {
-                self.transaction = Transaction::Open {
-                    lease,
-                    route,
-                    wrote: false,
-                    has_changes: false,
-                };
-                return Ok(());
+                Ok(true) => {
+                    self.transaction = Transaction::Open {
+                        lease,
+                        route,
+                        wrote: false,
+                        has_changes: false,
+                    };
+                    return Ok(());
+                }
+                Ok(false) => {}
+                Err(reason) => {
+                    lease.give_back();
+                    return Err(single::Failure::withheld(reason));
+                }
             }
         }
         Err(single::Failure {
@@ -253,6 +258,10 @@
 
     /// Begins a transaction on a granted connection; returns whether the member accepted it. `verified` tells that the answer
     /// to the rollback by [`attempt::verify_leader`] comes first.
+    ///
+    /// # Errors
+    ///
+    /// [`protocol::Withheld`] if the statement must not be sent; the connection is usable.
     async fn begin_on(
         &self,
         lease: &mut shell::Lease<D>,
@@ -261,20 +270,18 @@
         floor: Option<fulmarlift_core::floor::Point>,
         verified: bool,
         timing: single::Timing,
-    ) -> bool {
+    ) -> Result<bool, protocol::Withheld> {
         let sent_at = clock::now();
         lease.set_floor(floor);
-        begin.push(lease.upstream(), floor, timing.options(route));
-        if verified {
-            match lease.exchange(timing.deadline).await {
-                Ok(ended) if ended.state == protocol::TransactionState::Idle => {}
-                Ok(_) => return false,
-                Err(error) => {
-                    lease.report_failure(&error, false);
-                    return false;
-                }
-            }
+        let pushed = begin.push(lease, floor, timing.options(route));
+        if verified
+            && attempt::end_verification(lease, timing.deadline)
+                .await
+                .is_err()
+        {
+            return Ok(false);
         }
+        pushed?;
         match lease.exchange(timing.deadline).await {
             Ok(answer) => {
                 let begun = answer.error().is_none()
@@ -287,11 +294,11 @@
                     _ => event::Answer::Served,
                 };
                 lease.report(answer.error().map_or(success, classify_code), answer.point);
-                begun
+                Ok(begun)
             }
             Err(error) => {
                 lease.report_failure(&error, false);
-                false
+                Ok(false)
             }
         }
     }
@@ -395,7 +402,8 @@
             Err(error) => {
                 lease.report_failure(&error, wrote);
                 // A transaction without writes has no effect, whether the member committed it or not.
-                let code = if wrote {
+                let was_sent = !matches!(error, link::LinkError::Withheld(_));
+                let code = if wrote && was_sent {
                     protocol::Code::InDoubt
                 } else {
                     protocol::Code::Aborted
@@ -418,7 +426,7 @@
     options: caller::StatementOptions,
 ) -> Result<member::Answer, link::LinkError> {
     loop {
-        statement.push(lease.upstream(), None, options);
+        statement.push(lease, None, options)?;
         let answer = lease.exchange(deadline).await?;
         let busy = answer.error() == Some(&protocol::Code::Busy)
             && answer.state == protocol::TransactionState::Transaction;
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::deployment::Deployment;
 use crate::link;
+use crate::protocol;
 use crate::protocol::member;
 use crate::shell;
 
@@ -81,6 +82,20 @@
         );
     }
 
+    /// Logs and counts a statement that is not sent. `request` is the caller's id of the statement.
+    pub fn log_withheld(&self, request: &str, reason: protocol::Withheld) {
+        metrics::counter!(
+            "fulmarlift_statements_withheld_total",
+            "reason" => reason.name(),
+        )
+        .increment(1);
+        log::warn!(
+            "event=statement_withheld request={request} member={} reason={}",
+            self.shell.member_name(self.member),
+            reason.name(),
+        );
+    }
+
     /// Sets the point that the next statement requires, for the report of its answer.
     pub fn set_floor(&mut self, floor: Option<floor::Point>) {
         self.floor = floor;
@@ -120,6 +135,7 @@
                 event::Answer::Silent { commit }
             }
             link::LinkError::Broken(_) | link::LinkError::Wire(_) => event::Answer::Broken,
+            link::LinkError::Withheld(_) => event::Answer::Unfinished,
         };
         self.report(answer, None);
     }
@@ -153,9 +169,9 @@
     {
         const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(1_000);
         tokio::task::spawn_local(async move {
-            self.upstream().push(member::Command::Rollback);
             let deadline = clock::now() + ROLLBACK_TIMEOUT;
-            match self.exchange(deadline).await {
+            let rollback = member::Command::Rollback;
+            match self.upstream().request(rollback, deadline).await {
                 Ok(answer) if answer.state == crate::protocol::TransactionState::Idle => {
                     self.give_back()
                 }
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -370,7 +370,7 @@
         command: effect::MemberCommand,
     ) -> (event::StatusAnswer, Option<shell::Upstream<D>>) {
         let member = upstream.member();
-        upstream.push(match command {
+        let request = match command {
             effect::MemberCommand::Status => member::Command::Status,
             effect::MemberCommand::Hold(term) => member::Command::Hold(term),
             effect::MemberCommand::Release { until } if clock::now() >= until => {
@@ -378,8 +378,9 @@
             }
             effect::MemberCommand::Release { .. } => member::Command::Release,
             effect::MemberCommand::Demote(term) => member::Command::Demote(term),
-        });
-        match upstream.exchange(clock::now() + COMMAND_TIMEOUT).await {
+        };
+        let deadline = clock::now() + COMMAND_TIMEOUT;
+        match upstream.request(request, deadline).await {
             Ok(answer) => {
                 if let Some(status) = upstream.member_status(&answer) {
                     return (event::StatusAnswer::Status(status), Some(upstream));
@@ -657,8 +658,7 @@
     let sent_at = clock::now();
     let deadline = sent_at + PROBE_TIMEOUT;
     let member = upstream.member();
-    upstream.push(member::Command::Begin);
-    let begun = match upstream.exchange(deadline).await {
+    let begun = match upstream.request(member::Command::Begin, deadline).await {
         Ok(begun) => begun,
         Err(error) => {
             // The member's name is not known here, so `member` is its identifier.
@@ -686,8 +686,7 @@
     if begun.state == protocol::TransactionState::Idle {
         return (report, Some(upstream));
     }
-    upstream.push(member::Command::Rollback);
-    let ended = upstream.exchange(deadline).await;
+    let ended = upstream.request(member::Command::Rollback, deadline).await;
     let clean = ended.is_ok_and(|ended| ended.state == protocol::TransactionState::Idle);
     (report, clean.then_some(upstream))
 }
--- a/crates/session/src/shell/upstream.rs
+++ b/crates/session/src/shell/upstream.rs
@@ -8,6 +8,7 @@
 use crate::deployment::Deployment;
 use crate::link;
 use crate::peer;
+use crate::protocol;
 use crate::protocol::member;
 use crate::values;
 
@@ -50,13 +51,33 @@
     }
 
     /// Appends a command to the bytes that the next [`Self::exchange`] sends.
-    pub fn push(&mut self, command: member::Command<'_>) {
+    ///
+    /// # Errors
+    ///
+    /// [`protocol::Withheld`] if the command must not be sent; nothing is appended.
+    pub fn push(&mut self, command: member::Command<'_>) -> Result<(), protocol::Withheld> {
         match self {
             Self::Member(link) => link.push(command),
             Self::Home(link) => link.push(command),
         }
     }
 
+    /// Appends a command, sends the appended commands, and returns the answer to the oldest unanswered one.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::push`] and [`Self::exchange`].
+    pub async fn request(
+        &mut self,
+        command: member::Command<'_>,
+        deadline: Instant,
+    ) -> Result<member::Answer, link::LinkError> {
+        match self {
+            Self::Member(link) => link.request(command, deadline).await,
+            Self::Home(link) => link.request(command, deadline).await,
+        }
+    }
+
     /// Sends the appended commands and returns the answer to the oldest unanswered command.
     ///
     /// # Errors
--- a/crates/session/src/values.rs
+++ b/crates/session/src/values.rs
@@ -65,6 +65,19 @@
     pub prepare: Option<member::Prepared>,
 }
 
+impl StateDiff {
+    /// Returns the commands that make the changes, in the order in which the member must run them.
+    pub fn commands(&self) -> impl Iterator<Item = member::Command<'_>> {
+        let reset = self.reset.then_some(member::Command::Reset);
+        let set = self
+            .values
+            .iter()
+            .map(|(name, value)| member::Command::Set { name, value });
+        let prepare = self.prepare.as_ref().map(member::Command::Prepare);
+        reset.into_iter().chain(set).chain(prepare)
+    }
+}
+
 impl ConnectionState {
     /// Returns the changes that the connection needs for a session's next statement, and records them as sent.
     ///
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -129,7 +129,9 @@
 
     async fn send(&mut self, command: Command<'_>) {
         let mut outbox = BytesMut::new();
-        self.codec.encode(command, &mut outbox);
+        self.codec
+            .encode(command, &mut outbox)
+            .expect("commands in tests are short");
         self.stream
             .write_all_buf(&mut outbox)
             .await
--- a/crates/session/tests/support/commanded.rs
+++ b/crates/session/tests/support/commanded.rs
@@ -24,7 +24,7 @@
 use fulmarlift_session::peer::{Forwarding, Serving};
 use fulmarlift_session::protocol::caller::{Codec as _, Message, Reply, StatementOptions};
 use fulmarlift_session::protocol::member::{Codec, Command, Frame, Verb};
-use fulmarlift_session::protocol::{Code, Mode, TransactionState, WireError};
+use fulmarlift_session::protocol::{Code, Mode, TransactionState, WireError, Withheld};
 use fulmarlift_session::shell::Shell;
 use fulmarlift_session::transfer::Transfer;
 use fulmarlift_session::updates;
@@ -51,7 +51,7 @@
 pub struct CommandCodec(Forwarding);
 
 impl CommandCodec {
-    fn encode_text(&mut self, text: &str, outbox: &mut BytesMut) {
+    fn encode_text(&mut self, text: &str, outbox: &mut BytesMut) -> Result<(), Withheld> {
         let (id, text) = (Bytes::from_static(b"-"), Bytes::from(text.to_owned()));
         let options = StatementOptions {
             consistency: Consistency::Leader,
@@ -66,12 +66,12 @@
             floor: None,
             options: Some(options),
         };
-        self.0.encode(command, outbox);
+        self.0.encode(command, outbox)
     }
 }
 
 impl Codec for CommandCodec {
-    fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut) {
+    fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut) -> Result<(), Withheld> {
         match command {
             Command::Status => self.encode_text("STATUS", outbox),
             Command::Hold(term) => self.encode_text(&format!("HOLD {term}"), outbox),
