--- a/crates/session/src/peer/frame.rs
+++ b/crates/session/src/peer/frame.rs
@@ -8,8 +8,9 @@
 use crate::protocol::caller;
 use crate::protocol::member;
 
-/// Most bytes of a message: the longest message of a caller, with room for the fields that the proxy adds.
-const FRAME_BYTES_MAX: usize = (1 << 20) + 4_096;
+/// Most bytes of a message: the longest definition of a prepared statement and the longest statement that executes it, each
+/// at most a caller's message, with room for the fields that the proxy adds.
+const FRAME_BYTES_MAX: usize = (2 << 20) + 4_096;
 /// Size of the length prefix.
 const LENGTH_BYTES: usize = 4;
 
