--- a/crates/session/src/peer/codec.rs
+++ b/crates/session/src/peer/codec.rs
@@ -50,6 +50,7 @@
                 arguments,
                 floor,
                 options,
+                ..
             } => match options {
                 Some(options) => frame::Request::Execute {
                     id: id.clone(),
@@ -71,7 +72,8 @@
             member::Command::Terminate => frame::Request::Terminate,
             // A home probes and commands the members itself, and prepares statements at the members itself.
             member::Command::Begin
-            | member::Command::Prepare(_)
+            | member::Command::Prepare { .. }
+            | member::Command::Deallocate(_)
             | member::Command::Status
             | member::Command::Hold(_)
             | member::Command::Release
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -35,12 +35,14 @@
         /// Options that a home needs; codecs of members ignore them.
         options: Option<caller::StatementOptions>,
     },
-    /// Runs a prepared statement for a caller, under the statement's name on this connection.
+    /// Runs a prepared statement for a caller, under the statement's id on this connection.
     Execute {
         /// Id that the caller gave the statement.
         id: &'a Bytes,
         /// Definition of the prepared statement.
         prepared: &'a Prepared,
+        /// Statement's id on this connection; none on connections to homes, which get the definition.
+        prepared_id: Option<PreparedId>,
         /// Text after the name in the caller's statement.
         arguments: &'a Bytes,
         /// Point that the member's log must have reached.
@@ -60,7 +62,14 @@
         value: &'a Bytes,
     },
     /// Prepares a statement.
-    Prepare(&'a Prepared),
+    Prepare {
+        /// Statement's id on this connection.
+        prepared_id: PreparedId,
+        /// Definition of the statement.
+        prepared: &'a Prepared,
+    },
+    /// Removes a prepared statement.
+    Deallocate(PreparedId),
     /// Clears session values and prepared statements.
     Reset,
     /// Asks for the member's status.
@@ -88,8 +97,11 @@
     Run(protocol::Mode),
 }
 
-/// Definition of a prepared statement. Its name on connections to members is derived from the definition, so that
-/// sessions share it.
+/// Id of a prepared statement on one connection to a member, where its name is made of it alone: the name must not hold
+/// bytes that a caller has chosen. A connection never uses an id twice, not even after a reset.
+pub type PreparedId = u64;
+
+/// Definition of a prepared statement. On a connection, sessions share equal ones.
 #[derive(Clone, Debug, Eq, PartialEq, Ord, PartialOrd, Serialize, Deserialize)]
 pub struct Prepared {
     /// Whether the statement may write.
--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -79,6 +79,9 @@
     /// The message would exceed the protocol's limit: on the way to a member it can become longer than the caller's.
     #[error("not run: the message to the member would be too long")]
     TooLong,
+    /// The connection does not have the prepared statement.
+    #[error("not run: the statement is not prepared at the member")]
+    Unprepared,
 }
 
 impl Withheld {
@@ -86,6 +89,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::TooLong => "TooLong",
+            Self::Unprepared => "Unprepared",
         }
     }
 }
--- a/crates/session/src/session/statement.rs
+++ b/crates/session/src/session/statement.rs
@@ -73,7 +73,8 @@
         options: caller::StatementOptions,
     ) -> Result<(), protocol::Withheld> {
         let options = Some(options);
-        let pushed = lease.upstream().push(match &self.prepared {
+        let upstream = lease.upstream();
+        let command = match &self.prepared {
             None => member::Command::Run {
                 id: &self.id,
                 text: &self.text,
@@ -84,11 +85,13 @@
             Some((prepared, arguments)) => member::Command::Execute {
                 id: &self.id,
                 prepared,
+                prepared_id: upstream.connection_state().prepared_id(prepared),
                 arguments,
                 floor,
                 options,
             },
-        });
+        };
+        let pushed = upstream.push(command);
         pushed.inspect_err(|reason| lease.log_withheld(&self.id_text(), *reason))
     }
 }
--- a/crates/session/src/values.rs
+++ b/crates/session/src/values.rs
@@ -7,6 +7,11 @@
 
 use crate::protocol::member;
 
+/// Most prepared statements of a connection. The shapes are the callers' choice, and members keep them in memory.
+const PREPARED_MAX: usize = 1_024;
+/// Most bytes of the shapes of a connection's prepared statements, unless a single one is longer.
+const SHAPE_BYTES_MAX: usize = 1 << 20;
+
 /// Session values that a caller has set, and statements that it has prepared, by name.
 #[derive(Clone, Debug, Default)]
 pub struct SessionState {
@@ -50,10 +55,25 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionState {
     values: Vec<(Box<str>, Bytes)>,
-    prepared: Vec<member::Prepared>,
+    prepared: Vec<PreparedEntry>,
+    /// Bytes of all shapes in `prepared`.
+    shape_bytes: usize,
+    /// Id of the statement that is prepared next.
+    next_prepared_id: member::PreparedId,
+    /// Number of statements that have used a prepared one.
+    uses: u64,
     uncertain: bool,
 }
 
+/// A prepared statement of a connection.
+#[derive(Clone, Debug)]
+struct PreparedEntry {
+    prepared: member::Prepared,
+    id: member::PreparedId,
+    /// Count in [`ConnectionState::uses`] of the newest use.
+    last_use: u64,
+}
+
 /// Changes that bring a connection to the state of a session.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StateDiff {
@@ -61,8 +81,10 @@
     pub reset: bool,
     /// Session values to set.
     pub values: Vec<(Box<str>, Bytes)>,
-    /// Statement to prepare.
-    pub prepare: Option<member::Prepared>,
+    /// Prepared statements to remove.
+    pub deallocate: Vec<member::PreparedId>,
+    /// Statement to prepare, with its id.
+    pub prepare: Option<(member::PreparedId, member::Prepared)>,
 }
 
 impl StateDiff {
@@ -73,15 +95,27 @@
             .values
             .iter()
             .map(|(name, value)| member::Command::Set { name, value });
-        let prepare = self.prepare.as_ref().map(member::Command::Prepare);
-        reset.into_iter().chain(set).chain(prepare)
+        let deallocate = self.deallocate.iter().copied();
+        let prepare =
+            self.prepare
+                .as_ref()
+                .map(|(prepared_id, prepared)| member::Command::Prepare {
+                    prepared_id: *prepared_id,
+                    prepared,
+                });
+        reset
+            .into_iter()
+            .chain(set)
+            .chain(deallocate.map(member::Command::Deallocate))
+            .chain(prepare)
     }
 }
 
 impl ConnectionState {
     /// Returns the changes that the connection needs for a session's next statement, and records them as sent.
     ///
-    /// A member can set single values but only clear all of them, and a reset also removes the prepared statements.
+    /// A member can set single values but only clear all of them, and a reset also removes the prepared statements. Beyond
+    /// [`PREPARED_MAX`] statements or [`SHAPE_BYTES_MAX`], the least recently used ones are removed.
     pub fn sync_with(
         &mut self,
         session: &SessionState,
@@ -96,7 +130,10 @@
             ..StateDiff::default()
         };
         if diff.reset {
-            *self = Self::default();
+            *self = Self {
+                next_prepared_id: self.next_prepared_id,
+                ..Self::default()
+            };
         }
         for (name, value) in &session.values {
             let is_set = find(&self.values, name).is_ok_and(|index| self.values[index].1 == value);
@@ -105,15 +142,53 @@
                 put(&mut self.values, name, value.clone());
             }
         }
-        if let Some(prepared) = prepared
-            && let Err(index) = self.prepared.binary_search(prepared)
-        {
-            self.prepared.insert(index, prepared.clone());
-            diff.prepare = Some(prepared.clone());
+        if let Some(prepared) = prepared {
+            self.use_prepared(prepared, &mut diff);
         }
         diff
     }
 
+    /// Returns the id of a prepared statement on this connection; none if the connection does not have it.
+    pub fn prepared_id(&self, prepared: &member::Prepared) -> Option<member::PreparedId> {
+        let index = self.find_prepared(prepared).ok()?;
+        Some(self.prepared[index].id)
+    }
+
+    fn find_prepared(&self, prepared: &member::Prepared) -> Result<usize, usize> {
+        self.prepared
+            .binary_search_by(|entry| entry.prepared.cmp(prepared))
+    }
+
+    /// Records the use of a prepared statement; prepares it, and removes others for it, if the connection does not have it.
+    fn use_prepared(&mut self, prepared: &member::Prepared, diff: &mut StateDiff) {
+        self.uses += 1;
+        if let Ok(index) = self.find_prepared(prepared) {
+            self.prepared[index].last_use = self.uses;
+            return;
+        }
+        self.shape_bytes += prepared.shape.len();
+        while self.prepared.len() >= PREPARED_MAX || self.shape_bytes > SHAPE_BYTES_MAX {
+            let entries = self.prepared.iter().enumerate();
+            let oldest = entries.min_by_key(|(_, entry)| entry.last_use);
+            let Some((index, _)) = oldest else {
+                break;
+            };
+            let removed = self.prepared.remove(index);
+            self.shape_bytes -= removed.prepared.shape.len();
+            diff.deallocate.push(removed.id);
+        }
+        let id = self.next_prepared_id;
+        self.next_prepared_id += 1;
+        let entry = PreparedEntry {
+            prepared: prepared.clone(),
+            id,
+            last_use: self.uses,
+        };
+        let (Ok(index) | Err(index)) = self.find_prepared(prepared);
+        self.prepared.insert(index, entry);
+        diff.prepare = Some((id, prepared.clone()));
+    }
+
     /// Records that the member may have other values or prepared statements for the connection than those sent, for example
     /// after the rollback of a transaction that set some. The next [`Self::sync_with`] resets them.
     pub fn mark_uncertain(&mut self) {
--- a/crates/session/tests/frames.rs
+++ b/crates/session/tests/frames.rs
@@ -143,6 +143,7 @@
         } => Command::Execute {
             id: &query.id,
             prepared,
+            prepared_id: None,
             arguments,
             floor,
             options,
