--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`session`]: a caller's session: session values, prepared statements, transactions, single statements.
 //! - [`values`]: session values and prepared statements, as the caller set them and as a connection has them.
 //! - [`link`]: a connection to a member.
+//! - [`outgoing`]: checks that what a member reads is the command that was to be sent.
 //! - [`peer`]: the messages by which one proxy forwards statements to another.
 //! - [`shell`]: runs the broker and its effects; keeps the waiting requests and idle connections.
 //! - [`transfer`]: progress of a call to the store.
@@ -32,6 +33,7 @@
 pub mod deployment;
 pub mod link;
 pub mod logging;
+pub mod outgoing;
 pub mod peer;
 pub mod protocol;
 pub mod serve;
--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::clock;
+use crate::outgoing;
 use crate::protocol;
 use crate::protocol::member;
 use crate::protocol::member::Codec;
@@ -150,12 +151,12 @@
     ///
     /// [`protocol::Withheld`] if the command must not be sent; nothing is appended.
     pub fn push(&mut self, command: member::Command<'_>) -> Result<(), protocol::Withheld> {
-        let start = self.outbox.len();
-        let encoded = self.codec.encode(command, &mut self.outbox);
-        if encoded.is_err() {
-            self.outbox.truncate(start);
-        }
-        encoded
+        outgoing::append(
+            &mut self.codec,
+            &mut self.connection_state,
+            command,
+            &mut self.outbox,
+        )
     }
 
     /// Appends a command, sends the appended commands, and returns the answer to the oldest unanswered one.
--- /dev/null
+++ b/crates/session/src/outgoing.rs
@@ -0,0 +1,104 @@
+//! Commands on their way to a member: each is read back from the encoded bytes, and sent only if it is still the same.
+
+use bytes::BytesMut;
+
+use crate::protocol;
+use crate::protocol::member::{self, Codec, Command, ReadBack, Verb};
+use crate::values;
+
+/// Appends a command to the bytes that a connection sends next, unless the member would read another one.
+///
+/// # Errors
+///
+/// [`protocol::Withheld`] if the command must not be sent; nothing is appended.
+pub fn append<C: Codec>(
+    codec: &mut C,
+    connection_state: &mut values::ConnectionState,
+    command: Command<'_>,
+    outbox: &mut BytesMut,
+) -> Result<(), protocol::Withheld> {
+    let start = outbox.len();
+    let mut appended = codec.encode(command, outbox);
+    if appended.is_ok() {
+        let read = codec.read_back(&outbox[start..]);
+        if !is_kept(command, read, connection_state) {
+            appended = Err(protocol::Withheld::Changed);
+        }
+    }
+    if appended.is_err() {
+        outbox.truncate(start);
+    }
+    appended
+}
+
+/// Returns whether what a member reads is the command. A prepared statement must have a name of its own on the connection,
+/// and an execution the name of its definition.
+fn is_kept(
+    command: Command<'_>,
+    read: ReadBack<'_>,
+    connection_state: &mut values::ConnectionState,
+) -> bool {
+    match (command, read) {
+        (_, ReadBack::Opaque) => true,
+        (
+            Command::Run {
+                id,
+                text,
+                verb,
+                floor,
+                ..
+            },
+            ReadBack::Run(statement),
+        ) => {
+            let sent = member::ReadStatement { id, floor, text };
+            statement == sent && (floor.is_none() || may_have_floor(verb))
+        }
+        (
+            Command::Execute {
+                id,
+                prepared,
+                arguments,
+                floor,
+                ..
+            },
+            ReadBack::Execute { name, statement },
+        ) => {
+            let sent = member::ReadStatement {
+                id,
+                floor,
+                text: arguments,
+            };
+            statement == sent
+                && (floor.is_none() || prepared.mode == protocol::Mode::Read)
+                && connection_state.has_name(prepared, name)
+        }
+        (Command::Set { name, value }, ReadBack::Set(read_name, read_value)) => {
+            (name.as_bytes(), value.as_ref()) == (read_name, read_value)
+        }
+        (Command::Prepare { prepared, .. }, ReadBack::Prepare { name, mode, shape }) => {
+            (prepared.mode, prepared.shape.as_bytes()) == (mode, shape)
+                && connection_state.record_name(prepared, name)
+        }
+        (Command::Startup { group, member }, ReadBack::Startup(read_group, read_member)) => {
+            (group.as_bytes(), member.as_bytes()) == (read_group, read_member)
+        }
+        (
+            Command::Begin
+            | Command::Rollback
+            | Command::Deallocate(_)
+            | Command::Reset
+            | Command::Status
+            | Command::Hold(_)
+            | Command::Release
+            | Command::Demote(_)
+            | Command::Terminate,
+            ReadBack::Own,
+        ) => true,
+        _ => false,
+    }
+}
+
+/// Returns whether a floor may precede a statement without changing it.
+fn may_have_floor(verb: Verb) -> bool {
+    matches!(verb, Verb::Begin(_) | Verb::Run(protocol::Mode::Read))
+}
--- a/crates/session/src/peer/codec.rs
+++ b/crates/session/src/peer/codec.rs
@@ -87,6 +87,10 @@
         }
     }
 
+    fn read_back<'a>(&self, _message: &'a [u8]) -> member::ReadBack<'a> {
+        member::ReadBack::Opaque
+    }
+
     fn decode(
         &mut self,
         inbox: &mut BytesMut,
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -110,6 +110,50 @@
     pub shape: Box<str>,
 }
 
+/// A command as a member reads it from the encoded bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadBack<'a> {
+    /// A caller's statement other than the execution of a prepared one.
+    Run(ReadStatement<'a>),
+    /// The execution of a prepared statement.
+    Execute {
+        /// Name of the prepared statement on this connection.
+        name: &'a [u8],
+        /// The statement, with the arguments as its text.
+        statement: ReadStatement<'a>,
+    },
+    /// Sets a session value; carries its name and the new value.
+    Set(&'a [u8], &'a [u8]),
+    /// Prepares a statement.
+    Prepare {
+        /// Name of the prepared statement on this connection.
+        name: &'a [u8],
+        /// Whether the statement may write.
+        mode: protocol::Mode,
+        /// Text that defines the statement.
+        shape: &'a [u8],
+    },
+    /// Opens the connection; carries the names of the group and the member.
+    Startup(&'a [u8], &'a [u8]),
+    /// Any other command of the proxy itself.
+    Own,
+    /// The bytes are no single command.
+    Malformed,
+    /// The codec does not send commands as text.
+    Opaque,
+}
+
+/// A caller's statement as a member reads it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ReadStatement<'a> {
+    /// Id that the caller gave the statement.
+    pub id: &'a [u8],
+    /// Point that the member's log must have reached.
+    pub floor: Option<floor::Point>,
+    /// Text of the statement.
+    pub text: &'a [u8],
+}
+
 /// A message of a member; several make up an [`Answer`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Frame {
@@ -173,6 +217,9 @@
         outbox: &mut BytesMut,
     ) -> Result<(), protocol::Withheld>;
 
+    /// Reads an encoded command as the member does, whatever was to be encoded.
+    fn read_back<'a>(&self, message: &'a [u8]) -> ReadBack<'a>;
+
     /// Removes the next complete message from the buffer; returns none if more bytes are needed.
     ///
     /// # Errors
--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -82,6 +82,9 @@
     /// The connection does not have the prepared statement.
     #[error("not run: the statement is not prepared at the member")]
     Unprepared,
+    /// The member would read another command than the one to be sent.
+    #[error("not run: the message to the member would change the statement")]
+    Changed,
 }
 
 impl Withheld {
@@ -90,6 +93,7 @@
         match self {
             Self::TooLong => "TooLong",
             Self::Unprepared => "Unprepared",
+            Self::Changed => "Changed",
         }
     }
 }
--- a/crates/session/src/values.rs
+++ b/crates/session/src/values.rs
@@ -70,6 +70,8 @@
 struct PreparedEntry {
     prepared: member::Prepared,
     id: member::PreparedId,
+    /// Name that the member has read; empty until the statement is encoded.
+    name: Box<[u8]>,
     /// Count in [`ConnectionState::uses`] of the newest use.
     last_use: u64,
 }
@@ -154,6 +156,25 @@
         Some(self.prepared[index].id)
     }
 
+    /// Records the name under which a member reads a prepared statement; returns whether the connection has the statement and
+    /// no other one of this name.
+    pub(crate) fn record_name(&mut self, prepared: &member::Prepared, name: &[u8]) -> bool {
+        let Ok(index) = self.find_prepared(prepared) else {
+            return false;
+        };
+        let is_free = !self.prepared.iter().any(|entry| *entry.name == *name);
+        if is_free {
+            self.prepared[index].name = name.into();
+        }
+        is_free
+    }
+
+    /// Returns whether a prepared statement has this name on the connection.
+    pub(crate) fn has_name(&self, prepared: &member::Prepared, name: &[u8]) -> bool {
+        let found = self.find_prepared(prepared);
+        found.is_ok_and(|index| *self.prepared[index].name == *name)
+    }
+
     fn find_prepared(&self, prepared: &member::Prepared) -> Result<usize, usize> {
         self.prepared
             .binary_search_by(|entry| entry.prepared.cmp(prepared))
@@ -182,6 +203,7 @@
         let entry = PreparedEntry {
             prepared: prepared.clone(),
             id,
+            name: Box::default(),
             last_use: self.uses,
         };
         let (Ok(index) | Err(index)) = self.find_prepared(prepared);
--- a/crates/session/tests/support/commanded.rs
+++ b/crates/session/tests/support/commanded.rs
@@ -23,7 +23,7 @@
 };
 use fulmarlift_session::peer::{Forwarding, Serving};
 use fulmarlift_session::protocol::caller::{Codec as _, Message, Reply, StatementOptions};
-use fulmarlift_session::protocol::member::{Codec, Command, Frame, Verb};
+use fulmarlift_session::protocol::member::{Codec, Command, Frame, ReadBack, Verb};
 use fulmarlift_session::protocol::{Code, Mode, TransactionState, WireError, Withheld};
 use fulmarlift_session::shell::Shell;
 use fulmarlift_session::transfer::Transfer;
@@ -82,6 +82,10 @@
         }
     }
 
+    fn read_back<'a>(&self, message: &'a [u8]) -> ReadBack<'a> {
+        self.0.read_back(message)
+    }
+
     fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Frame>, WireError> {
         self.0.decode(inbox)
     }
