--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -339,9 +339,25 @@
             return self.answer_error(&protocol::Code::Aborted, "the transaction has ended");
         };
         let timing = single::Timing::new(&route);
+        lease.start_statement();
+        // A transaction without statements was begun on a connection that may have the values of another session.
+        let session_state = std::rc::Rc::clone(&self.session_state);
+        let synchronized =
+            attempt::synchronize(&mut lease, &session_state, &statement, timing.deadline).await;
+        if let Err(error) = synchronized {
+            lease.report_failure(&error, false);
+            log::info!(
+                "event=failed request={} commit=true code=Aborted text=\"{error}\"",
+                statement.id_text()
+            );
+            // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
+            if matches!(error, link::LinkError::Withheld(_)) {
+                lease.roll_back();
+            }
+            return self.answer_error(&protocol::Code::Aborted, &error.to_string());
+        }
         let sent_at = clock::now();
         let seen_before = self.shell.newest_log_end(route.group);
-        lease.start_statement();
         match exchange(
             &mut lease,
             &statement,
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -501,6 +501,52 @@
     .await;
 }
 
+/// A `COMMIT` is a statement, too: it runs with the values of its session, in a transaction without other statements and after a value was set
+/// in the transaction.
+#[rstest]
+#[case::empty_transaction(false, &["SET zone north", "WRITE 1 x", "BEGIN", "RESET", "COMMIT"])]
+#[case::set_in_transaction(
+    true,
+    &["SET zone north", "WRITE 1 x", "BEGIN", "READ 1", "RESET", "SET zone south", "COMMIT"]
+)]
+#[tokio::test]
+async fn commit_runs_with_values_of_its_session(
+    #[case] sets_value: bool,
+    #[case] expected: &[&str],
+) {
+    on_one_thread(async {
+        let (shell, member) = start_system(0).await;
+        let mut first = Caller::connect(&shell).await;
+        let set = async |caller: &mut Caller, value: &'static [u8]| {
+            let value = Bytes::from_static(value);
+            let name = "zone";
+            caller
+                .send(Command::Set {
+                    name,
+                    value: &value,
+                })
+                .await;
+            caller.until_ready().await;
+        };
+        set(&mut first, b"north").await;
+        first.run("1", "WRITE 1 x", WRITE).await;
+        let mut second = match sets_value {
+            true => first,
+            false => Caller::connect(&shell).await,
+        };
+        second.run("2", "BEGIN", BEGIN).await;
+        if sets_value {
+            second.run("4", "READ 1", READ).await;
+            set(&mut second, b"south").await;
+        }
+        let (frames, state) = second.run("3", "COMMIT", Verb::Commit).await;
+        assert_eq!(error_code(&frames), None);
+        assert_eq!(state, TransactionState::Idle);
+        assert_eq!(member.texts(), expected);
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn stop_closes_idle_session_and_ends_open_transaction_later() {
     on_one_thread(async {
