--- a/crates/session/src/logging.rs
+++ b/crates/session/src/logging.rs
@@ -3,6 +3,8 @@
 //! Logging does not block the proxy: lines beyond the queue's length or the rate limit are dropped and counted. Only if
 //! the thread cannot be started are lines written synchronously and without a limit.
 
+use std::borrow::Cow;
+use std::fmt::{self, Write as _};
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
@@ -24,6 +26,67 @@
 /// Lines dropped since the last `event=log_dropped` line.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
+/// Most bytes of a line; the rest is cut off. The queue holds the lines in memory.
+const LINE_BYTES_MAX: usize = 4_096;
+/// Most bytes of a value that a caller has chosen, as [`field`] writes it, before its escapes.
+const FIELD_BYTES_MAX: usize = 64;
+
+/// A value for the log that a caller or another system has chosen, see [`field`].
+#[derive(Clone, Copy, Debug)]
+pub struct Field<'a>(&'a [u8]);
+
+/// Returns a value that stays one field of a line, whatever bytes it has: blanks, quotes, backslashes and bytes that are no
+/// printable ASCII are escaped, and a long value is cut off and ends with its length. An empty one is `""`.
+pub fn field(bytes: &[u8]) -> Field<'_> {
+    Field(bytes)
+}
+
+impl fmt::Display for Field<'_> {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.0.is_empty() {
+            return out.write_str("\"\"");
+        }
+        let shown = &self.0[..self.0.len().min(FIELD_BYTES_MAX)];
+        for &byte in shown {
+            match byte {
+                b'\'' => out.write_char('\'')?,
+                b' ' => out.write_str("\\x20")?,
+                _ => write!(out, "{}", byte.escape_ascii())?,
+            }
+        }
+        match shown.len() < self.0.len() {
+            true => write!(out, "...{}B", self.0.len()),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Returns a line with its line end, without any other control character, and of at most 4 KiB.
+pub fn bounded_line(line: &[u8]) -> Cow<'_, [u8]> {
+    let text = line.strip_suffix(b"\n").unwrap_or(line);
+    let is_plain = text.len() < LINE_BYTES_MAX && !text.iter().any(u8::is_ascii_control);
+    if is_plain && text.len() < line.len() {
+        return Cow::Borrowed(line);
+    }
+    const CUT_OFF: &[u8] = b" cut_off=true";
+    let is_long = text.len() >= LINE_BYTES_MAX;
+    let mut shown = text;
+    if is_long {
+        shown = &text[..LINE_BYTES_MAX - CUT_OFF.len() - 1];
+        let is_continuation = |byte: &u8| byte & 0xC0 == 0x80;
+        while text.get(shown.len()).is_some_and(is_continuation) {
+            shown = &shown[..shown.len() - 1];
+        }
+    }
+    let printable = |&byte: &u8| if byte.is_ascii_control() { b' ' } else { byte };
+    let mut bounded: Vec<u8> = shown.iter().map(printable).collect();
+    if is_long {
+        bounded.extend_from_slice(CUT_OFF);
+    }
+    bounded.push(b'\n');
+    Cow::Owned(bounded)
+}
+
 /// Writes the queued lines at the end of the process.
 #[derive(Debug)]
 pub struct Guard(());
@@ -114,7 +177,7 @@
         UNWRITTEN_LINES.fetch_add(1, Ordering::AcqRel);
         let dropped = !self.admits_line()
             || matches!(
-                self.sender.try_send(line.to_vec()),
+                self.sender.try_send(bounded_line(line).into_owned()),
                 Err(TrySendError::Full(_) | TrySendError::Disconnected(_))
             );
         if dropped {
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -21,6 +21,7 @@
 use crate::clock;
 use crate::deployment::Deployment;
 use crate::link;
+use crate::logging;
 use crate::protocol;
 use crate::protocol::caller;
 use crate::protocol::caller::Codec;
@@ -198,14 +199,17 @@
             // Without a configuration the proxy cannot tell whether the database exists.
             log::info!(
                 "event=refused database={} reason=NoConfiguration",
-                self.database
+                self.database_field()
             );
             return self
                 .end_with_error(&protocol::Code::Busy, SessionEnd::NoConfiguration)
                 .await;
         }
         if self.client_kind == ClientKind::Caller && self.route().is_none() {
-            log::info!("event=refused database={} reason=NoDatabase", self.database);
+            log::info!(
+                "event=refused database={} reason=NoDatabase",
+                self.database_field()
+            );
             return self
                 .end_with_error(&protocol::Code::NoDatabase, SessionEnd::NoDatabase)
                 .await;
@@ -232,6 +236,11 @@
         matches!(self.stream.try_read_buf(&mut self.inbox), Ok(0))
     }
 
+    /// Returns the database as a field of the log.
+    fn database_field(&self) -> logging::Field<'_> {
+        logging::field(self.database.as_bytes())
+    }
+
     fn is_forwarded(&self) -> bool {
         self.client_kind == ClientKind::Peer
     }
@@ -286,7 +295,7 @@
                     };
                     log::info!(
                         "event=malformed database={} error=\"{error}\"",
-                        self.database
+                        self.database_field()
                     );
                     self.end_with_error(&code, error.into()).await?;
                 }
@@ -367,7 +376,7 @@
             (true, true) => {
                 log::info!(
                     "event=transaction_ended database={} reason=Stop",
-                    self.database
+                    self.database_field()
                 );
                 self.transaction.abandon();
                 self.end_with_error(&protocol::Code::Aborted, SessionEnd::Stopping)
@@ -376,7 +385,7 @@
             (false, _) => {
                 log::info!(
                     "event=transaction_ended database={} reason=Rest",
-                    self.database
+                    self.database_field()
                 );
                 self.transaction.fail(false);
                 Ok(())
@@ -402,7 +411,7 @@
         }
         log::info!(
             "event=failed database={} code={code:?} reason=Stop",
-            self.database
+            self.database_field()
         );
         self.end_with_error(&code, SessionEnd::Stopping).await
     }
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -194,7 +194,7 @@
                 log::info!(
                     "event=failed request={} database={} mode={:?} code={:?} text=\"{}\" after_ms={}",
                     statement.id_text(),
-                    self.database,
+                    self.database_field(),
                     statement.mode,
                     failure.code,
                     failure.text,
--- a/crates/session/src/session/statement.rs
+++ b/crates/session/src/session/statement.rs
@@ -4,6 +4,7 @@
 use fulmarlift_core::floor;
 
 use crate::deployment::Deployment;
+use crate::logging;
 use crate::protocol;
 use crate::protocol::caller;
 use crate::protocol::member;
@@ -51,9 +52,9 @@
         }
     }
 
-    /// Returns the caller's id as text, for the log.
+    /// Returns the caller's id as a field of the log.
     pub fn id_text(&self) -> String {
-        String::from_utf8_lossy(&self.id).into_owned()
+        logging::field(&self.id).to_string()
     }
 
     /// Returns the prepared statement that the connection must have.
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -177,7 +177,7 @@
         log::info!(
             "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"",
             statement.id_text(),
-            self.database,
+            self.database_field(),
             failure.code,
             failure.text
         );
