--- a/crates/proxy/src/caller/statements.rs
+++ b/crates/proxy/src/caller/statements.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use fulmarlift_wire::class;
+use fulmarlift_wire::statement;
 use pgwire::messages::extendedquery;
 
 /// A prepared statement of a caller.
@@ -30,7 +31,7 @@
     pub fn new(parse: &extendedquery::Parse, classes: Arc<[class::Statement]>) -> Self {
         let named = parse.name.as_deref().is_some_and(|name| !name.is_empty());
         let shared_name = match named {
-            true => shared_name(&parse.query, &parse.type_oids),
+            true => statement::shared_name(&parse.query, &parse.type_oids),
             false => Box::default(),
         };
         Self {
@@ -48,12 +49,6 @@
     }
 }
 
-fn shared_name(sql: &str, type_oids: &[u32]) -> Box<str> {
-    let types: Vec<String> = type_oids.iter().map(u32::to_string).collect();
-    let text = format!("{}\0{sql}", types.join(","));
-    format!("fl_{:016x}", fulmarlift_core::id::of(&text)).into()
-}
-
 impl Statements {
     fn find(&self, name: &str) -> Result<usize, usize> {
         self.entries
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`member`]: calls of a database member's control functions.
 //! - [`parameter`]: run-time parameters as sorted name and value pairs.
 //! - [`class`]: classifies SQL statements as reads, writes, transaction control and session commands.
+//! - [`statement`]: names of prepared statements on connections to databases.
 //! - [`answer`]: errors and notices that the proxy itself creates.
 //!
 //! ```
@@ -32,5 +33,6 @@
 pub mod member;
 pub mod parameter;
 pub mod scram;
+pub mod statement;
 pub mod stream;
 pub mod tls;
