--- /dev/null
+++ b/crates/session/tests/steps.rs
@@ -0,0 +1,653 @@
+//! Members that deviate from the protocol, or use it to its limits, while callers run transactions and single statements, directly
+//! and through a home. No statement runs outside its transaction, no write is kept whose caller was told that it is not, and no
+//! caller gets the answer to another statement (issue 58).
+
+#[path = "support/scripted.rs"]
+mod scripted;
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use fulmarlift_broker::event::{Answer, Event, StatementReport};
+use fulmarlift_broker::revision::Revision;
+use fulmarlift_broker::state::Settings;
+use fulmarlift_broker::topology::{Consistency, Group, Member as Entry, Peer, Route, Topology};
+use fulmarlift_core::floor::Point;
+use fulmarlift_core::id;
+use fulmarlift_core::topology::Place;
+use fulmarlift_session::clock;
+use fulmarlift_session::deployment::Deployment;
+use fulmarlift_session::peer::{Forwarding, Serving};
+use fulmarlift_session::protocol::caller::StatementOptions;
+use fulmarlift_session::protocol::member::{Codec, Command, Frame, Verb};
+use fulmarlift_session::protocol::{Code, Mode, TransactionState};
+use fulmarlift_session::serve;
+use fulmarlift_session::session::ShutdownGrace;
+use fulmarlift_session::shell::Shell;
+use rstest::rstest;
+use scripted::{LATE, Lines, Member, Reaction, operation_of};
+use support::{ClaimRows, Unavailable};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const GROUP: &str = "ledger";
+const OPTIONS: StatementOptions = StatementOptions {
+    consistency: Consistency::Leader,
+    timeout_ms: 240,
+    objective_ms: 240,
+    priority: 1,
+};
+const READ: Verb = Verb::Run(Mode::Read);
+const WRITE: Verb = Verb::Run(Mode::Write);
+const BEGIN: Verb = Verb::Begin(Mode::Write);
+/// Statements of a transaction; the number of each is the second part of its id.
+const TRANSACTION: [(&str, Verb); 5] = [
+    ("BEGIN", BEGIN),
+    ("READ 1", READ),
+    ("WRITE 1 x", WRITE),
+    ("WRITE 2 x", WRITE),
+    ("COMMIT", Verb::Commit),
+];
+/// Starts of the statements at which the member deviates: those of the first transaction, a write, a read and the proxy's own.
+const POINTS: [&str; 10] = [
+    "t1.0",
+    "t1.1",
+    "t1.2",
+    "t1.3",
+    "t1.4",
+    "s1.0",
+    "s2.0",
+    "s3.0",
+    "- BEGIN",
+    "- ROLLBACK",
+];
+
+/// Proxies whose members speak lines.
+struct LineDeployment;
+
+impl Deployment for LineDeployment {
+    type Caller = Serving;
+    type Member = Lines;
+    type Claims = ClaimRows;
+    type PromotionOrders = Unavailable;
+    type Directory = Unavailable;
+}
+
+/// Limits of the configuration.
+#[derive(Clone, Copy)]
+struct Limits {
+    /// Time for which a transaction may wait for its next statement; 0 sets no limit.
+    transaction_idle_ms: u32,
+    connections_max: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            transaction_idle_ms: 0,
+            connections_max: 8,
+        }
+    }
+}
+
+type LineShell = Rc<Shell<LineDeployment>>;
+
+fn place(domain: &str) -> Place {
+    Place {
+        region: "north".into(),
+        domain: domain.into(),
+    }
+}
+
+fn start_shell(vm_name: &str, domain: &str, member: &Member, limits: Limits) -> LineShell {
+    let settings = Settings {
+        name: format!("{vm_name}-0").into(),
+        vm_name: vm_name.into(),
+        place: place(domain),
+        drain_timeout: Duration::from_secs(7),
+        fenced: true,
+    };
+    let shell = Shell::new(settings, ClaimRows::unwritten(), Unavailable, Unavailable);
+    let route = Route {
+        database: GROUP.into(),
+        group: id::of(GROUP),
+        consistency: OPTIONS.consistency,
+        statement_timeout_ms: OPTIONS.timeout_ms,
+        objective_ms: OPTIONS.objective_ms,
+        priority: OPTIONS.priority,
+    };
+    let group = Group {
+        name: GROUP.into(),
+        connections_max: limits.connections_max,
+        sync_replicas: 0,
+    };
+    let mut topology = Topology::new(1, vec![route], vec![(id::of(GROUP), group)]);
+    topology.transaction_idle_ms = limits.transaction_idle_ms;
+    shell.handle(Event::Configured(topology));
+    shell.handle(Event::Listed(Entry {
+        id: 11,
+        name: "member-1".into(),
+        group: id::of(GROUP),
+        address: member.address,
+        place: place("a"),
+        slots: 4,
+        leaving: false,
+        listed_as_leader: true,
+        revision: Revision { era: 0, version: 1 },
+    }));
+    shell.handle(Event::DirectoryRead {
+        answered_at: Some(clock::now()),
+    });
+    tokio::task::spawn_local(Rc::clone(&shell).tick());
+    shell
+}
+
+/// Lets the member answer as only the leader of term 1 does.
+fn show_leader(shell: &LineShell) {
+    shell.handle(Event::StatementEnded(StatementReport {
+        member: 11,
+        answer: Answer::Led {
+            sent_at: clock::now(),
+            commit: false,
+        },
+        point: Some(Point::new(1, 1)),
+        floor: None,
+        connected_at: None,
+        took: None,
+    }));
+}
+
+/// Grace of the sessions that a stop of the proxy interrupts.
+const SHORT_GRACE: ShutdownGrace = ShutdownGrace {
+    idle_delay: Duration::from_millis(200),
+    idle_spread: Duration::ZERO,
+    transaction_timeout: Duration::from_millis(60),
+    statement_timeout: Duration::from_millis(100),
+};
+/// Grace of the sessions that go on during a stop.
+const LONG_GRACE: ShutdownGrace = ShutdownGrace {
+    idle_delay: Duration::from_secs(5),
+    idle_spread: Duration::ZERO,
+    transaction_timeout: Duration::from_secs(5),
+    statement_timeout: Duration::from_secs(5),
+};
+
+/// A member, the proxy that keeps connections to it, and the proxy that callers connect to.
+struct System {
+    /// Keeps the home's port when the home has stopped, so that no other test gets it.
+    _home_port: Option<std::net::TcpListener>,
+    member: Rc<Member>,
+    home: LineShell,
+    entry: LineShell,
+}
+
+impl System {
+    /// Starts the proxies; callers connect to the home itself unless `forwards` is set.
+    async fn start(forwards: bool, limits: Limits) -> Self {
+        let member = Member::start().await;
+        let home = start_shell("proxy-1", "a", &member, limits);
+        home.handle(Event::PeersRead);
+        show_leader(&home);
+        let mut home_port = None;
+        let entry = match forwards {
+            false => Rc::clone(&home),
+            true => {
+                let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+                listener.set_nonblocking(true).expect("the mode is valid");
+                home_port = Some(listener.try_clone().expect("the listener is open"));
+                let listener = TcpListener::from_std(listener).expect("the runtime is there");
+                let address = listener.local_addr().expect("the listener is bound");
+                let served = serve::accept_peers(Rc::clone(&home), listener, SHORT_GRACE);
+                tokio::task::spawn_local(served);
+                let remote = start_shell("proxy-far", "far", &member, Limits::default());
+                remote.handle(Event::PeerListed(Peer {
+                    vm_name: "proxy-1".into(),
+                    address,
+                    updates_address: address,
+                    place: place("a"),
+                }));
+                remote.handle(Event::PeersRead);
+                remote
+            }
+        };
+        Self {
+            _home_port: home_port,
+            member,
+            home,
+            entry,
+        }
+    }
+
+    async fn connect(&self) -> Caller {
+        self.connect_with(LONG_GRACE).await
+    }
+
+    async fn connect_with(&self, grace: ShutdownGrace) -> Caller {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+        let address = listener.local_addr().expect("the listener is bound");
+        let served = serve::accept_callers(Rc::clone(&self.entry), listener, grace);
+        tokio::task::spawn_local(served);
+        let mut caller = Caller {
+            stream: TcpStream::connect(address).await.expect("loopback"),
+            inbox: BytesMut::new(),
+            member: Rc::clone(&self.member),
+        };
+        let startup = Command::Startup {
+            group: GROUP,
+            member: "any",
+        };
+        caller.send(startup).await;
+        caller.answer().await;
+        caller
+    }
+
+    /// Runs a transaction to its commit, as a caller that goes on after errors.
+    async fn run_transaction(&self, operation: &str) {
+        let mut caller = self.connect().await;
+        for (number, (text, verb)) in TRANSACTION.into_iter().enumerate() {
+            if caller
+                .run(&format!("{operation}.{number}"), text, verb)
+                .await
+                .is_none()
+            {
+                return;
+            }
+        }
+    }
+
+    async fn run_single(&self, operation: &str, text: &str, verb: Verb) {
+        let mut caller = self.connect().await;
+        caller.run(&format!("{operation}.0"), text, verb).await;
+    }
+
+    /// Runs transactions and statements that use the connections which were left behind.
+    async fn run_others(&self) {
+        self.run_single("s1", "WRITE 7 x", WRITE).await;
+        self.run_single("s2", "READ 7", READ).await;
+        self.run_single("s3", "WRITE 8 x", WRITE).await;
+        self.run_transaction("t2").await;
+        tokio::join!(self.run_transaction("t3"), self.run_transaction("t4"));
+        self.run_single("s4", "WRITE 9 x", WRITE).await;
+    }
+
+    /// Returns what went wrong, each with a label.
+    fn take_violations(&self, label: &str) -> Vec<String> {
+        let violations = self.member.violations.take();
+        violations
+            .into_iter()
+            .map(|violation| format!("{label}: {violation}"))
+            .collect()
+    }
+}
+
+/// A caller's connection.
+struct Caller {
+    stream: TcpStream,
+    inbox: BytesMut,
+    member: Rc<Member>,
+}
+
+/// Answer to a caller's statement.
+type CallerAnswer = (Option<Code>, Option<Bytes>, TransactionState);
+
+impl Caller {
+    async fn send(&mut self, command: Command<'_>) {
+        let mut outbox = BytesMut::new();
+        Forwarding.encode(command, &mut outbox);
+        // The proxy may have ended the session.
+        let _ = self.stream.write_all_buf(&mut outbox).await;
+    }
+
+    async fn send_statement(&mut self, id: &str, text: &str, verb: Verb) {
+        let sent = (id.to_owned(), text.to_owned());
+        self.member.sent.borrow_mut().push(sent);
+        let (id, text) = (Bytes::from(id.to_owned()), Bytes::from(text.to_owned()));
+        self.send(Command::Run {
+            id: &id,
+            text: &text,
+            verb,
+            floor: None,
+            options: Some(OPTIONS),
+        })
+        .await;
+    }
+
+    /// Returns the next answer, or none at the end of the session; the code of an error before the end is kept.
+    async fn answer(&mut self) -> (Option<CallerAnswer>, Option<Code>) {
+        let (mut code, mut signature) = (None, None);
+        loop {
+            match Forwarding
+                .decode(&mut self.inbox)
+                .expect("frames are valid")
+            {
+                Some(Frame::Ready(state, _)) => return (Some((code, signature, state)), None),
+                Some(Frame::Complete(bytes)) => signature = Some(bytes),
+                Some(Frame::Error(error, _)) => code = Some(error),
+                Some(_) => {}
+                None => match self.stream.read_buf(&mut self.inbox).await {
+                    Ok(0) | Err(_) => return (None, code),
+                    Ok(_) => {}
+                },
+            }
+        }
+    }
+
+    /// Runs a statement and judges the answer. Returns none if the session has ended.
+    async fn run(&mut self, id: &str, text: &str, verb: Verb) -> Option<TransactionState> {
+        self.send_statement(id, text, verb).await;
+        let (answer, last_code) = self.answer().await;
+        let (code, signature, state) = match answer {
+            Some(answer) => answer,
+            None => (last_code, None, TransactionState::Idle),
+        };
+        self.judge(id, verb, code.as_ref(), signature.as_ref());
+        answer_state(&self.stream, state)
+    }
+
+    fn judge(&self, id: &str, verb: Verb, code: Option<&Code>, signature: Option<&Bytes>) {
+        let operation = operation_of(id);
+        let own_work = matches!(verb, Verb::Run(_) | Verb::Commit);
+        if let (None, Some(signature)) = (code, signature)
+            && own_work
+            && signature != id
+        {
+            self.member
+                .violate(format!("{id} got the answer {signature:?}"));
+        }
+        let ends = match verb {
+            Verb::Commit => true,
+            Verb::Run(Mode::Write) => operation.starts_with('s'),
+            _ => false,
+        };
+        if ends && code.is_none() && signature.is_some() && !self.member.has_kept(operation) {
+            self.member
+                .violate(format!("{id} was told of a commit that is not kept"));
+        }
+        if is_promise(code) {
+            let (member, id) = (Rc::clone(&self.member), id.to_owned());
+            let code = code.cloned();
+            tokio::task::spawn_local(async move {
+                tokio::time::sleep(LATE * 2).await;
+                if member.has_kept(operation_of(&id)) {
+                    member.violate(format!("{id} was told {code:?}, and its write is kept"));
+                }
+            });
+        }
+    }
+}
+
+/// Returns the state after an answer; none once the session has ended.
+fn answer_state(stream: &TcpStream, state: TransactionState) -> Option<TransactionState> {
+    match stream.try_read(&mut []) {
+        Ok(_) => Some(state),
+        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => Some(state),
+        Err(_) => None,
+    }
+}
+
+/// Returns whether the code promises that nothing of the operation is kept.
+fn is_promise(code: Option<&Code>) -> bool {
+    let promises = [
+        Code::Busy,
+        Code::Aborted,
+        Code::Behind,
+        Code::ReadOnly,
+        Code::Misrouted,
+        Code::TooMany,
+    ];
+    code.is_some_and(|code| promises.contains(code))
+}
+
+/// Time after which all judgements are in.
+const SETTLED: Duration = LATE.saturating_mul(3);
+
+async fn on_one_thread(test: impl Future<Output = ()>) {
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
+#[rstest]
+#[case::answers_twice(Reaction::AnswersTwice)]
+#[case::sends_idle(Reaction::SendsMore("READY I 1.1\r\n"))]
+#[case::sends_success(Reaction::SendsMore("COMPLETE stray\r\nREADY T 1.1\r\n"))]
+#[case::sends_part_of_message(Reaction::SendsMore("COMPLETE str"))]
+#[case::ends_transaction_after(Reaction::EndsTransactionAfter)]
+#[case::ends_transaction_before(Reaction::EndsTransactionBefore)]
+#[case::refuses_as_busy(Reaction::Refuses("BUSY"))]
+#[case::refuses_as_failed(Reaction::Refuses("FAILED"))]
+#[case::refuses_as_busy_and_ends(Reaction::RefusesAndEnds("BUSY"))]
+#[case::refuses_as_aborted_and_ends(Reaction::RefusesAndEnds("ABORTED"))]
+#[case::refuses_as_failed_and_fails(Reaction::RefusesAndFails("FAILED"))]
+#[case::ends_transaction_and_answers_late(Reaction::EndsTransactionAndAnswersLate)]
+#[case::answers_late(Reaction::AnswersLate)]
+#[case::answers_in_pieces(Reaction::AnswersInPieces)]
+#[case::loses_answer(Reaction::LosesAnswer)]
+#[tokio::test]
+async fn statements_stay_in_their_transactions(
+    #[values(false, true)] forwards: bool,
+    #[case] reaction: Reaction,
+) {
+    on_one_thread(async {
+        let run = async |point: &'static str| {
+            let system = System::start(forwards, Limits::default()).await;
+            system.member.script.borrow_mut().push((point, reaction));
+            system.run_transaction("t1").await;
+            system.run_others().await;
+            tokio::time::sleep(SETTLED).await;
+            system.take_violations(point)
+        };
+        let ended = futures::future::join_all(POINTS.map(run)).await;
+        let violations: Vec<String> = ended.into_iter().flatten().collect();
+        assert!(violations.is_empty(), "{violations:#?}");
+    })
+    .await;
+}
+
+/// The member reports the success of a command that begins or ends a transaction, and its state shows that it has not done it.
+#[rstest]
+#[case::begin("t1.0")]
+#[case::commit("t1.4")]
+#[case::begin_of_proxy("- BEGIN")]
+#[case::rollback_of_proxy("- ROLLBACK")]
+#[tokio::test]
+async fn success_that_state_contradicts_is_not_believed(
+    #[values(false, true)] forwards: bool,
+    #[case] point: &'static str,
+) {
+    on_one_thread(async {
+        let system = System::start(forwards, Limits::default()).await;
+        let pretends = (point, Reaction::Pretends);
+        system.member.script.borrow_mut().push(pretends);
+        system.run_transaction("t1").await;
+        system.run_others().await;
+        tokio::time::sleep(SETTLED).await;
+        let violations = system.take_violations(point);
+        assert!(violations.is_empty(), "{violations:#?}");
+    })
+    .await;
+}
+
+/// A statement is given up at the stop, and its late answer shows that the transaction has ended. The rollback behind it has an
+/// answer of its own, which must not go to the statement that waits for the connection.
+#[tokio::test]
+async fn answer_to_rollback_does_not_reach_waiting_statement() {
+    on_one_thread(async {
+        let limits = Limits {
+            connections_max: 1,
+            ..Limits::default()
+        };
+        let system = System::start(false, limits).await;
+        let late = ("t1.2", Reaction::EndsTransactionAndAnswersLate);
+        system.member.script.borrow_mut().push(late);
+        let given_up = async {
+            let mut caller = system.connect_with(SHORT_GRACE).await;
+            for (number, (text, verb)) in TRANSACTION.into_iter().enumerate().take(2) {
+                caller.run(&format!("t1.{number}"), text, verb).await;
+            }
+            let (text, verb) = TRANSACTION[2];
+            caller.send_statement("t1.2", text, verb).await;
+            caller.answer().await;
+        };
+        let stop = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            system.home.stop();
+        };
+        let waiting = async {
+            tokio::time::sleep(LATE - Duration::from_millis(50)).await;
+            system.run_single("s1", "WRITE 7 x", WRITE).await;
+            system.run_single("s2", "WRITE 8 x", WRITE).await;
+        };
+        tokio::join!(given_up, stop, waiting);
+        tokio::time::sleep(SETTLED).await;
+        let violations = system.take_violations("rollback");
+        assert!(violations.is_empty(), "{violations:#?}");
+    })
+    .await;
+}
+
+/// The caller leaves without reading the answer, or while the proxy waits for it.
+#[rstest]
+#[case::answers(None)]
+#[case::answers_late(Some(Reaction::AnswersLate))]
+#[case::answers_in_pieces(Some(Reaction::AnswersInPieces))]
+#[case::refuses_as_busy(Some(Reaction::Refuses("BUSY")))]
+#[case::refuses_as_aborted_and_ends(Some(Reaction::RefusesAndEnds("ABORTED")))]
+#[case::ends_transaction_after(Some(Reaction::EndsTransactionAfter))]
+#[case::ends_transaction_and_answers_late(Some(Reaction::EndsTransactionAndAnswersLate))]
+#[tokio::test]
+async fn leaving_caller_leaves_no_work_behind(
+    #[values(false, true)] forwards: bool,
+    #[values(false, true)] proxy_stops: bool,
+    #[case] reaction: Option<Reaction>,
+) {
+    on_one_thread(async {
+        let run = async |number: usize| {
+            let point = POINTS[number];
+            let system = System::start(forwards, Limits::default()).await;
+            if let Some(reaction) = reaction {
+                system.member.script.borrow_mut().push((point, reaction));
+            }
+            let mut caller = system.connect_with(SHORT_GRACE).await;
+            for (before, (text, verb)) in TRANSACTION.into_iter().enumerate().take(number) {
+                caller.run(&format!("t1.{before}"), text, verb).await;
+            }
+            let (text, verb) = TRANSACTION[number];
+            let id = format!("t1.{number}");
+            caller.send_statement(&id, text, verb).await;
+            if proxy_stops {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                system.home.stop();
+                let (answer, code) = caller.answer().await;
+                let code = answer.map_or(code, |(code, ..)| code);
+                caller.judge(&id, verb, code.as_ref(), None);
+            } else {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                drop(caller);
+            }
+            system.run_others().await;
+            tokio::time::sleep(SETTLED).await;
+            let mut violations = system.take_violations(point);
+            let has_asked = number + 1 == TRANSACTION.len();
+            if !has_asked && system.member.has_kept("t1") {
+                violations.push(format!("{point}: kept without a commit of the caller"));
+            }
+            violations
+        };
+        let ended = futures::future::join_all((0..TRANSACTION.len()).map(run)).await;
+        let violations: Vec<String> = ended.into_iter().flatten().collect();
+        assert!(violations.is_empty(), "{violations:#?}");
+    })
+    .await;
+}
+
+/// The member stops reading, so that the socket takes only part of the next statement before its time-out. The rest must not
+/// follow at the close, when the caller has been told that the statement has no effect.
+#[rstest]
+#[case::write_in_transaction(2, "WRITE 1 ", WRITE)]
+#[case::single_write(0, "WRITE 1 ", WRITE)]
+#[tokio::test]
+async fn rest_of_cut_statement_is_not_sent(
+    #[values(false, true)] forwards: bool,
+    #[values(false, true)] proxy_stops: bool,
+    #[case] number: usize,
+    #[case] start: &str,
+    #[case] verb: Verb,
+) {
+    const DATA_BYTES: usize = 1_000_000;
+    on_one_thread(async {
+        // The member reads again after the statement is given up: at its time-out, or sooner at the stop.
+        let pause = if proxy_stops { LATE / 2 } else { LATE * 2 };
+        let system = System::start(forwards, Limits::default()).await;
+        let operation = if number > 0 { "t1" } else { "s1" };
+        let mut caller = system.connect_with(SHORT_GRACE).await;
+        if number == 0 {
+            // The connection that the statement will use.
+            let stopping = ("s0.0", Reaction::StopsReading(pause));
+            system.member.script.borrow_mut().push(stopping);
+            caller.run("s0.0", "WRITE 9 x", WRITE).await;
+        } else {
+            let stopping = ("t1.1", Reaction::StopsReading(pause));
+            system.member.script.borrow_mut().push(stopping);
+            for (before, (text, verb)) in TRANSACTION.into_iter().enumerate().take(number) {
+                caller.run(&format!("t1.{before}"), text, verb).await;
+            }
+        }
+        let text = format!("{start}{}", "x".repeat(DATA_BYTES));
+        let id = format!("{operation}.{number}");
+        let stop = async {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            if proxy_stops {
+                system.home.stop();
+            }
+        };
+        tokio::join!(caller.run(&id, &text, verb), stop);
+        tokio::time::sleep(SETTLED).await;
+        let received = system.member.received.borrow();
+        assert!(!received.iter().any(|(received_id, _)| *received_id == id));
+        let violations = system.take_violations(&id);
+        assert!(violations.is_empty(), "{violations:#?}");
+    })
+    .await;
+}
+
+/// A home that rolls the transaction back, since it rests too long or stops, while the forwarding proxy still believes in it.
+#[rstest]
+#[case::rests(false)]
+#[case::stops(true)]
+#[tokio::test]
+async fn transaction_that_home_has_ended_runs_nothing(#[case] stops: bool) {
+    on_one_thread(async {
+        let run = async |number: usize| {
+            let limits = Limits {
+                transaction_idle_ms: if stops { 0 } else { 40 },
+                ..Limits::default()
+            };
+            let system = System::start(true, limits).await;
+            let mut caller = system.connect().await;
+            for (before, (text, verb)) in TRANSACTION.into_iter().enumerate().take(number) {
+                caller.run(&format!("t1.{before}"), text, verb).await;
+            }
+            if stops {
+                system.home.stop();
+            }
+            tokio::time::sleep(Duration::from_millis(120)).await;
+            for (after, (text, verb)) in TRANSACTION.into_iter().enumerate().skip(number) {
+                if caller
+                    .run(&format!("t1.{after}"), text, verb)
+                    .await
+                    .is_none()
+                {
+                    break;
+                }
+            }
+            tokio::time::sleep(SETTLED).await;
+            system.take_violations(&format!("from {number}"))
+        };
+        // Before the first statement that reaches a member, the home holds no transaction.
+        let ended = futures::future::join_all((2..TRANSACTION.len()).map(run)).await;
+        let violations: Vec<String> = ended.into_iter().flatten().collect();
+        assert!(violations.is_empty(), "{violations:#?}");
+    })
+    .await;
+}
