--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod serve;
 pub mod session;
 pub mod shell;
+mod steps;
 pub mod stop;
 pub mod transfer;
 pub mod updates;
--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, BytesMut};
+use bytes::BytesMut;
 use fulmarlift_broker::event;
 use fulmarlift_core::id;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,6 +14,7 @@
 use crate::protocol;
 use crate::protocol::member;
 use crate::protocol::member::Codec;
+use crate::steps;
 use crate::values;
 
 /// Time without an acknowledgement of sent bytes after which the kernel closes a connection: three retransmissions.
@@ -37,6 +38,14 @@
     /// A command was not sent; the connection itself is usable.
     #[error(transparent)]
     Withheld(#[from] protocol::Withheld),
+    /// The command succeeded, and the transaction state after it is another one than it leads to.
+    #[error("in state {told:?} in place of {expected:?}")]
+    State {
+        /// State to which the command leads.
+        expected: protocol::TransactionState,
+        /// State in the answer.
+        told: protocol::TransactionState,
+    },
     /// The member sent a message that the codec cannot decode.
     #[error("member's answer: {0}")]
     Wire(#[from] protocol::WireError),
@@ -60,7 +69,9 @@
             Self::Refused(protocol::Code::TooMany | protocol::Code::Busy) => {
                 event::OpenFailure::Full
             }
-            Self::Refused(_) => event::OpenFailure::WrongMember,
+            Self::Refused(_) | Self::Link(LinkError::State { .. }) => {
+                event::OpenFailure::WrongMember
+            }
             Self::Link(LinkError::Broken(error)) if error.kind() != io::ErrorKind::TimedOut => {
                 event::OpenFailure::Refused
             }
@@ -76,8 +87,12 @@
     codec: C,
     inbox: BytesMut,
     outbox: BytesMut,
+    /// Commands without an answer, and the transaction state of the other end.
+    steps: steps::Steps,
     /// Whether the other end stops, so that nothing more must be sent.
     closing: bool,
+    /// Whether the other end has closed the connection.
+    closed: bool,
     /// Member or home at the other end.
     pub member: id::MemberId,
     /// Instant at which the connection was opened.
@@ -125,7 +140,9 @@
             codec: C::default(),
             inbox: BytesMut::new(),
             outbox: BytesMut::new(),
+            steps: steps::Steps::default(),
             closing: false,
+            closed: false,
             member: member.1,
             connected_at: clock::now(),
             connection_state: values::ConnectionState::default(),
@@ -152,12 +169,77 @@
     pub fn push(&mut self, command: member::Command<'_>) -> Result<(), protocol::Withheld> {
         let start = self.outbox.len();
         let encoded = self.codec.encode(command, &mut self.outbox);
-        if encoded.is_err() {
-            self.outbox.truncate(start);
+        match encoded {
+            Ok(()) => self.steps.push(&command),
+            Err(_) => self.outbox.truncate(start),
         }
         encoded
     }
 
+    /// Appends a caller's statement, as [`Self::push`] does, if it runs in the transaction state that the session believes in.
+    ///
+    /// # Errors
+    ///
+    /// [`protocol::Withheld`] if the statement must not be sent; nothing is appended.
+    pub fn push_statement(
+        &mut self,
+        command: member::Command<'_>,
+        believed: protocol::TransactionState,
+    ) -> Result<(), protocol::Withheld> {
+        self.check(believed)?;
+        self.push(command)
+    }
+
+    /// Checks that the other end has sent nothing beside the awaited answers, and that a statement would run in the given state.
+    fn check(&mut self, believed: protocol::TransactionState) -> Result<(), protocol::Withheld> {
+        self.read_unsolicited();
+        if self.closed {
+            return Err(protocol::Withheld::Closed);
+        }
+        if !self.inbox.is_empty() {
+            return Err(self.out_of_step());
+        }
+        self.steps.check(believed)
+    }
+
+    /// Checks that the connection can be used for any statement: as [`Self::push_statement`] does, and that all is answered.
+    ///
+    /// # Errors
+    ///
+    /// The reason why it cannot.
+    pub fn check_idle(&mut self) -> Result<(), protocol::Withheld> {
+        self.check(protocol::TransactionState::Idle)?;
+        match self.steps.unanswered() {
+            0 => Ok(()),
+            _ => Err(self.out_of_step()),
+        }
+    }
+
+    fn out_of_step(&self) -> protocol::Withheld {
+        protocol::Withheld::OutOfStep {
+            left_bytes: self.inbox.len(),
+            unanswered: self.steps.unanswered(),
+        }
+    }
+
+    /// Reads what has arrived without a command, and takes the notice of a stopping home out of it.
+    fn read_unsolicited(&mut self) {
+        match self.stream.try_read_buf(&mut self.inbox) {
+            Ok(0) => self.closed = true,
+            Ok(_) => {}
+            Err(error) => self.closed |= error.kind() != io::ErrorKind::WouldBlock,
+        }
+        if self.inbox.is_empty() {
+            return;
+        }
+        // Whatever else has arrived stays in the buffer, so that the connection is not used again.
+        let mut rest = self.inbox.clone();
+        while let Ok(Some(member::Frame::Closing)) = self.codec.decode(&mut rest) {
+            self.closing = true;
+            self.inbox = rest.clone();
+        }
+    }
+
     /// Appends a command, sends the appended commands, and returns the answer to the oldest unanswered one.
     ///
     /// # Errors
@@ -183,7 +265,9 @@
             self.read_answer().await
         };
         let answered = tokio::time::timeout_at(clock::tokio_deadline(deadline), exchanged).await;
-        answered.map_err(|_| LinkError::Silent)?
+        let answer = answered.map_err(|_| LinkError::Silent)??;
+        self.steps.answer(&answer)?;
+        Ok(answer)
     }
 
     async fn read_answer(&mut self) -> Result<member::Answer, LinkError> {
@@ -232,23 +316,15 @@
     /// Returns whether an idle connection is unusable: the other side has closed it, stops, or has sent bytes without a
     /// command.
     pub fn is_dead(&mut self) -> bool {
-        if self.closing {
-            return true;
-        }
-        let mut byte = [0; 1];
-        match self.stream.try_read(&mut byte) {
-            Ok(_) => true,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        }
+        self.check_idle().is_err() || self.closing
     }
 
-    /// Closes the connection, with a termination message if the socket accepts it without waiting.
+    /// Closes the connection, with a termination message if the socket accepts it without waiting. The rest of a command that was
+    /// sent in part is not sent: its caller may have been told that it does not run.
     pub fn close(mut self) {
         // The other end sees that the connection is closed, with the message or without it.
-        let _ = self.push(member::Command::Terminate);
-        // On an error the member still sees that the connection is closed.
-        if let Ok(sent) = self.stream.try_write(&self.outbox) {
-            self.outbox.advance(sent);
+        if self.outbox.is_empty() && self.push(member::Command::Terminate).is_ok() {
+            let _ = self.stream.try_write(&self.outbox);
         }
     }
 
--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -79,6 +79,25 @@
     /// The message would exceed the protocol's limit: on the way to a member it can become longer than the caller's.
     #[error("not run: the message to the member would be too long")]
     TooLong,
+    /// The connection has bytes that answer nothing, or answers to other commands are outstanding.
+    #[error("not run: the connection is out of step")]
+    OutOfStep {
+        /// Bytes that answer no command.
+        left_bytes: usize,
+        /// Commands without an answer.
+        unanswered: usize,
+    },
+    /// The statement would not run in the transaction state that its session believes in.
+    #[error("not run: the connection is not in the expected transaction state")]
+    State {
+        /// State in which the statement would run.
+        expected: TransactionState,
+        /// State that the session believes in.
+        believed: TransactionState,
+    },
+    /// The other end has closed the connection.
+    #[error("not run: the connection is closed")]
+    Closed,
 }
 
 impl Withheld {
@@ -86,8 +105,16 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::TooLong => "TooLong",
+            Self::OutOfStep { .. } => "OutOfStep",
+            Self::State { .. } => "State",
+            Self::Closed => "Closed",
         }
     }
+
+    /// Returns whether the reason lies in the connection, so that the statement may be sent on another one.
+    pub fn concerns_connection(self) -> bool {
+        !matches!(self, Self::TooLong)
+    }
 }
 
 /// Error of a codec; the connection is unusable after it.
--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -30,8 +30,8 @@
     Lost(link::LinkError),
 }
 
-/// Brings a connection to the session's state: sets the session values that differ, after a reset if need be, and prepares
-/// the statement.
+/// Brings a connection, in the given transaction state, to the session's state: sets the session values that differ, after a reset
+/// if need be, and prepares the statement.
 ///
 /// # Errors
 ///
@@ -41,6 +41,7 @@
     lease: &mut shell::Lease<D>,
     session_state: &values::SessionState,
     statement: &statement::MemberStatement,
+    believed: protocol::TransactionState,
     deadline: Instant,
 ) -> Result<(), link::LinkError> {
     // A home gets the definition with each statement and prepares it at the members itself.
@@ -52,7 +53,10 @@
     let mut sent = 0;
     let mut pushed = Ok(());
     for command in diff.commands() {
-        pushed = upstream.push(command);
+        pushed = match sent {
+            0 => upstream.push_statement(command, believed),
+            _ => upstream.push(command),
+        };
         if pushed.is_err() {
             break;
         }
@@ -106,7 +110,7 @@
     Ok(begun.point)
 }
 
-/// Awaits the answer to the rollback that [`verify_leader`] has appended.
+/// Awaits the answer to the rollback that [`verify_leader`] has appended, and returns its result.
 ///
 /// # Errors
 ///
@@ -114,11 +118,17 @@
 pub async fn end_verification<D: Deployment>(
     lease: &mut shell::Lease<D>,
     deadline: Instant,
-) -> Result<(), link::LinkError> {
+) -> Result<member::End, link::LinkError> {
     match lease.exchange(deadline).await {
-        Ok(ended) if ended.state == protocol::TransactionState::Idle => Ok(()),
-        // The member has not rolled back. Answers to what was sent behind the rollback are not awaited.
-        Ok(_) => Err(link::LinkError::Silent),
+        Ok(ended) if ended.state == protocol::TransactionState::Idle => Ok(ended.end),
+        // The member has not rolled back. Answers to what was sent behind the rollback are not awaited; it runs in the transaction
+        // to roll back, which is never committed.
+        Ok(ended) => {
+            let expected = protocol::TransactionState::Idle;
+            let told = ended.state;
+            lease.log_state(expected, told);
+            Err(link::LinkError::State { expected, told })
+        }
         Err(error) => {
             lease.report_failure(&error, false);
             Err(error)
@@ -137,11 +147,16 @@
     timing: single::Timing,
 ) -> Outcome {
     let deadline = timing.deadline;
+    lease.set_request(&statement.id);
     if let Some(belief) = &grant.new_belief {
         lease.log_belief(&grant, belief, &statement.id_text());
     }
-    match synchronize(&mut lease, session_state, statement, deadline).await {
+    let believed = protocol::TransactionState::Idle;
+    match synchronize(&mut lease, session_state, statement, believed, deadline).await {
         Ok(()) => {}
+        Err(link::LinkError::Withheld(reason)) if reason.concerns_connection() => {
+            return Outcome::NotRun(protocol::Code::Busy);
+        }
         Err(link::LinkError::Withheld(reason)) => {
             lease.give_back();
             return Outcome::Withheld(reason);
@@ -165,13 +180,16 @@
     }
     let sent_at = clock::now();
     lease.set_floor(floor);
-    let pushed = statement.push(&mut lease, floor, timing.options(route));
+    let pushed = statement.push(&mut lease, believed, floor, timing.options(route));
+    if pushed.is_err_and(protocol::Withheld::concerns_connection) {
+        return Outcome::NotRun(protocol::Code::Busy);
+    }
     let verified = match grant.verify {
-        true => end_verification(&mut lease, deadline).await,
-        false => Ok(()),
+        true => end_verification(&mut lease, deadline).await.map(Some),
+        false => Ok(None),
     };
-    match (pushed, verified) {
-        (Ok(()), Ok(())) => {}
+    let rollback_result = match (pushed, verified) {
+        (Ok(()), Ok(result)) => result,
         (Ok(()), Err(error)) => return Outcome::Lost(error),
         (Err(reason), verified) => {
             if verified.is_ok() {
@@ -179,9 +197,15 @@
             }
             return Outcome::Withheld(reason);
         }
-    }
+    };
     let writes = statement.mode == protocol::Mode::Write;
     match lease.exchange(deadline).await {
+        // Each statement has a signature of its own, so this is the answer to the rollback once more.
+        Ok(answer) if answer.error().is_none() && Some(&answer.end) == rollback_result.as_ref() => {
+            let error = protocol::WireError::Malformed("answer to another command").into();
+            lease.report_failure(&error, writes);
+            Outcome::Lost(error)
+        }
         Ok(answer) if lease.is_home() => finish_at_home(*lease, answer),
         Ok(answer) => {
             let led = event::Answer::Led {
--- a/crates/session/src/session/statement.rs
+++ b/crates/session/src/session/statement.rs
@@ -61,7 +61,8 @@
         self.prepared.as_ref().map(|(prepared, _)| prepared)
     }
 
-    /// Appends the statement to the commands that the leased connection sends next.
+    /// Appends the statement to the commands that the leased connection sends next. `believed` is the transaction state in which
+    /// the session expects it to run.
     ///
     /// # Errors
     ///
@@ -69,11 +70,12 @@
     pub fn push<D: Deployment>(
         &self,
         lease: &mut shell::Lease<D>,
+        believed: protocol::TransactionState,
         floor: Option<floor::Point>,
         options: caller::StatementOptions,
     ) -> Result<(), protocol::Withheld> {
         let options = Some(options);
-        let pushed = lease.upstream().push(match &self.prepared {
+        let command = match &self.prepared {
             None => member::Command::Run {
                 id: &self.id,
                 text: &self.text,
@@ -88,7 +90,8 @@
                 floor,
                 options,
             },
-        });
+        };
+        let pushed = lease.upstream().push_statement(command, believed);
         pushed.inspect_err(|reason| lease.log_withheld(&self.id_text(), *reason))
     }
 }
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -132,9 +132,12 @@
         };
         let timing = single::Timing::new(route);
         *wrote |= statement.mode == protocol::Mode::Write;
+        lease.set_request(&statement.id);
         lease.start_statement();
+        let believed = protocol::TransactionState::Transaction;
         let synchronized =
-            attempt::synchronize(lease, &session_state, &statement, timing.deadline).await;
+            attempt::synchronize(lease, &session_state, &statement, believed, timing.deadline)
+                .await;
         let answered = match synchronized {
             Ok(()) => exchange(lease, &statement, timing.deadline, timing.options(route)).await,
             Err(error) => Err(error),
@@ -146,8 +149,9 @@
                 *has_changes |= statement.mode == protocol::Mode::Write && answer.error().is_none();
                 if answer.state != protocol::TransactionState::Transaction {
                     log::info!(
-                        "event=transaction_failed request={} end={:?}",
+                        "event=transaction_failed request={} state={:?} end={:?}",
                         statement.id_text(),
+                        answer.state,
                         answer.end
                     );
                     self.transaction.fail(true);
@@ -216,6 +220,7 @@
                 }
             };
             avoid = Some(grant.member);
+            lease.set_request(&begin.id);
             if let Some(belief) = &grant.new_belief {
                 lease.log_belief(&grant, belief, &begin.id_text());
             }
@@ -244,6 +249,7 @@
                     return Ok(());
                 }
                 Ok(false) => {}
+                Err(reason) if reason.concerns_connection() => {}
                 Err(reason) => {
                     lease.give_back();
                     return Err(single::Failure::withheld(reason));
@@ -261,7 +267,7 @@
     ///
     /// # Errors
     ///
-    /// [`protocol::Withheld`] if the statement must not be sent; the connection is usable.
+    /// [`protocol::Withheld`] if the statement must not be sent; the connection is usable unless the reason concerns it.
     async fn begin_on(
         &self,
         lease: &mut shell::Lease<D>,
@@ -273,7 +279,11 @@
     ) -> Result<bool, protocol::Withheld> {
         let sent_at = clock::now();
         lease.set_floor(floor);
-        let pushed = begin.push(lease, floor, timing.options(route));
+        let believed = protocol::TransactionState::Idle;
+        let pushed = begin.push(lease, believed, floor, timing.options(route));
+        if pushed.is_err_and(protocol::Withheld::concerns_connection) {
+            return pushed.map(|()| false);
+        }
         if verified
             && attempt::end_verification(lease, timing.deadline)
                 .await
@@ -341,6 +351,7 @@
         let timing = single::Timing::new(&route);
         let sent_at = clock::now();
         let seen_before = self.shell.newest_log_end(route.group);
+        lease.set_request(&statement.id);
         lease.start_statement();
         match exchange(
             &mut lease,
@@ -425,8 +436,9 @@
     deadline: Instant,
     options: caller::StatementOptions,
 ) -> Result<member::Answer, link::LinkError> {
+    let believed = protocol::TransactionState::Transaction;
     loop {
-        statement.push(lease, None, options)?;
+        statement.push(lease, believed, None, options)?;
         let answer = lease.exchange(deadline).await?;
         let busy = answer.error() == Some(&protocol::Code::Busy)
             && answer.state == protocol::TransactionState::Transaction;
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -1,8 +1,10 @@
 //! Exclusive use of a connection by a request or transaction.
 
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
 use fulmarlift_core::floor;
@@ -26,6 +28,8 @@
     running_since: Option<Instant>,
     /// Floor of the current statement.
     floor: Option<floor::Point>,
+    /// Caller's id of the current statement, for the log.
+    request: Bytes,
 }
 
 impl<D: Deployment> Lease<D> {
@@ -42,6 +46,7 @@
             upstream: Some(upstream),
             running_since: Some(clock::now()),
             floor: None,
+            request: Bytes::new(),
         }
     }
 
@@ -89,13 +94,58 @@
             "reason" => reason.name(),
         )
         .increment(1);
+        let member = self.shell.member_name(self.member);
+        let name = reason.name();
+        match reason {
+            protocol::Withheld::State { expected, believed } => log::warn!(
+                "event=statement_withheld request={request} member={member} reason={name} expected={expected:?} believed={believed:?}"
+            ),
+            protocol::Withheld::OutOfStep {
+                left_bytes,
+                unanswered,
+            } => log::warn!(
+                "event=statement_withheld request={request} member={member} reason={name} left_bytes={left_bytes} unanswered={unanswered}"
+            ),
+            protocol::Withheld::TooLong | protocol::Withheld::Closed => {
+                log::warn!(
+                    "event=statement_withheld request={request} member={member} reason={name}"
+                );
+            }
+        }
+    }
+
+    /// Sets the caller's id of the statement that the connection is used for, for the log.
+    pub fn set_request(&mut self, request: &Bytes) {
+        self.request = request.clone();
+    }
+
+    /// Logs and counts an answer whose transaction state is another one than the command leads to.
+    pub fn log_state(
+        &self,
+        expected: protocol::TransactionState,
+        told: protocol::TransactionState,
+    ) {
+        metrics::counter!("fulmarlift_states_differ_total").increment(1);
         log::warn!(
-            "event=statement_withheld request={request} member={} reason={}",
+            "event=state_differs request={} member={} expected={expected:?} told={told:?}",
+            request_text(&self.request),
             self.shell.member_name(self.member),
-            reason.name(),
         );
     }
 
+    /// Returns whether nothing is left over on the connection, which is outside a transaction. Logs and counts it otherwise.
+    fn is_in_step(&mut self) -> bool {
+        match self.upstream().check_idle() {
+            // A closed connection is found when it is to be granted.
+            Ok(()) | Err(protocol::Withheld::Closed) => true,
+            Err(reason) => {
+                self.shell
+                    .log_out_of_step(self.member, &self.request, reason);
+                false
+            }
+        }
+    }
+
     /// Sets the point that the next statement requires, for the report of its answer.
     pub fn set_floor(&mut self, floor: Option<floor::Point>) {
         self.floor = floor;
@@ -136,6 +186,10 @@
             }
             link::LinkError::Broken(_) | link::LinkError::Wire(_) => event::Answer::Broken,
             link::LinkError::Withheld(_) => event::Answer::Unfinished,
+            link::LinkError::State { expected, told } => {
+                self.log_state(*expected, *told);
+                event::Answer::Unfinished
+            }
         };
         self.report(answer, None);
     }
@@ -149,9 +203,12 @@
         self.upstream().exchange(deadline).await
     }
 
-    /// Gives a connection without a transaction back to the idle connections.
+    /// Gives a connection without a transaction back to the idle connections; closes it if anything is left over on it.
     pub fn give_back(mut self) {
         self.report(event::Answer::Unfinished, None);
+        if !self.is_in_step() {
+            return;
+        }
         if let Some(upstream) = self.upstream.take() {
             let mut inner = self.shell.inner.borrow_mut();
             inner.idle.insert(self.conn, upstream);
@@ -162,12 +219,19 @@
         });
     }
 
-    /// Rolls an abandoned transaction back in the background, then gives the connection back.
+    /// Rolls an abandoned transaction back in the background, then gives the connection back. A connection on which a statement
+    /// is unanswered is closed, which also rolls the transaction back.
     pub fn roll_back(mut self)
     where
         D: Deployment,
     {
         const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(1_000);
+        match self.upstream().check_idle() {
+            // The other end has ended the transaction.
+            Ok(()) => return self.give_back(),
+            Err(protocol::Withheld::State { .. }) => {}
+            Err(_) => return,
+        }
         tokio::task::spawn_local(async move {
             let deadline = clock::now() + ROLLBACK_TIMEOUT;
             let rollback = member::Command::Rollback;
@@ -182,6 +246,40 @@
     }
 }
 
+impl<D: Deployment> shell::Shell<D> {
+    /// Logs and counts a connection that is closed since something is left over on it. `request` is the caller's id of the statement
+    /// that it was last used for, empty if it was idle.
+    pub(super) fn log_out_of_step(
+        &self,
+        member: id::MemberId,
+        request: &Bytes,
+        reason: protocol::Withheld,
+    ) {
+        let (left_bytes, unanswered, state) = match reason {
+            protocol::Withheld::OutOfStep {
+                left_bytes,
+                unanswered,
+            } => (left_bytes, unanswered, protocol::TransactionState::Idle),
+            protocol::Withheld::State { expected, .. } => (0, 0, expected),
+            protocol::Withheld::Closed | protocol::Withheld::TooLong => return,
+        };
+        metrics::counter!("fulmarlift_connections_out_of_step_total").increment(1);
+        log::warn!(
+            "event=connection_out_of_step request={} member={} left_bytes={left_bytes} unanswered={unanswered} state={state:?}",
+            request_text(request),
+            self.member_name(member),
+        );
+    }
+}
+
+/// Returns a caller's id of a statement for the log.
+fn request_text(request: &[u8]) -> Cow<'_, str> {
+    match request.is_empty() {
+        true => Cow::Borrowed("none"),
+        false => String::from_utf8_lossy(request),
+    }
+}
+
 impl<D: Deployment> Drop for Lease<D> {
     fn drop(&mut self) {
         self.report(event::Answer::Unfinished, None);
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -411,13 +411,17 @@
     fn remove_dead_connections(self: &Rc<Self>) {
         let mut dead = Vec::new();
         self.inner.borrow_mut().idle.retain(|conn, upstream| {
+            let checked = upstream.check_idle();
             let is_dead = upstream.is_dead();
             if is_dead {
-                dead.push(conn);
+                dead.push((conn, upstream.member(), checked));
             }
             !is_dead
         });
-        for conn in dead {
+        for (conn, member, checked) in dead {
+            if let Err(reason) = checked {
+                self.log_out_of_step(member, &Bytes::new(), reason);
+            }
             self.handle(event::Event::IdleConnectionLost(conn));
         }
     }
@@ -474,7 +478,12 @@
             let waiter = inner.waiters.remove(grant.request);
             (waiter, inner.idle.remove(grant.conn))
         };
-        let upstream = upstream.and_then(|mut upstream| (!upstream.is_dead()).then_some(upstream));
+        let upstream = upstream.and_then(|mut upstream| {
+            if let Err(reason) = upstream.check_idle() {
+                self.log_out_of_step(grant.member, &Bytes::new(), reason);
+            }
+            (!upstream.is_dead()).then_some(upstream)
+        });
         let (answer, reusable) = match (waiter, upstream) {
             (Some(waiter), Some(upstream)) => {
                 metrics::histogram!("fulmarlift_wait_seconds")
--- a/crates/session/src/shell/upstream.rs
+++ b/crates/session/src/shell/upstream.rs
@@ -90,6 +90,34 @@
         }
     }
 
+    /// Appends a caller's statement if it runs in the transaction state that the session believes in.
+    ///
+    /// # Errors
+    ///
+    /// [`protocol::Withheld`] if the statement must not be sent; nothing is appended.
+    pub fn push_statement(
+        &mut self,
+        command: member::Command<'_>,
+        believed: protocol::TransactionState,
+    ) -> Result<(), protocol::Withheld> {
+        match self {
+            Self::Member(link) => link.push_statement(command, believed),
+            Self::Home(link) => link.push_statement(command, believed),
+        }
+    }
+
+    /// Checks that the connection is outside a transaction, that all is answered, and that nothing else has arrived.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the connection.
+    pub fn check_idle(&mut self) -> Result<(), protocol::Withheld> {
+        match self {
+            Self::Member(link) => link.check_idle(),
+            Self::Home(link) => link.check_idle(),
+        }
+    }
+
     /// Returns whether an idle connection is unusable: the other side has closed it or sent bytes without a command.
     pub fn is_dead(&mut self) -> bool {
         match self {
--- a/crates/session/tests/steps.rs
+++ b/crates/session/tests/steps.rs
@@ -295,7 +295,8 @@
 impl Caller {
     async fn send(&mut self, command: Command<'_>) {
         let mut outbox = BytesMut::new();
-        Forwarding.encode(command, &mut outbox);
+        let encoded = Forwarding.encode(command, &mut outbox);
+        encoded.expect("the statement fits");
         // The proxy may have ended the session.
         let _ = self.stream.write_all_buf(&mut outbox).await;
     }
--- a/crates/session/tests/support/commanded.rs
+++ b/crates/session/tests/support/commanded.rs
@@ -22,7 +22,9 @@
     Batch, CallError, Claims, Contents, Deployment, PromotionOrders, Source, Update,
 };
 use fulmarlift_session::peer::{Forwarding, Serving};
-use fulmarlift_session::protocol::caller::{Codec as _, Message, Reply, StatementOptions};
+use fulmarlift_session::protocol::caller::{
+    Codec as _, Message, Reply, Statement, StatementOptions,
+};
 use fulmarlift_session::protocol::member::{Codec, Command, Frame, Verb};
 use fulmarlift_session::protocol::{Code, Mode, TransactionState, WireError, Withheld};
 use fulmarlift_session::shell::Shell;
@@ -362,6 +364,7 @@
 
     async fn serve(&self, mut stream: TcpStream) {
         let (mut codec, mut inbox, mut outbox) = (Serving, BytesMut::new(), BytesMut::new());
+        let mut state = TransactionState::Idle;
         loop {
             let message = match codec.decode(&mut inbox) {
                 Ok(Some(message)) => message,
@@ -384,6 +387,11 @@
                 Message::Terminate => return,
                 Message::Query(query) => {
                     let text = String::from_utf8_lossy(&query.text).into_owned();
+                    if text == "BEGIN" {
+                        state = TransactionState::Transaction;
+                    } else if query.statement == Statement::Rollback {
+                        state = TransactionState::Idle;
+                    }
                     if !text.is_empty() {
                         self.carry_out(&text);
                         self.commands.borrow_mut().push(text);
@@ -398,7 +406,7 @@
                 }
             }
             let point = Some(self.status.get().received);
-            codec.encode(Reply::Ready(TransactionState::Idle, point), &mut outbox);
+            codec.encode(Reply::Ready(state, point), &mut outbox);
             if stream.write_all_buf(&mut outbox).await.is_err() {
                 return;
             }
--- a/crates/session/tests/support/scripted.rs
+++ b/crates/session/tests/support/scripted.rs
@@ -12,7 +12,7 @@
 use fulmarlift_broker::event::MemberStatus;
 use fulmarlift_core::floor::Point;
 use fulmarlift_session::protocol::member::{Codec, Command, Frame};
-use fulmarlift_session::protocol::{Code, TransactionState, WireError};
+use fulmarlift_session::protocol::{Code, TransactionState, WireError, Withheld};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -26,7 +26,7 @@
 pub struct Lines;
 
 impl Codec for Lines {
-    fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut) {
+    fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut) -> Result<(), Withheld> {
         let after = |floor: Option<Point>| match floor {
             Some(point) => format!("AFTER {}.{} ", point.term, point.position),
             None => String::new(),
@@ -51,6 +51,7 @@
         };
         outbox.put_slice(line.as_bytes());
         outbox.put_slice(b"\r\n");
+        Ok(())
     }
 
     fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Frame>, WireError> {
