--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -49,6 +49,8 @@
     Failed {
         /// Whether an answer has told the caller of the rollback.
         reported: bool,
+        /// Whether a write may have run outside the transaction, or its home does not know its outcome.
+        in_doubt: bool,
     },
 }
 
@@ -101,13 +103,21 @@
     /// Rolls the transaction back. The caller must still end it with a commit or rollback.
     pub(super) fn fail(&mut self, reported: bool) {
         self.abandon();
-        *self = Self::Failed { reported };
+        let in_doubt = false;
+        *self = Self::Failed { reported, in_doubt };
+    }
+
+    /// Ends the transaction after a statement whose answer does not show whether a write has run outside the transaction.
+    fn fail_in_doubt(&mut self) {
+        self.abandon();
+        let (reported, in_doubt) = (true, true);
+        *self = Self::Failed { reported, in_doubt };
     }
 
     /// Returns whether the transaction was rolled back without an answer to the caller yet, and marks it as reported.
     pub(super) fn take_unreported_failure(&mut self) -> bool {
         match self {
-            Self::Failed { reported } => !std::mem::replace(reported, true),
+            Self::Failed { reported, .. } => !std::mem::replace(reported, true),
             _ => false,
         }
     }
@@ -154,21 +164,35 @@
                         answer.state,
                         answer.end
                     );
-                    self.transaction.fail(true);
+                    match *wrote && leaves_doubt(&answer) {
+                        true => self.transaction.fail_in_doubt(),
+                        false => self.transaction.fail(true),
+                    }
                 }
                 self.relay_answer(&answer);
             }
             Err(error) => {
                 lease.report_failure(&error, false);
-                // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
-                if matches!(error, link::LinkError::Withheld(_)) {
-                    self.transaction.fail(true);
-                }
+                // A write that ran outside the transaction, as the state in its answer shows, is kept.
+                let in_doubt = *wrote && ended_transaction(&error);
                 let failure = single::Failure {
-                    code: protocol::Code::Aborted,
+                    code: match in_doubt {
+                        true => protocol::Code::InDoubt,
+                        false => protocol::Code::Aborted,
+                    },
                     text: error.to_string(),
                 };
-                self.fail_transaction(&statement, &failure);
+                // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
+                match error {
+                    link::LinkError::Withheld(_) => self.transaction.fail(true),
+                    _ if in_doubt => self.transaction.fail_in_doubt(),
+                    _ => {
+                        let reported = true;
+                        self.transaction = Transaction::Failed { reported, in_doubt };
+                    }
+                }
+                self.log_failure(&statement, &failure);
+                self.answer_error(&failure.code, &failure.text);
             }
         }
     }
@@ -178,6 +202,13 @@
         statement: &statement::MemberStatement,
         failure: &single::Failure,
     ) {
+        self.log_failure(statement, failure);
+        let (reported, in_doubt) = (true, false);
+        self.transaction = Transaction::Failed { reported, in_doubt };
+        self.answer_error(&failure.code, &failure.text);
+    }
+
+    fn log_failure(&self, statement: &statement::MemberStatement, failure: &single::Failure) {
         log::info!(
             "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"",
             statement.id_text(),
@@ -185,8 +216,6 @@
             failure.code,
             failure.text
         );
-        self.transaction = Transaction::Failed { reported: true };
-        self.answer_error(&failure.code, &failure.text);
     }
 
     /// Opens the transaction if it is pending: requests a connection and begins the transaction at the member.
@@ -321,9 +350,15 @@
                 return self.answer_error(&protocol::Code::Malformed, "not in a transaction");
             }
             protocol::TransactionState::Failed => {
-                self.transaction = Transaction::None;
-                return self
-                    .answer_error(&protocol::Code::Aborted, "the transaction was rolled back");
+                let ended = std::mem::replace(&mut self.transaction, Transaction::None);
+                return match ended {
+                    Transaction::Failed { in_doubt: true, .. } => self.answer_error(
+                        &protocol::Code::InDoubt,
+                        "a write may have run outside the transaction",
+                    ),
+                    _ => self
+                        .answer_error(&protocol::Code::Aborted, "the transaction was rolled back"),
+                };
             }
             protocol::TransactionState::Transaction => {}
         }
@@ -429,6 +464,22 @@
     }
 }
 
+/// Returns whether an answer that ends the transaction leaves open what became of its writes: the member has ended the transaction,
+/// and the statement may have run outside of it, or a home does not know the outcome.
+fn leaves_doubt(answer: &member::Answer) -> bool {
+    match answer.error() {
+        Some(protocol::Code::InDoubt) => true,
+        Some(code) if code.means_not_run() || *code == protocol::Code::Aborted => false,
+        _ => answer.state == protocol::TransactionState::Idle,
+    }
+}
+
+/// Returns whether an error shows that the other end is outside the transaction after a statement that succeeded.
+fn ended_transaction(error: &link::LinkError) -> bool {
+    let told = protocol::TransactionState::Idle;
+    matches!(error, link::LinkError::State { told: state, .. } if *state == told)
+}
+
 /// Sends a statement of a transaction; retries until the deadline while the member has no slot for it.
 async fn exchange<D: Deployment>(
     lease: &mut shell::Lease<D>,
