--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -101,6 +101,9 @@
     /// The other end has closed the connection.
     #[error("not run: the connection is closed")]
     Closed,
+    /// The member would read another command than the one to be sent.
+    #[error("not run: the message to the member would change the statement")]
+    Changed,
 }
 
 impl Withheld {
@@ -112,12 +115,13 @@
             Self::OutOfStep { .. } => "OutOfStep",
             Self::State { .. } => "State",
             Self::Closed => "Closed",
+            Self::Changed => "Changed",
         }
     }
 
     /// Returns whether the reason lies in the connection, so that the statement may be sent on another one.
     pub fn concerns_connection(self) -> bool {
-        !matches!(self, Self::TooLong)
+        !matches!(self, Self::TooLong | Self::Changed)
     }
 }
 
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -108,6 +108,7 @@
             ),
             protocol::Withheld::TooLong
             | protocol::Withheld::Unprepared
+            | protocol::Withheld::Changed
             | protocol::Withheld::Closed => {
                 log::warn!(
                     "event=statement_withheld request={request} member={member} reason={name}"
@@ -265,7 +266,8 @@
             protocol::Withheld::State { expected, .. } => (0, 0, expected),
             protocol::Withheld::Closed
             | protocol::Withheld::TooLong
-            | protocol::Withheld::Unprepared => return,
+            | protocol::Withheld::Unprepared
+            | protocol::Withheld::Changed => return,
         };
         metrics::counter!("fulmarlift_connections_out_of_step_total").increment(1);
         log::warn!(
--- a/crates/session/tests/support/scripted.rs
+++ b/crates/session/tests/support/scripted.rs
@@ -11,7 +11,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use fulmarlift_broker::event::MemberStatus;
 use fulmarlift_core::floor::Point;
-use fulmarlift_session::protocol::member::{Codec, Command, Frame};
+use fulmarlift_session::protocol::member::{Codec, Command, Frame, ReadBack};
 use fulmarlift_session::protocol::{Code, TransactionState, WireError, Withheld};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -55,6 +55,10 @@
         Ok(())
     }
 
+    fn read_back<'a>(&self, _message: &'a [u8]) -> ReadBack<'a> {
+        ReadBack::Opaque
+    }
+
     fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Frame>, WireError> {
         let Some(line) = take_line(inbox) else {
             return Ok(None);
