--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -11,6 +11,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::clock;
+use crate::peer::greeting;
 use crate::protocol;
 use crate::protocol::member;
 use crate::protocol::member::Codec;
@@ -45,6 +46,9 @@
     /// The connection broke or timed out.
     #[error(transparent)]
     Link(#[from] LinkError),
+    /// The home is no proxy of the same version, or not the one that is meant.
+    #[error(transparent)]
+    Greeting(#[from] greeting::Refusal),
     /// The member answered the startup message with an error.
     #[error("refused with {0:?}")]
     Refused(protocol::Code),
@@ -57,7 +61,7 @@
             Self::Refused(protocol::Code::TooMany | protocol::Code::Busy) => {
                 event::OpenFailure::Full
             }
-            Self::Refused(_) => event::OpenFailure::WrongMember,
+            Self::Refused(_) | Self::Greeting(_) => event::OpenFailure::WrongMember,
             Self::Link(LinkError::Broken(error)) if error.kind() != io::ErrorKind::TimedOut => {
                 event::OpenFailure::Refused
             }
@@ -100,8 +104,7 @@
 }
 
 impl<C: Codec> Link<C> {
-    /// Opens a connection to a member of a group, given by its name and id, or to a home. A member refuses if its name or
-    /// group is another.
+    /// Opens a connection to a member of a group, given by its name and id. A member refuses if its name or group is another.
     ///
     /// # Errors
     ///
@@ -111,29 +114,76 @@
         group: &str,
         member: (&str, id::MemberId),
         deadline: Instant,
+    ) -> Result<Self, OpenError> {
+        let mut link = Self::connect(address, member.1, deadline).await?;
+        link.push(member::Command::Startup {
+            group,
+            member: member.0,
+        });
+        link.start(deadline).await
+    }
+
+    /// Opens a connection to the proxy of the VM with this name, a home of the group. The proxy of the VM `asker` opens it.
+    ///
+    /// # Errors
+    ///
+    /// [`OpenError`] when the connection fails, one of the proxies refuses the other, or the deadline passes.
+    pub async fn open_home(
+        address: SocketAddr,
+        group: &str,
+        home: (&str, id::MemberId),
+        asker: &str,
+        deadline: Instant,
+    ) -> Result<Self, OpenError> {
+        let (name, id) = home;
+        let mut link = Self::connect(address, id, deadline).await?;
+        let service = greeting::Service::Statements;
+        greeting::Greeting::new(service, name, asker).encode(&mut link.outbox);
+        link.push(member::Command::Startup {
+            group,
+            member: name,
+        });
+        let greeted = async {
+            link.stream.write_all_buf(&mut link.outbox).await?;
+            greeting::receive_answer(&mut link.stream, &mut link.inbox, name).await
+        };
+        let greeted = tokio::time::timeout_at(clock::tokio_deadline(deadline), greeted).await;
+        greeted
+            .map_err(|_| LinkError::Silent)?
+            .map_err(|error| match error {
+                greeting::GreetingError::Broken(error) => OpenError::Link(error.into()),
+                greeting::GreetingError::Refused(refusal) => OpenError::Greeting(refusal),
+            })?;
+        link.start(deadline).await
+    }
+
+    async fn connect(
+        address: SocketAddr,
+        member: id::MemberId,
+        deadline: Instant,
     ) -> Result<Self, OpenError> {
         let connected =
             tokio::time::timeout_at(clock::tokio_deadline(deadline), connect(address)).await;
         let stream = connected
             .map_err(|_| LinkError::Silent)?
             .map_err(LinkError::Broken)?;
-        let mut link = Self {
+        Ok(Self {
             stream,
             codec: C::default(),
             inbox: BytesMut::new(),
             outbox: BytesMut::new(),
             closing: false,
-            member: member.1,
+            member,
             connected_at: clock::now(),
             connection_state: values::ConnectionState::default(),
-        };
-        link.push(member::Command::Startup {
-            group,
-            member: member.0,
-        });
-        let answer = link.exchange(deadline).await?;
+        })
+    }
+
+    /// Waits for the answer to the startup message.
+    async fn start(mut self, deadline: Instant) -> Result<Self, OpenError> {
+        let answer = self.exchange(deadline).await?;
         match answer.end {
-            member::End::Ready => Ok(link),
+            member::End::Ready => Ok(self),
             member::End::Error(code, _) => Err(OpenError::Refused(code)),
             member::End::Complete(_) => {
                 Err(LinkError::from(protocol::WireError::Malformed("startup")).into())
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -21,6 +21,7 @@
 use crate::clock;
 use crate::deployment::Deployment;
 use crate::link;
+use crate::peer::greeting;
 use crate::protocol;
 use crate::protocol::caller;
 use crate::protocol::caller::Codec;
@@ -54,6 +55,9 @@
     /// The database of the startup message does not exist.
     #[error("no such database")]
     NoDatabase,
+    /// The client is no proxy of the same version that means this one.
+    #[error(transparent)]
+    PeerRefused(#[from] greeting::Refusal),
     /// The proxy has no configuration yet.
     #[error("no configuration yet, retry after 500 ms")]
     NoConfiguration,
@@ -183,6 +187,10 @@
     }
 
     async fn start_session(&mut self) -> Result<(), SessionEnd> {
+        if self.is_forwarded() {
+            let greeted = tokio::time::timeout(STARTUP_TIMEOUT, self.accept_greeting()).await;
+            greeted.map_err(|_| SessionEnd::Startup)??;
+        }
         let first = tokio::time::timeout(STARTUP_TIMEOUT, self.next_message()).await;
         match first.map_err(|_| SessionEnd::Startup)?? {
             caller::Message::Startup { database } => self.database = database,
@@ -214,6 +222,29 @@
         Ok(self.flush().await?)
     }
 
+    /// Checks the greeting of a proxy before any of its messages is decoded. The answer is sent together with that to the startup
+    /// message.
+    async fn accept_greeting(&mut self) -> Result<(), SessionEnd> {
+        let service = greeting::Service::Statements;
+        let Self {
+            stream,
+            inbox,
+            outbox,
+            ..
+        } = self;
+        let accepted = greeting::accept(&self.shell, service, stream, inbox, outbox).await;
+        if let Err(greeting::GreetingError::Refused(_)) = &accepted {
+            self.flush().await?;
+        }
+        accepted.map_err(|error| match error {
+            greeting::GreetingError::Broken(error) => match error.kind() {
+                io::ErrorKind::UnexpectedEof => SessionEnd::Closed,
+                _ => SessionEnd::Broken(error),
+            },
+            greeting::GreetingError::Refused(refusal) => SessionEnd::PeerRefused(refusal),
+        })
+    }
+
     /// Waits for the first configuration; returns whether there is one.
     async fn wait_for_configuration(&self) -> bool {
         let deadline = clock::now() + CONFIGURATION_TIMEOUT;
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -4,6 +4,7 @@
 //! spawns the tasks that open connections, probe and command members, and access the store.
 
 mod lease;
+mod refusals;
 mod relayed;
 pub mod state_changes;
 mod tasks;
@@ -88,6 +89,8 @@
     halted: Cell<bool>,
     /// Name of this proxy, under which it holds claims.
     name: Box<str>,
+    /// Name of the VM, under which other proxies know this one.
+    vm_name: Box<str>,
     claims: D::Claims,
     promotion_orders: D::PromotionOrders,
     directory: D::Directory,
@@ -117,6 +120,7 @@
     sessions: Cell<usize>,
     /// Number of other proxies in the last log line that told it.
     logged_peers: Cell<usize>,
+    refusal_log: refusals::RefusalLog,
 }
 
 impl<D: Deployment> Shell<D> {
@@ -128,6 +132,7 @@
         directory: D::Directory,
     ) -> Rc<Self> {
         let name = settings.name.clone();
+        let vm_name = settings.vm_name.clone();
         let inner = Inner {
             broker: Broker::new(settings),
             events: VecDeque::new(),
@@ -140,6 +145,7 @@
             stepping: Cell::new(false),
             halted: Cell::new(false),
             name,
+            vm_name,
             claims,
             promotion_orders,
             directory,
@@ -161,6 +167,7 @@
             stopping: watch::Sender::new(None),
             sessions: Cell::new(0),
             logged_peers: Cell::new(0),
+            refusal_log: refusals::RefusalLog::default(),
         })
     }
 
@@ -169,6 +176,11 @@
         &self.name
     }
 
+    /// Returns the name of the VM, under which other proxies know this one.
+    pub(crate) fn vm_name(&self) -> &str {
+        &self.vm_name
+    }
+
     /// Returns a member's name for the log.
     pub fn member_name(&self, member: id::MemberId) -> Box<str> {
         self.with_broker(|broker| state_changes::member_name(broker, member).into())
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -112,7 +112,12 @@
         let opened = match self.with_broker(|broker| broker.is_home(member)) {
             true => {
                 let deadline = clock::now() + HOME_CONNECT_TIMEOUT;
-                let opened = link::Link::open(address, &group, (&name, member), deadline).await;
+                let home = (&*name, member);
+                let opened =
+                    link::Link::open_home(address, &group, home, self.vm_name(), deadline).await;
+                if let Err(link::OpenError::Greeting(refusal)) = &opened {
+                    self.record_refused_peer(address, &name, refusal);
+                }
                 opened.map(shell::Upstream::Home)
             }
             false => {
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -17,6 +17,9 @@
 use tokio::net::TcpStream;
 
 use crate::deployment;
+use crate::deployment::Deployment;
+use crate::peer::greeting;
+use crate::shell;
 
 /// Most bytes of a message; a configuration takes 26 bytes for each route.
 const FRAME_BYTES_MAX: usize = 16 << 20;
@@ -228,6 +231,37 @@
     }
 }
 
+/// Returns the greeting of a proxy that is asked, followed by an encoded message: both are sent at once, since the message is not
+/// decoded unless the greeting is accepted.
+pub(super) fn greet<D: Deployment>(
+    shell: &shell::Shell<D>,
+    peer: &topology::Peer,
+    message: &[u8],
+) -> Bytes {
+    let mut opening = BytesMut::new();
+    let service = greeting::Service::Updates;
+    greeting::Greeting::new(service, &peer.vm_name, shell.vm_name()).encode(&mut opening);
+    opening.put_slice(message);
+    opening.freeze()
+}
+
+/// Receives the answer to the greeting of a proxy that is asked. Logs a refusal.
+pub(super) async fn receive_greeting<D: Deployment>(
+    shell: &shell::Shell<D>,
+    peer: &topology::Peer,
+    stream: &mut TcpStream,
+    inbox: &mut BytesMut,
+) -> io::Result<()> {
+    let greeted = greeting::receive_answer(stream, inbox, &peer.vm_name).await;
+    greeted.map_err(|error| match error {
+        greeting::GreetingError::Broken(error) => error,
+        greeting::GreetingError::Refused(refusal) => {
+            shell.record_refused_peer(peer.updates_address, &peer.vm_name, &refusal);
+            io::Error::other(refusal)
+        }
+    })
+}
+
 /// Sends an encoded message.
 pub(super) async fn send(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
     stream.write_all(frame).await?;
@@ -235,6 +269,18 @@
     Ok(())
 }
 
+/// Sends an encoded message after the answer to the greeting of the proxy that gets it, with one call and so in one packet.
+pub(super) async fn send_first(
+    stream: &mut TcpStream,
+    accepted: BytesMut,
+    frame: &[u8],
+) -> io::Result<()> {
+    let sent_bytes = accepted.len() + frame.len();
+    stream.write_all_buf(&mut accepted.chain(frame)).await?;
+    metrics::counter!("fulmarlift_updates_sent_bytes_total").increment(sent_bytes as u64);
+    Ok(())
+}
+
 /// Receives the next message. Cancel-safe: a partial message stays in `inbox` when the future is dropped.
 pub(super) async fn receive(stream: &mut TcpStream, inbox: &mut BytesMut) -> io::Result<Message> {
     loop {
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -60,11 +60,17 @@
         let hello = frame::Message::Hello {
             configuration_version: shell.with_broker(|broker| broker.topology().version),
         };
-        frame::send(&mut stream, &hello.encode()).await?;
+        let opening = frame::greet(shell, reader, &hello.encode());
+        frame::send(&mut stream, &opening).await?;
+        let mut inbox = BytesMut::new();
+        let snapshot_by = clock::tokio_deadline(connected_at + SNAPSHOT_TIMEOUT);
+        let greeted = frame::receive_greeting(shell, reader, &mut stream, &mut inbox);
+        let greeted = tokio::time::timeout_at(snapshot_by, greeted).await;
+        greeted.map_err(|_| timed_out())??;
         let mut listener = Self {
             reader: reader.vm_name.clone(),
             stream,
-            inbox: BytesMut::new(),
+            inbox,
             fresh_until: connected_at + SNAPSHOT_TIMEOUT,
             last_piece_at: connected_at,
         };
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::deployment::Deployment;
 use crate::link;
+use crate::peer::greeting;
 use crate::shell;
 use crate::updates::{frame, listen, relay};
 
@@ -50,50 +51,74 @@
     mut stream: TcpStream,
 ) -> io::Result<()> {
     link::set_liveness_timeouts(&stream)?;
-    let mut inbox = BytesMut::new();
-    let first = tokio::time::timeout(HELLO_TIMEOUT, frame::receive(&mut stream, &mut inbox)).await;
-    match first?? {
+    let mut accepted = BytesMut::new();
+    let first = receive_first(shell, &mut stream, &mut accepted);
+    match tokio::time::timeout(HELLO_TIMEOUT, first).await?? {
         frame::Message::Hello {
             configuration_version,
         } => {
             shell.count_listener(true);
-            let served = send_updates(shell, stream, configuration_version).await;
+            let served = send_updates(shell, stream, accepted, configuration_version).await;
             shell.count_listener(false);
             served
         }
-        frame::Message::ClaimQuestion { group } => relay::answer(shell, stream, &group).await,
+        frame::Message::ClaimQuestion { group } => {
+            relay::answer(shell, stream, accepted, &group).await
+        }
         frame::Message::CommandQuestion {
             asker,
             member,
             command,
         } => {
             let command = command.command();
-            relay::answer_command(shell, stream, &asker, &member, command).await
+            relay::answer_command(shell, stream, accepted, &asker, &member, command).await
+        }
+        frame::Message::GroupQuestion { group } => {
+            relay::answer_group(shell, stream, accepted, group).await
         }
-        frame::Message::GroupQuestion { group } => relay::answer_group(shell, stream, group).await,
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
 }
 
+/// Checks the greeting of another proxy, and receives its first message. Appends the answer to the greeting to `accepted`; it is
+/// sent with that to the message, and a refusal at once.
+async fn receive_first<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    stream: &mut TcpStream,
+    accepted: &mut BytesMut,
+) -> io::Result<frame::Message> {
+    let mut inbox = BytesMut::new();
+    let service = greeting::Service::Updates;
+    match greeting::accept(shell, service, stream, &mut inbox, accepted).await {
+        Ok(()) => frame::receive(stream, &mut inbox).await,
+        Err(error) => {
+            frame::send(stream, accepted).await?;
+            Err(io::Error::other(error))
+        }
+    }
+}
+
 /// Sends a listener the snapshot and all updates after it.
 async fn send_updates<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
     mut stream: TcpStream,
+    accepted: BytesMut,
     configuration_version: u64,
 ) -> io::Result<()> {
     if age_ms(shell).is_none_or(|age_ms| u128::from(age_ms) >= listen::READER_AGE_MAX.as_millis()) {
         // Snapshots are long, and a listener could not use this one.
-        return frame::send(&mut stream, &freshness(shell, u64::MAX)).await;
+        return frame::send_first(&mut stream, accepted, &freshness(shell, u64::MAX)).await;
     }
     let mut updates = shell.subscribe_updates();
-    send_update(&mut stream, &snapshot(shell, configuration_version)).await?;
+    let snapshot = snapshot(shell, configuration_version);
+    send_update(&mut stream, accepted, &snapshot).await?;
     let mut freshness_interval = tokio::time::interval(FRESHNESS_INTERVAL);
     loop {
         tokio::select! {
             // A freshness message follows the updates up to its revision.
             biased;
             update = updates.recv() => match update {
-                Ok(update) => send_update(&mut stream, &update).await?,
+                Ok(update) => send_update(&mut stream, BytesMut::new(), &update).await?,
                 // The listener reconnects and gets a new snapshot.
                 Err(broadcast::error::RecvError::Lagged(_)) => {
                     return Err(io::Error::other("listener too far behind the updates"));
@@ -109,11 +134,11 @@
     }
 }
 
-/// Sends an encoded message, and logs how long the connection took for it if it is larger than entries of members and proxies
+/// Sends an encoded message, the first one after the answer to the greeting, and logs how long the connection took for it if it is larger than entries of members and proxies
 /// are.
-async fn send_update(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+async fn send_update(stream: &mut TcpStream, accepted: BytesMut, frame: &[u8]) -> io::Result<()> {
     let started_at = clock::now();
-    frame::send(stream, frame).await?;
+    frame::send_first(stream, accepted, frame).await?;
     if frame.len() > LOGGED_BYTES_MIN {
         let took = clock::now().saturating_duration_since(started_at);
         log::info!(
--- a/crates/session/src/updates/relay.rs
+++ b/crates/session/src/updates/relay.rs
@@ -37,7 +37,7 @@
     group: &str,
 ) -> Option<claim::ClaimRow> {
     for peer in choose_peers(shell, group) {
-        let asking = ask(&peer, group);
+        let asking = ask(shell, &peer, group);
         let answered = tokio::time::timeout(ANSWER_TIMEOUT, asking).await;
         match answered.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut))) {
             Ok(Some(row)) => {
@@ -69,26 +69,31 @@
     peers
 }
 
-async fn ask(peer: &topology::Peer, group: &str) -> io::Result<Option<claim::ClaimRow>> {
+async fn ask<D: Deployment>(
+    shell: &shell::Shell<D>,
+    peer: &topology::Peer,
+    group: &str,
+) -> io::Result<Option<claim::ClaimRow>> {
     let question = frame::Message::ClaimQuestion {
         group: group.into(),
     };
-    match ask_peer(peer, &question.encode()).await? {
+    match ask_peer(shell, peer, &question.encode()).await? {
         frame::Message::ClaimAnswer { row } => row.map(frame::EncodedClaimRow::decode).transpose(),
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
 }
 
-/// Answers the question of another proxy for a claim row.
+/// Answers the question of another proxy for a claim row, and before it the greeting, as the other answers do.
 pub(super) async fn answer<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
     mut stream: TcpStream,
+    accepted: BytesMut,
     group: &str,
 ) -> io::Result<()> {
     let row = shell.read_claim(group).await;
     let row = row.as_ref().map(frame::EncodedClaimRow::new);
     let answer = frame::Message::ClaimAnswer { row };
-    frame::send(&mut stream, &answer.encode()).await
+    frame::send_first(&mut stream, accepted, &answer.encode()).await
 }
 
 /// A member's answer to a command that went through another proxy.
@@ -117,7 +122,7 @@
         .iter()
         .map(|peer| {
             let question = &question;
-            async move { (peer, ask_for_command(peer, question).await) }
+            async move { (peer, ask_for_command(shell, peer, question).await) }
         })
         .collect();
     let answering = async {
@@ -168,22 +173,28 @@
     peers
 }
 
-async fn ask_for_command(
+async fn ask_for_command<D: Deployment>(
+    shell: &shell::Shell<D>,
     peer: &topology::Peer,
     question: &[u8],
 ) -> io::Result<Option<event::MemberStatus>> {
-    match ask_peer(peer, question).await? {
+    match ask_peer(shell, peer, question).await? {
         frame::Message::CommandAnswer { status } => Ok(status),
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
 }
 
 /// Sends an encoded question to another proxy, and returns its answer.
-async fn ask_peer(peer: &topology::Peer, question: &[u8]) -> io::Result<frame::Message> {
+async fn ask_peer<D: Deployment>(
+    shell: &shell::Shell<D>,
+    peer: &topology::Peer,
+    question: &[u8],
+) -> io::Result<frame::Message> {
     let mut stream = TcpStream::connect(peer.updates_address).await?;
     link::set_liveness_timeouts(&stream)?;
-    frame::send(&mut stream, question).await?;
+    frame::send(&mut stream, &frame::greet(shell, peer, question)).await?;
     let mut inbox = BytesMut::new();
+    frame::receive_greeting(shell, peer, &mut stream, &mut inbox).await?;
     frame::receive(&mut stream, &mut inbox).await
 }
 
@@ -191,6 +202,7 @@
 pub(super) async fn answer_command<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
     mut stream: TcpStream,
+    accepted: BytesMut,
     asker: &str,
     member: &topology::Member,
     command: effect::MemberCommand,
@@ -199,7 +211,7 @@
         .carry_out_relayed(&mut stream, asker, member, command)
         .await;
     let answer = frame::Message::CommandAnswer { status };
-    frame::send(&mut stream, &answer.encode()).await
+    frame::send_first(&mut stream, accepted, &answer.encode()).await
 }
 
 /// Asks other proxies at once what they know of a group, and passes each answer to the broker. Ends once all have answered or failed.
@@ -214,7 +226,7 @@
         .iter()
         .map(|peer| {
             let question = &question;
-            async move { (peer, ask_for_group(peer, question).await) }
+            async move { (peer, ask_for_group(shell, peer, question).await) }
         })
         .collect();
     while let Some((peer, answered)) = asking.next().await {
@@ -257,11 +269,12 @@
     }
 }
 
-async fn ask_for_group(
+async fn ask_for_group<D: Deployment>(
+    shell: &shell::Shell<D>,
     peer: &topology::Peer,
     question: &[u8],
 ) -> io::Result<event::GroupKnowledge> {
-    match ask_peer(peer, question).await? {
+    match ask_peer(shell, peer, question).await? {
         frame::Message::GroupAnswer(knowledge) => Ok(knowledge.decode(clock::now())),
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
@@ -271,10 +284,11 @@
 pub(super) async fn answer_group<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
     mut stream: TcpStream,
+    accepted: BytesMut,
     group: id::GroupId,
 ) -> io::Result<()> {
     let now = clock::now();
     let knowledge = shell.with_broker(|broker| broker.knowledge(now, group));
     let answer = frame::Message::GroupAnswer(frame::EncodedKnowledge::of(knowledge, now));
-    frame::send(&mut stream, &answer.encode()).await
+    frame::send_first(&mut stream, accepted, &answer.encode()).await
 }
--- a/crates/session/tests/listen.rs
+++ b/crates/session/tests/listen.rs
@@ -95,7 +95,7 @@
 
 impl Pair {
     async fn start(prepare: impl Fn(&Store)) -> Self {
-        let reader = Proxy::start("reader").await;
+        let reader = Proxy::start(&support::first_reader("listener")).await;
         let listener = Proxy::start("listener").await;
         prepare(&reader.store);
         prepare(&listener.store);
@@ -249,7 +249,7 @@
 #[tokio::test]
 async fn proxy_is_no_reader_before_it_has_read_the_members() {
     on_one_thread(async {
-        let reader = Proxy::start("reader").await;
+        let reader = Proxy::start(&support::first_reader("listener")).await;
         let listener = Proxy::start("listener").await;
         reader.store.refused_contents.set(Some(Contents::Members));
         listener.store.listed.replace(vec!["member-1"]);
--- a/crates/session/tests/peers.rs
+++ b/crates/session/tests/peers.rs
@@ -6,8 +6,10 @@
 mod member;
 mod support;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Once;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -19,6 +21,9 @@
 use fulmarlift_core::topology::Place;
 use fulmarlift_session::clock;
 use fulmarlift_session::peer::Forwarding;
+use fulmarlift_session::peer::greeting::{
+    self, Greeting, PROTOCOL_VERSION, Reason, Refusal, Service,
+};
 use fulmarlift_session::protocol::Mode;
 use fulmarlift_session::protocol::caller::StatementOptions;
 use fulmarlift_session::protocol::member::{Codec, Command, End, Frame, Verb};
@@ -262,6 +267,7 @@
 /// homes, and its members need not be those of the group.
 #[tokio::test]
 async fn statement_is_not_run_by_another_proxy_at_address_of_home() {
+    keep_lines();
     on_one_thread(async {
         let (other_member, address) = start_home("proxy-2").await;
         let member = member::Member::start().await;
@@ -273,6 +279,15 @@
         sent.expect("the proxy takes the statement");
         tokio::time::sleep(ARRIVAL_TIME).await;
         assert!(other_member.texts().is_empty());
+        for side in ["side=accept", "side=connect"] {
+            let names = "from=proxy-far meant=proxy-1 at=proxy-2";
+            let lines = refusal_lines();
+            let told = lines
+                .iter()
+                .find(|line| line.contains(side) && line.contains(names));
+            let told = told.unwrap_or_else(|| panic!("{lines:?}"));
+            assert!(told.contains("version=1 reason=name"), "{told}");
+        }
     })
     .await;
 }
@@ -317,6 +332,111 @@
     .await;
 }
 
+/// Returns the refusal of a home to a greeting, with what the home tells of itself.
+async fn refusal_of(greeting: &Greeting) -> (Option<Refusal>, Rc<member::Member>) {
+    let (member, address) = start_home("proxy-1").await;
+    let mut bytes = BytesMut::new();
+    greeting.encode(&mut bytes);
+    bytes.extend_from_slice(&statement_frames());
+    let answer = send_until_closed(address, &bytes).await;
+    let mut answer = BytesMut::from(&answer.unwrap_or_default()[..]);
+    let answer = greeting::Answer::decode(&mut answer).expect("the home answers the greeting");
+    (
+        answer.and_then(|answer| answer.check("proxy-1").err()),
+        member,
+    )
+}
+
+/// Both ends learn why, and who the other one is.
+#[rstest]
+#[case::of_another_version(Greeting { version: PROTOCOL_VERSION + 1, ..greeting("proxy-1") }, Reason::Version)]
+#[case::of_an_earlier_version(Greeting { version: PROTOCOL_VERSION - 1, ..greeting("proxy-1") }, Reason::Version)]
+#[case::for_another_proxy(greeting("proxy-2"), Reason::Name)]
+#[case::for_another_proxy_of_longer_name(greeting("proxy-12"), Reason::Name)]
+#[case::for_nobody(greeting(""), Reason::Name)]
+#[case::for_another_service(Greeting { service: Service::Updates as u8, ..greeting("proxy-1") }, Reason::Service)]
+#[tokio::test]
+async fn greeting_is_refused(#[case] greeting: Greeting, #[case] reason: Reason) {
+    on_one_thread(async {
+        let (refusal, member) = refusal_of(&greeting).await;
+        let refusal = refusal.expect("the home refuses");
+        assert_eq!(refusal.reason, reason);
+        assert_eq!(refusal.from.vm_name.as_deref(), Some("proxy-1"));
+        assert!(member.texts().is_empty(), "{:?}", member.texts());
+    })
+    .await;
+}
+
+fn greeting(meant: &str) -> Greeting {
+    Greeting::new(Service::Statements, meant, "asker")
+}
+
+/// Whoever takes the port for another one may try again and again, and must not crowd out the lines of others.
+#[tokio::test]
+async fn refusals_are_logged_rarely() {
+    const CONNECTIONS: usize = 40;
+    const LINES_PER_S_MAX: usize = 8;
+    keep_lines();
+    on_one_thread(async {
+        let (_, address) = start_home("proxy-1").await;
+        let started_at = clock::now();
+        for _ in 0..CONNECTIONS {
+            send_until_closed(address, b"GET / HTTP/1.1\r\n\r\n").await;
+        }
+        let seconds = clock::now().saturating_duration_since(started_at).as_secs();
+        let lines = refusal_lines();
+        let lines_max = LINES_PER_S_MAX * (1 + usize::try_from(seconds).unwrap_or(usize::MAX / 16));
+        assert!((1..=lines_max).contains(&lines.len()), "{lines:?}");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        send_until_closed(address, b"GET / HTTP/1.1\r\n\r\n").await;
+        let lines = refusal_lines();
+        let unlogged = lines.iter().filter_map(|line| line.split_once("unlogged="));
+        let unlogged: usize = unlogged
+            .filter_map(|(_, count)| count.parse::<usize>().ok())
+            .sum();
+        assert_eq!(lines.len() + unlogged, CONNECTIONS + 1, "{lines:?}");
+    })
+    .await;
+}
+
+thread_local! {
+    /// Lines that the current test has logged.
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Keeps lines.
+struct Lines;
+
+impl log::Log for Lines {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
+    }
+
+    fn flush(&self) {}
+}
+
+fn keep_lines() {
+    static START: Once = Once::new();
+    START.call_once(|| {
+        log::set_logger(&Lines).expect("no other logger is set");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+}
+
+/// Returns the lines of refused connections.
+fn refusal_lines() -> Vec<String> {
+    LINES.with_borrow(|lines| {
+        let told = lines
+            .iter()
+            .filter(|line| line.contains("event=peer_refused"));
+        told.cloned().collect()
+    })
+}
+
 /// Returns a question to hold a member, as earlier builds send it.
 fn hold_question(member: &Entry) -> Vec<u8> {
     let (kind, asker, hold, term) = (7_u32, "asker", 1_u32, 2_u64);
--- a/crates/session/tests/relayed_commands.rs
+++ b/crates/session/tests/relayed_commands.rs
@@ -12,6 +12,7 @@
 use std::slice;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use commanded::{Member, Proxy, Silent, entry, peer, refusing_address};
 use fulmarlift_broker::event::{Answer, Event, MemberStatus, StatementReport};
 use fulmarlift_broker::revision::Revision;
@@ -19,6 +20,7 @@
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::id;
 use fulmarlift_session::clock;
+use fulmarlift_session::peer::greeting::{self, Greeting, Service};
 use relay::Relay;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -244,22 +246,39 @@
 
 /// Returns whether the first message of a connection asks to send a command.
 async fn is_command_question(stream: &mut TcpStream) -> bool {
-    let _length = stream.read_u32().await.expect("a question arrives");
-    u32::from(stream.read_u8().await.expect("it has a kind")) == COMMAND_QUESTION
+    let mut first = BytesMut::new();
+    // The proxy sends greeting and question with one call.
+    let read = stream.read_buf(&mut first).await;
+    read.expect("a question arrives");
+    let greeting = Greeting::decode(&mut first).expect("a greeting comes first");
+    greeting.expect("the greeting is complete");
+    let kind = first.get(4).expect("it has a length and a kind");
+    u32::from(*kind) == COMMAND_QUESTION
 }
 
-/// Returns the question of a proxy to hold a member, as it is sent.
+/// Name of the proxy that [`hold_question`] asks.
+const ASKED: &str = "proxy";
+
+/// Returns the question of a proxy to hold a member, as it is sent after the greeting.
 fn hold_question(member: &Entry) -> Vec<u8> {
     const HOLD: u32 = 1;
     let (asker, term) = ("asker", 2_u64);
     let question = postcard::to_stdvec(&(COMMAND_QUESTION, asker, member, (HOLD, term)));
     let question = question.expect("plain values encode");
     let length = u32::try_from(question.len()).expect("the question is short");
-    [&length.to_be_bytes()[..], &question].concat()
+    let mut greeting = BytesMut::new();
+    Greeting::new(Service::Updates, ASKED, asker).encode(&mut greeting);
+    [&greeting[..], &length.to_be_bytes(), &question].concat()
 }
 
 /// Returns the status in the answer to such a question.
 async fn receive_answer(stream: &mut TcpStream) -> Option<MemberStatus> {
+    let mut expected = BytesMut::new();
+    greeting::Answer::new(&Ok(()), ASKED).encode(&mut expected);
+    let mut accepted = vec![0; expected.len()];
+    let read = stream.read_exact(&mut accepted).await;
+    read.expect("the greeting is answered");
+    assert_eq!(accepted, expected);
     let length = stream.read_u32().await.expect("an answer arrives");
     let mut answer = vec![0; usize::try_from(length).expect("the answer is short")];
     let read = stream.read_exact(&mut answer).await;
@@ -281,7 +300,7 @@
         let member = Member::start(false).await;
         member.accept_time.set(accept_time);
         // The proxy does not know the member.
-        let proxy = Proxy::start("proxy", "a", &[]).await;
+        let proxy = Proxy::start(ASKED, "a", &[]).await;
         let connected = TcpStream::connect(proxy.peer.updates_address).await;
         let mut stream = connected.expect("the proxy takes questions");
         let question = hold_question(&entry("replica", "b", member.address, false));
@@ -305,7 +324,7 @@
     on_one_thread(async {
         let member = Member::start(false).await;
         let replica = entry("replica", "b", member.address, true);
-        let proxy = Proxy::start("proxy", "a", slice::from_ref(&replica)).await;
+        let proxy = Proxy::start(ASKED, "a", slice::from_ref(&replica)).await;
         let address = proxy.peer.updates_address;
         if at_once {
             // The proxy has an idle connection, on which it could send the command at once.
@@ -334,7 +353,7 @@
     on_one_thread(async {
         let member = Member::start(true).await;
         let leader = entry("leader", "a", member.address, true);
-        let proxy = Proxy::start("proxy", "a", slice::from_ref(&leader)).await;
+        let proxy = Proxy::start(ASKED, "a", slice::from_ref(&leader)).await;
         proxy.run(&[]);
         assert!(becomes_true(|| member.got("BEGIN")).await);
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/session/tests/support/member.rs
+++ b/crates/session/tests/support/member.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use fulmarlift_core::floor::Point;
 use fulmarlift_session::peer::Serving;
+use fulmarlift_session::peer::greeting::{Answer, Greeting};
 use fulmarlift_session::protocol::caller::{Codec, Message, Query, Reply, Statement};
 use fulmarlift_session::protocol::{Code, Mode, TransactionState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -72,6 +73,13 @@
     async fn serve(&self, mut stream: TcpStream, number: usize) {
         let mut codec = Serving;
         let (mut inbox, mut outbox) = (BytesMut::new(), BytesMut::new());
+        if stream.read_buf(&mut inbox).await.is_err() {
+            return;
+        }
+        // Only proxies that take it for a home greet. It answers as the one that is meant.
+        if let Ok(Some(greeting)) = Greeting::decode(&mut inbox) {
+            Answer::new(&Ok(()), &greeting.meant).encode(&mut outbox);
+        }
         let mut state = TransactionState::Idle;
         loop {
             let message = match codec.decode(&mut inbox) {
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use fulmarlift_broker::claim;
-use fulmarlift_broker::event::{OrderOutcome, StoreOutcome};
+use fulmarlift_broker::event::{Event, OrderOutcome, StoreOutcome};
 use fulmarlift_broker::revision::Revision;
 use fulmarlift_broker::state::Settings;
-use fulmarlift_broker::topology::{Consistency, Member, Route, Topology};
+use fulmarlift_broker::topology::{Consistency, Member, Peer, Route, Topology};
 use fulmarlift_core::id;
 use fulmarlift_core::topology::Place;
 use fulmarlift_session::deployment::{
@@ -118,6 +118,25 @@
     Shell::new(settings, claims, Unavailable, Unavailable)
 }
 
+/// Returns the name of the proxy that one of this name listens to first, where the domain has it and the proxies 2 to 7.
+pub fn first_reader(listener: &str) -> Box<str> {
+    let shell = shell(listener);
+    for nth in 2..8 {
+        shell.handle(Event::PeerListed(Peer {
+            vm_name: format!("proxy-{nth}").into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            updates_address: ([127, 0, 0, 1], 1).into(),
+            place: Place {
+                region: "north".into(),
+                domain: "a".into(),
+            },
+        }));
+    }
+    let readers = shell.with_broker(fulmarlift_broker::Broker::readers);
+    let reader = readers.into_iter().next();
+    reader.expect("another proxy ranks first").vm_name
+}
+
 /// A stand-in for the store, with a version of the configuration.
 #[derive(Default)]
 pub struct Store {
--- a/crates/session/tests/updates.rs
+++ b/crates/session/tests/updates.rs
@@ -184,7 +184,7 @@
         let store = Rc::new(Store::default());
         store.version.set(3);
         store.listed.replace(vec!["member-1", "member-2"]);
-        let reader = shell("reader");
+        let reader = shell(&support::first_reader("listener"));
         tokio::task::spawn_local(updates::observe(Rc::clone(&reader), sources(&store)));
         tokio::task::spawn_local(updates::publish(Rc::clone(&reader), socket));
         wait_for_version(&reader, 3).await;
