--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -319,3 +319,7 @@
     metrics::counter!("fulmarlift_updates_received_bytes_total").increment(received_bytes as u64);
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "../../tests/layout/updates.rs"]
+mod layout;
