--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -82,6 +82,25 @@
     /// The connection does not have the prepared statement.
     #[error("not run: the statement is not prepared at the member")]
     Unprepared,
+    /// The connection has bytes that answer nothing, or answers to other commands are outstanding.
+    #[error("not run: the connection is out of step")]
+    OutOfStep {
+        /// Bytes that answer no command.
+        left_bytes: usize,
+        /// Commands without an answer.
+        unanswered: usize,
+    },
+    /// The statement would not run in the transaction state that its session believes in.
+    #[error("not run: the connection is not in the expected transaction state")]
+    State {
+        /// State in which the statement would run.
+        expected: TransactionState,
+        /// State that the session believes in.
+        believed: TransactionState,
+    },
+    /// The other end has closed the connection.
+    #[error("not run: the connection is closed")]
+    Closed,
     /// The member would read another command than the one to be sent.
     #[error("not run: the message to the member would change the statement")]
     Changed,
@@ -93,9 +112,17 @@
         match self {
             Self::TooLong => "TooLong",
             Self::Unprepared => "Unprepared",
+            Self::OutOfStep { .. } => "OutOfStep",
+            Self::State { .. } => "State",
+            Self::Closed => "Closed",
             Self::Changed => "Changed",
         }
     }
+
+    /// Returns whether the reason lies in the connection, so that the statement may be sent on another one.
+    pub fn concerns_connection(self) -> bool {
+        !matches!(self, Self::TooLong | Self::Changed)
+    }
 }
 
 /// Error of a codec; the connection is unusable after it.
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -49,6 +49,8 @@
     Failed {
         /// Whether an answer has told the caller of the rollback.
         reported: bool,
+        /// Whether a write may have run outside the transaction, or its home does not know its outcome.
+        in_doubt: bool,
     },
 }
 
@@ -101,13 +103,21 @@
     /// Rolls the transaction back. The caller must still end it with a commit or rollback.
     pub(super) fn fail(&mut self, reported: bool) {
         self.abandon();
-        *self = Self::Failed { reported };
+        let in_doubt = false;
+        *self = Self::Failed { reported, in_doubt };
+    }
+
+    /// Ends the transaction after a statement whose answer does not show whether a write has run outside the transaction.
+    fn fail_in_doubt(&mut self) {
+        self.abandon();
+        let (reported, in_doubt) = (true, true);
+        *self = Self::Failed { reported, in_doubt };
     }
 
     /// Returns whether the transaction was rolled back without an answer to the caller yet, and marks it as reported.
     pub(super) fn take_unreported_failure(&mut self) -> bool {
         match self {
-            Self::Failed { reported } => !std::mem::replace(reported, true),
+            Self::Failed { reported, .. } => !std::mem::replace(reported, true),
             _ => false,
         }
     }
@@ -132,9 +142,12 @@
         };
         let timing = single::Timing::new(route);
         *wrote |= statement.mode == protocol::Mode::Write;
+        lease.set_request(&statement.id);
         lease.start_statement();
+        let believed = protocol::TransactionState::Transaction;
         let synchronized =
-            attempt::synchronize(lease, &session_state, &statement, timing.deadline).await;
+            attempt::synchronize(lease, &session_state, &statement, believed, timing.deadline)
+                .await;
         let answered = match synchronized {
             Ok(()) => exchange(lease, &statement, timing.deadline, timing.options(route)).await,
             Err(error) => Err(error),
@@ -146,25 +159,40 @@
                 *has_changes |= statement.mode == protocol::Mode::Write && answer.error().is_none();
                 if answer.state != protocol::TransactionState::Transaction {
                     log::info!(
-                        "event=transaction_failed request={} end={:?}",
+                        "event=transaction_failed request={} state={:?} end={:?}",
                         statement.id_text(),
+                        answer.state,
                         answer.end
                     );
-                    self.transaction.fail(true);
+                    match *wrote && leaves_doubt(&answer) {
+                        true => self.transaction.fail_in_doubt(),
+                        false => self.transaction.fail(true),
+                    }
                 }
                 self.relay_answer(&answer);
             }
             Err(error) => {
                 lease.report_failure(&error, false);
-                // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
-                if matches!(error, link::LinkError::Withheld(_)) {
-                    self.transaction.fail(true);
-                }
+                // A write that ran outside the transaction, as the state in its answer shows, is kept.
+                let in_doubt = *wrote && ended_transaction(&error);
                 let failure = single::Failure {
-                    code: protocol::Code::Aborted,
+                    code: match in_doubt {
+                        true => protocol::Code::InDoubt,
+                        false => protocol::Code::Aborted,
+                    },
                     text: error.to_string(),
                 };
-                self.fail_transaction(&statement, &failure);
+                // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
+                match error {
+                    link::LinkError::Withheld(_) => self.transaction.fail(true),
+                    _ if in_doubt => self.transaction.fail_in_doubt(),
+                    _ => {
+                        let reported = true;
+                        self.transaction = Transaction::Failed { reported, in_doubt };
+                    }
+                }
+                self.log_failure(&statement, &failure);
+                self.answer_error(&failure.code, &failure.text);
             }
         }
     }
@@ -174,6 +202,13 @@
         statement: &statement::MemberStatement,
         failure: &single::Failure,
     ) {
+        self.log_failure(statement, failure);
+        let (reported, in_doubt) = (true, false);
+        self.transaction = Transaction::Failed { reported, in_doubt };
+        self.answer_error(&failure.code, &failure.text);
+    }
+
+    fn log_failure(&self, statement: &statement::MemberStatement, failure: &single::Failure) {
         log::info!(
             "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"",
             statement.id_text(),
@@ -181,8 +216,6 @@
             failure.code,
             failure.text
         );
-        self.transaction = Transaction::Failed { reported: true };
-        self.answer_error(&failure.code, &failure.text);
     }
 
     /// Opens the transaction if it is pending: requests a connection and begins the transaction at the member.
@@ -216,6 +249,7 @@
                 }
             };
             avoid = Some(grant.member);
+            lease.set_request(&begin.id);
             if let Some(belief) = &grant.new_belief {
                 lease.log_belief(&grant, belief, &begin.id_text());
             }
@@ -244,6 +278,7 @@
                     return Ok(());
                 }
                 Ok(false) => {}
+                Err(reason) if reason.concerns_connection() => {}
                 Err(reason) => {
                     lease.give_back();
                     return Err(single::Failure::withheld(reason));
@@ -261,7 +296,7 @@
     ///
     /// # Errors
     ///
-    /// [`protocol::Withheld`] if the statement must not be sent; the connection is usable.
+    /// [`protocol::Withheld`] if the statement must not be sent; the connection is usable unless the reason concerns it.
     async fn begin_on(
         &self,
         lease: &mut shell::Lease<D>,
@@ -273,7 +308,11 @@
     ) -> Result<bool, protocol::Withheld> {
         let sent_at = clock::now();
         lease.set_floor(floor);
-        let pushed = begin.push(lease, floor, timing.options(route));
+        let believed = protocol::TransactionState::Idle;
+        let pushed = begin.push(lease, believed, floor, timing.options(route));
+        if pushed.is_err_and(protocol::Withheld::concerns_connection) {
+            return pushed.map(|()| false);
+        }
         if verified
             && attempt::end_verification(lease, timing.deadline)
                 .await
@@ -311,9 +350,15 @@
                 return self.answer_error(&protocol::Code::Malformed, "not in a transaction");
             }
             protocol::TransactionState::Failed => {
-                self.transaction = Transaction::None;
-                return self
-                    .answer_error(&protocol::Code::Aborted, "the transaction was rolled back");
+                let ended = std::mem::replace(&mut self.transaction, Transaction::None);
+                return match ended {
+                    Transaction::Failed { in_doubt: true, .. } => self.answer_error(
+                        &protocol::Code::InDoubt,
+                        "a write may have run outside the transaction",
+                    ),
+                    _ => self
+                        .answer_error(&protocol::Code::Aborted, "the transaction was rolled back"),
+                };
             }
             protocol::TransactionState::Transaction => {}
         }
@@ -339,11 +384,19 @@
             return self.answer_error(&protocol::Code::Aborted, "the transaction has ended");
         };
         let timing = single::Timing::new(&route);
+        lease.set_request(&statement.id);
         lease.start_statement();
         // A transaction without statements was begun on a connection that may have the values of another session.
         let session_state = std::rc::Rc::clone(&self.session_state);
-        let synchronized =
-            attempt::synchronize(&mut lease, &session_state, &statement, timing.deadline).await;
+        let believed = protocol::TransactionState::Transaction;
+        let synchronized = attempt::synchronize(
+            &mut lease,
+            &session_state,
+            &statement,
+            believed,
+            timing.deadline,
+        )
+        .await;
         if let Err(error) = synchronized {
             lease.report_failure(&error, false);
             log::info!(
@@ -351,7 +404,7 @@
                 statement.id_text()
             );
             // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
-            if matches!(error, link::LinkError::Withheld(_)) {
+            if matches!(error, link::LinkError::Withheld(reason) if !reason.concerns_connection()) {
                 lease.roll_back();
             }
             return self.answer_error(&protocol::Code::Aborted, &error.to_string());
@@ -434,6 +487,22 @@
     }
 }
 
+/// Returns whether an answer that ends the transaction leaves open what became of its writes: the member has ended the transaction,
+/// and the statement may have run outside of it, or a home does not know the outcome.
+fn leaves_doubt(answer: &member::Answer) -> bool {
+    match answer.error() {
+        Some(protocol::Code::InDoubt) => true,
+        Some(code) if code.means_not_run() || *code == protocol::Code::Aborted => false,
+        _ => answer.state == protocol::TransactionState::Idle,
+    }
+}
+
+/// Returns whether an error shows that the other end is outside the transaction after a statement that succeeded.
+fn ended_transaction(error: &link::LinkError) -> bool {
+    let told = protocol::TransactionState::Idle;
+    matches!(error, link::LinkError::State { told: state, .. } if *state == told)
+}
+
 /// Sends a statement of a transaction; retries until the deadline while the member has no slot for it.
 async fn exchange<D: Deployment>(
     lease: &mut shell::Lease<D>,
@@ -441,8 +510,9 @@
     deadline: Instant,
     options: caller::StatementOptions,
 ) -> Result<member::Answer, link::LinkError> {
+    let believed = protocol::TransactionState::Transaction;
     loop {
-        statement.push(lease, None, options)?;
+        statement.push(lease, believed, None, options)?;
         let answer = lease.exchange(deadline).await?;
         let busy = answer.error() == Some(&protocol::Code::Busy)
             && answer.state == protocol::TransactionState::Transaction;
