--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -98,6 +98,9 @@
     /// The other end has closed the connection.
     #[error("not run: the connection is closed")]
     Closed,
+    /// The connection does not have the prepared statement.
+    #[error("not run: the statement is not prepared at the member")]
+    Unprepared,
 }
 
 impl Withheld {
@@ -108,12 +111,13 @@
             Self::OutOfStep { .. } => "OutOfStep",
             Self::State { .. } => "State",
             Self::Closed => "Closed",
+            Self::Unprepared => "Unprepared",
         }
     }
 
     /// Returns whether the reason lies in the connection, so that the statement may be sent on another one.
     pub fn concerns_connection(self) -> bool {
-        !matches!(self, Self::TooLong)
+        !matches!(self, Self::TooLong | Self::Unprepared)
     }
 }
 
--- a/crates/session/src/session/statement.rs
+++ b/crates/session/src/session/statement.rs
@@ -75,6 +75,7 @@
         options: caller::StatementOptions,
     ) -> Result<(), protocol::Withheld> {
         let options = Some(options);
+        let upstream = lease.upstream();
         let command = match &self.prepared {
             None => member::Command::Run {
                 id: &self.id,
@@ -86,12 +87,13 @@
             Some((prepared, arguments)) => member::Command::Execute {
                 id: &self.id,
                 prepared,
+                prepared_id: upstream.connection_state().prepared_id(prepared),
                 arguments,
                 floor,
                 options,
             },
         };
-        let pushed = lease.upstream().push_statement(command, believed);
+        let pushed = upstream.push_statement(command, believed);
         pushed.inspect_err(|reason| lease.log_withheld(&self.id_text(), *reason))
     }
 }
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -106,7 +106,9 @@
             } => log::warn!(
                 "event=statement_withheld request={request} member={member} reason={name} left_bytes={left_bytes} unanswered={unanswered}"
             ),
-            protocol::Withheld::TooLong | protocol::Withheld::Closed => {
+            protocol::Withheld::TooLong
+            | protocol::Withheld::Unprepared
+            | protocol::Withheld::Closed => {
                 log::warn!(
                     "event=statement_withheld request={request} member={member} reason={name}"
                 );
@@ -261,7 +263,9 @@
                 unanswered,
             } => (left_bytes, unanswered, protocol::TransactionState::Idle),
             protocol::Withheld::State { expected, .. } => (0, 0, expected),
-            protocol::Withheld::Closed | protocol::Withheld::TooLong => return,
+            protocol::Withheld::Closed
+            | protocol::Withheld::TooLong
+            | protocol::Withheld::Unprepared => return,
         };
         metrics::counter!("fulmarlift_connections_out_of_step_total").increment(1);
         log::warn!(
--- a/crates/session/tests/support/scripted.rs
+++ b/crates/session/tests/support/scripted.rs
@@ -42,7 +42,8 @@
             Command::Begin => "QUERY - BEGIN".into(),
             Command::Rollback => "QUERY - ROLLBACK".into(),
             Command::Set { name, value } => format!("QUERY - SET {name} {}", utf8(value)),
-            Command::Prepare(_) => "QUERY - PREPARE".into(),
+            Command::Prepare { .. } => "QUERY - PREPARE".into(),
+            Command::Deallocate(_) => "QUERY - DEALLOCATE".into(),
             Command::Reset => "QUERY - RESET".into(),
             Command::Status | Command::Hold(_) | Command::Release | Command::Demote(_) => {
                 "QUERY - STATUS".into()
