--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -255,10 +255,11 @@
     current_member: Cell<Option<id::MemberId>>,
 }
 
-/// Attempts a read once. Returns the member that ran the attempt, with the outcome.
+/// Attempts a read once. Returns the member that ran the attempt, with the outcome. `earlier` is the attempt that it repeats.
 async fn attempt_read<D: Deployment>(
     job: Rc<ReadJob<D>>,
     avoid: Option<id::MemberId>,
+    earlier: Option<Earlier>,
     hedge: bool,
 ) -> Result<(id::MemberId, attempt::Outcome), effect::Refusal> {
     let admission = request_connection(
@@ -274,6 +275,9 @@
         shell::Admission::Refused(refusal) => Err(refusal),
         shell::Admission::Granted { lease, grant } => {
             job.current_member.set(Some(grant.member));
+            if let Some(earlier) = &earlier {
+                earlier.log_repetition(&job.shell, &job.statement, grant.member);
+            }
             let outcome = attempt::run(
                 lease,
                 grant,
@@ -292,10 +296,11 @@
 /// member has not run it or its answer is missing, preferably at another member; if the statement itself failed, at any.
 async fn read<D: Deployment>(job: Rc<ReadJob<D>>) -> Result<member::Answer, Failure> {
     let (statement, timing) = (&job.statement, job.timing);
-    let start_attempt = |avoid, hedge| attempt_read(Rc::clone(&job), avoid, hedge);
+    let start_attempt =
+        |avoid, earlier, hedge| attempt_read(Rc::clone(&job), avoid, earlier, hedge);
     job.shell.earn_retry();
     let mut running = FuturesUnordered::new();
-    running.push(start_attempt(None, false));
+    running.push(start_attempt(None, None, false));
     let mut attempts = 1;
     let mut hedge_decided = false;
     let mut was_sent = false;
@@ -307,39 +312,45 @@
             () = &mut hedge_timer, if !hedge_decided => {
                 hedge_decided = true;
                 // A read that still waits for a connection would only wait in the queue a second time.
-                if job.current_member.get().is_some() && job.shell.spend_retry() {
+                if let Some(first) = job.current_member.get()
+                    && job.shell.spend_retry()
+                {
                     attempts += 1;
-                    running.push(start_attempt(job.current_member.get(), true));
+                    let earlier = Earlier::new(first, "reason=Hedge");
+                    running.push(start_attempt(Some(first), Some(earlier), true));
                     metrics::counter!("fulmarlift_hedges_total").increment(1);
                 }
                 continue;
             }
         };
-        let avoid = match next {
+        let (avoid, earlier) = match next {
             Some(Ok((home, attempt::Outcome::Answered(answer))))
                 if attempts == 1 && is_busy_answer(&answer) && job.shell.spend_retry() =>
             {
-                log_retry(&job.shell, statement, home, "code=Busy");
-                Some(home)
+                let earlier = Earlier::new(home, "code=Busy");
+                earlier.log_failure(&job.shell, statement);
+                (Some(home), earlier)
             }
-            Some(Ok((_, attempt::Outcome::Answered(answer)))) => {
+            Some(Ok((member, attempt::Outcome::Answered(answer)))) => {
                 let failed = answer.error() == Some(&protocol::Code::Failed);
                 if !failed || attempts >= ATTEMPTS_MAX || !running.is_empty() {
                     break Ok(answer);
                 }
-                None
+                (None, Earlier::new(member, "code=Failed"))
             }
             Some(Ok((member, attempt::Outcome::NotRun(code)))) => {
-                log_retry(&job.shell, statement, member, &format!("code={code:?}"));
-                Some(member)
+                let earlier = Earlier::new(member, format!("code={code:?}"));
+                earlier.log_failure(&job.shell, statement);
+                (Some(member), earlier)
             }
             Some(Ok((_, attempt::Outcome::Withheld(reason)))) => {
                 break Err(Failure::withheld(reason));
             }
             Some(Ok((member, attempt::Outcome::Lost(error)))) => {
                 was_sent = true;
-                log_retry(&job.shell, statement, member, &format!("error=\"{error}\""));
-                Some(member)
+                let earlier = Earlier::new(member, format!("error=\"{error}\""));
+                earlier.log_failure(&job.shell, statement);
+                (Some(member), earlier)
             }
             Some(Err(refusal)) if running.is_empty() => {
                 break Err(refusal_failure(&refusal, was_sent));
@@ -350,7 +361,7 @@
         if attempts < ATTEMPTS_MAX && clock::now() < timing.deadline {
             attempts += 1;
             job.current_member.set(None);
-            running.push(start_attempt(avoid, false));
+            running.push(start_attempt(avoid, Some(earlier), false));
         } else if running.is_empty() {
             break Err(timeout_failure(was_sent));
         }
@@ -362,18 +373,51 @@
     ended
 }
 
-/// Logs that an attempt at a member failed and the statement is retried. `cause` is a log key with its value.
-fn log_retry<D: Deployment>(
-    shell: &shell::Shell<D>,
-    statement: &statement::MemberStatement,
+/// An attempt that another one repeats.
+#[derive(Debug)]
+pub(super) struct Earlier {
     member: id::MemberId,
-    cause: &str,
-) {
-    log::info!(
-        "event=retried request={} member={} {cause}",
-        statement.id_text(),
-        shell.member_name(member)
-    );
+    /// Reason of the repetition: a log key with its value.
+    cause: Box<str>,
+}
+
+impl Earlier {
+    /// Creates an attempt at a member or home. `cause` is a log key with its value.
+    pub(super) fn new(member: id::MemberId, cause: impl Into<Box<str>>) -> Self {
+        let cause = cause.into();
+        Self { member, cause }
+    }
+
+    /// Logs that the attempt failed and the statement is to be repeated.
+    pub(super) fn log_failure<D: Deployment>(
+        &self,
+        shell: &shell::Shell<D>,
+        statement: &statement::MemberStatement,
+    ) {
+        log::info!(
+            "event=retried request={} member={} {}",
+            statement.id_text(),
+            shell.member_name(self.member),
+            self.cause
+        );
+    }
+
+    /// Logs that the statement is sent once more, to this member or home.
+    pub(super) fn log_repetition<D: Deployment>(
+        &self,
+        shell: &shell::Shell<D>,
+        statement: &statement::MemberStatement,
+        second: id::MemberId,
+    ) {
+        metrics::counter!("fulmarlift_statements_sent_again_total").increment(1);
+        log::info!(
+            "event=sent_again request={} first={} second={} {}",
+            statement.id_text(),
+            shell.member_name(self.member),
+            shell.member_name(second),
+            self.cause
+        );
+    }
 }
 
 /// Returns whether an [`attempt::Outcome::Answered`] is a home's refusal for lack of capacity; another home may have some.
@@ -429,6 +473,7 @@
     shell.earn_retry();
     let mut last_refusal = protocol::Code::Busy;
     let mut avoid = None;
+    let mut earlier: Option<Earlier> = None;
     for attempt in 1..=ATTEMPTS_MAX {
         if clock::now() >= timing.deadline {
             break;
@@ -448,12 +493,17 @@
             shell::Admission::Refused(refusal) => return Err(Failure::refused(&refusal)),
         };
         let (member, is_home) = (grant.member, lease.is_home());
+        if let Some(earlier) = &earlier {
+            earlier.log_repetition(shell, statement, member);
+        }
         let seen_before = shell.newest_log_end(route.group);
         match attempt::run(lease, grant, statement, session_state, route, timing).await {
             attempt::Outcome::Answered(answer)
                 if attempt == 1 && is_busy_answer(&answer) && shell.spend_retry() =>
             {
-                log_retry(shell, statement, member, "code=Busy");
+                let refused = Earlier::new(member, "code=Busy");
+                refused.log_failure(shell, statement);
+                earlier = Some(refused);
                 avoid = Some(member);
             }
             attempt::Outcome::Answered(answer) => {
@@ -472,7 +522,9 @@
                 };
             }
             attempt::Outcome::NotRun(code) => {
-                log_retry(shell, statement, member, &format!("code={code:?}"));
+                let refused = Earlier::new(member, format!("code={code:?}"));
+                refused.log_failure(shell, statement);
+                earlier = Some(refused);
                 last_refusal = code;
             }
             attempt::Outcome::Withheld(reason) => return Err(Failure::withheld(reason)),
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -226,6 +226,7 @@
         let (begin, route) = (begin.clone(), route.clone());
         let timing = single::Timing::new(&route);
         let mut avoid = None;
+        let mut earlier: Option<single::Earlier> = None;
         for _ in 0..ATTEMPTS_MAX {
             if clock::now() >= timing.deadline {
                 break;
@@ -250,6 +251,9 @@
             };
             avoid = Some(grant.member);
             lease.set_request(&begin.id);
+            if let Some(earlier) = &earlier {
+                earlier.log_repetition(&self.shell, &begin, grant.member);
+            }
             if let Some(belief) = &grant.new_belief {
                 lease.log_belief(&grant, belief, &begin.id_text());
             }
@@ -257,18 +261,26 @@
             if grant.verify {
                 match attempt::verify_leader(&mut lease, timing.deadline).await {
                     Ok(point) => floor = floor.max(point),
-                    Err(Some(_)) => {
-                        lease.give_back();
+                    Err(code) => {
+                        let cause = match &code {
+                            Some(code) => format!("code={code:?}"),
+                            None => "error=\"leader not verified\"".to_owned(),
+                        };
+                        if code.is_some() {
+                            lease.give_back();
+                        }
+                        let refused = single::Earlier::new(grant.member, cause);
+                        refused.log_failure(&self.shell, &begin);
+                        earlier = Some(refused);
                         continue;
                     }
-                    Err(None) => continue,
                 }
             }
-            match self
+            let cause = match self
                 .begin_on(&mut lease, &begin, &route, floor, grant.verify, timing)
                 .await
             {
-                Ok(true) => {
+                Ok(Begun::Yes) => {
                     self.transaction = Transaction::Open {
                         lease,
                         route,
@@ -277,13 +289,16 @@
                     };
                     return Ok(());
                 }
-                Ok(false) => {}
-                Err(reason) if reason.concerns_connection() => {}
+                Ok(Begun::No { cause }) => cause,
+                Err(reason) if reason.concerns_connection() => format!("code={}", reason.name()),
                 Err(reason) => {
                     lease.give_back();
                     return Err(single::Failure::withheld(reason));
                 }
-            }
+            };
+            let refused = single::Earlier::new(grant.member, cause);
+            refused.log_failure(&self.shell, &begin);
+            earlier = Some(refused);
         }
         Err(single::Failure {
             code: protocol::Code::Busy,
@@ -291,7 +306,7 @@
         })
     }
 
-    /// Begins a transaction on a granted connection; returns whether the member accepted it. `verified` tells that the answer
+    /// Begins a transaction on a granted connection, if the member accepts it. `verified` tells that the answer
     /// to the rollback by [`attempt::verify_leader`] comes first.
     ///
     /// # Errors
@@ -305,20 +320,18 @@
         floor: Option<fulmarlift_core::floor::Point>,
         verified: bool,
         timing: single::Timing,
-    ) -> Result<bool, protocol::Withheld> {
+    ) -> Result<Begun, protocol::Withheld> {
         let sent_at = clock::now();
         lease.set_floor(floor);
         let believed = protocol::TransactionState::Idle;
         let pushed = begin.push(lease, believed, floor, timing.options(route));
-        if pushed.is_err_and(protocol::Withheld::concerns_connection) {
-            return pushed.map(|()| false);
-        }
-        if verified
-            && attempt::end_verification(lease, timing.deadline)
-                .await
-                .is_err()
+        if let Err(reason) = pushed
+            && reason.concerns_connection()
         {
-            return Ok(false);
+            return Err(reason);
+        }
+        if verified && let Err(error) = attempt::end_verification(lease, timing.deadline).await {
+            return Ok(Begun::failed(&error));
         }
         pushed?;
         match lease.exchange(timing.deadline).await {
@@ -333,11 +346,19 @@
                     _ => event::Answer::Served,
                 };
                 lease.report(answer.error().map_or(success, classify_code), answer.point);
-                Ok(begun)
+                Ok(match (begun, answer.error()) {
+                    (true, _) => Begun::Yes,
+                    (false, Some(code)) => Begun::No {
+                        cause: format!("code={code:?}"),
+                    },
+                    (false, None) => Begun::No {
+                        cause: format!("state={:?}", answer.state),
+                    },
+                })
             }
             Err(error) => {
                 lease.report_failure(&error, false);
-                Ok(false)
+                Ok(Begun::failed(&error))
             }
         }
     }
@@ -491,6 +512,23 @@
     }
 }
 
+/// Result of an attempt to begin a transaction.
+enum Begun {
+    Yes,
+    /// The member has not begun it, or the connection is unusable; `cause` is a log key with its value.
+    No {
+        cause: String,
+    },
+}
+
+impl Begun {
+    fn failed(error: &link::LinkError) -> Self {
+        Self::No {
+            cause: format!("error=\"{error}\""),
+        }
+    }
+}
+
 /// Returns whether an answer that ends the transaction leaves open what became of its writes: the member has ended the transaction,
 /// and the statement may have run outside of it, or a home does not know the outcome.
 fn leaves_doubt(answer: &member::Answer) -> bool {
@@ -515,14 +553,19 @@
     options: caller::StatementOptions,
 ) -> Result<member::Answer, link::LinkError> {
     let believed = protocol::TransactionState::Transaction;
+    let mut refusals = 0;
     loop {
         statement.push(lease, believed, None, options)?;
         let answer = lease.exchange(deadline).await?;
         let busy = answer.error() == Some(&protocol::Code::Busy)
             && answer.state == protocol::TransactionState::Transaction;
         if !busy || clock::now() + BUSY_RETRY_DELAY >= deadline {
+            if refusals > 0 {
+                lease.log_refusals(refusals);
+            }
             return Ok(answer);
         }
+        refusals += 1;
         tokio::time::sleep(BUSY_RETRY_DELAY).await;
     }
 }
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -121,6 +121,16 @@
         self.request = request.clone();
     }
 
+    /// Logs and counts how often the current statement was sent again since the member had no slot for it.
+    pub fn log_refusals(&self, refusals: u32) {
+        metrics::counter!("fulmarlift_statements_sent_again_total").increment(refusals.into());
+        let member = self.shell.member_name(self.member);
+        log::info!(
+            "event=sent_again request={} first={member} second={member} code=Busy times={refusals}",
+            request_text(&self.request),
+        );
+    }
+
     /// Logs and counts an answer whose transaction state is another one than the command leads to.
     pub fn log_state(
         &self,
--- a/crates/session/tests/steps.rs
+++ b/crates/session/tests/steps.rs
@@ -6,7 +6,9 @@
 mod scripted;
 mod support;
 
+use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Once;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -612,6 +614,135 @@
     .await;
 }
 
+thread_local! {
+    /// Lines that the current test has logged.
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Keeps the lines that a test logs.
+struct KeptLines;
+
+impl log::Log for KeptLines {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
+    }
+
+    fn flush(&self) {}
+}
+
+fn keep_lines() {
+    static START: Once = Once::new();
+    START.call_once(|| {
+        log::set_logger(&KeptLines).expect("no other logger is set");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    LINES.take();
+}
+
+/// A record of the fault names the statement by itself.
+#[rstest]
+#[case::left_over(
+    "s1.0",
+    Reaction::SendsMore("READY I 1.1\r\n"),
+    "event=connection_out_of_step request=s1.0 member=member-1 left_bytes=13 unanswered=0 state=Idle"
+)]
+#[case::withheld(
+    "t1.1",
+    Reaction::SendsMore("READY T 1.1\r\n"),
+    "event=statement_withheld request=t1.2 member=member-1 reason=OutOfStep left_bytes=13 unanswered=0"
+)]
+#[case::state_of_write(
+    "t1.2",
+    Reaction::EndsTransactionBefore,
+    "event=state_differs request=t1.2 member=member-1 expected=Transaction told=Idle"
+)]
+#[case::state_of_commit(
+    "t1.4",
+    Reaction::Pretends,
+    "event=state_differs request=t1.4 member=member-1 expected=Idle told=Transaction"
+)]
+#[case::rollback_of_proxy(
+    "- ROLLBACK",
+    Reaction::Pretends,
+    "event=state_differs request=s2.0 member=member-1 expected=Idle told=Transaction"
+)]
+#[case::begin_again(
+    "t1.0",
+    Reaction::Refuses("BUSY"),
+    "event=sent_again request=t1.0 first=member-1 second=member-1 code=Busy"
+)]
+#[case::write_in_transaction_again(
+    "t1.2",
+    Reaction::Refuses("BUSY"),
+    "event=sent_again request=t1.2 first=member-1 second=member-1 code=Busy times=1"
+)]
+#[case::commit_again(
+    "t1.4",
+    Reaction::Refuses("BUSY"),
+    "event=sent_again request=t1.4 first=member-1 second=member-1 code=Busy times=1"
+)]
+#[case::read_again(
+    "s2.0",
+    Reaction::Refuses("BUSY"),
+    "event=sent_again request=s2.0 first=member-1 second=member-1 code=Busy"
+)]
+#[case::write_again(
+    "s1.0",
+    Reaction::Refuses("BUSY"),
+    "event=sent_again request=s1.0 first=member-1 second=member-1 code=Busy"
+)]
+#[tokio::test]
+async fn deviation_is_logged_with_statement(
+    #[case] point: &'static str,
+    #[case] reaction: Reaction,
+    #[case] expected: &str,
+) {
+    keep_lines();
+    on_one_thread(async {
+        let system = System::start(false, Limits::default()).await;
+        if point.starts_with('-') {
+            system.run_single("s0", "READ 7", READ).await;
+        } else {
+            system.run_transaction("t0").await;
+        }
+        system.member.script.borrow_mut().push((point, reaction));
+        system.run_transaction("t1").await;
+        system.run_single("s1", "WRITE 7 x", WRITE).await;
+        system.run_single("s2", "READ 7", READ).await;
+        let lines = LINES.take();
+        assert!(lines.iter().any(|line| line == expected), "{lines:#?}");
+    })
+    .await;
+}
+
+/// Members that follow the protocol cause none of the lines.
+#[rstest]
+#[tokio::test]
+async fn usual_answers_are_not_logged(#[values(false, true)] forwards: bool) {
+    const EVENTS: [&str; 4] = [
+        "event=connection_out_of_step",
+        "event=statement_withheld",
+        "event=state_differs",
+        "event=sent_again",
+    ];
+    keep_lines();
+    on_one_thread(async {
+        let system = System::start(forwards, Limits::default()).await;
+        system.run_transaction("t1").await;
+        system.run_others().await;
+        system.home.stop();
+        system.run_transaction("t5").await;
+        let lines = LINES.take();
+        let told = |line: &&String| EVENTS.iter().any(|event| line.starts_with(event));
+        assert_eq!(lines.iter().find(told), None);
+    })
+    .await;
+}
+
 /// A home that rolls the transaction back, since it rests too long or stops, while the forwarding proxy still believes in it.
 #[rstest]
 #[case::rests(false)]
