--- a/crates/session/tests/members.rs
+++ b/crates/session/tests/members.rs
@@ -19,8 +19,8 @@
 use fulmarlift_session::deployment::Deployment;
 use fulmarlift_session::peer::{Forwarding, Serving};
 use fulmarlift_session::protocol::caller::{Codec as _, Message, Reply, StatementOptions};
-use fulmarlift_session::protocol::member::{Codec, Command, Frame, Verb};
-use fulmarlift_session::protocol::{Code, Mode, TransactionState, WireError};
+use fulmarlift_session::protocol::member::{Codec, Command, Frame, ReadBack, Verb};
+use fulmarlift_session::protocol::{Code, Mode, TransactionState, WireError, Withheld};
 use fulmarlift_session::serve;
 use fulmarlift_session::session::ShutdownGrace;
 use fulmarlift_session::shell::Shell;
@@ -52,16 +52,20 @@
 struct NamedCodec(Forwarding);
 
 impl Codec for NamedCodec {
-    fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut) {
+    fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut) -> Result<(), Withheld> {
         match command {
             Command::Startup { group, member } => {
                 let group = &format!("{group}/{member}");
-                self.0.encode(Command::Startup { group, member }, outbox);
+                self.0.encode(Command::Startup { group, member }, outbox)
             }
             other => self.0.encode(other, outbox),
         }
     }
 
+    fn read_back<'a>(&self, message: &'a [u8]) -> ReadBack<'a> {
+        self.0.read_back(message)
+    }
+
     fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Frame>, WireError> {
         self.0.decode(inbox)
     }
@@ -258,7 +262,9 @@
     let mut stream = connected.expect("the proxy takes callers");
     let (mut codec, mut messages) = (Forwarding, BytesMut::new());
     let member = "any";
-    codec.encode(Command::Startup { group, member }, &mut messages);
+    codec
+        .encode(Command::Startup { group, member }, &mut messages)
+        .expect("short messages are encoded");
     let (id, text) = (
         Bytes::from_static(b"1"),
         Bytes::from_static(text.as_bytes()),
@@ -276,7 +282,9 @@
         floor: None,
         options: Some(options),
     };
-    codec.encode(write, &mut messages);
+    codec
+        .encode(write, &mut messages)
+        .expect("short messages are encoded");
     let sent = stream.write_all_buf(&mut messages).await;
     sent.expect("the proxy takes the statement");
     let mut inbox = BytesMut::new();
