--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod member;
+pub mod words;
 
 use serde::{Deserialize, Serialize};
 
