--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::deployment::Deployment;
 use crate::link;
+use crate::logging;
 use crate::protocol;
 use crate::protocol::member;
 use crate::shell;
@@ -289,10 +290,10 @@
 }
 
 /// Returns a caller's id of a statement for the log.
-fn request_text(request: &[u8]) -> Cow<'_, str> {
+fn request_text(request: &[u8]) -> Cow<'static, str> {
     match request.is_empty() {
         true => Cow::Borrowed("none"),
-        false => String::from_utf8_lossy(request),
+        false => Cow::Owned(logging::field(request).to_string()),
     }
 }
 
--- a/crates/session/src/shell/refusals.rs
+++ b/crates/session/src/shell/refusals.rs
@@ -6,6 +6,7 @@
 
 use crate::clock;
 use crate::deployment::Deployment;
+use crate::logging;
 use crate::peer::greeting;
 use crate::shell;
 
@@ -77,7 +78,8 @@
         let Some(unlogged) = self.refusal_log.admit(clock::now()) else {
             return;
         };
-        let [asker, meant, answering] = names.map(|name| name.unwrap_or("-"));
+        let [asker, meant, answering] =
+            names.map(|name| logging::field(name.unwrap_or("-").as_bytes()));
         let text = |value: Option<String>| value.unwrap_or_else(|| "-".to_owned());
         let address = text(address.map(|address| address.to_string()));
         let version = text(refusal.from.version.map(|version| version.to_string()));
