--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -79,6 +79,9 @@
     /// The message would exceed the protocol's limit: on the way to a member it can become longer than the caller's.
     #[error("not run: the message to the member would be too long")]
     TooLong,
+    /// The connection does not have the prepared statement.
+    #[error("not run: the statement is not prepared at the member")]
+    Unprepared,
     /// The connection has bytes that answer nothing, or answers to other commands are outstanding.
     #[error("not run: the connection is out of step")]
     OutOfStep {
@@ -98,9 +101,9 @@
     /// The other end has closed the connection.
     #[error("not run: the connection is closed")]
     Closed,
-    /// The connection does not have the prepared statement.
-    #[error("not run: the statement is not prepared at the member")]
-    Unprepared,
+    /// The member would read another command than the one to be sent.
+    #[error("not run: the message to the member would change the statement")]
+    Changed,
 }
 
 impl Withheld {
@@ -108,16 +111,17 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::TooLong => "TooLong",
+            Self::Unprepared => "Unprepared",
             Self::OutOfStep { .. } => "OutOfStep",
             Self::State { .. } => "State",
             Self::Closed => "Closed",
-            Self::Unprepared => "Unprepared",
+            Self::Changed => "Changed",
         }
     }
 
     /// Returns whether the reason lies in the connection, so that the statement may be sent on another one.
     pub fn concerns_connection(self) -> bool {
-        !matches!(self, Self::TooLong | Self::Unprepared)
+        !matches!(self, Self::TooLong | Self::Changed)
     }
 }
 
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -212,7 +212,7 @@
         log::info!(
             "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"",
             statement.id_text(),
-            self.database,
+            self.database_field(),
             failure.code,
             failure.text
         );
@@ -429,7 +429,7 @@
                 statement.id_text()
             );
             // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
-            if matches!(error, link::LinkError::Withheld(_)) {
+            if matches!(error, link::LinkError::Withheld(reason) if !reason.concerns_connection()) {
                 lease.roll_back();
             }
             return self.answer_error(&code, &error.to_string());
