--- a/crates/session/tests/support/scripted.rs
+++ b/crates/session/tests/support/scripted.rs
@@ -121,6 +121,8 @@
     AnswersLate,
     /// Runs the statement and sends the answer byte by byte, the end of it after the proxy's time-out.
     AnswersInPieces,
+    /// Runs the statement, closes the connection without an answer, and rolls the transaction back.
+    ClosesConnection,
     /// Runs the statement and never answers.
     LosesAnswer,
     /// Runs the statement, answers it, and then reads nothing for this time.
@@ -219,6 +221,9 @@
             };
             let reaction = self.take_reaction(id, text);
             let answer = self.react(&mut open, id, text, reaction);
+            if reaction == Some(Reaction::ClosesConnection) {
+                return;
+            }
             if self.send(&mut stream, &answer, reaction).await.is_err() {
                 return;
             }
