--- a/crates/session/tests/review_58.rs
+++ b/crates/session/tests/review_58.rs
@@ -1,9 +1,9 @@
-//! Members whose rollback undoes what was set and prepared in the transaction, while callers go on directly and through a home
-//! (issue 58).
+//! Members that end a transaction with an error, or whose rollback undoes what was set and prepared in the transaction, while callers
+//! go on directly and through a home (issue 58).
 
 mod support;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,6 +40,7 @@
 };
 const BEGIN: Verb = Verb::Begin(Mode::Write);
 const READ: Verb = Verb::Run(Mode::Read);
+const WRITE: Verb = Verb::Run(Mode::Write);
 const GRACE: ShutdownGrace = ShutdownGrace {
     idle_delay: Duration::from_secs(5),
     idle_spread: Duration::ZERO,
@@ -96,6 +97,8 @@
         let (word, rest) = line.split_once(' ').unwrap_or((&line, ""));
         let frame = match (word, rest) {
             ("COMPLETE", _) => Frame::Complete(rest.to_owned().into()),
+            ("ERROR", "FAILED") => Frame::Error(Code::Failed, "stand-in".into()),
+            ("ERROR", "TIMEOUT") => Frame::Error(Code::Timeout, "stand-in".into()),
             ("ERROR", "NOSTMT") => Frame::Error(Code::NoStatement, "stand-in".into()),
             ("READY", _) => {
                 let state = match rest {
@@ -134,8 +137,12 @@
 /// A member on a loopback address.
 struct Member {
     address: SocketAddr,
+    /// Id of a write before which the member rolls the transaction back, and the code with which it answers although the write has
+    /// run and is kept.
+    ends_before: Cell<Option<(&'static str, &'static str)>>,
     /// Whether a rollback undoes what was set and prepared in the transaction.
     undoes: bool,
+    kept: RefCell<Vec<String>>,
     /// Ids of callers' statements that have run, with the values of their connection.
     values: RefCell<Vec<(String, BTreeSet<String>)>>,
 }
@@ -145,7 +152,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
         let member = Rc::new(Self {
             address: listener.local_addr().expect("the listener is bound"),
+            ends_before: Cell::new(None),
             undoes,
+            kept: RefCell::default(),
             values: RefCell::default(),
         });
         let accepting = Rc::clone(&member);
@@ -212,6 +221,15 @@
                     return "ERROR NOSTMT\r\n".to_owned();
                 }
             }
+            "WRITE" => {
+                if let Some((ends_at, code)) = self.ends_before.get()
+                    && ends_at == id
+                {
+                    *before = None;
+                    self.kept.borrow_mut().push(id.to_owned());
+                    return format!("ERROR {code}\r\n");
+                }
+            }
             _ => {}
         }
         format!("COMPLETE {id}\r\n")
@@ -387,6 +405,28 @@
     tokio::task::LocalSet::new().run_until(test).await;
 }
 
+/// The member rolls a transaction back, runs its write outside, and reports an error that promises nothing. The commit must not be
+/// answered with a promise either.
+#[rstest]
+#[tokio::test]
+async fn commit_behind_write_outside_transaction_is_no_promise(
+    #[values(false, true)] forwards: bool,
+    #[values("FAILED", "TIMEOUT")] code: &'static str,
+) {
+    on_one_thread(async {
+        let member = Member::start(false).await;
+        let (_, shell) = start_system(&member, forwards).await;
+        member.ends_before.set(Some(("t1.1", code)));
+        let mut caller = Caller::connect(&shell).await;
+        assert_eq!(caller.run("t1.0", "BEGIN", BEGIN).await, None);
+        assert!(caller.run("t1.1", "WRITE 1 x", WRITE).await.is_some());
+        let ended = caller.run("t1.2", "COMMIT", Verb::Commit).await;
+        assert_eq!(*member.kept.borrow(), ["t1.1"]);
+        assert_eq!(ended, Some(Code::InDoubt));
+    })
+    .await;
+}
+
 /// A rollback may undo what was prepared in its transaction. Statements that other transactions of the connection execute are known
 /// all the same.
 #[rstest]
