--- a/crates/session/tests/review_58.rs
+++ b/crates/session/tests/review_58.rs
@@ -1,5 +1,5 @@
 //! Members that end a transaction with an error, or whose rollback undoes what was set and prepared in the transaction, while callers
-//! go on directly and through a home (issue 58).
+//! go on directly and through a home; and the lines that are logged then (issue 58).
 
 mod support;
 
@@ -7,6 +7,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Once;
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -19,6 +20,7 @@
 use fulmarlift_core::topology::Place;
 use fulmarlift_session::clock;
 use fulmarlift_session::deployment::Deployment;
+use fulmarlift_session::logging;
 use fulmarlift_session::peer::{Forwarding, Serving};
 use fulmarlift_session::protocol::caller::StatementOptions;
 use fulmarlift_session::protocol::member::{Codec, Command, Frame, Prepared, ReadBack, Verb};
@@ -142,6 +144,8 @@
     ends_before: Cell<Option<(&'static str, &'static str)>>,
     /// Whether a rollback undoes what was set and prepared in the transaction.
     undoes: bool,
+    /// Whether the member rolls a transaction back after each write in it that succeeds.
+    ends_after: Cell<bool>,
     kept: RefCell<Vec<String>>,
     /// Ids of callers' statements that have run, with the values of their connection.
     values: RefCell<Vec<(String, BTreeSet<String>)>>,
@@ -154,6 +158,7 @@
             address: listener.local_addr().expect("the listener is bound"),
             ends_before: Cell::new(None),
             undoes,
+            ends_after: Cell::new(false),
             kept: RefCell::default(),
             values: RefCell::default(),
         });
@@ -229,6 +234,9 @@
                     self.kept.borrow_mut().push(id.to_owned());
                     return format!("ERROR {code}\r\n");
                 }
+                if self.ends_after.get() {
+                    *before = None;
+                }
             }
             _ => {}
         }
@@ -484,3 +492,61 @@
     })
     .await;
 }
+
+thread_local! {
+    /// Lines that the current test has logged.
+    static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Keeps the lines that a test logs.
+struct KeptLines;
+
+impl log::Log for KeptLines {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LINES.with_borrow_mut(|lines| lines.push(record.args().to_string()));
+    }
+
+    fn flush(&self) {}
+}
+
+fn keep_lines() {
+    static START: Once = Once::new();
+    START.call_once(|| {
+        log::set_logger(&KeptLines).expect("no other logger is set");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    LINES.take();
+}
+
+/// A caller's id of any form stays one bounded field of the line that names its statement.
+#[tokio::test]
+async fn id_in_line_of_deviation_is_bounded() {
+    const ID: &str = concat!(
+        "t1.1\u{1b}[2J\"",
+        "0123456789012345678901234567890123456789012345678901234567890123456789",
+    );
+    keep_lines();
+    on_one_thread(async {
+        let member = Member::start(false).await;
+        let (_, shell) = start_system(&member, false).await;
+        member.ends_after.set(true);
+        let mut caller = Caller::connect(&shell).await;
+        assert_eq!(caller.run("t1.0", "BEGIN", BEGIN).await, None);
+        let code = caller.run(ID, "WRITE 1 x", WRITE).await;
+        assert_eq!(code, Some(Code::InDoubt));
+        let lines = LINES.take();
+        let line = lines
+            .iter()
+            .find(|line| line.starts_with("event=state_differs "));
+        let expected = format!(
+            "event=state_differs request={} member=member-1 expected=Transaction told=Idle",
+            logging::field(ID.as_bytes())
+        );
+        assert_eq!(line, Some(&expected));
+    })
+    .await;
+}
