--- a/crates/session/tests/review_58.rs
+++ b/crates/session/tests/review_58.rs
@@ -43,6 +43,12 @@
 const BEGIN: Verb = Verb::Begin(Mode::Write);
 const READ: Verb = Verb::Run(Mode::Read);
 const WRITE: Verb = Verb::Run(Mode::Write);
+/// Time that a transaction may rest after the stop of its home has begun.
+const REST_AT_STOP: Duration = Duration::from_millis(60);
+const HOME_GRACE: ShutdownGrace = ShutdownGrace {
+    transaction_timeout: REST_AT_STOP,
+    ..GRACE
+};
 const GRACE: ShutdownGrace = ShutdownGrace {
     idle_delay: Duration::from_secs(5),
     idle_spread: Duration::ZERO,
@@ -316,7 +322,7 @@
     }
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
     let address = listener.local_addr().expect("the listener is bound");
-    tokio::task::spawn_local(serve::accept_peers(Rc::clone(&home), listener, GRACE));
+    tokio::task::spawn_local(serve::accept_peers(Rc::clone(&home), listener, HOME_GRACE));
     let entry = start_shell("proxy-far", "far", member);
     entry.handle(Event::PeerListed(Peer {
         vm_name: "proxy-1".into(),
@@ -550,3 +556,32 @@
     })
     .await;
 }
+
+/// A home that stops ends a resting transaction and tells so. The forwarding proxy, which reads that before its next statement, reports
+/// no connection out of step: nothing is wrong.
+#[tokio::test]
+async fn end_of_resting_transaction_at_stop_is_no_deviation() {
+    const TRANSACTION_ENDED: &str = "event=transaction_ended ";
+    keep_lines();
+    on_one_thread(async {
+        let member = Member::start(false).await;
+        let (home, shell) = start_system(&member, true).await;
+        let mut caller = Caller::connect(&shell).await;
+        assert_eq!(caller.run("t1.0", "BEGIN", BEGIN).await, None);
+        assert_eq!(caller.run("t1.1", "WRITE 1 x", WRITE).await, None);
+        home.stop();
+        let has_ended =
+            |lines: &mut Vec<String>| lines.iter().any(|line| line.starts_with(TRANSACTION_ENDED));
+        while !LINES.with_borrow_mut(has_ended) {
+            tokio::time::sleep(REST_AT_STOP / 6).await;
+        }
+        // The home's message is on its way.
+        tokio::time::sleep(REST_AT_STOP).await;
+        let code = caller.run("t1.2", "COMMIT", Verb::Commit).await;
+        assert_eq!(code, Some(Code::Aborted));
+        let lines = LINES.take();
+        let is_deviation = |line: &&String| line.contains("reason=OutOfStep");
+        assert_eq!(lines.iter().find(is_deviation), None);
+    })
+    .await;
+}
