--- a/crates/session/tests/review_58.rs
+++ b/crates/session/tests/review_58.rs
@@ -56,6 +56,9 @@
     statement_timeout: Duration::from_secs(5),
 };
 
+const STRAY_ANSWER: &[u8] = b"COMPLETE stray\r\nREADY I\r\n";
+const REAL_ANSWER_DELAY: Duration = Duration::from_millis(100);
+
 /// The proxy's side of the lines.
 #[derive(Debug, Default)]
 struct Lines;
@@ -152,6 +155,11 @@
     undoes: bool,
     /// Whether the member rolls a transaction back after each write in it that succeeds.
     ends_after: Cell<bool>,
+    /// Id of a statement before whose answer the member sends one that belongs to no statement, and [`REAL_ANSWER_DELAY`] later the real
+    /// one.
+    answers_early: Cell<Option<&'static str>>,
+    /// Ids of single writes that have run in a transaction.
+    misplaced: RefCell<Vec<String>>,
     kept: RefCell<Vec<String>>,
     /// Ids of callers' statements that have run, with the values of their connection.
     values: RefCell<Vec<(String, BTreeSet<String>)>>,
@@ -165,6 +173,8 @@
             ends_before: Cell::new(None),
             undoes,
             ends_after: Cell::new(false),
+            answers_early: Cell::new(None),
+            misplaced: RefCell::default(),
             kept: RefCell::default(),
             values: RefCell::default(),
         });
@@ -198,6 +208,13 @@
                 None if line == "STARTUP" => String::new(),
                 None => return,
             };
+            let early = self.answers_early.get();
+            if early.is_some_and(|id| line.starts_with(&format!("QUERY {id} "))) {
+                if stream.write_all(STRAY_ANSWER).await.is_err() {
+                    return;
+                }
+                tokio::time::sleep(REAL_ANSWER_DELAY).await;
+            }
             let state = if before.is_some() { 'T' } else { 'I' };
             let answer = format!("{answer}READY {state}\r\n");
             if stream.write_all(answer.as_bytes()).await.is_err() {
@@ -233,6 +250,9 @@
                 }
             }
             "WRITE" => {
+                if before.is_some() && id.starts_with('s') {
+                    self.misplaced.borrow_mut().push(id.to_owned());
+                }
                 if let Some((ends_at, code)) = self.ends_before.get()
                     && ends_at == id
                 {
@@ -499,6 +519,26 @@
     .await;
 }
 
+/// A write is answered with another answer, whose state shows no transaction, and its own answer is late: what the connection is in is not
+/// known. No statement of another session may run on it.
+#[rstest]
+#[tokio::test]
+async fn connection_whose_state_differs_is_not_used_again(#[values(false, true)] forwards: bool) {
+    on_one_thread(async {
+        let member = Member::start(false).await;
+        let (_, shell) = start_system(&member, forwards).await;
+        member.answers_early.set(Some("t1.1"));
+        let mut caller = Caller::connect(&shell).await;
+        let mut other = Caller::connect(&shell).await;
+        assert_eq!(caller.run("t1.0", "BEGIN", BEGIN).await, None);
+        let code = caller.run("t1.1", "WRITE 1 x", WRITE).await;
+        assert_eq!(code, Some(Code::InDoubt));
+        other.run("s1.0", "WRITE 7 x", WRITE).await;
+        assert_eq!(*member.misplaced.borrow(), Vec::<String>::new());
+    })
+    .await;
+}
+
 thread_local! {
     /// Lines that the current test has logged.
     static LINES: RefCell<Vec<String>> = const { RefCell::new(Vec::new()) };
