--- a/crates/session/src/outgoing.rs
+++ b/crates/session/src/outgoing.rs
@@ -32,7 +32,7 @@
 }
 
 /// Returns whether what a member reads is the command. A prepared statement must have a name of its own on the connection,
-/// and an execution the name of its definition.
+/// an execution the name of its definition, and a removal the name that the statement had.
 fn is_kept(
     command: Command<'_>,
     read: ReadBack<'_>,
@@ -48,10 +48,10 @@
                 floor,
                 ..
             },
-            ReadBack::Run(statement),
+            ReadBack::Run(statement, read_verb),
         ) => {
             let sent = member::ReadStatement { id, floor, text };
-            statement == sent && (floor.is_none() || may_have_floor(verb))
+            (statement, read_verb) == (sent, verb) && (floor.is_none() || may_have_floor(verb))
         }
         (
             Command::Execute {
@@ -82,18 +82,17 @@
         (Command::Startup { group, member }, ReadBack::Startup(read_group, read_member)) => {
             (group.as_bytes(), member.as_bytes()) == (read_group, read_member)
         }
-        (
-            Command::Begin
-            | Command::Rollback
-            | Command::Deallocate(_)
-            | Command::Reset
-            | Command::Status
-            | Command::Hold(_)
-            | Command::Release
-            | Command::Demote(_)
-            | Command::Terminate,
-            ReadBack::Own,
-        ) => true,
+        (Command::Deallocate(prepared_id), ReadBack::Deallocate(name)) => {
+            connection_state.forget_name(prepared_id, name)
+        }
+        (Command::Hold(term), ReadBack::Hold(read_term))
+        | (Command::Demote(term), ReadBack::Demote(read_term)) => term == read_term,
+        (Command::Begin, ReadBack::Begin)
+        | (Command::Rollback, ReadBack::Rollback)
+        | (Command::Reset, ReadBack::Reset)
+        | (Command::Status, ReadBack::Status)
+        | (Command::Release, ReadBack::Release)
+        | (Command::Terminate, ReadBack::Terminate) => true,
         _ => false,
     }
 }
--- a/crates/session/src/peer/codec.rs
+++ b/crates/session/src/peer/codec.rs
@@ -128,15 +128,7 @@
                 text,
                 verb,
                 forwarded,
-            } => {
-                let statement = match verb {
-                    member::Verb::Begin(mode) => caller::Statement::Begin(mode),
-                    member::Verb::Commit => caller::Statement::Commit,
-                    member::Verb::Rollback => caller::Statement::Rollback,
-                    member::Verb::Run(mode) => caller::Statement::Run(mode),
-                };
-                query(id, text, statement, Some(forwarded))
-            }
+            } => query(id, text, verb.into(), Some(forwarded)),
             frame::Request::Execute {
                 id,
                 prepared,
--- a/crates/session/src/protocol/caller.rs
+++ b/crates/session/src/protocol/caller.rs
@@ -110,6 +110,17 @@
     Invalid,
 }
 
+impl From<member::Verb> for Statement {
+    fn from(verb: member::Verb) -> Self {
+        match verb {
+            member::Verb::Begin(mode) => Self::Begin(mode),
+            member::Verb::Commit => Self::Commit,
+            member::Verb::Rollback => Self::Rollback,
+            member::Verb::Run(mode) => Self::Run(mode),
+        }
+    }
+}
+
 /// A message to a caller.
 #[derive(Clone, Copy, Debug)]
 pub enum Reply<'a> {
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -113,8 +113,8 @@
 /// A command as a member reads it from the encoded bytes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadBack<'a> {
-    /// A caller's statement other than the execution of a prepared one.
-    Run(ReadStatement<'a>),
+    /// A caller's statement other than the execution of a prepared one; carries the meaning that its text has.
+    Run(ReadStatement<'a>, Verb),
     /// The execution of a prepared statement.
     Execute {
         /// Name of the prepared statement on this connection.
@@ -135,8 +135,24 @@
     },
     /// Opens the connection; carries the names of the group and the member.
     Startup(&'a [u8], &'a [u8]),
-    /// Any other command of the proxy itself.
-    Own,
+    /// Begins a read-write transaction for the proxy itself.
+    Begin,
+    /// Rolls the transaction back for the proxy itself.
+    Rollback,
+    /// Removes a prepared statement; carries its name on this connection.
+    Deallocate(&'a [u8]),
+    /// Clears session values and prepared statements.
+    Reset,
+    /// Asks for the member's status.
+    Status,
+    /// Stops a replica from receiving log entries of leaders below this term.
+    Hold(id::Term),
+    /// Ends a hold.
+    Release,
+    /// Demotes a leader of a term below this one to a replica.
+    Demote(id::Term),
+    /// Closes the connection.
+    Terminate,
     /// The bytes are no single command.
     Malformed,
     /// The codec does not send commands as text.
--- a/crates/session/src/protocol/words.rs
+++ b/crates/session/src/protocol/words.rs
@@ -52,6 +52,13 @@
     Ok(Some(line.freeze()))
 }
 
+/// Returns a message without its CR LF; none if it is anything but one line.
+pub fn single_line(message: &[u8]) -> Option<&[u8]> {
+    let line = message.strip_suffix(b"\r\n")?;
+    let is_single = !line.iter().any(|byte| matches!(byte, b'\r' | b'\n' | 0));
+    is_single.then_some(line)
+}
+
 /// Splits a line at its first space.
 pub fn split_word(line: &Bytes) -> (Bytes, Bytes) {
     match line.iter().position(|&byte| byte == b' ') {
@@ -68,6 +75,13 @@
     }
 }
 
+/// Reads a whole number that consists of digits only.
+pub fn number(digits: &[u8]) -> Option<u64> {
+    let all_digits = digits.iter().all(u8::is_ascii_digit);
+    let text = std::str::from_utf8(digits).ok().filter(|_| all_digits)?;
+    text.parse().ok()
+}
+
 /// Returns the bytes as text.
 ///
 /// # Errors
--- a/crates/session/src/values.rs
+++ b/crates/session/src/values.rs
@@ -56,6 +56,8 @@
 pub struct ConnectionState {
     values: Vec<(Box<str>, Bytes)>,
     prepared: Vec<PreparedEntry>,
+    /// Ids and names of the statements that the newest changes remove, until the removal is encoded.
+    removed: Vec<(member::PreparedId, Box<[u8]>)>,
     /// Bytes of all shapes in `prepared`.
     shape_bytes: usize,
     /// Id of the statement that is prepared next.
@@ -127,6 +129,7 @@
             .values
             .iter()
             .any(|(name, _)| find(&session.values, name).is_err());
+        self.removed.clear();
         let mut diff = StateDiff {
             reset: self.uncertain || has_extra_values,
             ..StateDiff::default()
@@ -175,6 +178,16 @@
         found.is_ok_and(|index| *self.prepared[index].name == *name)
     }
 
+    /// Forgets a removed statement that a member reads under this name; returns whether it had this id and name.
+    pub(crate) fn forget_name(&mut self, prepared_id: member::PreparedId, name: &[u8]) -> bool {
+        let mut removed = self.removed.iter();
+        let found = removed.position(|(id, other)| (*id, &**other) == (prepared_id, name));
+        if let Some(index) = found {
+            self.removed.swap_remove(index);
+        }
+        found.is_some()
+    }
+
     fn find_prepared(&self, prepared: &member::Prepared) -> Result<usize, usize> {
         self.prepared
             .binary_search_by(|entry| entry.prepared.cmp(prepared))
@@ -197,6 +210,7 @@
             let removed = self.prepared.remove(index);
             self.shape_bytes -= removed.prepared.shape.len();
             diff.deallocate.push(removed.id);
+            self.removed.push((removed.id, removed.name));
         }
         let id = self.next_prepared_id;
         self.next_prepared_id += 1;
