--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -240,11 +240,12 @@
         D: Deployment,
     {
         const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(1_000);
-        match self.upstream().check_idle() {
-            // The other end has ended the transaction.
-            Ok(()) => return self.give_back(),
-            Err(protocol::Withheld::State { .. }) => {}
-            Err(_) => return,
+        // Outside the transaction, the newest answer may have been that to another command, so the connection is closed.
+        if !matches!(
+            self.upstream().check_idle(),
+            Err(protocol::Withheld::State { .. })
+        ) {
+            return;
         }
         tokio::task::spawn_local(async move {
             let deadline = clock::now() + ROLLBACK_TIMEOUT;
