--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -27,6 +27,8 @@
 const KEEPALIVE_RETRIES: u32 = 2;
 /// Most bytes of the rows of one answer; the proxy closes the connection on a longer one. Usual answers are a few KB.
 const ANSWER_BYTES_MAX: usize = 4 << 20;
+/// Most bytes without a command that are read to find out whether the other end has closed the connection.
+const UNSOLICITED_BYTES_MAX: usize = 4_096;
 
 /// Error that makes a connection unusable.
 #[derive(Debug, thiserror::Error)]
@@ -278,10 +280,14 @@
 
     /// Reads what has arrived without a command, and takes the notice of a stopping home out of it.
     fn read_unsolicited(&mut self) {
-        match self.stream.try_read_buf(&mut self.inbox) {
-            Ok(0) => self.closed = true,
-            Ok(_) => {}
-            Err(error) => self.closed |= error.kind() != io::ErrorKind::WouldBlock,
+        loop {
+            match self.stream.try_read_buf(&mut self.inbox) {
+                Ok(0) => self.closed = true,
+                Ok(_) if self.inbox.len() <= UNSOLICITED_BYTES_MAX => continue,
+                Ok(_) => {}
+                Err(error) => self.closed |= error.kind() != io::ErrorKind::WouldBlock,
+            }
+            break;
         }
         if self.inbox.is_empty() {
             return;
