--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -23,6 +23,9 @@
 /// Most attempts to begin a transaction, each on a newly granted connection.
 const ATTEMPTS_MAX: u32 = 6;
 
+/// Text of the answer to a statement after which a write of the transaction may be kept.
+const WRITE_IN_DOUBT: &str = "a write may have run outside the transaction";
+
 /// A session's transaction.
 pub enum Transaction<D: Deployment> {
     /// The session is not in a transaction.
@@ -156,6 +159,9 @@
             Ok(answer) => {
                 let classified = answer.error().map_or(event::Answer::Served, classify_code);
                 lease.report(classified, answer.point);
+                if answer.error() == Some(&protocol::Code::NoStatement) {
+                    lease.upstream().connection_state().mark_uncertain();
+                }
                 *has_changes |= statement.mode == protocol::Mode::Write && answer.error().is_none();
                 if answer.state != protocol::TransactionState::Transaction {
                     log::info!(
@@ -164,10 +170,11 @@
                         answer.state,
                         answer.end
                     );
-                    match *wrote && leaves_doubt(&answer) {
-                        true => self.transaction.fail_in_doubt(),
-                        false => self.transaction.fail(true),
+                    if *wrote && leaves_doubt(&answer) {
+                        self.transaction.fail_in_doubt();
+                        return self.answer_error(&protocol::Code::InDoubt, WRITE_IN_DOUBT);
                     }
+                    self.transaction.fail(true);
                 }
                 self.relay_answer(&answer);
             }
@@ -373,10 +380,9 @@
             protocol::TransactionState::Failed => {
                 let ended = std::mem::replace(&mut self.transaction, Transaction::None);
                 return match ended {
-                    Transaction::Failed { in_doubt: true, .. } => self.answer_error(
-                        &protocol::Code::InDoubt,
-                        "a write may have run outside the transaction",
-                    ),
+                    Transaction::Failed { in_doubt: true, .. } => {
+                        self.answer_error(&protocol::Code::InDoubt, WRITE_IN_DOUBT)
+                    }
                     _ => self
                         .answer_error(&protocol::Code::Aborted, "the transaction was rolled back"),
                 };
