--- a/crates/broker/src/failover/claiming.rs
+++ b/crates/broker/src/failover/claiming.rs
@@ -160,7 +160,7 @@
         roster: &failover::roster::Roster,
         out: &mut Vec<effect::Effect>,
     ) -> failover::Progress {
-        match self.may_hand_over() {
+        match self.may_hand_over(roster) {
             true => self.start_survey(now, roster, out),
             false => self.take_over(now, roster, out),
         }
--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -19,16 +19,34 @@
 impl failover::Attempt {
     /// Returns whether the old leader is asked to hand over. Otherwise it is taken over from.
     ///
-    /// The end of its log counts only if no newer leader can have acknowledged entries: the claim row tells which member was ordered
-    /// last, and no order is left that may still be executed.
-    pub(super) fn may_hand_over(&self) -> bool {
+    /// The end of its log counts only if no newer leader can have acknowledged entries: no order is left that may still be executed, and
+    /// it is known which member was ordered last, or the answers of all members can tell.
+    pub(super) fn may_hand_over(&self, roster: &failover::roster::Roster) -> bool {
         let is_reachable = matches!(
             self.reason,
             leader::ReplaceReason::Leaving | leader::ReplaceReason::Gone
         );
-        let knows_orders = self.claim.last_ordered != claim::LastOrdered::Unknown
-            && self.claim.pending_target().is_none();
-        is_reachable && knows_orders && self.old_leader.is_some()
+        let all_run = roster.members.iter().all(|participant| participant.may_run);
+        is_reachable
+            && self.claim.pending_target().is_none()
+            && self.old_leader.is_some()
+            && (self.knows_newest_leader() || roster.knows_all_members() && all_run)
+    }
+
+    /// Returns whether the old leader is the newest one if it answers that it leads. A promotion ends the lead of the old leader where
+    /// promotions are fenced. Where they are not, an order that the row does not tell may have made another member lead beside it.
+    fn knows_newest_leader(&self) -> bool {
+        self.fenced || self.claim.last_ordered != claim::LastOrdered::Unknown
+    }
+
+    /// Returns whether a member may lead that has not answered the survey.
+    fn may_lack_newest_leader(&self, roster: &failover::roster::Roster) -> bool {
+        let mut others = roster.members.iter();
+        let lacks_answer = others.any(|participant| {
+            let asked = self.surveyed.get(participant.member);
+            asked.is_none_or(|asked| asked.answered_at.is_none())
+        });
+        !self.knows_newest_leader() && (lacks_answer || !roster.knows_all_members())
     }
 
     /// Begins to ask all members for their status.
@@ -63,6 +81,12 @@
                 false => failover::Progress::Ongoing,
             };
         };
+        if self.may_lack_newest_leader(roster) {
+            return match now >= until {
+                true => self.take_over(now, roster, out),
+                false => failover::Progress::Ongoing,
+            };
+        }
         match self.find_successor(roster, surveyed_end) {
             // The leader leads on meanwhile. One that may confirm its last commits has to be held after it has stopped.
             Some(_) if self.awaits_survey(now, roster) => {}
--- a/crates/broker/src/failover/roster.rs
+++ b/crates/broker/src/failover/roster.rs
@@ -58,6 +58,11 @@
         found.map(|known| known.name.clone())
     }
 
+    /// Returns whether each member that runs or may come back with its log is known.
+    pub(super) fn knows_all_members(&self) -> bool {
+        self.is_complete && !self.awaits_missing
+    }
+
     /// Returns whether a log that ends at `end` is known to contain each commit that was answered: all homes have told how far the log
     /// of the leader was, and it was no further.
     pub(super) fn is_proven_whole(&self, end: floor::Point) -> bool {
--- a/crates/broker/tests/handover.rs
+++ b/crates/broker/tests/handover.rs
@@ -7,6 +7,8 @@
 use fulmarlift_broker::claim::ClaimRow;
 use fulmarlift_broker::effect::{Effect, MemberCommand};
 use fulmarlift_broker::event::{Answer, Event, OrderOutcome, StatementReport, StoreOutcome};
+use fulmarlift_broker::failover::LOST_CLAIM_TIMEOUT;
+use fulmarlift_broker::revision::Revision;
 use fulmarlift_broker::trust::TRUST_DURATION;
 use fulmarlift_core::id;
 use rstest::rstest;
@@ -38,6 +40,10 @@
     silent_to_holds: Vec<id::MemberId>,
     /// Members that answer no command.
     silent: Vec<id::MemberId>,
+    /// Member that leads term 2 beside the leader, by an order that the claim row does not tell.
+    newer_leader: Option<id::MemberId>,
+    /// The claim row as the store returns it.
+    row: ClaimRow,
     row_version: u64,
     /// Targets of the orders that were given, with the position up to which each had received.
     orders: Vec<(id::MemberId, u64)>,
@@ -59,6 +65,21 @@
         self.fixture.handle(Event::Listed(leaving));
     }
 
+    /// The same group where the store has no claim row, and may have lost one: it tells an era.
+    fn without_row(fenced: bool) -> Self {
+        let mut group = Self::before_leaving();
+        if !fenced {
+            group.fixture = Fixture::unfenced();
+        }
+        group.row.revision.era = 1;
+        group.fixture.handle(Event::StoreEra {
+            era: 1,
+            known_for: LOST_CLAIM_TIMEOUT,
+        });
+        group.fixture.advance(2_500);
+        group
+    }
+
     fn before_leaving() -> Self {
         Self {
             fixture: Fixture::new(),
@@ -74,6 +95,8 @@
             is_silent_after_stop: false,
             silent_to_holds: Vec::new(),
             silent: Vec::new(),
+            newer_leader: None,
+            row: ClaimRow::default(),
             row_version: 20,
             orders: Vec::new(),
             outcomes: Vec::new(),
@@ -106,7 +129,7 @@
         match effect {
             Effect::LoadClaim(_) => {
                 let asked_at = self.fixture.now;
-                let stored = Some(ClaimRow::default());
+                let stored = Some(self.row.clone());
                 self.fixture.handle(Event::ClaimLoaded {
                     group,
                     asked_at,
@@ -124,7 +147,11 @@
                     self.received.insert(1, 529);
                 }
                 self.row_version += 1;
-                let outcome = StoreOutcome::Written(version(self.row_version));
+                let era = self.row.revision.era;
+                let outcome = StoreOutcome::Written(Revision {
+                    era,
+                    ..version(self.row_version)
+                });
                 self.fixture.handle(Event::ClaimStored { group, outcome });
             }
             Effect::OrderPromotion { member, .. } => {
@@ -157,10 +184,12 @@
                     MemberCommand::Hold(term) => term,
                     _ => 0,
                 };
-                let leads = member == 1 && self.leader_leads;
+                let is_newer = self.newer_leader == Some(member);
+                let leads = member == 1 && self.leader_leads || is_newer;
                 let received = (1, self.received[&member]);
                 let asked_at = self.fixture.now;
-                let status = Some(status(leads, 1, received, held_term));
+                let term = 1 + u64::from(is_newer);
+                let status = Some(status(leads, term, received, held_term));
                 self.fixture.handle(Event::StatusAnswered {
                     group,
                     member,
@@ -191,6 +220,55 @@
     }
 }
 
+/// The first replacement of a leader was a take-over wherever the store tells its era. The leader, which answers, went on meanwhile, and
+/// members confirmed its commits that the claimant did not know (issue 58).
+#[rstest]
+#[case::fenced(true)]
+#[case::unfenced(false)]
+fn leader_hands_over_where_store_may_have_lost_claim(#[case] fenced: bool) {
+    let mut group = Group::without_row(fenced);
+    group.let_leader_leave();
+    group.play(500);
+    assert!(
+        !group.leader_leads,
+        "the leader is stopped before the order"
+    );
+    assert_eq!(group.orders, [(2, 528)]);
+}
+
+/// Where promotions are fenced, a leader that answers proves that none other was promoted. Where they are not, one that does not answer
+/// may have been, by a claim that the store has lost.
+#[rstest]
+#[case::fenced(true, false, &[(2, 528)])]
+#[case::unfenced(false, true, &[])]
+fn leader_hands_over_beside_silent_member_only_if_that_one_cannot_lead(
+    #[case] fenced: bool,
+    #[case] leads_on: bool,
+    #[case] orders: &[(id::MemberId, u64)],
+    #[values(false, true)] ended_before: bool,
+) {
+    let mut group = Group::without_row(fenced);
+    group.silent = vec![3];
+    if ended_before {
+        group.fixture.silence(3);
+    }
+    group.let_leader_leave();
+    group.play(2_000);
+    assert_eq!(group.leader_leads, leads_on);
+    assert_eq!(group.orders, orders);
+}
+
+/// A member that was promoted by a claim that the store has lost leads: nobody is ordered, and nothing is stopped.
+#[test]
+fn leader_does_not_hand_over_beside_newer_leader_of_lost_claim() {
+    let mut group = Group::without_row(false);
+    group.newer_leader = Some(3);
+    group.let_leader_leave();
+    group.play(2_000);
+    assert!(group.leader_leads, "it is not asked to stop");
+    assert_eq!(group.orders, []);
+}
+
 /// Commits were acknowledged by way of a member that had joined after the choice, and lost with the promotion of another one (review
 /// cases 1 and 2).
 #[rstest]
