--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -329,7 +329,7 @@
         };
         self.claim.led_term = 0;
         self.claim.settled = false;
-        self.claim.until_ms = self.store_now_ms(now) + self.claim_lease_ms();
+        self.claim.until_ms = self.store_now_ms(now).saturating_add(self.claim_lease_ms());
         let order_timeout = match self.fenced {
             true => failover::FENCED_ORDER_TIMEOUT,
             false => failover::UNFENCED_ORDER_TIMEOUT,
@@ -338,7 +338,7 @@
         if !self.fenced {
             let order_ends_in_ms =
                 u64::try_from(failover::ORDER_AGE_MAX.as_millis()).unwrap_or(u64::MAX / 2);
-            self.claim.order_ends_ms = self.store_now_ms(now) + order_ends_in_ms;
+            self.claim.order_ends_ms = self.store_now_ms(now).saturating_add(order_ends_in_ms);
         }
         self.step = failover::Step::Recording;
         self.store_claim(out);
--- a/crates/broker/src/failover/claiming.rs
+++ b/crates/broker/src/failover/claiming.rs
@@ -66,7 +66,7 @@
             token: stored.claim.next_token(stored.revision.era),
             settled: pending.is_none(),
             target: pending,
-            until_ms: stored.now_ms + self.claim_lease_ms(),
+            until_ms: stored.now_ms.saturating_add(self.claim_lease_ms()),
             order_ends_ms: stored.claim.order_ends_ms,
             era: stored.revision.era,
             led_term: match last_ordered {
@@ -216,6 +216,6 @@
     pub(super) fn store_now_ms(&self, now: Instant) -> u64 {
         let (read_at, read_ms) = self.store_clock;
         let elapsed = now.saturating_duration_since(read_at).as_millis();
-        read_ms + u64::try_from(elapsed).unwrap_or(u64::MAX / 2)
+        read_ms.saturating_add(u64::try_from(elapsed).unwrap_or(u64::MAX))
     }
 }
--- a/crates/broker/src/failover/release.rs
+++ b/crates/broker/src/failover/release.rs
@@ -103,9 +103,8 @@
             self.send_command(Some(member), effect::MemberCommand::Release { until }, out);
         }
         let remaining = failover::RELEASE_TIMEOUT.max(lease);
-        // Half of the maximum, so that the sum does not overflow.
-        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX / 2);
-        self.claim.until_ms = self.store_now_ms(now) + remaining_ms;
+        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        self.claim.until_ms = self.store_now_ms(now).saturating_add(remaining_ms);
         self.store_claim(out);
     }
 }
--- a/crates/broker/src/failover/verification.rs
+++ b/crates/broker/src/failover/verification.rs
@@ -145,7 +145,9 @@
     ) -> failover::Progress {
         let (read_at, read_ms) = self.store_clock;
         let remaining_ms = self.claim.until_ms.saturating_sub(read_ms);
-        self.claim_expires_at = read_at + Duration::from_millis(remaining_ms);
+        // A time that the clock cannot represent proves nothing.
+        let expires_at = read_at.checked_add(Duration::from_millis(remaining_ms));
+        self.claim_expires_at = expires_at.unwrap_or(read_at);
         if now >= self.gives_up_at() {
             return self.give_up_write(now, write, out);
         }
