--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -35,6 +35,8 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a new session waits for the proxy's first configuration: callers give up after 2 s.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Most bytes behind a statement that are read before it is answered.
+const PIPELINED_BYTES_MAX: usize = 4_096;
 /// Interval at which a new session checks for the first configuration.
 const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -262,9 +264,11 @@
     }
 
     /// Returns whether the caller has closed the connection. The session does not run the last statement then: while this
-    /// process was paused, the caller may have timed out and sent the statement to another proxy.
+    /// process was paused, the caller may have timed out and sent the statement to another proxy. The end of the connection is
+    /// not found behind many statements that the caller has sent without waiting for their answers.
     fn caller_has_disconnected(&mut self) -> bool {
-        matches!(self.stream.try_read_buf(&mut self.inbox), Ok(0))
+        self.inbox.len() < PIPELINED_BYTES_MAX
+            && matches!(self.stream.try_read_buf(&mut self.inbox), Ok(0))
     }
 
     /// Returns the database as a field of the log.
