--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use fulmarlift_broker::event;
 use fulmarlift_core::id;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
 use crate::clock;
+use crate::logging;
 use crate::outgoing;
 use crate::peer::greeting;
 use crate::protocol;
@@ -100,8 +101,16 @@
     closing: bool,
     /// Whether the other end has closed the connection.
     closed: bool,
+    /// Number of answers that have arrived.
+    answers: u64,
+    /// Instant at which commands were last sent.
+    sent_at: Instant,
     /// Member or home at the other end.
     pub member: id::MemberId,
+    /// Name of the member, or of the home's VM, for the log.
+    name: Box<str>,
+    /// Caller's id of the statement that the connection is used for, for the log; empty for the proxy's own commands.
+    pub request: Bytes,
     /// Instant at which the connection was opened.
     pub connected_at: Instant,
     /// Session values and prepared statements that the other end holds for this connection.
@@ -136,7 +145,7 @@
         member: (&str, id::MemberId),
         deadline: Instant,
     ) -> Result<Self, OpenError> {
-        let mut link = Self::connect(address, member.1, deadline).await?;
+        let mut link = Self::connect(address, member, deadline).await?;
         let startup = member::Command::Startup {
             group,
             member: member.0,
@@ -157,8 +166,8 @@
         asker: &str,
         deadline: Instant,
     ) -> Result<Self, OpenError> {
-        let (name, id) = home;
-        let mut link = Self::connect(address, id, deadline).await?;
+        let (name, _) = home;
+        let mut link = Self::connect(address, home, deadline).await?;
         let service = greeting::Service::Statements;
         greeting::Greeting::new(service, name, asker).encode(&mut link.outbox);
         let startup = member::Command::Startup {
@@ -182,7 +191,7 @@
 
     async fn connect(
         address: SocketAddr,
-        member: id::MemberId,
+        (name, member): (&str, id::MemberId),
         deadline: Instant,
     ) -> Result<Self, OpenError> {
         let connected =
@@ -198,7 +207,11 @@
             steps: steps::Steps::default(),
             closing: false,
             closed: false,
+            answers: 0,
+            sent_at: clock::now(),
             member,
+            name: name.into(),
+            request: Bytes::new(),
             connected_at: clock::now(),
             connection_state: values::ConnectionState::default(),
         })
@@ -320,12 +333,16 @@
     ///
     /// [`LinkError`] when the connection is unusable from now on.
     pub async fn exchange(&mut self, deadline: Instant) -> Result<member::Answer, LinkError> {
+        if !self.outbox.is_empty() {
+            self.sent_at = clock::now();
+        }
         let exchanged = async {
             self.stream.write_all_buf(&mut self.outbox).await?;
             self.read_answer().await
         };
         let answered = tokio::time::timeout_at(clock::tokio_deadline(deadline), exchanged).await;
         let answer = answered.map_err(|_| LinkError::Silent)??;
+        self.answers += 1;
         self.steps.answer(&answer)?;
         Ok(answer)
     }
@@ -335,12 +352,16 @@
         let mut end = member::End::Ready;
         let mut size_bytes = 0;
         loop {
-            match self.codec.decode(&mut self.inbox)? {
+            let head = logging::Head::of(&self.inbox);
+            let decoded = self.codec.decode(&mut self.inbox);
+            match decoded.inspect_err(|error| self.log_malformed(error, &head, rows.len()))? {
                 Some(member::Frame::Row(row)) => {
                     size_bytes += row.len();
                     if size_bytes > ANSWER_BYTES_MAX {
                         let limit_bytes = ANSWER_BYTES_MAX;
-                        return Err(protocol::WireError::TooLarge { limit_bytes }.into());
+                        let error = protocol::WireError::TooLarge { limit_bytes };
+                        self.log_malformed(&error, &head, rows.len());
+                        return Err(error.into());
                     }
                     rows.push(row);
                 }
@@ -373,6 +394,27 @@
         }
     }
 
+    /// Logs and counts a message that cannot be decoded. `rows` is the number of rows of its answer before it.
+    fn log_malformed(&mut self, error: &protocol::WireError, head: &logging::Head, rows: usize) {
+        // What has arrived behind the message but is not read yet tells more; the connection is not used again.
+        let _ = self.stream.try_read_buf(&mut self.inbox);
+        let reason = error.reason();
+        metrics::counter!("fulmarlift_answers_malformed_total", "reason" => reason).increment(1);
+        let connection = self.stream.local_addr().map(|address| address.to_string());
+        let sent_ago = clock::now().saturating_duration_since(self.sent_at);
+        log::warn!(
+            "event=member_malformed request={} member={} connection={} error=\"{error}\" answers_before={} rows_before={rows} sent_ms_ago={} message=\"{}\" left_bytes={} left=\"{}\"",
+            logging::request_text(&self.request),
+            self.name,
+            connection.as_deref().unwrap_or("none"),
+            self.answers,
+            sent_ago.as_millis(),
+            head.field(),
+            self.inbox.len(),
+            logging::Head::of(&self.inbox).field(),
+        );
+    }
+
     /// Returns whether an idle connection is unusable: the other side has closed it, stops, or has sent bytes without a
     /// command.
     pub fn is_dead(&mut self) -> bool {
--- a/crates/session/src/logging.rs
+++ b/crates/session/src/logging.rs
@@ -35,12 +35,42 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Field<'a>(&'a [u8]);
 
+/// First bytes of a message, kept for the log while the message is decoded.
+#[derive(Clone, Copy, Debug)]
+pub struct Head {
+    bytes: [u8; FIELD_BYTES_MAX],
+    length: usize,
+}
+
+impl Head {
+    /// Copies the first bytes.
+    pub fn of(message: &[u8]) -> Self {
+        let length = message.len().min(FIELD_BYTES_MAX);
+        let mut bytes = [0; FIELD_BYTES_MAX];
+        bytes[..length].copy_from_slice(&message[..length]);
+        Self { bytes, length }
+    }
+
+    /// Returns them as a field of a line.
+    pub fn field(&self) -> Field<'_> {
+        field(&self.bytes[..self.length])
+    }
+}
+
 /// Returns a value that stays one field of a line, whatever bytes it has: blanks, quotes, backslashes and bytes that are no
 /// printable ASCII are escaped, and a long value is cut off and ends with its length. An empty one is `""`.
 pub fn field(bytes: &[u8]) -> Field<'_> {
     Field(bytes)
 }
 
+/// Returns a caller's id of a statement as a field of a line; `none` if it is empty.
+pub fn request_text(request: &[u8]) -> Cow<'static, str> {
+    match request.is_empty() {
+        true => Cow::Borrowed("none"),
+        false => Cow::Owned(field(request).to_string()),
+    }
+}
+
 impl fmt::Display for Field<'_> {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.0.is_empty() {
--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -139,3 +139,13 @@
     #[error("malformed message: {0}")]
     Malformed(&'static str),
 }
+
+impl WireError {
+    /// Returns the reason without values, for metrics.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::TooLarge { .. } => "too large",
+            Self::Malformed(reason) => reason,
+        }
+    }
+}
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -316,6 +316,7 @@
     /// Returns the caller's next message. Enforces the idle limits while it waits.
     async fn next_message(&mut self) -> Result<caller::Message, SessionEnd> {
         loop {
+            let head = logging::Head::of(&self.inbox);
             match self.codec.decode(&mut self.inbox) {
                 Ok(Some(message)) => return Ok(message),
                 Ok(None) => {}
@@ -324,10 +325,7 @@
                         crate::protocol::WireError::TooLarge { .. } => protocol::Code::TooLarge,
                         crate::protocol::WireError::Malformed(_) => protocol::Code::Malformed,
                     };
-                    log::info!(
-                        "event=malformed database={} error=\"{error}\"",
-                        self.database_field()
-                    );
+                    self.log_malformed(&error, &head);
                     self.end_with_error(&code, error.into()).await?;
                 }
             }
@@ -339,6 +337,26 @@
         }
     }
 
+    /// Logs and counts a message of the client that cannot be decoded.
+    fn log_malformed(&self, error: &protocol::WireError, head: &logging::Head) {
+        let client = match self.client_kind {
+            ClientKind::Caller => "caller",
+            ClientKind::Peer => "peer",
+        };
+        let reason = error.reason();
+        metrics::counter!("fulmarlift_messages_malformed_total", "client" => client, "reason" => reason)
+            .increment(1);
+        let address = self.stream.peer_addr().map(|address| address.to_string());
+        log::info!(
+            "event=malformed database={} client={client} address={} error=\"{error}\" message=\"{}\" left_bytes={} left=\"{}\"",
+            self.database_field(),
+            address.as_deref().unwrap_or("none"),
+            head.field(),
+            self.inbox.len(),
+            logging::Head::of(&self.inbox).field(),
+        );
+    }
+
     /// Tells a peer that this proxy stops. The peer closes the connection, and until then gets answers to what it sent before
     /// it knew.
     async fn announce_stop(&mut self) -> io::Result<()> {
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -111,6 +111,8 @@
     pub code: protocol::Code,
     /// Text for the caller and the log.
     pub text: String,
+    /// Attempts that were made, and the last one that ended; none if the log is not to tell them.
+    pub(super) attempts: Option<(u32, Earlier)>,
 }
 
 impl Failure {
@@ -120,6 +122,7 @@
         Self {
             code: protocol::Code::Busy,
             text: format!("{}, retry after {} ms", refusal.reason, wait.as_millis()),
+            attempts: None,
         }
     }
 
@@ -128,6 +131,27 @@
         Self {
             code: protocol::Code::Aborted,
             text: reason.to_string(),
+            attempts: None,
+        }
+    }
+
+    /// Adds the attempts that were made, for the log.
+    pub(super) fn after(mut self, attempts: u32, last: Option<Earlier>) -> Self {
+        self.attempts = last.map(|last| (attempts, last));
+        self
+    }
+
+    /// Returns the attempts as fields of a line, each with a space before it.
+    pub(super) fn attempts_text<D: Deployment>(&self, shell: &shell::Shell<D>) -> String {
+        match &self.attempts {
+            Some((attempts, last)) => {
+                let member = shell.member_name(last.member);
+                format!(
+                    " attempts={attempts} last_member={member} last_{}",
+                    last.cause
+                )
+            }
+            None => String::new(),
         }
     }
 }
@@ -192,13 +216,14 @@
                 record_metrics(&statement, &timing, "failed");
                 let waited = clock::now().saturating_duration_since(timing.arrived_at);
                 log::info!(
-                    "event=failed request={} database={} mode={:?} code={:?} text=\"{}\" after_ms={}",
+                    "event=failed request={} database={} mode={:?} code={:?} text=\"{}\" after_ms={}{}",
                     statement.id_text(),
                     self.database_field(),
                     statement.mode,
                     failure.code,
                     failure.text,
-                    waited.as_millis()
+                    waited.as_millis(),
+                    failure.attempts_text(&self.shell)
                 );
                 self.answer_error(&failure.code, &failure.text);
             }
@@ -304,6 +329,7 @@
     let mut attempts = 1;
     let mut hedge_decided = false;
     let mut was_sent = false;
+    let mut last = None;
     let hedge_timer = tokio::time::sleep_until(clock::tokio_deadline(timing.hedge_at));
     tokio::pin!(hedge_timer);
     let ended = loop {
@@ -353,17 +379,18 @@
                 (Some(member), earlier)
             }
             Some(Err(refusal)) if running.is_empty() => {
-                break Err(refusal_failure(&refusal, was_sent));
+                break Err(refusal_failure(&refusal, was_sent).after(attempts - 1, last));
             }
             Some(Err(_)) => continue,
-            None => break Err(timeout_failure(was_sent)),
+            None => break Err(timeout_failure(was_sent).after(attempts, last)),
         };
+        last = Some(earlier.clone());
         if attempts < ATTEMPTS_MAX && clock::now() < timing.deadline {
             attempts += 1;
             job.current_member.set(None);
             running.push(start_attempt(avoid, Some(earlier), false));
         } else if running.is_empty() {
-            break Err(timeout_failure(was_sent));
+            break Err(timeout_failure(was_sent).after(attempts, last));
         }
     };
     if !running.is_empty() {
@@ -374,7 +401,7 @@
 }
 
 /// An attempt that another one repeats.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Earlier {
     member: id::MemberId,
     /// Reason of the repetition: a log key with its value.
@@ -442,10 +469,12 @@
         true => Failure {
             code: protocol::Code::Timeout,
             text: "no member answered in time".to_owned(),
+            attempts: None,
         },
         false => Failure {
             code: protocol::Code::Busy,
             text: "no member took the statement in time".to_owned(),
+            attempts: None,
         },
     }
 }
@@ -457,6 +486,7 @@
     Failure {
         code: protocol::Code::InDoubt,
         text: "the leader may have been replaced".to_owned(),
+        attempts: None,
     }
 }
 
@@ -474,10 +504,12 @@
     let mut last_refusal = protocol::Code::Busy;
     let mut avoid = None;
     let mut earlier: Option<Earlier> = None;
+    let mut attempts = 0;
     for attempt in 1..=ATTEMPTS_MAX {
         if clock::now() >= timing.deadline {
             break;
         }
+        attempts = attempt;
         let admission = request_connection(
             shell,
             route,
@@ -490,7 +522,9 @@
         .await;
         let (lease, grant) = match admission {
             shell::Admission::Granted { lease, grant } => (lease, grant),
-            shell::Admission::Refused(refusal) => return Err(Failure::refused(&refusal)),
+            shell::Admission::Refused(refusal) => {
+                return Err(Failure::refused(&refusal).after(attempt - 1, earlier));
+            }
         };
         let (member, is_home) = (grant.member, lease.is_home());
         if let Some(earlier) = &earlier {
@@ -529,14 +563,21 @@
             }
             attempt::Outcome::Withheld(reason) => return Err(Failure::withheld(reason)),
             attempt::Outcome::Lost(error) => {
-                return Err(Failure {
+                let lost = Earlier::new(member, format!("error=\"{error}\""));
+                let failure = Failure {
                     code: protocol::Code::InDoubt,
                     text: error.to_string(),
-                });
+                    attempts: None,
+                };
+                return Err(failure.after(attempt, Some(lost)));
             }
         }
     }
     let text = format!("not run, last refused with {last_refusal:?}");
-    let code = protocol::Code::Busy;
-    Err(Failure { code, text })
+    let failure = Failure {
+        code: protocol::Code::Busy,
+        text,
+        attempts: None,
+    };
+    Err(failure.after(attempts, earlier))
 }
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -188,6 +188,7 @@
                         false => protocol::Code::Aborted,
                     },
                     text: error.to_string(),
+                    attempts: None,
                 };
                 // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
                 match error {
@@ -217,11 +218,12 @@
 
     fn log_failure(&self, statement: &statement::MemberStatement, failure: &single::Failure) {
         log::info!(
-            "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"",
+            "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"{}",
             statement.id_text(),
             self.database_field(),
             failure.code,
-            failure.text
+            failure.text,
+            failure.attempts_text(&self.shell)
         );
     }
 
@@ -234,10 +236,12 @@
         let timing = single::Timing::new(&route);
         let mut avoid = None;
         let mut earlier: Option<single::Earlier> = None;
-        for _ in 0..ATTEMPTS_MAX {
+        let mut attempts = 0;
+        for attempt in 1..=ATTEMPTS_MAX {
             if clock::now() >= timing.deadline {
                 break;
             }
+            attempts = attempt;
             let requirement =
                 single::requirement(&route, begin.mode, self.session_commits.point(route.group));
             let admission = single::request_connection(
@@ -253,7 +257,7 @@
             let (mut lease, grant) = match admission {
                 shell::Admission::Granted { lease, grant } => (lease, grant),
                 shell::Admission::Refused(refusal) => {
-                    return Err(single::Failure::refused(&refusal));
+                    return Err(single::Failure::refused(&refusal).after(attempt - 1, earlier));
                 }
             };
             avoid = Some(grant.member);
@@ -307,10 +311,12 @@
             refused.log_failure(&self.shell, &begin);
             earlier = Some(refused);
         }
-        Err(single::Failure {
+        let failure = single::Failure {
             code: protocol::Code::Busy,
             text: "no member began the transaction in time".to_owned(),
-        })
+            attempts: None,
+        };
+        Err(failure.after(attempts, earlier))
     }
 
     /// Begins a transaction on a granted connection, if the member accepts it. `verified` tells that the answer
@@ -393,10 +399,11 @@
         if let Err(failure) = self.open_transaction().await {
             self.transaction = Transaction::None;
             log::info!(
-                "event=failed request={} commit=true code={:?} text=\"{}\"",
+                "event=failed request={} commit=true code={:?} text=\"{}\"{}",
                 statement.id_text(),
                 failure.code,
-                failure.text
+                failure.text,
+                failure.attempts_text(&self.shell)
             );
             return self.answer_error(&failure.code, &failure.text);
         }
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -1,6 +1,5 @@
 //! Exclusive use of a connection by a request or transaction.
 
-use std::borrow::Cow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -121,6 +120,7 @@
     /// Sets the caller's id of the statement that the connection is used for, for the log.
     pub fn set_request(&mut self, request: &Bytes) {
         self.request = request.clone();
+        self.upstream().set_request(request);
     }
 
     /// Logs and counts how often the current statement was sent again since the member had no slot for it.
@@ -129,7 +129,7 @@
         let member = self.shell.member_name(self.member);
         log::info!(
             "event=sent_again request={} first={member} second={member} code=Busy times={refusals}",
-            request_text(&self.request),
+            logging::request_text(&self.request),
         );
     }
 
@@ -142,7 +142,7 @@
         metrics::counter!("fulmarlift_states_differ_total").increment(1);
         log::warn!(
             "event=state_differs request={} member={} expected={expected:?} told={told:?}",
-            request_text(&self.request),
+            logging::request_text(&self.request),
             self.shell.member_name(self.member),
         );
     }
@@ -223,7 +223,8 @@
         if !self.is_in_step() {
             return;
         }
-        if let Some(upstream) = self.upstream.take() {
+        if let Some(mut upstream) = self.upstream.take() {
+            upstream.set_request(&Bytes::new());
             let mut inner = self.shell.inner.borrow_mut();
             inner.idle.insert(self.conn, upstream);
         }
@@ -284,20 +285,12 @@
         metrics::counter!("fulmarlift_connections_out_of_step_total").increment(1);
         log::warn!(
             "event=connection_out_of_step request={} member={} left_bytes={left_bytes} unanswered={unanswered} state={state:?}",
-            request_text(request),
+            logging::request_text(request),
             self.member_name(member),
         );
     }
 }
 
-/// Returns a caller's id of a statement for the log.
-fn request_text(request: &[u8]) -> Cow<'static, str> {
-    match request.is_empty() {
-        true => Cow::Borrowed("none"),
-        false => Cow::Owned(logging::field(request).to_string()),
-    }
-}
-
 impl<D: Deployment> Drop for Lease<D> {
     fn drop(&mut self) {
         self.report(event::Answer::Unfinished, None);
--- a/crates/session/src/shell/upstream.rs
+++ b/crates/session/src/shell/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::time::Instant;
 
+use bytes::Bytes;
 use fulmarlift_broker::event;
 use fulmarlift_core::id;
 
@@ -37,6 +38,14 @@
         }
     }
 
+    /// Sets the caller's id of the statement that the connection is used for, for the log; empty for the proxy's own commands.
+    pub fn set_request(&mut self, request: &Bytes) {
+        match self {
+            Self::Member(link) => link.request = request.clone(),
+            Self::Home(link) => link.request = request.clone(),
+        }
+    }
+
     /// Returns whether a home is at the other end.
     pub fn is_home(&self) -> bool {
         matches!(self, Self::Home(_))
