--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -17,13 +17,36 @@
 use crate::shell;
 use crate::values;
 
+/// Reason why a statement has certainly not run.
+#[derive(Debug, thiserror::Error)]
+pub enum Unrun {
+    /// The member refused the statement, or a command of the proxy that comes before it.
+    #[error("refused with {0:?}")]
+    Refused(protocol::Code),
+    /// The connection became unusable before the statement was sent.
+    #[error("not sent: {0}")]
+    Unsent(#[from] link::LinkError),
+}
+
+impl Unrun {
+    /// Returns the reason as a log key with its value.
+    pub fn cause(&self) -> String {
+        match self {
+            Self::Refused(code) => format!("code={code:?}"),
+            Self::Unsent(_) => format!("error=\"{self}\""),
+        }
+    }
+}
+
 /// Outcome of an attempt.
 #[derive(Debug)]
 pub enum Outcome {
-    /// The member ran the statement, or a home answered it.
+    /// The member ran the statement.
     Answered(member::Answer),
+    /// A home answered the statement, after attempts of its own.
+    AnsweredByHome(member::Answer),
     /// The statement has certainly not run; another attempt is safe.
-    NotRun(protocol::Code),
+    NotRun(Unrun),
     /// The statement must not be sent to a member, and has not been.
     Withheld(protocol::Withheld),
     /// The statement was sent, but the connection broke or timed out before the answer.
@@ -83,21 +106,21 @@
 ///
 /// # Errors
 ///
-/// Returns the code with which the member refused, or none if the connection broke.
+/// Returns the code with which the member refused, or the error of the connection.
 pub async fn verify_leader<D: Deployment>(
     lease: &mut shell::Lease<D>,
     deadline: Instant,
-) -> Result<Option<floor::Point>, Option<protocol::Code>> {
+) -> Result<Option<floor::Point>, Unrun> {
     let sent_at = clock::now();
     let begin = member::Command::Begin;
     let begun = lease.upstream().request(begin, deadline).await;
     let begun = begun.map_err(|error| {
         lease.report_failure(&error, false);
-        None
+        Unrun::Unsent(error)
     })?;
     if let Some(code) = begun.error() {
         lease.report(classify_code(code), begun.point);
-        return Err(Some(code.clone()));
+        return Err(Unrun::Refused(code.clone()));
     }
     let led = event::Answer::Led {
         sent_at,
@@ -106,7 +129,7 @@
     lease.report(led, begun.point);
     lease.start_statement();
     let rollback = lease.upstream().push(member::Command::Rollback);
-    rollback.map_err(|_| None)?;
+    rollback.map_err(link::LinkError::from)?;
     Ok(begun.point)
 }
 
@@ -154,35 +177,34 @@
     let believed = protocol::TransactionState::Idle;
     match synchronize(&mut lease, session_state, statement, believed, deadline).await {
         Ok(()) => {}
-        Err(link::LinkError::Withheld(reason)) if reason.concerns_connection() => {
-            return Outcome::NotRun(protocol::Code::Busy);
-        }
-        Err(link::LinkError::Withheld(reason)) => {
+        Err(link::LinkError::Withheld(reason)) if !reason.concerns_connection() => {
             lease.give_back();
             return Outcome::Withheld(reason);
         }
         Err(error) => {
             lease.report_failure(&error, false);
-            return Outcome::NotRun(protocol::Code::Busy);
+            return Outcome::NotRun(error.into());
         }
     }
     let mut floor = grant.floor;
     if grant.verify {
         match verify_leader(&mut lease, deadline).await {
             Ok(point) => floor = floor.max(point),
-            Err(code) => {
-                if code.is_some() {
+            Err(reason) => {
+                if matches!(reason, Unrun::Refused(_)) {
                     lease.give_back();
                 }
-                return Outcome::NotRun(code.unwrap_or(protocol::Code::Busy));
+                return Outcome::NotRun(reason);
             }
         }
     }
     let sent_at = clock::now();
     lease.set_floor(floor);
     let pushed = statement.push(&mut lease, believed, floor, timing.options(route));
-    if pushed.is_err_and(protocol::Withheld::concerns_connection) {
-        return Outcome::NotRun(protocol::Code::Busy);
+    if let Err(reason) = pushed
+        && reason.concerns_connection()
+    {
+        return Outcome::NotRun(link::LinkError::from(reason).into());
     }
     let verified = match grant.verify {
         true => end_verification(&mut lease, deadline).await.map(Some),
@@ -232,7 +254,7 @@
     if answer.state == protocol::TransactionState::Idle {
         lease.give_back();
     }
-    Outcome::Answered(answer)
+    Outcome::AnsweredByHome(answer)
 }
 
 /// Reports a member's answer to the broker and derives the attempt's outcome from it.
@@ -250,7 +272,7 @@
         lease.give_back();
     }
     match answer.error() {
-        Some(code) if code.means_not_run() => Outcome::NotRun(code.clone()),
+        Some(code) if code.means_not_run() => Outcome::NotRun(Unrun::Refused(code.clone())),
         _ => Outcome::Answered(answer),
     }
 }
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -13,6 +13,7 @@
 
 use crate::clock;
 use crate::deployment::Deployment;
+use crate::link;
 use crate::protocol;
 use crate::protocol::caller;
 use crate::protocol::caller::Codec;
@@ -342,7 +343,7 @@
                     && job.shell.spend_retry()
                 {
                     attempts += 1;
-                    let earlier = Earlier::new(first, "reason=Hedge");
+                    let earlier = Earlier::new(first, "reason=Hedge", "no answer yet");
                     running.push(start_attempt(Some(first), Some(earlier), true));
                     metrics::counter!("fulmarlift_hedges_total").increment(1);
                 }
@@ -350,22 +351,25 @@
             }
         };
         let (avoid, earlier) = match next {
-            Some(Ok((home, attempt::Outcome::Answered(answer))))
+            Some(Ok((home, attempt::Outcome::AnsweredByHome(answer))))
                 if attempts == 1 && is_busy_answer(&answer) && job.shell.spend_retry() =>
             {
-                let earlier = Earlier::new(home, "code=Busy");
+                let earlier = Earlier::refused(home, &protocol::Code::Busy);
                 earlier.log_failure(&job.shell, statement);
                 (Some(home), earlier)
             }
+            // The home has repeated a statement that failed.
+            Some(Ok((_, attempt::Outcome::AnsweredByHome(answer)))) => break Ok(answer),
             Some(Ok((member, attempt::Outcome::Answered(answer)))) => {
                 let failed = answer.error() == Some(&protocol::Code::Failed);
                 if !failed || attempts >= ATTEMPTS_MAX || !running.is_empty() {
                     break Ok(answer);
                 }
-                (None, Earlier::new(member, "code=Failed"))
+                was_sent = true;
+                (None, Earlier::refused(member, &protocol::Code::Failed))
             }
-            Some(Ok((member, attempt::Outcome::NotRun(code)))) => {
-                let earlier = Earlier::new(member, format!("code={code:?}"));
+            Some(Ok((member, attempt::Outcome::NotRun(reason)))) => {
+                let earlier = Earlier::new(member, reason.cause(), reason.to_string());
                 earlier.log_failure(&job.shell, statement);
                 (Some(member), earlier)
             }
@@ -374,7 +378,7 @@
             }
             Some(Ok((member, attempt::Outcome::Lost(error)))) => {
                 was_sent = true;
-                let earlier = Earlier::new(member, format!("error=\"{error}\""));
+                let earlier = Earlier::lost(member, &error);
                 earlier.log_failure(&job.shell, statement);
                 (Some(member), earlier)
             }
@@ -382,7 +386,7 @@
                 break Err(refusal_failure(&refusal, was_sent).after(attempts - 1, last));
             }
             Some(Err(_)) => continue,
-            None => break Err(timeout_failure(was_sent).after(attempts, last)),
+            None => break Err(exhausted_failure(timing.deadline, was_sent, attempts, last)),
         };
         last = Some(earlier.clone());
         if attempts < ATTEMPTS_MAX && clock::now() < timing.deadline {
@@ -390,7 +394,7 @@
             job.current_member.set(None);
             running.push(start_attempt(avoid, Some(earlier), false));
         } else if running.is_empty() {
-            break Err(timeout_failure(was_sent).after(attempts, last));
+            break Err(exhausted_failure(timing.deadline, was_sent, attempts, last));
         }
     };
     if !running.is_empty() {
@@ -406,13 +410,37 @@
     member: id::MemberId,
     /// Reason of the repetition: a log key with its value.
     cause: Box<str>,
+    /// What became of the attempt, for the caller.
+    text: Box<str>,
 }
 
 impl Earlier {
-    /// Creates an attempt at a member or home. `cause` is a log key with its value.
-    pub(super) fn new(member: id::MemberId, cause: impl Into<Box<str>>) -> Self {
-        let cause = cause.into();
-        Self { member, cause }
+    /// Creates an attempt at a member or home. `cause` is a log key with its value, `text` tells callers what became of it.
+    pub(super) fn new(
+        member: id::MemberId,
+        cause: impl Into<Box<str>>,
+        text: impl Into<Box<str>>,
+    ) -> Self {
+        let (cause, text) = (cause.into(), text.into());
+        Self {
+            member,
+            cause,
+            text,
+        }
+    }
+
+    /// Creates an attempt that was answered with an error.
+    pub(super) fn refused(member: id::MemberId, code: &protocol::Code) -> Self {
+        Self::new(
+            member,
+            format!("code={code:?}"),
+            format!("answered with {code:?}"),
+        )
+    }
+
+    /// Creates an attempt whose answer is missing.
+    pub(super) fn lost(member: id::MemberId, error: &link::LinkError) -> Self {
+        Self::new(member, format!("error=\"{error}\""), error.to_string())
     }
 
     /// Logs that the attempt failed and the statement is to be repeated.
@@ -447,8 +475,7 @@
     }
 }
 
-/// Returns whether an [`attempt::Outcome::Answered`] is a home's refusal for lack of capacity; another home may have some.
-/// A member's refusal is never one, since it is an [`attempt::Outcome::NotRun`].
+/// Returns whether a home's answer is its refusal for lack of capacity; another home may have some.
 fn is_busy_answer(answer: &member::Answer) -> bool {
     answer.error() == Some(&protocol::Code::Busy)
 }
@@ -463,19 +490,44 @@
     failure
 }
 
-/// Returns the failure of a read whose time or attempts are used up.
-fn timeout_failure(was_sent: bool) -> Failure {
-    match was_sent {
-        true => Failure {
-            code: protocol::Code::Timeout,
-            text: "no member answered in time".to_owned(),
-            attempts: None,
-        },
-        false => Failure {
-            code: protocol::Code::Busy,
-            text: "no member took the statement in time".to_owned(),
-            attempts: None,
-        },
+/// Returns the failure of a read whose time or attempts are used up: it failed if it was sent and answers came that are of no use, and it
+/// timed out only if the time is up. `last` is the last attempt that has ended.
+fn exhausted_failure(
+    deadline: Instant,
+    was_sent: bool,
+    attempts: u32,
+    last: Option<Earlier>,
+) -> Failure {
+    let in_time = clock::now() < deadline;
+    let code = match (was_sent, in_time) {
+        (false, _) => protocol::Code::Busy,
+        (true, true) => protocol::Code::Failed,
+        (true, false) => protocol::Code::Timeout,
+    };
+    let what = match was_sent {
+        true => "no usable answer",
+        false => "not run",
+    };
+    let text = exhausted_text(what, in_time, attempts, last.as_ref());
+    let failure = Failure {
+        code,
+        text,
+        attempts: None,
+    };
+    failure.after(attempts, last)
+}
+
+/// Returns the text of a statement whose time or attempts are used up.
+pub(super) fn exhausted_text(
+    what: &str,
+    in_time: bool,
+    attempts: u32,
+    last: Option<&Earlier>,
+) -> String {
+    let last = last.map_or_else(String::new, |last| format!(", last: {}", last.text));
+    match in_time {
+        true => format!("{what} in {attempts} attempts{last}"),
+        false => format!("{what} in time{last}"),
     }
 }
 
@@ -501,7 +553,6 @@
     forwarded: bool,
 ) -> Result<member::Answer, Failure> {
     shell.earn_retry();
-    let mut last_refusal = protocol::Code::Busy;
     let mut avoid = None;
     let mut earlier: Option<Earlier> = None;
     let mut attempts = 0;
@@ -532,15 +583,15 @@
         }
         let seen_before = shell.newest_log_end(route.group);
         match attempt::run(lease, grant, statement, session_state, route, timing).await {
-            attempt::Outcome::Answered(answer)
+            attempt::Outcome::AnsweredByHome(answer)
                 if attempt == 1 && is_busy_answer(&answer) && shell.spend_retry() =>
             {
-                let refused = Earlier::new(member, "code=Busy");
+                let refused = Earlier::refused(member, &protocol::Code::Busy);
                 refused.log_failure(shell, statement);
                 earlier = Some(refused);
                 avoid = Some(member);
             }
-            attempt::Outcome::Answered(answer) => {
+            attempt::Outcome::Answered(answer) | attempt::Outcome::AnsweredByHome(answer) => {
                 let is_confirmed = answer.error().is_some()
                     || is_home
                     || shell
@@ -555,15 +606,14 @@
                     false => Err(unconfirmed_failure()),
                 };
             }
-            attempt::Outcome::NotRun(code) => {
-                let refused = Earlier::new(member, format!("code={code:?}"));
+            attempt::Outcome::NotRun(reason) => {
+                let refused = Earlier::new(member, reason.cause(), reason.to_string());
                 refused.log_failure(shell, statement);
                 earlier = Some(refused);
-                last_refusal = code;
             }
             attempt::Outcome::Withheld(reason) => return Err(Failure::withheld(reason)),
             attempt::Outcome::Lost(error) => {
-                let lost = Earlier::new(member, format!("error=\"{error}\""));
+                let lost = Earlier::lost(member, &error);
                 let failure = Failure {
                     code: protocol::Code::InDoubt,
                     text: error.to_string(),
@@ -573,11 +623,11 @@
             }
         }
     }
-    let text = format!("not run, last refused with {last_refusal:?}");
-    let failure = Failure {
-        code: protocol::Code::Busy,
-        text,
-        attempts: None,
-    };
-    Err(failure.after(attempts, earlier))
+    let was_sent = false;
+    Err(exhausted_failure(
+        timing.deadline,
+        was_sent,
+        attempts,
+        earlier,
+    ))
 }
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -272,22 +272,19 @@
             if grant.verify {
                 match attempt::verify_leader(&mut lease, timing.deadline).await {
                     Ok(point) => floor = floor.max(point),
-                    Err(code) => {
-                        let cause = match &code {
-                            Some(code) => format!("code={code:?}"),
-                            None => "error=\"leader not verified\"".to_owned(),
-                        };
-                        if code.is_some() {
+                    Err(reason) => {
+                        if matches!(reason, attempt::Unrun::Refused(_)) {
                             lease.give_back();
                         }
-                        let refused = single::Earlier::new(grant.member, cause);
+                        let refused =
+                            single::Earlier::new(grant.member, reason.cause(), reason.to_string());
                         refused.log_failure(&self.shell, &begin);
                         earlier = Some(refused);
                         continue;
                     }
                 }
             }
-            let cause = match self
+            let refused = match self
                 .begin_on(&mut lease, &begin, &route, floor, grant.verify, timing)
                 .await
             {
@@ -300,20 +297,24 @@
                     };
                     return Ok(());
                 }
-                Ok(Begun::No { cause }) => cause,
-                Err(reason) if reason.concerns_connection() => format!("code={}", reason.name()),
+                Ok(Begun::No { cause, text }) => single::Earlier::new(grant.member, cause, text),
+                Err(reason) if reason.concerns_connection() => {
+                    let cause = format!("code={}", reason.name());
+                    single::Earlier::new(grant.member, cause, reason.to_string())
+                }
                 Err(reason) => {
                     lease.give_back();
                     return Err(single::Failure::withheld(reason));
                 }
             };
-            let refused = single::Earlier::new(grant.member, cause);
             refused.log_failure(&self.shell, &begin);
             earlier = Some(refused);
         }
+        let in_time = clock::now() < timing.deadline;
+        let what = "the transaction was not begun";
         let failure = single::Failure {
             code: protocol::Code::Busy,
-            text: "no member began the transaction in time".to_owned(),
+            text: single::exhausted_text(what, in_time, attempts, earlier.as_ref()),
             attempts: None,
         };
         Err(failure.after(attempts, earlier))
@@ -363,9 +364,11 @@
                     (true, _) => Begun::Yes,
                     (false, Some(code)) => Begun::No {
                         cause: format!("code={code:?}"),
+                        text: format!("refused with {code:?}"),
                     },
                     (false, None) => Begun::No {
                         cause: format!("state={:?}", answer.state),
+                        text: format!("in state {:?} after it", answer.state),
                     },
                 })
             }
@@ -531,6 +534,7 @@
     /// The member has not begun it, or the connection is unusable; `cause` is a log key with its value.
     No {
         cause: String,
+        text: String,
     },
 }
 
@@ -538,6 +542,7 @@
     fn failed(error: &link::LinkError) -> Self {
         Self::No {
             cause: format!("error=\"{error}\""),
+            text: error.to_string(),
         }
     }
 }
--- a/crates/session/tests/malformed.rs
+++ b/crates/session/tests/malformed.rs
@@ -9,14 +9,17 @@
 
 use answering::{Reaction, System};
 use fulmarlift_broker::topology::Consistency;
-use fulmarlift_session::protocol::Mode;
 use fulmarlift_session::protocol::member::Verb;
+use fulmarlift_session::protocol::{Code, Mode};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt;
 
 const READ: Verb = Verb::Run(Mode::Read);
 const WRITE: Verb = Verb::Run(Mode::Write);
+const BEGIN: Verb = Verb::Begin(Mode::Write);
 const BARE_LF: Reaction = Reaction::Sends("DATAROW x\nCOMPLETE forged\r\nREADY I\r\n");
+const BUSY: Reaction = Reaction::Sends("ERROR BUSY\r\nREADY I\r\n");
+const FAILED: Reaction = Reaction::Sends("ERROR FAILED\r\nREADY I\r\n");
 
 async fn on_one_thread(test: impl Future<Output = ()>) {
     tokio::task::LocalSet::new().run_until(test).await;
@@ -154,3 +157,128 @@
     let client = format!("database=ledger client=caller address={address} error=");
     assert_has(&lines[0], &[&client, r#"message="\x00\x00\x00\x04\xff"#]);
 }
+
+/// A read that got no result in time, or none at all, is told apart from one that no member has run.
+#[rstest]
+#[case::malformed(
+    BARE_LF,
+    Code::Failed,
+    "no usable answer in 6 attempts, last: member's answer: malformed message: line without CR LF"
+)]
+#[case::broken(
+    Reaction::Closes,
+    Code::Failed,
+    "no usable answer in 6 attempts, last: connection broken"
+)]
+#[case::silent(
+    Reaction::Rests,
+    Code::Timeout,
+    "no usable answer in time, last: no answer in time"
+)]
+#[case::refused(BUSY, Code::Busy, "not run in 6 attempts, last: refused with Busy")]
+#[tokio::test]
+async fn read_without_answer_is_told_why(
+    #[case] reaction: Reaction,
+    #[case] code: Code,
+    #[case] text: &str,
+) {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, false).await;
+        system.react(reaction);
+        let refused = system.connect().await.run("s1", "READ 2", READ).await;
+        assert_eq!(refused, Some((code, text.into())));
+    })
+    .await;
+}
+
+#[rstest]
+#[case::malformed(BARE_LF, Code::Failed)]
+#[case::broken(Reaction::Closes, Code::Failed)]
+#[case::silent(Reaction::Rests, Code::Timeout)]
+#[case::refused(BUSY, Code::Busy)]
+#[tokio::test]
+async fn read_without_answer_is_told_why_through_home(
+    #[case] reaction: Reaction,
+    #[case] code: Code,
+) {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, true).await;
+        system.react(reaction);
+        let refused = system.connect().await.run("s1", "READ 2", READ).await;
+        assert_eq!(refused.map(|(code, _)| code), Some(code));
+    })
+    .await;
+}
+
+/// The home repeats the read as often as it is worth it.
+#[tokio::test]
+async fn failed_read_is_repeated_by_home_only() {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, true).await;
+        system.react(FAILED);
+        let refused = system.connect().await.run("s1", "READ 2", READ).await;
+        assert_eq!(refused.map(|(code, _)| code), Some(Code::Failed));
+        let arrivals = system.arrivals().len();
+        assert!(arrivals <= 6, "{arrivals}");
+    })
+    .await;
+}
+
+/// Statements of a transaction, the last of which gets no usable answer, and the code that tells what became of it.
+#[rstest]
+#[case::write(&[("WRITE 1 x", WRITE)], Code::InDoubt)]
+#[case::read_in_transaction(&[("BEGIN", BEGIN), ("READ 1", READ)], Code::Aborted)]
+#[case::write_in_transaction(&[("BEGIN", BEGIN), ("WRITE 1 x", WRITE)], Code::Aborted)]
+#[case::commit_of_write(
+    &[("BEGIN", BEGIN), ("WRITE 1 x", WRITE), ("COMMIT", Verb::Commit)],
+    Code::InDoubt
+)]
+#[case::commit_of_read(
+    &[("BEGIN", BEGIN), ("READ 1", READ), ("COMMIT", Verb::Commit)],
+    Code::Aborted
+)]
+#[tokio::test]
+async fn statement_without_answer_is_told_its_outcome(
+    #[case] statements: &[(&'static str, Verb)],
+    #[case] code: Code,
+    #[values(BARE_LF, Reaction::Closes, Reaction::Rests)] reaction: Reaction,
+    #[values(false, true)] forwards: bool,
+) {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, forwards).await;
+        let mut caller = system.connect().await;
+        let (last, before) = statements.split_last().expect("there is one");
+        for (text, verb) in before {
+            assert_eq!(caller.run("t1", text, *verb).await, None, "{text}");
+        }
+        system.react(reaction);
+        let refused = caller.run("t1", last.0, last.1).await;
+        assert_eq!(refused.map(|(code, _)| code), Some(code));
+    })
+    .await;
+}
+
+/// The proxy's check that the member leads comes before the statement, which has not run.
+#[rstest]
+#[case::single("READ 1", None)]
+#[case::transaction("READ 1", Some("BEGIN"))]
+#[tokio::test]
+async fn statement_behind_malformed_check_is_told_that_it_has_not_run(
+    #[case] text: &'static str,
+    #[case] begin: Option<&'static str>,
+) {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, false).await;
+        let mut caller = system.connect().await;
+        system.members[0].own.set(Some(("BEGIN", BARE_LF)));
+        if let Some(begin) = begin {
+            caller.run("t1", begin, Verb::Begin(Mode::Read)).await;
+        }
+        let refused = caller.run("t1", text, READ).await;
+        let (code, text) = refused.expect("the member does not answer");
+        assert_eq!(code, Code::Busy);
+        let why = "in 6 attempts, last: not sent: member's answer: malformed message";
+        assert!(text.contains(why), "{text}");
+    })
+    .await;
+}
--- a/crates/session/tests/support/answering.rs
+++ b/crates/session/tests/support/answering.rs
@@ -1,7 +1,7 @@
 //! Members on loopback addresses that answer callers' statements as the test says, the proxies before them, and callers that read
 //! codes and texts.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +26,7 @@
 use fulmarlift_session::shell::Shell;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 use crate::support::{ClaimRows, Unavailable};
 
@@ -119,6 +120,8 @@
     Sends(&'static str),
     /// Closes the connection.
     Closes,
+    /// Sends nothing.
+    Rests,
 }
 
 /// A member.
@@ -128,6 +131,8 @@
     pub reaction: Cell<Reaction>,
     /// Text of the proxy's own commands to which the member reacts in another way.
     pub own: Cell<Option<(&'static str, Reaction)>>,
+    /// Time at which each statement of a caller has arrived.
+    pub arrivals: RefCell<Vec<Instant>>,
     pub connections: Cell<usize>,
 }
 
@@ -138,6 +143,7 @@
             address: listener.local_addr().expect("the listener is bound"),
             reaction: Cell::new(Reaction::Runs),
             own: Cell::new(None),
+            arrivals: RefCell::default(),
             connections: Cell::new(0),
         });
         let accepting = Rc::clone(&member);
@@ -177,10 +183,13 @@
                     let own = self.own.get().filter(|(start, _)| text.starts_with(start));
                     own.map_or(Reaction::Runs, |(_, reaction)| reaction)
                 }
-                _ => match word {
-                    "BEGIN" | "ROLLBACK" => Reaction::Runs,
-                    _ => self.reaction.get(),
-                },
+                _ => {
+                    self.arrivals.borrow_mut().push(Instant::now());
+                    match word {
+                        "BEGIN" | "ROLLBACK" => Reaction::Runs,
+                        _ => self.reaction.get(),
+                    }
+                }
             };
             let answer = match reaction {
                 Reaction::Runs => {
@@ -193,6 +202,7 @@
                 }
                 Reaction::Sends(bytes) => bytes.to_owned(),
                 Reaction::Closes => return,
+                Reaction::Rests => continue,
             };
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
@@ -311,6 +321,14 @@
         }
     }
 
+    /// Returns the times at which callers' statements have arrived at any member.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        let arrivals = self.members.iter().map(|member| member.arrivals.borrow());
+        let mut arrivals: Vec<Instant> = arrivals.flat_map(|arrivals| arrivals.clone()).collect();
+        arrivals.sort();
+        arrivals
+    }
+
     pub async fn connect(&self) -> Caller {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
         let address = listener.local_addr().expect("the listener is bound");
