--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -335,7 +335,11 @@
         let mut end = member::End::Ready;
         let mut size_bytes = 0;
         loop {
-            match self.codec.decode(&mut self.inbox)? {
+            let frame = self.codec.decode(&mut self.inbox)?;
+            if end != member::End::Ready && frame.as_ref().is_some_and(member::Frame::is_result) {
+                return Err(protocol::WireError::Malformed("message behind a result").into());
+            }
+            match frame {
                 Some(member::Frame::Row(row)) => {
                     size_bytes += row.len();
                     if size_bytes > ANSWER_BYTES_MAX {
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -185,6 +185,13 @@
     Closing,
 }
 
+impl Frame {
+    /// Returns whether the message is a row, a success or an error, none of which follows the latter two in an answer.
+    pub fn is_result(&self) -> bool {
+        matches!(self, Self::Row(_) | Self::Complete(_) | Self::Error(..))
+    }
+}
+
 /// Result of a command.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum End {
--- a/crates/session/tests/support/scripted.rs
+++ b/crates/session/tests/support/scripted.rs
@@ -103,6 +103,8 @@
     AnswersTwice,
     /// Runs the statement and sends these bytes behind the answer, in one write.
     SendsMore(&'static str),
+    /// Runs the statement and sends these bytes between the result and the state.
+    SendsBehindResult(&'static str),
     /// Runs the statement, then rolls the transaction back.
     EndsTransactionAfter,
     /// Runs the statement, then rolls the transaction back, and answers after the proxy's time-out.
@@ -277,7 +279,11 @@
             Open::By(..) => 'T',
             Open::Failed(_) => 'E',
         };
-        format!("{result}READY {state} 1.1\r\n")
+        let behind_result = match reaction {
+            Some(Reaction::SendsBehindResult(more)) => more,
+            _ => "",
+        };
+        format!("{result}{behind_result}READY {state} 1.1\r\n")
     }
 
     /// Runs a statement as the page says. `deviates` tells that the member itself has taken the statement out of its transaction.
--- a/crates/session/tests/support/scripted_system.rs
+++ b/crates/session/tests/support/scripted_system.rs
@@ -308,6 +308,10 @@
                 Some(Frame::Ready(state, _)) => return (Some((code, signature, state)), None),
                 Some(Frame::Complete(bytes)) => signature = Some(bytes),
                 Some(Frame::Error(error, _)) => code = Some(error),
+                // The member's rows are behind a result, where none may be.
+                Some(Frame::Row(row)) => {
+                    self.member.violate(format!("a caller got the row {row:?}"));
+                }
                 Some(_) => {}
                 None => match self.stream.read_buf(&mut self.inbox).await {
                     Ok(0) | Err(_) => return (None, code),
