--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -354,7 +354,14 @@
         loop {
             let head = logging::Head::of(&self.inbox);
             let decoded = self.codec.decode(&mut self.inbox);
-            match decoded.inspect_err(|error| self.log_malformed(error, &head, rows.len()))? {
+            let frame =
+                decoded.inspect_err(|error| self.log_malformed(error, &head, rows.len()))?;
+            if end != member::End::Ready && frame.as_ref().is_some_and(member::Frame::is_result) {
+                let error = protocol::WireError::Malformed("message behind a result");
+                self.log_malformed(&error, &head, rows.len());
+                return Err(error.into());
+            }
+            match frame {
                 Some(member::Frame::Row(row)) => {
                     size_bytes += row.len();
                     if size_bytes > ANSWER_BYTES_MAX {
