--- a/crates/session/tests/support/answering.rs
+++ b/crates/session/tests/support/answering.rs
@@ -151,6 +151,8 @@
             while let Ok((stream, _)) = listener.accept().await {
                 accepting.connections.set(accepting.connections.get() + 1);
                 let member = Rc::clone(&accepting);
+                // Answers must not wait for the acknowledgement of earlier ones.
+                stream.set_nodelay(true).expect("the connection is open");
                 tokio::task::spawn_local(async move { member.serve(stream).await });
             }
         });
