--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -43,6 +43,9 @@
     /// A command was not sent; the connection itself is usable.
     #[error(transparent)]
     Withheld(#[from] protocol::Withheld),
+    /// The other end refused a session value or a prepared statement; the connection itself is usable.
+    #[error("session values refused with {0:?}")]
+    Refused(protocol::Code),
     /// The command succeeded, and the transaction state after it is another one than it leads to.
     #[error("in state {told:?} in place of {expected:?}")]
     State {
--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -58,8 +58,8 @@
 ///
 /// # Errors
 ///
-/// [`link::LinkError::Withheld`] when a change must not be sent, which leaves the connection usable, and any other
-/// [`link::LinkError`] when it is unusable; the session's statement has not been sent.
+/// [`link::LinkError::Withheld`] when a change must not be sent and [`link::LinkError::Refused`] when one was refused, which leave the
+/// connection usable, and any other [`link::LinkError`] when it is unusable; the session's statement has not been sent.
 pub async fn synchronize<D: Deployment>(
     lease: &mut shell::Lease<D>,
     session_state: &values::SessionState,
@@ -85,14 +85,18 @@
         }
         sent += 1;
     }
+    let mut refused = None;
     for _ in 0..sent {
         let answer = upstream.exchange(deadline).await?;
-        if answer.error().is_some() {
-            log::warn!("event=synchronize_failed answer={answer:?}");
-            let error = crate::protocol::WireError::Malformed("session values refused");
-            return Err(error.into());
+        if let Some(code) = answer.error() {
+            refused.get_or_insert(code.clone());
         }
     }
+    if let Some(code) = refused {
+        upstream.connection_state().mark_uncertain();
+        lease.log_values_refused(&code);
+        return Err(link::LinkError::Refused(code));
+    }
     if let Err(reason) = pushed {
         upstream.connection_state().mark_uncertain();
         lease.log_withheld(&statement.id_text(), reason);
@@ -183,6 +187,9 @@
         }
         Err(error) => {
             lease.report_failure(&error, false);
+            if matches!(error, link::LinkError::Refused(_)) {
+                lease.give_back();
+            }
             return Outcome::NotRun(error.into());
         }
     }
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -133,6 +133,16 @@
         );
     }
 
+    /// Logs and counts a session value or prepared statement that the other end refused.
+    pub fn log_values_refused(&self, code: &protocol::Code) {
+        metrics::counter!("fulmarlift_session_values_refused_total").increment(1);
+        log::warn!(
+            "event=values_refused request={} member={} code={code:?}",
+            logging::request_text(&self.request),
+            self.shell.member_name(self.member),
+        );
+    }
+
     /// Logs and counts an answer whose transaction state is another one than the command leads to.
     pub fn log_state(
         &self,
@@ -199,6 +209,8 @@
                 event::Answer::Silent { commit }
             }
             link::LinkError::Broken(_) | link::LinkError::Wire(_) => event::Answer::Broken,
+            link::LinkError::Refused(protocol::Code::Busy) => event::Answer::Busy,
+            link::LinkError::Refused(_) => event::Answer::Failed,
             link::LinkError::Withheld(_) => event::Answer::Unfinished,
             link::LinkError::State { expected, told } => {
                 self.log_state(*expected, *told);
