--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -29,6 +29,9 @@
 /// Most attempts of one statement, hedges included: enough to try each member of a group of three twice.
 const ATTEMPTS_MAX: u32 = 6;
 
+/// Pause before a read whose answer was lost or malformed twice is sent again. Each further time doubles the pause.
+const REPEAT_PAUSE_MIN: Duration = Duration::from_millis(10);
+
 /// Arrival time, deadlines and hedge time of one statement.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -287,7 +290,12 @@
     avoid: Option<id::MemberId>,
     earlier: Option<Earlier>,
     hedge: bool,
+    starts_at: Instant,
 ) -> Result<(id::MemberId, attempt::Outcome), effect::Refusal> {
+    if starts_at > clock::now() {
+        let starts_at = starts_at.min(job.timing.deadline);
+        tokio::time::sleep_until(clock::tokio_deadline(starts_at)).await;
+    }
     let admission = request_connection(
         &job.shell,
         &job.route,
@@ -323,13 +331,14 @@
 async fn read<D: Deployment>(job: Rc<ReadJob<D>>) -> Result<member::Answer, Failure> {
     let (statement, timing) = (&job.statement, job.timing);
     let start_attempt =
-        |avoid, earlier, hedge| attempt_read(Rc::clone(&job), avoid, earlier, hedge);
+        |avoid, earlier, hedge, at| attempt_read(Rc::clone(&job), avoid, earlier, hedge, at);
     job.shell.earn_retry();
     let mut running = FuturesUnordered::new();
-    running.push(start_attempt(None, None, false));
+    running.push(start_attempt(None, None, false, timing.arrived_at));
     let mut attempts = 1;
     let mut hedge_decided = false;
     let mut was_sent = false;
+    let mut lost = 0;
     let mut last = None;
     let hedge_timer = tokio::time::sleep_until(clock::tokio_deadline(timing.hedge_at));
     tokio::pin!(hedge_timer);
@@ -340,11 +349,12 @@
                 hedge_decided = true;
                 // A read that still waits for a connection would only wait in the queue a second time.
                 if let Some(first) = job.current_member.get()
+                    && attempts < ATTEMPTS_MAX
                     && job.shell.spend_retry()
                 {
                     attempts += 1;
                     let earlier = Earlier::new(first, "reason=Hedge", "no answer yet");
-                    running.push(start_attempt(Some(first), Some(earlier), true));
+                    running.push(start_attempt(Some(first), Some(earlier), true, clock::now()));
                     metrics::counter!("fulmarlift_hedges_total").increment(1);
                 }
                 continue;
@@ -378,6 +388,7 @@
             }
             Some(Ok((member, attempt::Outcome::Lost(error)))) => {
                 was_sent = true;
+                lost += 1;
                 let earlier = Earlier::lost(member, &error);
                 earlier.log_failure(&job.shell, statement);
                 (Some(member), earlier)
@@ -392,7 +403,8 @@
         if attempts < ATTEMPTS_MAX && clock::now() < timing.deadline {
             attempts += 1;
             job.current_member.set(None);
-            running.push(start_attempt(avoid, Some(earlier), false));
+            let starts_at = clock::now() + repeat_pause(lost);
+            running.push(start_attempt(avoid, Some(earlier), false, starts_at));
         } else if running.is_empty() {
             break Err(exhausted_failure(timing.deadline, was_sent, attempts, last));
         }
@@ -404,6 +416,14 @@
     ended
 }
 
+/// Returns the pause before a read is repeated that has lost this many answers: none after the first, since another member may answer.
+fn repeat_pause(lost: u32) -> Duration {
+    match lost {
+        0 | 1 => Duration::ZERO,
+        _ => REPEAT_PAUSE_MIN * (1 << (lost - 2).min(ATTEMPTS_MAX)),
+    }
+}
+
 /// An attempt that another one repeats.
 #[derive(Clone, Debug)]
 pub(super) struct Earlier {
--- a/crates/session/tests/malformed.rs
+++ b/crates/session/tests/malformed.rs
@@ -283,6 +283,27 @@
     .await;
 }
 
+/// A member that answers malformed is not asked six times within milliseconds.
+#[rstest]
+#[case::malformed(BARE_LF)]
+#[case::broken(Reaction::Closes)]
+#[tokio::test]
+async fn read_without_answer_is_repeated_at_growing_pauses(#[case] reaction: Reaction) {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, false).await;
+        system.react(reaction);
+        system.connect().await.run("s1", "READ 2", READ).await;
+        let arrivals = system.arrivals();
+        assert_eq!(arrivals.len(), 6);
+        let pauses = arrivals.windows(2).map(|pair| pair[1] - pair[0]);
+        let pauses_ms: Vec<u128> = pauses.map(|pause| pause.as_millis()).collect();
+        for (pause_ms, at_least) in pauses_ms.iter().zip([0, 10, 20, 40, 80]) {
+            assert!(*pause_ms >= at_least, "{pauses_ms:?}");
+        }
+    })
+    .await;
+}
+
 #[rstest]
 #[case::read("READ 1", READ)]
 #[case::write("WRITE 1 x", WRITE)]
