--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -29,6 +29,7 @@
 //! - [`stop`]: ends the process if its graceful stop takes too long.
 //! - [`clock`] and [`logging`]: the clock and the log of the process.
 
+mod answer;
 pub mod clock;
 pub mod deployment;
 pub mod link;
--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
+use crate::answer;
 use crate::clock;
 use crate::outgoing;
 use crate::peer::greeting;
@@ -25,8 +26,6 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Unanswered keepalive probes after which the kernel closes a connection.
 const KEEPALIVE_RETRIES: u32 = 2;
-/// Most bytes of the rows of one answer; the proxy closes the connection on a longer one. Usual answers are a few KB.
-const ANSWER_BYTES_MAX: usize = 4 << 20;
 /// Most bytes without a command that are read to find out whether the other end has closed the connection.
 const UNSOLICITED_BYTES_MAX: usize = 4_096;
 
@@ -331,42 +330,19 @@
     }
 
     async fn read_answer(&mut self) -> Result<member::Answer, LinkError> {
-        let mut rows = Vec::new();
-        let mut end = member::End::Ready;
-        let mut size_bytes = 0;
+        let mut builder = answer::Builder::default();
         loop {
             match self.codec.decode(&mut self.inbox)? {
-                Some(member::Frame::Row(row)) => {
-                    size_bytes += row.len();
-                    if size_bytes > ANSWER_BYTES_MAX {
-                        let limit_bytes = ANSWER_BYTES_MAX;
-                        return Err(protocol::WireError::TooLarge { limit_bytes }.into());
-                    }
-                    rows.push(row);
-                }
-                Some(member::Frame::Complete(signature)) => end = member::End::Complete(signature),
-                Some(member::Frame::Error(code, text)) => {
-                    if ends_connection(&code) {
-                        return Ok(error_answer(code, text));
+                Some(member::Frame::Closing) => self.closing = true,
+                Some(frame) => {
+                    if let Some(answer) = builder.add(frame)? {
+                        return Ok(answer);
                     }
-                    end = member::End::Error(code, text);
                 }
-                Some(member::Frame::Ready(state, point)) => {
-                    return Ok(member::Answer {
-                        rows,
-                        end,
-                        state,
-                        point,
-                    });
-                }
-                Some(member::Frame::Closing) => self.closing = true,
                 None => {
                     if self.stream.read_buf(&mut self.inbox).await? == 0 {
-                        return match end {
-                            // A member that refuses a connection closes it after the error.
-                            member::End::Error(code, text) => Ok(error_answer(code, text)),
-                            _ => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
-                        };
+                        let closed = || io::Error::from(io::ErrorKind::UnexpectedEof).into();
+                        return builder.close().ok_or_else(closed);
                     }
                 }
             }
@@ -400,22 +376,6 @@
     }
 }
 
-/// Returns whether the member closes the connection after this error, without a ready message.
-fn ends_connection(code: &protocol::Code) -> bool {
-    matches!(code, protocol::Code::Misrouted | protocol::Code::TooMany)
-}
-
-/// Returns the answer for an error after which the member closes the connection. Its state is not
-/// [`protocol::TransactionState::Idle`], so that the connection is not used again.
-fn error_answer(code: protocol::Code, text: Box<str>) -> member::Answer {
-    member::Answer {
-        rows: Vec::new(),
-        end: member::End::Error(code, text),
-        state: crate::protocol::TransactionState::Failed,
-        point: None,
-    }
-}
-
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
--- a/crates/session/src/peer/codec.rs
+++ b/crates/session/src/peer/codec.rs
@@ -98,7 +98,7 @@
         Ok(frame::decode(inbox)?.map(|response| match response {
             frame::Response::Row(row) => member::Frame::Row(row),
             frame::Response::Complete(signature) => member::Frame::Complete(signature),
-            frame::Response::Done => member::Frame::Complete(Bytes::from_static(b"-")),
+            frame::Response::Done => member::Frame::Complete(Bytes::from_static(member::UNSIGNED)),
             frame::Response::Error(code, text) => member::Frame::Error(code, text),
             frame::Response::Ready(state, point) => member::Frame::Ready(state, point),
             frame::Response::Closing => member::Frame::Closing,
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -185,6 +185,15 @@
     Closing,
 }
 
+/// Signature of an answer that no member has signed.
+pub const UNSIGNED: &[u8] = b"-";
+
+/// Returns whether the bytes are a member's signature.
+pub fn is_signature(bytes: &[u8]) -> bool {
+    let trimmed = bytes.trim_ascii();
+    !trimmed.is_empty() && trimmed != UNSIGNED
+}
+
 /// Result of a command.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum End {
--- a/crates/session/src/steps.rs
+++ b/crates/session/src/steps.rs
@@ -14,6 +14,8 @@
     Begins,
     Commits,
     RollsBack,
+    /// Reads or writes data, of which the answer needs a signature.
+    Runs,
     Keeps,
 }
 
@@ -23,11 +25,12 @@
             member::Command::Startup { .. } => Self::Opens,
             member::Command::Begin => Self::Begins,
             member::Command::Rollback => Self::RollsBack,
+            member::Command::Execute { .. } => Self::Runs,
             member::Command::Run { verb, .. } => match verb {
                 member::Verb::Begin(_) => Self::Begins,
                 member::Verb::Commit => Self::Commits,
                 member::Verb::Rollback => Self::RollsBack,
-                member::Verb::Run(_) => Self::Keeps,
+                member::Verb::Run(_) => Self::Runs,
             },
             _ => Self::Keeps,
         }
@@ -38,7 +41,7 @@
         match self {
             Self::Begins => TransactionState::Transaction,
             Self::Commits | Self::RollsBack => TransactionState::Idle,
-            Self::Opens | Self::Keeps => state,
+            Self::Opens | Self::Runs | Self::Keeps => state,
         }
     }
 }
@@ -72,7 +75,7 @@
     ///
     /// [`LinkError::State`](link::LinkError::State) if the command has succeeded and its answer tells another state than it leads to
     /// (after an error the other end may have kept, failed or ended the transaction), and
-    /// [`LinkError::Wire`](link::LinkError::Wire) if the answer lacks a result.
+    /// [`LinkError::Wire`](link::LinkError::Wire) if the answer lacks the result or the signature.
     pub fn answer(&mut self, answer: &member::Answer) -> Result<(), link::LinkError> {
         let step = self.unanswered.pop_front().unwrap_or(Step::Keeps);
         let (expected, told) = (step.state_after(self.state), answer.state);
@@ -83,10 +86,18 @@
         if expected != told {
             return Err(link::LinkError::State { expected, told });
         }
-        if answer.end == member::End::Ready && step != Step::Opens {
-            return Err(protocol::WireError::Malformed("answer without a result").into());
+        match (&answer.end, step) {
+            (member::End::Ready, Step::Opens) => Ok(()),
+            (member::End::Ready, _) => {
+                Err(protocol::WireError::Malformed("answer without a result").into())
+            }
+            (member::End::Complete(signature), Step::Runs | Step::Commits)
+                if !member::is_signature(signature) =>
+            {
+                Err(protocol::WireError::Malformed("answer without a signature").into())
+            }
+            _ => Ok(()),
         }
-        Ok(())
     }
 
     /// Returns the number of unanswered commands.
