--- a/crates/session/src/answer.rs
+++ b/crates/session/src/answer.rs
@@ -5,8 +5,11 @@
 use crate::protocol;
 use crate::protocol::member;
 
-/// Most bytes of the rows of one answer; the proxy closes the connection on a longer one. Usual answers are a few KB.
+/// Most bytes of one answer, with [`ROW_OVERHEAD_BYTES`] for each row; the proxy closes the connection on a longer one. Usual
+/// answers are a few KB.
 const ANSWER_BYTES_MAX: usize = 4 << 20;
+/// Bytes that a row takes in memory beside its own.
+const ROW_OVERHEAD_BYTES: usize = 64;
 
 /// The messages of an answer that have arrived.
 #[derive(Debug, Default)]
@@ -29,15 +32,17 @@
         match frame {
             member::Frame::Row(row) => {
                 self.check_open("row behind a result")?;
-                self.count(row.len())?;
+                self.count(ROW_OVERHEAD_BYTES + row.len())?;
                 self.rows.push(row);
             }
             member::Frame::Complete(signature) => {
                 self.check_open("second result")?;
+                self.count(signature.len())?;
                 self.end = Some(member::End::Complete(signature));
             }
             member::Frame::Error(code, text) => {
                 self.check_open("second result")?;
+                self.count(text.len())?;
                 if ends_connection(&code) {
                     return Ok(Some(closing_answer(code, text)));
                 }
