--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -185,11 +185,13 @@
     Closing,
 }
 
-impl Frame {
-    /// Returns whether the message is a row, a success or an error, none of which follows the latter two in an answer.
-    pub fn is_result(&self) -> bool {
-        matches!(self, Self::Row(_) | Self::Complete(_) | Self::Error(..))
-    }
+/// Signature of an answer that no member has signed.
+pub const UNSIGNED: &[u8] = b"-";
+
+/// Returns whether the bytes are a member's signature.
+pub fn is_signature(bytes: &[u8]) -> bool {
+    let trimmed = bytes.trim_ascii();
+    !trimmed.is_empty() && trimmed != UNSIGNED
 }
 
 /// Result of a command.
