--- a/crates/proxy/src/caller/mod.rs
+++ b/crates/proxy/src/caller/mod.rs
@@ -11,7 +11,7 @@
 mod request_errors;
 mod requests;
 mod session;
-mod session_settings;
+pub mod session_settings;
 mod session_table;
 mod statements;
 
--- a/crates/proxy/src/caller/session_settings.rs
+++ b/crates/proxy/src/caller/session_settings.rs
@@ -1,7 +1,7 @@
 //! Settings that a session has made; the proxy applies them to each connection that the session uses, and remembers
 //! for each connection which settings are applied.
 
-use fulmarlift_wire::class;
+use fulmarlift_wire::{class, quote};
 
 /// Current and startup values of settings, sorted by name: those of a session, or the current values on a connection.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -83,7 +83,7 @@
             if applied.binary_search(entry).is_err() {
                 let (name, value) = entry;
                 // Unlike SET, set_config takes a list as one text.
-                let (name, value) = (quote_literal(name), quote_literal(value));
+                let (name, value) = (quote::literal(name), quote::literal(value));
                 sql.push_str(&format!("SELECT set_config({name}, {value}, false);"));
             }
         }
@@ -101,7 +101,3 @@
     let quoted = parts.map(|part| format!("\"{}\"", part.replace('"', "\"\"")));
     quoted.collect::<Vec<_>>().join(".")
 }
-
-fn quote_literal(value: &str) -> String {
-    format!("'{}'", value.replace('\'', "''"))
-}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`backend`]: connections from the proxy to database members.
 //! - [`member`]: calls of a database member's control functions.
 //! - [`parameter`]: run-time parameters as sorted name and value pairs.
+//! - [`quote`]: quotes texts for SQL.
 //! - [`class`]: classifies SQL statements as reads, writes, transaction control and session commands.
 //! - [`statement`]: names of prepared statements on connections to databases.
 //! - [`answer`]: errors and notices that the proxy itself creates.
@@ -32,6 +33,7 @@
 pub mod handshake;
 pub mod member;
 pub mod parameter;
+pub mod quote;
 pub mod scram;
 pub mod statement;
 pub mod stream;
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::backend::{self, Connection, Error, Table};
+use crate::quote;
 
 /// Term of a group's primary. Each promotion starts a higher term.
 pub type Term = u64;
@@ -81,7 +82,7 @@
 ) -> Result<Status, Error> {
     let sql = format!(
         "SELECT * FROM group_fence({term}, {})",
-        quote_literal(claimant)
+        quote::literal(claimant)
     );
     call_function(connection, &sql, deadline).await
 }
@@ -95,7 +96,7 @@
 ) -> Result<Status, Error> {
     let sql = format!(
         "SELECT * FROM group_promote({term}, {})",
-        quote_literal(claimant)
+        quote::literal(claimant)
     );
     call_function(connection, &sql, deadline).await
 }
@@ -109,15 +110,6 @@
     parse_status(&table)
 }
 
-/// Quotes a text as an SQL literal that has the same value whether `standard_conforming_strings` is on or off.
-fn quote_literal(text: &str) -> String {
-    let quoted = text.replace('\'', "''");
-    if text.contains('\\') {
-        return format!("E'{}'", quoted.replace('\\', "\\\\"));
-    }
-    format!("'{quoted}'")
-}
-
 fn parse_status(table: &Table) -> Result<Status, Error> {
     Ok(Status {
         term: required_number(table, "term")?,
