--- a/crates/fulmarlift/tests/protocol_session.rs
+++ b/crates/fulmarlift/tests/protocol_session.rs
@@ -14,7 +14,7 @@
 use tokio_postgres::NoTls;
 
 /// Statements that the proxy does not support.
-const REFUSED: [&str; 12] = [
+const REFUSED: [&str; 14] = [
     "LISTEN channel",
     "CREATE TEMPORARY TABLE t (id BIGINT)",
     "SELECT pg_advisory_lock(1)",
@@ -27,6 +27,8 @@
     "SET a.b = 1; ROLLBACK; SET a.c = 1",
     "SET fulmarlift.read_class = 'x'; SELECT 1",
     "SET fulmarlift.request_id = 'r1'",
+    "SET standard_conforming_strings = off",
+    "SET NAMES 'SJIS'",
 ];
 
 #[tokio::test]
@@ -49,6 +51,19 @@
     }
 }
 
+#[rstest]
+#[case::strings("options='-c standard_conforming_strings=off'")]
+#[case::strings_by_word("options='--Standard-Conforming-Strings=no'")]
+#[tokio::test]
+async fn setting_that_changes_syntax_is_refused_at_startup(#[case] options: &str) {
+    let system = System::start(1).await;
+    let address = system.proxy_addresses[0];
+    let settings = format!("user=courier dbname=ledger {options}");
+    let refused = callers::connect(address, &settings).await;
+    let code = refused.map_err(|error| error_code(&error)).err();
+    assert_eq!(code.as_deref(), Some("0A000"));
+}
+
 #[tokio::test]
 async fn settings_follow_their_session() {
     let system = System::start(1).await;
--- a/crates/proxy/src/caller/session.rs
+++ b/crates/proxy/src/caller/session.rs
@@ -155,6 +155,12 @@
         pid: i32,
     ) -> Result<(), Error> {
         for (name, value) in parameters {
+            if class::changes_syntax(name, value) {
+                let reason = class::PinReason::Syntax;
+                let answer = answer::Answer::unsupported(reason.feature(), reason.hint());
+                self.caller.send(&answer.fatal().frame()).await?;
+                return Err(Error::Closed);
+            }
             if !proxy_answers::ProxySettings::is_proxy_setting(name) {
                 self.session_settings.set(name, value);
             } else if let Err(answer) = self.set_proxy_setting(name, value) {
--- a/crates/wire/src/class/functions.rs
+++ b/crates/wire/src/class/functions.rs
@@ -4,7 +4,7 @@
     Expr, Function, FunctionArg, FunctionArgExpr, FunctionArguments, ObjectName, Value,
 };
 
-use crate::class::{PinReason, visit};
+use crate::class::{PinReason, settings, visit};
 
 /// Schema of PostgreSQL's built-in functions.
 const SYSTEM_SCHEMA: &str = "pg_catalog";
@@ -49,6 +49,9 @@
 /// if it sets the parameter for the current transaction only.
 pub(super) fn call_effect(call: &Function) -> CallEffect {
     match effect_by_name(&call.name) {
+        CallEffect::Pin(PinReason::SetConfig) if call_changes_syntax(&call.args) => {
+            CallEffect::Pin(PinReason::Syntax)
+        }
         CallEffect::Pin(PinReason::SetConfig) if is_local(&call.args) => CallEffect::Write,
         other => other,
     }
@@ -56,14 +59,28 @@
 
 /// Returns whether the third argument, `is_local` of `set_config`, is the literal `true`.
 fn is_local(arguments: &FunctionArguments) -> bool {
+    literal_argument(arguments, 2) == Some(&Value::Boolean(true))
+}
+
+/// Returns whether a call of `set_config` may change how the database reads SQL. A value that is no literal may be any.
+fn call_changes_syntax(arguments: &FunctionArguments) -> bool {
+    let text =
+        |index| literal_argument(arguments, index).and_then(|value| value.clone().into_string());
+    text(0).is_some_and(|name| match text(1) {
+        Some(value) => settings::changes_syntax(&name, &value),
+        None => settings::SYNTAX_PARAMETERS.contains(&name.to_ascii_lowercase().as_str()),
+    })
+}
+
+/// Returns an argument that is a literal.
+fn literal_argument(arguments: &FunctionArguments, index: usize) -> Option<&Value> {
     let FunctionArguments::List(list) = arguments else {
-        return false;
-    };
-    let Some(FunctionArg::Unnamed(FunctionArgExpr::Expr(Expr::Value(value)))) = list.args.get(2)
-    else {
-        return false;
+        return None;
     };
-    value.value == Value::Boolean(true)
+    match list.args.get(index)? {
+        FunctionArg::Unnamed(FunctionArgExpr::Expr(Expr::Value(value))) => Some(&value.value),
+        _ => None,
+    }
 }
 
 /// Functions that depend on the state of the session or change it, and control functions of members, sorted by name.
--- a/crates/wire/src/class/mod.rs
+++ b/crates/wire/src/class/mod.rs
@@ -16,6 +16,7 @@
 
 pub use cache::Cache;
 pub use classify::{MAX_SQL_BYTES, classify};
+pub use settings::changes_syntax;
 
 /// A classified statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -144,6 +145,8 @@
     CommitAndChain,
     /// A control function of a group's members, which callers must not run.
     GroupControl,
+    /// A setting with which the database reads statements otherwise than the proxy, see [`changes_syntax`].
+    Syntax,
 }
 
 impl PinReason {
@@ -159,6 +162,7 @@
             PinReason::SessionState => "a change of the session's authorization",
             PinReason::CommitAndChain => "COMMIT AND CHAIN",
             PinReason::GroupControl => "a control function of the database group",
+            PinReason::Syntax => "a setting that changes how SQL is read",
         }
     }
 
@@ -174,6 +178,9 @@
             PinReason::SessionState => "Log in as the user that is needed.",
             PinReason::CommitAndChain => "Send COMMIT, and then BEGIN.",
             PinReason::GroupControl => "The proxy runs these functions itself.",
+            PinReason::Syntax => {
+                "Keep standard_conforming_strings on, and use an encoding such as UTF8 or LATIN1."
+            }
         }
     }
 }
--- a/crates/wire/src/class/settings.rs
+++ b/crates/wire/src/class/settings.rs
@@ -15,6 +15,52 @@
     "temp_tablespaces",
 ];
 
+/// Parameters that decide how the database reads SQL.
+pub(super) const SYNTAX_PARAMETERS: &[&str] = &["client_encoding", "standard_conforming_strings"];
+
+/// Encodings of callers in which a byte of an ASCII character may be a part of another character, with their other names, sorted. Lower
+/// case, without the characters that the database ignores.
+const UNSAFE_ENCODINGS: &[&str] = &[
+    "big5",
+    "gb18030",
+    "gbk",
+    "johab",
+    "mskanji",
+    "shiftjis",
+    "shiftjis2004",
+    "sjis",
+    "uhc",
+    "win932",
+    "win936",
+    "win949",
+    "win950",
+    "windows932",
+    "windows936",
+    "windows949",
+    "windows950",
+];
+
+/// Returns whether a database with this setting may split a text into other strings and statements than the proxy, which reads it in UTF-8
+/// and by the SQL standard.
+pub fn changes_syntax(name: &str, value: &str) -> bool {
+    match name.to_ascii_lowercase().as_str() {
+        "standard_conforming_strings" => !is_on(value),
+        "client_encoding" => {
+            let significant = value.chars().filter(char::is_ascii_alphanumeric);
+            let encoding: String = significant.map(|c| c.to_ascii_lowercase()).collect();
+            UNSAFE_ENCODINGS.binary_search(&encoding.as_str()).is_ok()
+        }
+        _ => false,
+    }
+}
+
+/// Returns whether a Boolean parameter is on with this value; the words may be shortened.
+fn is_on(value: &str) -> bool {
+    let value = value.trim().to_ascii_lowercase();
+    let shortens = |word: &str| !value.is_empty() && word.starts_with(&value);
+    value == "on" || value == "1" || shortens("true") || shortens("yes")
+}
+
 /// Classifies all forms of SET.
 pub(super) fn classify_set(set: &Set) -> Statement {
     let kind = match set {
@@ -87,10 +133,17 @@
 }
 
 fn session_set_kind(name: &str, value: Box<str>) -> Kind {
+    set_kind(name, value, false)
+}
+
+fn set_kind(name: &str, value: Box<str>, local: bool) -> Kind {
+    if changes_syntax(name, &value) {
+        return Kind::Pin(PinReason::Syntax);
+    }
     Kind::Set {
         name: name.into(),
         value,
-        local: false,
+        local,
     }
 }
 
@@ -106,11 +159,7 @@
     if is_word(values, "DEFAULT") {
         return reset_kind(name, local);
     }
-    Kind::Set {
-        name: name.into(),
-        value: value_text(name, values),
-        local,
-    }
+    set_kind(name, value_text(name, values), local)
 }
 
 /// Returns the kind of a SET TIME ZONE. The values LOCAL and DEFAULT reset the time zone.
--- a/crates/wire/tests/class.rs
+++ b/crates/wire/tests/class.rs
@@ -122,6 +122,28 @@
     assert_eq!(classify_one(sql).kind, Kind::Pin(reason), "{sql}");
 }
 
+/// Guards against strings that the database reads otherwise than the proxy, so that they hide statements from it.
+#[rstest]
+#[case::off("SET standard_conforming_strings = off", true)]
+#[case::off_in_transaction("SET LOCAL Standard_Conforming_Strings TO 'False'", true)]
+#[case::off_by_function("SELECT set_config('standard_conforming_strings', 'off', true)", true)]
+#[case::off_by_parameter("SELECT set_config('standard_conforming_strings', $1, true)", true)]
+#[case::encoding("SET client_encoding = 'SJIS'", true)]
+#[case::encoding_alias("SET client_encoding TO 'windows-936'", true)]
+#[case::names("SET NAMES 'Big5'", true)]
+#[case::on("SET standard_conforming_strings = on", false)]
+#[case::on_by_number("SET standard_conforming_strings = 1", false)]
+#[case::on_by_prefix("SET standard_conforming_strings = 'TR'", false)]
+#[case::on_by_function("SELECT set_config('standard_conforming_strings', 'on', true)", false)]
+#[case::utf8("SET client_encoding = 'UTF8'", false)]
+#[case::latin1("SET NAMES 'LATIN1'", false)]
+#[case::reset("RESET standard_conforming_strings", false)]
+#[case::other("SET application_name = 'off'", false)]
+fn setting_that_changes_syntax_is_refused(#[case] sql: &str, #[case] expected: bool) {
+    let kind = classify_one(sql).kind;
+    assert_eq!(matches!(kind, Kind::Pin(_)), expected, "{sql}: {kind:?}");
+}
+
 #[rstest]
 #[case("BEGIN", Kind::Begin { read_only: false })]
 #[case("START TRANSACTION READ ONLY", Kind::Begin { read_only: true })]
