--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -312,6 +312,15 @@
         /// Whether the member answers.
         reachable: bool,
     },
+    /// A member or a home whose answers are malformed gets only reads that no other can serve, or is used again.
+    Avoided {
+        /// Member or home.
+        member: id::MemberId,
+        /// Instant until which it is avoided; `None` if it is used again.
+        until: Option<Instant>,
+        /// Number of malformed answers since its last usable one.
+        malformed_answers: u32,
+    },
     /// Requests wait for the lease of their leader, or do so no longer, or another member grants the lease.
     Lease {
         /// Group of the leader.
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -298,6 +298,8 @@
     Unfinished,
     /// The connection broke.
     Broken,
+    /// The member's answer does not follow the protocol, and its connection is closed.
+    Malformed,
     /// The member did not answer before the deadline.
     Silent {
         /// Whether the statement was a commit.
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -56,6 +56,13 @@
 /// other requests.
 const CONNECTION_SHARE_MIN: u32 = 2;
 
+/// Number of malformed answers, without a usable one in between, from which a member is avoided: fewer may be due to single rows.
+const MALFORMED_ANSWERS_MIN: u32 = 3;
+/// Time for which a member is first avoided. Each further malformed answer doubles the time.
+const AVOIDANCE_MIN: Duration = Duration::from_millis(500);
+/// Longest time for which a member is avoided, which bounds the time until it is used again after it has recovered.
+const AVOIDANCE_MAX: Duration = Duration::from_secs(8);
+
 /// State of a member or of another proxy that is a home, with the connections to it.
 #[derive(Clone, Debug)]
 pub struct MemberState {
@@ -122,6 +129,10 @@
     /// Number of this proxy's statements that may run at the member concurrently. It shrinks when the member reports that
     /// it is busy, and grows with each answered statement up to a maximum.
     pub allowance: f64,
+    /// Number of malformed answers since the last usable answer to a statement.
+    pub malformed_answers: u32,
+    /// Instant until which the member gets only reads that no other member can serve, since its answers are malformed.
+    pub avoided_until: Option<Instant>,
     /// Moving rate of statement errors, and the instant of the last one.
     error_rate: (f64, Option<Instant>),
     /// Number of proxies that use the member's slots and connections.
@@ -187,6 +198,8 @@
             opening_backoff_until: None,
             missing_point: None,
             allowance: ALLOWANCE_PER_SLOT * slots,
+            malformed_answers: 0,
+            avoided_until: None,
             error_rate: (0.0, None),
             sharers: 1,
             connection_share: u32::MAX,
@@ -381,6 +394,35 @@
         self.error_rate = (rate + ERROR_WEIGHT * (1.0 - rate), Some(now));
     }
 
+    /// Records that an answer was malformed, and avoids the member after several. Returns whether that begins now.
+    pub fn record_malformed_answer(&mut self, now: Instant) -> bool {
+        self.record_statement_error(now);
+        self.malformed_answers = self.malformed_answers.saturating_add(1);
+        let Some(doublings) = self.malformed_answers.checked_sub(MALFORMED_ANSWERS_MIN) else {
+            return false;
+        };
+        let avoidance = AVOIDANCE_MIN * (1 << doublings.min(4));
+        let until = Some(now + avoidance.min(AVOIDANCE_MAX));
+        let begins = self.avoided_until.is_none();
+        self.avoided_until = self.avoided_until.max(until);
+        begins
+    }
+
+    /// Records a usable answer to a statement. Returns whether the member was avoided until now.
+    pub fn record_usable_answer(&mut self) -> bool {
+        self.malformed_answers = 0;
+        self.avoided_until.take().is_some()
+    }
+
+    /// Ends the time for which the member is avoided if it is over, and returns whether it is. The next malformed answer begins a longer one.
+    pub fn end_avoidance(&mut self, now: Instant) -> bool {
+        let is_over = self.avoided_until.is_some_and(|until| until <= now);
+        if is_over {
+            self.avoided_until = None;
+        }
+        is_over
+    }
+
     /// Returns the share of statements that are expected to fail at the member.
     pub fn expected_error_rate(&self, now: Instant) -> f64 {
         let (rate, Some(at)) = self.error_rate else {
--- a/crates/broker/src/place.rs
+++ b/crates/broker/src/place.rs
@@ -23,6 +23,10 @@
 /// costs together, so that a request goes to a suspect member only if no other can serve the request. Meanwhile the broker
 /// tries to reconnect to the suspect member independently of requests.
 const SUSPECT_COST_MS: f64 = 2_000.0;
+/// Added to the cost of a member whose answers are malformed, in ms: more than that of a member which only the request avoids.
+const MALFORMED_COST_MS: f64 = 600.0;
+/// Added to the cost of such a member for each ms until it is used again, so that of several the one is tried that has failed least.
+const MALFORMED_COST_PER_MS: f64 = 0.05;
 /// Cost of a statement that fails, in ms: the caller's delay before it tries again, and another attempt.
 const ERROR_COST_MS: f64 = 400.0;
 /// Added to the cost of a replica that has not yet been seen at the required point, in ms: a second attempt is likely.
@@ -67,6 +71,10 @@
     if member.is_suspect() {
         cost += SUSPECT_COST_MS;
     }
+    if let Some(until) = member.avoided_until {
+        let remaining = until.saturating_duration_since(input.now);
+        cost += MALFORMED_COST_MS + MALFORMED_COST_PER_MS * remaining.as_secs_f64() * 1_000.0;
+    }
     if input.avoided {
         cost += AVOIDED_COST_MS;
     }
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -200,6 +200,14 @@
                     self.close_all_idle(member, effects);
                 }
             }
+            event::Answer::Malformed => {
+                if state.record_malformed_answer(now) {
+                    effects.push(avoidance(state, true));
+                }
+                if is_home {
+                    self.close_all_idle(member, effects);
+                }
+            }
             event::Answer::Silent { .. } if report.took.is_some_and(|took| took < SILENCE_MIN) => {}
             // The home has answered another statement meanwhile, so the home is reachable, and the unanswered statement
             // waits there for a member.
@@ -234,6 +242,10 @@
             event::Answer::Served | event::Answer::Led { .. } => {
                 state.record_answer(now, report.took);
                 state.record_point(report.point);
+                // A leader shows that it leads by commands of the proxy, too.
+                if report.answer == event::Answer::Served && state.record_usable_answer() {
+                    effects.push(avoidance(state, false));
+                }
                 if was_suspect {
                     self.record_home_recovery(now, member, effects);
                 }
@@ -328,6 +340,15 @@
     }
 }
 
+/// Returns the effect that logs whether a member is avoided, since its answers are malformed.
+pub(super) fn avoidance(state: &member_state::MemberState, begins: bool) -> effect::Effect {
+    effect::Effect::RecordChange(effect::StateChange::Avoided {
+        member: state.entry.id,
+        until: state.avoided_until.filter(|_| begins),
+        malformed_answers: state.malformed_answers,
+    })
+}
+
 /// Returns the effect that logs the recovery of a suspect member or home.
 fn reachable_again(member: id::MemberId) -> effect::Effect {
     let reachable = true;
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -7,6 +7,7 @@
 use crate::effect;
 use crate::event;
 use crate::state;
+use crate::state::conns;
 use crate::state::directory;
 
 /// Time after the last request that this proxy did not forward from which a group counts as idle.
@@ -48,6 +49,18 @@
             self.follow_choices(now, group_id, effects);
         }
         self.close_timed_out(now, effects);
+        self.end_avoidances(now, effects);
+    }
+
+    fn end_avoidances(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
+        for (_, group) in self.groups.iter_mut() {
+            let members = group.members.iter_mut().chain(group.homes.iter_mut());
+            for (_, state) in members {
+                if state.end_avoidance(now) {
+                    effects.push(conns::avoidance(state, false));
+                }
+            }
+        }
     }
 
     /// Drops the members that count as gone and have not answered. A member that is only cut off from the directory goes on
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -208,7 +208,8 @@
             link::LinkError::Broken(error) if error.kind() == std::io::ErrorKind::TimedOut => {
                 event::Answer::Silent { commit }
             }
-            link::LinkError::Broken(_) | link::LinkError::Wire(_) => event::Answer::Broken,
+            link::LinkError::Broken(_) => event::Answer::Broken,
+            link::LinkError::Wire(_) => event::Answer::Malformed,
             link::LinkError::Refused(protocol::Code::Busy) => event::Answer::Busy,
             link::LinkError::Refused(_) => event::Answer::Failed,
             link::LinkError::Withheld(_) => event::Answer::Unfinished,
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -133,6 +133,22 @@
             let name = member_name(broker, member);
             log::info!("event=member_reachable member={name} reachable={reachable}");
         }
+        effect::StateChange::Avoided {
+            member,
+            until,
+            malformed_answers,
+        } => {
+            let name = member_name(broker, member);
+            let avoided = until.is_some();
+            if avoided {
+                metrics::counter!("fulmarlift_members_avoided_total").increment(1);
+            }
+            let remaining = until.map(|until| until.saturating_duration_since(clock::now()));
+            let for_ms = remaining.unwrap_or_default().as_millis();
+            log::warn!(
+                "event=member_avoided member={name} avoided={avoided} malformed_answers={malformed_answers} for_ms={for_ms}"
+            );
+        }
         effect::StateChange::Lease {
             group,
             term,
