--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -35,6 +35,10 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a new session waits for the proxy's first configuration: callers give up after 2 s.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without progress after which a client that does not read its answers is disconnected.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time within which a client must have read an answer, although it makes progress.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval at which a new session checks for the first configuration.
 const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -62,6 +66,9 @@
     /// The proxy has no configuration yet.
     #[error("no configuration yet, retry after 500 ms")]
     NoConfiguration,
+    /// The client did not read its answers.
+    #[error("answers not read")]
+    Unread,
     /// The proxy closed the session for its graceful stop.
     #[error("closed for the stop")]
     Stopping,
@@ -223,7 +230,7 @@
                 .await;
         }
         self.reply(caller::Reply::Ready(protocol::TransactionState::Idle, None));
-        Ok(self.flush().await?)
+        self.flush().await
     }
 
     /// Checks the greeting of a proxy before any of its messages is decoded. The answer is sent together with that to the startup
@@ -309,8 +316,45 @@
         self.codec.encode(reply, &mut self.outbox);
     }
 
-    async fn flush(&mut self) -> io::Result<()> {
-        self.stream.write_all_buf(&mut self.outbox).await
+    /// Sends the replies. A client that does not read them is disconnected after a time, and sooner during a graceful stop or if
+    /// its transaction holds a connection.
+    async fn flush(&mut self) -> Result<(), SessionEnd> {
+        let delivery_deadline = clock::now() + DELIVERY_TIMEOUT;
+        while !self.outbox.is_empty() {
+            let unread_deadline = self.unread_deadline();
+            let deadline = delivery_deadline.min(unread_deadline);
+            let stopping = self.stopping.borrow().is_some();
+            tokio::select! {
+                biased;
+                written = self.stream.write_buf(&mut self.outbox) => if written? == 0 {
+                    return Err(io::Error::from(io::ErrorKind::WriteZero).into());
+                },
+                () = tokio::time::sleep_until(clock::tokio_deadline(deadline)) => {
+                    metrics::counter!("fulmarlift_unread_sessions_total").increment(1);
+                    log::info!(
+                        "event=session_ended database={} reason=Unread left_bytes={}",
+                        self.database_field(),
+                        self.outbox.len()
+                    );
+                    return Err(SessionEnd::Unread);
+                }
+                _ = self.stopping.changed(), if !stopping => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the time until which the client must read more of its answers.
+    fn unread_deadline(&self) -> Instant {
+        let now = clock::now();
+        let transaction_idle = self.transaction_idle_timeout();
+        let deadline =
+            now + transaction_idle.map_or(UNREAD_TIMEOUT, |idle| idle.min(UNREAD_TIMEOUT));
+        let stop_deadline = self
+            .stopping
+            .borrow()
+            .map(|stop| stop + self.grace.statement_timeout);
+        stop_deadline.map_or(deadline, |stop| stop.min(deadline))
     }
 
     /// Returns the caller's next message. Enforces the idle limits while it waits.
@@ -341,7 +385,7 @@
 
     /// Tells a peer that this proxy stops. The peer closes the connection, and until then gets answers to what it sent before
     /// it knew.
-    async fn announce_stop(&mut self) -> io::Result<()> {
+    async fn announce_stop(&mut self) -> Result<(), SessionEnd> {
         if !self.is_forwarded() || self.stop_announced || self.stopping.borrow().is_none() {
             return Ok(());
         }
@@ -384,17 +428,22 @@
             let offset_ms = self.close_offset_seed % spread_ms.max(1);
             stop + self.grace.idle_delay + Duration::from_millis(offset_ms)
         });
+        let transaction_idle = self.transaction_idle_timeout();
+        let transaction_deadline = transaction_idle.map(|timeout| self.idle_since + timeout);
+        match (stop_deadline, transaction_deadline) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
+    /// Returns the time for which the transaction may hold its connection without a statement; none for no limit.
+    fn transaction_idle_timeout(&self) -> Option<Duration> {
         let transaction_idle_ms = self
             .shell
             .with_broker(|broker| broker.topology().transaction_idle_ms);
         // A limit of 0 ms means none.
         let is_limited = self.transaction.holds_connection() && transaction_idle_ms > 0;
-        let transaction_deadline = is_limited
-            .then(|| self.idle_since + Duration::from_millis(u64::from(transaction_idle_ms)));
-        match (stop_deadline, transaction_deadline) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
+        is_limited.then(|| Duration::from_millis(u64::from(transaction_idle_ms)))
     }
 
     /// Enforces the idle deadline: rolls back the idle transaction, if there is one, which frees its connection; during a
