--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod deployment;
 pub mod link;
 pub mod logging;
+mod newcomers;
 pub mod outgoing;
 pub mod peer;
 pub mod protocol;
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -57,6 +57,9 @@
     /// The caller sent no startup message in time.
     #[error("no startup message in time")]
     Startup,
+    /// Too many newer connections have no startup message either.
+    #[error("displaced by newer connections")]
+    Displaced,
     /// The database of the startup message does not exist.
     #[error("no such database")]
     NoDatabase,
@@ -194,13 +197,30 @@
         }
     }
 
-    async fn start_session(&mut self) -> Result<(), SessionEnd> {
+    /// Waits for the first message. The connection is closed if it takes too long, or in favour of newer ones.
+    async fn first_message(&mut self) -> Result<caller::Message, SessionEnd> {
+        let newcomer = self.shell.add_newcomer();
+        tokio::select! {
+            biased;
+            first = self.greeting_and_first_message() => first,
+            () = newcomer.displaced() => {
+                metrics::counter!("fulmarlift_connections_displaced_total").increment(1);
+                Err(SessionEnd::Displaced)
+            }
+        }
+    }
+
+    async fn greeting_and_first_message(&mut self) -> Result<caller::Message, SessionEnd> {
         if self.is_forwarded() {
             let greeted = tokio::time::timeout(STARTUP_TIMEOUT, self.accept_greeting()).await;
             greeted.map_err(|_| SessionEnd::Startup)??;
         }
         let first = tokio::time::timeout(STARTUP_TIMEOUT, self.next_message()).await;
-        match first.map_err(|_| SessionEnd::Startup)?? {
+        first.map_err(|_| SessionEnd::Startup)?
+    }
+
+    async fn start_session(&mut self) -> Result<(), SessionEnd> {
+        match self.first_message().await? {
             caller::Message::Startup { database } => self.database = database,
             caller::Message::Terminate => return Err(SessionEnd::Closed),
             caller::Message::Query(_) => {
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -31,6 +31,7 @@
 
 use crate::clock;
 use crate::deployment::Deployment;
+use crate::newcomers;
 use crate::transfer;
 
 pub use crate::shell::lease::Lease;
@@ -118,6 +119,7 @@
     /// Time at which the graceful stop started.
     stopping: watch::Sender<Option<Instant>>,
     sessions: Cell<usize>,
+    newcomers: Rc<newcomers::Newcomers>,
     /// Number of other proxies in the last log line that told it.
     logged_peers: Cell<usize>,
     refusal_log: refusals::RefusalLog,
@@ -166,6 +168,7 @@
             store_retry_permit: Mutex::new(()),
             stopping: watch::Sender::new(None),
             sessions: Cell::new(0),
+            newcomers: Rc::default(),
             logged_peers: Cell::new(0),
             refusal_log: refusals::RefusalLog::default(),
         })
@@ -373,6 +376,11 @@
         self.sessions.get()
     }
 
+    /// Adds a connection on which no startup message has arrived yet.
+    pub(crate) fn add_newcomer(&self) -> newcomers::Newcomer {
+        self.newcomers.add()
+    }
+
     /// Counts a session that has started, or one that has ended.
     pub(crate) fn count_session(&self, started: bool) {
         let sessions = self.sessions.get();
