--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -566,6 +566,16 @@
             caller::Statement::Invalid => {
                 self.answer_error(&protocol::Code::Malformed, "unknown statement")
             }
+            caller::Statement::Set { name, value }
+                if !self.session_state.has_room_for_value(name, value.len()) =>
+            {
+                self.refuse_session_state();
+            }
+            caller::Statement::Prepare { name, shape, .. }
+                if !self.session_state.has_room_for_prepared(name, shape.len()) =>
+            {
+                self.refuse_session_state();
+            }
             caller::Statement::Set { name, value } => {
                 Rc::make_mut(&mut self.session_state).set(name, value.clone());
                 self.transaction.mark_state_uncertain();
@@ -654,6 +664,16 @@
         }
     }
 
+    fn refuse_session_state(&mut self) {
+        metrics::counter!("fulmarlift_session_states_full_total").increment(1);
+        log::info!(
+            "event=session_state_full database={}",
+            self.database_field()
+        );
+        let text = "too many session values and prepared statements";
+        self.answer_error(&protocol::Code::TooLarge, text);
+    }
+
     fn answer_done(&mut self) {
         self.reply(caller::Reply::Done);
         self.reply_ready();
--- a/crates/session/src/values.rs
+++ b/crates/session/src/values.rs
@@ -12,6 +12,11 @@
 /// Most bytes of the shapes of a connection's prepared statements, unless a single one is longer.
 const SHAPE_BYTES_MAX: usize = 1 << 20;
 
+/// Most session values, and most prepared statements, of a session.
+const ENTRIES_MAX: usize = 1_024;
+/// Most bytes of the session values of a session, and of its prepared statements, unless a single one is longer.
+const ENTRIES_BYTES_MAX: usize = 256 << 10;
+
 /// Session values that a caller has set, and statements that it has prepared, by name.
 #[derive(Clone, Debug, Default)]
 pub struct SessionState {
@@ -25,6 +30,18 @@
         put(&mut self.values, name, value);
     }
 
+    /// Returns whether a session value of this size can be set within the limits of a session.
+    pub fn has_room_for_value(&self, name: &str, value_bytes: usize) -> bool {
+        has_room(&self.values, name, value_bytes, Bytes::len)
+    }
+
+    /// Returns whether a statement with a shape of this size can be prepared within the limits of a session.
+    pub fn has_room_for_prepared(&self, name: &str, shape_bytes: usize) -> bool {
+        has_room(&self.prepared, name, shape_bytes, |prepared| {
+            prepared.shape.len()
+        })
+    }
+
     /// Returns the session values, sorted by name.
     pub fn values(&self) -> &[(Box<str>, Bytes)] {
         &self.values
@@ -232,6 +249,20 @@
     }
 }
 
+/// Returns whether an entry can be added, in place of one of the same name.
+fn has_room<V>(
+    entries: &[(Box<str>, V)],
+    name: &str,
+    added_bytes: usize,
+    size_bytes: impl Fn(&V) -> usize,
+) -> bool {
+    let kept = entries.iter().filter(|(other, _)| other.as_ref() != name);
+    let (kept, kept_bytes) = kept.fold((0, 0), |(kept, bytes), (other, value)| {
+        (kept + 1, bytes + other.len() + size_bytes(value))
+    });
+    kept == 0 || (kept < ENTRIES_MAX && kept_bytes + name.len() + added_bytes <= ENTRIES_BYTES_MAX)
+}
+
 fn find<V>(entries: &[(Box<str>, V)], name: &str) -> Result<usize, usize> {
     entries.binary_search_by(|(other, _)| other.as_ref().cmp(name))
 }
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -863,3 +863,42 @@
     })
     .await;
 }
+
+/// A session that sets values without an end keeps those that it has.
+#[rstest]
+#[case::many_values(1_100, 1)]
+#[case::long_values(40, 10_000)]
+#[tokio::test]
+async fn session_values_are_bounded(#[case] values: usize, #[case] value_bytes: usize) {
+    on_one_thread(async {
+        let member = Member::start().await;
+        let shell = shell_in("proxy-1", "a");
+        configure(&shell, &member, 0);
+        let mut caller = Caller::connect(&shell).await;
+        let value = Bytes::from(vec![b'x'; value_bytes]);
+        let mut refused = 0;
+        for number in 0..values {
+            let name = format!("n{number}");
+            let name = name.as_str();
+            let value = &value;
+            caller.send(Command::Set { name, value }).await;
+            let (frames, state) = caller.until_ready().await;
+            assert_eq!(state, TransactionState::Idle);
+            if let Some(code) = error_code(&frames) {
+                assert_eq!(code, &Code::TooLarge);
+                refused += 1;
+            }
+        }
+        assert!(refused > 0);
+        // One that is there can be replaced, and a reset makes room.
+        let (name, value) = ("n0", &Bytes::from_static(b"y"));
+        caller.send(Command::Set { name, value }).await;
+        assert_eq!(error_code(&caller.until_ready().await.0), None);
+        caller.send(Command::Reset).await;
+        caller.until_ready().await;
+        let name = "n";
+        caller.send(Command::Set { name, value }).await;
+        assert_eq!(error_code(&caller.until_ready().await.0), None);
+    })
+    .await;
+}
