--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -4,13 +4,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use fulmarlift_broker::event;
 use fulmarlift_core::id;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
+use crate::answer;
 use crate::clock;
+use crate::logging;
 use crate::outgoing;
 use crate::peer::greeting;
 use crate::protocol;
@@ -25,8 +27,6 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Unanswered keepalive probes after which the kernel closes a connection.
 const KEEPALIVE_RETRIES: u32 = 2;
-/// Most bytes of the rows of one answer; the proxy closes the connection on a longer one. Usual answers are a few KB.
-const ANSWER_BYTES_MAX: usize = 4 << 20;
 /// Most bytes without a command that are read to find out whether the other end has closed the connection.
 const UNSOLICITED_BYTES_MAX: usize = 4_096;
 
@@ -42,6 +42,9 @@
     /// A command was not sent; the connection itself is usable.
     #[error(transparent)]
     Withheld(#[from] protocol::Withheld),
+    /// The other end refused a session value or a prepared statement; the connection itself is usable.
+    #[error("session values refused with {0:?}")]
+    Refused(protocol::Code),
     /// The command succeeded, and the transaction state after it is another one than it leads to.
     #[error("in state {told:?} in place of {expected:?}")]
     State {
@@ -100,8 +103,16 @@
     closing: bool,
     /// Whether the other end has closed the connection.
     closed: bool,
+    /// Number of answers that have arrived.
+    answers: u64,
+    /// Instant at which commands were last sent.
+    sent_at: Instant,
     /// Member or home at the other end.
     pub member: id::MemberId,
+    /// Name of the member, or of the home's VM, for the log.
+    name: Box<str>,
+    /// Caller's id of the statement that the connection is used for, for the log; empty for the proxy's own commands.
+    pub request: Bytes,
     /// Instant at which the connection was opened.
     pub connected_at: Instant,
     /// Session values and prepared statements that the other end holds for this connection.
@@ -136,7 +147,7 @@
         member: (&str, id::MemberId),
         deadline: Instant,
     ) -> Result<Self, OpenError> {
-        let mut link = Self::connect(address, member.1, deadline).await?;
+        let mut link = Self::connect(address, member, deadline).await?;
         let startup = member::Command::Startup {
             group,
             member: member.0,
@@ -157,8 +168,8 @@
         asker: &str,
         deadline: Instant,
     ) -> Result<Self, OpenError> {
-        let (name, id) = home;
-        let mut link = Self::connect(address, id, deadline).await?;
+        let (name, _) = home;
+        let mut link = Self::connect(address, home, deadline).await?;
         let service = greeting::Service::Statements;
         greeting::Greeting::new(service, name, asker).encode(&mut link.outbox);
         let startup = member::Command::Startup {
@@ -182,7 +193,7 @@
 
     async fn connect(
         address: SocketAddr,
-        member: id::MemberId,
+        (name, member): (&str, id::MemberId),
         deadline: Instant,
     ) -> Result<Self, OpenError> {
         let connected =
@@ -198,7 +209,11 @@
             steps: steps::Steps::default(),
             closing: false,
             closed: false,
+            answers: 0,
+            sent_at: clock::now(),
             member,
+            name: name.into(),
+            request: Bytes::new(),
             connected_at: clock::now(),
             connection_state: values::ConnectionState::default(),
         })
@@ -320,63 +335,66 @@
     ///
     /// [`LinkError`] when the connection is unusable from now on.
     pub async fn exchange(&mut self, deadline: Instant) -> Result<member::Answer, LinkError> {
+        if !self.outbox.is_empty() {
+            self.sent_at = clock::now();
+        }
         let exchanged = async {
             self.stream.write_all_buf(&mut self.outbox).await?;
             self.read_answer().await
         };
         let answered = tokio::time::timeout_at(clock::tokio_deadline(deadline), exchanged).await;
         let answer = answered.map_err(|_| LinkError::Silent)??;
+        self.answers += 1;
         self.steps.answer(&answer)?;
         Ok(answer)
     }
 
     async fn read_answer(&mut self) -> Result<member::Answer, LinkError> {
-        let mut rows = Vec::new();
-        let mut end = member::End::Ready;
-        let mut size_bytes = 0;
+        let mut builder = answer::Builder::default();
         loop {
-            let frame = self.codec.decode(&mut self.inbox)?;
-            if end != member::End::Ready && frame.as_ref().is_some_and(member::Frame::is_result) {
-                return Err(protocol::WireError::Malformed("message behind a result").into());
-            }
-            match frame {
-                Some(member::Frame::Row(row)) => {
-                    size_bytes += row.len();
-                    if size_bytes > ANSWER_BYTES_MAX {
-                        let limit_bytes = ANSWER_BYTES_MAX;
-                        return Err(protocol::WireError::TooLarge { limit_bytes }.into());
-                    }
-                    rows.push(row);
-                }
-                Some(member::Frame::Complete(signature)) => end = member::End::Complete(signature),
-                Some(member::Frame::Error(code, text)) => {
-                    if ends_connection(&code) {
-                        return Ok(error_answer(code, text));
+            let head = logging::Head::of(&self.inbox);
+            let decoded = self.codec.decode(&mut self.inbox);
+            let rows = builder.rows();
+            match decoded.inspect_err(|error| self.log_malformed(error, &head, rows))? {
+                Some(member::Frame::Closing) => self.closing = true,
+                Some(frame) => {
+                    let added = builder.add(frame);
+                    let added = added.inspect_err(|error| self.log_malformed(error, &head, rows));
+                    if let Some(answer) = added? {
+                        return Ok(answer);
                     }
-                    end = member::End::Error(code, text);
                 }
-                Some(member::Frame::Ready(state, point)) => {
-                    return Ok(member::Answer {
-                        rows,
-                        end,
-                        state,
-                        point,
-                    });
-                }
-                Some(member::Frame::Closing) => self.closing = true,
                 None => {
                     if self.stream.read_buf(&mut self.inbox).await? == 0 {
-                        return match end {
-                            // A member that refuses a connection closes it after the error.
-                            member::End::Error(code, text) => Ok(error_answer(code, text)),
-                            _ => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
-                        };
+                        let closed = || io::Error::from(io::ErrorKind::UnexpectedEof).into();
+                        return builder.close().ok_or_else(closed);
                     }
                 }
             }
         }
     }
 
+    /// Logs and counts a message that cannot be decoded. `rows` is the number of rows of its answer before it.
+    fn log_malformed(&mut self, error: &protocol::WireError, head: &logging::Head, rows: usize) {
+        // What has arrived behind the message but is not read yet tells more; the connection is not used again.
+        let _ = self.stream.try_read_buf(&mut self.inbox);
+        let reason = error.reason();
+        metrics::counter!("fulmarlift_answers_malformed_total", "reason" => reason).increment(1);
+        let connection = self.stream.local_addr().map(|address| address.to_string());
+        let sent_ago = clock::now().saturating_duration_since(self.sent_at);
+        log::warn!(
+            "event=member_malformed request={} member={} connection={} error=\"{error}\" answers_before={} rows_before={rows} sent_ms_ago={} message=\"{}\" left_bytes={} left=\"{}\"",
+            logging::request_text(&self.request),
+            self.name,
+            connection.as_deref().unwrap_or("none"),
+            self.answers,
+            sent_ago.as_millis(),
+            head.field(),
+            self.inbox.len(),
+            logging::Head::of(&self.inbox).field(),
+        );
+    }
+
     /// Returns whether an idle connection is unusable: the other side has closed it, stops, or has sent bytes without a
     /// command.
     pub fn is_dead(&mut self) -> bool {
@@ -404,22 +422,6 @@
     }
 }
 
-/// Returns whether the member closes the connection after this error, without a ready message.
-fn ends_connection(code: &protocol::Code) -> bool {
-    matches!(code, protocol::Code::Misrouted | protocol::Code::TooMany)
-}
-
-/// Returns the answer for an error after which the member closes the connection. Its state is not
-/// [`protocol::TransactionState::Idle`], so that the connection is not used again.
-fn error_answer(code: protocol::Code, text: Box<str>) -> member::Answer {
-    member::Answer {
-        rows: Vec::new(),
-        end: member::End::Error(code, text),
-        state: crate::protocol::TransactionState::Failed,
-        point: None,
-    }
-}
-
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -35,6 +35,12 @@
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a new session waits for the proxy's first configuration: callers give up after 2 s.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Most bytes behind a statement that are read before it is answered.
+const PIPELINED_BYTES_MAX: usize = 4_096;
+/// Time without progress after which a client that does not read its answers is disconnected.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time within which a client must have read an answer, although it makes progress.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval at which a new session checks for the first configuration.
 const CONFIGURATION_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -53,6 +59,9 @@
     /// The caller sent no startup message in time.
     #[error("no startup message in time")]
     Startup,
+    /// Too many newer connections have no startup message either.
+    #[error("displaced by newer connections")]
+    Displaced,
     /// The database of the startup message does not exist.
     #[error("no such database")]
     NoDatabase,
@@ -62,6 +71,9 @@
     /// The proxy has no configuration yet.
     #[error("no configuration yet, retry after 500 ms")]
     NoConfiguration,
+    /// The client did not read its answers.
+    #[error("answers not read")]
+    Unread,
     /// The proxy closed the session for its graceful stop.
     #[error("closed for the stop")]
     Stopping,
@@ -187,13 +199,30 @@
         }
     }
 
-    async fn start_session(&mut self) -> Result<(), SessionEnd> {
+    /// Waits for the first message. The connection is closed if it takes too long, or in favour of newer ones.
+    async fn first_message(&mut self) -> Result<caller::Message, SessionEnd> {
+        let newcomer = self.shell.add_newcomer();
+        tokio::select! {
+            biased;
+            first = self.greeting_and_first_message() => first,
+            () = newcomer.displaced() => {
+                metrics::counter!("fulmarlift_connections_displaced_total").increment(1);
+                Err(SessionEnd::Displaced)
+            }
+        }
+    }
+
+    async fn greeting_and_first_message(&mut self) -> Result<caller::Message, SessionEnd> {
         if self.is_forwarded() {
             let greeted = tokio::time::timeout(STARTUP_TIMEOUT, self.accept_greeting()).await;
             greeted.map_err(|_| SessionEnd::Startup)??;
         }
         let first = tokio::time::timeout(STARTUP_TIMEOUT, self.next_message()).await;
-        match first.map_err(|_| SessionEnd::Startup)?? {
+        first.map_err(|_| SessionEnd::Startup)?
+    }
+
+    async fn start_session(&mut self) -> Result<(), SessionEnd> {
+        match self.first_message().await? {
             caller::Message::Startup { database } => self.database = database,
             caller::Message::Terminate => return Err(SessionEnd::Closed),
             caller::Message::Query(_) => {
@@ -223,7 +252,7 @@
                 .await;
         }
         self.reply(caller::Reply::Ready(protocol::TransactionState::Idle, None));
-        Ok(self.flush().await?)
+        self.flush().await
     }
 
     /// Checks the greeting of a proxy before any of its messages is decoded. The answer is sent together with that to the startup
@@ -262,9 +291,11 @@
     }
 
     /// Returns whether the caller has closed the connection. The session does not run the last statement then: while this
-    /// process was paused, the caller may have timed out and sent the statement to another proxy.
+    /// process was paused, the caller may have timed out and sent the statement to another proxy. The end of the connection is
+    /// not found behind many statements that the caller has sent without waiting for their answers.
     fn caller_has_disconnected(&mut self) -> bool {
-        matches!(self.stream.try_read_buf(&mut self.inbox), Ok(0))
+        self.inbox.len() < PIPELINED_BYTES_MAX
+            && matches!(self.stream.try_read_buf(&mut self.inbox), Ok(0))
     }
 
     /// Returns the database as a field of the log.
@@ -309,13 +340,51 @@
         self.codec.encode(reply, &mut self.outbox);
     }
 
-    async fn flush(&mut self) -> io::Result<()> {
-        self.stream.write_all_buf(&mut self.outbox).await
+    /// Sends the replies. A client that does not read them is disconnected after a time, and sooner during a graceful stop or if
+    /// its transaction holds a connection.
+    async fn flush(&mut self) -> Result<(), SessionEnd> {
+        let delivery_deadline = clock::now() + DELIVERY_TIMEOUT;
+        while !self.outbox.is_empty() {
+            let unread_deadline = self.unread_deadline();
+            let deadline = delivery_deadline.min(unread_deadline);
+            let stopping = self.stopping.borrow().is_some();
+            tokio::select! {
+                biased;
+                written = self.stream.write_buf(&mut self.outbox) => if written? == 0 {
+                    return Err(io::Error::from(io::ErrorKind::WriteZero).into());
+                },
+                () = tokio::time::sleep_until(clock::tokio_deadline(deadline)) => {
+                    metrics::counter!("fulmarlift_unread_sessions_total").increment(1);
+                    log::info!(
+                        "event=session_ended database={} reason=Unread left_bytes={}",
+                        self.database_field(),
+                        self.outbox.len()
+                    );
+                    return Err(SessionEnd::Unread);
+                }
+                _ = self.stopping.changed(), if !stopping => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the time until which the client must read more of its answers.
+    fn unread_deadline(&self) -> Instant {
+        let now = clock::now();
+        let transaction_idle = self.transaction_idle_timeout();
+        let deadline =
+            now + transaction_idle.map_or(UNREAD_TIMEOUT, |idle| idle.min(UNREAD_TIMEOUT));
+        let stop_deadline = self
+            .stopping
+            .borrow()
+            .map(|stop| stop + self.grace.statement_timeout);
+        stop_deadline.map_or(deadline, |stop| stop.min(deadline))
     }
 
     /// Returns the caller's next message. Enforces the idle limits while it waits.
     async fn next_message(&mut self) -> Result<caller::Message, SessionEnd> {
         loop {
+            let head = logging::Head::of(&self.inbox);
             match self.codec.decode(&mut self.inbox) {
                 Ok(Some(message)) => return Ok(message),
                 Ok(None) => {}
@@ -324,10 +393,7 @@
                         crate::protocol::WireError::TooLarge { .. } => protocol::Code::TooLarge,
                         crate::protocol::WireError::Malformed(_) => protocol::Code::Malformed,
                     };
-                    log::info!(
-                        "event=malformed database={} error=\"{error}\"",
-                        self.database_field()
-                    );
+                    self.log_malformed(&error, &head);
                     self.end_with_error(&code, error.into()).await?;
                 }
             }
@@ -339,9 +405,29 @@
         }
     }
 
+    /// Logs and counts a message of the client that cannot be decoded.
+    fn log_malformed(&self, error: &protocol::WireError, head: &logging::Head) {
+        let client = match self.client_kind {
+            ClientKind::Caller => "caller",
+            ClientKind::Peer => "peer",
+        };
+        let reason = error.reason();
+        metrics::counter!("fulmarlift_messages_malformed_total", "client" => client, "reason" => reason)
+            .increment(1);
+        let address = self.stream.peer_addr().map(|address| address.to_string());
+        log::info!(
+            "event=malformed database={} client={client} address={} error=\"{error}\" message=\"{}\" left_bytes={} left=\"{}\"",
+            self.database_field(),
+            address.as_deref().unwrap_or("none"),
+            head.field(),
+            self.inbox.len(),
+            logging::Head::of(&self.inbox).field(),
+        );
+    }
+
     /// Tells a peer that this proxy stops. The peer closes the connection, and until then gets answers to what it sent before
     /// it knew.
-    async fn announce_stop(&mut self) -> io::Result<()> {
+    async fn announce_stop(&mut self) -> Result<(), SessionEnd> {
         if !self.is_forwarded() || self.stop_announced || self.stopping.borrow().is_none() {
             return Ok(());
         }
@@ -384,17 +470,22 @@
             let offset_ms = self.close_offset_seed % spread_ms.max(1);
             stop + self.grace.idle_delay + Duration::from_millis(offset_ms)
         });
+        let transaction_idle = self.transaction_idle_timeout();
+        let transaction_deadline = transaction_idle.map(|timeout| self.idle_since + timeout);
+        match (stop_deadline, transaction_deadline) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
+    /// Returns the time for which the transaction may hold its connection without a statement; none for no limit.
+    fn transaction_idle_timeout(&self) -> Option<Duration> {
         let transaction_idle_ms = self
             .shell
             .with_broker(|broker| broker.topology().transaction_idle_ms);
         // A limit of 0 ms means none.
         let is_limited = self.transaction.holds_connection() && transaction_idle_ms > 0;
-        let transaction_deadline = is_limited
-            .then(|| self.idle_since + Duration::from_millis(u64::from(transaction_idle_ms)));
-        match (stop_deadline, transaction_deadline) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
+        is_limited.then(|| Duration::from_millis(u64::from(transaction_idle_ms)))
     }
 
     /// Enforces the idle deadline: rolls back the idle transaction, if there is one, which frees its connection; during a
@@ -497,6 +588,16 @@
             caller::Statement::Invalid => {
                 self.answer_error(&protocol::Code::Malformed, "unknown statement")
             }
+            caller::Statement::Set { name, value }
+                if !self.session_state.has_room_for_value(name, value.len()) =>
+            {
+                self.refuse_session_state();
+            }
+            caller::Statement::Prepare { name, shape, .. }
+                if !self.session_state.has_room_for_prepared(name, shape.len()) =>
+            {
+                self.refuse_session_state();
+            }
             caller::Statement::Set { name, value } => {
                 Rc::make_mut(&mut self.session_state).set(name, value.clone());
                 self.transaction.mark_state_uncertain();
@@ -585,6 +686,16 @@
         }
     }
 
+    fn refuse_session_state(&mut self) {
+        metrics::counter!("fulmarlift_session_states_full_total").increment(1);
+        log::info!(
+            "event=session_state_full database={}",
+            self.database_field()
+        );
+        let text = "too many session values and prepared statements";
+        self.answer_error(&protocol::Code::TooLarge, text);
+    }
+
     fn answer_done(&mut self) {
         self.reply(caller::Reply::Done);
         self.reply_ready();
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -13,6 +13,7 @@
 
 use crate::clock;
 use crate::deployment::Deployment;
+use crate::link;
 use crate::protocol;
 use crate::protocol::caller;
 use crate::protocol::caller::Codec;
@@ -28,6 +29,9 @@
 /// Most attempts of one statement, hedges included: enough to try each member of a group of three twice.
 const ATTEMPTS_MAX: u32 = 6;
 
+/// Pause before a read whose answer was lost or malformed twice is sent again. Each further time doubles the pause.
+const REPEAT_PAUSE_MIN: Duration = Duration::from_millis(10);
+
 /// Arrival time, deadlines and hedge time of one statement.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
@@ -111,6 +115,8 @@
     pub code: protocol::Code,
     /// Text for the caller and the log.
     pub text: String,
+    /// Attempts that were made, and the last one that ended; none if the log is not to tell them.
+    pub(super) attempts: Option<(u32, Earlier)>,
 }
 
 impl Failure {
@@ -120,6 +126,7 @@
         Self {
             code: protocol::Code::Busy,
             text: format!("{}, retry after {} ms", refusal.reason, wait.as_millis()),
+            attempts: None,
         }
     }
 
@@ -128,6 +135,27 @@
         Self {
             code: protocol::Code::Aborted,
             text: reason.to_string(),
+            attempts: None,
+        }
+    }
+
+    /// Adds the attempts that were made, for the log.
+    pub(super) fn after(mut self, attempts: u32, last: Option<Earlier>) -> Self {
+        self.attempts = last.map(|last| (attempts, last));
+        self
+    }
+
+    /// Returns the attempts as fields of a line, each with a space before it.
+    pub(super) fn attempts_text<D: Deployment>(&self, shell: &shell::Shell<D>) -> String {
+        match &self.attempts {
+            Some((attempts, last)) => {
+                let member = shell.member_name(last.member);
+                format!(
+                    " attempts={attempts} last_member={member} last_{}",
+                    last.cause
+                )
+            }
+            None => String::new(),
         }
     }
 }
@@ -192,13 +220,14 @@
                 record_metrics(&statement, &timing, "failed");
                 let waited = clock::now().saturating_duration_since(timing.arrived_at);
                 log::info!(
-                    "event=failed request={} database={} mode={:?} code={:?} text=\"{}\" after_ms={}",
+                    "event=failed request={} database={} mode={:?} code={:?} text=\"{}\" after_ms={}{}",
                     statement.id_text(),
                     self.database_field(),
                     statement.mode,
                     failure.code,
                     failure.text,
-                    waited.as_millis()
+                    waited.as_millis(),
+                    failure.attempts_text(&self.shell)
                 );
                 self.answer_error(&failure.code, &failure.text);
             }
@@ -261,7 +290,12 @@
     avoid: Option<id::MemberId>,
     earlier: Option<Earlier>,
     hedge: bool,
+    starts_at: Instant,
 ) -> Result<(id::MemberId, attempt::Outcome), effect::Refusal> {
+    if starts_at > clock::now() {
+        let starts_at = starts_at.min(job.timing.deadline);
+        tokio::time::sleep_until(clock::tokio_deadline(starts_at)).await;
+    }
     let admission = request_connection(
         &job.shell,
         &job.route,
@@ -297,13 +331,15 @@
 async fn read<D: Deployment>(job: Rc<ReadJob<D>>) -> Result<member::Answer, Failure> {
     let (statement, timing) = (&job.statement, job.timing);
     let start_attempt =
-        |avoid, earlier, hedge| attempt_read(Rc::clone(&job), avoid, earlier, hedge);
+        |avoid, earlier, hedge, at| attempt_read(Rc::clone(&job), avoid, earlier, hedge, at);
     job.shell.earn_retry();
     let mut running = FuturesUnordered::new();
-    running.push(start_attempt(None, None, false));
+    running.push(start_attempt(None, None, false, timing.arrived_at));
     let mut attempts = 1;
     let mut hedge_decided = false;
     let mut was_sent = false;
+    let mut lost = 0;
+    let mut last = None;
     let hedge_timer = tokio::time::sleep_until(clock::tokio_deadline(timing.hedge_at));
     tokio::pin!(hedge_timer);
     let ended = loop {
@@ -313,33 +349,37 @@
                 hedge_decided = true;
                 // A read that still waits for a connection would only wait in the queue a second time.
                 if let Some(first) = job.current_member.get()
+                    && attempts < ATTEMPTS_MAX
                     && job.shell.spend_retry()
                 {
                     attempts += 1;
-                    let earlier = Earlier::new(first, "reason=Hedge");
-                    running.push(start_attempt(Some(first), Some(earlier), true));
+                    let earlier = Earlier::new(first, "reason=Hedge", "no answer yet");
+                    running.push(start_attempt(Some(first), Some(earlier), true, clock::now()));
                     metrics::counter!("fulmarlift_hedges_total").increment(1);
                 }
                 continue;
             }
         };
         let (avoid, earlier) = match next {
-            Some(Ok((home, attempt::Outcome::Answered(answer))))
+            Some(Ok((home, attempt::Outcome::AnsweredByHome(answer))))
                 if attempts == 1 && is_busy_answer(&answer) && job.shell.spend_retry() =>
             {
-                let earlier = Earlier::new(home, "code=Busy");
+                let earlier = Earlier::refused(home, &protocol::Code::Busy);
                 earlier.log_failure(&job.shell, statement);
                 (Some(home), earlier)
             }
+            // The home has repeated a statement that failed.
+            Some(Ok((_, attempt::Outcome::AnsweredByHome(answer)))) => break Ok(answer),
             Some(Ok((member, attempt::Outcome::Answered(answer)))) => {
                 let failed = answer.error() == Some(&protocol::Code::Failed);
                 if !failed || attempts >= ATTEMPTS_MAX || !running.is_empty() {
                     break Ok(answer);
                 }
-                (None, Earlier::new(member, "code=Failed"))
+                was_sent = true;
+                (None, Earlier::refused(member, &protocol::Code::Failed))
             }
-            Some(Ok((member, attempt::Outcome::NotRun(code)))) => {
-                let earlier = Earlier::new(member, format!("code={code:?}"));
+            Some(Ok((member, attempt::Outcome::NotRun(reason)))) => {
+                let earlier = Earlier::new(member, reason.cause(), reason.to_string());
                 earlier.log_failure(&job.shell, statement);
                 (Some(member), earlier)
             }
@@ -348,22 +388,25 @@
             }
             Some(Ok((member, attempt::Outcome::Lost(error)))) => {
                 was_sent = true;
-                let earlier = Earlier::new(member, format!("error=\"{error}\""));
+                lost += 1;
+                let earlier = Earlier::lost(member, &error);
                 earlier.log_failure(&job.shell, statement);
                 (Some(member), earlier)
             }
             Some(Err(refusal)) if running.is_empty() => {
-                break Err(refusal_failure(&refusal, was_sent));
+                break Err(refusal_failure(&refusal, was_sent).after(attempts - 1, last));
             }
             Some(Err(_)) => continue,
-            None => break Err(timeout_failure(was_sent)),
+            None => break Err(exhausted_failure(timing.deadline, was_sent, attempts, last)),
         };
+        last = Some(earlier.clone());
         if attempts < ATTEMPTS_MAX && clock::now() < timing.deadline {
             attempts += 1;
             job.current_member.set(None);
-            running.push(start_attempt(avoid, Some(earlier), false));
+            let starts_at = clock::now() + repeat_pause(lost);
+            running.push(start_attempt(avoid, Some(earlier), false, starts_at));
         } else if running.is_empty() {
-            break Err(timeout_failure(was_sent));
+            break Err(exhausted_failure(timing.deadline, was_sent, attempts, last));
         }
     };
     if !running.is_empty() {
@@ -373,19 +416,51 @@
     ended
 }
 
+/// Returns the pause before a read is repeated that has lost this many answers: none after the first, since another member may answer.
+fn repeat_pause(lost: u32) -> Duration {
+    match lost {
+        0 | 1 => Duration::ZERO,
+        _ => REPEAT_PAUSE_MIN * (1 << (lost - 2).min(ATTEMPTS_MAX)),
+    }
+}
+
 /// An attempt that another one repeats.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Earlier {
     member: id::MemberId,
     /// Reason of the repetition: a log key with its value.
     cause: Box<str>,
+    /// What became of the attempt, for the caller.
+    text: Box<str>,
 }
 
 impl Earlier {
-    /// Creates an attempt at a member or home. `cause` is a log key with its value.
-    pub(super) fn new(member: id::MemberId, cause: impl Into<Box<str>>) -> Self {
-        let cause = cause.into();
-        Self { member, cause }
+    /// Creates an attempt at a member or home. `cause` is a log key with its value, `text` tells callers what became of it.
+    pub(super) fn new(
+        member: id::MemberId,
+        cause: impl Into<Box<str>>,
+        text: impl Into<Box<str>>,
+    ) -> Self {
+        let (cause, text) = (cause.into(), text.into());
+        Self {
+            member,
+            cause,
+            text,
+        }
+    }
+
+    /// Creates an attempt that was answered with an error.
+    pub(super) fn refused(member: id::MemberId, code: &protocol::Code) -> Self {
+        Self::new(
+            member,
+            format!("code={code:?}"),
+            format!("answered with {code:?}"),
+        )
+    }
+
+    /// Creates an attempt whose answer is missing.
+    pub(super) fn lost(member: id::MemberId, error: &link::LinkError) -> Self {
+        Self::new(member, format!("error=\"{error}\""), error.to_string())
     }
 
     /// Logs that the attempt failed and the statement is to be repeated.
@@ -420,8 +495,7 @@
     }
 }
 
-/// Returns whether an [`attempt::Outcome::Answered`] is a home's refusal for lack of capacity; another home may have some.
-/// A member's refusal is never one, since it is an [`attempt::Outcome::NotRun`].
+/// Returns whether a home's answer is its refusal for lack of capacity; another home may have some.
 fn is_busy_answer(answer: &member::Answer) -> bool {
     answer.error() == Some(&protocol::Code::Busy)
 }
@@ -436,17 +510,44 @@
     failure
 }
 
-/// Returns the failure of a read whose time or attempts are used up.
-fn timeout_failure(was_sent: bool) -> Failure {
-    match was_sent {
-        true => Failure {
-            code: protocol::Code::Timeout,
-            text: "no member answered in time".to_owned(),
-        },
-        false => Failure {
-            code: protocol::Code::Busy,
-            text: "no member took the statement in time".to_owned(),
-        },
+/// Returns the failure of a read whose time or attempts are used up: it failed if it was sent and answers came that are of no use, and it
+/// timed out only if the time is up. `last` is the last attempt that has ended.
+fn exhausted_failure(
+    deadline: Instant,
+    was_sent: bool,
+    attempts: u32,
+    last: Option<Earlier>,
+) -> Failure {
+    let in_time = clock::now() < deadline;
+    let code = match (was_sent, in_time) {
+        (false, _) => protocol::Code::Busy,
+        (true, true) => protocol::Code::Failed,
+        (true, false) => protocol::Code::Timeout,
+    };
+    let what = match was_sent {
+        true => "no usable answer",
+        false => "not run",
+    };
+    let text = exhausted_text(what, in_time, attempts, last.as_ref());
+    let failure = Failure {
+        code,
+        text,
+        attempts: None,
+    };
+    failure.after(attempts, last)
+}
+
+/// Returns the text of a statement whose time or attempts are used up.
+pub(super) fn exhausted_text(
+    what: &str,
+    in_time: bool,
+    attempts: u32,
+    last: Option<&Earlier>,
+) -> String {
+    let last = last.map_or_else(String::new, |last| format!(", last: {}", last.text));
+    match in_time {
+        true => format!("{what} in {attempts} attempts{last}"),
+        false => format!("{what} in time{last}"),
     }
 }
 
@@ -457,6 +558,7 @@
     Failure {
         code: protocol::Code::InDoubt,
         text: "the leader may have been replaced".to_owned(),
+        attempts: None,
     }
 }
 
@@ -471,13 +573,14 @@
     forwarded: bool,
 ) -> Result<member::Answer, Failure> {
     shell.earn_retry();
-    let mut last_refusal = protocol::Code::Busy;
     let mut avoid = None;
     let mut earlier: Option<Earlier> = None;
+    let mut attempts = 0;
     for attempt in 1..=ATTEMPTS_MAX {
         if clock::now() >= timing.deadline {
             break;
         }
+        attempts = attempt;
         let admission = request_connection(
             shell,
             route,
@@ -490,7 +593,9 @@
         .await;
         let (lease, grant) = match admission {
             shell::Admission::Granted { lease, grant } => (lease, grant),
-            shell::Admission::Refused(refusal) => return Err(Failure::refused(&refusal)),
+            shell::Admission::Refused(refusal) => {
+                return Err(Failure::refused(&refusal).after(attempt - 1, earlier));
+            }
         };
         let (member, is_home) = (grant.member, lease.is_home());
         if let Some(earlier) = &earlier {
@@ -498,15 +603,15 @@
         }
         let seen_before = shell.newest_log_end(route.group);
         match attempt::run(lease, grant, statement, session_state, route, timing).await {
-            attempt::Outcome::Answered(answer)
+            attempt::Outcome::AnsweredByHome(answer)
                 if attempt == 1 && is_busy_answer(&answer) && shell.spend_retry() =>
             {
-                let refused = Earlier::new(member, "code=Busy");
+                let refused = Earlier::refused(member, &protocol::Code::Busy);
                 refused.log_failure(shell, statement);
                 earlier = Some(refused);
                 avoid = Some(member);
             }
-            attempt::Outcome::Answered(answer) => {
+            attempt::Outcome::Answered(answer) | attempt::Outcome::AnsweredByHome(answer) => {
                 let is_confirmed = answer.error().is_some()
                     || is_home
                     || shell
@@ -521,22 +626,28 @@
                     false => Err(unconfirmed_failure()),
                 };
             }
-            attempt::Outcome::NotRun(code) => {
-                let refused = Earlier::new(member, format!("code={code:?}"));
+            attempt::Outcome::NotRun(reason) => {
+                let refused = Earlier::new(member, reason.cause(), reason.to_string());
                 refused.log_failure(shell, statement);
                 earlier = Some(refused);
-                last_refusal = code;
             }
             attempt::Outcome::Withheld(reason) => return Err(Failure::withheld(reason)),
             attempt::Outcome::Lost(error) => {
-                return Err(Failure {
+                let lost = Earlier::lost(member, &error);
+                let failure = Failure {
                     code: protocol::Code::InDoubt,
                     text: error.to_string(),
-                });
+                    attempts: None,
+                };
+                return Err(failure.after(attempt, Some(lost)));
             }
         }
     }
-    let text = format!("not run, last refused with {last_refusal:?}");
-    let code = protocol::Code::Busy;
-    Err(Failure { code, text })
+    let was_sent = false;
+    Err(exhausted_failure(
+        timing.deadline,
+        was_sent,
+        attempts,
+        earlier,
+    ))
 }
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -188,10 +188,13 @@
                         false => protocol::Code::Aborted,
                     },
                     text: error.to_string(),
+                    attempts: None,
                 };
                 // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
                 match error {
-                    link::LinkError::Withheld(_) => self.transaction.fail(true),
+                    link::LinkError::Withheld(_) | link::LinkError::Refused(_) => {
+                        self.transaction.fail(true)
+                    }
                     _ if in_doubt => self.transaction.fail_in_doubt(),
                     _ => {
                         let reported = true;
@@ -217,11 +220,12 @@
 
     fn log_failure(&self, statement: &statement::MemberStatement, failure: &single::Failure) {
         log::info!(
-            "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"",
+            "event=failed request={} database={} in_transaction=true code={:?} text=\"{}\"{}",
             statement.id_text(),
             self.database_field(),
             failure.code,
-            failure.text
+            failure.text,
+            failure.attempts_text(&self.shell)
         );
     }
 
@@ -234,10 +238,12 @@
         let timing = single::Timing::new(&route);
         let mut avoid = None;
         let mut earlier: Option<single::Earlier> = None;
-        for _ in 0..ATTEMPTS_MAX {
+        let mut attempts = 0;
+        for attempt in 1..=ATTEMPTS_MAX {
             if clock::now() >= timing.deadline {
                 break;
             }
+            attempts = attempt;
             let requirement =
                 single::requirement(&route, begin.mode, self.session_commits.point(route.group));
             let admission = single::request_connection(
@@ -253,7 +259,7 @@
             let (mut lease, grant) = match admission {
                 shell::Admission::Granted { lease, grant } => (lease, grant),
                 shell::Admission::Refused(refusal) => {
-                    return Err(single::Failure::refused(&refusal));
+                    return Err(single::Failure::refused(&refusal).after(attempt - 1, earlier));
                 }
             };
             avoid = Some(grant.member);
@@ -268,22 +274,19 @@
             if grant.verify {
                 match attempt::verify_leader(&mut lease, timing.deadline).await {
                     Ok(point) => floor = floor.max(point),
-                    Err(code) => {
-                        let cause = match &code {
-                            Some(code) => format!("code={code:?}"),
-                            None => "error=\"leader not verified\"".to_owned(),
-                        };
-                        if code.is_some() {
+                    Err(reason) => {
+                        if matches!(reason, attempt::Unrun::Refused(_)) {
                             lease.give_back();
                         }
-                        let refused = single::Earlier::new(grant.member, cause);
+                        let refused =
+                            single::Earlier::new(grant.member, reason.cause(), reason.to_string());
                         refused.log_failure(&self.shell, &begin);
                         earlier = Some(refused);
                         continue;
                     }
                 }
             }
-            let cause = match self
+            let refused = match self
                 .begin_on(&mut lease, &begin, &route, floor, grant.verify, timing)
                 .await
             {
@@ -296,21 +299,27 @@
                     };
                     return Ok(());
                 }
-                Ok(Begun::No { cause }) => cause,
-                Err(reason) if reason.concerns_connection() => format!("code={}", reason.name()),
+                Ok(Begun::No { cause, text }) => single::Earlier::new(grant.member, cause, text),
+                Err(reason) if reason.concerns_connection() => {
+                    let cause = format!("code={}", reason.name());
+                    single::Earlier::new(grant.member, cause, reason.to_string())
+                }
                 Err(reason) => {
                     lease.give_back();
                     return Err(single::Failure::withheld(reason));
                 }
             };
-            let refused = single::Earlier::new(grant.member, cause);
             refused.log_failure(&self.shell, &begin);
             earlier = Some(refused);
         }
-        Err(single::Failure {
+        let in_time = clock::now() < timing.deadline;
+        let what = "the transaction was not begun";
+        let failure = single::Failure {
             code: protocol::Code::Busy,
-            text: "no member began the transaction in time".to_owned(),
-        })
+            text: single::exhausted_text(what, in_time, attempts, earlier.as_ref()),
+            attempts: None,
+        };
+        Err(failure.after(attempts, earlier))
     }
 
     /// Begins a transaction on a granted connection, if the member accepts it. `verified` tells that the answer
@@ -357,9 +366,11 @@
                     (true, _) => Begun::Yes,
                     (false, Some(code)) => Begun::No {
                         cause: format!("code={code:?}"),
+                        text: format!("refused with {code:?}"),
                     },
                     (false, None) => Begun::No {
                         cause: format!("state={:?}", answer.state),
+                        text: format!("in state {:?} after it", answer.state),
                     },
                 })
             }
@@ -393,10 +404,11 @@
         if let Err(failure) = self.open_transaction().await {
             self.transaction = Transaction::None;
             log::info!(
-                "event=failed request={} commit=true code={:?} text=\"{}\"",
+                "event=failed request={} commit=true code={:?} text=\"{}\"{}",
                 statement.id_text(),
                 failure.code,
-                failure.text
+                failure.text,
+                failure.attempts_text(&self.shell)
             );
             return self.answer_error(&failure.code, &failure.text);
         }
@@ -435,7 +447,12 @@
                 statement.id_text()
             );
             // The member rolls the transaction back: on command if the connection is usable, otherwise when it is closed.
-            if matches!(error, link::LinkError::Withheld(reason) if !reason.concerns_connection()) {
+            let is_usable = match &error {
+                link::LinkError::Withheld(reason) => !reason.concerns_connection(),
+                link::LinkError::Refused(_) => true,
+                _ => false,
+            };
+            if is_usable {
                 lease.roll_back();
             }
             return self.answer_error(&code, &error.to_string());
@@ -524,6 +541,7 @@
     /// The member has not begun it, or the connection is unusable; `cause` is a log key with its value.
     No {
         cause: String,
+        text: String,
     },
 }
 
@@ -531,6 +549,7 @@
     fn failed(error: &link::LinkError) -> Self {
         Self::No {
             cause: format!("error=\"{error}\""),
+            text: error.to_string(),
         }
     }
 }
--- a/crates/session/src/shell/lease.rs
+++ b/crates/session/src/shell/lease.rs
@@ -1,6 +1,5 @@
 //! Exclusive use of a connection by a request or transaction.
 
-use std::borrow::Cow;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -121,6 +120,7 @@
     /// Sets the caller's id of the statement that the connection is used for, for the log.
     pub fn set_request(&mut self, request: &Bytes) {
         self.request = request.clone();
+        self.upstream().set_request(request);
     }
 
     /// Logs and counts how often the current statement was sent again since the member had no slot for it.
@@ -129,7 +129,17 @@
         let member = self.shell.member_name(self.member);
         log::info!(
             "event=sent_again request={} first={member} second={member} code=Busy times={refusals}",
-            request_text(&self.request),
+            logging::request_text(&self.request),
+        );
+    }
+
+    /// Logs and counts a session value or prepared statement that the other end refused.
+    pub fn log_values_refused(&self, code: &protocol::Code) {
+        metrics::counter!("fulmarlift_session_values_refused_total").increment(1);
+        log::warn!(
+            "event=values_refused request={} member={} code={code:?}",
+            logging::request_text(&self.request),
+            self.shell.member_name(self.member),
         );
     }
 
@@ -142,7 +152,7 @@
         metrics::counter!("fulmarlift_states_differ_total").increment(1);
         log::warn!(
             "event=state_differs request={} member={} expected={expected:?} told={told:?}",
-            request_text(&self.request),
+            logging::request_text(&self.request),
             self.shell.member_name(self.member),
         );
     }
@@ -198,7 +208,10 @@
             link::LinkError::Broken(error) if error.kind() == std::io::ErrorKind::TimedOut => {
                 event::Answer::Silent { commit }
             }
-            link::LinkError::Broken(_) | link::LinkError::Wire(_) => event::Answer::Broken,
+            link::LinkError::Broken(_) => event::Answer::Broken,
+            link::LinkError::Wire(_) => event::Answer::Malformed,
+            link::LinkError::Refused(protocol::Code::Busy) => event::Answer::Busy,
+            link::LinkError::Refused(_) => event::Answer::Failed,
             link::LinkError::Withheld(_) => event::Answer::Unfinished,
             link::LinkError::State { expected, told } => {
                 self.log_state(*expected, *told);
@@ -223,7 +236,8 @@
         if !self.is_in_step() {
             return;
         }
-        if let Some(upstream) = self.upstream.take() {
+        if let Some(mut upstream) = self.upstream.take() {
+            upstream.set_request(&Bytes::new());
             let mut inner = self.shell.inner.borrow_mut();
             inner.idle.insert(self.conn, upstream);
         }
@@ -284,20 +298,12 @@
         metrics::counter!("fulmarlift_connections_out_of_step_total").increment(1);
         log::warn!(
             "event=connection_out_of_step request={} member={} left_bytes={left_bytes} unanswered={unanswered} state={state:?}",
-            request_text(request),
+            logging::request_text(request),
             self.member_name(member),
         );
     }
 }
 
-/// Returns a caller's id of a statement for the log.
-fn request_text(request: &[u8]) -> Cow<'static, str> {
-    match request.is_empty() {
-        true => Cow::Borrowed("none"),
-        false => Cow::Owned(logging::field(request).to_string()),
-    }
-}
-
 impl<D: Deployment> Drop for Lease<D> {
     fn drop(&mut self) {
         self.report(event::Answer::Unfinished, None);
