--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -270,6 +270,34 @@
             if let Some(belief) = &grant.new_belief {
                 lease.log_belief(&grant, belief, &begin.id_text());
             }
+            // A `BEGIN` is a statement, too: it runs with its session's values.
+            let session_state = std::rc::Rc::clone(&self.session_state);
+            let believed = protocol::TransactionState::Idle;
+            let synchronized = attempt::synchronize(
+                &mut lease,
+                &session_state,
+                &begin,
+                believed,
+                timing.deadline,
+            )
+            .await;
+            if let Err(error) = synchronized {
+                lease.report_failure(&error, false);
+                match &error {
+                    link::LinkError::Withheld(reason) if !reason.concerns_connection() => {
+                        lease.give_back();
+                        return Err(single::Failure::withheld(*reason));
+                    }
+                    link::LinkError::Refused(_) => lease.give_back(),
+                    _ => {}
+                }
+                let reason = attempt::Unrun::from(error);
+                let refused =
+                    single::Earlier::new(grant.member, reason.cause(), reason.to_string());
+                refused.log_failure(&self.shell, &begin);
+                earlier = Some(refused);
+                continue;
+            }
             let mut floor = grant.floor;
             if grant.verify {
                 match attempt::verify_leader(&mut lease, timing.deadline).await {
--- a/crates/session/tests/malformed.rs
+++ b/crates/session/tests/malformed.rs
@@ -350,14 +350,14 @@
     on_one_thread(async {
         let system = System::start(1, Consistency::Leader, false).await;
         let mut caller = system.connect().await;
-        caller.run("s0", "WRITE 1 x", WRITE).await;
+        caller.run("t1", "BEGIN", BEGIN).await;
+        assert_eq!(caller.run("t1", "WRITE 1 x", WRITE).await, None);
         let connections = system.members[0].connections.get();
         system.members[0]
             .own
             .set(Some(("SET", Reaction::Refuses("FAILED"))));
         let (name, value) = ("zone", &"north".into());
         assert_eq!(caller.ask(Command::Set { name, value }).await, None);
-        caller.run("t1", "BEGIN", BEGIN).await;
         let refused = caller.run("t1", text, verb).await;
         let text_told = "session values refused with Failed";
         assert_eq!(refused, Some((Code::Aborted, text_told.into())));
@@ -367,3 +367,49 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn transaction_with_refused_session_value_is_not_begun() {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, false).await;
+        let mut caller = system.connect().await;
+        caller.run("s0", "WRITE 1 x", WRITE).await;
+        let connections = system.members[0].connections.get();
+        system.members[0]
+            .own
+            .set(Some(("SET", Reaction::Refuses("FAILED"))));
+        let (name, value) = ("zone", &"north".into());
+        assert_eq!(caller.ask(Command::Set { name, value }).await, None);
+        caller.run("t1", "BEGIN", BEGIN).await;
+        let refused = caller.run("t1", "READ 1", READ).await;
+        let text_told = "the transaction was not begun in 6 attempts, last: not sent: session values refused with Failed";
+        assert_eq!(refused, Some((Code::Busy, text_told.into())));
+        assert_eq!(system.members[0].connections.get(), connections);
+    })
+    .await;
+}
+
+/// The connection has the value of another session before.
+#[rstest]
+#[case::write(Verb::Begin(Mode::Write))]
+#[case::read(Verb::Begin(Mode::Read))]
+#[tokio::test]
+async fn begin_runs_with_values_of_its_session(
+    #[case] begin: Verb,
+    #[values(false, true)] forwards: bool,
+) {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, forwards).await;
+        for value in ["north", "south"] {
+            let mut caller = system.connect().await;
+            let (name, value) = ("zone", &value.into());
+            assert_eq!(caller.ask(Command::Set { name, value }).await, None);
+            for (text, verb) in [("BEGIN", begin), ("READ 1", READ), ("COMMIT", Verb::Commit)] {
+                assert_eq!(caller.run("t1", text, verb).await, None);
+            }
+        }
+        let begun_with = system.members[0].begun_with.take();
+        assert_eq!(begun_with, ["SET zone north", "SET zone south"]);
+    })
+    .await;
+}
--- a/crates/session/tests/review_58.rs
+++ b/crates/session/tests/review_58.rs
@@ -542,6 +542,36 @@
     .await;
 }
 
+/// The value is set behind the `BEGIN`, so that the member sets it in the transaction.
+#[rstest]
+#[tokio::test]
+async fn value_set_in_transaction_is_known_behind_its_rollback(
+    #[values(false, true)] undoes: bool,
+    #[values(false, true)] forwards: bool,
+) {
+    on_one_thread(async {
+        let member = Member::start(undoes).await;
+        let (_, shell) = start_system(&member, forwards).await;
+        let value = Bytes::from("c1");
+        let set = Command::Set {
+            name: "owner",
+            value: &value,
+        };
+        let mut caller = Caller::connect(&shell).await;
+        assert_eq!(caller.run("t1.0", "BEGIN", BEGIN).await, None);
+        assert_eq!(caller.run("t1.1", "READ 1", READ).await, None);
+        assert_eq!(caller.ask(set).await, None);
+        assert_eq!(caller.run("t1.2", "READ 1", READ).await, None);
+        caller.run("t1.3", "ROLLBACK", Verb::Rollback).await;
+        assert_eq!(caller.run("s1.0", "READ 1", READ).await, None);
+        let values = member.values.borrow();
+        let ran = values.iter().find(|(id, _)| id == "s1.0");
+        let expected = BTreeSet::from(["owner c1".to_owned()]);
+        assert_eq!(ran.map(|(_, values)| values), Some(&expected));
+    })
+    .await;
+}
+
 /// A write is answered with another answer, whose state shows no transaction, and its own answer is late: what the connection is in is not
 /// known. No statement of another session may run on it.
 #[rstest]
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -504,7 +504,7 @@
 /// A `COMMIT` is a statement, too: it runs with the values of its session, in a transaction without other statements and after a value was set
 /// in the transaction.
 #[rstest]
-#[case::empty_transaction(false, &["SET zone north", "WRITE 1 x", "BEGIN", "RESET", "COMMIT"])]
+#[case::empty_transaction(false, &["SET zone north", "WRITE 1 x", "RESET", "BEGIN", "COMMIT"])]
 #[case::set_in_transaction(
     true,
     &["SET zone north", "WRITE 1 x", "BEGIN", "READ 1", "RESET", "SET zone south", "COMMIT"]
--- a/crates/session/tests/support/answering.rs
+++ b/crates/session/tests/support/answering.rs
@@ -136,6 +136,8 @@
     /// Time at which each statement of a caller has arrived.
     pub arrivals: RefCell<Vec<Instant>>,
     pub connections: Cell<usize>,
+    /// Newest `SET` on the connection of each `BEGIN` of a caller, at its arrival.
+    pub begun_with: RefCell<Vec<String>>,
 }
 
 impl Member {
@@ -147,6 +149,7 @@
             own: Cell::new(None),
             arrivals: RefCell::default(),
             connections: Cell::new(0),
+            begun_with: RefCell::default(),
         });
         let accepting = Rc::clone(&member);
         tokio::task::spawn_local(async move {
@@ -161,6 +164,7 @@
 
     async fn serve(&self, mut stream: TcpStream) {
         let (mut inbox, mut scanned_bytes, mut state) = (BytesMut::new(), 0, 'I');
+        let mut set = String::new();
         loop {
             let line = match words::take_line(&mut inbox, &mut scanned_bytes) {
                 Ok(Some(line)) => line,
@@ -180,6 +184,12 @@
                 continue;
             };
             let word = text.split(' ').next().unwrap_or_default();
+            match (id, word) {
+                ("-", "SET" | "RESET") => set = text.to_owned(),
+                ("-", _) => {}
+                (_, "BEGIN") => self.begun_with.borrow_mut().push(set.clone()),
+                _ => {}
+            }
             let reaction = match id {
                 "-" => {
                     let own = self.own.get().filter(|(start, _)| text.starts_with(start));
