--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -10,6 +10,7 @@
 use fulmarlift_core::id;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use tokio::sync::watch;
 
 use crate::clock;
 use crate::deployment::Deployment;
@@ -190,6 +191,7 @@
                     timing,
                     forwarded,
                     current_member: Cell::new(None),
+                    ended: watch::Sender::new(false),
                 };
                 read(Rc::new(job)).await
             }
@@ -282,31 +284,56 @@
     forwarded: bool,
     /// Member or home of the newest attempt; none while the attempt waits for a connection.
     current_member: Cell<Option<id::MemberId>>,
+    /// Whether the read has ended, so that attempts that are not sent yet need not be sent.
+    ended: watch::Sender<bool>,
 }
 
-/// Attempts a read once. Returns the member that ran the attempt, with the outcome. `earlier` is the attempt that it repeats.
+/// End of an attempt at a read.
+enum ReadAttempt {
+    /// The member, or the home, ran the attempt.
+    Ran(id::MemberId, attempt::Outcome),
+    /// The broker refused a connection.
+    Refused(effect::Refusal),
+    /// The read had ended before the attempt was sent.
+    Abandoned,
+}
+
+/// Attempts a read once, unless it ends before the attempt is sent. `earlier` is the attempt that it repeats.
 async fn attempt_read<D: Deployment>(
     job: Rc<ReadJob<D>>,
     avoid: Option<id::MemberId>,
     earlier: Option<Earlier>,
     hedge: bool,
     starts_at: Instant,
-) -> Result<(id::MemberId, attempt::Outcome), effect::Refusal> {
-    if starts_at > clock::now() {
-        let starts_at = starts_at.min(job.timing.deadline);
-        tokio::time::sleep_until(clock::tokio_deadline(starts_at)).await;
-    }
-    let admission = request_connection(
-        &job.shell,
-        &job.route,
-        job.requirement,
-        job.timing,
-        avoid,
-        hedge,
-        job.forwarded,
-    );
-    match admission.await {
-        shell::Admission::Refused(refusal) => Err(refusal),
+) -> ReadAttempt {
+    let mut ended = job.ended.subscribe();
+    let admission = async {
+        if starts_at > clock::now() {
+            let starts_at = starts_at.min(job.timing.deadline);
+            tokio::time::sleep_until(clock::tokio_deadline(starts_at)).await;
+        }
+        request_connection(
+            &job.shell,
+            &job.route,
+            job.requirement,
+            job.timing,
+            avoid,
+            hedge,
+            job.forwarded,
+        )
+        .await
+    };
+    let admission = tokio::select! {
+        biased;
+        admission = admission => admission,
+        _ = ended.wait_for(|ended| *ended) => return ReadAttempt::Abandoned,
+    };
+    match admission {
+        shell::Admission::Refused(refusal) => ReadAttempt::Refused(refusal),
+        shell::Admission::Granted { lease, .. } if *job.ended.borrow() => {
+            lease.give_back();
+            ReadAttempt::Abandoned
+        }
         shell::Admission::Granted { lease, grant } => {
             job.current_member.set(Some(grant.member));
             if let Some(earlier) = &earlier {
@@ -321,7 +348,7 @@
                 job.timing,
             )
             .await;
-            Ok((grant.member, outcome))
+            ReadAttempt::Ran(grant.member, outcome)
         }
     }
 }
@@ -361,7 +388,7 @@
             }
         };
         let (avoid, earlier) = match next {
-            Some(Ok((home, attempt::Outcome::AnsweredByHome(answer))))
+            Some(ReadAttempt::Ran(home, attempt::Outcome::AnsweredByHome(answer)))
                 if attempts == 1 && is_busy_answer(&answer) && job.shell.spend_retry() =>
             {
                 let earlier = Earlier::refused(home, &protocol::Code::Busy);
@@ -369,8 +396,10 @@
                 (Some(home), earlier)
             }
             // The home has repeated a statement that failed.
-            Some(Ok((_, attempt::Outcome::AnsweredByHome(answer)))) => break Ok(answer),
-            Some(Ok((member, attempt::Outcome::Answered(answer)))) => {
+            Some(ReadAttempt::Ran(_, attempt::Outcome::AnsweredByHome(answer))) => {
+                break Ok(answer);
+            }
+            Some(ReadAttempt::Ran(member, attempt::Outcome::Answered(answer))) => {
                 let failed = answer.error() == Some(&protocol::Code::Failed);
                 if !failed || attempts >= ATTEMPTS_MAX || !running.is_empty() {
                     break Ok(answer);
@@ -378,25 +407,25 @@
                 was_sent = true;
                 (None, Earlier::refused(member, &protocol::Code::Failed))
             }
-            Some(Ok((member, attempt::Outcome::NotRun(reason)))) => {
+            Some(ReadAttempt::Ran(member, attempt::Outcome::NotRun(reason))) => {
                 let earlier = Earlier::new(member, reason.cause(), reason.to_string());
                 earlier.log_failure(&job.shell, statement);
                 (Some(member), earlier)
             }
-            Some(Ok((_, attempt::Outcome::Withheld(reason)))) => {
+            Some(ReadAttempt::Ran(_, attempt::Outcome::Withheld(reason))) => {
                 break Err(Failure::withheld(reason));
             }
-            Some(Ok((member, attempt::Outcome::Lost(error)))) => {
+            Some(ReadAttempt::Ran(member, attempt::Outcome::Lost(error))) => {
                 was_sent = true;
                 lost += 1;
                 let earlier = Earlier::lost(member, &error);
                 earlier.log_failure(&job.shell, statement);
                 (Some(member), earlier)
             }
-            Some(Err(refusal)) if running.is_empty() => {
+            Some(ReadAttempt::Refused(refusal)) if running.is_empty() => {
                 break Err(refusal_failure(&refusal, was_sent).after(attempts - 1, last));
             }
-            Some(Err(_)) => continue,
+            Some(ReadAttempt::Refused(_) | ReadAttempt::Abandoned) => continue,
             None => break Err(exhausted_failure(timing.deadline, was_sent, attempts, last)),
         };
         last = Some(earlier.clone());
@@ -409,8 +438,9 @@
             break Err(exhausted_failure(timing.deadline, was_sent, attempts, last));
         }
     };
+    job.ended.send_replace(true);
     if !running.is_empty() {
-        // The slower attempt runs to its end, so that it gives its connection back and reports the member's answer.
+        // A slower attempt that was sent runs to its end, so that it gives its connection back and reports the member's answer.
         tokio::task::spawn_local(async move { while running.next().await.is_some() {} });
     }
     ended
--- a/crates/session/tests/malformed.rs
+++ b/crates/session/tests/malformed.rs
@@ -6,8 +6,9 @@
 
 use std::cell::RefCell;
 use std::sync::Once;
+use std::time::Duration;
 
-use answering::{Reaction, System};
+use answering::{Reaction, System, TIMEOUT_MS};
 use fulmarlift_broker::topology::Consistency;
 use fulmarlift_session::protocol::member::{Command, Verb};
 use fulmarlift_session::protocol::{Code, Mode};
@@ -149,7 +150,7 @@
         let written = caller.stream.write_all(b"\0\0\0\x04\xff\xff\xff\xff").await;
         written.expect("the proxy accepts the bytes");
         while lines_of("malformed").is_empty() {
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
     })
     .await;
@@ -413,3 +414,25 @@
     })
     .await;
 }
+
+/// The member answers after the time of the hedge, which waits for the only connection.
+#[tokio::test]
+async fn hedge_that_waits_is_not_sent_once_the_answer_is_there() {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, false).await;
+        let mut caller = system.connect().await;
+        caller.run("s0", "READ 1", READ).await;
+        system.members[0].accepts.set(false);
+        let hedge_at = Duration::from_millis(u64::from(TIMEOUT_MS) / 2);
+        let delay = hedge_at + Duration::from_millis(150);
+        system.react(Reaction::Delays(delay));
+        let before = system.arrivals().len();
+        assert_eq!(caller.run("s1", "READ 1", READ).await, None);
+        tokio::time::sleep(delay).await;
+        assert_eq!(system.arrivals().len() - before, 1);
+        // Neither is the connection lost.
+        system.react(Reaction::Runs);
+        assert_eq!(caller.run("s2", "READ 1", READ).await, None);
+    })
+    .await;
+}
--- a/crates/session/tests/support/answering.rs
+++ b/crates/session/tests/support/answering.rs
@@ -120,6 +120,8 @@
     Sends(&'static str),
     /// Refuses the statement with this code.
     Refuses(&'static str),
+    /// Runs the statement and answers after this time.
+    Delays(Duration),
     /// Closes the connection.
     Closes,
     /// Sends nothing.
@@ -136,6 +138,8 @@
     /// Time at which each statement of a caller has arrived.
     pub arrivals: RefCell<Vec<Instant>>,
     pub connections: Cell<usize>,
+    /// Whether the member answers startup messages.
+    pub accepts: Cell<bool>,
     /// Newest `SET` on the connection of each `BEGIN` of a caller, at its arrival.
     pub begun_with: RefCell<Vec<String>>,
 }
@@ -149,6 +153,7 @@
             own: Cell::new(None),
             arrivals: RefCell::default(),
             connections: Cell::new(0),
+            accepts: Cell::new(true),
             begun_with: RefCell::default(),
         });
         let accepting = Rc::clone(&member);
@@ -178,6 +183,9 @@
                 .strip_prefix("QUERY ")
                 .and_then(|query| query.split_once(' '))
             else {
+                if line == "STARTUP" && !self.accepts.get() {
+                    continue;
+                }
                 if line != "STARTUP" || stream.write_all(b"READY I\r\n").await.is_err() {
                     return;
                 }
@@ -203,8 +211,11 @@
                     }
                 }
             };
+            if let Reaction::Delays(delay) = reaction {
+                tokio::time::sleep(delay).await;
+            }
             let answer = match reaction {
-                Reaction::Runs => {
+                Reaction::Runs | Reaction::Delays(_) => {
                     state = match word {
                         "BEGIN" => 'T',
                         "COMMIT" | "ROLLBACK" => 'I',
