--- a/crates/session/tests/malformed.rs
+++ b/crates/session/tests/malformed.rs
@@ -6,8 +6,9 @@
 
 use std::cell::RefCell;
 use std::sync::Once;
+use std::time::Duration;
 
-use answering::{Reaction, System};
+use answering::{Reaction, System, TIMEOUT_MS};
 use fulmarlift_broker::topology::Consistency;
 use fulmarlift_session::protocol::member::{Command, Verb};
 use fulmarlift_session::protocol::{Code, Mode};
@@ -149,7 +150,7 @@
         let written = caller.stream.write_all(b"\0\0\0\x04\xff\xff\xff\xff").await;
         written.expect("the proxy accepts the bytes");
         while lines_of("malformed").is_empty() {
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
     })
     .await;
@@ -350,14 +351,14 @@
     on_one_thread(async {
         let system = System::start(1, Consistency::Leader, false).await;
         let mut caller = system.connect().await;
-        caller.run("s0", "WRITE 1 x", WRITE).await;
+        caller.run("t1", "BEGIN", BEGIN).await;
+        assert_eq!(caller.run("t1", "WRITE 1 x", WRITE).await, None);
         let connections = system.members[0].connections.get();
         system.members[0]
             .own
             .set(Some(("SET", Reaction::Refuses("FAILED"))));
         let (name, value) = ("zone", &"north".into());
         assert_eq!(caller.ask(Command::Set { name, value }).await, None);
-        caller.run("t1", "BEGIN", BEGIN).await;
         let refused = caller.run("t1", text, verb).await;
         let text_told = "session values refused with Failed";
         assert_eq!(refused, Some((Code::Aborted, text_told.into())));
@@ -367,3 +368,71 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn transaction_with_refused_session_value_is_not_begun() {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, false).await;
+        let mut caller = system.connect().await;
+        caller.run("s0", "WRITE 1 x", WRITE).await;
+        let connections = system.members[0].connections.get();
+        system.members[0]
+            .own
+            .set(Some(("SET", Reaction::Refuses("FAILED"))));
+        let (name, value) = ("zone", &"north".into());
+        assert_eq!(caller.ask(Command::Set { name, value }).await, None);
+        caller.run("t1", "BEGIN", BEGIN).await;
+        let refused = caller.run("t1", "READ 1", READ).await;
+        let text_told = "the transaction was not begun in 6 attempts, last: not sent: session values refused with Failed";
+        assert_eq!(refused, Some((Code::Busy, text_told.into())));
+        assert_eq!(system.members[0].connections.get(), connections);
+    })
+    .await;
+}
+
+/// The connection has the value of another session before.
+#[rstest]
+#[case::write(Verb::Begin(Mode::Write))]
+#[case::read(Verb::Begin(Mode::Read))]
+#[tokio::test]
+async fn begin_runs_with_values_of_its_session(
+    #[case] begin: Verb,
+    #[values(false, true)] forwards: bool,
+) {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, forwards).await;
+        for value in ["north", "south"] {
+            let mut caller = system.connect().await;
+            let (name, value) = ("zone", &value.into());
+            assert_eq!(caller.ask(Command::Set { name, value }).await, None);
+            for (text, verb) in [("BEGIN", begin), ("READ 1", READ), ("COMMIT", Verb::Commit)] {
+                assert_eq!(caller.run("t1", text, verb).await, None);
+            }
+        }
+        let begun_with = system.members[0].begun_with.take();
+        assert_eq!(begun_with, ["SET zone north", "SET zone south"]);
+    })
+    .await;
+}
+
+/// The member answers after the time of the hedge, which waits for the only connection.
+#[tokio::test]
+async fn hedge_that_waits_is_not_sent_once_the_answer_is_there() {
+    on_one_thread(async {
+        let system = System::start(1, Consistency::Leader, false).await;
+        let mut caller = system.connect().await;
+        caller.run("s0", "READ 1", READ).await;
+        system.members[0].accepts.set(false);
+        let hedge_at = Duration::from_millis(u64::from(TIMEOUT_MS) / 2);
+        let delay = hedge_at + Duration::from_millis(150);
+        system.react(Reaction::Delays(delay));
+        let before = system.arrivals().len();
+        assert_eq!(caller.run("s1", "READ 1", READ).await, None);
+        tokio::time::sleep(delay).await;
+        assert_eq!(system.arrivals().len() - before, 1);
+        // Neither is the connection lost.
+        system.react(Reaction::Runs);
+        assert_eq!(caller.run("s2", "READ 1", READ).await, None);
+    })
+    .await;
+}
--- a/crates/session/tests/support/answering.rs
+++ b/crates/session/tests/support/answering.rs
@@ -120,6 +120,8 @@
     Sends(&'static str),
     /// Refuses the statement with this code.
     Refuses(&'static str),
+    /// Runs the statement and answers after this time.
+    Delays(Duration),
     /// Closes the connection.
     Closes,
     /// Sends nothing.
@@ -136,6 +138,10 @@
     /// Time at which each statement of a caller has arrived.
     pub arrivals: RefCell<Vec<Instant>>,
     pub connections: Cell<usize>,
+    /// Whether the member answers startup messages.
+    pub accepts: Cell<bool>,
+    /// Newest `SET` on the connection of each `BEGIN` of a caller, at its arrival.
+    pub begun_with: RefCell<Vec<String>>,
 }
 
 impl Member {
@@ -147,6 +153,8 @@
             own: Cell::new(None),
             arrivals: RefCell::default(),
             connections: Cell::new(0),
+            accepts: Cell::new(true),
+            begun_with: RefCell::default(),
         });
         let accepting = Rc::clone(&member);
         tokio::task::spawn_local(async move {
@@ -163,6 +171,7 @@
 
     async fn serve(&self, mut stream: TcpStream) {
         let (mut inbox, mut scanned_bytes, mut state) = (BytesMut::new(), 0, 'I');
+        let mut set = String::new();
         loop {
             let line = match words::take_line(&mut inbox, &mut scanned_bytes) {
                 Ok(Some(line)) => line,
@@ -176,12 +185,21 @@
                 .strip_prefix("QUERY ")
                 .and_then(|query| query.split_once(' '))
             else {
+                if line == "STARTUP" && !self.accepts.get() {
+                    continue;
+                }
                 if line != "STARTUP" || stream.write_all(b"READY I\r\n").await.is_err() {
                     return;
                 }
                 continue;
             };
             let word = text.split(' ').next().unwrap_or_default();
+            match (id, word) {
+                ("-", "SET" | "RESET") => set = text.to_owned(),
+                ("-", _) => {}
+                (_, "BEGIN") => self.begun_with.borrow_mut().push(set.clone()),
+                _ => {}
+            }
             let reaction = match id {
                 "-" => {
                     let own = self.own.get().filter(|(start, _)| text.starts_with(start));
@@ -195,8 +213,11 @@
                     }
                 }
             };
+            if let Reaction::Delays(delay) = reaction {
+                tokio::time::sleep(delay).await;
+            }
             let answer = match reaction {
-                Reaction::Runs => {
+                Reaction::Runs | Reaction::Delays(_) => {
                     state = match word {
                         "BEGIN" => 'T',
                         "COMMIT" | "ROLLBACK" => 'I',
