--- a/crates/session/src/values.rs
+++ b/crates/session/src/values.rs
@@ -20,9 +20,9 @@
 }
 
 impl SessionState {
-    /// Sets a session value.
+    /// Sets a session value. Keeps a copy, since `value` may be part of a much larger buffer.
     pub fn set(&mut self, name: &str, value: Bytes) {
-        put(&mut self.values, name, value);
+        put(&mut self.values, name, Bytes::copy_from_slice(&value));
     }
 
     /// Returns the session values, sorted by name.
--- a/crates/session/tests/values.rs
+++ b/crates/session/tests/values.rs
@@ -1,5 +1,6 @@
 //! Session values, and the changes that bring a connection to them.
 
+use bytes::Bytes;
 use fulmarlift_session::protocol::Mode;
 use fulmarlift_session::protocol::member::Prepared;
 use fulmarlift_session::values::{ConnectionState, SessionState, StateDiff};
@@ -155,3 +156,12 @@
     connection_state.sync_with(&SessionState::default(), None);
     assert_eq!(connection_state.prepared_id(&shape), None);
 }
+
+/// A message is up to 1 MiB, and a buffer holds more than one.
+#[test]
+fn session_value_does_not_keep_its_message_in_memory() {
+    let message = Bytes::from(vec![b'x'; 1 << 20]);
+    let mut session_state = SessionState::default();
+    session_state.set("zone", message.slice(..1));
+    assert!(message.is_unique());
+}
