--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -4,6 +4,9 @@
 
 use reqwest::header;
 
+/// Most bytes of an answer: far more than a page of the store or a configuration has.
+const ANSWER_BYTES_MAX: usize = 64 << 20;
+
 /// Timeouts of a call. There is none for the whole call: while an answer arrives, it is not given up, since another call
 /// would have to receive all of it again.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +34,9 @@
     /// Neither the answer nor its next piece arrived in time.
     #[error("nothing arrived in time")]
     Silent,
+    /// The answer is longer than any that is expected.
+    #[error("an answer of more than {ANSWER_BYTES_MAX} bytes")]
+    TooLong,
     /// The connection failed, or the answer is malformed.
     #[error("{}", message_with_sources(.0))]
     Failed(#[from] reqwest::Error),
@@ -55,6 +61,9 @@
         let Some(piece) = piece.map_err(|_| Error::Silent)?? else {
             break;
         };
+        if body.len() + piece.len() > ANSWER_BYTES_MAX {
+            return Err(Error::TooLong);
+        }
         if response.status().is_success() {
             on_piece(piece.len());
         }
