--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -430,15 +430,12 @@
         }
     }
 
-    /// Decodes a member's status from an answer.
-    pub fn member_status(
-        &self,
-        answer: &member::Answer,
-    ) -> Option<fulmarlift_broker::event::MemberStatus> {
-        answer
-            .rows
-            .first()
-            .and_then(|row| self.codec.member_status(row))
+    /// Decodes a member's status from an answer; none if the command failed, or the answer has not just the row of the status.
+    pub fn member_status(&self, answer: &member::Answer) -> Option<event::MemberStatus> {
+        match (&*answer.rows, &answer.end) {
+            ([row], member::End::Complete(_)) => self.codec.member_status(row),
+            _ => None,
+        }
     }
 }
 
