--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -313,16 +313,21 @@
         }
     }
 
-    /// Appends a command, sends the appended commands, and returns the answer to the oldest unanswered one.
+    /// Sends a command and returns the answer to it.
     ///
     /// # Errors
     ///
-    /// As [`Self::push`] and [`Self::exchange`].
+    /// As [`Self::push`] and [`Self::exchange`], and [`protocol::Withheld::OutOfStep`] if something else would be taken for the
+    /// answer.
     pub async fn request(
         &mut self,
         command: member::Command<'_>,
         deadline: Instant,
     ) -> Result<member::Answer, LinkError> {
+        self.read_unsolicited();
+        if !self.inbox.is_empty() || self.steps.unanswered() > 0 {
+            return Err(self.out_of_step().into());
+        }
         self.push(command)?;
         self.exchange(deadline).await
     }
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -668,9 +668,12 @@
         Err(error) => {
             // The member's name is not known here, so `member` is its identifier.
             log::info!("event=probe_failed member={member:016x} error=\"{error}\"");
-            let answer = match crate::link::OpenError::from(error).failure() {
-                event::OpenFailure::Silent => event::Answer::Silent { commit: false },
-                _ => event::Answer::Broken,
+            let answer = match error {
+                link::LinkError::Withheld(_) => event::Answer::Broken,
+                error => match link::OpenError::from(error).failure() {
+                    event::OpenFailure::Silent => event::Answer::Silent { commit: false },
+                    _ => event::Answer::Broken,
+                },
             };
             return (report_without_point(member, answer), None);
         }
--- a/crates/session/src/shell/upstream.rs
+++ b/crates/session/src/shell/upstream.rs
@@ -71,11 +71,11 @@
         }
     }
 
-    /// Appends a command, sends the appended commands, and returns the answer to the oldest unanswered one.
+    /// Sends a command and returns the answer to it.
     ///
     /// # Errors
     ///
-    /// As [`Self::push`] and [`Self::exchange`].
+    /// As [`link::Link::request`].
     pub async fn request(
         &mut self,
         command: member::Command<'_>,
