--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -315,16 +315,21 @@
         }
     }
 
-    /// Appends a command, sends the appended commands, and returns the answer to the oldest unanswered one.
+    /// Sends a command and returns the answer to it.
     ///
     /// # Errors
     ///
-    /// As [`Self::push`] and [`Self::exchange`].
+    /// As [`Self::push`] and [`Self::exchange`], and [`protocol::Withheld::OutOfStep`] if something else would be taken for the
+    /// answer.
     pub async fn request(
         &mut self,
         command: member::Command<'_>,
         deadline: Instant,
     ) -> Result<member::Answer, LinkError> {
+        self.read_unsolicited();
+        if !self.inbox.is_empty() || self.steps.unanswered() > 0 {
+            return Err(self.out_of_step().into());
+        }
         self.push(command)?;
         self.exchange(deadline).await
     }
@@ -410,15 +415,12 @@
         }
     }
 
-    /// Decodes a member's status from an answer.
-    pub fn member_status(
-        &self,
-        answer: &member::Answer,
-    ) -> Option<fulmarlift_broker::event::MemberStatus> {
-        answer
-            .rows
-            .first()
-            .and_then(|row| self.codec.member_status(row))
+    /// Decodes a member's status from an answer; none if the command failed, or the answer has not just the row of the status.
+    pub fn member_status(&self, answer: &member::Answer) -> Option<event::MemberStatus> {
+        match (&*answer.rows, &answer.end) {
+            ([row], member::End::Complete(_)) => self.codec.member_status(row),
+            _ => None,
+        }
     }
 }
 
