--- a/crates/session/tests/support/scripted_system.rs
+++ b/crates/session/tests/support/scripted_system.rs
@@ -297,6 +297,18 @@
         .await;
     }
 
+    /// Sets a session value.
+    #[allow(dead_code)]
+    pub async fn set(&mut self, name: &str, value: &'static str) {
+        let value = Bytes::from_static(value.as_bytes());
+        self.send(Command::Set {
+            name,
+            value: &value,
+        })
+        .await;
+        self.answer().await;
+    }
+
     /// Returns the next answer, or none at the end of the session; the code of an error before the end is kept.
     pub async fn answer(&mut self) -> (Option<CallerAnswer>, Option<Code>) {
         let (mut code, mut signature) = (None, None);
