--- a/crates/broker/src/failover/choice.rs
+++ b/crates/broker/src/failover/choice.rs
@@ -124,8 +124,9 @@
             self.record_stop(now, status);
             return self.hold_members(now, roster, out);
         }
-        let leads_on =
-            status.is_some_and(|status| status.leads && self.may_be_replaced(member, status.term));
+        let leads_on = status.is_some_and(|status| {
+            status.leads && self.may_be_replaced(member, status.term, roster)
+        });
         let is_of_this_round = self.second_round_at.is_none_or(|since| asked_at >= since);
         let held = status.filter(|_| !leads_on && is_of_this_round);
         self.holds.entry(member).record_answer(now, held);
--- a/crates/broker/src/failover/handover.rs
+++ b/crates/broker/src/failover/handover.rs
@@ -117,7 +117,7 @@
     ) -> failover::Progress {
         let is_old_leader = Some(member) == self.old_leader;
         let may_be_replaced =
-            status.is_some_and(|status| self.may_be_replaced(member, status.term));
+            status.is_some_and(|status| self.may_be_replaced(member, status.term, roster));
         self.surveyed.entry(member).record_answer(now, status);
         if let Some(status) = status {
             self.raise_hold_term(status);
--- a/crates/broker/src/failover/ordering.rs
+++ b/crates/broker/src/failover/ordering.rs
@@ -119,10 +119,19 @@
 
     /// Returns whether a member that leads `term` may have been replaced: a newer term has a leader or, where a replaced leader may
     /// lead on, the last order has been given for another member since, or the member leads no newer term than the one that was
-    /// known when another member became the believed leader.
-    pub(super) fn may_be_replaced(&self, member: id::MemberId, term: id::Term) -> bool {
+    /// known when another member became the believed leader. That belief counts for nothing against the member that was ordered last: an
+    /// entry may come back that says that a replaced leader leads.
+    pub(super) fn may_be_replaced(
+        &self,
+        member: id::MemberId,
+        term: id::Term,
+        roster: &failover::roster::Roster,
+    ) -> bool {
+        let last_ordered = self.ordered_before.member();
+        let is_last_ordered =
+            last_ordered.is_some() && last_ordered == roster.name(member).as_deref();
         let other_leads = self.old_leader.is_some_and(|leader| leader != member);
-        let ended_term = match other_leads {
+        let ended_term = match other_leads && !is_last_ordered {
             true => self.replaced_term.max(self.term),
             false => self.replaced_term,
         };
