--- a/crates/session/src/peer/codec.rs
+++ b/crates/session/src/peer/codec.rs
@@ -158,6 +158,10 @@
         }))
     }
 
+    fn can_encode(&self, _reply: caller::Reply<'_>) -> bool {
+        true
+    }
+
     fn encode(&mut self, reply: caller::Reply<'_>, outbox: &mut BytesMut) {
         let response = match reply {
             caller::Reply::Ready(state, point) => frame::Response::Ready(state, point),
--- a/crates/session/src/protocol/caller.rs
+++ b/crates/session/src/protocol/caller.rs
@@ -148,6 +148,9 @@
     /// [`protocol::WireError`] for a malformed or too long message; the session must end.
     fn decode(&mut self, inbox: &mut BytesMut) -> Result<Option<Message>, protocol::WireError>;
 
+    /// Returns whether a reply can be encoded as a single message. Rows and signatures are another process's bytes.
+    fn can_encode(&self, reply: Reply<'_>) -> bool;
+
     /// Appends a reply to the buffer.
     fn encode(&mut self, reply: Reply<'_>, outbox: &mut BytesMut);
 }
--- a/crates/session/src/protocol/words.rs
+++ b/crates/session/src/protocol/words.rs
@@ -93,9 +93,16 @@
     Ok(text.into())
 }
 
-/// Replaces CR and LF in a text, which would end the message.
+/// Replaces the characters in a text that no line may hold: those of its end, and NUL.
 pub fn one_line(text: &str) -> String {
-    text.replace(['\r', '\n'], " ")
+    text.replace(['\r', '\n', '\0'], " ")
+}
+
+/// Returns whether the bytes can follow a word as the last field of a line.
+pub fn is_last_field(word: &str, bytes: &[u8]) -> bool {
+    let line_bytes = word.len() + 1 + bytes.len() + 2;
+    let has_control = bytes.iter().any(|byte| matches!(byte, b'\r' | b'\n' | 0));
+    line_bytes <= MESSAGE_BYTES_MAX && !has_control
 }
 
 /// Appends the parts of a line.
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -684,8 +684,30 @@
         self.reply_ready();
     }
 
+    /// Returns whether each part of an answer is a single message to the caller.
+    fn can_relay(&self, answer: &member::Answer) -> bool {
+        let mut rows = answer.rows.iter().map(caller::Reply::Row);
+        let result = match &answer.end {
+            member::End::Complete(signature) => Some(caller::Reply::Complete(signature)),
+            member::End::Error(code, text) => Some(caller::Reply::Error(code, text)),
+            member::End::Ready => None,
+        };
+        rows.all(|row| self.codec.can_encode(row))
+            && result.is_none_or(|result| self.codec.can_encode(result))
+    }
+
     /// Appends a member's answer to the replies for the caller.
     fn relay_answer(&mut self, answer: &member::Answer) {
+        if !self.can_relay(answer) {
+            metrics::counter!("fulmarlift_answers_not_relayed_total").increment(1);
+            log::warn!(
+                "event=answer_not_relayed database={}",
+                self.database_field()
+            );
+            self.point = self.point.max(answer.point);
+            let text = "the answer cannot be passed on";
+            return self.answer_error(&protocol::Code::InDoubt, text);
+        }
         for row in &answer.rows {
             self.reply(caller::Reply::Row(row));
         }
