--- a/crates/broker/src/lease.rs
+++ b/crates/broker/src/lease.rs
@@ -66,7 +66,7 @@
         let current = self
             .expires_at
             .is_some_and(|expires_at| now < expires_at + NEXT_TERM_TIMEOUT);
-        let follows = current && term == self.term + 1;
+        let follows = current && self.term.checked_add(1) == Some(term);
         if follows {
             self.start(term, asked_at);
         }
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -530,7 +530,9 @@
                 // has been replaced.
                 if stored.is_some_and(|row| row.claim.led_term == 0) {
                     let replaced_term = leader.led_term_known_by(asked_at);
-                    group.leader.record_term(now, replaced_term + 1);
+                    group
+                        .leader
+                        .record_term(now, replaced_term.saturating_add(1));
                 }
             }
             _ => {}
--- a/crates/broker/tests/leases.rs
+++ b/crates/broker/tests/leases.rs
@@ -7,7 +7,7 @@
 use fulmarlift_broker::claim::{Claim, ClaimRow, LastOrdered, Standing};
 use fulmarlift_broker::effect::{Effect, MemberCommand, RefusalReason};
 use fulmarlift_broker::event::{Answer, Event, OpenFailure, StatementReport, StoreOutcome};
-use fulmarlift_broker::lease::LEASE_DURATION;
+use fulmarlift_broker::lease::{LEASE_DURATION, LeaderLease};
 use fulmarlift_broker::request::Requirement;
 use fulmarlift_broker::trust::TRUST_DURATION;
 use fulmarlift_core::floor::Point;
@@ -17,6 +17,19 @@
 
 const LEASE_MS: u64 = LEASE_DURATION.as_millis() as u64;
 
+/// Guards against a member's term behind which there is none.
+#[rstest]
+#[case::none(0)]
+#[case::first(1)]
+#[case::same(id::Term::MAX)]
+fn lease_of_last_term_is_followed_by_none(#[case] term: id::Term) {
+    let now = Instant::now();
+    let mut lease = LeaderLease::default();
+    lease.start(id::Term::MAX, now);
+    assert!(!lease.follow(now, term, now));
+    assert!(lease.covers(id::Term::MAX, now));
+}
+
 /// Returns a broker that has got an answer of the leader of term 1.
 fn unfenced() -> Fixture {
     let mut fixture = Fixture::unfenced();
