--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -33,6 +33,8 @@
 
 /// Time within which a new connection must send its startup message.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Most bytes of an unfinished startup message, so that connections without a session take little memory.
+const STARTUP_BYTES_MAX: usize = 8 << 10;
 /// Time for which a new session waits for the proxy's first configuration: callers give up after 2 s.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Most bytes behind a statement that are read before it is answered.
@@ -385,7 +387,14 @@
     async fn next_message(&mut self) -> Result<caller::Message, SessionEnd> {
         loop {
             let head = logging::Head::of(&self.inbox);
-            match self.codec.decode(&mut self.inbox) {
+            let decoded = match self.codec.decode(&mut self.inbox) {
+                Ok(None) if self.is_startup_too_long() => {
+                    let limit_bytes = STARTUP_BYTES_MAX;
+                    Err(protocol::WireError::TooLarge { limit_bytes })
+                }
+                decoded => decoded,
+            };
+            match decoded {
                 Ok(Some(message)) => return Ok(message),
                 Ok(None) => {}
                 Err(error) => {
@@ -405,6 +414,11 @@
         }
     }
 
+    /// Returns whether the session has not started yet, and its startup message is too long.
+    fn is_startup_too_long(&self) -> bool {
+        self.database.is_empty() && self.inbox.len() > STARTUP_BYTES_MAX
+    }
+
     /// Logs and counts a message of the client that cannot be decoded.
     fn log_malformed(&self, error: &protocol::WireError, head: &logging::Head) {
         let client = match self.client_kind {
--- a/crates/session/tests/unstarted.rs
+++ b/crates/session/tests/unstarted.rs
@@ -10,6 +10,7 @@
 use fulmarlift_broker::topology::{Consistency, Group, Route, Topology};
 use fulmarlift_core::id;
 use fulmarlift_session::peer::Forwarding;
+use fulmarlift_session::protocol::Code;
 use fulmarlift_session::protocol::member::{Codec, Command, Frame};
 use fulmarlift_session::serve;
 use fulmarlift_session::session::ShutdownGrace;
@@ -108,3 +109,33 @@
         })
         .await;
 }
+
+/// Guards against connections without a session whose unfinished messages use up the memory of the process.
+#[tokio::test]
+async fn long_startup_message_is_refused_before_its_end() {
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            let shell = support::shell("proxy-1");
+            shell.handle(Event::Configured(topology()));
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback");
+            let address = listener.local_addr().expect("the listener is bound");
+            let served = serve::accept_callers(Rc::clone(&shell), listener, GRACE);
+            tokio::task::spawn_local(served);
+            let mut stream = TcpStream::connect(address).await.expect("loopback");
+            let mut unfinished = vec![0; 16 << 10];
+            // The length of a message of 1 MiB.
+            unfinished[..4].copy_from_slice(&(1_u32 << 20).to_be_bytes());
+            // The proxy may close the connection before it has all.
+            let _ = stream.write_all(&unfinished).await;
+            let mut inbox = BytesMut::new();
+            let read = tokio::time::timeout(PROMPT, stream.read_buf(&mut inbox)).await;
+            assert!(read.is_ok(), "the proxy waits for more");
+            if let Ok(Some(frame)) = Forwarding.decode(&mut inbox) {
+                assert!(
+                    matches!(frame, Frame::Error(Code::TooLarge, _)),
+                    "{frame:?}"
+                );
+            }
+        })
+        .await;
+}
