--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -221,6 +221,15 @@
     },
     /// A failover orders the promotion of a member.
     Choice(Choice),
+    /// An idle connection of a workspace was closed, since another workspace needs its place.
+    ConnectionMoved {
+        /// Member at the other end.
+        member: id::MemberId,
+        /// Workspace whose connection was closed; `None` if it served none.
+        from: Option<id::WorkspaceId>,
+        /// Workspace for which a connection is opened.
+        to: Option<id::WorkspaceId>,
+    },
     /// The choice of the leader that this proxy believes in, as the claim row tells it.
     LeaderChoice {
         /// Group of the leader.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -20,11 +20,14 @@
 //! - [`readers`]: the proxy that reads the store for its failure domain.
 //! - [`revision`]: the order of the store's changes, also after it has come back older.
 //! - [`failover`]: the steps that replace a leader.
+//! - [`workspace`]: the workspaces of callers, and their keys; [`share`]: the connections to a member, shared between workspaces;
+//!   [`fairness`]: the order of the requests of several workspaces.
 
 pub mod claim;
 pub mod effect;
 pub mod event;
 pub mod failover;
+pub mod fairness;
 pub mod homes;
 pub mod index;
 pub mod leader;
@@ -35,9 +38,11 @@
 pub mod readers;
 pub mod request;
 pub mod revision;
+pub mod share;
 pub mod state;
 pub mod topology;
 pub mod topology_change;
 pub mod trust;
+pub mod workspace;
 
 pub use state::Broker;
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -7,6 +7,7 @@
 
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
+use fulmarlift_core::sorted;
 
 use crate::revision;
 use crate::topology;
@@ -88,6 +89,10 @@
     pub opening: u32,
     /// Number of connections that are in use by requests, transactions, probes and commands.
     pub leased: u32,
+    /// Workspaces of the connections that are being opened for one.
+    opening_workspaces: Vec<id::WorkspaceId>,
+    /// Number of connections of each workspace that are in use.
+    leased_by_workspace: sorted::Map<id::WorkspaceId, u32>,
     /// Number of this proxy's statements that run at the member.
     pub running: u32,
     /// Highest point of the member's log seen in an answer.
@@ -161,6 +166,8 @@
     pub conn: id::ConnId,
     /// Instant since which the connection is idle.
     pub since: Instant,
+    /// Workspace that the connection serves; `None` for connections to homes, which serve all.
+    pub workspace: Option<id::WorkspaceId>,
 }
 
 impl MemberState {
@@ -179,6 +186,8 @@
             idle: Vec::new(),
             opening: 0,
             leased: 0,
+            opening_workspaces: Vec::new(),
+            leased_by_workspace: sorted::Map::default(),
             running: 0,
             reached: None,
             receipt: None,
@@ -209,12 +218,18 @@
 
     /// Sets the number of proxies that use the member, which allows `connections_max` connections for all of them together.
     /// Lowers the allowance to the new maximum.
-    pub fn set_sharers(&mut self, sharers: usize, connections_max: u32) {
+    ///
+    /// A connection serves one workspace. Where there are several, a proxy keeps more connections than statements may run, so that
+    /// fewer have to be replaced.
+    pub fn set_sharers(&mut self, sharers: usize, connections_max: u32, serves_workspaces: bool) {
         self.sharers = u32::try_from(sharers.max(1)).unwrap_or(u32::MAX);
         self.allowance = self.allowance.min(self.allowance_max());
         let share = connections_max / self.sharers.saturating_mul(GENERATIONS);
         // More connections than statements that may run would only let more transactions stand open side by side.
-        let usable = self.allowance_max().ceil() as u32;
+        let usable = match serves_workspaces {
+            true => u32::MAX,
+            false => self.allowance_max().ceil() as u32,
+        };
         self.connection_share = share
             .min(usable)
             .max(CONNECTION_SHARE_MIN)
@@ -478,6 +493,75 @@
         self.backoff_until = self.backoff_until.max(Some(until));
     }
 
+    /// Returns whether there is an idle connection that a request of a workspace may use.
+    pub fn has_idle(&self, workspace: Option<id::WorkspaceId>) -> bool {
+        self.idle.iter().any(|idle| idle.workspace == workspace)
+    }
+
+    /// Begins to use the idle connection of a workspace that was used last.
+    pub fn lease(&mut self, workspace: Option<id::WorkspaceId>) -> Option<IdleConnection> {
+        let mut idle = self.idle.iter();
+        let index = idle.rposition(|idle| idle.workspace == workspace)?;
+        let idle = self.idle.remove(index);
+        self.leased += 1;
+        if let Some(workspace) = workspace {
+            *self.leased_by_workspace.entry(workspace) += 1;
+        }
+        Some(idle)
+    }
+
+    /// Begins to use the idle connection that was used last, of any workspace, for a command of the proxy itself.
+    pub fn lease_any(&mut self) -> Option<IdleConnection> {
+        let workspace = self.idle.last()?.workspace;
+        self.lease(workspace)
+    }
+
+    /// Counts the connection of a workspace that is no longer in use.
+    pub fn end_lease(&mut self, workspace: Option<id::WorkspaceId>) {
+        self.leased = self.leased.saturating_sub(1);
+        let Some(workspace) = workspace else {
+            return;
+        };
+        let leased = self.leased_by_workspace.entry(workspace);
+        *leased = leased.saturating_sub(1);
+        if *leased == 0 {
+            self.leased_by_workspace.remove(workspace);
+        }
+    }
+
+    /// Counts a connection that begins to open for a workspace.
+    pub fn start_opening(&mut self, workspace: Option<id::WorkspaceId>) {
+        self.opening += 1;
+        self.opening_workspaces.extend(workspace);
+    }
+
+    /// Counts a connection that has been opened for a workspace, or could not be opened.
+    pub fn end_opening(&mut self, workspace: Option<id::WorkspaceId>) {
+        self.opening = self.opening.saturating_sub(1);
+        let mut opening = self.opening_workspaces.iter();
+        if let Some(index) = opening.position(|opening| Some(*opening) == workspace) {
+            self.opening_workspaces.swap_remove(index);
+        }
+    }
+
+    /// Returns the number of connections that are being opened for a workspace; without one, of all.
+    pub fn opening_for(&self, workspace: Option<id::WorkspaceId>) -> usize {
+        match workspace {
+            Some(workspace) => {
+                let opening = self.opening_workspaces.iter();
+                opening.filter(|opening| **opening == workspace).count()
+            }
+            None => usize::try_from(self.opening).unwrap_or(usize::MAX),
+        }
+    }
+
+    /// Returns the number of connections of a workspace that are opening or in use.
+    pub fn held_by(&self, workspace: id::WorkspaceId) -> u32 {
+        let leased = self.leased_by_workspace.get(workspace).copied();
+        let opening = u32::try_from(self.opening_for(Some(workspace))).unwrap_or(u32::MAX);
+        leased.unwrap_or_default().saturating_add(opening)
+    }
+
     /// Returns the number of connections, including those being opened.
     pub fn connections(&self) -> u32 {
         self.opening + self.leased + u32::try_from(self.idle.len()).unwrap_or(u32::MAX)
--- a/crates/broker/src/queue.rs
+++ b/crates/broker/src/queue.rs
@@ -8,6 +8,7 @@
 
 use fulmarlift_core::id;
 
+use crate::fairness;
 use crate::request;
 
 /// Shortest delay before a refused caller should retry, in which a few statements end.
@@ -30,11 +31,15 @@
     measured_since: Option<Instant>,
     /// Number of departures since `measured_since`, halved with the measured time.
     departures: f64,
+    order: fairness::FairOrder,
 }
 
 impl Queue {
     /// Adds a waiting request.
     pub fn push(&mut self, now: Instant, request: request::Request) {
+        if let Some(workspace) = request.workspace {
+            self.order.add(request.id, workspace);
+        }
         self.waiting.push(request);
         self.measured_since.get_or_insert(now);
     }
@@ -74,8 +79,9 @@
         measured_for.mul_f64((ahead as f64 + 1.0) / (self.departures + 1.0))
     }
 
-    /// Removes a request and returns it, if it waits.
-    pub fn remove(&mut self, id: id::RequestId) -> Option<request::Request> {
+    /// Removes a request and returns it, if it waits. `is_served` tells whether it gets a connection.
+    pub fn remove(&mut self, id: id::RequestId, is_served: bool) -> Option<request::Request> {
+        self.order.remove(id, is_served);
         let index = self.waiting.iter().position(|request| request.id == id)?;
         let request = self.waiting.remove(index);
         self.reset_rate_if_empty();
@@ -91,11 +97,14 @@
 
     /// Removes and returns the requests whose deadline is at or before `answer_expected_at`, the expected instant of an answer.
     pub fn take_expired(&mut self, answer_expected_at: Instant) -> Vec<request::Request> {
-        let (expired, kept) = self
+        let (expired, kept): (Vec<_>, Vec<_>) = self
             .waiting
             .drain(..)
             .partition(|request| request.deadline <= answer_expected_at);
         self.waiting = kept;
+        for request in &expired {
+            self.order.remove(request.id, false);
+        }
         self.reset_rate_if_empty();
         expired
     }
@@ -103,8 +112,11 @@
     /// Sorts the requests by the order in which they are to be served and returns them. `answer_expected_at` is the expected
     /// instant of the answer to a request sent now.
     pub fn in_order(&mut self, answer_expected_at: Instant) -> &[request::Request] {
-        self.waiting
-            .sort_by_key(|request| (sort_key(answer_expected_at, request), request.id));
+        let order = &self.order;
+        self.waiting.sort_by_key(|request| {
+            let tag = order.tag(request.id);
+            (sort_key(answer_expected_at, request, tag), request.id)
+        });
         &self.waiting
     }
 
@@ -125,20 +137,35 @@
 
     /// Returns the number of waiting requests that are to be served before `request`.
     pub fn count_ahead(&self, answer_expected_at: Instant, request: &request::Request) -> usize {
+        let tag = match request.workspace {
+            Some(workspace) => self.order.next_tag(workspace),
+            None => self.order.tag(request.id),
+        };
+        let key = sort_key(answer_expected_at, request, tag);
         let before = |other: &&request::Request| {
-            sort_key(answer_expected_at, other) <= sort_key(answer_expected_at, request)
+            sort_key(answer_expected_at, other, self.order.tag(other.id)) <= key
         };
         self.waiting.iter().filter(before).count()
     }
 }
 
-/// Returns the sort key of a request: requests that can still meet their objective first, by priority and then by objective.
+/// Returns the sort key of a request: requests that can still meet their objective first, by priority, fairness between workspaces, and
+/// then by objective. Without workspaces all tags are equal.
 ///
 /// If requests that miss their objective kept their place, under overload each request in turn would be served just too
 /// misses_objective.
-fn sort_key(answer_expected_at: Instant, request: &request::Request) -> (bool, u8, Instant) {
+fn sort_key(
+    answer_expected_at: Instant,
+    request: &request::Request,
+    tag: fairness::Tag,
+) -> (bool, u8, fairness::Tag, Instant) {
     let misses_objective = request.objective_at < answer_expected_at;
-    (misses_objective, request.priority, request.objective_at)
+    (
+        misses_objective,
+        request.priority,
+        tag,
+        request.objective_at,
+    )
 }
 
 /// Estimates the waiting time of a request from the mean answer time and the number of statements that run concurrently.
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -51,4 +51,7 @@
     pub hedge: bool,
     /// Whether another proxy forwarded the request, so that this proxy must not forward it again.
     pub forwarded: bool,
+    /// Workspace on whose behalf the request is made; `None` if the configuration knows no workspaces, or for an anonymous caller. A
+    /// connection to a member serves one workspace only.
+    pub workspace: Option<id::WorkspaceId>,
 }
--- a/crates/broker/src/state/confirmations.rs
+++ b/crates/broker/src/state/confirmations.rs
@@ -196,13 +196,12 @@
         let Some(state) = self.member_state_mut(member) else {
             return;
         };
-        let Some(idle) = state.idle.pop() else {
+        let Some(idle) = state.lease_any() else {
             if state.opening == 0 && state.may_open(now) {
-                self.open_connection(member, effects);
+                self.open_connection(member, None, effects);
             }
             return;
         };
-        state.leased += 1;
         let retry_at = now + RECEIPT_TIMEOUT;
         self.groups.entry(group_id).lease.receipt_question =
             Some(ReceiptQuestion { member, retry_at });
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -29,28 +29,41 @@
 /// back-off, too.
 const CONTENTION_WINDOW: Duration = Duration::from_secs(3);
 
+/// A connection to a member or a home.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Connection {
+    pub(super) member: id::MemberId,
+    /// Workspace that the connection serves; `None` for connections to homes, and where the configuration knows no workspaces.
+    pub(super) workspace: Option<id::WorkspaceId>,
+}
+
 impl state::Broker {
+    /// Returns the workspace that a connection serves, whose name the member is told.
+    pub fn conn_workspace(&self, conn: id::ConnId) -> Option<id::WorkspaceId> {
+        self.connections.get(conn)?.workspace
+    }
+
     /// Lends an idle connection to a member for a command that another proxy has asked this one to send. It is in use until
     /// [`event::Event::Returned`].
     pub fn lend_connection(&mut self, member: id::MemberId) -> Option<id::ConnId> {
         let group = *self.member_groups.get(member)?;
         // A home takes no commands.
         let state = self.groups.get_mut(group)?.members.get_mut(member)?;
-        let idle = state.idle.pop()?;
-        state.leased += 1;
-        Some(idle.conn)
+        Some(state.lease_any()?.conn)
     }
 
     pub(super) fn open_connection(
         &mut self,
         member: id::MemberId,
+        workspace: Option<id::WorkspaceId>,
         effects: &mut Vec<effect::Effect>,
     ) {
         let conn = self.next_conn;
         self.next_conn += 1;
-        self.conn_members.insert(conn, member);
+        self.connections
+            .insert(conn, Connection { member, workspace });
         if let Some(state) = self.member_state_mut(member) {
-            state.opening += 1;
+            state.start_opening(workspace);
         }
         effects.push(effect::Effect::Open { conn, member });
     }
@@ -61,16 +74,20 @@
         conn: id::ConnId,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let member = self.conn_members.get(conn).copied();
+        let connection = self.connections.get(conn).copied();
+        let workspace = connection.and_then(|connection| connection.workspace);
+        let member = connection.map(|connection| connection.member);
         let Some(state) = member.and_then(|member| self.member_state_mut(member)) else {
-            self.conn_members.remove(conn);
+            self.connections.remove(conn);
             effects.push(effect::Effect::Close(conn));
             return;
         };
-        state.opening = state.opening.saturating_sub(1);
-        state
-            .idle
-            .push(member_state::IdleConnection { conn, since: now });
+        state.end_opening(workspace);
+        state.idle.push(member_state::IdleConnection {
+            conn,
+            since: now,
+            workspace,
+        });
         state.backoff_until = None;
         state.rejected_connects = 0;
         let recovered = state.is_suspect();
@@ -91,13 +108,13 @@
         failure: event::OpenFailure,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let Some(member) = self.conn_members.remove(conn) else {
+        let Some(Connection { member, workspace }) = self.connections.remove(conn) else {
             return;
         };
         let Some(state) = self.member_state_mut(member) else {
             return;
         };
-        state.opening = state.opening.saturating_sub(1);
+        state.end_opening(workspace);
         match failure {
             event::OpenFailure::Full => state.record_no_connection_left(now),
             event::OpenFailure::Refused | event::OpenFailure::WrongMember => {
@@ -118,7 +135,7 @@
         conn: id::ConnId,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let Some(member) = self.conn_members.remove(conn) else {
+        let Some(Connection { member, .. }) = self.connections.remove(conn) else {
             return;
         };
         if let Some(state) = self.member_state_mut(member) {
@@ -134,21 +151,23 @@
         reusable: bool,
         effects: &mut Vec<effect::Effect>,
     ) {
-        let Some(member) = self.conn_members.get(conn).copied() else {
+        let Some(Connection { member, workspace }) = self.connections.get(conn).copied() else {
             return;
         };
         if let Some(state) = self.member_state_mut(member) {
-            state.leased = state.leased.saturating_sub(1);
+            state.end_lease(workspace);
             if reusable {
-                state
-                    .idle
-                    .push(member_state::IdleConnection { conn, since: now });
+                state.idle.push(member_state::IdleConnection {
+                    conn,
+                    since: now,
+                    workspace,
+                });
             }
         }
         if !reusable {
-            self.conn_members.remove(conn);
+            self.connections.remove(conn);
         } else if self.member_state(member).is_none() {
-            self.conn_members.remove(conn);
+            self.connections.remove(conn);
             effects.push(effect::Effect::Close(conn));
         }
         self.serve_queue_of_member(now, member, effects);
@@ -160,7 +179,7 @@
         };
         for idle in std::mem::take(&mut state.idle) {
             effects.push(effect::Effect::Close(idle.conn));
-            self.conn_members.remove(idle.conn);
+            self.connections.remove(idle.conn);
         }
     }
 
@@ -292,13 +311,13 @@
         };
         let due = members.values().filter(due).map(|state| state.entry.id);
         for member in due.collect::<Vec<_>>() {
-            self.open_connection(member, effects);
+            self.open_connection(member, None, effects);
         }
     }
 
     /// Closes the connections that have been idle for their idle timeout.
     pub(super) fn close_timed_out(&mut self, now: Instant, effects: &mut Vec<effect::Effect>) {
-        let conns = &mut self.conn_members;
+        let conns = &mut self.connections;
         for (_, group) in self.groups.iter_mut() {
             let this_proxy_is_home = group.this_proxy_is_home;
             let members = group
@@ -309,7 +328,7 @@
             for (state, keeps_last) in members.chain(homes) {
                 while let Some(oldest) = state.idle.first().copied() {
                     if now.saturating_duration_since(oldest.since)
-                        < idle_timeout(state, keeps_last, now)
+                        < idle_timeout(state, &oldest, keeps_last, now)
                     {
                         break;
                     }
@@ -322,9 +341,15 @@
     }
 }
 
-/// Returns the idle timeout of the connection that has been idle longest. `keeps_last` tells whether the last connection is
+/// Returns the idle timeout of the connection that has been idle longest. The connection of a workspace is kept like the last one, since
+/// it is closed anyway when another workspace needs its place, see [`crate::share`]. `keeps_last` tells whether the last connection is
 /// kept for longer: a home keeps the last one to a member, and every proxy the last one to a home.
-fn idle_timeout(state: &member_state::MemberState, keeps_last: bool, now: Instant) -> Duration {
+fn idle_timeout(
+    state: &member_state::MemberState,
+    oldest: &member_state::IdleConnection,
+    keeps_last: bool,
+    now: Instant,
+) -> Duration {
     let unwanted = state.entry.leaving || state.unlisted_since.is_some();
     let contended = state
         .opening_backoff_until
@@ -335,6 +360,8 @@
         LAST_IDLE_TIMEOUT
     } else if contended {
         CONTENDED_SPARE_IDLE_TIMEOUT
+    } else if oldest.workspace.is_some() && keeps_last {
+        LAST_IDLE_TIMEOUT
     } else {
         SPARE_IDLE_TIMEOUT
     }
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -239,7 +239,7 @@
         }
         if let Some(state) = state.or_else(|| group.homes.remove(member)) {
             for idle in state.idle {
-                self.conn_members.remove(idle.conn);
+                self.connections.remove(idle.conn);
                 effects.push(effect::Effect::Close(idle.conn));
             }
         }
--- a/crates/broker/src/state/leaders.rs
+++ b/crates/broker/src/state/leaders.rs
@@ -426,9 +426,8 @@
 ) {
     if let effect::Effect::SendCommand { member, conn, .. } = effect
         && let Some(state) = members.get_mut(*member)
-        && let Some(idle) = state.idle.pop()
+        && let Some(idle) = state.lease_any()
     {
-        state.leased += 1;
         *conn = Some(idle.conn);
     }
 }
@@ -440,8 +439,7 @@
     members: &mut sorted::Map<id::MemberId, member_state::MemberState>,
 ) -> Option<effect::Effect> {
     let state = members.get_mut(member)?;
-    let idle = state.idle.pop()?;
-    state.leased += 1;
+    let idle = state.lease_any()?;
     Some(effect::Effect::AskStatus {
         group,
         conn: idle.conn,
--- a/crates/broker/src/state/leases.rs
+++ b/crates/broker/src/state/leases.rs
@@ -417,13 +417,12 @@
         let Some(state) = self.member_state_mut(member) else {
             return;
         };
-        let Some(idle) = state.idle.pop() else {
+        let Some(idle) = state.lease_any() else {
             if state.opening == 0 && state.may_open(now) {
-                self.open_connection(member, effects);
+                self.open_connection(member, None, effects);
             }
             return;
         };
-        state.leased += 1;
         state.lease_asked_at = Some(now);
         let lease = &mut self.groups.entry(group_id).lease;
         lease.renewal_due = false;
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -55,8 +55,8 @@
     settings: Settings,
     topology: topology::Topology,
     groups: sorted::Map<id::GroupId, GroupState>,
-    /// Member or home at the other end of each connection.
-    conn_members: sorted::Map<id::ConnId, id::MemberId>,
+    /// Connections to members and homes that are open or being opened.
+    connections: sorted::Map<id::ConnId, conns::Connection>,
     /// Group of each member and home.
     member_groups: sorted::Map<id::MemberId, id::GroupId>,
     /// Group of each waiting request.
@@ -132,7 +132,7 @@
             settings,
             topology: topology::Topology::default(),
             groups: sorted::Map::default(),
-            conn_members: sorted::Map::default(),
+            connections: sorted::Map::default(),
             member_groups: sorted::Map::default(),
             request_groups: sorted::Map::default(),
             peers: sorted::Map::default(),
--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -161,10 +161,11 @@
                 .collect();
             let config = self.topology.groups.get(group_id);
             let connections_max = config.map_or(u32::MAX, |config| config.connections_max);
+            let serves_workspaces = self.topology.workspaces.is_some();
             let group = self.groups.entry(group_id);
             group.this_proxy_is_home = this_proxy_is_home;
             for (_, state) in group.members.iter_mut() {
-                state.set_sharers(chosen.len(), connections_max);
+                state.set_sharers(chosen.len(), connections_max, serves_workspaces);
             }
             if this_proxy_is_home {
                 // A home does not forward requests.
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -11,6 +11,7 @@
 use crate::place;
 use crate::queue;
 use crate::request;
+use crate::share;
 use crate::state;
 
 /// Usual time that a group has no leader: detection, hold commands and promotion.
@@ -39,6 +40,14 @@
     concurrency: f64,
 }
 
+/// A connection that a request waits for.
+#[derive(Clone, Copy, Eq, PartialEq)]
+struct Wanted {
+    member: id::MemberId,
+    /// Workspace of the request; `None` for a home.
+    workspace: Option<id::WorkspaceId>,
+}
+
 /// Decision on a waiting request.
 enum Decision {
     /// The request gets an idle connection to the member.
@@ -46,8 +55,8 @@
         member: id::MemberId,
         floor: Option<floor::Point>,
     },
-    /// The request waits for a connection to this member that has to be opened.
-    Open(id::MemberId),
+    /// The request waits for a connection that has to be opened.
+    Open(Wanted),
     /// The request waits for a sample of the read index.
     Sample,
     /// The request waits for the lease of the leader.
@@ -136,7 +145,7 @@
 
     pub(super) fn remove_request(&mut self, request: id::RequestId) {
         if let Some(group_id) = self.request_groups.remove(request) {
-            self.groups.entry(group_id).queue.remove(request);
+            self.groups.entry(group_id).queue.remove(request, false);
         }
     }
 
@@ -198,7 +207,7 @@
         let waiting = group.queue.in_order(answer_expected_at).to_vec();
         let forwards = group.forwards_to().is_some();
         let (direct, forwarding) = (group.answer_rate(now, false), group.answer_rate(now, true));
-        let mut wanted: Vec<id::MemberId> = Vec::new();
+        let mut wanted: Vec<Wanted> = Vec::new();
         for (ahead, request) in waiting.into_iter().enumerate() {
             let decision = self.decide(now, &request);
             let without_leader = matches!(
@@ -222,7 +231,7 @@
                     }
                     self.grant(now, &request, member, floor, effects);
                 }
-                Decision::Open(member) => wanted.push(member),
+                Decision::Open(opening) => wanted.push(opening),
                 Decision::Sample => self.groups.entry(group_id).needs_sample = true,
                 Decision::Lease => self.groups.entry(group_id).lease.record_demand(now),
                 Decision::Wait if ahead > 0 => {
@@ -235,7 +244,8 @@
                 Decision::Wait => {}
                 Decision::Refuse(reason, wait) => {
                     self.request_groups.remove(request.id);
-                    self.groups.entry(group_id).queue.remove(request.id);
+                    let queue = &mut self.groups.entry(group_id).queue;
+                    queue.remove(request.id, false);
                     effects.push(refusal(now, &request, reason, wait));
                 }
             }
@@ -260,7 +270,7 @@
         let wait = group.estimated_wait(now, rate, ahead);
         if now + wait > latest_answer(now, request) {
             self.request_groups.remove(request.id);
-            group.queue.remove(request.id);
+            group.queue.remove(request.id, false);
             let reason = self.reason_for_wait(now, request.group);
             effects.push(refusal(now, request, reason, wait));
         }
@@ -291,14 +301,14 @@
         let Some(state) = self.member_state_mut(member) else {
             return;
         };
-        let Some(idle) = state.idle.pop() else {
+        let workspace = request.workspace.filter(|_| !to_home);
+        let Some(idle) = state.lease(workspace) else {
             return;
         };
-        state.leased += 1;
         state.running += 1;
         self.request_groups.remove(request.id);
         let queue = &mut self.groups.entry(request.group).queue;
-        queue.remove(request.id);
+        queue.remove(request.id, true);
         queue.record_departure(now);
         let new_belief = match to_home {
             true => None,
@@ -317,24 +327,50 @@
         }));
     }
 
-    /// Opens connections to the members in `wanted`, which has one entry per waiting request, until as many connections to
-    /// each member are being opened as requests wait for it, or no more may be opened now.
-    fn open_wanted(
+    /// Opens the connections in `wanted`, which has one entry per waiting request, until as many connections to each member are being
+    /// opened as requests wait for it, or no more may be opened now.
+    fn open_wanted(&mut self, now: Instant, wanted: &[Wanted], effects: &mut Vec<effect::Effect>) {
+        for (nth, wants) in wanted.iter().enumerate() {
+            let before = wanted[..nth].iter().filter(|other| **other == *wants);
+            let Some(state) = self.member_state(wants.member) else {
+                continue;
+            };
+            if before.count() < state.opening_for(wants.workspace) {
+                continue;
+            }
+            // Requests before this one may have taken the room, or the connection to be replaced.
+            match share::choose(state, wants.workspace, now) {
+                share::Choice::Open => {}
+                share::Choice::Replace(conn) => self.replace_connection(wants, conn, effects),
+                share::Choice::Use | share::Choice::Wait => continue,
+            }
+            self.open_connection(wants.member, wants.workspace, effects);
+        }
+    }
+
+    /// Closes an idle connection of another workspace than the one that needs its place.
+    fn replace_connection(
         &mut self,
-        now: Instant,
-        wanted: &[id::MemberId],
+        wants: &Wanted,
+        conn: id::ConnId,
         effects: &mut Vec<effect::Effect>,
     ) {
-        for (nth, &member) in wanted.iter().enumerate() {
-            let before = wanted[..nth].iter().filter(|&&other| other == member);
-            let earlier = u32::try_from(before.count()).unwrap_or(u32::MAX);
-            let due = self
-                .member_state(member)
-                .is_some_and(|state| state.may_open_for_request(now) && earlier >= state.opening);
-            if due {
-                self.open_connection(member, effects);
-            }
-        }
+        let Some(state) = self.member_state_mut(wants.member) else {
+            return;
+        };
+        state.idle.retain(|idle| idle.conn != conn);
+        let from = self
+            .connections
+            .remove(conn)
+            .and_then(|closed| closed.workspace);
+        effects.push(effect::Effect::Close(conn));
+        effects.push(effect::Effect::RecordChange(
+            effect::StateChange::ConnectionMoved {
+                member: wants.member,
+                from,
+                to: wants.workspace,
+            },
+        ));
     }
 
     /// Decides on a waiting request.
@@ -469,7 +505,7 @@
                 leads: false,
                 avoided: request.avoid == Some(state.entry.id),
             };
-            let open_ms = if state.idle.is_empty() {
+            let open_ms = if !state.has_idle(None) {
                 OPEN_COST_MS
             } else {
                 0.0
@@ -487,15 +523,7 @@
             request::Requirement::Recent { session_commit, .. } => session_commit,
             _ => None,
         };
-        Some(if !state.idle.is_empty() {
-            let member = state.entry.id;
-            Decision::Grant {
-                member,
-                floor: session_commit,
-            }
-        } else {
-            open_or_wait(now, state)
-        })
+        Some(grant_or_open(now, state, None, session_commit))
     }
 
     /// Returns the leader if it may get new work. A leader that leaves or is no longer listed gets work until it is replaced,
@@ -526,13 +554,7 @@
         if state.is_backing_off(now) || !state.allows_statement() {
             return Decision::Wait;
         }
-        match state.idle.is_empty() {
-            false => Decision::Grant {
-                member: state.entry.id,
-                floor: None,
-            },
-            true => open_or_wait(now, state),
-        }
+        grant_or_open(now, state, request.workspace, None)
     }
 
     /// Decides on a request that may be served by any member whose log has reached `floor`.
@@ -551,7 +573,7 @@
                 leads: group.leader.member == Some(state.entry.id),
                 avoided: request.avoid == Some(state.entry.id),
             };
-            let open_ms = if state.idle.is_empty() {
+            let open_ms = if !state.has_idle(request.workspace) {
                 OPEN_COST_MS
             } else {
                 0.0
@@ -562,7 +584,7 @@
         let can_serve = |state: &&member_state::MemberState| {
             let usable = state.is_usable(now)
                 || leader == Some(state.entry.id) && !state.is_backing_off(now);
-            let connectable = !state.idle.is_empty() || state.may_open_for_request(now);
+            let connectable = share::choose(state, request.workspace, now) != share::Choice::Wait;
             let runs_first_attempt = request.hedge && request.avoid == Some(state.entry.id);
             let fresh = !state.is_behind(now, Some(floor));
             usable && state.allows_statement() && connectable && fresh && !runs_first_attempt
@@ -573,11 +595,7 @@
             .filter(can_serve)
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
         match best {
-            Some(state) if !state.idle.is_empty() => Decision::Grant {
-                member: state.entry.id,
-                floor: Some(floor),
-            },
-            Some(state) => open_or_wait(now, state),
+            Some(state) => grant_or_open(now, state, request.workspace, Some(floor)),
             None if request.hedge => {
                 Decision::Refuse(effect::RefusalReason::Overload, Duration::ZERO)
             }
@@ -609,17 +627,16 @@
         let must_open =
             !has_idle && state.opening == 0 && state.may_open(now) && !state.is_backing_off(now);
         if must_open {
-            self.open_connection(member, effects);
+            self.open_connection(member, None, effects);
             return;
         }
         let Some(idle) = self
             .member_state_mut(member)
-            .and_then(|state| state.idle.pop())
+            .and_then(member_state::MemberState::lease_any)
         else {
             return;
         };
         if let Some(state) = self.member_state_mut(member) {
-            state.leased += 1;
             state.running += 1;
         }
         let group = self.groups.entry(group_id);
@@ -633,11 +650,20 @@
     }
 }
 
-/// Decides on a request for a member or a home to which there is no idle connection.
-fn open_or_wait(now: Instant, state: &member_state::MemberState) -> Decision {
-    match state.may_open_for_request(now) {
-        true => Decision::Open(state.entry.id),
-        false => Decision::Wait,
+/// Decides on a request that a member or a home is to serve: it gets an idle connection, or waits for one.
+fn grant_or_open(
+    now: Instant,
+    state: &member_state::MemberState,
+    workspace: Option<id::WorkspaceId>,
+    floor: Option<floor::Point>,
+) -> Decision {
+    let member = state.entry.id;
+    match share::choose(state, workspace, now) {
+        share::Choice::Use => Decision::Grant { member, floor },
+        share::Choice::Open | share::Choice::Replace(_) => {
+            Decision::Open(Wanted { member, workspace })
+        }
+        share::Choice::Wait => Decision::Wait,
     }
 }
 
--- a/crates/broker/src/state/search.rs
+++ b/crates/broker/src/state/search.rs
@@ -64,16 +64,13 @@
         let (member, opens) = (state.entry.id, state.opening == 0 && state.may_open(now));
         let Some(idle) = self
             .member_state_mut(member)
-            .and_then(|state| state.idle.pop())
+            .and_then(member_state::MemberState::lease_any)
         else {
             if opens {
-                self.open_connection(member, effects);
+                self.open_connection(member, None, effects);
             }
             return;
         };
-        if let Some(state) = self.member_state_mut(member) {
-            state.leased += 1;
-        }
         let asked_at = now;
         self.groups.entry(group_id).leader_question = Some(LeaderQuestion { member, asked_at });
         effects.push(effect::Effect::AskStatus {
--- a/crates/broker/src/state/tick.rs
+++ b/crates/broker/src/state/tick.rs
@@ -103,7 +103,7 @@
             }
         }
         for member in unchecked {
-            self.open_connection(member, effects);
+            self.open_connection(member, None, effects);
         }
         for member in gone {
             self.record_missing(member);
--- a/crates/broker/src/topology.rs
+++ b/crates/broker/src/topology.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::revision;
+use crate::workspace;
 
 /// Consistency of a route's reads.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -53,6 +54,8 @@
     pub objective_ms: u32,
     /// Priority class of the route's requests; 0 is the highest.
     pub priority: u8,
+    /// Whether callers without a known key may use the route.
+    pub allows_anonymous: bool,
 }
 
 /// Configuration of a database group: a leader and its replicas.
@@ -76,6 +79,8 @@
     /// Time for which a transaction may be idle between statements, in milliseconds; 0 means no limit, which
     /// [`Topology::new`] sets.
     pub transaction_idle_ms: u32,
+    /// Workspaces, whose keys callers need; `None` if the configuration knows no workspaces, and callers need no key.
+    pub workspaces: Option<workspace::Registry>,
     routes: Vec<Route>,
 }
 
@@ -89,6 +94,7 @@
             version,
             groups: groups.into_iter().collect(),
             transaction_idle_ms: 0,
+            workspaces: None,
             routes,
         }
     }
@@ -101,6 +107,31 @@
         found.ok().map(|index| &self.routes[index])
     }
 
+    /// Returns the workspace on whose behalf a caller with this key uses a route; `None` if the configuration knows no workspaces, or for
+    /// an anonymous caller.
+    ///
+    /// # Errors
+    ///
+    /// [`workspace::Unauthorized`] if no workspace has the key, and the route requires one.
+    pub fn authorize(
+        &self,
+        route: &Route,
+        key: &workspace::KeyDigest,
+    ) -> Result<Option<id::WorkspaceId>, workspace::Unauthorized> {
+        let Some(workspaces) = &self.workspaces else {
+            return Ok(None);
+        };
+        match workspaces.find(key) {
+            None if !route.allows_anonymous => Err(workspace::Unauthorized),
+            workspace => Ok(workspace),
+        }
+    }
+
+    /// Returns a workspace of the configuration.
+    pub fn workspace(&self, workspace: id::WorkspaceId) -> Option<&workspace::Workspace> {
+        self.workspaces.as_ref()?.get(workspace)
+    }
+
     /// Returns all routes, sorted by database name.
     pub fn routes(&self) -> &[Route] {
         &self.routes
--- a/crates/broker/src/topology_change.rs
+++ b/crates/broker/src/topology_change.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::topology;
+use crate::workspace;
 
 /// What one version of the configuration changes in another.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -22,6 +23,43 @@
     removed_routes: Vec<Box<str>>,
     /// Routes that are new or different, sorted by database name.
     routes: Vec<topology::Route>,
+    /// Change of the workspaces; `None` if the new version knows none.
+    workspaces: Option<WorkspacesChange>,
+}
+
+/// What one version of the configuration changes in the workspaces of another.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+struct WorkspacesChange {
+    /// Workspaces that the new version doesn't have, sorted by id.
+    removed: Vec<id::WorkspaceId>,
+    /// Workspaces that are new or different.
+    changed: Vec<workspace::Workspace>,
+}
+
+impl WorkspacesChange {
+    fn between(base: Option<&workspace::Registry>, next: &workspace::Registry) -> Self {
+        let known = |id| base.and_then(|base| base.get(id));
+        let base_ids = base.into_iter().flat_map(workspace::Registry::iter);
+        Self {
+            removed: base_ids
+                .map(|(id, _)| id)
+                .filter(|id| next.get(*id).is_none())
+                .collect(),
+            changed: next
+                .iter()
+                .filter(|(id, workspace)| known(*id) != Some(*workspace))
+                .map(|(_, workspace)| workspace.clone())
+                .collect(),
+        }
+    }
+
+    fn apply(self, base: Option<&workspace::Registry>) -> workspace::Registry {
+        let base = base.into_iter().flat_map(workspace::Registry::iter);
+        let kept = base.filter(|(id, _)| self.removed.binary_search(id).is_err());
+        // The changed ones come last, so that they replace those that they change.
+        let workspaces = kept.map(|(_, workspace)| workspace.clone());
+        workspace::Registry::from(workspaces.chain(self.changed).collect::<Vec<_>>())
+    }
 }
 
 impl TopologyChange {
@@ -50,6 +88,10 @@
                 .filter(|route| base.route(&route.database) != Some(*route))
                 .cloned()
                 .collect(),
+            workspaces: next
+                .workspaces
+                .as_ref()
+                .map(|next| WorkspacesChange::between(base.workspaces.as_ref(), next)),
         }
     }
 
@@ -82,6 +124,9 @@
         routes.extend(self.routes);
         let mut topology = topology::Topology::new(self.version, routes, groups);
         topology.transaction_idle_ms = self.transaction_idle_ms;
+        topology.workspaces = self
+            .workspaces
+            .map(|change| change.apply(base.workspaces.as_ref()));
         Some(topology)
     }
 }
--- a/crates/broker/tests/directory.rs
+++ b/crates/broker/tests/directory.rs
@@ -48,6 +48,7 @@
         avoid: None,
         hedge: false,
         forwarded: true,
+        workspace: None,
     }));
 }
 
--- a/crates/broker/tests/homes.rs
+++ b/crates/broker/tests/homes.rs
@@ -146,6 +146,7 @@
         avoid: None,
         hedge: false,
         forwarded: true,
+        workspace: None,
     }));
     fixture.open_all();
     let grant = fixture.take_grants().remove(0);
@@ -199,6 +200,7 @@
         avoid: None,
         hedge: false,
         forwarded: false,
+        workspace: None,
     }));
 }
 
--- a/crates/broker/tests/place.rs
+++ b/crates/broker/tests/place.rs
@@ -162,6 +162,7 @@
         avoid: Some(first.member),
         hedge: true,
         forwarded: false,
+        workspace: None,
     }));
     let refused =
         |effect: &Effect| matches!(effect, Effect::Refuse(refusal) if refusal.request == 900);
--- a/crates/broker/tests/simulation/callers.rs
+++ b/crates/broker/tests/simulation/callers.rs
@@ -127,6 +127,7 @@
                 avoid,
                 hedge: false,
                 forwarded: false,
+                workspace: None,
             }),
         );
     }
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -158,6 +158,7 @@
             avoid: None,
             hedge: false,
             forwarded: false,
+            workspace: None,
         }));
         id
     }
@@ -259,6 +260,7 @@
         statement_timeout_ms: 800,
         objective_ms: 500,
         priority: 1,
+        allows_anonymous: false,
     };
     let group = Group {
         name: "ledger".into(),
--- a/crates/broker/tests/topology_change.rs
+++ b/crates/broker/tests/topology_change.rs
@@ -12,6 +12,7 @@
         statement_timeout_ms: 1_000,
         objective_ms,
         priority: 1,
+        allows_anonymous: false,
     }
 }
 
--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -136,7 +136,7 @@
 }
 
 impl<C: Codec> Link<C> {
-    /// Opens a connection to a member of a group, given by its name and id. A member refuses if its name or group is another.
+    /// Opens a connection to a member of a group, given by its name and id, for a workspace. A member refuses if its name or group is another.
     ///
     /// # Errors
     ///
@@ -145,12 +145,14 @@
         address: SocketAddr,
         group: &str,
         member: (&str, id::MemberId),
+        workspace: Option<&str>,
         deadline: Instant,
     ) -> Result<Self, OpenError> {
         let mut link = Self::connect(address, member, deadline).await?;
         let startup = member::Command::Startup {
             group,
             member: member.0,
+            workspace,
         };
         link.push(startup).map_err(LinkError::from)?;
         link.start(deadline).await
@@ -175,6 +177,7 @@
         let startup = member::Command::Startup {
             group,
             member: name,
+            workspace: None,
         };
         link.push(startup).map_err(LinkError::from)?;
         let greeted = async {
--- a/crates/session/src/outgoing.rs
+++ b/crates/session/src/outgoing.rs
@@ -79,8 +79,20 @@
             (prepared.mode, prepared.shape.as_bytes()) == (mode, shape)
                 && connection_state.record_name(prepared, name)
         }
-        (Command::Startup { group, member }, ReadBack::Startup(read_group, read_member)) => {
-            (group.as_bytes(), member.as_bytes()) == (read_group, read_member)
+        (
+            Command::Startup {
+                group,
+                member,
+                workspace,
+            },
+            ReadBack::Startup {
+                group: read_group,
+                client,
+                member: read_member,
+            },
+        ) => {
+            let is_client = workspace.is_none_or(|workspace| workspace.as_bytes() == client);
+            (group.as_bytes(), member.as_bytes()) == (read_group, read_member) && is_client
         }
         (Command::Deallocate(prepared_id), ReadBack::Deallocate(name)) => {
             connection_state.forget_name(prepared_id, name)
--- a/crates/session/src/peer/codec.rs
+++ b/crates/session/src/peer/codec.rs
@@ -122,7 +122,10 @@
         inbox: &mut BytesMut,
     ) -> Result<Option<caller::Message>, protocol::WireError> {
         Ok(frame::decode(inbox)?.map(|request| match request {
-            frame::Request::Startup { group } => caller::Message::Startup { database: group },
+            frame::Request::Startup { group } => caller::Message::Startup {
+                database: group,
+                key: Bytes::new(),
+            },
             frame::Request::Run {
                 id,
                 text,
--- a/crates/session/src/protocol/caller.rs
+++ b/crates/session/src/protocol/caller.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use fulmarlift_broker::topology;
 use fulmarlift_core::floor;
+use fulmarlift_core::id;
 use serde::{Deserialize, Serialize};
 
 use crate::protocol;
@@ -15,6 +16,8 @@
     Startup {
         /// Name of the database.
         database: Box<str>,
+        /// Key by which the caller identifies itself; empty for a peer.
+        key: Bytes,
     },
     /// Runs a statement.
     Query(Query),
@@ -56,6 +59,8 @@
     pub objective_ms: u32,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Workspace on whose behalf the statement runs, whose key the forwarding proxy has checked.
+    pub workspace: Option<id::WorkspaceId>,
 }
 
 /// Meaning of a statement's text.
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -21,6 +21,8 @@
         group: &'a str,
         /// Expected name of the member, which refuses another one.
         member: &'a str,
+        /// Name of the workspace that the connection serves; none for a connection to a home, and without workspaces.
+        workspace: Option<&'a str>,
     },
     /// Runs a caller's statement, with its id and text unchanged.
     Run {
@@ -133,8 +135,15 @@
         /// Text that defines the statement.
         shape: &'a [u8],
     },
-    /// Opens the connection; carries the names of the group and the member.
-    Startup(&'a [u8], &'a [u8]),
+    /// Opens the connection.
+    Startup {
+        /// Name of the group.
+        group: &'a [u8],
+        /// Name of the workspace, or of the proxies where there is none.
+        client: &'a [u8],
+        /// Name of the member.
+        member: &'a [u8],
+    },
     /// Begins a read-write transaction for the proxy itself.
     Begin,
     /// Rolls the transaction back for the proxy itself.
--- a/crates/session/src/protocol/mod.rs
+++ b/crates/session/src/protocol/mod.rs
@@ -42,6 +42,8 @@
     InDoubt,
     /// The database does not exist.
     NoDatabase,
+    /// The caller's key is unknown.
+    Unauthorized,
     /// The message is malformed.
     Malformed,
     /// The message exceeds the protocol's limit.
--- a/crates/session/src/session/attempt.rs
+++ b/crates/session/src/session/attempt.rs
@@ -4,7 +4,6 @@
 
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
-use fulmarlift_broker::topology;
 use fulmarlift_core::floor;
 
 use crate::clock;
@@ -12,6 +11,7 @@
 use crate::link;
 use crate::protocol;
 use crate::protocol::member;
+use crate::session::scope;
 use crate::session::single;
 use crate::session::statement;
 use crate::shell;
@@ -170,7 +170,7 @@
     grant: effect::Grant,
     statement: &statement::MemberStatement,
     session_state: &values::SessionState,
-    route: &topology::Route,
+    scope: &scope::Scope,
     timing: single::Timing,
 ) -> Outcome {
     let deadline = timing.deadline;
@@ -207,7 +207,7 @@
     }
     let sent_at = clock::now();
     lease.set_floor(floor);
-    let pushed = statement.push(&mut lease, believed, floor, timing.options(route));
+    let pushed = statement.push(&mut lease, believed, floor, timing.options(scope));
     if let Err(reason) = pushed
         && reason.concerns_connection()
     {
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -1,6 +1,7 @@
 //! Sessions of callers, and of proxies that forward statements.
 
 mod attempt;
+mod scope;
 mod single;
 mod statement;
 mod transaction;
@@ -11,7 +12,7 @@
 
 use bytes::BytesMut;
 use fulmarlift_broker::Broker;
-use fulmarlift_broker::topology;
+use fulmarlift_broker::workspace;
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -70,6 +71,9 @@
     /// The client is no proxy of the same version that means this one.
     #[error(transparent)]
     PeerRefused(#[from] greeting::Refusal),
+    /// The configuration in force does not have the caller's key.
+    #[error("unknown key")]
+    Unauthorized,
     /// The proxy has no configuration yet.
     #[error("no configuration yet, retry after 500 ms")]
     NoConfiguration,
@@ -125,6 +129,8 @@
     outbox: BytesMut,
     /// Name of a caller's database, or of a peer's group.
     database: Box<str>,
+    /// Digest of the caller's key. The key itself is not kept.
+    key: workspace::KeyDigest,
     session_state: Rc<values::SessionState>,
     /// Newest commit of the session in each group.
     session_commits: floor::Floor,
@@ -162,6 +168,7 @@
         inbox: BytesMut::new(),
         outbox: BytesMut::new(),
         database: Box::default(),
+        key: workspace::KeyDigest::of(&[]),
         session_state: Rc::default(),
         session_commits: floor::Floor::default(),
         point: None,
@@ -225,7 +232,10 @@
 
     async fn start_session(&mut self) -> Result<(), SessionEnd> {
         match self.first_message().await? {
-            caller::Message::Startup { database } => self.database = database,
+            caller::Message::Startup { database, key } => {
+                self.database = database;
+                self.key = workspace::KeyDigest::of(&key);
+            }
             caller::Message::Terminate => return Err(SessionEnd::Closed),
             caller::Message::Query(_) => {
                 let error = crate::protocol::WireError::Malformed("statement before startup");
@@ -244,19 +254,32 @@
                 .end_with_error(&protocol::Code::Busy, SessionEnd::NoConfiguration)
                 .await;
         }
-        if self.client_kind == ClientKind::Caller && self.route().is_none() {
-            log::info!(
-                "event=refused database={} reason=NoDatabase",
-                self.database_field()
-            );
-            return self
-                .end_with_error(&protocol::Code::NoDatabase, SessionEnd::NoDatabase)
-                .await;
+        if self.client_kind == ClientKind::Caller
+            && let Err(denied) = self.scope()
+        {
+            return self.end_denied(denied).await;
         }
         self.reply(caller::Reply::Ready(protocol::TransactionState::Idle, None));
         self.flush().await
     }
 
+    /// Tells the caller why it may not use the session, and ends it.
+    async fn end_denied(&mut self, denied: scope::Denied) -> Result<(), SessionEnd> {
+        log::info!(
+            "event=refused database={} reason={denied:?}",
+            self.database_field()
+        );
+        metrics::counter!("fulmarlift_sessions_denied_total", "reason" => denied.name())
+            .increment(1);
+        let ended = match denied {
+            scope::Denied::NoDatabase => SessionEnd::NoDatabase,
+            scope::Denied::Unauthorized | scope::Denied::UnknownWorkspace => {
+                SessionEnd::Unauthorized
+            }
+        };
+        self.end_with_error(&denied.code(), ended).await
+    }
+
     /// Checks the greeting of a proxy before any of its messages is decoded. The answer is sent together with that to the startup
     /// message.
     async fn accept_greeting(&mut self) -> Result<(), SessionEnd> {
@@ -309,23 +332,6 @@
         self.client_kind == ClientKind::Peer
     }
 
-    /// Returns the route of the next statement; none if the database does not exist. A peer's route consists of its group and
-    /// the options of its newest statement; none before the first one.
-    fn route(&self) -> Option<topology::Route> {
-        if self.is_forwarded() {
-            return self.options.map(|options| topology::Route {
-                database: Box::default(),
-                group: id::of(&self.database),
-                consistency: options.consistency,
-                statement_timeout_ms: options.timeout_ms,
-                objective_ms: options.objective_ms,
-                priority: options.priority,
-            });
-        }
-        self.shell
-            .with_broker(|broker| broker.topology().route(&self.database).cloned())
-    }
-
     /// Sends an error and ends the session.
     async fn end_with_error(
         &mut self,
@@ -419,6 +425,13 @@
         self.database.is_empty() && self.inbox.len() > STARTUP_BYTES_MAX
     }
 
+    /// Returns whether the client's messages may hold a caller's key, which no log may show.
+    fn may_send_keys(&self) -> bool {
+        let has_keys =
+            |broker: &Broker| !broker.is_configured() || broker.topology().workspaces.is_some();
+        self.client_kind == ClientKind::Caller && self.shell.with_broker(has_keys)
+    }
+
     /// Logs and counts a message of the client that cannot be decoded.
     fn log_malformed(&self, error: &protocol::WireError, head: &logging::Head) {
         let client = match self.client_kind {
@@ -428,6 +441,10 @@
         let reason = error.reason();
         metrics::counter!("fulmarlift_messages_malformed_total", "client" => client, "reason" => reason)
             .increment(1);
+        let (head, left) = match self.may_send_keys() {
+            true => (logging::Head::of(&[]), logging::Head::of(&[])),
+            false => (*head, logging::Head::of(&self.inbox)),
+        };
         let address = self.stream.peer_addr().map(|address| address.to_string());
         log::info!(
             "event=malformed database={} client={client} address={} error=\"{error}\" message=\"{}\" left_bytes={} left=\"{}\"",
@@ -435,7 +452,7 @@
             address.as_deref().unwrap_or("none"),
             head.field(),
             self.inbox.len(),
-            logging::Head::of(&self.inbox).field(),
+            left.field(),
         );
     }
 
@@ -575,6 +592,10 @@
     }
 
     async fn handle_query(&mut self, query: caller::Query) -> Result<(), SessionEnd> {
+        if !self.is_key_valid() {
+            self.transaction.abandon();
+            return self.end_denied(scope::Denied::Unauthorized).await;
+        }
         if let Some(forwarded) = &query.forwarded {
             self.options = Some(forwarded.options);
             if let Some(session_commit) = forwarded.session_commit {
@@ -681,12 +702,12 @@
         if self.transaction.state() != protocol::TransactionState::Idle {
             return self.answer_error(&protocol::Code::Malformed, "already in a transaction");
         }
-        match self.route() {
-            Some(route) => {
-                self.transaction = Transaction::pending(mode, query, route);
+        match self.scope() {
+            Ok(scope) => {
+                self.transaction = Transaction::pending(mode, query, scope);
                 self.answer_done();
             }
-            None => self.answer_error(&protocol::Code::NoDatabase, "the database has been removed"),
+            Err(denied) => self.answer_error(&denied.code(), &denied.to_string()),
         }
     }
 
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -21,6 +21,7 @@
 use crate::protocol::member;
 use crate::session;
 use crate::session::attempt;
+use crate::session::scope;
 use crate::session::statement;
 use crate::shell;
 use crate::values;
@@ -67,16 +68,17 @@
     }
 
     /// Returns the options for a home, with the remaining time.
-    pub fn options(&self, route: &topology::Route) -> caller::StatementOptions {
+    pub fn options(&self, scope: &scope::Scope) -> caller::StatementOptions {
         let remaining_ms = |deadline: Instant| {
             let remaining = deadline.saturating_duration_since(clock::now());
             u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX)
         };
         caller::StatementOptions {
-            consistency: route.consistency,
+            consistency: scope.route.consistency,
             timeout_ms: remaining_ms(self.deadline),
             objective_ms: remaining_ms(self.objective_at),
-            priority: route.priority,
+            priority: scope.route.priority,
+            workspace: scope.workspace,
         }
     }
 }
@@ -164,10 +166,12 @@
 impl<D: Deployment, C: Codec> session::Session<D, C> {
     /// Runs a statement outside transactions and answers the caller.
     pub(super) async fn execute_single(&mut self, statement: statement::MemberStatement) {
-        let Some(route) = self.route() else {
-            return self.answer_error(&protocol::Code::NoDatabase, "the database has been removed");
+        let scope = match self.scope() {
+            Ok(scope) => scope,
+            Err(denied) => return self.answer_error(&denied.code(), &denied.to_string()),
         };
-        let mut timing = Timing::new(&route);
+        let route = &scope.route;
+        let mut timing = Timing::new(route);
         let forwarded = self.is_forwarded();
         if !forwarded
             && self
@@ -179,14 +183,14 @@
         let session_commit = self.session_commits.point(route.group);
         let session_state = Rc::clone(&self.session_state);
         let statement = Rc::new(statement);
-        let requirement = requirement(&route, statement.mode, session_commit);
+        let requirement = requirement(route, statement.mode, session_commit);
         let ended = match statement.mode {
             protocol::Mode::Read => {
                 let job = ReadJob {
                     shell: Rc::clone(&self.shell),
                     statement: Rc::clone(&statement),
                     session_state,
-                    route: route.clone(),
+                    scope: scope.clone(),
                     requirement,
                     timing,
                     forwarded,
@@ -200,7 +204,7 @@
                     &self.shell,
                     &statement,
                     &session_state,
-                    &route,
+                    &scope,
                     timing,
                     forwarded,
                 )
@@ -251,7 +255,7 @@
 /// Requests a connection from the broker for one attempt.
 pub(super) async fn request_connection<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
-    route: &topology::Route,
+    scope: &scope::Scope,
     requirement: request::Requirement,
     timing: Timing,
     avoid: Option<id::MemberId>,
@@ -261,14 +265,15 @@
     shell
         .admit(request::Request {
             id: shell.next_request(),
-            group: route.group,
+            group: scope.route.group,
             requirement,
-            priority: route.priority,
+            priority: scope.route.priority,
             objective_at: timing.objective_at,
             deadline: timing.deadline,
             avoid,
             hedge,
             forwarded,
+            workspace: scope.workspace,
         })
         .await
 }
@@ -278,7 +283,7 @@
     shell: Rc<shell::Shell<D>>,
     statement: Rc<statement::MemberStatement>,
     session_state: Rc<values::SessionState>,
-    route: topology::Route,
+    scope: scope::Scope,
     requirement: request::Requirement,
     timing: Timing,
     forwarded: bool,
@@ -314,7 +319,7 @@
         }
         request_connection(
             &job.shell,
-            &job.route,
+            &job.scope,
             job.requirement,
             job.timing,
             avoid,
@@ -344,7 +349,7 @@
                 grant,
                 &job.statement,
                 &job.session_state,
-                &job.route,
+                &job.scope,
                 job.timing,
             )
             .await;
@@ -598,7 +603,7 @@
     shell: &Rc<shell::Shell<D>>,
     statement: &statement::MemberStatement,
     session_state: &values::SessionState,
-    route: &topology::Route,
+    scope: &scope::Scope,
     timing: Timing,
     forwarded: bool,
 ) -> Result<member::Answer, Failure> {
@@ -613,7 +618,7 @@
         attempts = attempt;
         let admission = request_connection(
             shell,
-            route,
+            scope,
             request::Requirement::Leader,
             timing,
             avoid,
@@ -631,8 +636,8 @@
         if let Some(earlier) = &earlier {
             earlier.log_repetition(shell, statement, member);
         }
-        let seen_before = shell.newest_log_end(route.group);
-        match attempt::run(lease, grant, statement, session_state, route, timing).await {
+        let seen_before = shell.newest_log_end(scope.route.group);
+        match attempt::run(lease, grant, statement, session_state, scope, timing).await {
             attempt::Outcome::AnsweredByHome(answer)
                 if attempt == 1 && is_busy_answer(&answer) && shell.spend_retry() =>
             {
@@ -645,11 +650,11 @@
                 let is_confirmed = answer.error().is_some()
                     || is_home
                     || shell
-                        .confirm_commit(route.group, answer.point, timing.deadline)
+                        .confirm_commit(scope.route.group, answer.point, timing.deadline)
                         .await;
                 if is_confirmed && answer.error().is_none() {
                     let request = statement.id_text();
-                    shell.record_told_commit(route.group, request, answer.point, seen_before);
+                    shell.record_told_commit(scope.route.group, request, answer.point, seen_before);
                 }
                 return match is_confirmed {
                     true => Ok(answer),
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_broker::event;
-use fulmarlift_broker::topology;
+use fulmarlift_core::id;
 
 use crate::clock;
 use crate::deployment::Deployment;
@@ -14,6 +14,7 @@
 use crate::protocol::member;
 use crate::session;
 use crate::session::attempt::{self, classify_code};
+use crate::session::scope;
 use crate::session::single;
 use crate::session::statement;
 use crate::shell;
@@ -34,15 +35,15 @@
     Pending {
         /// Statement of the caller that began the transaction.
         begin: statement::MemberStatement,
-        /// Route of the transaction's statements.
-        route: topology::Route,
+        /// Route and workspace of the transaction's statements.
+        scope: scope::Scope,
     },
     /// The transaction is open on a connection.
     Open {
         /// Connection that the transaction uses.
         lease: Box<shell::Lease<D>>,
-        /// Route of the transaction's statements.
-        route: topology::Route,
+        /// Route and workspace of the transaction's statements.
+        scope: scope::Scope,
         /// Whether a write was sent.
         wrote: bool,
         /// Whether a write succeeded, so that a commit has an effect.
@@ -62,10 +63,10 @@
     pub(super) fn pending(
         mode: protocol::Mode,
         query: &caller::Query,
-        route: topology::Route,
+        scope: scope::Scope,
     ) -> Self {
         let begin = statement::MemberStatement::direct(query, member::Verb::Begin(mode));
-        Self::Pending { begin, route }
+        Self::Pending { begin, scope }
     }
 
     pub(super) fn state(&self) -> protocol::TransactionState {
@@ -80,6 +81,14 @@
         matches!(self, Self::Open { .. })
     }
 
+    /// Returns the workspace on whose behalf the transaction runs.
+    pub(super) fn workspace(&self) -> Option<id::WorkspaceId> {
+        match self {
+            Self::Pending { scope, .. } | Self::Open { scope, .. } => scope.workspace,
+            Self::None | Self::Failed { .. } => None,
+        }
+    }
+
     /// Marks the state of the transaction's connection as uncertain after the session's values changed: a rollback may or may
     /// not undo the change at the member.
     pub(super) fn mark_state_uncertain(&mut self) {
@@ -90,7 +99,8 @@
 
     /// Applies the remaining time that a forwarding proxy sent with the next statement.
     pub(super) fn set_options(&mut self, options: &caller::StatementOptions) {
-        if let Self::Pending { route, .. } | Self::Open { route, .. } = self {
+        if let Self::Pending { scope, .. } | Self::Open { scope, .. } = self {
+            let route = &mut scope.route;
             route.statement_timeout_ms = options.timeout_ms;
             route.objective_ms = options.objective_ms;
         }
@@ -135,7 +145,7 @@
         let session_state = std::rc::Rc::clone(&self.session_state);
         let Transaction::Open {
             lease,
-            route,
+            scope,
             wrote,
             has_changes,
             ..
@@ -143,7 +153,7 @@
         else {
             return self.answer_error(&protocol::Code::Aborted, "the transaction has ended");
         };
-        let timing = single::Timing::new(route);
+        let timing = single::Timing::new(&scope.route);
         *wrote |= statement.mode == protocol::Mode::Write;
         lease.set_request(&statement.id);
         lease.start_statement();
@@ -152,7 +162,7 @@
             attempt::synchronize(lease, &session_state, &statement, believed, timing.deadline)
                 .await;
         let answered = match synchronized {
-            Ok(()) => exchange(lease, &statement, timing.deadline, timing.options(route)).await,
+            Ok(()) => exchange(lease, &statement, timing.deadline, timing.options(scope)).await,
             Err(error) => Err(error),
         };
         match answered {
@@ -231,11 +241,12 @@
 
     /// Opens the transaction if it is pending: requests a connection and begins the transaction at the member.
     async fn open_transaction(&mut self) -> Result<(), single::Failure> {
-        let Transaction::Pending { begin, route } = &self.transaction else {
+        let Transaction::Pending { begin, scope } = &self.transaction else {
             return Ok(());
         };
-        let (begin, route) = (begin.clone(), route.clone());
-        let timing = single::Timing::new(&route);
+        let (begin, scope) = (begin.clone(), scope.clone());
+        let route = &scope.route;
+        let timing = single::Timing::new(route);
         let mut avoid = None;
         let mut earlier: Option<single::Earlier> = None;
         let mut attempts = 0;
@@ -245,10 +256,10 @@
             }
             attempts = attempt;
             let requirement =
-                single::requirement(&route, begin.mode, self.session_commits.point(route.group));
+                single::requirement(route, begin.mode, self.session_commits.point(route.group));
             let admission = single::request_connection(
                 &self.shell,
-                &route,
+                &scope,
                 requirement,
                 timing,
                 avoid,
@@ -315,13 +326,13 @@
                 }
             }
             let refused = match self
-                .begin_on(&mut lease, &begin, &route, floor, grant.verify, timing)
+                .begin_on(&mut lease, &begin, &scope, floor, grant.verify, timing)
                 .await
             {
                 Ok(Begun::Yes) => {
                     self.transaction = Transaction::Open {
                         lease,
-                        route,
+                        scope,
                         wrote: false,
                         has_changes: false,
                     };
@@ -360,7 +371,7 @@
         &self,
         lease: &mut shell::Lease<D>,
         begin: &statement::MemberStatement,
-        route: &topology::Route,
+        scope: &scope::Scope,
         floor: Option<fulmarlift_core::floor::Point>,
         verified: bool,
         timing: single::Timing,
@@ -368,7 +379,7 @@
         let sent_at = clock::now();
         lease.set_floor(floor);
         let believed = protocol::TransactionState::Idle;
-        let pushed = begin.push(lease, believed, floor, timing.options(route));
+        let pushed = begin.push(lease, believed, floor, timing.options(scope));
         if let Err(reason) = pushed
             && reason.concerns_connection()
         {
@@ -443,14 +454,15 @@
         let ended = std::mem::replace(&mut self.transaction, Transaction::None);
         let Transaction::Open {
             mut lease,
-            route,
+            scope,
             wrote,
             has_changes,
         } = ended
         else {
             return self.answer_error(&protocol::Code::Aborted, "the transaction has ended");
         };
-        let timing = single::Timing::new(&route);
+        let group = scope.route.group;
+        let timing = single::Timing::new(&scope.route);
         lease.set_request(&statement.id);
         lease.start_statement();
         // A transaction without statements was begun on a connection that may have the values of another session.
@@ -486,12 +498,12 @@
             return self.answer_error(&code, &error.to_string());
         }
         let sent_at = clock::now();
-        let seen_before = self.shell.newest_log_end(route.group);
+        let seen_before = self.shell.newest_log_end(group);
         match exchange(
             &mut lease,
             &statement,
             timing.deadline,
-            timing.options(&route),
+            timing.options(&scope),
         )
         .await
         {
@@ -508,7 +520,7 @@
                     && wrote
                     && let Some(point) = answer.point
                 {
-                    self.session_commits.raise(route.group, point);
+                    self.session_commits.raise(group, point);
                 }
                 if let Some(code) = answer.error() {
                     log::info!(
@@ -526,7 +538,7 @@
                 let shell = std::rc::Rc::clone(&self.shell);
                 if needs_confirmation
                     && !shell
-                        .confirm_commit(route.group, answer.point, timing.deadline)
+                        .confirm_commit(group, answer.point, timing.deadline)
                         .await
                 {
                     let failure = single::unconfirmed_failure();
@@ -540,7 +552,7 @@
                 }
                 if tells_commit {
                     let request = statement.id_text();
-                    shell.record_told_commit(route.group, request, answer.point, seen_before);
+                    shell.record_told_commit(group, request, answer.point, seen_before);
                 }
                 self.relay_answer(&answer);
             }
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -184,6 +184,14 @@
         &self.vm_name
     }
 
+    /// Returns the name of a workspace of the configuration in force.
+    pub(crate) fn workspace_name(&self, workspace: id::WorkspaceId) -> Option<Box<str>> {
+        self.with_broker(|broker| {
+            let workspace = broker.topology().workspace(workspace)?;
+            Some(workspace.name.clone())
+        })
+    }
+
     /// Returns a member's name for the log.
     pub fn member_name(&self, member: id::MemberId) -> Box<str> {
         self.with_broker(|broker| state_changes::member_name(broker, member).into())
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -149,6 +149,15 @@
                 "event=member_avoided member={name} avoided={avoided} malformed_answers={malformed_answers} for_ms={for_ms}"
             );
         }
+        effect::StateChange::ConnectionMoved { member, from, to } => {
+            metrics::counter!("fulmarlift_connections_moved_total").increment(1);
+            log::info!(
+                "event=connection_moved member={} from_workspace={} to_workspace={}",
+                member_name(broker, member),
+                workspace_name(broker, from),
+                workspace_name(broker, to)
+            );
+        }
         effect::StateChange::Lease {
             group,
             term,
@@ -403,6 +412,16 @@
     config.map_or("unknown", |config| config.name.as_ref())
 }
 
+/// Returns the name of a workspace for the log; `none` without one.
+pub(crate) fn workspace_name(broker: &Broker, workspace: Option<id::WorkspaceId>) -> &str {
+    let known = workspace.map(|workspace| broker.topology().workspace(workspace));
+    match known {
+        Some(Some(workspace)) => workspace.name.as_ref(),
+        Some(None) => "unknown",
+        None => "none",
+    }
+}
+
 pub(super) fn member_name(broker: &Broker, member: id::MemberId) -> &str {
     broker
         .member(member)
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -104,7 +104,12 @@
             .map_or_else(unknown, |(group, name, _)| (group, name))
     }
 
-    async fn connect(&self, member: id::MemberId) -> Result<shell::Upstream<D>, link::OpenError> {
+    /// Opens a connection to a member or a home. A connection to a member serves one workspace, if the configuration knows any.
+    async fn connect(
+        &self,
+        member: id::MemberId,
+        workspace: Option<id::WorkspaceId>,
+    ) -> Result<shell::Upstream<D>, link::OpenError> {
         let Some((group, name, address)) = self.locate(member) else {
             return Err(link::OpenError::Refused(protocol::Code::Misrouted));
         };
@@ -122,7 +127,17 @@
             }
             false => {
                 let deadline = clock::now() + effect::MEMBER_CONNECT_TIMEOUT;
-                let opened = link::Link::open(address, &group, (&name, member), deadline).await;
+                let workspace = match workspace {
+                    Some(workspace) => match self.workspace_name(workspace) {
+                        Some(name) => Some(name),
+                        // The workspace was removed after its request had come.
+                        None => return Err(link::OpenError::Refused(protocol::Code::Misrouted)),
+                    },
+                    None => None,
+                };
+                let member = (&*name, member);
+                let opened =
+                    link::Link::open(address, &group, member, workspace.as_deref(), deadline).await;
                 opened.map(shell::Upstream::Member)
             }
         };
@@ -139,7 +154,7 @@
     ) -> Result<shell::Upstream<D>, link::OpenError> {
         metrics::counter!("fulmarlift_connects_total").increment(1);
         let name_and_id = (&*member.name, member.id);
-        let opened = link::Link::open(member.address, group, name_and_id, deadline).await;
+        let opened = link::Link::open(member.address, group, name_and_id, None, deadline).await;
         let opened = opened.map(shell::Upstream::Member);
         log_connect_failure(&member.name, member.address, &opened);
         opened
@@ -148,7 +163,8 @@
     pub(super) fn open(self: &Rc<Self>, conn: id::ConnId, member: id::MemberId) {
         let shell = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let event = match shell.connect(member).await {
+            let workspace = shell.with_broker(|broker| broker.conn_workspace(conn));
+            let event = match shell.connect(member, workspace).await {
                 Ok(upstream) => {
                     shell.inner.borrow_mut().idle.insert(conn, upstream);
                     event::Event::Opened(conn)
@@ -363,7 +379,7 @@
     ) -> Result<shell::Upstream<D>, link::OpenError> {
         match lent.or_else(|| self.control_connections.take(member)) {
             Some(upstream) => Ok(upstream),
-            None => self.connect(member).await,
+            None => self.connect(member, None).await,
         }
     }
 
--- a/crates/session/tests/frames.rs
+++ b/crates/session/tests/frames.rs
@@ -34,6 +34,7 @@
         timeout_ms: 5_000,
         objective_ms: u32::MAX,
         priority: 1,
+        workspace: None,
     }
 }
 
@@ -106,17 +107,21 @@
         }),
         Just(query(Bytes::new(), Bytes::new(), Statement::Reset, None)),
         Just(query(Bytes::new(), Bytes::new(), Statement::Rollback, None)),
-        text().prop_map(|database| Message::Startup { database }),
+        text().prop_map(|database| Message::Startup {
+            database,
+            key: Bytes::new()
+        }),
         Just(Message::Terminate),
     ]
 }
 
 fn forward(message: &Message, outbox: &mut BytesMut) -> Result<(), Withheld> {
     let query = match message {
-        Message::Startup { database } => {
+        Message::Startup { database, .. } => {
             let command = Command::Startup {
                 group: database,
                 member: "any",
+                workspace: None,
             };
             return Forwarding.encode(command, outbox);
         }
--- a/crates/session/tests/layout.rs
+++ b/crates/session/tests/layout.rs
@@ -19,6 +19,7 @@
     timeout_ms: 1_000,
     objective_ms: 400,
     priority: 2,
+    workspace: None,
 };
 
 #[test]
@@ -71,6 +72,7 @@
             Command::Startup {
                 group: "ledger",
                 member: "home",
+                workspace: None,
             },
         ),
         ("begin read", run(Verb::Begin(Mode::Read), OPTIONS)),
--- a/crates/session/tests/layout/updates.rs
+++ b/crates/session/tests/layout/updates.rs
@@ -29,6 +29,7 @@
         statement_timeout_ms: 1_000,
         objective_ms: 400,
         priority: 2,
+        allows_anonymous: false,
     };
     let group = Group {
         name: database.into(),
--- a/crates/session/tests/members.rs
+++ b/crates/session/tests/members.rs
@@ -54,9 +54,16 @@
 impl Codec for NamedCodec {
     fn encode(&mut self, command: Command<'_>, outbox: &mut BytesMut) -> Result<(), Withheld> {
         match command {
-            Command::Startup { group, member } => {
+            Command::Startup { group, member, .. } => {
                 let group = &format!("{group}/{member}");
-                self.0.encode(Command::Startup { group, member }, outbox)
+                self.0.encode(
+                    Command::Startup {
+                        group,
+                        member,
+                        workspace: None,
+                    },
+                    outbox,
+                )
             }
             other => self.0.encode(other, outbox),
         }
@@ -138,13 +145,13 @@
                 Err(error) => panic!("{error}"),
             };
             match message {
-                Message::Startup { database } if *database != **self.runs.borrow() => {
+                Message::Startup { database, .. } if *database != **self.runs.borrow() => {
                     self.refused.borrow_mut().push(database.into());
                     codec.encode(Reply::Error(&Code::Misrouted, "another"), &mut outbox);
                     let _ = stream.write_all_buf(&mut outbox).await;
                     return;
                 }
-                Message::Startup { database } => opened_for = database.into(),
+                Message::Startup { database, .. } => opened_for = database.into(),
                 Message::Terminate => return,
                 Message::Query(query) => {
                     let text = String::from_utf8_lossy(&query.text).into_owned();
@@ -187,6 +194,7 @@
         statement_timeout_ms: 200,
         objective_ms: 200,
         priority: 1,
+        allows_anonymous: false,
     });
     let groups = GROUPS.map(|name| {
         let group = Group {
@@ -263,7 +271,14 @@
     let (mut codec, mut messages) = (Forwarding, BytesMut::new());
     let member = "any";
     codec
-        .encode(Command::Startup { group, member }, &mut messages)
+        .encode(
+            Command::Startup {
+                group,
+                member,
+                workspace: None,
+            },
+            &mut messages,
+        )
         .expect("short messages are encoded");
     let (id, text) = (
         Bytes::from_static(b"1"),
@@ -274,6 +289,7 @@
         timeout_ms: 200,
         objective_ms: 200,
         priority: 1,
+        workspace: None,
     };
     let write = Command::Run {
         id: &id,
--- a/crates/session/tests/peers.rs
+++ b/crates/session/tests/peers.rs
@@ -43,6 +43,7 @@
     timeout_ms: 5_000,
     objective_ms: 5_000,
     priority: 1,
+    workspace: None,
 };
 const STATEMENT: &str = "WRITE 1 x";
 /// Time in which a proxy that refuses a connection closes it, on a busy machine.
@@ -74,6 +75,7 @@
         statement_timeout_ms: OPTIONS.timeout_ms,
         objective_ms: OPTIONS.objective_ms,
         priority: OPTIONS.priority,
+        allows_anonymous: false,
     };
     let group = Group {
         name: GROUP.into(),
@@ -165,6 +167,7 @@
     let startup = Command::Startup {
         group: GROUP,
         member: "home",
+        workspace: None,
     };
     codec
         .encode(startup, &mut frames)
--- a/crates/session/tests/pipelining.rs
+++ b/crates/session/tests/pipelining.rs
@@ -26,6 +26,7 @@
     timeout_ms: 240,
     objective_ms: 240,
     priority: 1,
+    workspace: None,
 };
 /// Size of the buffers of both sockets, so that the caller is soon stopped by a proxy that stops reading.
 const SOCKET_BUFFER_BYTES: u32 = 16 << 10;
@@ -59,6 +60,7 @@
     let mut rest = encoded(Command::Startup {
         group: "ledger",
         member: "any",
+        workspace: None,
     });
     let mut sent_bytes = 0;
     while sent_bytes < SENT_BYTES_MAX {
--- a/crates/session/tests/relayed_rows.rs
+++ b/crates/session/tests/relayed_rows.rs
@@ -107,6 +107,7 @@
         statement_timeout_ms: 2_000,
         objective_ms: 2_000,
         priority: 1,
+        allows_anonymous: false,
     };
     let group = Group {
         name: GROUP.into(),
@@ -210,6 +211,7 @@
             let startup = Command::Startup {
                 group: GROUP,
                 member: "any",
+                workspace: None,
             };
             Forwarding.encode(startup, &mut outbox).expect("short");
             let (id, text) = (Bytes::from_static(b"1"), Bytes::from_static(b"READ 1"));
@@ -223,6 +225,7 @@
                     timeout_ms: 2_000,
                     objective_ms: 2_000,
                     priority: 1,
+                    workspace: None,
                 }),
             };
             Forwarding.encode(statement, &mut outbox).expect("short");
--- a/crates/session/tests/review_58.rs
+++ b/crates/session/tests/review_58.rs
@@ -39,6 +39,7 @@
     timeout_ms: 2_000,
     objective_ms: 2_000,
     priority: 1,
+    workspace: None,
 };
 const BEGIN: Verb = Verb::Begin(Mode::Write);
 const READ: Verb = Verb::Run(Mode::Read);
@@ -319,6 +320,7 @@
         statement_timeout_ms: OPTIONS.timeout_ms,
         objective_ms: OPTIONS.objective_ms,
         priority: OPTIONS.priority,
+        allows_anonymous: false,
     };
     let group = Group {
         name: GROUP.into(),
@@ -393,7 +395,13 @@
             inbox: BytesMut::new(),
         };
         let (group, member) = (GROUP, "any");
-        caller.ask(Command::Startup { group, member }).await;
+        caller
+            .ask(Command::Startup {
+                group,
+                member,
+                workspace: None,
+            })
+            .await;
         caller
     }
 
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -39,6 +39,7 @@
     timeout_ms: 5_000,
     objective_ms: 5_000,
     priority: 1,
+    workspace: None,
 };
 
 fn shutdown_grace() -> ShutdownGrace {
@@ -60,6 +61,7 @@
         statement_timeout_ms: OPTIONS.timeout_ms,
         objective_ms: OPTIONS.objective_ms,
         priority: OPTIONS.priority,
+        allows_anonymous: false,
     };
     let group = Group {
         name: GROUP.into(),
@@ -121,6 +123,7 @@
             .send(Command::Startup {
                 group: GROUP,
                 member,
+                workspace: None,
             })
             .await;
         caller.until_ready().await;
--- a/crates/session/tests/support/answering.rs
+++ b/crates/session/tests/support/answering.rs
@@ -263,6 +263,7 @@
         statement_timeout_ms: TIMEOUT_MS,
         objective_ms: TIMEOUT_MS,
         priority: 1,
+        allows_anonymous: false,
     };
     let group = Group {
         name: GROUP.into(),
@@ -366,7 +367,13 @@
             consistency: self.consistency,
         };
         let (group, member) = (GROUP, "any");
-        caller.ask(Command::Startup { group, member }).await;
+        caller
+            .ask(Command::Startup {
+                group,
+                member,
+                workspace: None,
+            })
+            .await;
         caller
     }
 }
@@ -410,6 +417,7 @@
             timeout_ms: TIMEOUT_MS,
             objective_ms: TIMEOUT_MS,
             priority: 1,
+            workspace: None,
         };
         self.ask(Command::Run {
             id: &id.into(),
--- a/crates/session/tests/support/commanded.rs
+++ b/crates/session/tests/support/commanded.rs
@@ -60,6 +60,7 @@
             timeout_ms: 1_000,
             objective_ms: 1_000,
             priority: 0,
+            workspace: None,
         };
         let command = Command::Run {
             id: &id,
@@ -248,6 +249,7 @@
         statement_timeout_ms: 1_000,
         objective_ms: 1_000,
         priority: 1,
+        allows_anonymous: false,
     };
     let group = Group {
         name: GROUP.into(),
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -192,6 +192,7 @@
         statement_timeout_ms: 1_000,
         objective_ms: 300,
         priority: 1,
+        allows_anonymous: false,
     }
 }
 
--- a/crates/session/tests/support/scripted.rs
+++ b/crates/session/tests/support/scripted.rs
@@ -32,7 +32,7 @@
             None => String::new(),
         };
         let line = match command {
-            Command::Startup { group, member } => format!("STARTUP {group} proxy {member}"),
+            Command::Startup { group, member, .. } => format!("STARTUP {group} proxy {member}"),
             Command::Run {
                 id, text, floor, ..
             } => format!("QUERY {} {}{}", utf8(id), after(floor), utf8(text)),
--- a/crates/session/tests/support/scripted_system.rs
+++ b/crates/session/tests/support/scripted_system.rs
@@ -32,6 +32,7 @@
     timeout_ms: 240,
     objective_ms: 240,
     priority: 1,
+    workspace: None,
 };
 pub const READ: Verb = Verb::Run(Mode::Read);
 pub const WRITE: Verb = Verb::Run(Mode::Write);
@@ -99,6 +100,7 @@
         statement_timeout_ms: limits.statement_timeout_ms,
         objective_ms: limits.statement_timeout_ms,
         priority: OPTIONS.priority,
+        allows_anonymous: false,
     };
     let group = Group {
         name: GROUP.into(),
@@ -219,6 +221,7 @@
         let startup = Command::Startup {
             group: GROUP,
             member: "any",
+            workspace: None,
         };
         caller.send(startup).await;
         caller.answer().await;
--- a/crates/session/tests/unread.rs
+++ b/crates/session/tests/unread.rs
@@ -49,6 +49,7 @@
             timeout_ms: 5_000,
             objective_ms: 5_000,
             priority: 1,
+            workspace: None,
         }),
     }
 }
@@ -70,6 +71,7 @@
     let startup = Command::Startup {
         group: "ledger",
         member: "any",
+        workspace: None,
     };
     send(&mut stream, startup).await;
     stream
--- a/crates/session/tests/unstarted.rs
+++ b/crates/session/tests/unstarted.rs
@@ -39,6 +39,7 @@
         statement_timeout_ms: 1_000,
         objective_ms: 1_000,
         priority: 1,
+        allows_anonymous: false,
     };
     let group = Group {
         name: GROUP.into(),
@@ -54,6 +55,7 @@
     let startup = Command::Startup {
         group: GROUP,
         member: "any",
+        workspace: None,
     };
     Forwarding.encode(startup, &mut outbox).expect("short");
     if stream.write_all_buf(&mut outbox).await.is_err() {
--- a/crates/session/tests/withheld.rs
+++ b/crates/session/tests/withheld.rs
@@ -35,6 +35,7 @@
     timeout_ms: 5_000,
     objective_ms: 5_000,
     priority: 1,
+    workspace: None,
 };
 /// Text of the statements, and name of the session values, that the codec withholds as too long.
 const TOO_LONG: &str = "too long";
@@ -120,6 +121,7 @@
         statement_timeout_ms: OPTIONS.timeout_ms,
         objective_ms: OPTIONS.objective_ms,
         priority: OPTIONS.priority,
+        allows_anonymous: false,
     };
     let group = Group {
         name: GROUP.into(),
@@ -179,7 +181,13 @@
             inbox: BytesMut::new(),
         };
         let (group, member) = (GROUP, "any");
-        caller.ask(Command::Startup { group, member }).await;
+        caller
+            .ask(Command::Startup {
+                group,
+                member,
+                workspace: None,
+            })
+            .await;
         caller
     }
 
