--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod member_state;
 pub mod place;
 pub mod queue;
+pub mod quota;
 pub mod readers;
 pub mod request;
 pub mod revision;
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -353,6 +353,11 @@
         self.peers.values().cloned().collect()
     }
 
+    /// Returns another proxy that the store lists.
+    pub fn listed_peer(&self, proxy: id::ProxyId) -> Option<topology::Peer> {
+        self.peers.get(proxy).cloned()
+    }
+
     /// Returns the proxies that may read the store for this one, the preferred one first; none if this proxy reads the store
     /// itself.
     pub fn readers(&self) -> Vec<topology::Peer> {
--- a/crates/session/src/deployment.rs
+++ b/crates/session/src/deployment.rs
@@ -12,6 +12,7 @@
 
 use fulmarlift_broker::claim;
 use fulmarlift_broker::event;
+use fulmarlift_broker::quota;
 use fulmarlift_broker::revision;
 use fulmarlift_broker::topology;
 use serde::{Deserialize, Serialize};
@@ -63,6 +64,41 @@
         claim: &claim::Claim,
         revision: revision::Revision,
     ) -> impl Future<Output = event::StoreOutcome>;
+
+    /// Reads the lease rows of all quota shards. Only deployments whose workspaces have limits need it.
+    fn load_quota_leases(&self) -> impl Future<Output = Result<QuotaLeases, CallError>> {
+        std::future::ready(Err(CallError::Unknown("not supported".into())))
+    }
+
+    /// Writes the lease row of a quota shard if the row still has the given version; 0 stands for a missing row.
+    fn store_quota_lease(
+        &self,
+        _shard: quota::ShardId,
+        _value: &[u8],
+        _revision: revision::Revision,
+    ) -> impl Future<Output = event::StoreOutcome> {
+        std::future::ready(event::StoreOutcome::Refused)
+    }
+}
+
+/// Lease rows of the quota shards, as of one moment.
+#[derive(Clone, Debug, Default)]
+pub struct QuotaLeases {
+    /// The rows that exist.
+    pub rows: Vec<QuotaLeaseRow>,
+    /// Era of the store.
+    pub era: revision::Era,
+}
+
+/// Lease row of one quota shard.
+#[derive(Clone, Debug)]
+pub struct QuotaLeaseRow {
+    /// Shard of the row.
+    pub shard: quota::ShardId,
+    /// Contents of the row.
+    pub value: Vec<u8>,
+    /// Revision of the row.
+    pub revision: revision::Revision,
 }
 
 /// Sends promotion orders to the platform, which makes a member the leader of its group.
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod outgoing;
 pub mod peer;
 pub mod protocol;
+mod quota;
 pub mod serve;
 pub mod session;
 pub mod shell;
--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -427,7 +427,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+/// Connects to an address, with time-outs that find a lost peer.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -19,6 +19,7 @@
 use crate::protocol::caller;
 use crate::protocol::caller::Codec;
 use crate::protocol::member;
+use crate::quota;
 use crate::session;
 use crate::session::attempt;
 use crate::session::scope;
@@ -180,6 +181,13 @@
         {
             timing.delay_hedge();
         }
+        let charge = match self.charge(&scope, timing).await {
+            Ok(charge) => charge,
+            Err(failure) => {
+                self.log_failed(&statement, &failure, timing);
+                return self.answer_error(&failure.code, &failure.text);
+            }
+        };
         let session_commit = self.session_commits.point(route.group);
         let session_state = Rc::clone(&self.session_state);
         let statement = Rc::new(statement);
@@ -211,6 +219,9 @@
                 .await
             }
         };
+        if has_not_run(&ended) {
+            charge.put_back();
+        }
         match ended {
             Ok(answer) => {
                 if statement.mode == protocol::Mode::Write
@@ -223,22 +234,60 @@
                 self.relay_answer(&answer);
             }
             Err(failure) => {
-                record_metrics(&statement, &timing, "failed");
-                let waited = clock::now().saturating_duration_since(timing.arrived_at);
-                log::info!(
-                    "event=failed request={} database={} mode={:?} code={:?} text=\"{}\" after_ms={}{}",
-                    statement.id_text(),
-                    self.database_field(),
-                    statement.mode,
-                    failure.code,
-                    failure.text,
-                    waited.as_millis(),
-                    failure.attempts_text(&self.shell)
-                );
+                self.log_failed(&statement, &failure, timing);
                 self.answer_error(&failure.code, &failure.text);
             }
         }
     }
+
+    /// Charges an operation to its workspace. A statement that another proxy forwards was charged there.
+    pub(super) async fn charge(
+        &self,
+        scope: &scope::Scope,
+        timing: Timing,
+    ) -> Result<quota::Charge<D>, Failure> {
+        if self.is_forwarded() {
+            return Ok(quota::Charge::free());
+        }
+        let deadline = timing.objective_at.min(timing.deadline);
+        let charged = self.shell.charge_operation(scope.workspace, deadline);
+        charged.await.map_err(|retry_after| Failure {
+            code: protocol::Code::Busy,
+            text: format!(
+                "quota of the workspace, retry after {} ms",
+                retry_after.as_millis()
+            ),
+            attempts: None,
+        })
+    }
+
+    fn log_failed(
+        &self,
+        statement: &statement::MemberStatement,
+        failure: &Failure,
+        timing: Timing,
+    ) {
+        record_metrics(statement, &timing, "failed");
+        let waited = clock::now().saturating_duration_since(timing.arrived_at);
+        log::info!(
+            "event=failed request={} database={} mode={:?} code={:?} text=\"{}\" after_ms={}{}",
+            statement.id_text(),
+            self.database_field(),
+            statement.mode,
+            failure.code,
+            failure.text,
+            waited.as_millis(),
+            failure.attempts_text(&self.shell)
+        );
+    }
+}
+
+/// Returns whether a statement has certainly not run, so that it is not charged.
+fn has_not_run(ended: &Result<member::Answer, Failure>) -> bool {
+    match ended {
+        Ok(answer) => answer.error().is_some_and(protocol::Code::means_not_run),
+        Err(failure) => matches!(failure.code, protocol::Code::Busy | protocol::Code::Aborted),
+    }
 }
 
 fn record_metrics(statement: &statement::MemberStatement, timing: &Timing, outcome: &'static str) {
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -239,14 +239,29 @@
         );
     }
 
-    /// Opens the transaction if it is pending: requests a connection and begins the transaction at the member.
+    /// Opens the transaction if it is pending, and charges it to its workspace unless it is not begun.
     async fn open_transaction(&mut self) -> Result<(), single::Failure> {
         let Transaction::Pending { begin, scope } = &self.transaction else {
             return Ok(());
         };
         let (begin, scope) = (begin.clone(), scope.clone());
+        let timing = single::Timing::new(&scope.route);
+        let charge = self.charge(&scope, timing).await?;
+        let opened = self.begin_transaction_at_member(begin, scope, timing).await;
+        if opened.is_err() {
+            charge.put_back();
+        }
+        opened
+    }
+
+    /// Requests a connection and begins the transaction at the member.
+    async fn begin_transaction_at_member(
+        &mut self,
+        begin: statement::MemberStatement,
+        scope: scope::Scope,
+        timing: single::Timing,
+    ) -> Result<(), single::Failure> {
         let route = &scope.route;
-        let timing = single::Timing::new(route);
         let mut avoid = None;
         let mut earlier: Option<single::Earlier> = None;
         let mut attempts = 0;
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -32,6 +32,7 @@
 use crate::clock;
 use crate::deployment::Deployment;
 use crate::newcomers;
+use crate::quota;
 use crate::transfer;
 
 pub use crate::shell::lease::Lease;
@@ -123,6 +124,7 @@
     /// Number of other proxies in the last log line that told it.
     logged_peers: Cell<usize>,
     refusal_log: refusals::RefusalLog,
+    pub(crate) quotas: quota::Quotas,
 }
 
 impl<D: Deployment> Shell<D> {
@@ -171,6 +173,7 @@
             newcomers: Rc::default(),
             logged_peers: Cell::new(0),
             refusal_log: refusals::RefusalLog::default(),
+            quotas: quota::Quotas::default(),
         })
     }
 
@@ -179,6 +182,11 @@
         &self.name
     }
 
+    /// Returns the access to the claim rows.
+    pub(crate) fn claims(&self) -> &D::Claims {
+        &self.claims
+    }
+
     /// Returns the name of the VM, under which other proxies know this one.
     pub(crate) fn vm_name(&self) -> &str {
         &self.vm_name
--- a/crates/session/src/shell/updates.rs
+++ b/crates/session/src/shell/updates.rs
@@ -155,6 +155,7 @@
         let tells_more = known < Some(era) || known == Some(era) && known_for > Duration::ZERO;
         if tells_more && era > 0 {
             self.handle(event::Event::StoreEra { era, known_for });
+            self.record_quota_era(era, known_for);
         }
     }
 
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -8,6 +8,7 @@
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
 use fulmarlift_broker::leader;
+use fulmarlift_broker::quota::message;
 use fulmarlift_broker::revision;
 use fulmarlift_broker::topology;
 use fulmarlift_broker::topology_change;
@@ -80,6 +81,10 @@
     GroupQuestion { group: id::GroupId },
     /// Answer to it.
     GroupAnswer(EncodedKnowledge),
+    /// Question for tokens of workspaces. Several follow each other on a connection.
+    QuotaQuestion(message::QuotaQuestion),
+    /// Answer to it.
+    QuotaAnswer(message::QuotaAnswer),
 }
 
 /// A command that may be sent to a member through another proxy. A release may not: sent late, it would end the hold of another
@@ -233,7 +238,7 @@
 
 /// Returns the greeting of a proxy that is asked, followed by an encoded message: both are sent at once, since the message is not
 /// decoded unless the greeting is accepted.
-pub(super) fn greet<D: Deployment>(
+pub(crate) fn greet<D: Deployment>(
     shell: &shell::Shell<D>,
     peer: &topology::Peer,
     message: &[u8],
@@ -246,7 +251,7 @@
 }
 
 /// Receives the answer to the greeting of a proxy that is asked. Logs a refusal.
-pub(super) async fn receive_greeting<D: Deployment>(
+pub(crate) async fn receive_greeting<D: Deployment>(
     shell: &shell::Shell<D>,
     peer: &topology::Peer,
     stream: &mut TcpStream,
@@ -263,14 +268,14 @@
 }
 
 /// Sends an encoded message.
-pub(super) async fn send(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
+pub(crate) async fn send(stream: &mut TcpStream, frame: &[u8]) -> io::Result<()> {
     stream.write_all(frame).await?;
     metrics::counter!("fulmarlift_updates_sent_bytes_total").increment(frame.len() as u64);
     Ok(())
 }
 
 /// Sends an encoded message after the answer to the greeting of the proxy that gets it, with one call and so in one packet.
-pub(super) async fn send_first(
+pub(crate) async fn send_first(
     stream: &mut TcpStream,
     accepted: BytesMut,
     frame: &[u8],
@@ -282,7 +287,7 @@
 }
 
 /// Receives the next message. Cancel-safe: a partial message stays in `inbox` when the future is dropped.
-pub(super) async fn receive(stream: &mut TcpStream, inbox: &mut BytesMut) -> io::Result<Message> {
+pub(crate) async fn receive(stream: &mut TcpStream, inbox: &mut BytesMut) -> io::Result<Message> {
     loop {
         if let Some(message) = take(inbox)? {
             return Ok(message);
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -14,6 +14,7 @@
 use crate::deployment::Deployment;
 use crate::link;
 use crate::peer::greeting;
+use crate::quota;
 use crate::shell;
 use crate::updates::{frame, listen, relay};
 
@@ -76,6 +77,9 @@
         frame::Message::GroupQuestion { group } => {
             relay::answer_group(shell, stream, accepted, group).await
         }
+        frame::Message::QuotaQuestion(question) => {
+            quota::answer_questions(shell, stream, accepted, question).await
+        }
         _ => Err(io::Error::from(io::ErrorKind::InvalidData)),
     }
 }
