--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`homes`]: the proxies that keep connections to a group; other proxies forward requests to them.
 //! - [`readers`]: the proxy that reads the store for its failure domain.
 //! - [`revision`]: the order of the store's changes, also after it has come back older.
+//! - [`workspace`]: the limits of workspaces.
 //! - [`failover`]: the steps that replace a leader.
 
 pub mod claim;
@@ -39,5 +40,6 @@
 pub mod topology;
 pub mod topology_change;
 pub mod trust;
+pub mod workspace;
 
 pub use state::Broker;
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -13,6 +13,8 @@
 pub type ServiceId = u64;
 /// Identifier of a caller's account.
 pub type CallerId = u64;
+/// Identifier of a workspace in the configuration.
+pub type WorkspaceId = u64;
 /// Identifier of a request at one proxy, ascending in order of arrival.
 pub type RequestId = u64;
 /// Identifier of a connection to a member, unique at one proxy.
