--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -19,7 +19,7 @@
 //! - [`homes`]: the proxies that keep connections to a group; other proxies forward requests to them.
 //! - [`readers`]: the proxy that reads the store for its failure domain.
 //! - [`revision`]: the order of the store's changes, also after it has come back older.
-//! - [`workspace`]: the limits of workspaces.
+//! - [`workspace`]: the limits of workspaces; [`quota`]: the decisions by which all proxies together keep to them.
 //! - [`failover`]: the steps that replace a leader.
 
 pub mod claim;
@@ -33,6 +33,7 @@
 pub mod member_state;
 pub mod place;
 pub mod queue;
+pub mod quota;
 pub mod readers;
 pub mod request;
 pub mod revision;
