--- a/crates/broker/tests/quota_search.rs
+++ b/crates/broker/tests/quota_search.rs
@@ -69,6 +69,8 @@
 #[case::empty_buckets_at_start(Mechanism::EmptyBuckets, Mix::Crashes)]
 #[case::expiry_from_question(Mechanism::ExpiryFromQuestion, Mix::FrozenAskers)]
 #[case::wait_in_new_era(Mechanism::EraWait, Mix::Restores)]
+#[case::era_of_write(Mechanism::EraOfWrite, Mix::Restores)]
+#[case::era_of_row(Mechanism::EraOfRow, Mix::Restores)]
 #[case::returned_tokens_of_term(Mechanism::ReturnsOfTerm, Mix::CoordinatorCrashes)]
 #[case::returned_tokens_within_burst(Mechanism::ReturnsWithinBurst, Mix::None)]
 fn operations_without_mechanism_exceed_limit(#[case] mechanism: Mechanism, #[case] mix: Mix) {
--- a/crates/broker/tests/quota_search/plan.rs
+++ b/crates/broker/tests/quota_search/plan.rs
@@ -37,6 +37,10 @@
     ExpiryFromQuestion,
     /// The era of the store counts.
     EraWait,
+    /// A write that was executed in another era than its condition gives no lease.
+    EraOfWrite,
+    /// A process takes over at once only from a row that was written in the era of the answer.
+    EraOfRow,
     /// A coordinator takes back only tokens of its own term.
     ReturnsOfTerm,
     /// A bucket takes back only tokens that fit into the burst together with its level ever since their grant.
--- a/crates/broker/tests/quota_search/process.rs
+++ b/crates/broker/tests/quota_search/process.rs
@@ -67,6 +67,8 @@
     known_holder: Option<id::ProxyId>,
     call: Option<(u64, Instant)>,
     calls: u64,
+    /// Era of the condition of the last write.
+    condition_era: u64,
     sent_at: BTreeMap<u64, Instant>,
 }
 
@@ -95,6 +97,7 @@
             known_holder: None,
             call: None,
             calls: 0,
+            condition_era: 0,
             sent_at: BTreeMap::new(),
         }
     }
@@ -226,12 +229,18 @@
                     row.holder.vm = self.vm.clone();
                     row.era = revision.era;
                 }
+                if let (Some(row), Some(Mechanism::EraOfRow)) = (&mut row, self.without) {
+                    row.era = revision.era;
+                }
                 lease::Input::RowRead { row, revision }
             }
             lease::Input::RowWritten { mut revision } => {
                 if hides_era {
                     revision.era = 0;
                 }
+                if self.without == Some(Mechanism::EraOfWrite) {
+                    revision.era = self.condition_era;
+                }
                 lease::Input::RowWritten { revision }
             }
             other => other,
@@ -252,6 +261,7 @@
                 }
                 lease::Effect::WriteRow { row, condition } => {
                     let call = self.next_call(now);
+                    self.condition_era = condition.era;
                     let expected = condition.version;
                     outputs.push(Output::Write {
                         call,
