--- a/crates/session/src/quota/ask.rs
+++ b/crates/session/src/quota/ask.rs
@@ -28,9 +28,7 @@
         if to == id::of(self.vm_name()) {
             let answer = self.answer_question(&question);
             let (shard, number) = (question.shard, question.question);
-            self.step_client(shard, |client| {
-                client.answer(clock::now(), number, &answer)
-            });
+            self.step_client(shard, |client| client.answer(clock::now(), number, &answer));
             return;
         }
         let mut state = self.quotas.state.borrow_mut();
@@ -88,8 +86,7 @@
     while let Some(question) = questions.recv().await {
         let asking = ask(shell, peer, &mut stream, &mut inbox, &question);
         let answered = tokio::time::timeout(client::QUESTION_TIMEOUT, asking).await;
-        let answered =
-            answered.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)));
+        let answered = answered.unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)));
         let answer = match answered {
             Ok(answer) => answer,
             Err(error) => {
@@ -98,9 +95,7 @@
             }
         };
         let (shard, number) = (question.shard, question.question);
-        shell.step_client(shard, |client| {
-            client.answer(clock::now(), number, &answer)
-        });
+        shell.step_client(shard, |client| client.answer(clock::now(), number, &answer));
     }
     Ok(())
 }
--- a/crates/session/src/quota/leases.rs
+++ b/crates/session/src/quota/leases.rs
@@ -1,6 +1,7 @@
 //! Leases of the shards' coordinators in the store.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use fulmarlift_broker::event;
 use fulmarlift_broker::quota;
@@ -113,7 +114,7 @@
             log::warn!("event=quota_leases_unread error=\"{error}\"");
         });
         if let Ok(leases) = &read {
-            self.record_quota_era(leases.era, std::time::Duration::ZERO);
+            self.record_quota_era(leases.era, Duration::ZERO);
         }
         for shard in waiting {
             let input = match &read {
@@ -132,7 +133,8 @@
     ) {
         let shell = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let written = shell.claims().store_quota_lease(shard, &row.to_bytes(), condition);
+            let value = row.to_bytes();
+            let written = shell.claims().store_quota_lease(shard, &value, condition);
             let input = match written.await {
                 event::StoreOutcome::Written(revision) => lease::Input::RowWritten { revision },
                 event::StoreOutcome::Conflict => lease::Input::Conflict,
--- a/crates/session/src/quota/mod.rs
+++ b/crates/session/src/quota/mod.rs
@@ -103,10 +103,7 @@
     fn next_tick(&self, now: Instant, era: Option<(revision::Era, Instant)>) -> Option<Instant> {
         let ticks = self.shards.iter().flat_map(|shard| {
             let context = shard.context(era);
-            [
-                shard.client.next_tick(now),
-                shard.lease.next_tick(&context),
-            ]
+            [shard.client.next_tick(now), shard.lease.next_tick(&context)]
         });
         ticks.flatten().min()
     }
--- a/crates/session/src/quota/serve.rs
+++ b/crates/session/src/quota/serve.rs
@@ -46,9 +46,7 @@
     ) -> message::QuotaAnswer {
         let not_coordinator = |holder| message::QuotaAnswer::NotCoordinator { holder };
         let mut state = self.quotas.state.borrow_mut();
-        let shard = state
-            .as_mut()
-            .and_then(|state| state.shard(question.shard));
+        let shard = state.as_mut().and_then(|state| state.shard(question.shard));
         let Some(shard) = shard else {
             return not_coordinator(None);
         };
--- a/crates/session/src/updates/listen.rs
+++ b/crates/session/src/updates/listen.rs
@@ -129,7 +129,9 @@
             | frame::Message::CommandQuestion { .. }
             | frame::Message::CommandAnswer { .. }
             | frame::Message::GroupQuestion { .. }
-            | frame::Message::GroupAnswer(_) => {
+            | frame::Message::GroupAnswer(_)
+            | frame::Message::QuotaQuestion(_)
+            | frame::Message::QuotaAnswer(_) => {
                 return Err(io::Error::from(io::ErrorKind::InvalidData));
             }
             frame::Message::Freshness {
--- a/crates/session/src/updates/mod.rs
+++ b/crates/session/src/updates/mod.rs
@@ -7,7 +7,7 @@
 //! that it does not reach (`relay`).
 
 mod follow;
-pub(crate) pub(crate) mod frame;
+pub(crate) mod frame;
 mod listen;
 mod observe;
 mod publish;
