--- a/crates/broker/src/quota/lease.rs
+++ b/crates/broker/src/quota/lease.rs
@@ -22,9 +22,9 @@
 /// Time for which each candidate waits longer than the one before, in which a take-over is written and read.
 pub const RANK_DELAY: Duration = Duration::from_millis(1_000);
 /// Number of candidates that read the row while they are not the coordinator; calls to the store are priced and limited.
-pub const WATCHERS: usize = 3;
+pub const WATCHERS: usize = 2;
 /// Time between two reads of a candidate. It adds to the time until a coordinator that has ended is replaced.
-const WATCH_INTERVAL: Duration = Duration::from_millis(2_000);
+const WATCH_INTERVAL: Duration = Duration::from_millis(3_000);
 /// Time after a call that the store refused, or whose outcome is not known, until the next one.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Position of the era in a term. The bits below count the changes of coordinator in that era.
--- a/crates/session/src/quota/ask.rs
+++ b/crates/session/src/quota/ask.rs
@@ -28,7 +28,7 @@
         if to == id::of(self.vm_name()) {
             let answer = self.answer_question(&question);
             let (shard, number) = (question.shard, question.question);
-            self.step_client(shard, |client| client.answer(clock::now(), number, &answer));
+            self.step_client_and_wake(shard, |client| client.answer(clock::now(), number, &answer));
             return;
         }
         let mut state = self.quotas.state.borrow_mut();
@@ -52,7 +52,7 @@
 
     fn end_question(self: &Rc<Self>, question: &message::QuotaQuestion) {
         let number = question.question;
-        self.step_client(question.shard, |client| client.lost(clock::now(), number));
+        self.step_client_and_wake(question.shard, |client| client.lost(clock::now(), number));
     }
 }
 
@@ -95,7 +95,7 @@
             }
         };
         let (shard, number) = (question.shard, question.question);
-        shell.step_client(shard, |client| client.answer(clock::now(), number, &answer));
+        shell.step_client_and_wake(shard, |client| client.answer(clock::now(), number, &answer));
     }
     Ok(())
 }
--- a/crates/session/src/quota/charge.rs
+++ b/crates/session/src/quota/charge.rs
@@ -92,7 +92,7 @@
             deadline,
         };
         let now = clock::now();
-        self.step_client(quota::shard_of(workspace), |client| {
+        self.step_client_and_wake(quota::shard_of(workspace), |client| {
             client.request(now, operation)
         });
         let decision = receiver
--- a/crates/session/src/quota/mod.rs
+++ b/crates/session/src/quota/mod.rs
@@ -235,6 +235,15 @@
                 } => self.decide_operation(request, Err(retry_after)),
             }
         }
+    }
+
+    /// As [`Self::step_client`], from outside [`Self::enforce_quotas`], which then looks for the next instant to act.
+    fn step_client_and_wake(
+        self: &Rc<Self>,
+        shard: ShardId,
+        step: impl FnOnce(&mut client::Client) -> Vec<client::Effect>,
+    ) {
+        self.step_client(shard, step);
         self.quotas.changed.notify_one();
     }
 
