--- a/crates/broker/src/state/peers.rs
+++ b/crates/broker/src/state/peers.rs
@@ -261,6 +261,7 @@
         slots: HOME_SLOTS,
         leaving: false,
         listed_as_leader: false,
+        cold_remaining_ms: 0,
         revision: revision::Revision::default(),
     }
 }
--- a/crates/broker/src/topology.rs
+++ b/crates/broker/src/topology.rs
@@ -139,6 +139,8 @@
     pub leaving: bool,
     /// Whether the entry says that the member leads its group.
     pub listed_as_leader: bool,
+    /// Time for which the member expected to be slow after its start when it wrote the entry, in milliseconds.
+    pub cold_remaining_ms: u32,
     /// Revision of the directory at which the entry was written; a higher one is newer.
     pub revision: revision::Revision,
 }
--- a/crates/broker/tests/simulation/group.rs
+++ b/crates/broker/tests/simulation/group.rs
@@ -32,6 +32,7 @@
             slots: self.slots,
             leaving: self.members[index].leaving,
             listed_as_leader: self.members[index].leads,
+            cold_remaining_ms: 0,
             revision: self.store.revision(),
         }
     }
--- a/crates/broker/tests/support/mod.rs
+++ b/crates/broker/tests/support/mod.rs
@@ -278,6 +278,7 @@
         slots: 2,
         leaving: false,
         listed_as_leader,
+        cold_remaining_ms: 0,
         revision: version(member),
     }
 }
--- a/crates/session/src/peer/greeting.rs
+++ b/crates/session/src/peer/greeting.rs
@@ -14,7 +14,7 @@
 use crate::shell;
 
 /// Version of the messages between proxies. Raised whenever the encoding of a message changes.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 /// First bytes of a greeting. The first one occurs in no text, and would begin a message longer than any that was ever allowed.
 const GREETING_MAGIC: [u8; 4] = *b"\xf5pq\n";
 /// First bytes of an answer.
--- a/crates/session/tests/layout/updates.rs
+++ b/crates/session/tests/layout/updates.rs
@@ -55,6 +55,7 @@
         slots: 2,
         leaving: false,
         listed_as_leader: true,
+        cold_remaining_ms: 0,
         revision: REVISION,
     }
 }
--- a/crates/session/tests/members.rs
+++ b/crates/session/tests/members.rs
@@ -231,6 +231,7 @@
         slots: 2,
         leaving: false,
         listed_as_leader: true,
+        cold_remaining_ms: 0,
         revision: Revision {
             era: 0,
             version: born,
--- a/crates/session/tests/peers.rs
+++ b/crates/session/tests/peers.rs
@@ -91,6 +91,7 @@
         slots: 2,
         leaving: false,
         listed_as_leader: true,
+        cold_remaining_ms: 0,
         revision: Revision { era: 0, version: 1 },
     }));
     shell.handle(Event::DirectoryRead {
--- a/crates/session/tests/relayed_rows.rs
+++ b/crates/session/tests/relayed_rows.rs
@@ -124,6 +124,7 @@
         slots: 4,
         leaving: false,
         listed_as_leader: true,
+        cold_remaining_ms: 0,
         revision: Revision { era: 0, version: 1 },
     }));
     shell.handle(Event::DirectoryRead {
--- a/crates/session/tests/session.rs
+++ b/crates/session/tests/session.rs
@@ -86,6 +86,7 @@
         slots: 2,
         leaving: false,
         listed_as_leader: true,
+        cold_remaining_ms: 0,
         revision: Revision { era: 0, version: 1 },
     }));
     shell.handle(Event::DirectoryRead {
@@ -283,6 +284,7 @@
         slots: 2,
         leaving: false,
         listed_as_leader: true,
+        cold_remaining_ms: 0,
         revision: Revision { era: 0, version: 2 },
     }));
 }
--- a/crates/session/tests/support/answering.rs
+++ b/crates/session/tests/support/answering.rs
@@ -281,6 +281,7 @@
             slots: 4,
             leaving: false,
             listed_as_leader: number == 1,
+            cold_remaining_ms: 0,
             revision: Revision { era: 0, version: 1 },
         }));
     }
--- a/crates/session/tests/support/commanded.rs
+++ b/crates/session/tests/support/commanded.rs
@@ -268,6 +268,7 @@
         slots: 2,
         leaving: false,
         listed_as_leader: leads,
+        cold_remaining_ms: 0,
         revision: Revision { era: 0, version: 1 },
     }
 }
--- a/crates/session/tests/support/mod.rs
+++ b/crates/session/tests/support/mod.rs
@@ -180,6 +180,7 @@
         slots: 2,
         leaving: false,
         listed_as_leader: false,
+        cold_remaining_ms: 0,
         revision,
     }
 }
--- a/crates/session/tests/support/scripted_system.rs
+++ b/crates/session/tests/support/scripted_system.rs
@@ -117,6 +117,7 @@
         slots: 4,
         leaving: false,
         listed_as_leader: true,
+        cold_remaining_ms: 0,
         revision: Revision { era: 0, version: 1 },
     }));
     shell.handle(Event::DirectoryRead {
--- a/crates/session/tests/withheld.rs
+++ b/crates/session/tests/withheld.rs
@@ -137,6 +137,7 @@
         slots: 2,
         leaving: false,
         listed_as_leader: true,
+        cold_remaining_ms: 0,
         revision: Revision { era: 0, version: 1 },
     }));
     shell.handle(Event::DirectoryRead {
