--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -9,6 +9,7 @@
 use crate::claim;
 use crate::event;
 use crate::leader;
+use crate::pace;
 use crate::revision;
 
 /// Timeout to open a connection to a member: less than the 1 s after which the kernel repeats a lost first packet.
@@ -321,6 +322,13 @@
         /// Number of malformed answers since its last usable one.
         malformed_answers: u32,
     },
+    /// The adaptive concurrency limit of a member begins, or the member is in full use again.
+    Pace {
+        /// The member.
+        member: id::MemberId,
+        /// What begins.
+        change: pace::Change,
+    },
     /// Requests wait for the lease of their leader, or do so no longer, or another member grants the lease.
     Lease {
         /// Group of the leader.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`place`]: the cost of serving a request at a member, by which the member is chosen.
 //! - [`queue`]: the order of waiting requests, and their refusal under overload.
 //! - [`member_state`]: the state of a member and of the connections to it.
+//! - [`pace`]: the adaptive concurrency limit of a member that has started, or does not do well.
 //! - [`leader`]: the leader of a group, and the conditions under which it is replaced.
 //! - [`lease`]: the proof that a leader has not been replaced, where promotions are not fenced.
 //! - [`homes`]: the proxies that keep connections to a group; other proxies forward requests to them.
@@ -30,6 +31,7 @@
 pub mod leader;
 pub mod lease;
 pub mod member_state;
+pub mod pace;
 pub mod place;
 pub mod queue;
 pub mod readers;
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -8,6 +8,7 @@
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
+use crate::pace;
 use crate::revision;
 use crate::topology;
 
@@ -129,6 +130,8 @@
     /// Number of this proxy's statements that may run at the member concurrently. It shrinks when the member reports that
     /// it is busy, and grows with each answered statement up to a maximum.
     pub allowance: f64,
+    /// Adaptive concurrency limit; `None` at a home, and at a member that was never listed.
+    pub pace: Option<pace::Pace>,
     /// Number of malformed answers since the last usable answer to a statement.
     pub malformed_answers: u32,
     /// Instant until which the member gets only reads that no other member can serve, since its answers are malformed.
@@ -198,6 +201,7 @@
             opening_backoff_until: None,
             missing_point: None,
             allowance: ALLOWANCE_PER_SLOT * slots,
+            pace: None,
             malformed_answers: 0,
             avoided_until: None,
             error_rate: (0.0, None),
@@ -222,7 +226,7 @@
     }
 
     /// Returns the highest allowance: this proxy's share of twice the slots, but at least [`ALLOWANCE_MAX_MIN`].
-    fn allowance_max(&self) -> f64 {
+    pub(crate) fn allowance_max(&self) -> f64 {
         let slots = f64::from(self.entry.slots.max(1));
         let share = ALLOWANCE_PER_SLOT * slots / f64::from(self.sharers);
         share.max(ALLOWANCE_MAX_MIN.min(ALLOWANCE_PER_SLOT * slots))
--- a/crates/broker/src/place.rs
+++ b/crates/broker/src/place.rs
@@ -58,16 +58,32 @@
     }
 }
 
-/// Estimates the cost of serving a request at a member, in ms. The request goes to the member with the lowest cost.
+/// Returns the expected time to a successful answer of a member, in ms.
+pub fn answer_ms(member: &member_state::MemberState, now: Instant) -> f64 {
+    member.latency_ms + error_cost_ms(member, now)
+}
+
+fn error_cost_ms(member: &member_state::MemberState, now: Instant) -> f64 {
+    member.expected_error_rate(now) * ERROR_COST_MS
+}
+
+/// Estimates the cost of serving a request at a member, in ms. A member whose limit is to be tried again (see
+/// [`crate::pace::Pace::is_trial_due`]) costs no answer time, which may be outdated. The request goes to the member with the lowest cost.
 pub fn cost_ms(member: &member_state::MemberState, input: &PlacementInput<'_>) -> f64 {
     let slots = f64::from(member.entry.slots.max(1));
     let running_per_slot = f64::from(member.running) / slots;
     let mut cost = distance_ms(input.origin, &member.entry.place);
-    cost += member.latency_ms * (1.0 + running_per_slot);
+    let on_trial = member
+        .pace
+        .as_ref()
+        .is_some_and(|pace| pace.is_trial_due(input.now));
+    if !on_trial {
+        cost += member.latency_ms * (1.0 + running_per_slot);
+    }
     if input.leads {
         cost += LEADER_COST_MS;
     }
-    cost += member.expected_error_rate(input.now) * ERROR_COST_MS;
+    cost += error_cost_ms(member, input.now);
     if member.is_suspect() {
         cost += SUSPECT_COST_MS;
     }
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -8,6 +8,7 @@
 use crate::event;
 use crate::member_state;
 use crate::state;
+use crate::state::pacing;
 
 /// Idle timeout of a spare connection, which is one that the proxy need not keep: any but the last one to its member, and
 /// also the last one if the member is leaving or not listed, or if the proxy is no home of the group.
@@ -268,6 +269,7 @@
         {
             self.record_receipt(now, member, point, connected_at);
         }
+        self.record_pace(now, group_id, &report, effects);
         self.record_leader_evidence(now, group_id, &report, effects);
         self.serve_queue(now, group_id, effects);
     }
@@ -373,4 +375,5 @@
         ));
     }
     state.record_failure(now, process_gone);
+    pacing::record_silence(state, now, effects);
 }
--- a/crates/broker/src/state/directory.rs
+++ b/crates/broker/src/state/directory.rs
@@ -45,7 +45,7 @@
         }
         self.drop_other_incarnations(now, &member, effects);
         self.forget_missing(&member);
-        let group_id = member.group;
+        let (group_id, member_id) = (member.group, member.id);
         self.member_groups.insert(member.id, group_id);
         let group = self.groups.entry(group_id);
         match group.members.get_mut(member.id) {
@@ -65,6 +65,7 @@
                 self.homes_outdated = true;
             }
         }
+        self.begin_pace(now, member_id, effects);
         self.reelect(now, group_id, effect::LeaderEvidence::Directory, effects);
         self.choose_homes_if_outdated(now, effects);
     }
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -9,6 +9,7 @@
 mod leaders;
 mod leases;
 mod missing;
+mod pacing;
 mod peers;
 mod requests;
 mod search;
@@ -80,6 +81,8 @@
     /// Instant of the newest answer of the directory: this proxy knows all members that joined before it.
     directory_answered_at: Option<Instant>,
     eras: eras::StoreEra,
+    /// Whether members have no adaptive concurrency limits.
+    pace_is_off: bool,
 }
 
 /// State of one group at this proxy.
@@ -146,6 +149,7 @@
             directory_lost_at: None,
             directory_answered_at: None,
             eras: eras::StoreEra::default(),
+            pace_is_off: false,
         }
     }
 
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -34,7 +34,7 @@
 
 /// Mean answer time and number of concurrent statements of the members that serve a group's requests.
 #[derive(Clone, Copy)]
-struct AnswerRate {
+pub(super) struct AnswerRate {
     latency_ms: f64,
     concurrency: f64,
 }
@@ -75,7 +75,7 @@
     }
 
     /// Returns how fast the members, or the homes if requests are forwarded, answer.
-    fn answer_rate(&self, now: Instant, forwards: bool) -> AnswerRate {
+    pub(super) fn answer_rate(&self, now: Instant, forwards: bool) -> AnswerRate {
         let members = if forwards { &self.homes } else { &self.members };
         let usable = members.values().filter(|state| state.is_usable(now));
         let present = members.values().filter(|state| state.is_present());
@@ -99,7 +99,7 @@
     }
 
     /// Estimates the waiting time of a request with `ahead` others before it.
-    fn estimated_wait(&self, now: Instant, rate: AnswerRate, ahead: usize) -> Duration {
+    pub(super) fn estimated_wait(&self, now: Instant, rate: AnswerRate, ahead: usize) -> Duration {
         self.queue
             .estimated_wait(now, ahead, rate.latency_ms, rate.concurrency)
     }
@@ -153,11 +153,13 @@
     }
 
     /// Returns the instant at which the next waiting request can no longer be answered before its deadline. A refusal is
-    /// then due: a proxy that forwarded the request would take a later one for the silence of this proxy.
+    /// then due: a proxy that forwarded the request would take a later one for the silence of this proxy. Returns the end of a
+    /// member's pause if that is earlier.
     pub fn next_expiry(&self) -> Option<Instant> {
         let expiries = self.groups.values().filter_map(|group| {
             let deadline = group.queue.earliest_deadline()?;
-            deadline.checked_sub(group.shortest_answer_time())
+            let expiry = deadline.checked_sub(group.shortest_answer_time())?;
+            Some(group.next_pause_end().map_or(expiry, |end| end.min(expiry)))
         });
         expiries.min()
     }
@@ -180,6 +182,7 @@
         let Some(group) = self.groups.get_mut(group_id) else {
             return;
         };
+        group.end_pauses(now);
         if group.queue.is_empty() {
             return;
         }
@@ -523,7 +526,10 @@
         let Some(state) = self.usable_leader(now, group) else {
             return decide_without_leader(now, group, request);
         };
-        if state.is_backing_off(now) || !state.allows_statement() {
+        if state.is_backing_off(now)
+            || !state.allows_statement()
+            || !group.pace_allows(now, state, true)
+        {
             return Decision::Wait;
         }
         match state.idle.is_empty() {
@@ -567,11 +573,11 @@
             let fresh = !state.is_behind(now, Some(floor));
             usable && state.allows_statement() && connectable && fresh && !runs_first_attempt
         };
-        let best = group
-            .members
-            .values()
-            .filter(can_serve)
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let candidates = || group.members.values().filter(can_serve);
+        let best = candidates()
+            .filter(|state| group.pace_allows(now, state, false))
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)))
+            .or_else(|| group.last_resort(now, candidates()));
         match best {
             Some(state) if !state.idle.is_empty() => Decision::Grant {
                 member: state.entry.id,
--- a/crates/session/src/shell/state_changes.rs
+++ b/crates/session/src/shell/state_changes.rs
@@ -6,6 +6,7 @@
 use fulmarlift_broker::claim;
 use fulmarlift_broker::effect;
 use fulmarlift_broker::event;
+use fulmarlift_broker::pace;
 use fulmarlift_core::floor;
 use fulmarlift_core::id;
 
@@ -133,6 +134,7 @@
             let name = member_name(broker, member);
             log::info!("event=member_reachable member={name} reachable={reachable}");
         }
+        effect::StateChange::Pace { member, change } => log_pace(broker, member, change),
         effect::StateChange::Avoided {
             member,
             until,
@@ -408,3 +410,15 @@
         .member(member)
         .map_or("unknown", |member| member.name.as_ref())
 }
+
+fn log_pace(broker: &Broker, member: id::MemberId, change: pace::Change) {
+    let member = member_name(broker, member);
+    match change {
+        pace::Change::Limited { limit, cause } => {
+            let cause = cause.name();
+            metrics::counter!("fulmarlift_paces_limited_total", "cause" => cause).increment(1);
+            log::info!("event=pace member={member} limit={limit:.3} cause={cause}");
+        }
+        pace::Change::Full => log::info!("event=pace member={member} limit=full"),
+    }
+}
