--- a/crates/broker/src/quota/mod.rs
+++ b/crates/broker/src/quota/mod.rs
@@ -8,6 +8,7 @@
 //! - [`lease`]: when a proxy becomes the coordinator of a shard, renews its lease and stops.
 //! - [`client`]: the admission of operations at a proxy.
 //! - [`message`]: the messages between proxies.
+//! - [`tolerance`]: the limits that coordinators enforce.
 //!
 //! The bound: in a window of 5 s, operations use tokens that were granted in the 5.4 s up to its end. The leases of successive
 //! coordinators do not overlap and each starts its buckets at zero, so these are at most rate x 5.4 + burst tokens.
@@ -22,6 +23,7 @@
 pub mod coordinator;
 pub mod lease;
 pub mod message;
+pub mod tolerance;
 
 /// Identifier of a shard, below [`SHARDS`].
 pub type ShardId = u64;
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -82,7 +82,7 @@
     directory_answered_at: Option<Instant>,
     eras: eras::StoreEra,
     /// Whether members have no adaptive concurrency limits.
-    pace_is_off: bool,
+    adapts_concurrency: bool,
 }
 
 /// State of one group at this proxy.
@@ -149,7 +149,7 @@
             directory_lost_at: None,
             directory_answered_at: None,
             eras: eras::StoreEra::default(),
-            pace_is_off: false,
+            adapts_concurrency: false,
         }
     }
 
--- a/crates/broker/src/state/pacing.rs
+++ b/crates/broker/src/state/pacing.rs
@@ -16,9 +16,9 @@
 const GROUP_KNOWN_MIN: Duration = Duration::from_secs(5);
 
 impl state::Broker {
-    /// Switches the adaptive concurrency limits off, which shows in tests what they prevent.
-    pub fn switch_pace_off(&mut self) {
-        self.pace_is_off = true;
+    /// Switches the adaptive concurrency limits on. Deployments that do not ask for them are served without.
+    pub fn adapt_concurrency(&mut self) {
+        self.adapts_concurrency = true;
     }
 
     /// Returns the adaptive concurrency limit of a member; `None` in full use.
@@ -45,7 +45,7 @@
         let Some(state) = group.members.get_mut(member) else {
             return;
         };
-        if state.pace.is_some() || self.pace_is_off {
+        if state.pace.is_some() || !self.adapts_concurrency {
             return;
         }
         let mut pace = pace::Pace::default();
--- a/crates/session/src/quota/leases.rs
+++ b/crates/session/src/quota/leases.rs
@@ -14,7 +14,6 @@
 use crate::clock;
 use crate::deployment;
 use crate::deployment::{Claims, Deployment};
-use crate::quota::limits;
 use crate::shell;
 
 impl<D: Deployment> shell::Shell<D> {
@@ -43,7 +42,7 @@
             lease::Effect::Acquired { term, until } => {
                 metrics::counter!("fulmarlift_quota_coordinators_total").increment(1);
                 log::info!("event=quota_coordinator shard={shard} term={term} held=true");
-                let limits = self.with_broker(limits);
+                let limits = self.quota_limits();
                 let now = clock::now();
                 let coordinator = coordinator::Coordinator::new(now, shard, term, until, &limits);
                 self.set_coordinator(shard, Some(coordinator));
--- a/crates/session/src/quota/mod.rs
+++ b/crates/session/src/quota/mod.rs
@@ -7,7 +7,7 @@
 mod leases;
 mod serve;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,7 @@
 use fulmarlift_broker::quota::coordinator;
 use fulmarlift_broker::quota::lease;
 use fulmarlift_broker::quota::message;
+use fulmarlift_broker::quota::tolerance;
 use fulmarlift_broker::quota::{self, ShardId};
 use fulmarlift_broker::revision;
 use fulmarlift_broker::workspace;
@@ -67,6 +68,7 @@
     state: RefCell<Option<State>>,
     /// Newest era of the store, and the instant since which it is known to last.
     era: RefCell<Option<(revision::Era, Instant)>>,
+    tolerance: Cell<tolerance::Tolerance>,
     changed: Notify,
 }
 
@@ -118,12 +120,15 @@
     }
 }
 
-/// Returns the limits of all workspaces that have one.
-fn limits(broker: &Broker) -> Vec<(id::WorkspaceId, workspace::RateLimit)> {
+/// Returns the limits that coordinators enforce, of all workspaces that have one.
+fn limits(
+    broker: &Broker,
+    tolerance: tolerance::Tolerance,
+) -> Vec<(id::WorkspaceId, workspace::RateLimit)> {
     let workspaces = broker.topology().workspaces.as_ref();
     let workspaces = workspaces.into_iter().flat_map(workspace::Registry::iter);
     workspaces
-        .filter_map(|(id, workspace)| Some((id, workspace.limit?)))
+        .filter_map(|(id, workspace)| Some((id, tolerance.enforced(workspace.limit?))))
         .collect()
 }
 
@@ -140,6 +145,16 @@
         };
     }
 
+    /// Sets what may exceed the rate limits, as the operators tell it.
+    pub fn set_quota_tolerance(&self, tolerance: tolerance::Tolerance) {
+        self.quotas.tolerance.set(tolerance);
+    }
+
+    fn quota_limits(&self) -> Vec<(id::WorkspaceId, workspace::RateLimit)> {
+        let tolerance = self.quotas.tolerance.get();
+        self.with_broker(|broker| limits(broker, tolerance))
+    }
+
     /// Drives the leases of coordinators and the questions for tokens. Never returns.
     pub async fn enforce_quotas(self: Rc<Self>) {
         loop {
@@ -171,7 +186,7 @@
         let now = clock::now();
         let mut state = self.quotas.state.borrow_mut();
         if state.as_ref().is_none_or(|state| state.version != version) {
-            let limits = self.with_broker(limits);
+            let limits = self.quota_limits();
             if state.is_none() && limits.is_empty() {
                 return;
             }
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -182,6 +182,11 @@
         &self.name
     }
 
+    /// Switches the adaptive concurrency limits of members on.
+    pub fn adapt_concurrency(&self) {
+        self.inner.borrow_mut().broker.adapt_concurrency();
+    }
+
     /// Returns the access to the claim rows.
     pub(crate) fn claims(&self) -> &D::Claims {
         &self.claims
