--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -25,6 +25,7 @@
 //! - [`shell`]: runs the broker and its effects; keeps the waiting requests and idle connections.
 //! - [`transfer`]: progress of a call to the store.
 //! - [`updates`]: reads configuration, members and proxies from the store or from another proxy.
+//! - [`limits`]: bounds over all clients of the process.
 //! - [`serve`]: accepts connections, and drains them on a graceful stop.
 //! - [`stop`]: ends the process if its graceful stop takes too long.
 //! - [`clock`] and [`logging`]: the clock and the log of the process.
@@ -32,6 +33,7 @@
 mod answer;
 pub mod clock;
 pub mod deployment;
+pub mod limits;
 pub mod link;
 pub mod logging;
 mod newcomers;
--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -12,6 +12,7 @@
 
 use crate::answer;
 use crate::clock;
+use crate::limits;
 use crate::logging;
 use crate::outgoing;
 use crate::peer::greeting;
@@ -349,6 +350,8 @@
         };
         let answered = tokio::time::timeout_at(clock::tokio_deadline(deadline), exchanged).await;
         let answer = answered.map_err(|_| LinkError::Silent)??;
+        limits::free_if_idle(&mut self.outbox);
+        limits::detach(&mut self.inbox, answer.size_bytes());
         self.answers += 1;
         self.steps.answer(&answer)?;
         Ok(answer)
--- a/crates/session/src/protocol/member.rs
+++ b/crates/session/src/protocol/member.rs
@@ -220,6 +220,13 @@
 }
 
 impl Answer {
+    /// Returns the bytes of the rows, with room for the words around them.
+    pub(crate) fn size_bytes(&self) -> usize {
+        const ROW_OVERHEAD_BYTES: usize = 16;
+        let rows = self.rows.iter();
+        rows.map(|row| row.len() + ROW_OVERHEAD_BYTES).sum()
+    }
+
     /// Returns the error code, if the command failed.
     pub fn error(&self) -> Option<&protocol::Code> {
         match &self.end {
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -61,6 +61,8 @@
                         log::debug!("event=session_ended reason=\"{ended}\"");
                     }
                 });
+                // Lets the session begin, and one that is closed for it end, before more descriptors are taken.
+                tokio::task::yield_now().await;
             }
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -1,6 +1,7 @@
 //! Sessions of callers, and of proxies that forward statements.
 
 mod attempt;
+mod bounded;
 mod single;
 mod statement;
 mod transaction;
@@ -20,6 +21,8 @@
 
 use crate::clock;
 use crate::deployment::Deployment;
+use crate::limits;
+use crate::limits::ledger::Cause;
 use crate::link;
 use crate::logging;
 use crate::peer::greeting;
@@ -76,6 +79,9 @@
     /// The client did not read its answers.
     #[error("answers not read")]
     Unread,
+    /// The clients together use too much of the process, and this one was chosen.
+    #[error("too many {} of all clients, retry after 500 ms", .0.text())]
+    Limited(Cause),
     /// The proxy closed the session for its graceful stop.
     #[error("closed for the stop")]
     Stopping,
@@ -132,6 +138,8 @@
     point: Option<floor::Point>,
     transaction: Transaction<D>,
     idle_since: Instant,
+    /// What the client uses of the bounds over all clients.
+    slot: limits::Slot,
     stopping: watch::Receiver<Option<Instant>>,
     grace: ShutdownGrace,
     /// Whether the peer has been told that this proxy stops.
@@ -151,6 +159,12 @@
     client_kind: ClientKind,
     grace: ShutdownGrace,
 ) -> Result<(), SessionEnd> {
+    let pool = match client_kind {
+        ClientKind::Caller => limits::Pool::Callers,
+        ClientKind::Peer => limits::Pool::Peers,
+    };
+    let opened = shell.limits().open(pool);
+    let slot = opened.ok_or(SessionEnd::Limited(Cause::Connections))?;
     link::set_liveness_timeouts(&stream)?;
     let mut session = Session::<D, C> {
         close_offset_seed: id::rendezvous_weight(shell.next_request(), 0),
@@ -167,6 +181,7 @@
         point: None,
         transaction: Transaction::None,
         idle_since: clock::now(),
+        slot,
         stream,
         shell,
         grace,
@@ -187,7 +202,7 @@
                 caller::Message::Query(_) if self.caller_has_disconnected() => {
                     return Err(SessionEnd::Closed);
                 }
-                caller::Message::Query(query) => self.handle_query_until_stop(query).await?,
+                caller::Message::Query(query) => self.handle_within_limits(query).await?,
                 caller::Message::Terminate => return Err(SessionEnd::Closed),
                 caller::Message::Startup { .. } => {
                     let error = crate::protocol::WireError::Malformed("second startup");
@@ -204,6 +219,7 @@
     /// Waits for the first message. The connection is closed if it takes too long, or in favour of newer ones.
     async fn first_message(&mut self) -> Result<caller::Message, SessionEnd> {
         let newcomer = self.shell.add_newcomer();
+        let activity = self.slot.activity();
         tokio::select! {
             biased;
             first = self.greeting_and_first_message() => first,
@@ -211,6 +227,7 @@
                 metrics::counter!("fulmarlift_connections_displaced_total").increment(1);
                 Err(SessionEnd::Displaced)
             }
+            cause = activity.closed() => Err(SessionEnd::Limited(cause)),
         }
     }
 
@@ -345,8 +362,10 @@
     /// Sends the replies. A client that does not read them is disconnected after a time, and sooner during a graceful stop or if
     /// its transaction holds a connection.
     async fn flush(&mut self) -> Result<(), SessionEnd> {
+        self.send_without_waiting()?;
         let delivery_deadline = clock::now() + DELIVERY_TIMEOUT;
         while !self.outbox.is_empty() {
+            self.count_unread_answer()?;
             let unread_deadline = self.unread_deadline();
             let deadline = delivery_deadline.min(unread_deadline);
             let stopping = self.stopping.borrow().is_some();
@@ -364,9 +383,11 @@
                     );
                     return Err(SessionEnd::Unread);
                 }
+                cause = self.slot.closed() => return Err(SessionEnd::Limited(cause)),
                 _ = self.stopping.changed(), if !stopping => {}
             }
         }
+        self.end_answer();
         Ok(())
     }
 
@@ -387,6 +408,7 @@
     async fn next_message(&mut self) -> Result<caller::Message, SessionEnd> {
         loop {
             let head = logging::Head::of(&self.inbox);
+            let arrived_bytes = self.inbox.len();
             let decoded = match self.codec.decode(&mut self.inbox) {
                 Ok(None) if self.is_startup_too_long() => {
                     let limit_bytes = STARTUP_BYTES_MAX;
@@ -395,7 +417,11 @@
                 decoded => decoded,
             };
             match decoded {
-                Ok(Some(message)) => return Ok(message),
+                Ok(Some(message)) => {
+                    let message_bytes = arrived_bytes - self.inbox.len();
+                    limits::detach(&mut self.inbox, message_bytes);
+                    return Ok(message);
+                }
                 Ok(None) => {}
                 Err(error) => {
                     let code = match error {
@@ -452,6 +478,7 @@
 
     /// Waits for bytes, the start of a graceful stop, or the idle deadline.
     async fn wait_for_input(&mut self) -> Result<Wakeup, SessionEnd> {
+        self.count_unfinished_message().await?;
         let deadline = self.idle_deadline();
         let deadline_passed = async {
             match deadline {
@@ -467,6 +494,7 @@
                 _ => Ok(Wakeup::InputOrStop),
             },
             () = deadline_passed => Ok(Wakeup::DeadlinePassed),
+            cause = self.slot.closed() => Err(SessionEnd::Limited(cause)),
             _ = self.stopping.changed(), if !stopping => Ok(Wakeup::InputOrStop),
         }
     }
@@ -612,6 +640,9 @@
             {
                 self.refuse_session_state();
             }
+            caller::Statement::Set { name, value } if !self.count_value(name, value.len()) => {}
+            caller::Statement::Prepare { name, shape, .. }
+                if !self.count_prepared(name, shape.len()) => {}
             caller::Statement::Set { name, value } => {
                 Rc::make_mut(&mut self.session_state).set(name, value.clone());
                 self.transaction.mark_state_uncertain();
@@ -626,7 +657,9 @@
                 self.answer_done();
             }
             caller::Statement::Deallocate { name } => {
-                match Rc::make_mut(&mut self.session_state).deallocate(name) {
+                let existed = Rc::make_mut(&mut self.session_state).deallocate(name);
+                self.count_state();
+                match existed {
                     true => self.answer_done(),
                     false => self
                         .answer_error(&protocol::Code::NoStatement, "unknown prepared statement"),
@@ -656,6 +689,7 @@
             }
             caller::Statement::Reset => {
                 self.session_state = Rc::default();
+                self.count_state();
                 self.transaction.mark_state_uncertain();
                 self.answer_done();
             }
@@ -744,6 +778,7 @@
             let text = "the answer cannot be passed on";
             return self.answer_error(&protocol::Code::InDoubt, text);
         }
+        self.outbox.reserve(answer.size_bytes());
         for row in &answer.rows {
             self.reply(caller::Reply::Row(row));
         }
--- a/crates/session/src/shell/mod.rs
+++ b/crates/session/src/shell/mod.rs
@@ -31,6 +31,7 @@
 
 use crate::clock;
 use crate::deployment::Deployment;
+use crate::limits;
 use crate::newcomers;
 use crate::transfer;
 
@@ -120,6 +121,7 @@
     stopping: watch::Sender<Option<Instant>>,
     sessions: Cell<usize>,
     newcomers: Rc<newcomers::Newcomers>,
+    limits: Rc<limits::Limits>,
     /// Number of other proxies in the last log line that told it.
     logged_peers: Cell<usize>,
     refusal_log: refusals::RefusalLog,
@@ -169,11 +171,17 @@
             stopping: watch::Sender::new(None),
             sessions: Cell::new(0),
             newcomers: Rc::default(),
+            limits: Rc::default(),
             logged_peers: Cell::new(0),
             refusal_log: refusals::RefusalLog::default(),
         })
     }
 
+    /// Returns the clients of the process, and their bounds.
+    pub fn limits(&self) -> &Rc<limits::Limits> {
+        &self.limits
+    }
+
     /// Returns the name of this proxy, under which it holds claims.
     pub(crate) fn name(&self) -> &str {
         &self.name
--- a/crates/session/src/updates/frame.rs
+++ b/crates/session/src/updates/frame.rs
@@ -23,6 +23,8 @@
 
 /// Most bytes of a message; a configuration takes 26 bytes for each route.
 const FRAME_BYTES_MAX: usize = 16 << 20;
+/// Most bytes of the first message of a proxy that connects: a hello, or a question, which names a member at most.
+const FIRST_FRAME_BYTES_MAX: usize = 64 << 10;
 
 /// A message to a listener, or [`Message::Hello`] to a reader.
 #[derive(Debug, Serialize, Deserialize)]
@@ -283,8 +285,24 @@
 
 /// Receives the next message. Cancel-safe: a partial message stays in `inbox` when the future is dropped.
 pub(super) async fn receive(stream: &mut TcpStream, inbox: &mut BytesMut) -> io::Result<Message> {
+    receive_up_to(FRAME_BYTES_MAX, stream, inbox).await
+}
+
+/// Receives the first message of a proxy that has connected.
+pub(super) async fn receive_first(
+    stream: &mut TcpStream,
+    inbox: &mut BytesMut,
+) -> io::Result<Message> {
+    receive_up_to(FIRST_FRAME_BYTES_MAX, stream, inbox).await
+}
+
+async fn receive_up_to(
+    frame_bytes_max: usize,
+    stream: &mut TcpStream,
+    inbox: &mut BytesMut,
+) -> io::Result<Message> {
     loop {
-        if let Some(message) = take(inbox)? {
+        if let Some(message) = take_up_to(frame_bytes_max, inbox)? {
             return Ok(message);
         }
         fill(stream, inbox).await?;
@@ -293,11 +311,15 @@
 
 /// Takes the next message from `inbox`; none if it is still incomplete.
 pub(super) fn take(inbox: &mut BytesMut) -> io::Result<Option<Message>> {
+    take_up_to(FRAME_BYTES_MAX, inbox)
+}
+
+fn take_up_to(frame_bytes_max: usize, inbox: &mut BytesMut) -> io::Result<Option<Message>> {
     let Some(length) = inbox.first_chunk::<4>() else {
         return Ok(None);
     };
     let length = usize::try_from(u32::from_be_bytes(*length)).unwrap_or(usize::MAX);
-    if length > FRAME_BYTES_MAX {
+    if length > frame_bytes_max {
         return Err(io::Error::from(io::ErrorKind::InvalidData));
     }
     if inbox.len() < 4 + length {
--- a/crates/session/src/updates/publish.rs
+++ b/crates/session/src/updates/publish.rs
@@ -12,6 +12,7 @@
 
 use crate::clock;
 use crate::deployment::Deployment;
+use crate::limits;
 use crate::link;
 use crate::peer::greeting;
 use crate::shell;
@@ -33,10 +34,12 @@
             Ok((stream, _)) => {
                 let shell = Rc::clone(&shell);
                 tokio::task::spawn_local(async move {
-                    if let Err(error) = serve(&shell, stream).await {
+                    if let Err(error) = serve_within_limits(&shell, stream).await {
                         log::debug!("event=listener_ended error=\"{error}\"");
                     }
                 });
+                // Lets a connection that is closed for this one end before more descriptors are taken.
+                tokio::task::yield_now().await;
             }
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
@@ -46,19 +49,48 @@
     }
 }
 
+async fn serve_within_limits<D: Deployment>(
+    shell: &Rc<shell::Shell<D>>,
+    stream: TcpStream,
+) -> io::Result<()> {
+    let opened = shell.limits().open(limits::Pool::Updates);
+    let slot = opened.ok_or_else(|| io::Error::other("too many connections"))?;
+    serve(shell, stream, &slot).await
+}
+
+/// Runs a future, unless the connection is closed in favour of others.
+async fn run_until_closed<T>(
+    slot: &limits::Slot,
+    run: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
+    tokio::select! {
+        biased;
+        cause = slot.closed() => Err(io::Error::other(format!("too many {}", cause.name()))),
+        ran = run => ran,
+    }
+}
+
 async fn serve<D: Deployment>(
     shell: &Rc<shell::Shell<D>>,
     mut stream: TcpStream,
+    slot: &limits::Slot,
 ) -> io::Result<()> {
     link::set_liveness_timeouts(&stream)?;
     let mut accepted = BytesMut::new();
     let first = receive_first(shell, &mut stream, &mut accepted);
-    match tokio::time::timeout(HELLO_TIMEOUT, first).await?? {
+    let first = run_until_closed(slot, first);
+    let first = tokio::time::timeout(HELLO_TIMEOUT, first).await??;
+    if !matches!(first, frame::Message::Hello { .. }) {
+        // A question is answered soon, and is not interrupted.
+        slot.activity().start_statement();
+    }
+    match first {
         frame::Message::Hello {
             configuration_version,
         } => {
             shell.count_listener(true);
-            let served = send_updates(shell, stream, accepted, configuration_version).await;
+            let updates = send_updates(shell, stream, accepted, configuration_version);
+            let served = run_until_closed(slot, updates).await;
             shell.count_listener(false);
             served
         }
@@ -90,7 +122,7 @@
     let mut inbox = BytesMut::new();
     let service = greeting::Service::Updates;
     match greeting::accept(shell, service, stream, &mut inbox, accepted).await {
-        Ok(()) => frame::receive(stream, &mut inbox).await,
+        Ok(()) => frame::receive_first(stream, &mut inbox).await,
         Err(error) => {
             frame::send(stream, accepted).await?;
             Err(io::Error::other(error))
--- a/crates/session/src/values.rs
+++ b/crates/session/src/values.rs
@@ -16,6 +16,8 @@
 const ENTRIES_MAX: usize = 1_024;
 /// Most bytes of the session values of a session, and of its prepared statements, unless a single one is longer.
 const ENTRIES_BYTES_MAX: usize = 256 << 10;
+/// Bytes that an entry takes in memory beside its name and its value.
+const ENTRY_OVERHEAD_BYTES: usize = 128;
 
 /// Session values that a caller has set, and statements that it has prepared, by name.
 #[derive(Clone, Debug, Default)]
@@ -42,6 +44,30 @@
         })
     }
 
+    /// Returns the memory that all session values and prepared statements take. Shapes count twice, since a statement that executes one has
+    /// a copy of it.
+    pub fn size_bytes(&self) -> usize {
+        let values = self.values.iter();
+        let values = values.map(|(name, value)| entry_bytes(name, value.len()));
+        let prepared = self.prepared.iter();
+        let prepared = prepared.map(|(name, prepared)| entry_bytes(name, 2 * prepared.shape.len()));
+        values.chain(prepared).sum()
+    }
+
+    /// Returns [`Self::size_bytes`] as it is after a session value has been set.
+    pub fn bytes_with_value(&self, name: &str, value_bytes: usize) -> usize {
+        let old = find(&self.values, name).map(|index| self.values[index].1.len());
+        let old_bytes = old.map_or(0, |bytes| entry_bytes(name, bytes));
+        self.size_bytes() - old_bytes + entry_bytes(name, value_bytes)
+    }
+
+    /// Returns [`Self::size_bytes`] as it is after a statement has been prepared.
+    pub fn bytes_with_prepared(&self, name: &str, shape_bytes: usize) -> usize {
+        let old = self.prepared(name).map(|prepared| prepared.shape.len());
+        let old_bytes = old.map_or(0, |bytes| entry_bytes(name, 2 * bytes));
+        self.size_bytes() - old_bytes + entry_bytes(name, 2 * shape_bytes)
+    }
+
     /// Returns the session values, sorted by name.
     pub fn values(&self) -> &[(Box<str>, Bytes)] {
         &self.values
@@ -263,6 +289,10 @@
     kept == 0 || (kept < ENTRIES_MAX && kept_bytes + name.len() + added_bytes <= ENTRIES_BYTES_MAX)
 }
 
+fn entry_bytes(name: &str, size_bytes: usize) -> usize {
+    ENTRY_OVERHEAD_BYTES + name.len() + size_bytes
+}
+
 fn find<V>(entries: &[(Box<str>, V)], name: &str) -> Result<usize, usize> {
     entries.binary_search_by(|(other, _)| other.as_ref().cmp(name))
 }
