--- a/crates/session/src/session/bounded.rs
+++ b/crates/session/src/session/bounded.rs
@@ -32,7 +32,12 @@
         limits::free_if_idle(&mut self.inbox);
         let counted_bytes = limits::counted_bytes(&self.inbox);
         match self.slot.set(Resource::Messages, counted_bytes) {
-            Ok(()) => Ok(()),
+            Ok(()) if counted_bytes == 0 => Ok(()),
+            Ok(()) => {
+                // Sessions that were closed free their memory before this one reads on. A buffer at most doubles in between.
+                tokio::task::yield_now().await;
+                Ok(())
+            }
             Err(cause) => {
                 let ended = SessionEnd::Limited(cause);
                 self.end_with_error(&protocol::Code::Busy, ended).await
