--- a/crates/broker/src/quota/client.rs
+++ b/crates/broker/src/quota/client.rs
@@ -12,7 +12,10 @@
 /// Time without an answer after which a question counts as lost.
 pub const QUESTION_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between two questions for the same workspace, which bounds the messages of a workspace with a high rate.
-pub(super) const QUESTION_INTERVAL: Duration = Duration::from_millis(10);
+pub(super) const QUESTION_INTERVAL: Duration = Duration::from_millis(20);
+/// Shortest time between two questions for a workspace whose demand was not met. All proxies ask for a workspace beyond its limit, and the
+/// coordinator may be a VM with an eighth of a core.
+const UNMET_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time between two questions for a workspace with waiting operations, so that the coordinator knows that the proxy waits.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest time until a token that an answer can tell.
@@ -26,7 +29,9 @@
 /// Number of candidates that are asked while the coordinator is not known.
 const CANDIDATES_ASKED: usize = super::lease::WATCHERS;
 /// Longest time for whose expected use a proxy asks. Tokens of a longer time would often expire without use.
-const EXPECTED_USE_MAX: Duration = Duration::from_millis(100);
+const EXPECTED_USE_MAX: Duration = Duration::from_millis(250);
+/// Time for whose expected use a proxy asks, in addition to that until the next answer, so that it asks less often.
+const EXPECTED_USE_MIN: Duration = Duration::from_millis(150);
 
 /// Permission to run one operation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -265,7 +270,11 @@
             }
             let wait = Duration::from_millis(grant.wait_ms).min(WAIT_MAX);
             account.no_token_before = (grant.wait_ms > 0).then_some(now + wait);
-            account.ask_at = Some(now + wait.clamp(QUESTION_INTERVAL, POLL_INTERVAL));
+            let pause = match grant.wait_ms {
+                0 => QUESTION_INTERVAL,
+                _ => wait.clamp(UNMET_INTERVAL, POLL_INTERVAL),
+            };
+            account.ask_at = Some(now + pause);
         }
     }
 
@@ -341,7 +350,7 @@
             return;
         };
         // The tokens of a question are used until the answer to the next one.
-        let expected_for = (self.answer_time * 2 + QUESTION_INTERVAL).min(EXPECTED_USE_MAX);
+        let expected_for = (self.answer_time * 2 + EXPECTED_USE_MIN).min(EXPECTED_USE_MAX);
         let mut demands = Vec::new();
         for (workspace, account) in self.accounts.iter_mut() {
             let returned = account.report(now, self.term);
--- a/crates/broker/src/quota/tolerance.rs
+++ b/crates/broker/src/quota/tolerance.rs
@@ -5,9 +5,13 @@
 use super::TOKEN_LIFETIME;
 use crate::workspace;
 
-/// Share of the slack that coordinators grant beyond the burst. The rest is left for operations that wait in a queue after they were
-/// admitted, and reach their member in a later window.
-const SLACK_SHARE: f64 = 0.75;
+/// Part of the operations of a window that is not granted. It is left for operations that wait in a queue after they were admitted, and
+/// reach their member in a later window.
+const MARGIN: f64 = 0.04;
+/// Part of the configured burst, and of the slack, that a bucket holds. The rest raises the rate at which it fills: callers of a workspace
+/// with a low rate do not come evenly, and a burst beyond the bucket is admitted within a fraction of a second.
+const BURST_PART: f64 = 0.5;
+const SLACK_PART: f64 = 0.25;
 /// Time whose tokens a bucket holds at least, see [`super::bucket`].
 const BUCKET_DEPTH_MIN: Duration = Duration::from_millis(40);
 
@@ -34,16 +38,18 @@
 }
 
 impl Tolerance {
-    /// Returns the limit that coordinators enforce. Tokens can be used for a while after they were granted, so a window holds the tokens
-    /// of a longer time; the rate is lowered where the overshoot does not cover that. Where it does, the slack goes to bursts, since
-    /// callers of a workspace with a low rate do not come evenly.
+    /// Returns the operations that may run in a window.
+    pub fn allowed(&self, limit: workspace::RateLimit) -> f64 {
+        let in_window = limit.rate_per_s() * self.window_s + limit.burst();
+        in_window * (1.0 + self.overshoot) + self.slack
+    }
+
+    /// Returns the limit that coordinators enforce. What may run in a window is granted at a steady rate, but for the bucket. Tokens can be
+    /// used for a while after they were granted, so a window holds the tokens of a longer time.
     pub fn enforced(&self, limit: workspace::RateLimit) -> workspace::RateLimit {
         let granted_for_s = self.window_s + (TOKEN_LIFETIME + BUCKET_DEPTH_MIN).as_secs_f64();
-        let rate_part = self.window_s * (1.0 + self.overshoot) / granted_for_s;
-        let extra_burst = (self.slack * SLACK_SHARE).floor();
-        workspace::RateLimit::new(
-            limit.rate_per_s() * rate_part.min(1.0),
-            limit.burst() + extra_burst,
-        )
+        let burst = limit.burst() * BURST_PART + self.slack * SLACK_PART;
+        let steady = self.allowed(limit) * (1.0 - MARGIN) - burst;
+        workspace::RateLimit::new(steady.max(0.0) / granted_for_s, burst)
     }
 }
--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -357,6 +357,11 @@
         self.peers.values().cloned().collect()
     }
 
+    /// Returns whether the entries of the other proxies have been read.
+    pub fn knows_peers(&self) -> bool {
+        self.peers_read
+    }
+
     /// Returns another proxy that the store lists.
     pub fn listed_peer(&self, proxy: id::ProxyId) -> Option<topology::Peer> {
         self.peers.get(proxy).cloned()
--- a/crates/session/src/quota/charge.rs
+++ b/crates/session/src/quota/charge.rs
@@ -111,6 +111,12 @@
             Err(retry_after) => {
                 metrics::counter!("fulmarlift_quota_operations_total", "outcome" => "refused")
                     .increment(1);
+                log::info!(
+                    "event=quota_refused workspace={} waited_ms={} retry_after_ms={}",
+                    self.workspace_name(workspace).as_deref().unwrap_or("none"),
+                    waited.as_millis(),
+                    retry_after.as_millis()
+                );
                 Err(retry_after)
             }
         }
--- a/crates/session/src/quota/mod.rs
+++ b/crates/session/src/quota/mod.rs
@@ -59,7 +59,7 @@
     /// Version of the configuration whose limits the coordinators have.
     version: u64,
     /// Number of proxies, and of choices of homes, when the candidates were determined.
-    proxies: (usize, u64),
+    proxies: Option<(usize, u64)>,
 }
 
 /// Rate limits of workspaces at one proxy.
@@ -92,7 +92,7 @@
             links: sorted::Map::default(),
             is_reading: false,
             version: 0,
-            proxies: (0, 0),
+            proxies: None,
         }
     }
 
@@ -181,7 +181,9 @@
     fn apply_quota_changes(self: &Rc<Self>) {
         let (version, proxies) = self.with_broker(|broker| {
             let proxies = (broker.peers(), broker.home_choices());
-            (broker.topology().version, proxies)
+            // Until the other proxies are known, this one would take all shards.
+            let known = broker.knows_peers().then_some(proxies);
+            (broker.topology().version, known)
         });
         let now = clock::now();
         let mut state = self.quotas.state.borrow_mut();
@@ -201,6 +203,9 @@
         let Some(state) = state.as_mut().filter(|state| state.proxies != proxies) else {
             return;
         };
+        if proxies.is_none() {
+            return;
+        }
         state.proxies = proxies;
         let this_proxy = id::of(self.vm_name());
         let mut known = self.with_broker(|broker| {
