--- a/crates/broker/src/quota/account.rs
+++ b/crates/broker/src/quota/account.rs
@@ -172,6 +172,10 @@
         }
         self.counted_since = Some(now);
         self.arrived = 0;
+        // While tokens are short, those for an expected use would expire at one proxy and be missing at another.
+        if self.no_token_before.is_some() {
+            return self.waiting.len() as u64;
+        }
         let expected = (self.use_per_s * expected_for.as_secs_f64()).round() as u64;
         self.waiting.len() as u64 + expected
     }
--- a/crates/broker/src/quota/lease.rs
+++ b/crates/broker/src/quota/lease.rs
@@ -17,14 +17,17 @@
 /// Time for which another proxy must have seen the row unchanged before it takes over: the lease, and a twentieth of it for
 /// clocks of different speed.
 pub const TAKE_OVER_AFTER: Duration = Duration::from_millis(10_500);
-/// Time after which a lease is renewed. Two renewals may fail before the lease ends.
-pub const RENEW_AFTER: Duration = Duration::from_millis(3_000);
+/// Time after which a lease is renewed. One renewal may fail before the lease ends.
+pub const RENEW_AFTER: Duration = Duration::from_millis(4_000);
+/// Time after a row was found missing until the first lease is written. Proxies that start together learn of each other meanwhile, and
+/// the shards go to several of them.
+const FIRST_LEASE_DELAY: Duration = Duration::from_millis(2_500);
 /// Time for which each candidate waits longer than the one before, in which a take-over is written and read.
 pub const RANK_DELAY: Duration = Duration::from_millis(1_000);
 /// Number of candidates that read the row while they are not the coordinator; calls to the store are priced and limited.
 pub const WATCHERS: usize = 2;
 /// Time between two reads of a candidate. It adds to the time until a coordinator that has ended is replaced.
-const WATCH_INTERVAL: Duration = Duration::from_millis(3_000);
+const WATCH_INTERVAL: Duration = Duration::from_millis(5_000);
 /// Time after a call that the store refused, or whose outcome is not known, until the next one.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Position of the era in a term. The bits below count the changes of coordinator in that era.
@@ -401,7 +404,10 @@
         }
         let rank_delay = RANK_DELAY * u32::try_from(context.rank).unwrap_or(u32::MAX);
         let free_at = match seen.revision {
-            revision::Revision { version: 0, era } => self.lost_leases_end_at(seen, era, context),
+            revision::Revision { version: 0, era } => {
+                let free_at = self.lost_leases_end_at(seen, era, context);
+                free_at.max(seen.since + FIRST_LEASE_DELAY)
+            }
             _ => seen.since + TAKE_OVER_AFTER,
         };
         Some(free_at + rank_delay)
--- a/crates/broker/src/quota/mod.rs
+++ b/crates/broker/src/quota/mod.rs
@@ -33,7 +33,7 @@
 pub type QuestionId = u64;
 
 /// Number of shards. The workspaces of a shard whose coordinator has ended are refused until another proxy takes over.
-pub const SHARDS: u64 = 8;
+pub const SHARDS: u64 = 4;
 /// Time in which a token can be used, from the instant at which the question was sent, by the asking proxy's clock. It is less
 /// than the share of a window of 5 s that an overshoot of a tenth allows.
 pub const TOKEN_LIFETIME: Duration = Duration::from_millis(400);
--- a/crates/broker/tests/pace/system.rs
+++ b/crates/broker/tests/pace/system.rs
@@ -275,6 +275,7 @@
             avoid: None,
             hedge: false,
             forwarded: false,
+            workspace: None,
         };
         self.requests.push((home, request.clone()));
         self.step(home, Event::Arrived(request));
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -32,6 +32,10 @@
 /// Most attempts of one statement, hedges included: enough to try each member of a group of three twice.
 const ATTEMPTS_MAX: u32 = 6;
 
+/// Part of the objective for which an operation waits for a token of its workspace. One that waits longer would then be refused for lack of
+/// time to be answered; its caller does better to come back later.
+const TOKEN_WAIT_PART: u32 = 4;
+
 /// Pause before a read whose answer was lost or malformed twice is sent again. Each further time doubles the pause.
 const REPEAT_PAUSE_MIN: Duration = Duration::from_millis(10);
 
@@ -249,7 +253,12 @@
         if self.is_forwarded() {
             return Ok(quota::Charge::free());
         }
-        let deadline = timing.objective_at.min(timing.deadline);
+        let objective = timing
+            .objective_at
+            .saturating_duration_since(timing.arrived_at);
+        let deadline = timing
+            .deadline
+            .min(timing.arrived_at + objective / TOKEN_WAIT_PART);
         let charged = self.shell.charge_operation(scope.workspace, deadline);
         charged.await.map_err(|retry_after| Failure {
             code: protocol::Code::Busy,
