--- a/crates/broker/src/quota/account.rs
+++ b/crates/broker/src/quota/account.rs
@@ -34,6 +34,8 @@
     pub(super) no_token_before: Option<Instant>,
     /// Instant before which the proxy does not ask for the workspace.
     pub(super) ask_at: Option<Instant>,
+    /// Answers in a row that did not meet the demand.
+    pub(super) unmet: u32,
     /// Operations since the last question.
     pub(super) arrived: u64,
     pub(super) counted_since: Option<Instant>,
--- a/crates/broker/src/quota/client.rs
+++ b/crates/broker/src/quota/client.rs
@@ -13,9 +13,9 @@
 pub const QUESTION_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between two questions for the same workspace, which bounds the messages of a workspace with a high rate.
 pub(super) const QUESTION_INTERVAL: Duration = Duration::from_millis(20);
-/// Shortest time between two questions for a workspace whose demand was not met. All proxies ask for a workspace beyond its limit, and the
-/// coordinator may be a VM with an eighth of a core.
-const UNMET_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of doublings of [`QUESTION_INTERVAL`] for a workspace whose demand is not met again and again. All proxies ask for a workspace
+/// beyond its limit, and the coordinator may be a VM with an eighth of a core.
+const UNMET_DOUBLINGS_MAX: u32 = 3;
 /// Longest time between two questions for a workspace with waiting operations, so that the coordinator knows that the proxy waits.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest time until a token that an answer can tell.
@@ -270,10 +270,12 @@
             }
             let wait = Duration::from_millis(grant.wait_ms).min(WAIT_MAX);
             account.no_token_before = (grant.wait_ms > 0).then_some(now + wait);
-            let pause = match grant.wait_ms {
-                0 => QUESTION_INTERVAL,
-                _ => wait.clamp(UNMET_INTERVAL, POLL_INTERVAL),
+            account.unmet = match grant.wait_ms {
+                0 => 0,
+                _ => account.unmet.saturating_add(1),
             };
+            let doublings = account.unmet.saturating_sub(1).min(UNMET_DOUBLINGS_MAX);
+            let pause = wait.clamp(QUESTION_INTERVAL * (1 << doublings), POLL_INTERVAL);
             account.ask_at = Some(now + pause);
         }
     }
--- a/crates/broker/src/quota/lease.rs
+++ b/crates/broker/src/quota/lease.rs
@@ -17,15 +17,15 @@
 /// Time for which another proxy must have seen the row unchanged before it takes over: the lease, and a twentieth of it for
 /// clocks of different speed.
 pub const TAKE_OVER_AFTER: Duration = Duration::from_millis(10_500);
-/// Time after which a lease is renewed. One renewal may fail before the lease ends.
-pub const RENEW_AFTER: Duration = Duration::from_millis(4_000);
+/// Time after which a lease is renewed. Two renewals may fail before the lease ends.
+pub const RENEW_AFTER: Duration = Duration::from_millis(3_000);
 /// Time after a row was found missing until the first lease is written. Proxies that start together learn of each other meanwhile, and
 /// the shards go to several of them.
 const FIRST_LEASE_DELAY: Duration = Duration::from_millis(2_500);
 /// Time for which each candidate waits longer than the one before, in which a take-over is written and read.
 pub const RANK_DELAY: Duration = Duration::from_millis(1_000);
 /// Number of candidates that read the row while they are not the coordinator; calls to the store are priced and limited.
-pub const WATCHERS: usize = 2;
+pub const WATCHERS: usize = 3;
 /// Time between two reads of a candidate. It adds to the time until a coordinator that has ended is replaced.
 const WATCH_INTERVAL: Duration = Duration::from_millis(5_000);
 /// Time after a call that the store refused, or whose outcome is not known, until the next one.
--- a/crates/broker/src/quota/tolerance.rs
+++ b/crates/broker/src/quota/tolerance.rs
@@ -7,11 +7,11 @@
 
 /// Part of the operations of a window that is not granted. It is left for operations that wait in a queue after they were admitted, and
 /// reach their member in a later window.
-const MARGIN: f64 = 0.04;
+const MARGIN: f64 = 0.03;
 /// Part of the configured burst, and of the slack, that a bucket holds. The rest raises the rate at which it fills: callers of a workspace
 /// with a low rate do not come evenly, and a burst beyond the bucket is admitted within a fraction of a second.
-const BURST_PART: f64 = 0.5;
-const SLACK_PART: f64 = 0.25;
+const BURST_PART: f64 = 0.25;
+const SLACK_PART: f64 = 0.15;
 /// Time whose tokens a bucket holds at least, see [`super::bucket`].
 const BUCKET_DEPTH_MIN: Duration = Duration::from_millis(40);
 
--- a/crates/broker/src/state/pacing.rs
+++ b/crates/broker/src/state/pacing.rs
@@ -19,6 +19,11 @@
     /// Switches the adaptive concurrency limits on. Deployments that do not ask for them are served without.
     pub fn adapt_concurrency(&mut self) {
         self.adapts_concurrency = true;
+        for (_, group) in self.groups.iter_mut() {
+            for (_, state) in group.members.iter_mut() {
+                state.pace.get_or_insert_default();
+            }
+        }
     }
 
     /// Returns the adaptive concurrency limit of a member; `None` in full use.
--- a/crates/broker/tests/pace.rs
+++ b/crates/broker/tests/pace.rs
@@ -229,6 +229,7 @@
 #[test]
 fn leader_that_has_failed_takes_writes_after_short_pause() {
     let mut fixture = Fixture::new();
+    fixture.broker.adapt_concurrency();
     fixture.add_request(Requirement::Leader);
     fixture.open_all();
     for answer in [Answer::Silent { commit: false }, Answer::Busy] {
@@ -308,6 +309,7 @@
         true => Fixture::new(),
         false => Fixture::starting(),
     };
+    fixture.broker.adapt_concurrency();
     let mut entry = member_at(13, "c", false);
     entry.revision = version(13);
     entry.cold_remaining_ms = cold_remaining_ms;
--- a/crates/session/tests/layout.rs
+++ b/crates/session/tests/layout.rs
@@ -66,6 +66,10 @@
         },
         ..OPTIONS
     };
+    let of_workspace = StatementOptions {
+        workspace: Some(5),
+        ..OPTIONS
+    };
     let commands = [
         (
             "startup",
@@ -81,6 +85,10 @@
         ("rollback of a caller", run(Verb::Rollback, OPTIONS)),
         ("read", run(Verb::Run(Mode::Read), bounded)),
         ("write", run(Verb::Run(Mode::Write), OPTIONS)),
+        (
+            "read for a workspace",
+            run(Verb::Run(Mode::Read), of_workspace),
+        ),
         (
             "execute",
             Command::Execute {
@@ -128,6 +136,7 @@
         Code::Timeout,
         Code::InDoubt,
         Code::NoDatabase,
+        Code::Unauthorized,
         Code::Malformed,
         Code::TooLarge,
         Code::Other("ODD".into()),
--- a/crates/session/tests/layout/updates.rs
+++ b/crates/session/tests/layout/updates.rs
@@ -6,9 +6,11 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_broker::leader::{KnownPoints, TermStart};
+use fulmarlift_broker::quota::message;
 use fulmarlift_broker::revision::Revision;
 use fulmarlift_broker::topology::{Consistency, Group, Member, Peer, Route, Topology};
 use fulmarlift_broker::topology_change::TopologyChange;
+use fulmarlift_broker::workspace::{KeyDigest, RateLimit, Registry, Workspace};
 use fulmarlift_broker::{claim, event};
 use fulmarlift_core::floor::Point;
 use fulmarlift_core::topology::Place;
@@ -125,6 +127,38 @@
         name: "member-1".into(),
         revision: REVISION,
     };
+    let mut with_workspace = topology(4, "mail", own_writes);
+    with_workspace.workspaces = Some(Registry::from(vec![Workspace {
+        name: "mill".into(),
+        limit: Some(RateLimit::new(10.5, 5.0)),
+        keys: vec![KeyDigest::of(b"k1")],
+    }]));
+    let mut without_workspaces = topology(5, "mail", own_writes);
+    without_workspaces.workspaces = Some(Registry::default());
+    let removal = TopologyChange::between(&with_workspace, &without_workspaces);
+    let quota_question = message::QuotaQuestion {
+        asker: 3,
+        question: 9,
+        shard: 1,
+        term: 2,
+        demands: vec![message::Demand {
+            workspace: 5,
+            wanted: 4,
+            returned: vec![message::Returned {
+                question: 8,
+                tokens: 1,
+            }],
+        }],
+    };
+    let granted = message::QuotaAnswer::Granted {
+        term: 2,
+        grants: vec![message::Grant {
+            workspace: 5,
+            tokens: 3,
+            wait_ms: 40,
+        }],
+    };
+    let redirect = message::QuotaAnswer::NotCoordinator { holder: Some(6) };
     let messages = [
         (
             "snapshot",
@@ -187,6 +221,17 @@
         ),
         ("group question", Message::GroupQuestion { group: 7 }),
         ("group answer", Message::GroupAnswer(knowledge())),
+        (
+            "workspaces",
+            Message::Update(Update::Configured(with_workspace)),
+        ),
+        (
+            "change of workspaces",
+            Message::ConfigurationChanged(removal),
+        ),
+        ("quota question", Message::QuotaQuestion(quota_question)),
+        ("quota answer", Message::QuotaAnswer(granted)),
+        ("quota redirect", Message::QuotaAnswer(redirect)),
     ];
     let encodings = messages.map(|(name, message)| (name, message.encode().to_vec()));
     stored::compare("updates", &encodings);
