--- a/crates/broker/tests/workspaces.rs
+++ b/crates/broker/tests/workspaces.rs
@@ -150,6 +150,8 @@
     let (mut open, mut moved) = (0_i64, 0);
     for (number, name) in names.iter().enumerate() {
         fixture.now += Duration::from_millis(50);
+        fixture.trust_leader();
+        fixture.take_effects();
         let now = fixture.now;
         fixture.handle(Event::Arrived(request(900 + number as u64, name, now)));
         for effect in &fixture.effects {
--- a/crates/session/tests/keys.rs
+++ b/crates/session/tests/keys.rs
@@ -1,7 +1,5 @@
 //! Callers' keys in sessions. The callers' protocol of these tests has no field for a key, so callers have the empty one.
 
-#[path = "support/member.rs"]
-mod member;
 mod support;
 
 use std::rc::Rc;
