--- a/crates/broker/src/effect.rs
+++ b/crates/broker/src/effect.rs
@@ -147,6 +147,8 @@
     /// So many requests wait that the request would not be answered before its objective or deadline, or no other member
     /// can serve a hedge at once.
     Overload,
+    /// The configuration in force does not have the request's workspace.
+    NoWorkspace,
     /// The request waited (for a connection, a sample of the read index or a leader) until so little time was left that it
     /// could not be answered before its deadline any more.
     Late,
@@ -158,6 +160,7 @@
             Self::NoMember => "no member known",
             Self::NoLeader => "no leader",
             Self::Overload => "overload",
+            Self::NoWorkspace => "unknown workspace",
             Self::Late => "no member free in time",
         })
     }
--- a/crates/broker/src/event.rs
+++ b/crates/broker/src/event.rs
@@ -318,6 +318,8 @@
     Full,
     /// Another process than the expected member answered at the address.
     WrongMember,
+    /// The connection is not needed any more, and the member was not contacted.
+    Abandoned,
 }
 
 /// Role, term and log position that a member reports about itself.
--- a/crates/broker/src/fairness.rs
+++ b/crates/broker/src/fairness.rs
@@ -20,7 +20,7 @@
     /// End of the last request of each workspace, for workspaces whose last request ends after the virtual time.
     ends: sorted::Map<id::WorkspaceId, Tag>,
     /// Tags of waiting requests of workspaces.
-    tags: sorted::Map<id::RequestId, Tag>,
+    tags: sorted::Map<id::RequestId, (id::WorkspaceId, Tag)>,
 }
 
 impl FairOrder {
@@ -28,7 +28,7 @@
     pub fn add(&mut self, request: id::RequestId, workspace: id::WorkspaceId) {
         let tag = self.next_tag(workspace);
         self.ends.insert(workspace, tag + REQUEST_COST);
-        self.tags.insert(request, tag);
+        self.tags.insert(request, (workspace, tag));
     }
 
     /// Returns the tag that the next request of a workspace gets; that of a request without a workspace is the virtual time.
@@ -39,17 +39,31 @@
 
     /// Returns the tag of a waiting request.
     pub fn tag(&self, request: id::RequestId) -> Tag {
-        let tag = self.tags.get(request).copied();
-        tag.unwrap_or(self.virtual_time)
+        let tag = self.tags.get(request);
+        tag.map_or(self.virtual_time, |(_, tag)| *tag)
+    }
+
+    /// Moves the later requests of a workspace, and its end, before a request that is not served.
+    fn give_up(&mut self, workspace: id::WorkspaceId, tag: Tag) {
+        for (_, (other, later)) in self.tags.iter_mut() {
+            if *other == workspace && *later > tag {
+                *later -= REQUEST_COST;
+            }
+        }
+        if let Some(end) = self.ends.get_mut(workspace) {
+            *end = end.saturating_sub(REQUEST_COST);
+        }
     }
 
     /// Removes a request that has been served, or that waits no longer.
     pub fn remove(&mut self, request: id::RequestId, is_served: bool) {
-        let Some(tag) = self.tags.remove(request) else {
+        let Some((workspace, tag)) = self.tags.remove(request) else {
             return;
         };
-        if is_served {
-            self.virtual_time = self.virtual_time.max(tag);
+        match is_served {
+            true => self.virtual_time = self.virtual_time.max(tag),
+            // What was not served does not delay the next requests of its workspace.
+            false => self.give_up(workspace, tag),
         }
         let virtual_time = self.virtual_time;
         match self.tags.is_empty() {
--- a/crates/broker/src/member_state.rs
+++ b/crates/broker/src/member_state.rs
@@ -548,14 +548,16 @@
         }
     }
 
-    /// Returns the number of connections that are being opened for a workspace; without one, of all.
+    /// Returns the number of connections that are being opened for a workspace; without one, for none.
     pub fn opening_for(&self, workspace: Option<id::WorkspaceId>) -> usize {
         match workspace {
             Some(workspace) => {
                 let opening = self.opening_workspaces.iter();
                 opening.filter(|opening| **opening == workspace).count()
             }
-            None => usize::try_from(self.opening).unwrap_or(usize::MAX),
+            None => usize::try_from(self.opening)
+                .unwrap_or(usize::MAX)
+                .saturating_sub(self.opening_workspaces.len()),
         }
     }
 
--- a/crates/broker/src/share.rs
+++ b/crates/broker/src/share.rs
@@ -3,16 +3,12 @@
 //! A connection to a member serves one workspace, and a member allows few connections. So a proxy keeps connections of the workspaces that
 //! use them, and closes the one that has been idle longest when another workspace needs one.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use fulmarlift_core::id;
 
 use crate::member_state;
 
-/// Time for which a connection must have been idle before another workspace may replace it. The connection of a caller that sends its
-/// statements one after the other is idle for a round trip to the caller, and replacing it costs a slot of the member for the opening
-/// of two connections.
-const REPLACEABLE_IDLE_TIME: Duration = Duration::from_millis(20);
 /// Connections of a proxy's share that a single workspace cannot hold, so that its transactions cannot keep all other workspaces
 /// waiting.
 const RESERVED_FOR_OTHERS: u32 = 1;
@@ -43,24 +39,15 @@
         return Choice::Wait;
     }
     let has_room = state.connections() < state.connection_share;
-    let Some(workspace) = workspace else {
-        return match has_room {
-            true => Choice::Open,
-            false => Choice::Wait,
-        };
-    };
-    let held = state.held_by(workspace);
+    let held = workspace.map_or(0, |workspace| state.held_by(workspace));
     if held > 0 && held + RESERVED_FOR_OTHERS >= state.connection_share {
         return Choice::Wait;
     }
     if has_room {
         return Choice::Open;
     }
-    let is_replaceable = |idle: &&member_state::IdleConnection| {
-        now.saturating_duration_since(idle.since) >= REPLACEABLE_IDLE_TIME
-    };
-    // The connection that has been idle longest is the first one.
-    match state.idle.iter().find(is_replaceable) {
+    // The connection that has been idle longest is the first one. Without workspaces all idle connections are alike.
+    match state.idle.first() {
         Some(idle) => Choice::Replace(idle.conn),
         None => Choice::Wait,
     }
--- a/crates/broker/src/state/conns.rs
+++ b/crates/broker/src/state/conns.rs
@@ -117,6 +117,7 @@
         };
         state.end_opening(workspace);
         match failure {
+            event::OpenFailure::Abandoned => {}
             event::OpenFailure::Full => state.record_no_connection_left(now),
             event::OpenFailure::Refused | event::OpenFailure::WrongMember => {
                 record_unreachable(state, now, true, effects);
--- a/crates/broker/src/state/requests.rs
+++ b/crates/broker/src/state/requests.rs
@@ -26,6 +26,8 @@
 /// Factor of the estimated wait that an arriving request must have time for. The estimate varies while the request waits, and
 /// without a margin many would be refused only shortly before their turn.
 const ARRIVAL_MARGIN: f64 = 1.1;
+/// Time after which a caller may retry whose workspace has been removed meanwhile, or is not known yet.
+const UNKNOWN_WORKSPACE_RETRY: Duration = Duration::from_millis(500);
 /// Cost of opening a connection, in ms. It is less than the opening takes, because later requests use the connection, too.
 const OPEN_COST_MS: f64 = 6.0;
 
@@ -46,6 +48,18 @@
     member: id::MemberId,
     /// Workspace of the request; `None` for a home.
     workspace: Option<id::WorkspaceId>,
+    /// Whether other members may serve the request, too.
+    any_member: bool,
+}
+
+impl Wanted {
+    /// Returns whether a connection that is opened for the other request would serve this one, too.
+    fn is_alike(&self, other: &Self) -> bool {
+        match self.any_member {
+            true => other.any_member && other.workspace == self.workspace,
+            false => other == self,
+        }
+    }
 }
 
 /// Decision on a waiting request.
@@ -133,16 +147,26 @@
         let ahead = group.queue.count_ahead(answer_expected_at, &request);
         let wait = group.estimated_wait(now, group.answer_rate(now, forwards), ahead);
         let latest = latest_answer(now, &request);
-        if ahead > 0 && answer_expected_at + wait.mul_f64(ARRIVAL_MARGIN) > latest {
+        let is_too_late = ahead > 0 && answer_expected_at + wait.mul_f64(ARRIVAL_MARGIN) > latest;
+        // Requests of other workspaces may wait for connections that this one does not need.
+        if is_too_late && !(request.workspace.is_some() && self.may_proceed(now, &request)) {
             let reason = self.reason_for_wait(now, group_id);
             effects.push(refusal(now, &request, reason, wait));
             return;
         }
         self.request_groups.insert(request.id, group_id);
-        group.queue.push(now, request);
+        self.groups.entry(group_id).queue.push(now, request);
         self.serve_queue(now, group_id, effects);
     }
 
+    /// Returns whether a request would get a connection now, or one would be opened for it.
+    fn may_proceed(&self, now: Instant, request: &request::Request) -> bool {
+        matches!(
+            self.decide(now, request),
+            Decision::Grant { .. } | Decision::Open(_)
+        )
+    }
+
     pub(super) fn remove_request(&mut self, request: id::RequestId) {
         if let Some(group_id) = self.request_groups.remove(request) {
             self.groups.entry(group_id).queue.remove(request, false);
@@ -211,8 +235,17 @@
         let forwards = group.forwards_to().is_some();
         let (direct, forwarding) = (group.answer_rate(now, false), group.answer_rate(now, true));
         let mut wanted: Vec<Wanted> = Vec::new();
-        for (ahead, request) in waiting.into_iter().enumerate() {
+        let mut undecided = 0;
+        for (position, request) in waiting.into_iter().enumerate() {
             let decision = self.decide(now, &request);
+            // Requests of workspaces wait for connections of their own, so those that have got one do not count as ahead.
+            let ahead = match request.workspace {
+                Some(_) => undecided,
+                None => position,
+            };
+            if !matches!(decision, Decision::Grant { .. } | Decision::Refuse(..)) {
+                undecided += 1;
+            }
             let without_leader = matches!(
                 decision,
                 Decision::Wait | Decision::Refuse(effect::RefusalReason::NoLeader, _)
@@ -334,11 +367,12 @@
     /// opened as requests wait for it, or no more may be opened now.
     fn open_wanted(&mut self, now: Instant, wanted: &[Wanted], effects: &mut Vec<effect::Effect>) {
         for (nth, wants) in wanted.iter().enumerate() {
-            let before = wanted[..nth].iter().filter(|other| **other == *wants);
+            let before = wanted[..nth].iter().filter(|other| wants.is_alike(other));
+            let (before, opening) = (before.count(), self.opening_for(wants));
             let Some(state) = self.member_state(wants.member) else {
                 continue;
             };
-            if before.count() < state.opening_for(wants.workspace) {
+            if before < opening {
                 continue;
             }
             // Requests before this one may have taken the room, or the connection to be replaced.
@@ -351,6 +385,22 @@
         }
     }
 
+    /// Returns the number of connections that are being opened for requests that are alike.
+    fn opening_for(&self, wants: &Wanted) -> usize {
+        let group = self.member_groups.get(wants.member);
+        let group = group.and_then(|group| self.groups.get(*group));
+        match group {
+            Some(group) if wants.any_member => {
+                let members = group.members.values();
+                let opening = members.map(|state| state.opening_for(wants.workspace));
+                opening.sum()
+            }
+            _ => self
+                .member_state(wants.member)
+                .map_or(0, |state| state.opening_for(wants.workspace)),
+        }
+    }
+
     /// Closes an idle connection of another workspace than the one that needs its place.
     fn replace_connection(
         &mut self,
@@ -384,6 +434,13 @@
         if self.is_starting(now) {
             return Decision::Wait;
         }
+        let is_known = |workspace| self.topology.workspace(workspace).is_some();
+        if request
+            .workspace
+            .is_some_and(|workspace| !is_known(workspace))
+        {
+            return Decision::Refuse(effect::RefusalReason::NoWorkspace, UNKNOWN_WORKSPACE_RETRY);
+        }
         if let Some(homes) = group.forwards_to()
             && !request.forwarded
             && let Some(decision) = self.choose_home(now, group, homes, request)
@@ -666,9 +723,11 @@
     let member = state.entry.id;
     match share::choose(state, workspace, now) {
         share::Choice::Use => Decision::Grant { member, floor },
-        share::Choice::Open | share::Choice::Replace(_) => {
-            Decision::Open(Wanted { member, workspace })
-        }
+        share::Choice::Open | share::Choice::Replace(_) => Decision::Open(Wanted {
+            member,
+            workspace,
+            any_member: workspace.is_some() && floor.is_some(),
+        }),
         share::Choice::Wait => Decision::Wait,
     }
 }
--- a/crates/session/src/link.rs
+++ b/crates/session/src/link.rs
@@ -71,6 +71,9 @@
     /// The member answered the startup message with an error.
     #[error("refused with {0:?}")]
     Refused(protocol::Code),
+    /// The workspace that the connection would serve has been removed; the member was not contacted.
+    #[error("unknown workspace")]
+    UnknownWorkspace,
 }
 
 impl OpenError {
@@ -87,6 +90,7 @@
                 event::OpenFailure::Refused
             }
             Self::Link(_) => event::OpenFailure::Silent,
+            Self::UnknownWorkspace => event::OpenFailure::Abandoned,
         }
     }
 }
--- a/crates/session/src/quota/charge.rs
+++ b/crates/session/src/quota/charge.rs
@@ -28,7 +28,7 @@
         if let Some((shell, token)) = self.token {
             let shard = quota::shard_of(token.workspace);
             let now = clock::now();
-            shell.step_client(shard, |client| client.put_back(now, token));
+            shell.step_client_and_wake(shard, |client| client.put_back(now, token));
         }
     }
 }
--- a/crates/session/src/session/mod.rs
+++ b/crates/session/src/session/mod.rs
@@ -282,10 +282,13 @@
 
     /// Tells the caller why it may not use the session, and ends it.
     async fn end_denied(&mut self, denied: scope::Denied) -> Result<(), SessionEnd> {
-        log::info!(
-            "event=refused database={} reason={denied:?}",
-            self.database_field()
-        );
+        // A caller that mixes up the fields of its startup message sends its key as the database.
+        let is_odd = denied == scope::Denied::NoDatabase && self.may_send_keys();
+        let database = match is_odd {
+            true => logging::field(b"unknown"),
+            false => self.database_field(),
+        };
+        log::info!("event=refused database={database} reason={denied:?}");
         metrics::counter!("fulmarlift_sessions_denied_total", "reason" => denied.name())
             .increment(1);
         let ended = match denied {
--- a/crates/session/src/session/single.rs
+++ b/crates/session/src/session/single.rs
@@ -138,6 +138,15 @@
         }
     }
 
+    /// Returns the failure of a statement that must not run.
+    pub(super) fn denied(denied: scope::Denied) -> Self {
+        Self {
+            code: denied.code(),
+            text: denied.to_string(),
+            attempts: None,
+        }
+    }
+
     /// Returns the failure of a statement that no member got, and that none would.
     pub fn withheld(reason: protocol::Withheld) -> Self {
         Self {
@@ -192,11 +201,17 @@
                 return self.answer_error(&failure.code, &failure.text);
             }
         };
+        // The key may have been removed while the operation waited for its token.
+        if !self.is_key_valid() {
+            charge.put_back();
+            let denied = scope::Denied::Unauthorized;
+            return self.answer_error(&denied.code(), &denied.to_string());
+        }
         let session_commit = self.session_commits.point(route.group);
         let session_state = Rc::clone(&self.session_state);
         let statement = Rc::new(statement);
         let requirement = requirement(route, statement.mode, session_commit);
-        let ended = match statement.mode {
+        let (ended, may_have_run) = match statement.mode {
             protocol::Mode::Read => {
                 let job = ReadJob {
                     shell: Rc::clone(&self.shell),
@@ -212,7 +227,7 @@
                 read(Rc::new(job)).await
             }
             protocol::Mode::Write => {
-                write(
+                let ended = write(
                     &self.shell,
                     &statement,
                     &session_state,
@@ -220,10 +235,12 @@
                     timing,
                     forwarded,
                 )
-                .await
+                .await;
+                let may_have_run = !is_refusal(&ended);
+                (ended, may_have_run)
             }
         };
-        if has_not_run(&ended) {
+        if !may_have_run {
             charge.put_back();
         }
         match ended {
@@ -291,8 +308,8 @@
     }
 }
 
-/// Returns whether a statement has certainly not run, so that it is not charged.
-fn has_not_run(ended: &Result<member::Answer, Failure>) -> bool {
+/// Returns whether the last attempt was refused, or never made.
+fn is_refusal(ended: &Result<member::Answer, Failure>) -> bool {
     match ended {
         Ok(answer) => answer.error().is_some_and(protocol::Code::means_not_run),
         Err(failure) => matches!(failure.code, protocol::Code::Busy | protocol::Code::Aborted),
@@ -417,8 +434,9 @@
 }
 
 /// Runs a read, and hedges it at a second member when the first is slow. Retries it after a failure: if the
-/// member has not run it or its answer is missing, preferably at another member; if the statement itself failed, at any.
-async fn read<D: Deployment>(job: Rc<ReadJob<D>>) -> Result<member::Answer, Failure> {
+/// member has not run it or its answer is missing, preferably at another member; if the statement itself failed, at any. Returns also
+/// whether a member may have run it.
+async fn read<D: Deployment>(job: Rc<ReadJob<D>>) -> (Result<member::Answer, Failure>, bool) {
     let (statement, timing) = (&job.statement, job.timing);
     let start_attempt =
         |avoid, earlier, hedge, at| attempt_read(Rc::clone(&job), avoid, earlier, hedge, at);
@@ -502,11 +520,12 @@
         }
     };
     job.ended.send_replace(true);
+    let may_have_run = was_sent || !running.is_empty() || !is_refusal(&ended);
     if !running.is_empty() {
         // A slower attempt that was sent runs to its end, so that it gives its connection back and reports the member's answer.
         tokio::task::spawn_local(async move { while running.next().await.is_some() {} });
     }
-    ended
+    (ended, may_have_run)
 }
 
 /// Returns the pause before a read is repeated that has lost this many answers: none after the first, since another member may answer.
--- a/crates/session/src/session/transaction.rs
+++ b/crates/session/src/session/transaction.rs
@@ -247,8 +247,16 @@
         let (begin, scope) = (begin.clone(), scope.clone());
         let timing = single::Timing::new(&scope.route);
         let charge = self.charge(&scope, timing).await?;
+        // The key may have been removed while the operation waited for its token.
+        if !self.is_key_valid() {
+            charge.put_back();
+            let denied = scope::Denied::Unauthorized;
+            return Err(single::Failure::denied(denied));
+        }
         let opened = self.begin_transaction_at_member(begin, scope, timing).await;
-        if opened.is_err() {
+        // A `BEGIN` whose answer was lost may have run.
+        let is_unsent = |failure: &single::Failure| failure.attempts.is_none();
+        if opened.as_ref().is_err_and(is_unsent) {
             charge.put_back();
         }
         opened
--- a/crates/session/src/shell/tasks.rs
+++ b/crates/session/src/shell/tasks.rs
@@ -130,8 +130,7 @@
                 let workspace = match workspace {
                     Some(workspace) => match self.workspace_name(workspace) {
                         Some(name) => Some(name),
-                        // The workspace was removed after its request had come.
-                        None => return Err(link::OpenError::Refused(protocol::Code::Misrouted)),
+                        None => return Err(link::OpenError::UnknownWorkspace),
                     },
                     None => None,
                 };
