--- a/crates/broker/src/state/mod.rs
+++ b/crates/broker/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The broker: the state of one proxy's decisions, and the step that applies an event to it.
 
 mod choice_log;
+mod choices;
 mod confirmations;
 mod conns;
 mod directory;
--- a/crates/session/src/limits/bounds.rs
+++ b/crates/session/src/limits/bounds.rs
@@ -41,14 +41,14 @@
 
 /// Memory and file descriptors that the process may use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Machine {
+pub struct VmResources {
     /// Memory in bytes.
     pub memory_bytes: usize,
     /// Number of file descriptors, those for files included.
     pub descriptors: usize,
 }
 
-impl Default for Machine {
+impl Default for VmResources {
     /// Returns more than clients inside the documented limits need, for settings without limits.
     fn default() -> Self {
         Self {
@@ -86,10 +86,10 @@
 
 impl Bounds {
     /// Derives the bounds of a process.
-    pub fn new(machine: Machine) -> Self {
-        let sockets = machine.descriptors.saturating_sub(FILE_DESCRIPTORS);
+    pub fn new(vm_resources: VmResources) -> Self {
+        let sockets = vm_resources.descriptors.saturating_sub(FILE_DESCRIPTORS);
         let pool = |connections: usize, share: Share| {
-            let bytes = share.of(machine.memory_bytes);
+            let bytes = share.of(vm_resources.memory_bytes);
             PoolBounds {
                 connections: connections.max(1),
                 message_bytes: bytes.max(MESSAGE_BYTES_MIN),
@@ -97,7 +97,7 @@
                 state_bytes: bytes.max(STATE_BYTES_MIN),
             }
         };
-        let sessions_max = SESSIONS_BYTES_SHARE.of(machine.memory_bytes) / SESSION_BYTES;
+        let sessions_max = SESSIONS_BYTES_SHARE.of(vm_resources.memory_bytes) / SESSION_BYTES;
         let callers = CALLERS_SHARE.of(sockets).min(sessions_max);
         Self {
             callers: pool(callers, CALLERS_BYTES_SHARE),
--- a/crates/session/src/limits/mod.rs
+++ b/crates/session/src/limits/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::clock;
 use crate::limits::activity::Activity;
-use crate::limits::bounds::{Bounds, Machine};
+use crate::limits::bounds::{Bounds, VmResources};
 use crate::limits::ledger::{Cause, Close, ConnectionNumber, Ledger, Resource, Verdict};
 use crate::limits::report::LineLimiter;
 
@@ -52,7 +52,7 @@
 /// The clients of a process, and their bounds.
 #[derive(Debug)]
 pub struct Limits {
-    machine: Cell<Machine>,
+    vm_resources: Cell<VmResources>,
     ledgers: RefCell<[Ledger; 3]>,
     /// Of each pool and cause.
     limiters: RefCell<[[LineLimiter; Cause::ALL.len()]; 3]>,
@@ -60,11 +60,11 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        let machine = Machine::default();
-        let bounds = Bounds::new(machine);
+        let vm_resources = VmResources::default();
+        let bounds = Bounds::new(vm_resources);
         let ledgers = [bounds.callers, bounds.peers, bounds.updates].map(Ledger::new);
         Self {
-            machine: Cell::new(machine),
+            vm_resources: Cell::new(vm_resources),
             ledgers: RefCell::new(ledgers),
             limiters: RefCell::default(),
         }
@@ -73,9 +73,9 @@
 
 impl Limits {
     /// Sets the memory and the descriptors of the process.
-    pub fn set_machine(&self, machine: Machine) {
-        self.machine.set(machine);
-        let bounds = Bounds::new(machine);
+    pub fn set_vm_resources(&self, vm_resources: VmResources) {
+        self.vm_resources.set(vm_resources);
+        let bounds = Bounds::new(vm_resources);
         let bounds = [bounds.callers, bounds.peers, bounds.updates];
         for (ledger, bounds) in self.ledgers.borrow_mut().iter_mut().zip(bounds) {
             ledger.set_bounds(bounds);
@@ -84,7 +84,7 @@
 
     /// Returns the bounds in force.
     pub fn bounds(&self) -> Bounds {
-        Bounds::new(self.machine.get())
+        Bounds::new(self.vm_resources.get())
     }
 
     /// Adds a connection until the returned slot is dropped. May close another one for it; returns none if it must be refused.
--- a/crates/session/tests/limits.rs
+++ b/crates/session/tests/limits.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use fulmarlift_session::limits::activity::Activity;
-use fulmarlift_session::limits::bounds::{Bounds, Machine, PoolBounds};
+use fulmarlift_session::limits::bounds::{Bounds, PoolBounds, VmResources};
 use fulmarlift_session::limits::http::Table;
 use fulmarlift_session::limits::ledger::{Close, ConnectionNumber, Ledger, Resource, Verdict};
 use fulmarlift_session::limits::report::LineLimiter;
@@ -258,23 +258,23 @@
     assert_eq!(table.open(now + LONG), (4, None));
 }
 
-/// Guards against bounds that exceed the machine, or are too small for a single message, answer or value of legal size.
+/// Guards against bounds that exceed the VM, or are too small for a single message, answer or value of legal size.
 #[rstest]
 #[case::smallest_vm(160, 4_300)]
 #[case::largest_vm(512, 8_192)]
 #[case::few_of_both(64, 600)]
 fn bounds_fit_machine(#[case] memory_mb: usize, #[case] descriptors: usize) {
-    let machine = Machine {
+    let vm_resources = VmResources {
         memory_bytes: memory_mb << 20,
         descriptors,
     };
-    let bounds = Bounds::new(machine);
+    let bounds = Bounds::new(vm_resources);
     let pools = [bounds.callers, bounds.peers];
     let bytes: usize = pools
         .iter()
         .map(|pool| pool.message_bytes + pool.answer_bytes + pool.state_bytes)
         .sum();
-    assert!(bytes <= machine.memory_bytes * 3 / 5, "{bounds:?}");
+    assert!(bytes <= vm_resources.memory_bytes * 3 / 5, "{bounds:?}");
     let connections = bounds.callers.connections
         + bounds.peers.connections
         + bounds.updates.connections
